--- /dev/null
+++ b/cmd/hibiscuslever/main.go
@@ -0,0 +1,20 @@
+// Command hibiscuslever is the operators' client.
+package main
+
+import (
+	"os"
+
+	"github.com/hibiscuslever/hibiscuslever/command"
+)
+
+func main() {
+	root := command.NewRoot("hibiscuslever",
+		"Show and publish the two lists, and show the state of the fleet",
+		"Show and publish the two lists: the plans and what each may use (Plans), and the organisations and\n"+
+			"the plan that each holds (Organisations). Hosts are started and stopped by their own means.")
+	root.AddCommand(
+		showCommand(), checkCommand(), publishCommand(), historyCommand(), statusCommand(),
+		demoCommand(),
+	)
+	os.Exit(command.Execute(root, os.Stderr))
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,106 @@
+// Package command holds what the programs' command lines share.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+)
+
+// Version is the version of all programs.
+const Version = "0.1.0"
+
+// Exit codes of all programs.
+const (
+	// Done means that the command did what it was asked.
+	Done = 0
+	// Failed means that it did not.
+	Failed = 1
+	// BadUsage means that the command line or the settings are wrong; nothing was started.
+	BadUsage = 2
+)
+
+// UsageError is an error in the command line or the settings.
+type UsageError struct{ err error }
+
+// NewUsageError marks an error as one in the command line or the settings.
+func NewUsageError(err error) error {
+	return UsageError{err: err}
+}
+
+// Error returns the error's text.
+func (ue UsageError) Error() string { return ue.err.Error() }
+
+// Unwrap returns the marked error.
+func (ue UsageError) Unwrap() error { return ue.err }
+
+// NewRoot returns a root command with a version command.
+func NewRoot(name, short, long string) *cobra.Command {
+	root := &cobra.Command{
+		Use:           name,
+		Short:         short,
+		Long:          long,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return NewUsageError(err) })
+	root.AddCommand(&cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), name, Version)
+			return err
+		},
+	})
+	return root
+}
+
+// NoArgs refuses arguments.
+func NoArgs(cmd *cobra.Command, args []string) error {
+	if err := cobra.NoArgs(cmd, args); err != nil {
+		return NewUsageError(err)
+	}
+	return nil
+}
+
+// OneArg wants exactly one argument.
+func OneArg(cmd *cobra.Command, args []string) error {
+	if err := cobra.ExactArgs(1)(cmd, args); err != nil {
+		return NewUsageError(err)
+	}
+	return nil
+}
+
+// Execute runs a command until it ends or the process is asked to stop, and returns the exit code.
+// The second request to stop ends the process at once.
+func Execute(root *cobra.Command, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	err := root.ExecuteContext(ctx)
+	var usage UsageError
+	switch {
+	case err == nil:
+		return Done
+	case errors.As(err, &usage), isUnknownCommand(root, err):
+		_, _ = fmt.Fprintf(errOut, "%s: %v\n", root.Name(), err)
+		return BadUsage
+	default:
+		_, _ = fmt.Fprintf(errOut, "%s: %v\n", root.Name(), err)
+		return Failed
+	}
+}
+
+// isUnknownCommand reports whether cobra did not find the command that was named.
+func isUnknownCommand(root *cobra.Command, err error) bool {
+	_, _, findErr := root.Find(os.Args[1:])
+	return findErr != nil && findErr.Error() == err.Error()
+}
--- /dev/null
+++ b/coordination/claim/index.go
@@ -0,0 +1,143 @@
+// Package claim decides, through the platform's log, which host may run a request that may not be repeated.
+package claim
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// Key identifies a request that may not be repeated: organisation, service and the caller's idempotency key.
+type Key string
+
+// Claimant identifies one try of one host to run a request.
+type Claimant string
+
+// EntryKind says what an entry of a record does.
+type EntryKind string
+
+// Kinds of entries.
+const (
+	// Claimed asks to run the request. The first claim of a free key wins.
+	Claimed EntryKind = "Claim"
+	// Completed records the result of a claim that won.
+	Completed EntryKind = "Result"
+	// Abandoned gives a key back; its claimant has not run the request and never will.
+	Abandoned EntryKind = "Abandon"
+)
+
+// Entry is one statement about a key.
+type Entry struct {
+	Kind     EntryKind
+	Key      Key
+	Claimant Claimant
+	Result   []byte `json:",omitempty"`
+}
+
+// Record is one record of the stream of claims.
+type Record struct {
+	Entries []Entry
+}
+
+// EncodeRecord returns the bytes of a record as the log keeps them.
+func EncodeRecord(rec Record) ([]byte, error) {
+	body, err := json.Marshal(rec)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode claims record")
+	}
+	return body, nil
+}
+
+// Holder is the claim that won a key.
+type Holder struct {
+	Claimant Claimant
+	Offset   id.Offset
+	// Result is nil until the outcome is recorded.
+	Result []byte
+}
+
+type abandoned struct {
+	key      Key
+	claimant Claimant
+}
+
+// Index folds the stream of claims. Indexes that read the same records agree.
+type Index struct {
+	next id.Offset
+	keys map[Key]Holder
+	// abandonedBy holds claims given back, because a claim's append may take effect after its abandonment.
+	abandonedBy map[abandoned]id.Offset
+}
+
+// NewIndex returns an index that has read nothing.
+func NewIndex() *Index {
+	return &Index{keys: map[Key]Holder{}, abandonedBy: map[abandoned]id.Offset{}}
+}
+
+// Next returns the offset of the next record to read.
+func (ix *Index) Next() id.Offset {
+	return ix.next
+}
+
+// Len returns the number of keys held.
+func (ix *Index) Len() int {
+	return len(ix.keys)
+}
+
+// Holder returns the claim that won a key.
+func (ix *Index) Holder(key Key) (Holder, bool) {
+	holder, ok := ix.keys[key]
+	return holder, ok
+}
+
+// Add reads the record at an offset. Records already read change nothing.
+func (ix *Index) Add(offset id.Offset, body []byte) {
+	if offset < ix.next {
+		return
+	}
+	ix.next = offset + 1
+	var rec Record
+	if json.Unmarshal(body, &rec) != nil {
+		return
+	}
+	for _, en := range rec.Entries {
+		ix.apply(offset, en)
+	}
+}
+
+func (ix *Index) apply(offset id.Offset, en Entry) {
+	holder, held := ix.keys[en.Key]
+	mine := held && holder.Claimant == en.Claimant
+	switch en.Kind {
+	case Claimed:
+		if _, gone := ix.abandonedBy[abandoned{en.Key, en.Claimant}]; !held && !gone {
+			ix.keys[en.Key] = Holder{Claimant: en.Claimant, Offset: offset}
+		}
+	case Completed:
+		if mine && holder.Result == nil {
+			holder.Result = en.Result
+			ix.keys[en.Key] = holder
+		}
+	case Abandoned:
+		ix.abandonedBy[abandoned{en.Key, en.Claimant}] = offset
+		if mine && holder.Result == nil {
+			delete(ix.keys, en.Key)
+		}
+	}
+}
+
+// Forget drops what was claimed in records before start, which the log no longer keeps.
+func (ix *Index) Forget(start id.Offset) {
+	for key, holder := range ix.keys {
+		if holder.Offset < start {
+			delete(ix.keys, key)
+		}
+	}
+	for ab, offset := range ix.abandonedBy {
+		if offset < start {
+			delete(ix.abandonedBy, ab)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/configuration/follower.go
@@ -0,0 +1,351 @@
+// Package configuration keeps a host's copy of the two lists up to date and publishes edits.
+package configuration
+
+import (
+	"context"
+	"crypto/rand"
+	"math/big"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/lists"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// Records are records of the configuration stream.
+type Records struct {
+	// Start is the oldest offset kept, Next the offset of the next append.
+	Start id.Offset
+	Next  id.Offset
+	// Records are in order and without gaps.
+	Records []Record
+	// Checkpoint stands for all records before Next, when a peer no longer has them.
+	Checkpoint *lists.Checkpoint
+}
+
+// Record is one record with its offset.
+type Record struct {
+	Offset id.Offset
+	Body   []byte
+}
+
+// Log is the configuration stream of the platform's log.
+type Log interface {
+	// Append adds a record and reports whether the log is known to have refused it.
+	Append(ctx context.Context, body []byte) (refused bool)
+	// Read returns records from an offset on.
+	Read(ctx context.Context, from id.Offset) (Records, error)
+}
+
+// Peers reaches the other hosts.
+type Peers interface {
+	// Others returns the other hosts that are not dead.
+	Others() []id.Host
+	// Records returns what a host has read of the stream from an offset on.
+	Records(ctx context.Context, host id.Host, from id.Offset) (Records, error)
+}
+
+// Config sets the periods of a follower.
+type Config struct {
+	// FleetPollPeriod is the time between polls of the log by all hosts together.
+	FleetPollPeriod time.Duration
+	// MaxPollPeriod bounds the time between polls by one host.
+	MaxPollPeriod time.Duration
+	// CallTimeout bounds one call.
+	CallTimeout time.Duration
+	// CheckpointEvery is the number of records after which a checkpoint is appended.
+	CheckpointEvery int
+	// CheckpointPeriod is the longest time between checkpoints while the log is kept for a limited time.
+	CheckpointPeriod time.Duration
+}
+
+// DefaultConfig returns the periods that hosts use.
+func DefaultConfig() Config {
+	return Config{
+		FleetPollPeriod:  100 * time.Millisecond,
+		MaxPollPeriod:    30 * time.Second,
+		CallTimeout:      2 * time.Second,
+		CheckpointEvery:  100,
+		CheckpointPeriod: 10 * time.Minute,
+	}
+}
+
+const (
+	// maxRecent bounds the records kept for peers.
+	maxRecent = 1000
+	// minPollPeriod bounds the polls of one host in a small fleet.
+	minPollPeriod = 500 * time.Millisecond
+)
+
+// Follower follows the configuration stream.
+type Follower struct {
+	config  Config
+	clock   timer.Service
+	log     Log
+	peers   Peers
+	metrics tally.Scope
+	// onChange is called with the new revision.
+	onChange func(id.Offset)
+
+	mutex sync.Mutex
+	fold  *lists.Fold
+	// synced says that the fold has reached the log's end, or the highest revision of its peers, once.
+	synced bool
+	reason string
+	recent []Record
+	// sinceCheckpoint counts the records read after the last checkpoint.
+	sinceCheckpoint int
+	checkpointAt    time.Time
+	changed         chan struct{}
+	reading         sync.Mutex
+}
+
+// New returns a follower that has read nothing.
+func New(config Config, clock timer.Service, log Log, peers Peers, metrics tally.Scope, onChange func(id.Offset)) *Follower {
+	return &Follower{
+		config:   config,
+		clock:    clock,
+		log:      log,
+		peers:    peers,
+		metrics:  metrics,
+		onChange: onChange,
+		fold:     lists.NewFold(),
+		reason:   "the configuration has not been read yet",
+		changed:  make(chan struct{}),
+	}
+}
+
+// Lists returns the lists in force, and false while the host can't know the newest revision.
+func (fw *Follower) Lists() (*lists.Lists, bool) {
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	return fw.fold.Lists(), fw.synced
+}
+
+// NotReady returns why the lists are not to be used, or "".
+func (fw *Follower) NotReady() string {
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	if fw.synced {
+		return ""
+	}
+	return fw.reason
+}
+
+// History returns the latest verdicts on edits.
+func (fw *Follower) History() []lists.Verdict {
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	return append([]lists.Verdict(nil), fw.fold.History()...)
+}
+
+// Run polls the log until the context ends. The more hosts there are, the less often each one polls.
+func (fw *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		fw.Poll(ctx)
+		wait, sub := timer.Wait(fw.clock, fw.pollPeriod())
+		select {
+		case <-wait:
+		case <-ctx.Done():
+		}
+		sub.Stop()
+	}
+	return nil
+}
+
+func (fw *Follower) pollPeriod() time.Duration {
+	hosts := len(fw.peers.Others()) + 1
+	period := time.Duration(hosts) * fw.config.FleetPollPeriod
+	if fw.NotReady() != "" {
+		period = minPollPeriod
+	}
+	period = min(max(period, minPollPeriod), fw.config.MaxPollPeriod)
+	return period/2 + jitter(period)
+}
+
+// jitter returns a random duration below span.
+func jitter(span time.Duration) time.Duration {
+	value, err := rand.Int(rand.Reader, big.NewInt(int64(span)))
+	if err != nil {
+		return span / 2
+	}
+	return time.Duration(value.Int64())
+}
+
+// Poll reads the log to its end, or asks the peers while the log is down and the host has no configuration.
+func (fw *Follower) Poll(ctx context.Context) {
+	fw.reading.Lock()
+	defer fw.reading.Unlock()
+	if err := fw.readLog(ctx); err != nil {
+		fw.metrics.Counter("configuration_log_failures").Inc(1)
+		if fw.NotReady() != "" {
+			fw.askPeers(ctx, err)
+		}
+		return
+	}
+	fw.checkpoint(ctx)
+}
+
+func (fw *Follower) readLog(ctx context.Context) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, fw.config.CallTimeout)
+		records, err := fw.log.Read(call, fw.next())
+		cancel()
+		if err != nil {
+			return err
+		}
+		if fw.take(records) {
+			return nil
+		}
+	}
+}
+
+func (fw *Follower) next() id.Offset {
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	return fw.fold.Next()
+}
+
+// take folds records of the log and reports whether its end is reached.
+func (fw *Follower) take(records Records) bool {
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	before := fw.fold.Lists().Revision
+	fw.fold.Start(records.Start)
+	fw.add(records.Records)
+	atEnd := fw.fold.Next() >= records.Next || len(records.Records) == 0
+	if atEnd {
+		fw.synced = fw.synced || fw.fold.Known()
+		if !fw.fold.Known() {
+			fw.reason = "the log no longer has all edits and no checkpoint covers them"
+		}
+	}
+	fw.announce(before)
+	return atEnd
+}
+
+func (fw *Follower) add(records []Record) {
+	for _, rec := range records {
+		if rec.Offset < fw.fold.Next() {
+			continue
+		}
+		if rec.Offset != fw.fold.Next() {
+			fw.recent = nil
+		}
+		fw.fold.Add(rec.Offset, rec.Body)
+		fw.recent = append(fw.recent, rec)
+		fw.sinceCheckpoint++
+		if lists.IsCheckpoint(rec.Body) {
+			fw.sinceCheckpoint = 0
+			fw.checkpointAt = fw.clock.Now()
+		}
+	}
+	if len(fw.recent) > maxRecent {
+		fw.recent = append([]Record(nil), fw.recent[len(fw.recent)-maxRecent:]...)
+	}
+}
+
+// announce tells others of a new revision.
+func (fw *Follower) announce(before id.Offset) {
+	close(fw.changed)
+	fw.changed = make(chan struct{})
+	if revision := fw.fold.Lists().Revision; revision != before {
+		fw.metrics.Counter("configuration_changes").Inc(1)
+		fw.onChange(revision)
+	}
+}
+
+// askPeers takes the highest revision that any reachable peer has.
+func (fw *Follower) askPeers(ctx context.Context, logError error) {
+	others := fw.peers.Others()
+	reached := 0
+	for _, host := range others {
+		if fw.Fetch(ctx, host) == nil {
+			reached++
+		}
+	}
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	if reached > 0 && reached == len(others) && fw.fold.Known() {
+		fw.synced = true
+		return
+	}
+	fw.reason = "the platform's log can't be read (" + logError.Error() + ") and not every other host has told its revision"
+}
+
+// Fetch takes what a peer has read beyond the own position.
+func (fw *Follower) Fetch(ctx context.Context, host id.Host) error {
+	ctx, cancel := context.WithTimeout(ctx, fw.config.CallTimeout)
+	defer cancel()
+	records, err := fw.peers.Records(ctx, host, fw.next())
+	if err != nil {
+		return err
+	}
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	before := fw.fold.Lists().Revision
+	if records.Checkpoint != nil {
+		if err := fw.fold.Restore(*records.Checkpoint); err != nil {
+			return err
+		}
+		fw.recent = nil
+	}
+	fw.add(records.Records)
+	fw.announce(before)
+	return nil
+}
+
+// Records returns what this host has read from an offset on, for a peer.
+func (fw *Follower) Records(from id.Offset) (Records, error) {
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	if !fw.synced {
+		return Records{}, errors.New("the host has no configuration yet")
+	}
+	answer := Records{Next: fw.fold.Next()}
+	if from >= answer.Next {
+		return answer, nil
+	}
+	if len(fw.recent) > 0 && fw.recent[0].Offset <= from {
+		answer.Records = append(answer.Records, fw.recent[from-fw.recent[0].Offset:]...)
+		return answer, nil
+	}
+	cp := fw.fold.Checkpoint()
+	answer.Checkpoint = &cp
+	return answer, nil
+}
+
+// checkpoint appends a checkpoint when enough records or time have passed since the last one.
+// Hosts may do so at the same time; a late or repeated checkpoint changes nothing.
+func (fw *Follower) checkpoint(ctx context.Context) {
+	body, due := fw.checkpointDue()
+	if !due {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, fw.config.CallTimeout)
+	defer cancel()
+	fw.metrics.Counter("configuration_checkpoints").Inc(1)
+	fw.log.Append(call, body)
+}
+
+func (fw *Follower) checkpointDue() ([]byte, bool) {
+	fw.mutex.Lock()
+	defer fw.mutex.Unlock()
+	now := fw.clock.Now()
+	if fw.checkpointAt.IsZero() {
+		fw.checkpointAt = now
+	}
+	old := fw.fold.Lists().Revision != id.NoOffset && now.Sub(fw.checkpointAt) >= fw.config.CheckpointPeriod
+	if !fw.fold.Known() || fw.sinceCheckpoint < fw.config.CheckpointEvery && !old {
+		return nil, false
+	}
+	fw.sinceCheckpoint = 0
+	fw.checkpointAt = now
+	cp := fw.fold.Checkpoint()
+	body, err := lists.EncodeRecord(lists.Record{Checkpoint: &cp})
+	return body, err == nil
+}
--- /dev/null
+++ b/coordination/dispatch/engine.go
@@ -0,0 +1,252 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// engine is the machine's view of one engine. Pending prefill is predicted from the grants made
+// and corrected by load reports, which are old when they arrive.
+type engine struct {
+	EngineSpec
+	held    id.Tokens
+	foreign id.Tokens
+	streams int
+	// backlog counts pending prompt tokens by class.
+	backlog  [classes]float64
+	advanced time.Time
+	// alone is the attempt that has the engine for itself.
+	alone id.Attempt
+	// drainFor is the request that the engine is being emptied for.
+	drainFor *waiting
+	// recent holds the prompt tokens granted lately, to correct old reports.
+	recent  []granted
+	cache   map[uint64]struct{}
+	unknown map[id.Attempt]time.Time
+}
+
+type granted struct {
+	at     time.Time
+	tokens float64
+}
+
+func (mc *Machine) engineSeen(now time.Time, spec EngineSpec) {
+	if en, ok := mc.byName[spec.Engine]; ok {
+		en.EngineSpec = spec
+		return
+	}
+	en := &engine{
+		EngineSpec: spec,
+		advanced:   now,
+		cache:      map[uint64]struct{}{},
+		unknown:    map[id.Attempt]time.Time{},
+	}
+	mc.byName[spec.Engine] = en
+	at, _ := slices.BinarySearchFunc(mc.engines, spec.Engine, func(en *engine, name id.Engine) int {
+		return strings.Compare(string(en.Engine), string(name))
+	})
+	mc.engines = slices.Insert(mc.engines, at, en)
+	for _, gr := range mc.grants {
+		for ix, part := range gr.Parts {
+			if part.Engine == spec.Engine {
+				en.held += part.Tokens + gr.answerOn(ix)
+				en.streams++
+			}
+		}
+	}
+}
+
+func (mc *Machine) engineLost(name id.Engine) {
+	delete(mc.byName, name)
+	mc.engines = slices.DeleteFunc(mc.engines, func(en *engine) bool { return en.Engine == name })
+}
+
+// rate returns the prompt tokens per second that an engine processes beside its decoding streams.
+func (mc *Machine) rate(en *engine) float64 {
+	step := mc.config.StepBase + time.Duration(en.streams)*mc.config.StepStream
+	return min(mc.config.PrefillPerSecond, mc.config.PrefillPerStep/step.Seconds())
+}
+
+// advance lets the predicted prefill progress up to now, highest class first.
+func (mc *Machine) advance(now time.Time, en *engine) {
+	passed := now.Sub(en.advanced).Seconds()
+	if passed <= 0 {
+		return
+	}
+	en.advanced = now
+	budget := passed * mc.rate(en)
+	for class := range en.backlog {
+		done := min(budget, en.backlog[class])
+		en.backlog[class] -= done
+		budget -= done
+	}
+}
+
+// pending returns the predicted prompt tokens that are not processed.
+func (en *engine) pending() float64 {
+	var sum float64
+	for _, tokens := range en.backlog {
+		sum += tokens
+	}
+	return sum
+}
+
+// ahead returns the pending prompt tokens that are processed before a new prompt of a class.
+func (en *engine) ahead(class int, priority bool) float64 {
+	if !priority {
+		return en.pending()
+	}
+	var sum float64
+	for ix := range class + 1 {
+		sum += en.backlog[ix]
+	}
+	return sum
+}
+
+// charge adds a part of a grant to its engine.
+func (mc *Machine) charge(now time.Time, gr *grant, ix int) {
+	part := gr.Parts[ix]
+	en, ok := mc.byName[part.Engine]
+	if !ok {
+		return
+	}
+	mc.advance(now, en)
+	en.held += part.Tokens + gr.answerOn(ix)
+	en.streams++
+	delete(en.unknown, gr.Attempt)
+	if gr.started {
+		return
+	}
+	tokens := float64(part.Tokens - mc.cachedPrefix(en, gr.request.Prefix, part.Tokens))
+	en.backlog[classOf(part.Tokens)] += tokens
+	en.recent = append(en.recent, granted{at: now, tokens: tokens})
+}
+
+// settle removes what is left of the predicted prefill of a grant whose first token has arrived or that has ended.
+func (mc *Machine) settle(now time.Time, gr *grant) {
+	for _, part := range gr.Parts {
+		en, ok := mc.byName[part.Engine]
+		if !ok {
+			continue
+		}
+		mc.advance(now, en)
+		class := classOf(part.Tokens)
+		if mc.onlyInClass(en, gr, class) {
+			en.backlog[class] = 0
+		}
+	}
+}
+
+// onlyInClass reports whether no other grant of the class waits for its first token on the engine.
+func (mc *Machine) onlyInClass(en *engine, gr *grant, class int) bool {
+	if en.backlog[class] == 0 {
+		return false
+	}
+	for _, other := range mc.grants {
+		if other == gr || other.started {
+			continue
+		}
+		for _, part := range other.Parts {
+			if part.Engine == en.Engine && classOf(part.Tokens) == class {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// reported corrects the predicted prefill: what was pending then, plus what was granted since,
+// less what the engine has processed since.
+func (mc *Machine) reported(now time.Time, ev Reported) {
+	en, ok := mc.byName[ev.Engine]
+	if !ok {
+		return
+	}
+	mc.advance(now, en)
+	kept := en.recent[:0]
+	var since float64
+	for _, gt := range en.recent {
+		if gt.at.After(ev.At) {
+			since += gt.tokens
+			kept = append(kept, gt)
+		}
+	}
+	en.recent = kept
+	estimate := max(0, float64(ev.Pending)+since-now.Sub(ev.At).Seconds()*mc.rate(en))
+	mc.rescale(en, estimate)
+}
+
+// rescale moves the predicted prefill to an estimate, the lowest class first.
+func (mc *Machine) rescale(en *engine, estimate float64) {
+	excess := en.pending() - estimate
+	for class := classes - 1; class >= 0 && excess > 0; class-- {
+		removed := min(excess, en.backlog[class])
+		en.backlog[class] -= removed
+		excess -= removed
+	}
+	if excess < 0 {
+		en.backlog[classes-1] -= excess
+	}
+}
+
+// listed compares the attempts on an engine with the grants. Attempts that stay unknown are cancelled.
+func (mc *Machine) listed(now time.Time, ev Listed) {
+	en, ok := mc.byName[ev.Engine]
+	if !ok {
+		return
+	}
+	var foreign id.Tokens
+	unknown := map[id.Attempt]time.Time{}
+	for _, hd := range ev.Attempts {
+		if _, granted := mc.grants[hd.Attempt]; granted {
+			continue
+		}
+		foreign += hd.Tokens
+		first, seen := en.unknown[hd.Attempt]
+		if !seen {
+			first = now
+		}
+		unknown[hd.Attempt] = first
+		if now.Sub(first) >= mc.config.OrphanGrace {
+			mc.emit(Effect{Kind: Cancel, Attempt: hd.Attempt, Request: id.RequestOf(hd.Attempt), Engine: en.Engine, Address: en.Address})
+		}
+	}
+	en.unknown = unknown
+	en.foreign = foreign
+}
+
+func (mc *Machine) cacheChanged(ev CacheChanged) {
+	en, ok := mc.byName[ev.Engine]
+	if !ok {
+		return
+	}
+	if ev.Evicted {
+		delete(en.cache, ev.Block)
+		return
+	}
+	const maxBlocks = 4096
+	if len(en.cache) >= maxBlocks {
+		clear(en.cache)
+	}
+	en.cache[ev.Block] = struct{}{}
+}
+
+// blockTokens is the number of prompt tokens in a prefix block.
+const blockTokens = 256
+
+func (mc *Machine) cachedPrefix(en *engine, prefix []uint64, prompt id.Tokens) id.Tokens {
+	if !mc.config.Policy.Affinity {
+		return 0
+	}
+	var cached id.Tokens
+	for _, block := range prefix {
+		if _, ok := en.cache[block]; !ok {
+			break
+		}
+		cached += blockTokens
+	}
+	return max(0, min(cached, prompt-1))
+}
--- /dev/null
+++ b/coordination/gossip/gossip.go
@@ -0,0 +1,294 @@
+// Package gossip runs a host's membership machine against the other hosts.
+package gossip
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// Exchanger exchanges messages with other hosts.
+type Exchanger interface {
+	// Exchange sends a message to the host at an address and returns its answer, and whether
+	// the member that the message asks to probe answered.
+	Exchange(ctx context.Context, address string, msg membership.Message) (membership.Message, bool, error)
+}
+
+// Config sets the periods of a runner.
+type Config struct {
+	Membership membership.Config
+	// ExchangeTimeout bounds a direct exchange.
+	ExchangeTimeout time.Duration
+	// JoinPeriod is the time between tries to reach the seeds while no other host is known.
+	JoinPeriod time.Duration
+	// Seeds are addresses of hosts to join by.
+	Seeds []string
+}
+
+// DefaultConfig returns the periods that hosts use.
+func DefaultConfig() Config {
+	return Config{
+		Membership:      membership.DefaultConfig(),
+		ExchangeTimeout: 400 * time.Millisecond,
+		JoinPeriod:      500 * time.Millisecond,
+	}
+}
+
+// Handlers are called for news. They must not block.
+type Handlers struct {
+	// Changed is called when a member's status or description changes.
+	Changed func(member membership.Member)
+	// Learned is called for a new fact.
+	Learned func(fact membership.Fact)
+	// Behind is called when a host has a higher revision of the configuration.
+	Behind func(host id.Host)
+}
+
+// Runner runs a membership machine.
+type Runner struct {
+	config    Config
+	clock     timer.Service
+	exchanger Exchanger
+	handlers  Handlers
+	metrics   tally.Scope
+
+	mutex   sync.Mutex
+	machine *membership.Machine
+	seeds   map[string]bool
+	calls   sync.WaitGroup
+}
+
+// New returns a runner that knows only its own host.
+func New(config Config, self membership.Member, clock timer.Service, exchanger Exchanger, handlers Handlers, metrics tally.Scope, seed uint64) *Runner {
+	rn := &Runner{
+		config:    config,
+		clock:     clock,
+		exchanger: exchanger,
+		handlers:  handlers,
+		metrics:   metrics,
+		machine:   membership.New(config.Membership, self, seed),
+		seeds:     map[string]bool{},
+	}
+	for _, address := range config.Seeds {
+		rn.AddSeed(address)
+	}
+	return rn
+}
+
+// AddSeed adds an address of a host to join by.
+func (rn *Runner) AddSeed(address string) {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	if address != rn.machine.Self().PeerAddress {
+		rn.seeds[address] = true
+	}
+}
+
+// Run probes other hosts until the context ends.
+func (rn *Runner) Run(ctx context.Context) error {
+	rn.join(ctx)
+	period := rn.config.Membership.ProbePeriod / 5
+	tick := timer.Every(rn.clock, period, func() { rn.step(ctx, membership.Tick{}) })
+	join := timer.Every(rn.clock, rn.config.JoinPeriod, func() { rn.join(ctx) })
+	<-ctx.Done()
+	tick.Stop()
+	join.Stop()
+	rn.calls.Wait()
+	return nil
+}
+
+// join exchanges everything with seeds that are no known members yet.
+func (rn *Runner) join(ctx context.Context) {
+	for _, address := range rn.unjoined() {
+		call, cancel := context.WithTimeout(ctx, rn.config.ExchangeTimeout)
+		answer, _, err := rn.exchanger.Exchange(call, address, rn.joinMessage())
+		cancel()
+		if err == nil {
+			rn.step(ctx, membership.Received{Message: answer})
+		}
+	}
+}
+
+func (rn *Runner) unjoined() []string {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	known := map[string]bool{}
+	for _, mb := range rn.machine.Members() {
+		known[mb.PeerAddress] = true
+	}
+	var unjoined []string
+	for address := range rn.seeds {
+		if !known[address] {
+			unjoined = append(unjoined, address)
+		}
+	}
+	return unjoined
+}
+
+func (rn *Runner) joinMessage() membership.Message {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.machine.Joining()
+}
+
+// Receive takes a message of another host and returns the answer and whether the member to probe answered.
+func (rn *Runner) Receive(ctx context.Context, msg membership.Message) (membership.Message, bool) {
+	reached := false
+	if msg.Probe != "" {
+		reached = rn.probeFor(ctx, msg.Probe)
+	}
+	rn.step(ctx, membership.Received{Message: msg})
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	if msg.Joining {
+		return rn.machine.Everything(), reached
+	}
+	return rn.machine.Answer(), reached
+}
+
+func (rn *Runner) probeFor(ctx context.Context, host id.Host) bool {
+	target, known := rn.Member(host)
+	if !known {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, rn.config.ExchangeTimeout)
+	defer cancel()
+	rn.mutex.Lock()
+	msg := rn.machine.Answer()
+	rn.mutex.Unlock()
+	answer, _, err := rn.exchanger.Exchange(ctx, target.PeerAddress, msg)
+	if err != nil {
+		return false
+	}
+	rn.step(ctx, membership.Received{Message: answer})
+	return true
+}
+
+func (rn *Runner) step(ctx context.Context, ev membership.Event) {
+	rn.mutex.Lock()
+	effects := append([]membership.Effect(nil), rn.machine.Step(rn.clock.Now(), ev)...)
+	rn.mutex.Unlock()
+	for _, ef := range effects {
+		switch ef.Kind {
+		case membership.Probe:
+			rn.calls.Go(func() { rn.probe(ctx, ef) })
+		case membership.Changed:
+			rn.metrics.Tagged(map[string]string{"status": ef.Member.Status.String()}).Counter("member_changes").Inc(1)
+			rn.handlers.Changed(ef.Member)
+		case membership.Learned:
+			rn.handlers.Learned(ef.Fact)
+		case membership.Behind:
+			rn.handlers.Behind(ef.Host)
+		}
+	}
+}
+
+func (rn *Runner) probe(ctx context.Context, ef membership.Effect) {
+	wait := rn.config.ExchangeTimeout
+	address := ef.Target.PeerAddress
+	if ef.Via.Host != "" {
+		wait *= 2
+		address = ef.Via.PeerAddress
+	}
+	call, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	answer, reached, err := rn.exchanger.Exchange(call, address, ef.Message)
+	if ctx.Err() != nil {
+		return
+	}
+	ended := membership.ProbeEnded{Target: ef.Target.Host, Via: ef.Via.Host, Reached: err == nil, Answer: answer}
+	if ef.Via.Host != "" {
+		ended.Reached = err == nil && reached
+	}
+	if !ended.Reached {
+		rn.metrics.Counter("probes_unanswered").Inc(1)
+	}
+	rn.step(ctx, ended)
+}
+
+// Leave announces that the own host is leaving, and tells a few hosts at once.
+func (rn *Runner) Leave(ctx context.Context) {
+	rn.step(ctx, membership.Leave{})
+	for _, mb := range rn.Live() {
+		rn.mutex.Lock()
+		msg := rn.machine.Answer()
+		rn.mutex.Unlock()
+		call, cancel := context.WithTimeout(ctx, rn.config.ExchangeTimeout)
+		_, _, _ = rn.exchanger.Exchange(call, mb.PeerAddress, msg)
+		cancel()
+	}
+}
+
+// Spread passes a fact on to all hosts.
+func (rn *Runner) Spread(fact membership.Fact) {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	rn.machine.Spread(fact)
+}
+
+// SetRevision sets the revision of the configuration that is announced.
+func (rn *Runner) SetRevision(revision id.Offset) {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	rn.machine.SetRevision(revision)
+}
+
+// RetryBehind asks to be told again of hosts with a higher revision.
+func (rn *Runner) RetryBehind() {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	rn.machine.RetryBehind()
+}
+
+// Member returns what is known of a host.
+func (rn *Runner) Member(host id.Host) (membership.Member, bool) {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.machine.Member(host)
+}
+
+// Members returns the other hosts in order.
+func (rn *Runner) Members() []membership.Member {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.machine.Members()
+}
+
+// Live returns the hosts that take new work, including the own one unless it leaves.
+func (rn *Runner) Live() []membership.Member {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.machine.Live()
+}
+
+// LiveHosts returns the names of the live hosts.
+func (rn *Runner) LiveHosts() []id.Host {
+	live := rn.Live()
+	hosts := make([]id.Host, len(live))
+	for ix, mb := range live {
+		hosts[ix] = mb.Host
+	}
+	return hosts
+}
+
+// Others returns the other hosts that are not dead.
+func (rn *Runner) Others() []id.Host {
+	var others []id.Host
+	for _, mb := range rn.Members() {
+		if mb.Status != membership.Dead {
+			others = append(others, mb.Host)
+		}
+	}
+	return others
+}
+
+// Unreachable records that a connection to a host was refused.
+func (rn *Runner) Unreachable(ctx context.Context, host id.Host) {
+	rn.step(ctx, membership.Evidence{Host: host})
+}
--- /dev/null
+++ b/coordination/membership/machine.go
@@ -0,0 +1,336 @@
+package membership
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// Machine is one host's view of the membership.
+type Machine struct {
+	config  Config
+	random  *rand.Rand
+	self    Member
+	members map[id.Host]*peer
+	// order is the order in which members are probed; it is shuffled after each round.
+	order    []id.Host
+	position int
+	probedAt time.Time
+	revision id.Offset
+	behind   id.Offset
+	updates  spreader[id.Host]
+	facts    map[factID]int64
+	rumours  spreader[factID]
+	effects  []Effect
+}
+
+type peer struct {
+	Member
+	// since is when the status was learnt.
+	since time.Time
+}
+
+// New returns a machine that knows only its own host. The seed determines the order of probes.
+func New(config Config, self Member, seed uint64) *Machine {
+	self.Status = Alive
+	mc := &Machine{
+		config:   config,
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		self:     self,
+		members:  map[id.Host]*peer{},
+		revision: id.NoOffset,
+		facts:    map[factID]int64{},
+	}
+	mc.updates.add(self.Host)
+	return mc
+}
+
+// Step takes one event and returns what is to be done. The effects are valid until the next step.
+func (mc *Machine) Step(now time.Time, ev Event) []Effect {
+	mc.effects = mc.effects[:0]
+	switch ev := ev.(type) {
+	case Tick:
+		mc.tick(now)
+	case Received:
+		mc.merge(now, ev.Message)
+	case ProbeEnded:
+		mc.probeEnded(now, ev)
+	case Evidence:
+		mc.suspect(now, ev.Host)
+	case Leave:
+		mc.leave()
+	}
+	return mc.effects
+}
+
+// Answer returns the message that answers one from another member.
+func (mc *Machine) Answer() Message {
+	return mc.message("")
+}
+
+// Everything returns a message with every member and fact, for a host that joins.
+func (mc *Machine) Everything() Message {
+	msg := Message{From: mc.self.Host, Revision: mc.revision, Updates: []Member{mc.self}}
+	for _, pr := range mc.members {
+		msg.Updates = append(msg.Updates, pr.Member)
+	}
+	for fact, value := range mc.facts {
+		msg.Facts = append(msg.Facts, Fact{Kind: fact.kind, Key: fact.key, Value: value})
+	}
+	return msg
+}
+
+// Joining returns the message by which a host joins.
+func (mc *Machine) Joining() Message {
+	return Message{From: mc.self.Host, Revision: mc.revision, Updates: []Member{mc.self}, Joining: true}
+}
+
+// Member returns what is known of a host.
+func (mc *Machine) Member(host id.Host) (Member, bool) {
+	if host == mc.self.Host {
+		return mc.self, true
+	}
+	pr, known := mc.members[host]
+	if !known {
+		return Member{}, false
+	}
+	return pr.Member, true
+}
+
+// SetRevision sets the revision of the configuration that messages carry.
+func (mc *Machine) SetRevision(revision id.Offset) {
+	mc.revision = revision
+	mc.behind = max(mc.behind, revision)
+}
+
+// Spread adds a fact and passes it on.
+func (mc *Machine) Spread(fact Fact) {
+	mc.learn(fact)
+}
+
+// Self returns the own host's description.
+func (mc *Machine) Self() Member {
+	return mc.self
+}
+
+// Members returns all known hosts but the own one, in order.
+func (mc *Machine) Members() []Member {
+	members := make([]Member, 0, len(mc.members))
+	for _, pr := range mc.members {
+		members = append(members, pr.Member)
+	}
+	slices.SortFunc(members, func(left, right Member) int { return strings.Compare(string(left.Host), string(right.Host)) })
+	return members
+}
+
+// Live returns the hosts that take new work, including the own one.
+func (mc *Machine) Live() []Member {
+	var live []Member
+	if mc.self.Status == Alive {
+		live = append(live, mc.self)
+	}
+	for _, mb := range mc.Members() {
+		if mb.Status == Alive || mb.Status == Suspect {
+			live = append(live, mb)
+		}
+	}
+	return live
+}
+
+func (mc *Machine) tick(now time.Time) {
+	mc.expire(now)
+	if now.Sub(mc.probedAt) < mc.config.ProbePeriod {
+		return
+	}
+	mc.probedAt = now
+	target, ok := mc.nextTarget()
+	if !ok {
+		return
+	}
+	mc.effects = append(mc.effects, Effect{Kind: Probe, Target: target, Message: mc.message("")})
+}
+
+// expire declares suspects dead and forgets old members.
+func (mc *Machine) expire(now time.Time) {
+	for _, mb := range mc.Members() {
+		pr := mc.members[mb.Host]
+		switch {
+		case pr.Status == Suspect && now.Sub(pr.since) >= mc.config.SuspectTimeout:
+			dead := pr.Member
+			dead.Status = Dead
+			mc.apply(now, dead)
+		case pr.Status == Dead && now.Sub(pr.since) >= mc.config.ForgetAfter:
+			delete(mc.members, mb.Host)
+			mc.updates.remove(mb.Host)
+		}
+	}
+}
+
+// nextTarget returns the next member to probe. Every member that is not dead is probed once a round.
+func (mc *Machine) nextTarget() (Member, bool) {
+	for range len(mc.order) + 1 {
+		if mc.position >= len(mc.order) {
+			mc.shuffle()
+		}
+		if len(mc.order) == 0 {
+			return Member{}, false
+		}
+		host := mc.order[mc.position]
+		mc.position++
+		if pr, ok := mc.members[host]; ok && pr.Status != Dead {
+			return pr.Member, true
+		}
+	}
+	return Member{}, false
+}
+
+func (mc *Machine) shuffle() {
+	mc.order = mc.order[:0]
+	for _, mb := range mc.Members() {
+		if mb.Status != Dead {
+			mc.order = append(mc.order, mb.Host)
+		}
+	}
+	mc.random.Shuffle(len(mc.order), func(left, right int) {
+		mc.order[left], mc.order[right] = mc.order[right], mc.order[left]
+	})
+	mc.position = 0
+}
+
+func (mc *Machine) probeEnded(now time.Time, ev ProbeEnded) {
+	mc.merge(now, ev.Answer)
+	if ev.Reached {
+		return
+	}
+	pr, known := mc.members[ev.Target]
+	if !known || pr.Status == Dead || pr.Status == Suspect {
+		return
+	}
+	if ev.Via != "" {
+		mc.suspect(now, ev.Target)
+		return
+	}
+	helpers := mc.helpers(ev.Target)
+	if len(helpers) == 0 {
+		mc.suspect(now, ev.Target)
+	}
+	for _, helper := range helpers {
+		mc.effects = append(mc.effects, Effect{Kind: Probe, Target: pr.Member, Via: helper, Message: mc.message(ev.Target)})
+	}
+}
+
+// helpers returns random live members that are asked to probe a target.
+func (mc *Machine) helpers(target id.Host) []Member {
+	var helpers []Member
+	for _, mb := range mc.Members() {
+		if mb.Host != target && mb.Status == Alive {
+			helpers = append(helpers, mb)
+		}
+	}
+	mc.random.Shuffle(len(helpers), func(left, right int) { helpers[left], helpers[right] = helpers[right], helpers[left] })
+	return helpers[:min(len(helpers), mc.config.Indirect)]
+}
+
+func (mc *Machine) suspect(now time.Time, host id.Host) {
+	pr, known := mc.members[host]
+	if !known || pr.Status == Dead || pr.Status == Suspect {
+		return
+	}
+	suspected := pr.Member
+	suspected.Status = Suspect
+	mc.apply(now, suspected)
+}
+
+func (mc *Machine) leave() {
+	if mc.self.Status == Leaving {
+		return
+	}
+	mc.self.Status = Leaving
+	mc.self.Sequence++
+	mc.updates.add(mc.self.Host)
+	mc.effects = append(mc.effects, Effect{Kind: Changed, Member: mc.self})
+}
+
+func (mc *Machine) merge(now time.Time, msg Message) {
+	for _, mb := range msg.Updates {
+		mc.apply(now, mb)
+	}
+	for _, fact := range msg.Facts {
+		if mc.learn(fact) {
+			mc.effects = append(mc.effects, Effect{Kind: Learned, Fact: fact})
+		}
+	}
+	if msg.From != "" && msg.Revision > mc.behind {
+		mc.behind = msg.Revision
+		mc.effects = append(mc.effects, Effect{Kind: Behind, Host: msg.From})
+	}
+}
+
+// RetryBehind makes the machine report again that it is behind, after records could not be fetched.
+func (mc *Machine) RetryBehind() {
+	mc.behind = mc.revision
+}
+
+func (mc *Machine) learn(fact Fact) bool {
+	key := factID{kind: fact.Kind, key: fact.Key}
+	if old, known := mc.facts[key]; known && old >= fact.Value {
+		return false
+	}
+	mc.facts[key] = fact.Value
+	mc.rumours.add(key)
+	return true
+}
+
+// apply takes a statement about a host if it is newer than what is known.
+func (mc *Machine) apply(now time.Time, mb Member) {
+	if mb.Host == mc.self.Host {
+		mc.refute(mb)
+		return
+	}
+	pr, known := mc.members[mb.Host]
+	if known && !mb.overrides(pr.Member) {
+		return
+	}
+	if !known {
+		if mb.Status == Dead {
+			return
+		}
+		pr = &peer{}
+		mc.members[mb.Host] = pr
+		mc.order = append(mc.order, mb.Host)
+	}
+	pr.Member = mb
+	pr.since = now
+	mc.updates.add(mb.Host)
+	mc.effects = append(mc.effects, Effect{Kind: Changed, Member: mb})
+}
+
+// refute answers a false statement about the own host with a higher sequence number.
+func (mc *Machine) refute(mb Member) {
+	if mb.Incarnation != mc.self.Incarnation || mb.Status <= mc.self.Status || mb.Sequence < mc.self.Sequence {
+		return
+	}
+	mc.self.Sequence = mb.Sequence + 1
+	mc.updates.add(mc.self.Host)
+}
+
+// message returns a message with the changes that have been passed on least.
+func (mc *Machine) message(probe id.Host) Message {
+	msg := Message{From: mc.self.Host, Revision: mc.revision, Probe: probe}
+	limit := mc.config.Spread * bits.Len(uint(len(mc.members)+1))
+	for _, host := range mc.updates.take(mc.config.MaxUpdates, limit) {
+		if host == mc.self.Host {
+			msg.Updates = append(msg.Updates, mc.self)
+		} else if pr, known := mc.members[host]; known {
+			msg.Updates = append(msg.Updates, pr.Member)
+		}
+	}
+	for _, fact := range mc.rumours.take(mc.config.MaxUpdates, limit) {
+		msg.Facts = append(msg.Facts, Fact{Kind: fact.kind, Key: fact.key, Value: mc.facts[fact]})
+	}
+	return msg
+}
--- /dev/null
+++ b/coordination/membership/member.go
@@ -0,0 +1,185 @@
+// Package membership tracks which entry hosts are alive by random probes with piggybacked changes.
+// The machine is pure: it reads no clock, starts no goroutine and does no I/O.
+package membership
+
+import (
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// Status says what is known of a host.
+type Status uint32
+
+// Statuses, in the order in which they override each other at the same sequence number.
+const (
+	Alive Status = iota + 1
+	// Leaving hosts finish what they run and take nothing new.
+	Leaving
+	// Suspect hosts did not answer a probe.
+	Suspect
+	// Dead hosts have left or did not refute the suspicion.
+	Dead
+)
+
+// String returns the status in lower-case letters.
+func (st Status) String() string {
+	switch st {
+	case Alive:
+		return "alive"
+	case Leaving:
+		return "leaving"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
+// Member is what one host says or what others say of it.
+type Member struct {
+	Host        id.Host
+	Incarnation id.Incarnation
+	Status      Status
+	// Sequence is raised by the host itself when it refutes a suspicion or starts to leave.
+	Sequence         uint32
+	PeerAddress      string
+	CallerAddress    string
+	AvailabilityZone id.AvailabilityZone
+}
+
+// overrides reports whether a statement replaces an older one about the same host.
+func (mb Member) overrides(old Member) bool {
+	if mb.Incarnation != old.Incarnation {
+		return mb.Incarnation > old.Incarnation
+	}
+	if mb.Sequence != old.Sequence {
+		return mb.Sequence > old.Sequence
+	}
+	return mb.Status > old.Status
+}
+
+// Fact is a number that all hosts learn. The highest value for a kind and key wins.
+type Fact struct {
+	Kind  FactKind
+	Key   uint64
+	Value int64
+}
+
+// FactKind names a table of facts.
+type FactKind uint32
+
+// Kinds of facts.
+const (
+	// Crashes counts engine crashes by a request's fingerprint.
+	Crashes FactKind = iota + 1
+)
+
+type factID struct {
+	kind FactKind
+	key  uint64
+}
+
+// Message is what two members exchange.
+type Message struct {
+	From    id.Host
+	Updates []Member
+	// Revision is the sender's revision of the configuration.
+	Revision id.Offset
+	Facts    []Fact
+	// Probe names a member that the receiver is to probe for the sender.
+	Probe id.Host
+	// Joining asks for everything that the receiver knows.
+	Joining bool
+}
+
+// Event is an input of the machine.
+type Event interface{ event() }
+
+// Tick lets time pass; it is to come at least every probe period.
+type Tick struct{}
+
+// Received carries a message of another member. Its answer is made by Answer.
+type Received struct{ Message Message }
+
+// ProbeEnded reports the result of a probe.
+type ProbeEnded struct {
+	// Target is the member probed and Via the member that was asked to probe it, if any.
+	Target id.Host
+	Via    id.Host
+	// Reached says that the target answered.
+	Reached bool
+	// Answer is the message that came back.
+	Answer Message
+}
+
+// Evidence reports that a connection to a host was refused.
+type Evidence struct{ Host id.Host }
+
+// Leave makes the own host leave.
+type Leave struct{}
+
+func (Tick) event()       {}
+func (Received) event()   {}
+func (ProbeEnded) event() {}
+func (Evidence) event()   {}
+func (Leave) event()      {}
+
+// EffectKind distinguishes effects.
+type EffectKind int
+
+// Kinds of effects.
+const (
+	// Probe sends a message to a member, directly or through another one.
+	Probe EffectKind = iota + 1
+	// Changed says that a member's status or description changed.
+	Changed
+	// Learned says that a fact is new.
+	Learned
+	// Behind says that another member has a higher revision of the configuration.
+	Behind
+)
+
+// Effect is an output of the machine.
+type Effect struct {
+	Kind EffectKind
+	// Target is the member to probe, and Via the member to ask for it, if any.
+	Target  Member
+	Via     Member
+	Message Message
+	// Member is set for Changed, Fact for Learned.
+	Member Member
+	Fact   Fact
+	// Host is set for Behind.
+	Host id.Host
+}
+
+// Config sets the periods of the machine.
+type Config struct {
+	// ProbePeriod is the time between probes of one host.
+	ProbePeriod time.Duration
+	// SuspectTimeout is how long a suspicion may be refuted.
+	SuspectTimeout time.Duration
+	// Indirect is the number of members asked to probe a host that did not answer.
+	Indirect int
+	// MaxUpdates bounds the changes in one message.
+	MaxUpdates int
+	// Spread scales the number of times that a change is passed on.
+	Spread int
+	// ForgetAfter is how long dead members are remembered.
+	ForgetAfter time.Duration
+}
+
+// DefaultConfig returns the periods that hosts use.
+func DefaultConfig() Config {
+	return Config{
+		ProbePeriod:    500 * time.Millisecond,
+		SuspectTimeout: 2 * time.Second,
+		Indirect:       3,
+		MaxUpdates:     8,
+		Spread:         3,
+		ForgetAfter:    10 * time.Minute,
+	}
+}
--- /dev/null
+++ b/coordination/serve/follow.go
@@ -0,0 +1,295 @@
+package serve
+
+import (
+	"context"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+type resultKind int
+
+const (
+	complete resultKind = iota + 1
+	callerGone
+	contextEnded
+	crashed
+	unresponsive
+	failed
+)
+
+// result is how an attempt ended.
+type result struct {
+	kind     resultKind
+	cause    retry.Cause
+	engine   id.Engine
+	draining bool
+}
+
+// String returns the result as spans name it.
+func (rs result) String() string {
+	switch rs.kind {
+	case complete:
+		return "complete"
+	case callerGone:
+		return "caller_gone"
+	case contextEnded:
+		return "timeout"
+	case crashed:
+		return "crashed"
+	default:
+		return rs.cause.String()
+	}
+}
+
+// arrival is a frame, or the end of a stream, of one part of a gang.
+type arrival struct {
+	part   int
+	frame  Frame
+	opened *Opened
+	err    error
+}
+
+// follower follows the streams of one attempt.
+type follower struct {
+	runner   *Runner
+	pg       *progress
+	grant    dispatch.Grant
+	arrivals chan arrival
+	// pending counts followers that have not processed their part.
+	pending int
+	// early holds tokens that arrived before every follower was ready.
+	early   []Frame
+	resumes int
+}
+
+// follow opens the streams of an attempt and passes tokens to the sink until the answer is whole or something failed.
+func (rn *Runner) follow(ctx context.Context, pg *progress, grant dispatch.Grant) result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	fw := &follower{
+		runner:   rn,
+		pg:       pg,
+		grant:    grant,
+		arrivals: make(chan arrival),
+		pending:  len(grant.Parts) - 1,
+	}
+	for ix := range grant.Parts {
+		go fw.read(ctx, ix, fw.start(ix), false)
+	}
+	return fw.run(ctx)
+}
+
+func (fw *follower) start(ix int) Start {
+	part := fw.grant.Parts[ix]
+	return Start{
+		Attempt:  fw.grant.Attempt,
+		Address:  part.Address,
+		Model:    fw.pg.call.Model,
+		Body:     fw.pg.call.Body,
+		Priority: fw.grant.Priority,
+		From:     fw.pg.next,
+		Part:     part.Tokens,
+		Follower: ix > 0,
+		Prefix:   fw.pg.call.Prefix,
+	}
+}
+
+// read opens a stream and passes its frames on until it ends or the context does.
+func (fw *follower) read(ctx context.Context, ix int, st Start, resume bool) {
+	open := fw.runner.engines.Open
+	if resume {
+		open = fw.runner.engines.Resume
+	}
+	opened := open(ctx, st)
+	if !fw.send(ctx, arrival{part: ix, opened: &opened}) || opened.Stream == nil {
+		if opened.Stream != nil {
+			opened.Stream.Close()
+		}
+		return
+	}
+	defer opened.Stream.Close()
+	for {
+		frame, err := opened.Stream.Next()
+		if !fw.send(ctx, arrival{part: ix, frame: frame, err: err}) || err != nil {
+			return
+		}
+	}
+}
+
+func (fw *follower) send(ctx context.Context, ar arrival) bool {
+	select {
+	case fw.arrivals <- ar:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (fw *follower) run(ctx context.Context) result {
+	lapsed := fw.runner.dispatchers.Lapsed(fw.grant.Attempt)
+	probes := make(chan bool, 1)
+	probing := false
+	for {
+		silent, sub := timer.Wait(fw.runner.clock, fw.runner.config.SilenceProbe)
+		select {
+		case ar := <-fw.arrivals:
+			if rs, ended := fw.arrived(ctx, ar); ended {
+				sub.Stop()
+				return rs
+			}
+		case <-silent:
+			if !probing {
+				probing = true
+				go fw.probe(ctx, probes)
+			}
+		case healthy := <-probes:
+			probing = false
+			if !healthy {
+				sub.Stop()
+				return fw.lost(ctx, 0)
+			}
+		case <-lapsed:
+			sub.Stop()
+			return result{kind: failed, cause: retry.Preempted, engine: fw.grant.Parts[0].Engine}
+		case <-ctx.Done():
+			sub.Stop()
+			return result{kind: contextEnded}
+		}
+		sub.Stop()
+	}
+}
+
+// probe asks every engine of the attempt whether it is alive.
+func (fw *follower) probe(ctx context.Context, probes chan<- bool) {
+	ctx, cancel := context.WithTimeout(ctx, fw.runner.config.ProbeTimeout)
+	defer cancel()
+	healthy := true
+	for _, part := range fw.grant.Parts {
+		healthy = healthy && fw.runner.engines.Health(ctx, part.Address) == Healthy
+	}
+	probes <- healthy
+}
+
+// lost finds out which engine of the attempt does not answer. It is called with the part whose stream failed.
+func (fw *follower) lost(ctx context.Context, part int) result {
+	ctx, cancel := context.WithTimeout(ctx, fw.runner.config.ProbeTimeout)
+	defer cancel()
+	for ix, candidate := range fw.grant.Parts {
+		switch fw.runner.engines.Health(ctx, candidate.Address) {
+		case Gone:
+			return result{kind: crashed, engine: fw.grant.Parts[ix].Engine}
+		case Unresponsive:
+			return result{kind: unresponsive, cause: retry.Interrupted, engine: fw.grant.Parts[ix].Engine}
+		case Healthy:
+		}
+	}
+	return result{kind: failed, cause: retry.Interrupted, engine: fw.grant.Parts[part].Engine}
+}
+
+// arrived takes one arrival and reports whether the attempt has ended.
+func (fw *follower) arrived(ctx context.Context, ar arrival) (result, bool) {
+	switch {
+	case ar.opened != nil:
+		return fw.opened(ctx, ar)
+	case ar.err != nil:
+		return fw.cut(ctx, ar)
+	case ar.frame.Attempt != fw.grant.Attempt:
+		fw.runner.metrics.Counter("frames_of_other_attempts").Inc(1)
+		return result{}, false
+	case ar.part > 0:
+		return fw.followerFrame(ar.frame)
+	default:
+		return fw.leaderFrame(ar.frame)
+	}
+}
+
+func (fw *follower) opened(ctx context.Context, ar arrival) (result, bool) {
+	if ar.opened.Stream != nil {
+		fw.pg.sent = true
+		return result{}, false
+	}
+	engine := fw.grant.Parts[ar.part].Engine
+	if ar.opened.Cause == retry.Interrupted {
+		fw.pg.sent = true
+		return fw.lost(ctx, ar.part), true
+	}
+	return result{kind: failed, cause: ar.opened.Cause, engine: engine, draining: ar.opened.Draining}, true
+}
+
+// cut handles a stream that ended before its last frame: the same attempt is opened again while its engine lives.
+func (fw *follower) cut(ctx context.Context, ar arrival) (result, bool) {
+	if ar.part > 0 && fw.pending == 0 {
+		return result{}, false
+	}
+	fw.runner.metrics.Counter("streams_cut").Inc(1)
+	rs := fw.lost(ctx, ar.part)
+	if ctx.Err() != nil {
+		return result{kind: contextEnded}, true
+	}
+	if rs.kind != failed || fw.resumes >= fw.runner.config.MaxResumes {
+		return rs, true
+	}
+	fw.resumes++
+	fw.runner.metrics.Counter("streams_resumed").Inc(1)
+	go fw.read(ctx, ar.part, fw.start(ar.part), true)
+	return result{}, false
+}
+
+func (fw *follower) followerFrame(frame Frame) (result, bool) {
+	if frame.Kind != Ready || fw.pending == 0 {
+		return result{}, false
+	}
+	fw.pending--
+	if fw.pending > 0 {
+		return result{}, false
+	}
+	early := fw.early
+	fw.early = nil
+	for _, held := range early {
+		if rs, ended := fw.leaderFrame(held); ended {
+			return rs, true
+		}
+	}
+	return result{}, false
+}
+
+func (fw *follower) leaderFrame(frame Frame) (result, bool) {
+	if fw.pending > 0 {
+		fw.early = append(fw.early, frame)
+		return result{}, false
+	}
+	pg := fw.pg
+	switch {
+	case frame.Kind == Token && frame.Index == pg.next:
+		return fw.deliver(frame)
+	case frame.Kind == Token && frame.Index < pg.next:
+		fw.runner.metrics.Counter("frames_duplicated").Inc(1)
+		return result{}, false
+	case frame.Kind == End && frame.Count == pg.next:
+		pg.summary.FinishReason = frame.FinishReason
+		pg.summary.PromptTokens = frame.PromptTokens
+		return result{kind: complete}, true
+	default:
+		fw.runner.metrics.Counter("frames_missing").Inc(1)
+		return result{kind: failed, cause: retry.Interrupted, engine: fw.grant.Parts[0].Engine}, true
+	}
+}
+
+func (fw *follower) deliver(frame Frame) (result, bool) {
+	pg := fw.pg
+	if pg.next == 0 {
+		pg.summary.FirstToken = fw.runner.clock.Now().Sub(pg.started)
+	}
+	if len(fw.early) == 0 {
+		fw.runner.dispatchers.Started(fw.grant.Attempt)
+	}
+	if pg.sink.Token(frame.Index, frame.Text) != nil {
+		return result{kind: callerGone}, true
+	}
+	pg.next++
+	pg.summary.Tokens = pg.next
+	return result{}, false
+}
--- /dev/null
+++ b/coordination/shard/canceller.go
@@ -0,0 +1,59 @@
+package shard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+const (
+	cancelTries   = 5
+	cancelTimeout = time.Second
+	cancelBackoff = 200 * time.Millisecond
+)
+
+// canceller frees what attempts hold on engines, trying again until the engine answers.
+// What it gives up on, the comparison of engines' attempts with grants finds later.
+type canceller struct {
+	engines Engines
+	clock   timer.Service
+	metrics tally.Scope
+	group   sync.WaitGroup
+}
+
+func newCanceller(engines Engines, clock timer.Service, metrics tally.Scope) *canceller {
+	return &canceller{engines: engines, clock: clock, metrics: metrics}
+}
+
+// cancel starts to free an attempt.
+func (cn *canceller) cancel(ctx context.Context, address string, att id.Attempt) {
+	cn.group.Go(func() { cn.run(context.WithoutCancel(ctx), address, att) })
+}
+
+func (cn *canceller) run(ctx context.Context, address string, att id.Attempt) bool {
+	for try := range cancelTries {
+		if cn.once(ctx, address, att) {
+			return true
+		}
+		cn.metrics.Counter("cancel_retries").Inc(1)
+		wait, sub := timer.Wait(cn.clock, cancelBackoff<<try)
+		<-wait
+		sub.Stop()
+	}
+	return false
+}
+
+func (cn *canceller) once(ctx context.Context, address string, att id.Attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	return cn.engines.Cancel(ctx, address, att) == nil
+}
+
+func (cn *canceller) wait() {
+	cn.group.Wait()
+}
--- /dev/null
+++ b/coordination/shard/server.go
@@ -0,0 +1,300 @@
+package shard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// ServerConfig sets the periods of a host's dispatchers.
+type ServerConfig struct {
+	Dispatch dispatch.Config
+	// PollPeriod is the time between load reports of an engine.
+	PollPeriod time.Duration
+	// ListPeriod is the time between comparisons of engines' attempts with grants.
+	ListPeriod time.Duration
+	// CallTimeout bounds a call to an engine.
+	CallTimeout time.Duration
+	// AnswerWithin is the longest time that an Ask is held before it is answered Queued.
+	AnswerWithin time.Duration
+	// IdleAfter is how long a dispatcher that nobody asks is kept.
+	IdleAfter time.Duration
+	// LostAfter is the number of unanswered polls after which an engine counts as lost.
+	LostAfter int
+	// QuarantineTTL is how long fingerprints of requests that crash engines are kept.
+	QuarantineTTL time.Duration
+}
+
+// DefaultServerConfig returns the periods that hosts use.
+func DefaultServerConfig() ServerConfig {
+	return ServerConfig{
+		Dispatch:      dispatch.DefaultConfig(),
+		PollPeriod:    250 * time.Millisecond,
+		ListPeriod:    2 * time.Second,
+		CallTimeout:   time.Second,
+		AnswerWithin:  500 * time.Millisecond,
+		IdleAfter:     10 * time.Second,
+		LostAfter:     3,
+		QuarantineTTL: time.Hour,
+	}
+}
+
+// Server runs the dispatchers of the shards that this host is asked for.
+type Server struct {
+	config  ServerConfig
+	clock   timer.Service
+	engines Engines
+	fleet   Fleet
+	metrics tally.Scope
+	seed    uint64
+	// onCrash is called with a fingerprint and its count of crashes.
+	onCrash func(fp id.Fingerprint, crashes int)
+
+	mutex      sync.Mutex
+	shards     map[id.Shard]*dispatcher
+	quarantine *quarantine.Table
+	canceller  *canceller
+}
+
+// NewServer returns a server without dispatchers.
+func NewServer(config ServerConfig, clock timer.Service, engines Engines, fl Fleet, metrics tally.Scope, seed uint64, onCrash func(id.Fingerprint, int)) *Server {
+	return &Server{
+		config:     config,
+		clock:      clock,
+		engines:    engines,
+		fleet:      fl,
+		metrics:    metrics,
+		seed:       seed,
+		onCrash:    onCrash,
+		shards:     map[id.Shard]*dispatcher{},
+		quarantine: quarantine.New(config.QuarantineTTL),
+		canceller:  newCanceller(engines, clock, metrics),
+	}
+}
+
+// Run keeps the dispatchers up to date until the context ends.
+func (sv *Server) Run(ctx context.Context) error {
+	const tick = 10 * time.Millisecond
+	sub := timer.Every(sv.clock, tick, func() { sv.tick(ctx) })
+	<-ctx.Done()
+	sub.Stop()
+	sv.canceller.wait()
+	return nil
+}
+
+// tick lets time pass in every dispatcher and starts polls that are due.
+func (sv *Server) tick(ctx context.Context) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	now := sv.clock.Now()
+	for name, dp := range sv.shards {
+		if now.Sub(dp.used) > sv.config.IdleAfter && dp.machine.Waiting() == 0 && dp.machine.Granted() == 0 {
+			delete(sv.shards, name)
+			continue
+		}
+		sv.apply(ctx, dp, dp.machine.Step(now, dispatch.Tick{}))
+		sv.pollDue(ctx, now, dp)
+	}
+}
+
+func (sv *Server) dispatcherOf(now time.Time, name id.Shard) *dispatcher {
+	dp, ok := sv.shards[name]
+	if !ok {
+		dp = newDispatcher(name, dispatch.New(sv.config.Dispatch, sv.seed))
+		sv.shards[name] = dp
+		sv.metrics.Counter("dispatcher_started").Inc(1)
+	}
+	dp.used = now
+	return dp
+}
+
+// Acquire answers an Ask within the configured time.
+func (sv *Server) Acquire(ctx context.Context, ask Ask) Answer {
+	wait, sub := timer.Wait(sv.clock, sv.config.AnswerWithin)
+	defer sub.Stop()
+	select {
+	case <-sv.ready(ctx, ask.Shard):
+	case <-wait:
+		return Answer{Queued: true}
+	case <-ctx.Done():
+		return Answer{Queued: true}
+	}
+	answered, answer := sv.submit(ctx, ask)
+	if answered == nil {
+		return answer
+	}
+	select {
+	case answer := <-answered:
+		return answer
+	case <-wait:
+	case <-ctx.Done():
+	}
+	return sv.stopWaiting(ask, answered)
+}
+
+// ready returns a channel that is closed once the shard's engines have been asked for their load.
+func (sv *Server) ready(ctx context.Context, name id.Shard) <-chan struct{} {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	now := sv.clock.Now()
+	dp := sv.dispatcherOf(now, name)
+	if !dp.isReady {
+		sv.pollDue(ctx, now, dp)
+	}
+	return dp.ready
+}
+
+// submit passes an Ask to its dispatcher and returns either a channel for the answer or the answer.
+func (sv *Server) submit(ctx context.Context, ask Ask) (chan Answer, Answer) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	now := sv.clock.Now()
+	dp := sv.dispatcherOf(now, ask.Shard)
+	if !dp.machine.Serves(ask.Model) {
+		oc := outcome.Refuse(outcome.NoCapacity, "no engine serves the model now").After(sv.config.ListPeriod)
+		return nil, Answer{Refusal: &oc}
+	}
+	if !dp.asked[ask.ID] {
+		switch sv.quarantine.Decide(now, ask.Fingerprint) {
+		case quarantine.Refuse:
+			sv.metrics.Counter("quarantine_refused").Inc(1)
+			oc := outcome.Refuse(outcome.Quarantined, "the request has crashed engines and is not run again")
+			return nil, Answer{Refusal: &oc}
+		case quarantine.Wait:
+			return nil, Answer{Queued: true}
+		case quarantine.RunAlone:
+			ask.Alone = true
+		case quarantine.Run:
+		}
+	}
+	answered := make(chan Answer, 1)
+	dp.expect(ask, answered)
+	sv.apply(ctx, dp, dp.machine.Step(now, dispatch.Submit{Request: ask.Request}))
+	return answered, Answer{}
+}
+
+// stopWaiting returns an answer that arrived meanwhile, or Queued.
+func (sv *Server) stopWaiting(ask Ask, answered chan Answer) Answer {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	if dp, ok := sv.shards[ask.Shard]; ok && dp.waiters[ask.ID] == answered {
+		delete(dp.waiters, ask.ID)
+	}
+	select {
+	case answer := <-answered:
+		return answer
+	default:
+		return Answer{Queued: true}
+	}
+}
+
+// Report takes an entry host's report of what it holds.
+func (sv *Server) Report(ctx context.Context, rp Report) Loads {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	now := sv.clock.Now()
+	var loads Loads
+	touched := map[id.Shard]*dispatcher{}
+	for _, hd := range rp.Held {
+		dp := sv.dispatcherOf(now, hd.Shard)
+		touched[hd.Shard] = dp
+		if dp.preempted[hd.Grant.Attempt] {
+			loads.Lapsed = append(loads.Lapsed, hd.Grant.Attempt)
+			continue
+		}
+		if dp.running(hd.Grant.Attempt, hd.Fingerprint) {
+			sv.quarantine.Started(now, hd.Fingerprint)
+		}
+		sv.apply(ctx, dp, dp.machine.Step(now, dispatch.Hold{Grant: hd.Grant, Organisation: hd.Organisation, Started: hd.Started}))
+	}
+	for _, en := range rp.Ended {
+		sv.ended(ctx, now, en)
+	}
+	for _, dp := range touched {
+		loads.Engines = append(loads.Engines, dp.loads()...)
+	}
+	return loads
+}
+
+func (sv *Server) ended(ctx context.Context, now time.Time, en Ended) {
+	dp := sv.dispatcherOf(now, en.Shard)
+	delete(dp.preempted, en.Attempt)
+	if en.Withdrawn {
+		dp.forget(en.Request)
+		sv.apply(ctx, dp, dp.machine.Step(now, dispatch.Withdraw{Request: en.Request}))
+	}
+	if fp, ok := dp.fingerprints[en.Attempt]; ok {
+		delete(dp.fingerprints, en.Attempt)
+		if en.Crashed != "" {
+			crashes := sv.quarantine.Crashed(now, fp)
+			sv.metrics.Counter("quarantine_suspicions").Inc(1)
+			sv.onCrash(fp, crashes)
+		}
+		sv.quarantine.Ended(now, fp, en.Finished)
+	}
+	sv.apply(ctx, dp, dp.machine.Step(now, dispatch.Finish{Attempt: en.Attempt}))
+}
+
+// Learn merges a count of crashes that another host knows.
+func (sv *Server) Learn(fp id.Fingerprint, crashes int) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.quarantine.Learn(sv.clock.Now(), fp, crashes)
+}
+
+// Status describes the dispatchers of this host.
+func (sv *Server) Status() []Status {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	var statuses []Status
+	for name, dp := range sv.shards {
+		statuses = append(statuses, Status{
+			Shard:   name,
+			Waiting: dp.machine.Waiting(),
+			Granted: dp.machine.Granted(),
+			Engines: dp.machine.Engines(),
+		})
+	}
+	return statuses
+}
+
+// Status is the state of one dispatcher.
+type Status struct {
+	Shard   id.Shard
+	Waiting int
+	Granted int
+	Engines []dispatch.EngineStatus
+}
+
+// apply carries out the effects of a dispatcher's step.
+func (sv *Server) apply(ctx context.Context, dp *dispatcher, effects []dispatch.Effect) {
+	for _, ef := range effects {
+		switch ef.Kind {
+		case dispatch.Granted:
+			grant := *ef.Grant
+			if fp, first := dp.start(ef.Request, grant.Attempt); first {
+				sv.quarantine.Started(sv.clock.Now(), fp)
+			}
+			sv.metrics.Counter("grants").Inc(1)
+			dp.answer(ef.Request, Answer{Grant: &grant})
+		case dispatch.Refused:
+			oc := ef.Outcome
+			sv.metrics.Tagged(map[string]string{"reason": string(oc.Reason)}).Counter("dispatch_refused").Inc(1)
+			dp.answer(ef.Request, Answer{Refusal: &oc})
+		case dispatch.Cancel:
+			sv.metrics.Counter("attempts_cancelled").Inc(1)
+			sv.canceller.cancel(ctx, ef.Address, ef.Attempt)
+		case dispatch.Preempt:
+			sv.metrics.Counter("attempts_preempted").Inc(1)
+			dp.preempted[ef.Attempt] = true
+		}
+	}
+}
--- /dev/null
+++ b/host.go
@@ -0,0 +1,322 @@
+// Package hibiscuslever is a serving layer for prompts of very unlike lengths.
+//
+// New returns an entry host with ready defaults; Run serves until its context ends and then shuts down gracefully.
+package hibiscuslever
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"connectrpc.com/otelconnect"
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
+	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
+	"github.com/hibiscuslever/hibiscuslever/coordination/gossip"
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/plain"
+	"github.com/hibiscuslever/hibiscuslever/coordination/quota"
+	"github.com/hibiscuslever/hibiscuslever/coordination/relay"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/coordination/serve"
+	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
+	"github.com/hibiscuslever/hibiscuslever/settings"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/telemetry"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/caller"
+	"github.com/hibiscuslever/hibiscuslever/transport/engine"
+	"github.com/hibiscuslever/hibiscuslever/transport/operator"
+	"github.com/hibiscuslever/hibiscuslever/transport/peer"
+	"github.com/hibiscuslever/hibiscuslever/transport/platform"
+	"github.com/hibiscuslever/hibiscuslever/transport/service"
+)
+
+// Host is one entry host.
+type Host struct {
+	settings settings.Settings
+	clock    timer.Service
+	logger   *slog.Logger
+	metrics  *telemetry.Metrics
+	traces   *telemetry.Traces
+	self     membership.Member
+	started  time.Time
+
+	interceptor   *otelconnect.Interceptor
+	platform      *platform.Client
+	engines       *engine.Client
+	services      *service.Client
+	peers         *peer.Client
+	gossip        *gossip.Runner
+	configuration *configuration.Follower
+	fleet         *fleet.View
+	relay         *relay.Relay
+	quotaServer   *quota.Server
+	quotaClient   *quota.Client
+	shardServer   *shard.Server
+	shardClient   *shard.Client
+	models        *serve.Runner
+	plain         *plain.Runner
+	callers       *caller.Server
+
+	listeners []net.Listener
+}
+
+// New returns a host that listens at the addresses of its settings but serves nothing before Run.
+func New(opts ...Option) (*Host, error) {
+	op, err := newOptions(opts)
+	if err != nil {
+		return nil, err
+	}
+	ht := &Host{
+		settings: op.settings,
+		clock:    op.clock,
+		logger:   op.logger.With("host", op.settings.Host.Name),
+		metrics:  op.metrics,
+		traces:   op.traces,
+		started:  op.clock.Now(),
+	}
+	if err := ht.listen(); err != nil {
+		return nil, err
+	}
+	ht.self = membership.Member{
+		Host:             op.settings.Host.Name,
+		Incarnation:      id.Incarnation(op.clock.Now().UnixNano()),
+		PeerAddress:      ht.settings.Host.PeerAddress,
+		CallerAddress:    ht.settings.Host.CallerAddress,
+		AvailabilityZone: op.settings.Host.AvailabilityZone,
+	}
+	if err := ht.assemble(op.seed); err != nil {
+		return nil, err
+	}
+	return ht, nil
+}
+
+// listen opens the three addresses; when one is taken, none stays open. Port 0 becomes a free port.
+func (ht *Host) listen() error {
+	addresses := []struct {
+		key     string
+		address *string
+	}{
+		{"CallerAddress", &ht.settings.Host.CallerAddress},
+		{"PeerAddress", &ht.settings.Host.PeerAddress},
+		{"OperatorAddress", &ht.settings.Host.OperatorAddress},
+	}
+	for _, ad := range addresses {
+		listener, err := net.Listen("tcp", *ad.address)
+		if err != nil {
+			ht.closeListeners()
+			return errors.Wrapf(err, "section Host: key %s: value %q", ad.key, *ad.address)
+		}
+		*ad.address = listener.Addr().String()
+		ht.listeners = append(ht.listeners, listener)
+	}
+	return nil
+}
+
+// Settings returns the settings in force, with the ports that were chosen.
+func (ht *Host) Settings() settings.Settings {
+	return ht.settings
+}
+
+func (ht *Host) closeListeners() {
+	for _, listener := range ht.listeners {
+		_ = listener.Close()
+	}
+}
+
+func (ht *Host) traced(next http.RoundTripper) http.RoundTripper {
+	return otelhttp.NewTransport(next,
+		otelhttp.WithTracerProvider(ht.traces.Provider),
+		otelhttp.WithPropagators(ht.traces.Propagator),
+	)
+}
+
+// assemble builds the parts of the host, lower layers first.
+func (ht *Host) assemble(seed uint64) error {
+	scope := ht.metrics.Scope
+	var err error
+	ht.interceptor, err = otelconnect.NewInterceptor(
+		otelconnect.WithTracerProvider(ht.traces.Provider),
+		otelconnect.WithPropagator(ht.traces.Propagator),
+		otelconnect.WithoutMetrics(),
+		otelconnect.WithTrustRemote(),
+	)
+	if err != nil {
+		return errors.Wrap(err, "trace calls between hosts")
+	}
+	ht.platform = platform.NewClient(ht.settings.Platform.URL, ht.traced)
+	ht.engines = engine.NewClient(ht.clock, ht.traced)
+	ht.services = service.NewClient(ht.traced)
+	ht.peers = peer.NewClient(ht.self, ht.clock, connect.WithInterceptors(ht.interceptor))
+	gossipConfig := gossip.DefaultConfig()
+	gossipConfig.Seeds = ht.settings.Peers.Seeds
+	ht.gossip = gossip.New(gossipConfig, ht.self, ht.clock, ht.peers, gossip.Handlers{
+		Changed: ht.memberChanged,
+		Learned: ht.factLearned,
+		Behind:  ht.behind,
+	}, scope, seed)
+	ht.configuration = configuration.New(configuration.DefaultConfig(), ht.clock, configurationLog{ht.platform}, ht.peers, scope, ht.configurationChanged)
+	ht.fleet = fleet.NewView(ht.clock, hostList{ht.platform}, scope, ht.hostsListed)
+	ht.relay = relay.New(ht.clock, claimsLog{ht.platform}, scope)
+	ht.quotaServer = quota.NewServer(ht.clock, plans{ht.configuration})
+	ht.quotaClient = quota.NewClient(ht.self.Host, ht.clock, ht.peers, plans{ht.configuration}, scope)
+	ht.shardServer = shard.NewServer(ht.shardConfig(), ht.clock, ht.engines, ht.fleet, scope, seed, ht.crashCounted)
+	ht.shardClient = shard.NewClient(ht.self.Host, ht.self.Incarnation, ht.clock, ht.peers, ht.fleet, scope, seed)
+	ht.peers.Bind(ht.local(), ht.gossip)
+	tracer := ht.traces.Provider.Tracer("hibiscuslever")
+	ht.models = serve.NewRunner(serve.DefaultConfig(), ht.clock, ht.engines, ht.shardClient, ht.fleet, retry.New(retry.DefaultConfig(), seed), scope, tracer)
+	ht.plain = plain.NewRunner(ht.clock, ht.fleet, ht.services, ht.peers, retry.New(retry.DefaultConfig(), seed), scope, tracer, seed)
+	ht.callers = caller.NewServer(ht.callerConfig(), caller.Parts{
+		Lists:     readiness{host: ht},
+		Models:    ht.models,
+		Services:  ht.plain,
+		Limits:    ht.quotaClient,
+		Fleet:     ht.fleet,
+		Addresses: ht,
+	}, ht.clock, scope)
+	return nil
+}
+
+// local returns the parts that answer other hosts.
+func (ht *Host) local() peer.Local {
+	return peer.Local{
+		Shards:        ht.shardServer,
+		Gossip:        ht.gossip,
+		Configuration: ht.configuration,
+		Relay:         ht.relay,
+		Quota:         ht.quotaServer,
+	}
+}
+
+func (ht *Host) shardConfig() shard.ServerConfig {
+	config := shard.DefaultServerConfig()
+	config.Dispatch.PrefillPerSecond = ht.settings.Engines.PrefillTokensPerSecond
+	config.Dispatch.MaxStreams = ht.settings.Engines.MaxStreams
+	config.Dispatch.Policy.ShortShare = ht.settings.Engines.ShortShare
+	return config
+}
+
+func (ht *Host) callerConfig() caller.Config {
+	return caller.Config{
+		Host:          ht.self.Host,
+		Incarnation:   ht.self.Incarnation,
+		MaxBodyBytes:  ht.settings.Callers.MaxBodyBytes,
+		KeepAddresses: ht.settings.Callers.KeepAddresses,
+		KeyRetention:  ht.settings.Claims.Retention - ht.settings.Claims.Margin,
+	}
+}
+
+// Run serves until the context ends, then shuts down gracefully.
+func (ht *Host) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group run.Group
+	for _, part := range []func(context.Context) error{
+		ht.gossip.Run,
+		ht.configuration.Run,
+		ht.fleet.Run,
+		ht.relay.Run,
+		ht.quotaClient.Run,
+		ht.shardServer.Run,
+		ht.shardClient.Run,
+	} {
+		partCtx, cancel := context.WithCancel(background)
+		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
+	}
+	for ix, server := range ht.servers() {
+		listener := ht.listeners[ix]
+		group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+	}
+	shutdown, cancel := context.WithCancel(background)
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+			ht.shutDown(shutdown)
+		case <-shutdown.Done():
+		}
+		return nil
+	}, func(error) { cancel() })
+	ht.logger.Info("host started", "zone", ht.self.AvailabilityZone, "callers", ht.self.CallerAddress)
+	err := group.Run()
+	ht.close()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// servers returns the HTTP servers in the order of the listeners.
+func (ht *Host) servers() []*http.Server {
+	traced := otelhttp.NewHandler(ht.callers.Handler(), "caller.request",
+		otelhttp.WithTracerProvider(ht.traces.Provider),
+		otelhttp.WithPropagators(ht.traces.Propagator),
+	)
+	callers := &http.Server{
+		Handler:           traced,
+		ReadHeaderTimeout: ht.settings.Callers.ReadHeaderTimeout,
+		ReadTimeout:       ht.settings.Callers.ReadTimeout,
+		IdleTimeout:       ht.settings.Callers.IdleTimeout,
+		MaxHeaderBytes:    ht.settings.Callers.MaxHeaderBytes,
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	peers := &http.Server{
+		Handler:           peer.NewServer(ht.local(), ht.clock).Handler(connect.WithInterceptors(ht.interceptor)),
+		ReadHeaderTimeout: ht.settings.Callers.ReadHeaderTimeout,
+		Protocols:         protocols,
+	}
+	operators := &http.Server{
+		Handler:           operator.NewServer(ht.configuration, ht, ht.metrics.Handler).Handler(),
+		ReadHeaderTimeout: ht.settings.Callers.ReadHeaderTimeout,
+	}
+	return []*http.Server{callers, peers, operators}
+}
+
+// shutDown leaves the advertised addresses, serves callers that still hold the old answer until it
+// has run out, waits for all requests in flight and returns.
+func (ht *Host) shutDown(ctx context.Context) {
+	ht.logger.Info("host is leaving")
+	ctx, cancel := context.WithTimeout(ctx, ht.settings.Operators.ShutdownTimeout)
+	defer cancel()
+	ht.gossip.Leave(ctx)
+	wait, sub := timer.Wait(ht.clock, ht.settings.Callers.KeepAddresses)
+	defer sub.Stop()
+	select {
+	case <-wait:
+	case <-ctx.Done():
+	}
+	ht.callers.Close()
+	for ht.callers.InFlight() > 0 && ctx.Err() == nil {
+		ht.pause(ctx)
+	}
+	ht.models.Wait()
+	ht.plain.Wait()
+	ht.logger.Info("host has finished its requests", "in_flight", ht.callers.InFlight())
+}
+
+func (ht *Host) pause(ctx context.Context) {
+	const drainCheck = 50 * time.Millisecond
+	wait, sub := timer.Wait(ht.clock, drainCheck)
+	defer sub.Stop()
+	select {
+	case <-wait:
+	case <-ctx.Done():
+	}
+}
+
+func (ht *Host) close() {
+	ht.closeListeners()
+	ht.engines.Close()
+	ht.services.Close()
+	ht.platform.Close()
+	ht.peers.Close()
+	_ = ht.metrics.Close()
+}
--- /dev/null
+++ b/state/id/id.go
@@ -0,0 +1,135 @@
+// Package id defines the named types of identifiers and units that all layers share.
+package id
+
+import (
+	"encoding/hex"
+	"hash/maphash"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Identifiers of machines, zones, customers, back ends and work.
+type (
+	// Host names an entry host.
+	Host string
+	// Engine names a model engine.
+	Engine string
+	// BackendServer names a server of a plain service.
+	BackendServer string
+	// Service names a group of engines or of backend servers.
+	Service string
+	// Organisation names a customer of the operators.
+	Organisation string
+	// Plan names an entry of the list of plans.
+	Plan string
+	// Model names a model that engines serve.
+	Model string
+	// AvailabilityZone names a failure domain of a region.
+	AvailabilityZone string
+	// Shard names a group of engines that one dispatcher decides for.
+	Shard string
+	// Request identifies one request of a caller: host, incarnation and sequence number.
+	Request string
+	// Attempt identifies one execution of a request on one engine or gang.
+	Attempt string
+)
+
+// Tokens counts tokens of prompts, answers or engine memory.
+type Tokens int64
+
+// Offset is a position in a stream of the platform's log.
+type Offset int64
+
+// NoOffset is the offset before the first record of a stream.
+const NoOffset Offset = -1
+
+// Incarnation distinguishes the successive processes of one host.
+type Incarnation int64
+
+// bytesPerToken is the estimate used before an engine has counted a prompt.
+const bytesPerToken = 4
+
+// EstimateTokens returns the estimated number of tokens in a prompt of size bytes.
+func EstimateTokens(size int) Tokens {
+	return Tokens((size + bytesPerToken - 1) / bytesPerToken)
+}
+
+// Fingerprint identifies the content of a request of one organisation.
+type Fingerprint uint64
+
+// String returns the fingerprint in hexadecimal digits.
+func (fp Fingerprint) String() string {
+	return strconv.FormatUint(uint64(fp), 16)
+}
+
+// NewFingerprint hashes the organisation and the body of a request.
+func NewFingerprint(org Organisation, body []byte) Fingerprint {
+	dg := xxhash.New()
+	_, _ = dg.WriteString(string(org))
+	_, _ = dg.Write([]byte{0})
+	_, _ = dg.Write(body)
+	return Fingerprint(dg.Sum64())
+}
+
+// NewRequest returns the id of the sequence-th request of a host's incarnation.
+func NewRequest(host Host, inc Incarnation, sequence uint64) Request {
+	return Request(string(host) + "." + strconv.FormatInt(int64(inc), 36) + "." + strconv.FormatUint(sequence, 36))
+}
+
+// NewAttempt returns the id of the number-th attempt of a request.
+func NewAttempt(req Request, number int) Attempt {
+	return Attempt(string(req) + "/" + strconv.Itoa(number))
+}
+
+// RequestOf returns the request that an attempt belongs to.
+func RequestOf(att Attempt) Request {
+	for ix := len(att) - 1; ix >= 0; ix-- {
+		if att[ix] == '/' {
+			return Request(att[:ix])
+		}
+	}
+	return Request(att)
+}
+
+// Rendezvous returns the members ordered by descending rendezvous hash weight for key.
+func Rendezvous[M ~string](key string, members []M) []M {
+	ordered := make([]M, len(members))
+	weights := make([]uint64, len(members))
+	for ix, mem := range members {
+		weight := xxhash.Sum64String(key + "\x00" + string(mem))
+		at := ix
+		for at > 0 && (weights[at-1] < weight || weights[at-1] == weight && ordered[at-1] > mem) {
+			weights[at] = weights[at-1]
+			ordered[at] = ordered[at-1]
+			at--
+		}
+		weights[at] = weight
+		ordered[at] = mem
+	}
+	return ordered
+}
+
+// Owner returns the member with the highest rendezvous hash weight for key, or "" without members.
+func Owner[M ~string](key string, members []M) M {
+	var owner M
+	var highest uint64
+	for _, mem := range members {
+		weight := xxhash.Sum64String(key + "\x00" + string(mem))
+		if owner == "" || weight > highest || weight == highest && mem < owner {
+			owner = mem
+			highest = weight
+		}
+	}
+	return owner
+}
+
+// NewSeed returns a random seed for generators whose results need not repeat.
+func NewSeed() uint64 {
+	return new(maphash.Hash).Sum64()
+}
+
+// Hex encodes bytes in lower-case hexadecimal digits.
+func Hex(raw []byte) string {
+	return hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/state/lists/text.go
@@ -0,0 +1,262 @@
+package lists
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gopkg.in/ini.v1"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+const (
+	planPrefix         = "Plan "
+	organisationPrefix = "Organisation "
+	defaultDeadline    = 60 * time.Second
+	maxDeadline        = time.Hour
+	maxWeight          = 1000
+	maxNameLength      = 128
+	sumLength          = 64
+)
+
+// Section is one entry of a list: its name and its keys with their values.
+type Section struct {
+	Name string
+	Keys []Key
+}
+
+// Key is one setting of a section.
+type Key struct {
+	Name  string
+	Value string
+}
+
+// ParseSections reads the sections of a list in INI form.
+func ParseSections(list Name, text []byte) ([]Section, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{
+		AllowNonUniqueSections: true,
+		KeyValueDelimiters:     "=",
+		IgnoreInlineComment:    true,
+	}, text)
+	if err != nil {
+		return nil, errors.Wrapf(err, "list %s", list)
+	}
+	prefix := prefixOf(list)
+	seen := map[string]bool{}
+	var sections []Section
+	for _, part := range file.Sections() {
+		if part.Name() == ini.DefaultSection && len(part.Keys()) == 0 {
+			continue
+		}
+		name, ok := strings.CutPrefix(part.Name(), prefix)
+		if !ok || name == "" || len(name) > maxNameLength {
+			return nil, fmt.Errorf("list %s: section %q is not of the form %q", list, part.Name(), "["+prefix+"NAME]")
+		}
+		if seen[name] {
+			return nil, fmt.Errorf("list %s: section %q appears twice", list, part.Name())
+		}
+		seen[name] = true
+		sec := Section{Name: name}
+		for _, key := range part.Keys() {
+			sec.Keys = append(sec.Keys, Key{Name: key.Name(), Value: key.Value()})
+		}
+		sections = append(sections, sec)
+	}
+	return sections, nil
+}
+
+func prefixOf(list Name) string {
+	if list == Plans {
+		return planPrefix
+	}
+	return organisationPrefix
+}
+
+// settingError reports a key of a section whose value is not allowed.
+func settingError(list Name, section, key, value, allowed string) error {
+	return fmt.Errorf("list %s: section %q: key %s: value %q is not allowed: want %s", list, section, key, value, allowed)
+}
+
+func parsePlan(sec Section) (Plan, error) {
+	pl := Plan{Name: id.Plan(sec.Name), Weight: 1, Deadline: defaultDeadline}
+	for _, key := range sec.Keys {
+		allowed := setPlan(&pl, key)
+		if allowed != "" {
+			return Plan{}, settingError(Plans, planPrefix+sec.Name, key.Name, key.Value, allowed)
+		}
+	}
+	if pl.LongestPrompt == 0 {
+		return Plan{}, settingError(Plans, planPrefix+sec.Name, "LongestPrompt", "", "a number of tokens; the key is required")
+	}
+	return pl, nil
+}
+
+// setPlan stores one key and returns what would be allowed if the value is not.
+func setPlan(pl *Plan, key Key) string {
+	var err error
+	ok := true
+	switch key.Name {
+	case "Models":
+		pl.Models = splitNames[id.Model](key.Value)
+	case "Services":
+		pl.Services = splitNames[id.Service](key.Value)
+	case "RequestsPerSecond":
+		pl.RequestsPerSecond, err = strconv.ParseFloat(key.Value, 64)
+		ok = pl.RequestsPerSecond >= 0 && !math.IsInf(pl.RequestsPerSecond, 0) && !math.IsNaN(pl.RequestsPerSecond)
+	case "TokensPerMinute":
+		pl.TokensPerMinute, err = parseTokens(key.Value)
+		ok = pl.TokensPerMinute >= 0
+	case "Concurrency":
+		pl.Concurrency, err = strconv.Atoi(key.Value)
+		ok = pl.Concurrency >= 0
+	case "LongestPrompt":
+		pl.LongestPrompt, err = parseTokens(key.Value)
+		ok = pl.LongestPrompt > 0
+	case "Priority":
+		pl.Priority, err = strconv.Atoi(key.Value)
+		ok = pl.Priority >= 0 && pl.Priority <= 9
+	case "Weight":
+		pl.Weight, err = strconv.ParseFloat(key.Value, 64)
+		ok = pl.Weight > 0 && pl.Weight <= maxWeight
+	case "Deadline":
+		pl.Deadline, err = time.ParseDuration(key.Value)
+		ok = pl.Deadline >= time.Second && pl.Deadline <= maxDeadline
+	default:
+		return "one of the keys " + strings.Join(planKeys(), ", ")
+	}
+	if err != nil || !ok {
+		return allowedOf(key.Name)
+	}
+	return ""
+}
+
+func planKeys() []string {
+	return []string{
+		"Models", "Services", "RequestsPerSecond", "TokensPerMinute", "Concurrency",
+		"LongestPrompt", "Priority", "Weight", "Deadline",
+	}
+}
+
+func allowedOf(key string) string {
+	switch key {
+	case "RequestsPerSecond":
+		return "a number of at least 0; 0 means no limit"
+	case "TokensPerMinute", "Concurrency":
+		return "a whole number of at least 0; 0 means no limit"
+	case "LongestPrompt":
+		return "a whole number of tokens above 0"
+	case "Priority":
+		return "a whole number from 0 to 9"
+	case "Weight":
+		return fmt.Sprintf("a number above 0 and at most %d", maxWeight)
+	default:
+		return "a duration from 1s to 1h"
+	}
+}
+
+func parseTokens(value string) (id.Tokens, error) {
+	count, err := strconv.ParseInt(value, 10, 64)
+	return id.Tokens(count), err
+}
+
+func parseOrganisation(sec Section) (Organisation, error) {
+	org := Organisation{Name: id.Organisation(sec.Name)}
+	for _, key := range sec.Keys {
+		switch key.Name {
+		case "Plan":
+			org.Plan = id.Plan(key.Value)
+		case "KeySHA256":
+			org.KeySHA256 = splitNames[string](key.Value)
+		default:
+			return Organisation{}, settingError(Organisations, organisationPrefix+sec.Name, key.Name, key.Value, "one of the keys Plan, KeySHA256")
+		}
+	}
+	for _, sum := range org.KeySHA256 {
+		if len(sum) != sumLength || strings.Trim(sum, "0123456789abcdef") != "" {
+			return Organisation{}, settingError(Organisations, organisationPrefix+sec.Name, "KeySHA256", sum, "64 lower-case hexadecimal digits")
+		}
+	}
+	return org, nil
+}
+
+func splitNames[N ~string](value string) []N {
+	var names []N
+	for part := range strings.SplitSeq(value, ",") {
+		part = strings.TrimSpace(part)
+		if part != "" {
+			names = append(names, N(part))
+		}
+	}
+	return names
+}
+
+// Format writes a list in INI form with its sections in order.
+func (ls *Lists) Format(list Name) []byte {
+	var sb strings.Builder
+	for _, sec := range ls.Sections(list) {
+		writeSection(&sb, list, sec)
+	}
+	return []byte(sb.String())
+}
+
+func writeSection(sb *strings.Builder, list Name, sec Section) {
+	if sb.Len() > 0 {
+		sb.WriteByte('\n')
+	}
+	fmt.Fprintf(sb, "[%s%s]\n", prefixOf(list), sec.Name)
+	for _, key := range sec.Keys {
+		fmt.Fprintf(sb, "%s = %s\n", key.Name, key.Value)
+	}
+}
+
+// Sections returns the entries of a list in the order of their names, with every key spelled out.
+func (ls *Lists) Sections(list Name) []Section {
+	if list == Plans {
+		return sectionsOf(ls.Plans, planSection)
+	}
+	return sectionsOf(ls.Organisations, organisationSection)
+}
+
+func sectionsOf[K cmp.Ordered, V any](entries map[K]V, section func(V) Section) []Section {
+	sections := make([]Section, 0, len(entries))
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		sections = append(sections, section(entries[name]))
+	}
+	return sections
+}
+
+func planSection(pl Plan) Section {
+	return Section{Name: string(pl.Name), Keys: []Key{
+		{"Models", joinNames(pl.Models)},
+		{"Services", joinNames(pl.Services)},
+		{"RequestsPerSecond", strconv.FormatFloat(pl.RequestsPerSecond, 'g', -1, 64)},
+		{"TokensPerMinute", strconv.FormatInt(int64(pl.TokensPerMinute), 10)},
+		{"Concurrency", strconv.Itoa(pl.Concurrency)},
+		{"LongestPrompt", strconv.FormatInt(int64(pl.LongestPrompt), 10)},
+		{"Priority", strconv.Itoa(pl.Priority)},
+		{"Weight", strconv.FormatFloat(pl.Weight, 'g', -1, 64)},
+		{"Deadline", pl.Deadline.String()},
+	}}
+}
+
+func organisationSection(org Organisation) Section {
+	return Section{Name: string(org.Name), Keys: []Key{
+		{"Plan", string(org.Plan)},
+		{"KeySHA256", joinNames(org.KeySHA256)},
+	}}
+}
+
+func joinNames[N ~string](names []N) string {
+	parts := make([]string, len(names))
+	for ix, name := range names {
+		parts[ix] = string(name)
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/telemetry/traces.go
@@ -0,0 +1,64 @@
+package telemetry
+
+import (
+	"context"
+	"os"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+)
+
+// Traces is a tracer provider with the propagation of W3C trace context.
+type Traces struct {
+	Provider   *sdktrace.TracerProvider
+	Propagator propagation.TextMapPropagator
+	file       *os.File
+}
+
+// NewTraces returns a provider whose spans go nowhere ("None"), to a file ("File") or to a collector ("OTLP").
+func NewTraces(ctx context.Context, host, export, file, endpoint string) (*Traces, error) {
+	tr := &Traces{Propagator: propagation.TraceContext{}}
+	options := []sdktrace.TracerProviderOption{sdktrace.WithResource(resource.NewSchemaless(
+		attribute.String("service.name", "hibiscuslever"),
+		attribute.String("host.name", host),
+	))}
+	exporter, err := tr.exporter(ctx, export, file, endpoint)
+	if err != nil {
+		return nil, err
+	}
+	if exporter != nil {
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	tr.Provider = sdktrace.NewTracerProvider(options...)
+	return tr, nil
+}
+
+func (tr *Traces) exporter(ctx context.Context, export, file, endpoint string) (sdktrace.SpanExporter, error) {
+	switch export {
+	case "File":
+		out, err := os.OpenFile(file, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, errors.Wrap(err, "open trace file")
+		}
+		tr.file = out
+		return stdouttrace.New(stdouttrace.WithWriter(out))
+	case "OTLP":
+		return otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(endpoint))
+	default:
+		return nil, nil //nolint:nilnil // no exporter is wanted
+	}
+}
+
+// Close flushes spans.
+func (tr *Traces) Close(ctx context.Context) error {
+	err := tr.Provider.Shutdown(ctx)
+	if tr.file != nil {
+		err = errors.Join(err, tr.file.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/transport/engine/client.go
@@ -0,0 +1,242 @@
+// Package engine speaks to model engines over HTTP.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/coordination/serve"
+	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
+	"github.com/hibiscuslever/hibiscuslever/protocol/engine"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+const (
+	dialTimeout     = time.Second
+	maxIdlePerHost  = 64
+	maxRefusalBytes = 4096
+	maxAnswerBytes  = 4 << 20
+)
+
+// Client speaks to any engine by its address.
+type Client struct {
+	http  *http.Client
+	clock timer.Service
+}
+
+// NewClient returns a client. The wrap function adds tracing to its HTTP transport.
+func NewClient(clock timer.Service, wrap func(http.RoundTripper) http.RoundTripper) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &Client{http: &http.Client{Transport: wrap(transport)}, clock: clock}
+}
+
+// Open starts an attempt.
+func (cl *Client) Open(ctx context.Context, st serve.Start) serve.Opened {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+st.Address+engine.AttemptsPath, bytes.NewReader(st.Body))
+	if err != nil {
+		return serve.Opened{Cause: retry.NotSent}
+	}
+	rq.Header.Set("Content-Type", "application/json")
+	rq.Header.Set(engine.ModelHeader, string(st.Model))
+	rq.Header.Set(engine.PriorityHeader, strconv.FormatInt(int64(st.Priority), 10))
+	rq.Header.Set(engine.PartHeader, strconv.FormatInt(int64(st.Part), 10))
+	rq.Header.Set(engine.PrefixHeader, formatPrefix(st.Prefix))
+	if st.Follower {
+		rq.Header.Set(engine.FollowerHeader, "true")
+	}
+	return cl.open(rq, st)
+}
+
+// Resume opens the stream of an attempt that runs again.
+func (cl *Client) Resume(ctx context.Context, st serve.Start) serve.Opened {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, attemptURL(st.Address, st.Attempt), nil)
+	if err != nil {
+		return serve.Opened{Cause: retry.NotSent}
+	}
+	return cl.open(rq, st)
+}
+
+func attemptURL(address string, att id.Attempt) string {
+	return "http://" + address + engine.AttemptsPath + "/" + strings.ReplaceAll(string(att), "/", "%2F")
+}
+
+func formatPrefix(prefix []uint64) string {
+	parts := make([]string, len(prefix))
+	for ix, block := range prefix {
+		parts[ix] = strconv.FormatUint(block, 16)
+	}
+	return strings.Join(parts, ",")
+}
+
+func (cl *Client) open(rq *http.Request, st serve.Start) serve.Opened {
+	rq.Header.Set(engine.AttemptHeader, string(st.Attempt))
+	rq.Header.Set(engine.ResumeHeader, strconv.Itoa(st.From))
+	answer, err := cl.http.Do(rq)
+	if err != nil {
+		return serve.Opened{Cause: causeOf(err)}
+	}
+	if answer.StatusCode == http.StatusOK {
+		return serve.Opened{Stream: newStream(answer.Body)}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusServiceUnavailable {
+		return serve.Opened{Cause: retry.Interrupted}
+	}
+	var refusal engine.Refusal
+	if json.NewDecoder(io.LimitReader(answer.Body, maxRefusalBytes)).Decode(&refusal) != nil || refusal.Reason == "" {
+		return serve.Opened{Cause: retry.Interrupted}
+	}
+	return serve.Opened{Cause: retry.BackendRefused, Draining: refusal.Reason == engine.Draining}
+}
+
+// causeOf tells whether a failed request may have reached the engine.
+func causeOf(err error) retry.Cause {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return retry.NotSent
+	}
+	return retry.Interrupted
+}
+
+// Health asks an engine whether it answers.
+func (cl *Client) Health(ctx context.Context, address string) serve.Health {
+	_, err := cl.Load(ctx, address)
+	switch {
+	case err == nil:
+		return serve.Healthy
+	case causeOf(err) == retry.NotSent && !isTimeout(err):
+		return serve.Gone
+	default:
+		return serve.Unresponsive
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// Cancel frees what an attempt holds.
+func (cl *Client) Cancel(ctx context.Context, address string, att id.Attempt) error {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodDelete, attemptURL(address, att), nil)
+	if err != nil {
+		return errors.Wrap(err, "cancel attempt")
+	}
+	answer, err := cl.http.Do(rq)
+	if err != nil {
+		return errors.Wrap(err, "cancel attempt")
+	}
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("engine %s answered status %d to a cancellation", address, answer.StatusCode)
+	}
+	return nil
+}
+
+// Load returns an engine's report of its load.
+func (cl *Client) Load(ctx context.Context, address string) (shard.EngineReport, error) {
+	var load engine.Load
+	if err := cl.get(ctx, "http://"+address+engine.LoadPath, &load); err != nil {
+		return shard.EngineReport{}, err
+	}
+	return shard.EngineReport{
+		At:          cl.clock.Now().Add(-time.Duration(load.AgeMillis) * time.Millisecond),
+		Incarnation: load.Incarnation,
+		Capacity:    load.Capacity,
+		Pending:     load.Pending,
+		Models:      load.Models,
+		Draining:    load.Draining,
+	}, nil
+}
+
+// List returns the attempts that hold memory of an engine.
+func (cl *Client) List(ctx context.Context, address string) ([]dispatch.Holding, error) {
+	var attempts engine.Attempts
+	if err := cl.get(ctx, "http://"+address+engine.AttemptsPath, &attempts); err != nil {
+		return nil, err
+	}
+	holdings := make([]dispatch.Holding, 0, len(attempts.Attempts))
+	for _, hd := range attempts.Attempts {
+		holdings = append(holdings, dispatch.Holding{Attempt: hd.Attempt, Tokens: hd.Tokens})
+	}
+	return holdings, nil
+}
+
+// CacheEvents returns changes of an engine's prefix cache.
+func (cl *Client) CacheEvents(ctx context.Context, address string, from int64) ([]shard.CacheEvent, int64, error) {
+	var events engine.CacheEvents
+	if err := cl.get(ctx, "http://"+address+engine.CachePath+"?from="+strconv.FormatInt(from, 10), &events); err != nil {
+		return nil, from, err
+	}
+	changes := make([]shard.CacheEvent, 0, len(events.Events))
+	for _, ev := range events.Events {
+		changes = append(changes, shard.CacheEvent{Block: ev.Block, Evicted: ev.Evicted})
+	}
+	return changes, events.Next, nil
+}
+
+func (cl *Client) get(ctx context.Context, url string, answer any) error {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "ask engine")
+	}
+	rs, err := cl.http.Do(rq)
+	if err != nil {
+		return errors.Wrap(err, "ask engine")
+	}
+	defer func() { _ = rs.Body.Close() }()
+	if rs.StatusCode != http.StatusOK {
+		return fmt.Errorf("engine answered status %d to %s", rs.StatusCode, url)
+	}
+	if err := json.NewDecoder(io.LimitReader(rs.Body, maxAnswerBytes)).Decode(answer); err != nil {
+		return errors.Wrap(err, "decode engine's answer")
+	}
+	return nil
+}
+
+// Order sends an order to an engine. It reports false when the engine refused its fencing token.
+func (cl *Client) Order(ctx context.Context, address string, order engine.Order) (bool, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return false, errors.Wrap(err, "encode order")
+	}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+engine.OrdersPath, bytes.NewReader(body))
+	if err != nil {
+		return false, errors.Wrap(err, "send order")
+	}
+	answer, err := cl.http.Do(rq)
+	if err != nil {
+		return false, errors.Wrap(err, "send order")
+	}
+	_ = answer.Body.Close()
+	switch answer.StatusCode {
+	case http.StatusNoContent:
+		return true, nil
+	case http.StatusConflict:
+		return false, nil
+	default:
+		return false, fmt.Errorf("engine %s answered status %d to an order", address, answer.StatusCode)
+	}
+}
+
+// Close releases idle connections.
+func (cl *Client) Close() {
+	cl.http.CloseIdleConnections()
+}
--- /dev/null
+++ b/transport/peer/client.go
@@ -0,0 +1,274 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/claim"
+	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/quota"
+	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
+	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
+	"github.com/hibiscuslever/hibiscuslever/protocol/peer/peerconnect"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/lists"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// dialTimeout bounds the connection to another host.
+const dialTimeout = 400 * time.Millisecond
+
+// Members knows the hosts.
+type Members interface {
+	// Member returns what is known of a host.
+	Member(host id.Host) (membership.Member, bool)
+	// Live returns the hosts that take new work.
+	Live() []membership.Member
+	// LiveHosts returns their names.
+	LiveHosts() []id.Host
+	// Others returns the other hosts that are not dead.
+	Others() []id.Host
+	// Unreachable records that a connection to a host was refused.
+	Unreachable(ctx context.Context, host id.Host)
+}
+
+// Client reaches all hosts. Calls to the own host stay in the process.
+type Client struct {
+	self    membership.Member
+	clock   timer.Service
+	http    *http.Client
+	options []connect.ClientOption
+	local   Local
+	members Members
+
+	mutex   sync.Mutex
+	clients map[string]peerconnect.PeerClient
+}
+
+// NewClient returns a client of the own host. Bind must be called before calls to hosts by name.
+func NewClient(self membership.Member, clock timer.Service, opts ...connect.ClientOption) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     time.Minute,
+		Protocols:           new(http.Protocols),
+	}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: 5 * time.Second, PingTimeout: 2 * time.Second}
+	return &Client{
+		self:    self,
+		clock:   clock,
+		http:    &http.Client{Transport: transport},
+		options: opts,
+		clients: map[string]peerconnect.PeerClient{},
+	}
+}
+
+// Bind sets the parts of the own host and the view of the members.
+func (cl *Client) Bind(local Local, members Members) {
+	cl.local = local
+	cl.members = members
+}
+
+// Close releases idle connections.
+func (cl *Client) Close() {
+	cl.http.CloseIdleConnections()
+}
+
+func (cl *Client) at(address string) peerconnect.PeerClient {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	client, ok := cl.clients[address]
+	if !ok {
+		client = peerconnect.NewPeerClient(cl.http, "http://"+address, cl.options...)
+		cl.clients[address] = client
+	}
+	return client
+}
+
+func (cl *Client) of(host id.Host) (peerconnect.PeerClient, error) {
+	member, known := cl.members.Member(host)
+	if !known {
+		return nil, fmt.Errorf("host %q is not a member", host)
+	}
+	return cl.at(member.PeerAddress), nil
+}
+
+// call runs a call to a host and records refused connections.
+func call[Q, S any](ctx context.Context, cl *Client, host id.Host, rq *Q, method func(peerconnect.PeerClient) func(context.Context, *connect.Request[Q]) (*connect.Response[S], error)) (*S, error) {
+	client, err := cl.of(host)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := method(client)(ctx, connect.NewRequest(rq))
+	if err != nil {
+		if refusedConnection(err) {
+			cl.members.Unreachable(context.WithoutCancel(ctx), host)
+		}
+		return nil, errors.Wrapf(err, "call host %s", host)
+	}
+	return answer.Msg, nil
+}
+
+func refusedConnection(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && !op.Timeout()
+}
+
+// Owners returns the live hosts in the order in which they take a shard.
+func (cl *Client) Owners(name id.Shard) []id.Host {
+	return id.Rendezvous("Shard/"+string(name), cl.members.LiveHosts())
+}
+
+// LiveHosts returns the hosts that take new work.
+func (cl *Client) LiveHosts() []id.Host {
+	return cl.members.LiveHosts()
+}
+
+// Others returns the other hosts that are not dead.
+func (cl *Client) Others() []id.Host {
+	return cl.members.Others()
+}
+
+// Acquire asks a host's dispatcher for a grant.
+func (cl *Client) Acquire(ctx context.Context, host id.Host, ask shard.Ask) (shard.Answer, error) {
+	if host == cl.self.Host {
+		return cl.local.Shards.Acquire(ctx, ask), nil
+	}
+	ms, err := call(ctx, cl, host, encodeAsk(ask, cl.clock.Now()), method(peerconnect.PeerClient.Acquire))
+	if err != nil {
+		return shard.Answer{}, err
+	}
+	return decodeAnswer(ms), nil
+}
+
+// method turns a method expression into the form that call takes.
+func method[Q, S any](expr func(peerconnect.PeerClient, context.Context, *connect.Request[Q]) (*connect.Response[S], error)) func(peerconnect.PeerClient) func(context.Context, *connect.Request[Q]) (*connect.Response[S], error) {
+	return func(client peerconnect.PeerClient) func(context.Context, *connect.Request[Q]) (*connect.Response[S], error) {
+		return func(ctx context.Context, rq *connect.Request[Q]) (*connect.Response[S], error) {
+			return expr(client, ctx, rq)
+		}
+	}
+}
+
+// Report tells a host's dispatchers what is held.
+func (cl *Client) Report(ctx context.Context, host id.Host, rp shard.Report) (shard.Loads, error) {
+	if host == cl.self.Host {
+		return cl.local.Shards.Report(context.WithoutCancel(ctx), rp), nil
+	}
+	ms, err := call(ctx, cl, host, encodeReport(rp), method(peerconnect.PeerClient.Report))
+	if err != nil {
+		return shard.Loads{}, err
+	}
+	return decodeLoads(ms), nil
+}
+
+// Exchange sends a membership message to the host at an address.
+func (cl *Client) Exchange(ctx context.Context, address string, msg membership.Message) (membership.Message, bool, error) {
+	answer, err := cl.at(address).Exchange(ctx, connect.NewRequest(EncodeMessage(msg)))
+	if err != nil {
+		return membership.Message{}, false, errors.Wrapf(err, "exchange with %s", address)
+	}
+	return decodeMessage(answer.Msg), answer.Msg.GetReached(), nil
+}
+
+// Records returns what a host has read of the configuration stream.
+func (cl *Client) Records(ctx context.Context, host id.Host, from id.Offset) (configuration.Records, error) {
+	ms, err := call(ctx, cl, host, &peer.RecordsRequest{From: int64(from)}, method(peerconnect.PeerClient.Records))
+	if err != nil {
+		return configuration.Records{}, err
+	}
+	records := configuration.Records{Start: id.Offset(ms.GetStart()), Next: id.Offset(ms.GetNext())}
+	for _, rec := range ms.GetRecords() {
+		records.Records = append(records.Records, configuration.Record{Offset: id.Offset(rec.GetOffset()), Body: rec.GetBody()})
+	}
+	if len(ms.GetCheckpoint()) > 0 {
+		records.Checkpoint = &lists.Checkpoint{}
+		if err := json.Unmarshal(ms.GetCheckpoint(), records.Checkpoint); err != nil {
+			return configuration.Records{}, errors.Wrap(err, "decode checkpoint")
+		}
+	}
+	return records, nil
+}
+
+// Spend asks a host's home of limits for permission.
+func (cl *Client) Spend(ctx context.Context, host id.Host, sp quota.Spend) (outcome.Outcome, error) {
+	if host == cl.self.Host {
+		return cl.local.Quota.Spend(sp), nil
+	}
+	ms, err := call(ctx, cl, host, &peer.SpendRequest{
+		Organisation: string(sp.Organisation),
+		Request:      string(sp.Request),
+		Tokens:       int64(sp.Prompt),
+		Host:         string(sp.Host),
+	}, method(peerconnect.PeerClient.Spend))
+	if err != nil {
+		return outcome.Outcome{}, err
+	}
+	if ms.GetAllowed() {
+		return outcome.Done(), nil
+	}
+	return decodeRefusal(ms.GetReason(), ms.GetDetail(), ms.GetRetryAfterMillis()), nil
+}
+
+// Renew tells a host's home of limits what runs.
+func (cl *Client) Renew(ctx context.Context, host id.Host, rn quota.Renewal) error {
+	if host == cl.self.Host {
+		cl.local.Quota.Renew(rn)
+		return nil
+	}
+	_, err := call(ctx, cl, host, &peer.RenewRequest{
+		Host:  string(rn.Host),
+		Held:  encodeUsages(rn.Held),
+		Ended: encodeUsages(rn.Ended),
+	}, method(peerconnect.PeerClient.Renew))
+	return err
+}
+
+// Claim passes an entry to the relay of the own availability zone. If the relay's host can't be reached,
+// the own relay asks the log; entries are idempotent, so the log may see one twice.
+func (cl *Client) Claim(ctx context.Context, en claim.Entry) claim.Answer {
+	owner := id.Owner("Claims/"+string(cl.self.AvailabilityZone), cl.zoneHosts())
+	if owner == "" || owner == cl.self.Host {
+		return cl.local.Relay.Claim(ctx, en)
+	}
+	rq := &peer.ClaimRequest{Kind: string(en.Kind), Key: string(en.Key), Claimant: string(en.Claimant), Result: en.Result}
+	first, cancel := context.WithTimeout(ctx, halfOf(ctx, cl.clock.Now()))
+	defer cancel()
+	rq.RemainingMillis = halfOf(ctx, cl.clock.Now()).Milliseconds()
+	ms, err := call(first, cl, owner, rq, method(peerconnect.PeerClient.Claim))
+	if err != nil || ms.GetKind() == peer.ClaimResponse_KIND_UNAVAILABLE {
+		return cl.local.Relay.Claim(ctx, en)
+	}
+	return claim.Answer{Verdict: decodeVerdict(ms.GetKind()), Result: ms.GetResult()}
+}
+
+// halfOf returns half of the time that a context has left.
+func halfOf(ctx context.Context, now time.Time) time.Duration {
+	const most = 2 * time.Second
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return most
+	}
+	return min(most, deadline.Sub(now)/2)
+}
+
+func (cl *Client) zoneHosts() []id.Host {
+	var hosts []id.Host
+	for _, mb := range cl.members.Live() {
+		if mb.AvailabilityZone == cl.self.AvailabilityZone {
+			hosts = append(hosts, mb.Host)
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/transport/peer/convert.go
@@ -0,0 +1,267 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/quota"
+	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
+	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+)
+
+func encodeAsk(ask shard.Ask, now time.Time) *peer.AcquireRequest {
+	return &peer.AcquireRequest{
+		Request:         string(ask.ID),
+		Shard:           string(ask.Shard),
+		Organisation:    string(ask.Organisation),
+		Weight:          ask.Weight,
+		Model:           string(ask.Model),
+		PromptTokens:    int64(ask.Prompt),
+		AnswerTokens:    int64(ask.Answer),
+		Priority:        ask.Priority,
+		RemainingMillis: ask.Deadline.Sub(now).Milliseconds(),
+		Fingerprint:     uint64(ask.Fingerprint),
+		Prefix:          ask.Prefix,
+		Host:            string(ask.Host),
+		Incarnation:     int64(ask.Incarnation),
+		Number:          int32(ask.Number),
+		Avoid:           encodeNames(ask.Avoid),
+		Alone:           ask.Alone,
+	}
+}
+
+func decodeAsk(ms *peer.AcquireRequest, now time.Time) shard.Ask {
+	return shard.Ask{
+		Request: dispatch.Request{
+			ID:           id.Request(ms.GetRequest()),
+			Organisation: id.Organisation(ms.GetOrganisation()),
+			Weight:       ms.GetWeight(),
+			Model:        id.Model(ms.GetModel()),
+			Prompt:       id.Tokens(ms.GetPromptTokens()),
+			Answer:       id.Tokens(ms.GetAnswerTokens()),
+			Priority:     ms.GetPriority(),
+			Deadline:     now.Add(time.Duration(ms.GetRemainingMillis()) * time.Millisecond),
+			Number:       int(ms.GetNumber()),
+			Prefix:       ms.GetPrefix(),
+			Avoid:        decodeNames[id.Engine](ms.GetAvoid()),
+			Alone:        ms.GetAlone(),
+		},
+		Shard:       id.Shard(ms.GetShard()),
+		Fingerprint: id.Fingerprint(ms.GetFingerprint()),
+		Host:        id.Host(ms.GetHost()),
+		Incarnation: id.Incarnation(ms.GetIncarnation()),
+	}
+}
+
+func encodeNames[N ~string](names []N) []string {
+	texts := make([]string, len(names))
+	for ix, name := range names {
+		texts[ix] = string(name)
+	}
+	return texts
+}
+
+func decodeNames[N ~string](texts []string) []N {
+	names := make([]N, len(texts))
+	for ix, text := range texts {
+		names[ix] = N(text)
+	}
+	return names
+}
+
+func encodeGrant(gr dispatch.Grant) *peer.Grant {
+	ms := &peer.Grant{Attempt: string(gr.Attempt), Priority: gr.Priority, AnswerTokens: int64(gr.Answer)}
+	for _, part := range gr.Parts {
+		ms.Parts = append(ms.Parts, &peer.Part{Engine: string(part.Engine), Address: part.Address, Tokens: int64(part.Tokens)})
+	}
+	return ms
+}
+
+func decodeGrant(ms *peer.Grant) dispatch.Grant {
+	gr := dispatch.Grant{Attempt: id.Attempt(ms.GetAttempt()), Priority: ms.GetPriority(), Answer: id.Tokens(ms.GetAnswerTokens())}
+	for _, part := range ms.GetParts() {
+		gr.Parts = append(gr.Parts, dispatch.Part{
+			Engine:  id.Engine(part.GetEngine()),
+			Address: part.GetAddress(),
+			Tokens:  id.Tokens(part.GetTokens()),
+		})
+	}
+	return gr
+}
+
+func encodeAnswer(answer shard.Answer) *peer.AcquireResponse {
+	switch {
+	case answer.Grant != nil:
+		return &peer.AcquireResponse{Kind: peer.AcquireResponse_KIND_GRANTED, Grant: encodeGrant(*answer.Grant)}
+	case answer.Refusal != nil:
+		return &peer.AcquireResponse{
+			Kind:             peer.AcquireResponse_KIND_REFUSED,
+			Reason:           string(answer.Refusal.Reason),
+			Detail:           answer.Refusal.Detail,
+			RetryAfterMillis: answer.Refusal.RetryAfter.Milliseconds(),
+		}
+	default:
+		return &peer.AcquireResponse{Kind: peer.AcquireResponse_KIND_QUEUED}
+	}
+}
+
+func decodeAnswer(ms *peer.AcquireResponse) shard.Answer {
+	switch ms.GetKind() {
+	case peer.AcquireResponse_KIND_GRANTED:
+		grant := decodeGrant(ms.GetGrant())
+		return shard.Answer{Grant: &grant}
+	case peer.AcquireResponse_KIND_REFUSED:
+		refusal := decodeRefusal(ms.GetReason(), ms.GetDetail(), ms.GetRetryAfterMillis())
+		return shard.Answer{Refusal: &refusal}
+	default:
+		return shard.Answer{Queued: true}
+	}
+}
+
+func decodeRefusal(reason, detail string, retryAfterMillis int64) outcome.Outcome {
+	return outcome.Refuse(outcome.Reason(reason), detail).After(time.Duration(retryAfterMillis) * time.Millisecond)
+}
+
+func encodeReport(rp shard.Report) *peer.ReportRequest {
+	ms := &peer.ReportRequest{Host: string(rp.Host), Incarnation: int64(rp.Incarnation)}
+	for _, hd := range rp.Held {
+		ms.Held = append(ms.Held, &peer.Held{
+			Grant:        encodeGrant(hd.Grant),
+			Shard:        string(hd.Shard),
+			Organisation: string(hd.Organisation),
+			Started:      hd.Started,
+			Fingerprint:  uint64(hd.Fingerprint),
+		})
+	}
+	for _, en := range rp.Ended {
+		ms.Ended = append(ms.Ended, &peer.Ended{
+			Attempt:   string(en.Attempt),
+			Shard:     string(en.Shard),
+			Crashed:   string(en.Crashed),
+			Withdrawn: en.Withdrawn,
+			Request:   string(en.Request),
+			Finished:  en.Finished,
+		})
+	}
+	return ms
+}
+
+func decodeReport(ms *peer.ReportRequest) shard.Report {
+	rp := shard.Report{Host: id.Host(ms.GetHost()), Incarnation: id.Incarnation(ms.GetIncarnation())}
+	for _, hd := range ms.GetHeld() {
+		rp.Held = append(rp.Held, shard.Held{
+			Grant:        decodeGrant(hd.GetGrant()),
+			Shard:        id.Shard(hd.GetShard()),
+			Organisation: id.Organisation(hd.GetOrganisation()),
+			Started:      hd.GetStarted(),
+			Fingerprint:  id.Fingerprint(hd.GetFingerprint()),
+		})
+	}
+	for _, en := range ms.GetEnded() {
+		rp.Ended = append(rp.Ended, shard.Ended{
+			Attempt:   id.Attempt(en.GetAttempt()),
+			Shard:     id.Shard(en.GetShard()),
+			Crashed:   id.Engine(en.GetCrashed()),
+			Withdrawn: en.GetWithdrawn(),
+			Request:   id.Request(en.GetRequest()),
+			Finished:  en.GetFinished(),
+		})
+	}
+	return rp
+}
+
+func encodeLoads(loads shard.Loads) *peer.ReportResponse {
+	ms := &peer.ReportResponse{Lapsed: encodeNames(loads.Lapsed)}
+	for _, ld := range loads.Engines {
+		ms.Engines = append(ms.Engines, &peer.EngineLoad{
+			Engine:        string(ld.Engine),
+			FreeTokens:    int64(ld.Free),
+			PendingTokens: int64(ld.Pending),
+		})
+	}
+	return ms
+}
+
+func decodeLoads(ms *peer.ReportResponse) shard.Loads {
+	loads := shard.Loads{Lapsed: decodeNames[id.Attempt](ms.GetLapsed())}
+	for _, ld := range ms.GetEngines() {
+		loads.Engines = append(loads.Engines, shard.EngineLoad{
+			Engine:  id.Engine(ld.GetEngine()),
+			Free:    id.Tokens(ld.GetFreeTokens()),
+			Pending: id.Tokens(ld.GetPendingTokens()),
+		})
+	}
+	return loads
+}
+
+// EncodeMessage returns the wire form of a membership message.
+func EncodeMessage(msg membership.Message) *peer.ExchangeMessage {
+	ms := &peer.ExchangeMessage{
+		Host:     string(msg.From),
+		Revision: int64(msg.Revision),
+		Probe:    string(msg.Probe),
+		Joining:  msg.Joining,
+	}
+	for _, mb := range msg.Updates {
+		ms.Updates = append(ms.Updates, &peer.MemberUpdate{
+			Host:             string(mb.Host),
+			Incarnation:      int64(mb.Incarnation),
+			Status:           uint32(mb.Status),
+			Sequence:         mb.Sequence,
+			PeerAddress:      mb.PeerAddress,
+			CallerAddress:    mb.CallerAddress,
+			AvailabilityZone: string(mb.AvailabilityZone),
+		})
+	}
+	for _, fact := range msg.Facts {
+		ms.Facts = append(ms.Facts, &peer.Fact{Kind: uint32(fact.Kind), Key: fact.Key, Value: fact.Value})
+	}
+	return ms
+}
+
+func decodeMessage(ms *peer.ExchangeMessage) membership.Message {
+	msg := membership.Message{
+		From:     id.Host(ms.GetHost()),
+		Revision: id.Offset(ms.GetRevision()),
+		Probe:    id.Host(ms.GetProbe()),
+		Joining:  ms.GetJoining(),
+	}
+	for _, mb := range ms.GetUpdates() {
+		msg.Updates = append(msg.Updates, membership.Member{
+			Host:             id.Host(mb.GetHost()),
+			Incarnation:      id.Incarnation(mb.GetIncarnation()),
+			Status:           membership.Status(mb.GetStatus()),
+			Sequence:         mb.GetSequence(),
+			PeerAddress:      mb.GetPeerAddress(),
+			CallerAddress:    mb.GetCallerAddress(),
+			AvailabilityZone: id.AvailabilityZone(mb.GetAvailabilityZone()),
+		})
+	}
+	for _, fact := range ms.GetFacts() {
+		msg.Facts = append(msg.Facts, membership.Fact{
+			Kind:  membership.FactKind(fact.GetKind()),
+			Key:   fact.GetKey(),
+			Value: fact.GetValue(),
+		})
+	}
+	return msg
+}
+
+func encodeUsages(usages []quota.Usage) []*peer.Usage {
+	var ms []*peer.Usage
+	for _, us := range usages {
+		ms = append(ms, &peer.Usage{Organisation: string(us.Organisation), Request: string(us.Request)})
+	}
+	return ms
+}
+
+func decodeUsages(ms []*peer.Usage) []quota.Usage {
+	var usages []quota.Usage
+	for _, us := range ms {
+		usages = append(usages, quota.Usage{Organisation: id.Organisation(us.GetOrganisation()), Request: id.Request(us.GetRequest())})
+	}
+	return usages
+}
