Placement under a lease, convictions in the log, host list from peers

What: coordination/lease (first record that follows the current one wins; the holder trusts its lease from the time it sent the record; the offset of its first record is the fencing token; hosts that lack records append a reset), coordination/placement (pure planner), coordination/placer (runner), coordination/conviction (stream of convictions), and a call between hosts for the host list as last read.

Ruled out: lease records with wall-clock expiry, because hosts' clocks differ and the log has no time of its own.

--- a/adapters.go
+++ b/adapters.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/claim"
 	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
 	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/placement"
+	"github.com/hibiscuslever/hibiscuslever/coordination/placer"
 	"github.com/hibiscuslever/hibiscuslever/protocol/operator"
 	protocol "github.com/hibiscuslever/hibiscuslever/protocol/platform"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -66,16 +70,109 @@
 	return ended
 }
 
-// hostList is the platform's list of hosts.
-type hostList struct {
+// leaseLog is the stream of leases of the platform's log.
+type leaseLog struct {
 	client *platform.Client
 }
 
-func (hl hostList) List(ctx context.Context) (fleet.Listing, []string, error) {
-	hosts, err := hl.client.Hosts(ctx)
+func (lg leaseLog) Append(ctx context.Context, body []byte) {
+	lg.client.Append(ctx, protocol.Leases, body)
+}
+
+func (lg leaseLog) Read(ctx context.Context, from id.Offset) ([]placer.LogRecord, id.Offset, error) {
+	read, err := lg.client.Read(ctx, protocol.Leases, from)
+	if err != nil {
+		return nil, id.NoOffset, err
+	}
+	var records []placer.LogRecord
+	for _, rec := range read.Records {
+		records = append(records, placer.LogRecord{Offset: rec.Offset, Body: rec.Body})
+	}
+	return records, read.Start, nil
+}
+
+// demand weighs models by the organisations that may use them.
+type demand struct {
+	configuration *configuration.Follower
+}
+
+func (dm demand) Demand() []placement.Demand {
+	current, ready := dm.configuration.Lists()
+	if !ready {
+		return nil
+	}
+	weights := map[id.Model]float64{}
+	for _, org := range current.Organisations {
+		plan := current.Plans[org.Plan]
+		for _, model := range plan.Models {
+			weights[model] += plan.Weight
+		}
+	}
+	var demands []placement.Demand
+	for _, model := range slices.Sorted(maps.Keys(weights)) {
+		demands = append(demands, placement.Demand{Model: model, Weight: weights[model]})
+	}
+	return demands
+}
+
+// placementCandidates are the first few hosts in hash order, so that few hosts read the stream of leases.
+type placementCandidates struct {
+	host *Host
+}
+
+func (pc placementCandidates) IsCandidate() bool {
+	const candidates = 3
+	ordered := id.Rendezvous("Placement", pc.host.gossip.LiveHosts())
+	return slices.Contains(ordered[:min(candidates, len(ordered))], pc.host.self.Host)
+}
+
+// convictionLog is the stream of convictions of the platform's log.
+type convictionLog struct {
+	client *platform.Client
+}
+
+func (lg convictionLog) Append(ctx context.Context, body []byte) bool {
+	_, result := lg.client.Append(ctx, protocol.Quarantine, body)
+	return result == platform.Stored
+}
+
+func (lg convictionLog) Read(ctx context.Context, from id.Offset) ([][]byte, id.Offset, error) {
+	read, err := lg.client.Read(ctx, protocol.Quarantine, from)
 	if err != nil {
+		return nil, from, err
+	}
+	var bodies [][]byte
+	next := from
+	for _, rec := range read.Records {
+		bodies = append(bodies, rec.Body)
+		next = rec.Offset + 1
+	}
+	return bodies, next, nil
+}
+
+// hostList is the platform's list of hosts. A host that has never read it takes a peer's copy while the platform is down.
+type hostList struct {
+	host *Host
+}
+
+func (hl hostList) List(ctx context.Context) (fleet.Listing, []string, error) {
+	hosts, err := hl.host.platform.Hosts(ctx)
+	if err == nil {
+		listing, addresses := convertHosts(hosts)
+		return listing, addresses, nil
+	}
+	if hl.host.fleet.Listed() {
 		return fleet.Listing{}, nil, err
 	}
+	for _, other := range hl.host.gossip.Others() {
+		if listing, peerErr := hl.host.peers.Listing(ctx, other); peerErr == nil {
+			return listing, nil, nil
+		}
+	}
+	return fleet.Listing{}, nil, err
+}
+
+func convertHosts(hosts []protocol.Host) (fleet.Listing, []string) {
 	var listing fleet.Listing
 	var addresses []string
 	for _, host := range hosts {
@@ -102,7 +199,7 @@
 			addresses = append(addresses, host.Address)
 		}
 	}
-	return listing, addresses, nil
+	return listing, addresses
 }
 
 // plans finds the plan of an organisation in the lists in force.
@@ -190,6 +287,7 @@
 
 func (ht *Host) crashCounted(fp id.Fingerprint, crashes int) {
 	ht.gossip.Spread(membership.Fact{Kind: membership.Crashes, Key: uint64(fp), Value: int64(crashes)})
+	go ht.convictions.Add(context.Background(), fp, crashes)
 	ht.logger.Warn("request crashed an engine", "fingerprint", fp.String(), "crashes", crashes)
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -124,7 +124,9 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			config.Name = id.Engine(name)
 			for model := range strings.SplitSeq(models, ",") {
-				config.Models = append(config.Models, id.Model(model))
+				if model != "" {
+					config.Models = append(config.Models, id.Model(model))
+				}
 			}
 			config.PlatformURL = ls.platform
 			config.Crash = func() { os.Exit(command.Failed) }
@@ -141,6 +143,7 @@
 	flags := cmd.Flags()
 	flags.StringVar(&name, "name", "engine-1", "name of the engine")
 	flags.StringVar(&models, "models", "lever-8b", "models that are loaded, separated by commas")
+	flags.IntVar(&config.ModelSlots, "model-slots", 2, "number of models that fit")
 	flags.Float64Var(&config.Speed, "speed", 1, "factor by which steps are faster than the model's")
 	flags.Int64Var((*int64)(&config.Batch.Memory), "memory", int64(config.Batch.Memory), "KV memory in tokens")
 	flags.DurationVar(&config.LoadLag, "load-lag", 500*time.Millisecond, "age of load reports")
--- a/coordination/fleet/view.go
+++ b/coordination/fleet/view.go
@@ -74,6 +74,13 @@
 	return vw.listed
 }
 
+// Listing returns the host list as last read, without evidence, and false if it was never read.
+func (vw *View) Listing() (Listing, bool) {
+	vw.mutex.Lock()
+	defer vw.mutex.Unlock()
+	return vw.fleet.listing, vw.listed
+}
+
 // Saw records evidence about a back end.
 func (vw *View) Saw(name string, ev Evidence) {
 	vw.mutex.Lock()
--- a/host.go
+++ b/host.go
@@ -17,9 +17,11 @@
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
+	"github.com/hibiscuslever/hibiscuslever/coordination/conviction"
 	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/coordination/gossip"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/placer"
 	"github.com/hibiscuslever/hibiscuslever/coordination/plain"
 	"github.com/hibiscuslever/hibiscuslever/coordination/quota"
 	"github.com/hibiscuslever/hibiscuslever/coordination/relay"
@@ -63,6 +65,8 @@
 	shardClient   *shard.Client
 	models        *serve.Runner
 	plain         *plain.Runner
+	placer        *placer.Placer
+	convictions   *conviction.Keeper
 	callers       *caller.Server
 
 	listeners []net.Listener
@@ -163,7 +167,7 @@
 		Behind:  ht.behind,
 	}, scope, seed)
 	ht.configuration = configuration.New(configuration.DefaultConfig(), ht.clock, configurationLog{ht.platform}, ht.peers, scope, ht.configurationChanged)
-	ht.fleet = fleet.NewView(ht.clock, hostList{ht.platform}, scope, ht.hostsListed)
+	ht.fleet = fleet.NewView(ht.clock, hostList{ht}, scope, ht.hostsListed)
 	ht.relay = relay.New(ht.clock, claimsLog{ht.platform}, scope)
 	ht.quotaServer = quota.NewServer(ht.clock, plans{ht.configuration})
 	ht.quotaClient = quota.NewClient(ht.self.Host, ht.clock, ht.peers, plans{ht.configuration}, scope)
@@ -173,6 +177,8 @@
 	tracer := ht.traces.Provider.Tracer("hibiscuslever")
 	ht.models = serve.NewRunner(serve.DefaultConfig(), ht.clock, ht.engines, ht.shardClient, ht.fleet, retry.New(retry.DefaultConfig(), seed), scope, tracer)
 	ht.plain = plain.NewRunner(ht.clock, ht.fleet, ht.services, ht.peers, retry.New(retry.DefaultConfig(), seed), scope, tracer, seed)
+	ht.convictions = conviction.New(ht.clock, convictionLog{ht.platform}, shard.DefaultServerConfig().QuarantineTTL, scope, ht.shardServer.Learn)
+	ht.placer = placer.New(placer.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, leaseLog{ht.platform}, ht.engines, ht.fleet, demand{ht.configuration}, placementCandidates{ht}, scope)
 	ht.callers = caller.NewServer(ht.callerConfig(), caller.Parts{
 		Lists:     readiness{host: ht},
 		Models:    ht.models,
@@ -192,6 +198,7 @@
 		Configuration: ht.configuration,
 		Relay:         ht.relay,
 		Quota:         ht.quotaServer,
+		Fleet:         ht.fleet,
 	}
 }
 
@@ -226,6 +233,8 @@
 		ht.quotaClient.Run,
 		ht.shardServer.Run,
 		ht.shardClient.Run,
+		ht.placer.Run,
+		ht.convictions.Run,
 	} {
 		partCtx, cancel := context.WithCancel(background)
 		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
--- a/protocol/engine/engine.go
+++ b/protocol/engine/engine.go
@@ -84,11 +84,13 @@
 	Capacity    id.Tokens
 	Held        id.Tokens
 	// Pending counts prompt tokens that are not processed yet.
-	Pending  id.Tokens
-	Running  int
-	Waiting  int
-	Models   []id.Model
-	Draining bool
+	Pending id.Tokens
+	Running int
+	Waiting int
+	Models  []id.Model
+	// ModelSlots is the number of models that fit beside the KV memory.
+	ModelSlots int
+	Draining   bool
 }
 
 // CacheEvent says that an engine's prefix cache gained or lost a block.
--- a/protocol/peer/peerconnect/peer.connect.go
+++ b/protocol/peer/peerconnect/peer.connect.go
@@ -49,6 +49,8 @@
 	PeerSpendProcedure = "/hibiscuslever.peer.Peer/Spend"
 	// PeerRenewProcedure is the fully-qualified name of the Peer's Renew RPC.
 	PeerRenewProcedure = "/hibiscuslever.peer.Peer/Renew"
+	// PeerListingProcedure is the fully-qualified name of the Peer's Listing RPC.
+	PeerListingProcedure = "/hibiscuslever.peer.Peer/Listing"
 )
 
 // PeerClient is a client for the hibiscuslever.peer.Peer service.
@@ -68,6 +70,8 @@
 	Spend(context.Context, *connect.Request[peer.SpendRequest]) (*connect.Response[peer.SpendResponse], error)
 	// Renew tells the home of limits which requests of a host run and which have ended.
 	Renew(context.Context, *connect.Request[peer.RenewRequest]) (*connect.Response[peer.RenewResponse], error)
+	// Listing returns the platform's host list as the peer last read it.
+	Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error)
 }
 
 // NewPeerClient constructs a client for the hibiscuslever.peer.Peer service. By default, it uses
@@ -123,6 +127,12 @@
 			connect.WithSchema(peerMethods.ByName("Renew")),
 			connect.WithClientOptions(opts...),
 		),
+		listing: connect.NewClient[peer.ListingRequest, peer.ListingResponse](
+			httpClient,
+			baseURL+PeerListingProcedure,
+			connect.WithSchema(peerMethods.ByName("Listing")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -135,6 +145,7 @@
 	claim    *connect.Client[peer.ClaimRequest, peer.ClaimResponse]
 	spend    *connect.Client[peer.SpendRequest, peer.SpendResponse]
 	renew    *connect.Client[peer.RenewRequest, peer.RenewResponse]
+	listing  *connect.Client[peer.ListingRequest, peer.ListingResponse]
 }
 
 // Acquire calls hibiscuslever.peer.Peer.Acquire.
@@ -172,6 +183,11 @@
 	return c.renew.CallUnary(ctx, req)
 }
 
+// Listing calls hibiscuslever.peer.Peer.Listing.
+func (c *peerClient) Listing(ctx context.Context, req *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error) {
+	return c.listing.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the hibiscuslever.peer.Peer service.
 type PeerHandler interface {
 	// Acquire asks a dispatcher for a grant. It is idempotent per request id and
@@ -189,6 +205,8 @@
 	Spend(context.Context, *connect.Request[peer.SpendRequest]) (*connect.Response[peer.SpendResponse], error)
 	// Renew tells the home of limits which requests of a host run and which have ended.
 	Renew(context.Context, *connect.Request[peer.RenewRequest]) (*connect.Response[peer.RenewResponse], error)
+	// Listing returns the platform's host list as the peer last read it.
+	Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -240,6 +258,12 @@
 		connect.WithSchema(peerMethods.ByName("Renew")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerListingHandler := connect.NewUnaryHandler(
+		PeerListingProcedure,
+		svc.Listing,
+		connect.WithSchema(peerMethods.ByName("Listing")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hibiscuslever.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerAcquireProcedure:
@@ -256,6 +280,8 @@
 			peerSpendHandler.ServeHTTP(w, r)
 		case PeerRenewProcedure:
 			peerRenewHandler.ServeHTTP(w, r)
+		case PeerListingProcedure:
+			peerListingHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -292,3 +318,7 @@
 func (UnimplementedPeerHandler) Renew(context.Context, *connect.Request[peer.RenewRequest]) (*connect.Response[peer.RenewResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Renew is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Listing is not implemented"))
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -23,7 +23,9 @@
 type Config struct {
 	Name   id.Engine
 	Models []id.Model
-	Batch  batch.Config
+	// ModelSlots is the number of models that fit.
+	ModelSlots int
+	Batch      batch.Config
 	// Speed divides the duration of steps.
 	Speed float64
 	// LoadLag is how old load reports are.
@@ -225,6 +227,7 @@
 		Pending:     sv.model.Pending(),
 		Running:     sv.model.Running(),
 		Waiting:     sv.model.Waiting(),
+		ModelSlots:  sv.config.ModelSlots,
 		Draining:    sv.drain,
 	}
 	for model := range sv.models {
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/placement"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/coordination/serve"
 	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
@@ -211,13 +212,26 @@
 	return nil
 }
 
+// Report returns what an engine has loaded and how many models fit.
+func (cl *Client) Report(ctx context.Context, address string) ([]id.Model, int, error) {
+	var load engine.Load
+	if err := cl.get(ctx, "http://"+address+engine.LoadPath, &load); err != nil {
+		return nil, 0, err
+	}
+	return load.Models, load.ModelSlots, nil
+}
+
 // Order sends an order to an engine. It reports false when the engine refused its fencing token.
-func (cl *Client) Order(ctx context.Context, address string, order engine.Order) (bool, error) {
-	body, err := json.Marshal(order)
+func (cl *Client) Order(ctx context.Context, order placement.Order, fencing id.Offset) (bool, error) {
+	kind := engine.LoadModel
+	if order.Kind == placement.Unload {
+		kind = engine.UnloadModel
+	}
+	body, err := json.Marshal(engine.Order{Kind: kind, Model: order.Model, FencingToken: fencing})
 	if err != nil {
 		return false, errors.Wrap(err, "encode order")
 	}
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+engine.OrdersPath, bytes.NewReader(body))
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+order.Address+engine.OrdersPath, bytes.NewReader(body))
 	if err != nil {
 		return false, errors.Wrap(err, "send order")
 	}
@@ -232,7 +246,7 @@
 	case http.StatusConflict:
 		return false, nil
 	default:
-		return false, fmt.Errorf("engine %s answered status %d to an order", address, answer.StatusCode)
+		return false, fmt.Errorf("engine %s answered status %d to an order", order.Engine, answer.StatusCode)
 	}
 }
 
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/claim"
 	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
+	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/quota"
 	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
@@ -201,6 +202,15 @@
 	return records, nil
 }
 
+// Listing returns the host list as a host last read it.
+func (cl *Client) Listing(ctx context.Context, host id.Host) (fleet.Listing, error) {
+	ms, err := call(ctx, cl, host, &peer.ListingRequest{}, method(peerconnect.PeerClient.Listing))
+	if err != nil {
+		return fleet.Listing{}, err
+	}
+	return decodeListing(ms), nil
+}
+
 // Spend asks a host's home of limits for permission.
 func (cl *Client) Spend(ctx context.Context, host id.Host, sp quota.Spend) (outcome.Outcome, error) {
 	if host == cl.self.Host {
--- a/transport/peer/convert.go
+++ b/transport/peer/convert.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/quota"
 	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
@@ -265,3 +266,51 @@
 	}
 	return usages
 }
+
+func encodeListing(listing fleet.Listing) *peer.ListingResponse {
+	ms := &peer.ListingResponse{}
+	for _, en := range listing.Engines {
+		ms.Engines = append(ms.Engines, &peer.Listed{
+			Name:             string(en.Name),
+			Service:          string(en.Service),
+			Address:          en.Address,
+			AvailabilityZone: string(en.AvailabilityZone),
+			Leaving:          en.Leaving,
+			ChecksFencing:    en.ChecksFencing,
+		})
+	}
+	for _, sv := range listing.Servers {
+		ms.Servers = append(ms.Servers, &peer.Listed{
+			Name:             string(sv.Name),
+			Service:          string(sv.Service),
+			Address:          sv.Address,
+			AvailabilityZone: string(sv.AvailabilityZone),
+			Leaving:          sv.Leaving,
+		})
+	}
+	return ms
+}
+
+func decodeListing(ms *peer.ListingResponse) fleet.Listing {
+	var listing fleet.Listing
+	for _, en := range ms.GetEngines() {
+		listing.Engines = append(listing.Engines, fleet.Engine{
+			Name:             id.Engine(en.GetName()),
+			Service:          id.Service(en.GetService()),
+			Address:          en.GetAddress(),
+			AvailabilityZone: id.AvailabilityZone(en.GetAvailabilityZone()),
+			Leaving:          en.GetLeaving(),
+			ChecksFencing:    en.GetChecksFencing(),
+		})
+	}
+	for _, sv := range ms.GetServers() {
+		listing.Servers = append(listing.Servers, fleet.BackendServer{
+			Name:             id.BackendServer(sv.GetName()),
+			Service:          id.Service(sv.GetService()),
+			Address:          sv.GetAddress(),
+			AvailabilityZone: id.AvailabilityZone(sv.GetAvailabilityZone()),
+			Leaving:          sv.GetLeaving(),
+		})
+	}
+	return listing
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/claim"
 	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
+	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/coordination/gossip"
 	"github.com/hibiscuslever/hibiscuslever/coordination/quota"
 	"github.com/hibiscuslever/hibiscuslever/coordination/relay"
@@ -28,6 +30,7 @@
 	Configuration *configuration.Follower
 	Relay         *relay.Relay
 	Quota         *quota.Server
+	Fleet         *fleet.View
 }
 
 // Server answers other hosts.
@@ -152,3 +155,12 @@
 	})
 	return connect.NewResponse(&peer.RenewResponse{}), nil
 }
+
+// Listing returns the host list as the own host last read it.
+func (sv *Server) Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error) {
+	listing, known := sv.local.Fleet.Listing()
+	if !known {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the host list has not been read yet"))
+	}
+	return connect.NewResponse(encodeListing(listing)), nil
+}
