--- a/coordination/configuration/follower.go
+++ b/coordination/configuration/follower.go
@@ -293,6 +293,8 @@
 			return err
 		}
 		fw.recent = nil
+	} else {
+		fw.fold.Start(records.Start)
 	}
 	fw.add(records.Records)
 	fw.announce(before)
@@ -306,7 +308,7 @@
 	if !fw.synced {
 		return Records{}, errors.New("the host has no configuration yet")
 	}
-	answer := Records{Next: fw.fold.Next()}
+	answer := Records{Start: from, Next: fw.fold.Next()}
 	if from >= answer.Next {
 		return answer, nil
 	}
--- a/coordination/dispatch/machine.go
+++ b/coordination/dispatch/machine.go
@@ -220,10 +220,12 @@
 	return wt
 }
 
-// shortestRun returns the time that a request takes on idle engines.
+// shortestRun returns the time that a request takes on idle engines. The length of the answer is a guess,
+// so that it counts for at most half of the request's time.
 func (mc *Machine) shortestRun(wt *waiting) time.Duration {
 	parts := max(1, mc.partsFor(wt))
-	return mc.prefillTime(float64(wt.Prompt)/float64(parts)) + time.Duration(wt.answer)*mc.config.StepBase
+	answer := time.Duration(wt.answer) * mc.config.StepBase
+	return mc.prefillTime(float64(wt.Prompt)/float64(parts)) + min(answer, wt.Deadline.Sub(wt.since)/2)
 }
 
 func (mc *Machine) prefillTime(tokens float64) time.Duration {
