Property and script tests of the decision packages; a late start after a cancel

Cancellations now wait until no stream of the attempt is being opened; the caller does not wait for it.

--- a/coordination/serve/follow.go
+++ b/coordination/serve/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
@@ -26,6 +27,8 @@
 	cause    retry.Cause
 	engine   id.Engine
 	draining bool
+	// readers are the goroutines that may still be opening streams of the attempt.
+	readers *sync.WaitGroup
 }
 
 // String returns the result as spans name it.
@@ -63,6 +66,7 @@
 	// early holds tokens that arrived before every follower was ready.
 	early   []Frame
 	resumes int
+	readers sync.WaitGroup
 }
 
 // follow opens the streams of an attempt and passes tokens to the sink until the answer is whole or something failed.
@@ -77,9 +81,12 @@
 		pending:  len(grant.Parts) - 1,
 	}
 	for ix := range grant.Parts {
-		go fw.read(ctx, ix, fw.start(ix), false)
+		st := fw.start(ix)
+		fw.readers.Go(func() { fw.read(ctx, ix, st, false) })
 	}
-	return fw.run(ctx)
+	rs := fw.run(ctx)
+	rs.readers = &fw.readers
+	return rs
 }
 
 func (fw *follower) start(ix int) Start {
@@ -130,7 +137,7 @@
 
 func (fw *follower) run(ctx context.Context) result {
 	lapsed := fw.runner.dispatchers.Lapsed(fw.grant.Attempt)
-	probes := make(chan bool, 1)
+	probes := make(chan result, 1)
 	probing := false
 	for {
 		silent, sub := timer.Wait(fw.runner.clock, fw.runner.config.SilenceProbe)
@@ -145,11 +152,11 @@
 				probing = true
 				go fw.probe(ctx, probes)
 			}
-		case healthy := <-probes:
+		case found := <-probes:
 			probing = false
-			if !healthy {
+			if found.kind != failed {
 				sub.Stop()
-				return fw.lost(ctx, 0)
+				return found
 			}
 		case <-lapsed:
 			sub.Stop()
@@ -162,18 +169,13 @@
 	}
 }
 
-// probe asks every engine of the attempt whether it is alive.
-func (fw *follower) probe(ctx context.Context, probes chan<- bool) {
-	ctx, cancel := context.WithTimeout(ctx, fw.runner.config.ProbeTimeout)
-	defer cancel()
-	healthy := true
-	for _, part := range fw.grant.Parts {
-		healthy = healthy && fw.runner.engines.Health(ctx, part.Address) == Healthy
-	}
-	probes <- healthy
+// probe asks every engine of the attempt whether it answers.
+func (fw *follower) probe(ctx context.Context, probes chan<- result) {
+	probes <- fw.lost(ctx, 0)
 }
 
-// lost finds out which engine of the attempt does not answer. It is called with the part whose stream failed.
+// lost finds out which engine of the attempt does not answer. If all answer, the result names the engine of the
+// part whose stream failed.
 func (fw *follower) lost(ctx context.Context, part int) result {
 	ctx, cancel := context.WithTimeout(ctx, fw.runner.config.ProbeTimeout)
 	defer cancel()
@@ -234,7 +236,8 @@
 	}
 	fw.resumes++
 	fw.runner.metrics.Counter("streams_resumed").Inc(1)
-	go fw.read(ctx, ar.part, fw.start(ar.part), true)
+	st := fw.start(ar.part)
+	fw.readers.Go(func() { fw.read(ctx, ar.part, st, true) })
 	return result{}, false
 }
 
--- a/coordination/serve/runner.go
+++ b/coordination/serve/runner.go
@@ -165,7 +165,7 @@
 	grant, oc := rn.acquire(ctx, pg)
 	if ctx.Err() != nil {
 		if len(grant.Parts) > 0 {
-			rn.endLater(ctx, pg, grant, false, true)
+			rn.endLater(ctx, pg, grant, result{}, true)
 		}
 		return rn.timeout(ctx, pg), 0
 	}
@@ -234,19 +234,19 @@
 func (rn *Runner) conclude(ctx context.Context, pg *progress, grant dispatch.Grant, result result) (outcome.Outcome, retry.Cause) {
 	switch result.kind {
 	case complete:
-		rn.endLater(ctx, pg, grant, true, len(grant.Parts) > 1)
+		rn.endLater(ctx, pg, grant, result, len(grant.Parts) > 1)
 		return outcome.Done(), 0
 	case callerGone:
-		rn.endLater(ctx, pg, grant, false, true)
+		rn.endLater(ctx, pg, grant, result, true)
 		return outcome.Fail(outcome.CallerGone, "the caller has gone"), 0
 	case contextEnded:
-		rn.endLater(ctx, pg, grant, false, true)
+		rn.endLater(ctx, pg, grant, result, true)
 		return rn.timeout(ctx, pg), 0
 	case crashed:
 		rn.fleet.Saw(string(result.engine), fleet.Unreachable)
 		rn.metrics.Counter("engines_lost").Inc(1)
 		rn.dispatchers.End(ctx, shard.Ended{Request: pg.call.Request, Attempt: grant.Attempt, Crashed: result.engine})
-		rn.cancelLater(ctx, grant)
+		rn.cancelLater(ctx, grant, result)
 		pg.avoid = append(pg.avoid, result.engine)
 		return outcome.Outcome{}, retry.Crashed
 	default:
@@ -256,37 +256,41 @@
 		if result.cause == retry.NotSent || result.kind == unresponsive {
 			rn.fleet.Saw(string(result.engine), fleet.Unreachable)
 		}
-		rn.endLater(ctx, pg, grant, false, true)
+		rn.endLater(ctx, pg, grant, result, true)
 		pg.avoid = append(pg.avoid, result.engine)
 		return outcome.Outcome{}, result.cause
 	}
 }
 
 // endLater frees what an attempt holds and then reports its end, without holding up the caller.
-func (rn *Runner) endLater(ctx context.Context, pg *progress, grant dispatch.Grant, finished, cancel bool) {
+func (rn *Runner) endLater(ctx context.Context, pg *progress, grant dispatch.Grant, rs result, cancel bool) {
 	request := pg.call.Request
 	rn.cleanup.Go(func() {
 		ctx, done := context.WithTimeout(context.WithoutCancel(ctx), rn.config.CleanupTimeout)
 		defer done()
 		if cancel {
-			rn.cancelParts(ctx, grant)
+			rn.cancelParts(ctx, grant, rs)
 		}
-		rn.dispatchers.End(ctx, shard.Ended{Request: request, Attempt: grant.Attempt, Finished: finished})
+		rn.dispatchers.End(ctx, shard.Ended{Request: request, Attempt: grant.Attempt, Finished: rs.kind == complete})
 	})
 }
 
-func (rn *Runner) cancelLater(ctx context.Context, grant dispatch.Grant) {
+func (rn *Runner) cancelLater(ctx context.Context, grant dispatch.Grant, rs result) {
 	rn.cleanup.Go(func() {
 		ctx, done := context.WithTimeout(context.WithoutCancel(ctx), rn.config.CleanupTimeout)
 		defer done()
-		rn.cancelParts(ctx, grant)
+		rn.cancelParts(ctx, grant, rs)
 	})
 }
 
 // cancelParts cancels an attempt on all its engines at once. What stays without an answer is found
-// by the dispatcher when it compares the engines' attempts with its grants.
-func (rn *Runner) cancelParts(ctx context.Context, grant dispatch.Grant) {
+// by the dispatcher when it compares the engines' attempts with its grants. It first waits until no stream is being
+// opened, because an engine could get the cancellation before the start.
+func (rn *Runner) cancelParts(ctx context.Context, grant dispatch.Grant, rs result) {
 	const pauseBetween = 200 * time.Millisecond
+	if rs.readers != nil {
+		rs.readers.Wait()
+	}
 	var group sync.WaitGroup
 	for _, part := range grant.Parts {
 		group.Go(func() {
--- /dev/null
+++ b/state/limit/limit_test.go
@@ -0,0 +1,77 @@
+package limit_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuslever/hibiscuslever/checks"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/limit"
+	"github.com/hibiscuslever/hibiscuslever/state/lists"
+)
+
+func TestMain(m *testing.M) { checks.Main(m) }
+
+// TestLimits runs the scripts in testdata: "spend at=MILLIS request=NAME prompt=TOKENS" and "end request=NAME".
+func TestLimits(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		var home *limit.Home
+		var plan lists.Plan
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			var request string
+			td.MaybeScanArgs(t, "request", &request)
+			switch td.Cmd {
+			case "plan":
+				home = limit.NewHome()
+				plan = lists.Plan{}
+				td.MaybeScanArgs(t, "rate", &plan.RequestsPerSecond)
+				var tokens int64
+				td.MaybeScanArgs(t, "tokens", &tokens)
+				plan.TokensPerMinute = id.Tokens(tokens)
+				td.MaybeScanArgs(t, "concurrency", &plan.Concurrency)
+				return ""
+			case "end":
+				home.End("osu", id.Request(request))
+				return strconv.Itoa(home.Running("osu")) + " running\n"
+			}
+			var at, prompt int64
+			td.MaybeScanArgs(t, "at", &at)
+			td.MaybeScanArgs(t, "prompt", &prompt)
+			oc := home.Spend(time.UnixMilli(at), "osu", plan, 1, id.Request(request), "host", id.Tokens(prompt))
+			if oc.OK() {
+				return "allowed\n"
+			}
+			return fmt.Sprintf("%s; come back in %s\n", oc.Detail, oc.RetryAfter.Round(time.Millisecond))
+		})
+	})
+}
+
+// TestRateHolds checks that no interval allows more than the burst and the rate, however the requests come.
+func TestRateHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		perSecond := rapid.IntRange(1, 20).Draw(rt, "rate")
+		plan := lists.Plan{RequestsPerSecond: float64(perSecond)}
+		home := limit.NewHome()
+		now := time.Unix(0, 0)
+		var allowed []time.Time
+		for number := range rapid.IntRange(10, 300).Draw(rt, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(rt, "millis")) * time.Millisecond)
+			if home.Spend(now, "osu", plan, 1, id.Request(fmt.Sprint(number)), "host", 1).OK() {
+				allowed = append(allowed, now)
+			}
+		}
+		for first := range allowed {
+			for last := first; last < len(allowed); last++ {
+				most := float64(perSecond)*(1+allowed[last].Sub(allowed[first]).Seconds()) + 1
+				if count := last - first + 1; float64(count) > most {
+					rt.Fatalf("%d requests within %s at %d a second", count, allowed[last].Sub(allowed[first]), perSecond)
+				}
+			}
+		}
+	})
+}
--- a/state/quarantine/quarantine.go
+++ b/state/quarantine/quarantine.go
@@ -158,3 +158,8 @@
 	}
 	delete(tb.entries, oldest)
 }
+
+// Len returns the number of fingerprints in the table.
+func (tb *Table) Len() int {
+	return len(tb.entries)
+}
