--- /dev/null
+++ b/measure/world_test.go
@@ -0,0 +1,426 @@
+// Package measure benchmarks the dispatcher's decisions on virtual time against a cost model of engines.
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
+	"github.com/hibiscuslever/hibiscuslever/standin/batch"
+	"github.com/hibiscuslever/hibiscuslever/state/container"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+const (
+	// hop is the time of one message between hosts, or between a host and an engine.
+	hop           = time.Millisecond
+	loadPeriod    = 250 * time.Millisecond
+	loadLag       = 500 * time.Millisecond
+	cacheLag      = 2 * time.Second
+	cacheLostOne  = 20
+	reportPeriod  = time.Second
+	tickPeriod    = 10 * time.Millisecond
+	maxReturns    = 5
+	detectionTime = 750 * time.Millisecond
+
+	model id.Model = "lever-8b"
+)
+
+// event is something that happens at a time.
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+// served is what became of one request.
+type served struct {
+	request    arrival
+	firstToken time.Duration
+	finished   time.Duration
+	// refused is when the last refusal came, and waited how long it took to decide.
+	refused  time.Duration
+	waited   time.Duration
+	admitted bool
+	returns  int
+	lost     int
+}
+
+func (sv *served) done() bool { return sv.finished > 0 }
+
+// call is a request on its way through the world.
+type call struct {
+	served
+	number  int
+	asked   time.Duration
+	attempt id.Attempt
+	grant   dispatch.Grant
+	pending int
+	started bool
+	answer  id.Tokens
+	last    time.Duration
+}
+
+// node is an engine of the cost model.
+type node struct {
+	name    id.Engine
+	model   *batch.Model
+	busy    bool
+	dead    bool
+	history []loadSample
+}
+
+type loadSample struct {
+	at      time.Duration
+	pending id.Tokens
+}
+
+// world runs one dispatcher and its engines on virtual time.
+type world struct {
+	now      time.Duration
+	sequence uint64
+	events   *container.Heap[event]
+	machine  *dispatch.Machine
+	config   dispatch.Config
+	nodes    []*node
+	byName   map[id.Engine]*node
+	calls    map[id.Request]*call
+	running  map[id.Attempt]*call
+	results  []*served
+	gaps     []time.Duration
+	horizon  time.Duration
+	// frozenUntil is when load reports come again.
+	frozenFrom, frozenUntil time.Duration
+	cacheEvents             uint64
+	batch                   batch.Config
+	gapSample               int
+}
+
+func newWorld(config dispatch.Config, costs batch.Config, engines int, seed uint64) *world {
+	wd := &world{
+		events: container.NewHeap(func(left, right event) bool {
+			if left.at != right.at {
+				return left.at < right.at
+			}
+			return left.sequence < right.sequence
+		}),
+		config:  config,
+		machine: dispatch.New(config, seed),
+		byName:  map[id.Engine]*node{},
+		calls:   map[id.Request]*call{},
+		running: map[id.Attempt]*call{},
+		batch:   costs,
+	}
+	for number := range engines {
+		nd := &node{name: id.Engine(fmt.Sprintf("engine-%02d", number)), model: batch.New(costs)}
+		wd.nodes = append(wd.nodes, nd)
+		wd.byName[nd.name] = nd
+		wd.step(dispatch.EngineSeen{Spec: wd.spec(nd)})
+	}
+	wd.every(tickPeriod, func() { wd.step(dispatch.Tick{}) })
+	wd.every(loadPeriod, wd.reportLoads)
+	wd.every(reportPeriod, wd.renew)
+	return wd
+}
+
+func (wd *world) spec(nd *node) dispatch.EngineSpec {
+	return dispatch.EngineSpec{Engine: nd.name, Address: string(nd.name), Capacity: wd.batch.Memory, Models: []id.Model{model}}
+}
+
+func (wd *world) clock() time.Time {
+	return time.Unix(0, 0).Add(wd.now)
+}
+
+func (wd *world) at(when time.Duration, run func()) {
+	wd.sequence++
+	wd.events.Push(event{at: max(when, wd.now), sequence: wd.sequence, run: run})
+}
+
+func (wd *world) every(period time.Duration, run func()) {
+	var again func()
+	again = func() {
+		run()
+		if wd.now < wd.horizon || len(wd.running)+wd.machine.Waiting() > 0 {
+			wd.at(wd.now+period, again)
+		}
+	}
+	wd.at(period, again)
+}
+
+// run plays the arrivals and everything that follows from them.
+func (wd *world) run(arrivals []arrival, horizon time.Duration) []*served {
+	wd.horizon = horizon
+	for _, ar := range arrivals {
+		wd.at(ar.at, func() { wd.arrive(ar) })
+	}
+	for wd.events.Len() > 0 {
+		ev := wd.events.Pop()
+		wd.now = ev.at
+		ev.run()
+	}
+	return wd.results
+}
+
+func (wd *world) arrive(ar arrival) {
+	cl := &call{served: served{request: ar}, answer: ar.answer}
+	wd.results = append(wd.results, &cl.served)
+	wd.calls[ar.name] = cl
+	wd.submit(cl)
+}
+
+func (wd *world) submit(cl *call) {
+	cl.number++
+	cl.asked = wd.now
+	wd.at(wd.now+hop, func() {
+		wd.step(dispatch.Submit{Request: dispatch.Request{
+			ID:           cl.request.name,
+			Organisation: cl.request.organisation,
+			Weight:       1,
+			Model:        model,
+			Prompt:       cl.request.prompt,
+			Deadline:     time.Unix(0, 0).Add(cl.asked + cl.request.deadline),
+			Number:       cl.number,
+			Prefix:       cl.request.prefix,
+		}})
+	})
+}
+
+func (wd *world) step(ev dispatch.Event) {
+	for _, ef := range wd.machine.Step(wd.clock(), ev) {
+		switch ef.Kind {
+		case dispatch.Granted:
+			cl := wd.calls[ef.Request]
+			grant := *ef.Grant
+			wd.at(wd.now+2*hop, func() { wd.begin(cl, grant) })
+		case dispatch.Refused:
+			wd.refused(wd.calls[ef.Request], ef)
+		case dispatch.Preempt:
+			wd.preempted(ef)
+		case dispatch.Cancel:
+			nd, attempt := wd.byName[ef.Engine], ef.Attempt
+			wd.at(wd.now+hop, func() { nd.model.Cancel(attempt) })
+		}
+	}
+}
+
+// refused lets the caller come back when it was told to, a few times.
+func (wd *world) refused(cl *call, ef dispatch.Effect) {
+	cl.refused = wd.now
+	cl.waited = wd.now - cl.asked
+	if cl.returns >= maxReturns || ef.Outcome.RetryAfter == 0 {
+		return
+	}
+	cl.returns++
+	wd.at(wd.now+hop+ef.Outcome.RetryAfter, func() { wd.submit(cl) })
+}
+
+func (wd *world) preempted(ef dispatch.Effect) {
+	cl, ok := wd.running[ef.Attempt]
+	if !ok {
+		return
+	}
+	delete(wd.running, ef.Attempt)
+	wd.at(wd.now+hop, func() { wd.submit(cl) })
+}
+
+// begin starts the parts of a grant on their engines.
+func (wd *world) begin(cl *call, grant dispatch.Grant) {
+	cl.admitted = true
+	cl.attempt = grant.Attempt
+	cl.grant = grant
+	cl.pending = len(grant.Parts) - 1
+	cl.started = false
+	wd.running[grant.Attempt] = cl
+	for ix, part := range grant.Parts {
+		nd := wd.byName[part.Engine]
+		if nd.dead {
+			continue
+		}
+		st := batch.Stream{ID: grant.Attempt, Prompt: part.Tokens, Answer: cl.answer, Priority: grant.Priority, Prefix: cl.request.prefix}
+		if ix > 0 {
+			st.Answer = 0
+			st.Follower = true
+			st.Prefix = nil
+		}
+		nd.model.Submit(st)
+		wd.publishCache(nd, st.Prefix)
+		wd.wake(nd)
+	}
+}
+
+// wake starts the steps of an engine that was idle.
+func (wd *world) wake(nd *node) {
+	if nd.busy || nd.dead || nd.model.Idle() {
+		return
+	}
+	nd.busy = true
+	duration, events := nd.model.Step()
+	events = append([]batch.Event(nil), events...)
+	wd.at(wd.now+duration, func() {
+		nd.busy = false
+		if nd.dead {
+			return
+		}
+		for _, ev := range events {
+			wd.deliver(nd, ev)
+		}
+		wd.wake(nd)
+	})
+}
+
+func (wd *world) deliver(nd *node, ev batch.Event) {
+	cl, ok := wd.running[ev.ID]
+	if !ok {
+		return
+	}
+	switch ev.Kind {
+	case batch.Prefilled:
+		cl.pending--
+		wd.first(cl)
+	case batch.Produced:
+		if nd.name == cl.grant.Parts[0].Engine {
+			wd.produced(cl)
+		}
+	case batch.Finished:
+		if nd.name == cl.grant.Parts[0].Engine {
+			wd.finish(cl)
+		}
+	}
+}
+
+func (wd *world) produced(cl *call) {
+	if cl.started {
+		wd.gapSample++
+		if wd.gapSample%7 == 0 {
+			wd.gaps = append(wd.gaps, wd.now-cl.last)
+		}
+	}
+	cl.last = wd.now
+	if !cl.started {
+		cl.started = true
+		wd.first(cl)
+	}
+}
+
+// first notes the first token, which a gang has when every part is processed.
+func (wd *world) first(cl *call) {
+	if cl.started && cl.pending <= 0 && cl.firstToken == 0 {
+		cl.firstToken = wd.now + hop - cl.request.at
+	}
+}
+
+func (wd *world) finish(cl *call) {
+	delete(wd.running, cl.attempt)
+	cl.finished = wd.now + hop
+	wd.release(cl)
+}
+
+// release ends a call's grant and frees its followers.
+func (wd *world) release(cl *call) {
+	attempt := cl.attempt
+	followers := cl.grant.Parts[1:]
+	wd.at(wd.now+2*hop, func() {
+		for _, part := range followers {
+			wd.byName[part.Engine].model.Cancel(attempt)
+		}
+		wd.step(dispatch.Finish{Attempt: attempt})
+	})
+}
+
+// renew is the entry hosts' periodic report of the grants they hold.
+func (wd *world) renew() {
+	for _, cl := range wd.running {
+		wd.step(dispatch.Hold{Grant: cl.grant, Organisation: cl.request.organisation, Started: cl.started && cl.pending <= 0})
+	}
+}
+
+// reportLoads passes on what engines had pending a while ago.
+func (wd *world) reportLoads() {
+	frozen := wd.now >= wd.frozenFrom && wd.now < wd.frozenUntil
+	for _, nd := range wd.nodes {
+		nd.history = append(nd.history, loadSample{at: wd.now, pending: nd.model.Pending()})
+		for len(nd.history) > 1 && wd.now-nd.history[1].at >= loadLag {
+			nd.history = nd.history[1:]
+		}
+		sample := nd.history[0]
+		if frozen || nd.dead || wd.now-sample.at < loadLag {
+			continue
+		}
+		wd.step(dispatch.Reported{Engine: nd.name, At: time.Unix(0, 0).Add(sample.at), Pending: sample.pending})
+	}
+}
+
+// publishCache passes cache events on late and loses some.
+func (wd *world) publishCache(nd *node, prefix []uint64) {
+	for _, block := range prefix {
+		if nd.model.Cached(block) {
+			continue
+		}
+		wd.cacheEvents++
+		if wd.cacheEvents%cacheLostOne == 0 {
+			continue
+		}
+		wd.at(wd.now+cacheLag, func() { wd.step(dispatch.CacheChanged{Engine: nd.name, Block: block}) })
+	}
+}
+
+// kill ends engines at a time; their requests are retried when the loss is detected, and the engines come back later.
+func (wd *world) kill(at, back time.Duration, count int) {
+	wd.at(at, func() {
+		for _, nd := range wd.nodes[:count] {
+			wd.die(nd)
+			wd.at(back, func() {
+				nd.dead = false
+				nd.model = batch.New(wd.batch)
+				wd.step(dispatch.EngineSeen{Spec: wd.spec(nd)})
+			})
+		}
+	})
+}
+
+func (wd *world) die(nd *node) {
+	nd.dead = true
+	wd.at(wd.now+detectionTime, func() { wd.step(dispatch.EngineLost{Engine: nd.name}) })
+	for _, cl := range wd.running {
+		for _, part := range cl.grant.Parts {
+			if part.Engine != nd.name {
+				continue
+			}
+			wd.lose(cl)
+			break
+		}
+	}
+}
+
+// lose retries a call whose engine died; what other engines of its gang hold is freed.
+func (wd *world) lose(cl *call) {
+	delete(wd.running, cl.attempt)
+	cl.lost++
+	attempt, parts := cl.attempt, cl.grant.Parts
+	wd.at(wd.now+10*hop, func() {
+		for _, part := range parts {
+			wd.byName[part.Engine].model.Cancel(attempt)
+		}
+		wd.step(dispatch.Finish{Attempt: attempt})
+		wd.submit(cl)
+	})
+}
+
+// loseDispatcher replaces the dispatcher: the next host starts without state, and entry hosts report what they hold.
+func (wd *world) loseDispatcher(at time.Duration, seed uint64) {
+	wd.at(at, func() {
+		wd.machine = dispatch.New(wd.config, seed)
+		for _, nd := range wd.nodes {
+			if !nd.dead {
+				wd.step(dispatch.EngineSeen{Spec: wd.spec(nd)})
+			}
+		}
+		wd.renew()
+		for _, cl := range wd.calls {
+			waiting := !cl.done() && wd.running[cl.attempt] == nil && cl.refused < cl.asked
+			if waiting {
+				wd.submit(cl)
+			}
+		}
+	})
+}
