Dispatch by the engine's step, wider gangs, work-based admission and returns

Cause, by the measures: (1) short prompts waited behind the full step of an engine that prefills a long one, since the router saw only what goes ahead by priority; (2) prompts up to 1M tokens waited 45 s for engines to empty one gang at a time; (3) at the peak the queue filled to the deadline, so admitted requests ended late, and callers came back together.

Changes: the router predicts the rest of the engine's step and full steps; gangs may use up to twice the engines that can just hold the prompt; several gangs may drain engines; queues count work (prefill, or the share of streams, whichever is more); a request may wait 3 s plus four times its prefill for its grant; refused callers get times one after the other as fast as they can be served.

--- a/coordination/dispatch/engine.go
+++ b/coordination/dispatch/engine.go
@@ -15,9 +15,10 @@
 	held    id.Tokens
 	foreign id.Tokens
 	streams int
-	// backlog counts pending prompt tokens by class.
-	backlog  [classes]float64
-	advanced time.Time
+	// backlog counts pending prompt tokens by class, unstarted the grants that wait for their first token.
+	backlog   [classes]float64
+	unstarted [classes]int
+	advanced  time.Time
 	// alone is the attempt that has the engine for itself.
 	alone id.Attempt
 	// drainFor is the request that the engine is being emptied for.
@@ -35,6 +36,7 @@
 
 func (mc *Machine) engineSeen(now time.Time, spec EngineSpec) {
 	if en, ok := mc.byName[spec.Engine]; ok {
+		mc.capacity += spec.Capacity - en.Capacity
 		en.EngineSpec = spec
 		return
 	}
@@ -45,6 +47,7 @@
 		unknown:    map[id.Attempt]time.Time{},
 	}
 	mc.byName[spec.Engine] = en
+	mc.capacity += spec.Capacity
 	at, _ := slices.BinarySearchFunc(mc.engines, spec.Engine, func(en *engine, name id.Engine) int {
 		return strings.Compare(string(en.Engine), string(name))
 	})
@@ -54,12 +57,18 @@
 			if part.Engine == spec.Engine {
 				en.held += part.Tokens + gr.answerOn(ix)
 				en.streams++
+				if !gr.started {
+					en.unstarted[classOf(part.Tokens)]++
+				}
 			}
 		}
 	}
 }
 
 func (mc *Machine) engineLost(name id.Engine) {
+	if en, ok := mc.byName[name]; ok {
+		mc.capacity -= en.Capacity
+	}
 	delete(mc.byName, name)
 	mc.engines = slices.DeleteFunc(mc.engines, func(en *engine) bool { return en.Engine == name })
 }
@@ -120,12 +129,14 @@
 	if gr.started {
 		return
 	}
+	en.unstarted[classOf(part.Tokens)]++
 	tokens := float64(part.Tokens - mc.cachedPrefix(en, gr.request.Prefix, part.Tokens))
 	en.backlog[classOf(part.Tokens)] += tokens
 	en.recent = append(en.recent, granted{at: now, tokens: tokens})
 }
 
-// settle removes what is left of the predicted prefill of a grant whose first token has arrived or that has ended.
+// settle removes what is left of the predicted prefill of a grant whose first token has arrived or that has ended,
+// when no other grant of its class waits for its first token on the engine.
 func (mc *Machine) settle(now time.Time, gr *grant) {
 	for _, part := range gr.Parts {
 		en, ok := mc.byName[part.Engine]
@@ -134,30 +145,13 @@
 		}
 		mc.advance(now, en)
 		class := classOf(part.Tokens)
-		if mc.onlyInClass(en, gr, class) {
+		en.unstarted[class]--
+		if en.unstarted[class] == 0 {
 			en.backlog[class] = 0
 		}
 	}
 }
 
-// onlyInClass reports whether no other grant of the class waits for its first token on the engine.
-func (mc *Machine) onlyInClass(en *engine, gr *grant, class int) bool {
-	if en.backlog[class] == 0 {
-		return false
-	}
-	for _, other := range mc.grants {
-		if other == gr || other.started {
-			continue
-		}
-		for _, part := range other.Parts {
-			if part.Engine == en.Engine && classOf(part.Tokens) == class {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // reported corrects the predicted prefill: what was pending then, plus what was granted since,
 // less what the engine has processed since.
 func (mc *Machine) reported(now time.Time, ev Reported) {
--- a/coordination/dispatch/machine.go
+++ b/coordination/dispatch/machine.go
@@ -26,6 +26,9 @@
 	MaxStreams int
 	// Window is how much prefill of the same or a higher class may be pending on an engine that gets more.
 	Window time.Duration
+	// StartWithin is how long a short prompt may wait for its grant; longer ones may wait for several times their
+	// own prefill on top. A caller whose request can't start by then is better told when to come back.
+	StartWithin time.Duration
 	// ExpectedAnswer is planned for answers without a limit.
 	ExpectedAnswer id.Tokens
 	// GrantTTL is how long a grant lasts without renewal.
@@ -46,6 +49,7 @@
 		StepStream:       250 * time.Microsecond,
 		MaxStreams:       128,
 		Window:           100 * time.Millisecond,
+		StartWithin:      3 * time.Second,
 		ExpectedAnswer:   300,
 		GrantTTL:         6 * time.Second,
 		OrphanGrace:      6 * time.Second,
@@ -53,6 +57,9 @@
 	}
 }
 
+// startFactor is the number of its own prefill times that a long prompt may wait for its grant.
+const startFactor = 4
+
 // Machine is the state of one shard's dispatcher.
 type Machine struct {
 	config  Config
@@ -68,9 +75,12 @@
 	// special holds waiting requests that may not run on every engine.
 	special []*waiting
 	latest  *container.Heap[*waiting]
-	turn    int
-	swept   time.Time
-	effects []Effect
+	// capacity is the memory of all engines, shortHeld what grants of short prompts hold of it.
+	capacity  id.Tokens
+	shortHeld id.Tokens
+	turn      int
+	swept     time.Time
+	effects   []Effect
 }
 
 type grant struct {
@@ -216,7 +226,12 @@
 		answer = min(answer, rq.Answer)
 	}
 	wt := &waiting{Request: rq, answer: answer, since: now}
+	wt.work = mc.workOf(wt)
 	wt.latestStart = rq.Deadline.Add(-mc.shortestRun(wt))
+	patience := mc.config.StartWithin + startFactor*mc.prefillTime(float64(wt.Prompt))
+	if within := now.Add(patience); within.Before(wt.latestStart) {
+		wt.latestStart = within
+	}
 	return wt
 }
 
@@ -246,9 +261,7 @@
 		mc.special = slices.DeleteFunc(mc.special, func(other *waiting) bool { return other == wt })
 		return
 	}
-	wt.lane.queued -= float64(wt.Prompt)
-	wt.lane.waiting--
-	wt.queue.queued -= float64(wt.Prompt)
+	wt.lane.leave(wt)
 	mc.undrain(wt)
 }
 
@@ -264,7 +277,7 @@
 			continue
 		}
 		mc.drop(wt)
-		mc.refuse(wt.Request, outcome.Refuse(outcome.Overloaded, "the request can no longer start in time").After(mc.retryAfter(wt)))
+		mc.refuse(wt.Request, outcome.Refuse(outcome.Overloaded, "the request can no longer start in time").After(mc.retryAfter(now, wt)))
 	}
 }
 
@@ -301,6 +314,7 @@
 	}
 	mc.grants[gr.Attempt] = gr
 	mc.granted[rq] = gr
+	mc.shortHeld += gr.short()
 	for ix := range gr.Parts {
 		mc.charge(now, gr, ix)
 	}
@@ -316,6 +330,7 @@
 
 func (mc *Machine) release(now time.Time, gr *grant) {
 	delete(mc.grants, gr.Attempt)
+	mc.shortHeld -= gr.short()
 	if mc.granted[gr.request.ID] == gr {
 		delete(mc.granted, gr.request.ID)
 	}
@@ -335,6 +350,14 @@
 	}
 }
 
+// short returns the memory of a grant for a short prompt, or 0.
+func (gr *grant) short() id.Tokens {
+	if gr.request.Prompt > ShortPrompt {
+		return 0
+	}
+	return gr.request.Prompt + gr.Answer
+}
+
 func (gr *grant) answerOn(part int) id.Tokens {
 	if part == 0 {
 		return gr.Answer
--- a/coordination/dispatch/place.go
+++ b/coordination/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -10,12 +11,16 @@
 
 const (
 	// drainAfter is the part of a request's slack after which engines are emptied for it.
-	drainAfter = 0.1
+	drainAfter = 0.02
 	// drainedShare bounds the engines that are emptied at once, as a part of the shard.
-	drainedShare = 0.25
+	drainedShare = 0.4
+	// maxSpread bounds the engines of a gang, as a multiple of those that can hold the prompt when empty.
+	maxSpread = 2
 	// minRetryAfter and maxRetryAfter bound the time that a refused caller is told to wait.
 	minRetryAfter = time.Second
-	maxRetryAfter = time.Minute
+	maxRetryAfter = 10 * time.Minute
+	// retrySpread is the random part of that time.
+	retrySpread = 0.25
 )
 
 // pump grants what can start now.
@@ -52,14 +57,11 @@
 		parts, ok := mc.place(now, wt)
 		if !ok {
 			blocked[ix] = true
-			mc.considerDrain(now, mq, wt)
+			mc.considerDrain(now, wt)
 			mc.considerPreempt(now, wt)
 			continue
 		}
 		ln.take()
-		ln.queued -= float64(wt.Prompt)
-		ln.waiting--
-		wt.queue.queued -= float64(wt.Prompt)
 		mc.undrain(wt)
 		mc.grant(now, wt, parts)
 	}
@@ -106,10 +108,11 @@
 		alone:   wt.Alone,
 	}
 	if mc.config.Policy.EnginePriority {
-		gr.Priority = enginePriority(parts[0].Tokens)
+		gr.Priority = enginePriority(agedTokens(now, wt, parts[0].Tokens))
 	}
 	mc.grants[gr.Attempt] = gr
 	mc.granted[wt.ID] = gr
+	mc.shortHeld += gr.short()
 	for ix := range parts {
 		mc.charge(now, gr, ix)
 		if wt.Alone {
@@ -120,6 +123,17 @@
 	mc.emit(Effect{Kind: Granted, Request: wt.ID, Attempt: gr.Attempt, Grant: &gr.Grant})
 }
 
+// agedTokens returns the prompt length that decides a grant's priority on engines: it falls with the part of its
+// slack that the request has waited.
+func agedTokens(now time.Time, wt *waiting, tokens id.Tokens) id.Tokens {
+	slack := wt.latestStart.Sub(wt.since)
+	if tokens <= ShortPrompt || slack <= 0 {
+		return tokens
+	}
+	left := 1 - float64(now.Sub(wt.since))/float64(slack)
+	return max(ShortPrompt+1, id.Tokens(float64(tokens)*left))
+}
+
 // partsFor returns the number of engines that a prompt needs, or 0 if the shard can never hold it.
 func (mc *Machine) partsFor(wt *waiting) int {
 	var largest id.Tokens
@@ -146,19 +160,43 @@
 	if prompt <= ShortPrompt {
 		return en.Capacity
 	}
-	return id.Tokens(float64(en.Capacity) * (1 - mc.config.Policy.ShortShare))
+	return id.Tokens(float64(en.Capacity) * (1 - mc.shortShare()))
+}
+
+// shortShare returns the part of memory and streams kept for short prompts. An adaptive share follows what short
+// prompts hold now, with room for half as much again.
+func (mc *Machine) shortShare() float64 {
+	if !mc.config.Policy.Adaptive || mc.capacity == 0 {
+		return mc.config.Policy.ShortShare
+	}
+	const room, least = 1.5, 0.01
+	return min(mc.config.Policy.ShortShare, least+room*float64(mc.shortHeld)/float64(mc.capacity))
 }
 
-// place chooses engines for a request, or reports that it has to wait.
+// place chooses engines for a request, or reports that it has to wait. A prompt is spread over as few engines as
+// can hold it; over more, up to maxSpread times as many, when the few have no room now.
 func (mc *Machine) place(now time.Time, wt *waiting) ([]Part, bool) {
-	parts := mc.partsFor(wt)
-	if parts == 0 {
+	least := mc.partsFor(wt)
+	if least == 0 {
 		return nil, false
 	}
+	most := least
+	if mc.config.Policy.Spread && wt.Prompt > bandLimits[2] {
+		most = least * maxSpread
+	}
+	for parts := least; parts <= most; parts++ {
+		if chosen, ok := mc.placeOn(now, wt, parts); ok {
+			return chosen, true
+		}
+	}
+	return nil, false
+}
+
+// placeOn chooses the given number of engines.
+func (mc *Machine) placeOn(now time.Time, wt *waiting, parts int) ([]Part, bool) {
 	share := (wt.Prompt + id.Tokens(parts) - 1) / id.Tokens(parts)
-	var found []Candidate
 	var storage [8]Candidate
-	found = storage[:0]
+	found := storage[:0]
 	for ix, en := range mc.engines {
 		if !mc.fits(now, en, wt, share) {
 			continue
@@ -201,7 +239,7 @@
 	ahead := en.ahead(classOf(share), mc.config.Policy.EnginePriority)
 	return Candidate{
 		Index:   ix,
-		Wait:    time.Duration((ahead + float64(share-cached)) / mc.rate(en) * float64(time.Second)),
+		Wait:    mc.stepWait(en, ahead, float64(share-cached)),
 		Pending: en.pending(),
 		Held:    en.held,
 		Streams: en.streams,
@@ -209,6 +247,20 @@
 	}
 }
 
+// stepWait predicts the time to the first token: the rest of the step that the engine is in, what goes ahead, and
+// the own prompt. Steps that other prefill fills last longer than those of an engine that only decodes.
+func (mc *Machine) stepWait(en *engine, ahead, own float64) time.Duration {
+	decode := (mc.config.StepBase + time.Duration(en.streams)*mc.config.StepStream).Seconds()
+	full := max(decode, mc.config.PrefillPerStep/mc.config.PrefillPerSecond)
+	work := (ahead + own) / mc.rate(en)
+	wait := decode/2 + max(work, decode)
+	if en.pending() > 0 {
+		steps := math.Ceil((ahead + own) / mc.config.PrefillPerStep)
+		wait = full/2 + steps*full
+	}
+	return time.Duration(wait * float64(time.Second))
+}
+
 // fits reports whether an engine can take a part of a request now.
 func (mc *Machine) fits(now time.Time, en *engine, wt *waiting, share id.Tokens) bool {
 	if en.Leaving || en.alone != "" || wt.Alone && en.streams > 0 {
@@ -238,13 +290,13 @@
 	if prompt <= ShortPrompt {
 		return mc.config.MaxStreams
 	}
-	return int(float64(mc.config.MaxStreams) * (1 - mc.config.Policy.ShortShare))
+	return int(float64(mc.config.MaxStreams) * (1 - mc.shortShare()))
 }
 
-// considerDrain empties engines for a long prompt that has waited for a part of its slack.
-// Only one request of a model has engines emptied at a time, so two gangs never wait for each other.
-func (mc *Machine) considerDrain(now time.Time, mq *modelQueue, wt *waiting) {
-	if !mc.config.Policy.Drain || mq.draining != nil || wt.Prompt <= ShortPrompt {
+// considerDrain empties engines for a long prompt that has waited for a part of its slack. An engine is emptied for
+// one prompt at a time and all engines of a prompt are taken in one step, so two gangs never wait for each other.
+func (mc *Machine) considerDrain(now time.Time, wt *waiting) {
+	if !mc.config.Policy.Drain || wt.draining || wt.Prompt <= ShortPrompt {
 		return
 	}
 	slack := wt.latestStart.Sub(wt.since)
@@ -252,11 +304,17 @@
 		return
 	}
 	parts := mc.partsFor(wt)
-	limit := max(parts, int(drainedShare*float64(len(mc.engines))))
-	if parts == 0 || parts > limit || parts >= len(mc.engines) && parts > 1 {
+	drained := 0
+	for _, en := range mc.engines {
+		if en.drainFor != nil {
+			drained++
+		}
+	}
+	limit := max(1, int(drainedShare*float64(len(mc.engines))))
+	if parts == 0 || drained+parts > max(limit, parts) || parts > 1 && parts >= len(mc.engines) {
 		return
 	}
-	mq.draining = wt
+	wt.draining = true
 	for range parts {
 		en := mc.emptiest(wt)
 		if en == nil {
@@ -281,11 +339,10 @@
 }
 
 func (mc *Machine) undrain(wt *waiting) {
-	mq, ok := mc.byModel[wt.Model]
-	if !ok || mq.draining != wt {
+	if !wt.draining {
 		return
 	}
-	mq.draining = nil
+	wt.draining = false
 	for _, en := range mc.engines {
 		if en.drainFor == wt {
 			en.drainFor = nil
@@ -325,14 +382,14 @@
 		return outcome.Refuse(outcome.DeadlineExceeded, "the request can't finish in the time it has"), false
 	}
 	if len(mc.waiting) >= mc.config.MaxWaiting {
-		return outcome.Refuse(outcome.Overloaded, "the queue is full").After(mc.retryAfter(wt)), false
+		return outcome.Refuse(outcome.Overloaded, "the queue is full").After(mc.retryAfter(now, wt)), false
 	}
 	if !mc.config.Policy.Admission {
 		return outcome.Outcome{}, true
 	}
 	wait := mc.predictedWait(now, wt)
 	if now.Add(wait).After(wt.latestStart) {
-		return outcome.Refuse(outcome.Overloaded, "the request can't start in time").After(mc.retryAfter(wt)), false
+		return outcome.Refuse(outcome.Overloaded, "the request can't start in time").After(mc.retryAfter(now, wt)), false
 	}
 	return outcome.Outcome{}, true
 }
@@ -345,51 +402,72 @@
 // predictedWait returns the time until a request would start: the shorter of the time to serve all that
 // goes before it and the time its organisation's share takes to serve what it has queued itself.
 func (mc *Machine) predictedWait(now time.Time, wt *waiting) time.Duration {
-	var rate, pending float64
-	class := classOf(wt.Prompt)
-	for _, en := range mc.engines {
-		if en.Leaving || !slices.Contains(en.Models, wt.Model) {
-			continue
-		}
-		mc.advance(now, en)
-		rate += mc.rate(en)
-		pending += en.ahead(class, mc.config.Policy.EnginePriority)
-	}
-	if rate == 0 {
+	engines, pending := mc.engineWork(now, wt)
+	if engines == 0 {
 		return 0
 	}
 	mq := mc.queueOf(wt.Model)
 	index := mc.config.Policy.Ordering.Lane(wt.Prompt)
-	total := pending
-	for ix := range index + 1 {
-		total += mq.lanes[ix].queued
+	before := pending
+	for ix := range index {
+		before += mq.lanes[ix].queued
 	}
 	ln := &mq.lanes[index]
-	share := total
-	if oq, ok := ln.organisations[wt.Organisation]; ok && mc.config.Policy.Ordering.Fair() {
-		share = pending + (total - pending - ln.queued) + oq.queued*ln.weight/oq.weight
-	} else if mc.config.Policy.Ordering.Fair() {
-		share = total - ln.queued
+	own := ln.queued
+	if mc.config.Policy.Ordering.Fair() {
+		own = 0
+		if oq, ok := ln.organisations[wt.Organisation]; ok && oq.active {
+			own = min(ln.queued, time.Duration(float64(oq.queued)*ln.weight/oq.weight))
+		}
 	}
-	return time.Duration(min(total, share) / rate * float64(time.Second))
+	return (before + own) / time.Duration(engines)
 }
 
-// retryAfter returns when a refused caller is to come back: when the queue is likely to have drained,
-// spread at random so that callers do not come back together.
-func (mc *Machine) retryAfter(wt *waiting) time.Duration {
-	var queued, rate float64
+// engineWork returns the engines that serve a request's model, and the work on them that goes before it.
+func (mc *Machine) engineWork(now time.Time, wt *waiting) (int, time.Duration) {
+	var pending time.Duration
+	engines := 0
+	class := classOf(wt.Prompt)
 	for _, en := range mc.engines {
-		rate += mc.rate(en)
+		if en.Leaving || !slices.Contains(en.Models, wt.Model) {
+			continue
+		}
+		mc.advance(now, en)
+		engines++
+		ahead := en.ahead(class, mc.config.Policy.EnginePriority)
+		pending += time.Duration(ahead / mc.rate(en) * float64(time.Second))
 	}
-	if mq, ok := mc.byModel[wt.Model]; ok {
-		for ix := range mq.lanes {
-			queued += mq.lanes[ix].queued
+	return engines, pending
+}
+
+// workOf returns the time of one engine that a request takes from others: its prefill, or its part of the
+// engine's streams while its answer is decoded, whichever is more.
+func (mc *Machine) workOf(wt *waiting) time.Duration {
+	fullStep := mc.config.StepBase + time.Duration(mc.config.MaxStreams)*mc.config.StepStream
+	decode := time.Duration(wt.answer) * fullStep / time.Duration(mc.config.MaxStreams)
+	return max(mc.prefillTime(float64(wt.Prompt)), decode)
+}
+
+// retryAfter returns when a refused caller is to come back. Callers are given times one after the other, as fast as
+// the engines can serve them after what waits now, so that they do not come back together; a random part spreads
+// callers that were told the same.
+func (mc *Machine) retryAfter(now time.Time, wt *waiting) time.Duration {
+	engines := 0
+	for _, en := range mc.engines {
+		if !en.Leaving && slices.Contains(en.Models, wt.Model) {
+			engines++
 		}
 	}
-	drain := minRetryAfter
-	if rate > 0 {
-		drain = max(drain, time.Duration(queued/rate*float64(time.Second)))
+	mq := mc.queueOf(wt.Model)
+	var queued time.Duration
+	for ix := range mq.lanes {
+		queued += mq.lanes[ix].queued
+	}
+	served := time.Duration(max(1, engines))
+	if earliest := now.Add(max(minRetryAfter, queued/served)); mq.returns.Before(earliest) {
+		mq.returns = earliest
 	}
-	wait := min(drain, maxRetryAfter)
-	return wait + time.Duration(mc.random.Float64()*float64(wait))
+	mq.returns = mq.returns.Add(wt.work / served)
+	wait := min(mq.returns.Sub(now), maxRetryAfter)
+	return wait + time.Duration(mc.random.Float64()*retrySpread*float64(wait))
 }
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -71,6 +71,8 @@
 	Adaptive bool
 	// Drain empties engines for a prompt that has waited long.
 	Drain bool
+	// Spread lets a long prompt use more engines than can just hold it.
+	Spread bool
 	// Affinity counts cached prefix blocks when it predicts waits.
 	Affinity bool
 	// Admission refuses requests whose predicted start is too late.
@@ -160,19 +162,14 @@
 
 type shortestWait struct{}
 
-// NewShortestWait returns a router to the engine with the earliest predicted first token.
-// Among nearly equal ones it takes the engine with the least memory in use.
+// NewShortestWait returns a router to the engine with the earliest predicted first token, then the least memory in use.
 func NewShortestWait() Router { return shortestWait{} }
 
-// nearlyEqual is the difference of predicted waits that memory outweighs.
-const nearlyEqual = 15 * time.Millisecond
-
 func (shortestWait) Better(left, right Candidate, _ int) bool {
-	difference := left.Wait - right.Wait
-	if difference < -nearlyEqual || difference > nearlyEqual {
-		return difference < 0
+	if left.Wait != right.Wait {
+		return left.Wait < right.Wait
 	}
-	return left.Held+id.Tokens(left.Pending) < right.Held+id.Tokens(right.Pending)
+	return left.Held < right.Held
 }
 
 type strictAffinity struct{ rest Router }
@@ -218,6 +215,7 @@
 		vary("no-reserve", func(pl *Policy) { pl.ShortShare = 0; pl.Adaptive = false }),
 		vary("reserve-adaptive", func(pl *Policy) { pl.Adaptive = true }),
 		vary("no-drain", func(pl *Policy) { pl.Drain = false }),
+		vary("no-spread", func(pl *Policy) { pl.Spread = false }),
 		vary("no-admission", func(pl *Policy) { pl.Admission = false }),
 		vary("affinity-off", func(pl *Policy) { pl.Affinity = false }),
 		vary("affinity-strict", func(pl *Policy) { pl.Router = NewStrictAffinity() }),
@@ -236,6 +234,7 @@
 		EnginePriority: true,
 		ShortShare:     0.1,
 		Drain:          true,
+		Spread:         true,
 		Affinity:       true,
 		Admission:      true,
 	}
--- a/coordination/dispatch/queue.go
+++ b/coordination/dispatch/queue.go
@@ -12,32 +12,36 @@
 // waiting is a request in the queue.
 type waiting struct {
 	Request
-	answer      id.Tokens
+	answer id.Tokens
+	// work is the time of one engine that the request takes from others.
+	work        time.Duration
 	since       time.Time
 	latestStart time.Time
 	lane        *lane
 	queue       *organisationQueue
 	special     bool
 	gone        bool
+	// draining says that engines are being emptied for the request.
+	draining bool
 }
 
 // modelQueue holds the requests that wait for one model.
 type modelQueue struct {
 	model id.Model
 	lanes []lane
-	// draining is the request that engines are being emptied for.
-	draining *waiting
+	// returns is when the callers that were told to come back will have been served, if all come.
+	returns time.Time
 }
 
 // lane holds the requests of one band of prompt lengths, shared fairly among organisations.
-// Start-time fair queueing: each organisation has a tag that grows by tokens over weight.
+// Start-time fair queueing: each organisation has a tag that grows by work over weight.
 type lane struct {
 	organisations map[id.Organisation]*organisationQueue
 	order         *container.Heap[*organisationQueue]
 	// virtual is the tag of the organisation served last.
 	virtual float64
-	// queued counts prompt tokens that wait.
-	queued  float64
+	// queued is the work that waits.
+	queued  time.Duration
 	waiting int
 	// weight is the sum over organisations that have waiting requests.
 	weight float64
@@ -47,7 +51,7 @@
 	name     id.Organisation
 	tag      float64
 	weight   float64
-	queued   float64
+	queued   time.Duration
 	requests container.Ring[*waiting]
 	active   bool
 }
@@ -102,9 +106,9 @@
 	}
 	wt.lane = ln
 	wt.queue = oq
-	ln.queued += float64(wt.Prompt)
+	ln.queued += wt.work
 	ln.waiting++
-	oq.queued += float64(wt.Prompt)
+	oq.queued += wt.work
 	oq.requests.Push(wt)
 	if oq.active {
 		return
@@ -140,7 +144,15 @@
 func (ln *lane) take() {
 	oq := ln.order.Pop()
 	wt := oq.requests.Pop()
+	ln.leave(wt)
 	ln.virtual = max(ln.virtual, oq.tag)
-	oq.tag += float64(wt.Prompt+wt.answer) / oq.weight
+	oq.tag += wt.work.Seconds() / oq.weight
 	ln.order.Push(oq)
 }
+
+// leave takes a request that no longer waits out of the counts.
+func (ln *lane) leave(wt *waiting) {
+	ln.queued -= wt.work
+	ln.waiting--
+	wt.queue.queued -= wt.work
+}
