--- a/coordination/dispatch/machine.go
+++ b/coordination/dispatch/machine.go
@@ -229,7 +229,7 @@
 	wt.work = mc.workOf(wt)
 	wt.latestStart = rq.Deadline.Add(-mc.shortestRun(wt))
 	patience := mc.config.StartWithin + startFactor*mc.prefillTime(float64(wt.Prompt))
-	if within := now.Add(patience); within.Before(wt.latestStart) {
+	if within := now.Add(patience); rq.Number <= 1 && within.Before(wt.latestStart) {
 		wt.latestStart = within
 	}
 	return wt
--- a/coordination/dispatch/place.go
+++ b/coordination/dispatch/place.go
@@ -46,7 +46,7 @@
 
 // pumpModel serves lanes in the order of their heads' rank. A lane whose head finds no engine is passed over.
 func (mc *Machine) pumpModel(now time.Time, mq *modelQueue) {
-	var blocked [Bands]bool
+	var blocked [Bands + 1]bool
 	for {
 		ix := mc.nextLane(now, mq, &blocked)
 		if ix < 0 {
@@ -67,10 +67,14 @@
 	}
 }
 
-func (mc *Machine) nextLane(now time.Time, mq *modelQueue, blocked *[Bands]bool) int {
+func (mc *Machine) nextLane(now time.Time, mq *modelQueue, blocked *[Bands + 1]bool) int {
 	best := -1
 	var bestRank float64
-	for ix := range mq.lanes {
+	interrupted := len(mq.lanes) - 1
+	if !blocked[interrupted] && mq.lanes[interrupted].head() != nil {
+		return interrupted
+	}
+	for ix := range interrupted {
 		if blocked[ix] {
 			continue
 		}
@@ -384,7 +388,7 @@
 	if len(mc.waiting) >= mc.config.MaxWaiting {
 		return outcome.Refuse(outcome.Overloaded, "the queue is full").After(mc.retryAfter(now, wt)), false
 	}
-	if !mc.config.Policy.Admission {
+	if !mc.config.Policy.Admission || wt.Number > 1 {
 		return outcome.Outcome{}, true
 	}
 	wait := mc.predictedWait(now, wt)
@@ -407,8 +411,8 @@
 		return 0
 	}
 	mq := mc.queueOf(wt.Model)
-	index := mc.config.Policy.Ordering.Lane(wt.Prompt)
-	before := pending
+	index := mc.laneOf(wt)
+	before := pending + mq.lanes[len(mq.lanes)-1].queued
 	for ix := range index {
 		before += mq.lanes[ix].queued
 	}
--- a/coordination/dispatch/queue.go
+++ b/coordination/dispatch/queue.go
@@ -25,7 +25,8 @@
 	draining bool
 }
 
-// modelQueue holds the requests that wait for one model.
+// modelQueue holds the requests that wait for one model. The last lane is for requests that have run before and
+// were interrupted; it is served first.
 type modelQueue struct {
 	model id.Model
 	lanes []lane
@@ -57,7 +58,7 @@
 }
 
 func newModelQueue(model id.Model, lanes int) *modelQueue {
-	mq := &modelQueue{model: model, lanes: make([]lane, lanes)}
+	mq := &modelQueue{model: model, lanes: make([]lane, lanes+1)}
 	for ix := range mq.lanes {
 		mq.lanes[ix].organisations = map[id.Organisation]*organisationQueue{}
 		mq.lanes[ix].order = container.NewHeap(func(left, right *organisationQueue) bool {
@@ -83,13 +84,21 @@
 func (mc *Machine) enqueue(wt *waiting) {
 	mc.waiting[wt.ID] = wt
 	mc.latest.Push(wt)
-	if wt.Alone || len(wt.Avoid) > 0 {
+	if wt.Alone {
 		wt.special = true
 		mc.special = append(mc.special, wt)
 		return
 	}
 	mq := mc.queueOf(wt.Model)
-	mq.lanes[mc.config.Policy.Ordering.Lane(wt.Prompt)].push(wt, mc.config.Policy.Ordering.Fair())
+	mq.lanes[mc.laneOf(wt)].push(wt, mc.config.Policy.Ordering.Fair())
+}
+
+// laneOf returns the lane of a request.
+func (mc *Machine) laneOf(wt *waiting) int {
+	if wt.Number > 1 {
+		return mc.config.Policy.Ordering.Lanes()
+	}
+	return mc.config.Policy.Ordering.Lane(wt.Prompt)
 }
 
 func (ln *lane) push(wt *waiting, fair bool) {
