--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,8 +61,10 @@
 
 	mutex   sync.Mutex
 	machine *membership.Machine
-	seeds   map[string]bool
-	calls   sync.WaitGroup
+	// live caches the live hosts until a member changes.
+	live  []membership.Member
+	seeds map[string]bool
+	calls sync.WaitGroup
 }
 
 // New returns a runner that knows only its own host.
@@ -173,6 +176,9 @@
 func (rn *Runner) step(ctx context.Context, ev membership.Event) {
 	rn.mutex.Lock()
 	effects := append([]membership.Effect(nil), rn.machine.Step(rn.clock.Now(), ev)...)
+	if slices.ContainsFunc(effects, func(ef membership.Effect) bool { return ef.Kind == membership.Changed }) {
+		rn.live = nil
+	}
 	rn.mutex.Unlock()
 	for _, ef := range effects {
 		switch ef.Kind {
@@ -260,11 +266,14 @@
 	return rn.machine.Members()
 }
 
-// Live returns the hosts that take new work, including the own one unless it leaves.
+// Live returns the hosts that take new work, including the own one unless it leaves. The result is not to be changed.
 func (rn *Runner) Live() []membership.Member {
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
-	return rn.machine.Live()
+	if rn.live == nil {
+		rn.live = rn.machine.Live()
+	}
+	return rn.live
 }
 
 // LiveHosts returns the names of the live hosts.
--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -20,18 +20,22 @@
 	order    []id.Host
 	position int
 	probedAt time.Time
-	revision id.Offset
-	behind   id.Offset
-	updates  spreader[id.Host]
-	facts    map[factID]int64
-	rumours  spreader[factID]
-	effects  []Effect
+	// revivedAt is when a dead member was last probed.
+	revivedAt time.Time
+	revision  id.Offset
+	behind    id.Offset
+	updates   spreader[id.Host]
+	facts     map[factID]int64
+	rumours   spreader[factID]
+	effects   []Effect
 }
 
 type peer struct {
 	Member
 	// since is when the status was learnt.
 	since time.Time
+	// helpers is the number of indirect probes that have not ended.
+	helpers int
 }
 
 // New returns a machine that knows only its own host. The seed determines the order of probes.
@@ -74,7 +78,7 @@
 
 // Everything returns a message with every member and fact, for a host that joins.
 func (mc *Machine) Everything() Message {
-	msg := Message{From: mc.self.Host, Revision: mc.revision, Updates: []Member{mc.self}}
+	msg := Message{From: mc.self.Host, Revision: mc.revision, Updates: []Member{mc.self}, Complete: true}
 	for _, pr := range mc.members {
 		msg.Updates = append(msg.Updates, pr.Member)
 	}
@@ -109,7 +113,7 @@
 
 // Spread adds a fact and passes it on.
 func (mc *Machine) Spread(fact Fact) {
-	mc.learn(fact)
+	mc.learn(fact, true)
 }
 
 // Self returns the own host's description.
@@ -151,22 +155,65 @@
 	if !ok {
 		return
 	}
-	mc.effects = append(mc.effects, Effect{Kind: Probe, Target: target, Message: mc.message("")})
+	mc.probe(target)
+	mc.reviveDue(now)
+}
+
+// probe sends a message to a member. A member that is not alive as far as is known is told so, to refute it.
+func (mc *Machine) probe(target Member) {
+	msg := mc.message("")
+	if target.Status == Suspect || target.Status == Dead {
+		msg.Updates = append(msg.Updates, target)
+	}
+	mc.effects = append(mc.effects, Effect{Kind: Probe, Target: target, Message: msg})
+}
+
+// reviveDue probes a dead member now and then, so that hosts that were cut off find each other again.
+func (mc *Machine) reviveDue(now time.Time) {
+	if now.Sub(mc.revivedAt) < mc.config.RevivePeriod {
+		return
+	}
+	mc.revivedAt = now
+	var dead []Member
+	for _, mb := range mc.Members() {
+		if mb.Status == Dead {
+			dead = append(dead, mb)
+		}
+	}
+	if len(dead) > 0 {
+		mc.probe(dead[mc.random.IntN(len(dead))])
+	}
 }
 
 // expire declares suspects dead and forgets old members.
 func (mc *Machine) expire(now time.Time) {
-	for _, mb := range mc.Members() {
-		pr := mc.members[mb.Host]
-		switch {
-		case pr.Status == Suspect && now.Sub(pr.since) >= mc.config.SuspectTimeout:
-			dead := pr.Member
-			dead.Status = Dead
-			mc.apply(now, dead)
-		case pr.Status == Dead && now.Sub(pr.since) >= mc.config.ForgetAfter:
-			delete(mc.members, mb.Host)
-			mc.updates.remove(mb.Host)
+	var due []id.Host
+	for host, pr := range mc.members {
+		if wait, expires := mc.lifetime(pr.Status); expires && now.Sub(pr.since) >= wait {
+			due = append(due, host)
+		}
+	}
+	slices.Sort(due)
+	for _, host := range due {
+		if mb := mc.members[host].Member; mb.Status == Suspect {
+			mb.Status = Dead
+			mc.declare(now, mb)
+			continue
 		}
+		delete(mc.members, host)
+		mc.updates.remove(host)
+	}
+}
+
+// lifetime returns how long a member keeps a status, and false if it keeps it until there is news.
+func (mc *Machine) lifetime(status Status) (time.Duration, bool) {
+	switch status {
+	case Suspect:
+		return mc.config.SuspectTimeout, true
+	case Dead:
+		return mc.config.ForgetAfter, true
+	default:
+		return 0, false
 	}
 }
 
@@ -203,18 +250,29 @@
 
 func (mc *Machine) probeEnded(now time.Time, ev ProbeEnded) {
 	mc.merge(now, ev.Answer)
+	pr, known := mc.members[ev.Target]
 	if ev.Reached {
+		if known {
+			pr.helpers = 0
+		}
 		return
 	}
-	pr, known := mc.members[ev.Target]
 	if !known || pr.Status == Dead || pr.Status == Suspect {
 		return
 	}
 	if ev.Via != "" {
-		mc.suspect(now, ev.Target)
+		pr.helpers--
+		if pr.helpers == 0 {
+			mc.suspect(now, ev.Target)
+		}
+		pr.helpers = max(0, pr.helpers)
+		return
+	}
+	if pr.helpers > 0 {
 		return
 	}
 	helpers := mc.helpers(ev.Target)
+	pr.helpers = len(helpers)
 	if len(helpers) == 0 {
 		mc.suspect(now, ev.Target)
 	}
@@ -242,7 +300,7 @@
 	}
 	suspected := pr.Member
 	suspected.Status = Suspect
-	mc.apply(now, suspected)
+	mc.declare(now, suspected)
 }
 
 func (mc *Machine) leave() {
@@ -257,10 +315,12 @@
 
 func (mc *Machine) merge(now time.Time, msg Message) {
 	for _, mb := range msg.Updates {
-		mc.apply(now, mb)
+		if mc.apply(now, mb) && !msg.Complete {
+			mc.updates.add(mb.Host)
+		}
 	}
 	for _, fact := range msg.Facts {
-		if mc.learn(fact) {
+		if mc.learn(fact, !msg.Complete) {
 			mc.effects = append(mc.effects, Effect{Kind: Learned, Fact: fact})
 		}
 	}
@@ -275,38 +335,58 @@
 	mc.behind = mc.revision
 }
 
-func (mc *Machine) learn(fact Fact) bool {
+// learn takes a fact that is new and reports whether it was.
+func (mc *Machine) learn(fact Fact, spread bool) bool {
 	key := factID{kind: fact.Kind, key: fact.Key}
 	if old, known := mc.facts[key]; known && old >= fact.Value {
 		return false
 	}
 	mc.facts[key] = fact.Value
-	mc.rumours.add(key)
+	if spread {
+		mc.rumours.add(key)
+	}
 	return true
 }
 
-// apply takes a statement about a host if it is newer than what is known.
-func (mc *Machine) apply(now time.Time, mb Member) {
+// apply takes a statement about a host if it is newer than what is known, and reports whether it was.
+func (mc *Machine) apply(now time.Time, mb Member) bool {
 	if mb.Host == mc.self.Host {
 		mc.refute(mb)
-		return
+		return false
 	}
 	pr, known := mc.members[mb.Host]
 	if known && !mb.overrides(pr.Member) {
-		return
+		return false
 	}
 	if !known {
 		if mb.Status == Dead {
-			return
+			return false
 		}
 		pr = &peer{}
 		mc.members[mb.Host] = pr
-		mc.order = append(mc.order, mb.Host)
+		mc.insert(mb.Host)
 	}
 	pr.Member = mb
 	pr.since = now
-	mc.updates.add(mb.Host)
 	mc.effects = append(mc.effects, Effect{Kind: Changed, Member: mb})
+	return true
+}
+
+// insert puts a new member at a random place of the probing order, so that hosts that learnt the members in the same
+// order do not probe them in the same order.
+func (mc *Machine) insert(host id.Host) {
+	at := mc.random.IntN(len(mc.order) + 1)
+	mc.order = slices.Insert(mc.order, at, host)
+	if at < mc.position {
+		mc.position++
+	}
+}
+
+// declare takes an own finding about a host and passes it on.
+func (mc *Machine) declare(now time.Time, mb Member) {
+	if mc.apply(now, mb) {
+		mc.updates.add(mb.Host)
+	}
 }
 
 // refute answers a false statement about the own host with a higher sequence number.
--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -93,6 +93,8 @@
 	Probe id.Host
 	// Joining asks for everything that the receiver knows.
 	Joining bool
+	// Complete says that the message holds everything that its sender knows; it is not passed on.
+	Complete bool
 }
 
 // Event is an input of the machine.
@@ -168,7 +170,9 @@
 	MaxUpdates int
 	// Spread scales the number of times that a change is passed on.
 	Spread int
-	// ForgetAfter is how long dead members are remembered.
+	// RevivePeriod is the time between probes of dead members.
+	RevivePeriod time.Duration
+	// ForgetAfter is how long dead members are remembered; it is longer than regions lose each other.
 	ForgetAfter time.Duration
 }
 
@@ -180,6 +184,7 @@
 		Indirect:       3,
 		MaxUpdates:     8,
 		Spread:         3,
-		ForgetAfter:    10 * time.Minute,
+		RevivePeriod:   5 * time.Second,
+		ForgetAfter:    3 * time.Hour,
 	}
 }
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -1,7 +1,6 @@
 package measure
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -166,5 +165,5 @@
 func TestCapacity(t *testing.T) {
 	mo := lengthMoments()
 	cp := computeCapacity(batch.DefaultConfig())
-	t.Log(fmt.Sprintf("mean prompt %.0f, mean answer %.0f, prefill %.2f/s, memory %.2f/s", mo.prompt, mo.answer, cp.prefill, cp.memory))
+	t.Logf("mean prompt %.0f, mean answer %.0f, prefill %.2f/s, memory %.2f/s", mo.prompt, mo.answer, cp.prefill, cp.memory)
 }
--- a/measure/peak_test.go
+++ b/measure/peak_test.go
@@ -42,7 +42,6 @@
 	goodput        float64
 	goodTokens     float64
 	shortP95       time.Duration
-	duplicates     int
 }
 
 func (st setting) runPeak(seed uint64, disturb func(wd *world)) peak {
--- a/transport/peer/convert.go
+++ b/transport/peer/convert.go
@@ -205,6 +205,7 @@
 		Revision: int64(msg.Revision),
 		Probe:    string(msg.Probe),
 		Joining:  msg.Joining,
+		Complete: msg.Complete,
 	}
 	for _, mb := range msg.Updates {
 		ms.Updates = append(ms.Updates, &peer.MemberUpdate{
@@ -229,6 +230,7 @@
 		Revision: id.Offset(ms.GetRevision()),
 		Probe:    id.Host(ms.GetProbe()),
 		Joining:  ms.GetJoining(),
+		Complete: ms.GetComplete(),
 	}
 	for _, mb := range ms.GetUpdates() {
 		msg.Updates = append(msg.Updates, membership.Member{
