Claims within the log's rate, cheap forgetting, rarer checkpoints, calm placement

Relays now share 150/s: 10/s each with 15 zones, at up to 2,560 entries/s a relay. - A checkpoint of 18,000 organisations is 3.0 MB; one every 10 minutes, read by every host, is 5 KB/s. One comes every quarter of the log's retention or 1,000 records, and hosts do not pass checkpoints on to readers of all records. - A placement round asked every engine every 2 s: 1,100 calls/s with 2,200. Rounds now take at least 10 ms an engine.

Ruled out: claims without a relay, one append each.

--- a/adapters.go
+++ b/adapters.go
@@ -255,6 +255,15 @@
 	return addresses[:min(len(addresses), ht.settings.Callers.MaxAddresses)]
 }
 
+// zones returns the number of availability zones that have live hosts.
+func (ht *Host) zones() int {
+	zones := map[id.AvailabilityZone]bool{}
+	for _, mb := range ht.gossip.Live() {
+		zones[mb.AvailabilityZone] = true
+	}
+	return len(zones)
+}
+
 func (ht *Host) memberChanged(member membership.Member) {
 	ht.logger.Info("member changed", "member", member.Host, "status", member.Status.String())
 }
--- a/coordination/claim/index.go
+++ b/coordination/claim/index.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hibiscuslever/hibiscuslever/state/container"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
 
@@ -69,6 +70,13 @@
 	keys map[Key]Holder
 	// abandonedBy holds claims given back, because a claim's append may take effect after its abandonment.
 	abandonedBy map[abandoned]id.Offset
+	// order holds what was added, oldest first, to be forgotten in that order.
+	order container.Ring[remembered]
+}
+
+type remembered struct {
+	abandoned
+	offset id.Offset
 }
 
 // NewIndex returns an index that has read nothing.
@@ -114,6 +122,7 @@
 	case Claimed:
 		if _, gone := ix.abandonedBy[abandoned{en.Key, en.Claimant}]; !held && !gone {
 			ix.keys[en.Key] = Holder{Claimant: en.Claimant, Offset: offset}
+			ix.remember(offset, en)
 		}
 	case Completed:
 		if mine && holder.Result == nil {
@@ -122,22 +131,26 @@
 		}
 	case Abandoned:
 		ix.abandonedBy[abandoned{en.Key, en.Claimant}] = offset
+		ix.remember(offset, en)
 		if mine && holder.Result == nil {
 			delete(ix.keys, en.Key)
 		}
 	}
 }
 
+func (ix *Index) remember(offset id.Offset, en Entry) {
+	ix.order.Push(remembered{abandoned: abandoned{en.Key, en.Claimant}, offset: offset})
+}
+
 // Forget drops what was claimed in records before start, which the log no longer keeps.
 func (ix *Index) Forget(start id.Offset) {
-	for key, holder := range ix.keys {
-		if holder.Offset < start {
-			delete(ix.keys, key)
+	for ix.order.Len() > 0 && ix.order.Peek().offset < start {
+		old := ix.order.Pop()
+		if holder, held := ix.keys[old.key]; held && holder.Offset == old.offset {
+			delete(ix.keys, old.key)
 		}
-	}
-	for ab, offset := range ix.abandonedBy {
-		if offset < start {
-			delete(ix.abandonedBy, ab)
+		if offset, gone := ix.abandonedBy[old.abandoned]; gone && offset == old.offset {
+			delete(ix.abandonedBy, old.abandoned)
 		}
 	}
 }
--- a/coordination/claim/relay.go
+++ b/coordination/claim/relay.go
@@ -109,7 +109,10 @@
 	reading   bool
 	readAgain bool
 	retryAt   time.Time
-	effects   []Effect
+	// interval is the least time between appends, nextAt when the next one may start.
+	interval time.Duration
+	nextAt   time.Time
+	effects  []Effect
 }
 
 const (
@@ -129,6 +132,11 @@
 	return rl.index
 }
 
+// SetInterval sets the least time between appends, so that all relays together stay within the log's rate.
+func (rl *Relay) SetInterval(interval time.Duration) {
+	rl.interval = interval
+}
+
 // Step takes one event and returns what is to be done. The effects are valid until the next step.
 func (rl *Relay) Step(now time.Time, ev Event) []Effect {
 	rl.effects = nil
@@ -146,9 +154,10 @@
 }
 
 func (rl *Relay) startAppend(now time.Time) {
-	if rl.appending || len(rl.queue) == 0 || now.Before(rl.retryAt) {
+	if rl.appending || len(rl.queue) == 0 || now.Before(rl.retryAt) || now.Before(rl.nextAt) {
 		return
 	}
+	rl.nextAt = now.Add(rl.interval)
 	count := min(len(rl.queue), rl.maxBatch)
 	rl.inFlight = slices.Clone(rl.queue[:count])
 	rl.queue = slices.Delete(rl.queue, 0, count)
--- a/coordination/configuration/follower.go
+++ b/coordination/configuration/follower.go
@@ -69,8 +69,8 @@
 		FleetPollPeriod:  100 * time.Millisecond,
 		MaxPollPeriod:    30 * time.Second,
 		CallTimeout:      2 * time.Second,
-		CheckpointEvery:  100,
-		CheckpointPeriod: 10 * time.Minute,
+		CheckpointEvery:  1000,
+		CheckpointPeriod: 6 * time.Hour,
 	}
 }
 
@@ -313,7 +313,9 @@
 		return answer, nil
 	}
 	if len(fw.recent) > 0 && fw.recent[0].Offset <= from {
-		answer.Records = append(answer.Records, fw.recent[from-fw.recent[0].Offset:]...)
+		for _, rec := range fw.recent[from-fw.recent[0].Offset:] {
+			answer.Records = append(answer.Records, withoutCheckpoint(rec))
+		}
 		return answer, nil
 	}
 	cp := fw.fold.Checkpoint()
@@ -321,6 +323,14 @@
 	return answer, nil
 }
 
+// withoutCheckpoint returns a record without the content of a checkpoint, which a reader of all records does not need.
+func withoutCheckpoint(rec Record) Record {
+	if lists.IsCheckpoint(rec.Body) {
+		rec.Body = []byte("{}")
+	}
+	return rec
+}
+
 // checkpoint appends a checkpoint when enough records or time have passed since the last one.
 // Hosts may do so at the same time; a late or repeated checkpoint changes nothing.
 func (fw *Follower) checkpoint(ctx context.Context) {
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -56,6 +56,9 @@
 	IsCandidate() bool
 }
 
+// timePerEngine is the least time between comparisons for each engine of the fleet.
+const timePerEngine = 10 * time.Millisecond
+
 // Config sets the periods of a placer.
 type Config struct {
 	Lease     lease.Config
@@ -93,7 +96,9 @@
 	mutex   sync.Mutex
 	lease   *lease.Lease
 	loading map[id.Engine]id.Model
-	orders  sync.WaitGroup
+	// compared is when engines were last asked for what they have loaded.
+	compared time.Time
+	orders   sync.WaitGroup
 }
 
 // New returns a placer that holds no lease.
@@ -128,7 +133,7 @@
 	}
 	pl.readLease(ctx)
 	pl.claimLease(ctx)
-	if _, held := pl.held(); !held {
+	if _, held := pl.held(); !held || !pl.compareDue() {
 		return
 	}
 	for _, order := range placement.Plan(pl.config.Placement, pl.wanted.Demand(), pl.reports(ctx)) {
@@ -136,6 +141,19 @@
 	}
 }
 
+// compareDue spreads comparisons of a large fleet over more time, because each one asks every engine.
+func (pl *Placer) compareDue() bool {
+	now := pl.clock.Now()
+	wait := time.Duration(len(pl.fleet.AllEngines())) * timePerEngine
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	if now.Sub(pl.compared) < wait {
+		return false
+	}
+	pl.compared = now
+	return true
+}
+
 func (pl *Placer) held() (id.Offset, bool) {
 	pl.mutex.Lock()
 	defer pl.mutex.Unlock()
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -16,8 +16,12 @@
 const (
 	// logTimeout bounds one call to the log.
 	logTimeout = 2 * time.Second
-	// tickPeriod is the time between checks of what has expired.
-	tickPeriod = 20 * time.Millisecond
+	// tickPeriod is the time between checks of what has expired and what may be appended.
+	tickPeriod = 5 * time.Millisecond
+	// appendsPerSecond is the part of the log's rate that all relays together use.
+	appendsPerSecond = 150
+	// sharePeriod is the time between looks at how many relays there are.
+	sharePeriod = time.Second
 	// defaultDeadline bounds an entry whose asker sets no deadline.
 	defaultDeadline = 10 * time.Second
 	// deadlineMargin is taken off the asker's deadline for the way back.
@@ -37,6 +41,7 @@
 	clock   timer.Service
 	log     Log
 	metrics tally.Scope
+	relays  func() int
 
 	mutex   sync.Mutex
 	machine *claim.Relay
@@ -45,9 +50,10 @@
 	calls   sync.WaitGroup
 }
 
-// New returns a relay that has read nothing.
-func New(clock timer.Service, log Log, metrics tally.Scope) *Relay {
+// New returns a relay that has read nothing. Relays tells how many relays share the log.
+func New(clock timer.Service, log Log, relays func() int, metrics tally.Scope) *Relay {
 	return &Relay{
+		relays:  relays,
 		clock:   clock,
 		log:     log,
 		metrics: metrics,
@@ -59,12 +65,22 @@
 // Run lets time pass until the context ends.
 func (rl *Relay) Run(ctx context.Context) error {
 	sub := timer.Every(rl.clock, tickPeriod, func() { rl.step(claim.Tick{}) })
+	share := timer.Every(rl.clock, sharePeriod, rl.share)
 	<-ctx.Done()
 	sub.Stop()
+	share.Stop()
 	rl.calls.Wait()
 	return nil
 }
 
+// share divides the log's rate among the relays.
+func (rl *Relay) share() {
+	relays := rl.relays()
+	rl.mutex.Lock()
+	defer rl.mutex.Unlock()
+	rl.machine.SetInterval(time.Duration(relays) * time.Second / appendsPerSecond)
+}
+
 // Claim appends an entry and answers from the log.
 func (rl *Relay) Claim(ctx context.Context, en claim.Entry) claim.Answer {
 	deadline, ok := ctx.Deadline()
--- a/host.go
+++ b/host.go
@@ -166,9 +166,9 @@
 		Learned: ht.factLearned,
 		Behind:  ht.behind,
 	}, scope, seed)
-	ht.configuration = configuration.New(configuration.DefaultConfig(), ht.clock, configurationLog{ht.platform}, ht.peers, scope, ht.configurationChanged)
+	ht.configuration = configuration.New(ht.configurationConfig(), ht.clock, configurationLog{ht.platform}, ht.peers, scope, ht.configurationChanged)
 	ht.fleet = fleet.NewView(ht.clock, hostList{ht}, scope, ht.hostsListed)
-	ht.relay = relay.New(ht.clock, claimsLog{ht.platform}, scope)
+	ht.relay = relay.New(ht.clock, claimsLog{ht.platform}, ht.zones, scope)
 	ht.quotaServer = quota.NewServer(ht.clock, plans{ht.configuration})
 	ht.quotaClient = quota.NewClient(ht.self.Host, ht.clock, ht.peers, plans{ht.configuration}, scope)
 	ht.shardServer = shard.NewServer(ht.shardConfig(), ht.clock, ht.engines, ht.fleet, scope, seed, ht.crashCounted)
@@ -210,6 +210,14 @@
 	return config
 }
 
+// configurationConfig has checkpoints appended well within the log's retention.
+func (ht *Host) configurationConfig() configuration.Config {
+	const checkpointsKept = 4
+	config := configuration.DefaultConfig()
+	config.CheckpointPeriod = ht.settings.Claims.Retention / checkpointsKept
+	return config
+}
+
 func (ht *Host) callerConfig() caller.Config {
 	return caller.Config{
 		Host:          ht.self.Host,
