An engine whose process is ending counts as gone, not as unresponsive

The second crash was not counted: the engine's socket still took the connection that asked for its health while the process ended, then broke it, and only a refused connection counted as gone.

Red first: TestDyingEngineIsGone (a listener that takes one connection, closes and breaks it). Such an engine is asked again, up to four times within 0.3 s.

Ruled out: counting every broken stream as a crash, which would convict requests whose connection was cut.

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -30,6 +30,9 @@
 	maxIdlePerHost  = 64
 	maxRefusalBytes = 4096
 	maxAnswerBytes  = 4 << 20
+	// healthTries bounds how often an engine that breaks connections is asked, and healthPause is the first pause.
+	healthTries = 4
+	healthPause = 20 * time.Millisecond
 )
 
 // Client speaks to any engine by its address.
@@ -116,17 +119,27 @@
 	return retry.Interrupted
 }
 
-// Health asks an engine whether it answers.
+// Health asks an engine whether it answers. A process that is ending may still take a connection and break it;
+// such an engine is asked again.
 func (cl *Client) Health(ctx context.Context, address string) serve.Health {
-	_, err := cl.Load(ctx, address)
-	switch {
-	case err == nil:
-		return serve.Healthy
-	case causeOf(err) == retry.NotSent && !isTimeout(err):
-		return serve.Gone
-	default:
-		return serve.Unresponsive
+	for try := range healthTries {
+		_, err := cl.Load(ctx, address)
+		switch {
+		case err == nil:
+			return serve.Healthy
+		case isTimeout(err) || ctx.Err() != nil:
+			return serve.Unresponsive
+		case causeOf(err) == retry.NotSent:
+			return serve.Gone
+		}
+		wait, sub := timer.Wait(cl.clock, healthPause<<try)
+		select {
+		case <-wait:
+		case <-ctx.Done():
+		}
+		sub.Stop()
 	}
+	return serve.Unresponsive
 }
 
 func isTimeout(err error) bool {
