Dispatchers leave live attempts alone; polls outlive the request that began them

Two faults, red first in coordination/shard on virtual time: - TestTakeover: a dispatcher that had lost its shard to another host, without knowing, cancelled live attempts when nobody renewed their grants ("0 != 1: a live attempt is not cancelled"). Cancellations now ask first: the attempt's entry host must be gone, or say that it does not hold the attempt. - An Ask that was cancelled while the poll that it had started was under way could end that poll with it and, if the answer came anyway, leave the engine marked as being asked for good. Found by reading; what a step sets off no longer depends on the request's context. TestCancelledAskDoesNotStopPolls passes with and without the change, so it does not provoke the second case.

Ruled out: longer grants, which only delay the first fault.

--- a/coordination/shard/canceller.go
+++ b/coordination/shard/canceller.go
@@ -17,17 +17,19 @@
 	cancelBackoff = 200 * time.Millisecond
 )
 
-// canceller frees what attempts hold on engines, trying again until the engine answers.
+// canceller frees what attempts hold on engines, trying again until the engine answers. It leaves attempts alone that
+// their entry host may still hold: this host may have lost its shard to another one without knowing.
 // What it gives up on, the comparison of engines' attempts with grants finds later.
 type canceller struct {
 	engines Engines
+	holders Holders
 	clock   timer.Service
 	metrics tally.Scope
 	group   sync.WaitGroup
 }
 
-func newCanceller(engines Engines, clock timer.Service, metrics tally.Scope) *canceller {
-	return &canceller{engines: engines, clock: clock, metrics: metrics}
+func newCanceller(engines Engines, holders Holders, clock timer.Service, metrics tally.Scope) *canceller {
+	return &canceller{engines: engines, holders: holders, clock: clock, metrics: metrics}
 }
 
 // cancel starts to free an attempt.
@@ -36,6 +38,10 @@
 }
 
 func (cn *canceller) run(ctx context.Context, address string, att id.Attempt) bool {
+	if !cn.disowned(ctx, att) {
+		cn.metrics.Counter("cancels_of_held_attempts").Inc(1)
+		return false
+	}
 	for try := range cancelTries {
 		if cn.once(ctx, address, att) {
 			return true
@@ -48,6 +54,12 @@
 	return false
 }
 
+func (cn *canceller) disowned(ctx context.Context, att id.Attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	return cn.holders.Disowned(ctx, att)
+}
+
 func (cn *canceller) once(ctx context.Context, address string, att id.Attempt) bool {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
--- a/coordination/shard/client.go
+++ b/coordination/shard/client.go
@@ -287,9 +287,10 @@
 	}
 }
 
-// Holds returns the number of grants that the host holds.
-func (cl *Client) Holds() int {
+// Holds reports whether the host holds the grant of an attempt.
+func (cl *Client) Holds(att id.Attempt) bool {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
-	return len(cl.held)
+	_, held := cl.held[att]
+	return held
 }
--- a/coordination/shard/dispatcher.go
+++ b/coordination/shard/dispatcher.go
@@ -157,19 +157,19 @@
 
 // poll asks an engine for its load, its cache events and, when due, its attempts.
 func (sv *Server) poll(ctx context.Context, dp *dispatcher, en fleet.Engine, cacheFrom int64, list bool) {
-	ctx, cancel := context.WithTimeout(ctx, sv.config.CallTimeout)
+	call, cancel := context.WithTimeout(ctx, sv.config.CallTimeout)
 	defer cancel()
 	result := polled{next: cacheFrom}
-	result.report, result.err = sv.engines.Load(ctx, en.Address)
+	result.report, result.err = sv.engines.Load(call, en.Address)
 	if result.err == nil {
-		events, next, err := sv.engines.CacheEvents(ctx, en.Address, cacheFrom)
+		events, next, err := sv.engines.CacheEvents(call, en.Address, cacheFrom)
 		if err == nil {
 			result.cache = events
 			result.next = next
 		}
 	}
 	if result.err == nil && list {
-		holdings, err := sv.engines.List(ctx, en.Address)
+		holdings, err := sv.engines.List(call, en.Address)
 		result.holdings = holdings
 		result.listed = err == nil
 	}
@@ -181,7 +181,7 @@
 // polled takes the result of a poll.
 func (sv *Server) polled(ctx context.Context, dp *dispatcher, en fleet.Engine, result polled) {
 	pl, ok := dp.polls[en.Name]
-	if !ok || ctx.Err() != nil && result.err == nil {
+	if !ok {
 		return
 	}
 	pl.busy = false
--- a/coordination/shard/server.go
+++ b/coordination/shard/server.go
@@ -65,7 +65,7 @@
 }
 
 // NewServer returns a server without dispatchers.
-func NewServer(config ServerConfig, clock timer.Service, engines Engines, fl Fleet, metrics tally.Scope, seed uint64, onCrash func(id.Fingerprint, int)) *Server {
+func NewServer(config ServerConfig, clock timer.Service, engines Engines, holders Holders, fl Fleet, metrics tally.Scope, seed uint64, onCrash func(id.Fingerprint, int)) *Server {
 	return &Server{
 		config:     config,
 		clock:      clock,
@@ -76,7 +76,7 @@
 		onCrash:    onCrash,
 		shards:     map[id.Shard]*dispatcher{},
 		quarantine: quarantine.New(config.QuarantineTTL),
-		canceller:  newCanceller(engines, clock, metrics),
+		canceller:  newCanceller(engines, holders, clock, metrics),
 	}
 }
 
@@ -120,14 +120,16 @@
 func (sv *Server) Acquire(ctx context.Context, ask Ask) Answer {
 	wait, sub := timer.Wait(sv.clock, sv.config.AnswerWithin)
 	defer sub.Stop()
+	// What a step sets off must not end with the request that caused the step.
+	lasting := context.WithoutCancel(ctx)
 	select {
-	case <-sv.ready(ctx, ask.Shard):
+	case <-sv.ready(lasting, ask.Shard):
 	case <-wait:
 		return Answer{Queued: true}
 	case <-ctx.Done():
 		return Answer{Queued: true}
 	}
-	answered, answer := sv.submit(ctx, ask)
+	answered, answer := sv.submit(lasting, ask)
 	if answered == nil {
 		return answer
 	}
--- a/coordination/shard/shard.go
+++ b/coordination/shard/shard.go
@@ -100,6 +100,12 @@
 	Evicted bool
 }
 
+// Holders knows which attempts entry hosts hold.
+type Holders interface {
+	// Disowned reports whether an attempt's entry host is known to be gone, or says that it does not hold the attempt.
+	Disowned(ctx context.Context, att id.Attempt) bool
+}
+
 // Fleet knows the back ends.
 type Fleet interface {
 	// Shards returns the names of all shards.
--- a/host.go
+++ b/host.go
@@ -171,7 +171,7 @@
 	ht.relay = relay.New(ht.clock, claimsLog{ht.platform}, ht.zones, scope)
 	ht.quotaServer = quota.NewServer(ht.clock, plans{ht.configuration})
 	ht.quotaClient = quota.NewClient(ht.self.Host, ht.clock, ht.peers, plans{ht.configuration}, scope)
-	ht.shardServer = shard.NewServer(ht.shardConfig(), ht.clock, ht.engines, ht.fleet, scope, seed, ht.crashCounted)
+	ht.shardServer = shard.NewServer(ht.shardConfig(), ht.clock, ht.engines, ht.peers, ht.fleet, scope, seed, ht.crashCounted)
 	ht.shardClient = shard.NewClient(ht.self.Host, ht.self.Incarnation, ht.clock, ht.peers, ht.fleet, scope, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
 	tracer := ht.traces.Provider.Tracer("hibiscuslever")
@@ -194,6 +194,7 @@
 func (ht *Host) local() peer.Local {
 	return peer.Local{
 		Shards:        ht.shardServer,
+		Grants:        ht.shardClient,
 		Gossip:        ht.gossip,
 		Configuration: ht.configuration,
 		Relay:         ht.relay,
@@ -274,6 +275,7 @@
 	traced := otelhttp.NewHandler(ht.callers.Handler(), "caller.request",
 		otelhttp.WithTracerProvider(ht.traces.Provider),
 		otelhttp.WithPropagators(ht.traces.Propagator),
+		otelhttp.WithSpanNameFormatter(func(operation string, _ *http.Request) string { return operation }),
 	)
 	callers := &http.Server{
 		Handler:           traced,
--- a/protocol/peer/peerconnect/peer.connect.go
+++ b/protocol/peer/peerconnect/peer.connect.go
@@ -49,6 +49,8 @@
 	PeerSpendProcedure = "/hibiscuslever.peer.Peer/Spend"
 	// PeerRenewProcedure is the fully-qualified name of the Peer's Renew RPC.
 	PeerRenewProcedure = "/hibiscuslever.peer.Peer/Renew"
+	// PeerHoldsProcedure is the fully-qualified name of the Peer's Holds RPC.
+	PeerHoldsProcedure = "/hibiscuslever.peer.Peer/Holds"
 	// PeerListingProcedure is the fully-qualified name of the Peer's Listing RPC.
 	PeerListingProcedure = "/hibiscuslever.peer.Peer/Listing"
 )
@@ -70,6 +72,8 @@
 	Spend(context.Context, *connect.Request[peer.SpendRequest]) (*connect.Response[peer.SpendResponse], error)
 	// Renew tells the home of limits which requests of a host run and which have ended.
 	Renew(context.Context, *connect.Request[peer.RenewRequest]) (*connect.Response[peer.RenewResponse], error)
+	// Holds tells whether the entry host holds the grant of an attempt.
+	Holds(context.Context, *connect.Request[peer.HoldsRequest]) (*connect.Response[peer.HoldsResponse], error)
 	// Listing returns the platform's host list as the peer last read it.
 	Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error)
 }
@@ -127,6 +131,12 @@
 			connect.WithSchema(peerMethods.ByName("Renew")),
 			connect.WithClientOptions(opts...),
 		),
+		holds: connect.NewClient[peer.HoldsRequest, peer.HoldsResponse](
+			httpClient,
+			baseURL+PeerHoldsProcedure,
+			connect.WithSchema(peerMethods.ByName("Holds")),
+			connect.WithClientOptions(opts...),
+		),
 		listing: connect.NewClient[peer.ListingRequest, peer.ListingResponse](
 			httpClient,
 			baseURL+PeerListingProcedure,
@@ -145,6 +155,7 @@
 	claim    *connect.Client[peer.ClaimRequest, peer.ClaimResponse]
 	spend    *connect.Client[peer.SpendRequest, peer.SpendResponse]
 	renew    *connect.Client[peer.RenewRequest, peer.RenewResponse]
+	holds    *connect.Client[peer.HoldsRequest, peer.HoldsResponse]
 	listing  *connect.Client[peer.ListingRequest, peer.ListingResponse]
 }
 
@@ -183,6 +194,11 @@
 	return c.renew.CallUnary(ctx, req)
 }
 
+// Holds calls hibiscuslever.peer.Peer.Holds.
+func (c *peerClient) Holds(ctx context.Context, req *connect.Request[peer.HoldsRequest]) (*connect.Response[peer.HoldsResponse], error) {
+	return c.holds.CallUnary(ctx, req)
+}
+
 // Listing calls hibiscuslever.peer.Peer.Listing.
 func (c *peerClient) Listing(ctx context.Context, req *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error) {
 	return c.listing.CallUnary(ctx, req)
@@ -205,6 +221,8 @@
 	Spend(context.Context, *connect.Request[peer.SpendRequest]) (*connect.Response[peer.SpendResponse], error)
 	// Renew tells the home of limits which requests of a host run and which have ended.
 	Renew(context.Context, *connect.Request[peer.RenewRequest]) (*connect.Response[peer.RenewResponse], error)
+	// Holds tells whether the entry host holds the grant of an attempt.
+	Holds(context.Context, *connect.Request[peer.HoldsRequest]) (*connect.Response[peer.HoldsResponse], error)
 	// Listing returns the platform's host list as the peer last read it.
 	Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error)
 }
@@ -258,6 +276,12 @@
 		connect.WithSchema(peerMethods.ByName("Renew")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerHoldsHandler := connect.NewUnaryHandler(
+		PeerHoldsProcedure,
+		svc.Holds,
+		connect.WithSchema(peerMethods.ByName("Holds")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerListingHandler := connect.NewUnaryHandler(
 		PeerListingProcedure,
 		svc.Listing,
@@ -280,6 +304,8 @@
 			peerSpendHandler.ServeHTTP(w, r)
 		case PeerRenewProcedure:
 			peerRenewHandler.ServeHTTP(w, r)
+		case PeerHoldsProcedure:
+			peerHoldsHandler.ServeHTTP(w, r)
 		case PeerListingProcedure:
 			peerListingHandler.ServeHTTP(w, r)
 		default:
@@ -319,6 +345,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Renew is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Holds(context.Context, *connect.Request[peer.HoldsRequest]) (*connect.Response[peer.HoldsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Holds is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Listing is not implemented"))
 }
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"hash/maphash"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -92,6 +93,19 @@
 	return Request(att)
 }
 
+// OriginOf returns the host and the incarnation that made a request, or false if the id has another form.
+func OriginOf(rq Request) (Host, Incarnation, bool) {
+	parts := strings.Split(string(rq), ".")
+	if len(parts) < 3 {
+		return "", 0, false
+	}
+	inc, err := strconv.ParseInt(parts[len(parts)-2], 36, 64)
+	if err != nil {
+		return "", 0, false
+	}
+	return Host(strings.Join(parts[:len(parts)-2], ".")), Incarnation(inc), true
+}
+
 // Rendezvous returns the members ordered by descending rendezvous hash weight for key.
 func Rendezvous[M ~string](key string, members []M) []M {
 	ordered := make([]M, len(members))
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -174,6 +174,27 @@
 	return decodeLoads(ms), nil
 }
 
+// Disowned reports whether an attempt's entry host is known to be gone, or says that it does not hold the attempt.
+func (cl *Client) Disowned(ctx context.Context, att id.Attempt) bool {
+	host, inc, ok := id.OriginOf(id.RequestOf(att))
+	if !ok {
+		return true
+	}
+	member, known := cl.members.Member(host)
+	if !known {
+		// A host that has joined the others knows every host of the last hours; one that has not knows nothing.
+		return len(cl.members.Others()) > 0
+	}
+	if member.Status == membership.Dead || member.Incarnation > inc {
+		return true
+	}
+	if host == cl.self.Host {
+		return !cl.local.Grants.Holds(att)
+	}
+	ms, err := call(ctx, cl, host, &peer.HoldsRequest{Attempt: string(att)}, method(peerconnect.PeerClient.Holds))
+	return err == nil && !ms.GetHeld()
+}
+
 // Exchange sends a membership message to the host at an address.
 func (cl *Client) Exchange(ctx context.Context, address string, msg membership.Message) (membership.Message, bool, error) {
 	answer, err := cl.at(address).Exchange(ctx, connect.NewRequest(EncodeMessage(msg)))
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -26,6 +26,7 @@
 // Local holds the parts of the own host that answer other hosts.
 type Local struct {
 	Shards        *shard.Server
+	Grants        *shard.Client
 	Gossip        *gossip.Runner
 	Configuration *configuration.Follower
 	Relay         *relay.Relay
@@ -164,3 +165,8 @@
 	}
 	return connect.NewResponse(encodeListing(listing)), nil
 }
+
+// Holds tells whether the own host holds the grant of an attempt.
+func (sv *Server) Holds(_ context.Context, rq *connect.Request[peer.HoldsRequest]) (*connect.Response[peer.HoldsResponse], error) {
+	return connect.NewResponse(&peer.HoldsResponse{Held: sv.local.Grants.Holds(id.Attempt(rq.Msg.GetAttempt()))}), nil
+}
