--- a/coordination/membership/network_test.go
+++ b/coordination/membership/network_test.go
@@ -116,11 +116,20 @@
 		case membership.Learned:
 			nw.learnt[host] = nw.now
 		case membership.Behind:
-			nw.behind[host] = nw.now
+			nw.fetch(host, ef.Host)
 		}
 	}
 }
 
+// fetch takes the revision of another host, a call later.
+func (nw *network) fetch(host, from id.Host) {
+	revision := nw.machines[from].Answer().Revision
+	nw.at(nw.now+2*latency, func() {
+		nw.behind[host] = nw.now
+		nw.machines[host].SetRevision(revision)
+	})
+}
+
 // count adds a message to the traffic.
 func (nw *network) count(msg membership.Message) {
 	nw.messages++
@@ -227,3 +236,16 @@
 	assert.Equal(t, len(nw.learnt), 59)
 	assert.Assert(t, len(nw.behind) > 0)
 }
+
+// TestRevisionIsInForceEverywhere bounds the time from the first host that has read an edit to the last one. A poll of
+// the log by some host comes before it, within 0.2 s.
+func TestRevisionIsInForceEverywhere(t *testing.T) {
+	const limit = 4 * time.Second
+	for _, hosts := range []int{18, 180, 490} {
+		nw := newNetwork(hosts, 0.02, 1)
+		nw.run(3 * time.Second)
+		nw.machines[nw.order[0]].SetRevision(7)
+		nw.run(3*time.Second + limit)
+		assert.Equal(t, len(nw.behind), hosts-1, "of %d hosts", hosts)
+	}
+}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert/cmp"
 
 	operatorprotocol "github.com/hibiscuslever/hibiscuslever/protocol/operator"
+	"github.com/hibiscuslever/hibiscuslever/protocol/platform"
 	"github.com/hibiscuslever/hibiscuslever/standin/engine"
 	"github.com/hibiscuslever/hibiscuslever/standin/fault"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -177,6 +178,48 @@
 	assert.Assert(t, cmp.Len(fl.ran(), 2))
 }
 
+// TestHostKilledDuringBooking kills the host that has sent a booking; a repeat at another host must not run it again.
+func TestHostKilledDuringBooking(t *testing.T) {
+	fl := startFleet(t, fleetConfig{hosts: 3, servers: 2})
+	for _, sv := range fl.servers {
+		fl.fault(sv, fault.Fault{Delay: 2 * time.Second, Match: http.MethodPost})
+	}
+	header := map[string]string{"Idempotency-Key": uuid.Must(uuid.NewV7()).String()}
+	lost := make(chan answer, 1)
+	go func() {
+		lost <- fl.send(http.MethodPost, fl.hosts[0].address, "/v1/services/"+booking+"/pumps", "acme", nil, header)
+	}()
+	fl.eventually("the claim is in the log", func() bool { return fl.claims() > 0 })
+	fl.kill(fl.hosts[0])
+	assert.Assert(t, (<-lost).err != nil)
+	again := fl.send(http.MethodPost, fl.hosts[1].address, "/v1/services/"+booking+"/pumps", "acme", nil, header)
+	assert.Equal(t, again.status, http.StatusConflict, again.body)
+	assert.Equal(t, again.header.Get("Request-Outcome"), "may_have_run")
+	assert.Assert(t, len(fl.ran()) <= 1)
+}
+
+// claims returns the number of records in the stream of claims.
+func (fl *fleet) claims() int {
+	var records platform.Records
+	fl.getJSON(fl.platform, platform.LogPath+string(platform.Claims)+"?from=0", &records)
+	return len(records.Records)
+}
+
+// TestDispatcherFrozen freezes each host in turn; callers of the others are served on.
+func TestDispatcherFrozen(t *testing.T) {
+	fl := startFleet(t, fleetConfig{hosts: 3, engines: 3, engineFlags: []string{"--speed", "10"}})
+	for ix, frozen := range fl.hosts {
+		assert.NilError(t, askStream(fl.hosts[(ix+1)%3].address, "acme", fmt.Sprintf("before %d", ix), 500))
+		fl.signal(frozen, syscall.SIGSTOP)
+		for step, length := range []int{500, 20_000, 500} {
+			assert.NilError(t, askStream(fl.hosts[(ix+1)%3].address, "acme", fmt.Sprintf("frozen %d %d", ix, step), length))
+		}
+		fl.signal(frozen, syscall.SIGCONT)
+		fl.eventually("the host is alive again", func() bool { return len(fl.addresses(fl.hosts[(ix+1)%3])) == 3 })
+	}
+	fl.waitIdle()
+}
+
 func TestLeavingBackEnds(t *testing.T) {
 	fl := startFleet(t, fleetConfig{hosts: 3, engines: 3, servers: 2, engineFlags: []string{"--speed", "20"}, platformFlags: []string{"--list-lag", "1h"}})
 	assert.NilError(t, askStream(fl.hosts[0].address, "acme", "before", 500))
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -75,7 +75,7 @@
 
 // fleet is a set of programs that a test has started.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	platform *process
 	engines  []*process
@@ -95,7 +95,7 @@
 const defaultPlan = "Models = " + model + "\nServices = " + booking + "\nLongestPrompt = 2000000\nDeadline = 30s\n"
 
 // startFleet starts the programs and publishes lists with the organisations acme and zenith.
-func startFleet(t *testing.T, config fleetConfig) *fleet {
+func startFleet(t testing.TB, config fleetConfig) *fleet {
 	t.Helper()
 	fl := &fleet{t: t, dir: t.TempDir()}
 	fl.platform = fl.start("platform", "standin", append([]string{"platform", "--address", freeAddress(t)}, config.platformFlags...)...)
@@ -133,7 +133,7 @@
 	return sb.String()
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
