--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -134,7 +134,7 @@
 
 // Run renews what the host holds until the context ends.
 func (cl *Client) Run(ctx context.Context) error {
-	sub := timer.Every(cl.clock, renewPeriod, func() { cl.renew(ctx) })
+	sub := timer.Every(cl.clock, renewPeriod, func() { cl.renew(ctx, true) })
 	<-ctx.Done()
 	sub.Stop()
 	return nil
@@ -191,16 +191,16 @@
 	cl.ended = append(cl.ended, us)
 	cl.mutex.Unlock()
 	if plan.Concurrency > 0 {
-		go cl.renew(context.Background())
+		go cl.renew(context.Background(), false)
 	}
 }
 
-// renew tells each home what runs and what has ended.
-func (cl *Client) renew(ctx context.Context) {
+// renew tells each home what has ended and, if asked to, what runs.
+func (cl *Client) renew(ctx context.Context, held bool) {
 	cl.sending.Lock()
 	defer cl.sending.Unlock()
 	hosts := cl.peers.LiveHosts()
-	renewals := cl.renewals(hosts)
+	renewals := cl.renewals(hosts, held)
 	for home, rn := range renewals {
 		call, cancel := context.WithTimeout(ctx, renewTimeout)
 		err := cl.peers.Renew(call, home, *rn)
@@ -211,7 +211,7 @@
 	}
 }
 
-func (cl *Client) renewals(hosts []id.Host) map[id.Host]*Renewal {
+func (cl *Client) renewals(hosts []id.Host, held bool) map[id.Host]*Renewal {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
 	renewals := map[id.Host]*Renewal{}
@@ -222,9 +222,11 @@
 		}
 		return renewals[home]
 	}
-	for _, us := range cl.held {
-		rn := of(us.Organisation)
-		rn.Held = append(rn.Held, us)
+	if held {
+		for _, us := range cl.held {
+			rn := of(us.Organisation)
+			rn.Held = append(rn.Held, us)
+		}
 	}
 	for _, us := range cl.ended {
 		rn := of(us.Organisation)
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -47,6 +47,8 @@
 	machine *claim.Relay
 	ticket  uint64
 	askers  map[uint64]chan claim.Answer
+	// ticking says that a tick is due.
+	ticking bool
 	calls   sync.WaitGroup
 }
 
@@ -62,12 +64,10 @@
 	}
 }
 
-// Run lets time pass until the context ends.
+// Run divides the log's rate among the relays until the context ends.
 func (rl *Relay) Run(ctx context.Context) error {
-	sub := timer.Every(rl.clock, tickPeriod, func() { rl.step(claim.Tick{}) })
 	share := timer.Every(rl.clock, sharePeriod, rl.share)
 	<-ctx.Done()
-	sub.Stop()
 	share.Stop()
 	rl.calls.Wait()
 	return nil
@@ -128,6 +128,21 @@
 			rl.reply(*ef.Reply)
 		}
 	}
+	rl.tickWhileAsked()
+}
+
+// tickWhileAsked lets time pass in the machine while somebody waits for an answer.
+func (rl *Relay) tickWhileAsked() {
+	if rl.ticking || len(rl.askers) == 0 {
+		return
+	}
+	rl.ticking = true
+	rl.clock.After(tickPeriod, func() {
+		rl.mutex.Lock()
+		rl.ticking = false
+		rl.mutex.Unlock()
+		rl.step(claim.Tick{})
+	})
 }
 
 func (rl *Relay) reply(rp claim.Reply) {
--- a/coordination/serve/follow.go
+++ b/coordination/serve/follow.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// looksPerSilence is how often a stream is looked at within the time after which silence is probed.
+const looksPerSilence = 4
+
 // arrival is a frame, or the end of a stream, of one part of a gang.
 type arrival struct {
 	part   int
@@ -66,6 +69,8 @@
 	// early holds tokens that arrived before every follower was ready.
 	early   []Frame
 	resumes int
+	// started says that the dispatcher was told of the first token.
+	started bool
 	readers sync.WaitGroup
 }
 
@@ -136,36 +141,42 @@
 }
 
 func (fw *follower) run(ctx context.Context) result {
-	lapsed := fw.runner.dispatchers.Lapsed(fw.grant.Attempt)
+	rn := fw.runner
+	lapsed := rn.dispatchers.Lapsed(fw.grant.Attempt)
 	probes := make(chan result, 1)
 	probing := false
+	looks := make(chan struct{}, 1)
+	sub := timer.Every(rn.clock, rn.config.SilenceProbe/looksPerSilence, func() {
+		select {
+		case looks <- struct{}{}:
+		default:
+		}
+	})
+	defer sub.Stop()
+	last := rn.clock.Now()
 	for {
-		silent, sub := timer.Wait(fw.runner.clock, fw.runner.config.SilenceProbe)
 		select {
 		case ar := <-fw.arrivals:
+			last = rn.clock.Now()
 			if rs, ended := fw.arrived(ctx, ar); ended {
-				sub.Stop()
 				return rs
 			}
-		case <-silent:
-			if !probing {
+		case <-looks:
+			if !probing && rn.clock.Now().Sub(last) >= rn.config.SilenceProbe {
 				probing = true
 				go fw.probe(ctx, probes)
 			}
 		case found := <-probes:
 			probing = false
+			last = rn.clock.Now()
 			if found.kind != failed {
-				sub.Stop()
 				return found
 			}
 		case <-lapsed:
-			sub.Stop()
 			return result{kind: failed, cause: retry.Preempted, engine: fw.grant.Parts[0].Engine}
 		case <-ctx.Done():
-			sub.Stop()
 			return result{kind: contextEnded}
 		}
-		sub.Stop()
 	}
 }
 
@@ -286,7 +297,8 @@
 	if pg.next == 0 {
 		pg.summary.FirstToken = fw.runner.clock.Now().Sub(pg.started)
 	}
-	if len(fw.early) == 0 {
+	if !fw.started {
+		fw.started = true
 		fw.runner.dispatchers.Started(fw.grant.Attempt)
 	}
 	if pg.sink.Token(frame.Index, frame.Text) != nil {
--- a/coordination/shard/client.go
+++ b/coordination/shard/client.go
@@ -177,7 +177,7 @@
 	cl.mutex.Lock()
 	cl.endLocked(Ended{Shard: ask.Shard, Request: ask.ID, Attempt: id.NewAttempt(ask.ID, ask.Number), Withdrawn: true})
 	cl.mutex.Unlock()
-	go cl.reportShard(context.Background(), ask.Shard)
+	go cl.reportShard(context.Background(), ask.Shard, false)
 }
 
 // Started notes that the first token of an attempt has arrived.
@@ -208,7 +208,7 @@
 	}
 	cl.endLocked(en)
 	cl.mutex.Unlock()
-	cl.reportShard(ctx, en.Shard)
+	cl.reportShard(ctx, en.Shard, false)
 }
 
 func (cl *Client) endLocked(en Ended) {
@@ -234,17 +234,18 @@
 	cl.mutex.Unlock()
 	var group sync.WaitGroup
 	for name := range shards {
-		group.Go(func() { cl.reportShard(ctx, name) })
+		group.Go(func() { cl.reportShard(ctx, name, true) })
 	}
 	group.Wait()
 }
 
-func (cl *Client) reportShard(ctx context.Context, name id.Shard) {
+// reportShard tells a shard's dispatcher which grants have ended and, if asked to, which ones are held.
+func (cl *Client) reportShard(ctx context.Context, name id.Shard, held bool) {
 	owners := cl.peers.Owners(name)
 	if len(owners) == 0 {
 		return
 	}
-	rp := cl.take(name)
+	rp := cl.take(name, held)
 	if len(rp.Held) == 0 && len(rp.Ended) == 0 {
 		return
 	}
@@ -262,11 +263,14 @@
 }
 
 // take returns the report of a shard and empties the list of its ended grants.
-func (cl *Client) take(name id.Shard) Report {
+func (cl *Client) take(name id.Shard, held bool) Report {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
 	rp := Report{Host: cl.host, Incarnation: cl.incarnation, Ended: cl.ended[name]}
 	delete(cl.ended, name)
+	if !held {
+		return rp
+	}
 	for _, hd := range cl.held {
 		if hd.Shard == name {
 			rp.Held = append(rp.Held, hd.Held)
--- a/coordination/shard/server.go
+++ b/coordination/shard/server.go
@@ -58,6 +58,7 @@
 	// onCrash is called with a fingerprint and its count of crashes.
 	onCrash func(fp id.Fingerprint, crashes int)
 
+	wake       chan struct{}
 	mutex      sync.Mutex
 	shards     map[id.Shard]*dispatcher
 	quarantine *quarantine.Table
@@ -74,27 +75,41 @@
 		metrics:    metrics,
 		seed:       seed,
 		onCrash:    onCrash,
+		wake:       make(chan struct{}, 1),
 		shards:     map[id.Shard]*dispatcher{},
 		quarantine: quarantine.New(config.QuarantineTTL),
 		canceller:  newCanceller(engines, holders, clock, metrics),
 	}
 }
 
+// Periods between ticks: while requests wait, while there are dispatchers, and while there are none.
+const (
+	waitingTick = 10 * time.Millisecond
+	runningTick = 50 * time.Millisecond
+	idleTick    = 500 * time.Millisecond
+)
+
 // Run keeps the dispatchers up to date until the context ends.
 func (sv *Server) Run(ctx context.Context) error {
-	const tick = 10 * time.Millisecond
-	sub := timer.Every(sv.clock, tick, func() { sv.tick(ctx) })
-	<-ctx.Done()
-	sub.Stop()
+	for ctx.Err() == nil {
+		wait, sub := timer.Wait(sv.clock, sv.tick(ctx))
+		select {
+		case <-wait:
+		case <-sv.wake:
+		case <-ctx.Done():
+		}
+		sub.Stop()
+	}
 	sv.canceller.wait()
 	return nil
 }
 
-// tick lets time pass in every dispatcher and starts polls that are due.
-func (sv *Server) tick(ctx context.Context) {
+// tick lets time pass in every dispatcher, starts polls that are due and returns when the next tick is due.
+func (sv *Server) tick(ctx context.Context) time.Duration {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	now := sv.clock.Now()
+	next := idleTick
 	for name, dp := range sv.shards {
 		if now.Sub(dp.used) > sv.config.IdleAfter && dp.machine.Waiting() == 0 && dp.machine.Granted() == 0 {
 			delete(sv.shards, name)
@@ -102,7 +117,12 @@
 		}
 		sv.apply(ctx, dp, dp.machine.Step(now, dispatch.Tick{}))
 		sv.pollDue(ctx, now, dp)
+		next = min(next, runningTick)
+		if dp.machine.Waiting() > 0 {
+			next = waitingTick
+		}
 	}
+	return next
 }
 
 func (sv *Server) dispatcherOf(now time.Time, name id.Shard) *dispatcher {
@@ -110,6 +130,7 @@
 	if !ok {
 		dp = newDispatcher(name, dispatch.New(sv.config.Dispatch, sv.seed))
 		sv.shards[name] = dp
+		sv.wakeUp()
 		sv.metrics.Counter("dispatcher_started").Inc(1)
 	}
 	dp.used = now
@@ -154,6 +175,14 @@
 	return dp.ready
 }
 
+// wakeUp has the next tick come at once.
+func (sv *Server) wakeUp() {
+	select {
+	case sv.wake <- struct{}{}:
+	default:
+	}
+}
+
 // submit passes an Ask to its dispatcher and returns either a channel for the answer or the answer.
 func (sv *Server) submit(ctx context.Context, ask Ask) (chan Answer, Answer) {
 	sv.mutex.Lock()
@@ -180,6 +209,9 @@
 	answered := make(chan Answer, 1)
 	dp.expect(ask, answered)
 	sv.apply(ctx, dp, dp.machine.Step(now, dispatch.Submit{Request: ask.Request}))
+	if dp.machine.Waiting() > 0 {
+		sv.wakeUp()
+	}
 	return answered, Answer{}
 }
 
