--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -63,7 +63,7 @@
 	return client
 }
 
-func (st *site) Load(ctx context.Context, address string) (shard.EngineReport, error) {
+func (st *site) Load(ctx context.Context, _ string) (shard.EngineReport, error) {
 	st.mutex.Lock()
 	st.loads++
 	slow := st.slow
