--- /dev/null
+++ b/coordination/dispatch/drain.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// drainAfter is the part of a request's slack after which engines are emptied for it.
+	drainAfter = 0.02
+	// drainedShare bounds the engines that are emptied at once, as a part of the shard.
+	drainedShare = 0.4
+)
+
+// considerDrain empties engines for a long prompt that has waited for a part of its slack. An engine is emptied for
+// one prompt at a time and all engines of a prompt are taken in one step, so two gangs never wait for each other.
+func (mc *Machine) considerDrain(now time.Time, wt *waiting) {
+	if !mc.config.Policy.Drain || wt.draining || wt.Prompt <= ShortPrompt {
+		return
+	}
+	slack := wt.latestStart.Sub(wt.since)
+	if now.Sub(wt.since) < time.Duration(drainAfter*float64(slack)) {
+		return
+	}
+	parts := mc.partsFor(wt)
+	drained := 0
+	for _, en := range mc.engines {
+		if en.drainFor != nil {
+			drained++
+		}
+	}
+	limit := max(1, int(drainedShare*float64(len(mc.engines))))
+	if parts == 0 || drained+parts > max(limit, parts) || parts > 1 && parts >= len(mc.engines) {
+		return
+	}
+	wt.draining = true
+	for range parts {
+		en := mc.emptiest(wt)
+		if en == nil {
+			mc.undrain(wt)
+			return
+		}
+		en.drainFor = wt
+	}
+}
+
+func (mc *Machine) emptiest(wt *waiting) *engine {
+	var best *engine
+	for _, en := range mc.engines {
+		if en.drainFor != nil || en.Leaving || en.alone != "" || wt.avoids(en) || !slices.Contains(en.Models, wt.Model) {
+			continue
+		}
+		if best == nil || en.held < best.held {
+			best = en
+		}
+	}
+	return best
+}
+
+func (mc *Machine) undrain(wt *waiting) {
+	if !wt.draining {
+		return
+	}
+	wt.draining = false
+	for _, en := range mc.engines {
+		if en.drainFor == wt {
+			en.drainFor = nil
+		}
+	}
+}
+
+// considerPreempt takes back the grant of the longest prompt that has not started, when a short prompt finds no memory.
+func (mc *Machine) considerPreempt(now time.Time, wt *waiting) {
+	if !mc.config.Policy.Preempt || wt.Prompt > ShortPrompt {
+		return
+	}
+	var victim *grant
+	for _, gr := range mc.grants {
+		if gr.started || gr.request.Prompt <= bandLimits[1] || gr.request.Model != wt.Model {
+			continue
+		}
+		if victim == nil || gr.request.Prompt > victim.request.Prompt ||
+			gr.request.Prompt == victim.request.Prompt && gr.Attempt > victim.Attempt {
+			victim = gr
+		}
+	}
+	if victim == nil {
+		return
+	}
+	mc.release(now, victim)
+	mc.cancel(victim)
+	mc.emit(Effect{Kind: Preempt, Request: victim.request.ID, Attempt: victim.Attempt})
+}
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuslever/hibiscuslever/protocol/engine"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/fetch"
 )
 
 const (
@@ -207,22 +208,7 @@
 }
 
 func (cl *Client) get(ctx context.Context, url string, answer any) error {
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return errors.Wrap(err, "ask engine")
-	}
-	rs, err := cl.http.Do(rq)
-	if err != nil {
-		return errors.Wrap(err, "ask engine")
-	}
-	defer func() { _ = rs.Body.Close() }()
-	if rs.StatusCode != http.StatusOK {
-		return fmt.Errorf("engine answered status %d to %s", rs.StatusCode, url)
-	}
-	if err := json.NewDecoder(io.LimitReader(rs.Body, maxAnswerBytes)).Decode(answer); err != nil {
-		return errors.Wrap(err, "decode engine's answer")
-	}
-	return nil
+	return fetch.JSON(ctx, cl.http, url, maxAnswerBytes, answer)
 }
 
 // Report returns what an engine has loaded and how many models fit.
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +14,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/protocol/platform"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/transport/fetch"
 )
 
 const (
@@ -99,22 +98,7 @@
 }
 
 func (cl *Client) get(ctx context.Context, url string, answer any) error {
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return errors.Wrap(err, "ask platform")
-	}
-	rs, err := cl.http.Do(rq)
-	if err != nil {
-		return errors.Wrap(err, "ask platform")
-	}
-	defer func() { _ = rs.Body.Close() }()
-	if rs.StatusCode != http.StatusOK {
-		return fmt.Errorf("platform answered status %d to %s", rs.StatusCode, url)
-	}
-	if err := json.NewDecoder(io.LimitReader(rs.Body, maxAnswerBytes)).Decode(answer); err != nil {
-		return errors.Wrap(err, "decode platform's answer")
-	}
-	return nil
+	return fetch.JSON(ctx, cl.http, url, maxAnswerBytes, answer)
 }
 
 // Close releases idle connections.
