A gang's leader may end before its followers are ready

Cause of the failures of TestPlannedStopCutsNothing, found with the failing host's counters (16 streams cut, 12 resumed, 4 retries): the leader of a gang sent its whole answer and closed its stream while a follower still processed its part. The end of the stream was taken for a cut; the resumed stream was the same answer again, until the attempt was given up.

Also: engines of a gang are asked for their health at once, not in one second one after the other; tests that fail print the hosts' counters.

--- a/coordination/serve/follow.go
+++ b/coordination/serve/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
@@ -144,7 +145,7 @@
 	rn := fw.runner
 	lapsed := rn.dispatchers.Lapsed(fw.grant.Attempt)
 	probes := make(chan result, 1)
-	probing, doubted := false, false
+	probing := false
 	looks := make(chan struct{}, 1)
 	sub := timer.Every(rn.clock, rn.config.SilenceProbe/looksPerSilence, func() {
 		select {
@@ -168,16 +169,10 @@
 			}
 		case found := <-probes:
 			probing = false
-			if found.kind == failed {
-				last = rn.clock.Now()
-				continue
+			if found.kind != failed {
+				return found
 			}
-			if found.kind == unresponsive && !fw.started && !doubted {
-				// A long prefill is silent, rightly; one late answer of a busy engine does not end it.
-				doubted = true
-				continue
-			}
-			return found
+			last = rn.clock.Now()
 		case <-lapsed:
 			return result{kind: failed, cause: retry.Preempted, engine: fw.grant.Parts[0].Engine}
 		case <-ctx.Done():
@@ -191,19 +186,22 @@
 	probes <- fw.lost(ctx, 0)
 }
 
-// lost finds out which engine of the attempt does not answer. If all answer, the result names the engine of the
-// part whose stream failed.
+// lost finds out which engine of the attempt does not answer, asking all at once. If all answer, the result names
+// the engine of the part whose stream failed.
 func (fw *follower) lost(ctx context.Context, part int) result {
 	ctx, cancel := context.WithTimeout(ctx, fw.runner.config.ProbeTimeout)
 	defer cancel()
+	healths := make([]Health, len(fw.grant.Parts))
+	var group sync.WaitGroup
 	for ix, candidate := range fw.grant.Parts {
-		switch fw.runner.engines.Health(ctx, candidate.Address) {
-		case Gone:
-			return result{kind: crashed, engine: fw.grant.Parts[ix].Engine}
-		case Unresponsive:
-			return result{kind: unresponsive, cause: retry.Interrupted, engine: fw.grant.Parts[ix].Engine}
-		case Healthy:
-		}
+		group.Go(func() { healths[ix] = fw.runner.engines.Health(ctx, candidate.Address) })
+	}
+	group.Wait()
+	if ix := slices.Index(healths, Gone); ix >= 0 {
+		return result{kind: crashed, engine: fw.grant.Parts[ix].Engine}
+	}
+	if ix := slices.Index(healths, Unresponsive); ix >= 0 {
+		return result{kind: unresponsive, cause: retry.Interrupted, engine: fw.grant.Parts[ix].Engine}
 	}
 	return result{kind: failed, cause: retry.Interrupted, engine: fw.grant.Parts[part].Engine}
 }
@@ -240,7 +238,7 @@
 
 // cut handles a stream that ended before its last frame: the same attempt is opened again while its engine lives.
 func (fw *follower) cut(ctx context.Context, ar arrival) (result, bool) {
-	if ar.part > 0 && fw.pending == 0 {
+	if ar.part > 0 && fw.pending == 0 || ar.part == 0 && fw.wholeEarly() {
 		return result{}, false
 	}
 	fw.runner.metrics.Counter("streams_cut").Inc(1)
@@ -258,6 +256,11 @@
 	return result{}, false
 }
 
+// wholeEarly reports whether the leader has sent its whole answer before every follower was ready.
+func (fw *follower) wholeEarly() bool {
+	return slices.ContainsFunc(fw.early, func(frame Frame) bool { return frame.Kind == End })
+}
+
 func (fw *follower) followerFrame(frame Frame) (result, bool) {
 	if frame.Kind != Ready || fw.pending == 0 {
 		return result{}, false
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -161,15 +161,40 @@
 		close(pr.exited)
 	}()
 	fl.t.Cleanup(func() {
+		metrics := pr.metrics(fl.t.Failed())
 		_ = pr.cmd.Process.Kill()
 		<-pr.exited
 		if fl.t.Failed() {
-			fl.t.Logf("%s:\n%s", name, pr.log)
+			fl.t.Logf("%s:\n%s%s", name, pr.log, metrics)
 		}
 	})
 	return pr
 }
 
+// metrics returns the counters of an entry host, for the log of a test that has failed.
+func (pr *process) metrics(failed bool) string {
+	if !failed || pr.operator == "" {
+		return ""
+	}
+	client := http.Client{Timeout: time.Second}
+	answer, err := client.Get("http://" + pr.operator + operatorprotocol.MetricsPath)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err.Error()
+	}
+	var counters strings.Builder
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "hibiscuslever_") && !strings.Contains(line, "_bucket") {
+			counters.WriteString(line)
+		}
+	}
+	return counters.String()
+}
+
 func (fl *fleet) startEngine(name string, flags ...string) *process {
 	fl.t.Helper()
 	args := []string{"engine", "--name", name, "--address", freeAddress(fl.t), "--platform", fl.url(fl.platform), "--models", model, "--load-lag", "100ms"}
