One loop over seeds in the measures; plainer names in the dispatcher's queue

Cause: the newcomer's pass found the same loop twice and a queue called special that only holds requests that must run alone. Behaviour is as before; the packages' tests pass.

--- a/coordination/dispatch/machine.go
+++ b/coordination/dispatch/machine.go
@@ -72,9 +72,9 @@
 	waiting map[id.Request]*waiting
 	models  []*modelQueue
 	byModel map[id.Model]*modelQueue
-	// special holds waiting requests that may not run on every engine.
-	special []*waiting
-	latest  *container.Heap[*waiting]
+	// alone holds waiting requests that need an engine for themselves.
+	alone  []*waiting
+	latest *container.Heap[*waiting]
 	// capacity is the memory of all engines, shortHeld what grants of short prompts hold of it.
 	capacity  id.Tokens
 	shortHeld id.Tokens
@@ -257,8 +257,8 @@
 func (mc *Machine) drop(wt *waiting) {
 	delete(mc.waiting, wt.ID)
 	wt.gone = true
-	if wt.special {
-		mc.special = slices.DeleteFunc(mc.special, func(other *waiting) bool { return other == wt })
+	if wt.Alone {
+		mc.alone = slices.DeleteFunc(mc.alone, func(other *waiting) bool { return other == wt })
 		return
 	}
 	wt.lane.leave(wt)
--- a/coordination/dispatch/place.go
+++ b/coordination/dispatch/place.go
@@ -13,21 +13,21 @@
 
 // pump grants what can start now.
 func (mc *Machine) pump(now time.Time) {
-	mc.pumpSpecial(now)
+	mc.pumpAlone(now)
 	for _, mq := range mc.models {
 		mc.pumpModel(now, mq)
 	}
 }
 
-func (mc *Machine) pumpSpecial(now time.Time) {
-	for ix := 0; ix < len(mc.special); {
-		wt := mc.special[ix]
+func (mc *Machine) pumpAlone(now time.Time) {
+	for ix := 0; ix < len(mc.alone); {
+		wt := mc.alone[ix]
 		parts, ok := mc.place(now, wt)
 		if !ok {
 			ix++
 			continue
 		}
-		mc.special = slices.Delete(mc.special, ix, ix+1)
+		mc.alone = slices.Delete(mc.alone, ix, ix+1)
 		mc.grant(now, wt, parts)
 	}
 }
--- a/coordination/dispatch/queue.go
+++ b/coordination/dispatch/queue.go
@@ -19,7 +19,6 @@
 	latestStart time.Time
 	lane        *lane
 	queue       *organisationQueue
-	special     bool
 	gone        bool
 	// draining says that engines are being emptied for the request.
 	draining bool
@@ -87,8 +86,7 @@
 	mc.waiting[wt.ID] = wt
 	mc.latest.Push(wt)
 	if wt.Alone {
-		wt.special = true
-		mc.special = append(mc.special, wt)
+		mc.alone = append(mc.alone, wt)
 		return
 	}
 	mq := mc.queueOf(wt.Model)
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -95,17 +96,17 @@
 }
 
 func (st setting) measureSlowdowns(seeds []uint64) []slowdown {
-	results := make([]slowdown, len(seeds))
-	done := make(chan int)
+	return eachSeed(seeds, st.measureSlowdown)
+}
+
+// eachSeed runs a measure with every seed at once.
+func eachSeed[R any](seeds []uint64, measure func(seed uint64) R) []R {
+	results := make([]R, len(seeds))
+	var group sync.WaitGroup
 	for ix, seed := range seeds {
-		go func() {
-			results[ix] = st.measureSlowdown(seed)
-			done <- ix
-		}()
-	}
-	for range seeds {
-		<-done
+		group.Go(func() { results[ix] = measure(seed) })
 	}
+	group.Wait()
 	return results
 }
 
--- a/measure/peak_test.go
+++ b/measure/peak_test.go
@@ -151,18 +151,7 @@
 }
 
 func (st setting) runPeaks(seeds []uint64, disturb func(wd *world)) []peak {
-	results := make([]peak, len(seeds))
-	done := make(chan struct{})
-	for ix, seed := range seeds {
-		go func() {
-			results[ix] = st.runPeak(seed, disturb)
-			done <- struct{}{}
-		}()
-	}
-	for range seeds {
-		<-done
-	}
-	return results
+	return eachSeed(seeds, func(seed uint64) peak { return st.runPeak(seed, disturb) })
 }
 
 func reportPeak(b *testing.B, results []peak) {
