"Not run" is not said of a start whose answer has not come

Cause: a request whose deadline passed after its start had reached an engine, but before the engine had answered, was told "not run". The flag was set only when the engine's answer was processed.

Red first: TestNotRunIsTrue (150 requests on three small engines, one drained, one with answers cut; what callers are told against the engines' ledgers): "request 55 was told not run, but ran", 3 times of 3. The first form of the test, with fast engines and 4 s, passed with the mechanism switched off too; it now asserts that some requests may have run, and fails with it off.

Change: a start counts as possibly run unless the engine refused it or the connection was refused.

After: 4 times of 4.

--- a/coordination/serve/follow.go
+++ b/coordination/serve/follow.go
@@ -70,6 +70,8 @@
 	// early holds tokens that arrived before every follower was ready.
 	early   []Frame
 	resumes int
+	// unrefused counts the engines that have not refused to start their part.
+	unrefused int
 	// started says that the dispatcher was told of the first token.
 	started bool
 	readers sync.WaitGroup
@@ -90,8 +92,11 @@
 		st := fw.start(ix)
 		fw.readers.Go(func() { fw.read(ctx, ix, st, false) })
 	}
+	fw.unrefused = len(grant.Parts)
 	rs := fw.run(ctx)
 	rs.readers = &fw.readers
+	// A start that no engine has refused may run, even if its answer has not come.
+	pg.sent = pg.sent || fw.unrefused > 0
 	return rs
 }
 
@@ -225,14 +230,13 @@
 
 func (fw *follower) opened(ctx context.Context, ar arrival) (result, bool) {
 	if ar.opened.Stream != nil {
-		fw.pg.sent = true
 		return result{}, false
 	}
 	engine := fw.grant.Parts[ar.part].Engine
 	if ar.opened.Cause == retry.Interrupted {
-		fw.pg.sent = true
 		return fw.lost(ctx, ar.part), true
 	}
+	fw.unrefused--
 	return result{kind: failed, cause: ar.opened.Cause, engine: engine, draining: ar.opened.Draining}, true
 }
 
