--- a/coordination/dispatch/machine.go
+++ b/coordination/dispatch/machine.go
@@ -49,7 +49,7 @@
 		StepStream:       250 * time.Microsecond,
 		MaxStreams:       128,
 		Window:           100 * time.Millisecond,
-		StartWithin:      3 * time.Second,
+		StartWithin:      2 * time.Second,
 		ExpectedAnswer:   300,
 		GrantTTL:         6 * time.Second,
 		OrphanGrace:      6 * time.Second,
--- a/measure/world_test.go
+++ b/measure/world_test.go
@@ -91,8 +91,10 @@
 	calls    map[id.Request]*call
 	running  map[id.Attempt]*call
 	results  []*served
-	gaps     []time.Duration
-	horizon  time.Duration
+	// order holds the calls in the order of their arrival; maps have none.
+	order   []*call
+	gaps    []time.Duration
+	horizon time.Duration
 	// frozenUntil is when load reports come again.
 	frozenFrom, frozenUntil time.Duration
 	cacheEvents             uint64
@@ -170,6 +172,7 @@
 	cl := &call{served: served{request: ar}, answer: ar.answer}
 	wd.results = append(wd.results, &cl.served)
 	wd.calls[ar.name] = cl
+	wd.order = append(wd.order, cl)
 	wd.submit(cl)
 }
 
@@ -340,9 +343,25 @@
 	})
 }
 
+// runningCalls returns the calls that hold a grant, in the order of their arrival.
+func (wd *world) runningCalls() []*call {
+	var calls []*call
+	kept := wd.order[:0]
+	for _, cl := range wd.order {
+		if wd.running[cl.attempt] == cl {
+			calls = append(calls, cl)
+		}
+		if !cl.done() {
+			kept = append(kept, cl)
+		}
+	}
+	wd.order = kept
+	return calls
+}
+
 // renew is the entry hosts' periodic report of the grants they hold.
 func (wd *world) renew() {
-	for _, cl := range wd.running {
+	for _, cl := range wd.runningCalls() {
 		wd.step(dispatch.Hold{Grant: cl.grant, Organisation: cl.request.organisation, Started: cl.started && cl.pending <= 0})
 	}
 }
@@ -394,7 +413,7 @@
 func (wd *world) die(nd *node) {
 	nd.dead = true
 	wd.at(wd.now+detectionTime, func() { wd.step(dispatch.EngineLost{Engine: nd.name}) })
-	for _, cl := range wd.running {
+	for _, cl := range wd.runningCalls() {
 		for _, part := range cl.grant.Parts {
 			if part.Engine != nd.name {
 				continue
@@ -441,7 +460,7 @@
 			}
 		}
 		wd.renew()
-		for _, cl := range wd.calls {
+		for _, cl := range wd.order {
 			waiting := !cl.done() && wd.running[cl.attempt] == nil && cl.refused < cl.asked
 			if waiting {
 				wd.submit(cl)
