An engine's own word that it is leaving outlasts the next look at the list

Cause: the dispatcher took an engine's listing as the last word at each tick, so that a draining engine counted as live again until its next report, unless the fleet's evidence said otherwise. With the fleet's evidence it did, so no request was seen to go astray; the dispatcher now keeps the word itself.

Red first: TestLeavingEngineGetsNothingNew on virtual time (3 s after the word, with a fleet that keeps no evidence): granted in place of refused.

--- a/coordination/shard/dispatcher.go
+++ b/coordination/shard/dispatcher.go
@@ -27,8 +27,10 @@
 
 // poll is what is known of the calls to one engine.
 type poll struct {
-	spec        dispatch.EngineSpec
-	present     bool
+	spec    dispatch.EngineSpec
+	present bool
+	// draining is the engine's own word that it is leaving.
+	draining    bool
 	busy        bool
 	polled      time.Time
 	listed      time.Time
@@ -138,10 +140,11 @@
 
 // describe passes a change of an engine's listing to the machine.
 func (sv *Server) describe(ctx context.Context, now time.Time, dp *dispatcher, pl *poll, en fleet.Engine) {
-	if !pl.present || pl.spec.Leaving == en.Leaving && pl.spec.Address == en.Address {
+	leaving := en.Leaving || pl.draining
+	if !pl.present || pl.spec.Leaving == leaving && pl.spec.Address == en.Address {
 		return
 	}
-	pl.spec.Leaving = en.Leaving
+	pl.spec.Leaving = leaving
 	pl.spec.Address = en.Address
 	sv.apply(ctx, dp, dp.machine.Step(now, dispatch.EngineSeen{Spec: pl.spec}))
 }
@@ -201,6 +204,7 @@
 		sv.apply(ctx, dp, dp.machine.Step(now, dispatch.EngineLost{Engine: en.Name}))
 	}
 	pl.present = true
+	pl.draining = result.report.Draining
 	pl.incarnation = result.report.Incarnation
 	pl.cacheNext = result.next
 	pl.spec = dispatch.EngineSpec{
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -34,6 +34,8 @@
 	frozen  map[id.Host]bool
 	crashes int
 	holder  *shard.Client
+	// listed and told say that the engine is leaving by the list, and by its own word.
+	listed, told bool
 }
 
 func newSite(ctx context.Context) *site {
@@ -68,14 +70,14 @@
 func (st *site) Load(ctx context.Context, _ string) (shard.EngineReport, error) {
 	st.mutex.Lock()
 	st.loads++
-	slow := st.slow
+	slow, told := st.slow, st.told
 	st.mutex.Unlock()
 	select {
 	case <-time.After(slow):
 	case <-ctx.Done():
 		return shard.EngineReport{}, ctx.Err()
 	}
-	return shard.EngineReport{At: time.Now(), Capacity: 450_000, Models: []id.Model{"model"}}, nil
+	return shard.EngineReport{At: time.Now(), Capacity: 450_000, Models: []id.Model{"model"}, Draining: told}, nil
 }
 
 func (st *site) List(context.Context, string) ([]dispatch.Holding, error) {
@@ -102,7 +104,9 @@
 func (st *site) Shards() []id.Shard { return []id.Shard{"shard"} }
 
 func (st *site) Engines(id.Shard) []fleet.Engine {
-	return []fleet.Engine{{Name: "engine-1", Address: "engine-1"}}
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	return []fleet.Engine{{Name: "engine-1", Address: "engine-1", Leaving: st.listed}}
 }
 
 func (st *site) Saw(string, fleet.Evidence) {}
@@ -260,3 +264,23 @@
 		assert.Equal(t, st.crashes, 2)
 	})
 }
+
+// TestLeavingEngineGetsNothingNew has the only engine leave, by the list or by its own word, and asks 3 s later.
+func TestLeavingEngineGetsNothingNew(t *testing.T) {
+	const limit = 3 * time.Second
+	for _, byList := range []bool{true, false} {
+		inSite(t, func(ctx context.Context, t *testing.T, st *site) {
+			client := st.client(ctx)
+			_, oc := client.Acquire(ctx, ask("before", 1000))
+			assert.Assert(t, oc.OK(), oc.Detail)
+			st.mutex.Lock()
+			st.listed, st.told = byList, !byList
+			st.mutex.Unlock()
+			time.Sleep(limit)
+			short, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
+			_, oc = client.Acquire(short, ask("after", 1000))
+			assert.Equal(t, oc.Kind, outcome.Refused)
+		})
+	}
+}
