Late indirect probes no longer hide a member's death

Cause, found by reading the whole change: indirect probes that ended while their target was suspected were not counted off. If the target refuted and died before it answered a direct probe, this host took the old round for unfinished and never suspected it itself.

Ruled out: resetting the count with each status, which lets a late failure of the old round count in the new one.

--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -257,18 +257,11 @@
 		}
 		return
 	}
-	if !known || pr.Status == Dead || pr.Status == Suspect {
+	if known && ev.Via != "" {
+		mc.helperFailed(now, pr)
 		return
 	}
-	if ev.Via != "" {
-		pr.helpers--
-		if pr.helpers == 0 {
-			mc.suspect(now, ev.Target)
-		}
-		pr.helpers = max(0, pr.helpers)
-		return
-	}
-	if pr.helpers > 0 {
+	if !known || pr.Status == Dead || pr.Status == Suspect || pr.helpers > 0 {
 		return
 	}
 	helpers := mc.helpers(ev.Target)
@@ -281,6 +274,18 @@
 	}
 }
 
+// helperFailed counts an indirect probe that did not reach a member, whatever the member's status is by now.
+// Indirect probes that end after the member has answered count for nothing.
+func (mc *Machine) helperFailed(now time.Time, pr *peer) {
+	if pr.helpers == 0 {
+		return
+	}
+	pr.helpers--
+	if pr.helpers == 0 {
+		mc.suspect(now, pr.Host)
+	}
+}
+
 // helpers returns random live members that are asked to probe a target.
 func (mc *Machine) helpers(target id.Host) []Member {
 	var helpers []Member
--- a/coordination/membership/network_test.go
+++ b/coordination/membership/network_test.go
@@ -249,3 +249,36 @@
 		assert.Equal(t, len(nw.behind), hosts-1, "of %d hosts", hosts)
 	}
 }
+
+// TestLateHelpersDoNotHideADeath has a member suspected, by a refused connection, while three helpers still probe it.
+// It refutes, and then dies before it has answered a probe of its own: it must be suspected again.
+func TestLateHelpersDoNotHideADeath(t *testing.T) {
+	now := time.Unix(0, 0)
+	mc := membership.New(membership.DefaultConfig(), describe(0), 1)
+	everyone := membership.Message{Complete: true}
+	for number := 1; number < 6; number++ {
+		mb := describe(number)
+		mb.Status = membership.Alive
+		everyone.Updates = append(everyone.Updates, mb)
+	}
+	mc.Step(now, membership.Received{Message: everyone})
+	target := describe(5)
+	fail := func() {
+		effects := append([]membership.Effect(nil), mc.Step(now, membership.ProbeEnded{Target: target.Host})...)
+		mc.Step(now, membership.Evidence{Host: target.Host})
+		for _, ef := range effects {
+			mc.Step(now, membership.ProbeEnded{Target: target.Host, Via: ef.Via.Host})
+		}
+	}
+	fail()
+	target.Status = membership.Alive
+	target.Sequence = 1
+	mc.Step(now, membership.Received{Message: membership.Message{From: "other", Updates: []membership.Member{target}}})
+	helpers := append([]membership.Effect(nil), mc.Step(now, membership.ProbeEnded{Target: target.Host})...)
+	assert.Equal(t, len(helpers), 3, "helpers are asked again")
+	for _, ef := range helpers {
+		mc.Step(now, membership.ProbeEnded{Target: target.Host, Via: ef.Via.Host})
+	}
+	suspected, _ := mc.Member(target.Host)
+	assert.Equal(t, suspected.Status, membership.Suspect)
+}
