One way to wait, one predicate for engines, no dead state

Cause: reading the whole change once more. - Waiting for a duration or the end of a context stood in eight places; timer.Sleep serves all. - "Not leaving and has the model" stood in six places of the dispatcher; engine.takes does. - Work after an attempt had two copies of its frame; Runner.later is one. - Dead: a lane's counter of requests, a grant's time and its mark that it was reported, a candidate's streams, the relay's copy of a constant, the result of appending an edit (only reading the log tells), retry.Causes, and the platform stand-in's Drop.

Left: three record types of the log streams that are alike (claim, placer, configuration) and two loops that convert them.

--- a/coordination/claim/relay.go
+++ b/coordination/claim/relay.go
@@ -101,7 +101,6 @@
 // Relay batches entries of many hosts into few appends and answers claims by reading the log back.
 type Relay struct {
 	index     *Index
-	maxBatch  int
 	queue     []*pending
 	inFlight  []*pending
 	unread    []*pending
@@ -124,7 +123,7 @@
 
 // NewRelay returns a relay that has read nothing.
 func NewRelay() *Relay {
-	return &Relay{index: NewIndex(), maxBatch: maxBatchEntries}
+	return &Relay{index: NewIndex()}
 }
 
 // Index returns the claims read so far.
@@ -158,7 +157,7 @@
 		return
 	}
 	rl.nextAt = now.Add(rl.interval)
-	count := min(len(rl.queue), rl.maxBatch)
+	count := min(len(rl.queue), maxBatchEntries)
 	rl.inFlight = slices.Clone(rl.queue[:count])
 	rl.queue = slices.Delete(rl.queue, 0, count)
 	rec := &Record{}
--- a/coordination/configuration/follower.go
+++ b/coordination/configuration/follower.go
@@ -35,8 +35,8 @@
 
 // Log is the configuration stream of the platform's log.
 type Log interface {
-	// Append adds a record and reports whether the log is known to have refused it.
-	Append(ctx context.Context, body []byte) (refused bool)
+	// Append adds a record; only reading the log tells whether it was stored.
+	Append(ctx context.Context, body []byte)
 	// Read returns records from an offset on.
 	Read(ctx context.Context, from id.Offset) (Records, error)
 }
@@ -147,12 +147,7 @@
 func (fw *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		fw.Poll(ctx)
-		wait, sub := timer.Wait(fw.clock, fw.pollPeriod())
-		select {
-		case <-wait:
-		case <-ctx.Done():
-		}
-		sub.Stop()
+		timer.Sleep(ctx, fw.clock, fw.pollPeriod())
 	}
 	return nil
 }
--- a/coordination/configuration/publish.go
+++ b/coordination/configuration/publish.go
@@ -34,12 +34,7 @@
 		if verdict, ok := fw.readVerdict(ctx, edit.Token); ok {
 			return verdict, nil
 		}
-		wait, sub := timer.Wait(fw.clock, publishRetry)
-		select {
-		case <-wait:
-		case <-ctx.Done():
-		}
-		sub.Stop()
+		timer.Sleep(ctx, fw.clock, publishRetry)
 	}
 	return lists.Verdict{}, ErrUnknown
 }
--- a/coordination/dispatch/admit.go
+++ b/coordination/dispatch/admit.go
@@ -72,7 +72,7 @@
 	engines := 0
 	class := classOf(wt.Prompt)
 	for _, en := range mc.engines {
-		if en.Leaving || !slices.Contains(en.Models, wt.Model) {
+		if !en.takes(wt.Model) {
 			continue
 		}
 		mc.advance(now, en)
@@ -97,7 +97,7 @@
 func (mc *Machine) retryAfter(now time.Time, wt *waiting) time.Duration {
 	engines := 0
 	for _, en := range mc.engines {
-		if !en.Leaving && slices.Contains(en.Models, wt.Model) {
+		if en.takes(wt.Model) {
 			engines++
 		}
 	}
--- a/coordination/dispatch/drain.go
+++ b/coordination/dispatch/drain.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// drainAfter is the part of a request's slack after which engines are emptied for it.
@@ -47,7 +44,7 @@
 func (mc *Machine) emptiest(wt *waiting) *engine {
 	var best *engine
 	for _, en := range mc.engines {
-		if en.drainFor != nil || en.Leaving || en.alone != "" || wt.avoids(en) || !slices.Contains(en.Models, wt.Model) {
+		if en.drainFor != nil || en.alone != "" || wt.avoids(en) || !en.takes(wt.Model) {
 			continue
 		}
 		if best == nil || en.held < best.held {
--- a/coordination/dispatch/engine.go
+++ b/coordination/dispatch/engine.go
@@ -73,6 +73,11 @@
 	mc.engines = slices.DeleteFunc(mc.engines, func(en *engine) bool { return en.Engine == name })
 }
 
+// takes reports whether an engine takes new work for a model.
+func (en *engine) takes(model id.Model) bool {
+	return !en.Leaving && slices.Contains(en.Models, model)
+}
+
 // rate returns the prompt tokens per second that an engine processes beside its decoding streams.
 func (mc *Machine) rate(en *engine) float64 {
 	step := mc.config.StepBase + time.Duration(en.streams)*mc.config.StepStream
--- a/coordination/dispatch/machine.go
+++ b/coordination/dispatch/machine.go
@@ -86,12 +86,9 @@
 type grant struct {
 	Grant
 	request Request
-	since   time.Time
 	renewed time.Time
 	started bool
 	alone   bool
-	// confirmed says that an entry host has reported the grant since it was made.
-	confirmed bool
 }
 
 // New returns a machine without engines. The seed determines its random choices.
@@ -288,7 +285,6 @@
 		return
 	}
 	gr.renewed = now
-	gr.confirmed = true
 	if ev.Started && !gr.started {
 		gr.started = true
 		mc.settle(now, gr)
@@ -302,12 +298,10 @@
 		mc.drop(wt)
 	}
 	gr := &grant{
-		Grant:     ev.Grant,
-		request:   Request{ID: rq, Organisation: ev.Organisation},
-		since:     now,
-		renewed:   now,
-		started:   ev.Started,
-		confirmed: true,
+		Grant:   ev.Grant,
+		request: Request{ID: rq, Organisation: ev.Organisation},
+		renewed: now,
+		started: ev.Started,
 	}
 	for _, part := range ev.Grant.Parts {
 		gr.request.Prompt += part.Tokens
--- a/coordination/dispatch/place.go
+++ b/coordination/dispatch/place.go
@@ -95,7 +95,6 @@
 			Answer:  wt.answer,
 		},
 		request: wt.Request,
-		since:   now,
 		renewed: now,
 		alone:   wt.Alone,
 	}
@@ -131,7 +130,7 @@
 	var largest id.Tokens
 	usable := 0
 	for _, en := range mc.engines {
-		if !en.Leaving && slices.Contains(en.Models, wt.Model) {
+		if en.takes(wt.Model) {
 			largest = max(largest, mc.usable(en, wt.Prompt))
 			usable++
 		}
@@ -189,7 +188,7 @@
 func (mc *Machine) canAvoid(wt *waiting, parts int) bool {
 	left := 0
 	for _, en := range mc.engines {
-		if !en.Leaving && slices.Contains(en.Models, wt.Model) && !slices.Contains(wt.Avoid, en.Engine) {
+		if en.takes(wt.Model) && !slices.Contains(wt.Avoid, en.Engine) {
 			left++
 		}
 	}
@@ -251,7 +250,6 @@
 		Wait:    mc.stepWait(en, ahead, float64(share-cached)),
 		Pending: en.pending(),
 		Held:    en.held,
-		Streams: en.streams,
 		Cached:  cached,
 	}
 }
@@ -272,10 +270,10 @@
 
 // fits reports whether an engine can take a part of a request now.
 func (mc *Machine) fits(now time.Time, en *engine, wt *waiting, share id.Tokens) bool {
-	if en.Leaving || en.alone != "" || wt.Alone && en.streams > 0 {
+	if en.alone != "" || wt.Alone && en.streams > 0 {
 		return false
 	}
-	if !slices.Contains(en.Models, wt.Model) || wt.avoids(en) {
+	if !en.takes(wt.Model) || wt.avoids(en) {
 		return false
 	}
 	mc.advance(now, en)
--- a/coordination/dispatch/policy.go
+++ b/coordination/dispatch/policy.go
@@ -42,8 +42,7 @@
 	// Pending counts prompt tokens that the engine has not processed.
 	Pending float64
 	// Held is the memory in use.
-	Held    id.Tokens
-	Streams int
+	Held id.Tokens
 	// Cached counts prompt tokens in the engine's prefix cache.
 	Cached id.Tokens
 }
--- a/coordination/dispatch/queue.go
+++ b/coordination/dispatch/queue.go
@@ -43,8 +43,7 @@
 	// virtual is the tag of the organisation served last.
 	virtual float64
 	// queued is the work that waits.
-	queued  time.Duration
-	waiting int
+	queued time.Duration
 	// weight is the sum over organisations that have waiting requests.
 	weight float64
 }
@@ -116,7 +115,6 @@
 	wt.lane = ln
 	wt.queue = oq
 	ln.queued += wt.work
-	ln.waiting++
 	oq.queued += wt.work
 	oq.requests.Push(wt)
 	if oq.active {
@@ -162,6 +160,5 @@
 // leave takes a request that no longer waits out of the counts.
 func (ln *lane) leave(wt *waiting) {
 	ln.queued -= wt.work
-	ln.waiting--
 	wt.queue.queued -= wt.work
 }
--- a/coordination/plain/runner.go
+++ b/coordination/plain/runner.go
@@ -250,12 +250,7 @@
 		return false
 	}
 	rn.metrics.Tagged(map[string]string{"cause": cause.String()}).Counter("retries").Inc(1)
-	passed, sub := timer.Wait(rn.clock, verdict.After)
-	defer sub.Stop()
-	select {
-	case <-passed:
-	case <-ctx.Done():
-	}
+	timer.Sleep(ctx, rn.clock, verdict.After)
 	return true
 }
 
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -25,11 +25,6 @@
 	Preempted
 )
 
-// Causes returns every cause in order.
-func Causes() []Cause {
-	return []Cause{NotSent, BackendRefused, Interrupted, Crashed, Preempted}
-}
-
 // String returns the cause as counters name it.
 func (cs Cause) String() string {
 	switch cs {
--- a/coordination/serve/runner.go
+++ b/coordination/serve/runner.go
@@ -107,7 +107,7 @@
 			return pg.summary, rn.giveUp(pg, failure)
 		}
 		rn.metrics.Tagged(map[string]string{"cause": failure.String()}).Counter("retries").Inc(1)
-		if !rn.pause(ctx, verdict.After) {
+		if !timer.Sleep(ctx, rn.clock, verdict.After) {
 			return pg.summary, rn.timeout(ctx, pg)
 		}
 	}
@@ -149,17 +149,6 @@
 	return outcome.Fail(outcome.DeadlineExceeded, "the answer was not complete in the request's time").After(comeBack)
 }
 
-func (rn *Runner) pause(ctx context.Context, wait time.Duration) bool {
-	passed, sub := timer.Wait(rn.clock, wait)
-	defer sub.Stop()
-	select {
-	case <-passed:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // attempt acquires a grant and runs it. It returns a final outcome or the cause of a failure.
 func (rn *Runner) attempt(ctx context.Context, pg *progress) (outcome.Outcome, retry.Cause) {
 	grant, oc := rn.acquire(ctx, pg)
@@ -246,7 +235,7 @@
 		rn.fleet.Saw(string(result.engine), fleet.Unreachable)
 		rn.metrics.Counter("engines_lost").Inc(1)
 		rn.dispatchers.End(ctx, shard.Ended{Request: pg.call.Request, Attempt: grant.Attempt, Crashed: result.engine})
-		rn.cancelLater(ctx, grant, result)
+		rn.later(ctx, func(ctx context.Context) { rn.cancelParts(ctx, grant, result) })
 		pg.avoid = append(pg.avoid, result.engine)
 		return outcome.Outcome{}, retry.Crashed
 	default:
@@ -265,9 +254,7 @@
 // endLater frees what an attempt holds and then reports its end, without holding up the caller.
 func (rn *Runner) endLater(ctx context.Context, pg *progress, grant dispatch.Grant, rs result, cancel bool) {
 	request := pg.call.Request
-	rn.cleanup.Go(func() {
-		ctx, done := context.WithTimeout(context.WithoutCancel(ctx), rn.config.CleanupTimeout)
-		defer done()
+	rn.later(ctx, func(ctx context.Context) {
 		if cancel {
 			rn.cancelParts(ctx, grant, rs)
 		}
@@ -275,11 +262,12 @@
 	})
 }
 
-func (rn *Runner) cancelLater(ctx context.Context, grant dispatch.Grant, rs result) {
+// later does work after an attempt within the cleanup's timeout, whether or not the caller waits.
+func (rn *Runner) later(ctx context.Context, work func(ctx context.Context)) {
 	rn.cleanup.Go(func() {
 		ctx, done := context.WithTimeout(context.WithoutCancel(ctx), rn.config.CleanupTimeout)
 		defer done()
-		rn.cancelParts(ctx, grant, rs)
+		work(ctx)
 	})
 }
 
@@ -302,7 +290,7 @@
 					return
 				}
 				rn.metrics.Counter("cancel_retries").Inc(1)
-				rn.pause(ctx, pauseBetween)
+				timer.Sleep(ctx, rn.clock, pauseBetween)
 			}
 		})
 	}
--- a/coordination/shard/canceller.go
+++ b/coordination/shard/canceller.go
@@ -47,9 +47,7 @@
 			return true
 		}
 		cn.metrics.Counter("cancel_retries").Inc(1)
-		wait, sub := timer.Wait(cn.clock, cancelBackoff<<try)
-		<-wait
-		sub.Stop()
+		timer.Sleep(ctx, cn.clock, cancelBackoff<<try)
 	}
 	return false
 }
--- a/coordination/shard/client.go
+++ b/coordination/shard/client.go
@@ -92,14 +92,14 @@
 				cl.keep(ask, grant)
 				return grant, outcome.Done()
 			}
-			cl.pause(ctx, askPause*time.Duration(failures))
+			timer.Sleep(ctx, cl.clock, askPause*time.Duration(failures))
 		case answer.Refusal != nil:
 			return dispatch.Grant{}, *answer.Refusal
 		case answer.Grant != nil:
 			cl.keep(ask, *answer.Grant)
 			return *answer.Grant, outcome.Done()
 		default:
-			cl.pause(ctx, askPause)
+			timer.Sleep(ctx, cl.clock, askPause)
 		}
 	}
 	cl.withdraw(ask)
@@ -112,15 +112,6 @@
 	return cl.peers.Acquire(ctx, host, ask)
 }
 
-func (cl *Client) pause(ctx context.Context, wait time.Duration) {
-	passed, sub := timer.Wait(cl.clock, wait)
-	defer sub.Stop()
-	select {
-	case <-passed:
-	case <-ctx.Done():
-	}
-}
-
 // choose picks an engine for a short prompt without a dispatcher: the better of two random ones by last known load.
 func (cl *Client) choose(ask Ask) (dispatch.Grant, bool) {
 	if ask.Prompt > dispatch.ShortPrompt || ask.Alone {
--- a/host.go
+++ b/host.go
@@ -302,35 +302,21 @@
 // shutDown leaves the advertised addresses, serves callers that still hold the old answer until it
 // has run out, waits for all requests in flight and returns.
 func (ht *Host) shutDown(ctx context.Context) {
+	const drainCheck = 50 * time.Millisecond
 	ht.logger.Info("host is leaving")
 	ctx, cancel := context.WithTimeout(ctx, ht.settings.Operators.ShutdownTimeout)
 	defer cancel()
 	ht.gossip.Leave(ctx)
-	wait, sub := timer.Wait(ht.clock, ht.settings.Callers.KeepAddresses)
-	defer sub.Stop()
-	select {
-	case <-wait:
-	case <-ctx.Done():
-	}
+	timer.Sleep(ctx, ht.clock, ht.settings.Callers.KeepAddresses)
 	ht.callers.Close()
 	for ht.callers.InFlight() > 0 && ctx.Err() == nil {
-		ht.pause(ctx)
+		timer.Sleep(ctx, ht.clock, drainCheck)
 	}
 	ht.models.Wait()
 	ht.plain.Wait()
 	ht.logger.Info("host has finished its requests", "in_flight", ht.callers.InFlight())
 }
 
-func (ht *Host) pause(ctx context.Context) {
-	const drainCheck = 50 * time.Millisecond
-	wait, sub := timer.Wait(ht.clock, drainCheck)
-	defer sub.Stop()
-	select {
-	case <-wait:
-	case <-ctx.Done():
-	}
-}
-
 func (ht *Host) close() {
 	ht.closeListeners()
 	ht.engines.Close()
--- a/platform.go
+++ b/platform.go
@@ -21,9 +21,8 @@
 	client *platform.Client
 }
 
-func (lg configurationLog) Append(ctx context.Context, body []byte) bool {
-	_, result := lg.client.Append(ctx, protocol.Configuration, body)
-	return result == platform.NotStored
+func (lg configurationLog) Append(ctx context.Context, body []byte) {
+	lg.client.Append(ctx, protocol.Configuration, body)
 }
 
 func (lg configurationLog) Read(ctx context.Context, from id.Offset) (configuration.Records, error) {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -160,16 +160,6 @@
 	st.start += id.Offset(drop)
 }
 
-// Drop removes all but the last keep records of a stream, as retention does.
-func (sv *Server) Drop(name platform.Stream, keep int) {
-	sv.mutex.Lock()
-	defer sv.mutex.Unlock()
-	st := sv.stream(name)
-	drop := max(0, len(st.records)-keep)
-	st.records = st.records[drop:]
-	st.start += id.Offset(drop)
-}
-
 func (sv *Server) read(rw http.ResponseWriter, rq *http.Request) {
 	from, err := strconv.ParseInt(rq.URL.Query().Get("from"), 10, 64)
 	if err != nil || from < 0 {
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -2,6 +2,7 @@
 package timer
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -80,3 +81,15 @@
 	sub := sv.After(wait, func() { close(passed) })
 	return passed, sub
 }
+
+// Sleep waits until a duration has passed and reports true, or false if the context ends first.
+func Sleep(ctx context.Context, sv Service, wait time.Duration) bool {
+	passed, sub := Wait(sv, wait)
+	defer sub.Stop()
+	select {
+	case <-passed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -133,12 +133,7 @@
 		case causeOf(err) == retry.NotSent:
 			return serve.Gone
 		}
-		wait, sub := timer.Wait(cl.clock, healthPause<<try)
-		select {
-		case <-wait:
-		case <-ctx.Done():
-		}
-		sub.Stop()
+		timer.Sleep(ctx, cl.clock, healthPause<<try)
 	}
 	return serve.Unresponsive
 }
