A host reads all convictions when it starts, not the first page of them

Cause, found by reading the change: Read said "to its end" but took one answer of the log, at most 1,000 records, every 30 s.

Each read now ends with one more call, which finds nothing.

--- a/coordination/conviction/keeper.go
+++ b/coordination/conviction/keeper.go
@@ -109,6 +109,12 @@
 
 // Read reads the stream to its end.
 func (kp *Keeper) Read(ctx context.Context) {
+	for kp.readSome(ctx) {
+	}
+}
+
+// readSome takes one answer of the log and reports whether there may be more.
+func (kp *Keeper) readSome(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	kp.mutex.Lock()
@@ -117,7 +123,7 @@
 	bodies, next, err := kp.log.Read(ctx, from)
 	if err != nil {
 		kp.metrics.Counter("conviction_log_failures").Inc(1)
-		return
+		return false
 	}
 	for _, body := range bodies {
 		var rec Record
@@ -128,4 +134,5 @@
 	kp.mutex.Lock()
 	defer kp.mutex.Unlock()
 	kp.next = max(kp.next, next)
+	return len(bodies) > 0
 }
