--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -4,16 +4,23 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"github.com/hibiscuslever/hibiscuslever"
 	"github.com/hibiscuslever/hibiscuslever/command"
 	"github.com/hibiscuslever/hibiscuslever/settings"
+	"github.com/hibiscuslever/hibiscuslever/site"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 )
 
+// settingsVariable names the environment variable with the path of the settings file.
+const settingsVariable = "HIBISCUSLEVER_NODE_FILE"
+
 func main() {
 	os.Exit(command.Execute(newCommand(), os.Stderr))
 }
@@ -26,7 +33,7 @@
 			"addresses, serves callers that still hold them, finishes every request in flight and exits.")
 	var path string
 	var check bool
-	root.Flags().StringVar(&path, "settings", "", "`FILE` with the host's settings (required)")
+	root.Flags().StringVar(&path, "settings", os.Getenv(settingsVariable), "`FILE` with the host's settings; the default is the value of "+settingsVariable)
 	root.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	root.Args = command.NoArgs
 	root.RunE = func(cmd *cobra.Command, _ []string) error { return start(cmd, path, check) }
@@ -35,7 +42,7 @@
 
 func start(cmd *cobra.Command, path string, check bool) error {
 	if path == "" {
-		return command.NewUsageError(fmt.Errorf("the flag --settings is missing; see --help"))
+		return command.NewUsageError(fmt.Errorf("the flag --settings is missing and %s is not set; see --help", settingsVariable))
 	}
 	st, err := settings.Read(path)
 	if err != nil {
@@ -45,9 +52,42 @@
 		_, err := fmt.Fprintf(cmd.OutOrStdout(), "settings %s are valid\n", path)
 		return err
 	}
+	if st.Platform.Kind == settings.KindStore {
+		return serveSite(cmd.Context(), path, st)
+	}
 	return serve(cmd.Context(), path, st)
 }
 
+// serveSite runs a host on the users' platform.
+func serveSite(ctx context.Context, path string, st settings.Settings) error {
+	lines := telemetry.NewLines(os.Stdout)
+	defer lines.Close()
+	logger := telemetry.NewLogger(lines, st.Logs.Format, st.Logs.Level).With("host", string(st.Host.Name))
+	host, err := site.New(site.WithSettings(st), site.WithLogger(logger))
+	if err != nil {
+		return command.NewUsageError(fmt.Errorf("settings %s: %w", path, err))
+	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	go func() {
+		for range reloads {
+			reload(host, logger, path)
+		}
+	}()
+	return host.Run(ctx)
+}
+
+// reload reads the settings again; the old ones stay in force if the new ones are wrong.
+func reload(host *site.Host, logger *slog.Logger, path string) {
+	st, err := settings.Read(path)
+	if err != nil {
+		logger.Error("settings not reloaded", "path", path, "error", err.Error())
+		return
+	}
+	host.Reload(st)
+}
+
 func serve(ctx context.Context, path string, st settings.Settings) error {
 	traces, err := telemetry.NewTraces(ctx, string(st.Host.Name), st.Traces.Export, st.Traces.File, st.Traces.Endpoint)
 	if err != nil {
--- /dev/null
+++ b/coordination/batch/admit.go
@@ -0,0 +1,79 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+)
+
+const (
+	// minRetryAfter and maxRetryAfter bound the time that a refused client is told to wait.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+	// retrySpread is the random part of that time, so that clients that were refused together do not return together.
+	retrySpread = 0.5
+)
+
+// admit decides whether a request may wait. What can't be served in its time is refused at once.
+func (mc *Machine) admit(now time.Time, wt *waiting) (outcome.Outcome, bool) {
+	usable, present := 0, 0
+	for _, en := range mc.engines {
+		if en.Leaving {
+			continue
+		}
+		present++
+		if en.usable(now) {
+			usable++
+		}
+	}
+	switch {
+	case present == 0:
+		return outcome.Refuse(outcome.NoCapacity, "no engine serves the request now").After(mc.spread(time.Second)), false
+	case wt.Prompt+wt.Answer > mc.engine.Capacity*id.Tokens(min(present, mc.config.MaxParts)):
+		return outcome.Refuse(outcome.NeverFits, "the prompt is longer than the engines can hold"), false
+	case wt.Number > 1:
+		return outcome.Outcome{}, true
+	case len(mc.waiting) >= mc.config.MaxWaiting:
+		return outcome.Refuse(outcome.Overloaded, "the queue is full").After(mc.spread(maxRetryAfter)), false
+	}
+	start := now.Sub(wt.Arrived) + mc.predictedWait(wt, max(1, usable)) + wt.read/time.Duration(max(1, min(usable, mc.config.MaxParts)))
+	if start > wt.Patience {
+		return outcome.Refuse(outcome.Overloaded, "the request can't start in its time").After(mc.spread(start - wt.Patience)), false
+	}
+	return outcome.Outcome{}, true
+}
+
+// predictedWait returns the time that what waits before a request takes on all engines together.
+func (mc *Machine) predictedWait(wt *waiting, engines int) time.Duration {
+	var before time.Duration
+	queue := mc.long
+	if mc.isShort(wt) {
+		queue = mc.short
+	}
+	for _, other := range queue {
+		before += other.read
+	}
+	return before / time.Duration(engines)
+}
+
+func (mc *Machine) spread(wait time.Duration) time.Duration {
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	return wait + time.Duration(mc.random.Float64()*retrySpread*float64(wait))
+}
+
+// expire refuses requests whose clients have run out of patience, before they would be served too late.
+func (mc *Machine) expire(now time.Time) {
+	for _, queue := range [][]*waiting{mc.short, mc.long} {
+		var late []*waiting
+		for _, wt := range queue {
+			if now.Sub(wt.Arrived)+wt.read/time.Duration(max(1, min(len(mc.engines), mc.config.MaxParts))) > wt.Patience {
+				late = append(late, wt)
+			}
+		}
+		for _, wt := range late {
+			mc.drop(wt)
+			mc.refuse(wt, outcome.Refuse(outcome.Overloaded, "the request can no longer start in its time").After(mc.spread(time.Second)))
+		}
+	}
+}
--- /dev/null
+++ b/coordination/batch/batch.go
@@ -0,0 +1,162 @@
+// Package batch decides, for one service of engines that work in passes, which request runs where and when.
+// The machine is pure: it reads no clock, starts no goroutine and does no I/O.
+//
+// Load patterns that it answers: short prompts beside long ones (short prompts are packed onto few engines, long
+// prompts are read in parts by the others), bursts of one length (the border between the two moves with what runs),
+// and more work than the engines can do (what can still be on time goes first, what can't be served is refused).
+package batch
+
+import (
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// Request is a request that waits for a place.
+type Request struct {
+	ID           id.Request
+	Organisation id.Organisation
+	Prompt       id.Tokens
+	// Answer is the longest answer.
+	Answer id.Tokens
+	// Target is the time from the arrival of the client's request to the first event that is on time.
+	Target time.Duration
+	// MaxPause is the longest pause between events that is on time.
+	MaxPause time.Duration
+	// Patience is the time from arrival after which the client has given up waiting for the first event.
+	Patience time.Duration
+	// Arrived is when the entry host read the request.
+	Arrived time.Time
+	// Rank orders kinds of requests; 0 goes first.
+	Rank int
+	// Number counts the attempts of the request; later ones continue interrupted work.
+	Number int
+	// Avoid names engines that failed the request.
+	Avoid []id.Engine
+	// Alone asks for engines that run nothing else, because the request may have crashed one.
+	Alone bool
+}
+
+// Part is one engine of a grant.
+type Part struct {
+	Engine  id.Engine
+	Address string
+	// Ticket names memory that is set aside on the engine, empty if none is.
+	Ticket string
+	// Tokens is the memory to set aside.
+	Tokens id.Tokens
+}
+
+// Grant is the permission to run an attempt. The first part's engine answers, the others help to read the prompt.
+type Grant struct {
+	Attempt id.Attempt
+	Parts   []Part
+	// Urgency orders requests inside an engine; 0 goes first.
+	Urgency int
+	// Start is the predicted time until the first event.
+	Start time.Duration
+}
+
+// EngineSpec describes an engine.
+type EngineSpec struct {
+	Engine  id.Engine
+	Address string
+	Born    int64
+	// Leaving engines get nothing new.
+	Leaving bool
+}
+
+// Event is an input of the machine.
+type Event interface{ event() }
+
+// Configured sets how the engines of the service spend time and memory.
+type Configured struct{ Engine route.Engine }
+
+// Listed replaces the engines.
+type Listed struct{ Engines []EngineSpec }
+
+// Submit asks for a place. Submitting a request that waits or holds a grant again is answered alike.
+type Submit struct{ Request Request }
+
+// Withdraw ends a request that waits.
+type Withdraw struct{ Request id.Request }
+
+// Hold reports a grant that an entry host holds, to renew it or after another dispatcher has gone.
+type Hold struct {
+	Request Request
+	Grant   Grant
+	// Started says that the first event has arrived.
+	Started bool
+}
+
+// Started says that the first event of an attempt has arrived.
+type Started struct{ Attempt id.Attempt }
+
+// Finish ends a grant.
+type Finish struct {
+	Attempt id.Attempt
+	// Failed names an engine that failed the attempt, if one did.
+	Failed id.Engine
+	// Fault says how it failed.
+	Fault Fault
+}
+
+// Fault says how an engine failed an attempt.
+type Fault int
+
+// Faults.
+const (
+	// NoFault means that no engine failed.
+	NoFault Fault = iota
+	// Unreachable engines took no connection, or lost it.
+	Unreachable
+	// Silent engines stopped answering.
+	Silent
+	// Failing engines answered with an error of their own.
+	Failing
+	// Full engines said that they have no room.
+	Full
+	// Gone engines have another server at their address, or said that they are leaving.
+	Gone
+)
+
+// Reported carries an engine's own figures.
+type Reported struct {
+	Engine id.Engine
+	// Pace is the factor by which the engine is slower than configured.
+	Pace float64
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Configured) event() {}
+func (Listed) event()     {}
+func (Submit) event()     {}
+func (Withdraw) event()   {}
+func (Hold) event()       {}
+func (Started) event()    {}
+func (Finish) event()     {}
+func (Reported) event()   {}
+func (Tick) event()       {}
+
+// EffectKind distinguishes effects.
+type EffectKind int
+
+// Kinds of effects.
+const (
+	// Granted gives a request its place.
+	Granted EffectKind = iota + 1
+	// Refused ends a request that did not run.
+	Refused
+)
+
+// Effect is an output of the machine.
+type Effect struct {
+	Kind    EffectKind
+	Request id.Request
+	Grant   Grant
+	Outcome outcome.Outcome
+}
--- /dev/null
+++ b/coordination/batch/engine.go
@@ -0,0 +1,168 @@
+package batch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// engine is the machine's view of one engine.
+type engine struct {
+	EngineSpec
+	// grants are those of which the engine runs a part.
+	grants []*grant
+	// busyUntil is when everything handed to the engine is predicted to have been read.
+	busyUntil time.Time
+	// pausedUntil is when an engine that failed may get work again.
+	pausedUntil time.Time
+	faults      int
+	pace        float64
+}
+
+// usable reports whether an engine may get new work.
+func (en *engine) usable(now time.Time) bool {
+	return !en.Leaving && !now.Before(en.pausedUntil)
+}
+
+// load sums up what an engine runs.
+type load struct {
+	running int
+	writers int
+	// short counts requests with short prompts, running or being read.
+	short int
+	// context is the memory of the requests that write, held all memory of requests that the engine answers.
+	context id.Tokens
+	held    id.Tokens
+	// pause is the strictest pause that requests on the engine allow; zero if none has one.
+	pause time.Duration
+	// overdue is how long the oldest read that has not ended is behind its prediction.
+	overdue time.Duration
+}
+
+func (mc *Machine) loadOf(now time.Time, en *engine) load {
+	var ld load
+	for _, gr := range en.grants {
+		if !gr.started {
+			ld.overdue = max(ld.overdue, now.Sub(gr.ready))
+		}
+		if gr.Parts[0].Engine != en.Engine {
+			continue
+		}
+		ld.running++
+		ld.held += gr.memory
+		if gr.short {
+			ld.short++
+		}
+		if gr.started {
+			ld.writers++
+			ld.context += gr.memory
+		}
+		if gr.started && gr.request.MaxPause > 0 && (ld.pause == 0 || gr.request.MaxPause < ld.pause) {
+			ld.pause = gr.request.MaxPause
+		}
+	}
+	return ld
+}
+
+// pass returns the time of an engine's pass without reading.
+func (mc *Machine) pass(en *engine, ld load) time.Duration {
+	if ld.writers == 0 {
+		return 0
+	}
+	spec := mc.engine
+	step := spec.Step + time.Duration(ld.writers)*spec.PerWriter + time.Duration(float64(spec.PerThousand)*float64(ld.context)/1000)
+	return time.Duration(float64(step) * float64(spec.Stride) * en.pace)
+}
+
+// readTime returns the time that one engine takes to read a prompt alone.
+func readTime(spec route.Engine, prompt id.Tokens) time.Duration {
+	if spec.ReadPerSecond <= 0 {
+		return 0
+	}
+	tokens := float64(prompt)
+	seconds := tokens / spec.ReadPerSecond
+	pairs := tokens * (tokens + 1) / 2 / 1e6
+	return time.Duration(seconds*float64(time.Second)) + time.Duration(pairs*float64(spec.PerMillionPairs))
+}
+
+// wait returns the predicted time until an engine has read what was handed to it.
+func (mc *Machine) wait(now time.Time, en *engine, ld load) time.Duration {
+	wait := max(0, en.busyUntil.Sub(now))
+	if late := ld.overdue - mc.pass(en, ld) - lateAllowance; late > 0 {
+		wait = max(wait, min(late, maxLate))
+	}
+	return wait
+}
+
+const (
+	// lateAllowance is how far the report of a first event may lag behind the end of the pass.
+	lateAllowance = 60 * time.Millisecond
+	// maxLate bounds the wait that is predicted for an engine behind its predictions.
+	maxLate = 400 * time.Millisecond
+)
+
+// listed takes the engines of the service. An engine that was started anew holds nothing of before.
+func (mc *Machine) listed(now time.Time, specs []EngineSpec) {
+	present := map[id.Engine]bool{}
+	for _, spec := range specs {
+		present[spec.Engine] = true
+		en, known := mc.byName[spec.Engine]
+		if known && en.Born == spec.Born && en.Address == spec.Address {
+			en.Leaving = spec.Leaving
+			continue
+		}
+		if known {
+			mc.removeEngine(now, en)
+		}
+		en = &engine{EngineSpec: spec, pace: 1}
+		mc.byName[spec.Engine] = en
+		mc.engines = append(mc.engines, en)
+		for _, gr := range mc.grants {
+			if slices.ContainsFunc(gr.Parts, func(part Part) bool { return part.Engine == spec.Engine && part.Address == spec.Address }) {
+				en.grants = append(en.grants, gr)
+			}
+		}
+	}
+	for _, en := range slices.Clone(mc.engines) {
+		if !present[en.Engine] {
+			mc.removeEngine(now, en)
+		}
+	}
+	slices.SortFunc(mc.engines, func(left, right *engine) int { return strings.Compare(string(left.Engine), string(right.Engine)) })
+}
+
+func (mc *Machine) removeEngine(_ time.Time, en *engine) {
+	delete(mc.byName, en.Engine)
+	mc.engines = slices.DeleteFunc(mc.engines, func(other *engine) bool { return other == en })
+}
+
+// failed takes the word that an engine failed an attempt.
+func (mc *Machine) failed(now time.Time, name id.Engine, fault Fault) {
+	en, ok := mc.byName[name]
+	if !ok {
+		return
+	}
+	pause := mc.config.FaultPause
+	switch fault {
+	case NoFault:
+		return
+	case Gone:
+		en.Leaving = true
+		return
+	case Full:
+		pause = mc.config.FaultPause / 4
+	case Failing:
+		en.faults++
+		pause = mc.config.FaultPause / 4 * time.Duration(en.faults)
+	case Unreachable, Silent:
+		en.faults++
+		pause <<= min(en.faults-1, 5)
+	}
+	pause = min(pause, mc.config.MaxFaultPause)
+	if until := now.Add(pause); until.After(en.pausedUntil) {
+		en.pausedUntil = until
+	}
+}
--- /dev/null
+++ b/coordination/batch/machine.go
@@ -0,0 +1,249 @@
+package batch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// Machine is the state of one service's dispatcher.
+type Machine struct {
+	config  Config
+	engine  route.Engine
+	random  *rand.Rand
+	engines []*engine
+	byName  map[id.Engine]*engine
+	grants  map[id.Attempt]*grant
+	granted map[id.Request]*grant
+	waiting map[id.Request]*waiting
+	// short and long hold the waiting requests by the time that their prompts take to read.
+	short   []*waiting
+	long    []*waiting
+	swept   time.Time
+	effects []Effect
+}
+
+type grant struct {
+	Grant
+	request Request
+	renewed time.Time
+	started bool
+	short   bool
+	// read is the time that each part takes to read, ready when it is predicted to be read.
+	read   time.Duration
+	ready  time.Time
+	memory id.Tokens
+}
+
+type waiting struct {
+	Request
+	// read is the time that one engine takes to read the prompt.
+	read time.Duration
+}
+
+// New returns a machine without engines. The seed determines its random choices.
+func New(config Config, seed uint64) *Machine {
+	return &Machine{
+		config:  config,
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		byName:  map[id.Engine]*engine{},
+		grants:  map[id.Attempt]*grant{},
+		granted: map[id.Request]*grant{},
+		waiting: map[id.Request]*waiting{},
+	}
+}
+
+// Step takes one event and returns what is to be done. The effects are valid until the next step.
+func (mc *Machine) Step(now time.Time, ev Event) []Effect {
+	mc.effects = mc.effects[:0]
+	switch ev := ev.(type) {
+	case Configured:
+		mc.engine = ev.Engine
+	case Listed:
+		mc.listed(now, ev.Engines)
+	case Submit:
+		mc.submit(now, ev.Request)
+	case Withdraw:
+		mc.withdraw(ev.Request)
+	case Hold:
+		mc.hold(now, ev)
+	case Started:
+		mc.start(now, ev.Attempt)
+	case Finish:
+		mc.failed(now, ev.Failed, ev.Fault)
+		mc.finish(now, ev.Attempt)
+	case Reported:
+		if en, ok := mc.byName[ev.Engine]; ok && ev.Pace > 0 {
+			en.pace = ev.Pace
+		}
+	case Tick:
+		mc.sweep(now)
+	}
+	mc.expire(now)
+	mc.pump(now)
+	return mc.effects
+}
+
+// Waiting returns the number of requests that wait.
+func (mc *Machine) Waiting() int { return len(mc.waiting) }
+
+// Granted returns the number of grants that are held.
+func (mc *Machine) Granted() int { return len(mc.grants) }
+
+func (mc *Machine) submit(now time.Time, rq Request) {
+	if wt, queued := mc.waiting[rq.ID]; queued {
+		if wt.Number >= rq.Number {
+			return
+		}
+		mc.drop(wt)
+	}
+	if gr, held := mc.granted[rq.ID]; held {
+		if gr.Attempt == id.NewAttempt(rq.ID, rq.Number) {
+			mc.effects = append(mc.effects, Effect{Kind: Granted, Request: rq.ID, Grant: gr.Grant})
+			return
+		}
+		mc.release(now, gr)
+	}
+	wt := &waiting{Request: rq, read: readTime(mc.engine, rq.Prompt)}
+	if oc, admitted := mc.admit(now, wt); !admitted {
+		mc.refuse(wt, oc)
+		return
+	}
+	mc.waiting[rq.ID] = wt
+	if mc.isShort(wt) {
+		mc.short = append(mc.short, wt)
+		return
+	}
+	mc.long = append(mc.long, wt)
+}
+
+func (mc *Machine) isShort(wt *waiting) bool { return wt.read <= mc.config.ShortRead }
+
+func (mc *Machine) refuse(wt *waiting, oc outcome.Outcome) {
+	mc.effects = append(mc.effects, Effect{Kind: Refused, Request: wt.ID, Outcome: oc})
+}
+
+func (mc *Machine) withdraw(rq id.Request) {
+	if wt, ok := mc.waiting[rq]; ok {
+		mc.drop(wt)
+	}
+}
+
+func (mc *Machine) drop(wt *waiting) {
+	delete(mc.waiting, wt.ID)
+	same := func(other *waiting) bool { return other == wt }
+	if mc.isShort(wt) {
+		mc.short = slices.DeleteFunc(mc.short, same)
+		return
+	}
+	mc.long = slices.DeleteFunc(mc.long, same)
+}
+
+func (mc *Machine) hold(now time.Time, ev Hold) {
+	gr, known := mc.grants[ev.Grant.Attempt]
+	if !known {
+		gr = mc.adopt(now, ev)
+	}
+	gr.renewed = now
+	if ev.Started {
+		mc.start(now, gr.Attempt)
+	}
+}
+
+// adopt takes over a grant that another dispatcher or an entry host itself made.
+func (mc *Machine) adopt(now time.Time, ev Hold) *grant {
+	if wt, ok := mc.waiting[ev.Request.ID]; ok {
+		mc.drop(wt)
+	}
+	read := readTime(mc.engine, ev.Request.Prompt) / time.Duration(max(1, len(ev.Grant.Parts)))
+	gr := &grant{
+		Grant:   ev.Grant,
+		request: ev.Request,
+		read:    read,
+		ready:   now.Add(read),
+		short:   readTime(mc.engine, ev.Request.Prompt) <= mc.config.ShortRead,
+		memory:  ev.Request.Prompt + ev.Request.Answer,
+	}
+	mc.charge(now, gr)
+	return gr
+}
+
+// charge adds a grant to its engines.
+func (mc *Machine) charge(now time.Time, gr *grant) {
+	mc.grants[gr.Attempt] = gr
+	mc.granted[gr.request.ID] = gr
+	for _, part := range gr.Parts {
+		if en, ok := mc.byName[part.Engine]; ok && en.Address == part.Address {
+			en.grants = append(en.grants, gr)
+			if !gr.started && gr.ready.After(en.busyUntil) {
+				en.busyUntil = gr.ready
+			}
+		}
+	}
+	_ = now
+}
+
+// start notes that the first event of an attempt has arrived: its prompt has been read.
+func (mc *Machine) start(now time.Time, att id.Attempt) {
+	gr, ok := mc.grants[att]
+	if !ok || gr.started {
+		return
+	}
+	gr.started = true
+	mc.settle(now, gr)
+	if en, ok := mc.byName[gr.Parts[0].Engine]; ok {
+		en.faults = 0
+	}
+}
+
+// settle moves what its engines are predicted to read earlier when a prompt was read before its time.
+func (mc *Machine) settle(now time.Time, gr *grant) {
+	early := gr.ready.Sub(now)
+	if early <= 0 {
+		return
+	}
+	for _, part := range gr.Parts {
+		if en, ok := mc.byName[part.Engine]; ok {
+			en.busyUntil = en.busyUntil.Add(-min(early, gr.read))
+		}
+	}
+}
+
+func (mc *Machine) finish(now time.Time, att id.Attempt) {
+	if gr, ok := mc.grants[att]; ok {
+		mc.release(now, gr)
+	}
+}
+
+func (mc *Machine) release(now time.Time, gr *grant) {
+	delete(mc.grants, gr.Attempt)
+	if mc.granted[gr.request.ID] == gr {
+		delete(mc.granted, gr.request.ID)
+	}
+	if !gr.started {
+		mc.settle(now, gr)
+	}
+	for _, part := range gr.Parts {
+		if en, ok := mc.byName[part.Engine]; ok {
+			en.grants = slices.DeleteFunc(en.grants, func(other *grant) bool { return other == gr })
+		}
+	}
+}
+
+// sweep ends grants that were not renewed.
+func (mc *Machine) sweep(now time.Time) {
+	const sweepEvery = 500 * time.Millisecond
+	if now.Sub(mc.swept) < sweepEvery {
+		return
+	}
+	mc.swept = now
+	for _, gr := range mc.grants {
+		if now.Sub(gr.renewed) > mc.config.GrantTTL {
+			mc.release(now, gr)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/broker/broker.go
@@ -0,0 +1,81 @@
+// Package broker asks for and gives places on engines: one host dispatches for each service, the others ask it.
+package broker
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// Ask is a request for a place.
+type Ask struct {
+	batch.Request
+	Service     id.Service
+	Fingerprint id.Fingerprint
+}
+
+// Answer is a dispatcher's answer to an Ask. Without Grant and Refusal the request waits, and the asker asks again.
+type Answer struct {
+	Grant   *batch.Grant
+	Refusal *outcome.Outcome
+}
+
+// Held is a grant that an entry host holds.
+type Held struct {
+	Ask     Ask
+	Grant   batch.Grant
+	Started bool
+}
+
+// Ended is a grant that has ended, or a request that no longer waits for one.
+type Ended struct {
+	Service id.Service
+	Request id.Request
+	Attempt id.Attempt
+	// Withdrawn says that the request waits no longer.
+	Withdrawn bool
+	// Failed names the engine that failed the attempt, and Fault says how.
+	Failed id.Engine
+	Fault  batch.Fault
+	// Fingerprint is set when the engine was lost while it ran the request.
+	Fingerprint id.Fingerprint
+}
+
+// Report tells a dispatcher what became of grants.
+type Report struct {
+	Host    id.Host
+	Held    []Held
+	Started []StartedAttempt
+	Ended   []Ended
+}
+
+// StartedAttempt is an attempt whose first event has arrived.
+type StartedAttempt struct {
+	Service id.Service
+	Attempt id.Attempt
+}
+
+// Fleet knows the services and their engines.
+type Fleet interface {
+	// Engine describes the engines of a service, or reports false for one without engines.
+	Engine(service id.Service) (route.Engine, bool)
+	// Engines returns the engines of a service.
+	Engines(service id.Service) []batch.EngineSpec
+}
+
+// Peers reaches the dispatchers on all hosts, the own one included.
+type Peers interface {
+	// Dispatchers returns the live hosts in the order in which they take a service.
+	Dispatchers(service id.Service) []id.Host
+	// Place asks a host's dispatcher for a place.
+	Place(ctx context.Context, host id.Host, ask Ask) (Answer, error)
+	// Progress tells a host's dispatchers what became of grants.
+	Progress(ctx context.Context, host id.Host, rp Report) error
+}
+
+// answerWithin is the longest time that an Ask is held.
+const answerWithin = 250 * time.Millisecond
--- /dev/null
+++ b/coordination/broker/client.go
@@ -0,0 +1,277 @@
+package broker
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+const (
+	// askMargin is added to the time that a dispatcher holds an Ask before it counts as unreachable.
+	askMargin = 200 * time.Millisecond
+	// suspectFor is how long a dispatcher that did not answer is passed over.
+	suspectFor = 1500 * time.Millisecond
+	// reportDelay is how long starts and ends are gathered before they are reported.
+	reportDelay = 5 * time.Millisecond
+	// renewPeriod is the time between reports of what the host holds.
+	renewPeriod = time.Second
+	// reportTimeout bounds one report.
+	reportTimeout = 500 * time.Millisecond
+	// maxUnsent bounds the ends of grants that wait to be reported.
+	maxUnsent = 10_000
+)
+
+// Client asks dispatchers for places and reports what its host holds.
+type Client struct {
+	host    id.Host
+	clock   timer.Service
+	peers   Peers
+	metrics tally.Scope
+	logger  *slog.Logger
+	fleet   Fleet
+
+	mutex    sync.Mutex
+	held     map[id.Attempt]*Held
+	started  []StartedAttempt
+	ended    []Ended
+	pending  bool
+	suspects map[id.Host]time.Time
+	// alone holds the machines that place requests while no dispatcher can be reached.
+	alone  map[id.Service]*batch.Machine
+	config batch.Config
+	seed   uint64
+	group  sync.WaitGroup
+}
+
+// NewClient returns a client that holds nothing.
+func NewClient(config batch.Config, host id.Host, clock timer.Service, peers Peers, fleet Fleet, metrics tally.Scope, logger *slog.Logger, seed uint64) *Client {
+	return &Client{
+		config:   config,
+		host:     host,
+		clock:    clock,
+		peers:    peers,
+		fleet:    fleet,
+		metrics:  metrics,
+		logger:   logger,
+		seed:     seed,
+		held:     map[id.Attempt]*Held{},
+		suspects: map[id.Host]time.Time{},
+		alone:    map[id.Service]*batch.Machine{},
+	}
+}
+
+// Run reports what the host holds until the context ends.
+func (cl *Client) Run(ctx context.Context) error {
+	sub := timer.Every(cl.clock, renewPeriod, func() { cl.renew(ctx) })
+	<-ctx.Done()
+	sub.Stop()
+	cl.group.Wait()
+	return nil
+}
+
+// Acquire waits for a place. The context ends the wait.
+func (cl *Client) Acquire(ctx context.Context, ask Ask) (batch.Grant, outcome.Outcome) {
+	const pause = 5 * time.Millisecond
+	for ctx.Err() == nil {
+		host, ok := cl.dispatcher(ask.Service)
+		if !ok {
+			return cl.choose(ask)
+		}
+		call, cancel := context.WithTimeout(ctx, answerWithin+askMargin)
+		answer, err := cl.peers.Place(call, host, ask)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
+			cl.suspect(host, err)
+			if cl.clock.Now().Sub(ask.Arrived) > ask.Target/2 {
+				return cl.choose(ask)
+			}
+		case answer.Refusal != nil:
+			return batch.Grant{}, *answer.Refusal
+		case answer.Grant != nil:
+			cl.keep(ask, *answer.Grant)
+			return *answer.Grant, outcome.Done()
+		default:
+			timer.Sleep(ctx, cl.clock, pause)
+		}
+	}
+	cl.end(Ended{Service: ask.Service, Request: ask.ID, Withdrawn: true})
+	return batch.Grant{}, outcome.Refuse(outcome.DeadlineExceeded, "the request found no engine in its time").After(time.Second)
+}
+
+// dispatcher returns the first host in order that is not suspected.
+func (cl *Client) dispatcher(service id.Service) (id.Host, bool) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	now := cl.clock.Now()
+	const tries = 3
+	hosts := cl.peers.Dispatchers(service)
+	for _, host := range hosts[:min(tries, len(hosts))] {
+		if until, suspected := cl.suspects[host]; !suspected || now.After(until) {
+			return host, true
+		}
+	}
+	return "", false
+}
+
+func (cl *Client) suspect(host id.Host, err error) {
+	cl.metrics.Counter("dispatcher_unreachable").Inc(1)
+	cl.logger.Warn("dispatcher unreachable", "dispatcher", string(host), "error", err.Error())
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	cl.suspects[host] = cl.clock.Now().Add(suspectFor)
+}
+
+// choose places a request by what the own host knows, while no dispatcher can be reached.
+func (cl *Client) choose(ask Ask) (batch.Grant, outcome.Outcome) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	now := cl.clock.Now()
+	mc, ok := cl.alone[ask.Service]
+	if !ok {
+		mc = batch.New(cl.config, cl.seed)
+		cl.alone[ask.Service] = mc
+	}
+	if engine, known := cl.fleet.Engine(ask.Service); known {
+		mc.Step(now, batch.Configured{Engine: engine})
+	}
+	mc.Step(now, batch.Listed{Engines: cl.fleet.Engines(ask.Service)})
+	for _, hd := range cl.held {
+		if hd.Ask.Service == ask.Service {
+			mc.Step(now, batch.Hold{Request: hd.Ask.Request, Grant: hd.Grant, Started: hd.Started})
+		}
+	}
+	cl.metrics.Counter("local_choices").Inc(1)
+	for _, ef := range mc.Step(now, batch.Submit{Request: ask.Request}) {
+		if ef.Request != ask.ID {
+			continue
+		}
+		if ef.Kind == batch.Refused {
+			return batch.Grant{}, ef.Outcome
+		}
+		cl.keepLocked(ask, ef.Grant)
+		return ef.Grant, outcome.Done()
+	}
+	mc.Step(now, batch.Withdraw{Request: ask.ID})
+	return batch.Grant{}, outcome.Refuse(outcome.Overloaded, "no engine known to this host has room").After(time.Second)
+}
+
+func (cl *Client) keep(ask Ask, grant batch.Grant) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	cl.keepLocked(ask, grant)
+}
+
+func (cl *Client) keepLocked(ask Ask, grant batch.Grant) {
+	cl.held[grant.Attempt] = &Held{Ask: ask, Grant: grant}
+}
+
+// Started notes that the first event of an attempt has arrived.
+func (cl *Client) Started(att id.Attempt) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	hd, ok := cl.held[att]
+	if !ok || hd.Started {
+		return
+	}
+	hd.Started = true
+	cl.started = append(cl.started, StartedAttempt{Service: hd.Ask.Service, Attempt: att})
+	cl.reportSoon()
+}
+
+// End reports that an attempt has ended.
+func (cl *Client) End(en Ended) {
+	cl.mutex.Lock()
+	if hd, ok := cl.held[en.Attempt]; ok {
+		en.Service = hd.Ask.Service
+		delete(cl.held, en.Attempt)
+	}
+	for _, mc := range cl.alone {
+		mc.Step(cl.clock.Now(), batch.Finish{Attempt: en.Attempt, Failed: en.Failed, Fault: en.Fault})
+	}
+	cl.mutex.Unlock()
+	cl.end(en)
+}
+
+func (cl *Client) end(en Ended) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	cl.ended = append(cl.ended, en)
+	if len(cl.ended) > maxUnsent {
+		cl.ended = cl.ended[len(cl.ended)-maxUnsent:]
+	}
+	cl.reportSoon()
+}
+
+// reportSoon starts a report of what has started and ended, unless one is about to be made.
+func (cl *Client) reportSoon() {
+	if cl.pending {
+		return
+	}
+	cl.pending = true
+	cl.clock.After(reportDelay, func() {
+		cl.mutex.Lock()
+		started, ended := cl.started, cl.ended
+		cl.started, cl.ended = nil, nil
+		cl.pending = false
+		cl.mutex.Unlock()
+		cl.report(started, ended, nil)
+	})
+}
+
+// renew reports what is held, so that a dispatcher that has just taken over learns of it.
+func (cl *Client) renew(context.Context) {
+	cl.mutex.Lock()
+	held := make([]Held, 0, len(cl.held))
+	for _, hd := range cl.held {
+		held = append(held, *hd)
+	}
+	cl.mutex.Unlock()
+	if len(held) > 0 {
+		cl.report(nil, nil, held)
+	}
+}
+
+// report sends each dispatcher its part of a report.
+func (cl *Client) report(started []StartedAttempt, ended []Ended, held []Held) {
+	reports := map[id.Service]*Report{}
+	of := func(service id.Service) *Report {
+		rp, ok := reports[service]
+		if !ok {
+			rp = &Report{Host: cl.host}
+			reports[service] = rp
+		}
+		return rp
+	}
+	for _, st := range started {
+		of(st.Service).Started = append(of(st.Service).Started, st)
+	}
+	for _, en := range ended {
+		of(en.Service).Ended = append(of(en.Service).Ended, en)
+	}
+	for _, hd := range held {
+		of(hd.Ask.Service).Held = append(of(hd.Ask.Service).Held, hd)
+	}
+	for service, rp := range reports {
+		host, ok := cl.dispatcher(service)
+		if !ok {
+			continue
+		}
+		cl.group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+			defer cancel()
+			if err := cl.peers.Progress(ctx, host, *rp); err != nil {
+				cl.metrics.Counter("report_failures").Inc(1)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coordination/forward/forward.go
@@ -0,0 +1,138 @@
+// Package forward carries requests of clients to backend servers and their answers back: it decides when an attempt
+// is made again, goes on with broken streams at other engines, and keeps the bounds of time.
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// Request is one request of a client.
+type Request struct {
+	// ID is the client's id of the attempt.
+	ID     string
+	Method string
+	// Target is the request line's target as the client sent it.
+	Target string
+	Host   string
+	// Header holds the fields that are passed on.
+	Header       http.Header
+	Body         []byte
+	Route        route.Route
+	Service      id.Service
+	Organisation id.Organisation
+	// Rank is the organisation's or the route's priority; 0 is the highest.
+	Rank    int
+	Arrived time.Time
+	// Deadline is when the client stops waiting.
+	Deadline time.Time
+	Prompt   id.Tokens
+	Answer   id.Tokens
+	// After is the id of the last event that the client has from an earlier answer.
+	After string
+}
+
+// Attempt is one sending of a request to a backend server.
+type Attempt struct {
+	*Request
+	Server id.BackendServer
+	// Address is the server's address; another server there is not to run the request.
+	Address string
+	// Remaining is the time that the server has.
+	Remaining time.Duration
+	// Resume is the id of the last event that was passed on.
+	Resume string
+	// Helpers read the prompt together with the server.
+	Helpers []batch.Part
+	// Urgency orders requests inside an engine; negative for none.
+	Urgency int
+}
+
+// Answer is the head of a backend server's answer. Its body must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the body's length in bytes, or -1 if it is not known.
+	Length int64
+	Body   io.ReadCloser
+	// NotRun says that the server did not run the request and won't.
+	NotRun bool
+	// Moved says that another server has the address.
+	Moved bool
+	// Leaving says that the server is about to leave.
+	Leaving bool
+	// Culprit is the address of the server that is at fault, if the answer names one.
+	Culprit string
+	// Load is nil if the server does not say.
+	Load *balance.Load
+}
+
+// ErrNotSent is wrapped by errors of attempts of which nothing reached the server.
+var ErrNotSent = errors.New("nothing was sent")
+
+// ErrClientGone is wrapped by errors of sinks whose client has gone.
+var ErrClientGone = errors.New("the client has gone")
+
+// Servers sends attempts to backend servers.
+type Servers interface {
+	// Send sends an attempt and returns the head of the answer.
+	Send(ctx context.Context, at Attempt) (Answer, error)
+	// Alive asks the server at an address whether it answers.
+	Alive(ctx context.Context, address string) bool
+}
+
+// Places gives places on engines.
+type Places interface {
+	// Acquire waits for a place.
+	Acquire(ctx context.Context, ask broker.Ask) (batch.Grant, outcome.Outcome)
+	// Started notes the first event of an attempt.
+	Started(att id.Attempt)
+	// End reports the end of an attempt.
+	End(en broker.Ended)
+}
+
+// Fleet knows the backend servers.
+type Fleet interface {
+	// Servers returns the servers of a service that are listed.
+	Servers(service id.Service) []roster.Server
+	// Left records a server's own word that it is leaving, or that another has its address.
+	Left(server id.BackendServer)
+}
+
+// Sink takes the answer for the client.
+type Sink interface {
+	// Begin sends the head of the answer. A negative length stands for a body whose length is not known.
+	Begin(status int, header http.Header, length int64) error
+	// Write sends a part of the body at once.
+	Write(part []byte) error
+}
+
+// Result says what became of a request.
+type Result struct {
+	// Outcome tells the client what happened when nothing of an answer was passed on.
+	Outcome outcome.Outcome
+	// Begun says that the head of an answer was passed on.
+	Begun bool
+	// Whole says that a whole answer was passed on.
+	Whole    bool
+	Status   int
+	Attempts int
+	Server   id.BackendServer
+	Helpers  int
+	// Queued is the time until the first place was given, FirstByte the time to the first part of the body.
+	Queued    time.Duration
+	FirstByte time.Duration
+	Cause     string
+}
--- /dev/null
+++ b/coordination/forward/plain.go
@@ -0,0 +1,221 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+)
+
+// kept is a whole answer that was read and may still be passed on.
+type kept struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// plain carries a request to a server of a plain service.
+func (jb *job) plain(ctx context.Context) {
+	rn := jb.runner
+	var avoid []id.BackendServer
+	var last *kept
+	dials := 0
+	for {
+		sv, ok := jb.choose(avoid)
+		if !ok {
+			break
+		}
+		jb.result.Server = sv.ID
+		jb.result.Attempts++
+		answer, result, cause := jb.attemptPlain(ctx, sv)
+		rn.logger.Info("attempt ended", "request", jb.request.ID, "server", string(sv.ID), "address", sv.Address,
+			"attempt", jb.result.Attempts, "result", cause, "remaining_ms", jb.remaining().Milliseconds())
+		if result == 0 {
+			return
+		}
+		if answer != nil {
+			last = answer
+		}
+		avoid = append(avoid, sv.ID)
+		jb.result.Cause = cause
+		if ctx.Err() != nil {
+			break
+		}
+		if result == retry.NotSent {
+			const maxDials = 3
+			if dials++; dials < maxDials {
+				continue
+			}
+			break
+		}
+		if jb.sent >= max(1, jb.request.Route.MaxAttempts) || !jb.again(ctx, result) {
+			break
+		}
+	}
+	switch {
+	case last != nil:
+		jb.passOn(*last)
+	case ctx.Err() != nil:
+		jb.ended(ctx)
+	case jb.result.Attempts == 0:
+		jb.result.Outcome = outcome.Refuse(outcome.NoCapacity, "no server of the service takes requests").After(time.Second)
+	default:
+		jb.giveUp(jb.result.Cause)
+	}
+}
+
+func (jb *job) choose(avoid []id.BackendServer) (roster.Server, bool) {
+	rn := jb.runner
+	servers := rn.fleet.Servers(jb.request.Service)
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.balancer.Choose(rn.clock.Now(), servers, avoid)
+}
+
+// attemptPlain sends the request to one server. It returns 0 when the answer was passed on, else why the
+// attempt did not bring a proper answer, and the answer that may be passed on if there is no better one.
+func (jb *job) attemptPlain(ctx context.Context, sv roster.Server) (*kept, retry.Cause, string) {
+	rn := jb.runner
+	rn.mutex.Lock()
+	rn.balancer.Begin(sv)
+	rn.mutex.Unlock()
+	result := balance.Abandoned
+	var load *balance.Load
+	defer func() {
+		rn.mutex.Lock()
+		rn.balancer.End(rn.clock.Now(), sv, result, load)
+		rn.mutex.Unlock()
+	}()
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	remaining := jb.remaining()
+	if jb.request.Route.Repeatable() && jb.sent+1 < jb.request.Route.MaxAttempts {
+		call, cancel = context.WithTimeout(ctx, time.Duration(rn.config.AttemptShare*float64(remaining)))
+		defer cancel()
+	}
+	answer, err := rn.servers.Send(call, Attempt{Request: jb.request, Server: sv.ID, Address: sv.Address, Remaining: remaining, Resume: jb.request.After, Urgency: -1})
+	if err != nil {
+		if errors.Is(err, ErrNotSent) {
+			result = balance.Lost
+			return nil, retry.NotSent, err.Error()
+		}
+		jb.sent++
+		jb.unknown = true
+		if ctx.Err() == nil {
+			result = balance.Lost
+		}
+		return nil, retry.Interrupted, err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	load = answer.Load
+	jb.sent++
+	switch {
+	case answer.Moved:
+		jb.sent--
+		result = balance.Gone
+		rn.fleet.Left(sv.ID)
+		return nil, retry.BackendRefused, "another server has the address"
+	case answer.NotRun:
+		result = balance.Shed
+		body, err := io.ReadAll(io.LimitReader(answer.Body, rn.config.BufferBytes))
+		if err != nil {
+			return nil, retry.BackendRefused, "not run, answer broken off"
+		}
+		return &kept{status: answer.Status, header: answer.Header, body: body}, retry.BackendRefused, "the server did not run the request"
+	}
+	return jb.takePlain(ctx, answer, &result)
+}
+
+// takePlain reads the answer and passes it on, unless it is worth another attempt.
+func (jb *job) takePlain(ctx context.Context, answer Answer, result *balance.Result) (*kept, retry.Cause, string) {
+	body, whole, err := readUpTo(answer.Body, jb.runner.config.BufferBytes)
+	if err != nil {
+		jb.unknown = true
+		if ctx.Err() == nil {
+			*result = balance.Lost
+		}
+		return nil, retry.Interrupted, "the answer broke off: " + err.Error()
+	}
+	*result = balance.Answered
+	kp := kept{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status >= http.StatusInternalServerError {
+		*result = balance.Erred
+		if whole && jb.request.Route.Repeatable() && jb.sent < jb.request.Route.MaxAttempts {
+			return &kp, retry.Interrupted, "the server failed"
+		}
+	}
+	if whole {
+		jb.passOn(kp)
+		return nil, 0, "answered"
+	}
+	jb.passThrough(answer, body)
+	return nil, 0, "passed through"
+}
+
+// readUpTo reads a body up to a limit and reports whether that was all of it.
+func readUpTo(body io.Reader, limit int64) ([]byte, bool, error) {
+	var bf bytes.Buffer
+	count, err := io.CopyN(&bf, body, limit)
+	if errors.Is(err, io.EOF) {
+		return bf.Bytes(), true, nil
+	}
+	return bf.Bytes(), count < limit, err
+}
+
+// passOn sends a whole answer to the client.
+func (jb *job) passOn(kp kept) {
+	jb.result.Begun = true
+	jb.result.Status = kp.status
+	jb.result.FirstByte = jb.runner.clock.Now().Sub(jb.request.Arrived)
+	if err := jb.sink.Begin(kp.status, kp.header, int64(len(kp.body))); err != nil {
+		jb.result.Cause = err.Error()
+		return
+	}
+	if err := jb.sink.Write(kp.body); err != nil {
+		jb.result.Cause = err.Error()
+		return
+	}
+	jb.result.Whole = true
+}
+
+// passThrough sends a long answer to the client as it comes.
+func (jb *job) passThrough(answer Answer, first []byte) {
+	jb.result.Begun = true
+	jb.result.Status = answer.Status
+	if err := jb.sink.Begin(answer.Status, answer.Header, answer.Length); err != nil {
+		jb.result.Cause = err.Error()
+		return
+	}
+	if err := jb.sink.Write(first); err != nil {
+		jb.result.Cause = err.Error()
+		return
+	}
+	const partBytes = 32 << 10
+	part := make([]byte, partBytes)
+	for {
+		count, err := answer.Body.Read(part)
+		if count > 0 {
+			if err := jb.sink.Write(part[:count]); err != nil {
+				jb.result.Cause = err.Error()
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			jb.result.Whole = true
+			return
+		}
+		if err != nil {
+			jb.result.Cause = "the answer broke off: " + err.Error()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/coordination/forward/runner.go
@@ -0,0 +1,173 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// Config sets the bounds of a runner.
+type Config struct {
+	// BufferBytes is the size up to which the answer of a plain service is read before any of it is passed on,
+	// so that one that breaks off can be tried again.
+	BufferBytes int64
+	// AttemptShare is the part of the remaining time after which an idempotent request is tried at another server.
+	AttemptShare float64
+	// StreamSilence is how long a stream may be silent, beyond what was predicted, before its engine is asked
+	// whether it is alive.
+	StreamSilence time.Duration
+	// ProbeTimeout bounds that question.
+	ProbeTimeout time.Duration
+	// MaxPlaces bounds the places that one request asks for when engines refuse to run it.
+	MaxPlaces int
+}
+
+// DefaultConfig returns the bounds that hosts use.
+func DefaultConfig() Config {
+	return Config{
+		BufferBytes:   256 << 10,
+		AttemptShare:  0.5,
+		StreamSilence: 600 * time.Millisecond,
+		ProbeTimeout:  400 * time.Millisecond,
+		MaxPlaces:     4,
+	}
+}
+
+// Runner carries requests.
+type Runner struct {
+	config  Config
+	host    id.Host
+	inc     id.Incarnation
+	clock   timer.Service
+	servers Servers
+	places  Places
+	fleet   Fleet
+	metrics tally.Scope
+	logger  *slog.Logger
+
+	sequence atomic.Uint64
+	mutex    sync.Mutex
+	retries  *retry.Policy
+	balancer *balance.Balancer
+}
+
+// NewRunner returns a runner.
+func NewRunner(config Config, host id.Host, inc id.Incarnation, clock timer.Service, servers Servers, places Places, fleet Fleet, retries *retry.Policy, balancer *balance.Balancer, metrics tally.Scope, logger *slog.Logger) *Runner {
+	return &Runner{
+		config:   config,
+		host:     host,
+		inc:      inc,
+		clock:    clock,
+		servers:  servers,
+		places:   places,
+		fleet:    fleet,
+		retries:  retries,
+		balancer: balancer,
+		metrics:  metrics,
+		logger:   logger,
+	}
+}
+
+// Run carries a request until its answer has been passed on or it has failed, at the latest at its deadline.
+func (rn *Runner) Run(ctx context.Context, rq *Request, sink Sink) Result {
+	limit := rq.Deadline
+	if rq.Route.Timeout > 0 && rq.Arrived.Add(rq.Route.Timeout).Before(limit) {
+		limit = rq.Arrived.Add(rq.Route.Timeout)
+	}
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	rn.mutex.Lock()
+	rn.retries.First(rq.Service)
+	rn.mutex.Unlock()
+	job := &job{runner: rn, request: rq, sink: sink, limit: limit}
+	if rq.Route.Prompt {
+		job.stream(ctx)
+	} else {
+		job.plain(ctx)
+	}
+	rn.count(rq, job.result)
+	return job.result
+}
+
+func (rn *Runner) count(rq *Request, rs Result) {
+	what := "answered"
+	switch {
+	case rs.Whole:
+	case rs.Begun:
+		what = "broken_off"
+	default:
+		what = string(rs.Outcome.Reason)
+	}
+	rn.metrics.Tagged(map[string]string{"kind": rq.Route.Kind.String(), "outcome": what}).Counter("requests").Inc(1)
+}
+
+// job is one request on its way.
+type job struct {
+	runner  *Runner
+	request *Request
+	sink    Sink
+	// limit is the earlier one of the client's deadline and the route's timeout.
+	limit  time.Time
+	result Result
+	// sent counts the servers that the request was sent to; unknown says that one of them may have run it.
+	sent    int
+	unknown bool
+}
+
+// remaining returns the time until the request's limit.
+func (jb *job) remaining() time.Duration { return jb.limit.Sub(jb.runner.clock.Now()) }
+
+// again decides whether a request is sent once more.
+func (jb *job) again(ctx context.Context, cause retry.Cause) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	rn := jb.runner
+	rn.mutex.Lock()
+	verdict := rn.retries.Decide(retry.Failure{
+		Service:    jb.request.Service,
+		Cause:      cause,
+		Attempts:   jb.sent,
+		Idempotent: jb.request.Route.Repeatable(),
+		Remaining:  jb.remaining(),
+	})
+	rn.mutex.Unlock()
+	if verdict.Exhausted {
+		rn.metrics.Counter("retry_budget_exhausted").Inc(1)
+		rn.logger.Warn("retry refused by the budget", "request", jb.request.ID, "service", string(jb.request.Service), "cause", cause.String())
+	}
+	return verdict.Retry
+}
+
+// ended sets the outcome of a request whose context has ended.
+func (jb *job) ended(ctx context.Context) {
+	switch {
+	case context.Cause(ctx) == context.Canceled: //nolint:errorlint // the cause is the client's own cancellation
+		jb.result.Outcome = outcome.Fail(outcome.CallerGone, "the client has gone")
+	case jb.unknown:
+		jb.result.Outcome = outcome.Fail(outcome.DeadlineExceeded, "the answer was not complete in the request's time")
+	default:
+		jb.result.Outcome = outcome.Refuse(outcome.DeadlineExceeded, "the request did not start in its time").After(time.Second)
+	}
+}
+
+// giveUp sets the outcome of a request that is not sent again.
+func (jb *job) giveUp(cause string) {
+	const comeBack = 300 * time.Millisecond
+	jb.result.Cause = cause
+	if jb.unknown {
+		jb.result.Outcome = outcome.Fail(outcome.RetriesExhausted, "the request may have run: "+cause)
+		return
+	}
+	jb.result.Outcome = outcome.Refuse(outcome.NoCapacity, "no server took the request: "+cause).After(comeBack)
+}
--- /dev/null
+++ b/coordination/forward/stream.go
@@ -0,0 +1,285 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+)
+
+// streaming is a stream on its way.
+type streaming struct {
+	*job
+	ask broker.Ask
+	// resume is the id of the last event that was passed on.
+	resume string
+	places int
+}
+
+// stream carries a request to engines and passes events on until the answer is whole.
+func (jb *job) stream(ctx context.Context) {
+	rn := jb.runner
+	rq := jb.request
+	st := &streaming{job: jb, resume: rq.After}
+	st.ask = broker.Ask{
+		Request: batch.Request{
+			ID:           id.NewRequest(rn.host, rn.inc, rn.sequence.Add(1)),
+			Organisation: rq.Organisation,
+			Prompt:       rq.Prompt,
+			Answer:       rq.Answer,
+			Target:       rq.Route.Target,
+			MaxPause:     rq.Route.MaxPause,
+			Patience:     patience(rq, jb.limit),
+			Arrived:      rq.Arrived,
+			Rank:         rq.Rank,
+		},
+		Service:     rq.Service,
+		Fingerprint: id.NewFingerprint(rq.Organisation, append([]byte(rq.Target+"\x00"), rq.Body...)),
+	}
+	for {
+		st.ask.Number++
+		again := st.attempt(ctx)
+		if !again {
+			return
+		}
+	}
+}
+
+// patience returns the time after which a client leaves that has seen no event.
+func patience(rq *Request, limit time.Time) time.Duration {
+	const least, targets, pauses = 2 * time.Second, 4, 8
+	wait := max(least, targets*rq.Route.Target, pauses*rq.Route.MaxPause)
+	return min(wait, limit.Sub(rq.Arrived))
+}
+
+// attempt acquires a place and runs the request there. It reports whether another attempt is to be made.
+func (st *streaming) attempt(ctx context.Context) bool {
+	rn := st.runner
+	grant, oc := rn.places.Acquire(ctx, st.ask)
+	if ctx.Err() != nil {
+		if len(grant.Parts) > 0 {
+			rn.places.End(broker.Ended{Request: st.ask.ID, Attempt: grant.Attempt})
+		}
+		st.ended(ctx)
+		return false
+	}
+	if !oc.OK() {
+		if st.unknown {
+			oc.Kind = outcome.Failed
+		}
+		st.result.Outcome = oc
+		return false
+	}
+	if st.places == 0 {
+		st.result.Queued = rn.clock.Now().Sub(st.request.Arrived)
+	}
+	st.places++
+	st.result.Attempts++
+	st.result.Server = id.BackendServer(grant.Parts[0].Engine)
+	st.result.Helpers = len(grant.Parts) - 1
+	ended, cause := st.run(ctx, grant)
+	ended.Request = st.ask.ID
+	ended.Attempt = grant.Attempt
+	rn.places.End(ended)
+	rn.logger.Info("attempt ended", "request", st.request.ID, "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
+		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.Prompt), "result", cause.text,
+		"predicted_ms", grant.Start.Milliseconds(), "queued_ms", st.result.Queued.Milliseconds(),
+		"first_ms", st.result.FirstByte.Milliseconds(), "last_event", st.resume, "remaining_ms", st.remaining().Milliseconds())
+	st.result.Cause = cause.text
+	if cause.final {
+		return false
+	}
+	if ctx.Err() != nil {
+		st.ended(ctx)
+		return false
+	}
+	return st.another(ctx, cause, ended)
+}
+
+// cause says why an attempt ended.
+type cause struct {
+	text string
+	// final says that the request has its result.
+	final bool
+	retry retry.Cause
+}
+
+// another decides whether the request is run again and prepares that.
+func (st *streaming) another(ctx context.Context, cs cause, ended broker.Ended) bool {
+	if ended.Failed != "" {
+		st.ask.Avoid = append(st.ask.Avoid, ended.Failed)
+	}
+	ran := cs.retry == retry.Interrupted || cs.retry == retry.Crashed
+	allowed := st.places < st.runner.config.MaxPlaces
+	if ran {
+		allowed = allowed && st.sent < max(1, st.request.Route.MaxAttempts)
+	}
+	if !allowed || !st.again(ctx, cs.retry) {
+		if ctx.Err() != nil {
+			st.ended(ctx)
+			return false
+		}
+		st.giveUp(cs.text)
+		return false
+	}
+	return true
+}
+
+// run sends the request to the engines of a grant and passes events on.
+func (st *streaming) run(ctx context.Context, grant batch.Grant) (broker.Ended, cause) {
+	rn := st.runner
+	first := grant.Parts[0]
+	call, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatch(rn, first.Address, grant.Start+rn.config.StreamSilence, func() { cancel(errSilent) })
+	defer watch.stop()
+	answer, err := rn.servers.Send(call, Attempt{
+		Request:   st.request,
+		Server:    id.BackendServer(first.Engine),
+		Address:   first.Address,
+		Remaining: st.remaining(),
+		Resume:    st.resume,
+		Helpers:   grant.Parts[1:],
+		Urgency:   grant.Urgency,
+	})
+	if err != nil {
+		return st.sendFailed(call, ctx, first, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	switch {
+	case answer.Moved:
+		rn.fleet.Left(id.BackendServer(first.Engine))
+		return broker.Ended{Failed: first.Engine, Fault: batch.Gone}, cause{text: "another server has the address", retry: retry.BackendRefused}
+	case answer.NotRun:
+		failed, fault := st.culprit(grant, answer)
+		return broker.Ended{Failed: failed, Fault: fault}, cause{text: "the engine did not run the request", retry: retry.BackendRefused}
+	}
+	st.sent++
+	if answer.Status >= http.StatusMultipleChoices {
+		return st.failure(ctx, first, answer)
+	}
+	return st.events(call, ctx, grant, answer, watch)
+}
+
+// errSilent ends an attempt whose engine does not answer.
+var errSilent = errors.New("the engine is silent")
+
+func (st *streaming) sendFailed(call, ctx context.Context, first batch.Part, err error) (broker.Ended, cause) {
+	if errors.Is(err, ErrNotSent) {
+		if ctx.Err() != nil {
+			return broker.Ended{}, cause{text: "ended before it was sent", retry: retry.NotSent}
+		}
+		return broker.Ended{Failed: first.Engine, Fault: batch.Unreachable}, cause{text: err.Error(), retry: retry.NotSent}
+	}
+	st.sent++
+	st.unknown = true
+	return st.lost(call, ctx, first, err)
+}
+
+// lost describes an attempt whose engine broke off or went silent.
+func (st *streaming) lost(call, ctx context.Context, first batch.Part, err error) (broker.Ended, cause) {
+	if ctx.Err() != nil {
+		return broker.Ended{}, cause{text: "ended: " + context.Cause(ctx).Error(), retry: retry.Interrupted}
+	}
+	if errors.Is(context.Cause(call), errSilent) {
+		return broker.Ended{Failed: first.Engine, Fault: batch.Silent}, cause{text: errSilent.Error(), retry: retry.Interrupted}
+	}
+	ended := broker.Ended{Failed: first.Engine, Fault: batch.Failing}
+	probe, cancel := context.WithTimeout(ctx, st.runner.config.ProbeTimeout)
+	defer cancel()
+	if !st.runner.servers.Alive(probe, first.Address) {
+		ended.Fault = batch.Unreachable
+		ended.Fingerprint = st.ask.Fingerprint
+		return ended, cause{text: "the engine crashed: " + err.Error(), retry: retry.Crashed}
+	}
+	return ended, cause{text: "the engine broke off: " + err.Error(), retry: retry.Interrupted}
+}
+
+// culprit names the engine at fault for a request that was not run.
+func (st *streaming) culprit(grant batch.Grant, answer Answer) (id.Engine, batch.Fault) {
+	for _, part := range grant.Parts {
+		if answer.Culprit != "" && (part.Address == answer.Culprit || string(part.Engine) == answer.Culprit) && part.Engine != grant.Parts[0].Engine {
+			return part.Engine, batch.Unreachable
+		}
+	}
+	if answer.Leaving {
+		return grant.Parts[0].Engine, batch.Gone
+	}
+	return grant.Parts[0].Engine, batch.Full
+}
+
+// failure takes an engine's answer that is not a stream. It is passed on if the request is not run again.
+func (st *streaming) failure(ctx context.Context, first batch.Part, answer Answer) (broker.Ended, cause) {
+	body, whole, err := readUpTo(answer.Body, st.runner.config.BufferBytes)
+	ended := broker.Ended{Failed: first.Engine, Fault: batch.Failing}
+	st.unknown = true
+	cs := cause{text: "the engine failed with status " + http.StatusText(answer.Status), retry: retry.Interrupted}
+	if st.result.Begun || err != nil || !whole {
+		return ended, cs
+	}
+	if answer.Status >= http.StatusInternalServerError && st.sent < st.request.Route.MaxAttempts && st.request.Route.Repeatable() && st.again(ctx, retry.Interrupted) {
+		cs.retry = retry.Preempted
+		return ended, cs
+	}
+	st.passOn(kept{status: answer.Status, header: answer.Header, body: body})
+	cs.final = true
+	return ended, cs
+}
+
+// events passes events on until the stream ends.
+func (st *streaming) events(call, ctx context.Context, grant batch.Grant, answer Answer, watch *watch) (broker.Ended, cause) {
+	rn := st.runner
+	first := grant.Parts[0]
+	reader := newEventReader(answer.Body)
+	for {
+		event, err := reader.next()
+		if len(event.data) > 0 {
+			watch.heard()
+			rn.places.Started(grant.Attempt)
+			if sinkErr := st.deliver(answer, event); sinkErr != nil {
+				return broker.Ended{}, cause{text: sinkErr.Error(), final: true}
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			if !st.result.Begun {
+				st.result.Begun = true
+				st.result.Status = answer.Status
+				_ = st.sink.Begin(answer.Status, answer.Header, 0)
+			}
+			st.result.Whole = true
+			return broker.Ended{}, cause{text: "answered", final: true}
+		default:
+			st.unknown = true
+			return st.lost(call, ctx, first, err)
+		}
+	}
+}
+
+// deliver passes one event on.
+func (st *streaming) deliver(answer Answer, ev event) error {
+	if !st.result.Begun {
+		st.result.Begun = true
+		st.result.Status = answer.Status
+		st.result.FirstByte = st.runner.clock.Now().Sub(st.request.Arrived)
+		if err := st.sink.Begin(answer.Status, answer.Header, -1); err != nil {
+			return errors.Wrap(err, "pass on the head")
+		}
+	}
+	if err := st.sink.Write(ev.data); err != nil {
+		return errors.Wrap(err, "pass on an event")
+	}
+	if ev.id != "" {
+		st.resume = ev.id
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/news/news.go
@@ -0,0 +1,85 @@
+// Package news keeps a host's copies of the desired state and of the list of backend servers up to date,
+// from the platform's store and from other hosts.
+package news
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// TableRead is what a read of the desired state brought.
+type TableRead struct {
+	// Body is the newest desired state as the store encodes it, nil if there was none after the position asked for.
+	Body []byte
+	Next id.Offset
+	// Expired says that the records asked for are no longer kept.
+	Expired bool
+}
+
+// ServersRead is what a read of the list of backend servers brought.
+type ServersRead struct {
+	Records []roster.Record
+	Next    id.Offset
+	// Whole says that the records are the whole list.
+	Whole bool
+	// Expired says that the records asked for are no longer kept.
+	Expired bool
+}
+
+// Store is the platform's store.
+type Store interface {
+	// NewestTable returns the newest desired state.
+	NewestTable(ctx context.Context) (TableRead, error)
+	// AwaitTable waits for a desired state from an offset on.
+	AwaitTable(ctx context.Context, from id.Offset, wait time.Duration) (TableRead, error)
+	// NewestServers returns the whole list of backend servers.
+	NewestServers(ctx context.Context) (ServersRead, error)
+	// ReadServers returns the records of the list from an offset on without waiting.
+	ReadServers(ctx context.Context, from id.Offset) (ServersRead, error)
+	// DecodeTable reads a desired state as the store encodes it.
+	DecodeTable(body []byte) (*route.Table, error)
+	// DecodeServer reads an entry; nil means that it names no usable server.
+	DecodeServer(name id.BackendServer, body []byte) *roster.Server
+}
+
+// Update is what a host that has read the list of backend servers tells the others.
+type Update struct {
+	Host    id.Host
+	Version route.Version
+	// From and Next bound the offsets that the records cover.
+	From    id.Offset
+	Next    id.Offset
+	Records []roster.Record
+}
+
+// Copy is everything that a host knows.
+type Copy struct {
+	Version route.Version
+	// Table is the desired state as the store encodes it; nil if the asker has it.
+	Table []byte
+	Next  id.Offset
+	// Records is the whole list of backend servers; nil if the asker has it.
+	Records []roster.Record
+}
+
+// Peers reaches the other hosts.
+type Peers interface {
+	// Others returns the other hosts that are not dead.
+	Others() []id.Host
+	// LiveHosts returns the hosts that take new work, the own one included.
+	LiveHosts() []id.Host
+	// Tell passes an update to a host.
+	Tell(ctx context.Context, host id.Host, up Update) error
+	// Copy asks a host for what it knows beyond a version and an offset.
+	Copy(ctx context.Context, host id.Host, version route.Version, next id.Offset) (Copy, error)
+}
+
+// Seeds reaches hosts by address before they are known as members.
+type Seeds interface {
+	// CopyFrom asks the host at an address for everything that it knows.
+	CopyFrom(ctx context.Context, address string) (Copy, error)
+}
--- a/protocol/peer/peerconnect/peer.connect.go
+++ b/protocol/peer/peerconnect/peer.connect.go
@@ -53,6 +53,14 @@
 	PeerHoldsProcedure = "/hibiscuslever.peer.Peer/Holds"
 	// PeerListingProcedure is the fully-qualified name of the Peer's Listing RPC.
 	PeerListingProcedure = "/hibiscuslever.peer.Peer/Listing"
+	// PeerPlaceProcedure is the fully-qualified name of the Peer's Place RPC.
+	PeerPlaceProcedure = "/hibiscuslever.peer.Peer/Place"
+	// PeerProgressProcedure is the fully-qualified name of the Peer's Progress RPC.
+	PeerProgressProcedure = "/hibiscuslever.peer.Peer/Progress"
+	// PeerTellProcedure is the fully-qualified name of the Peer's Tell RPC.
+	PeerTellProcedure = "/hibiscuslever.peer.Peer/Tell"
+	// PeerCopyProcedure is the fully-qualified name of the Peer's Copy RPC.
+	PeerCopyProcedure = "/hibiscuslever.peer.Peer/Copy"
 )
 
 // PeerClient is a client for the hibiscuslever.peer.Peer service.
@@ -76,6 +84,15 @@
 	Holds(context.Context, *connect.Request[peer.HoldsRequest]) (*connect.Response[peer.HoldsResponse], error)
 	// Listing returns the platform's host list as the peer last read it.
 	Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error)
+	// Place asks the dispatcher of a service for a place on its engines. It is idempotent per request and answers
+	// without grant and refusal while the request waits; the asker then asks again.
+	Place(context.Context, *connect.Request[peer.PlaceRequest]) (*connect.Response[peer.PlaceResponse], error)
+	// Progress tells dispatchers which grants are held, have started and have ended.
+	Progress(context.Context, *connect.Request[peer.ProgressRequest]) (*connect.Response[peer.ProgressResponse], error)
+	// Tell passes on what a host has read of the list of backend servers.
+	Tell(context.Context, *connect.Request[peer.TellRequest]) (*connect.Response[peer.TellResponse], error)
+	// Copy returns the desired state and the list of backend servers beyond what the asker knows.
+	Copy(context.Context, *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error)
 }
 
 // NewPeerClient constructs a client for the hibiscuslever.peer.Peer service. By default, it uses
@@ -143,6 +160,30 @@
 			connect.WithSchema(peerMethods.ByName("Listing")),
 			connect.WithClientOptions(opts...),
 		),
+		place: connect.NewClient[peer.PlaceRequest, peer.PlaceResponse](
+			httpClient,
+			baseURL+PeerPlaceProcedure,
+			connect.WithSchema(peerMethods.ByName("Place")),
+			connect.WithClientOptions(opts...),
+		),
+		progress: connect.NewClient[peer.ProgressRequest, peer.ProgressResponse](
+			httpClient,
+			baseURL+PeerProgressProcedure,
+			connect.WithSchema(peerMethods.ByName("Progress")),
+			connect.WithClientOptions(opts...),
+		),
+		tell: connect.NewClient[peer.TellRequest, peer.TellResponse](
+			httpClient,
+			baseURL+PeerTellProcedure,
+			connect.WithSchema(peerMethods.ByName("Tell")),
+			connect.WithClientOptions(opts...),
+		),
+		copy: connect.NewClient[peer.CopyRequest, peer.CopyResponse](
+			httpClient,
+			baseURL+PeerCopyProcedure,
+			connect.WithSchema(peerMethods.ByName("Copy")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -157,6 +198,10 @@
 	renew    *connect.Client[peer.RenewRequest, peer.RenewResponse]
 	holds    *connect.Client[peer.HoldsRequest, peer.HoldsResponse]
 	listing  *connect.Client[peer.ListingRequest, peer.ListingResponse]
+	place    *connect.Client[peer.PlaceRequest, peer.PlaceResponse]
+	progress *connect.Client[peer.ProgressRequest, peer.ProgressResponse]
+	tell     *connect.Client[peer.TellRequest, peer.TellResponse]
+	copy     *connect.Client[peer.CopyRequest, peer.CopyResponse]
 }
 
 // Acquire calls hibiscuslever.peer.Peer.Acquire.
@@ -204,6 +249,26 @@
 	return c.listing.CallUnary(ctx, req)
 }
 
+// Place calls hibiscuslever.peer.Peer.Place.
+func (c *peerClient) Place(ctx context.Context, req *connect.Request[peer.PlaceRequest]) (*connect.Response[peer.PlaceResponse], error) {
+	return c.place.CallUnary(ctx, req)
+}
+
+// Progress calls hibiscuslever.peer.Peer.Progress.
+func (c *peerClient) Progress(ctx context.Context, req *connect.Request[peer.ProgressRequest]) (*connect.Response[peer.ProgressResponse], error) {
+	return c.progress.CallUnary(ctx, req)
+}
+
+// Tell calls hibiscuslever.peer.Peer.Tell.
+func (c *peerClient) Tell(ctx context.Context, req *connect.Request[peer.TellRequest]) (*connect.Response[peer.TellResponse], error) {
+	return c.tell.CallUnary(ctx, req)
+}
+
+// Copy calls hibiscuslever.peer.Peer.Copy.
+func (c *peerClient) Copy(ctx context.Context, req *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error) {
+	return c.copy.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the hibiscuslever.peer.Peer service.
 type PeerHandler interface {
 	// Acquire asks a dispatcher for a grant. It is idempotent per request id and
@@ -225,6 +290,15 @@
 	Holds(context.Context, *connect.Request[peer.HoldsRequest]) (*connect.Response[peer.HoldsResponse], error)
 	// Listing returns the platform's host list as the peer last read it.
 	Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error)
+	// Place asks the dispatcher of a service for a place on its engines. It is idempotent per request and answers
+	// without grant and refusal while the request waits; the asker then asks again.
+	Place(context.Context, *connect.Request[peer.PlaceRequest]) (*connect.Response[peer.PlaceResponse], error)
+	// Progress tells dispatchers which grants are held, have started and have ended.
+	Progress(context.Context, *connect.Request[peer.ProgressRequest]) (*connect.Response[peer.ProgressResponse], error)
+	// Tell passes on what a host has read of the list of backend servers.
+	Tell(context.Context, *connect.Request[peer.TellRequest]) (*connect.Response[peer.TellResponse], error)
+	// Copy returns the desired state and the list of backend servers beyond what the asker knows.
+	Copy(context.Context, *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -288,6 +362,30 @@
 		connect.WithSchema(peerMethods.ByName("Listing")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerPlaceHandler := connect.NewUnaryHandler(
+		PeerPlaceProcedure,
+		svc.Place,
+		connect.WithSchema(peerMethods.ByName("Place")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerProgressHandler := connect.NewUnaryHandler(
+		PeerProgressProcedure,
+		svc.Progress,
+		connect.WithSchema(peerMethods.ByName("Progress")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerTellHandler := connect.NewUnaryHandler(
+		PeerTellProcedure,
+		svc.Tell,
+		connect.WithSchema(peerMethods.ByName("Tell")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerCopyHandler := connect.NewUnaryHandler(
+		PeerCopyProcedure,
+		svc.Copy,
+		connect.WithSchema(peerMethods.ByName("Copy")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hibiscuslever.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerAcquireProcedure:
@@ -308,6 +406,14 @@
 			peerHoldsHandler.ServeHTTP(w, r)
 		case PeerListingProcedure:
 			peerListingHandler.ServeHTTP(w, r)
+		case PeerPlaceProcedure:
+			peerPlaceHandler.ServeHTTP(w, r)
+		case PeerProgressProcedure:
+			peerProgressHandler.ServeHTTP(w, r)
+		case PeerTellProcedure:
+			peerTellHandler.ServeHTTP(w, r)
+		case PeerCopyProcedure:
+			peerCopyHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -352,3 +458,19 @@
 func (UnimplementedPeerHandler) Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Listing is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Place(context.Context, *connect.Request[peer.PlaceRequest]) (*connect.Response[peer.PlaceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Place is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Progress(context.Context, *connect.Request[peer.ProgressRequest]) (*connect.Response[peer.ProgressResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Progress is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Tell(context.Context, *connect.Request[peer.TellRequest]) (*connect.Response[peer.TellResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Tell is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Copy(context.Context, *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Copy is not implemented"))
+}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -34,6 +34,11 @@
 		{"Host", "CallerAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.CallerAddress, value) }},
 		{"Host", "PeerAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.PeerAddress, value) }},
 		{"Host", "OperatorAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.OperatorAddress, value) }},
+		{"Host", "ReadyAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.ReadyAddress, value) }},
+		{"Host", "DirectoryAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.DirectoryAddress, value) }},
+		{"Platform", "Kind", "Log or Store", func(st *Settings, value string) bool {
+			return setChoice(&st.Platform.Kind, value, KindLog, KindStore)
+		}},
 		{"Platform", "URL", "an http or https URL", func(st *Settings, value string) bool { return setURL(&st.Platform.URL, value) }},
 		{"Peers", "Seeds", "IP addresses with ports, separated by commas", func(st *Settings, value string) bool { return setAddresses(&st.Peers.Seeds, value) }},
 		{"Callers", "MaxBodyBytes", "a whole number from 1024 to 1073741824", func(st *Settings, value string) bool {
@@ -69,6 +74,14 @@
 		}},
 		{"Traces", "File", "the path of a file", func(st *Settings, value string) bool { return setText(&st.Traces.File, value) }},
 		{"Traces", "Endpoint", "an http or https URL", func(st *Settings, value string) bool { return setURL(&st.Traces.Endpoint, value) }},
+		{"Retries", "Share", "a number from 0 to 1", func(st *Settings, value string) bool { return setFloat(&st.Retries.Share, value, 0, 1) }},
+		{"Retries", "Slack", "a whole number from 0 to 1000000", func(st *Settings, value string) bool {
+			return setInt(&st.Retries.Slack, value, 0, 1_000_000)
+		}},
+		{"Retries", "Window", allowedDuration, func(st *Settings, value string) bool { return setDuration(&st.Retries.Window, value) }},
+		{"Limits", "MemoryMegabytes", "a whole number from 0 to 1000000", func(st *Settings, value string) bool {
+			return setInt(&st.Limits.MemoryMegabytes, value, 0, 1_000_000)
+		}},
 		{"Operators", "ShutdownTimeout", allowedDuration, func(st *Settings, value string) bool { return setDuration(&st.Operators.ShutdownTimeout, value) }},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,8 @@
 	Logs      Logs
 	Traces    Traces
 	Operators Operators
+	Retries   Retries
+	Limits    Limits
 }
 
 // Host names the host and its addresses.
@@ -35,11 +37,36 @@
 	CallerAddress   string
 	PeerAddress     string
 	OperatorAddress string
+	// ReadyAddress and DirectoryAddress are IP:port to listen at on the users' platform; empty elsewhere.
+	ReadyAddress     string
+	DirectoryAddress string
 }
 
 // Platform says where the platform is.
 type Platform struct {
 	URL string
+	// Kind is Log for the product's own log service, or Store for the users' platform.
+	Kind string
+}
+
+// Kinds of platforms.
+const (
+	KindLog   = "Log"
+	KindStore = "Store"
+)
+
+// Retries bounds what is sent to a second backend server, over all hosts together.
+type Retries struct {
+	// Share is the part of a service's requests that may be added as retries within Window, beside Slack.
+	Share  float64
+	Slack  int
+	Window time.Duration
+}
+
+// Limits bounds what the process uses.
+type Limits struct {
+	// MemoryMegabytes is the memory at which the process is ended; 0 for no bound.
+	MemoryMegabytes int
 }
 
 // Peers says how to find other hosts.
@@ -118,6 +145,8 @@
 		Logs:      Logs{Format: "Text", Level: "Info"},
 		Traces:    Traces{Export: "None"},
 		Operators: Operators{ShutdownTimeout: 10 * time.Minute},
+		Platform:  Platform{Kind: KindLog},
+		Retries:   Retries{Share: 0.1, Slack: 50, Window: 10 * time.Second},
 	}
 }
 
@@ -193,6 +222,9 @@
 			return fmt.Errorf("settings %s: section %s: key %s is missing; want %s", path, rq.section, rq.key, allowedOf(rq.section, rq.key))
 		}
 	}
+	if st.Platform.Kind == KindStore && (st.Host.ReadyAddress == "" || st.Host.DirectoryAddress == "") {
+		return fmt.Errorf("settings %s: section Host: keys ReadyAddress and DirectoryAddress are missing; a platform of kind %s needs them", path, KindStore)
+	}
 	if st.Traces.Export == "File" && st.Traces.File == "" {
 		return fmt.Errorf("settings %s: section Traces: key File is missing; want %s", path, allowedOf("Traces", "File"))
 	}
--- /dev/null
+++ b/site/addresses.go
@@ -0,0 +1,86 @@
+package site
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// maxAddresses is the largest number of addresses that clients take.
+const maxAddresses = 64
+
+// Addresses returns the addresses of the hosts that take requests, those in the client's availability zone first
+// where there are too many, and the seconds to keep them. A host that is not ready names none, so that clients ask
+// another one.
+func (ht *Host) Addresses(zone string) ([]string, float64) {
+	if ready, _ := ht.Ready(); !ready {
+		return nil, 0
+	}
+	live := slices.DeleteFunc(slices.Clone(ht.gossip.Live()), func(mb membership.Member) bool { return mb.Status == membership.Suspect })
+	if len(live) > maxAddresses {
+		order := id.Rendezvous(zone, hostsOf(live))
+		slices.SortStableFunc(live, func(left, right membership.Member) int {
+			if near := cmp.Compare(distance(left, zone), distance(right, zone)); near != 0 {
+				return near
+			}
+			return cmp.Compare(slices.Index(order, left.Host), slices.Index(order, right.Host))
+		})
+		live = live[:maxAddresses]
+	}
+	addresses := make([]string, len(live))
+	for ix, mb := range live {
+		addresses[ix] = mb.CallerAddress
+	}
+	return addresses, ht.settings.Callers.KeepAddresses.Seconds()
+}
+
+func distance(mb membership.Member, zone string) int {
+	if string(mb.AvailabilityZone) == zone {
+		return 0
+	}
+	return 1
+}
+
+func hostsOf(members []membership.Member) []id.Host {
+	hosts := make([]id.Host, len(members))
+	for ix, mb := range members {
+		hosts[ix] = mb.Host
+	}
+	return hosts
+}
+
+// status describes the host for operators.
+func (ht *Host) status(wr http.ResponseWriter, _ *http.Request) {
+	ready, why := ht.Ready()
+	version := int64(-1)
+	if tb := ht.news.Table(); tb != nil {
+		version = int64(tb.Version())
+	}
+	servers, _ := ht.news.Servers()
+	body, err := json.MarshalIndent(struct {
+		Host            id.Host
+		Ready           bool
+		Reason          string
+		Version         int64
+		StoreAway       bool
+		ListAgeMillis   int64
+		BackendServers  int
+		Members         []membership.Member
+		Dispatchers     []broker.Status
+		RequestsRunning int64
+	}{
+		ht.self.Host, ready, why, version, ht.news.Away(), ht.news.Age().Milliseconds(), len(servers),
+		ht.gossip.Members(), ht.broker.Status(), ht.front.InFlight(),
+	}, "", "  ")
+	if err != nil {
+		http.Error(wr, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	wr.Header().Set("Content-Type", "application/json")
+	_, _ = wr.Write(append(body, '\n'))
+}
--- /dev/null
+++ b/site/host.go
@@ -0,0 +1,261 @@
+// Package site assembles an entry host that serves on the users' platform.
+package site
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/gossip"
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/news"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/platform"
+	"github.com/hibiscuslever/hibiscuslever/settings"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
+	"github.com/hibiscuslever/hibiscuslever/telemetry"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/backend"
+	"github.com/hibiscuslever/hibiscuslever/transport/peer"
+)
+
+// Host is an entry host on the users' platform.
+type Host struct {
+	settings settings.Settings
+	clock    timer.Service
+	logger   *slog.Logger
+	metrics  *telemetry.Metrics
+	self     membership.Member
+
+	pool     *backend.Pool
+	peers    *peer.Client
+	gossip   *gossip.Runner
+	news     *news.Follower
+	broker   *broker.Server
+	places   *broker.Client
+	retries  *retry.Policy
+	balancer *balance.Balancer
+	front    *platform.Front
+	fleet    *fleet
+
+	mutex      sync.Mutex
+	quarantine *quarantine.Table
+	joined     bool
+	leaving    bool
+
+	listeners []net.Listener
+}
+
+// New returns a host that listens at the addresses of its settings but serves nothing before Run.
+func New(opts ...Option) (*Host, error) {
+	op := newOptions(opts)
+	ht := &Host{
+		settings:   op.settings,
+		clock:      op.clock,
+		logger:     op.logger,
+		metrics:    telemetry.NewMetrics(),
+		quarantine: quarantine.New(convictionTTL),
+	}
+	ht.self = membership.Member{
+		Host:             op.settings.Host.Name,
+		Incarnation:      id.Incarnation(op.clock.Now().UnixNano()),
+		PeerAddress:      op.settings.Host.PeerAddress,
+		CallerAddress:    op.settings.Host.CallerAddress,
+		AvailabilityZone: op.settings.Host.AvailabilityZone,
+	}
+	if err := ht.listen(); err != nil {
+		return nil, err
+	}
+	ht.assemble(op.seed)
+	return ht, nil
+}
+
+// convictionTTL is how long the content of requests that crash engines is remembered.
+const convictionTTL = time.Hour
+
+func (ht *Host) listen() error {
+	st := ht.settings.Host
+	for _, address := range []string{st.CallerAddress, st.PeerAddress, st.OperatorAddress, st.ReadyAddress, st.DirectoryAddress} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range ht.listeners {
+				_ = open.Close()
+			}
+			return errors.Wrapf(err, "listen at %s", address)
+		}
+		ht.listeners = append(ht.listeners, listener)
+	}
+	return nil
+}
+
+// assemble builds the parts of the host, lower layers first.
+func (ht *Host) assemble(seed uint64) {
+	scope := ht.metrics.Scope
+	ht.pool = backend.NewPool(backend.DefaultConfig(), ht.clock)
+	ht.peers = peer.NewHTTP1Client(ht.self, ht.clock)
+	gossipConfig := gossip.DefaultConfig()
+	gossipConfig.Seeds = ht.settings.Peers.Seeds
+	ht.gossip = gossip.New(gossipConfig, ht.self, ht.clock, ht.peers, gossip.Handlers{
+		Changed: ht.memberChanged,
+		Learned: ht.factLearned,
+		Behind:  func(id.Host) {},
+	}, scope, seed)
+	newsConfig := news.DefaultConfig()
+	newsConfig.Seeds = ht.settings.Peers.Seeds
+	store := platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
+	ht.news = news.New(newsConfig, ht.self.Host, ht.clock, store, ht.peers, ht.peers, scope, ht.logger, seed, ht.newsChanged)
+	ht.fleet = newFleet(ht.news, ht.clock)
+	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, convictions{ht}, scope, ht.logger, seed)
+	ht.places = broker.NewClient(batch.DefaultConfig(), ht.self.Host, ht.clock, ht.peers, ht.fleet, scope, ht.logger, seed)
+	ht.peers.Bind(ht.local(), ht.gossip)
+	ht.retries = retry.New(ht.retryConfig(), seed)
+	ht.balancer = balance.New(ht.self.AvailabilityZone, seed)
+	runner := forward.NewRunner(forward.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, platform.NewServers(ht.pool), ht.places, ht.fleet, ht.retries, ht.balancer, scope, ht.logger)
+	ht.front = platform.NewFront(ht.news, runner, ht.clock, ht.logger)
+}
+
+// local returns the parts that answer other hosts.
+func (ht *Host) local() peer.Local {
+	return peer.Local{Gossip: ht.gossip, Broker: ht.broker, News: ht.news}
+}
+
+// retryConfig shares the budget of all hosts by what each of them carries; the slack is left out of it but for a few
+// retries that a quiet host may make at once.
+func (ht *Host) retryConfig() retry.Config {
+	const quietRetries = 4
+	config := retry.DefaultConfig()
+	config.BudgetShare = ht.settings.Retries.Share
+	config.MinBudget = min(quietRetries, float64(ht.settings.Retries.Slack))
+	return config
+}
+
+// Run serves until the context ends, then shuts down gracefully.
+func (ht *Host) Run(ctx context.Context) error {
+	if megabytes := ht.settings.Limits.MemoryMegabytes; megabytes > 0 {
+		const usedShare = 0.7
+		debug.SetMemoryLimit(int64(usedShare * float64(megabytes) * (1 << 20)))
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group run.Group
+	for _, part := range []func(context.Context) error{ht.news.Run, ht.broker.Run, ht.places.Run, ht.pool.Run, ht.join} {
+		partCtx, cancel := context.WithCancel(background)
+		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
+	}
+	for ix, server := range ht.servers() {
+		listener := ht.listeners[ix]
+		group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+	}
+	shutdown, cancel := context.WithCancel(background)
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+			ht.shutDown(shutdown)
+		case <-shutdown.Done():
+		}
+		return nil
+	}, func(error) { cancel() })
+	ht.logger.Info("host started", "zone", string(ht.self.AvailabilityZone), "clients", ht.self.CallerAddress, "peers", ht.self.PeerAddress,
+		"incarnation", int64(ht.self.Incarnation), "seeds", ht.settings.Peers.Seeds)
+	err := group.Run()
+	ht.peers.Close()
+	_ = ht.metrics.Close()
+	if errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	}
+	ht.logger.Info("host stopped")
+	return err
+}
+
+// join takes part in the membership once the host can serve, so that nothing is sent to one that can't.
+func (ht *Host) join(ctx context.Context) error {
+	const lookPeriod = 20 * time.Millisecond
+	for !ht.informed() {
+		if !timer.Sleep(ctx, ht.clock, lookPeriod) {
+			return nil
+		}
+	}
+	ht.mutex.Lock()
+	ht.joined = true
+	ht.mutex.Unlock()
+	ht.logger.Info("host ready", "after_ms", ht.clock.Now().Sub(time.Unix(0, int64(ht.self.Incarnation))).Milliseconds())
+	return ht.gossip.Run(ctx)
+}
+
+// informed reports whether the desired state and the list of backend servers are known.
+func (ht *Host) informed() bool {
+	_, listed := ht.news.Servers()
+	return listed && ht.news.Table() != nil
+}
+
+// Ready reports whether the host takes requests, and if not, why.
+func (ht *Host) Ready() (bool, string) {
+	ht.mutex.Lock()
+	defer ht.mutex.Unlock()
+	switch {
+	case ht.leaving:
+		return false, "the host is leaving"
+	case !ht.joined:
+		return false, "the host does not know the desired state and the backend servers yet"
+	default:
+		return true, ""
+	}
+}
+
+// servers returns the HTTP servers in the order of the listeners.
+func (ht *Host) servers() []*http.Server {
+	front := ht.newServer(ht.front)
+	front.MaxHeaderBytes = ht.settings.Callers.MaxHeaderBytes
+	peers := ht.newServer(peer.NewServer(ht.local(), ht.clock).Handler())
+	operators := ht.newServer(ht.operatorHandler())
+	ready := ht.newServer(platform.NewReady(ht, ht.logger))
+	directory := ht.newServer(platform.NewDirectory(ht))
+	return []*http.Server{front, peers, operators, ready, directory}
+}
+
+func (ht *Host) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: ht.settings.Callers.ReadHeaderTimeout,
+		IdleTimeout:       ht.settings.Callers.IdleTimeout,
+		ErrorLog:          slog.NewLogLogger(ht.logger.Handler(), slog.LevelDebug),
+	}
+}
+
+func (ht *Host) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", ht.metrics.Handler)
+	mux.HandleFunc("GET /status", ht.status)
+	return mux
+}
+
+func (ht *Host) memberChanged(member membership.Member) {
+	ht.logger.Info("member changed", "member", string(member.Host), "status", member.Status.String(), "incarnation", int64(member.Incarnation))
+}
+
+func (ht *Host) factLearned(fact membership.Fact) {
+	if fact.Kind != membership.Crashes {
+		return
+	}
+	ht.mutex.Lock()
+	defer ht.mutex.Unlock()
+	ht.quarantine.Learn(ht.clock.Now(), id.Fingerprint(fact.Key), int(fact.Value))
+}
+
+func (ht *Host) newsChanged() {
+	ht.fleet.update()
+	ht.broker.Refresh()
+}
--- /dev/null
+++ b/state/roster/roster.go
@@ -0,0 +1,164 @@
+// Package roster keeps the platform's list of backend servers as records with offsets, so that copies on
+// different hosts merge to the same list in any order.
+package roster
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// Server is a backend server or model engine that the platform lists.
+type Server struct {
+	ID               id.BackendServer
+	Service          id.Service
+	Address          string
+	AvailabilityZone id.AvailabilityZone
+	// Slots is the number of requests that the server works on at once.
+	Slots int
+	// Draining servers finish what they run and get nothing new.
+	Draining bool
+	// Born is when the server started, in Unix milliseconds; another value under the same id is another server.
+	Born int64
+}
+
+// Record is the newest word on one id.
+type Record struct {
+	ID     id.BackendServer
+	Offset id.Offset
+	// Dropped says that the entry was removed.
+	Dropped bool
+	// Server is nil for an entry that names no usable server.
+	Server *Server
+	// Body is the entry as the platform encodes it.
+	Body []byte
+}
+
+// same reports whether two records say the same of a server.
+func (rc Record) same(other Record) bool {
+	if rc.Dropped != other.Dropped || (rc.Server == nil) != (other.Server == nil) {
+		return false
+	}
+	return rc.Server == nil || *rc.Server == *other.Server
+}
+
+// lapseGrace is how long a server whose entry lapsed with an outage of the store may take to be listed again.
+const lapseGrace = 2500 * time.Millisecond
+
+type entry struct {
+	Record
+	// lapsed is set for entries that were dropped around an outage of the store.
+	lapsed time.Time
+	// last is the server before its entry lapsed.
+	last *Server
+}
+
+// Roster is a host's copy of the list. It is not safe for concurrent use.
+type Roster struct {
+	entries map[id.BackendServer]*entry
+	// next is the offset up to which every record is known.
+	next id.Offset
+}
+
+// New returns a roster that has read nothing.
+func New() *Roster {
+	return &Roster{entries: map[id.BackendServer]*entry{}, next: id.NoOffset}
+}
+
+// Next returns the offset up to which every record is known, or id.NoOffset.
+func (rs *Roster) Next() id.Offset { return rs.next }
+
+// Known reports whether the whole list has been read once.
+func (rs *Roster) Known() bool { return rs.next != id.NoOffset }
+
+// Apply merges records that follow from an offset on, up to next, and returns those that changed something.
+// Without a gap before them the roster is then complete up to next; it reports whether that is so.
+// After an outage of the store, dropped entries count as lapsed: their servers stay usable for a grace period.
+func (rs *Roster) Apply(now time.Time, from, next id.Offset, records []Record, outage bool) ([]Record, bool) {
+	var changed []Record
+	for _, rc := range records {
+		if rs.merge(now, rc, outage) {
+			changed = append(changed, rc)
+		}
+	}
+	if !rs.Known() || from > rs.next {
+		return changed, false
+	}
+	rs.next = max(rs.next, next)
+	return changed, true
+}
+
+// Replace merges a whole listing that was complete at next. Entries that it lacks and that are older were dropped.
+func (rs *Roster) Replace(now time.Time, next id.Offset, records []Record, outage bool) []Record {
+	if next < rs.next {
+		return nil
+	}
+	present := map[id.BackendServer]bool{}
+	var changed []Record
+	for _, rc := range records {
+		present[rc.ID] = true
+		if rs.merge(now, rc, outage) {
+			changed = append(changed, rc)
+		}
+	}
+	for name, en := range rs.entries {
+		if present[name] || en.Dropped || en.Offset >= next {
+			continue
+		}
+		rc := Record{ID: name, Offset: next, Dropped: true}
+		if rs.merge(now, rc, outage) {
+			changed = append(changed, rc)
+		}
+	}
+	rs.next = next
+	return changed
+}
+
+func (rs *Roster) merge(now time.Time, rc Record, outage bool) bool {
+	en, known := rs.entries[rc.ID]
+	if !known {
+		rs.entries[rc.ID] = &entry{Record: rc}
+		return true
+	}
+	if rc.Offset <= en.Offset {
+		return false
+	}
+	same := rc.same(en.Record)
+	if rc.Dropped && !en.Dropped && outage && en.Server != nil {
+		en.lapsed = now
+		en.last = en.Server
+	}
+	if !rc.Dropped {
+		en.lapsed = time.Time{}
+		en.last = nil
+	}
+	en.Record = rc
+	return !same
+}
+
+// Records returns every record, dropped ones included, in the order of the ids.
+func (rs *Roster) Records() []Record {
+	records := make([]Record, 0, len(rs.entries))
+	for _, en := range rs.entries {
+		records = append(records, en.Record)
+	}
+	slices.SortFunc(records, func(left, right Record) int { return strings.Compare(string(left.ID), string(right.ID)) })
+	return records
+}
+
+// Servers returns the servers that are listed, draining ones included, in the order of their ids.
+func (rs *Roster) Servers(now time.Time) []Server {
+	var servers []Server
+	for _, en := range rs.entries {
+		switch {
+		case en.Server != nil && !en.Dropped:
+			servers = append(servers, *en.Server)
+		case en.last != nil && now.Sub(en.lapsed) < lapseGrace:
+			servers = append(servers, *en.last)
+		}
+	}
+	slices.SortFunc(servers, func(left, right Server) int { return strings.Compare(string(left.ID), string(right.ID)) })
+	return servers
+}
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -56,16 +56,33 @@
 	clients map[string]peerconnect.PeerClient
 }
 
-// NewClient returns a client of the own host. Bind must be called before calls to hosts by name.
+// NewClient returns a client of the own host that speaks HTTP/2. Bind must be called before calls to hosts by name.
 func NewClient(self membership.Member, clock timer.Service, opts ...connect.ClientOption) *Client {
-	transport := &http.Transport{
+	transport := newTransport()
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: 5 * time.Second, PingTimeout: 2 * time.Second}
+	return newClient(self, clock, transport, opts...)
+}
+
+// NewHTTP1Client returns a client that speaks HTTP/1.1 without compression: a connection that goes silent costs
+// the one call that waits on it, and small messages cost little processor time.
+func NewHTTP1Client(self membership.Member, clock timer.Service, opts ...connect.ClientOption) *Client {
+	transport := newTransport()
+	transport.Protocols.SetHTTP1(true)
+	opts = append(opts, connect.WithAcceptCompression("gzip", nil, nil))
+	return newClient(self, clock, transport, opts...)
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     time.Minute,
 		Protocols:           new(http.Protocols),
 	}
-	transport.Protocols.SetUnencryptedHTTP2(true)
-	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: 5 * time.Second, PingTimeout: 2 * time.Second}
+}
+
+func newClient(self membership.Member, clock timer.Service, transport *http.Transport, opts ...connect.ClientOption) *Client {
 	return &Client{
 		self:    self,
 		clock:   clock,
--- /dev/null
+++ b/transport/peer/news.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/news"
+	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
+	"github.com/hibiscuslever/hibiscuslever/protocol/peer/peerconnect"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// Tell passes an update to a host.
+func (cl *Client) Tell(ctx context.Context, host id.Host, up news.Update) error {
+	rq := &peer.TellRequest{
+		Host:    string(up.Host),
+		Version: int64(up.Version),
+		From:    int64(up.From),
+		Next:    int64(up.Next),
+		Records: encodeRecords(up.Records),
+	}
+	_, err := call(ctx, cl, host, rq, method(peerconnect.PeerClient.Tell))
+	return err
+}
+
+// Copy asks a host for what it knows beyond a version and an offset.
+func (cl *Client) Copy(ctx context.Context, host id.Host, version route.Version, next id.Offset) (news.Copy, error) {
+	ms, err := call(ctx, cl, host, &peer.CopyRequest{Version: int64(version), Next: int64(next)}, method(peerconnect.PeerClient.Copy))
+	if err != nil {
+		return news.Copy{}, err
+	}
+	return decodeCopy(ms), nil
+}
+
+// CopyFrom asks the host at an address for everything that it knows.
+func (cl *Client) CopyFrom(ctx context.Context, address string) (news.Copy, error) {
+	answer, err := cl.at(address).Copy(ctx, connect.NewRequest(&peer.CopyRequest{Version: -1, Next: int64(id.NoOffset)}))
+	if err != nil {
+		return news.Copy{}, err
+	}
+	return decodeCopy(answer.Msg), nil
+}
+
+// Tell takes an update of another host.
+func (sv *Server) Tell(ctx context.Context, rq *connect.Request[peer.TellRequest]) (*connect.Response[peer.TellResponse], error) {
+	if sv.local.News == nil {
+		return nil, errNoPart
+	}
+	sv.local.News.Heard(ctx, news.Update{
+		Host:    id.Host(rq.Msg.GetHost()),
+		Version: route.Version(rq.Msg.GetVersion()),
+		From:    id.Offset(rq.Msg.GetFrom()),
+		Next:    id.Offset(rq.Msg.GetNext()),
+		Records: decodeRecords(rq.Msg.GetRecords()),
+	})
+	return connect.NewResponse(&peer.TellResponse{}), nil
+}
+
+// Copy returns what the own host knows.
+func (sv *Server) Copy(_ context.Context, rq *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error) {
+	if sv.local.News == nil {
+		return nil, errNoPart
+	}
+	cp := sv.local.News.Copy(route.Version(rq.Msg.GetVersion()), id.Offset(rq.Msg.GetNext()))
+	return connect.NewResponse(&peer.CopyResponse{
+		Version: int64(cp.Version),
+		Table:   cp.Table,
+		Next:    int64(cp.Next),
+		Records: encodeRecords(cp.Records),
+	}), nil
+}
+
+func decodeCopy(ms *peer.CopyResponse) news.Copy {
+	return news.Copy{
+		Version: route.Version(ms.GetVersion()),
+		Table:   ms.GetTable(),
+		Next:    id.Offset(ms.GetNext()),
+		Records: decodeRecords(ms.GetRecords()),
+	}
+}
+
+func encodeRecords(records []roster.Record) []*peer.ServerRecord {
+	encoded := make([]*peer.ServerRecord, 0, len(records))
+	for _, rc := range records {
+		encoded = append(encoded, &peer.ServerRecord{Id: string(rc.ID), Offset: int64(rc.Offset), Dropped: rc.Dropped, Body: rc.Body})
+	}
+	return encoded
+}
+
+// decodeRecords leaves the entries undecoded; only the platform's adapter reads them.
+func decodeRecords(encoded []*peer.ServerRecord) []roster.Record {
+	var records []roster.Record
+	for _, ms := range encoded {
+		records = append(records, roster.Record{ID: id.BackendServer(ms.GetId()), Offset: id.Offset(ms.GetOffset()), Dropped: ms.GetDropped(), Body: ms.GetBody()})
+	}
+	return records
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -10,10 +10,12 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/coordination/claim"
 	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
 	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/coordination/gossip"
+	"github.com/hibiscuslever/hibiscuslever/coordination/news"
 	"github.com/hibiscuslever/hibiscuslever/coordination/quota"
 	"github.com/hibiscuslever/hibiscuslever/coordination/relay"
 	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
@@ -32,6 +34,9 @@
 	Relay         *relay.Relay
 	Quota         *quota.Server
 	Fleet         *fleet.View
+	// Broker and News are set on hosts that serve on the users' platform.
+	Broker *broker.Server
+	News   *news.Follower
 }
 
 // Server answers other hosts.
