Backfill behind a long prompt that waits; a lost dispatcher is passed over within 0.22 s

Cause: one long prompt that waited for engines held up all behind it; a host asked a dispatcher that had lost power for 0.45 s for each request and then refused; a host that had just started answered 503 for 0.1 s longer than needed. Ruled out: processor time (0.007 cores on the mean).

--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -88,18 +88,19 @@
 	return time.Duration(seconds*float64(time.Second)) + time.Duration(pairs*float64(spec.PerMillionPairs))
 }
 
-// wait returns the predicted time until an engine has read what was handed to it.
+// wait returns the predicted time until an engine has read what was handed to it. A first event comes up to two
+// passes after its prompt was read; an engine that takes longer is behind its predictions.
 func (mc *Machine) wait(now time.Time, en *engine, ld load) time.Duration {
 	wait := max(0, en.busyUntil.Sub(now))
-	if late := ld.overdue - mc.pass(en, ld) - lateAllowance; late > 0 {
+	if late := ld.overdue - 2*mc.pass(en, ld) - lateAllowance; late > 0 {
 		wait = max(wait, min(late, maxLate))
 	}
 	return wait
 }
 
 const (
-	// lateAllowance is how far the report of a first event may lag behind the end of the pass.
-	lateAllowance = 60 * time.Millisecond
+	// lateAllowance is how far a first event may lag behind two passes: a part that others read, and the report.
+	lateAllowance = 350 * time.Millisecond
 	// maxLate bounds the wait that is predicted for an engine behind its predictions.
 	maxLate = 400 * time.Millisecond
 )
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -21,10 +21,12 @@
 	granted map[id.Request]*grant
 	waiting map[id.Request]*waiting
 	// short and long hold the waiting requests by the time that their prompts take to read.
-	short   []*waiting
-	long    []*waiting
-	swept   time.Time
-	effects []Effect
+	short []*waiting
+	long  []*waiting
+	// strictest is the shortest pause that any request has allowed.
+	strictest time.Duration
+	swept     time.Time
+	effects   []Effect
 }
 
 type grant struct {
@@ -108,6 +110,9 @@
 		}
 		mc.release(now, gr)
 	}
+	if rq.MaxPause > 0 && (mc.strictest == 0 || rq.MaxPause < mc.strictest) {
+		mc.strictest = rq.MaxPause
+	}
 	wt := &waiting{Request: rq, read: readTime(mc.engine, rq.Prompt)}
 	if oc, admitted := mc.admit(now, wt); !admitted {
 		mc.refuse(wt, oc)
@@ -165,7 +170,7 @@
 		request: ev.Request,
 		read:    read,
 		ready:   now.Add(read),
-		short:   readTime(mc.engine, ev.Request.Prompt) <= mc.config.ShortRead,
+		short:   readTime(mc.engine, ev.Request.Prompt) <= mc.config.ShortRead || mc.isStrict(ev.Request),
 		memory:  ev.Request.Prompt + ev.Request.Answer,
 	}
 	mc.charge(now, gr)
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -44,18 +44,37 @@
 	})
 }
 
-// pumpQueue places requests in order. A request that finds no place holds up those behind it.
-func (mc *Machine) pumpQueue(now time.Time, queue []*waiting, place func(time.Time, *waiting) (*grant, bool)) {
-	for _, wt := range slices.Clone(queue) {
-		gr, ok := place(now, wt)
-		if !ok {
+// plan is a place that a request may be given.
+type plan struct {
+	grant *grant
+	// start is the predicted time until the engines are free, finish until the prompt has been read.
+	start  time.Duration
+	finish time.Duration
+}
+
+// pumpQueue places requests in order. While a request waits for engines to become free, those behind it may use what
+// is free until then, if they are done by then.
+func (mc *Machine) pumpQueue(now time.Time, queue []*waiting, place func(time.Time, *waiting) (plan, bool)) {
+	const looks = 12
+	reserved := time.Duration(math.MaxInt64)
+	for ix, wt := range slices.Clone(queue) {
+		if ix >= looks {
 			return
 		}
+		pl, ok := place(now, wt)
+		if !ok {
+			continue
+		}
+		if pl.start > mc.config.Ahead || pl.finish > reserved {
+			reserved = min(reserved, max(pl.start, mc.config.Ahead))
+			continue
+		}
 		mc.drop(wt)
+		gr := pl.grant
 		gr.Attempt = id.NewAttempt(wt.ID, wt.Number)
 		gr.request = wt.Request
 		gr.renewed = now
-		gr.short = mc.isShort(wt)
+		gr.short = mc.isShort(wt) || mc.isStrict(wt.Request)
 		gr.Urgency = urgencyOf(wt)
 		gr.Start = gr.ready.Sub(now)
 		mc.charge(now, gr)
@@ -63,6 +82,12 @@
 	}
 }
 
+// isStrict reports whether a request allows only pauses about as short as the shortest that any request allows.
+func (mc *Machine) isStrict(rq Request) bool {
+	const near = 1.25
+	return rq.MaxPause > 0 && float64(rq.MaxPause) <= near*float64(mc.strictest)
+}
+
 // urgencyOf orders requests inside an engine by the time within which they are to start.
 func urgencyOf(wt *waiting) int {
 	const most = 9
@@ -115,7 +140,7 @@
 
 // placeShort packs short prompts onto the first engines in a fixed order that can start them soon enough, so that
 // the others stay clear for long prompts. If none can, the engine with the earliest start takes the request.
-func (mc *Machine) placeShort(now time.Time, wt *waiting) (*grant, bool) {
+func (mc *Machine) placeShort(now time.Time, wt *waiting) (plan, bool) {
 	need := wt.Prompt + wt.Answer
 	goal := time.Duration(mc.config.ShortWait * float64(wt.Target))
 	packed := max(1, int(mc.config.ShortWriters*float64(mc.engine.Slots)))
@@ -137,19 +162,19 @@
 		}
 	}
 	if best == nil || bestStart > wt.Target && best.wait > mc.config.Ahead {
-		return nil, false
+		return plan{}, false
 	}
-	return &grant{
+	return plan{grant: &grant{
 		Grant:  Grant{Parts: []Part{{Engine: best.engine.Engine, Address: best.engine.Address}}},
 		read:   wt.read,
 		ready:  now.Add(best.wait + wt.read + mc.config.Delay),
 		memory: need,
-	}, true
+	}}, true
 }
 
 // placeLong has a long prompt read in even parts by as many engines as give the earliest end, without a pass that
-// is too long for those that write there. It waits while the engines chosen are busy.
-func (mc *Machine) placeLong(now time.Time, wt *waiting) (*grant, bool) {
+// is too long for those that write there.
+func (mc *Machine) placeLong(now time.Time, wt *waiting) (plan, bool) {
 	found := mc.candidates(now, wt)
 	mc.relax(now, wt, found)
 	slices.SortStableFunc(found, func(left, right candidate) int {
@@ -161,17 +186,13 @@
 	var best []candidate
 	var bestFinish, bestStart time.Duration
 	for count := 1; count <= min(len(found), mc.config.MaxParts); count++ {
-		part := wt.read / time.Duration(count)
-		chosen, finish, start := mc.choose(found, wt, count, part)
-		if chosen == nil {
-			continue
-		}
-		if best == nil || finish < bestFinish {
+		chosen, finish, start := mc.choose(found, wt, count)
+		if chosen != nil && (best == nil || finish < bestFinish) {
 			best, bestFinish, bestStart = chosen, finish, start
 		}
 	}
-	if best == nil || bestStart > mc.config.Ahead {
-		return nil, false
+	if best == nil {
+		return plan{}, false
 	}
 	part := wt.read / time.Duration(len(best))
 	gr := &grant{
@@ -182,34 +203,28 @@
 	for _, cd := range best {
 		gr.Parts = append(gr.Parts, Part{Engine: cd.engine.Engine, Address: cd.engine.Address})
 	}
-	return gr, true
+	return plan{grant: gr, start: bestStart, finish: bestStart + part}, true
 }
 
 // choose returns the given number of engines that can take a part each, the one that answers first.
-func (mc *Machine) choose(found []candidate, wt *waiting, count int, part time.Duration) ([]candidate, time.Duration, time.Duration) {
-	need := wt.Prompt + wt.Answer
-	chosen := make([]candidate, 0, count)
-	answering := -1
-	for _, cd := range found {
-		if cd.room < part {
-			continue
-		}
-		holds := mc.holds(cd, need)
-		if len(chosen) == count-1 && answering < 0 && !holds {
-			continue
-		}
-		chosen = append(chosen, cd)
-		if holds && (answering < 0 || cd.load.short < chosen[answering].load.short || cd.load.short == chosen[answering].load.short && cd.load.held < chosen[answering].load.held) {
-			answering = len(chosen) - 1
-		}
+func (mc *Machine) choose(found []candidate, wt *waiting, count int) ([]candidate, time.Duration, time.Duration) {
+	part := wt.read / time.Duration(count)
+	answering := mc.answering(found, wt, part)
+	if answering < 0 {
+		return nil, 0, 0
+	}
+	chosen := append(make([]candidate, 0, count), found[answering])
+	for ix, cd := range found {
 		if len(chosen) == count {
 			break
 		}
+		if ix != answering && cd.room >= part {
+			chosen = append(chosen, cd)
+		}
 	}
-	if len(chosen) < count || answering < 0 {
+	if len(chosen) < count {
 		return nil, 0, 0
 	}
-	chosen[0], chosen[answering] = chosen[answering], chosen[0]
 	var start, cost time.Duration
 	for _, cd := range chosen {
 		start = max(start, cd.wait)
@@ -220,6 +235,41 @@
 	return chosen, start + part + cost, start
 }
 
+// answering returns the engine that is to answer a request, or -1: one on which the request's pause makes no
+// stricter bound for others, then the one that is free first, then the one with the most memory.
+func (mc *Machine) answering(found []candidate, wt *waiting, part time.Duration) int {
+	need := wt.Prompt + wt.Answer
+	strict := mc.isStrict(wt.Request)
+	best := -1
+	for ix, cd := range found {
+		if cd.room < part || !mc.holds(cd, need) {
+			continue
+		}
+		if best < 0 || mc.answersBetter(cd, found[best], strict) {
+			best = ix
+		}
+	}
+	return best
+}
+
+func (mc *Machine) answersBetter(left, right candidate, strict bool) bool {
+	if mixes := cmp.Compare(mixing(left, strict), mixing(right, strict)); mixes != 0 {
+		return mixes < 0
+	}
+	if wait := cmp.Compare(max(left.wait, mc.config.Ahead), max(right.wait, mc.config.Ahead)); wait != 0 {
+		return wait < 0
+	}
+	return left.load.held < right.load.held
+}
+
+// mixing tells whether a request would be the first strict one on an engine, or a lenient one beside strict ones.
+func mixing(cd candidate, strict bool) int {
+	if strict == (cd.load.short > 0) {
+		return 0
+	}
+	return 1
+}
+
 // relax widens the room on engines for a prompt that has waited for a part of its target: by then a pause that is
 // too long for some costs less than the prompt.
 func (mc *Machine) relax(now time.Time, wt *waiting, found []candidate) {
--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -78,4 +78,4 @@
 }
 
 // answerWithin is the longest time that an Ask is held.
-const answerWithin = 250 * time.Millisecond
+const answerWithin = 100 * time.Millisecond
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -16,9 +16,13 @@
 
 const (
 	// askMargin is added to the time that a dispatcher holds an Ask before it counts as unreachable.
-	askMargin = 200 * time.Millisecond
-	// suspectFor is how long a dispatcher that did not answer is passed over.
-	suspectFor = 1500 * time.Millisecond
+	askMargin = 120 * time.Millisecond
+	// suspectFor is how long a dispatcher that did not answer is passed over; it doubles with each failure in a row
+	// up to maxSuspect.
+	suspectFor = time.Second
+	maxSuspect = 8 * time.Second
+	// aloneAfter is the part of a request's target after which it is placed by what the own host knows.
+	aloneAfter = 0.7
 	// reportDelay is how long starts and ends are gathered before they are reported.
 	reportDelay = 5 * time.Millisecond
 	// renewPeriod is the time between reports of what the host holds.
@@ -43,7 +47,9 @@
 	started  []StartedAttempt
 	ended    []Ended
 	pending  bool
-	suspects map[id.Host]time.Time
+	suspects map[id.Host]*suspicion
+	// reported is the dispatcher that knows what the host holds, by service.
+	reported map[id.Service]id.Host
 	// alone holds the machines that place requests while no dispatcher can be reached.
 	alone  map[id.Service]*batch.Machine
 	config batch.Config
@@ -51,6 +57,12 @@
 	group  sync.WaitGroup
 }
 
+// suspicion is what is known of a dispatcher that did not answer.
+type suspicion struct {
+	failures int
+	until    time.Time
+}
+
 // NewClient returns a client that holds nothing.
 func NewClient(config batch.Config, host id.Host, clock timer.Service, peers Peers, fleet Fleet, metrics tally.Scope, logger *slog.Logger, seed uint64) *Client {
 	return &Client{
@@ -63,7 +75,8 @@
 		logger:   logger,
 		seed:     seed,
 		held:     map[id.Attempt]*Held{},
-		suspects: map[id.Host]time.Time{},
+		suspects: map[id.Host]*suspicion{},
+		reported: map[id.Service]id.Host{},
 		alone:    map[id.Service]*batch.Machine{},
 	}
 }
@@ -80,10 +93,11 @@
 // Acquire waits for a place. The context ends the wait.
 func (cl *Client) Acquire(ctx context.Context, ask Ask) (batch.Grant, outcome.Outcome) {
 	const pause = 5 * time.Millisecond
+	failed := false
 	for ctx.Err() == nil {
 		host, ok := cl.dispatcher(ask.Service)
-		if !ok {
-			return cl.choose(ask)
+		if !ok || failed && cl.clock.Now().Sub(ask.Arrived) > time.Duration(aloneAfter*float64(ask.Target)) {
+			return cl.chooseSoon(ctx, ask)
 		}
 		call, cancel := context.WithTimeout(ctx, answerWithin+askMargin)
 		answer, err := cl.peers.Place(call, host, ask)
@@ -91,16 +105,17 @@
 		switch {
 		case ctx.Err() != nil:
 		case err != nil:
+			failed = true
 			cl.suspect(host, err)
-			if cl.clock.Now().Sub(ask.Arrived) > ask.Target/2 {
-				return cl.choose(ask)
-			}
 		case answer.Refusal != nil:
+			cl.trust(host)
 			return batch.Grant{}, *answer.Refusal
 		case answer.Grant != nil:
+			cl.trust(host)
 			cl.keep(ask, *answer.Grant)
 			return *answer.Grant, outcome.Done()
 		default:
+			cl.trust(host)
 			timer.Sleep(ctx, cl.clock, pause)
 		}
 	}
@@ -108,27 +123,62 @@
 	return batch.Grant{}, outcome.Refuse(outcome.DeadlineExceeded, "the request found no engine in its time").After(time.Second)
 }
 
-// dispatcher returns the first host in order that is not suspected.
+// dispatcher returns the first host in order that is not suspected. A dispatcher that is asked for the first time is
+// told what the host holds.
 func (cl *Client) dispatcher(service id.Service) (id.Host, bool) {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
 	now := cl.clock.Now()
-	const tries = 3
-	hosts := cl.peers.Dispatchers(service)
-	for _, host := range hosts[:min(tries, len(hosts))] {
-		if until, suspected := cl.suspects[host]; !suspected || now.After(until) {
-			return host, true
+	for _, host := range cl.peers.Dispatchers(service) {
+		if sp, suspected := cl.suspects[host]; suspected && now.Before(sp.until) {
+			continue
 		}
+		if cl.reported[service] != host {
+			cl.reported[service] = host
+			cl.clock.After(0, func() { cl.renew(context.Background()) })
+		}
+		return host, true
 	}
 	return "", false
 }
 
+// trust notes that a dispatcher has answered.
+func (cl *Client) trust(host id.Host) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	delete(cl.suspects, host)
+}
+
 func (cl *Client) suspect(host id.Host, err error) {
 	cl.metrics.Counter("dispatcher_unreachable").Inc(1)
-	cl.logger.Warn("dispatcher unreachable", "dispatcher", string(host), "error", err.Error())
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
-	cl.suspects[host] = cl.clock.Now().Add(suspectFor)
+	now := cl.clock.Now()
+	sp, known := cl.suspects[host]
+	if !known {
+		sp = &suspicion{}
+		cl.suspects[host] = sp
+	}
+	if now.Before(sp.until) {
+		return
+	}
+	sp.until = now.Add(min(suspectFor<<min(sp.failures, 4), maxSuspect))
+	sp.failures++
+	cl.logger.Warn("dispatcher unreachable", "dispatcher", string(host), "failures", sp.failures, "error", err.Error())
+}
+
+// chooseSoon places a request by what the own host knows, as soon as an engine has room.
+func (cl *Client) chooseSoon(ctx context.Context, ask Ask) (batch.Grant, outcome.Outcome) {
+	const pause = 25 * time.Millisecond
+	for {
+		grant, oc := cl.choose(ask)
+		if oc.OK() || oc.Reason != outcome.Overloaded || cl.clock.Now().Sub(ask.Arrived)+pause > ask.Patience {
+			return grant, oc
+		}
+		if !timer.Sleep(ctx, cl.clock, pause) {
+			return grant, oc
+		}
+	}
 }
 
 // choose places a request by what the own host knows, while no dispatcher can be reached.
--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -107,6 +107,13 @@
 	return fl.table
 }
 
+// Informed reports whether the desired state and the list of backend servers are known.
+func (fl *Follower) Informed() bool {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	return fl.table != nil && fl.roster.Known()
+}
+
 // Servers returns the servers that are listed and whether the list has been read.
 func (fl *Follower) Servers() ([]roster.Server, bool) {
 	fl.mutex.Lock()
@@ -133,6 +140,7 @@
 	const lookPeriod = 100 * time.Millisecond
 	fl.group.Go(func() { fl.followTable(ctx) })
 	fl.group.Go(func() { fl.askSeeds(ctx) })
+	fl.look(ctx)
 	sub := timer.Every(fl.clock, lookPeriod, func() { fl.look(ctx) })
 	<-ctx.Done()
 	sub.Stop()
@@ -143,10 +151,7 @@
 // askSeeds takes what other hosts know while the store gives nothing.
 func (fl *Follower) askSeeds(ctx context.Context) {
 	for timer.Sleep(ctx, fl.clock, fl.config.Backoff) {
-		fl.mutex.Lock()
-		known := fl.table != nil && fl.roster.Known()
-		fl.mutex.Unlock()
-		if known {
+		if fl.Informed() {
 			return
 		}
 		for _, address := range fl.config.Seeds {
--- a/site/host.go
+++ b/site/host.go
@@ -183,7 +183,7 @@
 // join takes part in the membership once the host can serve, so that nothing is sent to one that can't.
 func (ht *Host) join(ctx context.Context) error {
 	const lookPeriod = 20 * time.Millisecond
-	for !ht.informed() {
+	for !ht.news.Informed() {
 		if !timer.Sleep(ctx, ht.clock, lookPeriod) {
 			return nil
 		}
@@ -195,12 +195,6 @@
 	return ht.gossip.Run(ctx)
 }
 
-// informed reports whether the desired state and the list of backend servers are known.
-func (ht *Host) informed() bool {
-	_, listed := ht.news.Servers()
-	return listed && ht.news.Table() != nil
-}
-
 // Ready reports whether the host takes requests, and if not, why.
 func (ht *Host) Ready() (bool, string) {
 	ht.mutex.Lock()
