--- a/coordination/batch/admit.go
+++ b/coordination/batch/admit.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 )
 
@@ -30,7 +29,7 @@
 	switch {
 	case present == 0:
 		return outcome.Refuse(outcome.NoCapacity, "no engine serves the request now").After(mc.spread(time.Second)), false
-	case wt.Prompt+wt.Answer > mc.engine.Capacity*id.Tokens(min(present, mc.config.MaxParts)):
+	case wt.Prompt+wt.Answer > mc.largest(min(present, mc.config.MaxParts)):
 		return outcome.Refuse(outcome.NeverFits, "the prompt is longer than the engines can hold"), false
 	case wt.Number > 1:
 		return outcome.Outcome{}, true
--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -45,7 +45,7 @@
 	Address string
 	// Ticket names memory that is set aside on the engine, empty if none is.
 	Ticket string
-	// Tokens is the memory to set aside.
+	// Tokens is the memory that the request takes there. With a ticket it is to be set aside before the request is sent.
 	Tokens id.Tokens
 }
 
--- a/coordination/batch/config.go
+++ b/coordination/batch/config.go
@@ -12,8 +12,10 @@
 	ShortWait float64
 	// ShortWriters is the part of an engine's slots up to which short prompts are packed.
 	ShortWriters float64
-	// PauseUse is the part of the longest allowed pause that a pass may take.
-	PauseUse float64
+	// PauseUse is the part of the longest allowed pause that a pass may take, PauseMost the same for a request that
+	// has used its target.
+	PauseUse  float64
+	PauseMost float64
 	// Ahead is how long before an engine is free a long prompt is handed to it.
 	Ahead time.Duration
 	// Delay is the time that a grant takes to reach the engine and its first event to be reported.
@@ -37,7 +39,8 @@
 		ShortRead:     80 * time.Millisecond,
 		ShortWait:     0.5,
 		ShortWriters:  0.75,
-		PauseUse:      0.85,
+		PauseUse:      0.7,
+		PauseMost:     0.9,
 		Ahead:         20 * time.Millisecond,
 		Delay:         10 * time.Millisecond,
 		MixCost:       20 * time.Millisecond,
--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -12,8 +12,8 @@
 // engine is the machine's view of one engine.
 type engine struct {
 	EngineSpec
-	// grants are those of which the engine runs a part.
-	grants []*grant
+	// tasks are the parts of grants that the engine runs.
+	tasks []task
 	// busyUntil is when everything handed to the engine is predicted to have been read.
 	busyUntil time.Time
 	// pausedUntil is when an engine that failed may get work again.
@@ -22,6 +22,15 @@
 	pace        float64
 }
 
+// task is an engine's part of a grant.
+type task struct {
+	*grant
+	// kept is the memory that the grant takes on the engine.
+	kept id.Tokens
+	// answers says that the engine answers the request; it only helps otherwise.
+	answers bool
+}
+
 // usable reports whether an engine may get new work.
 func (en *engine) usable(now time.Time) bool {
 	return !en.Leaving && !now.Before(en.pausedUntil)
@@ -44,29 +53,42 @@
 
 func (mc *Machine) loadOf(now time.Time, en *engine) load {
 	var ld load
-	for _, gr := range en.grants {
-		if !gr.started {
-			ld.overdue = max(ld.overdue, now.Sub(gr.ready))
+	for _, tk := range en.tasks {
+		ld.held += tk.kept
+		if !tk.started {
+			ld.overdue = max(ld.overdue, now.Sub(tk.ready))
 		}
-		if gr.Parts[0].Engine != en.Engine {
+		if !tk.answers {
+			if tk.started {
+				ld.context += tk.kept
+			}
 			continue
 		}
 		ld.running++
-		ld.held += gr.memory
-		if gr.short {
+		if tk.short {
 			ld.short++
 		}
-		if gr.started {
-			ld.writers++
-			ld.context += gr.memory
+		if !tk.started {
+			continue
 		}
-		if gr.started && gr.request.MaxPause > 0 && (ld.pause == 0 || gr.request.MaxPause < ld.pause) {
-			ld.pause = gr.request.MaxPause
+		ld.writers++
+		ld.context += tk.kept / id.Tokens(len(tk.Parts))
+		if pause := tk.request.MaxPause; pause > 0 && (ld.pause == 0 || pause < ld.pause) {
+			ld.pause = pause
 		}
 	}
 	return ld
 }
 
+// run adds an engine's part of a grant, if the grant has one.
+func (en *engine) run(gr *grant) {
+	for ix, part := range gr.Parts {
+		if part.Engine == en.Engine && part.Address == en.Address {
+			en.tasks = append(en.tasks, task{grant: gr, kept: part.Tokens, answers: ix == 0})
+		}
+	}
+}
+
 // pass returns the time of an engine's pass without reading.
 func (mc *Machine) pass(en *engine, ld load) time.Duration {
 	if ld.writers == 0 {
@@ -106,7 +128,7 @@
 )
 
 // listed takes the engines of the service. An engine that was started anew holds nothing of before.
-func (mc *Machine) listed(now time.Time, specs []EngineSpec) {
+func (mc *Machine) listed(specs []EngineSpec) {
 	present := map[id.Engine]bool{}
 	for _, spec := range specs {
 		present[spec.Engine] = true
@@ -116,26 +138,24 @@
 			continue
 		}
 		if known {
-			mc.removeEngine(now, en)
+			mc.removeEngine(en)
 		}
 		en = &engine{EngineSpec: spec, pace: 1}
 		mc.byName[spec.Engine] = en
 		mc.engines = append(mc.engines, en)
 		for _, gr := range mc.grants {
-			if slices.ContainsFunc(gr.Parts, func(part Part) bool { return part.Engine == spec.Engine && part.Address == spec.Address }) {
-				en.grants = append(en.grants, gr)
-			}
+			en.run(gr)
 		}
 	}
 	for _, en := range slices.Clone(mc.engines) {
 		if !present[en.Engine] {
-			mc.removeEngine(now, en)
+			mc.removeEngine(en)
 		}
 	}
 	slices.SortFunc(mc.engines, func(left, right *engine) int { return strings.Compare(string(left.Engine), string(right.Engine)) })
 }
 
-func (mc *Machine) removeEngine(_ time.Time, en *engine) {
+func (mc *Machine) removeEngine(en *engine) {
 	delete(mc.byName, en.Engine)
 	mc.engines = slices.DeleteFunc(mc.engines, func(other *engine) bool { return other == en })
 }
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -25,8 +25,16 @@
 	long  []*waiting
 	// strictest is the shortest pause that any request has allowed.
 	strictest time.Duration
-	swept     time.Time
-	effects   []Effect
+	// lookAt is when waiting requests are looked at again, if nothing happens before.
+	lookAt time.Time
+	// view holds the engines that may get new work, as they are during one look at the queues.
+	view []candidate
+	// order and chosen are the places of engines in the view, kept to be used again.
+	order   []int
+	chosen  []int
+	best    []int
+	swept   time.Time
+	effects []Effect
 }
 
 type grant struct {
@@ -36,15 +44,16 @@
 	started bool
 	short   bool
 	// read is the time that each part takes to read, ready when it is predicted to be read.
-	read   time.Duration
-	ready  time.Time
-	memory id.Tokens
+	read  time.Duration
+	ready time.Time
 }
 
 type waiting struct {
 	Request
 	// read is the time that one engine takes to read the prompt.
 	read time.Duration
+	// latest is the latest start with which the first event is on time, on all engines.
+	latest time.Time
 }
 
 // New returns a machine without engines. The seed determines its random choices.
@@ -66,7 +75,7 @@
 	case Configured:
 		mc.engine = ev.Engine
 	case Listed:
-		mc.listed(now, ev.Engines)
+		mc.listed(ev.Engines)
 	case Submit:
 		mc.submit(now, ev.Request)
 	case Withdraw:
@@ -86,7 +95,9 @@
 		mc.sweep(now)
 	}
 	mc.expire(now)
-	mc.pump(now)
+	if _, tick := ev.(Tick); !tick || !now.Before(mc.lookAt) {
+		mc.pump(now)
+	}
 	return mc.effects
 }
 
@@ -171,25 +182,25 @@
 		read:    read,
 		ready:   now.Add(read),
 		short:   readTime(mc.engine, ev.Request.Prompt) <= mc.config.ShortRead || mc.isStrict(ev.Request),
-		memory:  ev.Request.Prompt + ev.Request.Answer,
 	}
-	mc.charge(now, gr)
+	mc.charge(gr)
 	return gr
 }
 
 // charge adds a grant to its engines.
-func (mc *Machine) charge(now time.Time, gr *grant) {
+func (mc *Machine) charge(gr *grant) {
 	mc.grants[gr.Attempt] = gr
 	mc.granted[gr.request.ID] = gr
 	for _, part := range gr.Parts {
-		if en, ok := mc.byName[part.Engine]; ok && en.Address == part.Address {
-			en.grants = append(en.grants, gr)
-			if !gr.started && gr.ready.After(en.busyUntil) {
-				en.busyUntil = gr.ready
-			}
+		en, ok := mc.byName[part.Engine]
+		if !ok {
+			continue
+		}
+		en.run(gr)
+		if !gr.started && gr.ready.After(en.busyUntil) {
+			en.busyUntil = gr.ready
 		}
 	}
-	_ = now
 }
 
 // start notes that the first event of an attempt has arrived: its prompt has been read.
@@ -234,7 +245,7 @@
 	}
 	for _, part := range gr.Parts {
 		if en, ok := mc.byName[part.Engine]; ok {
-			en.grants = slices.DeleteFunc(en.grants, func(other *grant) bool { return other == gr })
+			en.tasks = slices.DeleteFunc(en.tasks, func(tk task) bool { return tk.grant == gr })
 		}
 	}
 }
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -9,28 +9,35 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
 
+// maxLooks bounds the requests of a queue that are looked at in one step.
+const maxLooks = 12
+
 // pump hands out what can start now, short prompts first.
 func (mc *Machine) pump(now time.Time) {
+	const idle = 200 * time.Millisecond
 	if len(mc.waiting) == 0 {
 		return
 	}
-	mc.order(now, mc.short)
-	mc.pumpQueue(now, mc.short, mc.placeShort)
-	mc.order(now, mc.long)
-	mc.pumpQueue(now, mc.long, mc.placeLong)
+	mc.look(now)
+	mc.sortQueue(now, mc.short)
+	mc.sortQueue(now, mc.long)
+	next := min(idle, mc.pumpQueue(now, mc.short, mc.placeShort))
+	next = min(next, mc.pumpQueue(now, mc.long, mc.placeLong))
+	mc.lookAt = now.Add(max(next-mc.config.Ahead, mc.config.Ahead/2))
 }
 
-// order sorts a queue: interrupted work first, then what can still be on time by its latest start, then the rest in
-// order of arrival.
-func (mc *Machine) order(now time.Time, queue []*waiting) {
+// sortQueue sorts a queue: interrupted work first, then what can still be on time by its latest start, then the rest
+// in order of arrival.
+func (mc *Machine) sortQueue(now time.Time, queue []*waiting) {
 	parts := time.Duration(max(1, min(len(mc.engines), mc.config.MaxParts)))
-	latest := func(wt *waiting) time.Time { return wt.Arrived.Add(wt.Target - wt.read/parts - mc.config.Delay) }
+	for _, wt := range queue {
+		wt.latest = wt.Arrived.Add(wt.Target - wt.read/parts - mc.config.Delay)
+	}
 	slices.SortStableFunc(queue, func(left, right *waiting) int {
 		if (left.Number > 1) != (right.Number > 1) {
 			return cmp.Compare(right.Number, left.Number)
 		}
-		leftStart, rightStart := latest(left), latest(right)
-		leftLate, rightLate := leftStart.Before(now), rightStart.Before(now)
+		leftLate, rightLate := left.latest.Before(now), right.latest.Before(now)
 		switch {
 		case leftLate && !rightLate:
 			return 1
@@ -39,7 +46,7 @@
 		case left.Rank != right.Rank:
 			return cmp.Compare(left.Rank, right.Rank)
 		default:
-			return leftStart.Compare(rightStart)
+			return left.latest.Compare(right.latest)
 		}
 	})
 }
@@ -52,14 +59,13 @@
 	finish time.Duration
 }
 
-// pumpQueue places requests in order. While a request waits for engines to become free, those behind it may use what
-// is free until then, if they are done by then.
-func (mc *Machine) pumpQueue(now time.Time, queue []*waiting, place func(time.Time, *waiting) (plan, bool)) {
-	const looks = 12
+// pumpQueue places requests in order and returns the time until the first of those that wait may be placed. While a
+// request waits for engines to become free, those behind it may use what is free until then, if they are done by then.
+func (mc *Machine) pumpQueue(now time.Time, queue []*waiting, place func(time.Time, *waiting) (plan, bool)) time.Duration {
 	reserved := time.Duration(math.MaxInt64)
 	for ix, wt := range slices.Clone(queue) {
-		if ix >= looks {
-			return
+		if ix >= maxLooks {
+			break
 		}
 		pl, ok := place(now, wt)
 		if !ok {
@@ -69,17 +75,22 @@
 			reserved = min(reserved, max(pl.start, mc.config.Ahead))
 			continue
 		}
-		mc.drop(wt)
-		gr := pl.grant
-		gr.Attempt = id.NewAttempt(wt.ID, wt.Number)
-		gr.request = wt.Request
-		gr.renewed = now
-		gr.short = mc.isShort(wt) || mc.isStrict(wt.Request)
-		gr.Urgency = urgencyOf(wt)
-		gr.Start = gr.ready.Sub(now)
-		mc.charge(now, gr)
-		mc.effects = append(mc.effects, Effect{Kind: Granted, Request: wt.ID, Grant: gr.Grant})
+		mc.grant(now, wt, pl.grant)
+		mc.look(now)
 	}
+	return reserved
+}
+
+func (mc *Machine) grant(now time.Time, wt *waiting, gr *grant) {
+	mc.drop(wt)
+	gr.Attempt = id.NewAttempt(wt.ID, wt.Number)
+	gr.request = wt.Request
+	gr.renewed = now
+	gr.short = mc.isShort(wt) || mc.isStrict(wt.Request)
+	gr.Urgency = urgencyOf(wt)
+	gr.Start = gr.ready.Sub(now)
+	mc.charge(gr)
+	mc.effects = append(mc.effects, Effect{Kind: Granted, Request: wt.ID, Grant: gr.Grant})
 }
 
 // isStrict reports whether a request allows only pauses about as short as the shortest that any request allows.
@@ -104,37 +115,39 @@
 	room time.Duration
 }
 
-func (mc *Machine) candidates(now time.Time, wt *waiting) []candidate {
-	found := make([]candidate, 0, len(mc.engines))
-	avoided := 0
+// look takes a view of the engines that may get new work.
+func (mc *Machine) look(now time.Time) {
+	mc.view = mc.view[:0]
 	for _, en := range mc.engines {
 		if !en.usable(now) {
 			continue
 		}
-		if slices.Contains(wt.Avoid, en.Engine) {
-			avoided++
-			continue
-		}
 		ld := mc.loadOf(now, en)
-		if wt.Alone && len(en.grants) > 0 {
-			continue
-		}
 		cd := candidate{engine: en, load: ld, wait: mc.wait(now, en, ld), pass: mc.pass(en, ld), room: math.MaxInt64}
 		if ld.pause > 0 {
-			cd.room = max(0, time.Duration(mc.config.PauseUse*float64(ld.pause))-cd.pass-cd.wait)
+			cd.room = time.Duration(mc.config.PauseUse*float64(ld.pause)) - cd.pass - cd.wait
 		}
-		found = append(found, cd)
+		mc.view = append(mc.view, cd)
 	}
-	if len(found) == 0 && avoided > 0 {
-		eager := *wt
-		eager.Avoid = nil
-		return mc.candidates(now, &eager)
+}
+
+// takes reports whether an engine of the view may get a request at all.
+func (mc *Machine) takes(cd *candidate, wt *waiting, avoid bool) bool {
+	if wt.Alone && len(cd.engine.tasks) > 0 {
+		return false
 	}
-	return found
+	return !avoid || !slices.Contains(wt.Avoid, cd.engine.Engine)
+}
+
+// canAvoid reports whether there are enough engines without those that a request is to avoid.
+func (mc *Machine) canAvoid(wt *waiting) bool {
+	return len(wt.Avoid) > 0 && slices.ContainsFunc(mc.view, func(cd candidate) bool {
+		return !slices.Contains(wt.Avoid, cd.engine.Engine)
+	})
 }
 
 // holds reports whether an engine has memory and a slot for the answer to a request.
-func (mc *Machine) holds(cd candidate, need id.Tokens) bool {
+func (mc *Machine) holds(cd *candidate, need id.Tokens) bool {
 	return cd.load.running < mc.engine.Slots && cd.load.held+need <= mc.engine.Capacity
 }
 
@@ -144,12 +157,12 @@
 	need := wt.Prompt + wt.Answer
 	goal := time.Duration(mc.config.ShortWait * float64(wt.Target))
 	packed := max(1, int(mc.config.ShortWriters*float64(mc.engine.Slots)))
+	avoid := mc.canAvoid(wt)
 	var best *candidate
 	var bestStart time.Duration
-	found := mc.candidates(now, wt)
-	for ix := range found {
-		cd := &found[ix]
-		if !mc.holds(*cd, need) {
+	for ix := range mc.view {
+		cd := &mc.view[ix]
+		if !mc.takes(cd, wt, avoid) || !mc.holds(cd, need) {
 			continue
 		}
 		start := cd.wait + wt.read + cd.pass/2
@@ -165,94 +178,119 @@
 		return plan{}, false
 	}
 	return plan{grant: &grant{
-		Grant:  Grant{Parts: []Part{{Engine: best.engine.Engine, Address: best.engine.Address}}},
-		read:   wt.read,
-		ready:  now.Add(best.wait + wt.read + mc.config.Delay),
-		memory: need,
+		Grant: Grant{Parts: []Part{{Engine: best.engine.Engine, Address: best.engine.Address, Tokens: need}}},
+		read:  wt.read,
+		ready: now.Add(best.wait + wt.read + mc.config.Delay),
 	}}, true
 }
 
 // placeLong has a long prompt read in even parts by as many engines as give the earliest end, without a pass that
 // is too long for those that write there.
 func (mc *Machine) placeLong(now time.Time, wt *waiting) (plan, bool) {
-	found := mc.candidates(now, wt)
-	mc.relax(now, wt, found)
-	slices.SortStableFunc(found, func(left, right candidate) int {
-		if clear := cmp.Compare(min(left.load.short, 1), min(right.load.short, 1)); clear != 0 {
-			return clear
-		}
-		return cmp.Compare(left.wait, right.wait)
-	})
-	var best []candidate
-	var bestFinish, bestStart time.Duration
-	for count := 1; count <= min(len(found), mc.config.MaxParts); count++ {
-		chosen, finish, start := mc.choose(found, wt, count)
-		if chosen != nil && (best == nil || finish < bestFinish) {
-			best, bestFinish, bestStart = chosen, finish, start
+	mc.orderEngines(wt)
+	var finish, start time.Duration
+	found := false
+	for count := 1; count <= min(len(mc.order), mc.config.MaxParts); count++ {
+		ends, starts, ok := mc.choose(now, wt, count)
+		if ok && (!found || ends < finish) {
+			finish, start, found = ends, starts, true
+			mc.best = append(mc.best[:0], mc.chosen...)
 		}
 	}
-	if best == nil {
+	if !found {
 		return plan{}, false
 	}
-	part := wt.read / time.Duration(len(best))
-	gr := &grant{
-		read:   part,
-		ready:  now.Add(bestStart + part + mc.config.Delay),
-		memory: wt.Prompt + wt.Answer,
+	part := wt.read / time.Duration(len(mc.best))
+	return plan{
+		grant: &grant{
+			Grant: Grant{Parts: mc.keep(mc.best, wt)},
+			read:  part,
+			ready: now.Add(start + part + mc.config.Delay),
+		},
+		start:  start,
+		finish: start + part,
+	}, true
+}
+
+// orderEngines orders the engines for a long prompt: those without short prompts first, then those that are free first.
+func (mc *Machine) orderEngines(wt *waiting) {
+	avoid := mc.canAvoid(wt)
+	mc.order = mc.order[:0]
+	for ix := range mc.view {
+		if mc.takes(&mc.view[ix], wt, avoid) {
+			mc.order = append(mc.order, ix)
+		}
 	}
-	for _, cd := range best {
-		gr.Parts = append(gr.Parts, Part{Engine: cd.engine.Engine, Address: cd.engine.Address})
+	slices.SortStableFunc(mc.order, func(left, right int) int {
+		one, other := &mc.view[left], &mc.view[right]
+		if clear := cmp.Compare(min(one.load.short, 1), min(other.load.short, 1)); clear != 0 {
+			return clear
+		}
+		return cmp.Compare(one.wait, other.wait)
+	})
+}
+
+// roomFor returns the reading time that an engine can take for a request. The margin that is left for what can't be
+// predicted shrinks as the request waits, but a pause that others allow is never planned to be exceeded: there are
+// more of them than of the one that waits.
+func (mc *Machine) roomFor(now time.Time, cd *candidate, wt *waiting) time.Duration {
+	if cd.load.pause == 0 {
+		return cd.room
 	}
-	return plan{grant: gr, start: bestStart, finish: bestStart + part}, true
+	used := min(1, float64(now.Sub(wt.Arrived))/float64(max(wt.Target, time.Millisecond)))
+	more := used * (mc.config.PauseMost - mc.config.PauseUse) * float64(cd.load.pause)
+	return cd.room + time.Duration(more)
 }
 
-// choose returns the given number of engines that can take a part each, the one that answers first.
-func (mc *Machine) choose(found []candidate, wt *waiting, count int) ([]candidate, time.Duration, time.Duration) {
+// choose puts the given number of engines that can take a part each into chosen, the one that answers first, and
+// returns when they end and start.
+func (mc *Machine) choose(now time.Time, wt *waiting, count int) (finish, start time.Duration, ok bool) {
 	part := wt.read / time.Duration(count)
-	answering := mc.answering(found, wt, part)
+	answering := mc.answering(now, wt, part)
 	if answering < 0 {
-		return nil, 0, 0
+		return 0, 0, false
 	}
-	chosen := append(make([]candidate, 0, count), found[answering])
-	for ix, cd := range found {
-		if len(chosen) == count {
+	mc.chosen = append(mc.chosen[:0], answering)
+	for _, ix := range mc.order {
+		if len(mc.chosen) == count {
 			break
 		}
-		if ix != answering && cd.room >= part {
-			chosen = append(chosen, cd)
+		if ix != answering && mc.roomFor(now, &mc.view[ix], wt) >= part {
+			mc.chosen = append(mc.chosen, ix)
 		}
 	}
-	if len(chosen) < count {
-		return nil, 0, 0
+	if len(mc.chosen) < count || mc.isOversize(wt) && mc.keep(mc.chosen, wt) == nil {
+		return 0, 0, false
 	}
-	var start, cost time.Duration
-	for _, cd := range chosen {
-		start = max(start, cd.wait)
-		if cd.load.short > 0 {
+	var cost time.Duration
+	for _, ix := range mc.chosen {
+		start = max(start, mc.view[ix].wait)
+		if mc.view[ix].load.short > 0 {
 			cost += mc.config.MixCost
 		}
 	}
-	return chosen, start + part + cost, start
+	return start + part + cost, start, true
 }
 
 // answering returns the engine that is to answer a request, or -1: one on which the request's pause makes no
 // stricter bound for others, then the one that is free first, then the one with the most memory.
-func (mc *Machine) answering(found []candidate, wt *waiting, part time.Duration) int {
-	need := wt.Prompt + wt.Answer
+func (mc *Machine) answering(now time.Time, wt *waiting, part time.Duration) int {
+	need := mc.keptAt(wt)
 	strict := mc.isStrict(wt.Request)
 	best := -1
-	for ix, cd := range found {
-		if cd.room < part || !mc.holds(cd, need) {
+	for _, ix := range mc.order {
+		cd := &mc.view[ix]
+		if !mc.holds(cd, need) || mc.roomFor(now, cd, wt) < part {
 			continue
 		}
-		if best < 0 || mc.answersBetter(cd, found[best], strict) {
+		if best < 0 || mc.answersBetter(cd, &mc.view[best], strict) {
 			best = ix
 		}
 	}
 	return best
 }
 
-func (mc *Machine) answersBetter(left, right candidate, strict bool) bool {
+func (mc *Machine) answersBetter(left, right *candidate, strict bool) bool {
 	if mixes := cmp.Compare(mixing(left, strict), mixing(right, strict)); mixes != 0 {
 		return mixes < 0
 	}
@@ -263,24 +301,9 @@
 }
 
 // mixing tells whether a request would be the first strict one on an engine, or a lenient one beside strict ones.
-func mixing(cd candidate, strict bool) int {
+func mixing(cd *candidate, strict bool) int {
 	if strict == (cd.load.short > 0) {
 		return 0
 	}
 	return 1
 }
-
-// relax widens the room on engines for a prompt that has waited for a part of its target: by then a pause that is
-// too long for some costs less than the prompt.
-func (mc *Machine) relax(now time.Time, wt *waiting, found []candidate) {
-	const patient = 0.3
-	used := float64(now.Sub(wt.Arrived)) / float64(max(wt.Target, time.Millisecond))
-	if used < patient && wt.Number <= 1 {
-		return
-	}
-	for ix := range found {
-		if found[ix].load.pause > 0 {
-			found[ix].room = max(found[ix].room, time.Duration(used*float64(found[ix].load.pause)))
-		}
-	}
-}
--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -16,9 +15,11 @@
 	batch.Request
 	Service     id.Service
 	Fingerprint id.Fingerprint
+	// Host is the entry host that asks.
+	Host id.Host
 }
 
-// Answer is a dispatcher's answer to an Ask. Without Grant and Refusal the request waits, and the asker asks again.
+// Answer is a dispatcher's answer to an Ask. Without Grant and Refusal the request waits; the answer is given later.
 type Answer struct {
 	Grant   *batch.Grant
 	Refusal *outcome.Outcome
@@ -73,9 +74,8 @@
 	Dispatchers(service id.Service) []id.Host
 	// Place asks a host's dispatcher for a place.
 	Place(ctx context.Context, host id.Host, ask Ask) (Answer, error)
+	// Give passes an answer to the entry host that waits for it and reports whether it does.
+	Give(ctx context.Context, host id.Host, rq id.Request, answer Answer) (bool, error)
 	// Progress tells a host's dispatchers what became of grants.
 	Progress(ctx context.Context, host id.Host, rp Report) error
 }
-
-// answerWithin is the longest time that an Ask is held.
-const answerWithin = 100 * time.Millisecond
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// askMargin is added to the time that a dispatcher holds an Ask before it counts as unreachable.
-	askMargin = 120 * time.Millisecond
+	// askTimeout bounds one Ask; a dispatcher answers at once.
+	askTimeout = 150 * time.Millisecond
+	// askPeriod is the time between two Asks for a request that waits: it finds out whether the dispatcher is lost.
+	askPeriod = 400 * time.Millisecond
 	// suspectFor is how long a dispatcher that did not answer is passed over; it doubles with each failure in a row
 	// up to maxSuspect.
 	suspectFor = time.Second
@@ -44,6 +46,7 @@
 
 	mutex    sync.Mutex
 	held     map[id.Attempt]*Held
+	waiting  map[id.Request]chan Answer
 	started  []StartedAttempt
 	ended    []Ended
 	pending  bool
@@ -75,6 +78,7 @@
 		logger:   logger,
 		seed:     seed,
 		held:     map[id.Attempt]*Held{},
+		waiting:  map[id.Request]chan Answer{},
 		suspects: map[id.Host]*suspicion{},
 		reported: map[id.Service]id.Host{},
 		alone:    map[id.Service]*batch.Machine{},
@@ -92,37 +96,85 @@
 
 // Acquire waits for a place. The context ends the wait.
 func (cl *Client) Acquire(ctx context.Context, ask Ask) (batch.Grant, outcome.Outcome) {
-	const pause = 5 * time.Millisecond
+	ask.Host = cl.host
+	given := cl.await(ask.ID)
+	defer cl.stopWaiting(ask.ID)
 	failed := false
 	for ctx.Err() == nil {
 		host, ok := cl.dispatcher(ask.Service)
 		if !ok || failed && cl.clock.Now().Sub(ask.Arrived) > time.Duration(aloneAfter*float64(ask.Target)) {
 			return cl.chooseSoon(ctx, ask)
 		}
-		call, cancel := context.WithTimeout(ctx, answerWithin+askMargin)
+		call, cancel := context.WithTimeout(ctx, askTimeout)
 		answer, err := cl.peers.Place(call, host, ask)
 		cancel()
+		if err != nil {
+			if ctx.Err() == nil {
+				failed = true
+				cl.suspect(host, err)
+			}
+			continue
+		}
+		cl.trust(host)
+		if answer.Grant == nil && answer.Refusal == nil {
+			answer = cl.waitFor(ctx, given)
+		}
 		switch {
-		case ctx.Err() != nil:
-		case err != nil:
-			failed = true
-			cl.suspect(host, err)
 		case answer.Refusal != nil:
-			cl.trust(host)
 			return batch.Grant{}, *answer.Refusal
 		case answer.Grant != nil:
-			cl.trust(host)
 			cl.keep(ask, *answer.Grant)
 			return *answer.Grant, outcome.Done()
-		default:
-			cl.trust(host)
-			timer.Sleep(ctx, cl.clock, pause)
 		}
 	}
 	cl.end(Ended{Service: ask.Service, Request: ask.ID, Withdrawn: true})
 	return batch.Grant{}, outcome.Refuse(outcome.DeadlineExceeded, "the request found no engine in its time").After(time.Second)
 }
 
+// await has answers to a request passed on.
+func (cl *Client) await(rq id.Request) <-chan Answer {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	given := make(chan Answer, 1)
+	cl.waiting[rq] = given
+	return given
+}
+
+func (cl *Client) stopWaiting(rq id.Request) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	delete(cl.waiting, rq)
+}
+
+// waitFor returns the answer that is given within the period, or an empty one.
+func (cl *Client) waitFor(ctx context.Context, given <-chan Answer) Answer {
+	passed, sub := timer.Wait(cl.clock, askPeriod)
+	defer sub.Stop()
+	select {
+	case answer := <-given:
+		return answer
+	case <-passed:
+	case <-ctx.Done():
+	}
+	return Answer{}
+}
+
+// Given takes the answer to a request that waited and reports whether it still waits.
+func (cl *Client) Given(rq id.Request, answer Answer) bool {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	given, waits := cl.waiting[rq]
+	if !waits {
+		return false
+	}
+	select {
+	case given <- answer:
+	default:
+		// An answer is there already; a dispatcher repeats the same one.
+	}
+	return true
+}
+
 // dispatcher returns the first host in order that is not suspected. A dispatcher that is asked for the first time is
 // told what the host holds.
 func (cl *Client) dispatcher(service id.Service) (id.Host, bool) {
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -27,31 +27,33 @@
 	config      batch.Config
 	clock       timer.Service
 	fleet       Fleet
+	peers       Peers
 	convictions Convictions
 	metrics     tally.Scope
 	logger      *slog.Logger
 	seed        uint64
+	group       sync.WaitGroup
 
 	wake     chan struct{}
 	mutex    sync.Mutex
 	services map[id.Service]*dispatcher
 }
 
-// dispatcher is one service's machine with the askers that wait for it.
+// dispatcher is one service's machine with the hosts that wait for it.
 type dispatcher struct {
+	service id.Service
 	machine *batch.Machine
-	waiters map[id.Request]chan Answer
-	asks    map[id.Request]Ask
+	waiters map[id.Request]id.Host
 	used    time.Time
-	started time.Time
 }
 
 // NewServer returns a server without dispatchers.
-func NewServer(config batch.Config, clock timer.Service, fleet Fleet, convictions Convictions, metrics tally.Scope, logger *slog.Logger, seed uint64) *Server {
+func NewServer(config batch.Config, clock timer.Service, fleet Fleet, peers Peers, convictions Convictions, metrics tally.Scope, logger *slog.Logger, seed uint64) *Server {
 	return &Server{
 		config:      config,
 		clock:       clock,
 		fleet:       fleet,
+		peers:       peers,
 		convictions: convictions,
 		metrics:     metrics,
 		logger:      logger,
@@ -63,7 +65,7 @@
 
 // Periods between ticks: while requests wait, while there are dispatchers, and while there are none.
 const (
-	waitingTick = 5 * time.Millisecond
+	waitingTick = 10 * time.Millisecond
 	runningTick = 200 * time.Millisecond
 	idleTick    = time.Second
 	// idleAfter is how long a dispatcher that nobody asks is kept.
@@ -81,6 +83,7 @@
 		}
 		sub.Stop()
 	}
+	sv.group.Wait()
 	return nil
 }
 
@@ -108,12 +111,7 @@
 func (sv *Server) dispatcherOf(now time.Time, name id.Service) *dispatcher {
 	dp, ok := sv.services[name]
 	if !ok {
-		dp = &dispatcher{
-			machine: batch.New(sv.config, sv.seed),
-			waiters: map[id.Request]chan Answer{},
-			asks:    map[id.Request]Ask{},
-			started: now,
-		}
+		dp = &dispatcher{service: name, machine: batch.New(sv.config, sv.seed), waiters: map[id.Request]id.Host{}}
 		sv.services[name] = dp
 		sv.refresh(now, name, dp)
 		sv.metrics.Counter("dispatchers_started").Inc(1)
@@ -142,40 +140,8 @@
 	}
 }
 
-// Place answers an Ask, at the latest when it has been held for answerWithin.
-func (sv *Server) Place(ctx context.Context, ask Ask) Answer {
-	answered, answer := sv.submit(ask)
-	if answered == nil {
-		return answer
-	}
-	select {
-	case answer := <-answered:
-		return answer
-	default:
-	}
-	wait, sub := timer.Wait(sv.clock, answerWithin)
-	defer sub.Stop()
-	select {
-	case answer := <-answered:
-		return answer
-	case <-wait:
-	case <-ctx.Done():
-	}
-	sv.mutex.Lock()
-	defer sv.mutex.Unlock()
-	if dp, ok := sv.services[ask.Service]; ok && dp.waiters[ask.ID] == answered {
-		delete(dp.waiters, ask.ID)
-	}
-	select {
-	case answer := <-answered:
-		return answer
-	default:
-		return Answer{}
-	}
-}
-
-// submit passes an Ask to its dispatcher and returns a channel for the answer, or the answer.
-func (sv *Server) submit(ask Ask) (chan Answer, Answer) {
+// Place answers an Ask at once; the answer to a request that has to wait is given to its host later.
+func (sv *Server) Place(ask Ask) Answer {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	now := sv.clock.Now()
@@ -183,18 +149,26 @@
 	if convicted {
 		sv.metrics.Counter("convicted_refused").Inc(1)
 		oc := outcome.Refuse(outcome.Quarantined, "the request has crashed engines and is not run again")
-		return nil, Answer{Refusal: &oc}
+		return Answer{Refusal: &oc}
 	}
 	ask.Alone = suspected
 	dp := sv.dispatcherOf(now, ask.Service)
-	answered := make(chan Answer, 1)
-	dp.waiters[ask.ID] = answered
-	dp.asks[ask.ID] = ask
-	sv.apply(dp, dp.machine.Step(now, batch.Submit{Request: ask.Request}))
-	if dp.machine.Waiting() > 0 {
+	delete(dp.waiters, ask.ID)
+	var answer Answer
+	var others []batch.Effect
+	for _, ef := range dp.machine.Step(now, batch.Submit{Request: ask.Request}) {
+		if ef.Request == ask.ID {
+			answer = sv.answerOf(ef)
+			continue
+		}
+		others = append(others, ef)
+	}
+	sv.apply(dp, others)
+	if answer.Grant == nil && answer.Refusal == nil {
+		dp.waiters[ask.ID] = ask.Host
 		sv.wakeUp()
 	}
-	return answered, Answer{}
+	return answer
 }
 
 // wakeUp has the next tick come at once.
@@ -205,25 +179,49 @@
 	}
 }
 
-// apply passes the effects of a step to those who wait for them.
+// answerOf turns an effect into an answer.
+func (sv *Server) answerOf(ef batch.Effect) Answer {
+	switch ef.Kind {
+	case batch.Granted:
+		sv.metrics.Counter("grants").Inc(1)
+		grant := ef.Grant
+		return Answer{Grant: &grant}
+	case batch.Refused:
+		oc := ef.Outcome
+		sv.metrics.Tagged(map[string]string{"reason": string(oc.Reason)}).Counter("dispatch_refused").Inc(1)
+		return Answer{Refusal: &oc}
+	default:
+		return Answer{}
+	}
+}
+
+// apply gives the answers of a step to the hosts that wait for them.
 func (sv *Server) apply(dp *dispatcher, effects []batch.Effect) {
 	for _, ef := range effects {
-		answer := Answer{}
-		switch ef.Kind {
-		case batch.Granted:
-			grant := ef.Grant
-			answer.Grant = &grant
-			sv.metrics.Counter("grants").Inc(1)
-		case batch.Refused:
-			oc := ef.Outcome
-			answer.Refusal = &oc
-			sv.metrics.Tagged(map[string]string{"reason": string(oc.Reason)}).Counter("dispatch_refused").Inc(1)
-		}
-		delete(dp.asks, ef.Request)
-		if waiter, ok := dp.waiters[ef.Request]; ok {
-			delete(dp.waiters, ef.Request)
-			waiter <- answer
+		answer := sv.answerOf(ef)
+		host, waits := dp.waiters[ef.Request]
+		if !waits {
+			continue
 		}
+		delete(dp.waiters, ef.Request)
+		sv.group.Go(func() { sv.give(dp.service, host, ef.Request, answer) })
+	}
+}
+
+// giveTimeout bounds the call that gives an answer; a host that does not take it asks again.
+const giveTimeout = 500 * time.Millisecond
+
+// give passes an answer to the host that waits for it. A grant that nobody takes is ended.
+func (sv *Server) give(service id.Service, host id.Host, rq id.Request, answer Answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), giveTimeout)
+	defer cancel()
+	accepted, err := sv.peers.Give(ctx, host, rq, answer)
+	if err != nil {
+		sv.metrics.Counter("answers_not_given").Inc(1)
+		sv.logger.Warn("answer not given", "host", string(host), "request_id", string(rq), "error", err.Error())
+	}
+	if answer.Grant != nil && (err != nil || !accepted) {
+		sv.Progress(Report{Ended: []Ended{{Service: service, Request: rq, Attempt: answer.Grant.Attempt}}})
 	}
 }
 
@@ -249,7 +247,6 @@
 	dp := sv.dispatcherOf(now, en.Service)
 	if en.Withdrawn {
 		delete(dp.waiters, en.Request)
-		delete(dp.asks, en.Request)
 		sv.apply(dp, dp.machine.Step(now, batch.Withdraw{Request: en.Request}))
 		return
 	}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -91,6 +91,10 @@
 	Send(ctx context.Context, at Attempt) (Answer, error)
 	// Alive asks the server at an address whether it answers.
 	Alive(ctx context.Context, address string) bool
+	// Reserve sets memory aside on an engine, or renews that, and reports whether it was granted.
+	Reserve(ctx context.Context, address, ticket string, tokens id.Tokens, hold time.Duration) (bool, error)
+	// Release gives memory back.
+	Release(ctx context.Context, address, ticket string) error
 }
 
 // Places gives places on engines.
@@ -134,5 +138,7 @@
 	// Queued is the time until the first place was given, FirstByte the time to the first part of the body.
 	Queued    time.Duration
 	FirstByte time.Duration
-	Cause     string
+	// Pause is the longest time between two events that were passed on.
+	Pause time.Duration
+	Cause string
 }
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -56,6 +56,8 @@
 	logger  *slog.Logger
 
 	sequence atomic.Uint64
+	// cleanup counts what goes on after requests have ended.
+	cleanup  sync.WaitGroup
 	mutex    sync.Mutex
 	retries  *retry.Policy
 	balancer *balance.Balancer
@@ -78,6 +80,9 @@
 	}
 }
 
+// Wait blocks until nothing goes on after requests that have ended.
+func (rn *Runner) Wait() { rn.cleanup.Wait() }
+
 // Run carries a request until its answer has been passed on or it has failed, at the latest at its deadline.
 func (rn *Runner) Run(ctx context.Context, rq *Request, sink Sink) Result {
 	limit := rq.Deadline
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -22,6 +22,8 @@
 	// resume is the id of the last event that was passed on.
 	resume string
 	places int
+	// last is when an event was last passed on.
+	last time.Time
 }
 
 // stream carries a request to engines and passes events on until the answer is whole.
@@ -92,7 +94,7 @@
 	rn.logger.Info("attempt ended", "request", st.request.ID, "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
 		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.Prompt), "result", cause.text,
 		"predicted_ms", grant.Start.Milliseconds(), "queued_ms", st.result.Queued.Milliseconds(),
-		"first_ms", st.result.FirstByte.Milliseconds(), "last_event", st.resume, "remaining_ms", st.remaining().Milliseconds())
+		"first_ms", st.result.FirstByte.Milliseconds(), "pause_ms", st.result.Pause.Milliseconds(), "last_event", st.resume, "remaining_ms", st.remaining().Milliseconds())
 	st.result.Cause = cause.text
 	if cause.final {
 		return false
@@ -137,6 +139,11 @@
 func (st *streaming) run(ctx context.Context, grant batch.Grant) (broker.Ended, cause) {
 	rn := st.runner
 	first := grant.Parts[0]
+	memory, refused := rn.reserve(ctx, grant)
+	if refused != nil {
+		return broker.Ended{Failed: refused.Engine, Fault: batch.Full}, cause{text: "an engine has no memory to set aside", retry: retry.NotSent}
+	}
+	defer memory.release()
 	call, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := newWatch(rn, first.Address, grant.Start+rn.config.StreamSilence, func() { cancel(errSilent) })
@@ -278,6 +285,11 @@
 	if err := st.sink.Write(ev.data); err != nil {
 		return errors.Wrap(err, "pass on an event")
 	}
+	now := st.runner.clock.Now()
+	if !st.last.IsZero() {
+		st.result.Pause = max(st.result.Pause, now.Sub(st.last))
+	}
+	st.last = now
 	if ev.id != "" {
 		st.resume = ev.id
 	}
--- a/protocol/peer/peerconnect/peer.connect.go
+++ b/protocol/peer/peerconnect/peer.connect.go
@@ -55,6 +55,8 @@
 	PeerListingProcedure = "/hibiscuslever.peer.Peer/Listing"
 	// PeerPlaceProcedure is the fully-qualified name of the Peer's Place RPC.
 	PeerPlaceProcedure = "/hibiscuslever.peer.Peer/Place"
+	// PeerGiveProcedure is the fully-qualified name of the Peer's Give RPC.
+	PeerGiveProcedure = "/hibiscuslever.peer.Peer/Give"
 	// PeerProgressProcedure is the fully-qualified name of the Peer's Progress RPC.
 	PeerProgressProcedure = "/hibiscuslever.peer.Peer/Progress"
 	// PeerTellProcedure is the fully-qualified name of the Peer's Tell RPC.
@@ -85,8 +87,10 @@
 	// Listing returns the platform's host list as the peer last read it.
 	Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error)
 	// Place asks the dispatcher of a service for a place on its engines. It is idempotent per request and answers
-	// without grant and refusal while the request waits; the asker then asks again.
+	// without grant and refusal at once if the request has to wait; Give brings the answer then.
 	Place(context.Context, *connect.Request[peer.PlaceRequest]) (*connect.Response[peer.PlaceResponse], error)
+	// Give passes the answer to a request that waited to the entry host that asked.
+	Give(context.Context, *connect.Request[peer.GiveRequest]) (*connect.Response[peer.GiveResponse], error)
 	// Progress tells dispatchers which grants are held, have started and have ended.
 	Progress(context.Context, *connect.Request[peer.ProgressRequest]) (*connect.Response[peer.ProgressResponse], error)
 	// Tell passes on what a host has read of the list of backend servers.
@@ -166,6 +170,12 @@
 			connect.WithSchema(peerMethods.ByName("Place")),
 			connect.WithClientOptions(opts...),
 		),
+		give: connect.NewClient[peer.GiveRequest, peer.GiveResponse](
+			httpClient,
+			baseURL+PeerGiveProcedure,
+			connect.WithSchema(peerMethods.ByName("Give")),
+			connect.WithClientOptions(opts...),
+		),
 		progress: connect.NewClient[peer.ProgressRequest, peer.ProgressResponse](
 			httpClient,
 			baseURL+PeerProgressProcedure,
@@ -199,6 +209,7 @@
 	holds    *connect.Client[peer.HoldsRequest, peer.HoldsResponse]
 	listing  *connect.Client[peer.ListingRequest, peer.ListingResponse]
 	place    *connect.Client[peer.PlaceRequest, peer.PlaceResponse]
+	give     *connect.Client[peer.GiveRequest, peer.GiveResponse]
 	progress *connect.Client[peer.ProgressRequest, peer.ProgressResponse]
 	tell     *connect.Client[peer.TellRequest, peer.TellResponse]
 	copy     *connect.Client[peer.CopyRequest, peer.CopyResponse]
@@ -254,6 +265,11 @@
 	return c.place.CallUnary(ctx, req)
 }
 
+// Give calls hibiscuslever.peer.Peer.Give.
+func (c *peerClient) Give(ctx context.Context, req *connect.Request[peer.GiveRequest]) (*connect.Response[peer.GiveResponse], error) {
+	return c.give.CallUnary(ctx, req)
+}
+
 // Progress calls hibiscuslever.peer.Peer.Progress.
 func (c *peerClient) Progress(ctx context.Context, req *connect.Request[peer.ProgressRequest]) (*connect.Response[peer.ProgressResponse], error) {
 	return c.progress.CallUnary(ctx, req)
@@ -291,8 +307,10 @@
 	// Listing returns the platform's host list as the peer last read it.
 	Listing(context.Context, *connect.Request[peer.ListingRequest]) (*connect.Response[peer.ListingResponse], error)
 	// Place asks the dispatcher of a service for a place on its engines. It is idempotent per request and answers
-	// without grant and refusal while the request waits; the asker then asks again.
+	// without grant and refusal at once if the request has to wait; Give brings the answer then.
 	Place(context.Context, *connect.Request[peer.PlaceRequest]) (*connect.Response[peer.PlaceResponse], error)
+	// Give passes the answer to a request that waited to the entry host that asked.
+	Give(context.Context, *connect.Request[peer.GiveRequest]) (*connect.Response[peer.GiveResponse], error)
 	// Progress tells dispatchers which grants are held, have started and have ended.
 	Progress(context.Context, *connect.Request[peer.ProgressRequest]) (*connect.Response[peer.ProgressResponse], error)
 	// Tell passes on what a host has read of the list of backend servers.
@@ -368,6 +386,12 @@
 		connect.WithSchema(peerMethods.ByName("Place")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerGiveHandler := connect.NewUnaryHandler(
+		PeerGiveProcedure,
+		svc.Give,
+		connect.WithSchema(peerMethods.ByName("Give")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerProgressHandler := connect.NewUnaryHandler(
 		PeerProgressProcedure,
 		svc.Progress,
@@ -408,6 +432,8 @@
 			peerListingHandler.ServeHTTP(w, r)
 		case PeerPlaceProcedure:
 			peerPlaceHandler.ServeHTTP(w, r)
+		case PeerGiveProcedure:
+			peerGiveHandler.ServeHTTP(w, r)
 		case PeerProgressProcedure:
 			peerProgressHandler.ServeHTTP(w, r)
 		case PeerTellProcedure:
@@ -463,6 +489,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Place is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Give(context.Context, *connect.Request[peer.GiveRequest]) (*connect.Response[peer.GiveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Give is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Progress(context.Context, *connect.Request[peer.ProgressRequest]) (*connect.Response[peer.ProgressResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Progress is not implemented"))
 }
--- a/site/host.go
+++ b/site/host.go
@@ -118,7 +118,7 @@
 	store := platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
 	ht.news = news.New(newsConfig, ht.self.Host, ht.clock, store, ht.peers, ht.peers, scope, ht.logger, seed, ht.newsChanged)
 	ht.fleet = newFleet(ht.news, ht.clock)
-	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, convictions{ht}, scope, ht.logger, seed)
+	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peers, convictions{ht}, scope, ht.logger, seed)
 	ht.places = broker.NewClient(batch.DefaultConfig(), ht.self.Host, ht.clock, ht.peers, ht.fleet, scope, ht.logger, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
 	ht.retries = retry.New(ht.retryConfig(), seed)
@@ -129,7 +129,7 @@
 
 // local returns the parts that answer other hosts.
 func (ht *Host) local() peer.Local {
-	return peer.Local{Gossip: ht.gossip, Broker: ht.broker, News: ht.news}
+	return peer.Local{Gossip: ht.gossip, Broker: ht.broker, Places: ht.places, News: ht.news}
 }
 
 // retryConfig shares the budget of all hosts by what each of them carries; the slack is left out of it but for a few
--- a/transport/peer/place.go
+++ b/transport/peer/place.go
@@ -25,23 +25,26 @@
 // Place asks a host's dispatcher for a place.
 func (cl *Client) Place(ctx context.Context, host id.Host, ask broker.Ask) (broker.Answer, error) {
 	if host == cl.self.Host {
-		return cl.local.Broker.Place(ctx, ask), nil
+		return cl.local.Broker.Place(ask), nil
 	}
-	rq := &peer.PlaceRequest{Request: encodePlaced(ask, cl.clock.Now())}
+	rq := &peer.PlaceRequest{Request: encodePlaced(ask, cl.clock.Now()), Host: string(ask.Host)}
 	ms, err := call(ctx, cl, host, rq, method(peerconnect.PeerClient.Place))
 	if err != nil {
 		return broker.Answer{}, err
 	}
-	switch {
-	case ms.GetRefused():
-		oc := decodeRefusal(ms.GetReason(), ms.GetDetail(), ms.GetRetryAfterMillis())
-		return broker.Answer{Refusal: &oc}, nil
-	case ms.GetPlace() != nil:
-		grant := decodePlace(ms.GetPlace())
-		return broker.Answer{Grant: &grant}, nil
-	default:
-		return broker.Answer{}, nil
+	return decodePlaceAnswer(ms), nil
+}
+
+// Give passes an answer to the entry host that waits for it and reports whether it does.
+func (cl *Client) Give(ctx context.Context, host id.Host, rq id.Request, answer broker.Answer) (bool, error) {
+	if host == cl.self.Host {
+		return cl.local.Places.Given(rq, answer), nil
+	}
+	ms, err := call(ctx, cl, host, &peer.GiveRequest{Request: string(rq), Answer: encodePlaceAnswer(answer)}, method(peerconnect.PeerClient.Give))
+	if err != nil {
+		return false, err
 	}
+	return ms.GetAccepted(), nil
 }
 
 // Progress tells a host's dispatchers what became of grants.
@@ -74,11 +77,25 @@
 }
 
 // Place asks the own dispatcher for a place.
-func (sv *Server) Place(ctx context.Context, rq *connect.Request[peer.PlaceRequest]) (*connect.Response[peer.PlaceResponse], error) {
+func (sv *Server) Place(_ context.Context, rq *connect.Request[peer.PlaceRequest]) (*connect.Response[peer.PlaceResponse], error) {
 	if sv.local.Broker == nil {
 		return nil, errNoPart
 	}
-	answer := sv.local.Broker.Place(ctx, decodePlaced(rq.Msg.GetRequest(), sv.clock.Now()))
+	ask := decodePlaced(rq.Msg.GetRequest(), sv.clock.Now())
+	ask.Host = id.Host(rq.Msg.GetHost())
+	return connect.NewResponse(encodePlaceAnswer(sv.local.Broker.Place(ask))), nil
+}
+
+// Give takes the answer to a request of the own host that waited.
+func (sv *Server) Give(_ context.Context, rq *connect.Request[peer.GiveRequest]) (*connect.Response[peer.GiveResponse], error) {
+	if sv.local.Places == nil {
+		return nil, errNoPart
+	}
+	accepted := sv.local.Places.Given(id.Request(rq.Msg.GetRequest()), decodePlaceAnswer(rq.Msg.GetAnswer()))
+	return connect.NewResponse(&peer.GiveResponse{Accepted: accepted}), nil
+}
+
+func encodePlaceAnswer(answer broker.Answer) *peer.PlaceResponse {
 	ms := &peer.PlaceResponse{}
 	switch {
 	case answer.Grant != nil:
@@ -89,7 +106,20 @@
 		ms.Detail = answer.Refusal.Detail
 		ms.RetryAfterMillis = answer.Refusal.RetryAfter.Milliseconds()
 	}
-	return connect.NewResponse(ms), nil
+	return ms
+}
+
+func decodePlaceAnswer(ms *peer.PlaceResponse) broker.Answer {
+	switch {
+	case ms.GetRefused():
+		oc := decodeRefusal(ms.GetReason(), ms.GetDetail(), ms.GetRetryAfterMillis())
+		return broker.Answer{Refusal: &oc}
+	case ms.GetPlace() != nil:
+		grant := decodePlace(ms.GetPlace())
+		return broker.Answer{Grant: &grant}
+	default:
+		return broker.Answer{}
+	}
 }
 
 // Progress takes another host's report.
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -34,8 +34,9 @@
 	Relay         *relay.Relay
 	Quota         *quota.Server
 	Fleet         *fleet.View
-	// Broker and News are set on hosts that serve on the users' platform.
+	// Broker, Places and News are set on hosts that serve on the users' platform.
 	Broker *broker.Server
+	Places *broker.Client
 	News   *news.Follower
 }
 
