--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -47,7 +47,8 @@
 	held    id.Tokens
 	// pause is the strictest pause that requests on the engine allow; zero if none has one.
 	pause time.Duration
-	// overdue is how long the oldest read that has not ended is behind its prediction.
+	// overdue is how far reads of the engine alone are behind their prediction. What several engines read together
+	// says nothing of one of them.
 	overdue time.Duration
 }
 
@@ -55,8 +56,8 @@
 	var ld load
 	for _, tk := range en.tasks {
 		ld.held += tk.kept
-		if !tk.started {
-			ld.overdue = max(ld.overdue, now.Sub(tk.ready))
+		if late := now.Sub(tk.ready); !tk.started && len(tk.Parts) == 1 && late < forgetLate {
+			ld.overdue = max(ld.overdue, late)
 		}
 		if !tk.answers {
 			if tk.started {
@@ -122,9 +123,11 @@
 
 const (
 	// lateAllowance is how far a first event may lag behind two passes: a part that others read, and the report.
-	lateAllowance = 350 * time.Millisecond
+	lateAllowance = 150 * time.Millisecond
 	// maxLate bounds the wait that is predicted for an engine behind its predictions.
-	maxLate = 400 * time.Millisecond
+	maxLate = 300 * time.Millisecond
+	// forgetLate is the delay after which a read no longer tells of the engine: it was lost on the way.
+	forgetLate = 1500 * time.Millisecond
 )
 
 // listed takes the engines of the service. An engine that was started anew holds nothing of before.
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -190,7 +190,8 @@
 	mc.orderEngines(wt)
 	var finish, start time.Duration
 	found := false
-	for count := 1; count <= min(len(mc.order), mc.config.MaxParts); count++ {
+	most := min(len(mc.order), mc.config.MaxParts)
+	for count := mc.leastParts(wt, most); count <= most; count++ {
 		ends, starts, ok := mc.choose(now, wt, count)
 		if ok && (!found || ends < finish) {
 			finish, start, found = ends, starts, true
@@ -212,6 +213,15 @@
 	}, true
 }
 
+// leastParts returns the number of engines below which a part of a prompt would take longer than a pass may.
+func (mc *Machine) leastParts(wt *waiting, most int) int {
+	if wt.MaxPause <= 0 {
+		return 1
+	}
+	longest := time.Duration(mc.config.PauseUse * float64(wt.MaxPause))
+	return max(1, min(most, int((wt.read+longest-1)/longest)))
+}
+
 // orderEngines orders the engines for a long prompt: those without short prompts first, then those that are free first.
 func (mc *Machine) orderEngines(wt *waiting) {
 	avoid := mc.canAvoid(wt)
