Long prompts: a margin of pauses in time, half a pass beside the reading, order by slack and reading

Cause: a part of the longest prompts took longer than 0.7 of the pause that others of their kind allow, so that they waited until refused; predictions left out the steps of writers that a pass holds beside the reading.

--- a/coordination/batch/config.go
+++ b/coordination/batch/config.go
@@ -12,16 +12,22 @@
 	ShortWait float64
 	// ShortWriters is the part of an engine's slots up to which short prompts are packed.
 	ShortWriters float64
-	// PauseUse is the part of the longest allowed pause that a pass may take, PauseMost the same for a request that
-	// has used its target.
-	PauseUse  float64
-	PauseMost float64
+	// PauseMargin is left of the longest pause that requests on an engine allow, for short prompts that come within a
+	// pass; LeastMargin is left for a request that has used its target.
+	PauseMargin time.Duration
+	LeastMargin time.Duration
 	// Ahead is how long before an engine is free a long prompt is handed to it.
 	Ahead time.Duration
 	// Delay is the time that a grant takes to reach the engine and its first event to be reported.
 	Delay time.Duration
 	// MixCost is added to the predicted finish for each engine with short prompts that would help with a long one.
 	MixCost time.Duration
+	// LeastShare is the part of the engines that the longest prompts wait for at least.
+	LeastShare float64
+	// StartMargin is the time between a grant and the first event beside the reading.
+	StartMargin time.Duration
+	// ReadWeight is the number of its reading times by which a prompt gives way to shorter ones.
+	ReadWeight time.Duration // a factor of durations
 	// MaxParts bounds the engines that read one prompt; the wire allows sixteen helpers.
 	MaxParts int
 	// GrantTTL is how long a grant lasts without renewal.
@@ -36,14 +42,17 @@
 // DefaultConfig returns the bounds that hosts use.
 func DefaultConfig() Config {
 	return Config{
-		ShortRead:     80 * time.Millisecond,
+		ShortRead:     120 * time.Millisecond,
 		ShortWait:     0.5,
 		ShortWriters:  0.75,
-		PauseUse:      0.7,
-		PauseMost:     0.9,
+		PauseMargin:   75 * time.Millisecond,
+		LeastMargin:   30 * time.Millisecond,
 		Ahead:         20 * time.Millisecond,
 		Delay:         10 * time.Millisecond,
 		MixCost:       20 * time.Millisecond,
+		LeastShare:    0.8,
+		StartMargin:   100 * time.Millisecond,
+		ReadWeight:    3,
 		MaxParts:      17,
 		GrantTTL:      5 * time.Second,
 		MaxWaiting:    10_000,
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -26,12 +26,12 @@
 	mc.lookAt = now.Add(max(next-mc.config.Ahead, mc.config.Ahead/2))
 }
 
-// sortQueue sorts a queue: interrupted work first, then what can still be on time by its latest start, then the rest
-// in order of arrival.
+// sortQueue sorts a queue: interrupted work first, then what can still be on time, then the rest; among these by the
+// latest start, with prompts that take longer to read somewhat later.
 func (mc *Machine) sortQueue(now time.Time, queue []*waiting) {
 	parts := time.Duration(max(1, min(len(mc.engines), mc.config.MaxParts)))
 	for _, wt := range queue {
-		wt.latest = wt.Arrived.Add(wt.Target - wt.read/parts - mc.config.Delay)
+		wt.latest = wt.Arrived.Add(wt.Target - wt.read/parts - mc.config.StartMargin)
 	}
 	slices.SortStableFunc(queue, func(left, right *waiting) int {
 		if (left.Number > 1) != (right.Number > 1) {
@@ -45,9 +45,8 @@
 			return -1
 		case left.Rank != right.Rank:
 			return cmp.Compare(left.Rank, right.Rank)
-		default:
-			return left.latest.Compare(right.latest)
 		}
+		return left.latest.Add(mc.config.ReadWeight * left.read / parts).Compare(right.latest.Add(mc.config.ReadWeight * right.read / parts))
 	})
 }
 
@@ -125,7 +124,7 @@
 		ld := mc.loadOf(now, en)
 		cd := candidate{engine: en, load: ld, wait: mc.wait(now, en, ld), pass: mc.pass(en, ld), room: math.MaxInt64}
 		if ld.pause > 0 {
-			cd.room = time.Duration(mc.config.PauseUse*float64(ld.pause)) - cd.pass - cd.wait
+			cd.room = ld.pause - mc.config.PauseMargin - cd.pass - cd.wait
 		}
 		mc.view = append(mc.view, cd)
 	}
@@ -206,20 +205,29 @@
 		grant: &grant{
 			Grant: Grant{Parts: mc.keep(mc.best, wt)},
 			read:  part,
-			ready: now.Add(start + part + mc.config.Delay),
+			ready: now.Add(start + part + mc.longestPass(mc.best)/2 + mc.config.Delay),
 		},
 		start:  start,
 		finish: start + part,
 	}, true
 }
 
+// longestPass returns the longest pass of engines of the view without reading.
+func (mc *Machine) longestPass(chosen []int) time.Duration {
+	var longest time.Duration
+	for _, ix := range chosen {
+		longest = max(longest, mc.view[ix].pass)
+	}
+	return longest
+}
+
 // leastParts returns the number of engines below which a part of a prompt would take longer than a pass may.
 func (mc *Machine) leastParts(wt *waiting, most int) int {
 	if wt.MaxPause <= 0 {
 		return 1
 	}
-	longest := time.Duration(mc.config.PauseUse * float64(wt.MaxPause))
-	return max(1, min(most, int((wt.read+longest-1)/longest)))
+	longest := max(time.Millisecond, wt.MaxPause-mc.config.PauseMargin)
+	return max(1, min(int(mc.config.LeastShare*float64(most)), int((wt.read+longest-1)/longest)))
 }
 
 // orderEngines orders the engines for a long prompt: those without short prompts first, then those that are free first.
@@ -248,8 +256,7 @@
 		return cd.room
 	}
 	used := min(1, float64(now.Sub(wt.Arrived))/float64(max(wt.Target, time.Millisecond)))
-	more := used * (mc.config.PauseMost - mc.config.PauseUse) * float64(cd.load.pause)
-	return cd.room + time.Duration(more)
+	return cd.room + time.Duration(used*float64(mc.config.PauseMargin-mc.config.LeastMargin))
 }
 
 // choose puts the given number of engines that can take a part each into chosen, the one that answers first, and
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -113,11 +113,6 @@
 		wd.at(ar.at, func(time.Time) { wd.submit(rq) })
 	}
 	wd.at(0, wd.tick)
-	if Probe != nil {
-		for at := time.Duration(0); at < pt.Length; at += time.Second {
-			wd.at(at, func(time.Time) { Probe(at, wd.engines, wd.machine.Waiting()) })
-		}
-	}
 	if pt.Lost > 0 {
 		wd.at(pt.LostAt, func(time.Time) { wd.lose() })
 	}
@@ -346,5 +341,3 @@
 	oc.earned += earned
 	wn.earned += earned
 }
-
-var Probe func(at time.Duration, engines map[id.Engine]*passes.Engine, waiting int)
