Long answers on few engines

Cause: every engine wrote some long answer, so that each of its passes held the steps of a stride beside the reading, and long answers took 16 passes of 0.3 s.

--- a/coordination/batch/config.go
+++ b/coordination/batch/config.go
@@ -28,6 +28,8 @@
 	StartMargin time.Duration
 	// ReadWeight is the number of its reading times by which a prompt gives way to shorter ones.
 	ReadWeight time.Duration // a factor of durations
+	// WriterCost is the same for each engine that writes the answer to another long prompt: its passes get longer.
+	WriterCost time.Duration
 	// MaxParts bounds the engines that read one prompt; the wire allows sixteen helpers.
 	MaxParts int
 	// GrantTTL is how long a grant lasts without renewal.
@@ -53,6 +55,7 @@
 		LeastShare:    0.8,
 		StartMargin:   100 * time.Millisecond,
 		ReadWeight:    3,
+		WriterCost:    20 * time.Millisecond,
 		MaxParts:      17,
 		GrantTTL:      5 * time.Second,
 		MaxWaiting:    10_000,
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -230,7 +230,8 @@
 	return max(1, min(int(mc.config.LeastShare*float64(most)), int((wt.read+longest-1)/longest)))
 }
 
-// orderEngines orders the engines for a long prompt: those without short prompts first, then those that are free first.
+// orderEngines orders the engines for a long prompt: those without short prompts first, then those that answer
+// nothing, then those that are free first.
 func (mc *Machine) orderEngines(wt *waiting) {
 	avoid := mc.canAvoid(wt)
 	mc.order = mc.order[:0]
@@ -244,6 +245,9 @@
 		if clear := cmp.Compare(min(one.load.short, 1), min(other.load.short, 1)); clear != 0 {
 			return clear
 		}
+		if idle := cmp.Compare(min(one.load.running, 1), min(other.load.running, 1)); idle != 0 {
+			return idle
+		}
 		return cmp.Compare(one.wait, other.wait)
 	})
 }
@@ -284,13 +288,16 @@
 		start = max(start, mc.view[ix].wait)
 		if mc.view[ix].load.short > 0 {
 			cost += mc.config.MixCost
+		} else if mc.view[ix].load.running > 0 {
+			cost += mc.config.WriterCost
 		}
 	}
 	return start + part + cost, start, true
 }
 
 // answering returns the engine that is to answer a request, or -1: one on which the request's pause makes no
-// stricter bound for others, then the one that is free first, then the one with the most memory.
+// stricter bound for others, then the one that is free first, then the fullest one, so that few engines write long
+// answers and the others only read.
 func (mc *Machine) answering(now time.Time, wt *waiting, part time.Duration) int {
 	need := mc.keptAt(wt)
 	strict := mc.isStrict(wt.Request)
@@ -314,7 +321,7 @@
 	if wait := cmp.Compare(max(left.wait, mc.config.Ahead), max(right.wait, mc.config.Ahead)); wait != 0 {
 		return wait < 0
 	}
-	return left.load.held < right.load.held
+	return left.load.held > right.load.held
 }
 
 // mixing tells whether a request would be the first strict one on an engine, or a lenient one beside strict ones.
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -34,6 +34,8 @@
 	Worth float64
 	// First holds the times to the first event.
 	First []time.Duration
+	// Whole holds the times to the whole answer.
+	Whole []time.Duration
 
 	earned float64
 	owed   float64
@@ -55,6 +57,7 @@
 	number   int
 	grant    batch.Grant
 	first    time.Duration
+	whole    time.Duration
 	last     time.Time
 	pause    time.Duration
 	done     bool
@@ -274,6 +277,7 @@
 	rq.last = now
 	if last {
 		rq.done = true
+		rq.whole = since
 		wd.step(batch.Finish{Attempt: grant.Attempt})
 	}
 }
@@ -338,6 +342,9 @@
 	if rq.first > 0 {
 		oc.First = append(oc.First, rq.first)
 	}
+	if rq.whole > 0 {
+		oc.Whole = append(oc.Whole, rq.whole)
+	}
 	oc.earned += earned
 	wn.earned += earned
 }
