Tests of the whole path against a stand-in of the platform

Found by them: an engine that started anew under its name was taken to hold what it had before (red first, mended).

--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -146,6 +146,9 @@
 		en = &engine{EngineSpec: spec, pace: 1}
 		mc.byName[spec.Engine] = en
 		mc.engines = append(mc.engines, en)
+		if known {
+			continue
+		}
 		for _, gr := range mc.grants {
 			en.run(gr)
 		}
--- /dev/null
+++ b/site/change_test.go
@@ -0,0 +1,141 @@
+package site_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
+)
+
+// TestDesiredStateNeverGoesBack puts each newer version in force and ignores older ones.
+func TestDesiredStateNeverGoesBack(t *testing.T) {
+	wd := newWorld(t)
+	wd.server("book-1", "books")
+	wd.publish()
+	hs := wd.host("host-1", true)
+	assert.Equal(t, hs.get("/new/x", "a1").status, http.StatusNotFound)
+	wd.routes = append(wd.routes, wd.route("new", "/new/", "idempotent", "books", 2, 2000))
+	wd.publish()
+	wd.eventually(func() bool { return hs.get("/new/x", "a2").status == http.StatusOK })
+	wd.routes = wd.routes[:3]
+	wd.version = 0
+	wd.publish()
+	time.Sleep(time.Second)
+	assert.Equal(t, hs.get("/new/x", "a3").status, http.StatusOK, "version 1 came after version 2")
+	wd.store.Put("keyed.op", "config", []byte("{"))
+	wd.version, wd.keys = 2, nil
+	wd.publish()
+	wd.eventually(func() bool { return hs.get("/read/x", "a4").status == http.StatusUnauthorized })
+}
+
+// TestLeavingServerGetsNothing sends nothing to a server that drains, is gone, or has another one at its address.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	wd := newWorld(t)
+	one, two := wd.server("book-1", "books"), wd.server("book-2", "books")
+	wd.publish()
+	hs := wd.host("host-1", true)
+	wd.store.Put("keyed.servers", "book-1", one.Entry("draining"))
+	time.Sleep(time.Second)
+	before := len(one.Runs())
+	for range 10 {
+		assert.Equal(t, hs.get("/read/x", "a").status, http.StatusOK)
+	}
+	assert.Equal(t, len(one.Runs()), before)
+	three := wd.server("book-3", "books")
+	wd.store.Put("keyed.servers", "book-2", nil)
+	wd.store.Put("keyed.servers", "book-4", []byte(`{"Service":5}`))
+	time.Sleep(time.Second)
+	before = len(two.Runs())
+	for range 10 {
+		assert.Equal(t, hs.get("/read/x", "b").status, http.StatusOK)
+	}
+	assert.Equal(t, len(two.Runs()), before)
+	assert.Equal(t, len(three.Runs()), 10)
+}
+
+// TestStoreAway serves on what is known while the store is away, and a host that starts takes it from another one.
+func TestStoreAway(t *testing.T) {
+	for _, fault := range []standin.StoreFault{standin.Down, standin.Silent} {
+		wd := newWorld(t)
+		wd.server("book-1", "books")
+		wd.publish()
+		first := wd.host("host-1", true)
+		wd.store.Fail(fault)
+		second := wd.host("host-2", true, first.settings.Host.PeerAddress)
+		for _, hs := range []*host{first, second} {
+			assert.Equal(t, hs.get("/read/x", "a1").status, http.StatusOK)
+		}
+	}
+}
+
+// TestStoreForgets reads the newest records again when those asked for are no longer kept.
+func TestStoreForgets(t *testing.T) {
+	wd := newWorld(t)
+	wd.server("book-1", "books")
+	wd.publish()
+	hs := wd.host("host-1", true)
+	wd.store.Fail(standin.Expired)
+	wd.routes = append(wd.routes, wd.route("new", "/new/", "idempotent", "books", 2, 2000))
+	wd.publish()
+	wd.eventually(func() bool { return hs.get("/new/x", "a2").status == http.StatusOK })
+}
+
+// TestNotReady refuses requests truthfully until the desired state and the servers are known.
+func TestNotReady(t *testing.T) {
+	wd := newWorld(t)
+	wd.store.Fail(standin.Down)
+	hs := wd.host("host-1", false)
+	wd.eventually(func() bool {
+		return wd.status("http://"+hs.settings.Host.ReadyAddress+"/-/ready") == http.StatusServiceUnavailable
+	})
+	got := hs.get("/read/x", "a1")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, wd.status("http://"+hs.settings.Host.DirectoryAddress+"/-/resolve?Name=x"), http.StatusServiceUnavailable)
+}
+
+// TestHostsFindEachOther names both hosts to clients, and only one when the other is leaving; what runs there ends whole.
+func TestHostsFindEachOther(t *testing.T) {
+	wd := newWorld(t)
+	engine := wd.server("engine-1", "models")
+	engine.EventGap = 200 * time.Millisecond
+	wd.shutdown = 6 * time.Second
+	wd.publish()
+	first := wd.host("host-1", true)
+	second := wd.host("host-2", true, first.settings.Host.PeerAddress)
+	addresses := func() int {
+		rs, err := http.Get("http://" + first.settings.Host.DirectoryAddress + "/-/resolve?Name=x")
+		assert.NilError(t, err)
+		defer func() { _ = rs.Body.Close() }()
+		return countAddresses(t, rs)
+	}
+	wd.eventually(func() bool { return addresses() == 2 })
+	got := make(chan answer, 1)
+	go func() { got <- second.chat("a1", 4000) }()
+	wd.eventually(func() bool { return len(engine.Runs()) == 1 })
+	second.stop()
+	wd.eventually(func() bool { return addresses() == 1 })
+	whole := <-got
+	assert.NilError(t, whole.err)
+	assert.Equal(t, whole.body, events(5))
+}
+
+// TestDispatcherLost serves short and long prompts on when the host that dispatches has gone.
+func TestDispatcherLost(t *testing.T) {
+	wd := newWorld(t)
+	wd.server("engine-1", "models")
+	wd.server("engine-2", "models")
+	wd.publish()
+	first := wd.host("host-1", true)
+	others := []*host{wd.host("host-2", true, first.settings.Host.PeerAddress), wd.host("host-3", true, first.settings.Host.PeerAddress)}
+	for _, hs := range others {
+		assert.Equal(t, hs.chat("a1", 4000).body, events(5))
+	}
+	for _, lost := range others {
+		lost.stop()
+		assert.Equal(t, first.chat("a2", 4000).body, events(5))
+	}
+}
--- /dev/null
+++ b/site/path_test.go
@@ -0,0 +1,185 @@
+package site_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
+)
+
+// TestCalmPath serves each kind of request and refuses what the desired state does not allow.
+func TestCalmPath(t *testing.T) {
+	wd := newWorld(t)
+	book := wd.server("book-1", "books")
+	engine := wd.server("engine-1", "models")
+	wd.publish()
+	hs := wd.host("host-1", true)
+
+	rs, err := http.Get("http://" + hs.settings.Host.DirectoryAddress + "/-/resolve?Name=" + hostName + "&Zone=zone-a")
+	assert.NilError(t, err)
+	var known struct {
+		Addresses []string
+		TtlS      float64 //nolint:revive // spelled as on the wire
+	}
+	assert.NilError(t, json.NewDecoder(rs.Body).Decode(&known))
+	_ = rs.Body.Close()
+	assert.DeepEqual(t, known.Addresses, []string{hs.settings.Host.CallerAddress})
+	assert.Equal(t, known.TtlS, 1.0)
+
+	got := hs.get("/read/a%2Fb?x=1&x=2", "a1")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, "answer of book-1 to a1")
+	assert.Equal(t, got.header.Get("X-Response-Seal"), "seal-of-book-1")
+	run := book.Runs()[0]
+	assert.Equal(t, run.Target, "/read/a%2Fb?x=1&x=2")
+	assert.Equal(t, run.Tenant, "acme")
+	assert.Equal(t, run.Key, "")
+	assert.Assert(t, run.Deadline > 0 && run.Deadline <= 2000, "the route's timeout bounds the deadline: %d", run.Deadline)
+
+	got = hs.chat("a2", 4000)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, events(5))
+	assert.Equal(t, got.header.Get("X-Response-Seal"), "seal-of-engine-1")
+	assert.Equal(t, engine.Runs()[0].Body, "the prompt")
+
+	assert.Equal(t, hs.get("/nowhere/x", "a3").status, http.StatusNotFound)
+	assert.Equal(t, hs.call(context.Background(), http.MethodGet, "/read/x", "a4", "", "Api-Key", "unknown").status, http.StatusUnauthorized)
+	assert.Equal(t, hs.get("/read/x", "").status, http.StatusBadRequest)
+	assert.Equal(t, hs.call(context.Background(), http.MethodPost, "/order/x", "a5", strings.Repeat("x", 200_000)).status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, len(book.Runs()), 1)
+}
+
+// TestNonIdempotent runs requests that may not be repeated at most once, and says "not run" only where that is so.
+func TestNonIdempotent(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  standin.ServerFault
+		status int
+		runs   int
+	}{
+		{"the server breaks off", standin.Cuts, http.StatusBadGateway, 1},
+		{"the server is full", standin.Sheds, http.StatusServiceUnavailable, 0},
+		{"the server does not answer", standin.Hangs, http.StatusGatewayTimeout, 1},
+		{"the server fails", standin.Errs, http.StatusInternalServerError, 1},
+	}
+	wd := newWorld(t)
+	one, two := wd.server("book-1", "books"), wd.server("book-2", "books")
+	wd.publish()
+	hs := wd.host("host-1", true)
+	for _, cs := range cases {
+		t.Run(cs.name, func(t *testing.T) {
+			before := len(one.Runs()) + len(two.Runs())
+			one.Fail(cs.fault)
+			two.Fail(cs.fault)
+			got := hs.call(context.Background(), http.MethodPost, "/order/x", "a-"+cs.name, "order")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, cs.status)
+			assert.Equal(t, len(one.Runs())+len(two.Runs())-before, cs.runs)
+		})
+	}
+}
+
+// TestIdempotentGoesElsewhere answers requests that may be repeated although one of two servers fails.
+func TestIdempotentGoesElsewhere(t *testing.T) {
+	for _, fault := range []standin.ServerFault{standin.Cuts, standin.Sheds, standin.Errs, standin.Hangs, standin.Other} {
+		wd := newWorld(t)
+		bad, good := wd.server("book-1", "books"), wd.server("book-2", "books")
+		wd.publish()
+		hs := wd.host("host-1", true)
+		bad.Fail(fault)
+		for _, attempt := range []string{"a1", "a2", "a3", "a4"} {
+			got := hs.get("/read/x", attempt)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, "answer of book-2 to "+attempt, "fault %d", fault)
+		}
+		assert.Equal(t, len(good.Runs()), 4)
+	}
+}
+
+// TestAnswerToAnotherRequest never passes on an answer that belongs to another request.
+func TestAnswerToAnotherRequest(t *testing.T) {
+	wd := newWorld(t)
+	wd.server("book-1", "books").Fail(standin.Doubled)
+	wd.publish()
+	hs := wd.host("host-1", true)
+	for _, attempt := range []string{"a1", "a2", "a3"} {
+		assert.Equal(t, hs.get("/read/x", attempt).body, "answer of book-1 to "+attempt)
+	}
+}
+
+// TestStreamGoesOn passes each event on once although the first engine breaks off in the middle of one.
+func TestStreamGoesOn(t *testing.T) {
+	wd := newWorld(t)
+	bad, good := wd.server("engine-1", "models"), wd.server("engine-2", "models")
+	wd.publish()
+	hs := wd.host("host-1", true)
+	bad.Fail(standin.Cuts)
+	got := hs.chat("a1", 4000)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, events(5))
+	assert.Equal(t, got.header.Get("X-Response-Seal"), "seal-of-engine-1")
+	assert.Equal(t, good.Runs()[0].Resumed, "2")
+}
+
+// TestBrokenStreamLooksBroken ends a stream that can't go on so that it does not look complete.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	wd := newWorld(t)
+	wd.server("engine-1", "models").Fail(standin.Cuts)
+	wd.routes[0]["MaxAttempts"] = 1
+	wd.publish()
+	hs := wd.host("host-1", true)
+	got := hs.chat("a1", 4000)
+	assert.Assert(t, got.err != nil)
+	assert.Equal(t, got.body, events(2))
+}
+
+// TestSeveralEnginesReadALongPrompt names helpers, and gives memory that was set aside back.
+func TestSeveralEnginesReadALongPrompt(t *testing.T) {
+	wd := newWorld(t)
+	for _, name := range []string{"engine-1", "engine-2", "engine-3"} {
+		wd.server(name, "models")
+	}
+	wd.routes[0]["TargetLatencyMs"], wd.routes[0]["TargetGapMs"] = 3000, 1000
+	wd.capacity = 60_000
+	wd.publish()
+	hs := wd.host("host-1", true)
+	assert.Equal(t, hs.chat("a1", 100_000).body, events(5))
+	tickets := func() int {
+		held := 0
+		for _, sv := range wd.servers {
+			held += sv.Tickets()
+		}
+		return held
+	}
+	helped := ""
+	for _, sv := range wd.servers {
+		for _, run := range sv.Runs() {
+			helped = run.Helpers
+		}
+	}
+	assert.Equal(t, strings.Count(helped, ","), 1, helped)
+	assert.Assert(t, strings.Contains(helped, "/"), "a ticket is named: %s", helped)
+	wd.eventually(func() bool { return tickets() == 0 })
+}
+
+// TestClientLeaves stops the engine's work when the client has gone.
+func TestClientLeaves(t *testing.T) {
+	wd := newWorld(t)
+	engine := wd.server("engine-1", "models")
+	engine.EventGap = 300 * time.Millisecond
+	wd.publish()
+	hs := wd.host("host-1", true)
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	got := hs.call(ctx, http.MethodPost, "/chat/x", "a1", "the prompt", "X-Token-Count", "4000,255")
+	assert.Assert(t, got.err != nil)
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, len(engine.Runs()), 1)
+	assert.Assert(t, !engine.Runs()[0].Ended)
+}
--- /dev/null
+++ b/standin/site/server.go
@@ -0,0 +1,249 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// ServerFault is a way in which a server of a service fails.
+type ServerFault int
+
+// Faults of a server.
+const (
+	// Sound servers answer.
+	Sound ServerFault = iota
+	// Sheds has requests answered as not run.
+	Sheds
+	// Errs has requests answered with the server's own error.
+	Errs
+	// Cuts has answers broken off in the middle.
+	Cuts
+	// Hangs has requests never answered.
+	Hangs
+	// Other has the server answer for another one at its address.
+	Other
+	// Doubled has each answer followed by a second one to another request.
+	Doubled
+)
+
+// Run is a request that a server ran.
+type Run struct {
+	Attempt  string
+	Tenant   string
+	Deadline int
+	Resumed  string
+	Helpers  string
+	Target   string
+	Key      string
+	Body     string
+	// Ended says that the server ran the request to its end.
+	Ended bool
+}
+
+// Server is an engine, or a server of a plain service.
+type Server struct {
+	ID      string
+	Service string
+	Zone    string
+	// Events is the number of events of a stream, EventGap the time between two.
+	Events   int
+	EventGap time.Duration
+	server   *httptest.Server
+
+	mutex   sync.Mutex
+	fault   ServerFault
+	runs    []*Run
+	tickets map[string]int64
+}
+
+// NewServer starts a server of a service on a port of its own.
+func NewServer(name, service, zone string) *Server {
+	sv := &Server{ID: name, Service: service, Zone: zone, Events: 5, EventGap: 5 * time.Millisecond, tickets: map[string]int64{}}
+	sv.server = httptest.NewServer(http.HandlerFunc(sv.serve))
+	return sv
+}
+
+// Address returns the server's IP:port.
+func (sv *Server) Address() string { return sv.server.Listener.Addr().(*net.TCPAddr).String() }
+
+// Close ends the server at once, with all that it runs.
+func (sv *Server) Close() {
+	sv.server.CloseClientConnections()
+	sv.server.Close()
+}
+
+// Fail switches a fault on, or off with Sound.
+func (sv *Server) Fail(fault ServerFault) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.fault = fault
+}
+
+// Runs returns the requests that the server ran.
+func (sv *Server) Runs() []Run {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	var runs []Run
+	for _, run := range sv.runs {
+		runs = append(runs, *run)
+	}
+	return runs
+}
+
+// Tickets returns the number of reservations that are held.
+func (sv *Server) Tickets() int {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	return len(sv.tickets)
+}
+
+// Entry returns the server's entry in the store.
+func (sv *Server) Entry(state string) []byte {
+	body, _ := json.Marshal(map[string]any{
+		"Service": sv.Service, "Address": sv.Address(), "Zone": sv.Zone, "Version": "v1", "Slots": 8,
+		"State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": 1700000000000,
+	})
+	return body
+}
+
+func (sv *Server) serve(wr http.ResponseWriter, rq *http.Request) {
+	switch rq.URL.Path {
+	case "/-/report":
+		_, _ = io.WriteString(wr, `{"Running":0,"Queued":0,"pace":1.0}`)
+		return
+	case "/-/order":
+		sv.order(wr, rq)
+		return
+	}
+	sv.mutex.Lock()
+	fault := sv.fault
+	sv.mutex.Unlock()
+	body, _ := io.ReadAll(rq.Body)
+	header := wr.Header()
+	header.Set("X-Attempt-Id", rq.Header.Get("X-Attempt-Id"))
+	switch {
+	case fault == Other || rq.Header.Get("X-Expect-Instance") != sv.ID:
+		header.Set("X-Engine-Id", "other")
+		wr.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case fault == Sheds:
+		header.Set("X-Not-Executed", "1")
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	deadline, _ := strconv.Atoi(rq.Header.Get("X-Deadline-Ms"))
+	run := &Run{
+		Attempt: rq.Header.Get("X-Attempt-Id"), Tenant: rq.Header.Get("X-Tenant"), Deadline: deadline,
+		Resumed: rq.Header.Get("Last-Event-Id"), Helpers: rq.Header.Get("X-Helpers"), Target: rq.RequestURI,
+		Key: rq.Header.Get("Api-Key"), Body: string(body),
+	}
+	sv.mutex.Lock()
+	sv.runs = append(sv.runs, run)
+	sv.mutex.Unlock()
+	header.Set("X-Response-Seal", "seal-of-"+sv.ID)
+	switch fault {
+	case Hangs:
+		<-rq.Context().Done()
+		return
+	case Errs:
+		wr.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(wr, "failed")
+		return
+	}
+	if rq.Header.Get("X-Token-Count") != "" {
+		sv.stream(wr, rq, run, fault)
+		return
+	}
+	sv.answer(wr, run, fault)
+}
+
+func (sv *Server) answer(wr http.ResponseWriter, run *Run, fault ServerFault) {
+	text := "answer of " + sv.ID + " to " + run.Attempt
+	if fault == Cuts {
+		wr.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		_, _ = io.WriteString(wr, text[:5])
+		panic(http.ErrAbortHandler)
+	}
+	if fault == Doubled {
+		sv.answerTwice(wr, text, run.Attempt)
+		return
+	}
+	_, _ = io.WriteString(wr, text)
+	sv.ended(run)
+}
+
+// answerTwice sends an answer to another request behind the proper one.
+func (sv *Server) answerTwice(wr http.ResponseWriter, text, attempt string) {
+	raw, _, err := http.NewResponseController(wr).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = raw.Close() }()
+	for _, name := range []string{attempt, "another"} {
+		_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-of-%s\r\nContent-Length: %d\r\n\r\n%s", name, sv.ID, len(text), text)
+	}
+	time.Sleep(time.Second)
+}
+
+func (sv *Server) stream(wr http.ResponseWriter, rq *http.Request, run *Run, fault ServerFault) {
+	wr.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(wr)
+	first := 1
+	if last, err := strconv.Atoi(run.Resumed); err == nil {
+		first = last + 1
+	}
+	for number := first; number <= sv.Events; number++ {
+		select {
+		case <-time.After(sv.EventGap):
+		case <-rq.Context().Done():
+			return
+		}
+		event := fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number)
+		if fault == Cuts && number == (sv.Events+1)/2 {
+			_, _ = io.WriteString(wr, event[:len(event)/2])
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(wr, event)
+		_ = control.Flush()
+	}
+	sv.ended(run)
+}
+
+func (sv *Server) ended(run *Run) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	run.Ended = true
+}
+
+func (sv *Server) order(wr http.ResponseWriter, rq *http.Request) {
+	var order struct {
+		Operation  string
+		Id         string //nolint:revive // spelled as on the wire
+		TokenCount int64
+	}
+	if err := json.NewDecoder(rq.Body).Decode(&order); err != nil || strings.ContainsAny(order.Id, ",/") {
+		wr.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	switch order.Operation {
+	case "reserve":
+		sv.tickets[order.Id] = order.TokenCount
+	case "release":
+		delete(sv.tickets, order.Id)
+	default:
+		wr.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	_, _ = io.WriteString(wr, `{"Available":1}`)
+}
--- /dev/null
+++ b/standin/site/store.go
@@ -0,0 +1,178 @@
+// Package site is a small stand-in of the users' platform, by its published protocol: the store and servers of
+// services. Faults can be switched on.
+package site
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// StoreFault is a way in which the store fails.
+type StoreFault int
+
+// Faults of the store.
+const (
+	// NoFault lets the store answer.
+	NoFault StoreFault = iota
+	// Down has every call refused.
+	Down
+	// Expired has reads from any offset answered as no longer kept.
+	Expired
+	// Silent has no call answered.
+	Silent
+)
+
+type record struct {
+	key   string
+	value []byte
+}
+
+// Store is the platform's store.
+type Store struct {
+	server *httptest.Server
+
+	mutex  sync.Mutex
+	topics map[string][]record
+	fault  StoreFault
+	calls  int
+	grown  chan struct{}
+}
+
+// NewStore starts a store on a port of its own.
+func NewStore() *Store {
+	st := &Store{topics: map[string][]record{}, grown: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/log-newest", st.newest)
+	mux.HandleFunc("GET /-/log-read", st.read)
+	st.server = httptest.NewServer(st.faulty(mux))
+	return st
+}
+
+// Address returns the store's IP:port.
+func (st *Store) Address() string { return st.server.Listener.Addr().(*net.TCPAddr).String() }
+
+// Close ends the store.
+func (st *Store) Close() {
+	st.Fail(NoFault)
+	st.server.CloseClientConnections()
+	st.server.Close()
+}
+
+// Fail switches a fault on, or off with NoFault.
+func (st *Store) Fail(fault StoreFault) {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	st.fault = fault
+	st.wake()
+}
+
+// Calls returns the number of calls so far.
+func (st *Store) Calls() int {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	return st.calls
+}
+
+// Put appends a record to a topic; without a value it drops the key.
+func (st *Store) Put(topic, key string, value []byte) {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	st.topics[topic] = append(st.topics[topic], record{key: key, value: value})
+	st.wake()
+}
+
+func (st *Store) wake() {
+	close(st.grown)
+	st.grown = make(chan struct{})
+}
+
+func (st *Store) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		st.mutex.Lock()
+		st.calls++
+		fault := st.fault
+		st.mutex.Unlock()
+		switch fault {
+		case Down:
+			wr.WriteHeader(http.StatusServiceUnavailable)
+		case Silent:
+			<-rq.Context().Done()
+		default:
+			next.ServeHTTP(wr, rq)
+		}
+	})
+}
+
+func (st *Store) newest(wr http.ResponseWriter, rq *http.Request) {
+	type item struct {
+		Key    string
+		Value  string
+		Offset int
+	}
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	records := st.topics[rq.URL.Query().Get("Topic")]
+	last := map[string]int{}
+	for offset, rec := range records {
+		last[rec.key] = offset
+	}
+	items := []item{}
+	for offset, rec := range records {
+		if last[rec.key] == offset && len(rec.value) > 0 {
+			items = append(items, item{rec.key, base64.StdEncoding.EncodeToString(rec.value), offset})
+		}
+	}
+	wr.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(wr).Encode(map[string]any{"Items": items, "HasMore": false, "End": len(records)})
+}
+
+func (st *Store) read(wr http.ResponseWriter, rq *http.Request) {
+	query := rq.URL.Query()
+	from, _ := strconv.Atoi(query.Get("From"))
+	wait, _ := strconv.Atoi(query.Get("WaitMs"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		st.mutex.Lock()
+		records := st.topics[query.Get("Topic")]
+		fault, grown := st.fault, st.grown
+		st.mutex.Unlock()
+		if fault == Expired {
+			wr.WriteHeader(http.StatusGone)
+			return
+		}
+		if fault == Down {
+			wr.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if len(records) > from || wait == 0 {
+			writeRecords(wr, records, from)
+			return
+		}
+		select {
+		case <-grown:
+		case <-deadline:
+			wait = 0
+		case <-rq.Context().Done():
+			return
+		}
+	}
+}
+
+func writeRecords(wr http.ResponseWriter, records []record, from int) {
+	body := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
+	body = binary.BigEndian.AppendUint64(body, 0)
+	for _, rec := range records[min(from, len(records)):] {
+		body = binary.BigEndian.AppendUint32(body, uint32(1+len(rec.key)+len(rec.value)))
+		body = append(body, byte(len(rec.key)))
+		body = append(body, rec.key...)
+		body = append(body, rec.value...)
+	}
+	_, _ = wr.Write(body)
+}
