--- a/coordination/batch/admit.go
+++ b/coordination/batch/admit.go
@@ -36,26 +36,13 @@
 	case len(mc.waiting) >= mc.config.MaxWaiting:
 		return outcome.Refuse(outcome.Overloaded, "the queue is full").After(mc.spread(maxRetryAfter)), false
 	}
-	start := now.Sub(wt.Arrived) + mc.predictedWait(wt, max(1, usable)) + wt.read/time.Duration(max(1, min(usable, mc.config.MaxParts)))
+	start := now.Sub(wt.Arrived) + mc.queueOf(wt).work/time.Duration(max(1, usable)) + wt.read/time.Duration(max(1, min(usable, mc.config.MaxParts)))
 	if start > wt.Patience {
 		return outcome.Refuse(outcome.Overloaded, "the request can't start in its time").After(mc.spread(start - wt.Patience)), false
 	}
 	return outcome.Outcome{}, true
 }
 
-// predictedWait returns the time that what waits before a request takes on all engines together.
-func (mc *Machine) predictedWait(wt *waiting, engines int) time.Duration {
-	var before time.Duration
-	queue := mc.long
-	if mc.isShort(wt) {
-		queue = mc.short
-	}
-	for _, other := range queue {
-		before += other.read
-	}
-	return before / time.Duration(engines)
-}
-
 func (mc *Machine) spread(wait time.Duration) time.Duration {
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return wait + time.Duration(mc.random.Float64()*retrySpread*float64(wait))
@@ -63,16 +50,16 @@
 
 // expire refuses requests whose clients have run out of patience, before they would be served too late.
 func (mc *Machine) expire(now time.Time) {
-	for _, queue := range [][]*waiting{mc.short, mc.long} {
-		var late []*waiting
-		for _, wt := range queue {
-			if now.Sub(wt.Arrived)+wt.read/time.Duration(max(1, min(len(mc.engines), mc.config.MaxParts))) > wt.Patience {
-				late = append(late, wt)
-			}
+	for mc.leaving.Len() > 0 {
+		wt := mc.leaving.Peek()
+		if !wt.gone && !now.After(wt.last) {
+			return
 		}
-		for _, wt := range late {
-			mc.drop(wt)
-			mc.refuse(wt, outcome.Refuse(outcome.Overloaded, "the request can no longer start in its time").After(mc.spread(time.Second)))
+		mc.leaving.Pop()
+		if wt.gone {
+			continue
 		}
+		mc.drop(wt)
+		mc.refuse(wt, outcome.Refuse(outcome.Overloaded, "the request can no longer start in its time").After(mc.spread(time.Second)))
 	}
 }
--- /dev/null
+++ b/coordination/batch/bench_test.go
@@ -0,0 +1,52 @@
+package batch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// BenchmarkDecision measures one event of a service with 54 engines while 10,000 requests wait.
+func BenchmarkDecision(bm *testing.B) {
+	const engines, waiting = 54, 10_000
+	config := batch.DefaultConfig()
+	config.MaxWaiting = 2 * waiting
+	mc := batch.New(config, 1)
+	now := time.Unix(1000, 0)
+	mc.Step(now, batch.Configured{Engine: engineModel()})
+	var listed batch.Listed
+	for ix := range engines {
+		name := id.Engine(fmt.Sprintf("engine-%02d", ix))
+		listed.Engines = append(listed.Engines, batch.EngineSpec{Engine: name, Address: string(name)})
+	}
+	mc.Step(now, listed)
+	submit := func(number int) {
+		prompt := id.Tokens(5000)
+		if number%10 == 0 {
+			prompt = 150_000
+		}
+		mc.Step(now, batch.Submit{Request: batch.Request{
+			ID: id.Request(fmt.Sprintf("r%d", number)), Prompt: prompt, Answer: 1700, Target: 300 * time.Millisecond,
+			MaxPause: 250 * time.Millisecond, Patience: time.Hour, Arrived: now, Number: 1,
+		}})
+	}
+	for number := range waiting + 500 {
+		submit(number)
+	}
+	bm.ReportAllocs()
+	bm.ResetTimer()
+	for round := 0; bm.Loop(); round++ {
+		now = now.Add(time.Millisecond)
+		switch round % 3 {
+		case 0:
+			submit(1_000_000 + round)
+		case 1:
+			mc.Step(now, batch.Withdraw{Request: id.Request(fmt.Sprintf("r%d", 1_000_000+round-1))})
+		default:
+			mc.Step(now, batch.Started{Attempt: "none"})
+		}
+	}
+}
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hibiscuslever/hibiscuslever/state/container"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
@@ -21,10 +22,12 @@
 	granted map[id.Request]*grant
 	waiting map[id.Request]*waiting
 	// short and long hold the waiting requests by the time that their prompts take to read.
-	short []*waiting
-	long  []*waiting
+	short queue
+	long  queue
 	// strictest is the shortest pause that any request has allowed.
 	strictest time.Duration
+	// leaving holds the requests that wait by the time at which they are given up.
+	leaving *container.Heap[*waiting]
 	// lookAt is when waiting requests are looked at again, if nothing happens before.
 	lookAt time.Time
 	// view holds the engines that may get new work, as they are during one look at the queues.
@@ -33,6 +36,7 @@
 	order   []int
 	chosen  []int
 	best    []int
+	heads   []*waiting
 	swept   time.Time
 	effects []Effect
 }
@@ -48,14 +52,6 @@
 	ready time.Time
 }
 
-type waiting struct {
-	Request
-	// read is the time that one engine takes to read the prompt.
-	read time.Duration
-	// latest is the latest start with which the first event is on time, on all engines.
-	latest time.Time
-}
-
 // New returns a machine without engines. The seed determines its random choices.
 func New(config Config, seed uint64) *Machine {
 	return &Machine{
@@ -65,6 +61,7 @@
 		grants:  map[id.Attempt]*grant{},
 		granted: map[id.Request]*grant{},
 		waiting: map[id.Request]*waiting{},
+		leaving: container.NewHeap(func(left, right *waiting) bool { return left.last.Before(right.last) }),
 	}
 }
 
@@ -124,17 +121,14 @@
 	if rq.MaxPause > 0 && (mc.strictest == 0 || rq.MaxPause < mc.strictest) {
 		mc.strictest = rq.MaxPause
 	}
-	wt := &waiting{Request: rq, read: readTime(mc.engine, rq.Prompt)}
+	wt := mc.newWaiting(rq)
 	if oc, admitted := mc.admit(now, wt); !admitted {
 		mc.refuse(wt, oc)
 		return
 	}
 	mc.waiting[rq.ID] = wt
-	if mc.isShort(wt) {
-		mc.short = append(mc.short, wt)
-		return
-	}
-	mc.long = append(mc.long, wt)
+	mc.queueOf(wt).push(wt)
+	mc.leaving.Push(wt)
 }
 
 func (mc *Machine) isShort(wt *waiting) bool { return wt.read <= mc.config.ShortRead }
@@ -143,22 +137,6 @@
 	mc.effects = append(mc.effects, Effect{Kind: Refused, Request: wt.ID, Outcome: oc})
 }
 
-func (mc *Machine) withdraw(rq id.Request) {
-	if wt, ok := mc.waiting[rq]; ok {
-		mc.drop(wt)
-	}
-}
-
-func (mc *Machine) drop(wt *waiting) {
-	delete(mc.waiting, wt.ID)
-	same := func(other *waiting) bool { return other == wt }
-	if mc.isShort(wt) {
-		mc.short = slices.DeleteFunc(mc.short, same)
-		return
-	}
-	mc.long = slices.DeleteFunc(mc.long, same)
-}
-
 func (mc *Machine) hold(now time.Time, ev Hold) {
 	gr, known := mc.grants[ev.Grant.Attempt]
 	if !known {
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -9,8 +9,11 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
 
-// maxLooks bounds the requests of a queue that are looked at in one step.
-const maxLooks = 12
+// Bounds of the requests of a queue that are looked at in one step.
+const (
+	shortLooks = 12
+	longLooks  = 6
+)
 
 // pump hands out what can start now, short prompts first.
 func (mc *Machine) pump(now time.Time) {
@@ -19,37 +22,11 @@
 		return
 	}
 	mc.look(now)
-	mc.sortQueue(now, mc.short)
-	mc.sortQueue(now, mc.long)
-	next := min(idle, mc.pumpQueue(now, mc.short, mc.placeShort))
-	next = min(next, mc.pumpQueue(now, mc.long, mc.placeLong))
+	next := min(idle, mc.pumpQueue(now, &mc.short, shortLooks, mc.placeShort))
+	next = min(next, mc.pumpQueue(now, &mc.long, longLooks, mc.placeLong))
 	mc.lookAt = now.Add(max(next-mc.config.Ahead, mc.config.Ahead/2))
 }
 
-// sortQueue sorts a queue: interrupted work first, then what can still be on time, then the rest; among these by the
-// latest start, with prompts that take longer to read somewhat later.
-func (mc *Machine) sortQueue(now time.Time, queue []*waiting) {
-	parts := time.Duration(max(1, min(len(mc.engines), mc.config.MaxParts)))
-	for _, wt := range queue {
-		wt.latest = wt.Arrived.Add(wt.Target - wt.read/parts - mc.config.StartMargin)
-	}
-	slices.SortStableFunc(queue, func(left, right *waiting) int {
-		if (left.Number > 1) != (right.Number > 1) {
-			return cmp.Compare(right.Number, left.Number)
-		}
-		leftLate, rightLate := left.latest.Before(now), right.latest.Before(now)
-		switch {
-		case leftLate && !rightLate:
-			return 1
-		case rightLate && !leftLate:
-			return -1
-		case left.Rank != right.Rank:
-			return cmp.Compare(left.Rank, right.Rank)
-		}
-		return left.latest.Add(mc.config.ReadWeight * left.read / parts).Compare(right.latest.Add(mc.config.ReadWeight * right.read / parts))
-	})
-}
-
 // plan is a place that a request may be given.
 type plan struct {
 	grant *grant
@@ -60,12 +37,10 @@
 
 // pumpQueue places requests in order and returns the time until the first of those that wait may be placed. While a
 // request waits for engines to become free, those behind it may use what is free until then, if they are done by then.
-func (mc *Machine) pumpQueue(now time.Time, queue []*waiting, place func(time.Time, *waiting) (plan, bool)) time.Duration {
+func (mc *Machine) pumpQueue(now time.Time, qu *queue, looks int, place func(time.Time, *waiting) (plan, bool)) time.Duration {
 	reserved := time.Duration(math.MaxInt64)
-	for ix, wt := range slices.Clone(queue) {
-		if ix >= maxLooks {
-			break
-		}
+	mc.heads = qu.heads(now, looks, mc.heads[:0])
+	for _, wt := range mc.heads {
 		pl, ok := place(now, wt)
 		if !ok {
 			continue
@@ -190,7 +165,7 @@
 	var finish, start time.Duration
 	found := false
 	most := min(len(mc.order), mc.config.MaxParts)
-	for count := mc.leastParts(wt, most); count <= most; count++ {
+	for count := mc.leastParts(wt, most); count <= most; count += stride(count) {
 		ends, starts, ok := mc.choose(now, wt, count)
 		if ok && (!found || ends < finish) {
 			finish, start, found = ends, starts, true
@@ -212,6 +187,15 @@
 	}, true
 }
 
+// stride returns how many more engines are tried next: beyond a few, one more makes little difference.
+func stride(count int) int {
+	const few = 4
+	if count < few {
+		return 1
+	}
+	return 2
+}
+
 // longestPass returns the longest pass of engines of the view without reading.
 func (mc *Machine) longestPass(chosen []int) time.Duration {
 	var longest time.Duration
--- a/site/host.go
+++ b/site/host.go
@@ -69,16 +69,16 @@
 		metrics:    telemetry.NewMetrics(),
 		quarantine: quarantine.New(convictionTTL),
 	}
-	ht.self = membership.Member{
-		Host:             op.settings.Host.Name,
-		Incarnation:      id.Incarnation(op.clock.Now().UnixNano()),
-		PeerAddress:      op.settings.Host.PeerAddress,
-		CallerAddress:    op.settings.Host.CallerAddress,
-		AvailabilityZone: op.settings.Host.AvailabilityZone,
-	}
 	if err := ht.listen(); err != nil {
 		return nil, err
 	}
+	ht.self = membership.Member{
+		Host:             ht.settings.Host.Name,
+		Incarnation:      id.Incarnation(op.clock.Now().UnixNano()),
+		PeerAddress:      ht.settings.Host.PeerAddress,
+		CallerAddress:    ht.settings.Host.CallerAddress,
+		AvailabilityZone: ht.settings.Host.AvailabilityZone,
+	}
 	ht.assemble(op.seed)
 	return ht, nil
 }
@@ -86,21 +86,26 @@
 // convictionTTL is how long the content of requests that crash engines is remembered.
 const convictionTTL = time.Hour
 
+// listen opens all addresses; when one is taken, none stays open. Port 0 becomes a free port.
 func (ht *Host) listen() error {
-	st := ht.settings.Host
-	for _, address := range []string{st.CallerAddress, st.PeerAddress, st.OperatorAddress, st.ReadyAddress, st.DirectoryAddress} {
-		listener, err := net.Listen("tcp", address)
+	st := &ht.settings.Host
+	for _, address := range []*string{&st.CallerAddress, &st.PeerAddress, &st.OperatorAddress, &st.ReadyAddress, &st.DirectoryAddress} {
+		listener, err := net.Listen("tcp", *address)
 		if err != nil {
 			for _, open := range ht.listeners {
 				_ = open.Close()
 			}
-			return errors.Wrapf(err, "listen at %s", address)
+			return errors.Wrapf(err, "listen at %s", *address)
 		}
+		*address = listener.Addr().String()
 		ht.listeners = append(ht.listeners, listener)
 	}
 	return nil
 }
 
+// Settings returns the settings in force, with the ports that were chosen.
+func (ht *Host) Settings() settings.Settings { return ht.settings }
+
 // assemble builds the parts of the host, lower layers first.
 func (ht *Host) assemble(seed uint64) {
 	scope := ht.metrics.Scope
--- a/site/world_test.go
+++ b/site/world_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -24,6 +23,8 @@
 	key      = "key-of-acme"
 	// patience bounds waits for what is to happen soon.
 	patience = 20 * time.Second
+	// anyPort has a host choose a free port.
+	anyPort = "127.0.0.1:0"
 )
 
 // world is a store, servers and hosts.
@@ -95,19 +96,12 @@
 	ended    chan error
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // host starts a host and, if asked to, waits until it is ready.
 func (wd *world) host(name string, ready bool, seeds ...string) *host {
 	st := settings.Default()
 	st.Host = settings.Host{
-		Name: id.Host(name), AvailabilityZone: "zone-a", CallerAddress: freeAddress(wd.t), PeerAddress: freeAddress(wd.t),
-		OperatorAddress: freeAddress(wd.t), ReadyAddress: freeAddress(wd.t), DirectoryAddress: freeAddress(wd.t),
+		Name: id.Host(name), AvailabilityZone: "zone-a", CallerAddress: anyPort, PeerAddress: anyPort,
+		OperatorAddress: anyPort, ReadyAddress: anyPort, DirectoryAddress: anyPort,
 	}
 	st.Platform = settings.Platform{URL: "http://" + wd.store.Address(), Kind: settings.KindStore}
 	st.Peers.Seeds = seeds
@@ -117,14 +111,14 @@
 	ht, err := site.New(site.WithSettings(st), site.WithSeed(1))
 	assert.NilError(wd.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	hs := &host{settings: st, stop: cancel, ended: make(chan error, 1)}
+	hs := &host{settings: ht.Settings(), stop: cancel, ended: make(chan error, 1)}
 	go func() { hs.ended <- ht.Run(ctx) }()
 	wd.t.Cleanup(func() {
 		cancel()
 		<-hs.ended
 	})
 	if ready {
-		wd.eventually(func() bool { return wd.status("http://"+st.Host.ReadyAddress+"/-/ready") == http.StatusOK })
+		wd.eventually(func() bool { return wd.status("http://"+hs.settings.Host.ReadyAddress+"/-/ready") == http.StatusOK })
 	}
 	return hs
 }
