--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -149,8 +150,8 @@
 		if known {
 			continue
 		}
-		for _, gr := range mc.grants {
-			en.run(gr)
+		for _, att := range slices.Sorted(maps.Keys(mc.grants)) {
+			en.run(mc.grants[att])
 		}
 	}
 	for _, en := range slices.Clone(mc.engines) {
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -61,6 +62,8 @@
 		grants:  map[id.Attempt]*grant{},
 		granted: map[id.Request]*grant{},
 		waiting: map[id.Request]*waiting{},
+		short:   queue{of: map[id.Organisation]time.Duration{}},
+		long:    queue{of: map[id.Organisation]time.Duration{}},
 		leaving: container.NewHeap(func(left, right *waiting) bool { return left.last.Before(right.last) }),
 	}
 }
@@ -235,8 +238,8 @@
 		return
 	}
 	mc.swept = now
-	for _, gr := range mc.grants {
-		if now.Sub(gr.renewed) > mc.config.GrantTTL {
+	for _, att := range slices.Sorted(maps.Keys(mc.grants)) {
+		if gr := mc.grants[att]; now.Sub(gr.renewed) > mc.config.GrantTTL {
 			mc.release(now, gr)
 		}
 	}
--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -94,7 +94,7 @@
 }
 
 func (sc *script) request(t *testing.T, td *datadriven.TestData) batch.Request {
-	var name, avoid string
+	var name, avoid, organisation string
 	var prompt, answer, pause, target, number int
 	target, pause, number, answer = 300, 250, 1, 500
 	td.ScanArgs(t, "id", &name)
@@ -104,15 +104,17 @@
 	td.MaybeScanArgs(t, "pause", &pause)
 	td.MaybeScanArgs(t, "number", &number)
 	td.MaybeScanArgs(t, "avoid", &avoid)
+	td.MaybeScanArgs(t, "organisation", &organisation)
 	rq := batch.Request{
-		ID:       id.Request(name),
-		Prompt:   id.Tokens(prompt),
-		Answer:   id.Tokens(answer),
-		Target:   time.Duration(target) * time.Millisecond,
-		MaxPause: time.Duration(pause) * time.Millisecond,
-		Arrived:  sc.now,
-		Number:   number,
-		Alone:    td.HasArg("alone"),
+		ID:           id.Request(name),
+		Organisation: id.Organisation(organisation),
+		Prompt:       id.Tokens(prompt),
+		Answer:       id.Tokens(answer),
+		Target:       time.Duration(target) * time.Millisecond,
+		MaxPause:     time.Duration(pause) * time.Millisecond,
+		Arrived:      sc.now,
+		Number:       number,
+		Alone:        td.HasArg("alone"),
 	}
 	rq.Patience = max(2*time.Second, 4*rq.Target)
 	if avoid != "" {
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -226,8 +226,8 @@
 	}
 	slices.SortStableFunc(mc.order, func(left, right int) int {
 		one, other := &mc.view[left], &mc.view[right]
-		if clear := cmp.Compare(min(one.load.short, 1), min(other.load.short, 1)); clear != 0 {
-			return clear
+		if short := cmp.Compare(min(one.load.short, 1), min(other.load.short, 1)); short != 0 {
+			return short
 		}
 		if idle := cmp.Compare(min(one.load.running, 1), min(other.load.running, 1)); idle != 0 {
 			return idle
--- a/coordination/batch/queue.go
+++ b/coordination/batch/queue.go
@@ -25,11 +25,13 @@
 
 // queue holds the requests that wait, in two parts: those that can still be on time, and the others. Both are sorted:
 // interrupted work first, then by rank, then by the latest start, with prompts that take longer to read somewhat later.
+// What an organisation has waiting already puts its further requests back, so that one that floods harms itself.
 type queue struct {
 	fresh []*waiting
 	late  []*waiting
-	// work is the reading time of all that wait.
+	// work is the reading time of all that wait, of the same by organisation.
 	work time.Duration
+	of   map[id.Organisation]time.Duration
 }
 
 func compareWaiting(left, right *waiting) int {
@@ -61,6 +63,7 @@
 func (qu *queue) push(wt *waiting) {
 	qu.fresh = insert(qu.fresh, wt)
 	qu.work += wt.read
+	qu.of[wt.Organisation] += wt.read
 }
 
 func (qu *queue) drop(wt *waiting) {
@@ -69,6 +72,10 @@
 		qu.late, _ = remove(qu.late, wt)
 	}
 	qu.work -= wt.read
+	qu.of[wt.Organisation] -= wt.read
+	if qu.of[wt.Organisation] <= 0 {
+		delete(qu.of, wt.Organisation)
+	}
 }
 
 // heads returns the requests that are next, at most count, in storage that is passed in.
@@ -98,7 +105,7 @@
 	parts := mc.allParts()
 	wt.latest = rq.Arrived.Add(rq.Target - wt.read/parts - mc.config.StartMargin)
 	wt.last = rq.Arrived.Add(rq.Patience - wt.read/parts)
-	wt.order = wt.latest.Add(mc.config.ReadWeight * wt.read / parts)
+	wt.order = wt.latest.Add((mc.config.ReadWeight*wt.read + mc.queueOf(wt).of[rq.Organisation]) / parts)
 	return wt
 }
 
--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -318,7 +318,7 @@
 	}
 	now := fl.clock.Now()
 	outage := now.Sub(fl.failedAt) < outageMemory
-	changed := read.Records
+	var changed []roster.Record
 	if read.Whole {
 		changed = fl.roster.Replace(now, read.Next, read.Records, outage)
 	} else {
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -81,6 +81,7 @@
 	awake    map[id.Engine]time.Time
 	lost     map[id.Engine]bool
 	requests map[id.Request]*request
+	all      []*request
 	result   Result
 	windows  map[int]*Outcome
 }
@@ -113,6 +114,7 @@
 	for ix, ar := range pt.arrivals(seed) {
 		rq := &request{arrival: ar, kind: pt.Kinds[ar.kind], id: id.Request("r" + strconv.Itoa(ix)), number: 1}
 		wd.requests[rq.id] = rq
+		wd.all = append(wd.all, rq)
 		wd.at(ar.at, func(time.Time) { wd.submit(rq) })
 	}
 	wd.at(0, wd.tick)
@@ -166,7 +168,7 @@
 		wd.lost[engineName(ix)] = true
 	}
 	wd.list()
-	for _, rq := range wd.requests {
+	for _, rq := range wd.all {
 		if rq.done || len(rq.grant.Parts) == 0 || !slices.ContainsFunc(rq.grant.Parts, func(part batch.Part) bool { return wd.lost[part.Engine] }) {
 			continue
 		}
@@ -284,12 +286,7 @@
 
 // finish adds up what became of all requests.
 func (wd *world) finish() Result {
-	counted := map[*request]bool{}
-	for _, rq := range wd.requests {
-		if counted[rq] {
-			continue
-		}
-		counted[rq] = true
+	for _, rq := range wd.all {
 		wd.count(rq)
 	}
 	var earned, owed float64
--- a/layers_test.go
+++ b/layers_test.go
@@ -25,8 +25,8 @@
 // decisions are the packages without goroutines, I/O, clock or global random source.
 var decisions = []string{
 	"coordination/dispatch", "coordination/membership", "coordination/claim", "coordination/lease",
-	"coordination/placement", "coordination/retry",
-	"state/container", "state/id", "state/limit", "state/lists", "state/outcome", "state/quarantine",
+	"coordination/placement", "coordination/retry", "coordination/batch", "coordination/balance",
+	"state/route", "state/roster", "state/container", "state/id", "state/limit", "state/lists", "state/outcome", "state/quarantine",
 }
 
 // impure are packages that decisions must not import.
@@ -103,3 +103,46 @@
 		"state/id imports transport/caller of a higher layer",
 	})
 }
+
+// wireNames are names of the users' platform that only its adapter and the stand-ins know.
+var wireNames = []string{
+	"X-Attempt-Id", "X-Response-Seal", "X-Helpers", "X-Expect-Instance", "X-Not-Executed", "X-Engine-Load", "X-Token-Count",
+	"X-Deadline-Ms", "/-/log-", "/-/order", "/-/report", "keyed.servers", "keyed.op", "KvCapacityTokens", "TargetLatencyMs",
+}
+
+// wireNamesIn returns the names of the users' platform that a source file holds outside the folders that may know them.
+func wireNamesIn(path, source string) []string {
+	for _, folder := range []string{"platform/", "standin/"} {
+		if strings.HasPrefix(filepath.ToSlash(path), folder) {
+			return nil
+		}
+	}
+	var found []string
+	for _, name := range wireNames {
+		if strings.Contains(source, name) {
+			found = append(found, name)
+		}
+	}
+	return found
+}
+
+// TestWireNamesStayInTheAdapter keeps the platform's names out of the product.
+func TestWireNamesStayInTheAdapter(t *testing.T) {
+	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		found := wireNamesIn(path, string(source))
+		assert.Equal(t, len(found), 0, "%s knows %v", path, found)
+		return nil
+	})
+	assert.NilError(t, err)
+}
+
+// TestWireNamesAreSeen proves the check.
+func TestWireNamesAreSeen(t *testing.T) {
+	assert.DeepEqual(t, wireNamesIn("state/id/bad.go", `"X-Attempt-Id"`), []string{"X-Attempt-Id"})
+	assert.Equal(t, len(wireNamesIn("platform/good.go", `"X-Attempt-Id"`)), 0)
+}
--- a/site/path_test.go
+++ b/site/path_test.go
@@ -25,12 +25,12 @@
 	assert.NilError(t, err)
 	var known struct {
 		Addresses []string
-		TtlS      float64 //nolint:revive // spelled as on the wire
+		TTLS      float64 `json:"TtlS"`
 	}
 	assert.NilError(t, json.NewDecoder(rs.Body).Decode(&known))
 	_ = rs.Body.Close()
 	assert.DeepEqual(t, known.Addresses, []string{hs.settings.Host.CallerAddress})
-	assert.Equal(t, known.TtlS, 1.0)
+	assert.Equal(t, known.TTLS, 1.0)
 
 	got := hs.get("/read/a%2Fb?x=1&x=2", "a1")
 	assert.NilError(t, got.err)
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -227,10 +227,10 @@
 func (sv *Server) order(wr http.ResponseWriter, rq *http.Request) {
 	var order struct {
 		Operation  string
-		Id         string //nolint:revive // spelled as on the wire
+		ID         string `json:"Id"`
 		TokenCount int64
 	}
-	if err := json.NewDecoder(rq.Body).Decode(&order); err != nil || strings.ContainsAny(order.Id, ",/") {
+	if err := json.NewDecoder(rq.Body).Decode(&order); err != nil || strings.ContainsAny(order.ID, ",/") {
 		wr.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -238,9 +238,9 @@
 	defer sv.mutex.Unlock()
 	switch order.Operation {
 	case "reserve":
-		sv.tickets[order.Id] = order.TokenCount
+		sv.tickets[order.ID] = order.TokenCount
 	case "release":
-		delete(sv.tickets, order.Id)
+		delete(sv.tickets, order.ID)
 	default:
 		wr.WriteHeader(http.StatusBadRequest)
 		return
--- /dev/null
+++ b/state/roster/roster_test.go
@@ -0,0 +1,100 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+)
+
+func listed(name string, offset int, draining bool) roster.Record {
+	return roster.Record{ID: id.BackendServer(name), Offset: id.Offset(offset), Server: &roster.Server{ID: id.BackendServer(name), Draining: draining}}
+}
+
+func dropped(name string, offset int) roster.Record {
+	return roster.Record{ID: id.BackendServer(name), Offset: id.Offset(offset), Dropped: true}
+}
+
+func names(servers []roster.Server) string {
+	text := ""
+	for _, sv := range servers {
+		text += string(sv.ID) + " "
+	}
+	return text
+}
+
+// TestLapsedEntries keeps servers whose entries were dropped around an outage for a while, and no others.
+func TestLapsedEntries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rs := roster.New()
+	rs.Replace(now, 10, []roster.Record{listed("a", 1, false), listed("b", 2, false), listed("c", 3, false)}, false)
+	rs.Apply(now, 10, 12, []roster.Record{dropped("a", 10)}, false)
+	rs.Apply(now, 12, 14, []roster.Record{dropped("b", 12), dropped("c", 13)}, true)
+	assert.Equal(t, names(rs.Servers(now)), "b c ")
+	rs.Apply(now, 14, 15, []roster.Record{listed("c", 14, true)}, true)
+	later := now.Add(3 * time.Second)
+	assert.Equal(t, names(rs.Servers(later)), "c ")
+	assert.Assert(t, rs.Servers(later)[0].Draining)
+}
+
+// TestGap reports a gap before records, so that the whole list is fetched.
+func TestGap(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rs := roster.New()
+	_, complete := rs.Apply(now, 0, 5, nil, false)
+	assert.Assert(t, !complete, "a list that was never read whole is not complete")
+	rs.Replace(now, 10, nil, false)
+	_, complete = rs.Apply(now, 12, 13, []roster.Record{listed("a", 12, false)}, false)
+	assert.Assert(t, !complete)
+	assert.Equal(t, rs.Next(), id.Offset(10))
+	assert.Equal(t, names(rs.Servers(now)), "a ", "what is told counts nevertheless")
+}
+
+// TestCopiesAgree merges the same log in any order, in parts and with repeats, to the same list.
+func TestCopiesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var log []roster.Record
+		for offset := range rapid.IntRange(1, 30).Draw(rt, "length") {
+			name := fmt.Sprintf("s%d", rapid.IntRange(0, 4).Draw(rt, "server"))
+			if rapid.IntRange(0, 3).Draw(rt, "kind") == 0 {
+				log = append(log, dropped(name, offset))
+				continue
+			}
+			log = append(log, listed(name, offset, rapid.Bool().Draw(rt, "draining")))
+		}
+		now := time.Unix(1000, 0)
+		straight, mixed := roster.New(), roster.New()
+		straight.Replace(now, 0, nil, false)
+		straight.Apply(now, 0, id.Offset(len(log)), log, false)
+		mixed.Replace(now, 0, nil, false)
+		for range rapid.IntRange(0, 6).Draw(rt, "parts") {
+			from := rapid.IntRange(0, len(log)).Draw(rt, "from")
+			next := rapid.IntRange(from, len(log)).Draw(rt, "next")
+			mixed.Apply(now, id.Offset(from), id.Offset(next), log[from:next], false)
+		}
+		mixed.Apply(now, 0, id.Offset(len(log)), log, false)
+		if names(straight.Servers(now)) != names(mixed.Servers(now)) {
+			rt.Fatalf("%q and %q", names(straight.Servers(now)), names(mixed.Servers(now)))
+		}
+		whole := roster.New()
+		whole.Replace(now, id.Offset(len(log)), straight.Records(), false)
+		if names(straight.Servers(now)) != names(whole.Servers(now)) {
+			rt.Fatalf("%q and a copy %q", names(straight.Servers(now)), names(whole.Servers(now)))
+		}
+	})
+}
+
+// TestOldCopyChangesNothing ignores a whole list that is older than what is known.
+func TestOldCopyChangesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rs := roster.New()
+	rs.Replace(now, 10, []roster.Record{listed("a", 9, true)}, false)
+	rs.Replace(now, 5, []roster.Record{listed("a", 3, false), listed("b", 4, false)}, false)
+	assert.Equal(t, names(rs.Servers(now)), "a ")
+	assert.Assert(t, rs.Servers(now)[0].Draining)
+}
