--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/roster"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
 )
 
 // kept is a whole answer that was read and may still be passed on.
@@ -135,8 +136,13 @@
 	return jb.takePlain(ctx, answer, &result)
 }
 
-// takePlain reads the answer and passes it on, unless it is worth another attempt.
+// takePlain reads the answer and passes it on, unless it is worth another attempt. Streams are passed on as they come.
 func (jb *job) takePlain(ctx context.Context, answer Answer, result *balance.Result) (*kept, retry.Cause, string) {
+	if jb.request.Route.Kind == route.Streaming && answer.Status < http.StatusInternalServerError {
+		*result = balance.Answered
+		jb.passThrough(answer, nil)
+		return nil, 0, "passed through"
+	}
 	body, whole, err := readUpTo(answer.Body, jb.runner.config.BufferBytes)
 	if err != nil {
 		jb.unknown = true
@@ -195,6 +201,7 @@
 		jb.result.Cause = err.Error()
 		return
 	}
+	jb.result.FirstByte = jb.runner.clock.Now().Sub(jb.request.Arrived)
 	if err := jb.sink.Write(first); err != nil {
 		jb.result.Cause = err.Error()
 		return
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -113,7 +113,29 @@
 	default:
 		what = string(rs.Outcome.Reason)
 	}
-	rn.metrics.Tagged(map[string]string{"kind": rq.Route.Kind.String(), "outcome": what}).Counter("requests").Inc(1)
+	kind := rq.Route.Kind.String()
+	rn.metrics.Tagged(map[string]string{"kind": kind, "outcome": what}).Counter("requests").Inc(1)
+	if rs.FirstByte > 0 {
+		tags := map[string]string{"kind": kind, "prompt": promptBand(rq.Prompt)}
+		rn.metrics.Tagged(tags).Histogram("first_byte_seconds", firstByteBuckets).RecordDuration(rs.FirstByte)
+	}
+}
+
+// firstByteBuckets are the buckets of the time to the first byte: 10 ms to 20 s.
+var firstByteBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)
+
+// promptBand names a range of prompt lengths, as histograms are tagged with it.
+func promptBand(prompt id.Tokens) string {
+	switch {
+	case prompt == 0:
+		return "none"
+	case prompt <= 10_000:
+		return "up_to_10k"
+	case prompt <= 100_000:
+		return "up_to_100k"
+	default:
+		return "over_100k"
+	}
 }
 
 // job is one request on its way.
--- a/site/change_test.go
+++ b/site/change_test.go
@@ -1,6 +1,7 @@
 package site_test
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -139,3 +140,43 @@
 		assert.Equal(t, first.chat("a2", 4000).body, events(5))
 	}
 }
+
+// TestHostsWithoutSeeds find each other through the store.
+func TestHostsWithoutSeeds(t *testing.T) {
+	wd := newWorld(t)
+	wd.server("book-1", "books")
+	wd.publish()
+	first := wd.host("host-1", true)
+	wd.host("host-2", true)
+	wd.eventually(func() bool {
+		rs, err := http.Get("http://" + first.settings.Host.DirectoryAddress + "/-/resolve?Name=x")
+		assert.NilError(t, err)
+		defer func() { _ = rs.Body.Close() }()
+		return countAddresses(t, rs) == 2
+	})
+}
+
+// TestPlainStream passes the events of a service without engines on as they come.
+func TestPlainStream(t *testing.T) {
+	wd := newWorld(t)
+	wd.server("book-1", "books").EventGap = 200 * time.Millisecond
+	wd.routes = append(wd.routes, wd.route("news", "/news/", "streaming", "books", 1, 5000))
+	wd.publish()
+	hs := wd.host("host-1", true)
+	rq, err := http.NewRequest(http.MethodGet, "http://"+hs.settings.Host.CallerAddress+"/news/x", nil)
+	assert.NilError(t, err)
+	rq.Host = hostName
+	rq.Header.Set("X-Attempt-Id", "a1")
+	rq.Header.Set("Api-Key", key)
+	rq.Header.Set("X-Token-Count", "1,1")
+	rs, err := http.DefaultTransport.RoundTrip(rq)
+	assert.NilError(t, err)
+	defer func() { _ = rs.Body.Close() }()
+	first := make([]byte, 64)
+	count, err := rs.Body.Read(first)
+	assert.NilError(t, err)
+	assert.Equal(t, string(first[:count]), events(1))
+	rest, err := io.ReadAll(rs.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(first[:count])+string(rest), events(5))
+}
--- /dev/null
+++ b/site/discovery.go
@@ -0,0 +1,59 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+const (
+	// aloneFor is how long a host may know no other one before it looks for them in the store.
+	aloneFor = time.Second
+	// discoveryTimeout bounds a call to the store.
+	discoveryTimeout = time.Second
+	// maxFound bounds the hosts that are tried.
+	maxFound = 8
+)
+
+// findHosts tells the other hosts through the store where this one is, and finds them there while the seeds of the
+// settings lead to none.
+func (ht *Host) findHosts(ctx context.Context) error {
+	announced := false
+	for timer.Sleep(ctx, ht.clock, aloneFor) {
+		if ready, _ := ht.Ready(); !ready {
+			continue
+		}
+		if !announced {
+			announced = ht.announce(ctx)
+		}
+		if len(ht.gossip.Others()) == 0 {
+			ht.lookForHosts(ctx)
+		}
+	}
+	return nil
+}
+
+func (ht *Host) announce(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, discoveryTimeout)
+	defer cancel()
+	if err := ht.store.Announce(call, ht.self.Host, ht.self.PeerAddress); err != nil {
+		ht.logger.Warn("host not announced", "error", err.Error())
+		return false
+	}
+	return true
+}
+
+func (ht *Host) lookForHosts(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, discoveryTimeout)
+	defer cancel()
+	addresses, err := ht.store.Hosts(call)
+	if err != nil {
+		ht.logger.Warn("hosts not found", "error", err.Error())
+		return
+	}
+	for _, address := range addresses[:min(maxFound, len(addresses))] {
+		ht.gossip.AddSeed(address)
+	}
+	ht.logger.Info("hosts looked for", "found", len(addresses))
+}
--- a/site/host.go
+++ b/site/host.go
@@ -41,6 +41,7 @@
 	self     membership.Member
 
 	pool     *backend.Pool
+	store    *platform.Store
 	peers    *peer.Client
 	gossip   *gossip.Runner
 	news     *news.Follower
@@ -120,8 +121,8 @@
 	}, scope, seed)
 	newsConfig := news.DefaultConfig()
 	newsConfig.Seeds = ht.settings.Peers.Seeds
-	store := platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
-	ht.news = news.New(newsConfig, ht.self.Host, ht.clock, store, ht.peers, ht.peers, scope, ht.logger, seed, ht.newsChanged)
+	ht.store = platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
+	ht.news = news.New(newsConfig, ht.self.Host, ht.clock, ht.store, ht.peers, ht.peers, scope, ht.logger, seed, ht.newsChanged)
 	ht.fleet = newFleet(ht.news, ht.clock)
 	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peers, convictions{ht}, scope, ht.logger, seed)
 	ht.places = broker.NewClient(batch.DefaultConfig(), ht.self.Host, ht.clock, ht.peers, ht.fleet, scope, ht.logger, seed)
@@ -156,7 +157,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group run.Group
-	for _, part := range []func(context.Context) error{ht.news.Run, ht.broker.Run, ht.places.Run, ht.pool.Run, ht.join} {
+	for _, part := range []func(context.Context) error{ht.news.Run, ht.broker.Run, ht.places.Run, ht.pool.Run, ht.join, ht.findHosts} {
 		partCtx, cancel := context.WithCancel(background)
 		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
 	}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -6,9 +6,11 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -51,6 +53,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/log-newest", st.newest)
 	mux.HandleFunc("GET /-/log-read", st.read)
+	mux.HandleFunc("POST /-/log-append", st.append)
 	st.server = httptest.NewServer(st.faulty(mux))
 	return st
 }
@@ -133,6 +136,25 @@
 	_ = json.NewEncoder(wr).Encode(map[string]any{"Items": items, "HasMore": false, "End": len(records)})
 }
 
+// append takes the records of a keyed topic.
+func (st *Store) append(wr http.ResponseWriter, rq *http.Request) {
+	body, err := io.ReadAll(rq.Body)
+	for err == nil && len(body) >= 5 {
+		size := int(binary.BigEndian.Uint32(body))
+		if size+4 > len(body) || int(body[4])+1 > size {
+			break
+		}
+		key := int(body[4])
+		st.Put(rq.URL.Query().Get("Topic"), string(body[5:5+key]), slices.Clone(body[5+key:4+size]))
+		body = body[4+size:]
+	}
+	if err != nil || len(body) > 0 {
+		wr.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	_, _ = io.WriteString(wr, `{"Offset":0,"End":0}`)
+}
+
 func (st *Store) read(wr http.ResponseWriter, rq *http.Request) {
 	query := rq.URL.Query()
 	from, _ := strconv.Atoi(query.Get("From"))
