--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -58,6 +58,9 @@
 	config batch.Config
 	seed   uint64
 	group  sync.WaitGroup
+	// open is closed when the host knows the others, so that it does not dispatch alone before.
+	open     chan struct{}
+	openOnce sync.Once
 }
 
 // suspicion is what is known of a dispatcher that did not answer.
@@ -82,9 +85,13 @@
 		suspects: map[id.Host]*suspicion{},
 		reported: map[id.Service]id.Host{},
 		alone:    map[id.Service]*batch.Machine{},
+		open:     make(chan struct{}),
 	}
 }
 
+// Open lets requests be placed: the host knows the other hosts, or that there are none.
+func (cl *Client) Open() { cl.openOnce.Do(func() { close(cl.open) }) }
+
 // Run reports what the host holds until the context ends.
 func (cl *Client) Run(ctx context.Context) error {
 	sub := timer.Every(cl.clock, renewPeriod, func() { cl.renew(ctx) })
@@ -99,6 +106,10 @@
 	ask.Host = cl.host
 	given := cl.await(ask.ID)
 	defer cl.stopWaiting(ask.ID)
+	select {
+	case <-cl.open:
+	case <-ctx.Done():
+	}
 	failed := false
 	for ctx.Err() == nil {
 		host, ok := cl.dispatcher(ask.Service)
--- a/site/host.go
+++ b/site/host.go
@@ -186,19 +186,32 @@
 	return err
 }
 
-// join takes part in the membership once the host can serve, so that nothing is sent to one that can't.
+// join takes part in the membership once the host can serve, so that nothing is sent to one that can't. The host is
+// ready when it knows another one, or has looked for one for a moment: hosts that start together must not all dispatch.
 func (ht *Host) join(ctx context.Context) error {
-	const lookPeriod = 20 * time.Millisecond
+	const (
+		lookPeriod = 20 * time.Millisecond
+		joinWait   = 400 * time.Millisecond
+	)
 	for !ht.news.Informed() {
 		if !timer.Sleep(ctx, ht.clock, lookPeriod) {
 			return nil
 		}
 	}
+	ended := make(chan error, 1)
+	go func() { ended <- ht.gossip.Run(ctx) }()
+	for end := ht.clock.Now().Add(joinWait); len(ht.gossip.Others()) == 0 && ht.clock.Now().Before(end); {
+		if !timer.Sleep(ctx, ht.clock, lookPeriod) {
+			break
+		}
+	}
 	ht.mutex.Lock()
 	ht.joined = true
 	ht.mutex.Unlock()
-	ht.logger.Info("host ready", "after_ms", ht.clock.Now().Sub(time.Unix(0, int64(ht.self.Incarnation))).Milliseconds())
-	return ht.gossip.Run(ctx)
+	ht.places.Open()
+	ht.logger.Info("host ready", "after_ms", ht.clock.Now().Sub(time.Unix(0, int64(ht.self.Incarnation))).Milliseconds(),
+		"others", len(ht.gossip.Others()))
+	return <-ended
 }
 
 // Ready reports whether the host takes requests, and if not, why.
