--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -46,7 +46,8 @@
 	// context is the memory of the requests that write, held all memory of requests that the engine answers.
 	context id.Tokens
 	held    id.Tokens
-	// pause is the strictest pause that requests on the engine allow; zero if none has one.
+	// pause is the strictest pause that requests on the engine allow, those included that wait there for their first
+	// event: parts of other prompts are read ahead of theirs. Zero if none has one.
 	pause time.Duration
 	// overdue is how far reads of the engine alone are behind their prediction. What several engines read together
 	// says nothing of one of them.
@@ -70,14 +71,14 @@
 		if tk.short {
 			ld.short++
 		}
+		if pause := tk.request.MaxPause; pause > 0 && (ld.pause == 0 || pause < ld.pause) {
+			ld.pause = pause
+		}
 		if !tk.started {
 			continue
 		}
 		ld.writers++
 		ld.context += tk.kept / id.Tokens(len(tk.Parts))
-		if pause := tk.request.MaxPause; pause > 0 && (ld.pause == 0 || pause < ld.pause) {
-			ld.pause = pause
-		}
 	}
 	return ld
 }
