A planned stop answers every request that was read

Ruled out: the client's own limit (15 s, not reached). Change: what waits for a place is refused when no new requests are taken, what has no answer is answered at 0.92. Red first: TestStopAnswersAll.

--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
@@ -61,11 +62,39 @@
 	mutex    sync.Mutex
 	retries  *retry.Policy
 	balancer *balance.Balancer
+
+	// placing ends when requests that wait for a place are to be refused, serving when all requests are to be answered.
+	placing     context.Context
+	stopPlacing context.CancelFunc
+	serving     context.Context
+	stopServing context.CancelFunc
+}
+
+// errLeaving ends what the host can't finish before it stops.
+var errLeaving = errors.New("the host is leaving")
+
+// StopPlacing has requests that wait for a place refused: they have not run, and other hosts may serve them.
+func (rn *Runner) StopPlacing() { rn.stopPlacing() }
+
+// Abort has every request answered now with what is known of it.
+func (rn *Runner) Abort() {
+	rn.stopPlacing()
+	rn.stopServing()
+}
+
+// until returns a context that ends with another one as well, with errLeaving as its cause.
+func until(ctx, end context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(end, func() { cancel(errLeaving) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // NewRunner returns a runner.
 func NewRunner(config Config, host id.Host, inc id.Incarnation, clock timer.Service, servers Servers, places Places, fleet Fleet, retries *retry.Policy, balancer *balance.Balancer, metrics tally.Scope, logger *slog.Logger) *Runner {
-	return &Runner{
+	rn := &Runner{
 		config:   config,
 		host:     host,
 		inc:      inc,
@@ -78,6 +107,9 @@
 		metrics:  metrics,
 		logger:   logger,
 	}
+	rn.placing, rn.stopPlacing = context.WithCancel(context.Background())
+	rn.serving, rn.stopServing = context.WithCancel(context.Background())
+	return rn
 }
 
 // Wait blocks until nothing goes on after requests that have ended.
@@ -89,6 +121,8 @@
 	if rq.Route.Timeout > 0 && rq.Arrived.Add(rq.Route.Timeout).Before(limit) {
 		limit = rq.Arrived.Add(rq.Route.Timeout)
 	}
+	ctx, stop := until(ctx, rn.serving)
+	defer stop()
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
 	rn.mutex.Lock()
@@ -179,6 +213,8 @@
 // ended sets the outcome of a request whose context has ended.
 func (jb *job) ended(ctx context.Context) {
 	switch {
+	case errors.Is(context.Cause(ctx), errLeaving):
+		jb.leaving()
 	case context.Cause(ctx) == context.Canceled: //nolint:errorlint // the cause is the client's own cancellation
 		jb.result.Outcome = outcome.Fail(outcome.CallerGone, "the client has gone")
 	case jb.unknown:
@@ -188,6 +224,16 @@
 	}
 }
 
+// leaving sets the outcome of a request that the host can't finish before it stops.
+func (jb *job) leaving() {
+	const comeBack = 50 * time.Millisecond
+	if jb.unknown {
+		jb.result.Outcome = outcome.Fail(outcome.ShuttingDown, "the host stops before the answer is complete")
+		return
+	}
+	jb.result.Outcome = outcome.Refuse(outcome.ShuttingDown, "the host is leaving").After(comeBack)
+}
+
 // giveUp sets the outcome of a request that is not sent again.
 func (jb *job) giveUp(cause string) {
 	const comeBack = 300 * time.Millisecond
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -65,7 +65,14 @@
 // attempt acquires a place and runs the request there. It reports whether another attempt is to be made.
 func (st *streaming) attempt(ctx context.Context) bool {
 	rn := st.runner
-	grant, oc := rn.places.Acquire(ctx, st.ask)
+	wait, stop := until(ctx, rn.placing)
+	grant, oc := rn.places.Acquire(wait, st.ask)
+	left := errors.Is(context.Cause(wait), errLeaving)
+	stop()
+	if left && len(grant.Parts) == 0 {
+		st.leaving()
+		return false
+	}
 	if ctx.Err() != nil {
 		if len(grant.Parts) > 0 {
 			rn.places.End(broker.Ended{Request: st.ask.ID, Attempt: grant.Attempt})
--- a/site/change_test.go
+++ b/site/change_test.go
@@ -180,3 +180,28 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(first[:count])+string(rest), events(5))
 }
+
+// TestStopAnswersAll answers every request that was read before a planned stop ends: what waits has not run, what has
+// no answer by then may have.
+func TestStopAnswersAll(t *testing.T) {
+	wd := newWorld(t)
+	wd.shutdown = 2 * time.Second
+	wd.capacity = 6_000
+	wd.server("engine-1", "models").Fail(standin.Hangs)
+	wd.routes[0]["TargetLatencyMs"], wd.routes[0]["TimeoutMs"] = 5000, 20_000
+	wd.publish()
+	hs := wd.host("host-1", true)
+	running, waiting := make(chan answer, 1), make(chan answer, 1)
+	go func() { running <- hs.chat("a1", 5000) }()
+	wd.eventually(func() bool { return len(wd.servers["engine-1"].Runs()) == 1 })
+	go func() { waiting <- hs.chat("a2", 5000) }()
+	time.Sleep(200 * time.Millisecond)
+	hs.stop()
+	got := <-waiting
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	got = <-running
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, len(wd.servers["engine-1"].Runs()), 1)
+}
--- a/site/host.go
+++ b/site/host.go
@@ -49,6 +49,7 @@
 	places   *broker.Client
 	retries  *retry.Policy
 	balancer *balance.Balancer
+	runner   *forward.Runner
 	front    *platform.Front
 	fleet    *fleet
 
@@ -129,8 +130,8 @@
 	ht.peers.Bind(ht.local(), ht.gossip)
 	ht.retries = retry.New(ht.retryConfig(), seed)
 	ht.balancer = balance.New(ht.self.AvailabilityZone, seed)
-	runner := forward.NewRunner(forward.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, platform.NewServers(ht.pool), ht.places, ht.fleet, ht.retries, ht.balancer, scope, ht.logger)
-	ht.front = platform.NewFront(ht.news, runner, ht.clock, ht.logger)
+	ht.runner = forward.NewRunner(forward.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, platform.NewServers(ht.pool), ht.places, ht.fleet, ht.retries, ht.balancer, scope, ht.logger)
+	ht.front = platform.NewFront(ht.news, ht.runner, ht.clock, ht.logger)
 }
 
 // local returns the parts that answer other hosts.
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -11,12 +11,14 @@
 const (
 	// acceptShare is the part during which new requests are taken from clients that still hold the host's address.
 	acceptShare = 0.4
+	// abortShare is the part after which the host answers what it can't finish.
+	abortShare = 0.92
 	// leaveShare is the part after which the host ends what is left.
-	leaveShare = 0.95
+	leaveShare = 0.96
 )
 
 // shutDown leaves the advertised addresses, serves clients that still hold the old answer, finishes all requests in
-// flight and returns.
+// flight and returns. Requests that still wait for a place when no new ones are taken are refused.
 func (ht *Host) shutDown(ctx context.Context) {
 	const lookPeriod = 20 * time.Millisecond
 	started := ht.clock.Now()
@@ -30,8 +32,15 @@
 	accept := time.Duration(acceptShare * float64(grace))
 	timer.Sleep(ctx, ht.clock, accept)
 	ht.front.Refuse()
-	end := started.Add(time.Duration(leaveShare * float64(grace)))
-	for ht.front.InFlight() > 0 && ht.clock.Now().Before(end) {
+	ht.runner.StopPlacing()
+	part := func(share float64) time.Time { return started.Add(time.Duration(share * float64(grace))) }
+	aborted := false
+	for ht.front.InFlight() > 0 && ht.clock.Now().Before(part(leaveShare)) {
+		if !aborted && !ht.clock.Now().Before(part(abortShare)) {
+			aborted = true
+			ht.logger.Warn("host can't finish all requests", "in_flight", ht.front.InFlight())
+			ht.runner.Abort()
+		}
 		if !timer.Sleep(ctx, ht.clock, lookPeriod) {
 			return
 		}
