--- a/cmd/hibiscuslever/experiment.go
+++ b/cmd/hibiscuslever/experiment.go
@@ -11,7 +11,7 @@
 	"github.com/hibiscuslever/hibiscuslever/experiment"
 )
 
-func newExperimentCommand() *cobra.Command {
+func experimentCommand() *cobra.Command {
 	var pattern, policy string
 	var seeds int
 	cmd := &cobra.Command{
--- /dev/null
+++ b/cmd/hibiscuslever/explain.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/hibiscuslever/hibiscuslever/command"
+	"github.com/hibiscuslever/hibiscuslever/telemetry"
+)
+
+func explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST FILE...",
+		Short: "Print a request's way through the hosts' log files in the order of time",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) < 2 {
+				return command.NewUsageError(fmt.Errorf("want the id of a request and one log file or more"))
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, args []string) error { return explain(cmd, args[0], args[1:]) },
+	}
+}
+
+// explain prints the lines that tell of a request, and what is missing to tell more.
+func explain(cmd *cobra.Command, request string, paths []string) error {
+	var lines []telemetry.Line
+	hosts := map[string]bool{}
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return command.NewUsageError(fmt.Errorf("log file: %w", err))
+		}
+		read, skipped, err := telemetry.ReadLines(file)
+		_ = file.Close()
+		if err != nil {
+			return fmt.Errorf("read %s: %w", path, err)
+		}
+		if skipped > 0 {
+			_, _ = fmt.Fprintf(cmd.ErrOrStderr(), "%s: %d lines are no log lines\n", path, skipped)
+		}
+		for _, line := range read {
+			hosts[line.Host] = true
+		}
+		lines = append(lines, read...)
+	}
+	way := telemetry.Explain(lines, request)
+	for _, line := range way {
+		_, _ = fmt.Fprintln(cmd.OutOrStdout(), line)
+	}
+	if len(way) == 0 {
+		return fmt.Errorf("request %q is in no line of %d hosts; look for the log of the host that the client used", request, len(hosts))
+	}
+	return nil
+}
--- a/cmd/hibiscuslever/main.go
+++ b/cmd/hibiscuslever/main.go
@@ -13,7 +13,7 @@
 		"Show and publish the two lists: the plans and what each may use (Plans), and the organisations and\n"+
 			"the plan that each holds (Organisations). Hosts are started and stopped by their own means.")
 	root.AddCommand(
-		newExperimentCommand(),
+		experimentCommand(), explainCommand(),
 		showCommand(), checkCommand(), publishCommand(), historyCommand(), statusCommand(),
 		demoCommand(),
 	)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -111,6 +111,8 @@
 type Fleet interface {
 	// Servers returns the servers of a service that are listed.
 	Servers(service id.Service) []roster.Server
+	// Age returns the time since the list was last known to be up to date.
+	Age() time.Duration
 	// Left records a server's own word that it is leaving, or that another has its address.
 	Left(server id.BackendServer)
 }
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -94,6 +94,10 @@
 	st.result.Attempts++
 	st.result.Server = id.BackendServer(grant.Parts[0].Engine)
 	st.result.Helpers = len(grant.Parts) - 1
+	rn.logger.Info("request placed", "request", st.request.ID, "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
+		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.Prompt), "urgency", grant.Urgency,
+		"predicted_ms", grant.Start.Milliseconds(), "waited_ms", rn.clock.Now().Sub(st.request.Arrived).Milliseconds(),
+		"list_age_ms", rn.fleet.Age().Milliseconds())
 	ended, cause := st.run(ctx, grant)
 	ended.Request = st.ask.ID
 	ended.Attempt = grant.Attempt
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/news"
@@ -59,6 +60,9 @@
 	return found
 }
 
+// Age returns the time since the list was last known to be up to date.
+func (fl *fleet) Age() time.Duration { return fl.news.Age() }
+
 // Left records a server's own word that it is leaving, or that another has its address.
 func (fl *fleet) Left(server id.BackendServer) {
 	servers, _ := fl.news.Servers()
--- /dev/null
+++ b/telemetry/explain.go
@@ -0,0 +1,120 @@
+package telemetry
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one log line of a host.
+type Line struct {
+	Time    time.Time
+	Host    string
+	Message string
+	Fields  map[string]any
+}
+
+// maxLineBytes bounds a log line.
+const maxLineBytes = 1 << 20
+
+// ReadLines reads log lines in JSON. What stands before a line's first brace is skipped, and so are other lines; their
+// number is returned.
+func ReadLines(in io.Reader) ([]Line, int, error) {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), maxLineBytes)
+	var lines []Line
+	skipped := 0
+	for scanner.Scan() {
+		line, ok := parseLine(scanner.Text())
+		if !ok {
+			skipped++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return lines, skipped, scanner.Err()
+}
+
+func parseLine(text string) (Line, bool) {
+	brace := strings.IndexByte(text, '{')
+	if brace < 0 {
+		return Line{}, false
+	}
+	fields := map[string]any{}
+	if err := json.Unmarshal([]byte(text[brace:]), &fields); err != nil {
+		return Line{}, false
+	}
+	stamp, _ := fields["time"].(string)
+	at, err := time.Parse(time.RFC3339Nano, stamp)
+	if err != nil {
+		return Line{}, false
+	}
+	line := Line{Time: at, Fields: fields}
+	line.Host, _ = fields["host"].(string)
+	line.Message, _ = fields["msg"].(string)
+	return line, true
+}
+
+// text returns a field as text, empty if there is none.
+func (ln Line) text(name string) string {
+	value, ok := ln.Fields[name]
+	if !ok {
+		return ""
+	}
+	return fmt.Sprint(value)
+}
+
+// String returns the line as a reader wants it: time, host, message, then the fields in the order of their names.
+func (ln Line) String() string {
+	var sb strings.Builder
+	fmt.Fprintf(&sb, "%s %-20s %s", ln.Time.Format("15:04:05.000"), ln.Host, ln.Message)
+	for _, name := range slices.Sorted(maps.Keys(ln.Fields)) {
+		switch name {
+		case "time", "host", "msg", "level":
+		default:
+			if value := ln.text(name); value != "" {
+				fmt.Fprintf(&sb, " %s=%s", name, value)
+			}
+		}
+	}
+	return sb.String()
+}
+
+// Explain returns the lines that tell of a request in the order of time: those that name it, those that name one of
+// its attempts, and what hosts noted in the meantime about the engines and servers that it was sent to.
+func Explain(lines []Line, request string) []Line {
+	attempts, servers := map[string]bool{}, map[string]bool{}
+	var first, last time.Time
+	for _, line := range lines {
+		if line.text("request") != request {
+			continue
+		}
+		attempts[line.text("attempt")] = true
+		servers[cmp.Or(line.text("engine"), line.text("server"))] = true
+		if first.IsZero() || line.Time.Before(first) {
+			first = line.Time
+		}
+		if line.Time.After(last) {
+			last = line.Time
+		}
+	}
+	delete(attempts, "")
+	delete(servers, "")
+	const before = 5 * time.Second
+	var found []Line
+	for _, line := range lines {
+		near := line.Time.After(first.Add(-before)) && !line.Time.After(last)
+		about := strings.HasPrefix(line.Message, "backend server") && servers[line.text("server")]
+		if line.text("request") == request || attempts[line.text("attempt")] || near && about {
+			found = append(found, line)
+		}
+	}
+	slices.SortStableFunc(found, func(left, right Line) int { return left.Time.Compare(right.Time) })
+	return found
+}
