--- a/site/path_test.go
+++ b/site/path_test.go
@@ -104,12 +104,14 @@
 
 // TestAnswerToAnotherRequest never passes on an answer that belongs to another request.
 func TestAnswerToAnotherRequest(t *testing.T) {
-	wd := newWorld(t)
-	wd.server("book-1", "books").Fail(standin.Doubled)
-	wd.publish()
-	hs := wd.host("host-1", true)
-	for _, attempt := range []string{"a1", "a2", "a3"} {
-		assert.Equal(t, hs.get("/read/x", attempt).body, "answer of book-1 to "+attempt)
+	for _, fault := range []standin.ServerFault{standin.Doubled, standin.Stale} {
+		wd := newWorld(t)
+		wd.server("book-1", "books").Fail(fault)
+		wd.publish()
+		hs := wd.host("host-1", true)
+		for _, attempt := range []string{"a1", "a2", "a3"} {
+			assert.Equal(t, hs.get("/read/x", attempt).body, "answer of book-1 to "+attempt)
+		}
 	}
 }
 
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -32,6 +32,8 @@
 	Other
 	// Doubled has each answer followed by a second one to another request.
 	Doubled
+	// Stale has each answer preceded by one to another request.
+	Stale
 )
 
 // Run is a request that a server ran.
@@ -172,23 +174,34 @@
 		_, _ = io.WriteString(wr, text[:5])
 		panic(http.ErrAbortHandler)
 	}
-	if fault == Doubled {
-		sv.answerTwice(wr, text, run.Attempt)
+	switch fault {
+	case Doubled:
+		sv.answerTwice(wr, text, run.Attempt, "another")
+		return
+	case Stale:
+		sv.answerTwice(wr, text, "another", run.Attempt)
 		return
 	}
 	_, _ = io.WriteString(wr, text)
 	sv.ended(run)
 }
 
-// answerTwice sends an answer to another request behind the proper one.
-func (sv *Server) answerTwice(wr http.ResponseWriter, text, attempt string) {
+// answerTwice sends answers to two requests.
+func (sv *Server) answerTwice(wr http.ResponseWriter, text string, attempts ...string) {
 	raw, _, err := http.NewResponseController(wr).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = raw.Close() }()
-	for _, name := range []string{attempt, "another"} {
-		_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-of-%s\r\nContent-Length: %d\r\n\r\n%s", name, sv.ID, len(text), text)
+	for ix, name := range attempts {
+		body, connection := text, "keep-alive"
+		if ix == len(attempts)-1 {
+			connection = "close"
+		}
+		if name == "another" {
+			body = strings.Repeat("?", len(text))
+		}
+		_, _ = fmt.Fprintf(raw, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-of-%s\r\nConnection: %s\r\nContent-Length: %d\r\n\r\n%s", name, sv.ID, connection, len(body), body)
 	}
 	time.Sleep(time.Second)
 }
--- a/state/lists/fold_test.go
+++ b/state/lists/fold_test.go
@@ -177,3 +177,21 @@
 	assert.Equal(t, second.Winner, first.Offset)
 	assert.Equal(t, fd.Lists().Plans["crew"].LongestPrompt, id.Tokens(1))
 }
+
+// TestOlderCheckpointRestoresNothing keeps newer lists when an older checkpoint comes from another host.
+func TestOlderCheckpointRestoresNothing(t *testing.T) {
+	fd := lists.NewFold()
+	fd.Start(0)
+	add := func(offset int, edit lists.Edit) {
+		body, err := lists.EncodeRecord(lists.Record{Edit: &edit})
+		assert.NilError(t, err)
+		fd.Add(id.Offset(offset), body)
+	}
+	add(0, planEdit(id.NoOffset, "first", 10))
+	older := fd.Checkpoint()
+	add(1, planEdit(0, "second", 20))
+	newer := fd.Lists().Revision
+	assert.NilError(t, fd.Restore(older))
+	assert.Equal(t, fd.Lists().Revision, newer)
+	assert.Equal(t, fd.Next(), id.Offset(2))
+}
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -77,7 +77,9 @@
 			next := rapid.IntRange(from, len(log)).Draw(rt, "next")
 			mixed.Apply(now, id.Offset(from), id.Offset(next), log[from:next], false)
 		}
-		mixed.Apply(now, 0, id.Offset(len(log)), log, false)
+		cut := rapid.IntRange(0, len(log)).Draw(rt, "cut")
+		mixed.Apply(now, id.Offset(cut), id.Offset(len(log)), log[cut:], false)
+		mixed.Apply(now, 0, id.Offset(cut), log[:cut], false)
 		if names(straight.Servers(now)) != names(mixed.Servers(now)) {
 			rt.Fatalf("%q and %q", names(straight.Servers(now)), names(mixed.Servers(now)))
 		}
