--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -63,7 +63,16 @@
 	lines := telemetry.NewLines(os.Stdout)
 	defer lines.Close()
 	logger := telemetry.NewLogger(lines, st.Logs.Format, st.Logs.Level).With("host", string(st.Host.Name))
-	host, err := site.New(site.WithSettings(st), site.WithLogger(logger))
+	options := []site.Option{site.WithSettings(st), site.WithLogger(logger)}
+	if st.Traces.Export != "None" {
+		traces, err := telemetry.NewTraces(ctx, string(st.Host.Name), st.Traces.Export, st.Traces.File, st.Traces.Endpoint)
+		if err != nil {
+			return command.NewUsageError(fmt.Errorf("settings %s: section Traces: %w", path, err))
+		}
+		defer func() { _ = traces.Close(context.Background()) }()
+		options = append(options, site.WithTraces(traces))
+	}
+	host, err := site.New(options...)
 	if err != nil {
 		return command.NewUsageError(fmt.Errorf("settings %s: %w", path, err))
 	}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
@@ -96,6 +98,8 @@
 		rn.balancer.End(rn.clock.Now(), sv, result, load)
 		rn.mutex.Unlock()
 	}()
+	ctx, span := rn.tracer.Start(ctx, "server.attempt", trace.WithAttributes(attribute.String("server", string(sv.ID))))
+	defer span.End()
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	remaining := jb.remaining()
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
@@ -55,6 +57,7 @@
 	fleet   Fleet
 	metrics tally.Scope
 	logger  *slog.Logger
+	tracer  trace.Tracer
 
 	sequence atomic.Uint64
 	// cleanup counts what goes on after requests have ended.
@@ -93,7 +96,7 @@
 }
 
 // NewRunner returns a runner.
-func NewRunner(config Config, host id.Host, inc id.Incarnation, clock timer.Service, servers Servers, places Places, fleet Fleet, retries *retry.Policy, balancer *balance.Balancer, metrics tally.Scope, logger *slog.Logger) *Runner {
+func NewRunner(config Config, host id.Host, inc id.Incarnation, clock timer.Service, servers Servers, places Places, fleet Fleet, retries *retry.Policy, balancer *balance.Balancer, metrics tally.Scope, logger *slog.Logger, tracer trace.Tracer) *Runner {
 	rn := &Runner{
 		config:   config,
 		host:     host,
@@ -106,6 +109,7 @@
 		balancer: balancer,
 		metrics:  metrics,
 		logger:   logger,
+		tracer:   tracer,
 	}
 	rn.placing, rn.stopPlacing = context.WithCancel(context.Background())
 	rn.serving, rn.stopServing = context.WithCancel(context.Background())
@@ -128,12 +132,16 @@
 	rn.mutex.Lock()
 	rn.retries.First(rq.Service)
 	rn.mutex.Unlock()
+	ctx, span := rn.tracer.Start(ctx, "client.request", trace.WithAttributes(
+		attribute.String("request", rq.ID), attribute.String("route", rq.Route.Name), attribute.String("service", string(rq.Service))))
+	defer span.End()
 	job := &job{runner: rn, request: rq, sink: sink, limit: limit}
 	if rq.Route.Prompt {
 		job.stream(ctx)
 	} else {
 		job.plain(ctx)
 	}
+	span.SetAttributes(attribute.Int("status", job.result.Status), attribute.Bool("whole", job.result.Whole), attribute.Int("attempts", job.result.Attempts))
 	rn.count(rq, job.result)
 	return job.result
 }
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
@@ -66,7 +68,10 @@
 func (st *streaming) attempt(ctx context.Context) bool {
 	rn := st.runner
 	wait, stop := until(ctx, rn.placing)
+	wait, span := rn.tracer.Start(wait, "dispatch.place")
 	grant, oc := rn.places.Acquire(wait, st.ask)
+	span.SetAttributes(attribute.String("attempt", string(grant.Attempt)), attribute.Int("engines", len(grant.Parts)))
+	span.End()
 	left := errors.Is(context.Cause(wait), errLeaving)
 	stop()
 	if left && len(grant.Parts) == 0 {
@@ -150,6 +155,9 @@
 func (st *streaming) run(ctx context.Context, grant batch.Grant) (broker.Ended, cause) {
 	rn := st.runner
 	first := grant.Parts[0]
+	ctx, span := rn.tracer.Start(ctx, "engine.attempt", trace.WithAttributes(
+		attribute.String("attempt", string(grant.Attempt)), attribute.String("engine", string(first.Engine))))
+	defer span.End()
 	memory, refused := rn.reserve(ctx, grant)
 	if refused != nil {
 		return broker.Ended{Failed: refused.Engine, Fault: batch.Full}, cause{text: "an engine has no memory to set aside", retry: retry.NotSent}
--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -48,6 +48,8 @@
 	PeerAddress      string
 	CallerAddress    string
 	AvailabilityZone id.AvailabilityZone
+	// ProcessorShare is the part of a core that the host may use, in thousandths; 0 if it does not say.
+	ProcessorShare uint32
 }
 
 // overrides reports whether a statement replaces an older one about the same host.
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -82,6 +82,9 @@
 		{"Limits", "MemoryMegabytes", "a whole number from 0 to 1000000", func(st *Settings, value string) bool {
 			return setInt(&st.Limits.MemoryMegabytes, value, 0, 1_000_000)
 		}},
+		{"Limits", "ProcessorShare", "a number from 0 to 1000", func(st *Settings, value string) bool {
+			return setFloat(&st.Limits.ProcessorShare, value, 0, 1000)
+		}},
 		{"Operators", "ShutdownTimeout", allowedDuration, func(st *Settings, value string) bool { return setDuration(&st.Operators.ShutdownTimeout, value) }},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -67,6 +67,8 @@
 type Limits struct {
 	// MemoryMegabytes is the memory at which the process is ended; 0 for no bound.
 	MemoryMegabytes int
+	// ProcessorShare is the part of a core that the process may use; 0 if it is not known.
+	ProcessorShare float64
 }
 
 // Peers says how to find other hosts.
--- a/site/host.go
+++ b/site/host.go
@@ -11,8 +11,11 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+	"connectrpc.com/otelconnect"
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
@@ -58,7 +61,8 @@
 	joined     bool
 	leaving    bool
 
-	listeners []net.Listener
+	listeners      []net.Listener
+	handlerOptions []connect.HandlerOption
 }
 
 // New returns a host that listens at the addresses of its settings but serves nothing before Run.
@@ -80,11 +84,17 @@
 		PeerAddress:      ht.settings.Host.PeerAddress,
 		CallerAddress:    ht.settings.Host.CallerAddress,
 		AvailabilityZone: ht.settings.Host.AvailabilityZone,
+		ProcessorShare:   uint32(thousandths * ht.settings.Limits.ProcessorShare),
+	}
+	if err := ht.assemble(op); err != nil {
+		return nil, err
 	}
-	ht.assemble(op.seed)
 	return ht, nil
 }
 
+// thousandths are the units of a member's share of the processor.
+const thousandths = 1000
+
 // convictionTTL is how long the content of requests that crash engines is remembered.
 const convictionTTL = time.Hour
 
@@ -109,10 +119,22 @@
 func (ht *Host) Settings() settings.Settings { return ht.settings }
 
 // assemble builds the parts of the host, lower layers first.
-func (ht *Host) assemble(seed uint64) {
-	scope := ht.metrics.Scope
+func (ht *Host) assemble(op options) error {
+	scope, seed := ht.metrics.Scope, op.seed
+	tracer := noop.NewTracerProvider().Tracer("")
+	var clientOptions []connect.ClientOption
+	if op.traces != nil {
+		tracer = op.traces.Provider.Tracer("hibiscuslever")
+		interceptor, err := otelconnect.NewInterceptor(otelconnect.WithTracerProvider(op.traces.Provider),
+			otelconnect.WithPropagator(op.traces.Propagator), otelconnect.WithoutMetrics(), otelconnect.WithTrustRemote())
+		if err != nil {
+			return errors.Wrap(err, "trace calls between hosts")
+		}
+		clientOptions = append(clientOptions, connect.WithInterceptors(interceptor))
+		ht.handlerOptions = append(ht.handlerOptions, connect.WithInterceptors(interceptor))
+	}
 	ht.pool = backend.NewPool(backend.DefaultConfig(), ht.clock)
-	ht.peers = peer.NewHTTP1Client(ht.self, ht.clock)
+	ht.peers = peer.NewHTTP1Client(ht.self, ht.clock, clientOptions...)
 	gossipConfig := gossip.DefaultConfig()
 	gossipConfig.Seeds = ht.settings.Peers.Seeds
 	ht.gossip = gossip.New(gossipConfig, ht.self, ht.clock, ht.peers, gossip.Handlers{
@@ -130,8 +152,9 @@
 	ht.peers.Bind(ht.local(), ht.gossip)
 	ht.retries = retry.New(ht.retryConfig(), seed)
 	ht.balancer = balance.New(ht.self.AvailabilityZone, seed)
-	ht.runner = forward.NewRunner(forward.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, platform.NewServers(ht.pool), ht.places, ht.fleet, ht.retries, ht.balancer, scope, ht.logger)
+	ht.runner = forward.NewRunner(forward.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, platform.NewServers(ht.pool), ht.places, ht.fleet, ht.retries, ht.balancer, scope, ht.logger, tracer)
 	ht.front = platform.NewFront(ht.news, ht.runner, ht.clock, ht.logger)
+	return nil
 }
 
 // local returns the parts that answer other hosts.
@@ -233,7 +256,7 @@
 func (ht *Host) servers() []*http.Server {
 	front := ht.newServer(ht.front)
 	front.MaxHeaderBytes = ht.settings.Callers.MaxHeaderBytes
-	peers := ht.newServer(peer.NewServer(ht.local(), ht.clock).Handler())
+	peers := ht.newServer(peer.NewServer(ht.local(), ht.clock).Handler(ht.handlerOptions...))
 	operators := ht.newServer(ht.operatorHandler())
 	ready := ht.newServer(platform.NewReady(ht, ht.logger))
 	directory := ht.newServer(platform.NewDirectory(ht))
--- a/site/options.go
+++ b/site/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -15,6 +16,7 @@
 	settings settings.Settings
 	clock    timer.Service
 	logger   *slog.Logger
+	traces   *telemetry.Traces
 	seed     uint64
 }
 
@@ -33,6 +35,11 @@
 	return func(op *options) { op.logger = logger }
 }
 
+// WithTraces sets where spans go; without it none are made.
+func WithTraces(traces *telemetry.Traces) Option {
+	return func(op *options) { op.traces = traces }
+}
+
 // WithSeed sets the seed of random choices.
 func WithSeed(seed uint64) Option {
 	return func(op *options) { op.seed = seed }
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -54,6 +54,14 @@
 
 	mutex   sync.Mutex
 	clients map[string]peerconnect.PeerClient
+	// orders keeps the order of dispatchers of each service as long as the live hosts are the same.
+	orders map[id.Service]dispatcherOrder
+}
+
+// dispatcherOrder is the order of dispatchers among live hosts.
+type dispatcherOrder struct {
+	live  []membership.Member
+	hosts []id.Host
 }
 
 // NewClient returns a client of the own host that speaks HTTP/2. Bind must be called before calls to hosts by name.
@@ -89,6 +97,7 @@
 		http:    &http.Client{Transport: transport},
 		options: opts,
 		clients: map[string]peerconnect.PeerClient{},
+		orders:  map[id.Service]dispatcherOrder{},
 	}
 }
 
--- a/transport/peer/convert.go
+++ b/transport/peer/convert.go
@@ -216,6 +216,7 @@
 			PeerAddress:      mb.PeerAddress,
 			CallerAddress:    mb.CallerAddress,
 			AvailabilityZone: string(mb.AvailabilityZone),
+			ProcessorShare:   mb.ProcessorShare,
 		})
 	}
 	for _, fact := range msg.Facts {
@@ -241,6 +242,7 @@
 			PeerAddress:      mb.GetPeerAddress(),
 			CallerAddress:    mb.GetCallerAddress(),
 			AvailabilityZone: id.AvailabilityZone(mb.GetAvailabilityZone()),
+			ProcessorShare:   mb.GetProcessorShare(),
 		})
 	}
 	for _, fact := range ms.GetFacts() {
--- a/transport/peer/place.go
+++ b/transport/peer/place.go
@@ -1,14 +1,17 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer/peerconnect"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -17,9 +20,32 @@
 // errNoPart says that this host does not run the part that was asked for.
 var errNoPart = connect.NewError(connect.CodeUnimplemented, errors.New("the host does not run this part"))
 
-// Dispatchers returns the live hosts in the order in which they dispatch for a service.
+// Dispatchers returns the live hosts in the order in which they dispatch for a service: those with the largest share
+// of a processor first, since one of them serves all hosts, and among equals by the hash of the service.
 func (cl *Client) Dispatchers(service id.Service) []id.Host {
-	return id.Rendezvous("Service/"+string(service), cl.members.LiveHosts())
+	live := cl.members.Live()
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	known := cl.orders[service]
+	// The members' list is the same until it changes, so that comparing its place is enough.
+	if len(live) > 0 && len(known.live) == len(live) && &known.live[0] == &live[0] {
+		return known.hosts
+	}
+	ordered := orderDispatchers(service, live)
+	cl.orders[service] = dispatcherOrder{live: live, hosts: ordered}
+	return ordered
+}
+
+func orderDispatchers(service id.Service, live []membership.Member) []id.Host {
+	shares := make(map[id.Host]uint32, len(live))
+	hosts := make([]id.Host, len(live))
+	for ix, mb := range live {
+		hosts[ix] = mb.Host
+		shares[mb.Host] = mb.ProcessorShare
+	}
+	ordered := id.Rendezvous("Service/"+string(service), hosts)
+	slices.SortStableFunc(ordered, func(left, right id.Host) int { return cmp.Compare(shares[right], shares[left]) })
+	return ordered
 }
 
 // Place asks a host's dispatcher for a place.
