Each host has its part of the slack of retries

Cause: found by reading: 109 hosts with up to 8 saved retries each could send more than the slack of 340 in a window. Each host's part follows the number of hosts that it knows, dead ones included. Red first: TestResizeTakesSavedRetriesBack.

--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -76,6 +76,13 @@
 // errLeaving ends what the host can't finish before it stops.
 var errLeaving = errors.New("the host is leaving")
 
+// SetQuietRetries sets the number of retries that this host may make at once for a quiet service.
+func (rn *Runner) SetQuietRetries(count float64) {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	rn.retries.Resize(count)
+}
+
 // StopPlacing has requests that wait for a place refused: they have not run, and other hosts may serve them.
 func (rn *Runner) StopPlacing() { rn.stopPlacing() }
 
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -103,6 +103,14 @@
 	}
 }
 
+// Resize changes the number of retries that a quiet service may make at once.
+func (pl *Policy) Resize(minBudget float64) {
+	pl.config.MinBudget = minBudget
+	for service, budget := range pl.budgets {
+		pl.budgets[service] = min(budget, 2*minBudget)
+	}
+}
+
 // First counts a first attempt, which adds to the service's budget.
 func (pl *Policy) First(service id.Service) {
 	budget := pl.budgetOf(service) + pl.config.BudgetShare
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -63,3 +63,21 @@
 	assert.Assert(t, !pl.Decide(retry.Failure{Service: "s", Cause: retry.NotSent, Attempts: 1, Remaining: 0}).Retry)
 	assert.Assert(t, !pl.Decide(retry.Failure{Service: "s", Cause: retry.NotSent, Attempts: config.MaxAttempts, Remaining: time.Minute}).Retry)
 }
+
+// TestResizeTakesSavedRetriesBack leaves no more saved up than the new size allows.
+func TestResizeTakesSavedRetriesBack(t *testing.T) {
+	config := retry.DefaultConfig()
+	config.MinBudget, config.BudgetShare = 4, 1
+	policy := retry.New(config, 1)
+	for range 100 {
+		policy.First("service")
+	}
+	policy.Resize(1)
+	allowed := 0
+	for range 100 {
+		if policy.Decide(retry.Failure{Service: "service", Cause: retry.NotSent, Attempts: 1, Remaining: time.Minute}).Retry {
+			allowed++
+		}
+	}
+	assert.Equal(t, allowed, 2)
+}
--- a/site/host.go
+++ b/site/host.go
@@ -162,16 +162,21 @@
 	return peer.Local{Gossip: ht.gossip, Broker: ht.broker, Places: ht.places, News: ht.news}
 }
 
-// retryConfig shares the budget of all hosts by what each of them carries; the slack is left out of it but for a few
-// retries that a quiet host may make at once.
+// retryConfig shares the budget of all hosts by what each of them carries; of the slack each host has its part.
 func (ht *Host) retryConfig() retry.Config {
-	const quietRetries = 4
 	config := retry.DefaultConfig()
 	config.BudgetShare = ht.settings.Retries.Share
-	config.MinBudget = min(quietRetries, float64(ht.settings.Retries.Slack))
+	config.MinBudget = ht.quietRetries(1)
 	return config
 }
 
+// quietRetries returns the number of retries that one of a number of hosts may make at once. A policy saves up twice
+// as many, so that all hosts together stay within the slack, also those that can't see each other.
+func (ht *Host) quietRetries(hosts int) float64 {
+	const most, saved = 4, 2
+	return min(most, float64(ht.settings.Retries.Slack)/float64(saved*hosts))
+}
+
 // Run serves until the context ends, then shuts down gracefully.
 func (ht *Host) Run(ctx context.Context) error {
 	if megabytes := ht.settings.Limits.MemoryMegabytes; megabytes > 0 {
@@ -280,6 +285,7 @@
 }
 
 func (ht *Host) memberChanged(member membership.Member) {
+	ht.runner.SetQuietRetries(ht.quietRetries(1 + len(ht.gossip.Members())))
 	ht.logger.Info("member changed", "member", string(member.Host), "status", member.Status.String(), "incarnation", int64(member.Incarnation))
 }
 
