--- /dev/null
+++ b/coordination/news/follower_test.go
@@ -0,0 +1,175 @@
+package news_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/news"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+var errAway = errors.New("the store is away")
+
+// store is the log of the list of servers, shared by all hosts; a host may be turned away.
+type store struct {
+	mutex  sync.Mutex
+	log    []roster.Record
+	reads  int
+	refuse map[id.Host]bool
+}
+
+// view is one host's way to the store.
+type view struct {
+	*store
+	host id.Host
+}
+
+func (vw view) refused() bool {
+	vw.mutex.Lock()
+	defer vw.mutex.Unlock()
+	return vw.refuse[vw.host]
+}
+
+func (vw view) NewestTable(context.Context) (news.TableRead, error) {
+	if vw.refused() {
+		return news.TableRead{}, errAway
+	}
+	return news.TableRead{Body: []byte{1}, Next: 1}, nil
+}
+
+func (vw view) AwaitTable(ctx context.Context, from id.Offset, wait time.Duration) (news.TableRead, error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return news.TableRead{}, ctx.Err()
+	}
+	return news.TableRead{Next: from}, nil
+}
+
+func (vw view) NewestServers(context.Context) (news.ServersRead, error) {
+	read, err := vw.ReadServers(context.Background(), 0)
+	read.Whole = true
+	return read, err
+}
+
+func (vw view) ReadServers(_ context.Context, from id.Offset) (news.ServersRead, error) {
+	if vw.refused() {
+		return news.ServersRead{}, errAway
+	}
+	vw.mutex.Lock()
+	defer vw.mutex.Unlock()
+	vw.reads++
+	return news.ServersRead{Records: vw.log[from:], Next: id.Offset(len(vw.log))}, nil
+}
+
+func (vw view) DecodeTable(body []byte) (*route.Table, error) {
+	return route.New(route.Contents{Version: route.Version(body[0])}), nil
+}
+
+func (vw view) DecodeServer(name id.BackendServer, body []byte) *roster.Server {
+	return &roster.Server{ID: name, Draining: len(body) > 0 && body[0] == 'd'}
+}
+
+// list appends the newest word on a server.
+func (st *store) list(name, body string) {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	rc := roster.Record{ID: id.BackendServer(name), Offset: id.Offset(len(st.log)), Body: []byte(body)}
+	rc.Server = view{store: st}.DecodeServer(rc.ID, rc.Body)
+	st.log = append(st.log, rc)
+}
+
+// network joins followers in one process.
+type network struct {
+	followers map[id.Host]*news.Follower
+	hosts     []id.Host
+}
+
+type end struct {
+	*network
+	self id.Host
+}
+
+func (en end) Others() []id.Host {
+	var others []id.Host
+	for _, host := range en.hosts {
+		if host != en.self {
+			others = append(others, host)
+		}
+	}
+	return others
+}
+func (en end) LiveHosts() []id.Host { return en.hosts }
+func (en end) Tell(ctx context.Context, host id.Host, up news.Update) error {
+	en.followers[host].Heard(ctx, up)
+	return nil
+}
+
+func (en end) Copy(_ context.Context, host id.Host, version route.Version, next id.Offset) (news.Copy, error) {
+	return en.followers[host].Copy(version, next), nil
+}
+func (en end) CopyFrom(context.Context, string) (news.Copy, error) { return news.Copy{}, errAway }
+
+func newNetwork(st *store, names ...id.Host) *network {
+	nw := &network{followers: map[id.Host]*news.Follower{}, hosts: names}
+	for _, name := range names {
+		nw.followers[name] = news.New(news.DefaultConfig(), name, timer.NewSystem(), view{st, name}, end{nw, name}, end{nw, name},
+			tally.NoopScope, slog.New(slog.DiscardHandler), 1, func() {})
+	}
+	return nw
+}
+
+func (nw *network) draining(name id.BackendServer) int {
+	count := 0
+	for _, fl := range nw.followers {
+		servers, _ := fl.Servers()
+		for _, sv := range servers {
+			if sv.ID == name && sv.Draining {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// TestOneHostReads has one host read the list for all. When the store turns it away another one takes over, and every
+// host learns of a leaving server within the bound of two seconds, also those that the store turns away.
+func TestOneHostReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &store{refuse: map[id.Host]bool{}}
+		st.list("server-1", "ready")
+		nw := newNetwork(st, "a", "b", "c", "d", "e")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, fl := range nw.followers {
+			go func() { _ = fl.Run(ctx) }()
+		}
+		time.Sleep(2 * time.Second)
+		before := st.reads
+		const watched = 10
+		time.Sleep(watched * time.Second)
+		assert.Assert(t, st.reads-before <= watched*3, "%d reads in %d s by five hosts", st.reads-before, watched)
+		for turned, host := range id.Rendezvous("ServerList", nw.hosts)[:3] {
+			st.mutex.Lock()
+			st.refuse[host] = true
+			st.mutex.Unlock()
+			name := id.BackendServer("server-" + string(rune('2'+turned)))
+			st.list(string(name), "draining")
+			time.Sleep(2 * time.Second)
+			assert.Equal(t, nw.draining(name), len(nw.hosts), "%d hosts turned away", turned+1)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
