Idle connections within each host's part of a server's; nothing unused left in placement

Cause: found by reading: 136 hosts that keep up to 8 connections each pass a server's 192. The wire's pace and three names that nothing read are gone.

--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -122,13 +122,6 @@
 	Gone
 )
 
-// Reported carries an engine's own figures.
-type Reported struct {
-	Engine id.Engine
-	// Pace is the factor by which the engine is slower than configured.
-	Pace float64
-}
-
 // Tick lets time pass.
 type Tick struct{}
 
@@ -139,7 +132,6 @@
 func (Hold) event()       {}
 func (Started) event()    {}
 func (Finish) event()     {}
-func (Reported) event()   {}
 func (Tick) event()       {}
 
 // EffectKind distinguishes effects.
--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -20,7 +20,6 @@
 	// pausedUntil is when an engine that failed may get work again.
 	pausedUntil time.Time
 	faults      int
-	pace        float64
 }
 
 // task is an engine's part of a grant.
@@ -93,13 +92,13 @@
 }
 
 // pass returns the time of an engine's pass without reading.
-func (mc *Machine) pass(en *engine, ld load) time.Duration {
+func (mc *Machine) pass(ld load) time.Duration {
 	if ld.writers == 0 {
 		return 0
 	}
 	spec := mc.engine
 	step := spec.Step + time.Duration(ld.writers)*spec.PerWriter + time.Duration(float64(spec.PerThousand)*float64(ld.context)/1000)
-	return time.Duration(float64(step) * float64(spec.Stride) * en.pace)
+	return step * time.Duration(spec.Stride)
 }
 
 // readTime returns the time that one engine takes to read a prompt alone.
@@ -117,7 +116,7 @@
 // passes after its prompt was read; an engine that takes longer is behind its predictions.
 func (mc *Machine) wait(now time.Time, en *engine, ld load) time.Duration {
 	wait := max(0, en.busyUntil.Sub(now))
-	if late := ld.overdue - 2*mc.pass(en, ld) - lateAllowance; late > 0 {
+	if late := ld.overdue - 2*mc.pass(ld) - lateAllowance; late > 0 {
 		wait = max(wait, min(late, maxLate))
 	}
 	return wait
@@ -145,7 +144,7 @@
 		if known {
 			mc.removeEngine(en)
 		}
-		en = &engine{EngineSpec: spec, pace: 1}
+		en = &engine{EngineSpec: spec}
 		mc.byName[spec.Engine] = en
 		mc.engines = append(mc.engines, en)
 		if known {
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -87,10 +87,6 @@
 	case Finish:
 		mc.failed(now, ev.Failed, ev.Fault)
 		mc.finish(now, ev.Attempt)
-	case Reported:
-		if en, ok := mc.byName[ev.Engine]; ok && ev.Pace > 0 {
-			en.pace = ev.Pace
-		}
 	case Tick:
 		mc.sweep(now)
 	}
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		ld := mc.loadOf(now, en)
-		cd := candidate{engine: en, load: ld, wait: mc.wait(now, en, ld), pass: mc.pass(en, ld), room: math.MaxInt64}
+		cd := candidate{engine: en, load: ld, wait: mc.wait(now, en, ld), pass: mc.pass(ld), room: math.MaxInt64}
 		if ld.pause > 0 {
 			cd.room = ld.pause - mc.config.PauseMargin - cd.pass - cd.wait
 		}
--- a/site/host.go
+++ b/site/host.go
@@ -285,6 +285,7 @@
 }
 
 func (ht *Host) memberChanged(member membership.Member) {
+	ht.boundConnections()
 	ht.runner.SetQuietRetries(ht.quietRetries(1 + len(ht.gossip.Members())))
 	ht.logger.Info("member changed", "member", string(member.Host), "status", member.Status.String(), "incarnation", int64(member.Incarnation))
 }
@@ -300,5 +301,25 @@
 
 func (ht *Host) newsChanged() {
 	ht.fleet.update()
+	ht.boundConnections()
 	ht.broker.Refresh()
 }
+
+// boundConnections gives each host its part of the connections that a server takes from all hosts together, with as
+// many again for those in use.
+func (ht *Host) boundConnections() {
+	const inUse = 2
+	hosts := 1 + len(ht.gossip.Members())
+	tb := ht.news.Table()
+	if tb == nil {
+		return
+	}
+	bounds := map[string]int{}
+	servers, _ := ht.news.Servers()
+	for _, sv := range servers {
+		if service, ok := tb.Service(sv.Service); ok && service.MaxConnections > 0 {
+			bounds[sv.Address] = service.MaxConnections / (inUse * hosts)
+		}
+	}
+	ht.pool.Bound(bounds)
+}
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -54,6 +54,7 @@
 
 	mutex  sync.Mutex
 	idle   map[string][]*conn
+	bounds map[string]int
 	closed bool
 }
 
@@ -62,6 +63,21 @@
 	return &Pool{config: config, clock: clock, idle: map[string][]*conn{}}
 }
 
+// Bound bounds the idle connections to some addresses further, where all hosts together may hold few.
+func (pl *Pool) Bound(bounds map[string]int) {
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	pl.bounds = bounds
+}
+
+// maxIdle returns the largest number of idle connections to an address.
+func (pl *Pool) maxIdle(address string) int {
+	if bound, ok := pl.bounds[address]; ok {
+		return min(bound, pl.config.MaxIdle)
+	}
+	return pl.config.MaxIdle
+}
+
 // take returns an idle connection or nil. Connections on which the server has sent anything, or that it has
 // closed, are dropped.
 func (pl *Pool) take(address string) *conn {
@@ -98,7 +114,7 @@
 	}
 	pl.mutex.Lock()
 	defer pl.mutex.Unlock()
-	if pl.closed || len(pl.idle[cn.address]) >= pl.config.MaxIdle {
+	if pl.closed || len(pl.idle[cn.address]) >= pl.maxIdle(cn.address) {
 		_ = cn.Close()
 		return
 	}
--- a/transport/peer/place_test.go
+++ b/transport/peer/place_test.go
@@ -12,8 +12,11 @@
 // TestLargeHostsDispatch puts hosts with a larger share of a processor first, on every host in the same order.
 func TestLargeHostsDispatch(t *testing.T) {
 	members := []membership.Member{
-		{Host: "small-1", ProcessorShare: 134}, {Host: "large-1", ProcessorShare: 800}, {Host: "small-2", ProcessorShare: 134},
-		{Host: "large-2", ProcessorShare: 800}, {Host: "silent"},
+		{Host: "small-1", ProcessorShare: 134},
+		{Host: "large-1", ProcessorShare: 800},
+		{Host: "small-2", ProcessorShare: 134},
+		{Host: "large-2", ProcessorShare: 800},
+		{Host: "silent"},
 	}
 	ordered := orderDispatchers("models", members)
 	assert.Assert(t, ordered[0] == "large-1" || ordered[0] == "large-2", "%v", ordered)
