A server that was lost is tried again; the balancer forgets servers that are no longer listed

Cause: a host that lost a server once left it out for as long as the others had fewer than two requests ahead, since only an answer lowered its rate of errors. Old errors now fade by half in 0.5 s.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -51,6 +52,8 @@
 	otherZone = 0.5
 	// errorCost is the cost of a server that fails every request, in requests.
 	errorCost = 12
+	// errorHalfLife is the time in which old errors lose half of their weight, so that a server is tried again.
+	errorHalfLife = 500 * time.Millisecond
 )
 
 type state struct {
@@ -61,9 +64,21 @@
 	losses      int
 	pausedUntil time.Time
 	errors      float64
+	erredAt     time.Time
 	gone        bool
 }
 
+// failed adds the newest result to the rate of errors.
+func (st *state) failed(now time.Time) {
+	st.errors += errorWeight * (1 - st.errors)
+	st.erredAt = now
+}
+
+// errorRate returns the rate of errors, with old ones fading.
+func (st *state) errorRate(now time.Time) float64 {
+	return st.errors * math.Exp2(-now.Sub(st.erredAt).Seconds()/errorHalfLife.Seconds())
+}
+
 // Balancer chooses among the servers of all plain services. It is not safe for concurrent use.
 type Balancer struct {
 	zone    id.AvailabilityZone
@@ -127,7 +142,7 @@
 	if sv.AvailabilityZone != bl.zone {
 		cost += otherZone
 	}
-	cost += errorCost * st.errors
+	cost += errorCost * st.errorRate(now)
 	if now.Before(st.pausedUntil) {
 		const last = 1000
 		cost += last
@@ -152,11 +167,11 @@
 		st.losses = 0
 		st.errors *= 1 - errorWeight
 	case Erred:
-		st.errors += errorWeight * (1 - st.errors)
+		st.failed(now)
 	case Shed:
 		st.pausedUntil = now.Add(shedPause)
 	case Lost:
-		st.errors += errorWeight * (1 - st.errors)
+		st.failed(now)
 		pause := min(lossPause<<min(st.losses, 6), maxPause)
 		st.losses++
 		st.pausedUntil = now.Add(pause)
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -76,6 +77,13 @@
 // errLeaving ends what the host can't finish before it stops.
 var errLeaving = errors.New("the host is leaving")
 
+// Keep forgets what is known of servers that are no longer listed.
+func (rn *Runner) Keep(listed []roster.Server) {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	rn.balancer.Keep(listed)
+}
+
 // SetQuietRetries sets the number of retries that this host may make at once for a quiet service.
 func (rn *Runner) SetQuietRetries(count float64) {
 	rn.mutex.Lock()
--- a/site/host.go
+++ b/site/host.go
@@ -43,18 +43,16 @@
 	metrics  *telemetry.Metrics
 	self     membership.Member
 
-	pool     *backend.Pool
-	store    *platform.Store
-	peers    *peer.Client
-	gossip   *gossip.Runner
-	news     *news.Follower
-	broker   *broker.Server
-	places   *broker.Client
-	retries  *retry.Policy
-	balancer *balance.Balancer
-	runner   *forward.Runner
-	front    *platform.Front
-	fleet    *fleet
+	pool   *backend.Pool
+	store  *platform.Store
+	peers  *peer.Client
+	gossip *gossip.Runner
+	news   *news.Follower
+	broker *broker.Server
+	places *broker.Client
+	runner *forward.Runner
+	front  *platform.Front
+	fleet  *fleet
 
 	mutex      sync.Mutex
 	quarantine *quarantine.Table
@@ -150,9 +148,10 @@
 	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peers, convictions{ht}, scope, ht.logger, seed)
 	ht.places = broker.NewClient(batch.DefaultConfig(), ht.self.Host, ht.clock, ht.peers, ht.fleet, scope, ht.logger, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
-	ht.retries = retry.New(ht.retryConfig(), seed)
-	ht.balancer = balance.New(ht.self.AvailabilityZone, seed)
-	ht.runner = forward.NewRunner(forward.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, platform.NewServers(ht.pool), ht.places, ht.fleet, ht.retries, ht.balancer, scope, ht.logger, tracer)
+	retries := retry.New(ht.retryConfig(), seed)
+	balancer := balance.New(ht.self.AvailabilityZone, seed)
+	ht.runner = forward.NewRunner(forward.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, platform.NewServers(ht.pool),
+		ht.places, ht.fleet, retries, balancer, scope, ht.logger, tracer)
 	ht.front = platform.NewFront(ht.news, ht.runner, ht.clock, ht.logger)
 	return nil
 }
@@ -301,6 +300,8 @@
 
 func (ht *Host) newsChanged() {
 	ht.fleet.update()
+	servers, _ := ht.news.Servers()
+	ht.runner.Keep(servers)
 	ht.boundConnections()
 	ht.broker.Refresh()
 }
