--- a/cmd/hibiscuslever/demo.go
+++ b/cmd/hibiscuslever/demo.go
@@ -14,7 +14,11 @@
 		Args:  command.NoArgs,
 	}
 	serve := cmd.Flags().Bool("serve", false, "print where the fleet serves and stay up until interrupted")
+	platform := cmd.Flags().Bool("platform", false, "run it on a stand-in of the users' platform")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if *platform {
+			return demo.RunPlatform(cmd.Context(), cmd.OutOrStdout())
+		}
 		if *serve {
 			return demo.Serve(cmd.Context(), cmd.OutOrStdout())
 		}
--- a/site/world_test.go
+++ b/site/world_test.go
@@ -65,7 +65,7 @@
 	sv := standin.NewServer(name, service, "zone-a")
 	wd.servers[name] = sv
 	wd.t.Cleanup(sv.Close)
-	wd.store.Put("keyed.servers", name, sv.Entry("ready"))
+	wd.store.List(sv)
 	return sv
 }
 
