--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -152,13 +152,14 @@
 	if wt, ok := mc.waiting[ev.Request.ID]; ok {
 		mc.drop(wt)
 	}
-	read := readTime(mc.engine, ev.Request.Prompt) / time.Duration(max(1, len(ev.Grant.Parts)))
+	whole := readTime(mc.engine, ev.Request.Prompt)
+	read := whole / time.Duration(max(1, len(ev.Grant.Parts)))
 	gr := &grant{
 		Grant:   ev.Grant,
 		request: ev.Request,
 		read:    read,
 		ready:   now.Add(read),
-		short:   readTime(mc.engine, ev.Request.Prompt) <= mc.config.ShortRead || mc.isStrict(ev.Request),
+		short:   whole <= mc.config.ShortRead || mc.isStrict(ev.Request),
 	}
 	mc.charge(gr)
 	return gr
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -61,8 +61,6 @@
 	tracer  trace.Tracer
 
 	sequence atomic.Uint64
-	// cleanup counts what goes on after requests have ended.
-	cleanup  sync.WaitGroup
 	mutex    sync.Mutex
 	retries  *retry.Policy
 	balancer *balance.Balancer
@@ -131,9 +129,6 @@
 	return rn
 }
 
-// Wait blocks until nothing goes on after requests that have ended.
-func (rn *Runner) Wait() { rn.cleanup.Wait() }
-
 // Run carries a request until its answer has been passed on or it has failed, at the latest at its deadline.
 func (rn *Runner) Run(ctx context.Context, rq *Request, sink Sink) Result {
 	limit := rq.Deadline
--- a/coordination/forward/tickets.go
+++ b/coordination/forward/tickets.go
@@ -86,7 +86,7 @@
 		tk.sub.Stop()
 	}
 	for _, part := range tk.parts {
-		tk.runner.cleanup.Go(func() { tk.runner.giveBack(part) })
+		go tk.runner.giveBack(part)
 	}
 }
 
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -26,9 +26,8 @@
 	return &fleet{news: fl, clock: clock, left: map[id.BackendServer]int64{}}
 }
 
-// update forgets servers that are no longer listed.
-func (fl *fleet) update() {
-	servers, _ := fl.news.Servers()
+// keep forgets servers that are no longer listed.
+func (fl *fleet) keep(servers []roster.Server) {
 	listed := map[id.BackendServer]bool{}
 	for _, sv := range servers {
 		listed[sv.ID] = true
--- a/site/host.go
+++ b/site/host.go
@@ -299,8 +299,8 @@
 }
 
 func (ht *Host) newsChanged() {
-	ht.fleet.update()
 	servers, _ := ht.news.Servers()
+	ht.fleet.keep(servers)
 	ht.runner.Keep(servers)
 	ht.boundConnections()
 	ht.broker.Refresh()
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -119,11 +119,6 @@
 	Chunk id.Tokens
 	// Stride is the number of steps in a pass that has writers.
 	Stride int
-	// ReportLag is the age of the figures in an engine's report.
-	ReportLag time.Duration
-	// UsualPrompt and UsualAnswer are mean sizes.
-	UsualPrompt id.Tokens
-	UsualAnswer id.Tokens
 }
 
 // Service is a group of engines or backend servers that serve the same requests.
@@ -201,9 +196,6 @@
 // Limits returns the bounds of what clients may send.
 func (tb *Table) Limits() Limits { return tb.contents.Limits }
 
-// Services returns all services.
-func (tb *Table) Services() []Service { return tb.contents.Services }
-
 // Routes returns the number of routes.
 func (tb *Table) Routes() int { return len(tb.contents.Routes) }
 
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -165,16 +165,6 @@
 	}
 }
 
-// Forget closes the idle connections to an address.
-func (pl *Pool) Forget(address string) {
-	pl.mutex.Lock()
-	defer pl.mutex.Unlock()
-	for _, cn := range pl.idle[address] {
-		_ = cn.Close()
-	}
-	delete(pl.idle, address)
-}
-
 // Close closes all idle connections; connections in use are closed when they are returned.
 func (pl *Pool) Close() {
 	pl.mutex.Lock()
