Prompts are put in order for half of the engines, and the longest wait for half of them at most

Long prompts waited until 0.8 of the engines had room at once, and the order of the queue took each prompt to get all engines, so that those that could no longer be on time stayed in front.

An order by less than half of the engines and refusing the longest sooner earned more on the model only by never serving the largest.

--- a/coordination/batch/config.go
+++ b/coordination/batch/config.go
@@ -24,6 +24,8 @@
 	MixCost time.Duration
 	// WriterCost is added for each engine that writes the answer to another long prompt: its passes get longer.
 	WriterCost time.Duration
+	// PlanShare is the part of the engines that are taken to read one prompt when requests are put in order.
+	PlanShare float64
 	// LeastShare is the part of the engines that the longest prompts wait for at least.
 	LeastShare float64
 	// StartMargin is the time between a grant and the first event beside the reading.
@@ -57,10 +59,11 @@
 		Ahead:         20 * time.Millisecond,
 		Delay:         10 * time.Millisecond,
 		MixCost:       20 * time.Millisecond,
-		LeastShare:    0.8,
+		PlanShare:     0.5,
+		LeastShare:    0.5,
 		StartMargin:   100 * time.Millisecond,
 		ReadWeight:    3,
-		BacklogWeight: 1,
+		BacklogWeight: 0.5,
 		WriterCost:    20 * time.Millisecond,
 		MaxParts:      17,
 		GrantTTL:      5 * time.Second,
--- a/coordination/batch/queue.go
+++ b/coordination/batch/queue.go
@@ -103,10 +103,11 @@
 func (mc *Machine) newWaiting(rq Request) *waiting {
 	wt := &waiting{Request: rq, read: readTime(mc.engine, rq.Prompt)}
 	parts := mc.allParts()
-	wt.latest = rq.Arrived.Add(rq.Target - wt.read/parts - mc.config.StartMargin)
+	planned := mc.plannedParts()
+	wt.latest = rq.Arrived.Add(rq.Target - wt.read/planned - mc.config.StartMargin)
 	wt.last = rq.Arrived.Add(rq.Patience - wt.read/parts)
 	backlog := time.Duration(mc.config.BacklogWeight * float64(mc.queueOf(wt).of[rq.Organisation]))
-	wt.order = wt.latest.Add((time.Duration(mc.config.ReadWeight)*wt.read + backlog) / parts)
+	wt.order = wt.latest.Add((time.Duration(mc.config.ReadWeight)*wt.read + backlog) / planned)
 	if mc.config.FirstCome {
 		wt.order = rq.Arrived
 	}
@@ -118,6 +119,11 @@
 	return time.Duration(max(1, min(len(mc.engines), mc.config.MaxParts)))
 }
 
+// plannedParts returns the number of engines that one prompt is expected to get while others wait.
+func (mc *Machine) plannedParts() time.Duration {
+	return time.Duration(max(1, min(int(mc.config.PlanShare*float64(len(mc.engines))), mc.config.MaxParts)))
+}
+
 // queueOf returns the queue of a request: short prompts wait apart from long ones.
 func (mc *Machine) queueOf(wt *waiting) *queue {
 	if mc.isShort(wt) {
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -26,6 +26,8 @@
 		vary("no-pauses", func(cf *batch.Config) { cf.PauseMargin, cf.LeastMargin = -time.Hour, -time.Hour }),
 		vary("writers-read", func(cf *batch.Config) { cf.WriterCost = 0 }),
 		vary("any-part", func(cf *batch.Config) { cf.LeastShare = 0 }),
+		vary("most-wait", func(cf *batch.Config) { cf.LeastShare = 0.8 }),
+		vary("all-plan", func(cf *batch.Config) { cf.PlanShare = 1 }),
 		vary("first-come", func(cf *batch.Config) { cf.FirstCome = true }),
 		vary("no-shares", func(cf *batch.Config) { cf.BacklogWeight = 0 }),
 		vary("default", func(*batch.Config) {}),
