A host that the store turns away does not keep engines that are gone

Cause: a drop of an engine's entry counted as lapsed for 2.5 s when the own host had had any failed call to the store in the last 3.5 s.

Ruled out: late news (all hosts logged "backend server gone" 0.4 s after the store's answer), a second dispatcher, the entry hosts' own view.

Now an outage is a gap of 1.2 s in the list for all hosts, which says nothing when this host alone is turned away; the grace of lapsed entries ends by itself, where the dispatcher kept them until the next change; an entry host does not send to an engine of a grant that it knows to be leaving and says so to the dispatcher.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -111,6 +111,8 @@
 type Fleet interface {
 	// Servers returns the servers of a service that are listed.
 	Servers(service id.Service) []roster.Server
+	// Leaving reports whether a server is known to drain or to be gone. One that is not known is not.
+	Leaving(server id.BackendServer) bool
 	// Age returns the time since the list was last known to be up to date.
 	Age() time.Duration
 	// Left records a server's own word that it is leaving, or that another has its address.
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -155,6 +155,9 @@
 func (st *streaming) run(ctx context.Context, grant batch.Grant) (broker.Ended, cause) {
 	rn := st.runner
 	first := grant.Parts[0]
+	if gone := rn.leaving(grant); gone != "" {
+		return broker.Ended{Failed: gone, Fault: batch.Gone}, cause{text: "an engine of the grant is leaving", retry: retry.NotSent}
+	}
 	ctx, span := rn.tracer.Start(ctx, "engine.attempt", trace.WithAttributes(
 		attribute.String("attempt", string(grant.Attempt)), attribute.String("engine", string(first.Engine))))
 	defer span.End()
@@ -195,6 +198,17 @@
 	return st.events(call, ctx, grant, answer, watch)
 }
 
+// leaving returns an engine of a grant that this host knows to be leaving, empty if there is none: the dispatcher may
+// have heard less of the list.
+func (rn *Runner) leaving(grant batch.Grant) id.Engine {
+	for _, part := range grant.Parts {
+		if rn.fleet.Leaving(id.BackendServer(part.Engine)) {
+			return part.Engine
+		}
+	}
+	return ""
+}
+
 // errSilent ends an attempt whose engine does not answer.
 var errSilent = errors.New("the engine is silent")
 
--- /dev/null
+++ b/coordination/forward/stream_test.go
@@ -0,0 +1,103 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// places gives grants in order and notes how they end.
+type places struct {
+	grants []batch.Grant
+	ended  []broker.Ended
+}
+
+func (pl *places) Acquire(context.Context, broker.Ask) (batch.Grant, outcome.Outcome) {
+	if len(pl.grants) == 0 {
+		return batch.Grant{}, outcome.Refuse(outcome.NoCapacity, "no engine is left")
+	}
+	grant := pl.grants[0]
+	pl.grants = pl.grants[1:]
+	return grant, outcome.Outcome{Kind: outcome.Finished}
+}
+func (pl *places) Started(id.Attempt)  {}
+func (pl *places) End(en broker.Ended) { pl.ended = append(pl.ended, en) }
+
+// servers answers every attempt with a stream of one event and notes where it was sent.
+type servers struct{ sent []string }
+
+func (sv *servers) Send(_ context.Context, at forward.Attempt) (forward.Answer, error) {
+	sv.sent = append(sv.sent, at.Address)
+	return forward.Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n"))}, nil
+}
+func (sv *servers) Alive(context.Context, string) bool { return true }
+func (sv *servers) Reserve(context.Context, string, string, id.Tokens, time.Duration) (bool, error) {
+	return true, nil
+}
+func (sv *servers) Release(context.Context, string, string) error { return nil }
+
+// fleet knows which servers are leaving.
+type fleet struct{ leaving map[id.BackendServer]bool }
+
+func (fl fleet) Servers(id.Service) []roster.Server   { return nil }
+func (fl fleet) Leaving(server id.BackendServer) bool { return fl.leaving[server] }
+func (fl fleet) Age() time.Duration                   { return 0 }
+func (fl fleet) Left(id.BackendServer)                {}
+
+type sink struct{ body strings.Builder }
+
+func (sk *sink) Begin(int, http.Header, int64) error { return nil }
+func (sk *sink) Write(part []byte) error {
+	_, _ = sk.body.Write(part)
+	return nil
+}
+
+func grantOn(attempt string, engines ...string) batch.Grant {
+	grant := batch.Grant{Attempt: id.Attempt(attempt)}
+	for _, name := range engines {
+		grant.Parts = append(grant.Parts, batch.Part{Engine: id.Engine(name), Address: name + ":80"})
+	}
+	return grant
+}
+
+// TestLeavingEngines sends nothing to engines of a grant that the entry host knows to be leaving, also when one of them
+// would only help: the dispatcher hears of them and gives another place.
+func TestLeavingEngines(t *testing.T) {
+	pl := &places{grants: []batch.Grant{grantOn("1", "gone"), grantOn("2", "here", "gone"), grantOn("3", "here", "unknown")}}
+	sv := &servers{}
+	rn := forward.NewRunner(forward.DefaultConfig(), "host", 1, timer.NewSystem(), sv, pl, fleet{leaving: map[id.BackendServer]bool{"gone": true}},
+		retry.New(retry.DefaultConfig(), 1), balance.New("zone", 1), tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
+	out := &sink{}
+	now := time.Now()
+	rs := rn.Run(t.Context(), &forward.Request{
+		ID: "request", Service: "service", Prompt: 1000, Answer: 50, Arrived: now, Deadline: now.Add(10 * time.Second),
+		Route: route.Route{Kind: route.Streaming, Prompt: true, MaxAttempts: 1},
+	}, out)
+	assert.Assert(t, rs.Whole, "%+v", rs)
+	assert.Equal(t, out.body.String(), "id: 1\ndata: a\n\n")
+	assert.DeepEqual(t, sv.sent, []string{"here:80"})
+	assert.Equal(t, len(pl.ended), 3)
+	for _, ended := range pl.ended[:2] {
+		assert.Equal(t, ended.Failed, id.Engine("gone"))
+		assert.Equal(t, ended.Fault, batch.Gone)
+	}
+}
--- a/coordination/news/copies.go
+++ b/coordination/news/copies.go
@@ -13,10 +13,10 @@
 func (fl *Follower) Heard(ctx context.Context, up Update) {
 	fl.mutex.Lock()
 	now := fl.clock.Now()
-	outage := now.Sub(fl.failedAt) < outageMemory
-	changed, complete := fl.roster.Apply(now, up.From, up.Next, fl.decode(up.Records), outage)
+	lapsing := fl.lapsing(now) || now.Sub(fl.heardAt) > outageGap
+	changed, complete := fl.roster.Apply(now, up.From, up.Next, fl.decode(up.Records), lapsing)
 	if complete && up.Next >= fl.roster.Next() {
-		fl.heardAt = now
+		fl.heard(now)
 	}
 	behind := !complete || fl.table == nil || fl.table.Version() < up.Version
 	pull := behind && !fl.pulling
@@ -64,8 +64,8 @@
 	}
 	fl.mutex.Lock()
 	now := fl.clock.Now()
-	changed := fl.roster.Replace(now, cp.Next, fl.decode(cp.Records), now.Sub(fl.failedAt) < outageMemory)
-	fl.heardAt = now
+	fl.heard(now)
+	changed := fl.roster.Replace(now, cp.Next, fl.decode(cp.Records), fl.lapsing(now))
 	fl.mutex.Unlock()
 	fl.logServers(source, changed)
 	if len(changed) > 0 {
--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -50,9 +50,14 @@
 	}
 }
 
-// outageMemory is how long after an outage of the store dropped entries may come from it: the store's own
-// grace of two seconds and a heartbeat.
-const outageMemory = 3500 * time.Millisecond
+const (
+	// outageMemory is how long after an outage of the store dropped entries may come from it: the store's own
+	// grace of two seconds and a heartbeat.
+	outageMemory = 3500 * time.Millisecond
+	// outageGap is the age of the list from which the store is taken to have been away: a host that it turns away is
+	// replaced as the reader of the list sooner.
+	outageGap = 1200 * time.Millisecond
+)
 
 // Follower follows the desired state and the list of backend servers.
 type Follower struct {
@@ -72,14 +77,15 @@
 	body    []byte
 	roster  *roster.Roster
 	random  *rand.Rand
-	heardAt time.Time
-	// failedAt is when a call to the store last failed.
-	failedAt time.Time
-	away     bool
-	reading  bool
-	readAt   time.Time
-	pulling  bool
-	group    sync.WaitGroup
+	// heardAt is when the list was last known to be up to date, outageAt when that was so again after an outage.
+	heardAt  time.Time
+	outageAt time.Time
+	// away says that the last call to the store failed.
+	away    bool
+	reading bool
+	readAt  time.Time
+	pulling bool
+	group   sync.WaitGroup
 }
 
 // New returns a follower that knows nothing.
@@ -120,6 +126,13 @@
 	return fl.roster.Servers(fl.clock.Now()), fl.roster.Known()
 }
 
+// Leaving reports whether a server is known to drain or to be gone.
+func (fl *Follower) Leaving(server id.BackendServer) bool {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	return fl.roster.Leaving(fl.clock.Now(), server)
+}
+
 // Age returns the time since the list of backend servers was last known to be up to date.
 func (fl *Follower) Age() time.Duration {
 	fl.mutex.Lock()
@@ -210,11 +223,22 @@
 	return wait/2 + time.Duration(fl.random.Float64()*float64(wait))
 }
 
+// heard notes that the list is up to date. The caller holds the lock.
+func (fl *Follower) heard(now time.Time) {
+	if !fl.heardAt.IsZero() && now.Sub(fl.heardAt) > outageGap {
+		fl.outageAt = now
+	}
+	fl.heardAt = now
+}
+
+// lapsing reports whether entries that are dropped now may have lapsed in an outage. That this host alone could not
+// reach the store says nothing of the servers. The caller holds the lock.
+func (fl *Follower) lapsing(now time.Time) bool { return now.Sub(fl.outageAt) < outageMemory }
+
 func (fl *Follower) storeFailed(what string, err error) {
 	fl.mutex.Lock()
 	lost := !fl.away
 	fl.away = true
-	fl.failedAt = fl.clock.Now()
 	fl.mutex.Unlock()
 	fl.metrics.Counter("store_failures").Inc(1)
 	if lost {
--- a/coordination/news/follower_test.go
+++ b/coordination/news/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -90,10 +91,30 @@
 	st.log = append(st.log, rc)
 }
 
+// drop removes the entry of a server.
+func (st *store) drop(name string) {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	st.log = append(st.log, roster.Record{ID: id.BackendServer(name), Offset: id.Offset(len(st.log)), Dropped: true})
+}
+
+// turnAway has the store turn hosts away, or serve them again.
+func (st *store) turnAway(away bool, hosts ...id.Host) {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	for _, host := range hosts {
+		st.refuse[host] = away
+	}
+}
+
 // network joins followers in one process.
 type network struct {
 	followers map[id.Host]*news.Follower
 	hosts     []id.Host
+
+	mutex sync.Mutex
+	// known holds the servers that each host listed when it last said that something had changed.
+	known map[id.Host][]roster.Server
 }
 
 type end struct {
@@ -122,14 +143,21 @@
 func (en end) CopyFrom(context.Context, string) (news.Copy, error) { return news.Copy{}, errAway }
 
 func newNetwork(st *store, names ...id.Host) *network {
-	nw := &network{followers: map[id.Host]*news.Follower{}, hosts: names}
+	nw := &network{followers: map[id.Host]*news.Follower{}, hosts: names, known: map[id.Host][]roster.Server{}}
 	for _, name := range names {
 		nw.followers[name] = news.New(news.DefaultConfig(), name, timer.NewSystem(), view{st, name}, end{nw, name}, end{nw, name},
-			tally.NoopScope, slog.New(slog.DiscardHandler), 1, func() {})
+			tally.NoopScope, slog.New(slog.DiscardHandler), 1, func() { nw.changed(name) })
 	}
 	return nw
 }
 
+func (nw *network) changed(name id.Host) {
+	servers, _ := nw.followers[name].Servers()
+	nw.mutex.Lock()
+	defer nw.mutex.Unlock()
+	nw.known[name] = servers
+}
+
 func (nw *network) draining(name id.BackendServer) int {
 	count := 0
 	for _, fl := range nw.followers {
@@ -143,6 +171,75 @@
 	return count
 }
 
+// listed counts the hosts that have told their other parts that a server is listed.
+func (nw *network) listed(name id.BackendServer) int {
+	nw.mutex.Lock()
+	defer nw.mutex.Unlock()
+	count := 0
+	for _, servers := range nw.known {
+		if slices.ContainsFunc(servers, func(sv roster.Server) bool { return sv.ID == name }) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestGoneWhileTurnedAway drops the entry of a server while the store turns some hosts away and serves the others: the
+// entry did not lapse with an outage, so that no host sends the server anything more.
+func TestGoneWhileTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := &store{refuse: map[id.Host]bool{}}
+		st.list("server-1", "ready")
+		nw := newNetwork(st, "a", "b", "c", "d", "e")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, fl := range nw.followers {
+			go func() { _ = fl.Run(ctx) }()
+		}
+		time.Sleep(2 * time.Second)
+		st.turnAway(true, id.Rendezvous("ServerList", nw.hosts)[:2]...)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, nw.listed("server-1"), len(nw.hosts))
+		st.drop("server-1")
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, nw.listed("server-1"), 0)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestLapsedInOutage drops the entry of a server while the store turns all hosts away: it may have lapsed, so that the
+// server stays in use until it has had the time to be listed again.
+func TestLapsedInOutage(t *testing.T) {
+	for _, outage := range []time.Duration{1800 * time.Millisecond, 6 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			st := &store{refuse: map[id.Host]bool{}}
+			st.list("server-1", "ready")
+			st.list("server-2", "ready")
+			nw := newNetwork(st, "a", "b", "c", "d", "e")
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			for _, fl := range nw.followers {
+				go func() { _ = fl.Run(ctx) }()
+			}
+			time.Sleep(5 * time.Second)
+			st.turnAway(true, nw.hosts...)
+			time.Sleep(outage)
+			st.drop("server-1")
+			st.drop("server-2")
+			st.turnAway(false, nw.hosts...)
+			time.Sleep(1500 * time.Millisecond)
+			assert.Equal(t, nw.listed("server-1"), len(nw.hosts), "after an outage of %v", outage)
+			st.list("server-2", "ready")
+			time.Sleep(3 * time.Second)
+			assert.Equal(t, nw.listed("server-1"), 0)
+			assert.Equal(t, nw.listed("server-2"), len(nw.hosts))
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
 // TestOneHostReads has one host read the list for all. When the store turns it away another one takes over, and every
 // host learns of a leaving server within the bound of two seconds, also those that the store turns away.
 func TestOneHostReads(t *testing.T) {
--- a/coordination/news/servers.go
+++ b/coordination/news/servers.go
@@ -10,16 +10,21 @@
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 )
 
-// look starts a read of the list of backend servers if it is this host's turn.
+// look starts a read of the list of backend servers if it is this host's turn, and ends the grace of lapsed entries.
 func (fl *Follower) look(ctx context.Context) {
 	fl.mutex.Lock()
 	now := fl.clock.Now()
+	expired := fl.roster.Expire(now)
 	due := !fl.reading && fl.due(now)
 	if due {
 		fl.reading = true
 		fl.readAt = now
 	}
 	fl.mutex.Unlock()
+	if expired {
+		fl.logger.Info("lapsed backend servers were not listed again")
+		fl.changed()
+	}
 	if due {
 		fl.group.Go(func() { fl.readServers(ctx) })
 	}
@@ -74,14 +79,13 @@
 		return
 	}
 	now := fl.clock.Now()
-	outage := now.Sub(fl.failedAt) < outageMemory
+	fl.heard(now)
 	var changed []roster.Record
 	if read.Whole {
-		changed = fl.roster.Replace(now, read.Next, read.Records, outage)
+		changed = fl.roster.Replace(now, read.Next, read.Records, fl.lapsing(now))
 	} else {
-		changed, _ = fl.roster.Apply(now, from, read.Next, read.Records, outage)
+		changed, _ = fl.roster.Apply(now, from, read.Next, read.Records, fl.lapsing(now))
 	}
-	fl.heardAt = now
 	version := route.Version(0)
 	if fl.table != nil {
 		version = fl.table.Version()
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -59,6 +59,9 @@
 	return found
 }
 
+// Leaving reports whether a server is known to drain or to be gone.
+func (fl *fleet) Leaving(server id.BackendServer) bool { return fl.news.Leaving(server) }
+
 // Age returns the time since the list was last known to be up to date.
 func (fl *fleet) Age() time.Duration { return fl.news.Age() }
 
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -148,6 +148,31 @@
 	return records
 }
 
+// Leaving reports whether a server is listed as draining or was dropped. One that was never listed is not.
+func (rs *Roster) Leaving(now time.Time, server id.BackendServer) bool {
+	en, known := rs.entries[server]
+	switch {
+	case !known:
+		return false
+	case en.Server != nil && !en.Dropped:
+		return en.Server.Draining
+	default:
+		return en.last == nil || now.Sub(en.lapsed) >= lapseGrace
+	}
+}
+
+// Expire forgets the servers whose entries lapsed and were not listed again in time, and reports whether there were any.
+func (rs *Roster) Expire(now time.Time) bool {
+	expired := false
+	for _, en := range rs.entries {
+		if en.last != nil && now.Sub(en.lapsed) >= lapseGrace {
+			en.last = nil
+			expired = true
+		}
+	}
+	return expired
+}
+
 // Servers returns the servers that are listed, draining ones included, in the order of their ids.
 func (rs *Roster) Servers(now time.Time) []Server {
 	var servers []Server
