--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -72,11 +72,11 @@
 	// changed is called without the lock when the desired state or the list has changed.
 	changed func()
 
-	mutex   sync.Mutex
-	table   *route.Table
-	body    []byte
-	roster  *roster.Roster
-	random  *rand.Rand
+	mutex  sync.Mutex
+	table  *route.Table
+	body   []byte
+	roster *roster.Roster
+	random *rand.Rand
 	// heardAt is when the list was last known to be up to date, outageAt when that was so again after an outage.
 	heardAt  time.Time
 	outageAt time.Time
