Servers of plain services that fail or take long are left out until a host can know better

Cause: an entry host meets a server of a plain service every few seconds, and forgot its errors within half a second; it took no note of slow answers. On the model of 18 hosts and three servers (experiment.RunServices) the one in trouble went on getting 20 to 28% of the requests, where a third would be its share.

Ruled out: keeping requests back at the host while all servers seem full.

Now errors and times count with a half-life of 3 s.

hibiscuslever status works on hosts of the users' platform: they speak the operators' protocol now, with the age of the list of servers and whether the platform can be reached.

--- a/cmd/hibiscuslever/status.go
+++ b/cmd/hibiscuslever/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -46,6 +47,12 @@
 	for _, rv := range status.Revisions {
 		_, _ = fmt.Fprintf(table, "List %s at revision %d\n", rv.List, rv.Revision)
 	}
+	if status.StoreAway {
+		_, _ = fmt.Fprintln(table, "The platform can't be reached")
+	}
+	if status.ListAge > 0 {
+		_, _ = fmt.Fprintf(table, "List of backend servers up to date %s ago\n", status.ListAge.Round(time.Millisecond))
+	}
 	_, _ = fmt.Fprintln(table, "\nHOST\tZONE\tSTATUS\tCALLERS")
 	for _, ht := range status.Hosts {
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", ht.Name, ht.AvailabilityZone, ht.Status, ht.CallerAddress)
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -46,14 +46,20 @@
 	maxPause  = 8 * time.Second
 	// shedPause is the same for a server that is full.
 	shedPause = 100 * time.Millisecond
-	// errorWeight is the weight of the newest result in a server's rate of errors.
-	errorWeight = 0.2
+	// newestWeight is the weight of the newest result in a server's rate of errors and in its time.
+	newestWeight = 0.4
+	// lossWeight is the same for a request that was lost: the server may be back soon.
+	lossWeight = 0.06
 	// otherZone is the cost of a server in another availability zone, in requests.
 	otherZone = 0.5
 	// errorCost is the cost of a server that fails every request, in requests.
-	errorCost = 12
-	// errorHalfLife is the time in which old errors lose half of their weight, so that a server is tried again.
-	errorHalfLife = 500 * time.Millisecond
+	errorCost = 24
+	// slowCost is the cost of a server for each time that it takes the fastest one's time beyond the second; it is
+	// bounded by slowMost.
+	slowCost = 2
+	slowMost = 16
+	// halfLife is the time in which old results lose half of their weight, so that a server is tried again.
+	halfLife = 3 * time.Second
 )
 
 type state struct {
@@ -65,18 +71,41 @@
 	pausedUntil time.Time
 	errors      float64
 	erredAt     time.Time
-	gone        bool
+	// took is the mean time of answers, the newest at tookAt.
+	took   time.Duration
+	tookAt time.Time
+	gone   bool
 }
 
+// answered adds the newest time to the mean time of answers. Older ones count less the longer ago they are.
+func (st *state) answered(now time.Time, took time.Duration) {
+	weight := 1 - (1-newestWeight)*faded(now.Sub(st.tookAt))
+	st.took += time.Duration(weight * float64(took-st.took))
+	st.tookAt = now
+}
+
+// slowness returns how many times the fastest time a server takes, without the first two; old times fade.
+func (st *state) slowness(now time.Time, fastest time.Duration) float64 {
+	const usual = 2
+	if fastest <= 0 {
+		return 0
+	}
+	return max(0, float64(st.took)/float64(fastest)-usual) * faded(now.Sub(st.tookAt))
+}
+
+// faded returns the weight of a result after a time.
+func faded(age time.Duration) float64 { return math.Exp2(-age.Seconds() / halfLife.Seconds()) }
+
 // failed adds the newest result to the rate of errors.
-func (st *state) failed(now time.Time) {
-	st.errors += errorWeight * (1 - st.errors)
+func (st *state) failed(now time.Time, weight float64) {
+	rate := st.errorRate(now)
+	st.errors = rate + weight*(1-rate)
 	st.erredAt = now
 }
 
 // errorRate returns the rate of errors, with old ones fading.
 func (st *state) errorRate(now time.Time) float64 {
-	return st.errors * math.Exp2(-now.Sub(st.erredAt).Seconds()/errorHalfLife.Seconds())
+	return st.errors * faded(now.Sub(st.erredAt))
 }
 
 // Balancer chooses among the servers of all plain services. It is not safe for concurrent use.
@@ -112,6 +141,7 @@
 // Choose returns the server that a request is to go to, of those that do not drain and are not to be avoided.
 // Servers that were lost lately come last.
 func (bl *Balancer) Choose(now time.Time, servers []roster.Server, avoid []id.BackendServer) (roster.Server, bool) {
+	fastest := bl.fastest(servers)
 	var best roster.Server
 	var bestCost float64
 	found := false
@@ -120,7 +150,7 @@
 		if sv.Draining || st.gone || slices.Contains(avoid, sv.ID) {
 			continue
 		}
-		cost := bl.cost(now, sv, st)
+		cost := bl.cost(now, sv, st, fastest)
 		if !found || cost < bestCost {
 			best, bestCost, found = sv, cost, true
 		}
@@ -128,8 +158,19 @@
 	return best, found
 }
 
+// fastest returns the least mean time of the servers that have answered.
+func (bl *Balancer) fastest(servers []roster.Server) time.Duration {
+	var least time.Duration
+	for _, sv := range servers {
+		if took := bl.stateOf(sv).took; took > 0 && (least == 0 || took < least) {
+			least = took
+		}
+	}
+	return least
+}
+
 // cost compares servers: the requests that are ahead, with a part for errors, distance and chance.
-func (bl *Balancer) cost(now time.Time, sv roster.Server, st *state) float64 {
+func (bl *Balancer) cost(now time.Time, sv roster.Server, st *state, fastest time.Duration) float64 {
 	slots := float64(max(1, sv.Slots))
 	ahead := float64(st.open)
 	if now.Sub(st.loadAt) < loadAge {
@@ -142,7 +183,7 @@
 	if sv.AvailabilityZone != bl.zone {
 		cost += otherZone
 	}
-	cost += errorCost * st.errorRate(now)
+	cost += errorCost*st.errorRate(now) + min(slowMost, slowCost*st.slowness(now, fastest))
 	if now.Before(st.pausedUntil) {
 		const last = 1000
 		cost += last
@@ -155,8 +196,8 @@
 	bl.stateOf(sv).open++
 }
 
-// End takes the result of an attempt.
-func (bl *Balancer) End(now time.Time, sv roster.Server, result Result, load *Load) {
+// End takes the result of an attempt and the time that it took.
+func (bl *Balancer) End(now time.Time, sv roster.Server, result Result, load *Load, took time.Duration) {
 	st := bl.stateOf(sv)
 	st.open = max(0, st.open-1)
 	if load != nil {
@@ -165,13 +206,14 @@
 	switch result {
 	case Answered:
 		st.losses = 0
-		st.errors *= 1 - errorWeight
+		st.errors *= 1 - newestWeight
+		st.answered(now, took)
 	case Erred:
-		st.failed(now)
+		st.failed(now, newestWeight)
 	case Shed:
 		st.pausedUntil = now.Add(shedPause)
 	case Lost:
-		st.failed(now)
+		st.failed(now, lossWeight)
 		pause := min(lossPause<<min(st.losses, 6), maxPause)
 		st.losses++
 		st.pausedUntil = now.Add(pause)
@@ -180,3 +222,13 @@
 	case Abandoned:
 	}
 }
+
+// Full reports whether a server has no free slot, by the requests of this host and by the server's own word.
+func (bl *Balancer) Full(now time.Time, sv roster.Server) bool {
+	st := bl.stateOf(sv)
+	ahead := st.open
+	if now.Sub(st.loadAt) < loadAge {
+		ahead = max(ahead, st.load.Running+st.load.Waiting)
+	}
+	return ahead >= max(1, sv.Slots)
+}
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -34,11 +34,11 @@
 	bl := balance.New("z", 1)
 	counts := chosen(bl, now, listed)
 	assert.Assert(t, counts["a"] > 0 && counts["b"] > 0 && counts["c"] < counts["a"], "%v", counts)
-	bl.End(now, listed[0], balance.Lost, nil)
+	bl.End(now, listed[0], balance.Lost, nil, 0)
 	assert.Equal(t, chosen(bl, now, listed)["a"], 0)
 	assert.Assert(t, chosen(bl, now.Add(2*time.Second), listed)["a"] > 0, "it is tried again")
 	assert.Equal(t, chosen(bl, now, listed, "b", "c")["a"], 300, "a lost server is better than none")
-	bl.End(now, listed[1], balance.Gone, nil)
+	bl.End(now, listed[1], balance.Gone, nil, 0)
 	listed[2].Draining = true
 	counts = chosen(bl, now, listed)
 	assert.Equal(t, counts["b"]+counts["c"], 0)
@@ -52,7 +52,7 @@
 	listed := servers()[:2]
 	bl := balance.New("z", 1)
 	bl.Begin(listed[0])
-	bl.End(now, listed[0], balance.Answered, &balance.Load{Running: 6, Waiting: 4, Slots: 6})
+	bl.End(now, listed[0], balance.Answered, &balance.Load{Running: 6, Waiting: 4, Slots: 6}, time.Millisecond)
 	assert.Equal(t, chosen(bl, now, listed)["a"], 0)
 	assert.Assert(t, chosen(bl, now.Add(time.Second), listed)["a"] > 0, "old figures do not count")
 	for range 4 {
@@ -62,3 +62,37 @@
 	bl.Keep(listed[:1])
 	assert.Assert(t, chosen(bl, now.Add(time.Second), listed)["b"] > 0, "what was forgotten counts no more")
 }
+
+// TestTroubledServers leaves out servers that fail or take long, for longer than it takes a host to meet them again, and
+// takes them back in the end.
+func TestTroubledServers(t *testing.T) {
+	listed := servers()[:2]
+	for name, trouble := range map[string]func(bl *balance.Balancer, now time.Time){
+		"failing": func(bl *balance.Balancer, now time.Time) {
+			bl.End(now, listed[0], balance.Erred, nil, time.Millisecond)
+		},
+		"slow": func(bl *balance.Balancer, now time.Time) {
+			for range 3 {
+				bl.End(now, listed[1], balance.Answered, nil, 60*time.Millisecond)
+				bl.End(now, listed[0], balance.Answered, nil, 480*time.Millisecond)
+			}
+		},
+	} {
+		now := time.Unix(1000, 0)
+		bl := balance.New("z", 1)
+		trouble(bl, now)
+		assert.Equal(t, chosen(bl, now.Add(3*time.Second), listed)["a"], 0, name)
+		assert.Assert(t, chosen(bl, now.Add(20*time.Second), listed)["a"] > 0, name)
+	}
+}
+
+// TestUsualSpread holds that times that differ by chance alone leave no server out.
+func TestUsualSpread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	listed := servers()[:2]
+	bl := balance.New("z", 1)
+	bl.End(now, listed[0], balance.Answered, nil, 110*time.Millisecond)
+	bl.End(now, listed[1], balance.Answered, nil, 60*time.Millisecond)
+	counts := chosen(bl, now, listed)
+	assert.Assert(t, counts["a"] > 50 && counts["b"] > 50, "%v", counts)
+}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -90,6 +90,7 @@
 // attempt did not bring a proper answer, and the answer that may be passed on if there is no better one.
 func (jb *job) attemptPlain(ctx context.Context, sv roster.Server) (*kept, retry.Cause, string) {
 	rn := jb.runner
+	began := rn.clock.Now()
 	rn.mutex.Lock()
 	rn.balancer.Begin(sv)
 	rn.mutex.Unlock()
@@ -97,7 +98,8 @@
 	var load *balance.Load
 	defer func() {
 		rn.mutex.Lock()
-		rn.balancer.End(rn.clock.Now(), sv, result, load)
+		now := rn.clock.Now()
+		rn.balancer.End(now, sv, result, load, now.Sub(began))
 		rn.mutex.Unlock()
 	}()
 	ctx, span := rn.tracer.Start(ctx, "server.attempt", trace.WithAttributes(attribute.String("server", string(sv.ID))))
--- /dev/null
+++ b/experiment/services.go
@@ -0,0 +1,199 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/state/container"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+)
+
+// Trouble is what ails one server of a plain service.
+type Trouble int
+
+// Troubles.
+const (
+	// Sound servers work.
+	Sound Trouble = iota
+	// Failing servers answer half of their requests with an error.
+	Failing
+	// Hanging servers never answer half of their requests.
+	Hanging
+	// Slow servers take eight times as long.
+	Slow
+)
+
+// Services describes a plain service, its servers and the hosts before it.
+type Services struct {
+	Hosts   int
+	Servers int
+	// Slots is the number of requests that a server works on, Queue the number that wait there; more are turned away.
+	Slots int
+	Queue int
+	Work  time.Duration
+	// Rate is the number of requests a second, Length the time in which they come.
+	Rate   float64
+	Length time.Duration
+	Target time.Duration
+	// Timeout is when a client gives up.
+	Timeout time.Duration
+	Trouble Trouble
+	// Hold has hosts keep requests back while they take all servers to be full, instead of sending them on.
+	Hold bool
+}
+
+// ServicesResult is what became of the requests.
+type ServicesResult struct {
+	Asked  int
+	OnTime int
+	Failed int
+	// Troubled is the part of the requests that went to the server in trouble after the first second.
+	Troubled float64
+}
+
+type plainServer struct {
+	running int
+	waiting []func(time.Time)
+}
+
+// plainWorld runs servers and balancers on virtual time.
+type plainWorld struct {
+	Services
+	random    *rand.Rand
+	start     time.Time
+	events    *container.Heap[event]
+	ties      int
+	servers   []roster.Server
+	state     []*plainServer
+	balancers []*balance.Balancer
+	result    ServicesResult
+	counted   int
+	troubled  int
+}
+
+// RunServices replays requests for a plain service, one server of which is in trouble, with a seed.
+func RunServices(sc Services, seed uint64) ServicesResult {
+	wd := &plainWorld{Services: sc, random: rand.New(rand.NewPCG(seed, seed)), start: time.Unix(0, 0)}
+	wd.events = container.NewHeap(func(left, right event) bool {
+		return left.at.Before(right.at) || left.at.Equal(right.at) && left.tie < right.tie
+	})
+	for ix := range sc.Servers {
+		wd.servers = append(wd.servers, roster.Server{ID: id.BackendServer(fmt.Sprintf("server-%d", ix)), Slots: sc.Slots})
+		wd.state = append(wd.state, &plainServer{})
+	}
+	for ix := range sc.Hosts {
+		wd.balancers = append(wd.balancers, balance.New("", seed+uint64(ix)))
+	}
+	for at := time.Duration(0); at < sc.Length; at += time.Duration(wd.random.ExpFloat64() / sc.Rate * float64(time.Second)) {
+		came := wd.start.Add(at)
+		host := wd.random.IntN(sc.Hosts)
+		wd.result.Asked++
+		wd.when(came, func(now time.Time) { wd.send(now, came, host) })
+	}
+	for wd.events.Len() > 0 {
+		ev := wd.events.Pop()
+		ev.call(ev.at)
+	}
+	wd.result.Troubled = float64(wd.troubled) / float64(max(1, wd.counted))
+	return wd.result
+}
+
+func (wd *plainWorld) when(at time.Time, call func(time.Time)) {
+	wd.ties++
+	wd.events.Push(event{at: at, tie: wd.ties, call: call})
+}
+
+// send sends a request to the server that its host chooses, or keeps it back.
+func (wd *plainWorld) send(now, came time.Time, host int) {
+	if now.Sub(came) > wd.Timeout {
+		wd.result.Failed++
+		return
+	}
+	bl := wd.balancers[host]
+	sv, ok := bl.Choose(now, wd.servers, nil)
+	if !ok || wd.Hold && bl.Full(now, sv) {
+		const look = 5 * time.Millisecond
+		wd.when(now.Add(look), func(now time.Time) { wd.send(now, came, host) })
+		return
+	}
+	at := slices.IndexFunc(wd.servers, func(other roster.Server) bool { return other.ID == sv.ID })
+	if now.Sub(wd.start) > time.Second {
+		wd.counted++
+		if at == 0 {
+			wd.troubled++
+		}
+	}
+	bl.Begin(sv)
+	wd.when(now.Add(engineHop), func(now time.Time) { wd.arrive(now, came, host, at) })
+}
+
+// arrive has a server work on a request, queue it, or turn it away.
+func (wd *plainWorld) arrive(now, came time.Time, host, at int) {
+	st := wd.state[at]
+	sent := now
+	run := func(now time.Time) { wd.work(now, came, sent, host, at) }
+	switch {
+	case st.running < wd.Slots:
+		st.running++
+		run(now)
+	case len(st.waiting) < wd.Queue:
+		st.waiting = append(st.waiting, run)
+	default:
+		wd.answered(now, host, at, balance.Shed, 0)
+		wd.result.Failed++
+	}
+}
+
+func (wd *plainWorld) work(now, came, sent time.Time, host, at int) {
+	length := time.Duration(wd.random.ExpFloat64() * float64(wd.Work))
+	result := balance.Answered
+	if at == 0 {
+		const half, slower = 0.5, 8
+		ails := wd.random.Float64() < half
+		switch {
+		case wd.Trouble == Slow:
+			length *= slower
+		case wd.Trouble == Failing && ails:
+			result = balance.Erred
+		case wd.Trouble == Hanging && ails:
+			result = balance.Lost
+			length = max(0, wd.Timeout-now.Sub(came))
+		}
+	}
+	wd.when(now.Add(length), func(now time.Time) {
+		wd.answered(now, host, at, result, now.Sub(sent))
+		switch {
+		case result != balance.Answered:
+			wd.result.Failed++
+		case now.Add(engineHop).Sub(came) <= wd.Target:
+			wd.result.OnTime++
+		}
+		wd.next(now, at)
+	})
+}
+
+// next has a server work on what waits there.
+func (wd *plainWorld) next(now time.Time, at int) {
+	st := wd.state[at]
+	if len(st.waiting) == 0 {
+		st.running--
+		return
+	}
+	run := st.waiting[0]
+	st.waiting = st.waiting[1:]
+	run(now)
+}
+
+// answered tells a host how its request ended, with the server's load.
+func (wd *plainWorld) answered(now time.Time, host, at int, result balance.Result, took time.Duration) {
+	st := wd.state[at]
+	load := &balance.Load{Running: st.running, Waiting: len(st.waiting), Slots: wd.Slots}
+	if result == balance.Lost {
+		load = nil
+	}
+	wd.when(now.Add(engineHop), func(now time.Time) { wd.balancers[host].End(now, wd.servers[at], result, load, took) })
+}
--- a/protocol/operator/operator.go
+++ b/protocol/operator/operator.go
@@ -68,8 +68,12 @@
 	Revisions []ListRevision
 	Hosts     []Host
 	Shards    []Shard
-	Engines   []Engine
-	Started   time.Time
+	// Engines lists the backend servers, engines or not, with the memory of engines.
+	Engines []Engine
+	Started time.Time
+	// StoreAway says that the platform can't be reached, ListAge how long ago the list of backend servers was up to date.
+	StoreAway bool
+	ListAge   time.Duration
 }
 
 // ListRevision is the revision of a list.
--- a/site/addresses.go
+++ b/site/addresses.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"encoding/json"
-	"net/http"
 	"slices"
 
-	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
@@ -53,34 +50,3 @@
 	}
 	return hosts
 }
-
-// status describes the host for operators.
-func (ht *Host) status(wr http.ResponseWriter, _ *http.Request) {
-	ready, why := ht.Ready()
-	version := int64(-1)
-	if tb := ht.news.Table(); tb != nil {
-		version = int64(tb.Version())
-	}
-	servers, _ := ht.news.Servers()
-	body, err := json.MarshalIndent(struct {
-		Host            id.Host
-		Ready           bool
-		Reason          string
-		Version         int64
-		StoreAway       bool
-		ListAgeMillis   int64
-		BackendServers  int
-		Members         []membership.Member
-		Dispatchers     []broker.Status
-		RequestsRunning int64
-	}{
-		ht.self.Host, ready, why, version, ht.news.Away(), ht.news.Age().Milliseconds(), len(servers),
-		ht.gossip.Members(), ht.broker.Status(), ht.front.InFlight(),
-	}, "", "  ")
-	if err != nil {
-		http.Error(wr, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	wr.Header().Set("Content-Type", "application/json")
-	_, _ = wr.Write(append(body, '\n'))
-}
--- a/site/host.go
+++ b/site/host.go
@@ -42,6 +42,7 @@
 	logger   *slog.Logger
 	metrics  *telemetry.Metrics
 	self     membership.Member
+	started  time.Time
 
 	pool   *backend.Pool
 	store  *platform.Store
@@ -71,6 +72,7 @@
 		clock:      op.clock,
 		logger:     op.logger,
 		metrics:    telemetry.NewMetrics(),
+		started:    op.clock.Now(),
 		quarantine: quarantine.New(convictionTTL),
 	}
 	if err := ht.listen(); err != nil {
@@ -276,13 +278,6 @@
 	}
 }
 
-func (ht *Host) operatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", ht.metrics.Handler)
-	mux.HandleFunc("GET /status", ht.status)
-	return mux
-}
-
 func (ht *Host) memberChanged(member membership.Member) {
 	ht.boundConnections()
 	ht.runner.SetQuietRetries(ht.quietRetries(1 + len(ht.gossip.Members())))
--- a/site/world_test.go
+++ b/site/world_test.go
@@ -38,6 +38,8 @@
 	// capacity is the memory of an engine in tokens, shutdown the time that hosts have to stop.
 	capacity int
 	shutdown time.Duration
+	// options are those of hosts beside their settings.
+	options []site.Option
 }
 
 func newWorld(t *testing.T) *world {
@@ -108,7 +110,7 @@
 	st.Callers.KeepAddresses = time.Second
 	st.Operators.ShutdownTimeout = wd.shutdown
 	st.Retries = settings.Retries{Share: 1, Slack: 100, Window: 10 * time.Second}
-	ht, err := site.New(site.WithSettings(st), site.WithSeed(1))
+	ht, err := site.New(append([]site.Option{site.WithSettings(st), site.WithSeed(1)}, wd.options...)...)
 	assert.NilError(wd.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	hs := &host{settings: ht.Settings(), stop: cancel, ended: make(chan error, 1)}
