Logs: the dispatcher says what it decides, drops are reported with host and time, bounds are settings

Cause: a place was logged by the entry host alone, so that a refusal's inputs at the dispatcher (what waited, what ran, the age of its list) were in no log. The line on dropped lines had no time and no host, was skipped by explain, and was written only when another line came.

Lines "place given" and "place refused" carry the dispatcher's id of the request, which the entry host's "request ended" names too; explain follows it and says whose log is missing. Bounds are Logs.MaxBytesPerSecond and MaxPendingBytes.

--- a/command/command.go
+++ b/command/command.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -46,23 +47,42 @@
 		Use:           name,
 		Short:         short,
 		Long:          long,
+		Version:       Version + " " + build(),
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.CompletionOptions.DisableDefaultCmd = true
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return NewUsageError(err) })
 	root.AddCommand(&cobra.Command{
 		Use:   "version",
 		Short: "Print the version",
 		Args:  NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, err := fmt.Fprintln(cmd.OutOrStdout(), name, Version)
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), name, root.Version)
 			return err
 		},
 	})
 	return root
 }
 
+// build describes what the program was built from: the revision, if it is known, and the compiler.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "(unknown build)"
+	}
+	revision, changed := "unknown revision", ""
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			const short = 12
+			revision = "revision " + setting.Value[:min(short, len(setting.Value))]
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			changed = ", changed"
+		}
+	}
+	return fmt.Sprintf("(%s%s, %s)", revision, changed, info.GoVersion)
+}
+
 // NoArgs refuses arguments.
 func NoArgs(cmd *cobra.Command, args []string) error {
 	if err := cobra.NoArgs(cmd, args); err != nil {
--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -66,6 +67,8 @@
 	Engine(service id.Service) (route.Engine, bool)
 	// Engines returns the engines of a service.
 	Engines(service id.Service) []batch.EngineSpec
+	// Age returns the time since the list of engines was last known to be up to date.
+	Age() time.Duration
 }
 
 // Peers reaches the dispatchers on all hosts, the own one included.
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -158,7 +158,7 @@
 	var others []batch.Effect
 	for _, ef := range dp.machine.Step(now, batch.Submit{Request: ask.Request}) {
 		if ef.Request == ask.ID {
-			answer = sv.answerOf(ef)
+			answer = sv.answerOf(dp, ef)
 			continue
 		}
 		others = append(others, ef)
@@ -179,15 +179,21 @@
 	}
 }
 
-// answerOf turns an effect into an answer.
-func (sv *Server) answerOf(ef batch.Effect) Answer {
+// answerOf turns an effect into an answer and logs the decision with what is waiting and running beside it.
+func (sv *Server) answerOf(dp *dispatcher, ef batch.Effect) Answer {
 	switch ef.Kind {
 	case batch.Granted:
 		sv.metrics.Counter("grants").Inc(1)
 		grant := ef.Grant
+		sv.logger.Info("place given", "place", string(ef.Request), "service", string(dp.service), "attempt", string(grant.Attempt),
+			"engines", len(grant.Parts), "predicted_ms", grant.Start.Milliseconds(), "waiting", dp.machine.Waiting(),
+			"granted", dp.machine.Granted(), "list_age_ms", sv.fleet.Age().Milliseconds())
 		return Answer{Grant: &grant}
 	case batch.Refused:
 		oc := ef.Outcome
+		sv.logger.Info("place refused", "place", string(ef.Request), "service", string(dp.service), "reason", string(oc.Reason),
+			"detail", oc.Detail, "retry_after_ms", oc.RetryAfter.Milliseconds(), "waiting", dp.machine.Waiting(),
+			"granted", dp.machine.Granted(), "list_age_ms", sv.fleet.Age().Milliseconds())
 		sv.metrics.Tagged(map[string]string{"reason": string(oc.Reason)}).Counter("dispatch_refused").Inc(1)
 		return Answer{Refusal: &oc}
 	default:
@@ -198,7 +204,7 @@
 // apply gives the answers of a step to the hosts that wait for them.
 func (sv *Server) apply(dp *dispatcher, effects []batch.Effect) {
 	for _, ef := range effects {
-		answer := sv.answerOf(ef)
+		answer := sv.answerOf(dp, ef)
 		host, waits := dp.waiters[ef.Request]
 		if !waits {
 			continue
@@ -218,7 +224,7 @@
 	accepted, err := sv.peers.Give(ctx, host, rq, answer)
 	if err != nil {
 		sv.metrics.Counter("answers_not_given").Inc(1)
-		sv.logger.Warn("answer not given", "host", string(host), "request_id", string(rq), "error", err.Error())
+		sv.logger.Warn("answer not given", "host", string(host), "place", string(rq), "error", err.Error())
 	}
 	if answer.Grant != nil && (err != nil || !accepted) {
 		sv.Progress(Report{Ended: []Ended{{Service: service, Request: rq, Attempt: answer.Grant.Attempt}}})
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -139,6 +139,8 @@
 	Attempts int
 	Server   id.BackendServer
 	Helpers  int
+	// Place is the id under which the dispatcher knows the request, empty if it was not asked.
+	Place id.Request
 	// Queued is the time until the first place was given, FirstByte the time to the first part of the body.
 	Queued    time.Duration
 	FirstByte time.Duration
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -48,6 +48,7 @@
 		Service:     rq.Service,
 		Fingerprint: id.NewFingerprint(rq.Organisation, append([]byte(rq.Target+"\x00"), rq.Body...)),
 	}
+	st.result.Place = st.ask.ID
 	for {
 		st.ask.Number++
 		again := st.attempt(ctx)
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -69,6 +69,12 @@
 		{"Logs", "Level", "Debug, Info, Warn or Error", func(st *Settings, value string) bool {
 			return setChoice(&st.Logs.Level, value, "Debug", "Info", "Warn", "Error")
 		}},
+		{"Logs", "MaxBytesPerSecond", "a whole number from 4096 to 1073741824", func(st *Settings, value string) bool {
+			return setInt(&st.Logs.MaxBytesPerSecond, value, 4<<10, 1<<30)
+		}},
+		{"Logs", "MaxPendingBytes", "a whole number from 4096 to 1073741824", func(st *Settings, value string) bool {
+			return setInt(&st.Logs.MaxPendingBytes, value, 4<<10, 1<<30)
+		}},
 		{"Traces", "Export", "None, File or OTLP", func(st *Settings, value string) bool {
 			return setChoice(&st.Traces.Export, value, "None", "File", "OTLP")
 		}},
@@ -78,7 +84,6 @@
 		{"Retries", "Slack", "a whole number from 0 to 1000000", func(st *Settings, value string) bool {
 			return setInt(&st.Retries.Slack, value, 0, 1_000_000)
 		}},
-		{"Retries", "Window", allowedDuration, func(st *Settings, value string) bool { return setDuration(&st.Retries.Window, value) }},
 		{"Limits", "MemoryMegabytes", "a whole number from 0 to 1000000", func(st *Settings, value string) bool {
 			return setInt(&st.Limits.MemoryMegabytes, value, 0, 1_000_000)
 		}},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,10 +57,9 @@
 
 // Retries bounds what is sent to a second backend server, over all hosts together.
 type Retries struct {
-	// Share is the part of a service's requests that may be added as retries within Window, beside Slack.
-	Share  float64
-	Slack  int
-	Window time.Duration
+	// Share is the part of a service's requests that may be added as retries, beside Slack.
+	Share float64
+	Slack int
 }
 
 // Limits bounds what the process uses.
@@ -112,6 +111,10 @@
 	Format string
 	// Level is Debug, Info, Warn or Error.
 	Level string
+	// MaxBytesPerSecond bounds the lines of a second, MaxPendingBytes those that wait for a reader. What is beyond is
+	// dropped and counted.
+	MaxBytesPerSecond int
+	MaxPendingBytes   int
 }
 
 // Traces says where spans go.
@@ -144,11 +147,11 @@
 		},
 		Engines:   Engines{PrefillTokensPerSecond: 80_000, MaxStreams: 128, ShortShare: 0.1},
 		Claims:    Claims{Retention: 24 * time.Hour, Margin: 10 * time.Minute},
-		Logs:      Logs{Format: "Text", Level: "Info"},
+		Logs:      Logs{Format: "Text", Level: "Info", MaxBytesPerSecond: 512 << 10, MaxPendingBytes: 256 << 10},
 		Traces:    Traces{Export: "None"},
 		Operators: Operators{ShutdownTimeout: 10 * time.Minute},
 		Platform:  Platform{Kind: KindLog},
-		Retries:   Retries{Share: 0.1, Slack: 50, Window: 10 * time.Second},
+		Retries:   Retries{Share: 0.1, Slack: 50},
 	}
 }
 
--- a/telemetry/explain.go
+++ b/telemetry/explain.go
@@ -97,16 +97,17 @@
 	return sb.String()
 }
 
-// Explain returns the lines that tell of a request in the order of time: those that name it, those that name one of
-// its attempts, and what hosts noted in the meantime about the engines and servers that it was sent to.
+// Explain returns the lines that tell of a request in the order of time: those that name it, its attempts or its
+// place at the dispatcher, and what hosts noted in the meantime about the engines and servers that it was sent to.
 func Explain(lines []Line, request string) []Line {
-	attempts, servers := map[string]bool{}, map[string]bool{}
+	attempts, places, servers := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var first, last time.Time
 	for _, line := range lines {
 		if line.Text("request") != request {
 			continue
 		}
 		attempts[line.Text("attempt")] = true
+		places[line.Text("place")] = true
 		servers[cmp.Or(line.Text("engine"), line.Text("server"))] = true
 		if first.IsZero() || line.Time.Before(first) {
 			first = line.Time
@@ -116,16 +117,37 @@
 		}
 	}
 	delete(attempts, "")
+	delete(places, "")
 	delete(servers, "")
 	const before = 5 * time.Second
 	var found []Line
 	for _, line := range lines {
 		near := line.Time.After(first.Add(-before)) && !line.Time.After(last)
 		about := strings.HasPrefix(line.Message, "backend server") && servers[line.Text("server")]
-		if line.Text("request") == request || attempts[line.Text("attempt")] || near && about {
+		if line.Text("request") == request || attempts[line.Text("attempt")] || places[line.Text("place")] || near && about {
 			found = append(found, line)
 		}
 	}
 	slices.SortStableFunc(found, func(left, right Line) int { return left.Time.Compare(right.Time) })
 	return found
 }
+
+// Missing says which host's lines are missing from a request's way, empty if none are.
+func Missing(way []Line) string {
+	ended, asked, placed := false, false, false
+	for _, line := range way {
+		ended = ended || line.Message == "request ended"
+		asked = asked || line.Text("attempt") != "" || line.Text("place") != ""
+		placed = placed || line.Message == "place given" || line.Message == "place refused"
+	}
+	switch {
+	case len(way) == 0:
+		return "no line names the request: look for the log of the entry host that the client used"
+	case !ended:
+		return "no line ends the request: the log of its entry host is incomplete, or the host was lost"
+	case asked && !placed:
+		return "no line gives or refuses its place: look for the log of the dispatcher's host"
+	default:
+		return ""
+	}
+}
--- a/telemetry/explain_test.go
+++ b/telemetry/explain_test.go
@@ -17,6 +17,9 @@
 {"time":"2026-03-15T05:11:20.3Z","msg":"backend server listed","host":"host-a","server":"i-1"}
 {"time":"2026-03-15T05:11:53.2Z","msg":"memory not set aside","host":"host-b","attempt":"host-b.1.1/1","tokens":5}
 {"time":"2026-03-15T05:11:53.2Z","msg":"request ended","host":"host-b","request":"r2"}
+{"time":"2026-03-15T05:11:54.1Z","msg":"place refused","host":"host-c","place":"host-b.1.4","reason":"overloaded"}
+{"time":"2026-03-15T05:11:54.2Z","msg":"request ended","host":"host-b","request":"r4","place":"host-b.1.4","outcome":"not_run"}
+{"time":"2026-03-15T05:11:54.2Z","msg":"request ended","host":"host-b","request":"r5","place":"host-b.1.5","outcome":"not_run"}
 `
 
 // TestExplain finds a request's way in the order of time, with what happened to its engine meanwhile.
@@ -36,3 +39,16 @@
 	})
 	assert.Equal(t, len(telemetry.Explain(lines, "r3")), 0)
 }
+
+// TestExplainRefusal finds the dispatcher's reason on another host by the place, and says when its line is missing.
+func TestExplainRefusal(t *testing.T) {
+	lines, _, err := telemetry.ReadLines(strings.NewReader(logLines))
+	assert.NilError(t, err)
+	way := telemetry.Explain(lines, "r4")
+	assert.Equal(t, len(way), 2)
+	assert.Equal(t, way[0].Message, "place refused")
+	assert.Equal(t, telemetry.Missing(way), "")
+	assert.Assert(t, strings.Contains(telemetry.Missing(telemetry.Explain(lines, "r5")), "dispatcher"))
+	assert.Assert(t, strings.Contains(telemetry.Missing(telemetry.Explain(lines, "r1")), "dispatcher"))
+	assert.Assert(t, strings.Contains(telemetry.Missing(nil), "entry host"))
+}
--- a/telemetry/lines.go
+++ b/telemetry/lines.go
@@ -1,42 +1,48 @@
 package telemetry
 
 import (
-	"fmt"
 	"io"
+	"log/slog"
 	"sync"
 	"time"
 )
 
-const (
-	// maxPendingBytes bounds the log lines that wait to be written.
-	maxPendingBytes = 256 << 10
-	// maxBytesPerSecond bounds the log lines of a second.
-	maxBytesPerSecond = 512 << 10
-	// dropReportPeriod is the time between lines that say how many were dropped.
-	dropReportPeriod = time.Second
-)
+// dropReportPeriod is the time between lines that say how many were dropped.
+const dropReportPeriod = time.Second
+
+// Bounds limits the volume of log lines.
+type Bounds struct {
+	// PerSecond bounds the bytes of a second, Pending the bytes that wait to be written.
+	PerSecond int
+	Pending   int
+}
 
 // Lines writes log lines from a goroutine of its own, so that a reader that stops reading holds nobody up. Lines
-// beyond a bound are dropped and counted.
+// beyond the bounds are dropped and counted.
 type Lines struct {
-	out io.Writer
+	out    io.Writer
+	bounds Bounds
+	// drops writes the line that says how many were dropped.
+	drops *slog.Logger
 
 	mutex   sync.Mutex
 	pending []byte
 	spare   []byte
 	dropped int64
 	// second and written bound the bytes of a second.
-	second   time.Time
-	written  int
-	reported time.Time
-	wake     chan struct{}
-	closed   bool
-	done     chan struct{}
+	second    time.Time
+	written   int
+	reporting bool
+	wake      chan struct{}
+	closed    bool
+	done      chan struct{}
 }
 
-// NewLines returns a writer of lines. Each call of Write is one line.
-func NewLines(out io.Writer) *Lines {
-	ln := &Lines{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+// NewLines returns a writer of lines. Each call of Write is one line. The line that says how many were dropped has the
+// given format and attributes.
+func NewLines(out io.Writer, bounds Bounds, format string, attributes ...any) *Lines {
+	ln := &Lines{out: out, bounds: bounds, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	ln.drops = NewLogger(pendingWriter{ln}, format, slog.LevelInfo.String()).With(attributes...)
 	go ln.run()
 	return ln
 }
@@ -49,28 +55,57 @@
 	if now.Sub(ln.second) >= time.Second {
 		ln.second, ln.written = now, 0
 	}
-	if ln.closed || len(ln.pending)+len(line) > maxPendingBytes || ln.written+len(line) > maxBytesPerSecond {
+	if ln.closed || len(ln.pending)+len(line) > ln.bounds.Pending || ln.written+len(line) > ln.bounds.PerSecond {
 		ln.dropped++
+		ln.reportLater()
 		return len(line), nil
 	}
-	ln.report(now)
 	ln.written += len(line)
 	ln.pending = append(ln.pending, line...)
+	ln.wakeUp()
+	return len(line), nil
+}
+
+func (ln *Lines) wakeUp() {
 	select {
 	case ln.wake <- struct{}{}:
 	default:
 	}
-	return len(line), nil
 }
 
-// report says how many lines were dropped.
-func (ln *Lines) report(now time.Time) {
-	if ln.dropped == 0 || now.Sub(ln.reported) < dropReportPeriod {
+// reportLater has the number of dropped lines written in a while.
+func (ln *Lines) reportLater() {
+	if ln.reporting || ln.closed {
 		return
 	}
-	ln.reported = now
-	ln.pending = fmt.Appendf(ln.pending, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", ln.dropped)
-	ln.dropped = 0
+	ln.reporting = true
+	time.AfterFunc(dropReportPeriod, func() {
+		ln.mutex.Lock()
+		defer ln.mutex.Unlock()
+		ln.reporting = false
+		if ln.closed || len(ln.pending) > ln.bounds.Pending {
+			return
+		}
+		ln.report()
+		ln.wakeUp()
+	})
+}
+
+// report says how many lines were dropped.
+func (ln *Lines) report() {
+	if ln.dropped > 0 {
+		ln.drops.Warn("log lines dropped", "count", ln.dropped)
+		ln.dropped = 0
+	}
+}
+
+// pendingWriter adds to the lines that wait, beyond the bounds. The lock is held.
+type pendingWriter struct{ lines *Lines }
+
+// Write adds a line.
+func (pw pendingWriter) Write(line []byte) (int, error) {
+	pw.lines.pending = append(pw.lines.pending, line...)
+	return len(line), nil
 }
 
 func (ln *Lines) run() {
@@ -96,12 +131,10 @@
 func (ln *Lines) Close() {
 	const closeTimeout = 200 * time.Millisecond
 	ln.mutex.Lock()
+	ln.report()
 	ln.closed = true
 	ln.mutex.Unlock()
-	select {
-	case ln.wake <- struct{}{}:
-	default:
-	}
+	ln.wakeUp()
 	select {
 	case <-ln.done:
 	case <-time.After(closeTimeout):
