The root package's adapters stand in packages of their own

Streams of the platform's log and its list of hosts: transport/platform/streams; what the lists say of plans and demand: coordination/configuration. No behaviour changes; e2e passes.

--- a/news.go
+++ b/events.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
@@ -42,3 +44,25 @@
 	go ht.convictions.Add(context.Background(), fp, crashes)
 	ht.logger.Warn("request crashed an engine", "fingerprint", fp.String(), "crashes", crashes)
 }
+
+// placementCandidates are the first few hosts in hash order, so that few hosts read the stream of leases.
+type placementCandidates struct {
+	host *Host
+}
+
+func (pc placementCandidates) IsCandidate() bool {
+	const candidates = 3
+	ordered := id.Rendezvous("Placement", pc.host.gossip.LiveHosts())
+	return slices.Contains(ordered[:min(candidates, len(ordered))], pc.host.self.Host)
+}
+
+// hostCopies are the lists of hosts that other entry hosts know.
+type hostCopies struct {
+	host *Host
+}
+
+func (hc hostCopies) Others() []id.Host { return hc.host.gossip.Others() }
+
+func (hc hostCopies) Listing(ctx context.Context, host id.Host) (fleet.Listing, error) {
+	return hc.host.peers.Listing(ctx, host)
+}
--- a/host.go
+++ b/host.go
@@ -37,6 +37,7 @@
 	"github.com/hibiscuslever/hibiscuslever/transport/operator"
 	"github.com/hibiscuslever/hibiscuslever/transport/peer"
 	"github.com/hibiscuslever/hibiscuslever/transport/platform"
+	"github.com/hibiscuslever/hibiscuslever/transport/platform/streams"
 	"github.com/hibiscuslever/hibiscuslever/transport/service"
 )
 
@@ -166,19 +167,19 @@
 		Learned: ht.factLearned,
 		Behind:  ht.behind,
 	}, scope, seed)
-	ht.configuration = configuration.New(ht.configurationConfig(), ht.clock, configurationLog{ht.platform}, ht.peers, scope, ht.configurationChanged)
-	ht.fleet = fleet.NewView(ht.clock, hostList{ht}, scope, ht.hostsListed)
-	ht.relay = relay.New(ht.clock, claimsLog{ht.platform}, ht.zones, scope)
-	ht.quotaServer = quota.NewServer(ht.clock, plans{ht.configuration})
-	ht.quotaClient = quota.NewClient(ht.self.Host, ht.clock, ht.peers, plans{ht.configuration}, scope)
+	ht.configuration = configuration.New(ht.configurationConfig(), ht.clock, streams.NewConfiguration(ht.platform), ht.peers, scope, ht.configurationChanged)
+	ht.fleet = fleet.NewView(ht.clock, streams.NewHosts(ht.platform, hostCopies{ht}), scope, ht.hostsListed)
+	ht.relay = relay.New(ht.clock, streams.NewClaims(ht.platform), ht.zones, scope)
+	ht.quotaServer = quota.NewServer(ht.clock, ht.configuration)
+	ht.quotaClient = quota.NewClient(ht.self.Host, ht.clock, ht.peers, ht.configuration, scope)
 	ht.shardServer = shard.NewServer(ht.shardConfig(), ht.clock, ht.engines, ht.peers, ht.fleet, scope, seed, ht.crashCounted)
 	ht.shardClient = shard.NewClient(ht.self.Host, ht.self.Incarnation, ht.clock, ht.peers, ht.fleet, scope, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
 	tracer := ht.traces.Provider.Tracer("hibiscuslever")
 	ht.models = serve.NewRunner(serve.DefaultConfig(), ht.clock, ht.engines, ht.shardClient, ht.fleet, retry.New(retry.DefaultConfig(), seed), scope, tracer)
 	ht.plain = plain.NewRunner(ht.clock, ht.fleet, ht.services, ht.peers, retry.New(retry.DefaultConfig(), seed), scope, tracer, seed)
-	ht.convictions = conviction.New(ht.clock, convictionLog{ht.platform}, shard.DefaultServerConfig().QuarantineTTL, scope, ht.shardServer.Learn)
-	ht.placer = placer.New(placer.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, leaseLog{ht.platform}, ht.engines, ht.fleet, demand{ht.configuration}, placementCandidates{ht}, scope)
+	ht.convictions = conviction.New(ht.clock, streams.NewConvictions(ht.platform), shard.DefaultServerConfig().QuarantineTTL, scope, ht.shardServer.Learn)
+	ht.placer = placer.New(placer.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, streams.NewLeases(ht.platform), ht.engines, ht.fleet, ht.configuration, placementCandidates{ht}, scope)
 	ht.callers = caller.NewServer(ht.callerConfig(), caller.Parts{
 		Lists:     readiness{host: ht},
 		Models:    ht.models,
--- /dev/null
+++ b/transport/platform/streams/streams.go
@@ -0,0 +1,129 @@
+// Package streams adapts the streams of the platform's log, and its list of hosts, to the interfaces of those that
+// follow them.
+package streams
+
+import (
+	"context"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/claim"
+	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
+	"github.com/hibiscuslever/hibiscuslever/coordination/placer"
+	protocol "github.com/hibiscuslever/hibiscuslever/protocol/platform"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/transport/platform"
+)
+
+// Configuration is the configuration stream of the platform's log.
+type Configuration struct {
+	client *platform.Client
+}
+
+// NewConfiguration returns the stream of a platform.
+func NewConfiguration(client *platform.Client) Configuration { return Configuration{client: client} }
+
+// Append adds a record.
+func (lg Configuration) Append(ctx context.Context, body []byte) {
+	lg.client.Append(ctx, protocol.Configuration, body)
+}
+
+// Read returns the records from an offset on.
+func (lg Configuration) Read(ctx context.Context, from id.Offset) (configuration.Records, error) {
+	read, err := lg.client.Read(ctx, protocol.Configuration, from)
+	if err != nil {
+		return configuration.Records{}, err
+	}
+	records := configuration.Records{Start: read.Start, Next: read.Next}
+	for _, rec := range read.Records {
+		records.Records = append(records.Records, configuration.Record{Offset: rec.Offset, Body: rec.Body})
+	}
+	return records, nil
+}
+
+// Claims is the stream of claims of the platform's log.
+type Claims struct {
+	client *platform.Client
+}
+
+// NewClaims returns the stream of a platform.
+func NewClaims(client *platform.Client) Claims { return Claims{client: client} }
+
+// Append adds a record.
+func (lg Claims) Append(ctx context.Context, body []byte) claim.AppendResult {
+	_, result := lg.client.Append(ctx, protocol.Claims, body)
+	switch result {
+	case platform.Stored:
+		return claim.Stored
+	case platform.NotStored:
+		return claim.NotStored
+	default:
+		return claim.MaybeStored
+	}
+}
+
+// Read returns the records from an offset on.
+func (lg Claims) Read(ctx context.Context, from id.Offset) claim.ReadEnded {
+	read, err := lg.client.Read(ctx, protocol.Claims, from)
+	if err != nil {
+		return claim.ReadEnded{Failed: true}
+	}
+	ended := claim.ReadEnded{Start: read.Start, Next: read.Next}
+	for _, rec := range read.Records {
+		ended.Records = append(ended.Records, claim.LogRecord{Offset: rec.Offset, Body: rec.Body})
+	}
+	return ended
+}
+
+// Leases is the stream of leases of the platform's log.
+type Leases struct {
+	client *platform.Client
+}
+
+// NewLeases returns the stream of a platform.
+func NewLeases(client *platform.Client) Leases { return Leases{client: client} }
+
+// Append adds a record.
+func (lg Leases) Append(ctx context.Context, body []byte) {
+	lg.client.Append(ctx, protocol.Leases, body)
+}
+
+// Read returns the records from an offset on.
+func (lg Leases) Read(ctx context.Context, from id.Offset) ([]placer.LogRecord, id.Offset, error) {
+	read, err := lg.client.Read(ctx, protocol.Leases, from)
+	if err != nil {
+		return nil, id.NoOffset, err
+	}
+	var records []placer.LogRecord
+	for _, rec := range read.Records {
+		records = append(records, placer.LogRecord{Offset: rec.Offset, Body: rec.Body})
+	}
+	return records, read.Start, nil
+}
+
+// Convictions is the stream of convictions of the platform's log.
+type Convictions struct {
+	client *platform.Client
+}
+
+// NewConvictions returns the stream of a platform.
+func NewConvictions(client *platform.Client) Convictions { return Convictions{client: client} }
+
+// Append adds a record.
+func (lg Convictions) Append(ctx context.Context, body []byte) bool {
+	_, result := lg.client.Append(ctx, protocol.Quarantine, body)
+	return result == platform.Stored
+}
+
+// Read returns the records from an offset on.
+func (lg Convictions) Read(ctx context.Context, from id.Offset) ([][]byte, id.Offset, error) {
+	read, err := lg.client.Read(ctx, protocol.Quarantine, from)
+	if err != nil {
+		return nil, from, err
+	}
+	var bodies [][]byte
+	next := from
+	for _, rec := range read.Records {
+		bodies = append(bodies, rec.Body)
+		next = rec.Offset + 1
+	}
+	return bodies, next, nil
+}
