A slow server keeps all the time that is left when no other one can answer

Now the half is kept only if another server is listed, the route allows one more and the retry budget has one left. Test red first: forward.TestSlowServer (three of four cases).

--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -43,7 +44,7 @@
 		jb.result.Attempts++
 		answer, result, cause := jb.attemptPlain(ctx, sv)
 		rn.logger.Info("attempt ended", "request", jb.request.ID, "server", string(sv.ID), "address", sv.Address,
-			"attempt", jb.result.Attempts, "result", cause, "remaining_ms", jb.remaining().Milliseconds())
+			"number", jb.result.Attempts, "result", cause, "remaining_ms", jb.remaining().Milliseconds())
 		if result == 0 {
 			return
 		}
@@ -107,7 +108,7 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	remaining := jb.remaining()
-	if jb.request.Route.Repeatable() && jb.sent+1 < jb.request.Route.MaxAttempts {
+	if jb.mayTryAnother(sv, remaining) {
 		call, cancel = context.WithTimeout(ctx, time.Duration(rn.config.AttemptShare*float64(remaining)))
 		defer cancel()
 	}
@@ -144,6 +145,23 @@
 	return jb.takePlain(ctx, answer, &result)
 }
 
+// mayTryAnother reports whether the request can be sent to another server when this one is slow. If not, the server has
+// all the time that is left.
+func (jb *job) mayTryAnother(sv roster.Server, remaining time.Duration) bool {
+	rn := jb.runner
+	if !jb.request.Route.Repeatable() || jb.sent+1 >= jb.request.Route.MaxAttempts {
+		return false
+	}
+	other := slices.ContainsFunc(rn.fleet.Servers(jb.request.Service), func(other roster.Server) bool {
+		return other.ID != sv.ID && !other.Draining
+	})
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return other && rn.retries.Allows(retry.Failure{
+		Service: jb.request.Service, Cause: retry.Interrupted, Attempts: jb.sent + 1, Idempotent: true, Remaining: remaining,
+	})
+}
+
 // takePlain reads the answer and passes it on, unless it is worth another attempt. Streams are passed on as they come.
 func (jb *job) takePlain(ctx context.Context, answer Answer, result *balance.Result) (*kept, retry.Cause, string) {
 	if jb.request.Route.Kind == route.Streaming && answer.Status < http.StatusInternalServerError {
--- /dev/null
+++ b/coordination/forward/plain_test.go
@@ -0,0 +1,82 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// slowServers answers after a time, each server its own.
+type slowServers struct {
+	servers
+	after map[string]time.Duration
+}
+
+func (sv *slowServers) Send(ctx context.Context, at forward.Attempt) (forward.Answer, error) {
+	sv.sent = append(sv.sent, at.Address)
+	select {
+	case <-time.After(sv.after[at.Address]):
+		return forward.Answer{Status: http.StatusOK, Length: -1, Body: io.NopCloser(strings.NewReader("from " + at.Address))}, nil
+	case <-ctx.Done():
+		return forward.Answer{}, ctx.Err()
+	}
+}
+
+// TestSlowServer gives a slow server half of the time that is left when another one may answer, and all of it when there
+// is none, or when the budget allows no further attempt.
+func TestSlowServer(t *testing.T) {
+	const limit = 800 * time.Millisecond
+	one, two := roster.Server{ID: "one", Address: "one"}, roster.Server{ID: "two", Address: "two"}
+	leaving := two
+	leaving.Draining = true
+	for _, cs := range []struct {
+		name   string
+		listed []roster.Server
+		budget float64
+		want   string
+		sent   int
+	}{
+		{"another server", []roster.Server{one, two}, 10, "from two", 2},
+		{"no other server", []roster.Server{one}, 10, "from one", 1},
+		{"the other one is leaving", []roster.Server{one, leaving}, 10, "from one", 1},
+		{"no budget", []roster.Server{one, two}, 0, "from one", 1},
+	} {
+		t.Run(cs.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sv := &slowServers{after: map[string]time.Duration{"one": 600 * time.Millisecond, "two": 50 * time.Millisecond}}
+				config := retry.DefaultConfig()
+				config.MinBudget, config.BudgetShare = cs.budget, 0
+				balancer := balance.New("", 1)
+				// The first choice is the slow server.
+				balancer.End(time.Now(), two, balance.Erred, nil, time.Millisecond)
+				rn := forward.NewRunner(forward.DefaultConfig(), "host", 1, timer.NewSystem(), sv, &places{}, fleet{listed: cs.listed},
+					retry.New(config, 1), balancer, tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
+				out := &sink{}
+				now := time.Now()
+				rs := rn.Run(t.Context(), &forward.Request{
+					ID: "request", Service: "service", Arrived: now, Deadline: now.Add(limit),
+					Route: route.Route{Kind: route.Idempotent, MaxAttempts: 2},
+				}, out)
+				assert.Assert(t, rs.Whole, "%+v", rs)
+				assert.Equal(t, out.body.String(), cs.want)
+				assert.Equal(t, len(sv.sent), cs.sent)
+			})
+		})
+	}
+}
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -89,6 +89,13 @@
 	rn.retries.Resize(count)
 }
 
+// RetryBudgets returns the number of retries that this host may still make for each service.
+func (rn *Runner) RetryBudgets() map[id.Service]float64 {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.retries.Budgets()
+}
+
 // StopPlacing has requests that wait for a place refused: they have not run, and other hosts may serve them.
 func (rn *Runner) StopPlacing() { rn.stopPlacing() }
 
--- a/coordination/forward/stream_test.go
+++ b/coordination/forward/stream_test.go
@@ -56,9 +56,12 @@
 func (sv *servers) Release(context.Context, string, string) error { return nil }
 
 // fleet knows which servers are leaving.
-type fleet struct{ leaving map[id.BackendServer]bool }
+type fleet struct {
+	listed  []roster.Server
+	leaving map[id.BackendServer]bool
+}
 
-func (fl fleet) Servers(id.Service) []roster.Server   { return nil }
+func (fl fleet) Servers(id.Service) []roster.Server   { return fl.listed }
 func (fl fleet) Leaving(server id.BackendServer) bool { return fl.leaving[server] }
 func (fl fleet) Age() time.Duration                   { return 0 }
 func (fl fleet) Left(id.BackendServer)                {}
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -117,6 +118,9 @@
 	pl.budgets[service] = min(budget, 2*pl.config.MinBudget)
 }
 
+// Budgets returns the number of retries that are left for each service that had requests.
+func (pl *Policy) Budgets() map[id.Service]float64 { return maps.Clone(pl.budgets) }
+
 func (pl *Policy) budgetOf(service id.Service) float64 {
 	budget, ok := pl.budgets[service]
 	if !ok {
@@ -125,6 +129,12 @@
 	return budget
 }
 
+// Allows reports whether an attempt that failed now would be made again. It takes nothing from the budget.
+func (pl *Policy) Allows(fl Failure) bool {
+	ran := fl.Cause == Interrupted || fl.Cause == Crashed
+	return (!ran || fl.Idempotent) && fl.Attempts < pl.config.MaxAttempts && pl.budgetOf(fl.Service) >= 1
+}
+
 // Decide says whether a failed attempt is made again.
 // Only what did not run, or may run twice, is tried again. Preempted attempts cost no budget.
 func (pl *Policy) Decide(fl Failure) Verdict {
