--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -77,6 +77,8 @@
 	body   []byte
 	roster *roster.Roster
 	random *rand.Rand
+	// tableAt is when the desired state was put in force here.
+	tableAt time.Time
 	// heardAt is when the list was last known to be up to date, outageAt when that was so again after an outage.
 	heardAt  time.Time
 	outageAt time.Time
@@ -119,6 +121,13 @@
 	return fl.table != nil && fl.roster.Known()
 }
 
+// TableAge returns the time since the desired state was put in force here.
+func (fl *Follower) TableAge() time.Duration {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	return fl.clock.Now().Sub(fl.tableAt)
+}
+
 // Servers returns the servers that are listed and whether the list has been read.
 func (fl *Follower) Servers() ([]roster.Server, bool) {
 	fl.mutex.Lock()
@@ -207,6 +216,7 @@
 }
 
 func (fl *Follower) readTable(ctx context.Context, next id.Offset) (TableRead, error) {
+	fl.countCall("desired_state")
 	if next == id.NoOffset {
 		call, cancel := context.WithTimeout(ctx, fl.config.CallTimeout)
 		defer cancel()
@@ -217,6 +227,11 @@
 	return fl.store.AwaitTable(call, next, fl.config.TableWait)
 }
 
+// countCall counts a call to the store.
+func (fl *Follower) countCall(what string) {
+	fl.metrics.Tagged(map[string]string{"what": what}).Counter("store_calls").Inc(1)
+}
+
 func (fl *Follower) jitter(wait time.Duration) time.Duration {
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
@@ -271,6 +286,7 @@
 	}
 	fl.table = tb
 	fl.body = body
+	fl.tableAt = fl.clock.Now()
 	fl.mutex.Unlock()
 	fl.logger.Info("desired state in force", "version", int64(tb.Version()), "source", source, "routes", tb.Routes())
 	fl.changed()
--- a/coordination/news/servers.go
+++ b/coordination/news/servers.go
@@ -105,6 +105,7 @@
 }
 
 func (fl *Follower) fetchServers(ctx context.Context, from id.Offset) (ServersRead, error) {
+	fl.countCall("servers")
 	if from == id.NoOffset {
 		return fl.store.NewestServers(ctx)
 	}
--- a/examples_test.go
+++ b/examples_test.go
@@ -32,7 +32,7 @@
 
 // TestOperatingPage checks that the operators' page names every setting with its section.
 func TestOperatingPage(t *testing.T) {
-	page, err := os.ReadFile("docs/OPERATING.md")
+	page, err := os.ReadFile("docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	for _, key := range settings.Keys() {
 		assert.Assert(t, strings.Contains(string(page), "| "+key.Section+" | "+key.Name+" |"), "%s %s is not on the page", key.Section, key.Name)
--- a/site/discovery.go
+++ b/site/discovery.go
@@ -37,6 +37,7 @@
 func (ht *Host) announce(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
+	ht.countCall("announce")
 	if err := ht.store.Announce(call, ht.self.Host, ht.self.PeerAddress); err != nil {
 		ht.logger.Warn("host not announced", "error", err.Error())
 		return false
@@ -47,6 +48,7 @@
 func (ht *Host) lookForHosts(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
+	ht.countCall("hosts")
 	addresses, err := ht.store.Hosts(call)
 	if err != nil {
 		ht.logger.Warn("hosts not found", "error", err.Error())
@@ -57,3 +59,8 @@
 	}
 	ht.logger.Info("hosts looked for", "found", len(addresses))
 }
+
+// countCall counts a call to the store.
+func (ht *Host) countCall(what string) {
+	ht.metrics.Scope.Tagged(map[string]string{"what": what}).Counter("store_calls").Inc(1)
+}
--- a/site/host.go
+++ b/site/host.go
@@ -187,7 +187,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group run.Group
-	for _, part := range []func(context.Context) error{ht.news.Run, ht.broker.Run, ht.places.Run, ht.pool.Run, ht.join, ht.findHosts} {
+	for _, part := range []func(context.Context) error{ht.news.Run, ht.broker.Run, ht.places.Run, ht.pool.Run, ht.join, ht.findHosts, ht.updateGauges} {
 		partCtx, cancel := context.WithCancel(background)
 		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
 	}
--- a/site/status_test.go
+++ b/site/status_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -35,7 +36,30 @@
 	assert.Equal(t, len(status.Engines), 2)
 	assert.Equal(t, int(status.Engines[1].Capacity), wd.capacity)
 	assert.Equal(t, wd.status(base+"/readyz"), http.StatusOK)
-	assert.Equal(t, wd.status(base+"/metrics"), http.StatusOK)
+}
+
+// TestMetrics shows the gauges and counters of the operators' page in the usual text format.
+func TestMetrics(t *testing.T) {
+	wd := newWorld(t)
+	wd.server("book-1", "books")
+	wd.server("engine-1", "models")
+	wd.publish()
+	hs := wd.host("host-1", true)
+	assert.Equal(t, hs.chat("a1", 4000).status, http.StatusOK)
+	assert.Equal(t, hs.get("/read/x", "a2").status, http.StatusOK)
+	wd.eventually(func() bool {
+		text := wd.text("http://" + hs.settings.Host.OperatorAddress + "/metrics")
+		for _, want := range []string{
+			"hibiscuslever_desired_state_version 1", "hibiscuslever_list_age_seconds", "hibiscuslever_dispatch_waiting{service=\"models\"} 0",
+			"hibiscuslever_retry_budget{service=\"books\"}", "hibiscuslever_store_calls{what=\"servers\"}", "hibiscuslever_grants 1",
+			"hibiscuslever_first_byte_seconds_count{kind=\"streaming\",prompt=\"up_to_10k\"} 1",
+		} {
+			if !strings.Contains(text, want) {
+				return false
+			}
+		}
+		return true
+	})
 }
 
 // TestBlockedLog serves on while nobody reads the host's log.
--- a/site/world_test.go
+++ b/site/world_test.go
@@ -134,6 +134,17 @@
 	return rs.StatusCode
 }
 
+func (wd *world) text(url string) string {
+	rs, err := http.Get(url)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = rs.Body.Close() }()
+	read, err := io.ReadAll(rs.Body)
+	assert.NilError(wd.t, err)
+	return string(read)
+}
+
 func (wd *world) eventually(holds func() bool) {
 	wd.t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/telemetry/explain.go
+++ b/telemetry/explain.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -67,6 +68,9 @@
 	if !ok {
 		return ""
 	}
+	if number, ok := value.(float64); ok {
+		return strconv.FormatFloat(number, 'f', -1, 64)
+	}
 	return fmt.Sprint(value)
 }
 
@@ -121,9 +125,14 @@
 	delete(servers, "")
 	const before = 5 * time.Second
 	var found []Line
+	said := map[string]bool{}
 	for _, line := range lines {
 		near := line.Time.After(first.Add(-before)) && !line.Time.After(last)
 		about := strings.HasPrefix(line.Message, "backend server") && servers[line.Text("server")]
+		if what := line.Message + line.Text("server") + line.Text("offset"); about && near {
+			// Every host notes the same of a server: the first one to do so is enough.
+			about, said[what] = !said[what], true
+		}
 		if line.Text("request") == request || attempts[line.Text("attempt")] || places[line.Text("place")] || near && about {
 			found = append(found, line)
 		}
--- a/telemetry/explain_test.go
+++ b/telemetry/explain_test.go
@@ -17,6 +17,9 @@
 {"time":"2026-03-15T05:11:20.3Z","msg":"backend server listed","host":"host-a","server":"i-1"}
 {"time":"2026-03-15T05:11:53.2Z","msg":"memory not set aside","host":"host-b","attempt":"host-b.1.1/1","tokens":5}
 {"time":"2026-03-15T05:11:53.2Z","msg":"request ended","host":"host-b","request":"r2"}
+{"time":"2026-03-15T05:11:54.3Z","msg":"attempt ended","host":"host-b","request":"r6","server":"app-1","number":1,"result":"answered"}
+{"time":"2026-03-15T05:11:54.3Z","msg":"request ended","host":"host-b","request":"r6","server":"app-1","attempts":1,"outcome":"answered","place":""}
+{"time":"2026-03-15T05:11:54.4Z","msg":"attempt ended","host":"host-c","request":"r7","server":"app-1","number":1,"result":"answered"}
 {"time":"2026-03-15T05:11:54.1Z","msg":"place refused","host":"host-c","place":"host-b.1.4","reason":"overloaded"}
 {"time":"2026-03-15T05:11:54.2Z","msg":"request ended","host":"host-b","request":"r4","place":"host-b.1.4","outcome":"not_run"}
 {"time":"2026-03-15T05:11:54.2Z","msg":"request ended","host":"host-b","request":"r5","place":"host-b.1.5","outcome":"not_run"}
@@ -52,3 +55,12 @@
 	assert.Assert(t, strings.Contains(telemetry.Missing(telemetry.Explain(lines, "r1")), "dispatcher"))
 	assert.Assert(t, strings.Contains(telemetry.Missing(nil), "entry host"))
 }
+
+// TestExplainPlain finds the two lines of a plain service's request, not those of others at the same server.
+func TestExplainPlain(t *testing.T) {
+	lines, _, err := telemetry.ReadLines(strings.NewReader(logLines))
+	assert.NilError(t, err)
+	way := telemetry.Explain(lines, "r6")
+	assert.Equal(t, len(way), 2)
+	assert.Equal(t, telemetry.Missing(way), "")
+}
