--- a/coordination/news/follower_test.go
+++ b/coordination/news/follower_test.go
@@ -151,6 +151,19 @@
 	return nw
 }
 
+// run runs all followers until the returned function is called.
+func (nw *network) run(t *testing.T) func() {
+	ctx, cancel := context.WithCancel(t.Context())
+	for _, fl := range nw.followers {
+		go func() { _ = fl.Run(ctx) }()
+	}
+	return func() {
+		cancel()
+		// Long reads of the store end.
+		time.Sleep(time.Minute)
+	}
+}
+
 func (nw *network) changed(name id.Host) {
 	servers, _ := nw.followers[name].Servers()
 	nw.mutex.Lock()
@@ -191,11 +204,7 @@
 		st := &store{refuse: map[id.Host]bool{}}
 		st.list("server-1", "ready")
 		nw := newNetwork(st, "a", "b", "c", "d", "e")
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		for _, fl := range nw.followers {
-			go func() { _ = fl.Run(ctx) }()
-		}
+		defer nw.run(t)()
 		time.Sleep(2 * time.Second)
 		st.turnAway(true, id.Rendezvous("ServerList", nw.hosts)[:2]...)
 		time.Sleep(3 * time.Second)
@@ -203,8 +212,6 @@
 		st.drop("server-1")
 		time.Sleep(1500 * time.Millisecond)
 		assert.Equal(t, nw.listed("server-1"), 0)
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
 
@@ -217,11 +224,7 @@
 			st.list("server-1", "ready")
 			st.list("server-2", "ready")
 			nw := newNetwork(st, "a", "b", "c", "d", "e")
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			for _, fl := range nw.followers {
-				go func() { _ = fl.Run(ctx) }()
-			}
+			defer nw.run(t)()
 			time.Sleep(5 * time.Second)
 			st.turnAway(true, nw.hosts...)
 			time.Sleep(outage)
@@ -234,8 +237,6 @@
 			time.Sleep(3 * time.Second)
 			assert.Equal(t, nw.listed("server-1"), 0)
 			assert.Equal(t, nw.listed("server-2"), len(nw.hosts))
-			cancel()
-			time.Sleep(time.Minute)
 		})
 	}
 }
@@ -247,11 +248,7 @@
 		st := &store{refuse: map[id.Host]bool{}}
 		st.list("server-1", "ready")
 		nw := newNetwork(st, "a", "b", "c", "d", "e")
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		for _, fl := range nw.followers {
-			go func() { _ = fl.Run(ctx) }()
-		}
+		defer nw.run(t)()
 		time.Sleep(2 * time.Second)
 		before := st.reads
 		const watched = 10
@@ -266,7 +263,5 @@
 			time.Sleep(2 * time.Second)
 			assert.Equal(t, nw.draining(name), len(nw.hosts), "%d hosts turned away", turned+1)
 		}
-		cancel()
-		time.Sleep(time.Minute)
 	})
 }
