What an old list says of an engine is no word on it for others

Cause, by reading: an entry host that does not send to an engine that it knows to be leaving told the dispatcher that the engine is gone, which holds until the next change of the list. A host that has heard nothing for a while may hold an engine for gone that is listed again, and would take it out of use for all.

Test: forward.TestLeavingEngines, second case red before.

--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -156,8 +156,8 @@
 func (st *streaming) run(ctx context.Context, grant batch.Grant) (broker.Ended, cause) {
 	rn := st.runner
 	first := grant.Parts[0]
-	if gone := rn.leaving(grant); gone != "" {
-		return broker.Ended{Failed: gone, Fault: batch.Gone}, cause{text: "an engine of the grant is leaving", retry: retry.NotSent}
+	if gone, fault := rn.leaving(grant); gone != "" {
+		return broker.Ended{Failed: gone, Fault: fault}, cause{text: "an engine of the grant is leaving", retry: retry.NotSent}
 	}
 	ctx, span := rn.tracer.Start(ctx, "engine.attempt", trace.WithAttributes(
 		attribute.String("attempt", string(grant.Attempt)), attribute.String("engine", string(first.Engine))))
@@ -200,16 +200,24 @@
 }
 
 // leaving returns an engine of a grant that this host knows to be leaving, empty if there is none: the dispatcher may
-// have heard less of the list.
-func (rn *Runner) leaving(grant batch.Grant) id.Engine {
+// have heard less of the list. What an old list says is no word on the engine for others: it may be listed again.
+func (rn *Runner) leaving(grant batch.Grant) (id.Engine, batch.Fault) {
 	for _, part := range grant.Parts {
-		if rn.fleet.Leaving(id.BackendServer(part.Engine)) {
-			return part.Engine
+		if !rn.fleet.Leaving(id.BackendServer(part.Engine)) {
+			continue
 		}
+		if rn.fleet.Age() > freshList {
+			return part.Engine, batch.Full
+		}
+		return part.Engine, batch.Gone
 	}
-	return ""
+	return "", batch.NoFault
 }
 
+// freshList is the age up to which the own list tells others that an engine has gone: twice the period in which it is
+// read.
+const freshList = time.Second
+
 // errSilent ends an attempt whose engine does not answer.
 var errSilent = errors.New("the engine is silent")
 
--- a/coordination/forward/stream_test.go
+++ b/coordination/forward/stream_test.go
@@ -59,11 +59,12 @@
 type fleet struct {
 	listed  []roster.Server
 	leaving map[id.BackendServer]bool
+	age     time.Duration
 }
 
 func (fl fleet) Servers(id.Service) []roster.Server   { return fl.listed }
 func (fl fleet) Leaving(server id.BackendServer) bool { return fl.leaving[server] }
-func (fl fleet) Age() time.Duration                   { return 0 }
+func (fl fleet) Age() time.Duration                   { return fl.age }
 func (fl fleet) Left(id.BackendServer)                {}
 
 type sink struct{ body strings.Builder }
@@ -83,24 +84,31 @@
 }
 
 // TestLeavingEngines sends nothing to engines of a grant that the entry host knows to be leaving, also when one of them
-// would only help: the dispatcher hears of them and gives another place.
+// would only help: the dispatcher hears of them and gives another place. A host with an old list says only that the
+// engine did not serve it now.
 func TestLeavingEngines(t *testing.T) {
-	pl := &places{grants: []batch.Grant{grantOn("1", "gone"), grantOn("2", "here", "gone"), grantOn("3", "here", "unknown")}}
-	sv := &servers{}
-	rn := forward.NewRunner(forward.DefaultConfig(), "host", 1, timer.NewSystem(), sv, pl, fleet{leaving: map[id.BackendServer]bool{"gone": true}},
-		retry.New(retry.DefaultConfig(), 1), balance.New("zone", 1), tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
-	out := &sink{}
-	now := time.Now()
-	rs := rn.Run(t.Context(), &forward.Request{
-		ID: "request", Service: "service", Prompt: 1000, Answer: 50, Arrived: now, Deadline: now.Add(10 * time.Second),
-		Route: route.Route{Kind: route.Streaming, Prompt: true, MaxAttempts: 1},
-	}, out)
-	assert.Assert(t, rs.Whole, "%+v", rs)
-	assert.Equal(t, out.body.String(), "id: 1\ndata: a\n\n")
-	assert.DeepEqual(t, sv.sent, []string{"here:80"})
-	assert.Equal(t, len(pl.ended), 3)
-	for _, ended := range pl.ended[:2] {
-		assert.Equal(t, ended.Failed, id.Engine("gone"))
-		assert.Equal(t, ended.Fault, batch.Gone)
+	for _, cs := range []struct {
+		age   time.Duration
+		fault batch.Fault
+	}{{0, batch.Gone}, {5 * time.Second, batch.Full}} {
+		pl := &places{grants: []batch.Grant{grantOn("1", "gone"), grantOn("2", "here", "gone"), grantOn("3", "here", "unknown")}}
+		sv := &servers{}
+		known := fleet{leaving: map[id.BackendServer]bool{"gone": true}, age: cs.age}
+		rn := forward.NewRunner(forward.DefaultConfig(), "host", 1, timer.NewSystem(), sv, pl, known,
+			retry.New(retry.DefaultConfig(), 1), balance.New("zone", 1), tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
+		out := &sink{}
+		now := time.Now()
+		rs := rn.Run(t.Context(), &forward.Request{
+			ID: "request", Service: "service", Prompt: 1000, Answer: 50, Arrived: now, Deadline: now.Add(10 * time.Second),
+			Route: route.Route{Kind: route.Streaming, Prompt: true, MaxAttempts: 1},
+		}, out)
+		assert.Assert(t, rs.Whole, "%+v", rs)
+		assert.Equal(t, out.body.String(), "id: 1\ndata: a\n\n")
+		assert.DeepEqual(t, sv.sent, []string{"here:80"})
+		assert.Equal(t, len(pl.ended), 3)
+		for _, ended := range pl.ended[:2] {
+			assert.Equal(t, ended.Failed, id.Engine("gone"))
+			assert.Equal(t, ended.Fault, cs.fault)
+		}
 	}
 }
--- a/experiment/recorded.go
+++ b/experiment/recorded.go
@@ -175,13 +175,9 @@
 			en.end(at, false)
 		}
 	}
-	return slices.SortedFunc(maps.Values(unpointed(engines)), func(left, right presence) int { return cmp.Compare(left.name, right.name) })
-}
-
-func unpointed(engines map[string]*presence) map[string]presence {
-	all := map[string]presence{}
-	for name, en := range engines {
-		all[name] = *en
+	var all []presence
+	for _, name := range slices.Sorted(maps.Keys(engines)) {
+		all = append(all, *engines[name])
 	}
 	return all
 }
