--- /dev/null
+++ b/coordination/membership/probe.go
@@ -0,0 +1,157 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// probe sends a message to a member. A member that is not alive as far as is known is told so, to refute it.
+func (mc *Machine) probe(target Member) {
+	msg := mc.message("")
+	if target.Status == Suspect || target.Status == Dead {
+		msg.Updates = append(msg.Updates, target)
+	}
+	mc.effects = append(mc.effects, Effect{Kind: Probe, Target: target, Message: msg})
+}
+
+// reviveDue probes a dead member now and then, so that hosts that were cut off find each other again.
+func (mc *Machine) reviveDue(now time.Time) {
+	if now.Sub(mc.revivedAt) < mc.config.RevivePeriod {
+		return
+	}
+	mc.revivedAt = now
+	var dead []Member
+	for _, mb := range mc.Members() {
+		if mb.Status == Dead {
+			dead = append(dead, mb)
+		}
+	}
+	if len(dead) > 0 {
+		mc.probe(dead[mc.random.IntN(len(dead))])
+	}
+}
+
+// expire declares suspects dead and forgets old members.
+func (mc *Machine) expire(now time.Time) {
+	var due []id.Host
+	for host, pr := range mc.members {
+		if wait, expires := mc.lifetime(pr.Status); expires && now.Sub(pr.since) >= wait {
+			due = append(due, host)
+		}
+	}
+	slices.Sort(due)
+	for _, host := range due {
+		if mb := mc.members[host].Member; mb.Status == Suspect {
+			mb.Status = Dead
+			mc.declare(now, mb)
+			continue
+		}
+		delete(mc.members, host)
+		mc.updates.remove(host)
+	}
+}
+
+// lifetime returns how long a member keeps a status, and false if it keeps it until there is news.
+func (mc *Machine) lifetime(status Status) (time.Duration, bool) {
+	switch status {
+	case Suspect:
+		return mc.config.SuspectTimeout, true
+	case Dead:
+		return mc.config.ForgetAfter, true
+	default:
+		return 0, false
+	}
+}
+
+// nextTarget returns the next member to probe. Every member that is not dead is probed once a round.
+func (mc *Machine) nextTarget() (Member, bool) {
+	for range len(mc.order) + 1 {
+		if mc.position >= len(mc.order) {
+			mc.shuffle()
+		}
+		if len(mc.order) == 0 {
+			return Member{}, false
+		}
+		host := mc.order[mc.position]
+		mc.position++
+		if pr, ok := mc.members[host]; ok && pr.Status != Dead {
+			return pr.Member, true
+		}
+	}
+	return Member{}, false
+}
+
+func (mc *Machine) shuffle() {
+	mc.order = mc.order[:0]
+	for _, mb := range mc.Members() {
+		if mb.Status != Dead {
+			mc.order = append(mc.order, mb.Host)
+		}
+	}
+	mc.random.Shuffle(len(mc.order), func(left, right int) {
+		mc.order[left], mc.order[right] = mc.order[right], mc.order[left]
+	})
+	mc.position = 0
+}
+
+func (mc *Machine) probeEnded(now time.Time, ev ProbeEnded) {
+	mc.merge(now, ev.Answer)
+	pr, known := mc.members[ev.Target]
+	if ev.Reached {
+		if known {
+			pr.helpers = 0
+		}
+		return
+	}
+	if known && ev.Via != "" {
+		mc.helperFailed(now, pr)
+		return
+	}
+	if !known || pr.Status == Dead || pr.Status == Suspect || pr.helpers > 0 {
+		return
+	}
+	helpers := mc.helpers(ev.Target)
+	pr.helpers = len(helpers)
+	if len(helpers) == 0 {
+		mc.suspect(now, ev.Target)
+	}
+	for _, helper := range helpers {
+		mc.effects = append(mc.effects, Effect{Kind: Probe, Target: pr.Member, Via: helper, Message: mc.message(ev.Target)})
+	}
+}
+
+// helperFailed counts an indirect probe that did not reach a member, whatever the member's status is by now.
+// Indirect probes that end after the member has answered count for nothing.
+func (mc *Machine) helperFailed(now time.Time, pr *peer) {
+	if pr.helpers == 0 {
+		return
+	}
+	pr.helpers--
+	if pr.helpers == 0 {
+		mc.suspect(now, pr.Host)
+	}
+}
+
+// helpers returns random live members that are asked to probe a target.
+func (mc *Machine) helpers(target id.Host) []Member {
+	var helpers []Member
+	for _, mb := range mc.Members() {
+		if mb.Host != target && mb.Status == Alive {
+			helpers = append(helpers, mb)
+		}
+	}
+	mc.random.Shuffle(len(helpers), func(left, right int) { helpers[left], helpers[right] = helpers[right], helpers[left] })
+	return helpers[:min(len(helpers), mc.config.Indirect)]
+}
+
+func (mc *Machine) suspect(now time.Time, host id.Host) {
+	pr, known := mc.members[host]
+	if !known || pr.Status == Dead || pr.Status == Suspect {
+		return
+	}
+	suspected := pr.Member
+	suspected.Status = Suspect
+	mc.declare(now, suspected)
+}
