--- a/experiment/replay_test.go
+++ b/experiment/replay_test.go
@@ -64,6 +64,23 @@
 	assert.Assert(t, worth["default"] > worth["full-reads"], "%v", worth)
 }
 
+// TestOrderCounts compares the order for half of the engines with that for all of them, in a burst and in a flood.
+func TestOrderCounts(t *testing.T) {
+	for _, name := range []string{"burst.ini", "flood.ini"} {
+		pt := read(t, name)
+		worth := map[string]float64{}
+		for _, pl := range experiment.Policies() {
+			if pl.Name != "all-plan" && pl.Name != "default" {
+				continue
+			}
+			for seed := range uint64(seeds) {
+				worth[pl.Name] += experiment.Run(pt, pl.Config, seed).Worth / seeds
+			}
+		}
+		assert.Assert(t, worth["default"] > worth["all-plan"], "%s: %v", name, worth)
+	}
+}
+
 // TestRunsRepeat gives the same figures for the same seed.
 func TestRunsRepeat(t *testing.T) {
 	pt := read(t, "crest.ini")
