--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -223,7 +223,8 @@
 	}
 }
 
-// Full reports whether a server has no free slot, by the requests of this host and by the server's own word.
+// Full reports whether a server has no free slot, by the requests of this host and by the server's own word. Hosts send
+// on all the same; docs/design/plain-services.md compares that with waiting.
 func (bl *Balancer) Full(now time.Time, sv roster.Server) bool {
 	st := bl.stateOf(sv)
 	ahead := st.open
