Hosts of the users' platform answer operators by the server that the product has

site wrote health, readiness, status and metrics again beside transport/operator. The lists, which the platform keeps, are served only where ServeLists names them. The server's field for the metrics' handler was read by nothing. Same paths and statuses (site.TestStatus, TestMetrics; e2e for the lists).

--- a/host.go
+++ b/host.go
@@ -293,8 +293,10 @@
 		ReadHeaderTimeout: ht.settings.Callers.ReadHeaderTimeout,
 		Protocols:         protocols,
 	}
+	forOperators := operator.NewServer(ht, ht.metrics.Handler)
+	forOperators.ServeLists(ht.configuration)
 	operators := &http.Server{
-		Handler:           operator.NewServer(ht.configuration, ht, ht.metrics.Handler).Handler(),
+		Handler:           forOperators.Handler(),
 		ReadHeaderTimeout: ht.settings.Callers.ReadHeaderTimeout,
 	}
 	return []*http.Server{callers, peers, operators}
--- a/site/host.go
+++ b/site/host.go
@@ -32,6 +32,7 @@
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/backend"
+	"github.com/hibiscuslever/hibiscuslever/transport/operator"
 	"github.com/hibiscuslever/hibiscuslever/transport/peer"
 )
 
@@ -263,7 +264,7 @@
 	front := ht.newServer(ht.front)
 	front.MaxHeaderBytes = ht.settings.Callers.MaxHeaderBytes
 	peers := ht.newServer(peer.NewServer(ht.local(), ht.clock).Handler(ht.handlerOptions...))
-	operators := ht.newServer(ht.operatorHandler())
+	operators := ht.newServer(operator.NewServer(ht, ht.metrics.Handler).Handler())
 	ready := ht.newServer(platform.NewReady(ht, ht.logger))
 	directory := ht.newServer(platform.NewDirectory(ht))
 	return []*http.Server{front, peers, operators, ready, directory}
--- a/site/status.go
+++ b/site/status.go
@@ -1,9 +1,6 @@
 package site
 
 import (
-	"encoding/json"
-	"net/http"
-
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/protocol/operator"
@@ -13,29 +10,6 @@
 // desiredState names the platform's desired state where operators see revisions of lists.
 const desiredState = "DesiredState"
 
-// operatorHandler serves the operators' client: status and metrics. The lists are edited on the platform.
-func (ht *Host) operatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET "+operator.MetricsPath, ht.metrics.Handler)
-	mux.HandleFunc("GET "+operator.HealthPath, func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("GET "+operator.ReadyPath, ht.serveReady)
-	mux.HandleFunc("GET "+operator.StatusPath, ht.serveStatus)
-	return mux
-}
-
-func (ht *Host) serveReady(wr http.ResponseWriter, _ *http.Request) {
-	if ready, why := ht.Ready(); !ready {
-		http.Error(wr, why, http.StatusServiceUnavailable)
-	}
-}
-
-func (ht *Host) serveStatus(wr http.ResponseWriter, _ *http.Request) {
-	wr.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(wr).Encode(ht.Status()); err != nil {
-		ht.logger.Warn("status not sent", "error", err.Error())
-	}
-}
-
 // Status returns what the host knows of the fleet.
 func (ht *Host) Status() operator.Status {
 	status := operator.Status{
--- a/transport/operator/server.go
+++ b/transport/operator/server.go
@@ -38,24 +38,28 @@
 
 // Server answers operators.
 type Server struct {
-	lists   Lists
-	status  Status
-	metrics http.Handler
-	echo    *echo.Echo
+	lists  Lists
+	status Status
+	echo   *echo.Echo
 }
 
-// NewServer returns a server. The handler shows the metrics.
-func NewServer(ls Lists, status Status, metrics http.Handler) *Server {
-	sv := &Server{lists: ls, status: status, metrics: metrics, echo: echo.New()}
+// NewServer returns a server that shows the host and its metrics.
+func NewServer(status Status, metrics http.Handler) *Server {
+	sv := &Server{status: status, echo: echo.New()}
 	sv.echo.HideBanner = true
 	sv.echo.GET(operator.HealthPath, func(ec echo.Context) error { return ec.String(http.StatusOK, "ok\n") })
 	sv.echo.GET(operator.ReadyPath, sv.ready)
 	sv.echo.GET(operator.MetricsPath, echo.WrapHandler(metrics))
 	sv.echo.GET(operator.StatusPath, func(ec echo.Context) error { return ec.JSON(http.StatusOK, status.Status()) })
+	return sv
+}
+
+// ServeLists lets operators show and publish the two lists, too.
+func (sv *Server) ServeLists(ls Lists) {
+	sv.lists = ls
 	sv.echo.GET(operator.HistoryPath, sv.history)
 	sv.echo.GET(operator.ListsPath+":list", sv.show)
 	sv.echo.POST(operator.ListsPath+":list", sv.publish)
-	return sv
 }
 
 // Handler returns the HTTP interface.
