Both hosts run their parts by one run group

The root package's host and that of the users' platform built the same group of parts, servers and shutdown; it stands in lifecycle now.

--- a/host.go
+++ b/host.go
@@ -13,7 +13,6 @@
 	"connectrpc.com/connect"
 	"connectrpc.com/otelconnect"
 	"github.com/go-faster/errors"
-	"github.com/oklog/run"
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
@@ -28,6 +27,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/coordination/serve"
 	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
+	"github.com/hibiscuslever/hibiscuslever/lifecycle"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
@@ -232,42 +232,24 @@
 
 // Run serves until the context ends, then shuts down gracefully.
 func (ht *Host) Run(ctx context.Context) error {
-	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	var group run.Group
-	for _, part := range []func(context.Context) error{
-		ht.gossip.Run,
-		ht.configuration.Run,
-		ht.fleet.Run,
-		ht.relay.Run,
-		ht.quotaClient.Run,
-		ht.shardServer.Run,
-		ht.shardClient.Run,
-		ht.placer.Run,
-		ht.convictions.Run,
-	} {
-		partCtx, cancel := context.WithCancel(background)
-		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
-	}
-	for ix, server := range ht.servers() {
-		listener := ht.listeners[ix]
-		group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
-	}
-	shutdown, cancel := context.WithCancel(background)
-	group.Add(func() error {
-		select {
-		case <-ctx.Done():
-			ht.shutDown(shutdown)
-		case <-shutdown.Done():
-		}
-		return nil
-	}, func(error) { cancel() })
 	ht.logger.Info("host started", "zone", ht.self.AvailabilityZone, "callers", ht.self.CallerAddress)
-	err := group.Run()
+	err := lifecycle.Host{
+		Parts: []func(context.Context) error{
+			ht.gossip.Run,
+			ht.configuration.Run,
+			ht.fleet.Run,
+			ht.relay.Run,
+			ht.quotaClient.Run,
+			ht.shardServer.Run,
+			ht.shardClient.Run,
+			ht.placer.Run,
+			ht.convictions.Run,
+		},
+		Servers:   ht.servers(),
+		Listeners: ht.listeners,
+		ShutDown:  ht.shutDown,
+	}.Run(ctx)
 	ht.close()
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
 	return err
 }
 
--- a/site/host.go
+++ b/site/host.go
@@ -14,7 +14,6 @@
 	"connectrpc.com/connect"
 	"connectrpc.com/otelconnect"
 	"github.com/go-faster/errors"
-	"github.com/oklog/run"
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
@@ -25,6 +24,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/news"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/lifecycle"
 	"github.com/hibiscuslever/hibiscuslever/platform"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -185,34 +185,16 @@
 		const usedShare = 0.7
 		debug.SetMemoryLimit(int64(usedShare * float64(megabytes) * (1 << 20)))
 	}
-	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	var group run.Group
-	for _, part := range []func(context.Context) error{ht.news.Run, ht.broker.Run, ht.places.Run, ht.pool.Run, ht.join, ht.findHosts, ht.updateGauges} {
-		partCtx, cancel := context.WithCancel(background)
-		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
-	}
-	for ix, server := range ht.servers() {
-		listener := ht.listeners[ix]
-		group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
-	}
-	shutdown, cancel := context.WithCancel(background)
-	group.Add(func() error {
-		select {
-		case <-ctx.Done():
-			ht.shutDown(shutdown)
-		case <-shutdown.Done():
-		}
-		return nil
-	}, func(error) { cancel() })
 	ht.logger.Info("host started", "zone", string(ht.self.AvailabilityZone), "clients", ht.self.CallerAddress, "peers", ht.self.PeerAddress,
 		"incarnation", int64(ht.self.Incarnation), "seeds", ht.settings.Peers.Seeds)
-	err := group.Run()
+	err := lifecycle.Host{
+		Parts:     []func(context.Context) error{ht.news.Run, ht.broker.Run, ht.places.Run, ht.pool.Run, ht.join, ht.findHosts, ht.updateGauges},
+		Servers:   ht.servers(),
+		Listeners: ht.listeners,
+		ShutDown:  ht.shutDown,
+	}.Run(ctx)
 	ht.peers.Close()
 	_ = ht.metrics.Close()
-	if errors.Is(err, http.ErrServerClosed) {
-		err = nil
-	}
 	ht.logger.Info("host stopped")
 	return err
 }
