Whether another server can answer is asked of what chooses servers

mayTryAnother looked for other servers beside the balancer and took one for another that had been tried already or had said that it is gone: the slow server was given half of the time, and no one was left. The check now is the balancer's own.

Test red first: forward.TestSlowServer, "the other one was tried". All other cases as before.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -146,11 +146,10 @@
 	var bestCost float64
 	found := false
 	for _, sv := range servers {
-		st := bl.stateOf(sv)
-		if sv.Draining || st.gone || slices.Contains(avoid, sv.ID) {
+		if !bl.takes(sv, avoid) {
 			continue
 		}
-		cost := bl.cost(now, sv, st, fastest)
+		cost := bl.cost(now, sv, bl.stateOf(sv), fastest)
 		if !found || cost < bestCost {
 			best, bestCost, found = sv, cost, true
 		}
@@ -158,6 +157,16 @@
 	return best, found
 }
 
+// Any reports whether there is a server that Choose could return.
+func (bl *Balancer) Any(servers []roster.Server, avoid []id.BackendServer) bool {
+	return slices.ContainsFunc(servers, func(sv roster.Server) bool { return bl.takes(sv, avoid) })
+}
+
+// takes reports whether a server may get a request.
+func (bl *Balancer) takes(sv roster.Server, avoid []id.BackendServer) bool {
+	return !sv.Draining && !bl.stateOf(sv).gone && !slices.Contains(avoid, sv.ID)
+}
+
 // fastest returns the least mean time of the servers that have answered.
 func (bl *Balancer) fastest(servers []roster.Server) time.Duration {
 	var least time.Duration
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -42,7 +41,8 @@
 		}
 		jb.result.Server = sv.ID
 		jb.result.Attempts++
-		answer, result, cause := jb.attemptPlain(ctx, sv)
+		avoid = append(avoid, sv.ID)
+		answer, result, cause := jb.attemptPlain(ctx, sv, avoid)
 		rn.logger.Info("attempt ended", "request", jb.request.ID, "server", string(sv.ID), "address", sv.Address,
 			"number", jb.result.Attempts, "result", cause, "remaining_ms", jb.remaining().Milliseconds())
 		if result == 0 {
@@ -51,7 +51,6 @@
 		if answer != nil {
 			last = answer
 		}
-		avoid = append(avoid, sv.ID)
 		jb.result.Cause = cause
 		if ctx.Err() != nil {
 			break
@@ -87,9 +86,9 @@
 	return rn.balancer.Choose(rn.clock.Now(), servers, avoid)
 }
 
-// attemptPlain sends the request to one server. It returns 0 when the answer was passed on, else why the
+// attemptPlain sends the request to one server, the last one of those that it is not to be sent to again. It returns 0 when the answer was passed on, else why the
 // attempt did not bring a proper answer, and the answer that may be passed on if there is no better one.
-func (jb *job) attemptPlain(ctx context.Context, sv roster.Server) (*kept, retry.Cause, string) {
+func (jb *job) attemptPlain(ctx context.Context, sv roster.Server, avoid []id.BackendServer) (*kept, retry.Cause, string) {
 	rn := jb.runner
 	began := rn.clock.Now()
 	rn.mutex.Lock()
@@ -108,7 +107,7 @@
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	remaining := jb.remaining()
-	if jb.mayTryAnother(sv, remaining) {
+	if jb.mayTryAnother(avoid) {
 		call, cancel = context.WithTimeout(ctx, time.Duration(rn.config.AttemptShare*float64(remaining)))
 		defer cancel()
 	}
@@ -147,18 +146,16 @@
 
 // mayTryAnother reports whether the request can be sent to another server when this one is slow. If not, the server has
 // all the time that is left.
-func (jb *job) mayTryAnother(sv roster.Server, remaining time.Duration) bool {
+func (jb *job) mayTryAnother(avoid []id.BackendServer) bool {
 	rn := jb.runner
 	if !jb.request.Route.Repeatable() || jb.sent+1 >= jb.request.Route.MaxAttempts {
 		return false
 	}
-	other := slices.ContainsFunc(rn.fleet.Servers(jb.request.Service), func(other roster.Server) bool {
-		return other.ID != sv.ID && !other.Draining
-	})
+	servers := rn.fleet.Servers(jb.request.Service)
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
-	return other && rn.retries.Allows(retry.Failure{
-		Service: jb.request.Service, Cause: retry.Interrupted, Attempts: jb.sent + 1, Idempotent: true, Remaining: remaining,
+	return rn.balancer.Any(servers, avoid) && rn.retries.Allows(retry.Failure{
+		Service: jb.request.Service, Cause: retry.Interrupted, Attempts: jb.sent + 1, Idempotent: true,
 	})
 }
 
--- a/coordination/forward/plain_test.go
+++ b/coordination/forward/plain_test.go
@@ -22,14 +22,18 @@
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
-// slowServers answers after a time, each server its own.
+// slowServers answers after a time, each server its own; some can't be reached.
 type slowServers struct {
 	servers
-	after map[string]time.Duration
+	after       map[string]time.Duration
+	unreachable string
 }
 
 func (sv *slowServers) Send(ctx context.Context, at forward.Attempt) (forward.Answer, error) {
 	sv.sent = append(sv.sent, at.Address)
+	if at.Address == sv.unreachable {
+		return forward.Answer{}, forward.ErrNotSent
+	}
 	select {
 	case <-time.After(sv.after[at.Address]):
 		return forward.Answer{Status: http.StatusOK, Length: -1, Body: io.NopCloser(strings.NewReader("from " + at.Address))}, nil
@@ -46,25 +50,31 @@
 	leaving := two
 	leaving.Draining = true
 	for _, cs := range []struct {
-		name   string
-		listed []roster.Server
-		budget float64
-		want   string
-		sent   int
+		name        string
+		listed      []roster.Server
+		unreachable string
+		budget      float64
+		want        string
+		sent        int
 	}{
-		{"another server", []roster.Server{one, two}, 10, "from two", 2},
-		{"no other server", []roster.Server{one}, 10, "from one", 1},
-		{"the other one is leaving", []roster.Server{one, leaving}, 10, "from one", 1},
-		{"no budget", []roster.Server{one, two}, 0, "from one", 1},
+		{"another server", []roster.Server{one, two}, "", 10, "from two", 2},
+		{"no other server", []roster.Server{one}, "", 10, "from one", 1},
+		{"the other one is leaving", []roster.Server{one, leaving}, "", 10, "from one", 1},
+		{"the other one was tried", []roster.Server{one, two}, "two", 10, "from one", 2},
+		{"no budget", []roster.Server{one, two}, "", 0, "from one", 1},
 	} {
 		t.Run(cs.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				sv := &slowServers{after: map[string]time.Duration{"one": 600 * time.Millisecond, "two": 50 * time.Millisecond}}
+				sv := &slowServers{after: map[string]time.Duration{"one": 600 * time.Millisecond, "two": 50 * time.Millisecond}, unreachable: cs.unreachable}
 				config := retry.DefaultConfig()
 				config.MinBudget, config.BudgetShare = cs.budget, 0
 				balancer := balance.New("", 1)
-				// The first choice is the slow server.
-				balancer.End(time.Now(), two, balance.Erred, nil, time.Millisecond)
+				// The first choice is the slow server, unless the other one is to be tried before.
+				second := two
+				if cs.unreachable != "" {
+					second = one
+				}
+				balancer.End(time.Now(), second, balance.Erred, nil, time.Millisecond)
 				rn := forward.NewRunner(forward.DefaultConfig(), "host", 1, timer.NewSystem(), sv, &places{}, fleet{listed: cs.listed},
 					retry.New(config, 1), balancer, tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
 				out := &sink{}
