Conditions that stood twice stand once

roster: which server an entry stands for (listed, leaving, expired); news: when the store was away; retry: whether a failure may be repeated beside the budget. A server that was draining when its entry lapsed counts as leaving in Leaving as it did in Servers already; nothing else changes.

--- a/coordination/news/copies.go
+++ b/coordination/news/copies.go
@@ -13,8 +13,7 @@
 func (fl *Follower) Heard(ctx context.Context, up Update) {
 	fl.mutex.Lock()
 	now := fl.clock.Now()
-	lapsing := fl.lapsing(now) || now.Sub(fl.heardAt) > outageGap
-	changed, complete := fl.roster.Apply(now, up.From, up.Next, fl.decode(up.Records), lapsing)
+	changed, complete := fl.roster.Apply(now, up.From, up.Next, fl.decode(up.Records), fl.lapsing(now))
 	if complete && up.Next >= fl.roster.Next() {
 		fl.heard(now)
 	}
--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -240,15 +240,23 @@
 
 // heard notes that the list is up to date. The caller holds the lock.
 func (fl *Follower) heard(now time.Time) {
-	if !fl.heardAt.IsZero() && now.Sub(fl.heardAt) > outageGap {
+	if fl.outage(now) {
 		fl.outageAt = now
 	}
 	fl.heardAt = now
 }
 
+// outage reports whether nobody has told of the list for so long that the store must have been away. The caller holds the
+// lock.
+func (fl *Follower) outage(now time.Time) bool {
+	return !fl.heardAt.IsZero() && now.Sub(fl.heardAt) > outageGap
+}
+
 // lapsing reports whether entries that are dropped now may have lapsed in an outage. That this host alone could not
 // reach the store says nothing of the servers. The caller holds the lock.
-func (fl *Follower) lapsing(now time.Time) bool { return now.Sub(fl.outageAt) < outageMemory }
+func (fl *Follower) lapsing(now time.Time) bool {
+	return fl.outage(now) || now.Sub(fl.outageAt) < outageMemory
+}
 
 func (fl *Follower) storeFailed(what string, err error) {
 	fl.mutex.Lock()
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -131,15 +131,19 @@
 
 // Allows reports whether an attempt that failed now would be made again. It takes nothing from the budget.
 func (pl *Policy) Allows(fl Failure) bool {
+	return pl.repeatable(fl) && pl.budgetOf(fl.Service) >= 1
+}
+
+// repeatable reports whether a failed attempt may be made again as far as the budget is not concerned.
+func (pl *Policy) repeatable(fl Failure) bool {
 	ran := fl.Cause == Interrupted || fl.Cause == Crashed
-	return (!ran || fl.Idempotent) && fl.Attempts < pl.config.MaxAttempts && pl.budgetOf(fl.Service) >= 1
+	return (!ran || fl.Idempotent) && fl.Attempts < pl.config.MaxAttempts
 }
 
 // Decide says whether a failed attempt is made again.
 // Only what did not run, or may run twice, is tried again. Preempted attempts cost no budget.
 func (pl *Policy) Decide(fl Failure) Verdict {
-	ran := fl.Cause == Interrupted || fl.Cause == Crashed
-	if ran && !fl.Idempotent || fl.Attempts >= pl.config.MaxAttempts {
+	if !pl.repeatable(fl) {
 		return Verdict{}
 	}
 	after := pl.backoff(fl.Attempts)
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -55,6 +55,18 @@
 	last *Server
 }
 
+// usable returns the server that an entry lists, or listed until it lapsed a moment ago; nil if there is none.
+func (en *entry) usable(now time.Time) *Server {
+	switch {
+	case en.Server != nil && !en.Dropped:
+		return en.Server
+	case en.last != nil && now.Sub(en.lapsed) < lapseGrace:
+		return en.last
+	default:
+		return nil
+	}
+}
+
 // Roster is a host's copy of the list. It is not safe for concurrent use.
 type Roster struct {
 	entries map[id.BackendServer]*entry
@@ -151,21 +163,18 @@
 // Leaving reports whether a server is listed as draining or was dropped. One that was never listed is not.
 func (rs *Roster) Leaving(now time.Time, server id.BackendServer) bool {
 	en, known := rs.entries[server]
-	switch {
-	case !known:
+	if !known {
 		return false
-	case en.Server != nil && !en.Dropped:
-		return en.Server.Draining
-	default:
-		return en.last == nil || now.Sub(en.lapsed) >= lapseGrace
 	}
+	sv := en.usable(now)
+	return sv == nil || sv.Draining
 }
 
 // Expire forgets the servers whose entries lapsed and were not listed again in time, and reports whether there were any.
 func (rs *Roster) Expire(now time.Time) bool {
 	expired := false
 	for _, en := range rs.entries {
-		if en.last != nil && now.Sub(en.lapsed) >= lapseGrace {
+		if en.last != nil && en.usable(now) == nil {
 			en.last = nil
 			expired = true
 		}
@@ -177,11 +186,8 @@
 func (rs *Roster) Servers(now time.Time) []Server {
 	var servers []Server
 	for _, en := range rs.entries {
-		switch {
-		case en.Server != nil && !en.Dropped:
-			servers = append(servers, *en.Server)
-		case en.last != nil && now.Sub(en.lapsed) < lapseGrace:
-			servers = append(servers, *en.last)
+		if sv := en.usable(now); sv != nil {
+			servers = append(servers, *sv)
 		}
 	}
 	slices.SortFunc(servers, func(left, right Server) int { return strings.Compare(string(left.ID), string(right.ID)) })
