--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -86,8 +86,9 @@
 	return rn.balancer.Choose(rn.clock.Now(), servers, avoid)
 }
 
-// attemptPlain sends the request to one server, the last one of those that it is not to be sent to again. It returns 0 when the answer was passed on, else why the
-// attempt did not bring a proper answer, and the answer that may be passed on if there is no better one.
+// attemptPlain sends the request to one server, the last one of those that it is not to be sent to again. It returns 0
+// when the answer was passed on, else why the attempt did not bring a proper answer, and the answer that may be passed on
+// if there is no better one.
 func (jb *job) attemptPlain(ctx context.Context, sv roster.Server, avoid []id.BackendServer) (*kept, retry.Cause, string) {
 	rn := jb.runner
 	began := rn.clock.Now()
--- a/coordination/forward/plain_test.go
+++ b/coordination/forward/plain_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -19,6 +20,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/roster"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -90,3 +92,23 @@
 		})
 	}
 }
+
+// TestPlainLines writes lines by which explain finds a request's own attempts and not those of others at the same server.
+func TestPlainLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		rn := forward.NewRunner(forward.DefaultConfig(), "host", 1, timer.NewSystem(), &slowServers{}, &places{},
+			fleet{listed: []roster.Server{{ID: "one", Address: "one"}}}, retry.New(retry.DefaultConfig(), 1), balance.New("", 1),
+			tally.NoopScope, telemetry.NewLogger(&log, "JSON", "Info"), noop.NewTracerProvider().Tracer(""))
+		for _, name := range []string{"first", "second"} {
+			rs := rn.Run(t.Context(), &forward.Request{
+				ID: name, Service: "service", Arrived: time.Now(), Deadline: time.Now().Add(time.Second), Route: route.Route{Kind: route.Idempotent},
+			}, &sink{})
+			assert.Assert(t, rs.Whole)
+		}
+		lines, _, err := telemetry.ReadLines(&log)
+		assert.NilError(t, err)
+		assert.Equal(t, len(lines), 2)
+		assert.Equal(t, len(telemetry.Explain(lines, "first")), 1)
+	})
+}
--- a/telemetry/lines_test.go
+++ b/telemetry/lines_test.go
@@ -79,6 +79,35 @@
 	})
 }
 
+// TestPendingIsBounded keeps no more than the bound while nobody reads, and says afterwards what was dropped.
+func TestPendingIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, writer := io.Pipe()
+		const lineBytes, pending, written = 100, 5000, 120
+		lines := telemetry.NewLines(writer, telemetry.Bounds{PerSecond: 1 << 20, Pending: pending}, "JSON")
+		line := []byte(strings.Repeat("x", lineBytes-1) + "\n")
+		for range written {
+			_, err := lines.Write(line)
+			assert.NilError(t, err)
+			// The first line is on its way to the reader, all others wait.
+			synctest.Wait()
+		}
+		out := &buffer{}
+		go func() { _, _ = io.Copy(out, reader) }()
+		time.Sleep(2 * time.Second)
+		lines.Close()
+		_ = writer.Close()
+		synctest.Wait()
+		out.mutex.Lock()
+		defer out.mutex.Unlock()
+		found, others, err := telemetry.ReadLines(&out.bytes)
+		assert.NilError(t, err)
+		assert.Equal(t, others, 1+pending/lineBytes)
+		assert.Equal(t, len(found), 1)
+		assert.Equal(t, int(found[0].Number("count")), written-1-pending/lineBytes)
+	})
+}
+
 // BenchmarkRequestLines measures the lines of one streamed request: placed, attempt ended, request ended.
 func BenchmarkRequestLines(b *testing.B) {
 	lines := telemetry.NewLines(io.Discard, telemetry.Bounds{PerSecond: 1 << 30, Pending: 1 << 30}, "JSON")
