A request that may run twice outlives a kept connection that ends without an answer

The server of that test sends an answer that nobody asked for after each one. On a busy machine it is written only after the host has taken the connection for the next request; the host skipped that answer, waited a second until the server closed, and gave the request up as one that may have run, although it may run twice and the server was well. With the surplus answer sent only when the connection is used again (fault Surplus) the test fails every time; so does any server that closes a kept connection while a request is on its way, when there is no other server.

Ruled out: load alone. The same order of events, forced, fails on an idle machine; a longer time for the request does not help, for the answer never comes.

Change: the pool tells a kept connection that ended before any of the answer came (ErrStale) from an answer that broke off, and gives such a connection up at once when an answer to another request says that it closes. A repeatable request is then sent once more on a new connection, also to the same server; the retry budget counts it. Others are not repeated.

Red first: forward.TestStaleConnection, site.TestAnswerToAnotherRequest with Surplus; both green after, the latter five times in a row. The field Chunked of requests, which nothing set, is gone.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -56,6 +56,8 @@
 	Resume string
 	// Helpers read the prompt together with the server.
 	Helpers []batch.Part
+	// Fresh has the attempt sent on a connection of its own.
+	Fresh bool
 	// Urgency orders requests inside an engine; negative for none.
 	Urgency int
 }
@@ -82,6 +84,9 @@
 // ErrNotSent is wrapped by errors of attempts of which nothing reached the server.
 var ErrNotSent = errors.New("nothing was sent")
 
+// ErrStale is wrapped by errors of attempts on a reused connection that ended without bringing any of the answer.
+var ErrStale = errors.New("the reused connection brought no answer")
+
 // ErrClientGone is wrapped by errors of sinks whose client has gone.
 var ErrClientGone = errors.New("the client has gone")
 
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -51,6 +51,10 @@
 		if answer != nil {
 			last = answer
 		}
+		if result == retry.Stale && !jb.fresh {
+			jb.fresh = true
+			avoid = avoid[:len(avoid)-1]
+		}
 		jb.result.Cause = cause
 		if ctx.Err() != nil {
 			break
@@ -112,7 +116,7 @@
 		call, cancel = context.WithTimeout(ctx, time.Duration(rn.config.AttemptShare*float64(remaining)))
 		defer cancel()
 	}
-	answer, err := rn.servers.Send(call, Attempt{Request: jb.request, Server: sv.ID, Address: sv.Address, Remaining: remaining, Resume: jb.request.After, Urgency: -1})
+	answer, err := rn.servers.Send(call, Attempt{Request: jb.request, Server: sv.ID, Address: sv.Address, Remaining: remaining, Resume: jb.request.After, Fresh: jb.fresh, Urgency: -1})
 	if err != nil {
 		if errors.Is(err, ErrNotSent) {
 			result = balance.Lost
@@ -123,6 +127,9 @@
 		if ctx.Err() == nil {
 			result = balance.Lost
 		}
+		if errors.Is(err, ErrStale) {
+			return nil, retry.Stale, err.Error()
+		}
 		return nil, retry.Interrupted, err.Error()
 	}
 	defer func() { _ = answer.Body.Close() }()
--- a/coordination/forward/plain_test.go
+++ b/coordination/forward/plain_test.go
@@ -112,3 +112,50 @@
 		assert.Equal(t, len(telemetry.Explain(lines, "first")), 1)
 	})
 }
+
+// staleServers have every connection that was kept end without an answer.
+type staleServers struct {
+	servers
+	fresh int
+	dead  bool
+}
+
+func (sv *staleServers) Send(_ context.Context, at forward.Attempt) (forward.Answer, error) {
+	sv.sent = append(sv.sent, at.Address)
+	if !at.Fresh || sv.dead {
+		return forward.Answer{}, forward.ErrStale
+	}
+	sv.fresh++
+	return forward.Answer{Status: http.StatusOK, Length: -1, Body: io.NopCloser(strings.NewReader("fresh"))}, nil
+}
+
+// TestStaleConnection sends a request that may run twice again on a new connection, to the same server if there is no
+// other one.
+func TestStaleConnection(t *testing.T) {
+	for _, cs := range []struct {
+		name  string
+		kind  route.Kind
+		dead  bool
+		sent  int
+		whole bool
+	}{
+		{"may run twice", route.Idempotent, false, 2, true},
+		{"may run once", route.NonIdempotent, false, 1, false},
+		{"may run twice, the server is dead", route.Idempotent, true, 2, false},
+	} {
+		t.Run(cs.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sv := &staleServers{dead: cs.dead}
+				rn := forward.NewRunner(forward.DefaultConfig(), "host", 1, timer.NewSystem(), sv, &places{},
+					fleet{listed: []roster.Server{{ID: "one", Address: "one"}}}, retry.New(retry.DefaultConfig(), 1), balance.New("", 1),
+					tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
+				rs := rn.Run(t.Context(), &forward.Request{
+					ID: "request", Service: "service", Arrived: time.Now(), Deadline: time.Now().Add(time.Second),
+					Route: route.Route{Kind: cs.kind, MaxAttempts: 3},
+				}, &sink{})
+				assert.Equal(t, rs.Whole, cs.whole, "%+v", rs)
+				assert.Equal(t, len(sv.sent), cs.sent)
+			})
+		})
+	}
+}
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -208,6 +208,8 @@
 	// sent counts the servers that the request was sent to; unknown says that one of them may have run it.
 	sent    int
 	unknown bool
+	// fresh has further attempts made on new connections, since a reused one brought no answer.
+	fresh bool
 }
 
 // remaining returns the time until the request's limit.
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -20,6 +20,8 @@
 	BackendRefused
 	// Interrupted means that the stream was cut or stalled.
 	Interrupted
+	// Stale means that a reused connection ended without bringing any of the answer.
+	Stale
 	// Crashed means that the engine was lost while it ran the request.
 	Crashed
 	// Preempted means that the dispatcher took the grant back.
@@ -35,6 +37,8 @@
 		return "backend_refused"
 	case Interrupted:
 		return "interrupted"
+	case Stale:
+		return "stale"
 	case Crashed:
 		return "crashed"
 	case Preempted:
@@ -136,7 +140,7 @@
 
 // repeatable reports whether a failed attempt may be made again as far as the budget is not concerned.
 func (pl *Policy) repeatable(fl Failure) bool {
-	ran := fl.Cause == Interrupted || fl.Cause == Crashed
+	ran := fl.Cause == Interrupted || fl.Cause == Stale || fl.Cause == Crashed
 	return (!ran || fl.Idempotent) && fl.Attempts < pl.config.MaxAttempts
 }
 
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -42,6 +42,8 @@
 		{retry.Crashed, false, false},
 		{retry.Interrupted, true, true},
 		{retry.Crashed, true, true},
+		{retry.Stale, false, false},
+		{retry.Stale, true, true},
 		{retry.Preempted, true, true},
 	} {
 		pl := retry.New(retry.DefaultConfig(), 1)
--- a/site/path_test.go
+++ b/site/path_test.go
@@ -104,13 +104,13 @@
 
 // TestAnswerToAnotherRequest never passes on an answer that belongs to another request.
 func TestAnswerToAnotherRequest(t *testing.T) {
-	for _, fault := range []standin.ServerFault{standin.Doubled, standin.Stale} {
+	for _, fault := range []standin.ServerFault{standin.Doubled, standin.Stale, standin.Surplus} {
 		wd := newWorld(t)
 		wd.server("book-1", "books").Fail(fault)
 		wd.publish()
 		hs := wd.host("host-1", true)
 		for _, attempt := range []string{"a1", "a2", "a3"} {
-			assert.Equal(t, hs.get("/read/x", attempt).body, "answer of book-1 to "+attempt)
+			assert.Equal(t, hs.get("/read/x", attempt).body, "answer of book-1 to "+attempt, "fault %d", fault)
 		}
 	}
 }
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -34,6 +34,8 @@
 	Doubled
 	// Stale has each answer preceded by one to another request.
 	Stale
+	// Surplus has an answer to another request sent when the connection is used again.
+	Surplus
 )
 
 // Run is a request that a server ran.
@@ -181,19 +183,28 @@
 	case Stale:
 		sv.answerTwice(wr, text, "another", run.Attempt)
 		return
+	case Surplus:
+		sv.answerTwice(wr, text, run.Attempt, "", "another")
+		return
 	}
 	_, _ = io.WriteString(wr, text)
 	sv.ended(run)
 }
 
-// answerTwice sends answers to two requests.
+// answerTwice sends answers to two requests. An empty name stands for waiting until the connection is used again.
 func (sv *Server) answerTwice(wr http.ResponseWriter, text string, attempts ...string) {
-	raw, _, err := http.NewResponseController(wr).Hijack()
+	raw, rw, err := http.NewResponseController(wr).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = raw.Close() }()
 	for ix, name := range attempts {
+		if name == "" {
+			if _, err := rw.Reader.Peek(1); err != nil {
+				return
+			}
+			continue
+		}
 		body, connection := text, "keep-alive"
 		if ix == len(attempts)-1 {
 			connection = "close"
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -23,8 +23,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Chunked says that the client sent the body in chunks.
-	Chunked bool
+	// Fresh has the request sent on a connection of its own.
+	Fresh bool
 	// IsAnswer reports whether a response belongs to the request. Others on the same connection are skipped.
 	IsAnswer func(http.Header) bool
 }
@@ -32,6 +32,10 @@
 // ErrNotSent means that nothing of the request reached the server.
 var ErrNotSent = errors.New("the request was not sent")
 
+// ErrStale means that a connection that had served other requests ended without bringing any of the answer. The server
+// may have run the request, yet a new connection to it may well do.
+var ErrStale = errors.New("the reused connection brought no answer")
+
 // Response is the head of a server's answer. Body must be closed.
 type Response struct {
 	Status int
@@ -47,14 +51,17 @@
 // Do sends a request once and returns the head of the answer. The context ends the exchange at any time, the body
 // included, by closing the connection.
 func (pl *Pool) Do(ctx context.Context, rq Request) (*Response, error) {
-	cn := pl.take(rq.Address)
+	var cn *conn
+	if !rq.Fresh {
+		cn = pl.take(rq.Address)
+	}
 	if cn == nil {
 		var err error
 		if cn, err = pl.dial(ctx, rq.Address); err != nil {
 			return nil, errors.Wrap(errors.Join(ErrNotSent, err), "connect")
 		}
 	}
-	ex := &exchange{pool: pl, conn: cn, written: make(chan error, 1)}
+	ex := &exchange{ctx: ctx, pool: pl, conn: cn, written: make(chan error, 1)}
 	ex.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	head := encodeHead(rq)
 	if len(rq.Body) == 0 || len(rq.Body) <= smallBody {
@@ -62,7 +69,7 @@
 		ex.written <- err
 		if err != nil {
 			ex.abandon()
-			return nil, errors.Wrap(err, "send request")
+			return nil, errors.Wrap(ex.unanswered(err), "send request")
 		}
 	} else {
 		go func() {
@@ -105,6 +112,7 @@
 
 // exchange is one request and its answer on a connection.
 type exchange struct {
+	ctx     context.Context
 	pool    *Pool
 	conn    *conn
 	written chan error
@@ -127,6 +135,10 @@
 func (ex *exchange) receive(rq Request) (*Response, error) {
 	method := &http.Request{Method: rq.Method}
 	for range maxSkipped {
+		if _, err := ex.conn.reader.Peek(1); err != nil {
+			ex.abandon()
+			return nil, errors.Wrap(ex.unanswered(err), "read answer")
+		}
 		rs, err := readResponse(ex.conn.reader, method)
 		if err != nil {
 			ex.abandon()
@@ -137,6 +149,10 @@
 				ex.abandon()
 				return nil, errors.Wrap(err, "skip an answer to another request")
 			}
+			if rs.Close {
+				ex.abandon()
+				return nil, ex.unanswered(errors.New("the server closed the connection after an answer to another request"))
+			}
 			continue
 		}
 		ex.reusable = !rs.Close && rs.ProtoAtLeast(1, 1) && (rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0)
@@ -148,6 +164,14 @@
 	return nil, errors.New("the server sent only answers to other requests")
 }
 
+// unanswered marks the error of a connection that ended before any of the answer came.
+func (ex *exchange) unanswered(err error) error {
+	if ex.conn.reused && ex.ctx.Err() == nil {
+		return errors.Join(ErrStale, err)
+	}
+	return err
+}
+
 // readResponse reads the next final response.
 func readResponse(rd *bufio.Reader, rq *http.Request) (*http.Response, error) {
 	for {
--- a/transport/backend/pool_test.go
+++ b/transport/backend/pool_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -108,3 +109,93 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, !errors.Is(err, ErrNotSent))
 }
+
+// TestSurplusAnswer reuses a connection on which the server later sends an answer that nobody asked for and closes.
+// The request is told from one that a server dropped, and at once.
+func TestSurplusAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			raw, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerAndAgain(raw)
+		}
+	}()
+	pl := NewPool(DefaultConfig(), timer.NewSystem())
+	defer pl.Close()
+	rq := Request{
+		Address: listener.Addr().String(), Method: http.MethodGet, Target: "/x", Host: "h",
+		IsAnswer: func(header http.Header) bool { return header.Get("For") == "mine" },
+	}
+	take := func() error {
+		rs, err := pl.Do(context.Background(), rq)
+		if err != nil {
+			return err
+		}
+		_, err = io.ReadAll(rs.Body)
+		assert.NilError(t, err)
+		return rs.Body.Close()
+	}
+	assert.NilError(t, take())
+	assert.ErrorIs(t, take(), ErrStale)
+	assert.NilError(t, take())
+	rq.Fresh = true
+	assert.NilError(t, take())
+}
+
+// answerAndAgain answers the first request on a connection, and the second one with an answer to another request. The
+// connection stays open after that, although the answer says that it is closed.
+func answerAndAgain(raw net.Conn) {
+	rd := bufio.NewReader(raw)
+	for _, head := range []string{"For: mine", "For: another\r\nConnection: close"} {
+		if _, err := http.ReadRequest(rd); err != nil {
+			_ = raw.Close()
+			return
+		}
+		_, _ = io.WriteString(raw, "HTTP/1.1 200 OK\r\n"+head+"\r\nContent-Length: 2\r\n\r\nok")
+	}
+	_, _ = io.Copy(io.Discard, rd)
+	_ = raw.Close()
+}
+
+// TestStaleConnection tells a connection that ended before it brought anything of an answer from one that ended in the
+// middle of it, from a new one, and from one that was given up by the caller.
+func TestStaleConnection(t *testing.T) {
+	var cuts atomic.Int64
+	address, _ := server(t, func(wr http.ResponseWriter, _ *http.Request) {
+		switch cuts.Load() {
+		case 1:
+			panic(http.ErrAbortHandler)
+		case 3:
+			time.Sleep(200 * time.Millisecond)
+		case 2:
+			raw, _, err := http.NewResponseController(wr).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(raw, "HTTP/1.1 200 OK\r\nContent-Le")
+				_ = raw.Close()
+			}
+		}
+	})
+	pl := NewPool(DefaultConfig(), timer.NewSystem())
+	defer pl.Close()
+	rq := Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h"}
+	for _, cs := range []struct {
+		cut   int64
+		fresh bool
+		stale bool
+	}{{1, false, true}, {1, true, false}, {2, false, false}, {3, false, false}} {
+		cuts.Store(0)
+		get(t, pl, address)
+		cuts.Store(cs.cut)
+		rq.Fresh = cs.fresh
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		_, err := pl.Do(ctx, rq)
+		cancel()
+		assert.Assert(t, err != nil)
+		assert.Equal(t, errors.Is(err, ErrStale), cs.stale, "%+v: %v", cs, err)
+	}
+}
