Reads that wait for a desired state are begun again after an outage of the store

Two of three hosts waited at the store for a change since before the store fell silent. That read is never answered, and was given up only after its own 20.7 s. The reader of the list was one of the two, so that the version that it tells the others was old as well.

Ruled out: the list of servers (it was current), calls between hosts (the third host had the state at once and told nobody, as nobody asked), a shorter wait at the store: each such read is a call with a price.

Change: the waiting read is dropped and begun again, after a spread, when a host's own calls are answered again or the list shows the gap of an outage. The hosts next in order as readers tell the reader when its version is older than theirs.

Red first: news.TestLostReads, five of six cases; green after.

Not covered: a read lost at every host at once without an outage that any of them sees.

--- a/coordination/news/copies.go
+++ b/coordination/news/copies.go
@@ -22,6 +22,7 @@
 	if pull {
 		fl.pulling = true
 	}
+	answer, ahead := fl.ahead(up)
 	fl.mutex.Unlock()
 	fl.logServers(string(up.Host), changed)
 	if len(changed) > 0 {
@@ -30,6 +31,19 @@
 	if pull {
 		fl.group.Go(func() { fl.pull(context.WithoutCancel(ctx), up.Host) })
 	}
+	if ahead {
+		fl.group.Go(func() { fl.tell(context.WithoutCancel(ctx), up.Host, answer) })
+	}
+}
+
+// ahead returns what tells the host that reads the list that its desired state is old, if it is and this host is one of
+// those that would read in its place. Such an update covers no part of the list. The caller holds the lock.
+func (fl *Follower) ahead(up Update) (Update, bool) {
+	if fl.table == nil || fl.table.Version() <= up.Version {
+		return Update{}, false
+	}
+	rank := fl.rank()
+	return Update{Host: fl.self, Version: fl.table.Version()}, rank >= 0 && rank < lastRank
 }
 
 // pull takes what another host knows beyond the own copies.
--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -83,11 +84,14 @@
 	heardAt  time.Time
 	outageAt time.Time
 	// away says that the last call to the store failed.
-	away    bool
-	reading bool
-	readAt  time.Time
-	pulling bool
-	group   sync.WaitGroup
+	away bool
+	// dropRead ends the read of the desired state that waits for a change, so that it is begun again; nil if there is
+	// none.
+	dropRead context.CancelCauseFunc
+	reading  bool
+	readAt   time.Time
+	pulling  bool
+	group    sync.WaitGroup
 }
 
 // New returns a follower that knows nothing.
@@ -192,6 +196,10 @@
 	backoff := fl.config.Backoff
 	for ctx.Err() == nil {
 		read, err := fl.readTable(ctx, next)
+		if errors.Is(err, errReadDropped) {
+			timer.Sleep(ctx, fl.clock, fl.jitter(fl.config.Backoff))
+			continue
+		}
 		if err != nil {
 			fl.storeFailed("desired state", err)
 			timer.Sleep(ctx, fl.clock, fl.jitter(backoff))
@@ -224,7 +232,32 @@
 	}
 	call, cancel := context.WithTimeout(ctx, fl.config.TableWait+fl.config.CallTimeout)
 	defer cancel()
-	return fl.store.AwaitTable(call, next, fl.config.TableWait)
+	call, drop := context.WithCancelCause(call)
+	defer drop(nil)
+	fl.setDropRead(drop)
+	defer fl.setDropRead(nil)
+	read, err := fl.store.AwaitTable(call, next, fl.config.TableWait)
+	if err != nil && errors.Is(context.Cause(call), errReadDropped) {
+		return TableRead{}, errReadDropped
+	}
+	return read, err
+}
+
+// errReadDropped ends a read that the store may never answer.
+var errReadDropped = errors.New("begun before an outage of the store")
+
+func (fl *Follower) setDropRead(drop context.CancelCauseFunc) {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	fl.dropRead = drop
+}
+
+// readAgain has the desired state read again: what was waited for since before an outage of the store may never be
+// answered. The caller holds the lock.
+func (fl *Follower) readAgain() {
+	if fl.dropRead != nil {
+		fl.dropRead(errReadDropped)
+	}
 }
 
 // countCall counts a call to the store.
@@ -242,6 +275,7 @@
 func (fl *Follower) heard(now time.Time) {
 	if fl.outage(now) {
 		fl.outageAt = now
+		fl.readAgain()
 	}
 	fl.heardAt = now
 }
@@ -273,6 +307,9 @@
 	fl.mutex.Lock()
 	regained := fl.away
 	fl.away = false
+	if regained {
+		fl.readAgain()
+	}
 	fl.mutex.Unlock()
 	if regained {
 		fl.logger.Info("store regained")
--- a/coordination/news/follower_test.go
+++ b/coordination/news/follower_test.go
@@ -28,6 +28,11 @@
 	log    []roster.Record
 	reads  int
 	refuse map[id.Host]bool
+	// changes counts the desired states after the first one.
+	changes int
+	// silent hosts get no answer. What a host waits for when lost grows is not answered any more.
+	silent map[id.Host]bool
+	lost   map[id.Host]int
 }
 
 // view is one host's way to the store.
@@ -46,29 +51,58 @@
 	if vw.refused() {
 		return news.TableRead{}, errAway
 	}
-	return news.TableRead{Body: []byte{1}, Next: 1}, nil
+	vw.mutex.Lock()
+	defer vw.mutex.Unlock()
+	return vw.table(), nil
+}
+
+// table returns the newest desired state. The caller holds the lock.
+func (vw view) table() news.TableRead {
+	return news.TableRead{Body: []byte{byte(1 + vw.changes)}, Next: id.Offset(1 + vw.changes)}
 }
 
 func (vw view) AwaitTable(ctx context.Context, from id.Offset, wait time.Duration) (news.TableRead, error) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-		return news.TableRead{}, ctx.Err()
+	const lookPeriod = 10 * time.Millisecond
+	vw.mutex.Lock()
+	lost := vw.lost[vw.host]
+	vw.mutex.Unlock()
+	for end := time.Now().Add(wait); ; {
+		vw.mutex.Lock()
+		answered := !vw.silent[vw.host] && vw.lost[vw.host] == lost
+		read := vw.table()
+		vw.mutex.Unlock()
+		if answered && read.Next > from {
+			return read, nil
+		}
+		if answered && !time.Now().Before(end) {
+			return news.TableRead{Next: from}, nil
+		}
+		select {
+		case <-time.After(lookPeriod):
+		case <-ctx.Done():
+			return news.TableRead{}, ctx.Err()
+		}
 	}
-	return news.TableRead{Next: from}, nil
 }
 
-func (vw view) NewestServers(context.Context) (news.ServersRead, error) {
-	read, err := vw.ReadServers(context.Background(), 0)
+func (vw view) NewestServers(ctx context.Context) (news.ServersRead, error) {
+	read, err := vw.ReadServers(ctx, 0)
 	read.Whole = true
 	return read, err
 }
 
-func (vw view) ReadServers(_ context.Context, from id.Offset) (news.ServersRead, error) {
+func (vw view) ReadServers(ctx context.Context, from id.Offset) (news.ServersRead, error) {
 	if vw.refused() {
 		return news.ServersRead{}, errAway
 	}
 	vw.mutex.Lock()
+	silent := vw.silent[vw.host]
+	vw.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return news.ServersRead{}, ctx.Err()
+	}
+	vw.mutex.Lock()
 	defer vw.mutex.Unlock()
 	vw.reads++
 	return news.ServersRead{Records: vw.log[from:], Next: id.Offset(len(vw.log))}, nil
@@ -107,6 +141,29 @@
 	}
 }
 
+// silence has the store answer nothing that hosts ask or wait for, until the returned function is called.
+func (st *store) silence(hosts ...id.Host) func() {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	for _, host := range hosts {
+		st.silent[host] = true
+		st.lost[host]++
+	}
+	return func() {
+		st.mutex.Lock()
+		defer st.mutex.Unlock()
+		clear(st.silent)
+	}
+}
+
+// change puts a new desired state in force and returns its version.
+func (st *store) change() route.Version {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	st.changes++
+	return route.Version(1 + st.changes)
+}
+
 // network joins followers in one process.
 type network struct {
 	followers map[id.Host]*news.Follower
@@ -265,3 +322,41 @@
 		}
 	})
 }
+
+// TestLostReads loses reads of the desired state that wait for a change, with a silent store or one by one. Every host
+// has a later change in force within the bound of two seconds.
+func TestLostReads(t *testing.T) {
+	hosts := []id.Host{"a", "b", "c", "d", "e"}
+	order := id.Rendezvous("ServerList", hosts)
+	for _, cs := range []struct {
+		name  string
+		hosts []id.Host
+		last  time.Duration
+	}{
+		{"of all hosts, in an outage", hosts, 3 * time.Second},
+		{"of all hosts, in a short outage", hosts, time.Second},
+		{"of the host that reads the list, in an outage", order[:1], 3 * time.Second},
+		{"of the host that reads the list, alone", order[:1], 0},
+		{"of all others, alone", order[1:], 0},
+		{"of two hosts, alone", order[:2], 0},
+	} {
+		t.Run(cs.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := &store{refuse: map[id.Host]bool{}, silent: map[id.Host]bool{}, lost: map[id.Host]int{}}
+				st.list("server-1", "ready")
+				nw := newNetwork(st, hosts...)
+				defer nw.run(t)()
+				time.Sleep(2 * time.Second)
+				end := st.silence(cs.hosts...)
+				time.Sleep(cs.last)
+				end()
+				time.Sleep(time.Second)
+				version := st.change()
+				time.Sleep(2 * time.Second)
+				for _, host := range hosts {
+					assert.Equal(t, nw.followers[host].Table().Version(), version, "host %s", host)
+				}
+			})
+		})
+	}
+}
--- a/coordination/news/servers.go
+++ b/coordination/news/servers.go
@@ -43,17 +43,24 @@
 	if !fl.roster.Known() {
 		return true
 	}
-	rank := slices.Index(id.Rendezvous("ServerList", fl.peers.LiveHosts()), fl.self)
+	rank := fl.rank()
 	if rank == 0 {
 		return true
 	}
-	const lastRank = 6
 	if rank < 0 || rank > lastRank {
 		rank = lastRank
 	}
 	return now.Sub(fl.heardAt) > fl.config.StaleAfter+time.Duration(rank)*fl.config.StaleStep
 }
 
+// lastRank is the place in the order of readers that all further hosts share.
+const lastRank = 6
+
+// rank returns the own host's place in the order of readers; negative if it takes no new work.
+func (fl *Follower) rank() int {
+	return slices.Index(id.Rendezvous("ServerList", fl.peers.LiveHosts()), fl.self)
+}
+
 // readServers reads the list and tells the other hosts.
 func (fl *Follower) readServers(ctx context.Context) {
 	fl.mutex.Lock()
