A soak of the daemon as separate processes under random faults

Three daemons run against stand-ins of store and servers behind forwarders on loopback. A seed draws signals, faults of links, store and servers, servers that are replaced or crash and leave their address to another service, and new desired states; they come in series and overlap. Checked are the users' rules as far as clients and servers see them, and, once it is calm, recovery, a new route, a leaving server, client and host, and memory that is given back; bounds of time only by hand. The setting Host.AnnouncedPeerAddress leads other hosts to the forwarder.

--- a/host.go
+++ b/host.go
@@ -93,7 +93,7 @@
 	ht.self = membership.Member{
 		Host:             op.settings.Host.Name,
 		Incarnation:      id.Incarnation(op.clock.Now().UnixNano()),
-		PeerAddress:      ht.settings.Host.PeerAddress,
+		PeerAddress:      ht.settings.Host.ReachedAt(),
 		CallerAddress:    ht.settings.Host.CallerAddress,
 		AvailabilityZone: op.settings.Host.AvailabilityZone,
 	}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -33,6 +33,9 @@
 		{"Host", "AvailabilityZone", allowedName, func(st *Settings, value string) bool { return setName(&st.Host.AvailabilityZone, value) }},
 		{"Host", "CallerAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.CallerAddress, value) }},
 		{"Host", "PeerAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.PeerAddress, value) }},
+		{"Host", "AnnouncedPeerAddress", allowedAddress, func(st *Settings, value string) bool {
+			return setAddress(&st.Host.AnnouncedPeerAddress, value)
+		}},
 		{"Host", "OperatorAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.OperatorAddress, value) }},
 		{"Host", "ReadyAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.ReadyAddress, value) }},
 		{"Host", "DirectoryAddress", allowedAddress, func(st *Settings, value string) bool { return setAddress(&st.Host.DirectoryAddress, value) }},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,16 @@
 	// ReadyAddress and DirectoryAddress are IP:port to listen at on the users' platform; empty elsewhere.
 	ReadyAddress     string
 	DirectoryAddress string
+	// AnnouncedPeerAddress is the IP:port at which other hosts reach this one; empty where that is PeerAddress.
+	AnnouncedPeerAddress string
+}
+
+// ReachedAt returns the IP:port at which other hosts reach the host.
+func (ht Host) ReachedAt() string {
+	if ht.AnnouncedPeerAddress != "" {
+		return ht.AnnouncedPeerAddress
+	}
+	return ht.PeerAddress
 }
 
 // Platform says where the platform is.
--- a/site/host.go
+++ b/site/host.go
@@ -82,7 +82,7 @@
 	ht.self = membership.Member{
 		Host:             ht.settings.Host.Name,
 		Incarnation:      id.Incarnation(op.clock.Now().UnixNano()),
-		PeerAddress:      ht.settings.Host.PeerAddress,
+		PeerAddress:      ht.settings.Host.ReachedAt(),
 		CallerAddress:    ht.settings.Host.CallerAddress,
 		AvailabilityZone: ht.settings.Host.AvailabilityZone,
 		ProcessorShare:   uint32(thousandths * ht.settings.Limits.ProcessorShare),
--- a/site/path_test.go
+++ b/site/path_test.go
@@ -168,6 +168,9 @@
 	assert.Equal(t, strings.Count(helped, ","), 1, helped)
 	assert.Assert(t, strings.Contains(helped, "/"), "a ticket is named: %s", helped)
 	wd.eventually(func() bool { return tickets() == 0 })
+	for _, sv := range wd.servers {
+		assert.Equal(t, sv.Lapsed(), 0, "memory was not given back")
+	}
 }
 
 // TestClientLeaves stops the engine's work when the client has gone.
--- /dev/null
+++ b/soak/calm_test.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const stopSignal = syscall.SIGTERM
+
+func (wd *world) allReady() bool {
+	for _, hs := range wd.hosts {
+		if !hs.isReady() {
+			return false
+		}
+	}
+	return true
+}
+
+// calm checks what must hold once the faults are over.
+func (wd *world) calm() {
+	probe := newClient(wd, "probe", 1)
+	defer probe.http.CloseIdleConnections()
+	took := wd.eventually("RECOVER", "each host serves each kind of request", func() bool { return wd.serves(probe) })
+	wd.within("RECOVER", "serving again", took, recoveryTime)
+	time.Sleep(contactTime)
+	wd.newRoute(probe)
+	wd.leavingServer()
+	wd.leavingClient(probe)
+	wd.leavingHost()
+	took = wd.eventually("LEAK", "memory is given back", func() bool { return wd.tickets() == 0 })
+	wd.within("LEAK", "memory that was set aside", took, freeTime)
+}
+
+// within notes a time beyond its bound, where times are checked.
+func (wd *world) within(rule, what string, took, bound time.Duration) {
+	if *timed && took > bound {
+		wd.broken(rule, "%s took %s, want %s at most", what, took, bound)
+	}
+}
+
+// serves reports whether each host is ready and answers each kind of request.
+func (wd *world) serves(probe *client) bool {
+	if !wd.allReady() {
+		return false
+	}
+	for _, hs := range wd.hosts {
+		for _, kd := range []kind{read, order, chat} {
+			if ex := probe.send(kd, hs, 0); ex.status != http.StatusOK || ex.err != nil {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// newRoute publishes a route and waits until each host serves it.
+func (wd *world) newRoute(probe *client) {
+	wd.publish(1)
+	kd := kind{path: morePath(wd.added - 1), service: "books", timeout: read.timeout, fresh: true}
+	took := wd.eventually("CONFIG", "each host serves a new route", func() bool {
+		for _, hs := range wd.hosts {
+			if probe.send(kd, hs, 0).status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	wd.within("CONFIG", "a new route", took, configTime)
+}
+
+// leavingServer has a server of each service leave and looks for requests that reach it afterwards.
+func (wd *world) leavingServer() {
+	began := time.Now()
+	var leaving []*server
+	for _, service := range []string{"books", "models"} {
+		for _, sv := range wd.serving() {
+			if sv.Service == service && wd.take(sv) {
+				wd.addServer(service, nil)
+				wd.store.Put("keyed.servers", sv.ID, sv.Entry("draining"))
+				leaving = append(leaving, sv)
+				break
+			}
+		}
+	}
+	time.Sleep(drainTime + time.Second)
+	for _, sv := range leaving {
+		for _, run := range sv.Runs() {
+			if *timed && run.Began.Sub(began) > drainTime {
+				wd.broken("DRAIN", "%s ran %s %s after it began to leave", sv.ID, run.Attempt, run.Began.Sub(began))
+			}
+		}
+		wd.store.Put("keyed.servers", sv.ID, nil)
+		sv.Close()
+	}
+}
+
+// leavingClient has a client go away in the middle of a stream, and waits until the engine stops.
+func (wd *world) leavingClient(probe *client) {
+	ex := probe.send(chat, wd.hosts[0], 100*time.Millisecond)
+	if ex.err == nil {
+		return
+	}
+	time.Sleep(leaveTime)
+	for _, sv := range wd.serving() {
+		for _, run := range sv.Runs() {
+			if *timed && run.Attempt == ex.id && !run.Ended && (run.Left.IsZero() || run.Left.Sub(ex.left) > leaveTime) {
+				wd.broken("GONE", "%s worked on after the client had gone: %s", sv.ID, ex)
+			}
+		}
+	}
+}
+
+// leavingHost stops a host while it has requests and checks that each gets its answer.
+func (wd *world) leavingHost() {
+	hs := wd.hosts[len(wd.hosts)-1]
+	const at = 4
+	var group sync.WaitGroup
+	answers := make(chan *exchange, 2*at)
+	for ix := range at {
+		cl := newClient(wd, "last"+string(rune('a'+ix)), 1)
+		group.Go(func() {
+			defer cl.http.CloseIdleConnections()
+			answers <- cl.send(chat, hs, 0)
+			answers <- cl.send(order, hs, 0)
+		})
+	}
+	time.Sleep(60 * time.Millisecond)
+	hs.signal(stopSignal, 0)
+	group.Wait()
+	close(answers)
+	for ex := range answers {
+		if ex.err != nil || ex.status != http.StatusOK {
+			wd.broken("LOST", "at a planned stop: %s", ex)
+		}
+	}
+	wd.eventually("START", "the host that stopped is back", wd.allReady)
+}
+
+// tickets returns the number of reservations that engines hold.
+func (wd *world) tickets() int {
+	held := 0
+	for _, sv := range wd.serving() {
+		held += sv.Tickets()
+	}
+	return held
+}
--- /dev/null
+++ b/soak/plan_test.go
@@ -0,0 +1,201 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
+)
+
+const killSignal = syscall.SIGKILL
+
+// step is one fault: it begins at a time after the start and is undone after another.
+type step struct {
+	at, last time.Duration
+	text     string
+	do, undo func()
+}
+
+// plan draws the faults of a soak from its seed. They come in series and overlap.
+func (wd *world) plan(random *rand.Rand, length time.Duration) []step {
+	var steps []step
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(random.Int64N(int64(most-least)))
+	}
+	for range 2 + int(length/time.Second) {
+		draw := faults[random.IntN(len(faults))]
+		at := between(length/10, length*8/10)
+		for range 1 + max(0, random.IntN(5)-2) {
+			st := draw(wd, random)
+			st.at, st.last = at, between(100*time.Millisecond, 2500*time.Millisecond)
+			if st.undo == nil {
+				st.undo = func() {}
+			}
+			steps = append(steps, st)
+			if at += between(50*time.Millisecond, 1500*time.Millisecond); at >= length {
+				break
+			}
+		}
+	}
+	slices.SortStableFunc(steps, func(left, right step) int { return int(left.at - right.at) })
+	return steps
+}
+
+// play carries a plan out and undoes all of it.
+func (wd *world) play(steps []step, length time.Duration) {
+	began := time.Now()
+	type due struct {
+		at time.Duration
+		do func()
+	}
+	var dues []due
+	for _, st := range steps {
+		dues = append(dues, due{st.at, st.do}, due{min(st.at+st.last, length), st.undo})
+	}
+	slices.SortStableFunc(dues, func(left, right due) int { return int(left.at - right.at) })
+	for _, du := range dues {
+		time.Sleep(du.at - time.Since(began))
+		du.do()
+	}
+}
+
+func describe(steps []step) string {
+	var sb strings.Builder
+	for _, st := range steps {
+		fmt.Fprintf(&sb, "%6.2f s for %4.2f s: %s\n", st.at.Seconds(), st.last.Seconds(), st.text)
+	}
+	return sb.String()
+}
+
+// faults are all kinds of faults; the links stand twice.
+var faults = []func(wd *world, random *rand.Rand) step{
+	terminate, kill, pauseHost, killAll, harmLink, harmLink, harmStore, harmServer, replaceServer, crashServer, change, reload,
+}
+
+func anyHost(wd *world, random *rand.Rand) *host { return wd.hosts[random.IntN(len(wd.hosts))] }
+
+func restartAfter(random *rand.Rand) time.Duration {
+	return time.Duration(10+random.IntN(800)) * time.Millisecond
+}
+
+func terminate(wd *world, random *rand.Rand) step {
+	hs, pause := anyHost(wd, random), restartAfter(random)
+	return step{text: "SIGTERM to " + hs.name, do: func() { hs.signal(syscall.SIGTERM, pause) }}
+}
+
+func kill(wd *world, random *rand.Rand) step {
+	hs, pause := anyHost(wd, random), restartAfter(random)
+	return step{text: "SIGKILL to " + hs.name, do: func() { hs.signal(killSignal, pause) }}
+}
+
+func killAll(wd *world, random *rand.Rand) step {
+	pause := restartAfter(random)
+	return step{text: "SIGKILL to all hosts", do: func() {
+		for _, hs := range wd.hosts {
+			hs.signal(killSignal, pause)
+		}
+	}}
+}
+
+func pauseHost(wd *world, random *rand.Rand) step {
+	hs := anyHost(wd, random)
+	return step{
+		text: "SIGSTOP to " + hs.name,
+		do:   func() { hs.signal(syscall.SIGSTOP, 0) },
+		undo: func() { hs.signal(syscall.SIGCONT, 0) },
+	}
+}
+
+func reload(wd *world, random *rand.Rand) step {
+	hs := anyHost(wd, random)
+	return step{text: "SIGHUP to " + hs.name, do: func() { hs.signal(syscall.SIGHUP, 0) }}
+}
+
+func harmLink(wd *world, random *rand.Rand) step {
+	ln := wd.links[random.IntN(len(wd.links))]
+	md, delay := mode(1+random.IntN(int(modes)-1)), time.Duration(20+random.IntN(280))*time.Millisecond
+	return step{
+		text: fmt.Sprintf("link of %s %s", ln.name, md),
+		do:   func() { ln.set(md, delay) },
+		undo: func() { ln.set(passing, 0) },
+	}
+}
+
+func harmStore(wd *world, random *rand.Rand) step {
+	fault := []standin.StoreFault{standin.Down, standin.Silent, standin.Expired}[random.IntN(3)]
+	return step{
+		text: fmt.Sprint("the store fails, kind ", fault),
+		do:   func() { wd.store.Fail(fault) },
+		undo: func() { wd.store.Fail(standin.NoFault) },
+	}
+}
+
+func harmServer(wd *world, random *rand.Rand) step {
+	fault := standin.ServerFault(1 + random.IntN(int(standin.Surplus)))
+	pick := random.Int()
+	var sv *server
+	return step{
+		text: fmt.Sprint("a server fails, kind ", fault),
+		do: func() {
+			serving := wd.serving()
+			sv = serving[pick%len(serving)]
+			sv.Fail(fault)
+		},
+		undo: func() { sv.Fail(standin.Sound) },
+	}
+}
+
+// replaceServer has a server leave as the platform does it, after another one has come.
+func replaceServer(wd *world, random *rand.Rand) step {
+	pick := random.Int()
+	return step{text: "a server is replaced", do: func() {
+		serving := wd.serving()
+		sv := serving[pick%len(serving)]
+		if wd.take(sv) {
+			wd.addServer(sv.Service, nil)
+			go wd.retire(sv)
+		}
+	}}
+}
+
+func (wd *world) retire(sv *server) {
+	wd.store.Put("keyed.servers", sv.ID, sv.Entry("draining"))
+	time.Sleep(drainTime + time.Second)
+	wd.store.Put("keyed.servers", sv.ID, nil)
+	sv.Close()
+}
+
+// crashServer ends a server at once. One of the other service takes over its address while it is still listed.
+func crashServer(wd *world, random *rand.Rand) step {
+	pick := random.Int()
+	return step{text: "a server crashes, its address is used again", do: func() {
+		serving := wd.serving()
+		sv := serving[pick%len(serving)]
+		if !wd.take(sv) {
+			return
+		}
+		wd.mutex.Lock()
+		wd.crashed[sv.ID] = true
+		wd.mutex.Unlock()
+		sv.Close()
+		wd.addServer(map[string]string{"books": "models", "models": "books"}[sv.Service], sv.link)
+		wd.addServer(sv.Service, nil)
+		go func() {
+			time.Sleep(time.Second)
+			wd.store.Put("keyed.servers", sv.ID, nil)
+		}()
+	}}
+}
+
+func change(wd *world, random *rand.Rand) step {
+	count := 1 + 4*random.IntN(2)
+	return step{text: fmt.Sprint("new desired states: ", count), do: func() {
+		for range count {
+			wd.publish(1)
+		}
+	}}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,121 @@
+// Package soak runs entry hosts as separate processes under random faults and checks the users' rules while it does.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	count   = flag.Int("soak.seeds", 0, "`NUMBER` of seeds to run instead of those in testdata/seeds.txt")
+	first   = flag.Uint64("soak.from", 1, "`SEED` of the first of them")
+	seconds = flag.Float64("soak.seconds", 8, "`SECONDS` of faults for each of them")
+	timed   = flag.Bool("soak.timed", false, "check bounds of time as well, on a machine that is otherwise idle")
+	logs    = flag.String("soak.logs", "", "`FOLDER` for the logs of seeds that failed")
+)
+
+// binaries is the folder that the daemon is built into.
+var binaries string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "hibiscuslever")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/hibiscusleverd")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out))
+		return 1
+	}
+	return m.Run()
+}
+
+// TestSoak runs each seed: faults, then calm, then the checks.
+func TestSoak(t *testing.T) {
+	for _, ru := range runs(t) {
+		t.Run(fmt.Sprint(ru.seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, ru.seed, ru.length)
+		})
+	}
+}
+
+// run is a seed and how long its faults last; the faults depend on both.
+type run struct {
+	seed   uint64
+	length time.Duration
+}
+
+// runs returns the runs of the flags, else those of testdata/seeds.txt.
+func runs(t *testing.T) []run {
+	var all []run
+	if *count > 0 {
+		for ix := range *count {
+			all = append(all, run{*first + uint64(ix), time.Duration(*seconds * float64(time.Second))})
+		}
+		return all
+	}
+	text, err := os.ReadFile("testdata/seeds.txt")
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		var seed uint64
+		var length float64
+		_, err := fmt.Sscan(line, &seed, &length)
+		assert.NilError(t, err, "line %q", line)
+		all = append(all, run{seed, time.Duration(length * float64(time.Second))})
+	}
+	return all
+}
+
+func soak(t *testing.T, seed uint64, length time.Duration) {
+	wd := newWorld(t)
+	defer wd.close()
+	wd.eventually("START", "all hosts are ready", wd.allReady)
+	ctx, stop := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for ix := range clients {
+		cl := newClient(wd, fmt.Sprintf("c%d", ix+1), seed)
+		group.Go(func() { cl.run(ctx) })
+	}
+	steps := wd.plan(rand.New(rand.NewPCG(seed, seed)), length)
+	wd.play(steps, length)
+	wd.calm()
+	stop()
+	group.Wait()
+	for _, hs := range wd.hosts {
+		hs.finish(stopSignal)
+	}
+	wd.check()
+	t.Log(wd.summary())
+	if len(wd.findings) == 0 {
+		return
+	}
+	t.Errorf("seed %d:\n%s\nfaults:\n%s", seed, strings.Join(wd.findings, "\n"), describe(steps))
+	if *logs != "" {
+		for name, text := range wd.logs {
+			assert.NilError(t, os.WriteFile(filepath.Join(*logs, fmt.Sprintf("%d-%s.log", seed, name)), text, 0o600))
+		}
+	}
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -48,8 +49,11 @@
 	Target   string
 	Key      string
 	Body     string
+	Began    time.Time
 	// Ended says that the server ran the request to its end.
 	Ended bool
+	// Left is when the host went away before that; zero if it did not.
+	Left time.Time
 }
 
 // Server is an engine, or a server of a plain service.
@@ -60,17 +64,23 @@
 	// Events is the number of events of a stream, EventGap the time between two.
 	Events   int
 	EventGap time.Duration
-	server   *httptest.Server
+	// Work is the time that a request to a plain service takes.
+	Work time.Duration
+	// Listed is the IP:port that the list names, if that is not the server's own.
+	Listed string
+	server *httptest.Server
 
-	mutex   sync.Mutex
-	fault   ServerFault
-	runs    []*Run
-	tickets map[string]int64
+	mutex sync.Mutex
+	fault ServerFault
+	runs  []*Run
+	// tickets holds until when memory is set aside.
+	tickets map[string]time.Time
+	lapsed  int
 }
 
 // NewServer starts a server of a service on a port of its own.
 func NewServer(name, service, zone string) *Server {
-	sv := &Server{ID: name, Service: service, Zone: zone, Events: 5, EventGap: 5 * time.Millisecond, tickets: map[string]int64{}}
+	sv := &Server{ID: name, Service: service, Zone: zone, Events: 5, EventGap: 5 * time.Millisecond, tickets: map[string]time.Time{}}
 	sv.server = httptest.NewServer(http.HandlerFunc(sv.serve))
 	return sv
 }
@@ -106,13 +116,27 @@
 func (sv *Server) Tickets() int {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
+	held := len(sv.tickets)
+	maps.DeleteFunc(sv.tickets, func(_ string, until time.Time) bool { return !time.Now().Before(until) })
+	sv.lapsed += held - len(sv.tickets)
 	return len(sv.tickets)
 }
 
+// Lapsed returns the number of reservations that were not given back in their time, as seen by Tickets.
+func (sv *Server) Lapsed() int {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	return sv.lapsed
+}
+
 // Entry returns the server's entry in the store.
 func (sv *Server) Entry(state string) []byte {
+	address := sv.Listed
+	if address == "" {
+		address = sv.Address()
+	}
 	body, _ := json.Marshal(map[string]any{
-		"Service": sv.Service, "Address": sv.Address(), "Zone": sv.Zone, "Version": "v1", "Slots": 8,
+		"Service": sv.Service, "Address": address, "Zone": sv.Zone, "Version": "v1", "Slots": 8,
 		"State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": 1700000000000,
 	})
 	return body
@@ -130,7 +154,10 @@
 	sv.mutex.Lock()
 	fault := sv.fault
 	sv.mutex.Unlock()
-	body, _ := io.ReadAll(rq.Body)
+	body, err := io.ReadAll(rq.Body)
+	if err != nil {
+		return
+	}
 	header := wr.Header()
 	header.Set("X-Attempt-Id", rq.Header.Get("X-Attempt-Id"))
 	switch {
@@ -147,7 +174,7 @@
 	run := &Run{
 		Attempt: rq.Header.Get("X-Attempt-Id"), Tenant: rq.Header.Get("X-Tenant"), Deadline: deadline,
 		Resumed: rq.Header.Get("Last-Event-Id"), Helpers: rq.Header.Get("X-Helpers"), Target: rq.RequestURI,
-		Key: rq.Header.Get("Api-Key"), Body: string(body),
+		Key: rq.Header.Get("Api-Key"), Body: string(body), Began: time.Now(),
 	}
 	sv.mutex.Lock()
 	sv.runs = append(sv.runs, run)
@@ -156,6 +183,7 @@
 	switch fault {
 	case Hangs:
 		<-rq.Context().Done()
+		sv.left(run)
 		return
 	case Errs:
 		wr.WriteHeader(http.StatusInternalServerError)
@@ -166,7 +194,12 @@
 		sv.stream(wr, rq, run, fault)
 		return
 	}
-	sv.answer(wr, run, fault)
+	select {
+	case <-time.After(sv.Work):
+		sv.answer(wr, run, fault)
+	case <-rq.Context().Done():
+		sv.left(run)
+	}
 }
 
 func (sv *Server) answer(wr http.ResponseWriter, run *Run, fault ServerFault) {
@@ -228,6 +261,7 @@
 		select {
 		case <-time.After(sv.EventGap):
 		case <-rq.Context().Done():
+			sv.left(run)
 			return
 		}
 		event := fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number)
@@ -248,11 +282,17 @@
 	run.Ended = true
 }
 
+func (sv *Server) left(run *Run) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	run.Left = time.Now()
+}
+
 func (sv *Server) order(wr http.ResponseWriter, rq *http.Request) {
 	var order struct {
-		Operation  string
-		ID         string `json:"Id"`
-		TokenCount int64
+		Operation string
+		ID        string `json:"Id"`
+		HoldMs    int64
 	}
 	if err := json.NewDecoder(rq.Body).Decode(&order); err != nil || strings.ContainsAny(order.ID, ",/") {
 		wr.WriteHeader(http.StatusBadRequest)
@@ -262,7 +302,7 @@
 	defer sv.mutex.Unlock()
 	switch order.Operation {
 	case "reserve":
-		sv.tickets[order.ID] = order.TokenCount
+		sv.tickets[order.ID] = time.Now().Add(time.Duration(order.HoldMs) * time.Millisecond)
 	case "release":
 		delete(sv.tickets, order.ID)
 	default:
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -106,6 +106,8 @@
 		case Down:
 			wr.WriteHeader(http.StatusServiceUnavailable)
 		case Silent:
+			// The end of the connection is only seen once the body has been read.
+			_, _ = io.Copy(io.Discard, rq.Body)
 			<-rq.Context().Done()
 		default:
 			next.ServeHTTP(wr, rq)
