A host that comes to dispatch is told at once what all hosts hold

Ruled out: keeping the role with the host that has it (by age of the process): in a turn of restarts it changes hands about as often, and the clocks of hosts would decide it.

Change: on each change of members the client looks which dispatchers stand first and reports to new ones at once.

Red first: broker.TestDispatcherReturns (the package had no tests of its own; a lost dispatcher and a place given back are tested beside it).

The gap while hosts learn of the one that has returned at different moments stays.

--- /dev/null
+++ b/coordination/broker/broker_test.go
@@ -0,0 +1,199 @@
+package broker_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/checks"
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+func TestMain(m *testing.M) { checks.Main(m) }
+
+const (
+	service = id.Service("models")
+	slots   = 4
+)
+
+// network joins the dispatchers and clients of some hosts in one process.
+type network struct {
+	servers map[id.Host]*broker.Server
+	clients map[id.Host]*broker.Client
+
+	mutex sync.Mutex
+	// live holds the hosts in the order in which they dispatch.
+	live []id.Host
+	// unreachable hosts answer no calls.
+	unreachable map[id.Host]bool
+}
+
+// oneEngine is a fleet of one engine.
+type oneEngine struct{}
+
+func (oneEngine) Engine(id.Service) (route.Engine, bool) {
+	return route.Engine{
+		Slots: slots, Capacity: 300_000, Step: 850 * time.Microsecond, PerWriter: 4 * time.Microsecond, PerThousand: 3 * time.Microsecond,
+		ReadPerSecond: 177_000, PerMillionPairs: 184 * time.Microsecond, Chunk: 2048, Stride: 51,
+	}, true
+}
+
+func (oneEngine) Engines(id.Service) []batch.EngineSpec {
+	return []batch.EngineSpec{{Engine: "engine-1", Address: "10.0.0.1:80"}}
+}
+
+func (oneEngine) Age() time.Duration { return 0 }
+
+type innocent struct{}
+
+func (innocent) Convicted(id.Fingerprint) (convicted, suspected bool) { return false, false }
+func (innocent) Crashed(id.Fingerprint)                               {}
+
+func (nw *network) Dispatchers(id.Service) []id.Host {
+	nw.mutex.Lock()
+	defer nw.mutex.Unlock()
+	return slices.Clone(nw.live)
+}
+
+func (nw *network) reached(ctx context.Context, host id.Host) error {
+	nw.mutex.Lock()
+	lost := nw.unreachable[host]
+	nw.mutex.Unlock()
+	if lost {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+func (nw *network) Place(ctx context.Context, host id.Host, ask broker.Ask) (broker.Answer, error) {
+	if err := nw.reached(ctx, host); err != nil {
+		return broker.Answer{}, err
+	}
+	return nw.servers[host].Place(ask), nil
+}
+
+func (nw *network) Give(ctx context.Context, host id.Host, rq id.Request, answer broker.Answer) (bool, error) {
+	if err := nw.reached(ctx, host); err != nil {
+		return false, err
+	}
+	return nw.clients[host].Given(rq, answer), nil
+}
+
+func (nw *network) Progress(ctx context.Context, host id.Host, rp broker.Report) error {
+	if err := nw.reached(ctx, host); err != nil {
+		return err
+	}
+	nw.servers[host].Progress(rp)
+	return nil
+}
+
+// run starts hosts, all of them live, until the returned function is called.
+func run(t *testing.T, hosts ...id.Host) (*network, func()) {
+	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, live: hosts, unreachable: map[id.Host]bool{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	clock, logger := timer.NewSystem(), slog.New(slog.DiscardHandler)
+	for _, host := range hosts {
+		nw.servers[host] = broker.NewServer(batch.DefaultConfig(), clock, oneEngine{}, nw, innocent{}, tally.NoopScope, logger, 1)
+		nw.clients[host] = broker.NewClient(batch.DefaultConfig(), host, clock, nw, oneEngine{}, tally.NoopScope, logger, 1)
+		nw.clients[host].Open()
+		go func() { _ = nw.servers[host].Run(ctx) }()
+		go func() { _ = nw.clients[host].Run(ctx) }()
+	}
+	return nw, func() {
+		cancel()
+		// Reports that are on their way end.
+		time.Sleep(time.Second)
+	}
+}
+
+// setLive changes the hosts that all hosts know, in the order in which they dispatch.
+func (nw *network) setLive(hosts ...id.Host) {
+	nw.mutex.Lock()
+	nw.live = hosts
+	nw.mutex.Unlock()
+	for _, host := range hosts {
+		nw.clients[host].HostsChanged()
+	}
+}
+
+// ask asks for a place for a request of a host that has a time left.
+func (nw *network) ask(t *testing.T, host id.Host, number uint64, patience time.Duration) (batch.Grant, outcome.Outcome) {
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	return nw.clients[host].Acquire(ctx, broker.Ask{Service: service, Request: batch.Request{
+		ID: id.NewRequest(host, 1, number), Organisation: id.Organisation(fmt.Sprint("org-", number)), Prompt: 2000, Answer: 100,
+		Target: time.Second, MaxPause: 250 * time.Millisecond, Patience: patience, Arrived: time.Now(),
+	}})
+}
+
+// TestDispatcherReturns has a host that comes to stand first learn at once what all hosts hold: it gives out no place
+// that is taken, also when those who hold one ask for nothing.
+func TestDispatcherReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := run(t, "first", "second", "third")
+		defer stop()
+		nw.setLive("second", "third")
+		time.Sleep(5 * time.Second)
+		for number := range uint64(slots) {
+			_, oc := nw.ask(t, "third", number, time.Second)
+			assert.Assert(t, oc.OK(), "request %d: %+v", number, oc)
+		}
+		nw.setLive("first", "second", "third")
+		time.Sleep(50 * time.Millisecond)
+		_, oc := nw.ask(t, "second", slots, 300*time.Millisecond)
+		assert.Assert(t, !oc.OK(), "a place was given that is taken")
+	})
+}
+
+// TestDispatcherLost has the next host in order give places when the first one can't be reached, none of them twice.
+func TestDispatcherLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := run(t, "first", "second", "third")
+		defer stop()
+		for number := range uint64(slots - 1) {
+			_, oc := nw.ask(t, "third", number, time.Second)
+			assert.Assert(t, oc.OK(), "request %d: %+v", number, oc)
+		}
+		nw.mutex.Lock()
+		nw.unreachable["first"] = true
+		nw.mutex.Unlock()
+		_, oc := nw.ask(t, "third", slots, time.Second)
+		assert.Assert(t, oc.OK(), "%+v", oc)
+		_, oc = nw.ask(t, "second", slots+1, 300*time.Millisecond)
+		assert.Assert(t, !oc.OK(), "a place was given that is taken")
+	})
+}
+
+// TestPlaceGivenBack gives a place that has ended to one that waits for it, on another host.
+func TestPlaceGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := run(t, "first", "second", "third")
+		defer stop()
+		var last batch.Grant
+		for number := range uint64(slots) {
+			grant, oc := nw.ask(t, "third", number, time.Second)
+			assert.Assert(t, oc.OK(), "request %d: %+v", number, oc)
+			last = grant
+		}
+		time.AfterFunc(100*time.Millisecond, func() {
+			nw.clients["third"].End(broker.Ended{Attempt: last.Attempt})
+		})
+		began := time.Now()
+		_, oc := nw.ask(t, "second", slots, 2*time.Second)
+		assert.Assert(t, oc.OK(), "%+v", oc)
+		assert.Assert(t, time.Since(began) < 150*time.Millisecond, "it took %s", time.Since(began))
+	})
+}
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -205,6 +205,19 @@
 	return "", false
 }
 
+// HostsChanged finds out which dispatchers stand first now, so that new ones are told what the host holds.
+func (cl *Client) HostsChanged() {
+	cl.mutex.Lock()
+	services := map[id.Service]bool{}
+	for _, hd := range cl.held {
+		services[hd.Ask.Service] = true
+	}
+	cl.mutex.Unlock()
+	for service := range services {
+		cl.dispatcher(service)
+	}
+}
+
 // trust notes that a dispatcher has answered.
 func (cl *Client) trust(host id.Host) {
 	cl.mutex.Lock()
--- a/site/host.go
+++ b/site/host.go
@@ -264,6 +264,7 @@
 func (ht *Host) memberChanged(member membership.Member) {
 	ht.boundConnections()
 	ht.runner.SetQuietRetries(ht.quietRetries(1 + len(ht.gossip.Members())))
+	ht.places.HostsChanged()
 	ht.logger.Info("member changed", "member", string(member.Host), "status", member.Status.String(), "incarnation", int64(member.Incarnation))
 }
 
