--- a/coordination/forward/plain_test.go
+++ b/coordination/forward/plain_test.go
@@ -132,29 +132,37 @@
 // TestStaleConnection sends a request that may run twice again on a new connection, to the same server if there is no
 // other one.
 func TestStaleConnection(t *testing.T) {
+	one, two := roster.Server{ID: "one", Address: "one"}, roster.Server{ID: "two", Address: "two"}
 	for _, cs := range []struct {
-		name  string
-		kind  route.Kind
-		dead  bool
-		sent  int
-		whole bool
+		name   string
+		listed []roster.Server
+		kind   route.Kind
+		dead   bool
+		sent   []string
+		whole  bool
 	}{
-		{"may run twice", route.Idempotent, false, 2, true},
-		{"may run once", route.NonIdempotent, false, 1, false},
-		{"may run twice, the server is dead", route.Idempotent, true, 2, false},
+		{"may run twice", []roster.Server{one}, route.Idempotent, false, []string{"one", "one"}, true},
+		{"may run once", []roster.Server{one}, route.NonIdempotent, false, []string{"one"}, false},
+		{"the server is dead", []roster.Server{one}, route.Idempotent, true, []string{"one", "one"}, false},
+		{"another server", []roster.Server{one, two}, route.Idempotent, false, []string{"one", "two"}, true},
 	} {
 		t.Run(cs.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				sv := &staleServers{dead: cs.dead}
+				balancer := balance.New("", 1)
+				// The other server is worse, and yet goes before the one whose connection ended.
+				for range 20 {
+					balancer.End(time.Now(), two, balance.Erred, nil, time.Millisecond)
+				}
 				rn := forward.NewRunner(forward.DefaultConfig(), "host", 1, timer.NewSystem(), sv, &places{},
-					fleet{listed: []roster.Server{{ID: "one", Address: "one"}}}, retry.New(retry.DefaultConfig(), 1), balance.New("", 1),
+					fleet{listed: cs.listed}, retry.New(retry.DefaultConfig(), 1), balancer,
 					tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
 				rs := rn.Run(t.Context(), &forward.Request{
 					ID: "request", Service: "service", Arrived: time.Now(), Deadline: time.Now().Add(time.Second),
 					Route: route.Route{Kind: cs.kind, MaxAttempts: 3},
 				}, &sink{})
 				assert.Equal(t, rs.Whole, cs.whole, "%+v", rs)
-				assert.Equal(t, len(sv.sent), cs.sent)
+				assert.DeepEqual(t, sv.sent, cs.sent)
 			})
 		})
 	}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +20,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/hibiscuslever/hibiscuslever/checks"
 	engineprotocol "github.com/hibiscuslever/hibiscuslever/protocol/engine"
 	"github.com/hibiscuslever/hibiscuslever/protocol/openai"
 	operatorprotocol "github.com/hibiscuslever/hibiscuslever/protocol/operator"
@@ -43,23 +43,10 @@
 var binaries string
 
 func TestMain(m *testing.M) {
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "hibiscuslever")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	binaries = dir
-	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/hibiscusleverd", "../cmd/hibiscuslever", "../cmd/standin")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintln(os.Stderr, string(out))
-		return 1
-	}
-	return m.Run()
+	os.Exit(checks.WithPrograms(func(dir string) int {
+		binaries = dir
+		return m.Run()
+	}, "../cmd/hibiscusleverd", "../cmd/hibiscuslever", "../cmd/standin"))
 }
 
 // process is one program that a test has started.
@@ -98,14 +85,14 @@
 func startFleet(t testing.TB, config fleetConfig) *fleet {
 	t.Helper()
 	fl := &fleet{t: t, dir: t.TempDir()}
-	fl.platform = fl.start("platform", "standin", append([]string{"platform", "--address", freeAddress(t)}, config.platformFlags...)...)
+	fl.platform = fl.start("platform", "standin", append([]string{"platform", "--address", checks.FreeAddress(t)}, config.platformFlags...)...)
 	fl.waitHTTP(fl.platform.address + protocol.HostsPath)
 	for ix := range config.engines {
 		fl.startEngine(fmt.Sprintf("engine-%d", ix+1), config.engineFlags...)
 	}
 	for ix := range config.servers {
 		name := fmt.Sprintf("server-%d", ix+1)
-		sv := fl.start(name, "standin", "service", "--name", name, "--address", freeAddress(t), "--platform", fl.url(fl.platform), "--service", booking)
+		sv := fl.start(name, "standin", "service", "--name", name, "--address", checks.FreeAddress(t), "--platform", fl.url(fl.platform), "--service", booking)
 		fl.waitHTTP(sv.address + "/standin/ledger")
 		fl.servers = append(fl.servers, sv)
 	}
@@ -133,14 +120,6 @@
 	return sb.String()
 }
 
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func (fl *fleet) url(pr *process) string {
 	return "http://" + pr.address
 }
@@ -197,7 +176,7 @@
 
 func (fl *fleet) startEngine(name string, flags ...string) *process {
 	fl.t.Helper()
-	args := []string{"engine", "--name", name, "--address", freeAddress(fl.t), "--platform", fl.url(fl.platform), "--models", model, "--load-lag", "100ms"}
+	args := []string{"engine", "--name", name, "--address", checks.FreeAddress(fl.t), "--platform", fl.url(fl.platform), "--models", model, "--load-lag", "100ms"}
 	en := fl.start(name, "standin", append(args, flags...)...)
 	fl.waitHTTP(en.address + "/standin/held")
 	fl.engines = append(fl.engines, en)
@@ -209,7 +188,7 @@
 	if keepAddresses == "" {
 		keepAddresses = "1s"
 	}
-	callers, peers, operators := freeAddress(fl.t), freeAddress(fl.t), freeAddress(fl.t)
+	callers, peers, operators := checks.FreeAddress(fl.t), checks.FreeAddress(fl.t), checks.FreeAddress(fl.t)
 	zone, _, _ := strings.Cut(name, "-1")
 	text := fmt.Sprintf("[Host]\nName = %s\nAvailabilityZone = %s\nCallerAddress = %s\nPeerAddress = %s\nOperatorAddress = %s\n"+
 		"[Platform]\nURL = %s\n[Peers]\nSeeds = %s\n[Callers]\nKeepAddresses = %s\n",
--- a/e2e/limits_test.go
+++ b/e2e/limits_test.go
@@ -14,6 +14,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
+
+	"github.com/hibiscuslever/hibiscuslever/checks"
 )
 
 // TestLimitsHoldOverAllHosts sends more than an organisation may send, spread over all hosts.
@@ -106,7 +108,7 @@
 			assert.Equal(t, strings.Count(pr.log.String(), "\n"), 1, pr.log.String())
 		}
 	}
-	taken := fl.start("platform", "standin", "platform", "--address", freeAddress(t))
+	taken := fl.start("platform", "standin", "platform", "--address", checks.FreeAddress(t))
 	fl.waitHTTP(taken.address + "/hosts")
 	text := fmt.Sprintf("[Host]\nName = a\nAvailabilityZone = b\nCallerAddress = %s\nPeerAddress = 127.0.0.1:0\nOperatorAddress = 127.0.0.1:0\n[Platform]\nURL = http://127.0.0.1:1\n", taken.address)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"syscall"
@@ -112,21 +113,36 @@
 	}
 }
 
-// leavingHost stops a host while it has requests and checks that each gets its answer.
+// leavingHost stops a host while it has requests and checks that each gets its answer: streams that outlast the time in
+// which the host takes new ones, and orders that come before and after the signal.
 func (wd *world) leavingHost() {
 	hs := wd.hosts[len(wd.hosts)-1]
-	const at = 4
+	const (
+		at      = 4
+		inTurn  = 10
+		gap     = 400 * time.Millisecond
+		running = 60 * time.Millisecond
+	)
+	for _, sv := range wd.serving() {
+		sv.Slow(gap)
+	}
 	var group sync.WaitGroup
-	answers := make(chan *exchange, 2*at)
+	answers := make(chan *exchange, at*(1+inTurn))
 	for ix := range at {
-		cl := newClient(wd, "last"+string(rune('a'+ix)), 1)
-		group.Go(func() {
-			defer cl.http.CloseIdleConnections()
-			answers <- cl.send(chat, hs, 0)
-			answers <- cl.send(order, hs, 0)
-		})
+		for _, kd := range []kind{chat, order} {
+			cl := newClient(wd, fmt.Sprint("last-", kd.service, ix), 1)
+			group.Go(func() {
+				defer cl.http.CloseIdleConnections()
+				answers <- cl.send(kd, hs, 0)
+				for range inTurn - 1 {
+					if kd.once {
+						answers <- cl.send(kd, hs, 0)
+					}
+				}
+			})
+		}
 	}
-	time.Sleep(60 * time.Millisecond)
+	time.Sleep(running)
 	hs.signal(stopSignal, 0)
 	group.Wait()
 	close(answers)
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -26,7 +26,8 @@
 	between := func(least, most time.Duration) time.Duration {
 		return least + time.Duration(random.Int64N(int64(most-least)))
 	}
-	for range 2 + int(length/time.Second) {
+	const perSecond = 2
+	for range 2 + int(perSecond*length/time.Second) {
 		draw := faults[random.IntN(len(faults))]
 		at := between(length/10, length*8/10)
 		for range 1 + max(0, random.IntN(5)-2) {
@@ -71,9 +72,9 @@
 	return sb.String()
 }
 
-// faults are all kinds of faults; the links stand twice.
+// faults are all kinds of faults; links and servers, which can fail in many ways, stand more often.
 var faults = []func(wd *world, random *rand.Rand) step{
-	terminate, kill, pauseHost, killAll, harmLink, harmLink, harmStore, harmServer, replaceServer, crashServer, change, reload,
+	terminate, kill, pauseHost, killAll, harmLink, harmLink, harmStore, harmServer, harmServer, harmServer, replaceServer, crashServer, change, reload,
 }
 
 func anyHost(wd *world, random *rand.Rand) *host { return wd.hosts[random.IntN(len(wd.hosts))] }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -15,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/checks"
 )
 
 var (
@@ -30,23 +31,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "hibiscuslever")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	binaries = dir
-	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/hibiscusleverd")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintln(os.Stderr, string(out))
-		return 1
-	}
-	return m.Run()
+	os.Exit(checks.WithPrograms(func(dir string) int {
+		binaries = dir
+		return m.Run()
+	}, "../cmd/hibiscusleverd"))
 }
 
 // TestSoak runs each seed: faults, then calm, then the checks.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -2,16 +2,14 @@
 
 import (
 	"fmt"
-	"net"
-	"os"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscuslever/hibiscuslever/checks"
 	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
 )
 
@@ -78,33 +76,19 @@
 	var seeds []string
 	listen := make([]string, hosts)
 	for ix := range hosts {
-		hs := &host{world: wd, name: fmt.Sprint("host-", ix+1), caller: freeAddress(t), ready: freeAddress(t), directory: freeAddress(t)}
-		listen[ix] = freeAddress(t)
+		hs := &host{world: wd, name: fmt.Sprint("host-", ix+1), caller: checks.FreeAddress(t), ready: checks.FreeAddress(t), directory: checks.FreeAddress(t)}
+		listen[ix] = checks.FreeAddress(t)
 		hs.peers, hs.clients, hs.store = wd.link(hs.name+" peers", listen[ix]), wd.link(hs.name+" clients", hs.caller), wd.link(hs.name+" store", wd.store.Address())
 		seeds = append(seeds, hs.peers.address())
 		wd.hosts = append(wd.hosts, hs)
 	}
 	for ix, hs := range wd.hosts {
-		assert.NilError(t, hs.writeSettings(dir, fmt.Sprintf("zone-%c", 'a'+ix), listen[ix], freeAddress(t), seeds))
+		assert.NilError(t, hs.writeSettings(dir, fmt.Sprintf("zone-%c", 'a'+ix), listen[ix], checks.FreeAddress(t), seeds))
 		hs.start()
 	}
 	return wd
 }
 
-// loopbacks counts the loopback addresses that were given to hosts.
-var loopbacks atomic.Uint32
-
-// freeAddress returns an address that stays free while its host is down: connections start from 127.0.0.1, so that none
-// of them takes a port of another loopback address.
-func freeAddress(t *testing.T) string {
-	number := loopbacks.Add(1)
-	ip := net.IPv4(127, byte(1+os.Getpid()%250), byte(number>>8), byte(number))
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func (wd *world) link(name, target string) *link {
 	ln, err := newLink(name, target)
 	assert.NilError(wd.t, err)
@@ -169,6 +153,7 @@
 	routes := table["Routes"].([]any)
 	for ix, kd := range []kind{chat, read, order} {
 		routes[ix].(map[string]any)["TimeoutMs"] = kd.timeout.Milliseconds()
+		routes[ix].(map[string]any)["MaxAttempts"] = maxAttempts
 	}
 	for number := range wd.added {
 		routes = append(routes, map[string]any{
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -101,6 +101,13 @@
 	sv.fault = fault
 }
 
+// Slow changes the time between two events of a stream.
+func (sv *Server) Slow(gap time.Duration) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.EventGap = gap
+}
+
 // Runs returns the requests that the server ran.
 func (sv *Server) Runs() []Run {
 	sv.mutex.Lock()
@@ -253,13 +260,16 @@
 func (sv *Server) stream(wr http.ResponseWriter, rq *http.Request, run *Run, fault ServerFault) {
 	wr.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(wr)
+	sv.mutex.Lock()
+	gap := sv.EventGap
+	sv.mutex.Unlock()
 	first := 1
 	if last, err := strconv.Atoi(run.Resumed); err == nil {
 		first = last + 1
 	}
 	for number := first; number <= sv.Events; number++ {
 		select {
-		case <-time.After(sv.EventGap):
+		case <-time.After(gap):
 		case <-rq.Context().Done():
 			sv.left(run)
 			return
