What a host starts beside its parts is not started while they are waited for

Ruled out: the tests of the packages did not show it, as none stops a host with reports on their way.

Change: tasks.Group starts nothing once it is waited for; the calls of broker, news and gossip use it. The broker's client reports what is left before it ends.

Two tests read or wrote shared maps without a lock and are mended.

--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -39,6 +39,8 @@
 	live []id.Host
 	// unreachable hosts answer no calls.
 	unreachable map[id.Host]bool
+	// reports counts the reports of each host in which something has ended.
+	reports map[id.Host]int
 }
 
 // oneEngine is a fleet of one engine.
@@ -96,26 +98,33 @@
 	if err := nw.reached(ctx, host); err != nil {
 		return err
 	}
+	if len(rp.Ended) > 0 {
+		nw.mutex.Lock()
+		nw.reports[rp.Host]++
+		nw.mutex.Unlock()
+	}
 	nw.servers[host].Progress(rp)
 	return nil
 }
 
 // run starts hosts, all of them live, until the returned function is called.
 func run(t *testing.T, hosts ...id.Host) (*network, func()) {
-	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, live: hosts, unreachable: map[id.Host]bool{}}
+	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, live: hosts, unreachable: map[id.Host]bool{}, reports: map[id.Host]int{}}
 	ctx, cancel := context.WithCancel(t.Context())
+	var parts sync.WaitGroup
 	clock, logger := timer.NewSystem(), slog.New(slog.DiscardHandler)
 	for _, host := range hosts {
 		nw.servers[host] = broker.NewServer(batch.DefaultConfig(), clock, oneEngine{}, nw, innocent{}, tally.NoopScope, logger, 1)
 		nw.clients[host] = broker.NewClient(batch.DefaultConfig(), host, clock, nw, oneEngine{}, tally.NoopScope, logger, 1)
 		nw.clients[host].Open()
-		go func() { _ = nw.servers[host].Run(ctx) }()
-		go func() { _ = nw.clients[host].Run(ctx) }()
+	}
+	for _, host := range hosts {
+		parts.Go(func() { _ = nw.servers[host].Run(ctx) })
+		parts.Go(func() { _ = nw.clients[host].Run(ctx) })
 	}
 	return nw, func() {
 		cancel()
-		// Reports that are on their way end.
-		time.Sleep(time.Second)
+		parts.Wait()
 	}
 }
 
@@ -197,3 +206,25 @@
 		assert.Assert(t, time.Since(began) < 150*time.Millisecond, "it took %s", time.Since(began))
 	})
 }
+
+// TestLastReport reports what ended just before a host stops, and nothing after its parts have ended.
+func TestLastReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := run(t, "first", "second")
+		grant, oc := nw.ask(t, "second", 1, time.Second)
+		assert.Assert(t, oc.OK(), "%+v", oc)
+		nw.clients["second"].End(broker.Ended{Attempt: grant.Attempt})
+		stop()
+		assert.Equal(t, nw.reportsOf("second"), 1)
+		nw.clients["second"].End(broker.Ended{Attempt: grant.Attempt})
+		time.Sleep(time.Second)
+		assert.Equal(t, nw.reportsOf("second"), 1)
+	})
+}
+
+// reportsOf returns the number of reports of a host in which something has ended.
+func (nw *network) reportsOf(host id.Host) int {
+	nw.mutex.Lock()
+	defer nw.mutex.Unlock()
+	return nw.reports[host]
+}
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -57,7 +58,7 @@
 	alone  map[id.Service]*batch.Machine
 	config batch.Config
 	seed   uint64
-	group  sync.WaitGroup
+	group  tasks.Group
 	// open is closed when the host knows the others, so that it does not dispatch alone before.
 	open     chan struct{}
 	openOnce sync.Once
@@ -97,6 +98,7 @@
 	sub := timer.Every(cl.clock, renewPeriod, func() { cl.renew(ctx) })
 	<-ctx.Done()
 	sub.Stop()
+	cl.flush()
 	cl.group.Wait()
 	return nil
 }
@@ -344,14 +346,17 @@
 		return
 	}
 	cl.pending = true
-	cl.clock.After(reportDelay, func() {
-		cl.mutex.Lock()
-		started, ended := cl.started, cl.ended
-		cl.started, cl.ended = nil, nil
-		cl.pending = false
-		cl.mutex.Unlock()
-		cl.report(started, ended, nil)
-	})
+	cl.clock.After(reportDelay, cl.flush)
+}
+
+// flush reports what has started and ended since the last report.
+func (cl *Client) flush() {
+	cl.mutex.Lock()
+	started, ended := cl.started, cl.ended
+	cl.started, cl.ended = nil, nil
+	cl.pending = false
+	cl.mutex.Unlock()
+	cl.report(started, ended, nil)
 }
 
 // renew reports what is held, so that a dispatcher that has just taken over learns of it.
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -32,7 +33,7 @@
 	metrics     tally.Scope
 	logger      *slog.Logger
 	seed        uint64
-	group       sync.WaitGroup
+	group       tasks.Group
 
 	wake     chan struct{}
 	mutex    sync.Mutex
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -64,7 +65,7 @@
 	// live caches the live hosts until a member changes.
 	live  []membership.Member
 	seeds map[string]bool
-	calls sync.WaitGroup
+	calls tasks.Group
 }
 
 // New returns a runner that knows only its own host.
--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/roster"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -91,7 +92,7 @@
 	reading  bool
 	readAt   time.Time
 	pulling  bool
-	group    sync.WaitGroup
+	group    tasks.Group
 }
 
 // New returns a follower that knows nothing.
--- a/coordination/news/follower_test.go
+++ b/coordination/news/follower_test.go
@@ -156,6 +156,12 @@
 	}
 }
 
+func (st *store) readCount() int {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	return st.reads
+}
+
 // change puts a new desired state in force and returns its version.
 func (st *store) change() route.Version {
 	st.mutex.Lock()
@@ -307,10 +313,10 @@
 		nw := newNetwork(st, "a", "b", "c", "d", "e")
 		defer nw.run(t)()
 		time.Sleep(2 * time.Second)
-		before := st.reads
+		before := st.readCount()
 		const watched = 10
 		time.Sleep(watched * time.Second)
-		assert.Assert(t, st.reads-before <= watched*3, "%d reads in %d s by five hosts", st.reads-before, watched)
+		assert.Assert(t, st.readCount()-before <= watched*3, "%d reads in %d s by five hosts", st.readCount()-before, watched)
 		for turned, host := range id.Rendezvous("ServerList", nw.hosts)[:3] {
 			st.mutex.Lock()
 			st.refuse[host] = true
--- a/layers_test.go
+++ b/layers_test.go
@@ -20,7 +20,7 @@
 var layers = []string{"state", "coordination", "protocol", "transport"}
 
 // helpers may be imported by every layer.
-var helpers = []string{"timer", "checks"}
+var helpers = []string{"timer", "checks", "tasks"}
 
 // decisions are the packages without goroutines, I/O, clock or global random source.
 var decisions = []string{
