A host that knows no engines yet refuses nothing as a dispatcher

The lines "place refused" showed a list of endless age.

Ruled out: an outage of the store (the list of the others was 0.4 s old), engines that were full.

Change: while desired state and list are unknown, Place answers with an error; the host that asks goes on to the next dispatcher in order, as when the first can't be reached.

Red first: broker.TestUninformedDispatcher.

--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -63,6 +63,8 @@
 
 // Fleet knows the services and their engines.
 type Fleet interface {
+	// Informed reports whether the services and their engines are known at all.
+	Informed() bool
 	// Engine describes the engines of a service, or reports false for one without engines.
 	Engine(service id.Service) (route.Engine, bool)
 	// Engines returns the engines of a service.
--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -39,12 +39,23 @@
 	live []id.Host
 	// unreachable hosts answer no calls.
 	unreachable map[id.Host]bool
+	// uninformed hosts know no engines yet.
+	uninformed map[id.Host]bool
 	// reports counts the reports of each host in which something has ended.
 	reports map[id.Host]int
 }
 
-// oneEngine is a fleet of one engine.
-type oneEngine struct{}
+// oneEngine is what a host knows of a fleet of one engine.
+type oneEngine struct {
+	network *network
+	host    id.Host
+}
+
+func (oe oneEngine) Informed() bool {
+	oe.network.mutex.Lock()
+	defer oe.network.mutex.Unlock()
+	return !oe.network.uninformed[oe.host]
+}
 
 func (oneEngine) Engine(id.Service) (route.Engine, bool) {
 	return route.Engine{
@@ -53,7 +64,10 @@
 	}, true
 }
 
-func (oneEngine) Engines(id.Service) []batch.EngineSpec {
+func (oe oneEngine) Engines(id.Service) []batch.EngineSpec {
+	if !oe.Informed() {
+		return nil
+	}
 	return []batch.EngineSpec{{Engine: "engine-1", Address: "10.0.0.1:80"}}
 }
 
@@ -84,7 +98,7 @@
 	if err := nw.reached(ctx, host); err != nil {
 		return broker.Answer{}, err
 	}
-	return nw.servers[host].Place(ask), nil
+	return nw.servers[host].Place(ask)
 }
 
 func (nw *network) Give(ctx context.Context, host id.Host, rq id.Request, answer broker.Answer) (bool, error) {
@@ -109,13 +123,13 @@
 
 // run starts hosts, all of them live, until the returned function is called.
 func run(t *testing.T, hosts ...id.Host) (*network, func()) {
-	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, live: hosts, unreachable: map[id.Host]bool{}, reports: map[id.Host]int{}}
+	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, live: hosts, unreachable: map[id.Host]bool{}, reports: map[id.Host]int{}, uninformed: map[id.Host]bool{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var parts sync.WaitGroup
 	clock, logger := timer.NewSystem(), slog.New(slog.DiscardHandler)
 	for _, host := range hosts {
-		nw.servers[host] = broker.NewServer(batch.DefaultConfig(), clock, oneEngine{}, nw, innocent{}, tally.NoopScope, logger, 1)
-		nw.clients[host] = broker.NewClient(batch.DefaultConfig(), host, clock, nw, oneEngine{}, tally.NoopScope, logger, 1)
+		nw.servers[host] = broker.NewServer(batch.DefaultConfig(), clock, oneEngine{nw, host}, nw, innocent{}, tally.NoopScope, logger, 1)
+		nw.clients[host] = broker.NewClient(batch.DefaultConfig(), host, clock, nw, oneEngine{nw, host}, tally.NoopScope, logger, 1)
 		nw.clients[host].Open()
 	}
 	for _, host := range hosts {
@@ -228,3 +242,17 @@
 	defer nw.mutex.Unlock()
 	return nw.reports[host]
 }
+
+// TestUninformedDispatcher has a host that has just started, and knows no engines yet, pass for one that can't be asked:
+// it refuses nothing, and the next host in order gives places.
+func TestUninformedDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := run(t, "first", "second", "third")
+		defer stop()
+		nw.mutex.Lock()
+		nw.uninformed["first"] = true
+		nw.mutex.Unlock()
+		_, oc := nw.ask(t, "third", 1, time.Second)
+		assert.Assert(t, oc.OK(), "%+v", oc)
+	})
+}
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
@@ -141,8 +142,15 @@
 	}
 }
 
-// Place answers an Ask at once; the answer to a request that has to wait is given to its host later.
-func (sv *Server) Place(ask Ask) Answer {
+// errUninformed has an asking host turn to the next dispatcher.
+var errUninformed = errors.New("the host does not know the engines yet")
+
+// Place answers an Ask at once; the answer to a request that has to wait is given to its host later. It returns an error
+// while the host has just started and knows no engines: what it does not know it must not refuse.
+func (sv *Server) Place(ask Ask) (Answer, error) {
+	if !sv.fleet.Informed() {
+		return Answer{}, errUninformed
+	}
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	now := sv.clock.Now()
@@ -150,7 +158,7 @@
 	if convicted {
 		sv.metrics.Counter("convicted_refused").Inc(1)
 		oc := outcome.Refuse(outcome.Quarantined, "the request has crashed engines and is not run again")
-		return Answer{Refusal: &oc}
+		return Answer{Refusal: &oc}, nil
 	}
 	ask.Alone = suspected
 	dp := sv.dispatcherOf(now, ask.Service)
@@ -169,7 +177,7 @@
 		dp.waiters[ask.ID] = ask.Host
 		sv.wakeUp()
 	}
-	return answer
+	return answer, nil
 }
 
 // wakeUp has the next tick come at once.
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// Informed reports whether the desired state and the list of servers are known.
+func (fl *fleet) Informed() bool { return fl.news.Informed() }
+
 // Engine describes the engines of a service, or reports false for one without engines.
 func (fl *fleet) Engine(service id.Service) (route.Engine, bool) {
 	tb := fl.news.Table()
--- a/transport/peer/place.go
+++ b/transport/peer/place.go
@@ -51,7 +51,7 @@
 // Place asks a host's dispatcher for a place.
 func (cl *Client) Place(ctx context.Context, host id.Host, ask broker.Ask) (broker.Answer, error) {
 	if host == cl.self.Host {
-		return cl.local.Broker.Place(ask), nil
+		return cl.local.Broker.Place(ask)
 	}
 	rq := &peer.PlaceRequest{Request: encodePlaced(ask, cl.clock.Now()), Host: string(ask.Host)}
 	ms, err := call(ctx, cl, host, rq, method(peerconnect.PeerClient.Place))
@@ -109,7 +109,11 @@
 	}
 	ask := decodePlaced(rq.Msg.GetRequest(), sv.clock.Now())
 	ask.Host = id.Host(rq.Msg.GetHost())
-	return connect.NewResponse(encodePlaceAnswer(sv.local.Broker.Place(ask))), nil
+	answer, err := sv.local.Broker.Place(ask)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(encodePlaceAnswer(answer)), nil
 }
 
 // Give takes the answer to a request of the own host that waited.
