Hosts start with any figure that the platform writes

Cause: the small twin of the large deployment has a retry slack of 38.33, which the settings refused, so that every host ended at start. Slack and memory were whole numbers, the retry share was bounded by 1, a stop time of 0 and a key without a value were errors.

Ruled out: rounding in the template; it has no functions.

--- a/settings/keys.go
+++ b/settings/keys.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Key describes one key of the settings file.
@@ -20,9 +22,10 @@
 }
 
 const (
-	allowedName     = "1 to 64 letters, digits, dots or hyphens"
+	allowedName     = "1 to 64 letters, digits, dots, hyphens or underscores"
 	allowedAddress  = "an IP address with a port, such as 10.0.0.1:8000"
 	allowedDuration = "a duration above 0, such as 30s"
+	allowedCount    = "a number from 0 on"
 	maxNameLength   = 64
 )
 
@@ -83,17 +86,17 @@
 		}},
 		{"Traces", "File", "the path of a file", func(st *Settings, value string) bool { return setText(&st.Traces.File, value) }},
 		{"Traces", "Endpoint", "an http or https URL", func(st *Settings, value string) bool { return setURL(&st.Traces.Endpoint, value) }},
-		{"Retries", "Share", "a number from 0 to 1", func(st *Settings, value string) bool { return setFloat(&st.Retries.Share, value, 0, 1) }},
-		{"Retries", "Slack", "a whole number from 0 to 1000000", func(st *Settings, value string) bool {
-			return setInt(&st.Retries.Slack, value, 0, 1_000_000)
+		{"Retries", "Share", allowedCount, func(st *Settings, value string) bool { return setCount(&st.Retries.Share, value, 1000) }},
+		{"Retries", "Slack", allowedCount, func(st *Settings, value string) bool { return setCount(&st.Retries.Slack, value, 1_000_000) }},
+		{"Limits", "MemoryMegabytes", allowedCount, func(st *Settings, value string) bool {
+			return setCount(&st.Limits.MemoryMegabytes, value, 1_000_000)
 		}},
-		{"Limits", "MemoryMegabytes", "a whole number from 0 to 1000000", func(st *Settings, value string) bool {
-			return setInt(&st.Limits.MemoryMegabytes, value, 0, 1_000_000)
+		{"Limits", "ProcessorShare", allowedCount, func(st *Settings, value string) bool {
+			return setCount(&st.Limits.ProcessorShare, value, 1000)
 		}},
-		{"Limits", "ProcessorShare", "a number from 0 to 1000", func(st *Settings, value string) bool {
-			return setFloat(&st.Limits.ProcessorShare, value, 0, 1000)
+		{"Operators", "ShutdownTimeout", "a duration from 0 on, such as 30s", func(st *Settings, value string) bool {
+			return setPeriod(&st.Operators.ShutdownTimeout, value, maxPeriod)
 		}},
-		{"Operators", "ShutdownTimeout", allowedDuration, func(st *Settings, value string) bool { return setDuration(&st.Operators.ShutdownTimeout, value) }},
 	}
 }
 
@@ -130,7 +133,7 @@
 func setName[N ~string](target *N, value string) bool {
 	for _, ch := range value {
 		letter := ch >= 'a' && ch <= 'z' || ch >= 'A' && ch <= 'Z' || ch >= '0' && ch <= '9'
-		if !letter && ch != '.' && ch != '-' {
+		if !letter && !strings.ContainsRune(".-_", ch) {
 			return false
 		}
 	}
@@ -192,3 +195,32 @@
 	*target = parsed
 	return err == nil && parsed >= least && parsed <= most
 }
+
+// setCount takes a number that the platform writes: fractions and zero are allowed, what is above the most counts as
+// the most.
+func setCount(target *float64, value string, most float64) bool {
+	parsed, err := strconv.ParseFloat(value, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return false
+	}
+	*target = min(parsed, most)
+	return parsed >= 0
+}
+
+// maxPeriod bounds durations that the platform writes; longer ones count as this.
+const maxPeriod = 24 * time.Hour
+
+// setPeriod takes a duration that the platform writes in seconds, in any notation of numbers, or one with units.
+func setPeriod(target *time.Duration, value string, most time.Duration) bool {
+	if parsed, err := time.ParseDuration(value); err == nil {
+		*target = min(parsed, most)
+		return parsed >= 0
+	}
+	var seconds float64
+	number, found := strings.CutSuffix(value, "s")
+	if !found || !setCount(&seconds, number, most.Seconds()) {
+		return false
+	}
+	*target = time.Duration(seconds * float64(time.Second))
+	return true
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,13 +69,13 @@
 type Retries struct {
 	// Share is the part of a service's requests that may be added as retries, beside Slack.
 	Share float64
-	Slack int
+	Slack float64
 }
 
 // Limits bounds what the process uses.
 type Limits struct {
 	// MemoryMegabytes is the memory at which the process is ended; 0 for no bound.
-	MemoryMegabytes int
+	MemoryMegabytes float64
 	// ProcessorShare is the part of a core that the process may use; 0 if it is not known.
 	ProcessorShare float64
 }
@@ -206,6 +206,10 @@
 		if at < 0 {
 			return fmt.Errorf("settings %s: section %s: key %q does not exist; want one of %s", path, section.Name(), key.Name(), names(known))
 		}
+		if key.Value() == "" {
+			// The platform writes no value for a field that it lacks.
+			continue
+		}
 		if !known[at].set(st, key.Value()) {
 			return fmt.Errorf("settings %s: section %s: key %s: value %q is not allowed; want %s", path, section.Name(), key.Name(), key.Value(), known[at].Allowed)
 		}
--- a/site/host.go
+++ b/site/host.go
@@ -176,14 +176,14 @@
 // as many, so that all hosts together stay within the slack, also those that can't see each other.
 func (ht *Host) quietRetries(hosts int) float64 {
 	const most, saved = 4, 2
-	return min(most, float64(ht.settings.Retries.Slack)/float64(saved*hosts))
+	return min(most, ht.settings.Retries.Slack/float64(saved*hosts))
 }
 
 // Run serves until the context ends, then shuts down gracefully.
 func (ht *Host) Run(ctx context.Context) error {
 	if megabytes := ht.settings.Limits.MemoryMegabytes; megabytes > 0 {
 		const usedShare = 0.7
-		debug.SetMemoryLimit(int64(usedShare * float64(megabytes) * (1 << 20)))
+		debug.SetMemoryLimit(int64(usedShare * megabytes * (1 << 20)))
 	}
 	ht.logger.Info("host started", "zone", string(ht.self.AvailabilityZone), "clients", ht.self.CallerAddress, "peers", ht.self.PeerAddress,
 		"incarnation", int64(ht.self.Incarnation), "seeds", ht.settings.Peers.Seeds)
