--- a/coordination/batch/admit.go
+++ b/coordination/batch/admit.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"math"
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
@@ -17,11 +18,14 @@
 // admit decides whether a request may wait. What can't be served in its time is refused at once.
 func (mc *Machine) admit(now time.Time, wt *waiting) (outcome.Outcome, bool) {
 	usable, present := 0, 0
+	// banned is the time until the first engine may get the request.
+	banned := time.Duration(math.MaxInt64)
 	for _, en := range mc.engines {
 		if en.Leaving {
 			continue
 		}
 		present++
+		banned = min(banned, max(0, wt.Banned[en.Engine].Sub(now)))
 		if en.usable(now) {
 			usable++
 		}
@@ -36,6 +40,9 @@
 	case len(mc.waiting) >= mc.config.MaxWaiting:
 		return outcome.Refuse(outcome.Overloaded, "the queue is full").After(mc.spread(maxRetryAfter)), false
 	}
+	if banned > 0 && now.Sub(wt.Arrived)+banned+wt.read/mc.allParts() > wt.Patience {
+		return outcome.Refuse(outcome.Overloaded, "all engines asked to be left alone").After(mc.apart(banned)), false
+	}
 	start := now.Sub(wt.Arrived) + mc.queueOf(wt).work/time.Duration(max(1, usable)) + wt.read/time.Duration(max(1, min(usable, mc.config.MaxParts)))
 	if start > wt.Patience {
 		return outcome.Refuse(outcome.Overloaded, "the request can't start in its time").After(mc.spread(start - wt.Patience)), false
@@ -44,7 +51,11 @@
 }
 
 func (mc *Machine) spread(wait time.Duration) time.Duration {
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	return mc.apart(min(max(wait, minRetryAfter), maxRetryAfter))
+}
+
+// apart adds the random part to a time that a client is told to wait.
+func (mc *Machine) apart(wait time.Duration) time.Duration {
 	return wait + time.Duration(mc.random.Float64()*retrySpread*float64(wait))
 }
 
--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -35,6 +35,8 @@
 	Number int
 	// Avoid names engines that failed the request.
 	Avoid []id.Engine
+	// Banned holds until when engines asked the entry host to send them nothing.
+	Banned map[id.Engine]time.Time
 	// Alone asks for engines that run nothing else, because the request may have crashed one.
 	Alone bool
 }
@@ -101,6 +103,8 @@
 	Failed id.Engine
 	// Fault says how it failed.
 	Fault Fault
+	// RetryAfter is how long the engine asked to be left alone; zero if it did not.
+	RetryAfter time.Duration
 }
 
 // Fault says how an engine failed an attempt.
--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -19,6 +19,8 @@
 	// pausedUntil is when an engine that failed may get work again.
 	pausedUntil time.Time
 	faults      int
+	// refusals counts the requests in a row that the engine turned away and asked to be left alone.
+	refusals int
 }
 
 // task is an engine's part of a grant.
@@ -156,13 +158,13 @@
 }
 
 // failed takes the word that an engine failed an attempt.
-func (mc *Machine) failed(now time.Time, name id.Engine, fault Fault) {
-	en, ok := mc.byName[name]
+func (mc *Machine) failed(now time.Time, ev Finish) {
+	en, ok := mc.byName[ev.Failed]
 	if !ok {
 		return
 	}
 	pause := mc.config.FaultPause
-	switch fault {
+	switch ev.Fault {
 	case NoFault:
 		return
 	case Gone:
@@ -170,6 +172,11 @@
 		return
 	case Full:
 		pause = mc.config.FaultPause / 4
+		if ev.RetryAfter > 0 {
+			// One host's word holds for that host; when more of them hear it, the engine is full for all.
+			pause = min(pause<<min(en.refusals, 5), ev.RetryAfter)
+			en.refusals++
+		}
 	case Failing:
 		en.faults++
 		pause = mc.config.FaultPause / 4 * time.Duration(en.faults)
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -33,6 +33,8 @@
 	lookAt time.Time
 	// view holds the engines that may get new work, as they are during one look at the queues.
 	view []candidate
+	// viewed is when that look was taken.
+	viewed time.Time
 	// order and chosen are the places of engines in the view, kept to be used again.
 	order   []int
 	chosen  []int
@@ -85,7 +87,7 @@
 	case Started:
 		mc.start(now, ev.Attempt)
 	case Finish:
-		mc.failed(now, ev.Failed, ev.Fault)
+		mc.failed(now, ev)
 		mc.finish(now, ev.Attempt)
 	case Tick:
 		mc.sweep(now)
@@ -106,6 +108,7 @@
 func (mc *Machine) submit(now time.Time, rq Request) {
 	if wt, queued := mc.waiting[rq.ID]; queued {
 		if wt.Number >= rq.Number {
+			wt.Banned = rq.Banned
 			return
 		}
 		mc.drop(wt)
@@ -190,7 +193,7 @@
 	gr.started = true
 	mc.settle(now, gr)
 	if en, ok := mc.byName[gr.Parts[0].Engine]; ok {
-		en.faults = 0
+		en.faults, en.refusals = 0, 0
 	}
 }
 
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -91,6 +91,7 @@
 
 // look takes a view of the engines that may get new work.
 func (mc *Machine) look(now time.Time) {
+	mc.viewed = now
 	mc.view = mc.view[:0]
 	for _, en := range mc.engines {
 		if !en.usable(now) {
@@ -114,7 +115,7 @@
 
 // takes reports whether an engine of the view may get a request at all.
 func (mc *Machine) takes(cd *candidate, wt *waiting, avoid bool) bool {
-	if wt.Alone && len(cd.engine.tasks) > 0 {
+	if wt.Alone && len(cd.engine.tasks) > 0 || wt.Banned != nil && mc.viewed.Before(wt.Banned[cd.engine.Engine]) {
 		return false
 	}
 	return !avoid || !slices.Contains(wt.Avoid, cd.engine.Engine)
--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -43,6 +43,8 @@
 	// Failed names the engine that failed the attempt, and Fault says how.
 	Failed id.Engine
 	Fault  batch.Fault
+	// RetryAfter is how long the engine asked to be left alone; zero if it did not.
+	RetryAfter time.Duration
 	// Fingerprint is set when the engine was lost while it ran the request.
 	Fingerprint id.Fingerprint
 }
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -324,7 +324,7 @@
 		delete(cl.held, en.Attempt)
 	}
 	for _, mc := range cl.alone {
-		mc.Step(cl.clock.Now(), batch.Finish{Attempt: en.Attempt, Failed: en.Failed, Fault: en.Fault})
+		mc.Step(cl.clock.Now(), batch.Finish{Attempt: en.Attempt, Failed: en.Failed, Fault: en.Fault, RetryAfter: en.RetryAfter})
 	}
 	cl.mutex.Unlock()
 	cl.end(en)
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -268,7 +268,7 @@
 	if en.Fingerprint != 0 {
 		sv.convictions.Crashed(en.Fingerprint)
 	}
-	sv.apply(dp, dp.machine.Step(now, batch.Finish{Attempt: en.Attempt, Failed: en.Failed, Fault: en.Fault}))
+	sv.apply(dp, dp.machine.Step(now, batch.Finish{Attempt: en.Attempt, Failed: en.Failed, Fault: en.Fault, RetryAfter: en.RetryAfter}))
 }
 
 // Status describes a dispatcher of this host.
--- a/coordination/forward/events.go
+++ b/coordination/forward/events.go
@@ -14,8 +14,8 @@
 	data []byte
 }
 
-// maxEventBytes bounds one event.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event, so that hundreds of streams without line ends fit into a small host's memory.
+const maxEventBytes = 64 << 10
 
 var errEventTooLong = errors.New("an event of the stream is too long")
 
--- a/coordination/forward/events_test.go
+++ b/coordination/forward/events_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"strings"
@@ -38,3 +39,28 @@
 	_, err = newEventReader(strings.NewReader(strings.Repeat("x", 2*maxEventBytes))).next()
 	assert.Equal(t, err, errEventTooLong)
 }
+
+// FuzzEvents splits any bytes into events: nothing is lost or added, and no event is longer than allowed.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid: 3\n"))
+	f.Add([]byte("\n\n\n"))
+	f.Add(bytes.Repeat([]byte("x"), 70_000))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		er := newEventReader(bytes.NewReader(raw))
+		var all []byte
+		for {
+			ev, err := er.next()
+			all = append(all, ev.data...)
+			if errors.Is(err, io.EOF) {
+				assert.Assert(t, bytes.Equal(all, raw))
+				return
+			}
+			if err != nil {
+				assert.ErrorIs(t, err, errEventTooLong)
+				assert.Assert(t, bytes.HasPrefix(raw, all))
+				return
+			}
+			assert.Assert(t, len(ev.data) <= maxEventBytes, "%d bytes", len(ev.data))
+		}
+	})
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -75,6 +75,8 @@
 	Moved bool
 	// Leaving says that the server is about to leave.
 	Leaving bool
+	// RetryAfter is how long a server that turned the request away wants to be left alone; zero if it does not say.
+	RetryAfter time.Duration
 	// Culprit is the address of the server that is at fault, if the answer names one.
 	Culprit string
 	// Load is nil if the server does not say.
@@ -118,10 +120,12 @@
 	Servers(service id.Service) []roster.Server
 	// Leaving reports whether a server is known to drain or to be gone. One that is not known is not.
 	Leaving(server id.BackendServer) bool
+	// HasLeft reports whether a server said itself that it is leaving, or that another has its address.
+	HasLeft(server id.BackendServer) bool
 	// Age returns the time since the list was last known to be up to date.
 	Age() time.Duration
-	// Left records a server's own word that it is leaving, or that another has its address.
-	Left(server id.BackendServer)
+	// Left records a server's own word that it is leaving, or that another has its address, and reports whether it is new.
+	Left(server id.BackendServer) bool
 }
 
 // Sink takes the answer for the client.
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -35,8 +35,9 @@
 	var last *kept
 	dials := 0
 	for {
-		sv, ok := jb.choose(avoid)
+		sv, wait, ok := jb.choose(avoid)
 		if !ok {
+			jb.wait = wait
 			break
 		}
 		jb.result.Server = sv.ID
@@ -75,6 +76,8 @@
 		jb.passOn(*last)
 	case ctx.Err() != nil:
 		jb.ended(ctx)
+	case jb.result.Attempts == 0 && jb.wait > 0:
+		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "all servers of the service want to be left alone").After(rn.apart(jb.wait))
 	case jb.result.Attempts == 0:
 		jb.result.Outcome = outcome.Refuse(outcome.NoCapacity, "no server of the service takes requests").After(time.Second)
 	default:
@@ -82,12 +85,20 @@
 	}
 }
 
-func (jb *job) choose(avoid []id.BackendServer) (roster.Server, bool) {
+// choose returns the server that is next, or the time until one that wants to be left alone may be it.
+func (jb *job) choose(avoid []id.BackendServer) (roster.Server, time.Duration, bool) {
 	rn := jb.runner
 	servers := rn.fleet.Servers(jb.request.Service)
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
-	return rn.balancer.Choose(rn.clock.Now(), servers, avoid)
+	now := rn.clock.Now()
+	servers, wait := rn.allowed(servers)
+	sv, ok := rn.balancer.Choose(now, servers, avoid)
+	if ok {
+		rn.backoffs.Sent(now, sv.ID)
+		wait = 0
+	}
+	return sv, wait, ok
 }
 
 // attemptPlain sends the request to one server, the last one of those that it is not to be sent to again. It returns 0
@@ -133,6 +144,7 @@
 		return nil, retry.Interrupted, err.Error()
 	}
 	defer func() { _ = answer.Body.Close() }()
+	rn.heed(sv, answer)
 	load = answer.Load
 	jb.sent++
 	switch {
@@ -162,6 +174,7 @@
 	servers := rn.fleet.Servers(jb.request.Service)
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
+	servers, _ = rn.allowed(servers)
 	return rn.balancer.Any(servers, avoid) && rn.retries.Allows(retry.Failure{
 		Service: jb.request.Service, Cause: retry.Interrupted, Attempts: jb.sent + 1, Idempotent: true,
 	})
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/backoff"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/roster"
@@ -30,6 +32,10 @@
 	// StreamSilence is how long a stream may be silent, beyond what was predicted, before its engine is asked
 	// whether it is alive.
 	StreamSilence time.Duration
+	// StallShare is the part of a client's patience after which a stream that brings no event goes on elsewhere.
+	StallShare float64
+	// PlaceTTL is how long a place may be used after it was given: a host that was paused has lost it by then.
+	PlaceTTL time.Duration
 	// ProbeTimeout bounds that question.
 	ProbeTimeout time.Duration
 	// MaxPlaces bounds the places that one request asks for when engines refuse to run it.
@@ -39,9 +45,11 @@
 // DefaultConfig returns the bounds that hosts use.
 func DefaultConfig() Config {
 	return Config{
-		BufferBytes:   256 << 10,
+		BufferBytes:   32 << 10,
 		AttemptShare:  0.5,
 		StreamSilence: 600 * time.Millisecond,
+		StallShare:    0.6,
+		PlaceTTL:      2 * time.Second,
 		ProbeTimeout:  400 * time.Millisecond,
 		MaxPlaces:     4,
 	}
@@ -62,8 +70,11 @@
 
 	sequence atomic.Uint64
 	mutex    sync.Mutex
+	random   *rand.Rand
 	retries  *retry.Policy
 	balancer *balance.Balancer
+	// backoffs holds the servers that asked this host to be left alone.
+	backoffs *backoff.Table
 
 	// placing ends when requests that wait for a place are to be refused, serving when all requests are to be answered.
 	placing     context.Context
@@ -80,6 +91,7 @@
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
 	rn.balancer.Keep(listed)
+	rn.backoffs.Keep(listed)
 }
 
 // SetQuietRetries sets the number of retries that this host may make at once for a quiet service.
@@ -115,21 +127,40 @@
 	}
 }
 
+// Parts are what a runner works with.
+type Parts struct {
+	Host        id.Host
+	Incarnation id.Incarnation
+	Clock       timer.Service
+	Servers     Servers
+	Places      Places
+	Fleet       Fleet
+	Retries     *retry.Policy
+	Balancer    *balance.Balancer
+	Metrics     tally.Scope
+	Logger      *slog.Logger
+	Tracer      trace.Tracer
+	// Seed determines random choices.
+	Seed uint64
+}
+
 // NewRunner returns a runner.
-func NewRunner(config Config, host id.Host, inc id.Incarnation, clock timer.Service, servers Servers, places Places, fleet Fleet, retries *retry.Policy, balancer *balance.Balancer, metrics tally.Scope, logger *slog.Logger, tracer trace.Tracer) *Runner {
+func NewRunner(config Config, parts Parts) *Runner {
 	rn := &Runner{
 		config:   config,
-		host:     host,
-		inc:      inc,
-		clock:    clock,
-		servers:  servers,
-		places:   places,
-		fleet:    fleet,
-		retries:  retries,
-		balancer: balancer,
-		metrics:  metrics,
-		logger:   logger,
-		tracer:   tracer,
+		host:     parts.Host,
+		inc:      parts.Incarnation,
+		clock:    parts.Clock,
+		servers:  parts.Servers,
+		places:   parts.Places,
+		fleet:    parts.Fleet,
+		retries:  parts.Retries,
+		balancer: parts.Balancer,
+		backoffs: backoff.New(parts.Seed),
+		random:   rand.New(rand.NewPCG(parts.Seed, parts.Seed)),
+		metrics:  parts.Metrics,
+		logger:   parts.Logger,
+		tracer:   parts.Tracer,
 	}
 	rn.placing, rn.stopPlacing = context.WithCancel(context.Background())
 	rn.serving, rn.stopServing = context.WithCancel(context.Background())
@@ -197,6 +228,15 @@
 	}
 }
 
+// apart adds a random part to the time after which a client is to come back, so that those refused together do not
+// return together.
+func (rn *Runner) apart(wait time.Duration) time.Duration {
+	const spread = 0.5
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return wait + time.Duration(rn.random.Float64()*spread*float64(wait))
+}
+
 // job is one request on its way.
 type job struct {
 	runner  *Runner
@@ -208,6 +248,8 @@
 	// sent counts the servers that the request was sent to; unknown says that one of them may have run it.
 	sent    int
 	unknown bool
+	// wait is the time until a server may be tried, when all want to be left alone.
+	wait time.Duration
 	// fresh has further attempts made on new connections, since a reused one brought no answer.
 	fresh bool
 }
--- /dev/null
+++ b/coordination/forward/stall_test.go
@@ -0,0 +1,152 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// part is a piece of a body and the time after which it comes.
+type part struct {
+	after time.Duration
+	text  string
+}
+
+// slowBody brings parts in their time; after the last one it brings the rest again and again, or ends.
+type slowBody struct {
+	ctx   context.Context
+	parts []part
+	rest  part
+}
+
+func (sb *slowBody) Read(buffer []byte) (int, error) {
+	next := sb.rest
+	if len(sb.parts) > 0 {
+		next, sb.parts = sb.parts[0], sb.parts[1:]
+	}
+	if next.text == "" {
+		return 0, io.EOF
+	}
+	select {
+	case <-time.After(next.after):
+		return copy(buffer, next.text), nil
+	case <-sb.ctx.Done():
+		return 0, sb.ctx.Err()
+	}
+}
+func (sb *slowBody) Close() error { return nil }
+
+// bodies answer each address with a stream of its own, and notes from which event on.
+type bodies struct {
+	servers
+	of      map[string]slowBody
+	resumed []string
+}
+
+func (bd *bodies) Send(ctx context.Context, at forward.Attempt) (forward.Answer, error) {
+	bd.sent = append(bd.sent, at.Address)
+	bd.resumed = append(bd.resumed, at.Resume)
+	body := bd.of[at.Address]
+	body.ctx = ctx
+	return forward.Answer{Status: http.StatusOK, Length: -1, Body: &body}, nil
+}
+
+// TestStalledStreams leaves streams alone that are slow but get on, and has those go on elsewhere that stand still while
+// their engine says that it is alive: silent, with a byte now and then, or with comments. They do so before the client
+// leaves. A stream that can't go on elsewhere is left to its engine.
+func TestStalledStreams(t *testing.T) {
+	const event1, event2, event3 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	// The client leaves after a gap of 2.4 s.
+	rt := route.Route{Kind: route.Streaming, Prompt: true, Resumable: true, MaxAttempts: 2, Target: 400 * time.Millisecond, MaxPause: 300 * time.Millisecond}
+	once := rt
+	once.MaxAttempts = 1
+	rest := slowBody{parts: []part{{10 * time.Millisecond, event2}, {10 * time.Millisecond, event3}}}
+	for _, cs := range []struct {
+		name  string
+		route route.Route
+		first slowBody
+		sent  int
+	}{
+		{"slow but sound", rt, slowBody{parts: []part{{time.Second, event1}, {time.Second, event2}, {time.Second, event3}}}, 1},
+		{"slow within an event", rt, slowBody{parts: []part{{0, event1}, {500 * time.Millisecond, "id: 2\n"}, {500 * time.Millisecond, "data: b\n\n" + event3}}}, 1},
+		{"silent", rt, slowBody{parts: []part{{0, event1}}, rest: part{time.Hour, "x"}}, 2},
+		{"a byte now and then", rt, slowBody{parts: []part{{0, event1}}, rest: part{100 * time.Millisecond, "x"}}, 2},
+		{"comments now and then", rt, slowBody{parts: []part{{0, event1}}, rest: part{100 * time.Millisecond, ": still here\n\n"}}, 2},
+		{"bytes that are no events, without end", rt, slowBody{parts: []part{{0, event1}}, rest: part{0, strings.Repeat("x", 1024)}}, 2},
+		{"can't go on elsewhere", once, slowBody{parts: []part{{0, event1}, {2 * time.Second, event2}, {0, event3}}}, 1},
+	} {
+		t.Run(cs.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pl := &places{grants: []batch.Grant{grantOn("1", "one"), grantOn("2", "two")}}
+				sv := &bodies{of: map[string]slowBody{"one:80": cs.first, "two:80": rest}}
+				rn := newRunner(forward.Parts{Servers: sv, Places: pl, Fleet: fleet{}, Retries: retry.New(retry.Config{MaxAttempts: 3, BudgetShare: 1, MinBudget: 100}, 1)})
+				out := &sink{}
+				now := time.Now()
+				rs := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", Prompt: 1000, Arrived: now, Deadline: now.Add(10 * time.Second), Route: cs.route}, out)
+				assert.Assert(t, rs.Whole, "%+v", rs)
+				body := strings.ReplaceAll(out.body.String(), ": still here\n\n", "")
+				assert.Equal(t, body, event1+event2+event3)
+				assert.Equal(t, len(sv.sent), cs.sent)
+				assert.Assert(t, rs.Pause < route.Patience(rt.Target, rt.MaxPause), "%s", rs.Pause)
+				if cs.sent > 1 {
+					assert.Equal(t, sv.resumed[1], "1")
+					assert.Assert(t, rs.Pause < 2*time.Second, "%s", rs.Pause)
+				}
+			})
+		})
+	}
+}
+
+// pausing sets memory aside, and is paused the first time.
+type pausing struct {
+	servers
+	paused   bool
+	released []string
+}
+
+func (ps *pausing) Reserve(_ context.Context, _, _ string, _ id.Tokens, _ time.Duration) (bool, error) {
+	if !ps.paused {
+		ps.paused = true
+		time.Sleep(6 * time.Second)
+	}
+	return true, nil
+}
+
+func (ps *pausing) Release(_ context.Context, _, ticket string) error {
+	ps.released = append(ps.released, ticket)
+	return nil
+}
+
+// TestPausedWithAPlace does not use a place that was given before the process was paused: the dispatcher has given it to
+// others since. The memory that was set aside is given back, and another place is asked for.
+func TestPausedWithAPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old, fresh := grantOn("old", "one"), grantOn("fresh", "two")
+		old.Parts[0].Ticket = "ticket"
+		pl := &places{grants: []batch.Grant{old, fresh}}
+		sv := &pausing{}
+		rn := newRunner(forward.Parts{Servers: sv, Places: pl, Fleet: fleet{}})
+		rs := rn.Run(t.Context(), &forward.Request{
+			ID: "request", Service: "service", Prompt: 1000, Arrived: time.Now(), Deadline: time.Now().Add(15 * time.Second),
+			Route: route.Route{Kind: route.Streaming, Prompt: true, MaxAttempts: 1, Target: 4 * time.Second},
+		}, &sink{})
+		assert.Assert(t, rs.Whole, "%+v", rs)
+		assert.DeepEqual(t, sv.sent, []string{"two:80"})
+		synctest.Wait()
+		assert.DeepEqual(t, sv.released, []string{"ticket"})
+		assert.DeepEqual(t, pl.ended[0], broker.Ended{Request: pl.ended[0].Request, Attempt: "old"})
+	})
+}
--- a/coordination/forward/watch.go
+++ b/coordination/forward/watch.go
@@ -5,37 +5,47 @@
 	"sync"
 	"time"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
 // watch asks an engine whether it is alive when its stream has been silent for too long, and ends the attempt when
-// it does not answer.
+// it does not answer, or when it answers and its stream has stalled all the same.
 type watch struct {
 	runner  *Runner
-	address string
+	part    batch.Part
 	silence time.Duration
-	lost    func()
+	// stall is how long the stream may bring no event from an engine that is alive; zero for any time.
+	stall time.Duration
+	lost  func(error)
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// last is the last sign of life, moved when the last event with an id came.
 	last    time.Time
+	moved   time.Time
 	stopped bool
 	sub     timer.Subscription
 }
 
 // newWatch starts to watch a stream that may be silent for a time before its first event.
-func newWatch(rn *Runner, address string, first time.Duration, lost func()) *watch {
-	wt := &watch{runner: rn, address: address, silence: rn.config.StreamSilence, lost: lost, last: rn.clock.Now().Add(first - rn.config.StreamSilence)}
+func newWatch(rn *Runner, part batch.Part, first, stall time.Duration, lost func(error)) *watch {
+	begun := rn.clock.Now().Add(first - rn.config.StreamSilence)
+	wt := &watch{runner: rn, part: part, silence: rn.config.StreamSilence, stall: stall, lost: lost, last: begun, moved: begun}
 	wt.mutex.Lock()
 	defer wt.mutex.Unlock()
 	wt.sub = rn.clock.After(first, wt.look)
 	return wt
 }
 
-// heard notes a sign of life.
-func (wt *watch) heard() {
+// heard notes an event. One without an id is a sign of life, but the stream does not get on by it.
+func (wt *watch) heard(ev event) {
 	wt.mutex.Lock()
 	defer wt.mutex.Unlock()
 	wt.last = wt.runner.clock.Now()
+	if ev.id != "" {
+		wt.moved = wt.last
+	}
 }
 
 // look asks the engine if it has been silent, and looks again later.
@@ -46,6 +56,11 @@
 		return
 	}
 	now := wt.runner.clock.Now()
+	if wt.stalled(now) {
+		wt.mutex.Unlock()
+		wt.lost(errStalled)
+		return
+	}
 	if left := wt.silence - now.Sub(wt.last); left > 0 {
 		wt.sub = wt.runner.clock.After(left, wt.look)
 		wt.mutex.Unlock()
@@ -54,20 +69,25 @@
 	wt.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), wt.runner.config.ProbeTimeout)
 	defer cancel()
-	alive := wt.runner.servers.Alive(ctx, wt.address)
+	alive := wt.runner.wantsNothing(id.BackendServer(wt.part.Engine)) || wt.runner.servers.Alive(ctx, wt.part.Address)
 	wt.mutex.Lock()
 	defer wt.mutex.Unlock()
 	if wt.stopped {
 		return
 	}
 	if !alive && wt.runner.clock.Now().Sub(wt.last) >= wt.silence {
-		wt.lost()
+		wt.lost(errSilent)
 		return
 	}
 	wt.last = wt.runner.clock.Now()
 	wt.sub = wt.runner.clock.After(wt.silence, wt.look)
 }
 
+// stalled reports whether the stream has brought no event for too long. The caller holds the lock.
+func (wt *watch) stalled(now time.Time) bool {
+	return wt.stall > 0 && now.Sub(wt.moved) >= wt.stall
+}
+
 func (wt *watch) stop() {
 	wt.mutex.Lock()
 	defer wt.mutex.Unlock()
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -66,6 +67,8 @@
 	live  []membership.Member
 	seeds map[string]bool
 	calls tasks.Group
+	// hurried says that facts are about to be passed on.
+	hurried atomic.Bool
 }
 
 // New returns a runner that knows only its own host.
@@ -190,6 +193,8 @@
 			rn.handlers.Changed(ef.Member)
 		case membership.Learned:
 			rn.handlers.Learned(ef.Fact)
+		case membership.Hurried:
+			rn.hurry(ctx)
 		case membership.Behind:
 			rn.handlers.Behind(ef.Host)
 		}
@@ -235,8 +240,24 @@
 // Spread passes a fact on to all hosts.
 func (rn *Runner) Spread(fact membership.Fact) {
 	rn.mutex.Lock()
-	defer rn.mutex.Unlock()
 	rn.machine.Spread(fact)
+	rn.mutex.Unlock()
+	rn.hurry(context.Background())
+}
+
+// hurryDelay is how long facts are gathered before they are passed on to some members at once. Over a few hundred hosts
+// a fact then takes a tenth of a second.
+const hurryDelay = 10 * time.Millisecond
+
+// hurry has facts passed on soon, unless that is about to happen.
+func (rn *Runner) hurry(ctx context.Context) {
+	if rn.hurried.Swap(true) {
+		return
+	}
+	rn.clock.After(hurryDelay, func() {
+		rn.hurried.Store(false)
+		rn.step(ctx, membership.Hurry{})
+	})
 }
 
 // SetRevision sets the revision of the configuration that is announced.
--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -25,9 +25,18 @@
 	revision  id.Offset
 	behind    id.Offset
 	updates   spreader[id.Host]
-	facts     map[factID]int64
-	rumours   spreader[factID]
-	effects   []Effect
+	facts     map[factID]factValue
+	// now is the time of the newest step, sweptAt when old facts were last looked for.
+	now     time.Time
+	sweptAt time.Time
+	rumours spreader[factID]
+	effects []Effect
+}
+
+// factValue is the value of a fact and when it was learnt.
+type factValue struct {
+	value int64
+	since time.Time
 }
 
 type peer struct {
@@ -47,7 +56,7 @@
 		self:     self,
 		members:  map[id.Host]*peer{},
 		revision: id.NoOffset,
-		facts:    map[factID]int64{},
+		facts:    map[factID]factValue{},
 	}
 	mc.updates.add(self.Host)
 	return mc
@@ -56,9 +65,12 @@
 // Step takes one event and returns what is to be done. The effects are valid until the next step.
 func (mc *Machine) Step(now time.Time, ev Event) []Effect {
 	mc.effects = mc.effects[:0]
+	mc.now = now
 	switch ev := ev.(type) {
 	case Tick:
 		mc.tick(now)
+	case Hurry:
+		mc.hurry()
 	case Received:
 		mc.merge(now, ev.Message)
 	case ProbeEnded:
@@ -82,8 +94,8 @@
 	for _, pr := range mc.members {
 		msg.Updates = append(msg.Updates, pr.Member)
 	}
-	for fact, value := range mc.facts {
-		msg.Facts = append(msg.Facts, Fact{Kind: fact.kind, Key: fact.key, Value: value})
+	for fact, known := range mc.facts {
+		msg.Facts = append(msg.Facts, Fact{Kind: fact.kind, Key: fact.key, Value: known.value})
 	}
 	return msg
 }
@@ -147,6 +159,7 @@
 
 func (mc *Machine) tick(now time.Time) {
 	mc.expire(now)
+	mc.forgetFacts(now)
 	if now.Sub(mc.probedAt) < mc.config.ProbePeriod {
 		return
 	}
@@ -159,6 +172,28 @@
 	mc.reviveDue(now)
 }
 
+// hurry passes facts on to random members beside the probes.
+func (mc *Machine) hurry() {
+	for _, mb := range mc.anyAlive(mc.config.Fanout, "") {
+		mc.probe(mb)
+	}
+}
+
+// forgetFacts drops old facts, so that they do not gather over the life of a host.
+func (mc *Machine) forgetFacts(now time.Time) {
+	const sweepPeriod = time.Minute
+	if now.Sub(mc.sweptAt) < sweepPeriod {
+		return
+	}
+	mc.sweptAt = now
+	for key, known := range mc.facts {
+		if now.Sub(known.since) > mc.config.FactTTL {
+			delete(mc.facts, key)
+			mc.rumours.remove(key)
+		}
+	}
+}
+
 func (mc *Machine) leave() {
 	if mc.self.Status == Leaving {
 		return
@@ -175,11 +210,16 @@
 			mc.updates.add(mb.Host)
 		}
 	}
+	hurried := false
 	for _, fact := range msg.Facts {
 		if mc.learn(fact, !msg.Complete) {
 			mc.effects = append(mc.effects, Effect{Kind: Learned, Fact: fact})
+			hurried = hurried || !msg.Complete
 		}
 	}
+	if hurried {
+		mc.effects = append(mc.effects, Effect{Kind: Hurried})
+	}
 	if msg.From != "" && msg.Revision > mc.behind {
 		mc.behind = msg.Revision
 		mc.effects = append(mc.effects, Effect{Kind: Behind, Host: msg.From})
@@ -194,10 +234,10 @@
 // learn takes a fact that is new and reports whether it was.
 func (mc *Machine) learn(fact Fact, spread bool) bool {
 	key := factID{kind: fact.Kind, key: fact.Key}
-	if old, known := mc.facts[key]; known && old >= fact.Value {
+	if old, known := mc.facts[key]; known && old.value >= fact.Value {
 		return false
 	}
-	mc.facts[key] = fact.Value
+	mc.facts[key] = factValue{value: fact.Value, since: mc.now}
 	if spread {
 		mc.rumours.add(key)
 	}
@@ -266,7 +306,7 @@
 		}
 	}
 	for _, fact := range mc.rumours.take(mc.config.MaxUpdates, limit) {
-		msg.Facts = append(msg.Facts, Fact{Kind: fact.kind, Key: fact.key, Value: mc.facts[fact]})
+		msg.Facts = append(msg.Facts, Fact{Kind: fact.kind, Key: fact.key, Value: mc.facts[fact].value})
 	}
 	return msg
 }
--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -77,6 +77,9 @@
 const (
 	// Crashes counts engine crashes by a request's fingerprint.
 	Crashes FactKind = iota + 1
+	// Departures holds by a backend server's hashed id when the process started that said it is leaving, in Unix
+	// milliseconds.
+	Departures
 )
 
 type factID struct {
@@ -119,6 +122,9 @@
 	Answer Message
 }
 
+// Hurry has facts passed on to some random members.
+type Hurry struct{}
+
 // Evidence reports that a connection to a host was refused.
 type Evidence struct{ Host id.Host }
 
@@ -127,6 +133,7 @@
 
 func (Tick) event()       {}
 func (Received) event()   {}
+func (Hurry) event()      {}
 func (ProbeEnded) event() {}
 func (Evidence) event()   {}
 func (Leave) event()      {}
@@ -144,6 +151,8 @@
 	Learned
 	// Behind says that another member has a higher revision of the configuration.
 	Behind
+	// Hurried says that facts are to be passed on now, by Hurry, rather than with the next probes.
+	Hurried
 )
 
 // Effect is an output of the machine.
@@ -168,6 +177,10 @@
 	SuspectTimeout time.Duration
 	// Indirect is the number of members asked to probe a host that did not answer.
 	Indirect int
+	// Fanout is the number of members that a host passes urgent facts on to at once.
+	Fanout int
+	// FactTTL is how long a fact is remembered.
+	FactTTL time.Duration
 	// MaxUpdates bounds the changes in one message.
 	MaxUpdates int
 	// Spread scales the number of times that a change is passed on.
@@ -184,6 +197,8 @@
 		ProbePeriod:    500 * time.Millisecond,
 		SuspectTimeout: 2 * time.Second,
 		Indirect:       3,
+		Fanout:         2,
+		FactTTL:        time.Hour,
 		MaxUpdates:     8,
 		Spread:         3,
 		RevivePeriod:   5 * time.Second,
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -112,7 +112,7 @@
 	if !known || pr.Status == Dead || pr.Status == Suspect || pr.helpers > 0 {
 		return
 	}
-	helpers := mc.helpers(ev.Target)
+	helpers := mc.anyAlive(mc.config.Indirect, ev.Target)
 	pr.helpers = len(helpers)
 	if len(helpers) == 0 {
 		mc.suspect(now, ev.Target)
@@ -134,16 +134,16 @@
 	}
 }
 
-// helpers returns random live members that are asked to probe a target.
-func (mc *Machine) helpers(target id.Host) []Member {
-	var helpers []Member
+// anyAlive returns up to count random members that are alive, without one of them.
+func (mc *Machine) anyAlive(count int, without id.Host) []Member {
+	var alive []Member
 	for _, mb := range mc.Members() {
-		if mb.Host != target && mb.Status == Alive {
-			helpers = append(helpers, mb)
+		if mb.Host != without && mb.Status == Alive {
+			alive = append(alive, mb)
 		}
 	}
-	mc.random.Shuffle(len(helpers), func(left, right int) { helpers[left], helpers[right] = helpers[right], helpers[left] })
-	return helpers[:min(len(helpers), mc.config.Indirect)]
+	mc.random.Shuffle(len(alive), func(left, right int) { alive[left], alive[right] = alive[right], alive[left] })
+	return alive[:min(len(alive), count)]
 }
 
 func (mc *Machine) suspect(now time.Time, host id.Host) {
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -4,7 +4,10 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/news"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/roster"
@@ -16,65 +19,156 @@
 type fleet struct {
 	news  *news.Follower
 	clock timer.Service
+	// spread passes on what a server said to the other hosts.
+	spread func(membership.Fact)
 
 	mutex sync.Mutex
-	// left holds the servers that said that they are leaving, or whose address another one has, by their start.
-	left map[id.BackendServer]int64
+	// left holds the starts of servers that said that they are leaving, or whose address another one has, by their hashed ids:
+	// the list may name them as ready for a long time, drop them and name them again.
+	left map[uint64]departure
+	// unlisted holds the servers that said so before the own list named them.
+	unlisted map[id.BackendServer]time.Time
+	// services holds the listed servers by service, those that left as draining. Its slices are not changed.
+	services map[id.Service][]roster.Server
 }
 
-func newFleet(fl *news.Follower, clock timer.Service) *fleet {
-	return &fleet{news: fl, clock: clock, left: map[id.BackendServer]int64{}}
+// departure is the start of a server that is leaving and when the host learnt that it is.
+type departure struct {
+	born  int64
+	since time.Time
 }
 
-// keep forgets servers that are no longer listed.
-func (fl *fleet) keep(servers []roster.Server) {
-	listed := map[id.BackendServer]bool{}
-	for _, sv := range servers {
-		listed[sv.ID] = true
+// departureTTL is how long a server's word that it is leaving is remembered; it is the memory of facts between hosts.
+const departureTTL = time.Hour
+
+func newFleet(fl *news.Follower, clock timer.Service, spread func(membership.Fact)) *fleet {
+	return &fleet{
+		news:     fl,
+		clock:    clock,
+		spread:   spread,
+		left:     map[uint64]departure{},
+		unlisted: map[id.BackendServer]time.Time{},
+		services: map[id.Service][]roster.Server{},
 	}
+}
+
+func hashOf(server id.BackendServer) uint64 { return xxhash.Sum64String(string(server)) }
+
+// listed takes a new list of servers, and forgets what servers said long ago.
+func (fl *fleet) listed(servers []roster.Server) {
 	fl.mutex.Lock()
-	defer fl.mutex.Unlock()
-	for name := range fl.left {
-		if !listed[name] {
-			delete(fl.left, name)
+	now := fl.clock.Now()
+	for hash, dp := range fl.left {
+		if now.Sub(dp.since) > departureTTL {
+			delete(fl.left, hash)
+		}
+	}
+	var facts []membership.Fact
+	for _, sv := range servers {
+		if _, waits := fl.unlisted[sv.ID]; waits {
+			delete(fl.unlisted, sv.ID)
+			facts = append(facts, fl.depart(now, sv))
+		}
+	}
+	for name, since := range fl.unlisted {
+		if now.Sub(since) > departureTTL {
+			delete(fl.unlisted, name)
 		}
 	}
+	fl.arrange(servers)
+	fl.mutex.Unlock()
+	for _, fact := range facts {
+		fl.spread(fact)
+	}
 }
 
-// Servers returns the servers of a service that are listed; those that left count as draining.
-func (fl *fleet) Servers(service id.Service) []roster.Server {
-	servers, _ := fl.news.Servers()
-	fl.mutex.Lock()
-	defer fl.mutex.Unlock()
-	var found []roster.Server
+// depart records that a server is leaving and returns the fact for the other hosts. The caller holds the lock.
+func (fl *fleet) depart(now time.Time, sv roster.Server) membership.Fact {
+	fl.left[hashOf(sv.ID)] = departure{born: sv.Born, since: now}
+	return membership.Fact{Kind: membership.Departures, Key: hashOf(sv.ID), Value: sv.Born}
+}
+
+// arrange sorts the listed servers by service. The caller holds the lock.
+func (fl *fleet) arrange(servers []roster.Server) {
+	fl.services = map[id.Service][]roster.Server{}
 	for _, sv := range servers {
-		if sv.Service != service {
-			continue
-		}
-		if born, left := fl.left[sv.ID]; left && born == sv.Born {
+		if dp, left := fl.left[hashOf(sv.ID)]; left && dp.born == sv.Born {
 			sv.Draining = true
 		}
-		found = append(found, sv)
+		fl.services[sv.Service] = append(fl.services[sv.Service], sv)
 	}
-	return found
 }
 
-// Leaving reports whether a server is known to drain or to be gone.
+// Servers returns the servers of a service that are listed; those that left count as draining. The result is not to be
+// changed.
+func (fl *fleet) Servers(service id.Service) []roster.Server {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	return fl.services[service]
+}
+
+// Leaving reports whether a server is listed as draining or gone.
 func (fl *fleet) Leaving(server id.BackendServer) bool { return fl.news.Leaving(server) }
 
+// HasLeft reports whether a server said itself that it is leaving, or that another has its address.
+func (fl *fleet) HasLeft(server id.BackendServer) bool {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	if _, waits := fl.unlisted[server]; waits {
+		return true
+	}
+	dp, left := fl.left[hashOf(server)]
+	if !left {
+		return false
+	}
+	for _, servers := range fl.services {
+		for _, sv := range servers {
+			if sv.ID == server {
+				return sv.Born == dp.born
+			}
+		}
+	}
+	return true
+}
+
 // Age returns the time since the list was last known to be up to date.
 func (fl *fleet) Age() time.Duration { return fl.news.Age() }
 
-// Left records a server's own word that it is leaving, or that another has its address.
-func (fl *fleet) Left(server id.BackendServer) {
+// Left records a server's own word that it is leaving, or that another has its address, and tells the other hosts. It
+// reports whether that is new.
+func (fl *fleet) Left(server id.BackendServer) bool {
+	if fl.HasLeft(server) {
+		return false
+	}
 	servers, _ := fl.news.Servers()
 	fl.mutex.Lock()
-	defer fl.mutex.Unlock()
+	now := fl.clock.Now()
 	for _, sv := range servers {
-		if sv.ID == server {
-			fl.left[server] = sv.Born
+		if sv.ID != server {
+			continue
 		}
+		fact := fl.depart(now, sv)
+		fl.arrange(servers)
+		fl.mutex.Unlock()
+		fl.spread(fact)
+		return true
+	}
+	fl.unlisted[server] = now
+	fl.mutex.Unlock()
+	return true
+}
+
+// learned takes another host's word that a server is leaving, and reports whether that is new.
+func (fl *fleet) learned(fact membership.Fact) bool {
+	servers, _ := fl.news.Servers()
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	if dp, known := fl.left[fact.Key]; known && dp.born >= fact.Value {
+		return false
 	}
+	fl.left[fact.Key] = departure{born: fact.Value, since: fl.clock.Now()}
+	fl.arrange(servers)
+	return true
 }
 
 // Informed reports whether the desired state and the list of servers are known.
--- a/site/host.go
+++ b/site/host.go
@@ -147,14 +147,24 @@
 	newsConfig.Seeds = ht.settings.Peers.Seeds
 	ht.store = platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
 	ht.news = news.New(newsConfig, ht.self.Host, ht.clock, ht.store, ht.peers, ht.peers, scope, ht.logger, seed, ht.newsChanged)
-	ht.fleet = newFleet(ht.news, ht.clock)
+	ht.fleet = newFleet(ht.news, ht.clock, ht.gossip.Spread)
 	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peers, convictions{ht}, scope, ht.logger, seed)
 	ht.places = broker.NewClient(batch.DefaultConfig(), ht.self.Host, ht.clock, ht.peers, ht.fleet, scope, ht.logger, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
-	retries := retry.New(ht.retryConfig(), seed)
-	balancer := balance.New(ht.self.AvailabilityZone, seed)
-	ht.runner = forward.NewRunner(forward.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, platform.NewServers(ht.pool),
-		ht.places, ht.fleet, retries, balancer, scope, ht.logger, tracer)
+	ht.runner = forward.NewRunner(forward.DefaultConfig(), forward.Parts{
+		Host:        ht.self.Host,
+		Incarnation: ht.self.Incarnation,
+		Clock:       ht.clock,
+		Balancer:    balance.New(ht.self.AvailabilityZone, seed),
+		Servers:     platform.NewServers(ht.pool),
+		Places:      ht.places,
+		Fleet:       ht.fleet,
+		Retries:     retry.New(ht.retryConfig(), seed),
+		Metrics:     scope,
+		Logger:      ht.logger,
+		Tracer:      tracer,
+		Seed:        seed,
+	})
 	ht.front = platform.NewFront(ht.news, ht.runner, ht.clock, ht.logger)
 	return nil
 }
@@ -269,17 +279,21 @@
 }
 
 func (ht *Host) factLearned(fact membership.Fact) {
-	if fact.Kind != membership.Crashes {
-		return
+	switch fact.Kind {
+	case membership.Crashes:
+		ht.mutex.Lock()
+		defer ht.mutex.Unlock()
+		ht.quarantine.Learn(ht.clock.Now(), id.Fingerprint(fact.Key), int(fact.Value))
+	case membership.Departures:
+		if ht.fleet.learned(fact) {
+			ht.broker.Refresh()
+		}
 	}
-	ht.mutex.Lock()
-	defer ht.mutex.Unlock()
-	ht.quarantine.Learn(ht.clock.Now(), id.Fingerprint(fact.Key), int(fact.Value))
 }
 
 func (ht *Host) newsChanged() {
 	servers, _ := ht.news.Servers()
-	ht.fleet.keep(servers)
+	ht.fleet.listed(servers)
 	ht.runner.Keep(servers)
 	ht.boundConnections()
 	ht.broker.Refresh()
--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
 )
 
 func (wd *world) allReady() bool {
@@ -26,6 +28,7 @@
 	time.Sleep(contactTime)
 	wd.newRoute(probe)
 	wd.leavingServer()
+	wd.leavingByWord(probe)
 	wd.leavingClient(probe)
 	wd.leavingHost()
 	took = wd.eventually("LEAK", "memory is given back", func() bool { return wd.tickets() == 0 })
@@ -95,6 +98,38 @@
 	}
 }
 
+// leavingByWord has a server of each service say that it is leaving, in its answers alone, and looks for requests that
+// reach it long after one.
+func (wd *world) leavingByWord(probe *client) {
+	for _, kd := range []kind{read, chat} {
+		var sv *server
+		for _, each := range wd.serving() {
+			if each.Service == kd.service {
+				sv = each
+			}
+		}
+		sv.Fail(standin.Leaves)
+		before := len(sv.Runs())
+		wd.eventually("DRAIN", "a server says that it is leaving", func() bool {
+			probe.send(kd, wd.hosts[0], 0)
+			return len(sv.Runs()) > before
+		})
+		said := time.Now()
+		for time.Since(said) < drainTime {
+			probe.send(kd, wd.hosts[0], 0)
+			probe.send(kd, wd.hosts[1], 0)
+		}
+		for _, run := range sv.Runs() {
+			if *timed && run.Began.Sub(said) > drainTime/2 {
+				wd.broken("DRAIN", "%s ran %s %s after it had said that it is leaving", sv.ID, run.Attempt, run.Began.Sub(said))
+			}
+		}
+		sv.Fail(standin.Sound)
+		sv.Restart()
+		wd.store.List(sv.Server)
+	}
+}
+
 // leavingClient has a client go away in the middle of a stream, and waits until the engine stops.
 func (wd *world) leavingClient(probe *client) {
 	ex := probe.send(chat, wd.hosts[0], 100*time.Millisecond)
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -34,6 +34,11 @@
 		terminate, kill, pauseHost, killAll, harmLink, harmLink, harmStore, harmServer, harmServer, harmServer, replaceServer,
 		crashServer, change, reload,
 	}},
+	// Words adds servers that say something of themselves, send bytes without end, or stand still.
+	"Words": {2, []func(wd *world, random *rand.Rand) step{
+		terminate, kill, pauseHost, killAll, harmLink, harmLink, harmStore, harmServer, wordServer, wordServer, wordServer, replaceServer,
+		crashServer, change, reload,
+	}},
 }
 
 // plan draws the faults of a soak from its seed. They come in series and overlap.
@@ -160,6 +165,31 @@
 	}
 }
 
+// wordServer has a server say that it is leaving or wants to be left alone, send bytes without end, or stand still. One
+// that said that it is leaving comes back as another one.
+func wordServer(wd *world, random *rand.Rand) step {
+	fault := []standin.ServerFault{standin.Leaves, standin.Rests, standin.Endless, standin.Stalls}[random.IntN(4)]
+	pick := random.Int()
+	var sv *server
+	return step{
+		text: fmt.Sprint("a server fails, kind ", fault),
+		do: func() {
+			serving := wd.serving()
+			sv = serving[pick%len(serving)]
+			sv.Fail(fault)
+		},
+		undo: func() {
+			sv.Fail(standin.Sound)
+			wd.mutex.Lock()
+			defer wd.mutex.Unlock()
+			if fault == standin.Leaves && !sv.gone {
+				sv.Restart()
+				wd.store.List(sv.Server)
+			}
+		},
+	}
+}
+
 // replaceServer has a server leave as the platform does it, after another one has come.
 func replaceServer(wd *world, random *rand.Rand) step {
 	pick := random.Int()
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +38,14 @@
 	Stale
 	// Surplus has an answer to another request sent when the connection is used again.
 	Surplus
+	// Leaves has each answer say that the server is leaving.
+	Leaves
+	// Rests has requests answered as not run, with the word to leave the server alone for a second.
+	Rests
+	// Endless has each request answered with bytes that are no answer, until the connection is closed.
+	Endless
+	// Stalls has streams stand still after the first event, with a comment now and then.
+	Stalls
 )
 
 // Run is a request that a server ran.
@@ -76,6 +85,10 @@
 	// tickets holds until when memory is set aside.
 	tickets map[string]time.Time
 	lapsed  int
+	// turnedAway is when the server turned requests away and asked to be left alone.
+	turnedAway []time.Time
+	// born counts the server's starts.
+	born int64
 }
 
 // NewServer starts a server of a service on a port of its own.
@@ -142,9 +155,12 @@
 	if address == "" {
 		address = sv.Address()
 	}
+	sv.mutex.Lock()
+	born := sv.born
+	sv.mutex.Unlock()
 	body, _ := json.Marshal(map[string]any{
 		"Service": sv.Service, "Address": address, "Zone": sv.Zone, "Version": "v1", "Slots": 8,
-		"State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": 1700000000000,
+		"State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": 1700000000000 + born,
 	})
 	return body
 }
@@ -172,12 +188,21 @@
 		header.Set("X-Engine-Id", "other")
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	case fault == Rests:
+		header.Set("Retry-After", "1")
+		header.Set("X-Not-Executed", "1")
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		sv.turnAway()
+		return
 	case fault == Sheds:
 		header.Set("X-Not-Executed", "1")
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	deadline, _ := strconv.Atoi(rq.Header.Get("X-Deadline-Ms"))
+	if fault == Leaves {
+		header.Set("Server-Leaving", "1")
+	}
 	run := &Run{
 		Attempt: rq.Header.Get("X-Attempt-Id"), Tenant: rq.Header.Get("X-Tenant"), Deadline: deadline,
 		Resumed: rq.Header.Get("Last-Event-Id"), Helpers: rq.Header.Get("X-Helpers"), Target: rq.RequestURI,
@@ -192,6 +217,9 @@
 		<-rq.Context().Done()
 		sv.left(run)
 		return
+	case Endless:
+		sv.endless(wr, rq)
+		return
 	case Errs:
 		wr.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(wr, "failed")
@@ -282,10 +310,67 @@
 		}
 		_, _ = io.WriteString(wr, event)
 		_ = control.Flush()
+		if fault == Stalls {
+			sv.dribble(wr, rq)
+			sv.left(run)
+			return
+		}
 	}
 	sv.ended(run)
 }
 
+// endless sends bytes that are no answer until the host closes the connection.
+func (sv *Server) endless(wr http.ResponseWriter, rq *http.Request) {
+	raw, _, err := http.NewResponseController(wr).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = raw.Close() }()
+	much := []byte(strings.Repeat("?", 4096))
+	for err == nil && rq.Context().Err() == nil {
+		_, err = raw.Write(much)
+	}
+}
+
+// Comment is what a stream brings that stands still.
+const Comment = ": wait\n\n"
+
+// dribble sends a comment now and then until the host closes the connection.
+func (sv *Server) dribble(wr http.ResponseWriter, rq *http.Request) {
+	const pause = 50 * time.Millisecond
+	control := http.NewResponseController(wr)
+	for {
+		select {
+		case <-time.After(pause):
+		case <-rq.Context().Done():
+			return
+		}
+		_, _ = io.WriteString(wr, Comment)
+		_ = control.Flush()
+	}
+}
+
+// turnAway notes a request that was turned away.
+func (sv *Server) turnAway() {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.turnedAway = append(sv.turnedAway, time.Now())
+}
+
+// TurnedAway returns when the server turned requests away and asked to be left alone.
+func (sv *Server) TurnedAway() []time.Time {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	return slices.Clone(sv.turnedAway)
+}
+
+// Restart has the server be another one under its name, once it is listed again.
+func (sv *Server) Restart() {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.born++
+}
+
 func (sv *Server) ended(run *Run) {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -39,6 +39,10 @@
 // Tokens counts tokens of prompts, answers or engine memory.
 type Tokens int64
 
+// MaxTokens bounds counts of tokens from outside, far above any engine's memory, so that sums and times of reading don't
+// overflow.
+const MaxTokens Tokens = 1 << 32
+
 // Offset is a position in a stream of the platform's log.
 type Offset int64
 
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -135,7 +135,8 @@
 	tokens := float64(prompt)
 	seconds := tokens / en.ReadPerSecond
 	pairs := tokens * (tokens + 1) / 2 / 1e6
-	return time.Duration(seconds*float64(time.Second)) + time.Duration(pairs*float64(en.PerMillionPairs))
+	const longest = float64(24 * time.Hour)
+	return time.Duration(min(longest, seconds*float64(time.Second)+pairs*float64(en.PerMillionPairs)))
 }
 
 // Service is a group of engines or backend servers that serve the same requests.
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -25,8 +26,9 @@
 	Body   []byte
 	// Fresh has the request sent on a connection of its own.
 	Fresh bool
-	// IsAnswer reports whether a response belongs to the request. Others on the same connection are skipped.
-	IsAnswer func(http.Header) bool
+	// IsAnswer reports whether a response with a status and a header belongs to the request. Others on the same
+	// connection are skipped.
+	IsAnswer func(status int, header http.Header) bool
 }
 
 // ErrNotSent means that nothing of the request reached the server.
@@ -45,8 +47,14 @@
 	Body   io.ReadCloser
 }
 
-// maxSkipped bounds the responses to other requests that are skipped on one connection.
-const maxSkipped = 3
+const (
+	// maxSkipped bounds the responses to other requests that are skipped on one connection.
+	maxSkipped = 3
+	// maxSkippedBytes bounds the body of such a response.
+	maxSkippedBytes = 256 << 10
+	// maxHeadBytes bounds the head of a response, interim responses before it included.
+	maxHeadBytes = 64 << 10
+)
 
 // Do sends a request once and returns the head of the answer. The context ends the exchange at any time, the body
 // included, by closing the connection.
@@ -139,13 +147,15 @@
 			ex.abandon()
 			return nil, errors.Wrap(ex.unanswered(err), "read answer")
 		}
+		ex.conn.source.limit(maxHeadBytes)
 		rs, err := readResponse(ex.conn.reader, method)
 		if err != nil {
 			ex.abandon()
 			return nil, errors.Wrap(err, "read answer")
 		}
-		if rq.IsAnswer != nil && !rq.IsAnswer(rs.Header) {
-			if _, err := io.Copy(io.Discard, rs.Body); err != nil {
+		ex.conn.source.limit(unlimited)
+		if rq.IsAnswer != nil && !rq.IsAnswer(rs.StatusCode, rs.Header) {
+			if err := skip(rs.Body); err != nil {
 				ex.abandon()
 				return nil, errors.Wrap(err, "skip an answer to another request")
 			}
@@ -164,6 +174,15 @@
 	return nil, errors.New("the server sent only answers to other requests")
 }
 
+// skip reads the body of an answer to another request to its end.
+func skip(body io.Reader) error {
+	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes+1))
+	if err == nil && skipped > maxSkippedBytes {
+		err = fmt.Errorf("its body is longer than %d bytes", maxSkippedBytes)
+	}
+	return err
+}
+
 // unanswered marks the error of a connection that ended before any of the answer came.
 func (ex *exchange) unanswered(err error) error {
 	if ex.conn.reused && ex.ctx.Err() == nil {
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -41,6 +41,7 @@
 type conn struct {
 	net.Conn
 	address string
+	source  *source
 	reader  *bufio.Reader
 	// expires is when an idle connection is closed.
 	expires time.Time
@@ -130,7 +131,8 @@
 		return nil, err
 	}
 	setUserTimeout(raw, pl.config.UserTimeout)
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	src := &source{Reader: raw, left: unlimited}
+	return &conn{Conn: raw, address: address, source: src, reader: bufio.NewReaderSize(src, readBuffer)}, nil
 }
 
 // readBuffer is the size of a connection's read buffer in bytes.
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -29,6 +29,10 @@
 // dialTimeout bounds the connection to another host.
 const dialTimeout = 400 * time.Millisecond
 
+// maxMessageBytes bounds a message of another host: copies of the desired state and of the list of backend servers are the
+// largest.
+const maxMessageBytes = 8 << 20
+
 // Members knows the hosts.
 type Members interface {
 	// Member returns what is known of a host.
@@ -95,7 +99,7 @@
 		self:    self,
 		clock:   clock,
 		http:    &http.Client{Transport: transport},
-		options: opts,
+		options: append(opts, connect.WithReadMaxBytes(maxMessageBytes)),
 		clients: map[string]peerconnect.PeerClient{},
 		orders:  map[id.Service]dispatcherOrder{},
 	}
--- a/transport/peer/place.go
+++ b/transport/peer/place.go
@@ -20,6 +20,9 @@
 // errNoPart says that this host does not run the part that was asked for.
 var errNoPart = connect.NewError(connect.CodeUnimplemented, errors.New("the host does not run this part"))
 
+// errMalformed says that a message can't be used.
+var errMalformed = connect.NewError(connect.CodeInvalidArgument, errors.New("the message names no place on an engine"))
+
 // Dispatchers returns the live hosts in the order in which they dispatch for a service: those with the largest share
 // of a processor first, since one of them serves all hosts, and among equals by the hash of the service.
 func (cl *Client) Dispatchers(service id.Service) []id.Host {
@@ -58,7 +61,7 @@
 	if err != nil {
 		return broker.Answer{}, err
 	}
-	return decodePlaceAnswer(ms), nil
+	return decodePlaceAnswer(ms)
 }
 
 // Give passes an answer to the entry host that waits for it and reports whether it does.
@@ -96,6 +99,8 @@
 			Failed:      string(en.Failed),
 			Fault:       int32(en.Fault),
 			Fingerprint: uint64(en.Fingerprint),
+
+			RetryAfterMicros: en.RetryAfter.Microseconds(),
 		})
 	}
 	_, err := call(ctx, cl, host, rq, method(peerconnect.PeerClient.Progress))
@@ -121,7 +126,11 @@
 	if sv.local.Places == nil {
 		return nil, errNoPart
 	}
-	accepted := sv.local.Places.Given(id.Request(rq.Msg.GetRequest()), decodePlaceAnswer(rq.Msg.GetAnswer()))
+	answer, err := decodePlaceAnswer(rq.Msg.GetAnswer())
+	if err != nil {
+		return nil, err
+	}
+	accepted := sv.local.Places.Given(id.Request(rq.Msg.GetRequest()), answer)
 	return connect.NewResponse(&peer.GiveResponse{Accepted: accepted}), nil
 }
 
@@ -139,16 +148,19 @@
 	return ms
 }
 
-func decodePlaceAnswer(ms *peer.PlaceResponse) broker.Answer {
+func decodePlaceAnswer(ms *peer.PlaceResponse) (broker.Answer, error) {
 	switch {
 	case ms.GetRefused():
 		oc := decodeRefusal(ms.GetReason(), ms.GetDetail(), ms.GetRetryAfterMillis())
-		return broker.Answer{Refusal: &oc}
+		return broker.Answer{Refusal: &oc}, nil
 	case ms.GetPlace() != nil:
-		grant := decodePlace(ms.GetPlace())
-		return broker.Answer{Grant: &grant}
+		grant, err := decodePlace(ms.GetPlace())
+		if err != nil {
+			return broker.Answer{}, err
+		}
+		return broker.Answer{Grant: &grant}, nil
 	default:
-		return broker.Answer{}
+		return broker.Answer{}, nil
 	}
 }
 
@@ -160,7 +172,11 @@
 	now := sv.clock.Now()
 	rp := broker.Report{Host: id.Host(rq.Msg.GetHost())}
 	for _, hd := range rq.Msg.GetHeld() {
-		rp.Held = append(rp.Held, broker.Held{Ask: decodePlaced(hd.GetRequest(), now), Grant: decodePlace(hd.GetPlace()), Started: hd.GetStarted()})
+		grant, err := decodePlace(hd.GetPlace())
+		if err != nil {
+			return nil, err
+		}
+		rp.Held = append(rp.Held, broker.Held{Ask: decodePlaced(hd.GetRequest(), now), Grant: grant, Started: hd.GetStarted()})
 	}
 	for _, st := range rq.Msg.GetStarted() {
 		rp.Started = append(rp.Started, broker.StartedAttempt{Service: id.Service(st.GetService()), Attempt: id.Attempt(st.GetAttempt())})
@@ -174,6 +190,7 @@
 			Failed:      id.Engine(en.GetFailed()),
 			Fault:       batch.Fault(en.GetFault()),
 			Fingerprint: id.Fingerprint(en.GetFingerprint()),
+			RetryAfter:  micros(en.GetRetryAfterMicros()),
 		})
 	}
 	sv.local.Broker.Progress(rp)
@@ -198,6 +215,9 @@
 	for _, name := range ask.Avoid {
 		ms.Avoid = append(ms.Avoid, string(name))
 	}
+	for name, until := range ask.Banned {
+		ms.Banned = append(ms.Banned, &peer.BannedEngine{Engine: string(name), ForMicros: until.Sub(now).Microseconds()})
+	}
 	return ms
 }
 
@@ -206,12 +226,12 @@
 		Request: batch.Request{
 			ID:           id.Request(ms.GetRequest()),
 			Organisation: id.Organisation(ms.GetOrganisation()),
-			Prompt:       id.Tokens(ms.GetPromptTokens()),
-			Answer:       id.Tokens(ms.GetAnswerTokens()),
-			Target:       time.Duration(ms.GetTargetMicros()) * time.Microsecond,
-			MaxPause:     time.Duration(ms.GetMaxPauseMicros()) * time.Microsecond,
-			Patience:     time.Duration(ms.GetPatienceMicros()) * time.Microsecond,
-			Arrived:      now.Add(-time.Duration(ms.GetAgeMicros()) * time.Microsecond),
+			Prompt:       tokens(ms.GetPromptTokens()),
+			Answer:       tokens(ms.GetAnswerTokens()),
+			Target:       micros(ms.GetTargetMicros()),
+			MaxPause:     micros(ms.GetMaxPauseMicros()),
+			Patience:     micros(ms.GetPatienceMicros()),
+			Arrived:      now.Add(-micros(ms.GetAgeMicros())),
 			Rank:         int(ms.GetRank()),
 			Number:       int(ms.GetNumber()),
 		},
@@ -221,6 +241,12 @@
 	for _, name := range ms.GetAvoid() {
 		ask.Avoid = append(ask.Avoid, id.Engine(name))
 	}
+	for _, ban := range ms.GetBanned() {
+		if ask.Banned == nil {
+			ask.Banned = map[id.Engine]time.Time{}
+		}
+		ask.Banned[id.Engine(ban.GetEngine())] = now.Add(micros(ban.GetForMicros()))
+	}
 	return ask
 }
 
@@ -237,19 +263,37 @@
 	return ms
 }
 
-func decodePlace(ms *peer.Place) batch.Grant {
+// maxMicros bounds the times of messages, so that none overflows.
+const maxMicros = int64(24 * time.Hour / time.Microsecond)
+
+// micros returns a time of a message; one that is beyond the bounds counts as the nearest that is within.
+func micros(value int64) time.Duration {
+	return time.Duration(min(max(value, 0), maxMicros)) * time.Microsecond
+}
+
+// tokens returns a count of tokens of a message within the bounds of such counts.
+func tokens(count int64) id.Tokens { return min(max(id.Tokens(count), 0), id.MaxTokens) }
+
+// decodePlace reads a place. One without parts, or with a part that names no engine, is an error.
+func decodePlace(ms *peer.Place) (batch.Grant, error) {
 	grant := batch.Grant{
 		Attempt: id.Attempt(ms.GetAttempt()),
 		Urgency: int(ms.GetUrgency()),
-		Start:   time.Duration(ms.GetStartMicros()) * time.Microsecond,
+		Start:   micros(ms.GetStartMicros()),
+	}
+	if grant.Attempt == "" || len(ms.GetParts()) == 0 {
+		return batch.Grant{}, errMalformed
 	}
 	for _, part := range ms.GetParts() {
+		if part.GetEngine() == "" || part.GetAddress() == "" {
+			return batch.Grant{}, errMalformed
+		}
 		grant.Parts = append(grant.Parts, batch.Part{
 			Engine:  id.Engine(part.GetEngine()),
 			Address: part.GetAddress(),
 			Ticket:  part.GetTicket(),
-			Tokens:  id.Tokens(part.GetTokens()),
+			Tokens:  tokens(part.GetTokens()),
 		})
 	}
-	return grant
+	return grant, nil
 }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -54,7 +54,7 @@
 // Handler returns the HTTP interface for other hosts.
 func (sv *Server) Handler(opts ...connect.HandlerOption) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerconnect.NewPeerHandler(sv, opts...))
+	mux.Handle(peerconnect.NewPeerHandler(sv, append(opts, connect.WithReadMaxBytes(maxMessageBytes))...))
 	return mux
 }
 
