--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -49,6 +49,10 @@
 	Changed func(member membership.Member)
 	// Learned is called for a new fact.
 	Learned func(fact membership.Fact)
+	// Standing returns what messages are to say of the own copies; nil if they say nothing.
+	Standing func() (revision id.Offset, news membership.News)
+	// Stands is called for what another host says of its copies.
+	Stands func(host id.Host, revision id.Offset, news membership.News)
 	// Behind is called when a host has a higher revision of the configuration.
 	Behind func(host id.Host)
 }
@@ -67,6 +71,8 @@
 	live  []membership.Member
 	seeds map[string]bool
 	calls tasks.Group
+	// heardAt is when another host was last heard, in Unix nanoseconds.
+	heardAt atomic.Int64
 	// hurried says that facts are about to be passed on.
 	hurried atomic.Bool
 }
@@ -114,7 +120,7 @@
 func (rn *Runner) join(ctx context.Context) {
 	for _, address := range rn.unjoined() {
 		call, cancel := context.WithTimeout(ctx, rn.config.ExchangeTimeout)
-		answer, _, err := rn.exchanger.Exchange(call, address, rn.joinMessage())
+		answer, _, err := rn.exchange(call, address, rn.joinMessage())
 		cancel()
 		if err == nil {
 			rn.step(ctx, membership.Received{Message: answer})
@@ -150,13 +156,47 @@
 	if msg.Probe != "" {
 		reached = rn.probeFor(ctx, msg.Probe)
 	}
+	rn.heard(msg)
 	rn.step(ctx, membership.Received{Message: msg})
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
 	if msg.Joining {
-		return rn.machine.Everything(), reached
+		return rn.signed(rn.machine.Everything()), reached
 	}
-	return rn.machine.Answer(), reached
+	return rn.signed(rn.machine.Answer()), reached
+}
+
+// signed adds what the own host says of its copies to a message.
+func (rn *Runner) signed(msg membership.Message) membership.Message {
+	if rn.handlers.Standing != nil {
+		msg.Revision, msg.News = rn.handlers.Standing()
+	}
+	return msg
+}
+
+// exchange sends a message to the host at an address and takes what its answer says of copies.
+func (rn *Runner) exchange(ctx context.Context, address string, msg membership.Message) (membership.Message, bool, error) {
+	answer, reached, err := rn.exchanger.Exchange(ctx, address, rn.signed(msg))
+	if err == nil {
+		rn.heard(answer)
+	}
+	return answer, reached, err
+}
+
+// heard takes what another host's message says of its copies.
+func (rn *Runner) heard(msg membership.Message) {
+	rn.heardAt.Store(rn.clock.Now().UnixNano())
+	if rn.handlers.Stands != nil && msg.From != "" {
+		rn.handlers.Stands(msg.From, msg.Revision, msg.News)
+	}
+}
+
+// aloneAfter is how long no other host may have been heard until the own one counts as cut off: three probes.
+const aloneAfter = 1500 * time.Millisecond
+
+// Alone reports whether no other host has been heard for some time.
+func (rn *Runner) Alone() bool {
+	return rn.clock.Now().Sub(time.Unix(0, rn.heardAt.Load())) > aloneAfter
 }
 
 func (rn *Runner) probeFor(ctx context.Context, host id.Host) bool {
@@ -169,7 +209,7 @@
 	rn.mutex.Lock()
 	msg := rn.machine.Answer()
 	rn.mutex.Unlock()
-	answer, _, err := rn.exchanger.Exchange(ctx, target.PeerAddress, msg)
+	answer, _, err := rn.exchange(ctx, target.PeerAddress, msg)
 	if err != nil {
 		return false
 	}
@@ -210,7 +250,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	answer, reached, err := rn.exchanger.Exchange(call, address, ef.Message)
+	answer, reached, err := rn.exchange(call, address, ef.Message)
 	if ctx.Err() != nil {
 		return
 	}
@@ -232,7 +272,7 @@
 		msg := rn.machine.Answer()
 		rn.mutex.Unlock()
 		call, cancel := context.WithTimeout(ctx, rn.config.ExchangeTimeout)
-		_, _, _ = rn.exchanger.Exchange(call, mb.PeerAddress, msg)
+		_, _, _ = rn.exchange(call, mb.PeerAddress, msg)
 		cancel()
 	}
 }
--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -16,9 +16,11 @@
 	random  *rand.Rand
 	self    Member
 	members map[id.Host]*peer
-	// order is the order in which members are probed; it is shuffled after each round.
-	order    []id.Host
-	position int
+	// near and far are the orders in which members of the own availability zone and of others are probed. probes counts the
+	// probes of both.
+	near     round
+	far      round
+	probes   int
 	probedAt time.Time
 	// revivedAt is when a dead member was last probed.
 	revivedAt time.Time
@@ -260,7 +262,7 @@
 		}
 		pr = &peer{}
 		mc.members[mb.Host] = pr
-		mc.insert(mb.Host)
+		mc.insert(mb)
 	}
 	pr.Member = mb
 	pr.since = now
@@ -270,11 +272,15 @@
 
 // insert puts a new member at a random place of the probing order, so that hosts that learnt the members in the same
 // order do not probe them in the same order.
-func (mc *Machine) insert(host id.Host) {
-	at := mc.random.IntN(len(mc.order) + 1)
-	mc.order = slices.Insert(mc.order, at, host)
-	if at < mc.position {
-		mc.position++
+func (mc *Machine) insert(mb Member) {
+	rd := &mc.far
+	if mb.AvailabilityZone == mc.self.AvailabilityZone {
+		rd = &mc.near
+	}
+	at := mc.random.IntN(len(rd.order) + 1)
+	rd.order = slices.Insert(rd.order, at, mb.Host)
+	if at < rd.position {
+		rd.position++
 	}
 }
 
--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -98,10 +98,21 @@
 	Probe id.Host
 	// Joining asks for everything that the receiver knows.
 	Joining bool
+	// News says how new the sender's copies of the list of backend servers are.
+	News News
 	// Complete says that the message holds everything that its sender knows; it is not passed on.
 	Complete bool
 }
 
+// News says how new a host's copy of the list of backend servers is.
+type News struct {
+	// Quiet and Next bound the newest offsets of the list that brought no change; id.NoOffset if none is known.
+	Quiet id.Offset
+	Next  id.Offset
+	// Age is the time since the copy was known to be up to date.
+	Age time.Duration
+}
+
 // Event is an input of the machine.
 type Event interface{ event() }
 
@@ -173,6 +184,8 @@
 type Config struct {
 	// ProbePeriod is the time between probes of one host.
 	ProbePeriod time.Duration
+	// FarEvery is the number of probes of which one goes to a member of another availability zone.
+	FarEvery int
 	// SuspectTimeout is how long a suspicion may be refuted.
 	SuspectTimeout time.Duration
 	// Indirect is the number of members asked to probe a host that did not answer.
@@ -195,6 +208,7 @@
 func DefaultConfig() Config {
 	return Config{
 		ProbePeriod:    500 * time.Millisecond,
+		FarEvery:       4,
 		SuspectTimeout: 2 * time.Second,
 		Indirect:       3,
 		Fanout:         2,
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -65,17 +65,36 @@
 	}
 }
 
-// nextTarget returns the next member to probe. Every member that is not dead is probed once a round.
+// round is an order in which members are probed; it is shuffled after each round.
+type round struct {
+	order    []id.Host
+	position int
+}
+
+// nextTarget returns the next member to probe: mostly one of the own availability zone, where messages are cheap. Every
+// member of each round that is not dead is probed once in it.
 func (mc *Machine) nextTarget() (Member, bool) {
-	for range len(mc.order) + 1 {
-		if mc.position >= len(mc.order) {
-			mc.shuffle()
+	mc.probes++
+	first, second := &mc.near, &mc.far
+	if mc.probes%mc.config.FarEvery == 0 {
+		first, second = second, first
+	}
+	if mb, ok := mc.nextOf(first); ok {
+		return mb, true
+	}
+	return mc.nextOf(second)
+}
+
+func (mc *Machine) nextOf(rd *round) (Member, bool) {
+	for range len(rd.order) + 1 {
+		if rd.position >= len(rd.order) {
+			mc.shuffle(rd)
 		}
-		if len(mc.order) == 0 {
+		if len(rd.order) == 0 {
 			return Member{}, false
 		}
-		host := mc.order[mc.position]
-		mc.position++
+		host := rd.order[rd.position]
+		rd.position++
 		if pr, ok := mc.members[host]; ok && pr.Status != Dead {
 			return pr.Member, true
 		}
@@ -83,17 +102,18 @@
 	return Member{}, false
 }
 
-func (mc *Machine) shuffle() {
-	mc.order = mc.order[:0]
+// shuffle begins a round anew with the members of its kind that are not dead.
+func (mc *Machine) shuffle(rd *round) {
+	rd.order = rd.order[:0]
 	for _, mb := range mc.Members() {
-		if mb.Status != Dead {
-			mc.order = append(mc.order, mb.Host)
+		if near := mb.AvailabilityZone == mc.self.AvailabilityZone; mb.Status != Dead && near == (rd == &mc.near) {
+			rd.order = append(rd.order, mb.Host)
 		}
 	}
-	mc.random.Shuffle(len(mc.order), func(left, right int) {
-		mc.order[left], mc.order[right] = mc.order[right], mc.order[left]
+	mc.random.Shuffle(len(rd.order), func(left, right int) {
+		rd.order[left], rd.order[right] = rd.order[right], rd.order[left]
 	})
-	mc.position = 0
+	rd.position = 0
 }
 
 func (mc *Machine) probeEnded(now time.Time, ev ProbeEnded) {
--- a/coordination/news/copies.go
+++ b/coordination/news/copies.go
@@ -9,33 +9,71 @@
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 )
 
-// Heard takes an update of another host.
-func (fl *Follower) Heard(ctx context.Context, up Update) {
+// Heard takes an update of another host, and passes it on if it is asked to.
+func (fl *Follower) Heard(up Update) {
+	newTable := up.Table != nil && fl.takeTable(string(up.Host), up.Table)
 	fl.mutex.Lock()
 	now := fl.clock.Now()
-	changed, complete := fl.roster.Apply(now, up.From, up.Next, fl.decode(up.Records), fl.lapsing(now))
+	changed, complete := fl.roster.Apply(now, up.From, up.Next, fl.decode(up.Records), false)
 	if complete && up.Next >= fl.roster.Next() {
-		fl.heard(now)
-	}
-	behind := !complete || fl.table == nil || fl.table.Version() < up.Version
-	pull := behind && !fl.pulling
-	if pull {
-		fl.pulling = true
+		fl.heard(now.Add(-up.Age))
 	}
+	behind := !complete && up.Next != id.NoOffset || fl.table == nil || fl.table.Version() < up.Version
+	pull := behind && fl.startPull()
 	answer, ahead := fl.ahead(up)
 	fl.mutex.Unlock()
 	fl.logServers(string(up.Host), changed)
 	if len(changed) > 0 {
 		fl.changed()
 	}
+	if up.Relay && (newTable || len(changed) > 0) {
+		fl.relay(up)
+	}
 	if pull {
-		fl.group.Go(func() { fl.pull(context.WithoutCancel(ctx), up.Host) })
+		fl.group.Go(func() { fl.pull(up.Host) })
 	}
 	if ahead {
-		fl.group.Go(func() { fl.tell(context.WithoutCancel(ctx), up.Host, answer) })
+		fl.group.Go(func() { _ = fl.tell(up.Host, answer) })
+	}
+}
+
+// startPull reports whether another host may be asked for its copies now, and notes that it is. The caller holds the
+// lock.
+func (fl *Follower) startPull() bool {
+	if fl.pulling {
+		return false
+	}
+	fl.pulling = true
+	return true
+}
+
+// Stands takes what another host says of its copies in a message, and asks it for what it knows more.
+func (fl *Follower) Stands(host id.Host, st Standing) {
+	fl.mutex.Lock()
+	now := fl.clock.Now()
+	confirmed := st.Next != id.NoOffset && fl.roster.Confirm(st.Quiet, st.Next)
+	if at := now.Add(-st.Age); confirmed && at.After(fl.heardAt) {
+		fl.heard(at)
+	}
+	behind := fl.roster.Known() && st.Next != id.NoOffset && !confirmed || fl.table != nil && fl.table.Version() < st.Version
+	pull := behind && fl.startPull()
+	fl.mutex.Unlock()
+	if pull {
+		fl.group.Go(func() { fl.pull(host) })
 	}
 }
 
+// Standing returns what the own host says of its copies.
+func (fl *Follower) Standing() Standing {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	st := Standing{Version: -1, Quiet: fl.roster.Quiet(), Next: fl.roster.Next(), Age: fl.clock.Now().Sub(fl.heardAt)}
+	if fl.table != nil {
+		st.Version = fl.table.Version()
+	}
+	return st
+}
+
 // ahead returns what tells the host that reads the list that its desired state is old, if it is and this host is one of
 // those that would read in its place. Such an update covers no part of the list. The caller holds the lock.
 func (fl *Follower) ahead(up Update) (Update, bool) {
@@ -43,11 +81,11 @@
 		return Update{}, false
 	}
 	rank := fl.rank()
-	return Update{Host: fl.self, Version: fl.table.Version()}, rank >= 0 && rank < lastRank
+	return Update{Host: fl.self, Version: fl.table.Version(), From: id.NoOffset, Next: id.NoOffset}, rank >= 0 && rank < lastRank
 }
 
 // pull takes what another host knows beyond the own copies.
-func (fl *Follower) pull(ctx context.Context, host id.Host) {
+func (fl *Follower) pull(host id.Host) {
 	fl.mutex.Lock()
 	version := route.Version(-1)
 	if fl.table != nil {
@@ -55,7 +93,7 @@
 	}
 	next := fl.roster.Next()
 	fl.mutex.Unlock()
-	call, cancel := context.WithTimeout(ctx, fl.config.CallTimeout)
+	call, cancel := context.WithTimeout(context.Background(), fl.config.CallTimeout)
 	cp, err := fl.peers.Copy(call, host, version, next)
 	cancel()
 	fl.mutex.Lock()
@@ -72,13 +110,20 @@
 	if cp.Table != nil {
 		fl.takeTable(source, cp.Table)
 	}
-	if cp.Next == id.NoOffset || cp.Records == nil {
+	if cp.Next == id.NoOffset {
 		return
 	}
 	fl.mutex.Lock()
 	now := fl.clock.Now()
-	fl.heard(now)
-	changed := fl.roster.Replace(now, cp.Next, fl.decode(cp.Records), fl.lapsing(now))
+	var changed []roster.Record
+	if cp.Whole {
+		changed = fl.roster.Replace(now, cp.Next, fl.decode(cp.Records), fl.lapsing(now))
+	} else {
+		changed, _ = fl.roster.Apply(now, cp.From, cp.Next, fl.decode(cp.Records), false)
+	}
+	if cp.Next >= fl.roster.Next() {
+		fl.heard(now.Add(-cp.Age))
+	}
 	fl.mutex.Unlock()
 	fl.logServers(source, changed)
 	if len(changed) > 0 {
@@ -101,15 +146,17 @@
 func (fl *Follower) Copy(version route.Version, next id.Offset) Copy {
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
-	cp := Copy{Next: fl.roster.Next(), Version: -1}
+	cp := Copy{From: next, Next: fl.roster.Next(), Version: -1, Age: fl.clock.Now().Sub(fl.heardAt)}
 	if fl.table != nil {
 		cp.Version = fl.table.Version()
 		if cp.Version > version {
-			cp.Table = fl.body
+			cp.Table = fl.packed
 		}
 	}
-	if cp.Next > next {
-		cp.Records = fl.roster.Records()
+	if records, known := fl.roster.Since(next); known {
+		cp.Records = records
+	} else {
+		cp.Records, cp.Whole = fl.roster.Records(), true
 	}
 	return cp
 }
--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -31,6 +31,10 @@
 	TablePause time.Duration
 	// CallTimeout bounds a call to the store that does not wait, and a call to another host.
 	CallTimeout time.Duration
+	// TellTimeout bounds an update to another host, so that another one is told in time in place of a lost relay.
+	TellTimeout time.Duration
+	// UntoldAfter is the age of the list at which hosts of a large fleet read it that are not among the next in order.
+	UntoldAfter time.Duration
 	// Backoff is the pause after a failed call to the store; it doubles up to MaxBackoff.
 	Backoff    time.Duration
 	MaxBackoff time.Duration
@@ -47,6 +51,8 @@
 		TableWait:   20 * time.Second,
 		TablePause:  150 * time.Millisecond,
 		CallTimeout: 700 * time.Millisecond,
+		TellTimeout: 250 * time.Millisecond,
+		UntoldAfter: 3 * time.Second,
 		Backoff:     200 * time.Millisecond,
 		MaxBackoff:  time.Second,
 	}
@@ -65,6 +71,7 @@
 type Follower struct {
 	config  Config
 	self    id.Host
+	zone    id.AvailabilityZone
 	clock   timer.Service
 	store   Store
 	peers   Peers
@@ -74,16 +81,25 @@
 	// changed is called without the lock when the desired state or the list has changed.
 	changed func()
 
-	mutex  sync.Mutex
-	table  *route.Table
-	body   []byte
+	mutex sync.Mutex
+	table *route.Table
+	// packed is the desired state, compressed.
+	packed []byte
 	roster *roster.Roster
 	random *rand.Rand
+	// startedAt is when the follower began to run.
+	startedAt time.Time
+	// toldVersion is the newest desired state that some host has told others of.
+	toldVersion route.Version
 	// tableAt is when the desired state was put in force here.
 	tableAt time.Time
-	// heardAt is when the list was last known to be up to date, outageAt when that was so again after an outage.
+	// heardAt is when the list was last known to be up to date, outageAt when that was so again after an outage. failed says
+	// that the own host has failed to read it since heardAt.
 	heardAt  time.Time
 	outageAt time.Time
+	failed   bool
+	// untoldPause is the pause between reads while nobody tells of the list.
+	untoldPause time.Duration
 	// away says that the last call to the store failed.
 	away bool
 	// dropRead ends the read of the desired state that waits for a change, so that it is begun again; nil if there is
@@ -96,10 +112,11 @@
 }
 
 // New returns a follower that knows nothing.
-func New(config Config, self id.Host, clock timer.Service, store Store, peers Peers, seeds Seeds, metrics tally.Scope, logger *slog.Logger, seed uint64, changed func()) *Follower {
+func New(config Config, self id.Host, zone id.AvailabilityZone, clock timer.Service, store Store, peers Peers, seeds Seeds, metrics tally.Scope, logger *slog.Logger, seed uint64, changed func()) *Follower {
 	return &Follower{
 		config:  config,
 		self:    self,
+		zone:    zone,
 		clock:   clock,
 		store:   store,
 		peers:   peers,
@@ -112,6 +129,13 @@
 	}
 }
 
+// settleTime is how long a host that has started takes to know the others. Until then each would take itself for the one
+// that reads for all.
+const settleTime = 1500 * time.Millisecond
+
+// settling reports whether the host has just started. The caller holds the lock.
+func (fl *Follower) settling() bool { return fl.clock.Now().Sub(fl.startedAt) < settleTime }
+
 // Table returns the desired state in force, or nil while none is known.
 func (fl *Follower) Table() *route.Table {
 	fl.mutex.Lock()
@@ -164,6 +188,9 @@
 // Run follows until the context ends.
 func (fl *Follower) Run(ctx context.Context) error {
 	const lookPeriod = 100 * time.Millisecond
+	fl.mutex.Lock()
+	fl.startedAt = fl.clock.Now()
+	fl.mutex.Unlock()
 	fl.group.Go(func() { fl.followTable(ctx) })
 	fl.group.Go(func() { fl.askSeeds(ctx) })
 	fl.look(ctx)
@@ -196,6 +223,11 @@
 	next := id.NoOffset
 	backoff := fl.config.Backoff
 	for ctx.Err() == nil {
+		if !fl.waitsAtStore() {
+			timer.Sleep(ctx, fl.clock, fl.config.TablePause)
+			next = id.NoOffset
+			continue
+		}
 		read, err := fl.readTable(ctx, next)
 		if errors.Is(err, errReadDropped) {
 			timer.Sleep(ctx, fl.clock, fl.jitter(fl.config.Backoff))
@@ -210,7 +242,7 @@
 		backoff = fl.config.Backoff
 		fl.storeAnswered()
 		if read.Body != nil {
-			fl.takeTable("store", read.Body)
+			fl.takeFromStore(read.Body)
 		}
 		switch {
 		case read.Expired:
@@ -224,6 +256,24 @@
 	}
 }
 
+// waitsAtStore reports whether the own host is to read the desired state at the store: it knows none, it is one of the
+// hosts that tell the others, all of a small fleet are, or nobody has told it anything for long.
+func (fl *Follower) waitsAtStore() bool {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	if fl.table == nil {
+		return true
+	}
+	if fl.settling() {
+		return false
+	}
+	if fl.actsAlone() {
+		return true
+	}
+	rank := fl.rank()
+	return rank >= 0 && rank <= lastRank || fl.clock.Now().Sub(fl.heardAt) > fl.config.UntoldAfter
+}
+
 func (fl *Follower) readTable(ctx context.Context, next id.Offset) (TableRead, error) {
 	fl.countCall("desired_state")
 	if next == id.NoOffset {
@@ -278,13 +328,16 @@
 		fl.outageAt = now
 		fl.readAgain()
 	}
-	fl.heardAt = now
+	if now.After(fl.heardAt) {
+		fl.heardAt = now
+		fl.failed = false
+	}
 }
 
-// outage reports whether nobody has told of the list for so long that the store must have been away. The caller holds the
-// lock.
+// outage reports whether nobody has told of the list for so long, the own host having failed to read it, that the store
+// must have been away. The caller holds the lock.
 func (fl *Follower) outage(now time.Time) bool {
-	return !fl.heardAt.IsZero() && now.Sub(fl.heardAt) > outageGap
+	return fl.failed && !fl.heardAt.IsZero() && now.Sub(fl.heardAt) > outageGap
 }
 
 // lapsing reports whether entries that are dropped now may have lapsed in an outage. That this host alone could not
@@ -317,23 +370,70 @@
 	}
 }
 
-// takeTable puts a desired state in force if it is newer than the one that is.
-func (fl *Follower) takeTable(source string, body []byte) {
+// takeFromStore puts a desired state in force that the store gave, and tells others of it. The hosts that wait for changes
+// there get it together; the first of them tells, the others only if it did not.
+func (fl *Follower) takeFromStore(body []byte) {
+	packed, err := pack(body)
+	if err != nil {
+		fl.logger.Error("desired state not compressed", "bytes", len(body), "error", err.Error())
+		return
+	}
+	if !fl.takeBody("store", body, packed) {
+		return
+	}
+	version := fl.Table().Version()
+	rank := fl.rank()
+	if rank < 0 || rank > lastRank {
+		return
+	}
+	fl.clock.After(time.Duration(rank)*tellStep, func() {
+		fl.mutex.Lock()
+		told := fl.toldVersion >= version
+		fl.toldVersion = max(fl.toldVersion, version)
+		fl.mutex.Unlock()
+		if !told {
+			fl.spread(Update{Host: fl.self, Version: version, Table: packed, From: id.NoOffset, Next: id.NoOffset}, true)
+		}
+	})
+}
+
+// tellStep is the time by which each further host that got a desired state from the store waits for those before it to
+// tell of it.
+const tellStep = 100 * time.Millisecond
+
+// takeTable puts a compressed desired state of another host in force if it is newer than the one that is, and reports
+// whether it was.
+func (fl *Follower) takeTable(source string, packed []byte) bool {
+	body, err := unpack(packed)
+	if err != nil {
+		fl.metrics.Counter("tables_rejected").Inc(1)
+		fl.logger.Error("desired state rejected", "source", source, "bytes", len(packed), "error", err.Error())
+		return false
+	}
+	return fl.takeBody(source, body, packed)
+}
+
+// takeBody puts a desired state in force if it is newer than the one that is, and reports whether it was.
+func (fl *Follower) takeBody(source string, body, packed []byte) bool {
 	tb, err := fl.store.DecodeTable(body)
 	if err != nil {
 		fl.metrics.Counter("tables_rejected").Inc(1)
 		fl.logger.Error("desired state rejected", "source", source, "bytes", len(body), "error", err.Error())
-		return
+		return false
 	}
 	fl.mutex.Lock()
+	if source != "store" {
+		fl.toldVersion = max(fl.toldVersion, tb.Version())
+	}
 	if fl.table != nil && tb.Version() <= fl.table.Version() {
 		fl.mutex.Unlock()
-		return
+		return false
 	}
 	fl.table = tb
-	fl.body = body
+	fl.packed = packed
 	fl.tableAt = fl.clock.Now()
 	fl.mutex.Unlock()
 	fl.logger.Info("desired state in force", "version", int64(tb.Version()), "source", source, "routes", tb.Routes())
 	fl.changed()
+	return true
 }
--- a/coordination/news/follower_test.go
+++ b/coordination/news/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -180,7 +181,17 @@
 	followers map[id.Host]*news.Follower
 	hosts     []id.Host
 
+	// zones is the number of availability zones over which the hosts are spread in turn.
+	zones int
+	// frozen says that hosts that are down take calls and do not answer; dead ones refuse them.
+	frozen bool
+
 	mutex sync.Mutex
+	down  map[id.Host]bool
+	// tells, copies and whole count updates, copies, and those of them that were whole, by the host that got or gave them.
+	tells  map[id.Host]int
+	copies map[id.Host]int
+	whole  map[id.Host]int
 	// known holds the servers that each host listed when it last said that something had changed.
 	known map[id.Host][]roster.Server
 }
@@ -190,35 +201,87 @@
 	self id.Host
 }
 
-func (en end) Others() []id.Host {
-	var others []id.Host
-	for _, host := range en.hosts {
+func (en end) Peers() []news.Peer {
+	var peers []news.Peer
+	for ix, host := range en.hosts {
 		if host != en.self {
-			others = append(others, host)
+			peers = append(peers, news.Peer{Host: host, AvailabilityZone: en.zoneOf(ix)})
 		}
 	}
-	return others
+	return peers
 }
+func (en end) Alone() bool          { return false }
 func (en end) LiveHosts() []id.Host { return en.hosts }
+
 func (en end) Tell(ctx context.Context, host id.Host, up news.Update) error {
-	en.followers[host].Heard(ctx, up)
+	if err := en.reach(ctx, host); err != nil {
+		return err
+	}
+	en.count(&en.tells, host)
+	en.followers[host].Heard(up)
 	return nil
 }
 
-func (en end) Copy(_ context.Context, host id.Host, version route.Version, next id.Offset) (news.Copy, error) {
-	return en.followers[host].Copy(version, next), nil
+func (en end) Copy(ctx context.Context, host id.Host, version route.Version, next id.Offset) (news.Copy, error) {
+	if err := en.reach(ctx, host); err != nil {
+		return news.Copy{}, err
+	}
+	cp := en.followers[host].Copy(version, next)
+	en.count(&en.copies, host)
+	if cp.Whole {
+		en.count(&en.whole, host)
+	}
+	return cp, nil
+}
+
+// reach fails for hosts that are frozen, after the caller's time, and for those that are dead, at once.
+func (en end) reach(ctx context.Context, host id.Host) error {
+	if en.isDown(en.self) {
+		return errAway
+	}
+	if !en.isDown(host) {
+		return nil
+	}
+	if en.frozen {
+		<-ctx.Done()
+	}
+	return errAway
 }
 func (en end) CopyFrom(context.Context, string) (news.Copy, error) { return news.Copy{}, errAway }
 
 func newNetwork(st *store, names ...id.Host) *network {
-	nw := &network{followers: map[id.Host]*news.Follower{}, hosts: names, known: map[id.Host][]roster.Server{}}
-	for _, name := range names {
-		nw.followers[name] = news.New(news.DefaultConfig(), name, timer.NewSystem(), view{st, name}, end{nw, name}, end{nw, name},
+	return newZones(st, 1, names...)
+}
+
+// newZones returns a network of hosts in a number of availability zones.
+func newZones(st *store, zones int, names ...id.Host) *network {
+	nw := &network{
+		followers: map[id.Host]*news.Follower{}, hosts: names, zones: zones, known: map[id.Host][]roster.Server{}, down: map[id.Host]bool{},
+		tells: map[id.Host]int{}, copies: map[id.Host]int{}, whole: map[id.Host]int{},
+	}
+	for ix, name := range names {
+		nw.followers[name] = news.New(news.DefaultConfig(), name, nw.zoneOf(ix), timer.NewSystem(), view{st, name}, end{nw, name}, end{nw, name},
 			tally.NoopScope, slog.New(slog.DiscardHandler), 1, func() { nw.changed(name) })
 	}
 	return nw
 }
 
+func (nw *network) zoneOf(number int) id.AvailabilityZone {
+	return id.AvailabilityZone(fmt.Sprint("zone-", number%nw.zones))
+}
+
+func (nw *network) isDown(host id.Host) bool {
+	nw.mutex.Lock()
+	defer nw.mutex.Unlock()
+	return nw.down[host]
+}
+
+func (nw *network) count(counts *map[id.Host]int, host id.Host) {
+	nw.mutex.Lock()
+	defer nw.mutex.Unlock()
+	(*counts)[host]++
+}
+
 // run runs all followers until the returned function is called.
 func (nw *network) run(t *testing.T) func() {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/coordination/news/news.go
+++ b/coordination/news/news.go
@@ -46,35 +46,66 @@
 	DecodeServer(name id.BackendServer, body []byte) *roster.Server
 }
 
-// Update is what a host that has read the list of backend servers tells the others.
+// Update is what a host tells others that is new to it.
 type Update struct {
+	// Host is the host that tells.
 	Host    id.Host
 	Version route.Version
-	// From and Next bound the offsets that the records cover.
+	// Table is the desired state of the version, compressed; nil if it is not new.
+	Table []byte
+	// From and Next bound the offsets that the records cover: they are all that changed there.
 	From    id.Offset
 	Next    id.Offset
 	Records []roster.Record
+	// Age is the time since the list was known to be up to date.
+	Age time.Duration
+	// Relay asks the receiver to tell the hosts of its availability zone.
+	Relay bool
 }
 
-// Copy is everything that a host knows.
+// Copy is what a host knows beyond what the asker does.
 type Copy struct {
 	Version route.Version
-	// Table is the desired state as the store encodes it; nil if the asker has it.
+	// Table is the desired state, compressed; nil if the asker has it.
 	Table []byte
-	Next  id.Offset
-	// Records is the whole list of backend servers; nil if the asker has it.
+	// From and Next bound the offsets that the records cover. Whole says that they are the whole list.
+	From    id.Offset
+	Next    id.Offset
 	Records []roster.Record
+	Whole   bool
+	// Age is the time since the list was known to be up to date.
+	Age time.Duration
+}
+
+// Standing is what a host says of its copies in every message.
+type Standing struct {
+	Version route.Version
+	// Quiet and Next bound the newest offsets of the list that brought no change.
+	Quiet id.Offset
+	Next  id.Offset
+	// Age is the time since the list was known to be up to date.
+	Age time.Duration
+}
+
+// Peer is another host.
+type Peer struct {
+	Host             id.Host
+	AvailabilityZone id.AvailabilityZone
+	// ProcessorShare is the part of a core that the host may use, in thousandths.
+	ProcessorShare uint32
 }
 
 // Peers reaches the other hosts.
 type Peers interface {
-	// Others returns the other hosts that are not dead.
-	Others() []id.Host
+	// Peers describes the other hosts that are not dead.
+	Peers() []Peer
+	// Alone reports whether no other host has answered for some time.
+	Alone() bool
 	// LiveHosts returns the hosts that take new work, the own one included.
 	LiveHosts() []id.Host
 	// Tell passes an update to a host.
 	Tell(ctx context.Context, host id.Host, up Update) error
-	// Copy asks a host for what it knows beyond a version and an offset.
+	// Copy asks a host for what it knows beyond a version and an offset of the list.
 	Copy(ctx context.Context, host id.Host, version route.Version, next id.Offset) (Copy, error)
 }
 
--- /dev/null
+++ b/coordination/news/pack.go
@@ -0,0 +1,42 @@
+package news
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+)
+
+// maxTableBytes bounds a desired state, so that a message of another host can't take all memory.
+const maxTableBytes = 16 << 20
+
+// pack compresses a desired state.
+func pack(body []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	writer := gzip.NewWriter(&packed)
+	if _, err := writer.Write(body); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	return packed.Bytes(), nil
+}
+
+// unpack returns a desired state that was compressed.
+func unpack(packed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress")
+	}
+	body, err := io.ReadAll(io.LimitReader(reader, maxTableBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress")
+	}
+	if len(body) > maxTableBytes {
+		return nil, fmt.Errorf("a desired state is longer than %d bytes", maxTableBytes)
+	}
+	return body, nil
+}
--- a/coordination/news/servers.go
+++ b/coordination/news/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -43,23 +42,38 @@
 	if !fl.roster.Known() {
 		return true
 	}
+	if fl.settling() {
+		return false
+	}
 	rank := fl.rank()
 	if rank == 0 {
 		return true
 	}
+	age := now.Sub(fl.heardAt)
 	if rank < 0 || rank > lastRank {
+		if !fl.actsAlone() {
+			return age > fl.config.UntoldAfter && now.Sub(fl.readAt) > fl.untoldPause
+		}
 		rank = lastRank
 	}
-	return now.Sub(fl.heardAt) > fl.config.StaleAfter+time.Duration(rank)*fl.config.StaleStep
+	return age > fl.config.StaleAfter+time.Duration(rank)*fl.config.StaleStep
+}
+
+// actsAlone reports whether the own host reads like those that are next in order though it is none of them: all hosts of a
+// small fleet do, being told at every read, and so does one that reaches no other host.
+func (fl *Follower) actsAlone() bool {
+	return fl.peers.Alone() || len(fl.peers.LiveHosts()) <= mostTold+1
 }
 
-// lastRank is the place in the order of readers that all further hosts share.
-const lastRank = 6
+const (
+	// lastRank is the last place in the order of readers whose hosts are told at every read.
+	lastRank = 6
+	// readersKey is what the order of readers is hashed with.
+	readersKey = "ServerList"
+)
 
 // rank returns the own host's place in the order of readers; negative if it takes no new work.
-func (fl *Follower) rank() int {
-	return slices.Index(id.Rendezvous("ServerList", fl.peers.LiveHosts()), fl.self)
-}
+func (fl *Follower) rank() int { return id.Rank(readersKey, fl.peers.LiveHosts(), fl.self) }
 
 // readServers reads the list and tells the other hosts.
 func (fl *Follower) readServers(ctx context.Context) {
@@ -69,16 +83,18 @@
 	call, cancel := context.WithTimeout(ctx, fl.config.CallTimeout)
 	read, err := fl.fetchServers(call, from)
 	cancel()
+	fl.mutex.Lock()
+	fl.reading = false
+	fl.failed = fl.failed || err != nil
+	// Hosts that nobody tells read apart from each other, and seldom where there are many.
+	fl.untoldPause = time.Duration(fl.random.Float64() * float64(len(fl.peers.LiveHosts())) * float64(untoldShare))
+	fl.mutex.Unlock()
 	if err != nil {
 		fl.storeFailed("list of backend servers", err)
-		fl.mutex.Lock()
-		fl.reading = false
-		fl.mutex.Unlock()
 		return
 	}
 	fl.storeAnswered()
 	fl.mutex.Lock()
-	fl.reading = false
 	if read.Next < from {
 		// The store answers from an old copy.
 		fl.mutex.Unlock()
@@ -87,11 +103,18 @@
 	}
 	now := fl.clock.Now()
 	fl.heard(now)
+	lapsing := fl.lapsing(now)
+	quiet := fl.roster.Quiet()
 	var changed []roster.Record
 	if read.Whole {
-		changed = fl.roster.Replace(now, read.Next, read.Records, fl.lapsing(now))
+		// What changed is known against the own copy only; hosts with another one are to ask for the differences.
+		quiet = read.Next
+		changed = fl.roster.Replace(now, read.Next, read.Records, lapsing)
 	} else {
-		changed, _ = fl.roster.Apply(now, from, read.Next, read.Records, fl.lapsing(now))
+		changed, _ = fl.roster.Apply(now, from, read.Next, read.Records, lapsing)
+	}
+	for ix := range changed {
+		changed[ix].Lapsed = changed[ix].Dropped && lapsing
 	}
 	version := route.Version(0)
 	if fl.table != nil {
@@ -102,15 +125,13 @@
 	if len(changed) > 0 {
 		fl.changed()
 	}
-	up := Update{Host: fl.self, Version: version, From: from, Next: read.Next, Records: changed}
-	if read.Whole {
-		up.From = id.NoOffset
-	}
-	for _, host := range fl.peers.Others() {
-		fl.group.Go(func() { fl.tell(ctx, host, up) })
-	}
+	fl.spread(Update{Host: fl.self, Version: version, From: quiet, Next: read.Next, Records: changed}, len(changed) > 0)
 }
 
+// untoldShare is the part of the time between two reads of a host that nobody tells, for each host of the fleet: hundreds
+// of them together read some tens of times a second.
+const untoldShare = 20 * time.Millisecond
+
 func (fl *Follower) fetchServers(ctx context.Context, from id.Offset) (ServersRead, error) {
 	fl.countCall("servers")
 	if from == id.NoOffset {
@@ -123,12 +144,15 @@
 	return read, err
 }
 
-func (fl *Follower) tell(ctx context.Context, host id.Host, up Update) {
-	call, cancel := context.WithTimeout(ctx, fl.config.CallTimeout)
+// tell passes an update to a host.
+func (fl *Follower) tell(host id.Host, up Update) error {
+	call, cancel := context.WithTimeout(context.Background(), fl.config.TellTimeout)
 	defer cancel()
-	if err := fl.peers.Tell(call, host, up); err != nil {
+	err := fl.peers.Tell(call, host, up)
+	if err != nil {
 		fl.metrics.Counter("updates_untold").Inc(1)
 	}
+	return err
 }
 
 func (fl *Follower) logServers(source string, changed []roster.Record) {
--- a/site/discovery.go
+++ b/site/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -24,7 +25,7 @@
 		if ready, _ := ht.Ready(); !ready {
 			continue
 		}
-		if !announced {
+		if !announced && ht.announces() {
 			announced = ht.announce(ctx)
 		}
 		if len(ht.gossip.Others()) == 0 {
@@ -34,6 +35,12 @@
 	return nil
 }
 
+// announces reports whether the host is one of those that a new one is to find in the store: more of them than it tries.
+func (ht *Host) announces() bool {
+	rank := id.Rank("Hosts", ht.gossip.LiveHosts(), ht.self.Host)
+	return rank >= 0 && rank < 2*maxFound
+}
+
 func (ht *Host) announce(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
--- a/site/host.go
+++ b/site/host.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -29,6 +30,7 @@
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/backend"
@@ -59,6 +61,7 @@
 	mutex      sync.Mutex
 	quarantine *quarantine.Table
 	joined     bool
+	bounding   atomic.Bool
 	leaving    bool
 
 	listeners      []net.Listener
@@ -142,11 +145,18 @@
 		Changed: ht.memberChanged,
 		Learned: ht.factLearned,
 		Behind:  func(id.Host) {},
+		Standing: func() (id.Offset, membership.News) {
+			st := ht.news.Standing()
+			return id.Offset(st.Version), membership.News{Quiet: st.Quiet, Next: st.Next, Age: st.Age}
+		},
+		Stands: func(host id.Host, version id.Offset, nw membership.News) {
+			ht.news.Stands(host, news.Standing{Version: route.Version(version), Quiet: nw.Quiet, Next: nw.Next, Age: nw.Age})
+		},
 	}, scope, seed)
 	newsConfig := news.DefaultConfig()
 	newsConfig.Seeds = ht.settings.Peers.Seeds
 	ht.store = platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
-	ht.news = news.New(newsConfig, ht.self.Host, ht.clock, ht.store, ht.peers, ht.peers, scope, ht.logger, seed, ht.newsChanged)
+	ht.news = news.New(newsConfig, ht.self.Host, ht.self.AvailabilityZone, ht.clock, ht.store, ht.peers, ht.peers, scope, ht.logger, seed, ht.newsChanged)
 	ht.fleet = newFleet(ht.news, ht.clock, ht.gossip.Spread)
 	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peers, convictions{ht}, scope, ht.logger, seed)
 	ht.places = broker.NewClient(batch.DefaultConfig(), ht.self.Host, ht.clock, ht.peers, ht.fleet, scope, ht.logger, seed)
@@ -272,7 +282,7 @@
 }
 
 func (ht *Host) memberChanged(member membership.Member) {
-	ht.boundConnections()
+	ht.boundSoon()
 	ht.runner.SetQuietRetries(ht.quietRetries(1 + len(ht.gossip.Members())))
 	ht.places.HostsChanged()
 	ht.logger.Info("member changed", "member", string(member.Host), "status", member.Status.String(), "incarnation", int64(member.Incarnation))
@@ -295,10 +305,21 @@
 	servers, _ := ht.news.Servers()
 	ht.fleet.listed(servers)
 	ht.runner.Keep(servers)
-	ht.boundConnections()
+	ht.boundSoon()
 	ht.broker.Refresh()
 }
 
+// boundSoon has the bounds of connections set in a moment: changes of hosts and servers come many at a time.
+func (ht *Host) boundSoon() {
+	const gather = 100 * time.Millisecond
+	if !ht.bounding.Swap(true) {
+		ht.clock.After(gather, func() {
+			ht.bounding.Store(false)
+			ht.boundConnections()
+		})
+	}
+}
+
 // boundConnections gives each host its part of the connections that a server takes from all hosts together, with as
 // many again for those in use.
 func (ht *Host) boundConnections() {
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -2,8 +2,10 @@
 package id
 
 import (
+	"cmp"
 	"encoding/hex"
 	"hash/maphash"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -112,20 +114,41 @@
 
 // Rendezvous returns the members ordered by descending rendezvous hash weight for key.
 func Rendezvous[M ~string](key string, members []M) []M {
-	ordered := make([]M, len(members))
-	weights := make([]uint64, len(members))
+	type weighted struct {
+		member M
+		weight uint64
+	}
+	list := make([]weighted, len(members))
 	for ix, mem := range members {
+		list[ix] = weighted{mem, xxhash.Sum64String(key + "\x00" + string(mem))}
+	}
+	slices.SortFunc(list, func(left, right weighted) int {
+		return cmp.Or(cmp.Compare(right.weight, left.weight), cmp.Compare(left.member, right.member))
+	})
+	ordered := make([]M, len(members))
+	for ix, each := range list {
+		ordered[ix] = each.member
+	}
+	return ordered
+}
+
+// Rank returns the place of a member in the order that Rendezvous gives, negative if it is none of them.
+func Rank[M ~string](key string, members []M, member M) int {
+	own := xxhash.Sum64String(key + "\x00" + string(member))
+	rank, present := 0, false
+	for _, mem := range members {
 		weight := xxhash.Sum64String(key + "\x00" + string(mem))
-		at := ix
-		for at > 0 && (weights[at-1] < weight || weights[at-1] == weight && ordered[at-1] > mem) {
-			weights[at] = weights[at-1]
-			ordered[at] = ordered[at-1]
-			at--
+		switch {
+		case mem == member:
+			present = true
+		case weight > own || weight == own && mem < member:
+			rank++
 		}
-		weights[at] = weight
-		ordered[at] = mem
 	}
-	return ordered
+	if !present {
+		return -1
+	}
+	return rank
 }
 
 // Owner returns the member with the highest rendezvous hash weight for key, or "" without members.
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -34,6 +34,8 @@
 	Server *Server
 	// Body is the entry as the platform encodes it.
 	Body []byte
+	// Lapsed says that the entry was dropped around an outage of the platform's store.
+	Lapsed bool
 }
 
 // same reports whether two records say the same of a server.
@@ -49,6 +51,8 @@
 
 type entry struct {
 	Record
+	// changed is the offset at which the entry last said something else than before.
+	changed id.Offset
 	// lapsed is set for entries that were dropped around an outage of the store.
 	lapsed time.Time
 	// last is the server before its entry lapsed.
@@ -70,18 +74,34 @@
 // Roster is a host's copy of the list. It is not safe for concurrent use.
 type Roster struct {
 	entries map[id.BackendServer]*entry
-	// next is the offset up to which every record is known.
-	next id.Offset
+	// next is the offset up to which every record is known, quiet the one from which on none of these changed anything.
+	next  id.Offset
+	quiet id.Offset
+	// listed holds the servers in the order of their ids until something changes.
+	listed []Server
 }
 
 // New returns a roster that has read nothing.
 func New() *Roster {
-	return &Roster{entries: map[id.BackendServer]*entry{}, next: id.NoOffset}
+	return &Roster{entries: map[id.BackendServer]*entry{}, next: id.NoOffset, quiet: id.NoOffset}
 }
 
 // Next returns the offset up to which every record is known, or id.NoOffset.
 func (rs *Roster) Next() id.Offset { return rs.next }
 
+// Quiet returns the offset from which on no record up to Next changed anything, or id.NoOffset.
+func (rs *Roster) Quiet() id.Offset { return rs.quiet }
+
+// Confirm takes the word that no record from one offset up to another changed anything. It reports whether the roster is
+// then known to hold every change up to there.
+func (rs *Roster) Confirm(quiet, next id.Offset) bool {
+	if !rs.Known() || quiet > rs.next {
+		return false
+	}
+	rs.next = max(rs.next, next)
+	return true
+}
+
 // Known reports whether the whole list has been read once.
 func (rs *Roster) Known() bool { return rs.next != id.NoOffset }
 
@@ -98,10 +118,18 @@
 	if !rs.Known() || from > rs.next {
 		return changed, false
 	}
-	rs.next = max(rs.next, next)
+	rs.advance(next, len(changed) > 0)
 	return changed, true
 }
 
+// advance notes that every record up to an offset is known.
+func (rs *Roster) advance(next id.Offset, changed bool) {
+	rs.next = max(rs.next, next)
+	if changed {
+		rs.quiet = rs.next
+	}
+}
+
 // Replace merges a whole listing that was complete at next. Entries that it lacks and that are older were dropped.
 func (rs *Roster) Replace(now time.Time, next id.Offset, records []Record, outage bool) []Record {
 	if next < rs.next {
@@ -124,21 +152,43 @@
 			changed = append(changed, rc)
 		}
 	}
-	rs.next = next
+	rs.advance(next, len(changed) > 0 || rs.quiet == id.NoOffset)
 	return changed
 }
 
+// Since returns the newest record of each entry that changed at an offset or later, and true; false if the roster does
+// not hold every change since then.
+func (rs *Roster) Since(from id.Offset) ([]Record, bool) {
+	if from == id.NoOffset {
+		return nil, false
+	}
+	var records []Record
+	for _, en := range rs.entries {
+		if en.changed >= from {
+			records = append(records, en.Record)
+		}
+	}
+	slices.SortFunc(records, func(left, right Record) int { return strings.Compare(string(left.ID), string(right.ID)) })
+	return records, true
+}
+
 func (rs *Roster) merge(now time.Time, rc Record, outage bool) bool {
 	en, known := rs.entries[rc.ID]
 	if !known {
-		rs.entries[rc.ID] = &entry{Record: rc}
+		rs.entries[rc.ID] = &entry{Record: rc, changed: rc.Offset}
+		rs.listed = nil
 		return true
 	}
 	if rc.Offset <= en.Offset {
 		return false
 	}
 	same := rc.same(en.Record)
-	if rc.Dropped && !en.Dropped && outage && en.Server != nil {
+	if !same {
+		en.changed = rc.Offset
+		rs.listed = nil
+	}
+	rc.Lapsed = rc.Dropped && (rc.Lapsed || outage || en.Dropped && en.Lapsed)
+	if rc.Dropped && !en.Dropped && rc.Lapsed && en.Server != nil {
 		en.lapsed = now
 		en.last = en.Server
 	}
@@ -176,20 +226,26 @@
 	for _, en := range rs.entries {
 		if en.last != nil && en.usable(now) == nil {
 			en.last = nil
+			rs.listed = nil
 			expired = true
 		}
 	}
 	return expired
 }
 
-// Servers returns the servers that are listed, draining ones included, in the order of their ids.
+// Servers returns the servers that are listed, draining ones included, in the order of their ids. Those that lapsed are
+// among them until Expire is called after their grace. The result is not to be changed.
 func (rs *Roster) Servers(now time.Time) []Server {
-	var servers []Server
+	if rs.listed != nil {
+		return rs.listed
+	}
+	servers := make([]Server, 0, len(rs.entries))
 	for _, en := range rs.entries {
 		if sv := en.usable(now); sv != nil {
 			servers = append(servers, *sv)
 		}
 	}
 	slices.SortFunc(servers, func(left, right Server) int { return strings.Compare(string(left.ID), string(right.ID)) })
+	rs.listed = servers
 	return servers
 }
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -41,8 +41,12 @@
 	Live() []membership.Member
 	// LiveHosts returns their names.
 	LiveHosts() []id.Host
+	// Members returns the other hosts in order.
+	Members() []membership.Member
 	// Others returns the other hosts that are not dead.
 	Others() []id.Host
+	// Alone reports whether no other host has been heard for some time.
+	Alone() bool
 	// Unreachable records that a connection to a host was refused.
 	Unreachable(ctx context.Context, host id.Host)
 }
--- a/transport/peer/convert.go
+++ b/transport/peer/convert.go
@@ -206,6 +206,10 @@
 		Probe:    string(msg.Probe),
 		Joining:  msg.Joining,
 		Complete: msg.Complete,
+
+		ListQuiet:     int64(msg.News.Quiet),
+		ListNext:      int64(msg.News.Next),
+		ListAgeMillis: msg.News.Age.Milliseconds(),
 	}
 	for _, mb := range msg.Updates {
 		ms.Updates = append(ms.Updates, &peer.MemberUpdate{
@@ -232,6 +236,11 @@
 		Probe:    id.Host(ms.GetProbe()),
 		Joining:  ms.GetJoining(),
 		Complete: ms.GetComplete(),
+		News: membership.News{
+			Quiet: id.Offset(ms.GetListQuiet()),
+			Next:  id.Offset(ms.GetListNext()),
+			Age:   millis(ms.GetListAgeMillis()),
+		},
 	}
 	for _, mb := range ms.GetUpdates() {
 		msg.Updates = append(msg.Updates, membership.Member{
--- a/transport/peer/fuzz_test.go
+++ b/transport/peer/fuzz_test.go
@@ -50,7 +50,8 @@
 	return false, errNoPart
 }
 func (nobody) Progress(context.Context, id.Host, broker.Report) error { return errNoPart }
-func (nobody) Others() []id.Host                                      { return nil }
+func (nobody) Peers() []news.Peer                                     { return nil }
+func (nobody) Alone() bool                                            { return false }
 func (nobody) LiveHosts() []id.Host                                   { return nil }
 func (nobody) Tell(context.Context, id.Host, news.Update) error       { return errNoPart }
 func (nobody) Copy(context.Context, id.Host, route.Version, id.Offset) (news.Copy, error) {
@@ -85,7 +86,7 @@
 	return NewServer(Local{
 		Broker: broker.NewServer(batch.DefaultConfig(), clock, twoEngines{}, nobody{}, nobody{}, tally.NoopScope, logger, 1),
 		Places: broker.NewClient(batch.DefaultConfig(), "own", clock, nobody{}, twoEngines{}, tally.NoopScope, logger, 1),
-		News:   news.New(news.DefaultConfig(), "own", clock, noStore{}, nobody{}, nobody{}, tally.NoopScope, logger, 1, func() {}),
+		News:   news.New(news.DefaultConfig(), "own", "zone", clock, noStore{}, nobody{}, nobody{}, tally.NoopScope, logger, 1, func() {}),
 		Gossip: gossip.New(gossip.DefaultConfig(), membership.Member{Host: "own", PeerAddress: "127.0.0.1:1"}, clock, nobody{}, gossip.Handlers{
 			Changed: func(membership.Member) {}, Learned: func(membership.Fact) {}, Behind: func(id.Host) {},
 		}, tally.NoopScope, 1),
--- a/transport/peer/news.go
+++ b/transport/peer/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -21,6 +22,10 @@
 		From:    int64(up.From),
 		Next:    int64(up.Next),
 		Records: encodeRecords(up.Records),
+		Table:   up.Table,
+		Relay:   up.Relay,
+
+		AgeMillis: up.Age.Milliseconds(),
 	}
 	_, err := call(ctx, cl, host, rq, method(peerconnect.PeerClient.Tell))
 	return err
@@ -45,16 +50,19 @@
 }
 
 // Tell takes an update of another host.
-func (sv *Server) Tell(ctx context.Context, rq *connect.Request[peer.TellRequest]) (*connect.Response[peer.TellResponse], error) {
+func (sv *Server) Tell(_ context.Context, rq *connect.Request[peer.TellRequest]) (*connect.Response[peer.TellResponse], error) {
 	if sv.local.News == nil {
 		return nil, errNoPart
 	}
-	sv.local.News.Heard(ctx, news.Update{
+	sv.local.News.Heard(news.Update{
 		Host:    id.Host(rq.Msg.GetHost()),
 		Version: route.Version(rq.Msg.GetVersion()),
 		From:    id.Offset(rq.Msg.GetFrom()),
 		Next:    id.Offset(rq.Msg.GetNext()),
 		Records: decodeRecords(rq.Msg.GetRecords()),
+		Table:   rq.Msg.GetTable(),
+		Relay:   rq.Msg.GetRelay(),
+		Age:     millis(rq.Msg.GetAgeMillis()),
 	})
 	return connect.NewResponse(&peer.TellResponse{}), nil
 }
@@ -70,6 +78,10 @@
 		Table:   cp.Table,
 		Next:    int64(cp.Next),
 		Records: encodeRecords(cp.Records),
+		From:    int64(cp.From),
+		Whole:   cp.Whole,
+
+		AgeMillis: cp.Age.Milliseconds(),
 	}), nil
 }
 
@@ -79,13 +91,22 @@
 		Table:   ms.GetTable(),
 		Next:    id.Offset(ms.GetNext()),
 		Records: decodeRecords(ms.GetRecords()),
+		From:    id.Offset(ms.GetFrom()),
+		Whole:   ms.GetWhole(),
+		Age:     millis(ms.GetAgeMillis()),
 	}
 }
 
+// millis returns a time of a message in milliseconds.
+func millis(value int64) time.Duration {
+	const most = int64(time.Hour / time.Millisecond)
+	return time.Duration(min(max(value, 0), most)) * time.Millisecond
+}
+
 func encodeRecords(records []roster.Record) []*peer.ServerRecord {
 	encoded := make([]*peer.ServerRecord, 0, len(records))
 	for _, rc := range records {
-		encoded = append(encoded, &peer.ServerRecord{Id: string(rc.ID), Offset: int64(rc.Offset), Dropped: rc.Dropped, Body: rc.Body})
+		encoded = append(encoded, &peer.ServerRecord{Id: string(rc.ID), Offset: int64(rc.Offset), Dropped: rc.Dropped, Lapsed: rc.Lapsed, Body: rc.Body})
 	}
 	return encoded
 }
@@ -94,7 +115,7 @@
 func decodeRecords(encoded []*peer.ServerRecord) []roster.Record {
 	var records []roster.Record
 	for _, ms := range encoded {
-		records = append(records, roster.Record{ID: id.BackendServer(ms.GetId()), Offset: id.Offset(ms.GetOffset()), Dropped: ms.GetDropped(), Body: ms.GetBody()})
+		records = append(records, roster.Record{ID: id.BackendServer(ms.GetId()), Offset: id.Offset(ms.GetOffset()), Dropped: ms.GetDropped(), Lapsed: ms.GetLapsed(), Body: ms.GetBody()})
 	}
 	return records
 }
--- a/transport/peer/place.go
+++ b/transport/peer/place.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/news"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer/peerconnect"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -51,6 +52,20 @@
 	return ordered
 }
 
+// Peers describes the other hosts that are not dead.
+func (cl *Client) Peers() []news.Peer {
+	var peers []news.Peer
+	for _, mb := range cl.members.Members() {
+		if mb.Status != membership.Dead {
+			peers = append(peers, news.Peer{Host: mb.Host, AvailabilityZone: mb.AvailabilityZone, ProcessorShare: mb.ProcessorShare})
+		}
+	}
+	return peers
+}
+
+// Alone reports whether no other host has answered for some time.
+func (cl *Client) Alone() bool { return cl.members.Alone() }
+
 // Place asks a host's dispatcher for a place.
 func (cl *Client) Place(ctx context.Context, host id.Host, ask broker.Ask) (broker.Answer, error) {
 	if host == cl.self.Host {
