Hosts announce themselves once they know the others

They wait 3 s now unless they know no other host. Found by adding up calls by reason; reads of the list and of the desired state were ruled out by their counts in TestQuietFleet.

--- a/site/discovery.go
+++ b/site/discovery.go
@@ -35,8 +35,15 @@
 	return nil
 }
 
-// announces reports whether the host is one of those that a new one is to find in the store: more of them than it tries.
+// settleTime is how long a host that has met another one takes to know the rest.
+const settleTime = 3 * time.Second
+
+// announces reports whether the host is one of those that a new one is to find in the store, which are more than it
+// tries, or knows no other one.
 func (ht *Host) announces() bool {
+	if len(ht.gossip.Others()) > 0 && ht.clock.Now().Sub(ht.started) < settleTime {
+		return false
+	}
 	rank := id.Rank("Hosts", ht.gossip.LiveHosts(), ht.self.Host)
 	return rank >= 0 && rank < 2*maxFound
 }
