Seeds are asked all at once and often; the reader's read is renewed

A host asked the seeds one after the other, each for up to 0.4 s, and again after 0.5 s only: five of thirteen opened 0.45 s after their start without knowing any other host and dispatched alone side by side; the 55 requests of the next two seconds waited for engines that all of them filled. Seeds are asked at once and every 50 ms while no host is known.

The host that reads the list of servers now renews its read each 0.7 s (68 calls a minute).

Ruled out: a longer wait before a host opens (it costs every start), and shorter waits for all hosts (ten calls a second).

Before: gossip.TestSeedsThatStartLate, news.TestLostReads (of all hosts, alone) fail. After: both pass.

--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -28,8 +28,10 @@
 	Membership membership.Config
 	// ExchangeTimeout bounds a direct exchange.
 	ExchangeTimeout time.Duration
-	// JoinPeriod is the time between tries to reach the seeds while no other host is known.
-	JoinPeriod time.Duration
+	// JoinPeriod is the time between tries to reach seeds that are not known as hosts, AlonePeriod the same while no other
+	// host is known at all.
+	JoinPeriod  time.Duration
+	AlonePeriod time.Duration
 	// Seeds are addresses of hosts to join by.
 	Seeds []string
 }
@@ -40,6 +42,7 @@
 		Membership:      membership.DefaultConfig(),
 		ExchangeTimeout: 400 * time.Millisecond,
 		JoinPeriod:      500 * time.Millisecond,
+		AlonePeriod:     50 * time.Millisecond,
 	}
 }
 
@@ -70,7 +73,9 @@
 	// live caches the live hosts until a member changes.
 	live  []membership.Member
 	seeds map[string]bool
-	calls tasks.Group
+	// joining holds the seeds that are being asked.
+	joining map[string]bool
+	calls   tasks.Group
 	// heardAt is when another host was last heard, in Unix nanoseconds.
 	heardAt atomic.Int64
 	// hurried says that facts are about to be passed on.
@@ -87,6 +92,7 @@
 		metrics:   metrics,
 		machine:   membership.New(config.Membership, self, seed),
 		seeds:     map[string]bool{},
+		joining:   map[string]bool{},
 	}
 	for _, address := range config.Seeds {
 		rn.AddSeed(address)
@@ -105,40 +111,54 @@
 
 // Run probes other hosts until the context ends.
 func (rn *Runner) Run(ctx context.Context) error {
-	rn.join(ctx)
+	rn.join(ctx, false)
 	period := rn.config.Membership.ProbePeriod / 5
 	tick := timer.Every(rn.clock, period, func() { rn.step(ctx, membership.Tick{}) })
-	join := timer.Every(rn.clock, rn.config.JoinPeriod, func() { rn.join(ctx) })
+	join := timer.Every(rn.clock, rn.config.JoinPeriod, func() { rn.join(ctx, false) })
+	alone := timer.Every(rn.clock, rn.config.AlonePeriod, func() { rn.join(ctx, true) })
 	<-ctx.Done()
 	tick.Stop()
 	join.Stop()
+	alone.Stop()
 	rn.calls.Wait()
 	return nil
 }
 
-// join exchanges everything with seeds that are no known members yet.
-func (rn *Runner) join(ctx context.Context) {
-	for _, address := range rn.unjoined() {
-		call, cancel := context.WithTimeout(ctx, rn.config.ExchangeTimeout)
-		answer, _, err := rn.exchange(call, address, rn.joinMessage())
-		cancel()
-		if err == nil {
-			rn.step(ctx, membership.Received{Message: answer})
-		}
+// join exchanges everything with seeds that are no known members yet, with all of them at once: one may be dark. It does
+// nothing if other hosts are known and it is to join only while there are none.
+func (rn *Runner) join(ctx context.Context, ifAlone bool) {
+	for _, address := range rn.unjoined(ifAlone) {
+		rn.calls.Go(func() {
+			call, cancel := context.WithTimeout(ctx, rn.config.ExchangeTimeout)
+			answer, _, err := rn.exchange(call, address, rn.joinMessage())
+			cancel()
+			rn.mutex.Lock()
+			delete(rn.joining, address)
+			rn.mutex.Unlock()
+			if err == nil {
+				rn.step(ctx, membership.Received{Message: answer})
+			}
+		})
 	}
 }
 
-func (rn *Runner) unjoined() []string {
+// unjoined returns the seeds that are to be asked now, and notes that they are.
+func (rn *Runner) unjoined(ifAlone bool) []string {
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
+	members := rn.machine.Members()
+	if ifAlone && len(members) > 0 {
+		return nil
+	}
 	known := map[string]bool{}
-	for _, mb := range rn.machine.Members() {
+	for _, mb := range members {
 		known[mb.PeerAddress] = true
 	}
 	var unjoined []string
 	for address := range rn.seeds {
-		if !known[address] {
+		if !known[address] && !rn.joining[address] {
 			unjoined = append(unjoined, address)
+			rn.joining[address] = true
 		}
 	}
 	return unjoined
--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -27,6 +27,8 @@
 	StaleStep  time.Duration
 	// TableWait is how long the store may hold a read of the desired state.
 	TableWait time.Duration
+	// ReaderWait is the same for the host that reads the list of backend servers: the reads of all hosts may be lost at once.
+	ReaderWait time.Duration
 	// TablePause is the least time between two such reads.
 	TablePause time.Duration
 	// CallTimeout bounds a call to the store that does not wait, and a call to another host.
@@ -49,6 +51,7 @@
 		StaleAfter:  700 * time.Millisecond,
 		StaleStep:   100 * time.Millisecond,
 		TableWait:   20 * time.Second,
+		ReaderWait:  700 * time.Millisecond,
 		TablePause:  150 * time.Millisecond,
 		CallTimeout: 700 * time.Millisecond,
 		TellTimeout: 250 * time.Millisecond,
@@ -281,13 +284,17 @@
 		defer cancel()
 		return fl.store.NewestTable(call)
 	}
-	call, cancel := context.WithTimeout(ctx, fl.config.TableWait+fl.config.CallTimeout)
+	wait := fl.config.TableWait
+	if fl.rank() == 0 {
+		wait = fl.config.ReaderWait
+	}
+	call, cancel := context.WithTimeout(ctx, wait+fl.config.CallTimeout)
 	defer cancel()
 	call, drop := context.WithCancelCause(call)
 	defer drop(nil)
 	fl.setDropRead(drop)
 	defer fl.setDropRead(nil)
-	read, err := fl.store.AwaitTable(call, next, fl.config.TableWait)
+	read, err := fl.store.AwaitTable(call, next, wait)
 	if err != nil && errors.Is(context.Cause(call), errReadDropped) {
 		return TableRead{}, errReadDropped
 	}
--- a/coordination/news/follower_test.go
+++ b/coordination/news/follower_test.go
@@ -413,6 +413,7 @@
 		{"of the host that reads the list, alone", order[:1], 0},
 		{"of all others, alone", order[1:], 0},
 		{"of two hosts, alone", order[:2], 0},
+		{"of all hosts, alone", hosts, 0},
 	} {
 		t.Run(cs.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
