The soak's server that says that it is leaving is one that serves

Cause: the check had the last engine of the service say so and waited for it to get a request; few prompts are packed onto the first engine in the order of names, so that it got one only where the names stood so (models-10 before models-2). The engine that answers a probe says so now. What is looked for after the word is unchanged, and so are its bounds.

--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -102,9 +102,11 @@
 // reach it long after one.
 func (wd *world) leavingByWord(probe *client) {
 	for _, kd := range []kind{read, chat} {
+		// Few prompts all go to the same engine, so that it has to be the one that serves now.
 		var sv *server
+		answered := probe.send(kd, wd.hosts[0], 0).server
 		for _, each := range wd.serving() {
-			if each.Service == kd.service {
+			if each.Service == kd.service && (sv == nil || each.ID == answered) {
 				sv = each
 			}
 		}
