Copies of the list agree whatever is told, pulled and read in which order

A property test of three hosts that read, tell, pull and take each other's word in any order found four more ways to lose or to bring back an entry, one after the other: a drop that a whole listing implies had the offset of the next record; what changed before the offsets that are known in a row was not counted as a change; a whole listing counted as quiet; records from before a whole listing were merged after it, and drops in another's copy kept newer entries.

Before: roster.TestDropsBeforeAWholeCopy and TestHostsAgree fail.

--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -77,6 +77,8 @@
 	// next is the offset up to which every record is known, quiet the one from which on none of these changed anything.
 	next  id.Offset
 	quiet id.Offset
+	// begun is the offset at which the list was last read whole: not all that was dropped before is known.
+	begun id.Offset
 	// listed holds the servers in the order of their ids until something changes.
 	listed []Server
 }
@@ -111,6 +113,10 @@
 func (rs *Roster) Apply(now time.Time, from, next id.Offset, records []Record, outage bool) ([]Record, bool) {
 	var changed []Record
 	for _, rc := range records {
+		if rc.Offset < rs.begun {
+			// The list was read whole after that.
+			continue
+		}
 		if rs.merge(now, rc, outage) {
 			changed = append(changed, rc)
 		}
@@ -126,7 +132,7 @@
 func (rs *Roster) advance(next id.Offset, changed bool) {
 	rs.next = max(rs.next, next)
 	if changed {
-		rs.quiet = rs.next
+		rs.quiet = max(rs.quiet, rs.next)
 	}
 }
 
@@ -135,10 +141,15 @@
 	if next < rs.next {
 		return nil
 	}
+	if next > rs.next {
+		// What came and went in between is not in the listing.
+		rs.begun, rs.quiet = next, max(rs.quiet, next)
+	}
 	present := map[id.BackendServer]bool{}
 	var changed []Record
 	for _, rc := range records {
-		present[rc.ID] = true
+		// A drop in another host's copy may be older than what is known here of the server.
+		present[rc.ID] = !rc.Dropped
 		if rs.merge(now, rc, outage) {
 			changed = append(changed, rc)
 		}
@@ -147,19 +158,20 @@
 		if present[name] || en.Dropped || en.Offset >= next {
 			continue
 		}
-		rc := Record{ID: name, Offset: next, Dropped: true}
+		// The entry went before next; a record there may list it again.
+		rc := Record{ID: name, Offset: next - 1, Dropped: true}
 		if rs.merge(now, rc, outage) {
 			changed = append(changed, rc)
 		}
 	}
-	rs.advance(next, len(changed) > 0 || rs.quiet == id.NoOffset)
+	rs.advance(next, len(changed) > 0)
 	return changed
 }
 
 // Since returns the newest record of each entry that changed at an offset or later, and true; false if the roster does
 // not hold every change since then.
 func (rs *Roster) Since(from id.Offset) ([]Record, bool) {
-	if from == id.NoOffset {
+	if from == id.NoOffset || !rs.Known() || from < rs.begun {
 		return nil, false
 	}
 	var records []Record
@@ -176,7 +188,7 @@
 	en, known := rs.entries[rc.ID]
 	if !known {
 		rs.entries[rc.ID] = &entry{Record: rc, changed: rc.Offset}
-		rs.listed = nil
+		rs.noteChange(rc.Offset)
 		return true
 	}
 	if rc.Offset <= en.Offset {
@@ -185,7 +197,7 @@
 	same := rc.same(en.Record)
 	if !same {
 		en.changed = rc.Offset
-		rs.listed = nil
+		rs.noteChange(rc.Offset)
 	}
 	rc.Lapsed = rc.Dropped && (rc.Lapsed || outage || en.Dropped && en.Lapsed)
 	if rc.Dropped && !en.Dropped && rc.Lapsed && en.Server != nil {
@@ -200,6 +212,12 @@
 	return !same
 }
 
+// noteChange notes that a record changed something, also one that was told of before those in front of it.
+func (rs *Roster) noteChange(at id.Offset) {
+	rs.listed = nil
+	rs.quiet = max(rs.quiet, at+1)
+}
+
 // Records returns every record, dropped ones included, in the order of the ids.
 func (rs *Roster) Records() []Record {
 	records := make([]Record, 0, len(rs.entries))
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -100,3 +100,92 @@
 	assert.Equal(t, names(rs.Servers(now)), "a ")
 	assert.Assert(t, rs.Servers(now)[0].Draining)
 }
+
+// TestDropsBeforeAWholeCopy gives no differences for offsets before a copy was read whole: it does not know what was
+// dropped by then. A host that asks for them gets the whole list, and with it learns of the drop.
+func TestDropsBeforeAWholeCopy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old, fresh := roster.New(), roster.New()
+	old.Replace(now, 2, []roster.Record{listed("a", 0, false), listed("b", 1, false)}, false)
+	fresh.Replace(now, 3, []roster.Record{listed("b", 1, false)}, false)
+	_, known := fresh.Since(old.Next())
+	assert.Assert(t, !known)
+	old.Replace(now, fresh.Next(), fresh.Records(), false)
+	assert.Equal(t, names(old.Servers(now)), "b ")
+	_, known = fresh.Since(fresh.Next())
+	assert.Assert(t, known)
+}
+
+// TestHostsAgree has hosts read parts of the log or the whole list, tell each other, ask each other for differences and
+// take each other's word that nothing changed, in any order. Once each has read the rest, all know the same.
+func TestHostsAgree(t *testing.T) {
+	const hosts = 3
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Unix(1000, 0)
+		var log []roster.Record
+		rosters := make([]*roster.Roster, hosts)
+		for ix := range rosters {
+			rosters[ix] = roster.New()
+		}
+		whole := func(rs *roster.Roster) {
+			newest := map[id.BackendServer]roster.Record{}
+			for _, rc := range log {
+				newest[rc.ID] = rc
+			}
+			var records []roster.Record
+			for _, rc := range newest {
+				if !rc.Dropped {
+					records = append(records, rc)
+				}
+			}
+			rs.Replace(now, id.Offset(len(log)), records, false)
+		}
+		pull := func(rs, from *roster.Roster) {
+			if records, known := from.Since(rs.Next()); known {
+				rs.Apply(now, rs.Next(), from.Next(), records, false)
+			} else if from.Known() {
+				rs.Replace(now, from.Next(), from.Records(), false)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			one := rosters[rapid.IntRange(0, hosts-1).Draw(rt, "one")]
+			other := rosters[rapid.IntRange(0, hosts-1).Draw(rt, "other")]
+			switch rapid.IntRange(0, 6).Draw(rt, "step") {
+			case 0, 1:
+				name := fmt.Sprintf("s%d", rapid.IntRange(0, 3).Draw(rt, "server"))
+				rc := listed(name, len(log), rapid.Bool().Draw(rt, "draining"))
+				if rapid.IntRange(0, 2).Draw(rt, "kind") == 0 {
+					rc = dropped(name, len(log))
+				}
+				log = append(log, rc)
+			case 2:
+				whole(one)
+			case 3:
+				if !one.Known() {
+					break
+				}
+				quiet, next := one.Quiet(), rapid.IntRange(int(one.Next()), len(log)).Draw(rt, "next")
+				changed, _ := one.Apply(now, one.Next(), id.Offset(next), log[one.Next():next], false)
+				other.Apply(now, quiet, id.Offset(next), changed, false)
+			case 4:
+				pull(one, other)
+			default:
+				if one.Known() && other.Known() && !one.Confirm(other.Quiet(), other.Next()) {
+					pull(one, other)
+				}
+			}
+		}
+		straight := roster.New()
+		straight.Replace(now, 0, nil, false)
+		straight.Apply(now, 0, id.Offset(len(log)), log, false)
+		for ix, rs := range rosters {
+			if !rs.Known() {
+				continue
+			}
+			rs.Apply(now, rs.Next(), id.Offset(len(log)), log[rs.Next():], false)
+			if names(rs.Servers(now)) != names(straight.Servers(now)) {
+				rt.Fatalf("host %d knows %q, the log says %q", ix, names(rs.Servers(now)), names(straight.Servers(now)))
+			}
+		}
+	})
+}
