--- a/coordination/news/follower.go
+++ b/coordination/news/follower.go
@@ -132,12 +132,19 @@
 	}
 }
 
-// settleTime is how long a host that has started takes to know the others. Until then each would take itself for the one
-// that reads for all.
-const settleTime = 1500 * time.Millisecond
+const (
+	// settleTime is how long a host that has started takes to know the others. Until then each would take itself for the
+	// one that reads for all.
+	settleTime = 1500 * time.Millisecond
+	// meetTime is how long a host takes to meet the first other one, if there is one.
+	meetTime = 500 * time.Millisecond
+)
 
-// settling reports whether the host has just started. The caller holds the lock.
-func (fl *Follower) settling() bool { return fl.clock.Now().Sub(fl.startedAt) < settleTime }
+// settling reports whether the host has just started and is to know other hosts soon. The caller holds the lock.
+func (fl *Follower) settling() bool {
+	since := fl.clock.Now().Sub(fl.startedAt)
+	return since < meetTime || since < settleTime && len(fl.peers.Peers()) > 0
+}
 
 // Table returns the desired state in force, or nil while none is known.
 func (fl *Follower) Table() *route.Table {
--- a/coordination/news/follower_test.go
+++ b/coordination/news/follower_test.go
@@ -435,3 +435,18 @@
 		})
 	}
 }
+
+// TestStartedAlone has a host that has started without others hear of a leaving server as soon as one that has run for
+// long.
+func TestStartedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newStore()
+		st.list("server-1", "ready")
+		nw := newNetwork(st, "a")
+		defer nw.run(t)()
+		time.Sleep(450 * time.Millisecond)
+		st.list("server-1", "draining")
+		time.Sleep(600 * time.Millisecond)
+		assert.Equal(t, nw.draining("server-1"), 1)
+	})
+}
