Messages between hosts are signed without the lock of the membership

A host that met it stood still.

Before: gossip.TestMessagesAreSignedUnlocked does not end. After: it passes. Ruled out: the timer service and the store's stand-in, whose goroutines wait for nothing.

--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -179,14 +179,17 @@
 	rn.heard(msg)
 	rn.step(ctx, membership.Received{Message: msg})
 	rn.mutex.Lock()
-	defer rn.mutex.Unlock()
+	answer := rn.machine.Answer
 	if msg.Joining {
-		return rn.signed(rn.machine.Everything()), reached
+		answer = rn.machine.Everything
 	}
-	return rn.signed(rn.machine.Answer()), reached
+	unsigned := answer()
+	rn.mutex.Unlock()
+	return rn.signed(unsigned), reached
 }
 
-// signed adds what the own host says of its copies to a message.
+// signed adds what the own host says of its copies to a message. It must be called without the lock: the parts that keep the
+// copies ask for the live hosts with their own locks held.
 func (rn *Runner) signed(msg membership.Message) membership.Message {
 	if rn.handlers.Standing != nil {
 		msg.Revision, msg.News = rn.handlers.Standing()
--- a/coordination/gossip/join_test.go
+++ b/coordination/gossip/join_test.go
@@ -34,6 +34,23 @@
 	}
 }
 
+// TestMessagesAreSignedUnlocked answers a message while what the message is to say of the own copies asks for the live hosts,
+// as the parts that keep the copies do with their own locks held.
+func TestMessagesAreSignedUnlocked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var rn *gossip.Runner
+		rn = gossip.New(gossip.DefaultConfig(), membership.Member{Host: "own", Incarnation: 1, PeerAddress: "own"}, timer.NewSystem(), seeds{}, gossip.Handlers{
+			Changed: func(membership.Member) {}, Learned: func(membership.Fact) {}, Behind: func(id.Host) {},
+			Standing: func() (id.Offset, membership.News) { return id.Offset(len(rn.LiveHosts())), membership.News{} },
+			Stands:   func(id.Host, id.Offset, membership.News) { rn.LiveHosts() },
+		}, tally.NoopScope, 1)
+		for _, joining := range []bool{false, true} {
+			answer, _ := rn.Receive(t.Context(), membership.Message{From: "other", Joining: joining})
+			assert.Equal(t, answer.Revision, id.Offset(1))
+		}
+	})
+}
+
 // TestSeedsThatStartLate has a host meet a seed that started up to a quarter of a second after it, though another seed is
 // dark, before it would take itself for alone: hosts that start together must not all dispatch.
 func TestSeedsThatStartLate(t *testing.T) {
