A zone's relays are waited for only if they were told

Found by reading the change again: tellZone waited for two answers though a follower that is stopping starts no call; it would have waited without end and kept the stop of the host waiting with it. The two places that start a call are one now.

--- a/coordination/news/spread.go
+++ b/coordination/news/spread.go
@@ -71,20 +71,23 @@
 // tellZone tells the relays of an availability zone, and further hosts of it in place of those that don't answer.
 func (fl *Follower) tellZone(zone []Peer, up Update) {
 	failed := make(chan bool, relaysOfZone)
-	next := min(relaysOfZone, len(zone))
-	for _, pr := range zone[:next] {
-		fl.group.Go(func() { failed <- fl.tell(pr.Host, up) != nil })
-	}
-	for waiting := next; waiting > 0; waiting-- {
-		if !<-failed || next >= min(relayTries, len(zone)) {
-			continue
-		}
+	next, waiting := 0, 0
+	start := func() {
 		host := zone[next].Host
 		next++
+		// A follower that stops starts nothing more.
 		if fl.group.Go(func() { failed <- fl.tell(host, up) != nil }) {
 			waiting++
 		}
 	}
+	for next < min(relaysOfZone, len(zone)) {
+		start()
+	}
+	for ; waiting > 0; waiting-- {
+		if <-failed && next < min(relayTries, len(zone)) {
+			start()
+		}
+	}
 }
 
 // relay passes an update on to the other hosts of the own availability zone.
