Lines of attempts name the content of their request

Cause: on-call can't tell from the logs whether a content goes on being sent after servers ended under it: attempts at plain servers bear no fingerprint, an end that isn't counted leaves no word. Now each sending and each end name it, streams say whether the end was counted, and 'hibiscuslever explain FINGERPRINT' prints all that became of one content.

No end at a plain server is counted.

--- a/cmd/hibiscuslever/explain.go
+++ b/cmd/hibiscuslever/explain.go
@@ -11,11 +11,11 @@
 
 func explainCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:   "explain REQUEST FILE...",
-		Short: "Print a request's way through the hosts' log files in the order of time",
+		Use:   "explain REQUEST|FINGERPRINT FILE...",
+		Short: "Print a request's way, or what became of all requests with one content, through the hosts' log files in the order of time",
 		Args: func(_ *cobra.Command, args []string) error {
 			if len(args) < 2 {
-				return command.NewUsageError(fmt.Errorf("want the id of a request and one log file or more"))
+				return command.NewUsageError(fmt.Errorf("want the id of a request or a fingerprint, and one log file or more"))
 			}
 			return nil
 		},
@@ -23,7 +23,7 @@
 	}
 }
 
-// explain prints the lines that tell of a request, and what is missing to tell more.
+// explain prints the lines that tell of a request or of a content, and what is missing to tell more.
 func explain(cmd *cobra.Command, request string, paths []string) error {
 	var lines []telemetry.Line
 	hosts := map[string]bool{}
@@ -37,6 +37,12 @@
 		}
 		lines = append(lines, read...)
 	}
+	if ways := telemetry.ExplainContent(lines, request); len(ways) > 0 {
+		for _, line := range ways {
+			_, _ = fmt.Fprintln(cmd.OutOrStdout(), line)
+		}
+		return nil
+	}
 	way := telemetry.Explain(lines, request)
 	for _, line := range way {
 		_, _ = fmt.Fprintln(cmd.OutOrStdout(), line)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -146,8 +146,10 @@
 	Whole    bool
 	Status   int
 	Attempts int
-	Server   id.BackendServer
-	Helpers  int
+	// Fingerprint identifies the request's content.
+	Fingerprint id.Fingerprint
+	Server      id.BackendServer
+	Helpers     int
 	// Place is the id under which the dispatcher knows the request, empty if it was not asked.
 	Place id.Request
 	// Queued is the time until the first place was given, FirstByte the time to the first part of the body.
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -44,7 +44,7 @@
 		jb.result.Attempts++
 		avoid = append(avoid, sv.ID)
 		answer, result, cause := jb.attemptPlain(ctx, sv, avoid)
-		rn.logger.Info("attempt ended", "request", jb.request.ID, "server", string(sv.ID), "address", sv.Address,
+		rn.logger.Info("attempt ended", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "server", string(sv.ID), "address", sv.Address,
 			"number", jb.result.Attempts, "result", cause, "remaining_ms", jb.remaining().Milliseconds())
 		if result == 0 {
 			return
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -184,6 +184,7 @@
 		attribute.String("request", rq.ID), attribute.String("route", rq.Route.Name), attribute.String("service", string(rq.Service))))
 	defer span.End()
 	job := &job{runner: rn, request: rq, sink: sink, limit: limit}
+	job.result.Fingerprint = id.NewFingerprint(rq.Organisation, []byte(rq.Target), rq.Body)
 	if rq.Route.Prompt {
 		job.stream(ctx)
 	} else {
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -49,7 +49,7 @@
 			Rank:         rq.Rank,
 		},
 		Service:     rq.Service,
-		Fingerprint: id.NewFingerprint(rq.Organisation, append([]byte(rq.Target+"\x00"), rq.Body...)),
+		Fingerprint: st.result.Fingerprint,
 	}
 	st.result.Place = st.ask.ID
 	for {
@@ -98,7 +98,7 @@
 	st.result.Attempts++
 	st.result.Server = id.BackendServer(grant.Parts[0].Engine)
 	st.result.Helpers = len(grant.Parts) - 1
-	rn.logger.Info("request placed", "request", st.request.ID, "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
+	rn.logger.Info("request placed", "request", st.request.ID, "fingerprint", st.result.Fingerprint.String(), "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
 		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.Prompt), "urgency", grant.Urgency,
 		"predicted_ms", grant.Start.Milliseconds(), "waited_ms", rn.clock.Now().Sub(st.request.Arrived).Milliseconds(),
 		"list_age_ms", rn.fleet.Age().Milliseconds())
@@ -106,8 +106,8 @@
 	ended.Request = st.ask.ID
 	ended.Attempt = grant.Attempt
 	rn.places.End(ended)
-	rn.logger.Info("attempt ended", "request", st.request.ID, "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
-		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.Prompt), "result", cause.text,
+	rn.logger.Info("attempt ended", "request", st.request.ID, "fingerprint", st.result.Fingerprint.String(), "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
+		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.Prompt), "result", cause.text, "crash_counted", ended.Fingerprint != 0,
 		"predicted_ms", grant.Start.Milliseconds(), "queued_ms", st.result.Queued.Milliseconds(),
 		"first_ms", st.result.FirstByte.Milliseconds(), "pause_ms", st.result.Pause.Milliseconds(), "last_event", st.resume, "remaining_ms", st.remaining().Milliseconds())
 	st.result.Cause = cause.text
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -70,12 +70,14 @@
 	return strconv.FormatUint(uint64(fp), 16)
 }
 
-// NewFingerprint hashes the organisation and the body of a request.
-func NewFingerprint(org Organisation, body []byte) Fingerprint {
+// NewFingerprint hashes the organisation and the content of a request: its body, or its target and its body.
+func NewFingerprint(org Organisation, content ...[]byte) Fingerprint {
 	dg := xxhash.New()
 	_, _ = dg.WriteString(string(org))
-	_, _ = dg.Write([]byte{0})
-	_, _ = dg.Write(body)
+	for _, part := range content {
+		_, _ = dg.Write([]byte{0})
+		_, _ = dg.Write(part)
+	}
 	return Fingerprint(dg.Sum64())
 }
 
--- a/telemetry/explain.go
+++ b/telemetry/explain.go
@@ -141,6 +141,19 @@
 	return found
 }
 
+// ExplainContent returns the lines that tell of a request's content, by its fingerprint, on all hosts in the order of time:
+// each sending, each end, each crash of a server that was counted, and each refusal.
+func ExplainContent(lines []Line, fingerprint string) []Line {
+	var found []Line
+	for _, line := range lines {
+		if line.Text("fingerprint") == fingerprint {
+			found = append(found, line)
+		}
+	}
+	slices.SortStableFunc(found, func(left, right Line) int { return left.Time.Compare(right.Time) })
+	return found
+}
+
 // Missing says which host's lines are missing from a request's way, empty if none are.
 func Missing(way []Line) string {
 	ended, asked, placed := false, false, false
--- a/telemetry/explain_test.go
+++ b/telemetry/explain_test.go
@@ -64,3 +64,18 @@
 	assert.Equal(t, len(way), 2)
 	assert.Equal(t, telemetry.Missing(way), "")
 }
+
+// TestExplainContent finds what became of all requests with one content, on all hosts.
+func TestExplainContent(t *testing.T) {
+	lines, _, err := telemetry.ReadLines(strings.NewReader(`
+{"time":"2026-03-15T05:11:54.3Z","msg":"attempt ended","host":"host-c","request":"r9","fingerprint":"beef","server":"app-2"}
+{"time":"2026-03-15T05:11:54.1Z","msg":"attempt ended","host":"host-b","request":"r8","fingerprint":"beef","server":"app-1"}
+{"time":"2026-03-15T05:11:54.2Z","msg":"attempt ended","host":"host-b","request":"r7","fingerprint":"cafe","server":"app-1"}
+`))
+	assert.NilError(t, err)
+	var way []string
+	for _, line := range telemetry.ExplainContent(lines, "beef") {
+		way = append(way, line.Text("request"))
+	}
+	assert.DeepEqual(t, way, []string{"r8", "r9"})
+}
