--- /dev/null
+++ b/site/crash_test.go
@@ -0,0 +1,210 @@
+package site_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
+)
+
+const (
+	// mark is held by requests that crash servers.
+	mark = "POISON"
+	// contactTime is the users' bound on the time in which hosts agree, convictingCrashes the crashes after which it begins, and
+	// lateRetries their bound on what is sent after it.
+	contactTime       = 3 * time.Second
+	convictingCrashes = 3
+	lateRetries       = 3
+)
+
+// crashing starts servers that requests with the mark crash, and three hosts.
+func (wd *world) crashing(crash standin.Crash) []*host {
+	crash.Mark = mark
+	crash.Started = wd.store.List
+	for number := range 5 {
+		wd.server(fmt.Sprint("book-", number), "books").CrashOn(crash)
+		wd.server(fmt.Sprint("engine-", number), "models").CrashOn(crash)
+	}
+	wd.publish()
+	one := wd.host("host-1", true)
+	seed := one.settings.Host.PeerAddress
+	return []*host{one, wd.host("host-2", true, seed), wd.host("host-3", true, seed)}
+}
+
+// crashes returns when servers crashed, the first crash first.
+func (wd *world) crashes() []time.Time {
+	var times []time.Time
+	for _, sv := range wd.servers {
+		times = append(times, sv.Crashed()...)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// lateRuns returns the number of marked requests that servers were sent longer than the bound after the crash that convicts.
+func (wd *world) lateRuns() int {
+	times := wd.crashes()
+	if len(times) < convictingCrashes {
+		return 0
+	}
+	late := 0
+	for _, sv := range wd.servers {
+		for _, run := range sv.Runs() {
+			if strings.Contains(run.Body+run.Target, mark) && run.Began.Sub(times[convictingCrashes-1]) > contactTime {
+				late++
+			}
+		}
+	}
+	return late
+}
+
+// callers of marked requests, by the way to the servers that they crash.
+var callers = []struct {
+	name string
+	call func(hs *host, attempt string) answer
+}{
+	{"a plain request that may be repeated", func(hs *host, attempt string) answer { return hs.get("/read/"+mark, attempt) }},
+	{"a plain request that may not be repeated", func(hs *host, attempt string) answer {
+		return hs.call(context.Background(), http.MethodPost, "/order/x", attempt, mark)
+	}},
+	{"a stream", func(hs *host, attempt string) answer {
+		return hs.call(context.Background(), http.MethodPost, "/chat/x", attempt, mark, "X-Token-Count", "2000,255")
+	}},
+}
+
+// repeat sends a request to the hosts in turn for a time.
+func repeat(hosts []*host, name string, span time.Duration, call func(*host, string) answer) answer {
+	var got answer
+	for began, number := time.Now(), 0; time.Since(began) < span; number++ {
+		got = call(hosts[number%len(hosts)], fmt.Sprint(name, "-", number))
+		time.Sleep(40 * time.Millisecond)
+	}
+	return got
+}
+
+// TestRequestThatCrashesServersIsRefused has a request come again and again, at any host, that crashes each server that
+// begins to run it. No host sends it on once the hosts had time to agree.
+func TestRequestThatCrashesServersIsRefused(t *testing.T) {
+	for _, down := range []struct {
+		name  string
+		crash standin.Crash
+	}{
+		{"back after a time", standin.Crash{Down: 400 * time.Millisecond}},
+		{"back at once", standin.Crash{Down: time.Millisecond}},
+		{"dark", standin.Crash{Down: 2 * time.Second, Dark: true}},
+	} {
+		for _, cl := range callers {
+			t.Run(cl.name+", "+down.name, func(t *testing.T) {
+				t.Parallel()
+				wd := newWorld(t)
+				hosts := wd.crashing(down.crash)
+				got := repeat(hosts, "a", 2*contactTime+2*down.crash.Down, cl.call)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusServiceUnavailable)
+				assert.Assert(t, wd.lateRuns() <= lateRetries, "%d late retries, %d crashes", wd.lateRuns(), len(wd.crashes()))
+				for number, hs := range hosts {
+					wd.eventually(func() bool { return hs.get("/read/x", fmt.Sprint("read-", number)).status == http.StatusOK })
+					wd.eventually(func() bool { return hs.chat(fmt.Sprint("chat-", number), 1000).status == http.StatusOK })
+				}
+			})
+		}
+	}
+}
+
+// TestConvictionOutlivesAllHosts starts new hosts after all have ended: they refuse what crashed servers before.
+func TestConvictionOutlivesAllHosts(t *testing.T) {
+	for _, cl := range callers {
+		t.Run(cl.name, func(t *testing.T) {
+			t.Parallel()
+			wd := newWorld(t)
+			hosts := wd.crashing(standin.Crash{Down: 200 * time.Millisecond})
+			repeat(hosts, "a", contactTime, cl.call)
+			for _, hs := range hosts {
+				hs.stop()
+				hs.ended <- <-hs.ended
+			}
+			fresh := []*host{wd.host("host-4", true), wd.host("host-5", true)}
+			time.Sleep(contactTime)
+			repeat(fresh, "b", 2*contactTime, cl.call)
+			assert.Assert(t, wd.lateRuns() <= lateRetries, "%d late retries, %d crashes", wd.lateRuns(), len(wd.crashes()))
+		})
+	}
+}
+
+// TestServersThatDieConvictNobody serves a stream whose engines crash twice by themselves, and requests that ran beside one
+// that crashes its server.
+func TestServersThatDieConvictNobody(t *testing.T) {
+	t.Run("two crashes", func(t *testing.T) {
+		t.Parallel()
+		wd := newWorld(t)
+		hosts := wd.crashing(standin.Crash{Down: 300 * time.Millisecond})
+		for _, sv := range wd.servers {
+			sv.Slow(100 * time.Millisecond)
+		}
+		for round := range 2 {
+			ended := make(chan answer, 1)
+			go func() { ended <- hosts[round].chat(fmt.Sprint("a-", round), 1000) }()
+			crashed := false
+			wd.eventually(func() bool {
+				for _, sv := range wd.servers {
+					for _, run := range sv.Runs() {
+						if !crashed && run.Attempt == fmt.Sprint("a-", round) && !run.Ended {
+							sv.Crash(standin.Crash{Down: 300 * time.Millisecond, Started: wd.store.List})
+							crashed = true
+						}
+					}
+				}
+				return crashed
+			})
+			<-ended
+		}
+		for number, hs := range hosts {
+			got := hs.chat(fmt.Sprint("b-", number), 1000)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+		}
+	})
+	for _, cl := range callers {
+		t.Run("beside "+cl.name, func(t *testing.T) {
+			t.Parallel()
+			wd := newWorld(t)
+			hosts := wd.crashing(standin.Crash{Down: 100 * time.Millisecond})
+			for _, sv := range wd.servers {
+				sv.Work = 30 * time.Millisecond
+				sv.Slow(10 * time.Millisecond)
+			}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				repeat(hosts, "a", contactTime, cl.call)
+			}()
+			// The same innocent contents come again and again beside the request that crashes servers.
+			refused := 0
+			for number, running := 0, true; running; number++ {
+				hs := hosts[number%len(hosts)]
+				for _, got := range []answer{hs.get("/read/x", fmt.Sprint("read-", number)), hs.chat(fmt.Sprint("chat-", number), 1000)} {
+					if strings.Contains(got.body, "has crashed") {
+						refused++
+					}
+				}
+				select {
+				case <-ended:
+					running = false
+				default:
+				}
+			}
+			assert.Equal(t, refused, 0, "innocent requests were refused")
+			for number, hs := range hosts {
+				wd.eventually(func() bool { return hs.get("/read/x", fmt.Sprint("last-read-", number)).status == http.StatusOK })
+				assert.Equal(t, hs.chat(fmt.Sprint("last-chat-", number), 1000).status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -46,6 +46,8 @@
 	Endless
 	// Stalls has streams stand still after the first event, with a comment now and then.
 	Stalls
+	// Freezes has nothing answered at all, reports included.
+	Freezes
 )
 
 // Run is a request that a server ran.
@@ -76,12 +78,15 @@
 	// Work is the time that a request to a plain service takes.
 	Work time.Duration
 	// Listed is the IP:port that the list names, if that is not the server's own.
-	Listed string
-	server *httptest.Server
+	Listed  string
+	address string
 
-	mutex sync.Mutex
-	fault ServerFault
-	runs  []*Run
+	mutex  sync.Mutex
+	server *httptest.Server
+	closed bool
+	down   bool
+	fault  ServerFault
+	runs   []*Run
 	// tickets holds until when memory is set aside.
 	tickets map[string]time.Time
 	lapsed  int
@@ -89,22 +94,134 @@
 	turnedAway []time.Time
 	// born counts the server's starts.
 	born int64
+	// crash is what requests that crash the server do to it; nil if none do.
+	crash *Crash
+	// crashed holds when the server crashed, thawed is closed when a frozen one ends.
+	crashed []time.Time
+	thawed  chan struct{}
+}
+
+// Crash describes how a server crashes when it begins to run a request whose body or target holds Mark.
+type Crash struct {
+	Mark string
+	// Down is the time until the server has started anew.
+	Down time.Duration
+	// Dark has it fall silent for that time, rather than refuse connections.
+	Dark bool
+	// Started is called when the server has started anew, as another one under its name.
+	Started func(*Server)
 }
 
 // NewServer starts a server of a service on a port of its own.
 func NewServer(name, service, zone string) *Server {
 	sv := &Server{ID: name, Service: service, Zone: zone, Events: 5, EventGap: 5 * time.Millisecond, tickets: map[string]time.Time{}}
 	sv.server = httptest.NewServer(http.HandlerFunc(sv.serve))
+	sv.address = sv.server.Listener.Addr().(*net.TCPAddr).String()
+	sv.thawed = make(chan struct{})
 	return sv
 }
 
 // Address returns the server's IP:port.
-func (sv *Server) Address() string { return sv.server.Listener.Addr().(*net.TCPAddr).String() }
+func (sv *Server) Address() string { return sv.address }
 
 // Close ends the server at once, with all that it runs.
 func (sv *Server) Close() {
-	sv.server.CloseClientConnections()
-	sv.server.Close()
+	sv.mutex.Lock()
+	if !sv.closed {
+		sv.closed = true
+		close(sv.thawed)
+	}
+	server := sv.server
+	sv.mutex.Unlock()
+	server.CloseClientConnections()
+	server.Close()
+}
+
+// CrashOn has requests crash the server.
+func (sv *Server) CrashOn(crash Crash) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.crash = &crash
+}
+
+// Crashed returns when the server crashed.
+func (sv *Server) Crashed() []time.Time {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	return slices.Clone(sv.crashed)
+}
+
+// Crash ends the server with all that it runs, and starts it anew at its address after a time.
+func (sv *Server) Crash(crash Crash) {
+	sv.mutex.Lock()
+	if sv.down || sv.closed {
+		sv.mutex.Unlock()
+		return
+	}
+	sv.down = true
+	sv.crashed = append(sv.crashed, time.Now())
+	old := sv.server
+	before := sv.fault
+	if crash.Dark {
+		sv.fault = Freezes
+	}
+	sv.mutex.Unlock()
+	end := func() {
+		_ = old.Listener.Close()
+		old.CloseClientConnections()
+	}
+	if !crash.Dark {
+		end()
+	}
+	time.AfterFunc(crash.Down, func() {
+		if crash.Dark {
+			end()
+		}
+		sv.start(before)
+		if crash.Started != nil {
+			crash.Started(sv)
+		}
+	})
+}
+
+// start listens at the server's address again, unless it was closed.
+func (sv *Server) start(fault ServerFault) {
+	const tries = 50
+	var listener net.Listener
+	for range tries {
+		var err error
+		if listener, err = net.Listen("tcp", sv.address); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	if listener == nil || sv.closed {
+		return
+	}
+	close(sv.thawed)
+	sv.thawed = make(chan struct{})
+	sv.down = false
+	sv.fault = fault
+	sv.born++
+	server := httptest.NewUnstartedServer(http.HandlerFunc(sv.serve))
+	_ = server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	sv.server = server
+}
+
+// crashes reports whether a request crashes the server, which it then has done.
+func (sv *Server) crashes(rq *http.Request, body []byte) bool {
+	sv.mutex.Lock()
+	crash := sv.crash
+	sv.mutex.Unlock()
+	if crash == nil || !strings.Contains(rq.RequestURI, crash.Mark) && !strings.Contains(string(body), crash.Mark) {
+		return false
+	}
+	sv.Crash(*crash)
+	return true
 }
 
 // Fail switches a fault on, or off with Sound.
@@ -166,6 +283,13 @@
 }
 
 func (sv *Server) serve(wr http.ResponseWriter, rq *http.Request) {
+	sv.mutex.Lock()
+	frozen, thawed := sv.fault == Freezes, sv.thawed
+	sv.mutex.Unlock()
+	if frozen {
+		<-thawed
+		panic(http.ErrAbortHandler)
+	}
 	switch rq.URL.Path {
 	case "/-/report":
 		_, _ = io.WriteString(wr, `{"Running":0,"Queued":0,"pace":1.0}`)
@@ -212,6 +336,15 @@
 	sv.runs = append(sv.runs, run)
 	sv.mutex.Unlock()
 	header.Set("X-Response-Seal", "seal-of-"+sv.ID)
+	if sv.crashes(rq, body) {
+		sv.mutex.Lock()
+		frozen, thawed := sv.fault == Freezes, sv.thawed
+		sv.mutex.Unlock()
+		if frozen {
+			<-thawed
+		}
+		panic(http.ErrAbortHandler)
+	}
 	switch fault {
 	case Hangs:
 		<-rq.Context().Done()
