An engine that runs a suspect gets nothing else meanwhile

What callers saw: streams beside a request that crashes engines lose their engine again when they go on elsewhere, for a suspect was given an engine that ran nothing, and others were then put beside it. Cause: the dispatcher looked at what an engine runs only when it placed the suspect itself. Now an engine that runs a suspect is left out of the view until that ends, one content runs alone once at a time, and where every engine runs something a suspect takes the one that runs least after half a second: before, it waited until it was refused, which hits innocent ones too.

--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -37,7 +37,10 @@
 	Avoid []id.Engine
 	// Banned holds until when engines asked the entry host to send them nothing.
 	Banned map[id.Engine]time.Time
-	// Alone asks for engines that run nothing else, because the request may have crashed one.
+	// Content identifies what is asked; zero if that is not known.
+	Content id.Fingerprint
+	// Alone asks for engines that run nothing else and get nothing else meanwhile, because the content may have crashed
+	// some. Such a content runs once at a time.
 	Alone bool
 }
 
--- a/coordination/batch/config.go
+++ b/coordination/batch/config.go
@@ -45,6 +45,9 @@
 	GrantTTL time.Duration
 	// MaxWaiting bounds the queue.
 	MaxWaiting int
+	// AloneWait is how long a request that is to run alone waits for an engine that runs nothing, before it takes the one
+	// that runs least: engines of a busy fleet always run something.
+	AloneWait time.Duration
 	// FaultPause is how long an engine that failed gets nothing new; it doubles with each failure in a row.
 	FaultPause    time.Duration
 	MaxFaultPause time.Duration
@@ -72,6 +75,7 @@
 		MaxParts:      17,
 		GrantTTL:      5 * time.Second,
 		MaxWaiting:    10_000,
+		AloneWait:     500 * time.Millisecond,
 		FaultPause:    time.Second,
 		MaxFaultPause: 8 * time.Second,
 	}
--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -37,6 +37,11 @@
 	return !en.Leaving && !now.Before(en.pausedUntil)
 }
 
+// reserved reports whether an engine runs a request that is to run alone.
+func (en *engine) reserved() bool {
+	return slices.ContainsFunc(en.tasks, func(tk task) bool { return tk.request.Alone })
+}
+
 // load sums up what an engine runs.
 type load struct {
 	running int
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -33,8 +33,9 @@
 	lookAt time.Time
 	// view holds the engines that may get new work, as they are during one look at the queues.
 	view []candidate
-	// viewed is when that look was taken.
+	// viewed is when that look was taken, fewest the least number of tasks of an engine in it.
 	viewed time.Time
+	fewest int
 	// order and chosen are the places of engines in the view, kept to be used again.
 	order   []int
 	chosen  []int
@@ -124,6 +125,7 @@
 		mc.strictest = rq.MaxPause
 	}
 	wt := mc.newWaiting(rq)
+	wt.since = now
 	if oc, admitted := mc.admit(now, wt); !admitted {
 		mc.refuse(wt, oc)
 		return
--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -109,6 +109,8 @@
 	td.MaybeScanArgs(t, "number", &number)
 	td.MaybeScanArgs(t, "avoid", &avoid)
 	td.MaybeScanArgs(t, "organisation", &organisation)
+	content := 0
+	td.MaybeScanArgs(t, "content", &content)
 	rq := batch.Request{
 		ID:           id.Request(name),
 		Organisation: id.Organisation(organisation),
@@ -118,6 +120,7 @@
 		MaxPause:     time.Duration(pause) * time.Millisecond,
 		Arrived:      sc.now,
 		Number:       number,
+		Content:      id.Fingerprint(content),
 		Alone:        td.HasArg("alone"),
 	}
 	rq.Patience = max(2*time.Second, 4*rq.Target)
--- a/coordination/batch/place.go
+++ b/coordination/batch/place.go
@@ -93,10 +93,12 @@
 func (mc *Machine) look(now time.Time) {
 	mc.viewed = now
 	mc.view = mc.view[:0]
+	mc.fewest = math.MaxInt
 	for _, en := range mc.engines {
-		if !en.usable(now) {
+		if !en.usable(now) || en.reserved() {
 			continue
 		}
+		mc.fewest = min(mc.fewest, len(en.tasks))
 		ld := mc.loadOf(now, en)
 		cd := candidate{engine: en, load: ld, wait: mc.wait(now, en, ld), pass: mc.pass(ld), room: math.MaxInt64}
 		if ld.pause > 0 {
@@ -115,12 +117,26 @@
 
 // takes reports whether an engine of the view may get a request at all.
 func (mc *Machine) takes(cd *candidate, wt *waiting, avoid bool) bool {
-	if wt.Alone && len(cd.engine.tasks) > 0 || wt.Banned != nil && mc.viewed.Before(wt.Banned[cd.engine.Engine]) {
+	if wt.Alone && !mc.takesAlone(cd, wt) || wt.Banned != nil && mc.viewed.Before(wt.Banned[cd.engine.Engine]) {
 		return false
 	}
 	return !avoid || !slices.Contains(wt.Avoid, cd.engine.Engine)
 }
 
+// takesAlone reports whether an engine of the view may get a request that is to run alone.
+func (mc *Machine) takesAlone(cd *candidate, wt *waiting) bool {
+	for _, gr := range mc.grants {
+		if gr.request.Alone && gr.request.Content == wt.Content && wt.Content != 0 {
+			return false
+		}
+	}
+	most := 0
+	if mc.viewed.Sub(wt.since) >= mc.config.AloneWait {
+		most = mc.fewest
+	}
+	return len(cd.engine.tasks) <= most
+}
+
 // canAvoid reports whether there are enough engines without those that a request is to avoid.
 func (mc *Machine) canAvoid(wt *waiting) bool {
 	return len(wt.Avoid) > 0 && slices.ContainsFunc(mc.view, func(cd candidate) bool {
--- a/coordination/batch/queue.go
+++ b/coordination/batch/queue.go
@@ -11,6 +11,8 @@
 // waiting is a request in a queue.
 type waiting struct {
 	Request
+	// since is when the request began to wait.
+	since time.Time
 	// read is the time that one engine takes to read the prompt.
 	read time.Duration
 	// latest is the latest start with which the first event is on time, on all engines.
