--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -14,8 +14,7 @@
 // Ask is a request for a place.
 type Ask struct {
 	batch.Request
-	Service     id.Service
-	Fingerprint id.Fingerprint
+	Service id.Service
 	// Host is the entry host that asks.
 	Host id.Host
 }
@@ -45,8 +44,6 @@
 	Fault  batch.Fault
 	// RetryAfter is how long the engine asked to be left alone; zero if it did not.
 	RetryAfter time.Duration
-	// Fingerprint is set when the engine was lost while it ran the request.
-	Fingerprint id.Fingerprint
 }
 
 // Report tells a dispatcher what became of grants.
--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
@@ -75,8 +76,7 @@
 
 type innocent struct{}
 
-func (innocent) Convicted(id.Fingerprint) (convicted, suspected bool) { return false, false }
-func (innocent) Crashed(id.Fingerprint)                               {}
+func (innocent) Decide(id.Fingerprint) (quarantine.Decision, time.Duration) { return quarantine.Run, 0 }
 
 func (nw *network) Dispatchers(id.Service) []id.Host {
 	nw.mutex.Lock()
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -11,30 +11,28 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
-	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
-// Convictions counts crashes by the content of requests.
-type Convictions interface {
-	// Convicted reports whether a request has crashed too many engines to be run again, and whether it is suspected.
-	Convicted(fp id.Fingerprint) (convicted, suspected bool)
-	// Crashed counts a crash of an engine that ran the request.
-	Crashed(fp id.Fingerprint)
+// Quarantine knows the contents that crash engines.
+type Quarantine interface {
+	// Decide says how a content may run now, and how long that holds if it may not.
+	Decide(fp id.Fingerprint) (quarantine.Decision, time.Duration)
 }
 
 // Server runs the dispatchers of the services that this host is asked for.
 type Server struct {
-	config      batch.Config
-	clock       timer.Service
-	fleet       Fleet
-	peers       Peers
-	convictions Convictions
-	metrics     tally.Scope
-	logger      *slog.Logger
-	seed        uint64
-	group       tasks.Group
+	config     batch.Config
+	clock      timer.Service
+	fleet      Fleet
+	peers      Peers
+	quarantine Quarantine
+	metrics    tally.Scope
+	logger     *slog.Logger
+	seed       uint64
+	group      tasks.Group
 
 	wake     chan struct{}
 	mutex    sync.Mutex
@@ -50,18 +48,18 @@
 }
 
 // NewServer returns a server without dispatchers.
-func NewServer(config batch.Config, clock timer.Service, fleet Fleet, peers Peers, convictions Convictions, metrics tally.Scope, logger *slog.Logger, seed uint64) *Server {
+func NewServer(config batch.Config, clock timer.Service, fleet Fleet, peers Peers, qr Quarantine, metrics tally.Scope, logger *slog.Logger, seed uint64) *Server {
 	return &Server{
-		config:      config,
-		clock:       clock,
-		fleet:       fleet,
-		peers:       peers,
-		convictions: convictions,
-		metrics:     metrics,
-		logger:      logger,
-		seed:        seed,
-		wake:        make(chan struct{}, 1),
-		services:    map[id.Service]*dispatcher{},
+		config:     config,
+		clock:      clock,
+		fleet:      fleet,
+		peers:      peers,
+		quarantine: qr,
+		metrics:    metrics,
+		logger:     logger,
+		seed:       seed,
+		wake:       make(chan struct{}, 1),
+		services:   map[id.Service]*dispatcher{},
 	}
 }
 
@@ -154,13 +152,12 @@
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	now := sv.clock.Now()
-	convicted, suspected := sv.convictions.Convicted(ask.Fingerprint)
-	if convicted {
-		sv.metrics.Counter("convicted_refused").Inc(1)
-		oc := outcome.Refuse(outcome.Quarantined, "the request has crashed engines and is not run again")
+	decision, wait := sv.quarantine.Decide(ask.Content)
+	if oc, barred := quarantine.Outcome(decision, wait); barred {
+		sv.metrics.Counter("quarantine_refused").Inc(1)
 		return Answer{Refusal: &oc}, nil
 	}
-	ask.Alone = suspected
+	ask.Alone = ask.Alone || decision == quarantine.RunAlone
 	dp := sv.dispatcherOf(now, ask.Service)
 	delete(dp.waiters, ask.ID)
 	var answer Answer
@@ -265,9 +262,6 @@
 		sv.apply(dp, dp.machine.Step(now, batch.Withdraw{Request: en.Request}))
 		return
 	}
-	if en.Fingerprint != 0 {
-		sv.convictions.Crashed(en.Fingerprint)
-	}
 	sv.apply(dp, dp.machine.Step(now, batch.Finish{Attempt: en.Attempt, Failed: en.Failed, Fault: en.Fault, RetryAfter: en.RetryAfter}))
 }
 
--- a/coordination/conviction/keeper.go
+++ b/coordination/conviction/keeper.go
@@ -1,13 +1,15 @@
-// Package conviction keeps fingerprints of requests that crash engines in the platform's log,
-// so that they stay refused when every host that saw the crashes is gone.
+// Package conviction keeps what is known of requests that crash servers in the platform's log, so that they stay refused
+// when every host that saw the crashes is gone.
 package conviction
 
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -15,124 +17,236 @@
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
-const (
-	// readPeriod is the time between reads of the stream; other hosts tell convictions sooner.
-	readPeriod  = 30 * time.Second
-	callTimeout = 2 * time.Second
-	// appendPeriod is the time between tries to append what the log has not taken.
-	appendPeriod = 2 * time.Second
-)
+// Config sets the periods of a keeper.
+type Config struct {
+	// TTL is the age from which evidence is no longer learnt.
+	TTL time.Duration
+	// ReadWait is how long the log may hold a read until there is a record; zero if it can't.
+	ReadWait time.Duration
+	// ReadPause is the time between two reads; other hosts tell of evidence sooner.
+	ReadPause time.Duration
+	// AppendPause is the time between tries to append what the log has not taken.
+	AppendPause time.Duration
+	// CallTimeout bounds a call to the log beside the time that it may wait.
+	CallTimeout time.Duration
+}
 
-// Record is one record of the stream of convictions.
+// DefaultConfig returns the periods for a log that every host reads.
+func DefaultConfig(ttl time.Duration) Config {
+	return Config{
+		TTL:         ttl,
+		ReadPause:   30 * time.Second,
+		AppendPause: 2 * time.Second,
+		CallTimeout: 2 * time.Second,
+	}
+}
+
+// maxPending bounds the records that wait to be appended; the oldest are dropped.
+const maxPending = 10_000
+
+// Record is one record of the stream of evidence.
 type Record struct {
-	Fingerprint id.Fingerprint
-	Crashes     int
-	// At is the time of the conviction on the clock of the host that appended it.
+	quarantine.Evidence
+	// At is the time on the clock of the host that appended it.
 	At time.Time
 }
 
-// Log is the stream of convictions of the platform's log.
+// wireRecord is a record as the log holds it.
+type wireRecord struct {
+	Fingerprint uint64
+	Crash       uint64
+	Standing    int64
+	At          time.Time
+}
+
+// Encode returns a record as the log holds it.
+func Encode(rec Record) ([]byte, error) {
+	return json.Marshal(wireRecord{Fingerprint: uint64(rec.Fingerprint), Crash: uint64(rec.Crash), Standing: int64(rec.Standing), At: rec.At})
+}
+
+// Decode reads a record as the log holds it.
+func Decode(body []byte) (Record, error) {
+	var wire wireRecord
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return Record{}, errors.Wrap(err, "decode evidence")
+	}
+	return Record{
+		Evidence: quarantine.Evidence{
+			Fingerprint: id.Fingerprint(wire.Fingerprint), Crash: quarantine.Crash(wire.Crash), Standing: quarantine.Standing(wire.Standing),
+		},
+		At: wire.At,
+	}, nil
+}
+
+// Log is the stream of evidence of the platform's log.
 type Log interface {
-	// Append adds a record and reports whether the log has it.
-	Append(ctx context.Context, body []byte) bool
-	// Read returns the bodies of records from an offset on, and the next offset.
-	Read(ctx context.Context, from id.Offset) (bodies [][]byte, next id.Offset, err error)
+	// Append adds records. After an error some may have been added.
+	Append(ctx context.Context, records []Record) error
+	// Read returns encoded records from an offset on, all that are kept for id.NoOffset, and the next offset. It may wait for
+	// the first record.
+	Read(ctx context.Context, from id.Offset, wait time.Duration) (bodies [][]byte, next id.Offset, err error)
+	// Drop has the log forget records that are too old to be learnt.
+	Drop(ctx context.Context, records []Record) error
 }
 
-// Keeper reads and appends convictions.
+// Keeper reads and appends evidence.
 type Keeper struct {
+	config  Config
 	clock   timer.Service
 	log     Log
-	ttl     time.Duration
 	metrics tally.Scope
-	// learn is called with each conviction read.
-	learn func(fp id.Fingerprint, crashes int)
+	logger  *slog.Logger
+	// reads says whether the own host is to read the log now.
+	reads func() bool
+	// learn is called with evidence that was read.
+	learn func(quarantine.Evidence)
 
-	mutex   sync.Mutex
-	next    id.Offset
-	pending []Record
+	mutex     sync.Mutex
+	next      id.Offset
+	pending   []Record
+	appending bool
+	// away says that the last read failed.
+	away bool
 }
 
-// New returns a keeper that has read nothing. Convictions older than ttl are not learnt.
-func New(clock timer.Service, log Log, ttl time.Duration, metrics tally.Scope, learn func(id.Fingerprint, int)) *Keeper {
-	return &Keeper{clock: clock, log: log, ttl: ttl, metrics: metrics, learn: learn}
+// New returns a keeper that has read nothing.
+func New(config Config, clock timer.Service, log Log, metrics tally.Scope, logger *slog.Logger, reads func() bool, learn func(quarantine.Evidence)) *Keeper {
+	return &Keeper{config: config, clock: clock, log: log, metrics: metrics, logger: logger, reads: reads, learn: learn, next: id.NoOffset}
 }
 
 // Run reads and appends until the context ends.
 func (kp *Keeper) Run(ctx context.Context) error {
-	kp.Read(ctx)
-	read := timer.Every(kp.clock, readPeriod, func() { kp.Read(ctx) })
-	appends := timer.Every(kp.clock, appendPeriod, func() { kp.flush(ctx) })
-	<-ctx.Done()
-	read.Stop()
-	appends.Stop()
+	const (
+		lookPause  = 250 * time.Millisecond
+		retryPause = 500 * time.Millisecond
+	)
+	appends := timer.Every(kp.clock, kp.config.AppendPause, func() { kp.flush(ctx) })
+	defer appends.Stop()
+	for ctx.Err() == nil {
+		pause := lookPause
+		if kp.reads() {
+			pause = kp.config.ReadPause
+			if err := kp.Read(ctx, kp.config.ReadWait); err != nil {
+				pause = retryPause
+			}
+		}
+		timer.Sleep(ctx, kp.clock, pause)
+	}
+	kp.flush(context.Background())
 	return nil
 }
 
-// Add appends a conviction, now or when the log takes it.
-func (kp *Keeper) Add(ctx context.Context, fp id.Fingerprint, crashes int) {
-	if !quarantine.IsConvicted(crashes) {
-		return
-	}
+// Add appends evidence, now or when the log takes it.
+func (kp *Keeper) Add(ctx context.Context, evidence ...quarantine.Evidence) {
+	now := kp.clock.Now()
 	kp.mutex.Lock()
-	kp.pending = append(kp.pending, Record{Fingerprint: fp, Crashes: crashes, At: kp.clock.Now()})
+	for _, ev := range evidence {
+		kp.pending = append(kp.pending, Record{Evidence: ev, At: now})
+	}
+	if over := len(kp.pending) - maxPending; over > 0 {
+		kp.pending = kp.pending[over:]
+		kp.metrics.Counter("evidence_dropped").Inc(int64(over))
+	}
 	kp.mutex.Unlock()
 	kp.flush(ctx)
 }
 
+// flush appends what is pending, one call at a time.
 func (kp *Keeper) flush(ctx context.Context) {
 	kp.mutex.Lock()
 	pending := kp.pending
-	kp.pending = nil
-	kp.mutex.Unlock()
-	for ix, rec := range pending {
-		if kp.append(ctx, rec) {
-			continue
-		}
-		kp.mutex.Lock()
-		kp.pending = append(pending[ix:], kp.pending...)
+	if len(pending) == 0 || kp.appending {
 		kp.mutex.Unlock()
 		return
 	}
-}
-
-func (kp *Keeper) append(ctx context.Context, rec Record) bool {
-	body, err := json.Marshal(rec)
+	kp.pending, kp.appending = nil, true
+	kp.mutex.Unlock()
+	call, cancel := context.WithTimeout(ctx, kp.config.CallTimeout)
+	err := kp.log.Append(call, pending)
+	cancel()
+	kp.metrics.Counter("evidence_appends").Inc(1)
 	if err != nil {
-		return true
+		kp.metrics.Counter("evidence_appends_failed").Inc(1)
+		kp.logger.Warn("evidence not appended", "records", len(pending), "error", err.Error())
+	}
+	kp.mutex.Lock()
+	kp.appending = false
+	if err != nil {
+		kp.pending = append(pending, kp.pending...)
+	}
+	more := err == nil && len(kp.pending) > 0
+	kp.mutex.Unlock()
+	if more {
+		kp.flush(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	kp.metrics.Counter("conviction_appends").Inc(1)
-	return kp.log.Append(ctx, body)
 }
 
-// Read reads the stream to its end.
-func (kp *Keeper) Read(ctx context.Context) {
-	for kp.readSome(ctx) {
+// Read reads the stream to its end. It may wait for the first record.
+func (kp *Keeper) Read(ctx context.Context, wait time.Duration) error {
+	for {
+		kp.mutex.Lock()
+		from := kp.next
+		kp.mutex.Unlock()
+		if from == id.NoOffset {
+			wait = 0
+		}
+		call, cancel := context.WithTimeout(ctx, kp.config.CallTimeout+wait)
+		bodies, next, err := kp.log.Read(call, from, wait)
+		cancel()
+		kp.noteRead(err)
+		if err != nil {
+			return err
+		}
+		kp.take(ctx, bodies)
+		kp.mutex.Lock()
+		// A log that answers from an old copy names an end that was passed already.
+		kp.next = max(next, from)
+		kp.mutex.Unlock()
+		if len(bodies) == 0 || next <= from {
+			return nil
+		}
+		wait = 0
 	}
 }
 
-// readSome takes one answer of the log and reports whether there may be more.
-func (kp *Keeper) readSome(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+// noteRead logs that the log can't be read, or can be again.
+func (kp *Keeper) noteRead(err error) {
+	kp.metrics.Counter("evidence_reads").Inc(1)
 	kp.mutex.Lock()
-	from := kp.next
+	changed := kp.away != (err != nil)
+	kp.away = err != nil
 	kp.mutex.Unlock()
-	bodies, next, err := kp.log.Read(ctx, from)
-	if err != nil {
-		kp.metrics.Counter("conviction_log_failures").Inc(1)
-		return false
+	switch {
+	case !changed:
+	case err != nil:
+		kp.logger.Warn("evidence of crashes not read", "error", err.Error())
+	default:
+		kp.logger.Info("evidence of crashes read again")
 	}
+}
+
+// take learns records, and has the log forget those that are too old.
+func (kp *Keeper) take(ctx context.Context, bodies [][]byte) {
+	var old []Record
+	now := kp.clock.Now()
 	for _, body := range bodies {
-		var rec Record
-		if json.Unmarshal(body, &rec) == nil && kp.clock.Now().Sub(rec.At) < kp.ttl {
-			kp.learn(rec.Fingerprint, rec.Crashes)
+		rec, err := Decode(body)
+		if err != nil {
+			kp.logger.Warn("evidence of a crash ignored", "bytes", len(body), "error", err.Error())
+			continue
+		}
+		if now.Sub(rec.At) >= kp.config.TTL {
+			old = append(old, rec)
+			continue
 		}
+		kp.learn(rec.Evidence)
+	}
+	if len(old) == 0 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, kp.config.CallTimeout)
+	defer cancel()
+	if err := kp.log.Drop(call, old); err != nil {
+		kp.logger.Warn("old evidence not dropped", "records", len(old), "error", err.Error())
 	}
-	kp.mutex.Lock()
-	defer kp.mutex.Unlock()
-	kp.next = max(kp.next, next)
-	return len(bodies) > 0
 }
--- /dev/null
+++ b/coordination/forward/crash.go
@@ -0,0 +1,207 @@
+package forward
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
+)
+
+// Quarantine knows the contents that crash servers.
+type Quarantine interface {
+	// Decide says how a content may run now, and how long that holds if it may not.
+	Decide(fp id.Fingerprint) (quarantine.Decision, time.Duration)
+	// Crashed returns when the own host learnt of a crash, if it did.
+	Crashed(crash quarantine.Crash) (time.Time, bool)
+	// Found takes evidence of the own host.
+	Found(ev quarantine.Evidence)
+	// Finished notes that a content has run to its end.
+	Finished(fp id.Fingerprint)
+}
+
+// Health says how a server answers a question that needs none of its slots.
+type Health int
+
+// Healths.
+const (
+	// Answers means that the server took the connection.
+	Answers Health = iota + 1
+	// Refuses means that nothing listens at the server's address.
+	Refuses
+	// IsSilent means that no answer came.
+	IsSilent
+)
+
+// String returns the health as logs name it.
+func (he Health) String() string {
+	switch he {
+	case Answers:
+		return "answers"
+	case Refuses:
+		return "refuses"
+	case IsSilent:
+		return "silent"
+	default:
+		return "unknown"
+	}
+}
+
+// brokenAttempt is an attempt whose server broke off, of which it is not known whether it crashed.
+type brokenAttempt struct {
+	quarantine.Evidence
+	server roster.Server
+	// began is when the attempt began, since when it broke.
+	began time.Time
+	since time.Time
+}
+
+// brokenTTL is how long the list may take to tell of a crash: three heartbeats of a server, the grace after an outage of the
+// store, and some time to read it.
+const brokenTTL = 10 * time.Second
+
+// suspected reports whether the content may have crashed servers, so that it is to run alone.
+func (jb *job) suspected() bool {
+	decision, _ := jb.runner.quarantine.Decide(jb.result.Fingerprint)
+	return decision == quarantine.RunAlone || decision == quarantine.Wait
+}
+
+// crashOf returns the crash that an attempt saw which began at a time, by the start that the list gave the server then. If
+// that start was known to have crashed before, the server had started anew and the list did not say so yet.
+func (rn *Runner) crashOf(sv roster.Server, began time.Time) quarantine.Crash {
+	start := strconv.FormatInt(sv.Born, 10)
+	crash := quarantine.NewCrash(string(sv.ID), start)
+	if at, crashed := rn.quarantine.Crashed(crash); crashed && at.Before(began) {
+		return quarantine.NewCrash(string(sv.ID), start+"+"+strconv.FormatInt(began.UnixMilli(), 10))
+	}
+	return crash
+}
+
+// ranOn returns the start of a server on which an attempt ran that began at a time. The list told of it later than it
+// was, if the newest start was before that time.
+func ranOn(known roster.Server, began time.Time, listed []roster.Server) roster.Server {
+	for _, sv := range listed {
+		if sv.ID == known.ID && sv.Born > known.Born && sv.Born <= began.UnixMilli() {
+			return sv
+		}
+	}
+	return known
+}
+
+// barred reports whether the request may not be sent, or not sent again, because servers crashed under its content. It
+// sets the outcome then.
+func (jb *job) barred() bool {
+	decision, wait := jb.runner.quarantine.Decide(jb.result.Fingerprint)
+	oc, barred := quarantine.Outcome(decision, wait)
+	if !barred {
+		return false
+	}
+	if jb.unknown {
+		oc = outcome.Fail(outcome.Quarantined, oc.Detail)
+	}
+	jb.result.Outcome = oc
+	jb.runner.metrics.Counter("quarantine_barred").Inc(1)
+	return true
+}
+
+// broke finds out whether a server crashed that brought no whole answer to an attempt, and reports whether that is certain.
+// Servers that are leaving end anyway.
+func (jb *job) broke(ctx context.Context, sv roster.Server, began time.Time, health Health, why string) bool {
+	rn := jb.runner
+	sv = ranOn(sv, began, rn.fleet.Servers(sv.Service))
+	ev := quarantine.Evidence{Fingerprint: jb.result.Fingerprint, Crash: rn.crashOf(sv, began), Standing: quarantine.Confirmed}
+	counted := ""
+	switch {
+	case rn.fleet.Leaving(sv.ID) || rn.fleet.HasLeft(sv.ID):
+		counted = "no, the server is leaving"
+	case health == Refuses || rn.replaced(sv, rn.fleet.Servers(sv.Service)):
+		counted = ev.Standing.String()
+		rn.quarantine.Found(ev)
+	default:
+		counted = "not yet, the list will tell"
+		rn.watchList(brokenAttempt{Evidence: ev, server: sv, began: began, since: rn.clock.Now()})
+		if health == IsSilent && rn.reachesOthers(ctx, sv) {
+			ev.Standing = quarantine.Reported
+			counted = ev.Standing.String()
+			rn.quarantine.Found(ev)
+		}
+	}
+	rn.metrics.Tagged(map[string]string{"health": health.String()}).Counter("attempts_broken").Inc(1)
+	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", ev.Fingerprint.String(), "server", string(sv.ID),
+		"address", sv.Address, "born", sv.Born, "crash", ev.Crash.String(), "health", health.String(), "counted", counted, "cause", why,
+		"list_age_ms", rn.fleet.Age().Milliseconds())
+	return health == Refuses
+}
+
+// reachesOthers reports whether a server of the service answers other than one that is silent: if none does, the own
+// host may be the one that is cut off.
+func (rn *Runner) reachesOthers(ctx context.Context, silent roster.Server) bool {
+	for _, sv := range rn.fleet.Servers(silent.Service) {
+		if sv.ID == silent.ID || sv.Draining || rn.wantsNothing(sv.ID) {
+			continue
+		}
+		return rn.health(ctx, sv) == Answers
+	}
+	return false
+}
+
+// health asks whether a server is there.
+func (rn *Runner) health(ctx context.Context, sv roster.Server) Health {
+	ctx, cancel := context.WithTimeout(ctx, rn.config.ProbeTimeout)
+	defer cancel()
+	return rn.servers.Reach(ctx, sv.Address)
+}
+
+// watchList has the list of servers tell whether a server crashed.
+func (rn *Runner) watchList(ba brokenAttempt) {
+	const most = 10_000
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	if len(rn.broken) >= most {
+		rn.broken = rn.broken[1:]
+	}
+	rn.broken = append(rn.broken, ba)
+}
+
+// replaced reports whether a server that was listed, and did not say that it leaves, is listed no more, or with another
+// start.
+func (rn *Runner) replaced(old roster.Server, listed []roster.Server) bool {
+	if old.Born == 0 {
+		return false
+	}
+	for _, sv := range listed {
+		if sv.ID == old.ID {
+			return sv.Born != old.Born
+		}
+	}
+	return true
+}
+
+// listTells takes what a new list says of servers that broke off: one that is gone, or that was started anew, crashed.
+func (rn *Runner) listTells(listed []roster.Server) {
+	now := rn.clock.Now()
+	var crashed []brokenAttempt
+	rn.mutex.Lock()
+	kept := rn.broken[:0]
+	for _, ba := range rn.broken {
+		ba.server = ranOn(ba.server, ba.began, listed)
+		switch {
+		case now.Sub(ba.since) > brokenTTL:
+		case rn.replaced(ba.server, listed):
+			crashed = append(crashed, ba)
+		default:
+			kept = append(kept, ba)
+		}
+	}
+	rn.broken = kept
+	rn.mutex.Unlock()
+	for _, ba := range crashed {
+		ba.Crash = rn.crashOf(ba.server, ba.began)
+		rn.quarantine.Found(ba.Evidence)
+		rn.logger.Info("backend server crashed", "fingerprint", ba.Fingerprint.String(), "server", string(ba.server.ID), "crash", ba.Crash.String(),
+			"source", "list", "after_ms", now.Sub(ba.since).Milliseconds())
+	}
+}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -96,8 +96,10 @@
 type Servers interface {
 	// Send sends an attempt and returns the head of the answer.
 	Send(ctx context.Context, at Attempt) (Answer, error)
-	// Alive asks the server at an address whether it answers.
+	// Alive asks the engine at an address whether it answers.
 	Alive(ctx context.Context, address string) bool
+	// Reach opens a connection to the server at an address.
+	Reach(ctx context.Context, address string) Health
 	// Reserve sets memory aside on an engine, or renews that, and reports whether it was granted.
 	Reserve(ctx context.Context, address, ticket string, tokens id.Tokens, hold time.Duration) (bool, error)
 	// Release gives memory back.
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -35,6 +35,10 @@
 	var last *kept
 	dials := 0
 	for {
+		if jb.barred() {
+			jb.result.Cause = "servers crashed under the content"
+			return
+		}
 		sv, wait, ok := jb.choose(avoid)
 		if !ok {
 			jb.wait = wait
@@ -138,10 +142,11 @@
 		if ctx.Err() == nil {
 			result = balance.Lost
 		}
-		if errors.Is(err, ErrStale) {
-			return nil, retry.Stale, err.Error()
+		cause := jb.interrupted(ctx, sv, began, err)
+		if cause != retry.Crashed && errors.Is(err, ErrStale) {
+			cause = retry.Stale
 		}
-		return nil, retry.Interrupted, err.Error()
+		return nil, cause, err.Error()
 	}
 	defer func() { _ = answer.Body.Close() }()
 	rn.heed(sv, answer)
@@ -161,7 +166,22 @@
 		}
 		return &kept{status: answer.Status, header: answer.Header, body: body, notRun: true}, retry.BackendRefused, "the server did not run the request"
 	}
-	return jb.takePlain(ctx, answer, &result)
+	return jb.takePlain(ctx, sv, began, answer, &result)
+}
+
+// interrupted finds out whether the server of an attempt that brought no whole answer crashed, and returns why the attempt
+// failed. The server of a request whose time is over is looked at afterwards; that of a client that has gone is not.
+func (jb *job) interrupted(ctx context.Context, sv roster.Server, began time.Time, err error) retry.Cause {
+	rn := jb.runner
+	switch {
+	case ctx.Err() == nil:
+		if jb.broke(ctx, sv, began, rn.health(ctx, sv), err.Error()) {
+			return retry.Crashed
+		}
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		rn.group.Go(func() { jb.broke(context.Background(), sv, began, rn.health(context.Background(), sv), err.Error()) })
+	}
+	return retry.Interrupted
 }
 
 // mayTryAnother reports whether the request can be sent to another server when this one is slow. If not, the server has
@@ -181,11 +201,16 @@
 }
 
 // takePlain reads the answer and passes it on, unless it is worth another attempt. Streams are passed on as they come.
-func (jb *job) takePlain(ctx context.Context, answer Answer, result *balance.Result) (*kept, retry.Cause, string) {
+func (jb *job) takePlain(ctx context.Context, sv roster.Server, began time.Time, answer Answer, result *balance.Result) (*kept, retry.Cause, string) {
+	passOn := func(first []byte) (*kept, retry.Cause, string) {
+		if err := jb.passThrough(answer, first); err != nil {
+			jb.interrupted(ctx, sv, began, err)
+		}
+		return nil, 0, "passed through"
+	}
 	if jb.request.Route.Kind == route.Streaming && answer.Status < http.StatusInternalServerError {
 		*result = balance.Answered
-		jb.passThrough(answer, nil)
-		return nil, 0, "passed through"
+		return passOn(nil)
 	}
 	body, whole, err := readUpTo(answer.Body, jb.runner.config.BufferBytes)
 	if err != nil {
@@ -193,7 +218,7 @@
 		if ctx.Err() == nil {
 			*result = balance.Lost
 		}
-		return nil, retry.Interrupted, "the answer broke off: " + err.Error()
+		return nil, jb.interrupted(ctx, sv, began, err), "the answer broke off: " + err.Error()
 	}
 	*result = balance.Answered
 	kp := kept{status: answer.Status, header: answer.Header, body: body}
@@ -207,8 +232,7 @@
 		jb.passOn(kp)
 		return nil, 0, "answered"
 	}
-	jb.passThrough(answer, body)
-	return nil, 0, "passed through"
+	return passOn(body)
 }
 
 // readUpTo reads a body up to a limit and reports whether that was all of it.
@@ -237,18 +261,18 @@
 	jb.result.Whole = true
 }
 
-// passThrough sends a long answer to the client as it comes.
-func (jb *job) passThrough(answer Answer, first []byte) {
+// passThrough sends a long answer to the client as it comes. It returns the error of an answer that broke off.
+func (jb *job) passThrough(answer Answer, first []byte) error {
 	jb.result.Begun = true
 	jb.result.Status = answer.Status
 	if err := jb.sink.Begin(answer.Status, answer.Header, answer.Length); err != nil {
 		jb.result.Cause = err.Error()
-		return
+		return nil
 	}
 	jb.result.FirstByte = jb.runner.clock.Now().Sub(jb.request.Arrived)
 	if err := jb.sink.Write(first); err != nil {
 		jb.result.Cause = err.Error()
-		return
+		return nil
 	}
 	const partBytes = 32 << 10
 	part := make([]byte, partBytes)
@@ -257,16 +281,16 @@
 		if count > 0 {
 			if err := jb.sink.Write(part[:count]); err != nil {
 				jb.result.Cause = err.Error()
-				return
+				return nil
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			jb.result.Whole = true
-			return
+			return nil
 		}
 		if err != nil {
 			jb.result.Cause = "the answer broke off: " + err.Error()
-			return
+			return err
 		}
 	}
 }
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/roster"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -68,6 +70,8 @@
 	logger  *slog.Logger
 	tracer  trace.Tracer
 
+	quarantine Quarantine
+
 	sequence atomic.Uint64
 	mutex    sync.Mutex
 	random   *rand.Rand
@@ -75,6 +79,10 @@
 	balancer *balance.Balancer
 	// backoffs holds the servers that asked this host to be left alone.
 	backoffs *backoff.Table
+	// group holds what goes on after its request was answered.
+	group tasks.Group
+	// broken holds attempts whose servers may have crashed.
+	broken []brokenAttempt
 
 	// placing ends when requests that wait for a place are to be refused, serving when all requests are to be answered.
 	placing     context.Context
@@ -86,12 +94,14 @@
 // errLeaving ends what the host can't finish before it stops.
 var errLeaving = errors.New("the host is leaving")
 
-// Keep forgets what is known of servers that are no longer listed.
+// Keep takes a new list of servers: it forgets what is known of those that are not in it, and counts the crashes that it
+// shows.
 func (rn *Runner) Keep(listed []roster.Server) {
 	rn.mutex.Lock()
-	defer rn.mutex.Unlock()
 	rn.balancer.Keep(listed)
 	rn.backoffs.Keep(listed)
+	rn.mutex.Unlock()
+	rn.listTells(listed)
 }
 
 // SetQuietRetries sets the number of retries that this host may make at once for a quiet service.
@@ -111,6 +121,9 @@
 // StopPlacing has requests that wait for a place refused: they have not run, and other hosts may serve them.
 func (rn *Runner) StopPlacing() { rn.stopPlacing() }
 
+// Wait returns when what goes on after requests were answered has ended.
+func (rn *Runner) Wait() { rn.group.Wait() }
+
 // Abort has every request answered now with what is known of it.
 func (rn *Runner) Abort() {
 	rn.stopPlacing()
@@ -135,6 +148,7 @@
 	Servers     Servers
 	Places      Places
 	Fleet       Fleet
+	Quarantine  Quarantine
 	Retries     *retry.Policy
 	Balancer    *balance.Balancer
 	Metrics     tally.Scope
@@ -161,6 +175,8 @@
 		metrics:  parts.Metrics,
 		logger:   parts.Logger,
 		tracer:   parts.Tracer,
+
+		quarantine: parts.Quarantine,
 	}
 	rn.placing, rn.stopPlacing = context.WithCancel(context.Background())
 	rn.serving, rn.stopServing = context.WithCancel(context.Background())
@@ -190,6 +206,9 @@
 	} else {
 		job.plain(ctx)
 	}
+	if job.result.Whole && job.result.Status < http.StatusMultipleChoices {
+		rn.quarantine.Finished(job.result.Fingerprint)
+	}
 	span.SetAttributes(attribute.Int("status", job.result.Status), attribute.Bool("whole", job.result.Whole), attribute.Int("attempts", job.result.Attempts))
 	rn.count(rq, job.result)
 	return job.result
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/roster"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 )
 
@@ -27,8 +28,9 @@
 	places int
 	// last is when an event was last passed on.
 	last time.Time
-	// placed is when the newest place was given.
+	// placed is when the newest place was given, server the engine that answers there as it was listed then.
 	placed time.Time
+	server roster.Server
 }
 
 // stream carries a request to engines and passes events on until the answer is whole.
@@ -47,9 +49,9 @@
 			Patience:     min(route.Patience(rq.Route.Target, rq.Route.MaxPause), jb.limit.Sub(rq.Arrived)),
 			Arrived:      rq.Arrived,
 			Rank:         rq.Rank,
+			Content:      st.result.Fingerprint,
 		},
-		Service:     rq.Service,
-		Fingerprint: st.result.Fingerprint,
+		Service: rq.Service,
 	}
 	st.result.Place = st.ask.ID
 	for {
@@ -64,6 +66,10 @@
 // attempt acquires a place and runs the request there. It reports whether another attempt is to be made.
 func (st *streaming) attempt(ctx context.Context) bool {
 	rn := st.runner
+	if st.barred() {
+		return false
+	}
+	st.ask.Alone = st.suspected()
 	wait, stop := until(ctx, rn.placing)
 	wait, span := rn.tracer.Start(wait, "dispatch.place")
 	st.ask.Banned = rn.banned(st.request.Service)
@@ -94,6 +100,7 @@
 		st.result.Queued = rn.clock.Now().Sub(st.request.Arrived)
 	}
 	st.placed = rn.clock.Now()
+	st.server = rn.serverOf(st.request.Service, grant.Parts[0])
 	st.places++
 	st.result.Attempts++
 	st.result.Server = id.BackendServer(grant.Parts[0].Engine)
@@ -107,7 +114,7 @@
 	ended.Attempt = grant.Attempt
 	rn.places.End(ended)
 	rn.logger.Info("attempt ended", "request", st.request.ID, "fingerprint", st.result.Fingerprint.String(), "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
-		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.Prompt), "result", cause.text, "crash_counted", ended.Fingerprint != 0,
+		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.Prompt), "result", cause.text, "alone", st.ask.Alone,
 		"predicted_ms", grant.Start.Milliseconds(), "queued_ms", st.result.Queued.Milliseconds(),
 		"first_ms", st.result.FirstByte.Milliseconds(), "pause_ms", st.result.Pause.Milliseconds(), "last_event", st.resume, "remaining_ms", st.remaining().Milliseconds())
 	st.result.Cause = cause.text
@@ -172,6 +179,9 @@
 	}
 	watch := newWatch(rn, first, grant.Start+rn.config.StreamSilence, st.stallTime(), func(err error) { cancel(err) })
 	defer watch.stop()
+	if st.barred() {
+		return broker.Ended{}, cause{text: "servers crashed under the content meanwhile", final: true}
+	}
 	answer, err := rn.servers.Send(call, Attempt{
 		Request:   st.request,
 		Server:    id.BackendServer(first.Engine),
@@ -234,17 +244,23 @@
 	if ctx.Err() != nil {
 		return broker.Ended{}, cause{text: "ended: " + context.Cause(ctx).Error(), retry: retry.Interrupted}
 	}
-	if why := context.Cause(call); errors.Is(why, errSilent) || errors.Is(why, errStalled) {
-		return broker.Ended{Failed: first.Engine, Fault: batch.Silent}, cause{text: why.Error(), retry: retry.Interrupted}
+	ended := broker.Ended{Failed: first.Engine, Fault: batch.Silent}
+	switch why := context.Cause(call); {
+	case errors.Is(why, errSilent):
+		st.broke(ctx, st.server, st.placed, IsSilent, why.Error())
+		return ended, cause{text: why.Error(), retry: retry.Interrupted}
+	case errors.Is(why, errStalled):
+		return ended, cause{text: why.Error(), retry: retry.Interrupted}
 	}
-	ended := broker.Ended{Failed: first.Engine, Fault: batch.Failing}
-	probe, cancel := context.WithTimeout(ctx, st.runner.config.ProbeTimeout)
-	defer cancel()
-	if !st.runner.wantsNothing(id.BackendServer(first.Engine)) && !st.runner.servers.Alive(probe, first.Address) {
+	health := st.runner.health(ctx, st.server)
+	if st.broke(ctx, st.server, st.placed, health, err.Error()) {
 		ended.Fault = batch.Unreachable
-		ended.Fingerprint = st.ask.Fingerprint
 		return ended, cause{text: "the engine crashed: " + err.Error(), retry: retry.Crashed}
 	}
+	ended.Fault = batch.Failing
+	if health == IsSilent {
+		ended.Fault = batch.Unreachable
+	}
 	return ended, cause{text: "the engine broke off: " + err.Error(), retry: retry.Interrupted}
 }
 
--- a/coordination/forward/stream_test.go
+++ b/coordination/forward/stream_test.go
@@ -21,6 +21,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/roster"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/timer"
@@ -54,6 +55,8 @@
 	return forward.Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n"))}, nil
 }
 func (sv *servers) Alive(context.Context, string) bool { return true }
+
+func (sv *servers) Reach(context.Context, string) forward.Health { return forward.Answers }
 func (sv *servers) Reserve(context.Context, string, string, id.Tokens, time.Duration) (bool, error) {
 	return true, nil
 }
@@ -94,10 +97,22 @@
 	return nil
 }
 
+// innocent bars no content.
+type innocent struct{}
+
+func (innocent) Decide(id.Fingerprint) (quarantine.Decision, time.Duration) { return quarantine.Run, 0 }
+
+func (innocent) Crashed(quarantine.Crash) (time.Time, bool) { return time.Time{}, false }
+func (innocent) Found(quarantine.Evidence)                  {}
+func (innocent) Finished(id.Fingerprint)                    {}
+
 // newRunner returns a runner with defaults for the parts that are missing.
 func newRunner(parts forward.Parts) *forward.Runner {
 	parts.Host, parts.Incarnation, parts.Clock, parts.Seed = "host", 1, timer.NewSystem(), 1
 	parts.Metrics, parts.Tracer = tally.NoopScope, noop.NewTracerProvider().Tracer("")
+	if parts.Quarantine == nil {
+		parts.Quarantine = innocent{}
+	}
 	if parts.Places == nil {
 		parts.Places = &places{}
 	}
--- a/coordination/membership/machine.go
+++ b/coordination/membership/machine.go
@@ -97,7 +97,7 @@
 		msg.Updates = append(msg.Updates, pr.Member)
 	}
 	for fact, known := range mc.facts {
-		msg.Facts = append(msg.Facts, Fact{Kind: fact.kind, Key: fact.key, Value: known.value})
+		msg.Facts = append(msg.Facts, fact.with(known.value))
 	}
 	return msg
 }
@@ -235,7 +235,7 @@
 
 // learn takes a fact that is new and reports whether it was.
 func (mc *Machine) learn(fact Fact, spread bool) bool {
-	key := factID{kind: fact.Kind, key: fact.Key}
+	key := factID{kind: fact.Kind, key: fact.Key, detail: fact.Detail}
 	if old, known := mc.facts[key]; known && old.value >= fact.Value {
 		return false
 	}
@@ -311,8 +311,8 @@
 			msg.Updates = append(msg.Updates, pr.Member)
 		}
 	}
-	for _, fact := range mc.rumours.take(mc.config.MaxUpdates, limit) {
-		msg.Facts = append(msg.Facts, Fact{Kind: fact.kind, Key: fact.key, Value: mc.facts[fact].value})
+	for _, fact := range mc.rumours.take(mc.config.MaxFacts, limit) {
+		msg.Facts = append(msg.Facts, fact.with(mc.facts[fact].value))
 	}
 	return msg
 }
--- a/coordination/membership/member.go
+++ b/coordination/membership/member.go
@@ -63,11 +63,13 @@
 	return mb.Status > old.Status
 }
 
-// Fact is a number that all hosts learn. The highest value for a kind and key wins.
+// Fact is a number that all hosts learn. The highest value for a kind, key and detail wins.
 type Fact struct {
-	Kind  FactKind
-	Key   uint64
-	Value int64
+	Kind FactKind
+	Key  uint64
+	// Detail is the second part of the key; zero where there is none.
+	Detail uint64
+	Value  int64
 }
 
 // FactKind names a table of facts.
@@ -75,7 +77,7 @@
 
 // Kinds of facts.
 const (
-	// Crashes counts engine crashes by a request's fingerprint.
+	// Crashes holds by a request's fingerprint and, in detail, a server's crash what is known of the crash.
 	Crashes FactKind = iota + 1
 	// Departures holds by a backend server's hashed id when the process started that said it is leaving, in Unix
 	// milliseconds.
@@ -83,8 +85,14 @@
 )
 
 type factID struct {
-	kind FactKind
-	key  uint64
+	kind   FactKind
+	key    uint64
+	detail uint64
+}
+
+// with returns the fact with a value.
+func (fi factID) with(value int64) Fact {
+	return Fact{Kind: fi.kind, Key: fi.key, Detail: fi.detail, Value: value}
 }
 
 // Message is what two members exchange.
@@ -194,8 +202,10 @@
 	Fanout int
 	// FactTTL is how long a fact is remembered.
 	FactTTL time.Duration
-	// MaxUpdates bounds the changes in one message.
+	// MaxUpdates bounds the changes of members in one message, MaxFacts the facts: a crash brings one for each request that
+	// ran on the server.
 	MaxUpdates int
+	MaxFacts   int
 	// Spread scales the number of times that a change is passed on.
 	Spread int
 	// RevivePeriod is the time between probes of dead members.
@@ -214,6 +224,7 @@
 		Fanout:         2,
 		FactTTL:        time.Hour,
 		MaxUpdates:     8,
+		MaxFacts:       64,
 		Spread:         3,
 		RevivePeriod:   5 * time.Second,
 		ForgetAfter:    3 * time.Hour,
--- a/coordination/news/servers.go
+++ b/coordination/news/servers.go
@@ -75,6 +75,15 @@
 // rank returns the own host's place in the order of readers; negative if it takes no new work.
 func (fl *Follower) rank() int { return id.Rank(readersKey, fl.peers.LiveHosts(), fl.self) }
 
+// Reads reports whether the own host reads the list of backend servers at the store now, for all hosts or because nobody
+// tells it anything.
+func (fl *Follower) Reads() bool {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	const lately = time.Second
+	return fl.roster.Known() && !fl.settling() && fl.clock.Now().Sub(fl.readAt) < lately
+}
+
 // readServers reads the list and tells the other hosts.
 func (fl *Follower) readServers(ctx context.Context) {
 	fl.mutex.Lock()
--- a/coordination/shard/server.go
+++ b/coordination/shard/server.go
@@ -55,8 +55,8 @@
 	fleet   Fleet
 	metrics tally.Scope
 	seed    uint64
-	// onCrash is called with a fingerprint and its count of crashes.
-	onCrash func(fp id.Fingerprint, crashes int)
+	// onEvidence is called with evidence that is new, and what else is known of the content.
+	onEvidence func(ev quarantine.Evidence, all []quarantine.Evidence)
 
 	wake       chan struct{}
 	mutex      sync.Mutex
@@ -66,7 +66,7 @@
 }
 
 // NewServer returns a server without dispatchers.
-func NewServer(config ServerConfig, clock timer.Service, engines Engines, holders Holders, fl Fleet, metrics tally.Scope, seed uint64, onCrash func(id.Fingerprint, int)) *Server {
+func NewServer(config ServerConfig, clock timer.Service, engines Engines, holders Holders, fl Fleet, metrics tally.Scope, seed uint64, onEvidence func(quarantine.Evidence, []quarantine.Evidence)) *Server {
 	return &Server{
 		config:     config,
 		clock:      clock,
@@ -74,14 +74,17 @@
 		fleet:      fl,
 		metrics:    metrics,
 		seed:       seed,
-		onCrash:    onCrash,
+		onEvidence: onEvidence,
 		wake:       make(chan struct{}, 1),
 		shards:     map[id.Shard]*dispatcher{},
-		quarantine: quarantine.New(config.QuarantineTTL),
+		quarantine: quarantine.New(quarantine.Config{Limit: crashLimit, TTL: config.QuarantineTTL}),
 		canceller:  newCanceller(engines, holders, clock, metrics),
 	}
 }
 
+// crashLimit is the number of crashes after which a request is refused: a suspect runs alone, so that the second crash is its.
+const crashLimit = 2
+
 // Periods between ticks: while requests wait, while there are dispatchers, and while there are none.
 const (
 	waitingTick = 10 * time.Millisecond
@@ -199,7 +202,7 @@
 			sv.metrics.Counter("quarantine_refused").Inc(1)
 			oc := outcome.Refuse(outcome.Quarantined, "the request has crashed engines and is not run again")
 			return nil, Answer{Refusal: &oc}
-		case quarantine.Wait:
+		case quarantine.Wait, quarantine.Hold:
 			return nil, Answer{Queued: true}
 		case quarantine.RunAlone:
 			ask.Alone = true
@@ -268,20 +271,32 @@
 	if fp, ok := dp.fingerprints[en.Attempt]; ok {
 		delete(dp.fingerprints, en.Attempt)
 		if en.Crashed != "" {
-			crashes := sv.quarantine.Crashed(now, fp)
+			// The attempt tells the crash from others: the engine may crash again under its name.
 			sv.metrics.Counter("quarantine_suspicions").Inc(1)
-			sv.onCrash(fp, crashes)
+			sv.found(now, quarantine.Evidence{Fingerprint: fp, Crash: quarantine.NewCrash(string(en.Crashed), string(en.Attempt)), Standing: quarantine.Confirmed})
+		}
+		sv.quarantine.Ended(now, fp)
+		if en.Finished {
+			for _, ev := range sv.quarantine.Finished(now, fp) {
+				sv.onEvidence(ev, sv.quarantine.Evidence(fp))
+			}
 		}
-		sv.quarantine.Ended(now, fp, en.Finished)
 	}
 	sv.apply(ctx, dp, dp.machine.Step(now, dispatch.Finish{Attempt: en.Attempt}))
 }
 
-// Learn merges a count of crashes that another host knows.
-func (sv *Server) Learn(fp id.Fingerprint, crashes int) {
+// found takes evidence of the own host and passes it on if it is new.
+func (sv *Server) found(now time.Time, ev quarantine.Evidence) {
+	if sv.quarantine.Learn(now, ev) {
+		sv.onEvidence(ev, sv.quarantine.Evidence(ev.Fingerprint))
+	}
+}
+
+// Learn takes evidence that another host knows.
+func (sv *Server) Learn(ev quarantine.Evidence) {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
-	sv.quarantine.Learn(sv.clock.Now(), fp, crashes)
+	sv.quarantine.Learn(sv.clock.Now(), ev)
 }
 
 // Status describes the dispatchers of this host.
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -47,7 +48,7 @@
 	config.PollPeriod = 250 * time.Millisecond
 	for _, host := range st.owners {
 		server := shard.NewServer(config, timer.NewSystem(), st, st, st, tally.NoopScope, 1,
-			func(id.Fingerprint, int) { st.crashes++ })
+			func(quarantine.Evidence, []quarantine.Evidence) { st.crashes++ })
 		st.servers[host] = server
 		go func() { _ = server.Run(ctx) }()
 	}
--- a/events.go
+++ b/events.go
@@ -4,9 +4,11 @@
 	"context"
 	"slices"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/conviction"
 	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 )
 
 func (ht *Host) memberChanged(member membership.Member) {
@@ -15,7 +17,7 @@
 
 func (ht *Host) factLearned(fact membership.Fact) {
 	if fact.Kind == membership.Crashes {
-		ht.shardServer.Learn(id.Fingerprint(fact.Key), int(fact.Value))
+		ht.shardServer.Learn(conviction.FromFact(fact))
 	}
 }
 
@@ -39,10 +41,13 @@
 	}
 }
 
-func (ht *Host) crashCounted(fp id.Fingerprint, crashes int) {
-	ht.gossip.Spread(membership.Fact{Kind: membership.Crashes, Key: uint64(fp), Value: int64(crashes)})
-	go ht.convictions.Add(context.Background(), fp, crashes)
-	ht.logger.Warn("request crashed an engine", "fingerprint", fp.String(), "crashes", crashes)
+// evidenceFound passes on what was found out about a content; once there are two crashes the log keeps them.
+func (ht *Host) evidenceFound(ev quarantine.Evidence, all []quarantine.Evidence) {
+	ht.gossip.Spread(conviction.ToFact(ev))
+	if len(all) > 1 {
+		go ht.convictions.Add(context.Background(), all...)
+	}
+	ht.logger.Warn("crash of an engine under a request", "fingerprint", ev.Fingerprint.String(), "standing", ev.Standing.String(), "known", len(all))
 }
 
 // placementCandidates are the first few hosts in hash order, so that few hosts read the stream of leases.
--- a/host.go
+++ b/host.go
@@ -172,13 +172,14 @@
 	ht.relay = relay.New(ht.clock, streams.NewClaims(ht.platform), ht.zones, scope)
 	ht.quotaServer = quota.NewServer(ht.clock, ht.configuration)
 	ht.quotaClient = quota.NewClient(ht.self.Host, ht.clock, ht.peers, ht.configuration, scope)
-	ht.shardServer = shard.NewServer(ht.shardConfig(), ht.clock, ht.engines, ht.peers, ht.fleet, scope, seed, ht.crashCounted)
+	ht.shardServer = shard.NewServer(ht.shardConfig(), ht.clock, ht.engines, ht.peers, ht.fleet, scope, seed, ht.evidenceFound)
 	ht.shardClient = shard.NewClient(ht.self.Host, ht.self.Incarnation, ht.clock, ht.peers, ht.fleet, scope, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
 	tracer := ht.traces.Provider.Tracer("hibiscuslever")
 	ht.models = serve.NewRunner(serve.DefaultConfig(), ht.clock, ht.engines, ht.shardClient, ht.fleet, retry.New(retry.DefaultConfig(), seed), scope, tracer)
 	ht.plain = plain.NewRunner(ht.clock, ht.fleet, ht.services, ht.peers, retry.New(retry.DefaultConfig(), seed), scope, tracer, seed)
-	ht.convictions = conviction.New(ht.clock, streams.NewConvictions(ht.platform), shard.DefaultServerConfig().QuarantineTTL, scope, ht.shardServer.Learn)
+	ht.convictions = conviction.New(conviction.DefaultConfig(shard.DefaultServerConfig().QuarantineTTL), ht.clock, streams.NewConvictions(ht.platform), scope, ht.logger,
+		func() bool { return true }, ht.shardServer.Learn)
 	ht.placer = placer.New(placer.DefaultConfig(), ht.self.Host, ht.self.Incarnation, ht.clock, streams.NewLeases(ht.platform), ht.engines, ht.fleet, ht.configuration, placementCandidates{ht}, scope)
 	ht.callers = caller.NewServer(ht.callerConfig(), caller.Parts{
 		Lists:     readiness{host: ht},
--- a/site/convictions.go
+++ b/site/convictions.go
@@ -1,29 +1,146 @@
 package site
 
 import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/conviction"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+const (
+	// crashLimit is the number of crashes after which a content is refused: the users' bound begins with the third, and
+	// servers that die by themselves twice under a request are to convict nobody.
+	crashLimit = 3
+	// convictionTTL is how long the content of requests that crash servers is remembered.
+	convictionTTL = time.Hour
+	// reportTTL is how long a silent server counts as crashed that no list shows as gone: three heartbeats, and the time to
+	// read of it.
+	reportTTL = 6 * time.Second
+	// storedFrom is the number of crashes from which on the store keeps what is known of a content. Most servers that die
+	// leave one crash to each content that ran there.
+	storedFrom = 2
 )
 
-// convictions counts crashes of engines by the content of requests, on all hosts together.
+// keeperConfig returns the periods in which the host that reads the list of servers reads what the store keeps of crashes.
+func keeperConfig() conviction.Config {
+	return conviction.Config{
+		TTL:         convictionTTL,
+		ReadWait:    4 * time.Second,
+		ReadPause:   200 * time.Millisecond,
+		AppendPause: time.Second,
+		CallTimeout: 700 * time.Millisecond,
+	}
+}
+
+// convictions holds crashes of servers by the content of requests, and shares them with all hosts.
 type convictions struct {
-	host *Host
+	clock   timer.Service
+	metrics tally.Scope
+	logger  *slog.Logger
+	// spread passes evidence on to the other hosts, keep has the store keep it.
+	spread func(membership.Fact)
+	keep   func(ctx context.Context, evidence ...quarantine.Evidence)
+
+	mutex sync.Mutex
+	table *quarantine.Table
+	group tasks.Group
+}
+
+func newConvictions(clock timer.Service, metrics tally.Scope, logger *slog.Logger, spread func(membership.Fact)) *convictions {
+	return &convictions{
+		clock: clock, metrics: metrics, logger: logger, spread: spread,
+		table: quarantine.New(quarantine.Config{Limit: crashLimit, TTL: convictionTTL, ReportTTL: reportTTL}),
+	}
+}
+
+// Decide says how a content may run now, and how long that holds if it may not.
+func (cv *convictions) Decide(fp id.Fingerprint) (quarantine.Decision, time.Duration) {
+	cv.mutex.Lock()
+	defer cv.mutex.Unlock()
+	now := cv.clock.Now()
+	decision := cv.table.Decide(now, fp)
+	if decision != quarantine.Refuse && decision != quarantine.Hold {
+		return decision, 0
+	}
+	return decision, cv.table.Lapses(now, fp)
+}
+
+// Crashed returns when the host learnt of a crash, if it did.
+func (cv *convictions) Crashed(crash quarantine.Crash) (time.Time, bool) {
+	cv.mutex.Lock()
+	defer cv.mutex.Unlock()
+	return cv.table.CrashedAt(crash)
+}
+
+// Found takes evidence of the own host and tells the others.
+func (cv *convictions) Found(ev quarantine.Evidence) {
+	if cv.take(ev, "own") {
+		cv.share(ev)
+	}
+}
+
+// Learnt takes evidence that another host told.
+func (cv *convictions) Learnt(ev quarantine.Evidence) { cv.take(ev, "host") }
+
+// Read takes evidence that the store kept, and tells the other hosts, which may not read it.
+func (cv *convictions) Read(ev quarantine.Evidence) {
+	if cv.take(ev, "store") {
+		cv.spread(conviction.ToFact(ev))
+	}
+}
+
+// Finished notes that a content has run to its end.
+func (cv *convictions) Finished(fp id.Fingerprint) {
+	cv.mutex.Lock()
+	cleared := cv.table.Finished(cv.clock.Now(), fp)
+	cv.mutex.Unlock()
+	for _, ev := range cleared {
+		cv.log(ev, "own")
+		cv.share(ev)
+	}
+}
+
+// take adds evidence to the table and reports whether it was news.
+func (cv *convictions) take(ev quarantine.Evidence, source string) bool {
+	cv.mutex.Lock()
+	news := cv.table.Learn(cv.clock.Now(), ev)
+	cv.mutex.Unlock()
+	if news {
+		cv.log(ev, source)
+	}
+	return news
 }
 
-// Convicted reports whether a request has crashed too many engines to be run again, and whether it is suspected.
-func (cv convictions) Convicted(fp id.Fingerprint) (convicted, suspected bool) {
-	cv.host.mutex.Lock()
-	defer cv.host.mutex.Unlock()
-	decision := cv.host.quarantine.Decide(cv.host.clock.Now(), fp)
-	return decision == quarantine.Refuse, decision == quarantine.RunAlone || decision == quarantine.Wait
+// share passes evidence on, and has the store keep all that is known of a content with several crashes.
+func (cv *convictions) share(ev quarantine.Evidence) {
+	cv.spread(conviction.ToFact(ev))
+	cv.mutex.Lock()
+	var lasting []quarantine.Evidence
+	for _, known := range cv.table.Evidence(ev.Fingerprint) {
+		if known.Standing > quarantine.Reported {
+			lasting = append(lasting, known)
+		}
+	}
+	cv.mutex.Unlock()
+	if ev.Standing > quarantine.Reported && len(lasting) >= storedFrom {
+		cv.group.Go(func() { cv.keep(context.Background(), lasting...) })
+	}
 }
 
-// Crashed counts a crash and tells the other hosts.
-func (cv convictions) Crashed(fp id.Fingerprint) {
-	cv.host.mutex.Lock()
-	crashes := cv.host.quarantine.Crashed(cv.host.clock.Now(), fp)
-	cv.host.mutex.Unlock()
-	cv.host.gossip.Spread(membership.Fact{Kind: membership.Crashes, Key: uint64(fp), Value: int64(crashes)})
-	cv.host.logger.Warn("request ran on an engine that crashed", "fingerprint", fp.String(), "crashes", crashes, "convicted", quarantine.IsConvicted(crashes))
+func (cv *convictions) log(ev quarantine.Evidence, source string) {
+	cv.mutex.Lock()
+	crashes, decision := cv.table.Crashes(ev.Fingerprint), cv.table.Decide(cv.clock.Now(), ev.Fingerprint)
+	cv.mutex.Unlock()
+	cv.metrics.Tagged(map[string]string{"standing": ev.Standing.String(), "source": source}).Counter("crashes_under_requests").Inc(1)
+	cv.logger.Info("crash under a request", "fingerprint", ev.Fingerprint.String(), "crash", ev.Crash.String(), "standing", ev.Standing.String(),
+		"source", source, "crashes", crashes, "refused", decision == quarantine.Refuse, "held", decision == quarantine.Hold)
 }
--- a/site/crash_test.go
+++ b/site/crash_test.go
@@ -24,8 +24,8 @@
 	lateRetries       = 3
 )
 
-// crashing starts servers that requests with the mark crash, and three hosts.
-func (wd *world) crashing(crash standin.Crash) []*host {
+// crashing starts servers that requests with the mark crash, and some hosts.
+func (wd *world) crashing(crash standin.Crash, count int) []*host {
 	crash.Mark = mark
 	crash.Started = wd.store.List
 	for number := range 5 {
@@ -33,9 +33,15 @@
 		wd.server(fmt.Sprint("engine-", number), "models").CrashOn(crash)
 	}
 	wd.publish()
-	one := wd.host("host-1", true)
-	seed := one.settings.Host.PeerAddress
-	return []*host{one, wd.host("host-2", true, seed), wd.host("host-3", true, seed)}
+	hosts := []*host{wd.host("host-1", true)}
+	var seeds []string
+	if !wd.cutOff {
+		seeds = []string{hosts[0].settings.Host.PeerAddress}
+	}
+	for number := 2; number <= count; number++ {
+		hosts = append(hosts, wd.host(fmt.Sprint("host-", number), true, seeds...))
+	}
+	return hosts
 }
 
 // crashes returns when servers crashed, the first crash first.
@@ -48,6 +54,17 @@
 	return times
 }
 
+// sinceConvicting returns the time since the crash that convicts; zero before.
+func (wd *world) sinceConvicting() time.Duration {
+	times := wd.crashes()
+	if len(times) < convictingCrashes {
+		return 0
+	}
+	return time.Since(times[convictingCrashes-1])
+}
+
+func never() bool { return false }
+
 // lateRuns returns the number of marked requests that servers were sent longer than the bound after the crash that convicts.
 func (wd *world) lateRuns() int {
 	times := wd.crashes()
@@ -79,10 +96,10 @@
 	}},
 }
 
-// repeat sends a request to the hosts in turn for a time.
-func repeat(hosts []*host, name string, span time.Duration, call func(*host, string) answer) answer {
+// repeat sends a request to the hosts in turn for a time, and as long as it is to go on, but not without end.
+func repeat(hosts []*host, name string, span time.Duration, goOn func() bool, call func(*host, string) answer) answer {
 	var got answer
-	for began, number := time.Now(), 0; time.Since(began) < span; number++ {
+	for began, number := time.Now(), 0; time.Since(began) < span || goOn() && time.Since(began) < 2*patience; number++ {
 		got = call(hosts[number%len(hosts)], fmt.Sprint(name, "-", number))
 		time.Sleep(40 * time.Millisecond)
 	}
@@ -92,6 +109,7 @@
 // TestRequestThatCrashesServersIsRefused has a request come again and again, at any host, that crashes each server that
 // begins to run it. No host sends it on once the hosts had time to agree.
 func TestRequestThatCrashesServersIsRefused(t *testing.T) {
+	t.Parallel()
 	for _, down := range []struct {
 		name  string
 		crash standin.Crash
@@ -104,8 +122,8 @@
 			t.Run(cl.name+", "+down.name, func(t *testing.T) {
 				t.Parallel()
 				wd := newWorld(t)
-				hosts := wd.crashing(down.crash)
-				got := repeat(hosts, "a", 2*contactTime+2*down.crash.Down, cl.call)
+				hosts := wd.crashing(down.crash, 3)
+				got := repeat(hosts, "a", contactTime, func() bool { return wd.sinceConvicting() < 2*contactTime }, cl.call)
 				assert.NilError(t, got.err)
 				assert.Equal(t, got.status, http.StatusServiceUnavailable)
 				assert.Assert(t, wd.lateRuns() <= lateRetries, "%d late retries, %d crashes", wd.lateRuns(), len(wd.crashes()))
@@ -118,21 +136,44 @@
 	}
 }
 
-// TestConvictionOutlivesAllHosts starts new hosts after all have ended: they refuse what crashed servers before.
+// TestHostsCutOffAgree has hosts that reach the store but not each other refuse a request that crashed servers at all of
+// them together.
+func TestHostsCutOffAgree(t *testing.T) {
+	t.Parallel()
+	for _, cl := range callers {
+		t.Run(cl.name, func(t *testing.T) {
+			t.Parallel()
+			wd := newWorld(t)
+			wd.cutOff = true
+			hosts := wd.crashing(standin.Crash{Down: 400 * time.Millisecond}, 6)
+			for began, number := time.Now(), 0; wd.sinceConvicting() < 2*contactTime && time.Since(began) < 2*patience; number++ {
+				cl.call(hosts[number%len(hosts)], fmt.Sprint("a-", number))
+				time.Sleep(300 * time.Millisecond)
+			}
+			assert.Assert(t, wd.lateRuns() <= lateRetries, "%d late retries, %d crashes", wd.lateRuns(), len(wd.crashes()))
+			assert.Equal(t, cl.call(hosts[0], "last").status, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// TestConvictionOutlivesAllHosts ends all hosts and starts others, twice: they refuse what crashed servers before.
 func TestConvictionOutlivesAllHosts(t *testing.T) {
+	t.Parallel()
 	for _, cl := range callers {
 		t.Run(cl.name, func(t *testing.T) {
 			t.Parallel()
 			wd := newWorld(t)
-			hosts := wd.crashing(standin.Crash{Down: 200 * time.Millisecond})
-			repeat(hosts, "a", contactTime, cl.call)
-			for _, hs := range hosts {
-				hs.stop()
-				hs.ended <- <-hs.ended
+			hosts := wd.crashing(standin.Crash{Down: 200 * time.Millisecond}, 3)
+			repeat(hosts, "a", contactTime, func() bool { return wd.sinceConvicting() < contactTime }, cl.call)
+			for round := range 2 {
+				for _, hs := range hosts {
+					hs.stop()
+					hs.ended <- <-hs.ended
+				}
+				hosts = []*host{wd.host(fmt.Sprint("fresh-", round), true), wd.host(fmt.Sprint("new-", round), true)}
+				time.Sleep(contactTime)
+				repeat(hosts, fmt.Sprint("b-", round), contactTime, never, cl.call)
 			}
-			fresh := []*host{wd.host("host-4", true), wd.host("host-5", true)}
-			time.Sleep(contactTime)
-			repeat(fresh, "b", 2*contactTime, cl.call)
 			assert.Assert(t, wd.lateRuns() <= lateRetries, "%d late retries, %d crashes", wd.lateRuns(), len(wd.crashes()))
 		})
 	}
@@ -141,10 +182,11 @@
 // TestServersThatDieConvictNobody serves a stream whose engines crash twice by themselves, and requests that ran beside one
 // that crashes its server.
 func TestServersThatDieConvictNobody(t *testing.T) {
+	t.Parallel()
 	t.Run("two crashes", func(t *testing.T) {
 		t.Parallel()
 		wd := newWorld(t)
-		hosts := wd.crashing(standin.Crash{Down: 300 * time.Millisecond})
+		hosts := wd.crashing(standin.Crash{Down: 300 * time.Millisecond}, 3)
 		for _, sv := range wd.servers {
 			sv.Slow(100 * time.Millisecond)
 		}
@@ -175,7 +217,7 @@
 		t.Run("beside "+cl.name, func(t *testing.T) {
 			t.Parallel()
 			wd := newWorld(t)
-			hosts := wd.crashing(standin.Crash{Down: 100 * time.Millisecond})
+			hosts := wd.crashing(standin.Crash{Down: 100 * time.Millisecond}, 3)
 			for _, sv := range wd.servers {
 				sv.Work = 30 * time.Millisecond
 				sv.Slow(10 * time.Millisecond)
@@ -183,7 +225,7 @@
 			ended := make(chan struct{})
 			go func() {
 				defer close(ended)
-				repeat(hosts, "a", contactTime, cl.call)
+				repeat(hosts, "a", contactTime, never, cl.call)
 			}()
 			// The same innocent contents come again and again beside the request that crashes servers.
 			refused := 0
--- a/site/host.go
+++ b/site/host.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/coordination/conviction"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/gossip"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
@@ -29,7 +30,6 @@
 	"github.com/hibiscuslever/hibiscuslever/platform"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
-	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
@@ -58,11 +58,13 @@
 	front  *platform.Front
 	fleet  *fleet
 
-	mutex      sync.Mutex
-	quarantine *quarantine.Table
-	joined     bool
-	bounding   atomic.Bool
-	leaving    bool
+	convictions *convictions
+	keeper      *conviction.Keeper
+
+	mutex    sync.Mutex
+	joined   bool
+	bounding atomic.Bool
+	leaving  bool
 
 	listeners      []net.Listener
 	handlerOptions []connect.HandlerOption
@@ -72,12 +74,11 @@
 func New(opts ...Option) (*Host, error) {
 	op := newOptions(opts)
 	ht := &Host{
-		settings:   op.settings,
-		clock:      op.clock,
-		logger:     op.logger,
-		metrics:    telemetry.NewMetrics(),
-		started:    op.clock.Now(),
-		quarantine: quarantine.New(convictionTTL),
+		settings: op.settings,
+		clock:    op.clock,
+		logger:   op.logger,
+		metrics:  telemetry.NewMetrics(),
+		started:  op.clock.Now(),
 	}
 	if err := ht.listen(); err != nil {
 		return nil, err
@@ -99,9 +100,6 @@
 // thousandths are the units of a member's share of the processor.
 const thousandths = 1000
 
-// convictionTTL is how long the content of requests that crash engines is remembered.
-const convictionTTL = time.Hour
-
 // listen opens all addresses; when one is taken, none stays open. Port 0 becomes a free port.
 func (ht *Host) listen() error {
 	st := &ht.settings.Host
@@ -158,7 +156,10 @@
 	ht.store = platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
 	ht.news = news.New(newsConfig, ht.self.Host, ht.self.AvailabilityZone, ht.clock, ht.store, ht.peers, ht.peers, scope, ht.logger, seed, ht.newsChanged)
 	ht.fleet = newFleet(ht.news, ht.clock, ht.gossip.Spread)
-	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peers, convictions{ht}, scope, ht.logger, seed)
+	ht.convictions = newConvictions(ht.clock, scope, ht.logger, ht.gossip.Spread)
+	ht.keeper = conviction.New(keeperConfig(), ht.clock, platform.NewCrashes(ht.store), scope, ht.logger, ht.news.Reads, ht.convictions.Read)
+	ht.convictions.keep = ht.keeper.Add
+	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peers, ht.convictions, scope, ht.logger, seed)
 	ht.places = broker.NewClient(batch.DefaultConfig(), ht.self.Host, ht.clock, ht.peers, ht.fleet, scope, ht.logger, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
 	ht.runner = forward.NewRunner(forward.DefaultConfig(), forward.Parts{
@@ -169,6 +170,7 @@
 		Servers:     platform.NewServers(ht.pool),
 		Places:      ht.places,
 		Fleet:       ht.fleet,
+		Quarantine:  ht.convictions,
 		Retries:     retry.New(ht.retryConfig(), seed),
 		Metrics:     scope,
 		Logger:      ht.logger,
@@ -208,11 +210,13 @@
 	ht.logger.Info("host started", "zone", string(ht.self.AvailabilityZone), "clients", ht.self.CallerAddress, "peers", ht.self.PeerAddress,
 		"incarnation", int64(ht.self.Incarnation), "seeds", ht.settings.Peers.Seeds)
 	err := lifecycle.Host{
-		Parts:     []func(context.Context) error{ht.news.Run, ht.broker.Run, ht.places.Run, ht.pool.Run, ht.join, ht.findHosts, ht.updateGauges},
+		Parts:     []func(context.Context) error{ht.news.Run, ht.broker.Run, ht.places.Run, ht.pool.Run, ht.keeper.Run, ht.join, ht.findHosts, ht.updateGauges},
 		Servers:   ht.servers(),
 		Listeners: ht.listeners,
 		ShutDown:  ht.shutDown,
 	}.Run(ctx)
+	ht.runner.Wait()
+	ht.convictions.group.Wait()
 	ht.peers.Close()
 	_ = ht.metrics.Close()
 	ht.logger.Info("host stopped")
@@ -291,9 +295,7 @@
 func (ht *Host) factLearned(fact membership.Fact) {
 	switch fact.Kind {
 	case membership.Crashes:
-		ht.mutex.Lock()
-		defer ht.mutex.Unlock()
-		ht.quarantine.Learn(ht.clock.Now(), id.Fingerprint(fact.Key), int(fact.Value))
+		ht.convictions.Learnt(conviction.FromFact(fact))
 	case membership.Departures:
 		if ht.fleet.learned(fact) {
 			ht.broker.Refresh()
--- a/site/world_test.go
+++ b/site/world_test.go
@@ -38,6 +38,8 @@
 	// capacity is the memory of an engine in tokens, shutdown the time that hosts have to stop.
 	capacity int
 	shutdown time.Duration
+	// cutOff has hosts announce an address at which the others can't reach them.
+	cutOff bool
 	// options are those of hosts beside their settings.
 	options []site.Option
 }
@@ -108,6 +110,9 @@
 	st.Platform = settings.Platform{URL: "http://" + wd.store.Address(), Kind: settings.KindStore}
 	st.Peers.Seeds = seeds
 	st.Callers.KeepAddresses = time.Second
+	if wd.cutOff {
+		st.Host.AnnouncedPeerAddress = "127.0.0.1:1"
+	}
 	st.Operators.ShutdownTimeout = wd.shutdown
 	st.Retries = settings.Retries{Share: 1, Slack: 100}
 	ht, err := site.New(append([]site.Option{site.WithSettings(st), site.WithSeed(1)}, wd.options...)...)
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -92,8 +92,8 @@
 	lapsed  int
 	// turnedAway is when the server turned requests away and asked to be left alone.
 	turnedAway []time.Time
-	// born counts the server's starts.
-	born int64
+	// born is when the server started.
+	born time.Time
 	// crash is what requests that crash the server do to it; nil if none do.
 	crash *Crash
 	// crashed holds when the server crashed, thawed is closed when a frozen one ends.
@@ -114,7 +114,7 @@
 
 // NewServer starts a server of a service on a port of its own.
 func NewServer(name, service, zone string) *Server {
-	sv := &Server{ID: name, Service: service, Zone: zone, Events: 5, EventGap: 5 * time.Millisecond, tickets: map[string]time.Time{}}
+	sv := &Server{ID: name, Service: service, Zone: zone, Events: 5, EventGap: 5 * time.Millisecond, tickets: map[string]time.Time{}, born: time.Now()}
 	sv.server = httptest.NewServer(http.HandlerFunc(sv.serve))
 	sv.address = sv.server.Listener.Addr().(*net.TCPAddr).String()
 	sv.thawed = make(chan struct{})
@@ -204,7 +204,7 @@
 	sv.thawed = make(chan struct{})
 	sv.down = false
 	sv.fault = fault
-	sv.born++
+	sv.born = time.Now()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(sv.serve))
 	_ = server.Listener.Close()
 	server.Listener = listener
@@ -277,7 +277,7 @@
 	sv.mutex.Unlock()
 	body, _ := json.Marshal(map[string]any{
 		"Service": sv.Service, "Address": address, "Zone": sv.Zone, "Version": "v1", "Slots": 8,
-		"State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": 1700000000000 + born,
+		"State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": born.UnixMilli(),
 	})
 	return body
 }
@@ -501,7 +501,8 @@
 func (sv *Server) Restart() {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
-	sv.born++
+	// Two starts in one millisecond are two starts.
+	sv.born = sv.born.Add(max(time.Millisecond, time.Since(sv.born)))
 }
 
 func (sv *Server) ended(run *Run) {
--- a/state/quarantine/quarantine.go
+++ b/state/quarantine/quarantine.go
@@ -1,19 +1,77 @@
-// Package quarantine tracks requests that crash engines by the fingerprint of their content.
+// Package quarantine tracks requests that crash servers by the fingerprint of their content.
 package quarantine
 
 import (
+	"maps"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 )
 
+// Config sets the bounds of a table.
+type Config struct {
+	// Limit is the number of crashes after which a content is refused.
+	Limit int
+	// TTL is how long a content is remembered after its last crash.
+	TTL time.Duration
+	// ReportTTL is how long a report counts that is not confirmed.
+	ReportTTL time.Duration
+}
+
+// maxEntries bounds the table; the oldest suspicion goes first.
+const maxEntries = 10_000
+
+// Crash identifies one crash of a server, so that two reports of it count once.
+type Crash uint64
+
+// NewCrash returns the crash of a server by what tells it from other crashes of the server.
+func NewCrash(server, which string) Crash {
+	return Crash(xxhash.Sum64String(server + "\x00" + which))
+}
+
+// String returns the crash in hexadecimal digits.
+func (cr Crash) String() string { return strconv.FormatUint(uint64(cr), 16) }
+
+// Standing says what is known of a crash under a content. A higher one replaces a lower one, so that tables that learn
+// the same in any order agree.
+type Standing int64
+
+// Standings.
 const (
-	// convictedAt is the number of crashes after which a fingerprint is refused.
-	convictedAt = 2
-	// maxEntries bounds the table; the oldest suspicion goes first.
-	maxEntries = 10_000
+	// Reported crashes are likely: the server is silent.
+	Reported Standing = iota + 1
+	// Confirmed crashes have been seen.
+	Confirmed
+	// Cleared crashes say nothing of the content any more: it has run to its end since.
+	Cleared
 )
 
+// String returns the standing as logs name it.
+func (sd Standing) String() string {
+	switch sd {
+	case Reported:
+		return "reported"
+	case Confirmed:
+		return "confirmed"
+	case Cleared:
+		return "cleared"
+	default:
+		return "unknown"
+	}
+}
+
+// Evidence is what is known of one crash under one content.
+type Evidence struct {
+	Fingerprint id.Fingerprint
+	Crash       Crash
+	Standing    Standing
+}
+
 // Decision says how a request may run.
 type Decision int
 
@@ -25,101 +83,264 @@
 	RunAlone
 	// Wait asks for another try, because the same content runs already.
 	Wait
+	// Hold refuses the request until reports of crashes are confirmed or have lapsed.
+	Hold
 	// Refuse ends the request.
 	Refuse
 )
 
+// Outcome returns what a client is told whose request may not run, if a decision is that it may not. A content that is held
+// back or refused may be tried again after the wait.
+func Outcome(decision Decision, wait time.Duration) (outcome.Outcome, bool) {
+	switch decision {
+	case Refuse:
+		return outcome.Refuse(outcome.Quarantined, "the request has crashed servers and is not run again").After(wait), true
+	case Hold:
+		return outcome.Refuse(outcome.Quarantined, "servers have fallen silent under the request; it is held back until it is known whether they crashed").After(wait), true
+	default:
+		return outcome.Outcome{}, false
+	}
+}
+
 type entry struct {
-	crashes int
+	crashes map[Crash]known
 	running int
 	at      time.Time
 }
 
-// Table counts crashes and running attempts by fingerprint.
+// known is a crash as the table knows it.
+type known struct {
+	standing Standing
+	at       time.Time
+}
+
+// Table holds crashes and running attempts by fingerprint. It is a set that merges with those of other hosts.
 type Table struct {
-	ttl     time.Duration
+	config  Config
 	entries map[id.Fingerprint]*entry
+	// contents holds by crash the contents that ran on the server.
+	contents map[Crash]*occurrence
+}
+
+// occurrence is a crash with the contents that ran on the server, and when it was first confirmed.
+type occurrence struct {
+	of map[id.Fingerprint]struct{}
+	at time.Time
 }
 
-// New returns an empty table that forgets suspicions after ttl. Convictions last as long.
-func New(ttl time.Duration) *Table {
-	return &Table{ttl: ttl, entries: map[id.Fingerprint]*entry{}}
+// New returns an empty table.
+func New(config Config) *Table {
+	return &Table{config: config, entries: map[id.Fingerprint]*entry{}, contents: map[Crash]*occurrence{}}
 }
 
 // Decide says how a request with the fingerprint may run now.
-// Crashes and running attempts together never exceed the number that convicts.
+// Crashes and running attempts together never exceed the limit, where running attempts are counted.
 func (tb *Table) Decide(now time.Time, fp id.Fingerprint) Decision {
 	en, ok := tb.lookup(now, fp)
-	switch {
-	case !ok:
+	if !ok {
 		return Run
-	case en.crashes >= convictedAt:
+	}
+	confirmed, reported := tb.count(now, fp, en)
+	limit := tb.config.Limit
+	switch {
+	case confirmed >= limit && !(confirmed == limit && tb.ambiguous(fp, en)):
 		return Refuse
-	case en.crashes+en.running >= convictedAt:
+	case reported > 0 && confirmed+reported >= limit:
+		return Hold
+	case en.running > 0 && confirmed+reported+en.running >= limit:
 		return Wait
-	case en.crashes > 0:
+	case confirmed+reported >= limit-1:
 		return RunAlone
 	default:
 		return Run
 	}
 }
 
+// count returns the crashes that count against a content: those of servers that nothing explains but the content itself.
+func (tb *Table) count(now time.Time, fp id.Fingerprint, en *entry) (confirmed, reported int) {
+	for crash, kn := range en.crashes {
+		switch {
+		case kn.standing == Confirmed && !tb.explained(crash, fp, en):
+			confirmed++
+		case kn.standing == Reported && now.Sub(kn.at) <= tb.config.ReportTTL:
+			reported++
+		}
+	}
+	return confirmed, reported
+}
+
+// confirmed returns the number of confirmed crashes.
+func (en *entry) confirmed() int {
+	count := 0
+	for _, kn := range en.crashes {
+		if kn.standing == Confirmed {
+			count++
+		}
+	}
+	return count
+}
+
+// explained reports whether a crash is that of another content, which has crashed more servers than this one and enough
+// to be refused.
+func (tb *Table) explained(crash Crash, fp id.Fingerprint, en *entry) bool {
+	for other := range tb.contents[crash].of {
+		if other == fp || tb.entries[other].crashes[crash].standing != Confirmed {
+			continue
+		}
+		if crashes := tb.entries[other].confirmed(); crashes >= tb.config.Limit && crashes > en.confirmed() {
+			return true
+		}
+	}
+	return false
+}
+
+// ambiguous reports whether another content was there at each crash of a content, and at no other: either may have done
+// it. One more crash tells.
+func (tb *Table) ambiguous(fp id.Fingerprint, en *entry) bool {
+	for crash, kn := range en.crashes {
+		if kn.standing != Confirmed {
+			continue
+		}
+		for other := range tb.contents[crash].of {
+			if other != fp && tb.entries[other].sameCrashes(en) {
+				return true
+			}
+		}
+		return false
+	}
+	return false
+}
+
+// sameCrashes reports whether two contents have the same confirmed crashes.
+func (en *entry) sameCrashes(other *entry) bool {
+	if en.confirmed() != other.confirmed() {
+		return false
+	}
+	for crash, kn := range en.crashes {
+		if kn.standing == Confirmed && other.crashes[crash].standing != Confirmed {
+			return false
+		}
+	}
+	return true
+}
+
+// Crashes returns the number of crashes under a content that are confirmed and not cleared.
+func (tb *Table) Crashes(fp id.Fingerprint) int {
+	if en, ok := tb.entries[fp]; ok {
+		return en.confirmed()
+	}
+	return 0
+}
+
+// Lapses returns the time until a decision for a content changes by itself: until a report lapses that holds it back, or
+// until it is forgotten.
+func (tb *Table) Lapses(now time.Time, fp id.Fingerprint) time.Duration {
+	en, ok := tb.lookup(now, fp)
+	if !ok {
+		return 0
+	}
+	if tb.Decide(now, fp) != Hold {
+		return tb.config.TTL - now.Sub(en.at)
+	}
+	first := tb.config.ReportTTL
+	for _, kn := range en.crashes {
+		if left := tb.config.ReportTTL - now.Sub(kn.at); kn.standing == Reported && left >= 0 {
+			first = min(first, left)
+		}
+	}
+	return first
+}
+
 // Started counts a running attempt.
 func (tb *Table) Started(now time.Time, fp id.Fingerprint) {
 	tb.entryOf(now, fp).running++
 }
 
-// Ended ends a running attempt. An attempt that finished clears the suspicion.
-func (tb *Table) Ended(now time.Time, fp id.Fingerprint, finished bool) {
+// Ended ends a running attempt.
+func (tb *Table) Ended(now time.Time, fp id.Fingerprint) {
 	en, ok := tb.lookup(now, fp)
 	if !ok {
 		return
 	}
 	en.running = max(0, en.running-1)
-	if finished && en.crashes < convictedAt {
-		en.crashes = 0
-	}
-	if en.running == 0 && en.crashes == 0 {
+	if en.running == 0 && len(en.crashes) == 0 {
 		delete(tb.entries, fp)
 	}
 }
 
-// Crashed counts a crash of an engine that ran the fingerprint and returns the count.
-func (tb *Table) Crashed(now time.Time, fp id.Fingerprint) int {
-	en := tb.entryOf(now, fp)
-	en.crashes++
-	en.at = now
-	return en.crashes
+// Finished notes that a content has run to its end, and returns the crashes that this clears.
+func (tb *Table) Finished(now time.Time, fp id.Fingerprint) []Evidence {
+	en, ok := tb.lookup(now, fp)
+	if !ok {
+		return nil
+	}
+	var cleared []Evidence
+	for _, crash := range slices.Sorted(maps.Keys(en.crashes)) {
+		ev := Evidence{Fingerprint: fp, Crash: crash, Standing: Cleared}
+		if tb.Learn(now, ev) {
+			cleared = append(cleared, ev)
+		}
+	}
+	return cleared
 }
 
-// Learn merges a count of crashes that another host knows and reports whether it was news.
-func (tb *Table) Learn(now time.Time, fp id.Fingerprint, crashes int) bool {
-	if crashes <= 0 {
+// Learn takes evidence and reports whether it was news.
+func (tb *Table) Learn(now time.Time, ev Evidence) bool {
+	if ev.Standing < Reported || ev.Standing > Cleared {
 		return false
 	}
-	en := tb.entryOf(now, fp)
-	if crashes <= en.crashes {
+	en := tb.entryOf(now, ev.Fingerprint)
+	if en.crashes[ev.Crash].standing >= ev.Standing {
 		return false
 	}
-	en.crashes = crashes
+	if en.crashes == nil {
+		en.crashes = map[Crash]known{}
+	}
+	en.crashes[ev.Crash] = known{standing: ev.Standing, at: now}
 	en.at = now
+	oc, ok := tb.contents[ev.Crash]
+	if !ok {
+		oc = &occurrence{of: map[id.Fingerprint]struct{}{}}
+		tb.contents[ev.Crash] = oc
+	}
+	oc.of[ev.Fingerprint] = struct{}{}
+	if ev.Standing == Confirmed && oc.at.IsZero() {
+		oc.at = now
+	}
 	return true
 }
 
-// Convicted returns the fingerprints that are refused.
-func (tb *Table) Convicted() []id.Fingerprint {
-	var convicted []id.Fingerprint
-	for fp, en := range tb.entries {
-		if en.crashes >= convictedAt {
-			convicted = append(convicted, fp)
-		}
+// CrashedAt returns when the table learnt that a crash was confirmed, if it did.
+func (tb *Table) CrashedAt(crash Crash) (time.Time, bool) {
+	oc, ok := tb.contents[crash]
+	if !ok || oc.at.IsZero() {
+		return time.Time{}, false
+	}
+	return oc.at, true
+}
+
+// Evidence returns all that is known of a content.
+func (tb *Table) Evidence(fp id.Fingerprint) []Evidence {
+	en, ok := tb.entries[fp]
+	if !ok {
+		return nil
+	}
+	var all []Evidence
+	for _, crash := range slices.Sorted(maps.Keys(en.crashes)) {
+		all = append(all, Evidence{Fingerprint: fp, Crash: crash, Standing: en.crashes[crash].standing})
 	}
-	return convicted
+	return all
 }
 
-// IsConvicted reports whether a count of crashes convicts.
-func IsConvicted(crashes int) bool {
-	return crashes >= convictedAt
+// Refused returns the fingerprints that are refused.
+func (tb *Table) Refused(now time.Time) []id.Fingerprint {
+	var refused []id.Fingerprint
+	for _, fp := range slices.Sorted(maps.Keys(tb.entries)) {
+		if tb.Decide(now, fp) == Refuse {
+			refused = append(refused, fp)
+		}
+	}
+	return refused
 }
 
 // lookup finds an entry that has not expired.
@@ -128,8 +349,8 @@
 	if !ok {
 		return nil, false
 	}
-	if now.Sub(en.at) > tb.ttl && en.running == 0 {
-		delete(tb.entries, fp)
+	if now.Sub(en.at) > tb.config.TTL && en.running == 0 {
+		tb.remove(fp)
 		return nil, false
 	}
 	return en, true
@@ -156,7 +377,20 @@
 			found = en
 		}
 	}
-	delete(tb.entries, oldest)
+	if found != nil {
+		tb.remove(oldest)
+	}
+}
+
+func (tb *Table) remove(fp id.Fingerprint) {
+	for crash := range tb.entries[fp].crashes {
+		oc := tb.contents[crash]
+		delete(oc.of, fp)
+		if len(oc.of) == 0 {
+			delete(tb.contents, crash)
+		}
+	}
+	delete(tb.entries, fp)
 }
 
 // Len returns the number of fingerprints in the table.
--- a/state/quarantine/quarantine_test.go
+++ b/state/quarantine/quarantine_test.go
@@ -17,11 +17,22 @@
 
 const poison id.Fingerprint = 7
 
+var (
+	// two and three are tables that refuse after so many crashes.
+	two   = quarantine.Config{Limit: 2, TTL: time.Hour, ReportTTL: 5 * time.Second}
+	three = quarantine.Config{Limit: 3, TTL: time.Hour, ReportTTL: 5 * time.Second}
+	start = time.Unix(1000, 0)
+)
+
+func confirmed(fp id.Fingerprint, crash quarantine.Crash) quarantine.Evidence {
+	return quarantine.Evidence{Fingerprint: fp, Crash: crash, Standing: quarantine.Confirmed}
+}
+
 // TestAtMostTwoCrashes runs a request that crashes every engine, as often as the table lets it.
 func TestAtMostTwoCrashes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		tb := quarantine.New(time.Hour)
-		now := time.Unix(0, 0)
+		tb := quarantine.New(two)
+		now := start
 		running, crashes, alone := 0, 0, 0
 		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
 			now = now.Add(time.Second)
@@ -34,14 +45,14 @@
 				case quarantine.Run:
 					tb.Started(now, poison)
 					running++
-				case quarantine.Wait, quarantine.Refuse:
+				case quarantine.Wait, quarantine.Hold, quarantine.Refuse:
 				}
 			case 2:
 				if running > 0 {
 					running--
 					crashes++
-					tb.Crashed(now, poison)
-					tb.Ended(now, poison, false)
+					tb.Learn(now, confirmed(poison, quarantine.Crash(crashes)))
+					tb.Ended(now, poison)
 				}
 			}
 		}
@@ -59,39 +70,145 @@
 
 // TestPlainEngineDeathConvictsNobody runs innocent requests on engines that die now and then.
 func TestPlainEngineDeathConvictsNobody(t *testing.T) {
-	tb := quarantine.New(time.Hour)
-	now := time.Unix(0, 0)
+	tb := quarantine.New(two)
+	now := start
 	const innocents = 20
 	for fp := range id.Fingerprint(innocents) {
 		tb.Started(now, fp)
 	}
 	for fp := range id.Fingerprint(innocents) {
-		tb.Crashed(now, fp)
-		tb.Ended(now, fp, false)
+		tb.Learn(now, confirmed(fp, 1))
+		tb.Ended(now, fp)
 		assert.Equal(t, tb.Decide(now, fp), quarantine.RunAlone)
 	}
 	for fp := range id.Fingerprint(innocents) {
 		tb.Started(now, fp)
-		tb.Ended(now, fp, true)
+		tb.Ended(now, fp)
+		assert.Equal(t, len(tb.Finished(now, fp)), 1)
 		assert.Equal(t, tb.Decide(now, fp), quarantine.Run)
 	}
-	assert.Equal(t, len(tb.Convicted()), 0)
+	assert.Equal(t, len(tb.Refused(now)), 0)
+}
+
+// TestTwoCrashesOfThreeConvictNobody lets a content run whose servers died twice, alone the second time.
+func TestTwoCrashesOfThreeConvictNobody(t *testing.T) {
+	tb := quarantine.New(three)
+	tb.Learn(start, confirmed(poison, 1))
+	assert.Equal(t, tb.Decide(start, poison), quarantine.Run)
+	tb.Learn(start, confirmed(poison, 2))
+	assert.Equal(t, tb.Decide(start, poison), quarantine.RunAlone)
+	tb.Learn(start, confirmed(poison, 3))
+	assert.Equal(t, tb.Decide(start, poison), quarantine.Refuse)
+}
+
+// TestCrashesThatHostsCountAddUp has each of three hosts count one crash, and tell the others; one crash that two of them
+// tell counts once.
+func TestCrashesThatHostsCountAddUp(t *testing.T) {
+	var tables []*quarantine.Table
+	for host := range 3 {
+		tb := quarantine.New(three)
+		tb.Learn(start, confirmed(poison, quarantine.Crash(host)))
+		tables = append(tables, tb)
+	}
+	for _, tb := range tables {
+		for crash := range quarantine.Crash(2) {
+			tb.Learn(start, confirmed(poison, crash))
+			tb.Learn(start, confirmed(poison, crash))
+		}
+	}
+	assert.Equal(t, tables[0].Decide(start, poison), quarantine.RunAlone)
+	for _, tb := range tables {
+		tb.Learn(start, confirmed(poison, 2))
+		assert.Equal(t, tb.Decide(start, poison), quarantine.Refuse)
+	}
+}
+
+// TestTablesAgree has tables learn the same evidence in different orders, some of it several times.
+func TestTablesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var all []quarantine.Evidence
+		for range rapid.IntRange(1, 30).Draw(rt, "evidence") {
+			all = append(all, quarantine.Evidence{
+				Fingerprint: id.Fingerprint(rapid.IntRange(1, 3).Draw(rt, "content")),
+				Crash:       quarantine.Crash(rapid.IntRange(1, 5).Draw(rt, "crash")),
+				Standing:    quarantine.Standing(rapid.IntRange(int(quarantine.Reported), int(quarantine.Cleared)).Draw(rt, "standing")),
+			})
+		}
+		one, other := quarantine.New(three), quarantine.New(three)
+		for _, ev := range all {
+			one.Learn(start, ev)
+		}
+		shuffled := rapid.Permutation(append(all, all...)).Draw(rt, "order")
+		for _, ev := range shuffled {
+			other.Learn(start, ev)
+		}
+		for fp := range id.Fingerprint(4) {
+			if one.Decide(start, fp) != other.Decide(start, fp) {
+				rt.Fatalf("content %d: %d and %d", fp, one.Decide(start, fp), other.Decide(start, fp))
+			}
+		}
+	})
+}
+
+// TestReportsHoldBack holds a content back for as long as reports count that are neither confirmed nor cleared.
+func TestReportsHoldBack(t *testing.T) {
+	tb := quarantine.New(three)
+	for crash := range quarantine.Crash(3) {
+		tb.Learn(start, quarantine.Evidence{Fingerprint: poison, Crash: crash, Standing: quarantine.Reported})
+	}
+	assert.Equal(t, tb.Decide(start.Add(time.Second), poison), quarantine.Hold)
+	assert.Equal(t, tb.Lapses(start.Add(time.Second), poison), 4*time.Second)
+	assert.Equal(t, tb.Decide(start.Add(6*time.Second), poison), quarantine.Run, "reports have lapsed")
+	for crash := range quarantine.Crash(3) {
+		tb.Learn(start.Add(7*time.Second), confirmed(poison, crash))
+	}
+	assert.Equal(t, tb.Decide(start.Add(7*time.Second), poison), quarantine.Refuse)
+}
+
+// TestNeighboursAreNotConvicted has two contents together on each server that crashes. Neither is refused until one crash
+// more tells which of them did it; then only that one is.
+func TestNeighboursAreNotConvicted(t *testing.T) {
+	const neighbour id.Fingerprint = 8
+	tb := quarantine.New(three)
+	for crash := range quarantine.Crash(3) {
+		tb.Learn(start, confirmed(poison, crash))
+		tb.Learn(start, confirmed(neighbour, crash))
+	}
+	assert.Equal(t, len(tb.Refused(start)), 0)
+	tb.Learn(start, confirmed(poison, 4))
+	assert.DeepEqual(t, tb.Refused(start), []id.Fingerprint{poison})
+	assert.Equal(t, tb.Decide(start, neighbour), quarantine.Run)
+}
+
+// TestFinishedClears lets a content run again that has run to its end, whatever is told of the crashes before, and counts
+// the crashes after.
+func TestFinishedClears(t *testing.T) {
+	tb := quarantine.New(three)
+	tb.Learn(start, confirmed(poison, 1))
+	tb.Learn(start, confirmed(poison, 2))
+	assert.Equal(t, len(tb.Finished(start, poison)), 2)
+	tb.Learn(start, confirmed(poison, 1))
+	assert.Equal(t, tb.Decide(start, poison), quarantine.Run)
+	for crash := range quarantine.Crash(3) {
+		tb.Learn(start, confirmed(poison, 10+crash))
+	}
+	assert.Equal(t, tb.Decide(start, poison), quarantine.Refuse)
 }
 
 func TestConvictionIsLearntAndForgotten(t *testing.T) {
-	tb := quarantine.New(time.Hour)
-	now := time.Unix(0, 0)
-	assert.Assert(t, tb.Learn(now, poison, 2))
-	assert.Assert(t, !tb.Learn(now, poison, 1))
-	assert.Equal(t, tb.Decide(now, poison), quarantine.Refuse)
-	assert.Equal(t, tb.Decide(now.Add(2*time.Hour), poison), quarantine.Run)
+	tb := quarantine.New(two)
+	assert.Assert(t, tb.Learn(start, confirmed(poison, 1)))
+	assert.Assert(t, tb.Learn(start, confirmed(poison, 2)))
+	assert.Assert(t, !tb.Learn(start, confirmed(poison, 1)))
+	assert.Equal(t, tb.Decide(start, poison), quarantine.Refuse)
+	assert.Equal(t, tb.Lapses(start, poison), time.Hour)
+	assert.Equal(t, tb.Decide(start.Add(2*time.Hour), poison), quarantine.Run)
 }
 
 func TestTableIsBounded(t *testing.T) {
-	tb := quarantine.New(time.Hour)
-	now := time.Unix(0, 0)
+	tb := quarantine.New(two)
 	for fp := range id.Fingerprint(30_000) {
-		tb.Crashed(now.Add(time.Duration(fp)), fp)
+		tb.Learn(start.Add(time.Duration(fp)), confirmed(fp, 1))
 	}
 	assert.Equal(t, tb.Len(), 10_000, fmt.Sprint(tb.Len()))
 }
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -135,6 +135,16 @@
 	return &conn{Conn: raw, address: address, source: src, reader: bufio.NewReaderSize(src, readBuffer)}, nil
 }
 
+// Reach opens a connection to an address and keeps it for later requests.
+func (pl *Pool) Reach(ctx context.Context, address string) error {
+	cn, err := pl.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	pl.put(cn, 0)
+	return nil
+}
+
 // readBuffer is the size of a connection's read buffer in bytes.
 const readBuffer = 4096
 
--- a/transport/peer/convert.go
+++ b/transport/peer/convert.go
@@ -224,7 +224,7 @@
 		})
 	}
 	for _, fact := range msg.Facts {
-		ms.Facts = append(ms.Facts, &peer.Fact{Kind: uint32(fact.Kind), Key: fact.Key, Value: fact.Value})
+		ms.Facts = append(ms.Facts, &peer.Fact{Kind: uint32(fact.Kind), Key: fact.Key, Detail: fact.Detail, Value: fact.Value})
 	}
 	return ms
 }
@@ -256,9 +256,10 @@
 	}
 	for _, fact := range ms.GetFacts() {
 		msg.Facts = append(msg.Facts, membership.Fact{
-			Kind:  membership.FactKind(fact.GetKind()),
-			Key:   fact.GetKey(),
-			Value: fact.GetValue(),
+			Kind:   membership.FactKind(fact.GetKind()),
+			Key:    fact.GetKey(),
+			Detail: fact.GetDetail(),
+			Value:  fact.GetValue(),
 		})
 	}
 	return msg
--- a/transport/peer/fuzz_test.go
+++ b/transport/peer/fuzz_test.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/news"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/roster"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/timer"
@@ -39,9 +40,8 @@
 // nobody convicts no request and reaches no host.
 type nobody struct{}
 
-func (nobody) Convicted(id.Fingerprint) (convicted, suspected bool) { return false, false }
-func (nobody) Crashed(id.Fingerprint)                               {}
-func (nobody) Dispatchers(id.Service) []id.Host                     { return nil }
+func (nobody) Decide(id.Fingerprint) (quarantine.Decision, time.Duration) { return quarantine.Run, 0 }
+func (nobody) Dispatchers(id.Service) []id.Host                           { return nil }
 func (nobody) Place(context.Context, id.Host, broker.Ask) (broker.Answer, error) {
 	return broker.Answer{}, errNoPart
 }
--- a/transport/peer/place.go
+++ b/transport/peer/place.go
@@ -107,13 +107,12 @@
 	}
 	for _, en := range rp.Ended {
 		rq.Ended = append(rq.Ended, &peer.EndedPlace{
-			Service:     string(en.Service),
-			Request:     string(en.Request),
-			Attempt:     string(en.Attempt),
-			Withdrawn:   en.Withdrawn,
-			Failed:      string(en.Failed),
-			Fault:       int32(en.Fault),
-			Fingerprint: uint64(en.Fingerprint),
+			Service:   string(en.Service),
+			Request:   string(en.Request),
+			Attempt:   string(en.Attempt),
+			Withdrawn: en.Withdrawn,
+			Failed:    string(en.Failed),
+			Fault:     int32(en.Fault),
 
 			RetryAfterMicros: en.RetryAfter.Microseconds(),
 		})
@@ -198,14 +197,13 @@
 	}
 	for _, en := range rq.Msg.GetEnded() {
 		rp.Ended = append(rp.Ended, broker.Ended{
-			Service:     id.Service(en.GetService()),
-			Request:     id.Request(en.GetRequest()),
-			Attempt:     id.Attempt(en.GetAttempt()),
-			Withdrawn:   en.GetWithdrawn(),
-			Failed:      id.Engine(en.GetFailed()),
-			Fault:       batch.Fault(en.GetFault()),
-			Fingerprint: id.Fingerprint(en.GetFingerprint()),
-			RetryAfter:  micros(en.GetRetryAfterMicros()),
+			Service:    id.Service(en.GetService()),
+			Request:    id.Request(en.GetRequest()),
+			Attempt:    id.Attempt(en.GetAttempt()),
+			Withdrawn:  en.GetWithdrawn(),
+			Failed:     id.Engine(en.GetFailed()),
+			Fault:      batch.Fault(en.GetFault()),
+			RetryAfter: micros(en.GetRetryAfterMicros()),
 		})
 	}
 	sv.local.Broker.Progress(rp)
@@ -225,7 +223,8 @@
 		AgeMicros:      now.Sub(ask.Arrived).Microseconds(),
 		Rank:           int32(ask.Rank),
 		Number:         int32(ask.Number),
-		Fingerprint:    uint64(ask.Fingerprint),
+		Fingerprint:    uint64(ask.Content),
+		Alone:          ask.Alone,
 	}
 	for _, name := range ask.Avoid {
 		ms.Avoid = append(ms.Avoid, string(name))
@@ -249,9 +248,10 @@
 			Arrived:      now.Add(-micros(ms.GetAgeMicros())),
 			Rank:         int(ms.GetRank()),
 			Number:       int(ms.GetNumber()),
+			Content:      id.Fingerprint(ms.GetFingerprint()),
+			Alone:        ms.GetAlone(),
 		},
-		Service:     id.Service(ms.GetService()),
-		Fingerprint: id.Fingerprint(ms.GetFingerprint()),
+		Service: id.Service(ms.GetService()),
 	}
 	for _, name := range ms.GetAvoid() {
 		ask.Avoid = append(ask.Avoid, id.Engine(name))
--- a/transport/platform/streams/streams.go
+++ b/transport/platform/streams/streams.go
@@ -4,9 +4,13 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/go-faster/errors"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/claim"
 	"github.com/hibiscuslever/hibiscuslever/coordination/configuration"
+	"github.com/hibiscuslever/hibiscuslever/coordination/conviction"
 	"github.com/hibiscuslever/hibiscuslever/coordination/placer"
 	protocol "github.com/hibiscuslever/hibiscuslever/protocol/platform"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -107,23 +111,37 @@
 // NewConvictions returns the stream of a platform.
 func NewConvictions(client *platform.Client) Convictions { return Convictions{client: client} }
 
-// Append adds a record.
-func (lg Convictions) Append(ctx context.Context, body []byte) bool {
-	_, result := lg.client.Append(ctx, protocol.Quarantine, body)
-	return result == platform.Stored
+// Append adds records.
+func (lg Convictions) Append(ctx context.Context, records []conviction.Record) error {
+	for _, rec := range records {
+		body, err := conviction.Encode(rec)
+		if err != nil {
+			return errors.Wrap(err, "encode evidence")
+		}
+		if _, result := lg.client.Append(ctx, protocol.Quarantine, body); result != platform.Stored {
+			return errNotStored
+		}
+	}
+	return nil
 }
 
-// Read returns the records from an offset on.
-func (lg Convictions) Read(ctx context.Context, from id.Offset) ([][]byte, id.Offset, error) {
-	read, err := lg.client.Read(ctx, protocol.Quarantine, from)
+// errNotStored says that the log did not take a record, or did not say so.
+var errNotStored = errors.New("the log did not take a record")
+
+// Read returns the records from an offset on. It does not wait.
+func (lg Convictions) Read(ctx context.Context, from id.Offset, _ time.Duration) ([][]byte, id.Offset, error) {
+	next := max(from, 0)
+	read, err := lg.client.Read(ctx, protocol.Quarantine, next)
 	if err != nil {
 		return nil, from, err
 	}
 	var bodies [][]byte
-	next := from
 	for _, rec := range read.Records {
 		bodies = append(bodies, rec.Body)
 		next = rec.Offset + 1
 	}
 	return bodies, next, nil
 }
+
+// Drop does nothing: the log forgets old records by itself.
+func (lg Convictions) Drop(context.Context, []conviction.Record) error { return nil }
