Without a dispatcher a suspect is not placed, and a convicted request is refused

A cause by reading, of the incident's class: an entry host whose ask is not answered in time places short requests itself and asked nobody what the content had done. A suspect so lands beside others, a convicted request is sent on. Now it asks the table of its own host, which learns from all hosts: convicted is refused, a suspect waits for a dispatcher.

shard.TestSuspectIsNotPlacedWithoutDispatcher, red before (placed, want deadline_exceeded).

--- a/coordination/shard/client.go
+++ b/coordination/shard/client.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -34,6 +35,7 @@
 	clock       timer.Service
 	peers       Peers
 	fleet       Fleet
+	quarantine  Quarantine
 	metrics     tally.Scope
 
 	mutex  sync.Mutex
@@ -50,13 +52,14 @@
 }
 
 // NewClient returns a client that holds nothing.
-func NewClient(host id.Host, inc id.Incarnation, clock timer.Service, peers Peers, fl Fleet, metrics tally.Scope, seed uint64) *Client {
+func NewClient(host id.Host, inc id.Incarnation, clock timer.Service, peers Peers, fl Fleet, qr Quarantine, metrics tally.Scope, seed uint64) *Client {
 	return &Client{
 		host:        host,
 		incarnation: inc,
 		clock:       clock,
 		peers:       peers,
 		fleet:       fl,
+		quarantine:  qr,
 		metrics:     metrics,
 		random:      rand.New(rand.NewPCG(seed, seed)),
 		held:        map[id.Attempt]*holding{},
@@ -65,6 +68,12 @@
 	}
 }
 
+// Quarantine knows the contents that crash engines.
+type Quarantine interface {
+	// Decide says how a content may run now, and how long that holds if it may not.
+	Decide(fp id.Fingerprint) (quarantine.Decision, time.Duration)
+}
+
 // Run reports what the host holds until the context ends.
 func (cl *Client) Run(ctx context.Context) error {
 	sub := timer.Every(cl.clock, reportPeriod, func() { cl.reportAll(ctx) })
@@ -88,6 +97,11 @@
 		case err != nil:
 			failures++
 			cl.metrics.Counter("dispatcher_unreachable").Inc(1)
+			decision, wait := cl.quarantine.Decide(ask.Fingerprint)
+			if oc, barred := quarantine.Outcome(decision, wait); barred {
+				return dispatch.Grant{}, oc
+			}
+			ask.Alone = ask.Alone || decision != quarantine.Run
 			if grant, ok := cl.choose(ask); ok {
 				cl.keep(ask, grant)
 				return grant, outcome.Done()
--- a/coordination/shard/server.go
+++ b/coordination/shard/server.go
@@ -197,12 +197,12 @@
 		return nil, Answer{Refusal: &oc}
 	}
 	if !dp.asked[ask.ID] {
-		switch sv.quarantine.Decide(now, ask.Fingerprint) {
-		case quarantine.Refuse:
+		switch decision := sv.quarantine.Decide(now, ask.Fingerprint); decision {
+		case quarantine.Refuse, quarantine.Hold:
 			sv.metrics.Counter("quarantine_refused").Inc(1)
-			oc := outcome.Refuse(outcome.Quarantined, "the request has crashed engines and is not run again")
+			oc, _ := quarantine.Outcome(decision, sv.quarantine.Lapses(now, ask.Fingerprint))
 			return nil, Answer{Refusal: &oc}
-		case quarantine.Wait, quarantine.Hold:
+		case quarantine.Wait:
 			return nil, Answer{Queued: true}
 		case quarantine.RunAlone:
 			ask.Alone = true
@@ -292,6 +292,14 @@
 	}
 }
 
+// Decide says how a content may run now, and how long that holds if it may not.
+func (sv *Server) Decide(fp id.Fingerprint) (quarantine.Decision, time.Duration) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	now := sv.clock.Now()
+	return sv.quarantine.Decide(now, fp), sv.quarantine.Lapses(now, fp)
+}
+
 // Learn takes evidence that another host knows.
 func (sv *Server) Learn(ev quarantine.Evidence) {
 	sv.mutex.Lock()
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -62,7 +62,7 @@
 }
 
 func (st *site) client(ctx context.Context) *shard.Client {
-	client := shard.NewClient("one", 1, timer.NewSystem(), st, st, tally.NoopScope, 1)
+	client := shard.NewClient("one", 1, timer.NewSystem(), st, st, st.servers["one"], tally.NoopScope, 1)
 	st.holder = client
 	go func() { _ = client.Run(ctx) }()
 	return client
@@ -266,6 +266,27 @@
 	})
 }
 
+// TestSuspectIsNotPlacedWithoutDispatcher has a request that crashed engines come while no dispatcher can be reached: a suspect
+// waits for one, a convicted request is refused, and others are placed by the own host.
+func TestSuspectIsNotPlacedWithoutDispatcher(t *testing.T) {
+	inSite(t, func(ctx context.Context, t *testing.T, st *site) {
+		client := st.client(ctx)
+		st.mutex.Lock()
+		st.down["one"], st.down["two"] = true, true
+		st.mutex.Unlock()
+		_, oc := client.Acquire(ctx, ask("innocent", 1000))
+		assert.Assert(t, oc.OK(), oc.Detail)
+		poison := ask("poison", 1000)
+		for crash, want := range []outcome.Reason{outcome.DeadlineExceeded, outcome.Quarantined} {
+			st.servers["one"].Learn(quarantine.Evidence{Fingerprint: poison.Fingerprint, Crash: quarantine.Crash(crash), Standing: quarantine.Confirmed})
+			short, cancel := context.WithTimeout(ctx, 2*time.Second)
+			_, oc = client.Acquire(short, poison)
+			cancel()
+			assert.Equal(t, oc.Reason, want)
+		}
+	})
+}
+
 // TestLeavingEngineGetsNothingNew has the only engine leave, by the list or by its own word, and asks 3 s later.
 func TestLeavingEngineGetsNothingNew(t *testing.T) {
 	const limit = 3 * time.Second
--- a/host.go
+++ b/host.go
@@ -173,7 +173,7 @@
 	ht.quotaServer = quota.NewServer(ht.clock, ht.configuration)
 	ht.quotaClient = quota.NewClient(ht.self.Host, ht.clock, ht.peers, ht.configuration, scope)
 	ht.shardServer = shard.NewServer(ht.shardConfig(), ht.clock, ht.engines, ht.peers, ht.fleet, scope, seed, ht.evidenceFound)
-	ht.shardClient = shard.NewClient(ht.self.Host, ht.self.Incarnation, ht.clock, ht.peers, ht.fleet, scope, seed)
+	ht.shardClient = shard.NewClient(ht.self.Host, ht.self.Incarnation, ht.clock, ht.peers, ht.fleet, ht.shardServer, scope, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
 	tracer := ht.traces.Provider.Tracer("hibiscuslever")
 	ht.models = serve.NewRunner(serve.DefaultConfig(), ht.clock, ht.engines, ht.shardClient, ht.fleet, retry.New(retry.DefaultConfig(), seed), scope, tracer)
