SIGHUP to a daemon that is still starting does not end it

What callers saw: a host is gone that a reload reached while it started; clients with its address fail until it is back. Cause: the daemon listened for the signal only once its settings were read, the host assembled and its ports opened; until then the runtime ends the process. It also stopped listening while it was still shutting down.

--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -6,13 +6,12 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"github.com/hibiscuslever/hibiscuslever"
 	"github.com/hibiscuslever/hibiscuslever/command"
+	"github.com/hibiscuslever/hibiscuslever/lifecycle/hangup"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/site"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
@@ -77,11 +76,8 @@
 	if err != nil {
 		return command.NewUsageError(fmt.Errorf("settings %s: %w", path, err))
 	}
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	go func() {
-		for range reloads {
+		for range hangup.Signals() {
 			reload(host, logger, path)
 		}
 	}()
--- /dev/null
+++ b/lifecycle/hangup/hangup.go
@@ -0,0 +1,21 @@
+// Package hangup takes SIGHUP from before main runs on, since one that comes earlier ends the process. It imports little, so
+// that it is initialized before packages that take long.
+package hangup
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// signals holds one signal that nobody has taken yet. More of them ask for the same.
+var signals = subscribe()
+
+func subscribe() chan os.Signal {
+	pending := make(chan os.Signal, 1)
+	signal.Notify(pending, syscall.SIGHUP)
+	return pending
+}
+
+// Signals returns the channel on which signals arrive, those from before main included.
+func Signals() <-chan os.Signal { return signals }
