Two contents that crashed as many servers, some of them together, are told apart by one crash more

What callers would see: an innocent request that died once by itself and twice beside the one that crashes servers is refused. Cause: the neighbours' rule asked for the very same crashes.

--- a/state/quarantine/quarantine.go
+++ b/state/quarantine/quarantine.go
@@ -194,36 +194,22 @@
 	return false
 }
 
-// ambiguous reports whether another content was there at each crash of a content, and at no other: either may have done
-// it. One more crash tells.
+// ambiguous reports whether another content that has crashed as many servers was there at one of a content's crashes: either
+// may have done it. One more crash tells.
 func (tb *Table) ambiguous(fp id.Fingerprint, en *entry) bool {
 	for crash, kn := range en.crashes {
 		if kn.standing != Confirmed {
 			continue
 		}
 		for other := range tb.contents[crash].of {
-			if other != fp && tb.entries[other].sameCrashes(en) {
+			if other != fp && tb.entries[other].crashes[crash].standing == Confirmed && tb.entries[other].confirmed() == en.confirmed() {
 				return true
 			}
 		}
-		return false
 	}
 	return false
 }
 
-// sameCrashes reports whether two contents have the same confirmed crashes.
-func (en *entry) sameCrashes(other *entry) bool {
-	if en.confirmed() != other.confirmed() {
-		return false
-	}
-	for crash, kn := range en.crashes {
-		if kn.standing == Confirmed && other.crashes[crash].standing != Confirmed {
-			return false
-		}
-	}
-	return true
-}
-
 // Crashes returns the number of crashes under a content that are confirmed and not cleared.
 func (tb *Table) Crashes(fp id.Fingerprint) int {
 	if en, ok := tb.entries[fp]; ok {
--- a/state/quarantine/quarantine_test.go
+++ b/state/quarantine/quarantine_test.go
@@ -212,3 +212,78 @@
 	}
 	assert.Equal(t, tb.Len(), 10_000, fmt.Sprint(tb.Len()))
 }
+
+// TestRandomDeaths has servers die at random while innocent requests run on them and a request comes again and again that
+// crashes each server that runs it. Innocent requests are tried four times at most. The one that crashes servers is refused
+// after one crash more than the limit at the latest, and nobody is who died with fewer servers than the limit beside those
+// that it crashed.
+func TestRandomDeaths(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const (
+			servers = 5
+			tries   = 4
+			rounds  = 40
+		)
+		tb := quarantine.New(three)
+		death := rapid.Float64Range(0, 0.4).Draw(rt, "death")
+		chance := rapid.Float64Range(0, 1)
+		now := start
+		crashes, culprit := quarantine.Crash(0), 0
+		type innocent struct {
+			fp           id.Fingerprint
+			tried, alone int
+		}
+		next := id.Fingerprint(100)
+		var waiting []innocent
+		for range rounds {
+			now = now.Add(time.Second)
+			for len(waiting) < 8 {
+				next++
+				waiting = append(waiting, innocent{fp: next})
+			}
+			runs := make([][]innocent, servers)
+			var later []innocent
+			for _, in := range waiting {
+				if tb.Decide(now, in.fp) == quarantine.Refuse {
+					if in.alone < three.Limit {
+						rt.Fatalf("refused after %d deaths of its own", in.alone)
+					}
+					continue
+				}
+				at := rapid.IntRange(0, servers-1).Draw(rt, "server")
+				runs[at] = append(runs[at], in)
+			}
+			target := -1
+			if tb.Decide(now, poison) != quarantine.Refuse {
+				target = rapid.IntRange(0, servers-1).Draw(rt, "target")
+				culprit++
+			}
+			for at, ran := range runs {
+				if at != target && chance.Draw(rt, "chance") >= death {
+					for _, in := range ran {
+						tb.Finished(now, in.fp)
+					}
+					continue
+				}
+				crashes++
+				if at == target {
+					tb.Learn(now, confirmed(poison, crashes))
+				}
+				for _, in := range ran {
+					tb.Learn(now, confirmed(in.fp, crashes))
+					in.tried++
+					if at != target {
+						in.alone++
+					}
+					if in.tried < tries {
+						later = append(later, in)
+					}
+				}
+			}
+			waiting = later
+		}
+		if culprit > three.Limit+1 {
+			rt.Fatalf("%d servers were crashed", culprit)
+		}
+	})
+}
--- a/telemetry/explain.go
+++ b/telemetry/explain.go
@@ -94,7 +94,7 @@
 		case "time", "host", "msg", "level":
 		default:
 			if value := ln.Text(name); value != "" {
-				fmt.Fprintf(&sb, " %s=%s", name, value)
+				fmt.Fprintf(&sb, " %s=%s", name, strings.ReplaceAll(value, "\n", "; "))
 			}
 		}
 	}
--- a/telemetry/explain_test.go
+++ b/telemetry/explain_test.go
@@ -69,7 +69,7 @@
 func TestExplainContent(t *testing.T) {
 	lines, _, err := telemetry.ReadLines(strings.NewReader(`
 {"time":"2026-03-15T05:11:54.3Z","msg":"attempt ended","host":"host-c","request":"r9","fingerprint":"beef","server":"app-2"}
-{"time":"2026-03-15T05:11:54.1Z","msg":"attempt ended","host":"host-b","request":"r8","fingerprint":"beef","server":"app-1"}
+{"time":"2026-03-15T05:11:54.1Z","msg":"attempt ended","host":"host-b","request":"r8","fingerprint":"beef","server":"app-1","result":"read answer\nEOF"}
 {"time":"2026-03-15T05:11:54.2Z","msg":"attempt ended","host":"host-b","request":"r7","fingerprint":"cafe","server":"app-1"}
 `))
 	assert.NilError(t, err)
@@ -78,4 +78,6 @@
 		way = append(way, line.Text("request"))
 	}
 	assert.DeepEqual(t, way, []string{"r8", "r9"})
+	assert.Equal(t, telemetry.ExplainContent(lines, "beef")[0].String(),
+		"05:11:54.100 host-b               attempt ended fingerprint=beef request=r8 result=read answer; EOF server=app-1")
 }
