A request sent to a server that had crashed before counts nothing

What callers would see: an innocent request refused after two crashes. Cause: a kept connection to a server that is down ends like one to a server that crashes; the host knew that the server had crashed, took it to have started anew, and counted a second crash. Now an attempt on a connection from before, to a server whose start is known to have crashed before it began, counts nothing.

forward.TestSentToACrashedServer, red before (2 crashes, want 1).

--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
@@ -69,15 +71,16 @@
 	return decision == quarantine.RunAlone || decision == quarantine.Wait
 }
 
-// crashOf returns the crash that an attempt saw which began at a time, by the start that the list gave the server then. If
-// that start was known to have crashed before, the server had started anew and the list did not say so yet.
-func (rn *Runner) crashOf(sv roster.Server, began time.Time) quarantine.Crash {
+// crashOf returns the crash that an attempt saw which began at a time, by the start that the list gave the server then, and
+// reports whether that start was known to have crashed before. If it was, the server has started anew and the list did not
+// say so yet, or the attempt went to a server that was down.
+func (rn *Runner) crashOf(sv roster.Server, began time.Time) (quarantine.Crash, bool) {
 	start := strconv.FormatInt(sv.Born, 10)
 	crash := quarantine.NewCrash(string(sv.ID), start)
 	if at, crashed := rn.quarantine.Crashed(crash); crashed && at.Before(began) {
-		return quarantine.NewCrash(string(sv.ID), start+"+"+strconv.FormatInt(began.UnixMilli(), 10))
+		return quarantine.NewCrash(string(sv.ID), start+"+"+strconv.FormatInt(began.UnixMilli(), 10)), true
 	}
-	return crash
+	return crash, false
 }
 
 // ranOn returns the start of a server on which an attempt ran that began at a time. The list told of it later than it
@@ -109,12 +112,15 @@
 
 // broke finds out whether a server crashed that brought no whole answer to an attempt, and reports whether that is certain.
 // Servers that are leaving end anyway.
-func (jb *job) broke(ctx context.Context, sv roster.Server, began time.Time, health Health, why string) bool {
+func (jb *job) broke(ctx context.Context, sv roster.Server, began time.Time, health Health, why error) bool {
 	rn := jb.runner
 	sv = ranOn(sv, began, rn.fleet.Servers(sv.Service))
-	ev := quarantine.Evidence{Fingerprint: jb.result.Fingerprint, Crash: rn.crashOf(sv, began), Standing: quarantine.Confirmed}
+	crash, before := rn.crashOf(sv, began)
+	ev := quarantine.Evidence{Fingerprint: jb.result.Fingerprint, Crash: crash, Standing: quarantine.Confirmed}
 	counted := ""
 	switch {
+	case before && errors.Is(why, ErrStale):
+		counted = "no, the server had crashed before"
 	case rn.fleet.Leaving(sv.ID) || rn.fleet.HasLeft(sv.ID):
 		counted = "no, the server is leaving"
 	case health == Refuses || rn.replaced(sv, rn.fleet.Servers(sv.Service)):
@@ -131,7 +137,7 @@
 	}
 	rn.metrics.Tagged(map[string]string{"health": health.String()}).Counter("attempts_broken").Inc(1)
 	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", ev.Fingerprint.String(), "server", string(sv.ID),
-		"address", sv.Address, "born", sv.Born, "crash", ev.Crash.String(), "health", health.String(), "counted", counted, "cause", why,
+		"address", sv.Address, "born", sv.Born, "crash", ev.Crash.String(), "health", health.String(), "counted", counted, "cause", why.Error(),
 		"list_age_ms", rn.fleet.Age().Milliseconds())
 	return health == Refuses
 }
@@ -199,7 +205,7 @@
 	rn.broken = kept
 	rn.mutex.Unlock()
 	for _, ba := range crashed {
-		ba.Crash = rn.crashOf(ba.server, ba.began)
+		ba.Crash, _ = rn.crashOf(ba.server, ba.began)
 		rn.quarantine.Found(ba.Evidence)
 		rn.logger.Info("backend server crashed", "fingerprint", ba.Fingerprint.String(), "server", string(ba.server.ID), "crash", ba.Crash.String(),
 			"source", "list", "after_ms", now.Sub(ba.since).Milliseconds())
--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"testing"
@@ -25,6 +26,8 @@
 	health map[string]forward.Health
 	// hangs has attempts end only with their time.
 	hangs bool
+	// stale has attempts fail on connections that were open before.
+	stale bool
 }
 
 func (sv *crashing) Send(ctx context.Context, at forward.Attempt) (forward.Answer, error) {
@@ -33,6 +36,9 @@
 		<-ctx.Done()
 		return forward.Answer{}, ctx.Err()
 	}
+	if sv.stale {
+		return forward.Answer{}, errors.Join(forward.ErrStale, io.ErrUnexpectedEOF)
+	}
 	return forward.Answer{}, io.ErrUnexpectedEOF
 }
 
@@ -158,6 +164,21 @@
 	})
 }
 
+// TestSentToACrashedServer counts nothing against a request that went to a server which had crashed before, on a connection
+// that was still open.
+func TestSentToACrashedServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sv := &crashing{health: map[string]forward.Health{"one": forward.Refuses}}
+		tb := newTable()
+		rn := newRunner(forward.Parts{Servers: sv, Fleet: fleet{listed: []roster.Server{bornAt("one", time.Hour)}}, Quarantine: tb})
+		rn.Run(t.Context(), order(), &sink{})
+		time.Sleep(100 * time.Millisecond)
+		sv.stale = true
+		rn.Run(t.Context(), order(), &sink{})
+		assert.Equal(t, tb.Crashes(contentOf), 1)
+	})
+}
+
 // TestBarredMeanwhile does not send a request again whose content is barred after its first attempt, and does not say that it
 // has not run.
 func TestBarredMeanwhile(t *testing.T) {
