Memory is not set aside for longer than the users' bound without being used

Cause, by reading: a host renews the memory of a prompt larger than an engine for as long as it waits for the first event, up to 0.6 of the client's patience or its deadline, while a slow engine may not have begun to use it.

Now the first event is to come within 7/9 of the bound after the memory was set aside; then the attempt ends, gives the memory back and goes on elsewhere if it may.

--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -40,6 +40,12 @@
 	PlaceTTL time.Duration
 	// ProbeTimeout bounds that question.
 	ProbeTimeout time.Duration
+	// TicketHold is how long memory stays set aside without renewal: less than the time within which memory is to be free
+	// again after its last use, also when this host dies.
+	TicketHold time.Duration
+	// TicketUnused is how long memory may stay set aside for a request whose first event has not come: less than the
+	// time after which memory that no request uses counts as lost.
+	TicketUnused time.Duration
 	// MaxPlaces bounds the places that one request asks for when engines refuse to run it.
 	MaxPlaces int
 }
@@ -53,10 +59,32 @@
 		StallShare:    0.6,
 		PlaceTTL:      2 * time.Second,
 		ProbeTimeout:  400 * time.Millisecond,
+		TicketHold:    3500 * time.Millisecond,
+		TicketUnused:  7 * time.Second,
 		MaxPlaces:     4,
 	}
 }
 
+// WithMemoryBounds returns the bounds with which memory is free again within a time after its last use, and is not set aside for
+// longer than another time without being used. A time of zero changes nothing.
+func (cf Config) WithMemoryBounds(free, unused time.Duration) Config {
+	const (
+		// holdShare leaves an eighth of the time for the engine to notice that the hold has run out.
+		holdShare = 0.875
+		// leastHold bounds the orders that renew memory to seven a second.
+		leastHold = 500 * time.Millisecond
+		// unusedShare leaves two ninths for the attempt to end and its memory to be given back, or to lapse.
+		unusedShare = 7.0 / 9
+	)
+	if free > 0 {
+		cf.TicketHold = max(leastHold, time.Duration(holdShare*float64(free)))
+	}
+	if unused > 0 {
+		cf.TicketUnused = time.Duration(unusedShare * float64(unused))
+	}
+	return cf
+}
+
 // Runner carries requests.
 type Runner struct {
 	config  Config
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -177,7 +177,7 @@
 	if rn.clock.Now().Sub(st.placed) > rn.config.PlaceTTL {
 		return broker.Ended{}, cause{text: "the place was given too long ago", retry: retry.NotSent}
 	}
-	watch := newWatch(rn, first, grant.Start+rn.config.StreamSilence, st.stallTime(), func(err error) { cancel(err) })
+	watch := newWatch(rn, first, grant.Start+rn.config.StreamSilence, st.stallTime(), memory.useBy(), func(err error) { cancel(err) })
 	defer watch.stop()
 	if st.barred() {
 		return broker.Ended{}, cause{text: "servers crashed under the content meanwhile", final: true}
--- a/coordination/forward/tickets.go
+++ b/coordination/forward/tickets.go
@@ -10,11 +10,8 @@
 )
 
 const (
-	// ticketHold is how long memory stays set aside without renewal: less than the four seconds within which memory
-	// is to be free again after its last use, also when this host dies.
-	ticketHold = 3500 * time.Millisecond
-	// ticketRenewal is the time between renewals, so that two may be lost.
-	ticketRenewal = time.Second
+	// renewals is the number of renewals within the time that memory stays set aside, so that two may be lost.
+	renewals = 3.5
 	// ticketTimeout bounds one order.
 	ticketTimeout = 500 * time.Millisecond
 	// releaseTries bounds the orders to give memory back; memory that is not given back lapses.
@@ -26,12 +23,13 @@
 	runner *Runner
 	parts  []batch.Part
 	sub    timer.Subscription
+	since  time.Time
 }
 
 // reserve sets the memory of a grant aside on all its engines. It returns the part that has no room, if one has none;
 // nothing stays set aside then.
 func (rn *Runner) reserve(ctx context.Context, grant batch.Grant) (*tickets, *batch.Part) {
-	tk := &tickets{runner: rn}
+	tk := &tickets{runner: rn, since: rn.clock.Now()}
 	for _, part := range grant.Parts {
 		if part.Ticket != "" {
 			tk.parts = append(tk.parts, part)
@@ -45,10 +43,18 @@
 		tk.release()
 		return nil, refused
 	}
-	tk.sub = timer.Every(rn.clock, ticketRenewal, func() { tk.order(context.Background()) })
+	tk.sub = timer.Every(rn.clock, time.Duration(float64(rn.config.TicketHold)/renewals), func() { tk.order(context.Background()) })
 	return tk, nil
 }
 
+// useBy returns when the memory is to be used, zero if none is set aside.
+func (tk *tickets) useBy() time.Time {
+	if len(tk.parts) == 0 {
+		return time.Time{}
+	}
+	return tk.since.Add(tk.runner.config.TicketUnused)
+}
+
 // order sets the memory aside, or renews that, and returns a part that was not granted.
 func (tk *tickets) order(ctx context.Context) *batch.Part {
 	ctx, cancel := context.WithTimeout(ctx, ticketTimeout)
@@ -57,7 +63,7 @@
 	var group sync.WaitGroup
 	for ix, part := range tk.parts {
 		group.Go(func() {
-			ok, err := tk.runner.servers.Reserve(ctx, part.Address, part.Ticket, part.Tokens, ticketHold)
+			ok, err := tk.runner.servers.Reserve(ctx, part.Address, part.Ticket, part.Tokens, tk.runner.config.TicketHold)
 			granted[ix] = ok && err == nil
 			if !granted[ix] {
 				tk.runner.logger.Warn("memory not set aside", "engine", string(part.Engine), "ticket", part.Ticket, "tokens", int64(part.Tokens), "error", errorText(err))
--- a/coordination/forward/watch.go
+++ b/coordination/forward/watch.go
@@ -19,6 +19,8 @@
 	// stall is how long the stream may bring no event from an engine that is alive; zero for any time.
 	stall time.Duration
 	lost  func(error)
+	// useBy is when the first event is to have come because memory is set aside for it; zero for any time.
+	useBy time.Time
 
 	mutex sync.Mutex
 	// last is the last sign of life, moved when the last event with an id came.
@@ -28,10 +30,14 @@
 	sub     timer.Subscription
 }
 
-// newWatch starts to watch a stream that may be silent for a time before its first event.
-func newWatch(rn *Runner, part batch.Part, first, stall time.Duration, lost func(error)) *watch {
+// newWatch starts to watch a stream that may be silent for a time before its first event, which is to come by a time if
+// memory is set aside for it.
+func newWatch(rn *Runner, part batch.Part, first, stall time.Duration, useBy time.Time, lost func(error)) *watch {
 	begun := rn.clock.Now().Add(first - rn.config.StreamSilence)
-	wt := &watch{runner: rn, part: part, silence: rn.config.StreamSilence, stall: stall, lost: lost, last: begun, moved: begun}
+	wt := &watch{runner: rn, part: part, silence: rn.config.StreamSilence, stall: stall, useBy: useBy, lost: lost, last: begun, moved: begun}
+	if !useBy.IsZero() {
+		first = min(first, max(0, useBy.Sub(rn.clock.Now())))
+	}
 	wt.mutex.Lock()
 	defer wt.mutex.Unlock()
 	wt.sub = rn.clock.After(first, wt.look)
@@ -44,6 +50,7 @@
 	defer wt.mutex.Unlock()
 	wt.last = wt.runner.clock.Now()
 	if ev.id != "" {
+		wt.useBy = time.Time{}
 		wt.moved = wt.last
 	}
 }
@@ -56,7 +63,7 @@
 		return
 	}
 	now := wt.runner.clock.Now()
-	if wt.stalled(now) {
+	if wt.stalled(now) || !wt.useBy.IsZero() && !now.Before(wt.useBy) {
 		wt.mutex.Unlock()
 		wt.lost(errStalled)
 		return
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -26,6 +26,7 @@
 	allowedAddress  = "an IP address with a port, such as 10.0.0.1:8000"
 	allowedDuration = "a duration above 0, such as 30s"
 	allowedCount    = "a number from 0 on"
+	allowedPeriod   = "a duration from 0 on, such as 30s"
 	maxNameLength   = 64
 )
 
@@ -94,7 +95,13 @@
 		{"Limits", "ProcessorShare", allowedCount, func(st *Settings, value string) bool {
 			return setCount(&st.Limits.ProcessorShare, value, 1000)
 		}},
-		{"Operators", "ShutdownTimeout", "a duration from 0 on, such as 30s", func(st *Settings, value string) bool {
+		{"Memory", "FreeWithin", allowedPeriod, func(st *Settings, value string) bool {
+			return setPeriod(&st.Memory.FreeWithin, value, maxPeriod)
+		}},
+		{"Memory", "UnusedWithin", allowedPeriod, func(st *Settings, value string) bool {
+			return setPeriod(&st.Memory.UnusedWithin, value, maxPeriod)
+		}},
+		{"Operators", "ShutdownTimeout", allowedPeriod, func(st *Settings, value string) bool {
 			return setPeriod(&st.Operators.ShutdownTimeout, value, maxPeriod)
 		}},
 	}
@@ -210,17 +217,23 @@
 // maxPeriod bounds durations that the platform writes; longer ones count as this.
 const maxPeriod = 24 * time.Hour
 
-// setPeriod takes a duration that the platform writes in seconds, in any notation of numbers, or one with units.
+// setPeriod takes a duration that the platform writes in seconds or milliseconds, in any notation of numbers, or one with
+// units.
 func setPeriod(target *time.Duration, value string, most time.Duration) bool {
 	if parsed, err := time.ParseDuration(value); err == nil {
 		*target = min(parsed, most)
 		return parsed >= 0
 	}
-	var seconds float64
-	number, found := strings.CutSuffix(value, "s")
-	if !found || !setCount(&seconds, number, most.Seconds()) {
+	unit := time.Millisecond
+	number, found := strings.CutSuffix(value, "ms")
+	if !found {
+		unit = time.Second
+		number, found = strings.CutSuffix(value, "s")
+	}
+	var count float64
+	if !found || !setCount(&count, number, float64(most/unit)) {
 		return false
 	}
-	*target = time.Duration(seconds * float64(time.Second))
+	*target = time.Duration(count * float64(unit))
 	return true
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,7 @@
 	Operators Operators
 	Retries   Retries
 	Limits    Limits
+	Memory    Memory
 }
 
 // Host names the host and its addresses.
@@ -72,6 +73,14 @@
 	Slack float64
 }
 
+// Memory bounds the use of engines' memory.
+type Memory struct {
+	// FreeWithin is the time within which memory is free again after its last use, UnusedWithin the time for which
+	// it may be set aside without being used.
+	FreeWithin   time.Duration
+	UnusedWithin time.Duration
+}
+
 // Limits bounds what the process uses.
 type Limits struct {
 	// MemoryMegabytes is the memory at which the process is ended; 0 for no bound.
@@ -162,6 +171,7 @@
 		Operators: Operators{ShutdownTimeout: 10 * time.Minute},
 		Platform:  Platform{Kind: KindLog},
 		Retries:   Retries{Share: 0.1, Slack: 50},
+		Memory:    Memory{FreeWithin: 4 * time.Second, UnusedWithin: 9 * time.Second},
 	}
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -70,6 +70,7 @@
 		"Host.DirectoryAddress": st.Host.DirectoryAddress, "Platform.URL": st.Platform.URL, "Peers.Seeds": st.Peers.Seeds,
 		"Retries.Share": st.Retries.Share, "Retries.Slack": st.Retries.Slack, "Limits.MemoryMegabytes": st.Limits.MemoryMegabytes,
 		"Limits.ProcessorShare": st.Limits.ProcessorShare, "Operators.ShutdownTimeout": st.Operators.ShutdownTimeout,
+		"Memory.FreeWithin": st.Memory.FreeWithin, "Memory.UnusedWithin": st.Memory.UnusedWithin,
 	}[section+"."+name]
 }
 
--- a/site/host.go
+++ b/site/host.go
@@ -162,7 +162,7 @@
 	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peers, ht.convictions, scope, ht.logger, seed)
 	ht.places = broker.NewClient(batch.DefaultConfig(), ht.self.Host, ht.clock, ht.peers, ht.fleet, scope, ht.logger, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
-	ht.runner = forward.NewRunner(forward.DefaultConfig(), forward.Parts{
+	ht.runner = forward.NewRunner(forward.DefaultConfig().WithMemoryBounds(ht.settings.Memory.FreeWithin, ht.settings.Memory.UnusedWithin), forward.Parts{
 		Host:        ht.self.Host,
 		Incarnation: ht.self.Incarnation,
 		Clock:       ht.clock,
