First crashes under a content are told to its dispatcher only

Cause: every crash under every request went to all hosts, 24 times from each, though most servers that die leave one crash to each content that ran there. Now a first crash goes with the host's report to the dispatcher of the service, which tells all hosts and the store once it knows of two; a new dispatcher is told all evidence of the last ten minutes (broker.TestEvidenceReachesTheNextDispatcher). Evidence is gathered for 0.2 s before it is appended, and read once a second at most.

--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -8,6 +8,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 )
 
@@ -52,6 +53,13 @@
 	Held    []Held
 	Started []StartedAttempt
 	Ended   []Ended
+	// Evidence is what the host found out of crashes of servers of the service.
+	Evidence []quarantine.Evidence
+}
+
+// empty reports whether there is nothing in a report.
+func (rp Report) empty() bool {
+	return len(rp.Held) == 0 && len(rp.Started) == 0 && len(rp.Ended) == 0 && len(rp.Evidence) == 0
 }
 
 // StartedAttempt is an attempt whose first event has arrived.
--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -44,6 +44,8 @@
 	uninformed map[id.Host]bool
 	// reports counts the reports of each host in which something has ended.
 	reports map[id.Host]int
+	// told holds the crashes that each host's dispatchers were told of.
+	told map[id.Host][]quarantine.Crash
 }
 
 // oneEngine is what a host knows of a fleet of one engine.
@@ -77,6 +79,20 @@
 type innocent struct{}
 
 func (innocent) Decide(id.Fingerprint) (quarantine.Decision, time.Duration) { return quarantine.Run, 0 }
+func (innocent) Told(quarantine.Evidence)                                   {}
+
+// recorder notes what a host's dispatchers are told of crashes.
+type recorder struct {
+	innocent
+	network *network
+	host    id.Host
+}
+
+func (rc recorder) Told(ev quarantine.Evidence) {
+	rc.network.mutex.Lock()
+	defer rc.network.mutex.Unlock()
+	rc.network.told[rc.host] = append(rc.network.told[rc.host], ev.Crash)
+}
 
 func (nw *network) Dispatchers(id.Service) []id.Host {
 	nw.mutex.Lock()
@@ -123,12 +139,12 @@
 
 // run starts hosts, all of them live, until the returned function is called.
 func run(t *testing.T, hosts ...id.Host) (*network, func()) {
-	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, live: hosts, unreachable: map[id.Host]bool{}, reports: map[id.Host]int{}, uninformed: map[id.Host]bool{}}
+	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, live: hosts, unreachable: map[id.Host]bool{}, reports: map[id.Host]int{}, uninformed: map[id.Host]bool{}, told: map[id.Host][]quarantine.Crash{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var parts sync.WaitGroup
 	clock, logger := timer.NewSystem(), slog.New(slog.DiscardHandler)
 	for _, host := range hosts {
-		nw.servers[host] = broker.NewServer(batch.DefaultConfig(), clock, oneEngine{nw, host}, nw, innocent{}, tally.NoopScope, logger, 1)
+		nw.servers[host] = broker.NewServer(batch.DefaultConfig(), clock, oneEngine{nw, host}, nw, recorder{network: nw, host: host}, tally.NoopScope, logger, 1)
 		nw.clients[host] = broker.NewClient(batch.DefaultConfig(), host, clock, nw, oneEngine{nw, host}, tally.NoopScope, logger, 1)
 		nw.clients[host].Open()
 	}
@@ -256,3 +272,39 @@
 		assert.Assert(t, oc.OK(), "%+v", oc)
 	})
 }
+
+// TestEvidenceReachesTheNextDispatcher tells each dispatcher once what a host found out of crashes, and a new one all of it: when the
+// first one falls silent, when it comes back, and when it is replaced by a host that never heard of any.
+func TestEvidenceReachesTheNextDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := run(t, "first", "second", "third")
+		defer stop()
+		found := func(crash quarantine.Crash) {
+			nw.clients["third"].Tell(service, quarantine.Evidence{Fingerprint: 7, Crash: crash, Standing: quarantine.Confirmed})
+			time.Sleep(3 * time.Second)
+		}
+		told := func(host id.Host) []quarantine.Crash {
+			nw.mutex.Lock()
+			defer nw.mutex.Unlock()
+			return slices.Clone(nw.told[host])
+		}
+		found(1)
+		found(2)
+		assert.DeepEqual(t, told("first"), []quarantine.Crash{1, 2})
+		nw.mutex.Lock()
+		nw.unreachable["first"] = true
+		nw.mutex.Unlock()
+		found(3)
+		nw.ask(t, "third", 1, time.Second)
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, told("second"), []quarantine.Crash{1, 2, 3})
+		nw.setLive("second", "third")
+		found(4)
+		assert.DeepEqual(t, told("second"), []quarantine.Crash{1, 2, 3, 4})
+		time.Sleep(11 * time.Minute)
+		nw.setLive("third")
+		found(5)
+		// Old evidence is told no more.
+		assert.DeepEqual(t, told("third"), []quarantine.Crash{5})
+	})
+}
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
@@ -45,11 +48,13 @@
 	logger  *slog.Logger
 	fleet   Fleet
 
-	mutex    sync.Mutex
-	held     map[id.Attempt]*Held
-	waiting  map[id.Request]chan Answer
-	started  []StartedAttempt
-	ended    []Ended
+	mutex   sync.Mutex
+	held    map[id.Attempt]*Held
+	waiting map[id.Request]chan Answer
+	started []StartedAttempt
+	ended   []Ended
+	// evidence is what the own host found out of crashes, by service.
+	evidence map[id.Service]*evidence
 	pending  bool
 	suspects map[id.Host]*suspicion
 	// reported is the dispatcher that knows what the host holds, by service.
@@ -82,6 +87,7 @@
 		logger:   logger,
 		seed:     seed,
 		held:     map[id.Attempt]*Held{},
+		evidence: map[id.Service]*evidence{},
 		waiting:  map[id.Request]chan Answer{},
 		suspects: map[id.Host]*suspicion{},
 		reported: map[id.Service]id.Host{},
@@ -359,6 +365,19 @@
 	cl.report(started, ended, nil)
 }
 
+// Tell reports evidence of the own host to the dispatcher of a service, and to the next one if that is lost.
+func (cl *Client) Tell(service id.Service, ev quarantine.Evidence) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	ec, ok := cl.evidence[service]
+	if !ok {
+		ec = &evidence{}
+		cl.evidence[service] = ec
+	}
+	ec.add(cl.clock.Now(), ev)
+	cl.reportSoon()
+}
+
 // renew reports what is held, so that a dispatcher that has just taken over learns of it.
 func (cl *Client) renew(context.Context) {
 	cl.mutex.Lock()
@@ -367,12 +386,10 @@
 		held = append(held, *hd)
 	}
 	cl.mutex.Unlock()
-	if len(held) > 0 {
-		cl.report(nil, nil, held)
-	}
+	cl.report(nil, nil, held)
 }
 
-// report sends each dispatcher its part of a report.
+// report sends each dispatcher its part of a report, with the evidence that it does not have.
 func (cl *Client) report(started []StartedAttempt, ended []Ended, held []Held) {
 	reports := map[id.Service]*Report{}
 	of := func(service id.Service) *Report {
@@ -392,17 +409,50 @@
 	for _, hd := range held {
 		of(hd.Ask.Service).Held = append(of(hd.Ask.Service).Held, hd)
 	}
+	for _, service := range cl.servicesWithEvidence() {
+		of(service)
+	}
 	for service, rp := range reports {
-		host, ok := cl.dispatcher(service)
-		if !ok {
-			continue
-		}
-		cl.group.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-			defer cancel()
-			if err := cl.peers.Progress(ctx, host, *rp); err != nil {
-				cl.metrics.Counter("report_failures").Inc(1)
+		if host, ok := cl.dispatcher(service); ok {
+			found, end := cl.evidenceFor(service, host)
+			rp.Evidence = found
+			if !rp.empty() {
+				cl.group.Go(func() { cl.send(service, host, *rp, end) })
 			}
-		})
+		}
+	}
+}
+
+func (cl *Client) servicesWithEvidence() []id.Service {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	return slices.Collect(maps.Keys(cl.evidence))
+}
+
+// evidenceFor returns the evidence that a dispatcher does not have, and the end of all.
+func (cl *Client) evidenceFor(service id.Service, host id.Host) ([]quarantine.Evidence, int) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	ec, ok := cl.evidence[service]
+	if !ok {
+		return nil, 0
+	}
+	return ec.outstanding(cl.clock.Now(), host)
+}
+
+// send sends a report to a dispatcher. Evidence that does not arrive is told again with the next report.
+func (cl *Client) send(service id.Service, host id.Host, rp Report, end int) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	if err := cl.peers.Progress(ctx, host, rp); err != nil {
+		cl.metrics.Counter("report_failures").Inc(1)
+		cl.logger.Warn("dispatcher not told", "dispatcher", string(host), "service", string(service), "ended", len(rp.Ended),
+			"evidence", len(rp.Evidence), "error", err.Error())
+		return
+	}
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	if ec, ok := cl.evidence[service]; ok {
+		ec.delivered(host, end)
 	}
 }
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -20,6 +20,8 @@
 type Quarantine interface {
 	// Decide says how a content may run now, and how long that holds if it may not.
 	Decide(fp id.Fingerprint) (quarantine.Decision, time.Duration)
+	// Told takes evidence that a host tells the dispatcher only.
+	Told(ev quarantine.Evidence)
 }
 
 // Server runs the dispatchers of the services that this host is asked for.
@@ -253,6 +255,9 @@
 	for _, en := range rp.Ended {
 		sv.ended(now, en)
 	}
+	for _, ev := range rp.Evidence {
+		sv.quarantine.Told(ev)
+	}
 }
 
 func (sv *Server) ended(now time.Time, en Ended) {
--- a/coordination/conviction/keeper.go
+++ b/coordination/conviction/keeper.go
@@ -25,6 +25,8 @@
 	ReadWait time.Duration
 	// ReadPause is the time between two reads; other hosts tell of evidence sooner.
 	ReadPause time.Duration
+	// Gather is how long evidence is gathered before it is appended.
+	Gather time.Duration
 	// AppendPause is the time between tries to append what the log has not taken.
 	AppendPause time.Duration
 	// CallTimeout bounds a call to the log beside the time that it may wait.
@@ -36,6 +38,7 @@
 	return Config{
 		TTL:         ttl,
 		ReadPause:   30 * time.Second,
+		Gather:      100 * time.Millisecond,
 		AppendPause: 2 * time.Second,
 		CallTimeout: 2 * time.Second,
 	}
@@ -104,6 +107,7 @@
 	mutex     sync.Mutex
 	next      id.Offset
 	pending   []Record
+	gathering bool
 	appending bool
 	// away says that the last read failed.
 	away bool
@@ -136,10 +140,11 @@
 	return nil
 }
 
-// Add appends evidence, now or when the log takes it.
-func (kp *Keeper) Add(ctx context.Context, evidence ...quarantine.Evidence) {
+// Add appends evidence soon, or when the log takes it.
+func (kp *Keeper) Add(evidence ...quarantine.Evidence) {
 	now := kp.clock.Now()
 	kp.mutex.Lock()
+	defer kp.mutex.Unlock()
 	for _, ev := range evidence {
 		kp.pending = append(kp.pending, Record{Evidence: ev, At: now})
 	}
@@ -147,8 +152,15 @@
 		kp.pending = kp.pending[over:]
 		kp.metrics.Counter("evidence_dropped").Inc(int64(over))
 	}
-	kp.mutex.Unlock()
-	kp.flush(ctx)
+	if !kp.gathering {
+		kp.gathering = true
+		kp.clock.After(kp.config.Gather, func() {
+			kp.mutex.Lock()
+			kp.gathering = false
+			kp.mutex.Unlock()
+			kp.flush(context.Background())
+		})
+	}
 }
 
 // flush appends what is pending, one call at a time.
--- a/coordination/conviction/keeper_test.go
+++ b/coordination/conviction/keeper_test.go
@@ -101,7 +101,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error)
 		go func() { ended <- keeper.Run(ctx) }()
-		keeper.Add(ctx, evidence(1), evidence(2))
+		keeper.Add(evidence(1), evidence(2))
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, len(lg.bodies), 0)
 		lg.down = false
--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -19,10 +19,10 @@
 	Decide(fp id.Fingerprint) (quarantine.Decision, time.Duration)
 	// Crashed returns when the own host learnt of a crash, if it did.
 	Crashed(crash quarantine.Crash) (time.Time, bool)
-	// Found takes evidence of the own host.
-	Found(ev quarantine.Evidence)
-	// Finished notes that a content has run to its end.
-	Finished(fp id.Fingerprint)
+	// Found takes evidence of the own host, about a server of a service.
+	Found(service id.Service, ev quarantine.Evidence)
+	// Finished notes that a content of a service has run to its end.
+	Finished(service id.Service, fp id.Fingerprint)
 }
 
 // Health says how a server answers a question that needs none of its slots.
@@ -125,14 +125,14 @@
 		counted = "no, the server is leaving"
 	case health == Refuses || rn.replaced(sv, rn.fleet.Servers(sv.Service)):
 		counted = ev.Standing.String()
-		rn.quarantine.Found(ev)
+		rn.quarantine.Found(sv.Service, ev)
 	default:
 		counted = "not yet, the list will tell"
 		rn.watchList(brokenAttempt{Evidence: ev, server: sv, began: began, since: rn.clock.Now()})
 		if health == IsSilent && rn.reachesOthers(ctx, sv) {
 			ev.Standing = quarantine.Reported
 			counted = ev.Standing.String()
-			rn.quarantine.Found(ev)
+			rn.quarantine.Found(sv.Service, ev)
 		}
 	}
 	rn.metrics.Tagged(map[string]string{"health": health.String()}).Counter("attempts_broken").Inc(1)
@@ -206,7 +206,7 @@
 	rn.mutex.Unlock()
 	for _, ba := range crashed {
 		ba.Crash, _ = rn.crashOf(ba.server, ba.began)
-		rn.quarantine.Found(ba.Evidence)
+		rn.quarantine.Found(ba.server.Service, ba.Evidence)
 		rn.logger.Info("backend server crashed", "fingerprint", ba.Fingerprint.String(), "server", string(ba.server.ID), "crash", ba.Crash.String(),
 			"source", "list", "after_ms", now.Sub(ba.since).Milliseconds())
 	}
--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -60,8 +60,8 @@
 	return tb.Table.Decide(time.Now(), fp), time.Second
 }
 func (tb table) Crashed(crash quarantine.Crash) (time.Time, bool) { return tb.CrashedAt(crash) }
-func (tb table) Found(ev quarantine.Evidence)                     { tb.Learn(time.Now(), ev) }
-func (tb table) Finished(fp id.Fingerprint)                       { tb.Table.Finished(time.Now(), fp) }
+func (tb table) Found(_ id.Service, ev quarantine.Evidence)       { tb.Learn(time.Now(), ev) }
+func (tb table) Finished(_ id.Service, fp id.Fingerprint)         { tb.Table.Finished(time.Now(), fp) }
 
 // order is a plain request that may not be repeated.
 func order() *forward.Request {
@@ -186,7 +186,7 @@
 		sv := &crashing{health: map[string]forward.Health{"one": forward.Refuses, "two": forward.Refuses}}
 		tb := newTable()
 		for crash := range quarantine.Crash(2) {
-			tb.Found(quarantine.Evidence{Fingerprint: contentOf, Crash: crash, Standing: quarantine.Confirmed})
+			tb.Found("service", quarantine.Evidence{Fingerprint: contentOf, Crash: crash, Standing: quarantine.Confirmed})
 		}
 		rn := newRunner(forward.Parts{Servers: sv, Fleet: fleet{listed: []roster.Server{bornAt("one", time.Hour), bornAt("two", time.Hour)}}, Quarantine: tb})
 		rq := order()
@@ -201,7 +201,7 @@
 func TestFinishedClearsCrashes(t *testing.T) {
 	tb := newTable()
 	for crash := range quarantine.Crash(2) {
-		tb.Found(quarantine.Evidence{Fingerprint: contentOf, Crash: crash, Standing: quarantine.Confirmed})
+		tb.Found("service", quarantine.Evidence{Fingerprint: contentOf, Crash: crash, Standing: quarantine.Confirmed})
 	}
 	rn := newRunner(forward.Parts{Servers: &servers{}, Fleet: fleet{listed: []roster.Server{bornAt("one", time.Hour)}}, Quarantine: tb})
 	rs := rn.Run(t.Context(), order(), &sink{})
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -235,7 +235,7 @@
 		job.plain(ctx)
 	}
 	if job.result.Whole && job.result.Status < http.StatusMultipleChoices {
-		rn.quarantine.Finished(job.result.Fingerprint)
+		rn.quarantine.Finished(rq.Service, job.result.Fingerprint)
 	}
 	span.SetAttributes(attribute.Int("status", job.result.Status), attribute.Bool("whole", job.result.Whole), attribute.Int("attempts", job.result.Attempts))
 	rn.count(rq, job.result)
--- a/coordination/forward/stream_test.go
+++ b/coordination/forward/stream_test.go
@@ -103,8 +103,8 @@
 func (innocent) Decide(id.Fingerprint) (quarantine.Decision, time.Duration) { return quarantine.Run, 0 }
 
 func (innocent) Crashed(quarantine.Crash) (time.Time, bool) { return time.Time{}, false }
-func (innocent) Found(quarantine.Evidence)                  {}
-func (innocent) Finished(id.Fingerprint)                    {}
+func (innocent) Found(id.Service, quarantine.Evidence)      {}
+func (innocent) Finished(id.Service, id.Fingerprint)        {}
 
 // newRunner returns a runner with defaults for the parts that are missing.
 func newRunner(parts forward.Parts) *forward.Runner {
--- a/events.go
+++ b/events.go
@@ -45,7 +45,7 @@
 func (ht *Host) evidenceFound(ev quarantine.Evidence, all []quarantine.Evidence) {
 	ht.gossip.Spread(conviction.ToFact(ev))
 	if len(all) > 1 {
-		go ht.convictions.Add(context.Background(), all...)
+		ht.convictions.Add(all...)
 	}
 	ht.logger.Warn("crash of an engine under a request", "fingerprint", ev.Fingerprint.String(), "standing", ev.Standing.String(), "known", len(all))
 }
--- a/site/convictions.go
+++ b/site/convictions.go
@@ -1,7 +1,6 @@
 package site
 
 import (
-	"context"
 	"log/slog"
 	"sync"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
-	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -25,9 +23,9 @@
 	// reportTTL is how long a silent server counts as crashed that no list shows as gone: three heartbeats, and the time to
 	// read of it.
 	reportTTL = 6 * time.Second
-	// storedFrom is the number of crashes from which on the store keeps what is known of a content. Most servers that die
-	// leave one crash to each content that ran there.
-	storedFrom = 2
+	// sharedFrom is the number of crashes from which on all hosts and the store know of a content. Before, its dispatcher does:
+	// most servers that die leave one crash to each content that ran there.
+	sharedFrom = 2
 )
 
 // keeperConfig returns the periods in which the host that reads the list of servers reads what the store keeps of crashes.
@@ -35,7 +33,8 @@
 	return conviction.Config{
 		TTL:         convictionTTL,
 		ReadWait:    4 * time.Second,
-		ReadPause:   200 * time.Millisecond,
+		ReadPause:   time.Second,
+		Gather:      200 * time.Millisecond,
 		AppendPause: time.Second,
 		CallTimeout: 700 * time.Millisecond,
 	}
@@ -46,13 +45,13 @@
 	clock   timer.Service
 	metrics tally.Scope
 	logger  *slog.Logger
-	// spread passes evidence on to the other hosts, keep has the store keep it.
+	// tell tells the dispatcher of a service, spread all hosts; keep has the store keep evidence.
+	tell   func(id.Service, quarantine.Evidence)
 	spread func(membership.Fact)
-	keep   func(ctx context.Context, evidence ...quarantine.Evidence)
+	keep   func(evidence ...quarantine.Evidence)
 
 	mutex sync.Mutex
 	table *quarantine.Table
-	group tasks.Group
 }
 
 func newConvictions(clock timer.Service, metrics tally.Scope, logger *slog.Logger, spread func(membership.Fact)) *convictions {
@@ -82,13 +81,20 @@
 }
 
 // Found takes evidence of the own host and tells the others.
-func (cv *convictions) Found(ev quarantine.Evidence) {
-	if cv.take(ev, "own") {
-		cv.share(ev)
+func (cv *convictions) Found(service id.Service, ev quarantine.Evidence) {
+	if cv.take(ev, "own") && !cv.share(ev.Fingerprint) {
+		cv.tell(service, ev)
 	}
 }
 
-// Learnt takes evidence that another host told.
+// Told takes evidence that a host told the own dispatcher.
+func (cv *convictions) Told(ev quarantine.Evidence) {
+	if cv.take(ev, "host") {
+		cv.share(ev.Fingerprint)
+	}
+}
+
+// Learnt takes evidence that all hosts are told.
 func (cv *convictions) Learnt(ev quarantine.Evidence) { cv.take(ev, "host") }
 
 // Read takes evidence that the store kept, and tells the other hosts, which may not read it.
@@ -99,13 +105,18 @@
 }
 
 // Finished notes that a content has run to its end.
-func (cv *convictions) Finished(fp id.Fingerprint) {
+func (cv *convictions) Finished(service id.Service, fp id.Fingerprint) {
 	cv.mutex.Lock()
 	cleared := cv.table.Finished(cv.clock.Now(), fp)
 	cv.mutex.Unlock()
 	for _, ev := range cleared {
 		cv.log(ev, "own")
-		cv.share(ev)
+	}
+	if len(cleared) == 0 || cv.share(fp) {
+		return
+	}
+	for _, ev := range cleared {
+		cv.tell(service, ev)
 	}
 }
 
@@ -120,20 +131,24 @@
 	return news
 }
 
-// share passes evidence on, and has the store keep all that is known of a content with several crashes.
-func (cv *convictions) share(ev quarantine.Evidence) {
-	cv.spread(conviction.ToFact(ev))
+// share tells all hosts, and has the store keep, what is known of a content with several crashes. It reports whether there
+// are several.
+func (cv *convictions) share(fp id.Fingerprint) bool {
 	cv.mutex.Lock()
+	known := cv.table.Evidence(fp)
+	cv.mutex.Unlock()
+	if len(known) < sharedFrom {
+		return false
+	}
 	var lasting []quarantine.Evidence
-	for _, known := range cv.table.Evidence(ev.Fingerprint) {
-		if known.Standing > quarantine.Reported {
-			lasting = append(lasting, known)
+	for _, ev := range known {
+		cv.spread(conviction.ToFact(ev))
+		if ev.Standing > quarantine.Reported {
+			lasting = append(lasting, ev)
 		}
 	}
-	cv.mutex.Unlock()
-	if ev.Standing > quarantine.Reported && len(lasting) >= storedFrom {
-		cv.group.Go(func() { cv.keep(context.Background(), lasting...) })
-	}
+	cv.keep(lasting...)
+	return true
 }
 
 func (cv *convictions) log(ev quarantine.Evidence, source string) {
--- a/site/host.go
+++ b/site/host.go
@@ -30,6 +30,7 @@
 	"github.com/hibiscuslever/hibiscuslever/platform"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
@@ -160,6 +161,7 @@
 	ht.keeper = conviction.New(keeperConfig(), ht.clock, platform.NewCrashes(ht.store), scope, ht.logger, ht.news.Reads, ht.convictions.Read)
 	ht.convictions.keep = ht.keeper.Add
 	ht.broker = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peers, ht.convictions, scope, ht.logger, seed)
+	ht.convictions.tell = func(service id.Service, ev quarantine.Evidence) { ht.places.Tell(service, ev) }
 	ht.places = broker.NewClient(batch.DefaultConfig(), ht.self.Host, ht.clock, ht.peers, ht.fleet, scope, ht.logger, seed)
 	ht.peers.Bind(ht.local(), ht.gossip)
 	ht.runner = forward.NewRunner(forward.DefaultConfig().WithMemoryBounds(ht.settings.Memory.FreeWithin, ht.settings.Memory.UnusedWithin), forward.Parts{
@@ -216,7 +218,6 @@
 		ShutDown:  ht.shutDown,
 	}.Run(ctx)
 	ht.runner.Wait()
-	ht.convictions.group.Wait()
 	ht.peers.Close()
 	_ = ht.metrics.Close()
 	ht.logger.Info("host stopped")
--- a/transport/peer/convert.go
+++ b/transport/peer/convert.go
@@ -224,7 +224,7 @@
 		})
 	}
 	for _, fact := range msg.Facts {
-		ms.Facts = append(ms.Facts, &peer.Fact{Kind: uint32(fact.Kind), Key: fact.Key, Detail: fact.Detail, Value: fact.Value})
+		ms.Facts = append(ms.Facts, encodeFact(fact))
 	}
 	return ms
 }
@@ -255,12 +255,7 @@
 		})
 	}
 	for _, fact := range ms.GetFacts() {
-		msg.Facts = append(msg.Facts, membership.Fact{
-			Kind:   membership.FactKind(fact.GetKind()),
-			Key:    fact.GetKey(),
-			Detail: fact.GetDetail(),
-			Value:  fact.GetValue(),
-		})
+		msg.Facts = append(msg.Facts, decodeFact(fact))
 	}
 	return msg
 }
@@ -328,3 +323,11 @@
 	}
 	return listing
 }
+
+func encodeFact(fact membership.Fact) *peer.Fact {
+	return &peer.Fact{Kind: uint32(fact.Kind), Key: fact.Key, Detail: fact.Detail, Value: fact.Value}
+}
+
+func decodeFact(ms *peer.Fact) membership.Fact {
+	return membership.Fact{Kind: membership.FactKind(ms.GetKind()), Key: ms.GetKey(), Detail: ms.GetDetail(), Value: ms.GetValue()}
+}
--- a/transport/peer/fuzz_test.go
+++ b/transport/peer/fuzz_test.go
@@ -41,6 +41,7 @@
 type nobody struct{}
 
 func (nobody) Decide(id.Fingerprint) (quarantine.Decision, time.Duration) { return quarantine.Run, 0 }
+func (nobody) Told(quarantine.Evidence)                                   {}
 func (nobody) Dispatchers(id.Service) []id.Host                           { return nil }
 func (nobody) Place(context.Context, id.Host, broker.Ask) (broker.Answer, error) {
 	return broker.Answer{}, errNoPart
--- a/transport/peer/place.go
+++ b/transport/peer/place.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/coordination/conviction"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/news"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
@@ -117,6 +118,9 @@
 			RetryAfterMicros: en.RetryAfter.Microseconds(),
 		})
 	}
+	for _, ev := range rp.Evidence {
+		rq.Evidence = append(rq.Evidence, encodeFact(conviction.ToFact(ev)))
+	}
 	_, err := call(ctx, cl, host, rq, method(peerconnect.PeerClient.Progress))
 	return err
 }
@@ -206,6 +210,9 @@
 			RetryAfter: micros(en.GetRetryAfterMicros()),
 		})
 	}
+	for _, ms := range rq.Msg.GetEvidence() {
+		rp.Evidence = append(rp.Evidence, conviction.FromFact(decodeFact(ms)))
+	}
 	sv.local.Broker.Progress(rp)
 	return connect.NewResponse(&peer.ProgressResponse{}), nil
 }
