--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -34,8 +34,8 @@
 	Answers Health = iota + 1
 	// Refuses means that nothing listens at the server's address.
 	Refuses
-	// IsSilent means that no answer came.
-	IsSilent
+	// Silent means that no answer came.
+	Silent
 )
 
 // String returns the health as logs name it.
@@ -45,7 +45,7 @@
 		return "answers"
 	case Refuses:
 		return "refuses"
-	case IsSilent:
+	case Silent:
 		return "silent"
 	default:
 		return "unknown"
@@ -110,9 +110,9 @@
 	return true
 }
 
-// broke finds out whether a server crashed that brought no whole answer to an attempt, and reports whether that is certain.
+// examine finds out whether a server crashed that brought no whole answer to an attempt, and reports whether that is certain.
 // Servers that are leaving end anyway.
-func (jb *job) broke(ctx context.Context, sv roster.Server, began time.Time, health Health, why error) bool {
+func (jb *job) examine(ctx context.Context, sv roster.Server, began time.Time, health Health, why error) bool {
 	rn := jb.runner
 	sv = ranOn(sv, began, rn.fleet.Servers(sv.Service))
 	crash, before := rn.crashOf(sv, began)
@@ -129,7 +129,7 @@
 	default:
 		counted = "not yet, the list will tell"
 		rn.watchList(brokenAttempt{Evidence: ev, server: sv, began: began, since: rn.clock.Now()})
-		if health == IsSilent && rn.reachesOthers(ctx, sv) {
+		if health == Silent && rn.reachesOthers(ctx, sv) {
 			ev.Standing = quarantine.Reported
 			counted = ev.Standing.String()
 			rn.quarantine.Found(sv.Service, ev)
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -175,11 +175,11 @@
 	rn := jb.runner
 	switch {
 	case ctx.Err() == nil:
-		if jb.broke(ctx, sv, began, rn.health(ctx, sv), err) {
+		if jb.examine(ctx, sv, began, rn.health(ctx, sv), err) {
 			return retry.Crashed
 		}
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		rn.group.Go(func() { jb.broke(context.Background(), sv, began, rn.health(context.Background(), sv), err) })
+		rn.group.Go(func() { jb.examine(context.Background(), sv, began, rn.health(context.Background(), sv), err) })
 	}
 	return retry.Interrupted
 }
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -247,18 +247,18 @@
 	ended := broker.Ended{Failed: first.Engine, Fault: batch.Silent}
 	switch why := context.Cause(call); {
 	case errors.Is(why, errSilent):
-		st.broke(ctx, st.server, st.placed, IsSilent, why)
+		st.examine(ctx, st.server, st.placed, Silent, why)
 		return ended, cause{text: why.Error(), retry: retry.Interrupted}
 	case errors.Is(why, errStalled):
 		return ended, cause{text: why.Error(), retry: retry.Interrupted}
 	}
 	health := st.runner.health(ctx, st.server)
-	if st.broke(ctx, st.server, st.placed, health, err) {
+	if st.examine(ctx, st.server, st.placed, health, err) {
 		ended.Fault = batch.Unreachable
 		return ended, cause{text: "the engine crashed: " + err.Error(), retry: retry.Crashed}
 	}
 	ended.Fault = batch.Failing
-	if health == IsSilent {
+	if health == Silent {
 		ended.Fault = batch.Unreachable
 	}
 	return ended, cause{text: "the engine broke off: " + err.Error(), retry: retry.Interrupted}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -281,12 +281,19 @@
 	return body
 }
 
-func (sv *Server) serve(wr http.ResponseWriter, rq *http.Request) {
+// waitWhileFrozen returns when a server that is frozen has ended, and reports whether it was.
+func (sv *Server) waitWhileFrozen() bool {
 	sv.mutex.Lock()
 	frozen, thawed := sv.fault == Freezes, sv.thawed
 	sv.mutex.Unlock()
 	if frozen {
 		<-thawed
+	}
+	return frozen
+}
+
+func (sv *Server) serve(wr http.ResponseWriter, rq *http.Request) {
+	if sv.waitWhileFrozen() {
 		panic(http.ErrAbortHandler)
 	}
 	switch rq.URL.Path {
@@ -336,12 +343,7 @@
 	sv.mutex.Unlock()
 	header.Set("X-Response-Seal", "seal-of-"+sv.ID)
 	if sv.crashes(rq, body) {
-		sv.mutex.Lock()
-		frozen, thawed := sv.fault == Freezes, sv.thawed
-		sv.mutex.Unlock()
-		if frozen {
-			<-thawed
-		}
+		sv.waitWhileFrozen()
 		panic(http.ErrAbortHandler)
 	}
 	switch fault {
