A stream that breaks late goes on elsewhere as long as its client waits

Cause: the dispatcher was told the client's patience from the arrival of the request, while the client leaves that long after its last event; a stream that broke after that time was refused at once.

Now the patience counts from the last event that was passed on, up to the deadline. forward.TestBrokenLate, red before (2.4 s, want 2.9 s).

--- a/coordination/forward/stall_test.go
+++ b/coordination/forward/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -30,6 +31,8 @@
 	ctx   context.Context
 	parts []part
 	rest  part
+	// broken says that the end is no proper one.
+	broken bool
 }
 
 func (sb *slowBody) Read(buffer []byte) (int, error) {
@@ -37,6 +40,9 @@
 	if len(sb.parts) > 0 {
 		next, sb.parts = sb.parts[0], sb.parts[1:]
 	}
+	if next.text == "" && sb.broken {
+		return 0, io.ErrUnexpectedEOF
+	}
 	if next.text == "" {
 		return 0, io.EOF
 	}
@@ -54,6 +60,8 @@
 	servers
 	of      map[string]slowBody
 	resumed []string
+	// breaks is the address whose stream is broken off at its end.
+	breaks string
 }
 
 func (bd *bodies) Send(ctx context.Context, at forward.Attempt) (forward.Answer, error) {
@@ -61,6 +69,7 @@
 	bd.resumed = append(bd.resumed, at.Resume)
 	body := bd.of[at.Address]
 	body.ctx = ctx
+	body.broken = at.Address == bd.breaks
 	return forward.Answer{Status: http.StatusOK, Length: -1, Body: &body}, nil
 }
 
@@ -150,3 +159,28 @@
 		assert.DeepEqual(t, pl.ended[0], broker.Ended{Request: pl.ended[0].Request, Attempt: "old"})
 	})
 }
+
+// TestBrokenLate asks for another place for a stream that breaks long after its request came, as long as its client waits: that
+// leaves some time after the last event, and before its deadline.
+func TestBrokenLate(t *testing.T) {
+	const patience, limit = 2400 * time.Millisecond, 6 * time.Second
+	for _, events := range []int{0, 1, 8, 11} {
+		synctest.Test(t, func(t *testing.T) {
+			var first slowBody
+			for number := range events {
+				first.parts = append(first.parts, part{500 * time.Millisecond, fmt.Sprintf("id: %d\ndata: a\n\n", number+1)})
+			}
+			first.parts = append(first.parts, part{10 * time.Millisecond, "id: cut"})
+			pl := &places{grants: []batch.Grant{grantOn("1", "one"), grantOn("2", "two")}}
+			sv := &bodies{of: map[string]slowBody{"one:80": first, "two:80": {parts: []part{{0, "id: 99\ndata: z\n\n"}}}}, breaks: "one:80"}
+			rn := newRunner(forward.Parts{Servers: sv, Places: pl, Fleet: fleet{}})
+			now := time.Now()
+			rs := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", Prompt: 1000, Arrived: now, Deadline: now.Add(limit), Route: route.Route{
+				Kind: route.Streaming, Prompt: true, Resumable: true, MaxAttempts: 2, Target: 400 * time.Millisecond, MaxPause: 300 * time.Millisecond,
+			}}, &sink{})
+			assert.Assert(t, rs.Whole, "%+v", rs)
+			last := now.Add(time.Duration(events) * 500 * time.Millisecond)
+			assert.Equal(t, pl.until[1].Sub(now), min(limit, last.Add(patience).Sub(now)))
+		})
+	}
+}
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -46,7 +46,6 @@
 			Answer:       rq.Answer,
 			Target:       rq.Route.Target,
 			MaxPause:     rq.Route.MaxPause,
-			Patience:     min(route.Patience(rq.Route.Target, rq.Route.MaxPause), jb.limit.Sub(rq.Arrived)),
 			Arrived:      rq.Arrived,
 			Rank:         rq.Rank,
 			Content:      st.result.Fingerprint,
@@ -70,6 +69,7 @@
 		return false
 	}
 	st.ask.Alone = st.suspected()
+	st.ask.Patience = st.patience()
 	wait, stop := until(ctx, rn.placing)
 	wait, span := rn.tracer.Start(wait, "dispatch.place")
 	st.ask.Banned = rn.banned(st.request.Service)
@@ -128,6 +128,17 @@
 	return st.another(ctx, cause, ended)
 }
 
+// patience returns the time from the request's arrival after which the client leaves: some time after the last event that it
+// has, its deadline at the latest.
+func (st *streaming) patience() time.Duration {
+	rq := st.request
+	since := rq.Arrived
+	if !st.last.IsZero() {
+		since = st.last
+	}
+	return min(since.Sub(rq.Arrived)+route.Patience(rq.Route.Target, rq.Route.MaxPause), st.limit.Sub(rq.Arrived))
+}
+
 // cause says why an attempt ended.
 type cause struct {
 	text string
--- a/coordination/forward/stream_test.go
+++ b/coordination/forward/stream_test.go
@@ -33,10 +33,13 @@
 	ended  []broker.Ended
 	// banned holds what each Ask said of engines that are to be left alone.
 	banned []map[id.Engine]time.Time
+	// until holds when the client of each Ask leaves.
+	until []time.Time
 }
 
 func (pl *places) Acquire(_ context.Context, ask broker.Ask) (batch.Grant, outcome.Outcome) {
 	pl.banned = append(pl.banned, ask.Banned)
+	pl.until = append(pl.until, ask.Arrived.Add(ask.Patience))
 	if len(pl.grants) == 0 {
 		return batch.Grant{}, outcome.Refuse(outcome.NoCapacity, "no engine is left")
 	}
