Attempts that reach no server cost no retries

The budget bounds what servers get beyond the first of each request; such an attempt brings them nothing.

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -135,7 +135,7 @@
 
 // Allows reports whether an attempt that failed now would be made again. It takes nothing from the budget.
 func (pl *Policy) Allows(fl Failure) bool {
-	return pl.repeatable(fl) && pl.budgetOf(fl.Service) >= 1
+	return pl.repeatable(fl) && (fl.Cause == NotSent || fl.Cause == Preempted || pl.budgetOf(fl.Service) >= 1)
 }
 
 // repeatable reports whether a failed attempt may be made again as far as the budget is not concerned.
@@ -145,7 +145,8 @@
 }
 
 // Decide says whether a failed attempt is made again.
-// Only what did not run, or may run twice, is tried again. Preempted attempts cost no budget.
+// Only what did not run, or may run twice, is tried again. Preempted attempts, and those that reached no server, cost no
+// budget.
 func (pl *Policy) Decide(fl Failure) Verdict {
 	if !pl.repeatable(fl) {
 		return Verdict{}
@@ -154,8 +155,11 @@
 	if after >= fl.Remaining {
 		return Verdict{}
 	}
-	if fl.Cause == Preempted {
+	switch fl.Cause {
+	case Preempted:
 		return Verdict{Retry: true}
+	case NotSent:
+		return Verdict{Retry: true, After: after}
 	}
 	budget := pl.budgetOf(fl.Service)
 	if budget < 1 {
