A dispatcher that is replaced gives out no further place

Cause: requests that waited at the old dispatcher went on waiting there while their hosts asked the new one; the old one was told no more of what hosts hold, and its engines seemed to become free.

Now a host that asks another dispatcher withdraws its request from the one before, and a host that stops has those who wait at it ask the next one at once. broker.TestHandOver, red before (a place that is taken, after 5.66 s); TestLeavingDispatcher.

--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -308,3 +308,46 @@
 		assert.DeepEqual(t, told("third"), []quarantine.Crash{5})
 	})
 }
+
+// TestHandOver has a request wait at a dispatcher that is replaced by another host, or that leaves. The old one, which is told no
+// more of what hosts hold, gives it no place that is taken; the new one gives it a place that becomes free.
+func TestHandOver(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			nw, stop := run(t, "first", "second", "third")
+			defer stop()
+			var held batch.Grant
+			for number := range uint64(slots) {
+				grant, oc := nw.ask(t, "third", number, time.Second)
+				assert.Assert(t, oc.OK(), "request %d: %+v", number, oc)
+				held = grant
+			}
+			const patience, free = 20 * time.Second, 15 * time.Second
+			began := time.Now()
+			time.AfterFunc(time.Second, func() {
+				if leaves {
+					nw.servers["first"].Leave()
+				}
+				nw.setLive("second", "third", "first")
+			})
+			time.AfterFunc(free, func() { nw.clients["third"].End(broker.Ended{Attempt: held.Attempt}) })
+			_, oc := nw.ask(t, "third", slots, patience)
+			assert.Assert(t, oc.OK(), "%+v", oc)
+			assert.Assert(t, time.Since(began) >= free, "a place was given that is taken, after %s", time.Since(began))
+			assert.Assert(t, time.Since(began) < free+100*time.Millisecond, "it took %s", time.Since(began))
+		})
+	}
+}
+
+// TestLeavingDispatcher has the dispatcher leave while a request waits there: its host asks the next one at once.
+func TestLeavingDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := run(t, "first", "second", "third")
+		defer stop()
+		nw.servers["first"].Leave()
+		began := time.Now()
+		_, oc := nw.ask(t, "third", 1, time.Second)
+		assert.Assert(t, oc.OK(), "%+v", oc)
+		assert.Assert(t, time.Since(began) < 50*time.Millisecond, "it took %s", time.Since(began))
+	})
+}
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -119,8 +119,13 @@
 	case <-ctx.Done():
 	}
 	failed := false
+	var asked id.Host
 	for ctx.Err() == nil {
 		host, ok := cl.dispatcher(ask.Service)
+		if asked != "" && asked != host {
+			cl.withdrawFrom(asked, ask)
+		}
+		asked = host
 		if !ok || failed && cl.clock.Now().Sub(ask.Arrived) > time.Duration(aloneAfter*float64(ask.Target)) {
 			return cl.chooseSoon(ctx, ask)
 		}
@@ -150,6 +155,14 @@
 	return batch.Grant{}, outcome.Refuse(outcome.DeadlineExceeded, "the request found no engine in its time").After(time.Second)
 }
 
+// withdrawFrom tells a dispatcher that another one is asked now: it is told no more of what hosts hold, and would give
+// places that are taken.
+func (cl *Client) withdrawFrom(host id.Host, ask Ask) {
+	cl.group.Go(func() {
+		cl.send(ask.Service, host, Report{Host: cl.host, Ended: []Ended{{Service: ask.Service, Request: ask.ID, Withdrawn: true}}}, 0)
+	})
+}
+
 // await has answers to a request passed on.
 func (cl *Client) await(rq id.Request) <-chan Answer {
 	cl.mutex.Lock()
@@ -450,6 +463,9 @@
 			"evidence", len(rp.Evidence), "error", err.Error())
 		return
 	}
+	if len(rp.Evidence) == 0 {
+		return
+	}
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
 	if ec, ok := cl.evidence[service]; ok {
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -39,6 +39,7 @@
 	wake     chan struct{}
 	mutex    sync.Mutex
 	services map[id.Service]*dispatcher
+	leaving  bool
 }
 
 // dispatcher is one service's machine with the hosts that wait for it.
@@ -145,6 +146,27 @@
 // errUninformed has an asking host turn to the next dispatcher.
 var errUninformed = errors.New("the host does not know the engines yet")
 
+// errLeaving has an asking host turn to the next dispatcher.
+var errLeaving = errors.New("the host is leaving")
+
+// Leave gives out no further place: hosts tell the next dispatcher of what they hold, and this one no more. Those whose
+// requests wait here ask that one at once.
+func (sv *Server) Leave() {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.leaving = true
+	now := sv.clock.Now()
+	for _, dp := range sv.services {
+		sv.logger.Info("dispatcher leaves", "service", string(dp.service), "waiting", dp.machine.Waiting(), "granted", dp.machine.Granted())
+		for rq, host := range dp.waiters {
+			// Nothing is placed by what becomes free meanwhile: no effect is applied.
+			dp.machine.Step(now, batch.Withdraw{Request: rq})
+			sv.group.Go(func() { sv.give(dp.service, host, rq, Answer{}) })
+		}
+		clear(dp.waiters)
+	}
+}
+
 // Place answers an Ask at once; the answer to a request that has to wait is given to its host later. It returns an error
 // while the host has just started and knows no engines: what it does not know it must not refuse.
 func (sv *Server) Place(ask Ask) (Answer, error) {
@@ -153,6 +175,9 @@
 	}
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
+	if sv.leaving {
+		return Answer{}, errLeaving
+	}
 	now := sv.clock.Now()
 	decision, wait := sv.quarantine.Decide(ask.Content)
 	if oc, barred := quarantine.Outcome(decision, wait); barred {
@@ -225,7 +250,7 @@
 // giveTimeout bounds the call that gives an answer; a host that does not take it asks again.
 const giveTimeout = 500 * time.Millisecond
 
-// give passes an answer to the host that waits for it. A grant that nobody takes is ended.
+// give passes an answer to the host that waits for it; an empty one has it ask again. A grant that nobody takes is ended.
 func (sv *Server) give(service id.Service, host id.Host, rq id.Request, answer Answer) {
 	ctx, cancel := context.WithTimeout(context.Background(), giveTimeout)
 	defer cancel()
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -28,6 +28,9 @@
 	ht.leaving = true
 	ht.mutex.Unlock()
 	ht.front.Close()
+	if len(ht.gossip.Others()) > 0 {
+		ht.broker.Leave()
+	}
 	go ht.gossip.Leave(ctx)
 	accept := time.Duration(acceptShare * float64(grace))
 	timer.Sleep(ctx, ht.clock, accept)
