A stream that stands still is left to its engine until it has another place

The rule says that silence is no reason to end an answer sooner.

Now the place is asked for beside the stream, under an id of its own, and the stream goes there once it is given and the budget allows it; an event that comes meanwhile ends the search. forward.TestStalledWithoutAnotherPlace, red before in all three cases; TestStalledStreams holds.

--- a/coordination/forward/stall_test.go
+++ b/coordination/forward/stall_test.go
@@ -119,6 +119,41 @@
 	}
 }
 
+// TestStalledWithoutAnotherPlace leaves a stream that stands still to its engine while no other place is to be had: the engine may
+// yet go on, and its answer is not cut.
+func TestStalledWithoutAnotherPlace(t *testing.T) {
+	const event1, event2, event3 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	rt := route.Route{Kind: route.Streaming, Prompt: true, Resumable: true, MaxAttempts: 2, Target: 400 * time.Millisecond, MaxPause: 300 * time.Millisecond}
+	for _, cs := range []struct {
+		name   string
+		budget float64
+		// stops says that the host takes no places any more.
+		stops  bool
+		grants []batch.Grant
+	}{
+		{"no place", 100, false, nil},
+		{"no retries", 0, false, []batch.Grant{grantOn("2", "two")}},
+		{"the host is stopping", 100, true, []batch.Grant{grantOn("2", "two")}},
+	} {
+		t.Run(cs.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pl := &places{grants: append([]batch.Grant{grantOn("1", "one")}, cs.grants...)}
+				sv := &bodies{of: map[string]slowBody{"one:80": {parts: []part{{0, event1}, {2200 * time.Millisecond, event2}, {0, event3}}}}}
+				rn := newRunner(forward.Parts{Servers: sv, Places: pl, Fleet: fleet{}, Retries: retry.New(retry.Config{MaxAttempts: 3, MinBudget: cs.budget}, 1)})
+				if cs.stops {
+					time.AfterFunc(time.Second, rn.StopPlacing)
+				}
+				out := &sink{}
+				now := time.Now()
+				rs := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", Prompt: 1000, Arrived: now, Deadline: now.Add(10 * time.Second), Route: rt}, out)
+				assert.Assert(t, rs.Whole, "%+v", rs)
+				assert.Equal(t, out.body.String(), event1+event2+event3)
+				assert.Equal(t, len(sv.sent), 1)
+			})
+		})
+	}
+}
+
 // pausing sets memory aside, and is paused the first time.
 type pausing struct {
 	servers
--- a/coordination/forward/stream.go
+++ b/coordination/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,8 +27,11 @@
 	// resume is the id of the last event that was passed on.
 	resume string
 	places int
-	// last is when an event was last passed on.
-	last time.Time
+	// last is when an event was last passed on; the mutex guards it.
+	mutex sync.Mutex
+	last  time.Time
+	// other is the place at which the stream goes on if it stands still.
+	other otherPlace
 	// placed is when the newest place was given, server the engine that answers there as it was listed then.
 	placed time.Time
 	server roster.Server
@@ -68,32 +72,8 @@
 	if st.barred() {
 		return false
 	}
-	st.ask.Alone = st.suspected()
-	st.ask.Patience = st.patience()
-	wait, stop := until(ctx, rn.placing)
-	wait, span := rn.tracer.Start(wait, "dispatch.place")
-	st.ask.Banned = rn.banned(st.request.Service)
-	grant, oc := rn.places.Acquire(wait, st.ask)
-	span.SetAttributes(attribute.String("attempt", string(grant.Attempt)), attribute.Int("engines", len(grant.Parts)))
-	span.End()
-	left := errors.Is(context.Cause(wait), errLeaving)
-	stop()
-	if left && len(grant.Parts) == 0 {
-		st.leaving()
-		return false
-	}
-	if ctx.Err() != nil {
-		if len(grant.Parts) > 0 {
-			rn.places.End(broker.Ended{Request: st.ask.ID, Attempt: grant.Attempt})
-		}
-		st.ended(ctx)
-		return false
-	}
-	if !oc.OK() {
-		if st.unknown {
-			oc.Kind = outcome.Failed
-		}
-		st.result.Outcome = oc
+	grant, ok := st.place(ctx)
+	if !ok {
 		return false
 	}
 	if st.places == 0 {
@@ -118,14 +98,58 @@
 		"predicted_ms", grant.Start.Milliseconds(), "queued_ms", st.result.Queued.Milliseconds(),
 		"first_ms", st.result.FirstByte.Milliseconds(), "pause_ms", st.result.Pause.Milliseconds(), "last_event", st.resume, "remaining_ms", st.remaining().Milliseconds())
 	st.result.Cause = cause.text
-	if cause.final {
-		return false
+	switch {
+	case cause.final:
+	case ctx.Err() != nil:
+		st.ended(ctx)
+	case st.other.isHeld():
+		st.ask.Avoid = append(st.ask.Avoid, grant.Parts[0].Engine)
+		return true
+	default:
+		return st.another(ctx, cause, ended)
 	}
-	if ctx.Err() != nil {
+	if ask, grant, held := st.other.take(); held {
+		rn.places.End(broker.Ended{Request: ask.ID, Attempt: grant.Attempt})
+	}
+	return false
+}
+
+// place returns the place of the attempt: the one that is kept for a stream that stood still, or one that is asked for. Without
+// one it sets the outcome.
+func (st *streaming) place(ctx context.Context) (batch.Grant, bool) {
+	rn := st.runner
+	if ask, grant, held := st.other.take(); held {
+		st.ask.ID, st.ask.Number = ask.ID, ask.Number
+		st.result.Place = ask.ID
+		return grant, true
+	}
+	st.ask.Alone = st.suspected()
+	st.ask.Patience = st.patience()
+	wait, stop := until(ctx, rn.placing)
+	wait, span := rn.tracer.Start(wait, "dispatch.place")
+	st.ask.Banned = rn.banned(st.request.Service)
+	grant, oc := rn.places.Acquire(wait, st.ask)
+	span.SetAttributes(attribute.String("attempt", string(grant.Attempt)), attribute.Int("engines", len(grant.Parts)))
+	span.End()
+	left := errors.Is(context.Cause(wait), errLeaving)
+	stop()
+	switch {
+	case left && len(grant.Parts) == 0:
+		st.leaving()
+	case ctx.Err() != nil:
+		if len(grant.Parts) > 0 {
+			rn.places.End(broker.Ended{Request: st.ask.ID, Attempt: grant.Attempt})
+		}
 		st.ended(ctx)
-		return false
+	case !oc.OK():
+		if st.unknown {
+			oc.Kind = outcome.Failed
+		}
+		st.result.Outcome = oc
+	default:
+		return grant, true
 	}
-	return st.another(ctx, cause, ended)
+	return batch.Grant{}, false
 }
 
 // patience returns the time from the request's arrival after which the client leaves: some time after the last event that it
@@ -133,9 +157,11 @@
 func (st *streaming) patience() time.Duration {
 	rq := st.request
 	since := rq.Arrived
+	st.mutex.Lock()
 	if !st.last.IsZero() {
 		since = st.last
 	}
+	st.mutex.Unlock()
 	return min(since.Sub(rq.Arrived)+route.Patience(rq.Route.Target, rq.Route.MaxPause), st.limit.Sub(rq.Arrived))
 }
 
@@ -188,7 +214,9 @@
 	if rn.clock.Now().Sub(st.placed) > rn.config.PlaceTTL {
 		return broker.Ended{}, cause{text: "the place was given too long ago", retry: retry.NotSent}
 	}
-	watch := newWatch(rn, first, grant.Start+rn.config.StreamSilence, st.stallTime(), memory.useBy(), func(err error) { cancel(err) })
+	ask := st.ask
+	watch := newWatch(rn, first, bounds{first: grant.Start + rn.config.StreamSilence, stall: st.stallTime(), useBy: memory.useBy()},
+		func(seeking context.Context) bool { return st.seek(seeking, ask, first.Engine) }, func(err error) { cancel(err) })
 	defer watch.stop()
 	if st.barred() {
 		return broker.Ended{}, cause{text: "servers crashed under the content meanwhile", final: true}
@@ -351,10 +379,12 @@
 		return errors.Wrap(err, "pass on an event")
 	}
 	now := st.runner.clock.Now()
+	st.mutex.Lock()
 	if !st.last.IsZero() {
 		st.result.Pause = max(st.result.Pause, now.Sub(st.last))
 	}
 	st.last = now
+	st.mutex.Unlock()
 	if ev.id != "" {
 		st.resume = ev.id
 	}
--- a/coordination/forward/stream_test.go
+++ b/coordination/forward/stream_test.go
@@ -37,10 +37,10 @@
 	until []time.Time
 }
 
-func (pl *places) Acquire(_ context.Context, ask broker.Ask) (batch.Grant, outcome.Outcome) {
+func (pl *places) Acquire(ctx context.Context, ask broker.Ask) (batch.Grant, outcome.Outcome) {
 	pl.banned = append(pl.banned, ask.Banned)
 	pl.until = append(pl.until, ask.Arrived.Add(ask.Patience))
-	if len(pl.grants) == 0 {
+	if ctx.Err() != nil || len(pl.grants) == 0 {
 		return batch.Grant{}, outcome.Refuse(outcome.NoCapacity, "no engine is left")
 	}
 	grant := pl.grants[0]
--- a/coordination/forward/watch.go
+++ b/coordination/forward/watch.go
@@ -11,18 +11,24 @@
 )
 
 // watch asks an engine whether it is alive when its stream has been silent for too long, and ends the attempt when
-// it does not answer, or when it answers and its stream has stalled all the same.
+// it does not answer, or when it answers and its stream has stalled all the same and can go on elsewhere.
 type watch struct {
 	runner  *Runner
 	part    batch.Part
 	silence time.Duration
 	// stall is how long the stream may bring no event from an engine that is alive; zero for any time.
 	stall time.Duration
-	lost  func(error)
+	// seek looks for another place for a stream that has stalled, and reports whether it has one. Its context ends when the
+	// stream gets on.
+	seek func(context.Context) bool
+	lost func(error)
 	// useBy is when the first event is to have come because memory is set aside for it; zero for any time.
 	useBy time.Time
 
 	mutex sync.Mutex
+	// stopSeeking ends a search for another place, which seeking waits for; nil if there is none.
+	stopSeeking context.CancelFunc
+	seeking     sync.WaitGroup
 	// last is the last sign of life, moved when the last event with an id came.
 	last    time.Time
 	moved   time.Time
@@ -30,13 +36,22 @@
 	sub     timer.Subscription
 }
 
-// newWatch starts to watch a stream that may be silent for a time before its first event, which is to come by a time if
-// memory is set aside for it.
-func newWatch(rn *Runner, part batch.Part, first, stall time.Duration, useBy time.Time, lost func(error)) *watch {
+// bounds are the times of a stream that is watched.
+type bounds struct {
+	// first is how long it may be silent before its first event.
+	first time.Duration
+	// stall and useBy are those of the watch.
+	stall time.Duration
+	useBy time.Time
+}
+
+// newWatch starts to watch a stream.
+func newWatch(rn *Runner, part batch.Part, bd bounds, seek func(context.Context) bool, lost func(error)) *watch {
+	first := bd.first
 	begun := rn.clock.Now().Add(first - rn.config.StreamSilence)
-	wt := &watch{runner: rn, part: part, silence: rn.config.StreamSilence, stall: stall, useBy: useBy, lost: lost, last: begun, moved: begun}
-	if !useBy.IsZero() {
-		first = min(first, max(0, useBy.Sub(rn.clock.Now())))
+	wt := &watch{runner: rn, part: part, silence: rn.config.StreamSilence, stall: bd.stall, useBy: bd.useBy, seek: seek, lost: lost, last: begun, moved: begun}
+	if !bd.useBy.IsZero() {
+		first = min(first, max(0, bd.useBy.Sub(rn.clock.Now())))
 	}
 	wt.mutex.Lock()
 	defer wt.mutex.Unlock()
@@ -51,6 +66,9 @@
 	wt.last = wt.runner.clock.Now()
 	if ev.id != "" {
 		wt.useBy = time.Time{}
+		if wt.stopSeeking != nil {
+			wt.stopSeeking()
+		}
 		wt.moved = wt.last
 	}
 }
@@ -63,11 +81,31 @@
 		return
 	}
 	now := wt.runner.clock.Now()
-	if wt.stalled(now) || !wt.useBy.IsZero() && !now.Before(wt.useBy) {
+	if !wt.useBy.IsZero() && !now.Before(wt.useBy) {
 		wt.mutex.Unlock()
 		wt.lost(errStalled)
 		return
 	}
+	if wt.stalled(now) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		wt.stopSeeking = cancel
+		wt.seeking.Add(1)
+		wt.mutex.Unlock()
+		found := wt.seek(ctx)
+		wt.seeking.Done()
+		if found {
+			wt.lost(errStalled)
+			return
+		}
+		wt.mutex.Lock()
+		wt.stopSeeking = nil
+		if wt.stopped {
+			wt.mutex.Unlock()
+			return
+		}
+		now = wt.runner.clock.Now()
+	}
 	if left := wt.silence - now.Sub(wt.last); left > 0 {
 		wt.sub = wt.runner.clock.After(left, wt.look)
 		wt.mutex.Unlock()
@@ -95,9 +133,14 @@
 	return wt.stall > 0 && now.Sub(wt.moved) >= wt.stall
 }
 
+// stop ends the watch and waits for a search for another place to end.
 func (wt *watch) stop() {
 	wt.mutex.Lock()
-	defer wt.mutex.Unlock()
 	wt.stopped = true
+	if wt.stopSeeking != nil {
+		wt.stopSeeking()
+	}
 	wt.sub.Stop()
+	wt.mutex.Unlock()
+	wt.seeking.Wait()
 }
