Log which request limits servers name, and when hosts learn of them

The logs could not show what a host knew of a server's limit when it sent a request, so that hypotheses H2 and H3 of docs/incidents/server-request-limit.md can't be told apart. Nothing acts on it yet.

Versions order statements, not times, as clocks of hosts differ; a response to a request sent before the known statement only makes a limit tighter. Measured: nothing; go test of forward, state, platform and the layers passes.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -228,6 +228,7 @@
 		// This host may have learned of crashes while it waited for the memory.
 		return broker.EndedGrant{}, attemptResult{reason: "quarantined meanwhile: servers crashed while running this content", final: true}
 	}
+	sentAt := rn.clock.Now()
 	response, err := rn.sender.Send(sendCtx, Attempt{
 		Request:     st.request,
 		Server:      id.BackendServer(primary.Engine),
@@ -241,7 +242,7 @@
 		return st.classifySendError(sendCtx, ctx, primary, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	rn.applyEngineState(st.request.Service, primary, response)
+	rn.applyEngineState(st.server, sentAt, response)
 	switch {
 	case response.Misdirected:
 		rn.fleet.RecordLeaving(id.BackendServer(primary.Engine))
--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
@@ -120,6 +121,11 @@
 func (emptyQuarantine) LearnLocalEvidence(id.Service, quarantine.Evidence) {}
 func (emptyQuarantine) RequestCompleted(id.Service, id.Fingerprint)        {}
 
+// unlimited knows of no limits.
+type unlimited struct{}
+
+func (unlimited) RecordResponse(serverlist.Server, time.Time, requestlimit.Named, bool) {}
+
 // newRunner returns a runner with defaults for the dependencies that are not set.
 func newRunner(deps forward.Dependencies) *forward.Runner {
 	deps.Host, deps.Incarnation, deps.Clock, deps.Seed = "host", 1, timer.NewSystem(), 1
@@ -127,6 +133,9 @@
 	if deps.Quarantine == nil {
 		deps.Quarantine = emptyQuarantine{}
 	}
+	if deps.Limits == nil {
+		deps.Limits = unlimited{}
+	}
 	if deps.Dispatcher == nil {
 		deps.Dispatcher = &fakeDispatcher{}
 	}
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
@@ -85,6 +86,8 @@
 	Misdirected bool
 	// Leaving says that the server is about to shut down.
 	Leaving bool
+	// RequestLimit is what the response says of the requests per second that the server accepts from all hosts.
+	RequestLimit requestlimit.Named
 	// RetryAfter is the backoff that a server asked for when it rejected the request; zero if it asked for none.
 	RetryAfter time.Duration
 	// FailedEngine is the address or the id of the engine that caused the failure, if the response names one.
@@ -145,6 +148,12 @@
 	RecordLeaving(server id.BackendServer) bool
 }
 
+// RequestLimits records which request rates servers accept from all hosts together.
+type RequestLimits interface {
+	// RecordResponse records what the response to a request that was sent at sentAt says of the server's limit.
+	RecordResponse(server serverlist.Server, sentAt time.Time, named requestlimit.Named, successful bool)
+}
+
 // Sink receives the response on behalf of the client.
 type Sink interface {
 	// WriteHead sends the status and the header. A negative length stands for a body of unknown length.
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -155,7 +155,7 @@
 		return nil, retryCause, err.Error()
 	}
 	defer func() { _ = response.Body.Close() }()
-	rn.applyServerState(server, response)
+	rn.applyServerState(server, startedAt, response)
 	load = response.Load
 	jb.sentCount++
 	switch {
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -104,6 +104,7 @@
 	tracer      trace.Tracer
 
 	quarantine Quarantine
+	limits     RequestLimits
 
 	// requestCounter numbers the requests to the dispatcher.
 	requestCounter atomic.Uint64
@@ -189,6 +190,7 @@
 	Dispatcher  Dispatcher
 	Fleet       Fleet
 	Quarantine  Quarantine
+	Limits      RequestLimits
 	Retries     *retry.Policy
 	Balancer    *balance.Balancer
 	Metrics     tally.Scope
@@ -217,6 +219,7 @@
 		tracer:      deps.Tracer,
 
 		quarantine: deps.Quarantine,
+		limits:     deps.Limits,
 	}
 	rn.grantContext, rn.cancelGrantWaits = context.WithCancel(context.Background())
 	rn.serveContext, rn.cancelRequests = context.WithCancel(context.Background())
--- a/coordination/forward/server_state.go
+++ b/coordination/forward/server_state.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
@@ -9,9 +10,10 @@
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
-// applyServerState applies what the head of a response says about its server: it is leaving, it asks for backoff, or it
-// accepts requests again.
-func (rn *Runner) applyServerState(server serverlist.Server, response Response) {
+// applyServerState applies what the head of a response to a request that was sent at sentAt says about its server: it is
+// leaving, it limits its requests, it asks for backoff, or it accepts requests again.
+func (rn *Runner) applyServerState(server serverlist.Server, sentAt time.Time, response Response) {
+	rn.recordLimit(server, sentAt, response)
 	if response.Leaving && rn.fleet.RecordLeaving(server.ID) {
 		rn.logger.Info("backend server is leaving", "server", string(server.ID), "address", server.Address, "source", "its answer")
 	}
@@ -28,12 +30,22 @@
 	}
 }
 
-// applyEngineState applies an engine's response that says that the engine is leaving or asks for backoff. Any other
-// response changes nothing.
-func (rn *Runner) applyEngineState(service id.Service, part batch.Part, response Response) {
+// recordLimit records what a response says of its server's limit. A response of another server at the address says
+// nothing.
+func (rn *Runner) recordLimit(server serverlist.Server, sentAt time.Time, response Response) {
+	if !response.Misdirected {
+		rn.limits.RecordResponse(server, sentAt, response.RequestLimit, response.Status < http.StatusMultipleChoices)
+	}
+}
+
+// applyEngineState applies what an engine's response says of its limit, that the engine is leaving, or that it asks for
+// backoff. Any other response changes nothing.
+func (rn *Runner) applyEngineState(server serverlist.Server, sentAt time.Time, response Response) {
 	if response.Leaving || response.RetryAfter > 0 {
-		rn.applyServerState(rn.serverOfPart(service, part), response)
+		rn.applyServerState(server, sentAt, response)
+		return
 	}
+	rn.recordLimit(server, sentAt, response)
 }
 
 // serverOfPart returns the listed server of the engine in a part of a grant. If the engine is not listed, it returns a
--- a/coordination/membership/types.go
+++ b/coordination/membership/types.go
@@ -88,6 +88,10 @@
 	// DepartureFact says that a backend server is leaving: the key is the hash of the server's id, and the value is the
 	// start time of the process that announced it, in Unix milliseconds.
 	DepartureFact
+	// RequestLimitFact says which request rate a backend server accepts from all hosts together: the key is the hash of
+	// the server's id, the detail is the start time of the process in Unix milliseconds, and the value holds the version
+	// of the statement and the rate.
+	RequestLimitFact
 )
 
 // factID identifies a fact without its value.
--- /dev/null
+++ b/coordination/requestlimit/tracker.go
@@ -0,0 +1,110 @@
+// Package requestlimit makes all hosts together respect the request rates that backend servers name in their responses.
+package requestlimit
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// Tracker holds what this host knows of the limits of servers, and exchanges it with the other hosts. It is safe for
+// concurrent use.
+type Tracker struct {
+	clock   timer.Clock
+	metrics tally.Scope
+	logger  *slog.Logger
+	// spreadFact sends a fact to all other hosts by gossip.
+	spreadFact func(membership.Fact)
+	// changed is called when a limit has changed.
+	changed func()
+
+	// mutex guards table.
+	mutex sync.Mutex
+	table *serverlimit.Table
+}
+
+// NewTracker returns a tracker that knows of no limits.
+func NewTracker(clock timer.Clock, metrics tally.Scope, logger *slog.Logger, spreadFact func(membership.Fact), changed func()) *Tracker {
+	return &Tracker{clock: clock, metrics: metrics, logger: logger, spreadFact: spreadFact, changed: changed, table: serverlimit.NewTable()}
+}
+
+// RecordResponse records what a server's response to a request that was sent at sentAt says of the server's limit.
+func (tr *Tracker) RecordResponse(server serverlist.Server, sentAt time.Time, named Named, successful bool) {
+	if named.Invalid != "" {
+		tr.metrics.Counter("request_limits_invalid").Inc(1)
+		tr.logger.Warn("ignored an invalid request limit", "server", string(server.ID), "address", server.Address, "value", named.Invalid)
+		return
+	}
+	if server.StartedAtMillis == 0 {
+		// Statements can't be compared while the list does not show the process of the server.
+		return
+	}
+	tr.mutex.Lock()
+	previous := tr.table.Rate(server)
+	statement, changed := tr.table.Observe(tr.clock.Now(), serverlimit.Response{Server: server, SentAt: sentAt, Rate: named.Rate, Successful: successful})
+	tr.mutex.Unlock()
+	if !changed {
+		return
+	}
+	tr.metrics.Counter("request_limits_named").Inc(1)
+	tr.logger.Info("backend server changed its request limit", "server", string(server.ID), "address", server.Address, "limit_per_s", float64(statement.Rate),
+		"previous_per_s", float64(previous), "version", statement.Version, "source", "its answer", "answer_ms", tr.clock.Now().Sub(sentAt).Milliseconds())
+	tr.spreadFact(ToFact(statement))
+	tr.changed()
+}
+
+// Named is what the head of a response says of a limit.
+type Named struct {
+	// Rate is the rate that the response names; zero if it names none.
+	Rate serverlimit.Rate
+	// Invalid is the text that the response names instead of a rate; empty if there is none.
+	Invalid string
+}
+
+// Learn takes statements of another host.
+func (tr *Tracker) Learn(source string, statements ...serverlimit.Statement) {
+	anyChanged := false
+	for _, statement := range statements {
+		tr.mutex.Lock()
+		changed := tr.table.Learn(tr.clock.Now(), statement)
+		tr.mutex.Unlock()
+		if !changed {
+			continue
+		}
+		anyChanged = true
+		tr.logger.Info("learned a request limit of a backend server", "server_hash", uint64(statement.Server), "born", statement.StartedAtMillis,
+			"limit_per_s", float64(statement.Rate), "version", statement.Version, "source", source)
+		tr.spreadFact(ToFact(statement))
+	}
+	if anyChanged {
+		tr.changed()
+	}
+}
+
+// Rate returns the rate in force for a server; zero if it has no limit.
+func (tr *Tracker) Rate(server serverlist.Server) serverlimit.Rate {
+	tr.mutex.Lock()
+	defer tr.mutex.Unlock()
+	return tr.table.Rate(server)
+}
+
+// Statements returns what is known of the limits of the given servers.
+func (tr *Tracker) Statements(servers []serverlist.Server) []serverlimit.Statement {
+	tr.mutex.Lock()
+	defer tr.mutex.Unlock()
+	return tr.table.Statements(servers)
+}
+
+// UpdateServers takes a new version of the list of servers.
+func (tr *Tracker) UpdateServers(listed []serverlist.Server) {
+	tr.mutex.Lock()
+	defer tr.mutex.Unlock()
+	tr.table.ForgetUnlisted(tr.clock.Now(), listed)
+}
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
@@ -29,7 +27,7 @@
 	// departures holds the servers that announced that they are leaving, or whose address another server has taken over,
 	// by the hash of their ids. The list may continue to show such a server as ready for a long time, or remove it and
 	// show it again.
-	departures map[uint64]departure
+	departures map[id.ServerHash]departure
 	// unlistedDepartures holds the servers that announced that they are leaving before they were in the local copy of the
 	// list, and when they did. Their start times are not known yet.
 	unlistedDepartures map[id.BackendServer]time.Time
@@ -54,15 +52,12 @@
 		follower:           follower,
 		clock:              clock,
 		spreadFact:         spreadFact,
-		departures:         map[uint64]departure{},
+		departures:         map[id.ServerHash]departure{},
 		unlistedDepartures: map[id.BackendServer]time.Time{},
 		serversByService:   map[id.Service][]serverlist.Server{},
 	}
 }
 
-// hashServer returns the hash that identifies a server in facts.
-func hashServer(server id.BackendServer) uint64 { return xxhash.Sum64String(string(server)) }
-
 // updateList takes a new version of the list. It drops expired departures, and spreads the departures of servers that
 // were not listed before.
 func (fl *fleet) updateList(servers []serverlist.Server) {
@@ -95,15 +90,15 @@
 // recordDeparture records that a server is leaving, and returns the fact to send to the other hosts. The caller holds
 // the lock.
 func (fl *fleet) recordDeparture(now time.Time, server serverlist.Server) membership.Fact {
-	fl.departures[hashServer(server.ID)] = departure{startedAtMillis: server.StartedAtMillis, learnedAt: now}
-	return membership.Fact{Kind: membership.DepartureFact, Key: hashServer(server.ID), Value: server.StartedAtMillis}
+	fl.departures[id.HashServer(server.ID)] = departure{startedAtMillis: server.StartedAtMillis, learnedAt: now}
+	return membership.Fact{Kind: membership.DepartureFact, Key: uint64(id.HashServer(server.ID)), Value: server.StartedAtMillis}
 }
 
 // groupByService rebuilds serversByService from the listed servers. The caller holds the lock.
 func (fl *fleet) groupByService(servers []serverlist.Server) {
 	fl.serversByService = map[id.Service][]serverlist.Server{}
 	for _, server := range servers {
-		if recordedDeparture, departed := fl.departures[hashServer(server.ID)]; departed && recordedDeparture.startedAtMillis == server.StartedAtMillis {
+		if recordedDeparture, departed := fl.departures[id.HashServer(server.ID)]; departed && recordedDeparture.startedAtMillis == server.StartedAtMillis {
 			server.Draining = true
 		}
 		fl.serversByService[server.Service] = append(fl.serversByService[server.Service], server)
@@ -129,7 +124,7 @@
 	if _, unlisted := fl.unlistedDepartures[server]; unlisted {
 		return true
 	}
-	recordedDeparture, departed := fl.departures[hashServer(server)]
+	recordedDeparture, departed := fl.departures[id.HashServer(server)]
 	if !departed {
 		return false
 	}
@@ -176,10 +171,10 @@
 	servers, _ := fl.follower.Servers()
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
-	if recordedDeparture, recorded := fl.departures[fact.Key]; recorded && recordedDeparture.startedAtMillis >= fact.Value {
+	if recordedDeparture, recorded := fl.departures[id.ServerHash(fact.Key)]; recorded && recordedDeparture.startedAtMillis >= fact.Value {
 		return false
 	}
-	fl.departures[fact.Key] = departure{startedAtMillis: fact.Value, learnedAt: fl.clock.Now()}
+	fl.departures[id.ServerHash(fact.Key)] = departure{startedAtMillis: fact.Value, learnedAt: fl.clock.Now()}
 	fl.groupByService(servers)
 	return true
 }
--- a/site/host.go
+++ b/site/host.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/gossip"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
 	"github.com/hibiscuslever/hibiscuslever/lifecycle"
@@ -60,6 +61,7 @@
 	clientHandler  *platform.ClientHandler
 	fleet          *fleet
 
+	requestLimits   *requestlimit.Tracker
 	crashQuarantine *crashQuarantine
 	evidenceSyncer  *crashlog.Syncer
 
@@ -163,6 +165,7 @@
 	ht.store = platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
 	ht.updateFollower = statesync.New(followerConfig, ht.localMember.Host, ht.localMember.AvailabilityZone, ht.clock, ht.store, ht.peerClient, ht.peerClient, scope, ht.logger, seed, ht.onFleetChanged)
 	ht.fleet = newFleet(ht.updateFollower, ht.clock, ht.gossip.SpreadFact)
+	ht.requestLimits = requestlimit.NewTracker(ht.clock, scope, ht.logger, ht.gossip.SpreadFact, func() { ht.grantServer.Refresh() })
 	ht.crashQuarantine = newCrashQuarantine(ht.clock, scope, ht.logger, ht.gossip.SpreadFact)
 	ht.evidenceSyncer = crashlog.New(evidenceSyncConfig(), ht.clock, platform.NewCrashLog(ht.store), scope, ht.logger, ht.updateFollower.IsListReader, ht.crashQuarantine.LearnStoredEvidence)
 	ht.crashQuarantine.storeEvidence = ht.evidenceSyncer.QueueEvidence
@@ -181,6 +184,7 @@
 		Dispatcher:  ht.grantClient,
 		Fleet:       ht.fleet,
 		Quarantine:  ht.crashQuarantine,
+		Limits:      ht.requestLimits,
 		Retries:     retry.New(ht.retryConfig(), seed),
 		Metrics:     scope,
 		Logger:      ht.logger,
@@ -319,6 +323,10 @@
 		if ht.fleet.learnDeparture(fact) {
 			ht.grantServer.Refresh()
 		}
+	case membership.RequestLimitFact:
+		if statement, ok := requestlimit.FromFact(fact); ok {
+			ht.requestLimits.Learn("gossip", statement)
+		}
 	}
 }
 
@@ -327,6 +335,7 @@
 	servers, _ := ht.updateFollower.Servers()
 	ht.fleet.updateList(servers)
 	ht.forwarder.UpdateServers(servers)
+	ht.requestLimits.UpdateServers(servers)
 	ht.scheduleConnectionLimits()
 	ht.grantServer.Refresh()
 }
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -40,6 +40,14 @@
 	Attempt string
 )
 
+// ServerHash identifies a backend server in messages between hosts.
+type ServerHash uint64
+
+// HashServer returns the hash of a backend server's id.
+func HashServer(server BackendServer) ServerHash {
+	return ServerHash(xxhash.Sum64String(string(server)))
+}
+
 // Tokens is a number of tokens: the length of a prompt or an answer, or an amount of engine memory.
 type Tokens int64
 
