--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -97,6 +97,10 @@
 	// reservations holds the time at which each memory reservation expires.
 	reservations        map[string]time.Time
 	expiredReservations int
+	// requestLimit is the value of the header field with which each response names a limit; empty if none is named.
+	requestLimit string
+	// arrivals are the times at which requests of clients arrived, whether or not they ran.
+	arrivals []time.Time
 	// backoffResponses are the times at which the server rejected a request and asked for backoff.
 	backoffResponses []time.Time
 	// startedAt is the start time in the server list.
@@ -242,6 +246,20 @@
 	sv.fault = fault
 }
 
+// SetRequestLimit makes all further responses name a limit of requests per second, or none if the limit is empty.
+func (sv *Server) SetRequestLimit(limit string) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.requestLimit = limit
+}
+
+// Arrivals returns the times at which requests of clients arrived, whether or not they ran.
+func (sv *Server) Arrivals() []time.Time {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	return slices.Clone(sv.arrivals)
+}
+
 // SetEventInterval changes the time before each event of the streams that start from now on.
 func (sv *Server) SetEventInterval(interval time.Duration) {
 	sv.mutex.Lock()
@@ -320,13 +338,17 @@
 		return
 	}
 	sv.mutex.Lock()
-	fault := sv.fault
+	fault, requestLimit := sv.fault, sv.requestLimit
+	sv.arrivals = append(sv.arrivals, time.Now())
 	sv.mutex.Unlock()
 	body, err := io.ReadAll(rq.Body)
 	if err != nil {
 		return
 	}
 	header := rw.Header()
+	if requestLimit != "" {
+		header.Set("Server-Limit", requestLimit)
+	}
 	header.Set("X-Attempt-Id", rq.Header.Get("X-Attempt-Id"))
 	switch {
 	case fault == WrongInstance || rq.Header.Get("X-Expect-Instance") != sv.ID:
