Count the requests to a server that names a limit in one place for all hosts

Callers saw: nothing yet; a server in need got up to 26 requests in 4 s where it had asked for 1.8 a second (allowed 16), and may fall over.

Cause: the limit is a bound for all hosts together, and nothing read it, let alone added up. By reading, no host can keep such a bound by itself: 12 hosts with one request each are over it at N = 1. The class is a statement of one server to one host that binds all hosts.

A limit comes with the next request for a grant of the host that heard it, so that the dispatcher knows it no later. A dispatcher that is not the first one, and a host that places by itself, use no engine with a limit. What the machine granted in the 4 s before counts as well. - Plain services, where each host chooses alone: a host asks the first host in the order of dispatchers for a permit (new call Permit). If all servers of a service are at their limits, a request waits for its turn up to half of its remaining time, or is refused at once. - Admission: an engine with a limit counts as the share of its time that the limit leaves it; a request whose turn would come too late is refused at once, with the time until then. - An account starts empty on a new limit and on a new dispatcher, so that an overlap of two of up to 2 s stays within what is allowed.

--- a/coordination/batch/admission.go
+++ b/coordination/batch/admission.go
@@ -22,7 +22,10 @@
 // read before the client stops waiting, if the engines can't hold it, or if the queue is full. Attempts after the first
 // continue interrupted work: they are refused only if no engine is left or the engines can't hold them.
 func (mc *Machine) admit(now time.Time, wt *waitingRequest) (outcome.Outcome, bool) {
-	usableEngines, remainingEngines := 0, 0
+	remainingEngines := 0
+	// readers is the number of engines that read prompts like this one, where an engine with a request limit counts less.
+	readers := 0.0
+	firstRequestWait := time.Duration(math.MaxInt64)
 	// shortestBackoff is the time until the first engine may get the request from its entry host.
 	shortestBackoff := time.Duration(math.MaxInt64)
 	for _, en := range mc.engines {
@@ -31,10 +34,14 @@
 		}
 		remainingEngines++
 		shortestBackoff = min(shortestBackoff, max(0, wt.BackoffUntil[en.Engine].Sub(now)))
-		if en.isUsable(now) {
-			usableEngines++
+		if en.isUsable(now) && !en.isWithheld() {
+			readers += en.readingShare(wt.readTime)
+			firstRequestWait = min(firstRequestWait, en.requests.Wait(now))
 		}
 	}
+	if readers == 0 {
+		readers, firstRequestWait = 1, 0
+	}
 	switch {
 	case remainingEngines == 0:
 		return outcome.Refuse(outcome.NoCapacity, "no engine serves the request now").WithRetryAfter(mc.boundedRetryAfter(time.Second)), false
@@ -48,7 +55,8 @@
 	if shortestBackoff > 0 && now.Sub(wt.ArrivedAt)+shortestBackoff+wt.readTime/mc.maxPartsPerPrompt() > wt.WaitLimit {
 		return outcome.Refuse(outcome.Overloaded, "all engines asked to be left alone").WithRetryAfter(mc.addJitter(shortestBackoff)), false
 	}
-	predictedReadDone := now.Sub(wt.ArrivedAt) + mc.queueFor(wt).totalReadTime/time.Duration(max(1, usableEngines)) + wt.readTime/time.Duration(max(1, min(usableEngines, mc.config.MaxParts)))
+	predictedStart := firstRequestWait + time.Duration(float64(mc.queueFor(wt).totalReadTime)/readers)
+	predictedReadDone := now.Sub(wt.ArrivedAt) + predictedStart + time.Duration(float64(wt.readTime)/max(1, min(readers, float64(mc.config.MaxParts))))
 	if predictedReadDone > wt.WaitLimit {
 		return outcome.Refuse(outcome.Overloaded, "the request can't start in its time").WithRetryAfter(mc.boundedRetryAfter(predictedReadDone - wt.WaitLimit)), false
 	}
--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 )
 
 // Request describes a request that is to be scheduled.
@@ -89,6 +90,11 @@
 	StartedAtMillis int64
 	// Leaving engines finish what they run and get nothing new.
 	Leaving bool
+	// RequestLimit is the rate of requests that the engine accepts from all hosts together; zero for no limit.
+	RequestLimit serverlimit.Rate
+	// CountedElsewhere says that another host counts the requests to engines with a limit. Such engines get nothing from
+	// this machine.
+	CountedElsewhere bool
 }
 
 // Event is an input of the machine.
--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 )
 
 // engine is the state of one engine as the machine knows it.
@@ -23,6 +24,8 @@
 	// consecutiveRejections counts the requests that the engine rejected with a request for backoff since it last started
 	// an answer.
 	consecutiveRejections int
+	// requests counts the parts of grants against the engine's RequestLimit.
+	requests serverlimit.Account
 }
 
 // task is an engine's part of a grant.
@@ -34,11 +37,23 @@
 	answers bool
 }
 
-// isUsable reports whether the engine may get new work.
+// isUsable reports whether the engine may get new work, regardless of its request limit.
 func (en *engine) isUsable(now time.Time) bool {
 	return !en.Leaving && !now.Before(en.backoffUntil)
 }
 
+// isWithheld reports whether the engine gets nothing because another host counts its requests.
+func (en *engine) isWithheld() bool { return en.CountedElsewhere && en.RequestLimit > 0 }
+
+// readingShare returns the share of its time that the engine can spend on prompts that take readTime to read. It is
+// below 1 only for an engine with a request limit.
+func (en *engine) readingShare(readTime time.Duration) float64 {
+	if en.RequestLimit == 0 {
+		return 1
+	}
+	return min(1, float64(en.RequestLimit)*readTime.Seconds())
+}
+
 // runsAloneRequest reports whether the engine runs a request that is to run alone.
 func (en *engine) runsAloneRequest() bool {
 	return slices.ContainsFunc(en.tasks, func(tk task) bool { return tk.request.RunAlone })
@@ -140,19 +155,25 @@
 
 // updateEngines replaces the list of engines. An engine that has restarted begins without tasks. An engine that is
 // listed for the first time gets the tasks of grants that already name it.
-func (mc *Machine) updateEngines(specs []EngineSpec) {
+func (mc *Machine) updateEngines(now time.Time, specs []EngineSpec) {
 	listed := map[id.Engine]bool{}
 	for _, spec := range specs {
 		listed[spec.Engine] = true
 		en, alreadyListed := mc.enginesByName[spec.Engine]
 		if alreadyListed && en.StartedAtMillis == spec.StartedAtMillis && en.Address == spec.Address {
-			en.Leaving = spec.Leaving
+			wasWithheld := en.isWithheld()
+			en.EngineSpec = spec
+			en.requests.SetRate(now, spec.RequestLimit)
+			if wasWithheld {
+				en.requests.Restart(now)
+			}
 			continue
 		}
 		if alreadyListed {
 			mc.removeEngine(en)
 		}
 		en = &engine{EngineSpec: spec}
+		en.requests.SetRate(now, spec.RequestLimit)
 		mc.enginesByName[spec.Engine] = en
 		mc.engines = append(mc.engines, en)
 		if alreadyListed {
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -87,7 +87,7 @@
 	case SetEngineProfile:
 		mc.profile = ev.Profile
 	case SetEngines:
-		mc.updateEngines(ev.Engines)
+		mc.updateEngines(now, ev.Engines)
 	case Submit:
 		mc.submit(now, ev.Request)
 	case Withdraw:
--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -84,8 +84,8 @@
 	return formatEffects(effects) + fmt.Sprintf("waiting %d granted %d\n", sc.machine.Waiting(), sc.machine.Granted())
 }
 
-// parseEngines reads one engine from each line of a command's input: its name, then "leaving" and "started=N" if they
-// apply.
+// parseEngines reads one engine from each line of a command's input: its name, then "leaving", "started=N", "limit=N" and
+// "elsewhere" if they apply. The last one says that another host counts the requests of the engine.
 func (sc *scriptRunner) parseEngines(td *datadriven.TestData) batch.SetEngines {
 	var engineList batch.SetEngines
 	for line := range strings.Lines(td.Input) {
@@ -93,7 +93,9 @@
 		spec := batch.EngineSpec{Engine: id.Engine(fields[0]), Address: fields[0] + ":1"}
 		for _, field := range fields[1:] {
 			spec.Leaving = spec.Leaving || field == "leaving"
+			spec.CountedElsewhere = spec.CountedElsewhere || field == "elsewhere"
 			_, _ = fmt.Sscanf(field, "started=%d", &spec.StartedAtMillis)
+			_, _ = fmt.Sscanf(field, "limit=%g", (*float64)(&spec.RequestLimit))
 		}
 		engineList.Engines = append(engineList.Engines, spec)
 	}
--- a/coordination/batch/selection.go
+++ b/coordination/batch/selection.go
@@ -25,10 +25,23 @@
 	mc.updateCandidates(now)
 	untilNext := min(maxInterval, mc.dispatchQueue(now, &mc.shortQueue, maxShortHeads, mc.proposeShort))
 	untilNext = min(untilNext, mc.dispatchQueue(now, &mc.longQueue, maxLongHeads, mc.proposeLong))
+	untilNext = min(untilNext, mc.untilNextRequest(now))
 	// The lower bound keeps the ticks from dispatching again immediately if a request may start within DispatchLead.
 	mc.nextDispatchAt = now.Add(max(untilNext-mc.config.DispatchLead, mc.config.DispatchLead/2))
 }
 
+// untilNextRequest returns the time until the first engine that has used up its request limit may get another request,
+// or math.MaxInt64 if there is no such engine.
+func (mc *Machine) untilNextRequest(now time.Time) time.Duration {
+	next := time.Duration(math.MaxInt64)
+	for _, en := range mc.engines {
+		if wait := en.requests.Wait(now); wait > 0 && en.isUsable(now) && !en.isWithheld() {
+			next = min(next, wait)
+		}
+	}
+	return next
+}
+
 // proposal is a grant that a request may get. Proposals for short prompts leave start and finish zero, so they are
 // granted immediately.
 type proposal struct {
@@ -69,6 +82,9 @@
 	gr.needsShortPasses = mc.hasShortPrompt(wt) || mc.hasStrictPause(wt.Request)
 	gr.Urgency = urgencyOf(wt)
 	gr.PredictedFirstEvent = gr.firstEventAt.Sub(now)
+	for _, part := range gr.Parts {
+		mc.enginesByName[part.Engine].requests.Reserve(now, 0)
+	}
 	mc.addGrant(gr)
 	mc.effects = append(mc.effects, Effect{Kind: Granted, Request: wt.ID, Grant: gr.Grant})
 }
@@ -105,7 +121,7 @@
 	mc.candidates = mc.candidates[:0]
 	mc.minTasks = math.MaxInt
 	for _, en := range mc.engines {
-		if !en.isUsable(now) || en.runsAloneRequest() {
+		if !en.isUsable(now) || en.isWithheld() || en.requests.Wait(now) > 0 || en.runsAloneRequest() {
 			continue
 		}
 		mc.minTasks = min(mc.minTasks, len(en.tasks))
--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 )
 
 // GrantRequest asks a dispatcher for a grant for one attempt of a client's request.
@@ -20,6 +21,9 @@
 	Service id.Service
 	// Host is the entry host that sends the request.
 	Host id.Host
+	// RequestLimits is what the entry host knows of the request limits of the service's engines. The dispatcher thus knows
+	// a limit no later than the first host that asks it for a grant after it learned the limit.
+	RequestLimits []serverlimit.Statement
 }
 
 // GrantResponse is a dispatcher's response to a GrantRequest. If neither Grant nor Refusal is set, the request is
@@ -82,6 +86,10 @@
 	EngineProfile(service id.Service) (route.EngineProfile, bool)
 	// Engines returns the engines that serve a service.
 	Engines(service id.Service) []batch.EngineSpec
+	// RequestLimits returns what this host knows of the request limits of a service's engines.
+	RequestLimits(service id.Service) []serverlimit.Statement
+	// LearnRequestLimits takes what another host knows of request limits.
+	LearnRequestLimits(host id.Host, statements []serverlimit.Statement)
 	// ListAge returns the time since the list of engines was last confirmed to be up to date.
 	ListAge() time.Duration
 }
@@ -90,6 +98,9 @@
 type Peers interface {
 	// Dispatchers returns the live hosts in order of preference as dispatcher of a service.
 	Dispatchers(service id.Service) []id.Host
+	// LeadsService reports whether the local host is the first dispatcher of a service. Only the first dispatcher uses
+	// engines with a request limit, because the requests that all hosts send to them are counted there.
+	LeadsService(service id.Service) bool
 	// RequestGrant asks the dispatcher on a host for a grant.
 	RequestGrant(ctx context.Context, dispatcher id.Host, request GrantRequest) (GrantResponse, error)
 	// DeliverResponse passes a response to the entry host that waits for it and reports whether it was still waiting.
--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/testutil"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
@@ -74,6 +75,10 @@
 	return []batch.EngineSpec{{Engine: "engine-1", Address: "10.0.0.1:80"}}
 }
 
+func (singleEngineFleet) RequestLimits(id.Service) []serverlimit.Statement { return nil }
+
+func (singleEngineFleet) LearnRequestLimits(id.Host, []serverlimit.Statement) {}
+
 func (singleEngineFleet) ListAge() time.Duration { return 0 }
 
 // emptyQuarantine lets every content run.
@@ -103,6 +108,8 @@
 	return slices.Clone(nw.liveHosts)
 }
 
+func (*network) LeadsService(id.Service) bool { return true }
+
 // call simulates a call to a host: it blocks until the context ends if the host is unresponsive.
 func (nw *network) call(ctx context.Context, host id.Host) error {
 	nw.mutex.Lock()
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -143,7 +143,9 @@
 			return cl.chooseWithoutDispatcherWithRetry(ctx, request)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, grantRequestTimeout)
-		response, err := cl.peers.RequestGrant(callCtx, dispatcher, request)
+		informed := request
+		informed.RequestLimits = cl.fleet.RequestLimits(request.Service)
+		response, err := cl.peers.RequestGrant(callCtx, dispatcher, informed)
 		cancel()
 		if err != nil {
 			if ctx.Err() == nil {
@@ -297,7 +299,8 @@
 }
 
 // chooseWithoutDispatcher chooses the engines for a request itself, while no dispatcher can be reached. It takes only
-// this host's grants into account, because the grants of other hosts aren't known here.
+// this host's grants into account, because the grants of other hosts aren't known here. For the same reason it uses no
+// engines with a request limit.
 func (cl *Client) chooseWithoutDispatcher(request GrantRequest) (batch.Grant, outcome.Outcome) {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
@@ -310,7 +313,11 @@
 	if profile, hasEngines := cl.fleet.EngineProfile(request.Service); hasEngines {
 		machine.Step(now, batch.SetEngineProfile{Profile: profile})
 	}
-	machine.Step(now, batch.SetEngines{Engines: cl.fleet.Engines(request.Service)})
+	engines := cl.fleet.Engines(request.Service)
+	for ix := range engines {
+		engines[ix].CountedElsewhere = true
+	}
+	machine.Step(now, batch.SetEngines{Engines: engines})
 	for _, held := range cl.heldGrants {
 		if held.GrantRequest.Service == request.Service {
 			machine.Step(now, batch.RenewGrant{Request: held.GrantRequest.Request, Grant: held.Grant, Started: held.Started})
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -144,10 +144,16 @@
 	if ok {
 		sv.applyEffects(dp, dp.machine.Step(now, batch.SetEngineProfile{Profile: profile}))
 	}
-	sv.applyEffects(dp, dp.machine.Step(now, batch.SetEngines{Engines: sv.fleet.Engines(service)}))
+	engines := sv.fleet.Engines(service)
+	leads := sv.peers.LeadsService(service)
+	for ix := range engines {
+		engines[ix].CountedElsewhere = !leads
+	}
+	sv.applyEffects(dp, dp.machine.Step(now, batch.SetEngines{Engines: engines}))
 }
 
-// Refresh passes the current engine profiles and lists of engines to all dispatchers. It is called when either changes.
+// Refresh passes the current engine profiles and lists of engines to all dispatchers. It is called when either changes,
+// when a request limit of an engine changes, and when the first dispatcher of a service may have changed.
 func (sv *Server) Refresh() {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
@@ -189,6 +195,8 @@
 	if !sv.fleet.EnginesKnown() {
 		return GrantResponse{}, errEnginesUnknown
 	}
+	// Learning a limit refreshes the dispatchers, which locks the mutex.
+	sv.fleet.LearnRequestLimits(request.Host, request.RequestLimits)
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	if sv.leaving {
--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
@@ -124,6 +125,10 @@
 // unlimited knows of no limits.
 type unlimited struct{}
 
+func (unlimited) Rate(serverlist.Server) serverlimit.Rate { return 0 }
+func (unlimited) Acquire(context.Context, id.Service, []serverlist.Server, time.Duration) requestlimit.Permit {
+	return requestlimit.Permit{}
+}
 func (unlimited) RecordResponse(serverlist.Server, time.Time, requestlimit.Named, bool) {}
 
 // newRunner returns a runner with defaults for the dependencies that are not set.
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
@@ -148,8 +149,13 @@
 	RecordLeaving(server id.BackendServer) bool
 }
 
-// RequestLimits records which request rates servers accept from all hosts together.
+// RequestLimits holds the request rates that servers accept from all hosts together. Requests to the servers of plain
+// services that have such a limit need a permit; those to engines are counted by the dispatcher that grants them.
 type RequestLimits interface {
+	// Rate returns the rate that a server accepts; zero if it has no limit.
+	Rate(server serverlist.Server) serverlimit.Rate
+	// Acquire asks for a permit to send a request to one of the given servers of a service, within maxWait.
+	Acquire(ctx context.Context, service id.Service, servers []serverlist.Server, maxWait time.Duration) requestlimit.Permit
 	// RecordResponse records what the response to a request that was sent at sentAt says of the server's limit.
 	RecordResponse(server serverlist.Server, sentAt time.Time, named requestlimit.Named, successful bool)
 }
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,6 +18,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
 // bufferedResponse is a response that was read in full and has not been forwarded yet.
@@ -41,7 +43,7 @@
 			jb.result.Cause = "quarantined: servers crashed while running this content"
 			return
 		}
-		server, wait, ok := jb.chooseServer(tried)
+		server, wait, ok := jb.chooseServer(ctx, tried)
 		if !ok {
 			jb.backoffWait = wait
 			break
@@ -85,6 +87,8 @@
 		jb.writeBuffered(*lastErrorResponse)
 	case ctx.Err() != nil:
 		jb.setOutcomeOnContextEnd(ctx)
+	case jb.result.Attempts == 0 && jb.limitReached:
+		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "the request limits of the service's servers are reached").WithRetryAfter(rn.addJitter(max(jb.backoffWait, minLimitRetryAfter)))
 	case jb.result.Attempts == 0 && jb.backoffWait > 0:
 		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "all servers of the service want to be left alone").WithRetryAfter(rn.addJitter(jb.backoffWait))
 	case jb.result.Attempts == 0:
@@ -94,23 +98,78 @@
 	}
 }
 
-// chooseServer returns the best server that is not among those tried. If there is none, it returns false and the time
-// until a server that asked for backoff may get requests again, as withoutBackoff returns it.
-func (jb *job) chooseServer(tried []id.BackendServer) (serverlist.Server, time.Duration, bool) {
+// minLimitRetryAfter is the shortest time after which a client is asked to retry because request limits are reached.
+const minLimitRetryAfter = 200 * time.Millisecond
+
+// chooseServer returns the best server that is not among those tried and that may get the request now. If the request
+// limits of all of them are reached, it waits for the first one that may get a request, up to half of the remaining time.
+// If there is no server, it returns false and the time until one may get requests again, or zero if that is not known.
+func (jb *job) chooseServer(ctx context.Context, tried []id.BackendServer) (serverlist.Server, time.Duration, bool) {
+	rn := jb.runner
+	excluded := tried
+	var limited []serverlist.Server
+	for {
+		server, wait, ok := jb.bestServer(excluded)
+		switch {
+		case !ok && len(limited) == 0:
+			return serverlist.Server{}, wait, false
+		case !ok:
+			return jb.waitForPermit(ctx, limited)
+		case rn.limits.Rate(server) == 0 || rn.limits.Acquire(ctx, jb.request.Service, []serverlist.Server{server}, 0).Granted():
+			jb.recordSent(server)
+			return server, 0, true
+		}
+		limited = append(limited, server)
+		excluded = append(slices.Clone(excluded), server.ID)
+	}
+}
+
+// bestServer returns the best server that is not excluded. If there is none, it returns false and the time until a
+// server that asked for backoff may get requests again, as withoutBackoff returns it.
+func (jb *job) bestServer(excluded []id.BackendServer) (serverlist.Server, time.Duration, bool) {
 	rn := jb.runner
 	servers := rn.fleet.Servers(jb.request.Service)
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
-	now := rn.clock.Now()
 	servers, wait := rn.withoutBackoff(servers)
-	server, ok := rn.balancer.Choose(now, servers, tried)
-	if ok {
-		rn.backoffs.RecordSent(now, server.ID)
-		wait = 0
-	}
+	server, ok := rn.balancer.Choose(rn.clock.Now(), servers, excluded)
 	return server, wait, ok
 }
 
+// recordSent records that the request is sent to a server.
+func (jb *job) recordSent(server serverlist.Server) {
+	rn := jb.runner
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	rn.backoffs.RecordSent(rn.clock.Now(), server.ID)
+}
+
+// waitForPermit waits for the first of several servers that may get a request, and returns it. It returns false if that
+// takes more than half of the remaining time, with the time until then, or if the server may no longer be used by then.
+func (jb *job) waitForPermit(ctx context.Context, limited []serverlist.Server) (serverlist.Server, time.Duration, bool) {
+	rn := jb.runner
+	// maxWaitShare leaves the server as much time to answer as the request has waited.
+	const maxWaitShare = 0.5
+	jb.limitReached = true
+	permit := rn.limits.Acquire(ctx, jb.request.Service, limited, time.Duration(maxWaitShare*float64(jb.remaining())))
+	if !permit.Granted() {
+		return serverlist.Server{}, permit.Wait, false
+	}
+	if !timer.Sleep(ctx, rn.clock, permit.Wait) {
+		return serverlist.Server{}, 0, false
+	}
+	for _, server := range rn.fleet.Servers(jb.request.Service) {
+		rn.mutex.Lock()
+		usable := server.ID == permit.Server && !server.Draining && rn.backoffs.AllowsRequest(rn.clock.Now(), server)
+		rn.mutex.Unlock()
+		if usable {
+			jb.recordSent(server)
+			return server, 0, true
+		}
+	}
+	return serverlist.Server{}, permit.Wait, false
+}
+
 // attemptPlain sends the request to one server, which is the last element of tried. It returns 0 as the cause if a
 // response was forwarded, even if only in part. Otherwise it returns why the attempt failed, a description for logs,
 // and, if the server sent one, a response to forward in case no later attempt does better.
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -314,9 +314,11 @@
 	// that one of them may have run it.
 	sentCount  int
 	mayHaveRun bool
-	// backoffWait is the time until a server may get requests again, as chooseServer returned it when no server was
-	// left.
+	// backoffWait is the time until a server may get requests again, as chooseServer returned it when there was no
+	// server.
 	backoffWait time.Duration
+	// limitReached says that chooseServer found only servers whose request limits are reached.
+	limitReached bool
 	// newConnection makes further attempts use new connections, because a reused one ended without a response.
 	newConnection bool
 }
--- a/coordination/requestlimit/tracker.go
+++ b/coordination/requestlimit/tracker.go
@@ -42,10 +42,6 @@
 		tr.logger.Warn("ignored an invalid request limit", "server", string(server.ID), "address", server.Address, "value", named.Invalid)
 		return
 	}
-	if server.StartedAtMillis == 0 {
-		// Statements can't be compared while the list does not show the process of the server.
-		return
-	}
 	tr.mutex.Lock()
 	previous := tr.table.Rate(server)
 	statement, changed := tr.table.Observe(tr.clock.Now(), serverlimit.Response{Server: server, SentAt: sentAt, Rate: named.Rate, Successful: successful})
@@ -95,6 +91,13 @@
 	return tr.table.Rate(server)
 }
 
+// Any reports whether any limit is or was known.
+func (tr *Tracker) Any() bool {
+	tr.mutex.Lock()
+	defer tr.mutex.Unlock()
+	return !tr.table.IsEmpty()
+}
+
 // Statements returns what is known of the limits of the given servers.
 func (tr *Tracker) Statements(servers []serverlist.Server) []serverlimit.Statement {
 	tr.mutex.Lock()
--- a/protocol/peer/peerconnect/peer.connect.go
+++ b/protocol/peer/peerconnect/peer.connect.go
@@ -63,6 +63,8 @@
 	PeerTellProcedure = "/hibiscuslever.peer.Peer/Tell"
 	// PeerCopyProcedure is the fully-qualified name of the Peer's Copy RPC.
 	PeerCopyProcedure = "/hibiscuslever.peer.Peer/Copy"
+	// PeerPermitProcedure is the fully-qualified name of the Peer's Permit RPC.
+	PeerPermitProcedure = "/hibiscuslever.peer.Peer/Permit"
 )
 
 // PeerClient is a client for the hibiscuslever.peer.Peer service.
@@ -97,6 +99,8 @@
 	Tell(context.Context, *connect.Request[peer.TellRequest]) (*connect.Response[peer.TellResponse], error)
 	// Copy returns the desired state and the list of backend servers as far as they are newer than what the caller has.
 	Copy(context.Context, *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error)
+	// Permit asks the host that counts the requests to servers with a request limit for permission to send one.
+	Permit(context.Context, *connect.Request[peer.PermitRequest]) (*connect.Response[peer.PermitResponse], error)
 }
 
 // NewPeerClient constructs a client for the hibiscuslever.peer.Peer service. By default, it uses
@@ -194,6 +198,12 @@
 			connect.WithSchema(peerMethods.ByName("Copy")),
 			connect.WithClientOptions(opts...),
 		),
+		permit: connect.NewClient[peer.PermitRequest, peer.PermitResponse](
+			httpClient,
+			baseURL+PeerPermitProcedure,
+			connect.WithSchema(peerMethods.ByName("Permit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -213,6 +223,7 @@
 	progress *connect.Client[peer.ProgressRequest, peer.ProgressResponse]
 	tell     *connect.Client[peer.TellRequest, peer.TellResponse]
 	copy     *connect.Client[peer.CopyRequest, peer.CopyResponse]
+	permit   *connect.Client[peer.PermitRequest, peer.PermitResponse]
 }
 
 // Acquire calls hibiscuslever.peer.Peer.Acquire.
@@ -285,6 +296,11 @@
 	return c.copy.CallUnary(ctx, req)
 }
 
+// Permit calls hibiscuslever.peer.Peer.Permit.
+func (c *peerClient) Permit(ctx context.Context, req *connect.Request[peer.PermitRequest]) (*connect.Response[peer.PermitResponse], error) {
+	return c.permit.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the hibiscuslever.peer.Peer service.
 type PeerHandler interface {
 	// Acquire requests a grant from a shard dispatcher. It is idempotent per request ID. If the request is still queued
@@ -317,6 +333,8 @@
 	Tell(context.Context, *connect.Request[peer.TellRequest]) (*connect.Response[peer.TellResponse], error)
 	// Copy returns the desired state and the list of backend servers as far as they are newer than what the caller has.
 	Copy(context.Context, *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error)
+	// Permit asks the host that counts the requests to servers with a request limit for permission to send one.
+	Permit(context.Context, *connect.Request[peer.PermitRequest]) (*connect.Response[peer.PermitResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -410,6 +428,12 @@
 		connect.WithSchema(peerMethods.ByName("Copy")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerPermitHandler := connect.NewUnaryHandler(
+		PeerPermitProcedure,
+		svc.Permit,
+		connect.WithSchema(peerMethods.ByName("Permit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hibiscuslever.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerAcquireProcedure:
@@ -440,6 +464,8 @@
 			peerTellHandler.ServeHTTP(w, r)
 		case PeerCopyProcedure:
 			peerCopyHandler.ServeHTTP(w, r)
+		case PeerPermitProcedure:
+			peerPermitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -504,3 +530,7 @@
 func (UnimplementedPeerHandler) Copy(context.Context, *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Copy is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Permit(context.Context, *connect.Request[peer.PermitRequest]) (*connect.Response[peer.PermitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Permit is not implemented"))
+}
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -6,9 +6,11 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
@@ -19,6 +21,7 @@
 type fleet struct {
 	follower *statesync.Follower
 	clock    timer.Clock
+	limits   *requestlimit.Tracker
 	// spreadFact sends a fact to all other hosts by gossip.
 	spreadFact func(membership.Fact)
 
@@ -47,9 +50,10 @@
 // by gossip.
 const departureTTL = time.Hour
 
-func newFleet(follower *statesync.Follower, clock timer.Clock, spreadFact func(membership.Fact)) *fleet {
+func newFleet(follower *statesync.Follower, clock timer.Clock, limits *requestlimit.Tracker, spreadFact func(membership.Fact)) *fleet {
 	return &fleet{
 		follower:           follower,
+		limits:             limits,
 		clock:              clock,
 		spreadFact:         spreadFact,
 		departures:         map[id.ServerHash]departure{},
@@ -201,7 +205,17 @@
 	servers := fl.Servers(service)
 	specs := make([]batch.EngineSpec, 0, len(servers))
 	for _, server := range servers {
-		specs = append(specs, batch.EngineSpec{Engine: id.Engine(server.ID), Address: server.Address, StartedAtMillis: server.StartedAtMillis, Leaving: server.Draining})
+		specs = append(specs, batch.EngineSpec{Engine: id.Engine(server.ID), Address: server.Address, StartedAtMillis: server.StartedAtMillis, Leaving: server.Draining, RequestLimit: fl.limits.Rate(server)})
 	}
 	return specs
 }
+
+// RequestLimits returns what this host knows of the request limits of a service's servers.
+func (fl *fleet) RequestLimits(service id.Service) []serverlimit.Statement {
+	return fl.limits.Statements(fl.Servers(service))
+}
+
+// LearnRequestLimits takes what another host knows of request limits.
+func (fl *fleet) LearnRequestLimits(host id.Host, statements []serverlimit.Statement) {
+	fl.limits.Learn(string(host), statements...)
+}
--- a/site/host.go
+++ b/site/host.go
@@ -62,6 +62,8 @@
 	fleet          *fleet
 
 	requestLimits   *requestlimit.Tracker
+	permitClient    *requestlimit.Client
+	permitIssuer    *requestlimit.Issuer
 	crashQuarantine *crashQuarantine
 	evidenceSyncer  *crashlog.Syncer
 
@@ -164,8 +166,8 @@
 	followerConfig.Seeds = ht.settings.Peers.Seeds
 	ht.store = platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
 	ht.updateFollower = statesync.New(followerConfig, ht.localMember.Host, ht.localMember.AvailabilityZone, ht.clock, ht.store, ht.peerClient, ht.peerClient, scope, ht.logger, seed, ht.onFleetChanged)
-	ht.fleet = newFleet(ht.updateFollower, ht.clock, ht.gossip.SpreadFact)
 	ht.requestLimits = requestlimit.NewTracker(ht.clock, scope, ht.logger, ht.gossip.SpreadFact, func() { ht.grantServer.Refresh() })
+	ht.fleet = newFleet(ht.updateFollower, ht.clock, ht.requestLimits, ht.gossip.SpreadFact)
 	ht.crashQuarantine = newCrashQuarantine(ht.clock, scope, ht.logger, ht.gossip.SpreadFact)
 	ht.evidenceSyncer = crashlog.New(evidenceSyncConfig(), ht.clock, platform.NewCrashLog(ht.store), scope, ht.logger, ht.updateFollower.IsListReader, ht.crashQuarantine.LearnStoredEvidence)
 	ht.crashQuarantine.storeEvidence = ht.evidenceSyncer.QueueEvidence
@@ -174,6 +176,8 @@
 		ht.grantClient.ReportEvidence(service, evidence)
 	}
 	ht.grantClient = broker.NewClient(batch.DefaultConfig(), ht.localMember.Host, ht.clock, ht.peerClient, ht.fleet, scope, ht.logger, seed)
+	ht.permitClient = requestlimit.NewClient(ht.requestLimits, ht.localMember.Host, ht.peerClient)
+	ht.permitIssuer = requestlimit.NewIssuer(ht.clock, ht.peerClient, ht.fleet, ht.requestLimits)
 	ht.peerClient.Bind(ht.localPeerComponents(), ht.gossip)
 	ht.forwarder = forward.NewRunner(forward.DefaultConfig().WithMemoryBounds(ht.settings.Memory.FreeWithin, ht.settings.Memory.UnusedWithin), forward.Dependencies{
 		Host:        ht.localMember.Host,
@@ -184,7 +188,7 @@
 		Dispatcher:  ht.grantClient,
 		Fleet:       ht.fleet,
 		Quarantine:  ht.crashQuarantine,
-		Limits:      ht.requestLimits,
+		Limits:      ht.permitClient,
 		Retries:     retry.New(ht.retryConfig(), seed),
 		Metrics:     scope,
 		Logger:      ht.logger,
@@ -197,7 +201,7 @@
 
 // localPeerComponents returns the components that answer calls of other hosts.
 func (ht *Host) localPeerComponents() peer.LocalComponents {
-	return peer.LocalComponents{GossipRunner: ht.gossip, BrokerServer: ht.grantServer, BrokerClient: ht.grantClient, UpdateFollower: ht.updateFollower}
+	return peer.LocalComponents{GossipRunner: ht.gossip, BrokerServer: ht.grantServer, BrokerClient: ht.grantClient, UpdateFollower: ht.updateFollower, PermitIssuer: ht.permitIssuer}
 }
 
 // retryConfig returns the configuration of this host's retries. The ratio of retries to requests is the same on all
@@ -311,6 +315,9 @@
 	ht.scheduleConnectionLimits()
 	ht.forwarder.SetInitialRetryBudget(ht.initialRetryBudget(1 + len(ht.gossip.RemoteMembers())))
 	ht.grantClient.HostsChanged()
+	if ht.requestLimits.Any() {
+		ht.grantServer.Refresh()
+	}
 	ht.logger.Info("member changed", "member", string(member.Host), "status", member.Status.String(), "incarnation", int64(member.Incarnation))
 }
 
@@ -335,7 +342,7 @@
 	servers, _ := ht.updateFollower.Servers()
 	ht.fleet.updateList(servers)
 	ht.forwarder.UpdateServers(servers)
-	ht.requestLimits.UpdateServers(servers)
+	ht.permitClient.UpdateServers(servers)
 	ht.scheduleConnectionLimits()
 	ht.grantServer.Refresh()
 }
--- /dev/null
+++ b/state/serverlimit/account.go
@@ -0,0 +1,97 @@
+package serverlimit
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// burstDuration is the time whose unused requests a server may get at once.
+	burstDuration = 250 * time.Millisecond
+	// recentDuration is how long requests are remembered that were sent before the limit was known. They count while they
+	// are that recent, so that a server that has just named a limit gets no more than without them.
+	recentDuration = 4 * time.Second
+)
+
+// Account counts the requests that all hosts together send to one server, and says when the server may get the next
+// one. The zero value has no limit.
+type Account struct {
+	rate Rate
+	// limiter is nil if there is no limit.
+	limiter *rate.Limiter
+	// recent holds the times of the requests of the last recentDuration, in the order in which they were counted.
+	recent []time.Time
+}
+
+// SetRate changes the rate. Zero ends the limit. A new limit allows nothing at once, because it is not known what other
+// hosts have sent.
+func (ac *Account) SetRate(now time.Time, perSecond Rate) {
+	switch {
+	case perSecond == ac.rate:
+		return
+	case perSecond == 0:
+		ac.limiter = nil
+	case ac.limiter == nil:
+		ac.limiter = rate.NewLimiter(rate.Limit(perSecond), perSecond.burst())
+		ac.limiter.ReserveN(now, perSecond.burst())
+	default:
+		ac.limiter.SetLimitAt(now, rate.Limit(perSecond))
+		ac.limiter.SetBurstAt(now, perSecond.burst())
+	}
+	ac.rate = perSecond
+}
+
+// Restart makes the account allow nothing at once, as for a new limit.
+func (ac *Account) Restart(now time.Time) {
+	perSecond := ac.rate
+	ac.SetRate(now, 0)
+	ac.SetRate(now, perSecond)
+}
+
+// Rate returns the rate in force; zero if there is no limit.
+func (ac *Account) Rate() Rate { return ac.rate }
+
+// burst returns the number of requests that may be sent at once.
+func (rt Rate) burst() int { return 1 + int(float64(rt)*burstDuration.Seconds()) }
+
+// Wait returns the time until the server may get a request; zero if it may get one now.
+func (ac *Account) Wait(now time.Time) time.Duration {
+	if ac.limiter == nil {
+		return 0
+	}
+	ac.dropOld(now)
+	missing := 1 - ac.limiter.TokensAt(now)
+	wait := max(0, time.Duration(missing/float64(ac.rate)*float64(time.Second)))
+	maxRecent := ac.rate.burst() + int(float64(ac.rate)*recentDuration.Seconds())
+	if excess := len(ac.recent) - maxRecent; excess >= 0 {
+		wait = max(wait, ac.recent[excess].Add(recentDuration).Sub(now))
+	}
+	return wait
+}
+
+// Reserve counts a request that is sent after the returned wait, if that is at most maxWait. Otherwise it counts nothing
+// and returns false with the wait.
+func (ac *Account) Reserve(now time.Time, maxWait time.Duration) (time.Duration, bool) {
+	wait := ac.Wait(now)
+	if wait > maxWait {
+		return wait, false
+	}
+	ac.dropOld(now)
+	if ac.limiter != nil {
+		ac.limiter.ReserveN(now, 1)
+	}
+	ac.recent = append(ac.recent, now.Add(wait))
+	return wait, true
+}
+
+// dropOld drops the requests that are no longer recent.
+func (ac *Account) dropOld(now time.Time) {
+	kept := 0
+	for kept < len(ac.recent) && now.Sub(ac.recent[kept]) >= recentDuration {
+		kept++
+	}
+	if kept > 0 {
+		ac.recent = append(ac.recent[:0], ac.recent[kept:]...)
+	}
+}
--- a/transport/peer/broker.go
+++ b/transport/peer/broker.go
@@ -56,6 +56,12 @@
 	return dispatchers
 }
 
+// LeadsService reports whether the local host is the first dispatcher of a service.
+func (cl *Client) LeadsService(service id.Service) bool {
+	dispatchers := cl.Dispatchers(service)
+	return len(dispatchers) > 0 && dispatchers[0] == cl.self.Host
+}
+
 // Peers returns the remote hosts that are not dead, with their availability zones and processor shares.
 func (cl *Client) Peers() []statesync.Peer {
 	var peers []statesync.Peer
@@ -245,6 +251,7 @@
 	for _, name := range request.AvoidedEngines {
 		message.Avoid = append(message.Avoid, string(name))
 	}
+	message.Limits = encodeStatements(request.RequestLimits)
 	for name, until := range request.BackoffUntil {
 		message.Banned = append(message.Banned, &peer.BannedEngine{Engine: string(name), ForMicros: until.Sub(now).Microseconds()})
 	}
@@ -269,7 +276,8 @@
 			ContentFingerprint: id.Fingerprint(message.GetFingerprint()),
 			RunAlone:           message.GetAlone(),
 		},
-		Service: id.Service(message.GetService()),
+		Service:       id.Service(message.GetService()),
+		RequestLimits: decodeStatements(message.GetLimits()),
 	}
 	for _, name := range message.GetAvoid() {
 		request.AvoidedEngines = append(request.AvoidedEngines, id.Engine(name))
--- a/transport/peer/fuzz_test.go
+++ b/transport/peer/fuzz_test.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
@@ -35,7 +36,9 @@
 func (twoEngineFleet) Engines(id.Service) []batch.EngineSpec {
 	return []batch.EngineSpec{{Engine: "a", Address: "a:1"}, {Engine: "b", Address: "b:1"}}
 }
-func (twoEngineFleet) ListAge() time.Duration { return 0 }
+func (twoEngineFleet) RequestLimits(id.Service) []serverlimit.Statement    { return nil }
+func (twoEngineFleet) LearnRequestLimits(id.Host, []serverlimit.Statement) {}
+func (twoEngineFleet) ListAge() time.Duration                              { return 0 }
 
 // unreachablePeers is a cluster in which no other host can be reached and no request is quarantined.
 type unreachablePeers struct{}
@@ -45,6 +48,7 @@
 }
 func (unreachablePeers) LearnReportedEvidence(quarantine.Evidence) {}
 func (unreachablePeers) Dispatchers(id.Service) []id.Host          { return nil }
+func (unreachablePeers) LeadsService(id.Service) bool              { return true }
 func (unreachablePeers) RequestGrant(context.Context, id.Host, broker.GrantRequest) (broker.GrantResponse, error) {
 	return broker.GrantResponse{}, errNotRunning
 }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/gossip"
 	"github.com/hibiscuslever/hibiscuslever/coordination/quota"
 	"github.com/hibiscuslever/hibiscuslever/coordination/relay"
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
@@ -38,6 +39,8 @@
 	BrokerServer   *broker.Server
 	BrokerClient   *broker.Client
 	UpdateFollower *statesync.Follower
+	// PermitIssuer is also set only on hosts that serve on the users' platform.
+	PermitIssuer *requestlimit.Issuer
 }
 
 // Server implements the RPCs that other hosts call.
