--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -47,6 +47,19 @@
 	endReports map[id.Host]int
 	// learnedCrashes holds the crashes that each host's dispatchers learned from reports, in order.
 	learnedCrashes map[id.Host][]quarantine.CrashID
+	// requestLimits holds what each host knows of the request limit of the engine.
+	requestLimits map[id.Host]serverlimit.Statement
+}
+
+// hostNetwork is the network as one host sees it.
+type hostNetwork struct {
+	*network
+	host id.Host
+}
+
+func (hn hostNetwork) LeadsService(service id.Service) bool {
+	dispatchers := hn.Dispatchers(service)
+	return len(dispatchers) > 0 && dispatchers[0] == hn.host
 }
 
 // singleEngineFleet is a host's view of a fleet that consists of one engine.
@@ -72,12 +85,28 @@
 	if !sf.EnginesKnown() {
 		return nil
 	}
-	return []batch.EngineSpec{{Engine: "engine-1", Address: "10.0.0.1:80"}}
+	sf.network.mutex.Lock()
+	defer sf.network.mutex.Unlock()
+	return []batch.EngineSpec{{Engine: "engine-1", Address: "10.0.0.1:80", RequestLimit: sf.network.requestLimits[sf.host].Rate}}
 }
 
-func (singleEngineFleet) RequestLimits(id.Service) []serverlimit.Statement { return nil }
+func (sf singleEngineFleet) RequestLimits(id.Service) []serverlimit.Statement {
+	sf.network.mutex.Lock()
+	defer sf.network.mutex.Unlock()
+	if statement, known := sf.network.requestLimits[sf.host]; known {
+		return []serverlimit.Statement{statement}
+	}
+	return nil
+}
 
-func (singleEngineFleet) LearnRequestLimits(id.Host, []serverlimit.Statement) {}
+func (sf singleEngineFleet) LearnRequestLimits(_ id.Host, statements []serverlimit.Statement) {
+	for _, statement := range statements {
+		sf.network.mutex.Lock()
+		sf.network.requestLimits[sf.host] = statement
+		sf.network.mutex.Unlock()
+		sf.network.servers[sf.host].Refresh()
+	}
+}
 
 func (singleEngineFleet) ListAge() time.Duration { return 0 }
 
@@ -108,8 +137,6 @@
 	return slices.Clone(nw.liveHosts)
 }
 
-func (*network) LeadsService(id.Service) bool { return true }
-
 // call simulates a call to a host: it blocks until the context ends if the host is unresponsive.
 func (nw *network) call(ctx context.Context, host id.Host) error {
 	nw.mutex.Lock()
@@ -150,13 +177,13 @@
 
 // startHosts runs the given hosts, all of them live, until the returned function is called.
 func startHosts(t *testing.T, hosts ...id.Host) (*network, func()) {
-	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, liveHosts: hosts, unresponsiveHosts: map[id.Host]bool{}, endReports: map[id.Host]int{}, uninformedHosts: map[id.Host]bool{}, learnedCrashes: map[id.Host][]quarantine.CrashID{}}
+	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, liveHosts: hosts, unresponsiveHosts: map[id.Host]bool{}, endReports: map[id.Host]int{}, uninformedHosts: map[id.Host]bool{}, learnedCrashes: map[id.Host][]quarantine.CrashID{}, requestLimits: map[id.Host]serverlimit.Statement{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	clock, logger := timer.NewSystem(), slog.New(slog.DiscardHandler)
 	for _, host := range hosts {
-		nw.servers[host] = broker.NewServer(batch.DefaultConfig(), clock, singleEngineFleet{nw, host}, nw, recordingQuarantine{network: nw, host: host}, tally.NoopScope, logger, 1)
-		nw.clients[host] = broker.NewClient(batch.DefaultConfig(), host, clock, nw, singleEngineFleet{nw, host}, tally.NoopScope, logger, 1)
+		nw.servers[host] = broker.NewServer(batch.DefaultConfig(), clock, singleEngineFleet{nw, host}, hostNetwork{nw, host}, recordingQuarantine{network: nw, host: host}, tally.NoopScope, logger, 1)
+		nw.clients[host] = broker.NewClient(batch.DefaultConfig(), host, clock, hostNetwork{nw, host}, singleEngineFleet{nw, host}, tally.NoopScope, logger, 1)
 		nw.clients[host].SetHostsKnown()
 	}
 	for _, host := range hosts {
@@ -176,6 +203,7 @@
 	nw.mutex.Unlock()
 	for _, host := range hosts {
 		nw.clients[host].HostsChanged()
+		nw.servers[host].Refresh()
 	}
 }
 
@@ -368,3 +396,58 @@
 		assert.Assert(t, time.Since(began) < 50*time.Millisecond, "it took %s", time.Since(began))
 	})
 }
+
+// TestDispatchersTogetherKeepRequestLimit has a host that alone knows the request limit of the engine request grants all
+// the time, while the first dispatcher is unresponsive for a while, leaves, and returns. The engine must get no more
+// than the users allow, nothing while its requests can't be counted, and its rate otherwise.
+func TestDispatchersTogetherKeepRequestLimit(t *testing.T) {
+	const (
+		ratePerSecond = 5
+		window        = 4 * time.Second
+		allowed       = 6*ratePerSecond + 5
+	)
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := startHosts(t, "first", "second", "third")
+		defer stop()
+		nw.mutex.Lock()
+		nw.requestLimits["third"] = serverlimit.Statement{Version: 1, Rate: ratePerSecond}
+		nw.mutex.Unlock()
+		var grantedAt []time.Time
+		requestNumber := uint64(0)
+		requestGrants := func(duration time.Duration) int {
+			before := len(grantedAt)
+			for end := time.Now().Add(duration); time.Now().Before(end); requestNumber++ {
+				grant, oc := nw.acquire(t, "third", requestNumber, 500*time.Millisecond)
+				if !oc.OK() {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				grantedAt = append(grantedAt, time.Now())
+				nw.clients["third"].ReportStarted(grant.Attempt)
+				nw.clients["third"].ReportEnded(broker.EndedGrant{Attempt: grant.Attempt})
+			}
+			return len(grantedAt) - before
+		}
+		assert.Assert(t, requestGrants(10*time.Second) >= 45)
+		nw.mutex.Lock()
+		nw.unresponsiveHosts["first"] = true
+		nw.mutex.Unlock()
+		assert.Equal(t, requestGrants(3*time.Second), 0, "granted by a dispatcher that is not the first one")
+		nw.setLive("second", "third")
+		assert.Assert(t, requestGrants(5*time.Second) >= 20)
+		nw.mutex.Lock()
+		nw.unresponsiveHosts["first"] = false
+		nw.mutex.Unlock()
+		nw.setLive("first", "second", "third")
+		assert.Assert(t, requestGrants(5*time.Second) >= 15)
+		for first := range grantedAt {
+			count := 0
+			for _, at := range grantedAt[first:] {
+				if at.Sub(grantedAt[first]) < window {
+					count++
+				}
+			}
+			assert.Assert(t, count <= allowed, "%d grants in 4 s, allowed %d", count, allowed)
+		}
+	})
+}
