Soak: servers that name a limit of requests

The mix Limits has servers name 0.5, 2 or 10 requests a second while hosts are stopped, killed, frozen, cut and reloaded and servers are replaced, and checks what each server ran in any 4 s, from the hosts that had passed on its limit half a second before and have not been disturbed since.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -34,6 +34,11 @@
 		}
 	}
 	tb.checkCrashingRequests(runsByID)
+	for _, sv := range servers {
+		if sv.ratePerSecond > 0 {
+			tb.checkRequestLimit(sv, exchangesByID)
+		}
+	}
 	excessRequests, runsPerService := 0, map[string]int{}
 	requestsPerService := map[string]int{}
 	for _, ex := range exchanges {
@@ -92,6 +97,40 @@
 	}
 }
 
+// checkRequestLimit checks that a server with a limit ran no more requests in any window than the users allow, counted
+// from half a second after the host that sent them had passed on an answer that names the limit. A fault of a host or
+// of its links excuses the host until it has passed on another such answer.
+func (tb *testbed) checkRequestLimit(sv *server, exchangesByID map[string]*exchange) {
+	const window, namingAllowance = 4 * time.Second, 500 * time.Millisecond
+	hostKnowsLimit := func(hostName string, at time.Time) bool {
+		return slices.ContainsFunc(tb.exchanges, func(ex *exchange) bool {
+			return ex.hostName == hostName && ex.serverID == sv.ID && ex.namesLimit && ex.endedAt.Add(namingAllowance).Before(at) &&
+				!slices.ContainsFunc(tb.disruptions, func(ds disruption) bool {
+					return strings.HasPrefix(ds.name, hostName) && ds.at.After(ex.sentAt) && ds.at.Before(at)
+				})
+		})
+	}
+	var counted []time.Time
+	for _, run := range sv.ExecutedRequests() {
+		if ex := exchangesByID[run.Attempt]; ex != nil && hostKnowsLimit(ex.hostName, run.StartedAt) {
+			counted = append(counted, run.StartedAt)
+		}
+	}
+	allowed := int(1.5*sv.ratePerSecond*window.Seconds()) + 5
+	for first, begin := range counted {
+		count := 0
+		for _, at := range counted[first:] {
+			if at.Sub(begin) < window {
+				count++
+			}
+		}
+		if count > allowed {
+			tb.reportViolation("LIMIT", "%s with a limit of %g/s ran %d requests in %s, allowed %d", sv.ID, sv.ratePerSecond, count, window, allowed)
+			return
+		}
+	}
+}
+
 // minServedRequests is the number of requests that a run must have served for its checks to be meaningful.
 const minServedRequests = 50
 
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -64,6 +64,8 @@
 	// is the server that the seal names.
 	serverID   string
 	fromServer bool
+	// namesLimit says that the response names a limit of the server's requests.
+	namesLimit bool
 	// answer is the response body as far as it came, err the error of sending the request or of reading the response.
 	answer string
 	err    error
@@ -208,6 +210,7 @@
 	if seal := rs.Header.Get("X-Response-Seal"); seal != "" {
 		ex.fromServer, ex.serverID = true, standin.RespondingServer(rs.Header)
 	}
+	ex.namesLimit = rs.Header.Get("Server-Limit") != ""
 	answer, err := io.ReadAll(rs.Body)
 	ex.answer, ex.err = string(answer), err
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -56,6 +56,11 @@
 		terminateHost, killHost, suspendHost, killAllHosts, disruptLink, failStore, failServer,
 		crashAndRestartServer, crashAndRestartServer, crashAndRestartServer, replaceServer, reloadSettings,
 	}},
+	// Limits has servers that name a limit of requests per second.
+	"Limits": {seriesPerSecond: 1, faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
+		terminateHost, killHost, suspendHost, disruptLink, failStore, limitServer, limitServer, limitServer, limitServer,
+		announceOrStallServer, replaceServer, publishDesiredStates, reloadSettings,
+	}},
 }
 
 // drawFaults draws the faults to inject within the given total time and returns them by start time. It draws series of
@@ -164,8 +169,8 @@
 	mode, delay := linkMode(1+random.IntN(int(linkModeCount)-1)), time.Duration(20+random.IntN(280))*time.Millisecond
 	return scheduledFault{
 		description: fmt.Sprintf("link of %s %s", ln.name, mode),
-		inject:      func() { ln.setMode(mode, delay) },
-		revert:      func() { ln.setMode(forwarding, 0) },
+		inject:      func() { tb.recordDisruption(ln.name); ln.setMode(mode, delay) },
+		revert:      func() { tb.recordDisruption(ln.name); ln.setMode(forwarding, 0) },
 	}
 }
 
@@ -221,6 +226,21 @@
 	}
 }
 
+// limitServer has one of the active servers name a limit until the end of the run, unless another server of its service
+// does.
+func limitServer(tb *testbed, random *rand.Rand) scheduledFault {
+	ratePerSecond := []float64{0.5, 2, 10}[random.IntN(3)]
+	randomIndex := random.Int()
+	return scheduledFault{description: fmt.Sprint("a server names a limit of ", ratePerSecond, " requests per second"), inject: func() {
+		active := tb.activeServers()
+		sv := active[randomIndex%len(active)]
+		if !slices.ContainsFunc(active, func(other *server) bool { return other.Service == sv.Service && other.ratePerSecond > 0 }) {
+			sv.ratePerSecond = ratePerSecond
+			sv.SetRequestLimit(fmt.Sprint(ratePerSecond))
+		}
+	}}
+}
+
 // replaceServer starts a new server and then takes an old one out of service as the platform does it: the list shows it
 // as draining before it ends.
 func replaceServer(tb *testbed, random *rand.Rand) scheduledFault {
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -130,6 +130,9 @@
 		// covers the rest of the start.
 		time.Sleep(runtimeStartTime - time.Since(hs.startedAt))
 	}
+	if sig != syscall.SIGHUP {
+		hs.testbed.recordDisruption(hs.name)
+	}
 	if sig == syscall.SIGTERM || sig == syscall.SIGKILL {
 		hs.exitExpected, hs.restartDelay = true, restartDelay
 	}
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -82,6 +82,8 @@
 	hostLogs map[string][]byte
 	// crashedServers contains the IDs of servers that have crashed at least once.
 	crashedServers map[string]bool
+	// disruptions are the times at which faults of hosts and of links began and ended.
+	disruptions []disruption
 	// convergedAt is when convergenceTime had passed since all hosts served each kind of request again after the faults.
 	convergedAt time.Time
 	// stopCrashingRequests ends the client that sends requests that crash servers, and waits for it; nil if there is
@@ -89,10 +91,26 @@
 	stopCrashingRequests func()
 }
 
+// disruption is the beginning or the end of a fault of a host or a link.
+type disruption struct {
+	// name is that of the link, or of the host.
+	name string
+	at   time.Time
+}
+
+// recordDisruption records that a fault of a host or a link begins or ends now.
+func (tb *testbed) recordDisruption(name string) {
+	tb.mutex.Lock()
+	defer tb.mutex.Unlock()
+	tb.disruptions = append(tb.disruptions, disruption{name, time.Now()})
+}
+
 // server is a stand-in server together with the link through which hosts reach it.
 type server struct {
 	*standin.Server
 	link *link
+	// ratePerSecond is the limit that the server names; zero if it names none.
+	ratePerSecond float64
 	// retired says that the server is draining or has ended for good, so that no more faults use it.
 	retired bool
 }
