Report held grants to a new dispatcher before the first request for a grant

Callers saw: engines with more streams than slots, and refusals by full engines, for a moment after a dispatcher left.

Cause: when the dispatcher of a service changed, the report of the grants that a host holds was started beside the request that noticed the change. Where the request arrived first, the new dispatcher granted capacity that is in use. Ruled out: Leave of the old dispatcher (its grants are not delivered); the case without Leave fails the same way.

Change: a request waits for the report to the newly selected dispatcher, at most as long as a call for a grant may take; a failed report counts as a failed call. TestRequestOvertakesHeldGrants delays reports and failed each time before.

--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -41,6 +41,8 @@
 	liveHosts []id.Host
 	// unresponsiveHosts holds the hosts to which calls block until they time out.
 	unresponsiveHosts map[id.Host]bool
+	// reportDelay is how long reports are under way.
+	reportDelay time.Duration
 	// uninformedHosts holds the hosts that don't know the engines yet.
 	uninformedHosts map[id.Host]bool
 	// endReports counts each host's reports that contain ended grants.
@@ -166,6 +168,7 @@
 	if err := nw.call(ctx, dispatcher); err != nil {
 		return err
 	}
+	time.Sleep(nw.reportDelay)
 	if len(report.EndedGrants) > 0 {
 		nw.mutex.Lock()
 		nw.endReports[report.Host]++
@@ -383,6 +386,48 @@
 	}
 }
 
+// TestRequestOvertakesHeldGrants guards against a new dispatcher that gets a request of a host before the report of the
+// grants that the host holds, and grants capacity that is in use.
+func TestRequestOvertakesHeldGrants(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			nw, stop := startHosts(t, "first", "second", "third")
+			defer stop()
+			for requestNumber := range uint64(engineSlots) {
+				_, oc := nw.acquire(t, "third", requestNumber, time.Second)
+				assert.Assert(t, oc.OK(), "request %d: %+v", requestNumber, oc)
+			}
+			time.Sleep(2 * time.Second)
+			nw.reportDelay = 50 * time.Millisecond
+			if leaves {
+				nw.servers["first"].Leave()
+			}
+			nw.setLive("second", "third", "first")
+			_, oc := nw.acquire(t, "third", engineSlots, 300*time.Millisecond)
+			assert.Assert(t, !oc.OK(), "a grant was issued for capacity that is in use")
+		})
+	}
+}
+
+// TestEvidenceIsReportedTwice guards against reports that are under way at the same time and carry the same evidence.
+func TestEvidenceIsReportedTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := startHosts(t, "first", "second")
+		defer stop()
+		nw.reportDelay = 50 * time.Millisecond
+		var want []quarantine.CrashID
+		for crash := range quarantine.CrashID(10) {
+			nw.clients["second"].ReportEvidence(service, quarantine.Evidence{Fingerprint: 7, Crash: crash, Status: quarantine.Confirmed})
+			want = append(want, crash)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		nw.mutex.Lock()
+		defer nw.mutex.Unlock()
+		assert.DeepEqual(t, nw.learnedCrashes["first"], want)
+	})
+}
+
 // TestLeavingDispatcherIsSkipped checks that a request immediately goes to the next dispatcher if the first one is
 // leaving.
 func TestLeavingDispatcherIsSkipped(t *testing.T) {
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
@@ -63,9 +64,8 @@
 	// reportScheduled is set while a timer for flushReport is pending.
 	reportScheduled    bool
 	dispatcherBackoffs map[id.Host]*dispatcherBackoff
-	// selectedDispatchers holds the dispatcher last selected for each service. A change schedules a report of the held
-	// grants.
-	selectedDispatchers map[id.Service]id.Host
+	// handOvers holds the report of held grants to the dispatcher last selected for each service.
+	handOvers map[id.Service]*handOver
 	// ownMachines holds the state machines with which this host chooses engines itself while no dispatcher can be reached.
 	ownMachines  map[id.Service]*batch.Machine
 	config       batch.Config
@@ -77,6 +77,24 @@
 	hostsKnownOnce sync.Once
 }
 
+// handOver is the report of held grants to a dispatcher that has just been selected.
+type handOver struct {
+	dispatcher id.Host
+	// ended is closed when the report has been received or has failed, for which err is then the reason.
+	ended chan struct{}
+	err   error
+}
+
+// hasFailed reports whether the report has failed.
+func (ho *handOver) hasFailed() bool {
+	select {
+	case <-ho.ended:
+		return ho.err != nil
+	default:
+		return false
+	}
+}
+
 // dispatcherBackoff says how long to skip a dispatcher to which a call failed. A call also fails if the host answers
 // that it is leaving or doesn't know the engines.
 type dispatcherBackoff struct {
@@ -89,21 +107,21 @@
 // the random choices that are made without a dispatcher.
 func NewClient(config batch.Config, host id.Host, clock timer.Clock, peers Peers, fleet Fleet, metrics tally.Scope, logger *slog.Logger, seed uint64) *Client {
 	return &Client{
-		config:              config,
-		host:                host,
-		clock:               clock,
-		peers:               peers,
-		fleet:               fleet,
-		metrics:             metrics,
-		logger:              logger,
-		seed:                seed,
-		heldGrants:          map[id.Attempt]*HeldGrant{},
-		evidenceBuffers:     map[id.Service]*evidenceBuffer{},
-		waiters:             map[id.Request]chan GrantResponse{},
-		dispatcherBackoffs:  map[id.Host]*dispatcherBackoff{},
-		selectedDispatchers: map[id.Service]id.Host{},
-		ownMachines:         map[id.Service]*batch.Machine{},
-		hostsKnown:          make(chan struct{}),
+		config:             config,
+		host:               host,
+		clock:              clock,
+		peers:              peers,
+		fleet:              fleet,
+		metrics:            metrics,
+		logger:             logger,
+		seed:               seed,
+		heldGrants:         map[id.Attempt]*HeldGrant{},
+		evidenceBuffers:    map[id.Service]*evidenceBuffer{},
+		waiters:            map[id.Request]chan GrantResponse{},
+		dispatcherBackoffs: map[id.Host]*dispatcherBackoff{},
+		handOvers:          map[id.Service]*handOver{},
+		ownMachines:        map[id.Service]*batch.Machine{},
+		hostsKnown:         make(chan struct{}),
 	}
 }
 
@@ -142,11 +160,7 @@
 		if !ok || dispatcherFailed && cl.clock.Now().Sub(request.ArrivedAt) > time.Duration(dispatcherWaitShare*float64(request.FirstEventTarget)) {
 			return cl.chooseWithoutDispatcherWithRetry(ctx, request)
 		}
-		callCtx, cancel := context.WithTimeout(ctx, grantRequestTimeout)
-		informed := request
-		informed.RequestLimits = cl.fleet.RequestLimits(request.Service)
-		response, err := cl.peers.RequestGrant(callCtx, dispatcher, informed)
-		cancel()
+		response, err := cl.requestGrant(ctx, dispatcher, request)
 		if err != nil {
 			if ctx.Err() == nil {
 				dispatcherFailed = true
@@ -170,11 +184,33 @@
 	return batch.Grant{}, outcome.Refuse(outcome.DeadlineExceeded, "the request found no engine in its time").WithRetryAfter(time.Second)
 }
 
+// requestGrant sends a request to a dispatcher, after the report of the grants that this host holds. Otherwise a new
+// dispatcher could grant the request capacity that is in use.
+func (cl *Client) requestGrant(ctx context.Context, dispatcher id.Host, request GrantRequest) (GrantResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, grantRequestTimeout)
+	defer cancel()
+	cl.mutex.Lock()
+	ho := cl.handOvers[request.Service]
+	cl.mutex.Unlock()
+	if ho != nil && ho.dispatcher == dispatcher {
+		select {
+		case <-ho.ended:
+		case <-ctx.Done():
+			return GrantResponse{}, errors.Wrap(ctx.Err(), "report held grants")
+		}
+		if ho.err != nil {
+			return GrantResponse{}, ho.err
+		}
+	}
+	request.RequestLimits = cl.fleet.RequestLimits(request.Service)
+	return cl.peers.RequestGrant(ctx, dispatcher, request)
+}
+
 // withdrawFrom withdraws a request from its previous dispatcher in the background. That dispatcher no longer receives
 // reports of held grants, so it could grant the request capacity that is already in use.
 func (cl *Client) withdrawFrom(dispatcher id.Host, request GrantRequest) {
 	cl.pendingSends.Go(func() {
-		cl.sendReport(request.Service, dispatcher, Report{Host: cl.host, EndedGrants: []EndedGrant{{Service: request.Service, Request: request.ID, Withdrawn: true}}}, 0)
+		_ = cl.sendReport(request.Service, dispatcher, Report{Host: cl.host, EndedGrants: []EndedGrant{{Service: request.Service, Request: request.ID, Withdrawn: true}}}, 0)
 	})
 }
 
@@ -223,7 +259,7 @@
 }
 
 // selectDispatcher returns the first dispatcher of a service that is not backed off, or false if there is none. When
-// the choice changes, it schedules a report of the held grants, so that the new dispatcher learns them.
+// the choice changes, it starts to report the held grants to the new dispatcher.
 func (cl *Client) selectDispatcher(service id.Service) (id.Host, bool) {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
@@ -232,15 +268,42 @@
 		if backoff, backingOff := cl.dispatcherBackoffs[dispatcher]; backingOff && now.Before(backoff.until) {
 			continue
 		}
-		if cl.selectedDispatchers[service] != dispatcher {
-			cl.selectedDispatchers[service] = dispatcher
-			cl.clock.After(0, func() { cl.reportHeldGrants(context.Background()) })
+		if ho := cl.handOvers[service]; ho == nil || ho.dispatcher != dispatcher || ho.hasFailed() {
+			cl.startHandOver(service, dispatcher)
 		}
 		return dispatcher, true
 	}
 	return "", false
 }
 
+// startHandOver reports the held grants of a service, and undelivered evidence, to a dispatcher in the background. The
+// caller holds the mutex.
+func (cl *Client) startHandOver(service id.Service, dispatcher id.Host) {
+	ho := &handOver{dispatcher: dispatcher, ended: make(chan struct{})}
+	cl.handOvers[service] = ho
+	report := Report{Host: cl.host}
+	for _, held := range cl.heldGrants {
+		if held.GrantRequest.Service == service {
+			report.HeldGrants = append(report.HeldGrants, *held)
+		}
+	}
+	addedCount := 0
+	if buffer, ok := cl.evidenceBuffers[service]; ok {
+		report.Evidence, addedCount = buffer.undelivered(cl.clock.Now(), dispatcher)
+	}
+	if report.isEmpty() {
+		close(ho.ended)
+		return
+	}
+	started := cl.pendingSends.Go(func() {
+		ho.err = cl.sendReport(service, dispatcher, report, addedCount)
+		close(ho.ended)
+	})
+	if !started {
+		close(ho.ended)
+	}
+}
+
 // HostsChanged is called when the live hosts change. It selects the dispatcher of every service with held grants again,
 // so that a new dispatcher learns them even if this host requests nothing from it.
 func (cl *Client) HostsChanged() {
@@ -463,7 +526,7 @@
 			evidence, addedCount := cl.undeliveredEvidence(service, dispatcher)
 			report.Evidence = evidence
 			if !report.isEmpty() {
-				cl.pendingSends.Go(func() { cl.sendReport(service, dispatcher, *report, addedCount) })
+				cl.pendingSends.Go(func() { _ = cl.sendReport(service, dispatcher, *report, addedCount) })
 			}
 		}
 	}
@@ -490,21 +553,22 @@
 // sendReport sends a report to a dispatcher. Evidence is marked as delivered only after the call has succeeded, so that
 // the next report repeats it otherwise. Reports that are in flight at the same time may carry the same evidence. Other
 // contents of a failed report are lost.
-func (cl *Client) sendReport(service id.Service, dispatcher id.Host, report Report, addedCount int) {
+func (cl *Client) sendReport(service id.Service, dispatcher id.Host, report Report, addedCount int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	if err := cl.peers.SendReport(ctx, dispatcher, report); err != nil {
 		cl.metrics.Counter("report_failures").Inc(1)
 		cl.logger.Warn("report to dispatcher failed", "dispatcher", string(dispatcher), "service", string(service), "ended", len(report.EndedGrants),
 			"evidence", len(report.Evidence), "error", err.Error())
-		return
+		return errors.Wrap(err, "send report")
 	}
 	if len(report.Evidence) == 0 {
-		return
+		return nil
 	}
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
 	if buffer, ok := cl.evidenceBuffers[service]; ok {
 		buffer.markDelivered(dispatcher, addedCount)
 	}
+	return nil
 }
