Deliver each piece of crash evidence to a dispatcher once at a time

Nobody saw it outside: evidence is a set, so a second copy changes nothing but the bytes between hosts.

Change: while a delivery to a dispatcher is under way, further reports to it carry no evidence; what was added meanwhile follows at its end, what was not received with the next report. A delivery to a dispatcher that has been replaced says nothing any more.

--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -168,7 +168,10 @@
 	if err := nw.call(ctx, dispatcher); err != nil {
 		return err
 	}
-	time.Sleep(nw.reportDelay)
+	nw.mutex.Lock()
+	reportDelay := nw.reportDelay
+	nw.mutex.Unlock()
+	time.Sleep(reportDelay)
 	if len(report.EndedGrants) > 0 {
 		nw.mutex.Lock()
 		nw.endReports[report.Host]++
@@ -210,6 +213,13 @@
 	}
 }
 
+// delayReports makes reports take some time to arrive from now on.
+func (nw *network) delayReports(delay time.Duration) {
+	nw.mutex.Lock()
+	defer nw.mutex.Unlock()
+	nw.reportDelay = delay
+}
+
 // acquire requests a grant on behalf of a host and waits for it up to waitLimit.
 func (nw *network) acquire(t *testing.T, host id.Host, requestNumber uint64, waitLimit time.Duration) (batch.Grant, outcome.Outcome) {
 	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
@@ -398,7 +408,7 @@
 				assert.Assert(t, oc.OK(), "request %d: %+v", requestNumber, oc)
 			}
 			time.Sleep(2 * time.Second)
-			nw.reportDelay = 50 * time.Millisecond
+			nw.delayReports(50 * time.Millisecond)
 			if leaves {
 				nw.servers["first"].Leave()
 			}
@@ -414,7 +424,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		nw, stop := startHosts(t, "first", "second")
 		defer stop()
-		nw.reportDelay = 50 * time.Millisecond
+		nw.delayReports(50 * time.Millisecond)
 		var want []quarantine.CrashID
 		for crash := range quarantine.CrashID(10) {
 			nw.clients["second"].ReportEvidence(service, quarantine.Evidence{Fingerprint: 7, Crash: crash, Status: quarantine.Confirmed})
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -210,7 +210,7 @@
 // reports of held grants, so it could grant the request capacity that is already in use.
 func (cl *Client) withdrawFrom(dispatcher id.Host, request GrantRequest) {
 	cl.pendingSends.Go(func() {
-		_ = cl.sendReport(request.Service, dispatcher, Report{Host: cl.host, EndedGrants: []EndedGrant{{Service: request.Service, Request: request.ID, Withdrawn: true}}}, 0)
+		_ = cl.sendReport(request.Service, dispatcher, Report{Host: cl.host, EndedGrants: []EndedGrant{{Service: request.Service, Request: request.ID, Withdrawn: true}}}, nil)
 	})
 }
 
@@ -287,16 +287,13 @@
 			report.HeldGrants = append(report.HeldGrants, *held)
 		}
 	}
-	addedCount := 0
-	if buffer, ok := cl.evidenceBuffers[service]; ok {
-		report.Evidence, addedCount = buffer.undelivered(cl.clock.Now(), dispatcher)
-	}
-	if report.isEmpty() {
+	dl := cl.beginDelivery(service, dispatcher)
+	if dl == nil && report.isEmpty() {
 		close(ho.ended)
 		return
 	}
 	started := cl.pendingSends.Go(func() {
-		ho.err = cl.sendReport(service, dispatcher, report, addedCount)
+		ho.err = cl.sendReport(service, dispatcher, report, dl)
 		close(ho.ended)
 	})
 	if !started {
@@ -523,10 +520,11 @@
 	}
 	for service, report := range reports {
 		if dispatcher, ok := cl.selectDispatcher(service); ok {
-			evidence, addedCount := cl.undeliveredEvidence(service, dispatcher)
-			report.Evidence = evidence
-			if !report.isEmpty() {
-				cl.pendingSends.Go(func() { _ = cl.sendReport(service, dispatcher, *report, addedCount) })
+			cl.mutex.Lock()
+			dl := cl.beginDelivery(service, dispatcher)
+			cl.mutex.Unlock()
+			if dl != nil || !report.isEmpty() {
+				cl.pendingSends.Go(func() { _ = cl.sendReport(service, dispatcher, *report, dl) })
 			}
 		}
 	}
@@ -538,37 +536,42 @@
 	return slices.Collect(maps.Keys(cl.evidenceBuffers))
 }
 
-// undeliveredEvidence returns the evidence that a dispatcher has not received, and the number of entries ever added to
-// the service's buffer.
-func (cl *Client) undeliveredEvidence(service id.Service, dispatcher id.Host) ([]quarantine.Evidence, int) {
-	cl.mutex.Lock()
-	defer cl.mutex.Unlock()
+// beginDelivery begins to deliver the evidence about a service that a dispatcher has not received. It returns nil if there
+// is none to deliver now. The caller holds the mutex.
+func (cl *Client) beginDelivery(service id.Service, dispatcher id.Host) *delivery {
 	buffer, ok := cl.evidenceBuffers[service]
 	if !ok {
-		return nil, 0
+		return nil
+	}
+	return buffer.beginDelivery(cl.clock.Now(), dispatcher)
+}
+
+// endDelivery ends a delivery of evidence about a service. What has been added meanwhile is reported next.
+func (cl *Client) endDelivery(service id.Service, dl *delivery, received bool) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	if cl.evidenceBuffers[service].endDelivery(dl, received) {
+		cl.scheduleReport()
 	}
-	return buffer.undelivered(cl.clock.Now(), dispatcher)
 }
 
-// sendReport sends a report to a dispatcher. Evidence is marked as delivered only after the call has succeeded, so that
-// the next report repeats it otherwise. Reports that are in flight at the same time may carry the same evidence. Other
-// contents of a failed report are lost.
-func (cl *Client) sendReport(service id.Service, dispatcher id.Host, report Report, addedCount int) error {
+// sendReport sends a report to a dispatcher, with the evidence of a delivery unless that is nil. Evidence that was not
+// received is repeated in the next report. Other contents of a failed report are lost.
+func (cl *Client) sendReport(service id.Service, dispatcher id.Host, report Report, dl *delivery) error {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	if err := cl.peers.SendReport(ctx, dispatcher, report); err != nil {
+	if dl != nil {
+		report.Evidence = dl.evidence
+	}
+	err := cl.peers.SendReport(ctx, dispatcher, report)
+	if dl != nil {
+		cl.endDelivery(service, dl, err == nil)
+	}
+	if err != nil {
 		cl.metrics.Counter("report_failures").Inc(1)
 		cl.logger.Warn("report to dispatcher failed", "dispatcher", string(dispatcher), "service", string(service), "ended", len(report.EndedGrants),
 			"evidence", len(report.Evidence), "error", err.Error())
 		return errors.Wrap(err, "send report")
 	}
-	if len(report.Evidence) == 0 {
-		return nil
-	}
-	cl.mutex.Lock()
-	defer cl.mutex.Unlock()
-	if buffer, ok := cl.evidenceBuffers[service]; ok {
-		buffer.markDelivered(dispatcher, addedCount)
-	}
 	return nil
 }
--- a/coordination/broker/evidence.go
+++ b/coordination/broker/evidence.go
@@ -25,6 +25,16 @@
 	recipient id.Host
 	// deliveredCount is the number of entries that recipient has, counted from the first entry ever added.
 	deliveredCount int
+	// current is the newest delivery that has not ended; nil if there is none.
+	current *delivery
+}
+
+// delivery is a report with evidence that is under way to a dispatcher.
+type delivery struct {
+	dispatcher id.Host
+	// addedCount is the number of entries ever added when the report was made.
+	addedCount int
+	evidence   []quarantine.Evidence
 }
 
 // evidenceEntry is evidence with the time at which it was added.
@@ -46,9 +56,13 @@
 	eb.droppedCount += count
 }
 
-// undelivered drops expired entries and returns the evidence that a dispatcher has not received, and the number of
-// entries ever added, to be passed to markDelivered once the evidence has arrived.
-func (eb *evidenceBuffer) undelivered(now time.Time, dispatcher id.Host) ([]quarantine.Evidence, int) {
+// beginDelivery drops expired entries and begins to deliver to a dispatcher the evidence that it has not received. It
+// returns nil if there is none, or while another delivery to the dispatcher is under way. endDelivery must be called
+// once the delivery has ended.
+func (eb *evidenceBuffer) beginDelivery(now time.Time, dispatcher id.Host) *delivery {
+	if eb.current != nil && eb.current.dispatcher == dispatcher {
+		return nil
+	}
 	expired := 0
 	for expired < len(eb.entries) && now.Sub(eb.entries[expired].addedAt) > evidenceTTL {
 		expired++
@@ -58,17 +72,26 @@
 	if eb.recipient == dispatcher {
 		first = max(0, eb.deliveredCount-eb.droppedCount)
 	}
-	var evidence []quarantine.Evidence
+	if first == len(eb.entries) {
+		return nil
+	}
+	eb.current = &delivery{dispatcher: dispatcher, addedCount: eb.droppedCount + len(eb.entries)}
 	for _, entry := range eb.entries[first:] {
-		evidence = append(evidence, entry.Evidence)
+		eb.current.evidence = append(eb.current.evidence, entry.Evidence)
 	}
-	return evidence, eb.droppedCount + len(eb.entries)
+	return eb.current
 }
 
-// markDelivered records that a dispatcher has the first addedCount entries, counted from the first entry ever added.
-func (eb *evidenceBuffer) markDelivered(dispatcher id.Host, addedCount int) {
-	if eb.recipient == dispatcher {
-		addedCount = max(addedCount, eb.deliveredCount)
+// endDelivery records whether the dispatcher has received a delivery, and reports whether more evidence has been added
+// meanwhile. It ignores a delivery that another one, to another dispatcher, has replaced.
+func (eb *evidenceBuffer) endDelivery(dl *delivery, received bool) bool {
+	if eb.current != dl {
+		return false
+	}
+	eb.current = nil
+	if !received {
+		return false
 	}
-	eb.recipient, eb.deliveredCount = dispatcher, addedCount
+	eb.recipient, eb.deliveredCount = dl.dispatcher, dl.addedCount
+	return eb.droppedCount+len(eb.entries) > dl.addedCount
 }
