Pass limits on with requests for grants only while responses name them

Reading of the change before: a request for a grant carried the statement on every server that ever named a limit, ended ones too; with 135 engines in need that is about 4 KB a request, more than all control may take. Hosts know limits by gossip after a tenth of a second; a request for a grant needs to carry only what responses to the host said in the last 2 s. Permits still carry all statements on their few servers. Measured: tests of the four packages and of site for limits pass; serverlimit.TestStatementsSinceObservation is new.

--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -21,8 +21,8 @@
 	Service id.Service
 	// Host is the entry host that sends the request.
 	Host id.Host
-	// RequestLimits is what the entry host knows of the request limits of the service's engines. The dispatcher thus knows
-	// a limit no later than the first host that asks it for a grant after it learned the limit.
+	// RequestLimits is what recent responses to the entry host said of the request limits of the service's engines. The
+	// dispatcher thus knows a limit before it grants a request of a host that does.
 	RequestLimits []serverlimit.Statement
 }
 
@@ -86,7 +86,7 @@
 	EngineProfile(service id.Service) (route.EngineProfile, bool)
 	// Engines returns the engines that serve a service.
 	Engines(service id.Service) []batch.EngineSpec
-	// RequestLimits returns what this host knows of the request limits of a service's engines.
+	// RequestLimits returns what recent responses to this host said of the request limits of a service's engines.
 	RequestLimits(service id.Service) []serverlimit.Statement
 	// LearnRequestLimits takes what another host knows of request limits.
 	LearnRequestLimits(host id.Host, statements []serverlimit.Statement)
--- a/coordination/requestlimit/tracker.go
+++ b/coordination/requestlimit/tracker.go
@@ -102,7 +102,18 @@
 func (tr *Tracker) Statements(servers []serverlist.Server) []serverlimit.Statement {
 	tr.mutex.Lock()
 	defer tr.mutex.Unlock()
-	return tr.table.Statements(servers)
+	return tr.table.Statements(servers, time.Time{})
+}
+
+// observedDuration is how long a response of a server is passed on directly to the hosts that count the server's
+// requests. Later they know it by gossip.
+const observedDuration = 2 * time.Second
+
+// ObservedStatements returns what recent responses to this host said of the limits of the given servers.
+func (tr *Tracker) ObservedStatements(servers []serverlist.Server) []serverlimit.Statement {
+	tr.mutex.Lock()
+	defer tr.mutex.Unlock()
+	return tr.table.Statements(servers, tr.clock.Now().Add(-observedDuration))
 }
 
 // UpdateServers takes a new version of the list of servers.
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -210,9 +210,9 @@
 	return specs
 }
 
-// RequestLimits returns what this host knows of the request limits of a service's servers.
+// RequestLimits returns what recent responses to this host said of the request limits of a service's servers.
 func (fl *fleet) RequestLimits(service id.Service) []serverlimit.Statement {
-	return fl.limits.Statements(fl.Servers(service))
+	return fl.limits.ObservedStatements(fl.Servers(service))
 }
 
 // LearnRequestLimits takes what another host knows of request limits.
--- a/state/serverlimit/serverlimit.go
+++ b/state/serverlimit/serverlimit.go
@@ -76,6 +76,8 @@
 type knownStatement struct {
 	Statement
 	learnedAt time.Time
+	// observedAt is when a response to this host last agreed with the statement; zero if none has.
+	observedAt time.Time
 }
 
 // Table holds the newest statement on each server. It is not safe for concurrent use.
@@ -109,6 +111,10 @@
 		known = knownStatement{Statement: Statement{Server: hash, StartedAtMillis: startedAtMillis}}
 	}
 	switch {
+	case exists && startedAtMillis == known.StartedAtMillis && response.Rate == known.Rate:
+		known.observedAt = now
+		tb.statements[hash] = known
+		return Statement{}, false
 	case startedAtMillis < known.StartedAtMillis, response.Rate == known.Rate, response.Rate == 0 && !response.Successful:
 		return Statement{}, false
 	case response.SentAt.Before(known.learnedAt) && !response.Rate.tighterThan(known.Rate):
@@ -116,7 +122,7 @@
 	}
 	known.Version++
 	known.Rate = response.Rate
-	known.learnedAt = now
+	known.learnedAt, known.observedAt = now, now
 	tb.statements[hash] = known
 	return known.Statement, true
 }
@@ -146,14 +152,15 @@
 // IsEmpty reports whether no statement is known.
 func (tb *Table) IsEmpty() bool { return len(tb.statements) == 0 }
 
-// Statements returns the known statements on the listed servers, those that end a limit included.
-func (tb *Table) Statements(listed []serverlist.Server) []Statement {
+// Statements returns the known statements on the listed servers, those that end a limit included, as far as a response
+// to this host has agreed with them since the given time. The zero time includes all statements.
+func (tb *Table) Statements(listed []serverlist.Server, since time.Time) []Statement {
 	if tb.IsEmpty() {
 		return nil
 	}
 	var statements []Statement
 	for _, server := range listed {
-		if known, exists := tb.statements[id.HashServer(server.ID)]; exists && known.StartedAtMillis == server.StartedAtMillis {
+		if known, exists := tb.statements[id.HashServer(server.ID)]; exists && known.StartedAtMillis == server.StartedAtMillis && !known.observedAt.Before(since) {
 			statements = append(statements, known.Statement)
 		}
 	}
--- a/state/serverlimit/serverlimit_test.go
+++ b/state/serverlimit/serverlimit_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
@@ -87,6 +88,27 @@
 	assert.Equal(t, table.Rate(restarted), serverlimit.Rate(0))
 }
 
+// TestStatementsSinceObservation checks that a statement counts as observed while responses agree with it, and not if
+// another host made it.
+func TestStatementsSinceObservation(t *testing.T) {
+	table := serverlimit.NewTable()
+	observe := func(seconds int) {
+		at := start.Add(time.Duration(seconds) * time.Second)
+		table.Observe(at, serverlimit.Response{Server: server, SentAt: at, Rate: 2, Successful: true})
+	}
+	observedSince := func(seconds int) int {
+		return len(table.Statements([]serverlist.Server{server}, start.Add(time.Duration(seconds)*time.Second)))
+	}
+	observe(1)
+	assert.Equal(t, observedSince(1), 1)
+	assert.Equal(t, observedSince(2), 0)
+	observe(5)
+	assert.Equal(t, observedSince(2), 1)
+	assert.Assert(t, table.Learn(start.Add(6*time.Second), serverlimit.Statement{Server: id.HashServer(server.ID), StartedAtMillis: server.StartedAtMillis, Version: 9, Rate: 3}))
+	assert.Equal(t, observedSince(2), 0)
+	assert.Equal(t, len(table.Statements([]serverlist.Server{server}, time.Time{})), 1)
+}
+
 // TestTablesAgree checks that hosts that receive the same statements in any order, and more than once, agree.
 func TestTablesAgree(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
