Retries of requests that were on a crashed engine run alone even if the dispatcher does not know of the crash

Cause found by reading and shown by a forced order: streams that end together on a host queue the ends of their grants, and the first of them to take the queue reports all. The others find it empty and return at once, though each is to wait until the crash is counted. Their retries reach the dispatcher first, are not known as suspects and share the next engine, which the crashing one among them ends as well. The same happens when a report is lost, when a call to the first dispatcher fails and the next one is asked, which knows neither crashes nor grants, and after a hand-over.

Change: a host asks for a run alone itself for contents under which it saw an engine crash, and for those that its own table suspects; such a request goes to the first dispatcher only and waits for it.

--- a/coordination/shard/client.go
+++ b/coordination/shard/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -47,6 +48,9 @@
 	random         *rand.Rand
 	heldGrants     map[id.Attempt]*trackedGrant
 	unreportedEnds map[id.Shard][]EndedGrant
+	// crashedContents holds when this host last saw an engine crash under a content. The dispatcher may not have received
+	// the report.
+	crashedContents map[id.Fingerprint]time.Time
 	// engineLoads holds the loads that dispatchers last reported, increased by the requests for which this host has chosen
 	// engines itself since.
 	engineLoads map[id.Engine]EngineLoad
@@ -75,6 +79,8 @@
 		heldGrants:     map[id.Attempt]*trackedGrant{},
 		unreportedEnds: map[id.Shard][]EndedGrant{},
 		engineLoads:    map[id.Engine]EngineLoad{},
+
+		crashedContents: map[id.Fingerprint]time.Time{},
 	}
 }
 
@@ -95,17 +101,25 @@
 
 // Acquire requests a grant and waits for it until the context ends. When a call to a dispatcher fails, it chooses an
 // engine itself if the prompt is short and the request need not run alone, or else fails over to the next dispatcher in
-// order.
+// order. A request that must run alone waits for the first dispatcher.
 func (cl *Client) Acquire(ctx context.Context, request GrantRequest) (dispatch.Grant, outcome.Outcome) {
 	request.Host = cl.host
 	request.Incarnation = cl.incarnation
+	// The dispatcher may not know of crashes that this host knows of: their reports may be lost, or it has just taken over.
+	decision, _ := cl.quarantine.QuarantineDecision(request.ContentFingerprint)
+	request.RunAlone = request.RunAlone || decision != quarantine.Run || cl.hasCrashed(request.ContentFingerprint)
 	failures := 0
 	for ctx.Err() == nil {
 		dispatchers := cl.peers.ShardDispatchers(request.Shard)
 		if len(dispatchers) == 0 {
 			return dispatch.Grant{}, outcome.Refuse(outcome.NoCapacity, "no host dispatches for the service").WithRetryAfter(time.Second)
 		}
-		response, err := cl.requestGrant(ctx, dispatchers[failures%len(dispatchers)], request)
+		dispatcher := dispatchers[failures%len(dispatchers)]
+		if request.RunAlone {
+			// Another dispatcher does not know which engines run what.
+			dispatcher = dispatchers[0]
+		}
+		response, err := cl.requestGrant(ctx, dispatcher, request)
 		switch {
 		case err != nil:
 			failures++
@@ -231,12 +245,43 @@
 	if held, ok := cl.heldGrants[ended.Attempt]; ok {
 		ended.Shard = held.Shard
 		delete(cl.heldGrants, ended.Attempt)
+		cl.recordCrash(held.ContentFingerprint, ended)
 	}
 	cl.queueEndedLocked(ended)
 	cl.mutex.Unlock()
 	cl.reportShard(ctx, ended.Shard, false)
 }
 
+const (
+	// crashMemory is how long a content runs alone after this host saw an engine crash under it.
+	crashMemory = 10 * time.Minute
+	// maxCrashedContents bounds the memory of these contents.
+	maxCrashedContents = 1000
+)
+
+// recordCrash records whether an engine crashed under a content. An attempt that ran to its end clears the content. The
+// caller holds the mutex.
+func (cl *Client) recordCrash(fingerprint id.Fingerprint, ended EndedGrant) {
+	now := cl.clock.Now()
+	switch {
+	case ended.Completed:
+		delete(cl.crashedContents, fingerprint)
+	case ended.CrashedEngine != "":
+		maps.DeleteFunc(cl.crashedContents, func(_ id.Fingerprint, crashedAt time.Time) bool { return now.Sub(crashedAt) > crashMemory })
+		if len(cl.crashedContents) < maxCrashedContents {
+			cl.crashedContents[fingerprint] = now
+		}
+	}
+}
+
+// hasCrashed reports whether this host recently saw an engine crash under a content.
+func (cl *Client) hasCrashed(fingerprint id.Fingerprint) bool {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	crashedAt, crashed := cl.crashedContents[fingerprint]
+	return crashed && cl.clock.Now().Sub(crashedAt) <= crashMemory
+}
+
 // queueEndedLocked queues a report that a grant has ended or that a request was withdrawn. The caller holds the mutex.
 func (cl *Client) queueEndedLocked(ended EndedGrant) {
 	unreported := append(cl.unreportedEnds[ended.Shard], ended)
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -39,6 +39,10 @@
 	refusingHosts map[id.Host]bool
 	// unresponsiveHosts accept calls but never answer.
 	unresponsiveHosts map[id.Host]bool
+	// reportsFail makes reports to all dispatchers fail.
+	reportsFail bool
+	// reportDelay is how long reports are under way, orderDelay how long it takes to find the dispatchers.
+	reportDelay, orderDelay time.Duration
 	// crashEvidenceCount counts the evidence that servers have passed to onCrashEvidence.
 	crashEvidenceCount int
 	// grantHolder is the client that Orphaned queries, nil if there is none.
@@ -121,6 +125,10 @@
 func (cl *cluster) RecordObservation(string, fleet.Observation) {}
 
 func (cl *cluster) ShardDispatchers(id.Shard) []id.Host {
+	cl.mutex.Lock()
+	delay := cl.orderDelay
+	cl.mutex.Unlock()
+	time.Sleep(delay)
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
 	return append([]id.Host(nil), cl.dispatchOrder...)
@@ -153,6 +161,13 @@
 	if err := cl.call(ctx, dispatcher); err != nil {
 		return shard.ReportResponse{}, err
 	}
+	cl.mutex.Lock()
+	fails, delay := cl.reportsFail, cl.reportDelay
+	cl.mutex.Unlock()
+	time.Sleep(delay)
+	if fails {
+		return shard.ReportResponse{}, errors.New("report lost")
+	}
 	return cl.servers[dispatcher].HandleReport(ctx, report), nil
 }
 
@@ -302,6 +317,106 @@
 	})
 }
 
+// TestRetriesShareEngineAfterCommonCrash guards against requests that ran on a crashed engine and are retried together,
+// because only one of them waits for the report of the crash that carries them all.
+func TestRetriesShareEngineAfterCommonCrash(t *testing.T) {
+	runWithCluster(t, func(ctx context.Context, t *testing.T, cl *cluster) {
+		client := cl.startClient(ctx)
+		var requests []shard.GrantRequest
+		var attempts []id.Attempt
+		for _, name := range []id.Request{"crashing", "unrelated-1", "unrelated-2"} {
+			request := newGrantRequest(name, 1000)
+			grant, oc := client.Acquire(ctx, request)
+			assert.Assert(t, oc.OK(), oc.Detail)
+			requests, attempts = append(requests, request), append(attempts, grant.Attempt)
+		}
+		cl.mutex.Lock()
+		cl.reportDelay, cl.orderDelay = 50*time.Millisecond, time.Millisecond
+		cl.mutex.Unlock()
+		granted := make([]bool, len(requests))
+		var retries sync.WaitGroup
+		for index, request := range requests {
+			retries.Go(func() {
+				client.ReportEnded(ctx, shard.EndedGrant{Request: request.ID, Attempt: attempts[index], CrashedEngine: "engine-1"})
+				request.AttemptNumber = 2
+				shortCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+				defer cancel()
+				_, oc := client.Acquire(shortCtx, request)
+				granted[index] = oc.OK()
+			})
+		}
+		retries.Wait()
+		grantedCount := 0
+		for _, ok := range granted {
+			if ok {
+				grantedCount++
+			}
+		}
+		assert.Equal(t, grantedCount, 1)
+	})
+}
+
+// TestRetryAfterLostCrashReport guards against a request that is retried beside others because the report of its first
+// crash has not reached the dispatcher.
+func TestRetryAfterLostCrashReport(t *testing.T) {
+	runWithCluster(t, func(ctx context.Context, t *testing.T, cl *cluster) {
+		client := cl.startClient(ctx)
+		unrelated, oc := client.Acquire(ctx, newGrantRequest("unrelated", 1000))
+		assert.Assert(t, oc.OK(), oc.Detail)
+		crashing := newGrantRequest("crashing", 1000)
+		grant, oc := client.Acquire(ctx, crashing)
+		assert.Assert(t, oc.OK(), oc.Detail)
+		cl.mutex.Lock()
+		cl.reportsFail = true
+		cl.mutex.Unlock()
+		client.ReportEnded(ctx, shard.EndedGrant{Request: crashing.ID, Attempt: grant.Attempt, CrashedEngine: "engine-1"})
+		crashing.AttemptNumber = 2
+		shortCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		_, oc = client.Acquire(shortCtx, crashing)
+		assert.Assert(t, !oc.OK(), "the retry runs beside an unrelated request")
+		cl.mutex.Lock()
+		cl.reportsFail = false
+		cl.mutex.Unlock()
+		client.ReportEnded(ctx, shard.EndedGrant{Request: "unrelated", Attempt: unrelated.Attempt, Completed: true})
+		_, oc = client.Acquire(ctx, crashing)
+		assert.Assert(t, oc.OK(), oc.Detail)
+	})
+}
+
+// TestSuspectsShareEngineAfterFailover guards against two dispatchers that each grant the same engine to a content that
+// must run alone: after a call to the first dispatcher has failed, and after the first dispatcher has been replaced.
+func TestSuspectsShareEngineAfterFailover(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		runWithCluster(t, func(ctx context.Context, t *testing.T, cl *cluster) {
+			client := cl.startClient(ctx)
+			running, next := newGrantRequest("running", 1000), newGrantRequest("next", 1000)
+			for crash, suspect := range []shard.GrantRequest{running, next} {
+				cl.servers["one"].LearnReportedEvidence(quarantine.Evidence{Fingerprint: suspect.ContentFingerprint, Crash: quarantine.CrashID(crash), Status: quarantine.Confirmed})
+			}
+			grant, oc := client.Acquire(ctx, running)
+			assert.Assert(t, oc.OK(), oc.Detail)
+			cl.mutex.Lock()
+			cl.unresponsiveHosts["one"] = true
+			if replaced {
+				cl.dispatchOrder = []id.Host{"two"}
+			}
+			cl.mutex.Unlock()
+			time.Sleep(5 * time.Second)
+			shortCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
+			defer cancel()
+			_, oc = client.Acquire(shortCtx, next)
+			assert.Assert(t, !oc.OK(), "granted an engine that another suspect occupies; replaced %v", replaced)
+			client.ReportEnded(ctx, shard.EndedGrant{Request: running.ID, Attempt: grant.Attempt, Completed: true})
+			cl.mutex.Lock()
+			cl.unresponsiveHosts["one"] = false
+			cl.mutex.Unlock()
+			_, oc = client.Acquire(ctx, next)
+			assert.Assert(t, oc.OK(), oc.Detail)
+		})
+	}
+}
+
 // TestLeavingEngineGetsNoNewGrants checks that a request is refused noticeTime after the only engine has been marked as
 // leaving, either in the list of engines or in its own load report.
 func TestLeavingEngineGetsNoNewGrants(t *testing.T) {
