A new dispatcher of a shard keeps engines free on which a content runs alone

A grant did not say that it is exclusive, so that a dispatcher that takes it over, or learns of the engine after the grant, granted others the same engine; a crashing content could then end them too.

Change: the grant says so (a new field on the wire), and the engine is occupied wherever the grant is added. Measured: shard.TestNextDispatcherFillsEngineOfSuspect failed before and passes; tests of dispatch, shard and peer pass.

--- a/coordination/dispatch/engine.go
+++ b/coordination/dispatch/engine.go
@@ -68,6 +68,9 @@
 			if part.Engine == spec.Engine {
 				en.reservedTokens += part.PromptTokens + gr.answerTokensOf(partIndex)
 				en.streamCount++
+				if gr.RunsAlone {
+					en.exclusiveAttempt = gr.Attempt
+				}
 				if !gr.started {
 					en.unstartedGrants[prefillClass(part.PromptTokens)]++
 				}
@@ -148,6 +151,9 @@
 	mc.advancePrefill(now, en)
 	en.reservedTokens += part.PromptTokens + gr.answerTokensOf(partIndex)
 	en.streamCount++
+	if gr.RunsAlone {
+		en.exclusiveAttempt = gr.Attempt
+	}
 	delete(en.unknownAttemptsSince, gr.Attempt)
 	if gr.started {
 		return
--- a/coordination/dispatch/event.go
+++ b/coordination/dispatch/event.go
@@ -52,6 +52,8 @@
 	Priority int32
 	// AnswerTokens is the memory that is reserved for the answer on the first engine, in tokens.
 	AnswerTokens id.Tokens
+	// RunsAlone says that no other grant may use these engines.
+	RunsAlone bool
 }
 
 // EngineSpec describes an engine of the shard.
--- a/coordination/dispatch/machine.go
+++ b/coordination/dispatch/machine.go
@@ -112,8 +112,6 @@
 	renewedAt time.Time
 	// started says that the first token of the answer has arrived, which means that the prompt has been processed.
 	started bool
-	// runsAlone says that no other grant may use the engines of this one.
-	runsAlone bool
 }
 
 // New returns a machine without engines. The seed determines its random choices.
@@ -373,7 +371,7 @@
 		}
 		en.reservedTokens -= part.PromptTokens + gr.answerTokensOf(partIndex)
 		en.streamCount--
-		if gr.runsAlone {
+		if gr.RunsAlone {
 			en.exclusiveAttempt = ""
 		}
 	}
--- a/coordination/dispatch/placement.go
+++ b/coordination/dispatch/placement.go
@@ -100,10 +100,10 @@
 			Attempt:      id.NewAttempt(wt.ID, wt.AttemptNumber),
 			Parts:        parts,
 			AnswerTokens: wt.plannedAnswerTokens,
+			RunsAlone:    wt.RunAlone,
 		},
 		request:   wt.Request,
 		renewedAt: now,
-		runsAlone: wt.RunAlone,
 	}
 	if mc.config.Policy.EnginePriority {
 		gr.Priority = enginePriorityFor(agedPromptTokens(now, wt, parts[0].PromptTokens))
@@ -113,9 +113,6 @@
 	mc.shortPromptTokens += gr.shortPromptTokens()
 	for partIndex := range parts {
 		mc.addPart(now, gr, partIndex)
-		if wt.RunAlone {
-			mc.enginesByName[parts[partIndex].Engine].exclusiveAttempt = gr.Attempt
-		}
 	}
 	mc.grantsIssued++
 	mc.addEffect(Effect{Kind: Granted, Request: wt.ID, Attempt: gr.Attempt, Grant: &gr.Grant})
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -317,6 +317,29 @@
 	})
 }
 
+// TestNextDispatcherFillsEngineOfSuspect guards against a new dispatcher that grants others the engine on which a content
+// runs alone.
+func TestNextDispatcherFillsEngineOfSuspect(t *testing.T) {
+	runWithCluster(t, func(ctx context.Context, t *testing.T, cl *cluster) {
+		client := cl.startClient(ctx)
+		suspect := newGrantRequest("suspect", 1000)
+		suspect.RunAlone = true
+		grant, oc := client.Acquire(ctx, suspect)
+		assert.Assert(t, oc.OK(), oc.Detail)
+		cl.mutex.Lock()
+		cl.dispatchOrder = []id.Host{"two"}
+		cl.mutex.Unlock()
+		time.Sleep(5 * time.Second)
+		shortCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		_, oc = client.Acquire(shortCtx, newGrantRequest("unrelated", 1000))
+		assert.Assert(t, !oc.OK(), "granted the engine on which a suspect runs alone")
+		client.ReportEnded(ctx, shard.EndedGrant{Request: suspect.ID, Attempt: grant.Attempt, Completed: true})
+		_, oc = client.Acquire(ctx, newGrantRequest("unrelated", 1000))
+		assert.Assert(t, oc.OK(), oc.Detail)
+	})
+}
+
 // TestRetriesShareEngineAfterCommonCrash guards against requests that ran on a crashed engine and are retried together,
 // because only one of them waits for the report of the crash that carries them all.
 func TestRetriesShareEngineAfterCommonCrash(t *testing.T) {
--- a/transport/peer/encoding.go
+++ b/transport/peer/encoding.go
@@ -76,7 +76,7 @@
 }
 
 func encodeShardGrant(grant dispatch.Grant) *peer.Grant {
-	message := &peer.Grant{Attempt: string(grant.Attempt), Priority: grant.Priority, AnswerTokens: int64(grant.AnswerTokens)}
+	message := &peer.Grant{Attempt: string(grant.Attempt), Priority: grant.Priority, AnswerTokens: int64(grant.AnswerTokens), Alone: grant.RunsAlone}
 	for _, part := range grant.Parts {
 		message.Parts = append(message.Parts, &peer.Part{Engine: string(part.Engine), Address: part.Address, Tokens: int64(part.PromptTokens)})
 	}
@@ -84,7 +84,7 @@
 }
 
 func decodeShardGrant(message *peer.Grant) dispatch.Grant {
-	grant := dispatch.Grant{Attempt: id.Attempt(message.GetAttempt()), Priority: message.GetPriority(), AnswerTokens: id.Tokens(message.GetAnswerTokens())}
+	grant := dispatch.Grant{Attempt: id.Attempt(message.GetAttempt()), Priority: message.GetPriority(), AnswerTokens: id.Tokens(message.GetAnswerTokens()), RunsAlone: message.GetAlone()}
 	for _, part := range message.GetParts() {
 		grant.Parts = append(grant.Parts, dispatch.Part{
 			Engine:       id.Engine(part.GetEngine()),
