A suspect does not wait for its own grant, and a grant that nobody received does not count as running

Found by e2e.TestRequestThatCrashesEngines: an innocent stream waits until its deadline (deadline_exceeded after 30 s).

Cause: a request that must run alone waits over several calls. If it is granted between two calls, nobody waits for the answer, and the next call is checked by the quarantine again, which finds one attempt with this content running: its own. It is told to come back until the grant expires, and from then on as well, since an expired grant was never taken off the running ones.

Change: a request that has its grant is not checked again, and an attempt that the dispatcher cancels no longer counts as running. Measured: shard.TestSuspectWaitsForItsOwnGrant failed before and passes; the tests of the package pass.

--- a/coordination/shard/dispatcher.go
+++ b/coordination/shard/dispatcher.go
@@ -107,6 +107,20 @@
 	return true
 }
 
+// removeAttempt drops an attempt that no longer runs. It returns the attempt's fingerprint, or false if the attempt is not
+// recorded as running.
+func (dp *shardDispatcher) removeAttempt(attempt id.Attempt) (id.Fingerprint, bool) {
+	fingerprint, ok := dp.attemptFingerprints[attempt]
+	delete(dp.attemptFingerprints, attempt)
+	return fingerprint, ok
+}
+
+// hasGrant reports whether a request has been granted its attempt.
+func (dp *shardDispatcher) hasGrant(request GrantRequest) bool {
+	_, running := dp.attemptFingerprints[id.NewAttempt(request.ID, request.AttemptNumber)]
+	return running
+}
+
 // engineLoads returns the loads of the engines that are not leaving.
 func (dp *shardDispatcher) engineLoads() []EngineLoad {
 	var loads []EngineLoad
--- a/coordination/shard/server.go
+++ b/coordination/shard/server.go
@@ -201,7 +201,7 @@
 
 // submit passes a request to its dispatcher and returns a channel for the response. If the response is known without a
 // step of the dispatcher, submit returns a nil channel and the response. A request that has passed the quarantine is
-// not checked again while it is queued.
+// not checked again while it is queued, or if it has a grant already, whose response did not reach the entry host.
 func (sv *Server) submit(ctx context.Context, request GrantRequest) (chan GrantResponse, GrantResponse) {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
@@ -211,7 +211,7 @@
 		oc := outcome.Refuse(outcome.NoCapacity, "no engine serves the model now").WithRetryAfter(sv.config.FullPollPeriod)
 		return nil, GrantResponse{Refusal: &oc}
 	}
-	if !dp.submitted[request.ID] {
+	if !dp.submitted[request.ID] && !dp.hasGrant(request) {
 		switch decision := sv.quarantine.Decide(now, request.ContentFingerprint); decision {
 		case quarantine.Refuse, quarantine.Hold:
 			// Hold is a refusal too: it lasts until reported crashes are confirmed or their reports expire.
@@ -289,8 +289,7 @@
 		dp.removeRequest(ended.Request)
 		sv.applyEffects(ctx, dp, dp.machine.Step(now, dispatch.Withdraw{Request: ended.Request}))
 	}
-	if fingerprint, ok := dp.attemptFingerprints[ended.Attempt]; ok {
-		delete(dp.attemptFingerprints, ended.Attempt)
+	if fingerprint, ok := dp.removeAttempt(ended.Attempt); ok {
 		if ended.CrashedEngine != "" {
 			// The attempt distinguishes this crash from others: the engine may crash again under the same name.
 			sv.metrics.Counter("quarantine_suspicions").Inc(1)
@@ -374,6 +373,9 @@
 			dp.respond(effect.Request, GrantResponse{Refusal: &oc})
 		case dispatch.CancelAttempt:
 			sv.metrics.Counter("attempts_cancelled").Inc(1)
+			if fingerprint, ok := dp.removeAttempt(effect.Attempt); ok {
+				sv.quarantine.AttemptEnded(sv.clock.Now(), fingerprint)
+			}
 			sv.canceller.start(ctx, effect.Address, effect.Attempt)
 		case dispatch.Preempted:
 			sv.metrics.Counter("attempts_preempted").Inc(1)
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -317,6 +317,28 @@
 	})
 }
 
+// TestSuspectWaitsForItsOwnGrant guards against a suspect that is granted an engine between two calls of its host, and
+// then waits for its own grant to end, and against a grant that nobody received and that counts as running forever.
+func TestSuspectWaitsForItsOwnGrant(t *testing.T) {
+	runWithCluster(t, func(ctx context.Context, t *testing.T, cl *cluster) {
+		server := cl.servers["one"]
+		unrelated := newGrantRequest("unrelated", 1000)
+		response := server.RequestGrant(ctx, unrelated)
+		assert.Assert(t, response.Grant != nil)
+		suspect := newGrantRequest("suspect", 1000)
+		server.LearnReportedEvidence(quarantine.Evidence{Fingerprint: suspect.ContentFingerprint, Crash: 1, Status: quarantine.Confirmed})
+		assert.Assert(t, server.RequestGrant(ctx, suspect).Queued)
+		server.HandleReport(ctx, shard.Report{EndedGrants: []shard.EndedGrant{{Shard: "shard", Request: unrelated.ID, Attempt: response.Grant.Attempt, Completed: true}}})
+		time.Sleep(time.Second)
+		assert.Assert(t, server.RequestGrant(ctx, suspect).Grant != nil, "the suspect waits for its own grant")
+		// The grant expires, because no host reports that it holds it.
+		time.Sleep(time.Minute)
+		again := newGrantRequest("again", 1000)
+		again.ContentFingerprint = suspect.ContentFingerprint
+		assert.Assert(t, server.RequestGrant(ctx, again).Grant != nil, "an expired grant counts as running")
+	})
+}
+
 // TestNextDispatcherFillsEngineOfSuspect guards against a new dispatcher that grants others the engine on which a content
 // runs alone.
 func TestNextDispatcherFillsEngineOfSuspect(t *testing.T) {
