Tests of limits share their window and their bound

Reading of the whole change: the sliding count stood in five tests and a check of the soak, and the bound in five. The checks count as before. requestlimit.Client used fields of its own that its tracker has.

--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -456,11 +456,7 @@
 // the time, while the first dispatcher is unresponsive for a while, leaves, and returns. The engine must get no more
 // than the users allow, nothing while its requests can't be counted, and its rate otherwise.
 func TestDispatchersTogetherKeepRequestLimit(t *testing.T) {
-	const (
-		ratePerSecond = 5
-		window        = 4 * time.Second
-		allowed       = 6*ratePerSecond + 5
-	)
+	const ratePerSecond = 5
 	synctest.Test(t, func(t *testing.T) {
 		nw, stop := startHosts(t, "first", "second", "third")
 		defer stop()
@@ -495,14 +491,7 @@
 		nw.mutex.Unlock()
 		nw.setLive("first", "second", "third")
 		assert.Assert(t, requestGrants(5*time.Second) >= 15)
-		for first := range grantedAt {
-			count := 0
-			for _, at := range grantedAt[first:] {
-				if at.Sub(grantedAt[first]) < window {
-					count++
-				}
-			}
-			assert.Assert(t, count <= allowed, "%d grants in 4 s, allowed %d", count, allowed)
-		}
+		most, allowed := testutil.MaxInWindow(grantedAt, testutil.LimitWindow), testutil.MaxAllowedByLimit(ratePerSecond)
+		assert.Assert(t, most <= allowed, "%d grants in 4 s, allowed %d", most, allowed)
 	})
 }
--- a/coordination/requestlimit/churn_test.go
+++ b/coordination/requestlimit/churn_test.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/testutil"
 )
 
 // limitPhase is a time during which a server names one limit; zero stands for none.
@@ -106,7 +107,7 @@
 					if phase.rate == 0 {
 						continue
 					}
-					most, allowed := maxInWindow(server.counted(), 4*time.Second), int(6*phase.rate)+5
+					most, allowed := testutil.MaxInWindow(server.counted(), testutil.LimitWindow), testutil.MaxAllowedByLimit(phase.rate)
 					assert.Check(t, most <= allowed, "phase %d, %d hosts, %g/s: %d requests in 4 s, allowed %d", index, hostCount, phase.rate, most, allowed)
 					server.mutex.Lock()
 					got := len(server.sent)
--- a/coordination/requestlimit/permit.go
+++ b/coordination/requestlimit/permit.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/uber-go/tally/v4"
-
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
@@ -179,13 +176,11 @@
 	// mutex guards deniedUntil, the time until which no permit for a server is asked for.
 	mutex       sync.Mutex
 	deniedUntil map[id.BackendServer]time.Time
-	metrics     tally.Scope
-	logger      *slog.Logger
 }
 
 // NewClient returns a client that asks for permits for the servers whose limits the tracker knows.
 func NewClient(tracker *Tracker, host id.Host, peers Peers) *Client {
-	return &Client{Tracker: tracker, host: host, peers: peers, deniedUntil: map[id.BackendServer]time.Time{}, metrics: tracker.metrics, logger: tracker.logger}
+	return &Client{Tracker: tracker, host: host, peers: peers, deniedUntil: map[id.BackendServer]time.Time{}}
 }
 
 // Acquire asks for a permit to send a request to one of the given servers of a service, within maxWait. If the issuer
--- a/coordination/requestlimit/permit_test.go
+++ b/coordination/requestlimit/permit_test.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/testutil"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -110,21 +111,6 @@
 	nw.clients[host].RecordResponse(limitedServer, time.Now(), requestlimit.Named{Rate: serverlimit.Rate(perSecond)}, true)
 }
 
-// maxInWindow returns the most of the given times in any window of a length.
-func maxInWindow(times []time.Time, window time.Duration) int {
-	most := 0
-	for first := range times {
-		count := 0
-		for _, at := range times[first:] {
-			if at.Sub(times[first]) < window {
-				count++
-			}
-		}
-		most = max(most, count)
-	}
-	return most
-}
-
 // TestHostsTogetherKeepServerLimit has all hosts ask for permits all the time, while the first issuer falls silent, leaves,
 // and returns. The server must get no more than the users allow, and its rate while hosts agree on an issuer.
 func TestHostsTogetherKeepServerLimit(t *testing.T) {
@@ -177,8 +163,7 @@
 					time.Sleep(5 * time.Second)
 					close(stop)
 					demand.Wait()
-					allowed := int(6*perSecond) + 5
-					most := maxInWindow(sent, 4*time.Second)
+					most, allowed := testutil.MaxInWindow(sent, testutil.LimitWindow), testutil.MaxAllowedByLimit(perSecond)
 					assert.Check(t, most <= allowed, "%d requests in 4 s, allowed %d", most, allowed)
 					// Hosts remember a denial for up to half a second.
 					const usableShare = 0.8
--- a/site/request_limit_test.go
+++ b/site/request_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -11,38 +12,11 @@
 	"gotest.tools/v3/assert"
 
 	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
+	"github.com/hibiscuslever/hibiscuslever/testutil"
 )
 
-const (
-	// limitWindow is the time over which the users count a limited server's requests.
-	limitWindow = 4 * time.Second
-	// namingAllowance is the time after a host first passed on a limit from which on its requests are counted.
-	namingAllowance = 500 * time.Millisecond
-)
-
-// maxArrivals returns the most arrivals in any window of the given length that begins at or after start.
-func maxArrivals(arrivals []time.Time, start time.Time, window time.Duration) int {
-	most := 0
-	for first, begin := range arrivals {
-		if begin.Before(start) {
-			continue
-		}
-		count := 0
-		for _, arrival := range arrivals[first:] {
-			if arrival.Sub(begin) < window {
-				count++
-			}
-		}
-		most = max(most, count)
-	}
-	return most
-}
-
-// maxAllowedArrivals returns how many requests a server with a limit may get in limitWindow.
-func maxAllowedArrivals(ratePerSecond float64) int {
-	const shareAllowed, slack = 1.5, 5
-	return int(shareAllowed*ratePerSecond*limitWindow.Seconds()) + slack
-}
+// namingAllowance is the time after a host first passed on a limit from which on its requests are counted.
+const namingAllowance = 500 * time.Millisecond
 
 // TestServerGetsMoreThanItsLimitFromAllHosts guards against hosts that ignore a server's limit, or that each keep to it
 // by themselves.
@@ -51,7 +25,7 @@
 		ratePerSecond  = 2.0
 		hostCount      = 6
 		requestPeriod  = 50 * time.Millisecond
-		demandDuration = limitWindow + 2*time.Second
+		demandDuration = testutil.LimitWindow + 2*time.Second
 	)
 	for _, testCase := range []struct {
 		service string
@@ -83,9 +57,10 @@
 				})
 			}
 			demand.Wait()
-			start := end.Add(-demandDuration + namingAllowance)
-			most := maxArrivals(limited.Arrivals(), start, limitWindow)
-			assert.Check(t, most <= maxAllowedArrivals(ratePerSecond), "%d requests in 4 s, allowed %d", most, maxAllowedArrivals(ratePerSecond))
+			countFrom := end.Add(-demandDuration + namingAllowance)
+			arrivals := slices.DeleteFunc(limited.Arrivals(), func(at time.Time) bool { return at.Before(countFrom) })
+			most, allowed := testutil.MaxInWindow(arrivals, testutil.LimitWindow), testutil.MaxAllowedByLimit(ratePerSecond)
+			assert.Check(t, most <= allowed, "%d requests in 4 s, allowed %d", most, allowed)
 			limitedServerServesAgain(t, limited, hosts[0], testCase.send)
 		})
 	}
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
+	"github.com/hibiscuslever/hibiscuslever/testutil"
 )
 
 // serverRun is one run of a request, with the server that ran it.
@@ -101,7 +102,7 @@
 // from half a second after the host that sent them had passed on an answer that names the limit. A fault of a host or
 // of its links excuses the host until it has passed on another such answer.
 func (tb *testbed) checkRequestLimit(sv *server, exchangesByID map[string]*exchange) {
-	const window, namingAllowance = 4 * time.Second, 500 * time.Millisecond
+	const namingAllowance = 500 * time.Millisecond
 	hostKnowsLimit := func(hostName string, at time.Time) bool {
 		return slices.ContainsFunc(tb.exchanges, func(ex *exchange) bool {
 			return ex.hostName == hostName && ex.serverID == sv.ID && ex.namesLimit && ex.endedAt.Add(namingAllowance).Before(at) &&
@@ -116,18 +117,8 @@
 			counted = append(counted, run.StartedAt)
 		}
 	}
-	allowed := int(1.5*sv.ratePerSecond*window.Seconds()) + 5
-	for first, begin := range counted {
-		count := 0
-		for _, at := range counted[first:] {
-			if at.Sub(begin) < window {
-				count++
-			}
-		}
-		if count > allowed {
-			tb.reportViolation("LIMIT", "%s with a limit of %g/s ran %d requests in %s, allowed %d", sv.ID, sv.ratePerSecond, count, window, allowed)
-			return
-		}
+	if most, allowed := testutil.MaxInWindow(counted, testutil.LimitWindow), testutil.MaxAllowedByLimit(sv.ratePerSecond); most > allowed {
+		tb.reportViolation("LIMIT", "%s with a limit of %g/s ran %d requests in %s, allowed %d", sv.ID, sv.ratePerSecond, most, testutil.LimitWindow, allowed)
 	}
 }
 
--- a/state/serverlimit/serverlimit_test.go
+++ b/state/serverlimit/serverlimit_test.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/testutil"
 )
 
 var (
@@ -135,10 +136,7 @@
 // TestAccountKeepsRate checks the two directions of a limit, with constant demand: in any 4 s the server gets no more than
 // one and a half times its rate and 5 requests, and while there is demand it gets its rate.
 func TestAccountKeepsRate(t *testing.T) {
-	const (
-		window   = 4 * time.Second
-		duration = 20 * time.Second
-	)
+	const duration = 20 * time.Second
 	rapid.Check(t, func(rt *rapid.T) {
 		perSecond := serverlimit.Rate(math.Exp(rapid.Float64Range(math.Log(0.1), math.Log(100)).Draw(rt, "ln rate")))
 		idle := time.Duration(rapid.IntRange(0, 10_000).Draw(rt, "idle ms")) * time.Millisecond
@@ -161,18 +159,10 @@
 				sent = append(sent, now)
 			}
 		}
-		allowed := int(1.5*float64(perSecond)*window.Seconds()) + 5
-		for first := range sent {
-			count := 0
-			for _, at := range sent[first:] {
-				if at.Sub(sent[first]) < window {
-					count++
-				}
-			}
-			assert.Assert(rt, count <= allowed, "%d requests in 4 s, allowed %d", count, allowed)
-		}
+		most, allowed := testutil.MaxInWindow(sent, testutil.LimitWindow), testutil.MaxAllowedByLimit(float64(perSecond))
+		assert.Assert(rt, most <= allowed, "%d requests in 4 s, allowed %d", most, allowed)
 		// A request may come one step late, and the requests before the limit may take up to a window to be forgotten.
-		minimum := float64(perSecond) * (duration - window - step).Seconds() / (1 + float64(perSecond)*step.Seconds())
+		minimum := float64(perSecond) * (duration - testutil.LimitWindow - step).Seconds() / (1 + float64(perSecond)*step.Seconds())
 		assert.Assert(rt, float64(len(sent)) >= math.Floor(minimum)-1, "%d requests in %s at %g/s", len(sent), duration, perSecond)
 	})
 }
