--- a/coordination/requestlimit/churn_test.go
+++ b/coordination/requestlimit/churn_test.go
@@ -35,8 +35,8 @@
 	mutex sync.Mutex
 	rate  float64
 	sent  []sentRequest
-	// toldAt is when each host passed on the first answer with a limit in the current phase.
-	toldAt map[id.Host]time.Time
+	// passedOnAt is when each host passed on the first answer with a limit in the current phase.
+	passedOnAt map[id.Host]time.Time
 }
 
 // handle records a request and returns the limit that its answer names.
@@ -51,8 +51,8 @@
 func (sv *simulatedServer) passOn(host id.Host, rate float64) {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
-	if _, told := sv.toldAt[host]; !told && rate > 0 && rate == sv.rate {
-		sv.toldAt[host] = time.Now()
+	if _, passedOn := sv.passedOnAt[host]; !passedOn && rate > 0 && rate == sv.rate {
+		sv.passedOnAt[host] = time.Now()
 	}
 }
 
@@ -60,7 +60,7 @@
 func (sv *simulatedServer) setRate(rate float64) {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
-	sv.rate, sv.sent, sv.toldAt = rate, nil, map[id.Host]time.Time{}
+	sv.rate, sv.sent, sv.passedOnAt = rate, nil, map[id.Host]time.Time{}
 }
 
 // counted returns the times of the phase's requests of hosts that had passed on the limit half a second before.
@@ -69,7 +69,7 @@
 	defer sv.mutex.Unlock()
 	var times []time.Time
 	for _, request := range sv.sent {
-		if toldAt, told := sv.toldAt[request.host]; told && request.at.Sub(toldAt) >= 500*time.Millisecond {
+		if passedOnAt, passedOn := sv.passedOnAt[request.host]; passedOn && request.at.Sub(passedOnAt) >= 500*time.Millisecond {
 			times = append(times, request.at)
 		}
 	}
--- a/coordination/requestlimit/permit_test.go
+++ b/coordination/requestlimit/permit_test.go
@@ -106,7 +106,7 @@
 	return nw, hosts
 }
 
-// nameLimit makes a host hear a rate from the limited server; zero ends the limit.
+// nameLimit has a host receive a response in which the limited server names a rate; zero ends the limit.
 func (nw *network) nameLimit(host id.Host, perSecond float64) {
 	nw.clients[host].RecordResponse(limitedServer, time.Now(), requestlimit.Named{Rate: serverlimit.Rate(perSecond)}, true)
 }
