Request limits: one precision of rates, and no unused method

Reading of the whole change: the precision to which rates are rounded stood in two packages that must agree on it, and Account.Rate was called by nobody. No behaviour changes. Measured: tests of serverlimit, requestlimit and batch pass.

--- a/state/serverlimit/account.go
+++ b/state/serverlimit/account.go
@@ -49,9 +49,6 @@
 	ac.SetRate(now, perSecond)
 }
 
-// Rate returns the rate in force; zero if there is no limit.
-func (ac *Account) Rate() Rate { return ac.rate }
-
 // burst returns the number of requests that may be sent at once.
 func (rt Rate) burst() int { return 1 + int(float64(rt)*burstDuration.Seconds()) }
 
--- a/state/serverlimit/serverlimit.go
+++ b/state/serverlimit/serverlimit.go
@@ -25,9 +25,9 @@
 	minRate Rate = 0.1
 	// maxRate is the highest rate that is a limit in practice; higher ones are lowered to it.
 	maxRate Rate = 1_000_000
-	// ratePrecision is the number of steps per request per second to which rates are rounded, so that they fit into a
+	// RatePrecision is the number of steps per request per second to which rates are rounded, so that they fit into a
 	// statement.
-	ratePrecision = 1000
+	RatePrecision = 1000
 )
 
 // ErrInvalidRate is returned by ParseRate for a text that is not a rate.
@@ -40,7 +40,7 @@
 	if err != nil || math.IsNaN(parsed) || math.IsInf(parsed, 0) || parsed < 0 {
 		return 0, ErrInvalidRate
 	}
-	return ClampRate(math.Round(min(parsed, float64(maxRate))*ratePrecision) / ratePrecision), nil
+	return ClampRate(math.Round(min(parsed, float64(maxRate))*RatePrecision) / RatePrecision), nil
 }
 
 // ClampRate returns a number of requests per second as a rate, raised or lowered to the nearest one that can be in force.
