--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -147,7 +147,7 @@
 		}
 	}
 	rn.metrics.Tagged(map[string]string{"health": probeResult.String()}).Counter("attempts_broken").Inc(1)
-	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", evidence.Fingerprint.String(), "server", string(server.ID),
+	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", evidence.Fingerprint.String(), "parts", jb.request.promptPartNames(), "server", string(server.ID),
 		"address", server.Address, "born", server.StartedAtMillis, "crash", evidence.Crash.String(), "health", probeResult.String(), "counted", counted, "cause", cause.Error(),
 		"list_age_ms", rn.fleet.ListAge().Milliseconds())
 	return probeResult == ConnectionRefused
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -96,7 +96,7 @@
 	ended.Attempt = grant.Attempt
 	rn.dispatcher.ReportEnded(ended)
 	rn.logger.Info("attempt ended", "request", st.request.ID, "fingerprint", st.result.Fingerprint.String(), "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
-		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.PromptTokens), "result", result.reason, "alone", st.grantRequest.RunAlone,
+		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.PromptTokens), "parts", st.request.promptPartNames(), "result", result.reason, "alone", st.grantRequest.RunAlone,
 		"predicted_ms", grant.PredictedFirstEvent.Milliseconds(), "queued_ms", st.result.QueueTime.Milliseconds(),
 		"first_ms", st.result.TimeToFirstByte.Milliseconds(), "pause_ms", st.result.LongestPause.Milliseconds(), "last_event", st.lastEventID, "remaining_ms", st.remaining().Milliseconds())
 	st.result.Cause = result.reason
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -54,6 +54,17 @@
 	// LastEventID is the id of the last event that the client received in an earlier response; the stream resumes after
 	// it. Empty for a stream that starts from the beginning.
 	LastEventID string
+	// PromptParts are the parts of the prompt that other requests may have too, in order.
+	PromptParts []id.PromptPart
+}
+
+// promptPartNames returns the parts of the prompt as they appear in logs.
+func (rq *Request) promptPartNames() []string {
+	names := make([]string, len(rq.PromptParts))
+	for ix, part := range rq.PromptParts {
+		names[ix] = part.String()
+	}
+	return names
 }
 
 // Attempt is a single send of a request to one backend server.
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -92,6 +92,19 @@
 	return Fingerprint(digest.Sum64())
 }
 
+// PromptPart identifies a part of a prompt that several requests may have in common.
+type PromptPart uint64
+
+// String returns the part in hexadecimal digits, as it appears in logs.
+func (pp PromptPart) String() string {
+	return strconv.FormatUint(uint64(pp), 16)
+}
+
+// NewPromptPart returns a hash of the name of a part.
+func NewPromptPart(name string) PromptPart {
+	return PromptPart(xxhash.Sum64String("prompt part\x00" + name))
+}
+
 // NewRequest returns the identifier of the request with the given sequence number of a host's incarnation.
 func NewRequest(host Host, incarnation Incarnation, sequence uint64) Request {
 	return Request(string(host) + "." + strconv.FormatInt(int64(incarnation), 36) + "." + strconv.FormatUint(sequence, 36))
