--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -59,11 +59,13 @@
 	// LastEventID is the event after which the caller wants a stream to resume; empty for a new request.
 	LastEventID string
 	// Helpers is the header field that names the engines that help with the prompt.
-	Helpers   string
-	Target    string
-	APIKey    string
-	Body      string
-	StartedAt time.Time
+	Helpers string
+	// PromptParts is the header field that lists the parts of the prompt.
+	PromptParts string
+	Target      string
+	APIKey      string
+	Body        string
+	StartedAt   time.Time
 	// Completed means that the server ran the request to its end.
 	Completed bool
 	// DisconnectedAt is when the host closed the connection before the end; zero if it did not.
@@ -115,7 +117,8 @@
 
 // Crash describes a crash of a server and the restart that follows.
 type Crash struct {
-	// Marker is the text that causes the crash when a request contains it in its target or body.
+	// Marker is the text that causes the crash when a request contains it in its target, its body or the list of the parts
+	// of its prompt.
 	Marker string
 	// Downtime is the time from the crash to the restart.
 	Downtime time.Duration
@@ -232,7 +235,7 @@
 	sv.mutex.Lock()
 	crash := sv.crashOnRequest
 	sv.mutex.Unlock()
-	if crash == nil || !strings.Contains(rq.RequestURI, crash.Marker) && !strings.Contains(string(body), crash.Marker) {
+	if crash == nil || !strings.Contains(rq.RequestURI, crash.Marker) && !strings.Contains(string(body), crash.Marker) && !strings.Contains(rq.Header.Get("X-Prompt-Prefix"), crash.Marker) {
 		return false
 	}
 	sv.Crash(*crash)
@@ -372,7 +375,7 @@
 	}
 	executed := &ExecutedRequest{
 		Attempt: rq.Header.Get("X-Attempt-Id"), Tenant: rq.Header.Get("X-Tenant"), DeadlineMillis: deadlineMillis,
-		LastEventID: rq.Header.Get("Last-Event-Id"), Helpers: rq.Header.Get("X-Helpers"), Target: rq.RequestURI,
+		LastEventID: rq.Header.Get("Last-Event-Id"), Helpers: rq.Header.Get("X-Helpers"), PromptParts: rq.Header.Get("X-Prompt-Prefix"), Target: rq.RequestURI,
 		APIKey: rq.Header.Get("Api-Key"), Body: string(body), StartedAt: time.Now(),
 	}
 	sv.mutex.Lock()
