A stream that ends inside an event, or with its connection before any event, has been broken off

What callers saw: a stream whose engine crashed could reach them as complete, with the first bytes of an event at its end (an answer may have neither length nor chunks and end with its connection). Cause: the end of the connection was taken as the end of the answer, whatever came last; it also cleared all crashes recorded for the request's content. Change: one tracker of event boundaries decides for streams of engines and of plain services; such a stream is resumed where that is allowed, else its client's connection is aborted. A stream of unknown length without any event counts as lost too. Ruled out: the product's own front, whose streams end with a mark of their own (transport/engine/stream.go).

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -363,8 +363,14 @@
 	rn := st.runner
 	primary := grant.Parts[0]
 	reader := newEventReader(response.Body)
+	receivedEvents := false
 	for {
 		ev, err := reader.next()
+		receivedEvents = receivedEvents || len(ev.data) > 0
+		if errors.Is(err, io.EOF) && !receivedEvents && response.EndsWithConnection {
+			// An engine that crashes before its first event ends the connection in the same way.
+			err = io.ErrUnexpectedEOF
+		}
 		if len(ev.data) > 0 {
 			monitor.recordEvent(ev)
 			rn.dispatcher.ReportStarted(grant.Attempt)
--- a/coordination/forward/events.go
+++ b/coordination/forward/events.go
@@ -24,7 +24,33 @@
 type eventReader struct {
 	input *bufio.Reader
 	// pending holds the lines of the event that is being read.
-	pending bytes.Buffer
+	pending  bytes.Buffer
+	boundary eventBoundary
+}
+
+// eventBoundary tracks whether the bytes of a stream so far end inside an event. Comments and blank lines between events
+// belong to no event.
+type eventBoundary struct {
+	insideEvent bool
+	// lineStarted says that the current line is not empty, inComment that it is a comment.
+	lineStarted bool
+	inComment   bool
+}
+
+// advance adds the next bytes of the stream.
+func (eb *eventBoundary) advance(chunk []byte) {
+	for _, char := range chunk {
+		switch {
+		case char == '\n':
+			eb.insideEvent = eb.insideEvent && eb.lineStarted
+			eb.lineStarted, eb.inComment = false, false
+		case char == '\r':
+		default:
+			eb.inComment = eb.inComment || !eb.lineStarted && char == ':'
+			eb.lineStarted = true
+			eb.insideEvent = eb.insideEvent || !eb.inComment
+		}
+	}
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -33,13 +59,16 @@
 }
 
 // next returns the next complete event. Its data is valid until the next call. At the end of the stream it returns the
-// remaining bytes together with io.EOF. It returns errEventTooLong for an event that exceeds the limit.
+// remaining comments together with io.EOF, or io.ErrUnexpectedEOF if the stream ends inside an event. It returns
+// errEventTooLong for an event that exceeds the limit.
 func (er *eventReader) next() (event, error) {
 	var ev event
 	er.pending.Reset()
+	er.boundary = eventBoundary{}
 	for {
 		line, err := er.input.ReadSlice('\n')
 		er.pending.Write(line)
+		er.boundary.advance(line)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			err = nil
 			if er.pending.Len() > maxEventBytes {
@@ -48,11 +77,14 @@
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				ev.data = er.pending.Bytes()
-				return ev, io.EOF
+			switch {
+			case !errors.Is(err, io.EOF):
+				return event{}, err
+			case er.boundary.insideEvent:
+				return event{}, io.ErrUnexpectedEOF
+			default:
+				return event{data: er.pending.Bytes()}, io.EOF
 			}
-			return event{}, err
 		}
 		trimmed := bytes.TrimRight(line, "\r\n")
 		if len(trimmed) == 0 {
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -91,7 +91,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is unknown.
 	Length int64
-	Body   io.ReadCloser
+	// EndsWithConnection says that the end of the connection is the only mark of the end of the body.
+	EndsWithConnection bool
+	Body               io.ReadCloser
 	// NotRun says that the server did not run the request and will not run it later.
 	NotRun bool
 	// Misdirected says that a different server now has the address.
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -350,8 +351,19 @@
 	}
 	const chunkBytes = 32 << 10
 	chunk := make([]byte, chunkBytes)
+	isEventStream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	var boundary eventBoundary
+	boundary.advance(prefix)
+	empty := len(prefix) == 0
 	for {
 		chunkLength, err := response.Body.Read(chunk)
+		if isEventStream {
+			boundary.advance(chunk[:chunkLength])
+			empty = empty && chunkLength == 0
+			if errors.Is(err, io.EOF) && (boundary.insideEvent || empty && response.EndsWithConnection) {
+				err = io.ErrUnexpectedEOF
+			}
+		}
 		if chunkLength > 0 {
 			if err := jb.sink.Write(chunk[:chunkLength]); err != nil {
 				jb.result.Cause = err.Error()
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -45,7 +45,10 @@
 	Header http.Header
 	// ContentLength is the length of the body in bytes, or -1 if the head does not announce it.
 	ContentLength int64
-	Body          io.ReadCloser
+	// EndsWithConnection says that the head announces neither a length nor chunks, so that the end of the connection is
+	// the only mark of the end of the body.
+	EndsWithConnection bool
+	Body               io.ReadCloser
 }
 
 const (
@@ -175,10 +178,11 @@
 			}
 			continue
 		}
-		ex.reusable = !response.Close && response.ProtoAtLeast(1, 1) && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+		endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+		ex.reusable = !response.Close && response.ProtoAtLeast(1, 1) && !endsWithConnection
 		ex.keepAliveTimeout = parseKeepAliveTimeout(response.Header)
 		ex.body = response.Body
-		return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Body: ex}, nil
+		return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, EndsWithConnection: endsWithConnection, Body: ex}, nil
 	}
 	ex.abort()
 	return nil, errors.New("the server sent only answers to other requests")
