--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -58,6 +58,11 @@
 	// RunAlone asks for engines that run nothing else and get nothing else until the request ends, because its content
 	// may have crashed engines. At most one request with the same content runs at a time.
 	RunAlone bool
+	// PromptParts are the parts of the prompt that other requests may have too. SuspectParts are those that may have
+	// crashed engines: until its answer begins, the request runs on engines that run nothing else and get nothing else, and
+	// at most one request with the same suspect part runs like that at a time.
+	PromptParts  []id.PromptPart
+	SuspectParts []id.PromptPart
 }
 
 // Part is the share of a grant that one engine takes.
@@ -79,6 +84,8 @@
 	Urgency int
 	// PredictedFirstEvent is the predicted time from the grant to the first event of the answer.
 	PredictedFirstEvent time.Duration
+	// SuspectParts are the parts of the prompt because of which the attempt runs isolated until its first event.
+	SuspectParts []id.PromptPart
 }
 
 // EngineSpec describes an engine of the service.
@@ -114,6 +121,20 @@
 // Withdraw removes a request that waits, and releases its grant if it already has one.
 type Withdraw struct{ Request id.Request }
 
+// Review applies what has become known of the contents of waiting requests: some are withdrawn, and others have other
+// suspect parts, or are to run alone or not. No request is granted between these changes.
+type Review struct {
+	Withdrawn []id.Request
+	Changed   []ReviewedRequest
+}
+
+// ReviewedRequest says how a waiting request is to run.
+type ReviewedRequest struct {
+	Request      id.Request
+	RunAlone     bool
+	SuspectParts []id.PromptPart
+}
+
 // RenewGrant reports a grant that an entry host holds. It extends the lifetime of the grant, and it makes a grant known
 // to a dispatcher that did not issue it, for example after the dispatcher that did was lost.
 type RenewGrant struct {
@@ -166,6 +187,7 @@
 func (SetEngines) event()       {}
 func (Submit) event()           {}
 func (Withdraw) event()         {}
+func (Review) event()           {}
 func (RenewGrant) event()       {}
 func (AttemptStarted) event()   {}
 func (FinishAttempt) event()    {}
--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -54,9 +54,9 @@
 	return min(1, float64(en.RequestLimit)*readTime.Seconds())
 }
 
-// runsAloneRequest reports whether the engine runs a request that is to run alone.
+// runsAloneRequest reports whether the engine runs a request that is to run alone, or isolated until its answer begins.
 func (en *engine) runsAloneRequest() bool {
-	return slices.ContainsFunc(en.tasks, func(tk task) bool { return tk.request.RunAlone })
+	return slices.ContainsFunc(en.tasks, func(tk task) bool { return tk.request.RunAlone || tk.isIsolated() })
 }
 
 // load sums up the tasks of an engine.
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -92,6 +92,8 @@
 		mc.submit(now, ev.Request)
 	case Withdraw:
 		mc.withdraw(now, ev.Request)
+	case Review:
+		mc.review(now, ev)
 	case RenewGrant:
 		mc.renew(now, ev)
 	case AttemptStarted:
@@ -109,6 +111,15 @@
 	return mc.effects
 }
 
+// ActiveGrant returns the request of an attempt that has a grant, and whether its answer has begun.
+func (mc *Machine) ActiveGrant(att id.Attempt) (rq Request, started, ok bool) {
+	gr, ok := mc.grantsByAttempt[att]
+	if !ok {
+		return Request{}, false, false
+	}
+	return gr.request, gr.started, true
+}
+
 // Waiting returns the number of requests that wait.
 func (mc *Machine) Waiting() int { return len(mc.waitingByID) }
 
@@ -174,9 +185,11 @@
 	}
 	readTime := mc.profile.PrefillTime(ev.Request.PromptTokens)
 	partReadTime := readTime / time.Duration(max(1, len(ev.Grant.Parts)))
+	request := ev.Request
+	request.SuspectParts = ev.Grant.SuspectParts
 	gr := &activeGrant{
 		Grant:            ev.Grant,
-		request:          ev.Request,
+		request:          request,
 		partReadTime:     partReadTime,
 		firstEventAt:     now.Add(partReadTime),
 		needsShortPasses: readTime <= mc.config.ShortPromptReadTime || mc.hasStrictPause(ev.Request),
--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -76,6 +76,8 @@
 		var name string
 		td.ScanArgs(t, "id", &name)
 		effects = sc.machine.Step(sc.now, batch.Withdraw{Request: id.Request(name)})
+	case "review":
+		effects = sc.machine.Step(sc.now, parseReview(t, td))
 	case "tick":
 		effects = sc.machine.Step(sc.now, batch.Tick{})
 	default:
@@ -129,6 +131,7 @@
 		AttemptNumber:      attemptNumber,
 		ContentFingerprint: id.Fingerprint(fingerprint),
 		RunAlone:           td.HasArg("alone"),
+		SuspectParts:       parseSuspects(td),
 	}
 	rq.WaitLimit = max(2*time.Second, 4*rq.FirstEventTarget)
 	var backoffList string
@@ -151,6 +154,27 @@
 	return rq
 }
 
+// parseSuspects reads the argument suspects=(PART,PART).
+func parseSuspects(td *datadriven.TestData) []id.PromptPart {
+	var parts []id.PromptPart
+	if arg, ok := td.Arg("suspects"); ok {
+		for _, name := range arg.Vals {
+			parts = append(parts, id.NewPromptPart(name))
+		}
+	}
+	return parts
+}
+
+// parseReview reads a review of one request: id, then withdraw or how the request is to run as in submit.
+func parseReview(t *testing.T, td *datadriven.TestData) batch.Review {
+	var name string
+	td.ScanArgs(t, "id", &name)
+	if td.HasArg("withdraw") {
+		return batch.Review{Withdrawn: []id.Request{id.Request(name)}}
+	}
+	return batch.Review{Changed: []batch.ReviewedRequest{{Request: id.Request(name), RunAlone: td.HasArg("alone"), SuspectParts: parseSuspects(td)}}}
+}
+
 func parseAttempt(t *testing.T, td *datadriven.TestData) id.Attempt {
 	var name string
 	attemptNumber := 1
--- a/coordination/batch/queue.go
+++ b/coordination/batch/queue.go
@@ -149,6 +149,18 @@
 	mc.queueFor(wt).remove(wt)
 }
 
+// review withdraws requests and changes how others are to run. Requests that do not wait are ignored.
+func (mc *Machine) review(now time.Time, ev Review) {
+	for _, requestID := range ev.Withdrawn {
+		mc.withdraw(now, requestID)
+	}
+	for _, reviewed := range ev.Changed {
+		if wt, ok := mc.waitingByID[reviewed.Request]; ok {
+			wt.RunAlone, wt.SuspectParts = reviewed.RunAlone, reviewed.SuspectParts
+		}
+	}
+}
+
 // withdraw removes a request that the client no longer waits for. It also releases a grant that was issued before the
 // withdrawal arrived.
 func (mc *Machine) withdraw(now time.Time, requestID id.Request) {
--- a/coordination/batch/selection.go
+++ b/coordination/batch/selection.go
@@ -82,6 +82,7 @@
 	gr.needsShortPasses = mc.hasShortPrompt(wt) || mc.hasStrictPause(wt.Request)
 	gr.Urgency = urgencyOf(wt)
 	gr.PredictedFirstEvent = gr.firstEventAt.Sub(now)
+	gr.SuspectParts = wt.SuspectParts
 	for _, part := range gr.Parts {
 		mc.enginesByName[part.Engine].requests.Reserve(now, 0)
 	}
@@ -141,20 +142,29 @@
 	return time.Duration(min(1, mc.config.FreeSlotFactor*freeShare) * float64(available))
 }
 
+// needsFreeEngine reports whether a request is to run on engines that run nothing else, at least until its answer begins.
+func (rq Request) needsFreeEngine() bool { return rq.RunAlone || len(rq.SuspectParts) > 0 }
+
+// isIsolated reports whether the engines of a grant get nothing else because the answer to a suspect prompt has not begun.
+func (gr *activeGrant) isIsolated() bool { return len(gr.request.SuspectParts) > 0 && !gr.started }
+
 // mayTake reports whether a candidate may get a request or a part of it, regardless of its free memory and slots. It
-// checks RunAlone, BackoffUntil and, if avoidFailed is set, AvoidedEngines.
+// checks RunAlone, SuspectParts, BackoffUntil and, if avoidFailed is set, AvoidedEngines.
 func (mc *Machine) mayTake(cd *candidate, wt *waitingRequest, avoidFailed bool) bool {
-	if wt.RunAlone && !mc.mayTakeAloneRequest(cd, wt) || wt.BackoffUntil != nil && mc.candidatesAt.Before(wt.BackoffUntil[cd.engine.Engine]) {
+	if wt.needsFreeEngine() && !mc.mayTakeAloneRequest(cd, wt) || wt.BackoffUntil != nil && mc.candidatesAt.Before(wt.BackoffUntil[cd.engine.Engine]) {
 		return false
 	}
 	return !avoidFailed || !slices.Contains(wt.AvoidedEngines, cd.engine.Engine)
 }
 
-// mayTakeAloneRequest reports whether a candidate may get a request that is to run alone. No candidate may while
-// another such request with the same content runs.
+// mayTakeAloneRequest reports whether a candidate may get a request that is to run alone or isolated. No candidate may
+// while another such request with the same content or suspect part runs.
 func (mc *Machine) mayTakeAloneRequest(cd *candidate, wt *waitingRequest) bool {
 	for _, gr := range mc.grantsByAttempt {
-		if gr.request.RunAlone && gr.request.ContentFingerprint == wt.ContentFingerprint && wt.ContentFingerprint != 0 {
+		if wt.RunAlone && gr.request.RunAlone && gr.request.ContentFingerprint == wt.ContentFingerprint && wt.ContentFingerprint != 0 {
+			return false
+		}
+		if gr.isIsolated() && slices.ContainsFunc(wt.SuspectParts, func(part id.PromptPart) bool { return slices.Contains(gr.request.SuspectParts, part) }) {
 			return false
 		}
 	}
--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -24,6 +24,9 @@
 	// RequestLimits is what recent responses to the entry host said of the request limits of the service's engines. The
 	// dispatcher thus knows a limit before it grants a request of a host that does.
 	RequestLimits []serverlimit.Statement
+	// Evidence is what the entry host knows against the parts of the prompt. The dispatcher thus knows of a crash before
+	// it places a request that is sent again after it.
+	Evidence []quarantine.Evidence
 }
 
 // GrantResponse is a dispatcher's response to a GrantRequest. If neither Grant nor Refusal is set, the request is
--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -115,10 +115,11 @@
 // emptyQuarantine lets every content run.
 type emptyQuarantine struct{}
 
-func (emptyQuarantine) QuarantineDecision(id.Fingerprint) (quarantine.Decision, time.Duration) {
-	return quarantine.Run, 0
+func (emptyQuarantine) Judge(quarantine.Content) quarantine.Verdict {
+	return quarantine.Verdict{Decision: quarantine.Run}
 }
-func (emptyQuarantine) LearnReportedEvidence(quarantine.Evidence) {}
+func (emptyQuarantine) PartsCompleted(id.Service, []id.PromptPart) bool { return false }
+func (emptyQuarantine) LearnReportedEvidence(quarantine.Evidence)       {}
 
 // recordingQuarantine records the crashes that a host's dispatchers learn from reports.
 type recordingQuarantine struct {
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,11 +17,13 @@
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
-// Quarantine decides about requests whose contents may crash engines.
+// Quarantine decides about requests whose contents or parts of prompts may crash engines.
 type Quarantine interface {
-	// QuarantineDecision returns whether a request with this content may run now, perhaps only alone, and otherwise after
-	// which time to retry.
-	QuarantineDecision(fingerprint id.Fingerprint) (quarantine.Decision, time.Duration)
+	// Judge returns whether a request with this content may run now, perhaps only alone or isolated.
+	Judge(content quarantine.Content) quarantine.Verdict
+	// PartsCompleted records that an engine of a service answered a prompt with the given parts without crashing. It
+	// reports whether that cleared evidence.
+	PartsCompleted(service id.Service, parts []id.PromptPart) bool
 	// LearnReportedEvidence records evidence that an entry host has reported to the dispatcher on this host and not to
 	// other hosts.
 	LearnReportedEvidence(evidence quarantine.Evidence)
@@ -38,6 +41,8 @@
 	logger            *slog.Logger
 	seed              uint64
 	pendingDeliveries tasks.Group
+	// evidenceChanged makes the next tick review the waiting requests.
+	evidenceChanged atomic.Bool
 
 	// wake makes Run start the next tick immediately.
 	wake chan struct{}
@@ -51,13 +56,22 @@
 // serviceDispatcher is the state machine of one service, with the entry hosts whose requests are queued in it.
 // The server's mutex guards it.
 type serviceDispatcher struct {
-	service      id.Service
-	machine      *batch.Machine
-	waitingHosts map[id.Request]id.Host
+	service id.Service
+	machine *batch.Machine
+	waiting map[id.Request]waitingRequest
 	// lastUsed is when a host last sent a request or a report.
 	lastUsed time.Time
 }
 
+// waitingRequest is a request that waits for a grant.
+type waitingRequest struct {
+	host    id.Host
+	content quarantine.Content
+	// askedToRunAlone says that the entry host wants the request to run alone. isolation is how it is to run now.
+	askedToRunAlone bool
+	isolation       batch.ReviewedRequest
+}
+
 // NewServer returns a server without dispatchers. A dispatcher is started when it is first needed. The seed initializes
 // the random choices of all dispatchers.
 func NewServer(config batch.Config, clock timer.Clock, fleet Fleet, peers Peers, qr Quarantine, metrics tally.Scope, logger *slog.Logger, seed uint64) *Server {
@@ -107,6 +121,9 @@
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	now := sv.clock.Now()
+	if sv.evidenceChanged.Swap(false) {
+		sv.reviewWaiting(now)
+	}
 	next := idleTickPeriod
 	for service, dp := range sv.dispatchers {
 		if now.Sub(dp.lastUsed) > dispatcherIdleTimeout && dp.machine.Waiting() == 0 && dp.machine.Granted() == 0 {
@@ -127,7 +144,7 @@
 func (sv *Server) dispatcherFor(now time.Time, service id.Service) *serviceDispatcher {
 	dp, ok := sv.dispatchers[service]
 	if !ok {
-		dp = &serviceDispatcher{service: service, machine: batch.New(sv.config, sv.seed), waitingHosts: map[id.Request]id.Host{}}
+		dp = &serviceDispatcher{service: service, machine: batch.New(sv.config, sv.seed), waiting: map[id.Request]waitingRequest{}}
 		sv.dispatchers[service] = dp
 		sv.refreshDispatcher(now, service, dp)
 		sv.metrics.Counter("dispatchers_started").Inc(1)
@@ -178,13 +195,13 @@
 	now := sv.clock.Now()
 	for _, dp := range sv.dispatchers {
 		sv.logger.Info("dispatcher stops issuing grants because its host is leaving", "service", string(dp.service), "waiting", dp.machine.Waiting(), "granted", dp.machine.Granted())
-		for requestID, host := range dp.waitingHosts {
+		for requestID, waiting := range dp.waiting {
 			// The step may grant other requests that wait. Those grants are not delivered, because this host no longer issues
 			// grants.
 			dp.machine.Step(now, batch.Withdraw{Request: requestID})
-			sv.pendingDeliveries.Go(func() { sv.deliverResponse(dp.service, host, requestID, GrantResponse{}) })
+			sv.pendingDeliveries.Go(func() { sv.deliverResponse(dp.service, waiting.host, requestID, GrantResponse{}) })
 		}
-		clear(dp.waitingHosts)
+		clear(dp.waiting)
 	}
 }
 
@@ -197,21 +214,30 @@
 	}
 	// Learning a limit refreshes the dispatchers, which locks the mutex.
 	sv.fleet.LearnRequestLimits(request.Host, request.RequestLimits)
+	for _, evidence := range request.Evidence {
+		sv.quarantine.LearnReportedEvidence(evidence)
+	}
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	if sv.leaving {
 		return GrantResponse{}, errLeaving
 	}
 	now := sv.clock.Now()
-	decision, retryAfter := sv.quarantine.QuarantineDecision(request.ContentFingerprint)
-	if oc, barred := quarantine.RefusalOutcome(decision, retryAfter); barred {
+	if len(request.Evidence) > 0 {
+		sv.reviewWaiting(now)
+	}
+	waiting := waitingRequest{
+		host: request.Host, askedToRunAlone: request.RunAlone,
+		content: quarantine.Content{Fingerprint: request.ContentFingerprint, PromptParts: request.PromptParts},
+	}
+	refusal, barred := waiting.judge(sv.quarantine, request.ID)
+	if barred {
 		sv.metrics.Counter("quarantine_refused").Inc(1)
-		return GrantResponse{Refusal: &oc}, nil
+		return GrantResponse{Refusal: &refusal}, nil
 	}
-	// RefusalOutcome has covered Refuse and Hold; of the other decisions only RunAlone restricts the grant.
-	request.RunAlone = request.RunAlone || decision == quarantine.RunAlone
+	request.RunAlone, request.SuspectParts = waiting.isolation.RunAlone, waiting.isolation.SuspectParts
 	dp := sv.dispatcherFor(now, request.Service)
-	delete(dp.waitingHosts, request.ID)
+	delete(dp.waiting, request.ID)
 	var response GrantResponse
 	var otherEffects []batch.Effect
 	for _, effect := range dp.machine.Step(now, batch.Submit{Request: request.Request}) {
@@ -223,7 +249,7 @@
 	}
 	sv.applyEffects(dp, otherEffects)
 	if response.Grant == nil && response.Refusal == nil {
-		dp.waitingHosts[request.ID] = request.Host
+		dp.waiting[request.ID] = waiting
 		sv.triggerTick()
 	}
 	return response, nil
@@ -265,12 +291,12 @@
 func (sv *Server) applyEffects(dp *serviceDispatcher, effects []batch.Effect) {
 	for _, effect := range effects {
 		response := sv.responseFor(dp, effect)
-		host, isWaiting := dp.waitingHosts[effect.Request]
+		waiting, isWaiting := dp.waiting[effect.Request]
 		if !isWaiting {
 			continue
 		}
-		delete(dp.waitingHosts, effect.Request)
-		sv.pendingDeliveries.Go(func() { sv.deliverResponse(dp.service, host, effect.Request, response) })
+		delete(dp.waiting, effect.Request)
+		sv.pendingDeliveries.Go(func() { sv.deliverResponse(dp.service, waiting.host, effect.Request, response) })
 	}
 }
 
@@ -292,11 +318,43 @@
 	}
 }
 
-// HandleReport updates the dispatchers from an entry host's report.
+// HandleReport updates the dispatchers from an entry host's report. What it says of crashes and of prompts that were
+// answered comes before the ends of grants, so that an engine that becomes free gets the right request next.
 func (sv *Server) HandleReport(report Report) {
+	for _, evidence := range report.Evidence {
+		sv.quarantine.LearnReportedEvidence(evidence)
+	}
+	cleared := false
+	for _, prompt := range sv.applyHeldAndStarted(report) {
+		cleared = sv.quarantine.PartsCompleted(prompt.service, prompt.parts) || cleared
+	}
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	now := sv.clock.Now()
+	if cleared {
+		sv.reviewWaiting(now)
+	}
+	for _, ended := range report.EndedGrants {
+		sv.handleEnded(now, ended)
+	}
+}
+
+// answeredPrompt is the prompt of an attempt that ends after its answer has begun, without a fault of its engine.
+type answeredPrompt struct {
+	service id.Service
+	parts   []id.PromptPart
+}
+
+// applyHeldAndStarted passes the held grants and started attempts of a report on to the dispatchers, after a review of
+// the waiting requests if the report has evidence. It returns the prompts of the attempts that end with this report and
+// were answered.
+func (sv *Server) applyHeldAndStarted(report Report) []answeredPrompt {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	now := sv.clock.Now()
+	if len(report.Evidence) > 0 {
+		sv.reviewWaiting(now)
+	}
 	for _, held := range report.HeldGrants {
 		dp := sv.dispatcherFor(now, held.GrantRequest.Service)
 		sv.applyEffects(dp, dp.machine.Step(now, batch.RenewGrant{Request: held.GrantRequest.Request, Grant: held.Grant, Started: held.Started}))
@@ -305,19 +363,34 @@
 		dp := sv.dispatcherFor(now, started.Service)
 		sv.applyEffects(dp, dp.machine.Step(now, batch.AttemptStarted{Attempt: started.Attempt}))
 	}
+	var answered []answeredPrompt
 	for _, ended := range report.EndedGrants {
-		sv.handleEnded(now, ended)
+		if parts := sv.answeredParts(ended); len(parts) > 0 {
+			answered = append(answered, answeredPrompt{ended.Service, parts})
+		}
 	}
-	for _, evidence := range report.Evidence {
-		sv.quarantine.LearnReportedEvidence(evidence)
+	return answered
+}
+
+// answeredParts returns the parts of the prompt of an attempt that ends, if its answer had begun and its engine did not
+// fail. The caller holds the mutex.
+func (sv *Server) answeredParts(ended EndedGrant) []id.PromptPart {
+	dp, ok := sv.dispatchers[ended.Service]
+	if !ok || ended.Withdrawn || ended.FailedEngine != "" {
+		return nil
+	}
+	request, started, ok := dp.machine.ActiveGrant(ended.Attempt)
+	if !ok || !started {
+		return nil
 	}
+	return request.PromptParts
 }
 
 // handleEnded ends a grant or withdraws a request. The caller holds the mutex.
 func (sv *Server) handleEnded(now time.Time, ended EndedGrant) {
 	dp := sv.dispatcherFor(now, ended.Service)
 	if ended.Withdrawn {
-		delete(dp.waitingHosts, ended.Request)
+		delete(dp.waiting, ended.Request)
 		sv.applyEffects(dp, dp.machine.Step(now, batch.Withdraw{Request: ended.Request}))
 		return
 	}
--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -7,23 +7,25 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
-// Quarantine tracks the request contents under which servers crashed.
+// Quarantine tracks the request contents and the parts of prompts under which servers crashed.
 type Quarantine interface {
-	// QuarantineDecision returns whether a request with this content may run now, perhaps only alone, and otherwise after
-	// which time to retry.
-	QuarantineDecision(fingerprint id.Fingerprint) (quarantine.Decision, time.Duration)
+	// Judge returns whether a request with this content may run now, perhaps only alone or isolated.
+	Judge(content quarantine.Content) quarantine.Verdict
+	// EvidenceAbout returns what counts against the parts of a prompt.
+	EvidenceAbout(parts []id.PromptPart) []quarantine.Evidence
 	// CrashConfirmedAt returns when this host first learned that a crash was confirmed, and false if it has not.
 	CrashConfirmedAt(crash quarantine.CrashID) (time.Time, bool)
 	// LearnLocalEvidence records evidence that this host found about a crash of a server of the service.
-	LearnLocalEvidence(service id.Service, evidence quarantine.Evidence)
+	LearnLocalEvidence(service id.Service, evidence ...quarantine.Evidence)
 	// RequestCompleted records that a request with this content ran to its end at a service.
-	RequestCompleted(service id.Service, fingerprint id.Fingerprint)
+	RequestCompleted(service id.Service, content quarantine.Content)
 }
 
 // ProbeResult says how a server responded to opening a connection, which occupies none of its request slots.
@@ -53,10 +55,46 @@
 	}
 }
 
+// crashSubject is what a crash of a server under an attempt may count against: the content of the request or a part of
+// its prompt.
+type crashSubject struct {
+	fingerprint id.Fingerprint
+	// confirmed is the status that a confirmed crash has for the subject.
+	confirmed quarantine.CrashStatus
+}
+
+// crashSubjects returns the content of the request and the parts of its prompt. If the current attempt runs isolated
+// because of some of the parts, the others are not the cause of a crash.
+func (jb *job) crashSubjects() []crashSubject {
+	subjects := []crashSubject{{jb.result.Fingerprint, quarantine.Confirmed}}
+	parts, status := jb.request.PromptParts, quarantine.Confirmed
+	if len(jb.isolatedParts) > 0 {
+		parts, status = jb.isolatedParts, quarantine.ConfirmedIsolated
+	}
+	for _, part := range parts {
+		subjects = append(subjects, crashSubject{part.Fingerprint(), status})
+	}
+	return subjects
+}
+
+// confirmedEvidence returns the evidence that a confirmed crash gives against the subjects.
+func confirmedEvidence(subjects []crashSubject, crash quarantine.CrashID) []quarantine.Evidence {
+	var evidence []quarantine.Evidence
+	for _, subject := range subjects {
+		evidence = append(evidence, quarantine.Evidence{Fingerprint: subject.fingerprint, Crash: crash, Status: subject.confirmed})
+	}
+	return evidence
+}
+
+// content returns what identifies the request for the quarantine.
+func (jb *job) content() quarantine.Content {
+	return quarantine.Content{Fingerprint: jb.result.Fingerprint, PromptParts: jb.request.PromptParts}
+}
+
 // unresolvedAttempt is an attempt that lost its server without it being known whether the server crashed.
 type unresolvedAttempt struct {
-	quarantine.Evidence
-	server serverlist.Server
+	subjects []crashSubject
+	server   serverlist.Server
 	// startedAt is when the attempt started, lostAt when the connection was lost.
 	startedAt time.Time
 	lostAt    time.Time
@@ -66,12 +104,14 @@
 // package serverlist keeps a server that was dropped in an outage of the store, and some time to read the list.
 const unresolvedTTL = 10 * time.Second
 
-// mustRunAlone reports whether the request must run alone on an engine, because its content may have crashed servers.
-// Wait counts as RunAlone here: the dispatcher lets a request that is to run alone wait while another one with the same
-// content runs alone.
-func (jb *job) mustRunAlone() bool {
-	decision, _ := jb.runner.quarantine.QuarantineDecision(jb.result.Fingerprint)
-	return decision == quarantine.RunAlone || decision == quarantine.Wait
+// setIsolation sets in a request for a grant whether it must run alone on an engine, because its content may have
+// crashed servers, and what this host knows of the parts of its prompt. Wait counts as RunAlone here: the dispatcher
+// lets a request that is to run alone wait while another one with the same content runs alone.
+func (jb *job) setIsolation(request *broker.GrantRequest) {
+	verdict := jb.runner.quarantine.Judge(jb.content())
+	request.RunAlone = verdict.Decision == quarantine.RunAlone || verdict.Decision == quarantine.Wait
+	request.SuspectParts = verdict.SuspectParts
+	request.Evidence = jb.runner.quarantine.EvidenceAbout(jb.request.PromptParts)
 }
 
 // identifyCrash returns the identity of the crash that an attempt saw if its server crashed: the server and its listed
@@ -103,8 +143,8 @@
 // rejectQuarantined reports whether the request must not be sent, or not be sent again, because servers crashed while
 // running its content. In that case it sets the outcome.
 func (jb *job) rejectQuarantined() bool {
-	decision, wait := jb.runner.quarantine.QuarantineDecision(jb.result.Fingerprint)
-	oc, rejected := quarantine.RefusalOutcome(decision, wait)
+	verdict := jb.runner.quarantine.Judge(jb.content())
+	oc, rejected := quarantine.RefusalOutcome(verdict.Decision, verdict.ExpiresIn)
 	if !rejected {
 		return false
 	}
@@ -127,7 +167,7 @@
 	rn := jb.runner
 	server = serverDuringAttempt(server, startedAt, rn.fleet.Servers(server.Service))
 	crash, crashedBefore := rn.identifyCrash(server, startedAt)
-	evidence := quarantine.Evidence{Fingerprint: jb.result.Fingerprint, Crash: crash, Status: quarantine.Confirmed}
+	subjects := jb.crashSubjects()
 	counted := ""
 	switch {
 	case crashedBefore && errors.Is(cause, ErrStaleConnection):
@@ -135,20 +175,19 @@
 	case rn.fleet.ListedAsLeaving(server.ID) || rn.fleet.AnnouncedLeaving(server.ID):
 		counted = "no, the server is leaving"
 	case probeResult == ConnectionRefused || rn.goneOrRestarted(server, rn.fleet.Servers(server.Service)):
-		counted = evidence.Status.String()
-		rn.quarantine.LearnLocalEvidence(server.Service, evidence)
+		counted = quarantine.Confirmed.String()
+		rn.quarantine.LearnLocalEvidence(server.Service, confirmedEvidence(subjects, crash)...)
 	default:
 		counted = "not yet, the list will tell"
-		rn.queueUnresolved(unresolvedAttempt{Evidence: evidence, server: server, startedAt: startedAt, lostAt: rn.clock.Now()})
+		rn.queueUnresolved(unresolvedAttempt{subjects: subjects, server: server, startedAt: startedAt, lostAt: rn.clock.Now()})
 		if probeResult == Unresponsive && rn.otherServerReachable(ctx, server) {
-			evidence.Status = quarantine.Reported
-			counted = evidence.Status.String()
-			rn.quarantine.LearnLocalEvidence(server.Service, evidence)
+			counted = quarantine.Reported.String()
+			rn.quarantine.LearnLocalEvidence(server.Service, quarantine.Evidence{Fingerprint: jb.result.Fingerprint, Crash: crash, Status: quarantine.Reported})
 		}
 	}
 	rn.metrics.Tagged(map[string]string{"health": probeResult.String()}).Counter("attempts_broken").Inc(1)
-	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", evidence.Fingerprint.String(), "parts", jb.request.promptPartNames(), "server", string(server.ID),
-		"address", server.Address, "born", server.StartedAtMillis, "crash", evidence.Crash.String(), "health", probeResult.String(), "counted", counted, "cause", cause.Error(),
+	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "parts", jb.request.PromptPartNames(), "isolated", len(jb.isolatedParts) > 0, "server", string(server.ID),
+		"address", server.Address, "born", server.StartedAtMillis, "crash", crash.String(), "health", probeResult.String(), "counted", counted, "cause", cause.Error(),
 		"list_age_ms", rn.fleet.ListAge().Milliseconds())
 	return probeResult == ConnectionRefused
 }
@@ -218,9 +257,9 @@
 	rn.unresolved = stillUnresolved
 	rn.mutex.Unlock()
 	for _, attempt := range crashedAttempts {
-		attempt.Crash, _ = rn.identifyCrash(attempt.server, attempt.startedAt)
-		rn.quarantine.LearnLocalEvidence(attempt.server.Service, attempt.Evidence)
-		rn.logger.Info("backend server crashed", "fingerprint", attempt.Fingerprint.String(), "server", string(attempt.server.ID), "crash", attempt.Crash.String(),
+		crash, _ := rn.identifyCrash(attempt.server, attempt.startedAt)
+		rn.quarantine.LearnLocalEvidence(attempt.server.Service, confirmedEvidence(attempt.subjects, crash)...)
+		rn.logger.Info("backend server crashed", "fingerprint", attempt.subjects[0].fingerprint.String(), "server", string(attempt.server.ID), "crash", crash.String(),
 			"source", "list", "after_ms", now.Sub(attempt.lostAt).Milliseconds())
 	}
 }
--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
@@ -54,23 +55,36 @@
 type localQuarantine struct{ *quarantine.Table }
 
 func newLocalQuarantine() localQuarantine {
-	return localQuarantine{quarantine.New(quarantine.Config{CrashLimit: 3, TTL: time.Hour, ReportTTL: 5 * time.Second})}
+	return localQuarantine{quarantine.New(quarantine.Config{CrashLimit: 3, TTL: time.Hour, ReportTTL: 5 * time.Second, Parts: quarantine.PartConfig{
+		IsolatedCrashLimit: 2, CrashLimit: 4, SoundTTL: time.Hour, SoundCrashLimit: 3, FirstRetrial: time.Minute,
+	}})}
 }
 
-func (lq localQuarantine) QuarantineDecision(fingerprint id.Fingerprint) (quarantine.Decision, time.Duration) {
-	return lq.Table.Decide(time.Now(), fingerprint), time.Second
+func (lq localQuarantine) Judge(content quarantine.Content) quarantine.Verdict {
+	return lq.Table.Judge(time.Now(), content)
+}
+
+func (lq localQuarantine) EvidenceAbout(parts []id.PromptPart) []quarantine.Evidence {
+	var evidence []quarantine.Evidence
+	for _, part := range parts {
+		evidence = append(evidence, lq.EvidenceFor(part.Fingerprint())...)
+	}
+	return evidence
 }
 
 func (lq localQuarantine) CrashConfirmedAt(crash quarantine.CrashID) (time.Time, bool) {
 	return lq.FirstConfirmedAt(crash)
 }
 
-func (lq localQuarantine) LearnLocalEvidence(_ id.Service, evidence quarantine.Evidence) {
-	lq.Learn(time.Now(), evidence)
+func (lq localQuarantine) LearnLocalEvidence(_ id.Service, evidence ...quarantine.Evidence) {
+	for _, ev := range evidence {
+		lq.Learn(time.Now(), ev)
+	}
 }
 
-func (lq localQuarantine) RequestCompleted(_ id.Service, fingerprint id.Fingerprint) {
-	lq.Table.RequestCompleted(time.Now(), fingerprint)
+func (lq localQuarantine) RequestCompleted(_ id.Service, content quarantine.Content) {
+	lq.Table.RequestCompleted(time.Now(), content.Fingerprint)
+	lq.Table.PartsCompleted(time.Now(), content.PromptParts)
 }
 
 // newOrder returns a request to a plain service that must not be sent twice.
@@ -221,3 +235,44 @@
 	assert.Equal(t, result.Status, http.StatusOK)
 	assert.Equal(t, table.ConfirmedCrashes(orderFingerprint), 0)
 }
+
+// TestCrashCountsAgainstPromptParts checks that a crash counts against the content and all shared parts of the prompt,
+// but under an isolated attempt only against the content and the parts because of which it ran isolated. After its
+// first event the attempt no longer counts as isolated.
+func TestCrashCountsAgainstPromptParts(t *testing.T) {
+	first, second := id.NewPromptPart("first"), id.NewPromptPart("second")
+	for _, tc := range []struct {
+		name     string
+		isolated []id.PromptPart
+		body     string
+		want     map[id.PromptPart]quarantine.CrashStatus
+	}{
+		{"not isolated", nil, "", map[id.PromptPart]quarantine.CrashStatus{first: quarantine.Confirmed, second: quarantine.Confirmed}},
+		{"isolated", []id.PromptPart{second}, "", map[id.PromptPart]quarantine.CrashStatus{second: quarantine.ConfirmedIsolated}},
+		{"isolated, after the first event", []id.PromptPart{second}, "id: 1\n\nid", map[id.PromptPart]quarantine.CrashStatus{first: quarantine.Confirmed, second: quarantine.Confirmed}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			grant := grantOn("1", "one")
+			grant.SuspectParts = tc.isolated
+			table := newLocalQuarantine()
+			server := serverlist.Server{ID: "one", Service: "service", Address: "one:80", StartedAtMillis: 1}
+			rn := newRunner(forward.Dependencies{
+				Sender: &cutOffServers{bodies: []string{tc.body}}, Fleet: fakeFleet{listed: []serverlist.Server{server}},
+				Dispatcher: &fakeDispatcher{grants: []batch.Grant{grant}}, Quarantine: table,
+			})
+			now := time.Now()
+			rn.Run(t.Context(), &forward.Request{
+				ID: "request", Target: "/chat", Service: "service", PromptTokens: 1000, MaxAnswerTokens: 50, ArrivedAt: now, Deadline: now.Add(10 * time.Second),
+				Route: route.Route{Kind: route.Streaming, HasPrompt: true, MaxAttempts: 1}, PromptParts: []id.PromptPart{first, second},
+			}, &fakeClient{})
+			assert.Equal(t, table.ConfirmedCrashes(id.NewFingerprint("", []byte("/chat"), nil)), 1)
+			got := map[id.PromptPart]quarantine.CrashStatus{}
+			for _, part := range []id.PromptPart{first, second} {
+				for _, evidence := range table.EvidenceAbout([]id.PromptPart{part}) {
+					got[part] = evidence.Status
+				}
+			}
+			assert.DeepEqual(t, got, tc.want)
+		})
+	}
+}
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -55,6 +55,7 @@
 			ArrivedAt:          request.ArrivedAt,
 			Priority:           request.Priority,
 			ContentFingerprint: st.result.Fingerprint,
+			PromptParts:        request.PromptParts,
 		},
 		Service: request.Service,
 	}
@@ -83,6 +84,7 @@
 	}
 	st.grantedAt = rn.clock.Now()
 	st.server = rn.serverOfPart(st.request.Service, grant.Parts[0])
+	st.isolatedParts = grant.SuspectParts
 	st.grantsUsed++
 	st.result.Attempts++
 	st.result.Server = id.BackendServer(grant.Parts[0].Engine)
@@ -96,7 +98,7 @@
 	ended.Attempt = grant.Attempt
 	rn.dispatcher.ReportEnded(ended)
 	rn.logger.Info("attempt ended", "request", st.request.ID, "fingerprint", st.result.Fingerprint.String(), "attempt", string(grant.Attempt), "engine", string(grant.Parts[0].Engine),
-		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.PromptTokens), "parts", st.request.promptPartNames(), "result", result.reason, "alone", st.grantRequest.RunAlone,
+		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.PromptTokens), "parts", st.request.PromptPartNames(), "result", result.reason, "alone", st.grantRequest.RunAlone, "isolated", len(grant.SuspectParts) > 0,
 		"predicted_ms", grant.PredictedFirstEvent.Milliseconds(), "queued_ms", st.result.QueueTime.Milliseconds(),
 		"first_ms", st.result.TimeToFirstByte.Milliseconds(), "pause_ms", st.result.LongestPause.Milliseconds(), "last_event", st.lastEventID, "remaining_ms", st.remaining().Milliseconds())
 	st.result.Cause = result.reason
@@ -125,7 +127,7 @@
 		st.result.DispatchID = grantRequest.ID
 		return grant, true
 	}
-	st.grantRequest.RunAlone = st.mustRunAlone()
+	st.setIsolation(&st.grantRequest)
 	st.grantRequest.WaitLimit = st.waitLimitFromArrival()
 	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
 	acquireCtx, span := rn.tracer.Start(acquireCtx, "dispatch.place")
@@ -372,6 +374,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if len(ev.data) > 0 {
+			st.isolatedParts = nil
 			monitor.recordEvent(ev)
 			rn.dispatcher.ReportStarted(grant.Attempt)
 			if sinkErr := st.forwardEvent(response, ev); sinkErr != nil {
--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -112,15 +112,16 @@
 // emptyQuarantine lets every content run.
 type emptyQuarantine struct{}
 
-func (emptyQuarantine) QuarantineDecision(id.Fingerprint) (quarantine.Decision, time.Duration) {
-	return quarantine.Run, 0
+func (emptyQuarantine) Judge(quarantine.Content) quarantine.Verdict {
+	return quarantine.Verdict{Decision: quarantine.Run}
 }
+func (emptyQuarantine) EvidenceAbout([]id.PromptPart) []quarantine.Evidence { return nil }
 
 func (emptyQuarantine) CrashConfirmedAt(quarantine.CrashID) (time.Time, bool) {
 	return time.Time{}, false
 }
-func (emptyQuarantine) LearnLocalEvidence(id.Service, quarantine.Evidence) {}
-func (emptyQuarantine) RequestCompleted(id.Service, id.Fingerprint)        {}
+func (emptyQuarantine) LearnLocalEvidence(id.Service, ...quarantine.Evidence) {}
+func (emptyQuarantine) RequestCompleted(id.Service, quarantine.Content)       {}
 
 // unlimited knows of no limits.
 type unlimited struct{}
--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -53,7 +53,7 @@
 	grantRequest.AttemptNumber++
 	grantRequest.AvoidedEngines = append(append([]id.Engine(nil), grantRequest.AvoidedEngines...), stalledEngine)
 	grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service)
-	grantRequest.RunAlone = st.mustRunAlone()
+	st.setIsolation(&grantRequest)
 	grantRequest.WaitLimit = st.waitLimitFromArrival()
 	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
 	defer detach()
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -58,8 +58,8 @@
 	PromptParts []id.PromptPart
 }
 
-// promptPartNames returns the parts of the prompt as they appear in logs.
-func (rq *Request) promptPartNames() []string {
+// PromptPartNames returns the parts of the prompt as they appear in logs.
+func (rq *Request) PromptPartNames() []string {
 	names := make([]string, len(rq.PromptParts))
 	for ix, part := range rq.PromptParts {
 		names[ix] = part.String()
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -251,7 +251,7 @@
 		jb.runOnServers(ctx)
 	}
 	if jb.result.Complete && jb.result.Status < http.StatusMultipleChoices {
-		rn.quarantine.RequestCompleted(request.Service, jb.result.Fingerprint)
+		rn.quarantine.RequestCompleted(request.Service, jb.content())
 	}
 	span.SetAttributes(attribute.Int("status", jb.result.Status), attribute.Bool("whole", jb.result.Complete), attribute.Int("attempts", jb.result.Attempts))
 	rn.recordMetrics(request, jb.result)
@@ -319,6 +319,8 @@
 	backoffWait time.Duration
 	// limitReached says that chooseServer found only servers whose request limits are reached.
 	limitReached bool
+	// isolatedParts are the parts of the prompt because of which the current attempt runs isolated, until its first event.
+	isolatedParts []id.PromptPart
 	// newConnection makes further attempts use new connections, because a reused one ended without a response.
 	newConnection bool
 }
--- a/site/crash_quarantine.go
+++ b/site/crash_quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,16 @@
 	// reportTTL is how long an unresponsive server counts as crashed while the list does not show it as gone: the time of
 	// three heartbeats, and the time until the host has read the changed list.
 	reportTTL = 6 * time.Second
+	// isolatedCrashLimit, partCrashLimit and soundCrashLimit are the limits of parts of prompts (quarantine.PartConfig).
+	// The users limit the requests with a part from its fifth crash on; the first crash only makes a part suspect.
+	isolatedCrashLimit = 2
+	partCrashLimit     = 4
+	soundCrashLimit    = 3
+	// soundPartTTL is how long a completed answer protects the parts of its prompt.
+	soundPartTTL = 10 * time.Minute
+	// firstPartRetrial is the time after which a request with a refused part is tried again. Nothing else shows that a
+	// change of the engines has made the part harmless.
+	firstPartRetrial = 2 * time.Minute
 	// minSharedCrashes is the number of crashes of a content from which on the evidence is sent to all hosts and stored.
 	// With fewer crashes only the dispatcher of the service gets the evidence, because most crashed servers leave a single
 	// crash with each content that was running on them.
@@ -56,6 +67,8 @@
 	spreadFact func(membership.Fact)
 	// storeEvidence adds evidence to the store.
 	storeEvidence func(evidence ...quarantine.Evidence)
+	// evidenceChanged is called after evidence was learned or cleared, except by LearnReportedEvidence.
+	evidenceChanged func()
 
 	// mutex guards table.
 	mutex sync.Mutex
@@ -67,21 +80,33 @@
 func newCrashQuarantine(clock timer.Clock, metrics tally.Scope, logger *slog.Logger, spreadFact func(membership.Fact)) *crashQuarantine {
 	return &crashQuarantine{
 		clock: clock, metrics: metrics, logger: logger, spreadFact: spreadFact,
-		table: quarantine.New(quarantine.Config{CrashLimit: crashLimit, TTL: quarantineTTL, ReportTTL: reportTTL}),
+		table: quarantine.New(quarantine.Config{CrashLimit: crashLimit, TTL: quarantineTTL, ReportTTL: reportTTL, Parts: quarantine.PartConfig{
+			IsolatedCrashLimit: isolatedCrashLimit, CrashLimit: partCrashLimit, SoundTTL: soundPartTTL, SoundCrashLimit: soundCrashLimit, FirstRetrial: firstPartRetrial,
+		}}),
 	}
 }
 
-// QuarantineDecision returns whether and how a request content may run now and, if it is refused or held, how long that
-// decision lasts.
-func (cq *crashQuarantine) QuarantineDecision(fingerprint id.Fingerprint) (quarantine.Decision, time.Duration) {
+// Judge returns whether and how a request may run now.
+func (cq *crashQuarantine) Judge(content quarantine.Content) quarantine.Verdict {
 	cq.mutex.Lock()
 	defer cq.mutex.Unlock()
-	now := cq.clock.Now()
-	decision := cq.table.Decide(now, fingerprint)
-	if decision != quarantine.Refuse && decision != quarantine.Hold {
-		return decision, 0
+	return cq.table.Judge(cq.clock.Now(), content)
+}
+
+// EvidenceAbout returns what counts against the parts of a prompt.
+func (cq *crashQuarantine) EvidenceAbout(parts []id.PromptPart) []quarantine.Evidence {
+	cq.mutex.Lock()
+	defer cq.mutex.Unlock()
+	var evidence []quarantine.Evidence
+	for _, part := range parts {
+		evidence = append(evidence, countingEvidence(cq.table.EvidenceFor(part.Fingerprint()))...)
 	}
-	return decision, cq.table.DecisionExpiresIn(now, fingerprint)
+	return evidence
+}
+
+// countingEvidence returns the evidence that still counts against its fingerprint.
+func countingEvidence(evidence []quarantine.Evidence) []quarantine.Evidence {
+	return slices.DeleteFunc(evidence, func(ev quarantine.Evidence) bool { return ev.Status == quarantine.Cleared })
 }
 
 // CrashConfirmedAt returns when this host first learned that a crash was confirmed, and false if it has not.
@@ -91,12 +116,17 @@
 	return cq.table.FirstConfirmedAt(crash)
 }
 
-// LearnLocalEvidence records evidence that this host found. It sends new evidence to all hosts if several crashes of
-// the content are recorded, and otherwise to the dispatcher of the service.
-func (cq *crashQuarantine) LearnLocalEvidence(service id.Service, evidence quarantine.Evidence) {
-	if cq.learn(evidence, "own") && !cq.shareRepeatedCrashes(evidence.Fingerprint) {
-		cq.reportToDispatcher(service, evidence)
+// LearnLocalEvidence records evidence that this host found. It sends new evidence to the dispatcher of the service, and
+// to all hosts if several crashes count against its fingerprint.
+func (cq *crashQuarantine) LearnLocalEvidence(service id.Service, evidence ...quarantine.Evidence) {
+	for _, ev := range evidence {
+		if cq.learn(ev, "own") {
+			// The dispatcher must have the evidence before the end of the attempt, and gossip is slower than a report.
+			cq.reportToDispatcher(service, ev)
+			cq.shareRepeatedCrashes(ev.Fingerprint)
+		}
 	}
+	cq.evidenceChanged()
 }
 
 // LearnReportedEvidence records evidence that a host sent to this host, which is the dispatcher of the service. If
@@ -109,7 +139,9 @@
 
 // LearnGossipedEvidence records evidence that is spread to all hosts by gossip.
 func (cq *crashQuarantine) LearnGossipedEvidence(evidence quarantine.Evidence) {
-	cq.learn(evidence, "host")
+	if cq.learn(evidence, "host") {
+		cq.evidenceChanged()
+	}
 }
 
 // LearnStoredEvidence records evidence that was read from the store. It sends new evidence to the other hosts, because
@@ -117,25 +149,49 @@
 func (cq *crashQuarantine) LearnStoredEvidence(evidence quarantine.Evidence) {
 	if cq.learn(evidence, "store") {
 		cq.spreadFact(crashlog.ToFact(evidence))
+		cq.evidenceChanged()
 	}
 }
 
-// RequestCompleted records that a request with this content ran to its end, which clears the crashes of the content. It
-// sends the cleared evidence to all hosts if several crashes are recorded, and otherwise to the dispatcher of the
-// service.
-func (cq *crashQuarantine) RequestCompleted(service id.Service, fingerprint id.Fingerprint) {
+// RequestCompleted records that a request ran to its end, which clears the crashes of its content and of the parts of
+// its prompt.
+func (cq *crashQuarantine) RequestCompleted(service id.Service, content quarantine.Content) {
 	cq.mutex.Lock()
-	cleared := cq.table.RequestCompleted(cq.clock.Now(), fingerprint)
+	cleared := cq.table.RequestCompleted(cq.clock.Now(), content.Fingerprint)
 	cq.mutex.Unlock()
-	for _, evidence := range cleared {
-		cq.logEvidence(evidence, "own")
+	cq.shareCleared(service, cleared)
+	cq.PartsCompleted(service, content.PromptParts)
+}
+
+// PartsCompleted records that an engine of a service answered a prompt with the given parts without crashing, which
+// clears the crashes of the parts. It reports whether there were any.
+func (cq *crashQuarantine) PartsCompleted(service id.Service, parts []id.PromptPart) bool {
+	anyCleared := false
+	for _, part := range parts {
+		cq.mutex.Lock()
+		cleared := cq.table.PartsCompleted(cq.clock.Now(), []id.PromptPart{part})
+		cq.mutex.Unlock()
+		cq.shareCleared(service, cleared)
+		anyCleared = anyCleared || len(cleared) > 0
 	}
-	if len(cleared) == 0 || cq.shareRepeatedCrashes(fingerprint) {
+	return anyCleared
+}
+
+// shareCleared sends evidence about one fingerprint that was cleared on this host to all hosts if they know of the
+// crashes, and otherwise to the dispatcher of the service.
+func (cq *crashQuarantine) shareCleared(service id.Service, cleared []quarantine.Evidence) {
+	if len(cleared) == 0 {
 		return
 	}
 	for _, evidence := range cleared {
-		cq.reportToDispatcher(service, evidence)
+		cq.logEvidence(evidence, "own")
 	}
+	if len(cleared) >= minSharedCrashes {
+		cq.share(cleared)
+	} else {
+		cq.reportToDispatcher(service, cleared[0])
+	}
+	cq.evidenceChanged()
 }
 
 // learn records evidence and reports whether it was new. The source of new evidence appears in logs and metrics.
@@ -149,32 +205,42 @@
 	return isNew
 }
 
-// shareRepeatedCrashes sends all evidence about a content to all hosts if at least minSharedCrashes crashes are
-// recorded, and reports whether they are. Evidence about crashes that are confirmed or cleared is also stored.
-func (cq *crashQuarantine) shareRepeatedCrashes(fingerprint id.Fingerprint) bool {
+// shareRepeatedCrashes sends all evidence that counts against a fingerprint to all hosts if it is about at least
+// minSharedCrashes crashes.
+func (cq *crashQuarantine) shareRepeatedCrashes(fingerprint id.Fingerprint) {
 	cq.mutex.Lock()
-	recorded := cq.table.EvidenceFor(fingerprint)
+	counting := countingEvidence(cq.table.EvidenceFor(fingerprint))
 	cq.mutex.Unlock()
-	if len(recorded) < minSharedCrashes {
-		return false
+	if len(counting) >= minSharedCrashes {
+		cq.share(counting)
 	}
+}
+
+// share sends evidence to all hosts. Evidence about crashes that are confirmed or cleared is also stored.
+func (cq *crashQuarantine) share(evidence []quarantine.Evidence) {
 	var conclusive []quarantine.Evidence
-	for _, evidence := range recorded {
-		cq.spreadFact(crashlog.ToFact(evidence))
-		if evidence.Status > quarantine.Reported {
-			conclusive = append(conclusive, evidence)
+	for _, ev := range evidence {
+		cq.spreadFact(crashlog.ToFact(ev))
+		if ev.Status != quarantine.Reported {
+			conclusive = append(conclusive, ev)
 		}
 	}
 	cq.storeEvidence(conclusive...)
-	return true
 }
 
-// logEvidence logs and counts new evidence, together with the decision for the content that results from it.
+// logEvidence logs and counts new evidence, together with the decision that results from it for the content, or for
+// requests with the part and no other.
 func (cq *crashQuarantine) logEvidence(evidence quarantine.Evidence, source string) {
+	content := quarantine.Content{Fingerprint: evidence.Fingerprint}
+	subject := "content"
+	if part, ok := evidence.Fingerprint.PromptPart(); ok {
+		content = quarantine.Content{PromptParts: []id.PromptPart{part}}
+		subject = "part"
+	}
 	cq.mutex.Lock()
-	crashes, decision := cq.table.ConfirmedCrashes(evidence.Fingerprint), cq.table.Decide(cq.clock.Now(), evidence.Fingerprint)
+	crashes, decision := cq.table.ConfirmedCrashes(evidence.Fingerprint), cq.table.Judge(cq.clock.Now(), content).Decision
 	cq.mutex.Unlock()
-	cq.metrics.Tagged(map[string]string{"standing": evidence.Status.String(), "source": source}).Counter("crashes_under_requests").Inc(1)
-	cq.logger.Info("crash under a request", "fingerprint", evidence.Fingerprint.String(), "crash", evidence.Crash.String(), "standing", evidence.Status.String(),
+	cq.metrics.Tagged(map[string]string{"standing": evidence.Status.String(), "source": source, "subject": subject}).Counter("crashes_under_requests").Inc(1)
+	cq.logger.Info("crash under a request", "fingerprint", evidence.Fingerprint.String(), "subject", subject, "crash", evidence.Crash.String(), "standing", evidence.Status.String(),
 		"source", source, "crashes", crashes, "refused", decision == quarantine.Refuse, "held", decision == quarantine.Hold)
 }
--- a/site/host.go
+++ b/site/host.go
@@ -175,6 +175,7 @@
 	ht.crashQuarantine.reportToDispatcher = func(service id.Service, evidence quarantine.Evidence) {
 		ht.grantClient.ReportEvidence(service, evidence)
 	}
+	ht.crashQuarantine.evidenceChanged = ht.grantServer.EvidenceChanged
 	ht.grantClient = broker.NewClient(batch.DefaultConfig(), ht.localMember.Host, ht.clock, ht.peerClient, ht.fleet, scope, ht.logger, seed)
 	ht.permitClient = requestlimit.NewClient(ht.requestLimits, ht.localMember.Host, ht.peerClient)
 	ht.permitIssuer = requestlimit.NewIssuer(ht.clock, ht.peerClient, ht.fleet, ht.requestLimits)
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -72,9 +72,18 @@
 	return Tokens((sizeBytes + bytesPerToken - 1) / bytesPerToken)
 }
 
-// Fingerprint identifies the content of a request of one organisation. Equal requests have equal fingerprints.
+// Fingerprint identifies the content of a request of one organisation, or a part of prompts. Equal requests have equal
+// fingerprints.
 type Fingerprint uint64
 
+// partBit is set in the hashes of parts of prompts and clear in those of contents.
+const partBit = 1 << 63
+
+// PromptPart returns the part that the fingerprint identifies, and false if it identifies a content.
+func (fp Fingerprint) PromptPart() (PromptPart, bool) {
+	return PromptPart(fp), fp&partBit != 0
+}
+
 // String returns the fingerprint in hexadecimal digits.
 func (fp Fingerprint) String() string {
 	return strconv.FormatUint(uint64(fp), 16)
@@ -89,7 +98,7 @@
 		_, _ = digest.Write([]byte{0})
 		_, _ = digest.Write(part)
 	}
-	return Fingerprint(digest.Sum64())
+	return Fingerprint(digest.Sum64() &^ partBit)
 }
 
 // PromptPart identifies a part of a prompt that several requests may have in common.
@@ -102,9 +111,12 @@
 
 // NewPromptPart returns a hash of the name of a part.
 func NewPromptPart(name string) PromptPart {
-	return PromptPart(xxhash.Sum64String("prompt part\x00" + name))
+	return PromptPart(xxhash.Sum64String(name) | partBit)
 }
 
+// Fingerprint returns the fingerprint that identifies the part.
+func (pp PromptPart) Fingerprint() Fingerprint { return Fingerprint(pp) }
+
 // NewRequest returns the identifier of the request with the given sequence number of a host's incarnation.
 func NewRequest(host Host, incarnation Incarnation, sequence uint64) Request {
 	return Request(string(host) + "." + strconv.FormatInt(int64(incarnation), 36) + "." + strconv.FormatUint(sequence, 36))
--- a/state/quarantine/quarantine.go
+++ b/state/quarantine/quarantine.go
@@ -1,9 +1,10 @@
-// Package quarantine decides whether requests whose content has crashed servers may run again. Requests are identified
-// by the fingerprint of their content, so that a retry or an identical request of another client counts as the same
-// request.
+// Package quarantine decides whether requests that may have crashed servers may run again. Requests are identified by
+// the fingerprint of their content, so that a retry or an identical request of another client counts as the same
+// request, and by the parts of their prompts that other requests may have too.
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -23,6 +24,8 @@
 	TTL time.Duration
 	// ReportTTL is how long a crash that is reported but not confirmed counts.
 	ReportTTL time.Duration
+	// Parts sets the limits for parts of prompts.
+	Parts PartConfig
 }
 
 // maxEntries bounds the number of fingerprints in a table. When it is reached, the entry with the oldest evidence among
@@ -55,8 +58,19 @@
 	// Cleared means that the crash no longer counts against the request, because a request with the same fingerprint
 	// has since run to completion.
 	Cleared
+	// ConfirmedIsolated means that the server is known to have crashed while a request ran isolated because of a part of
+	// its prompt, and before the first event of the answer. It ranks between Confirmed and Cleared.
+	ConfirmedIsolated
 )
 
+// rank orders the statuses: a status of higher rank replaces one of lower rank. It is 0 for an unknown status.
+func (cs CrashStatus) rank() int {
+	return slices.Index([]CrashStatus{Reported, Confirmed, ConfirmedIsolated, Cleared}, cs) + 1
+}
+
+// isConfirmed reports whether the server is known to have crashed and the crash still counts.
+func (cs CrashStatus) isConfirmed() bool { return cs == Confirmed || cs == ConfirmedIsolated }
+
 // String returns the status as it appears in logs and metrics.
 func (cs CrashStatus) String() string {
 	switch cs {
@@ -66,6 +80,8 @@
 		return "confirmed"
 	case Cleared:
 		return "cleared"
+	case ConfirmedIsolated:
+		return "confirmed isolated"
 	default:
 		return "unknown"
 	}
@@ -102,7 +118,7 @@
 func RefusalOutcome(decision Decision, retryAfter time.Duration) (outcome.Outcome, bool) {
 	switch decision {
 	case Refuse:
-		return outcome.Refuse(outcome.Quarantined, "the request has crashed servers and is not run again").WithRetryAfter(retryAfter), true
+		return outcome.Refuse(outcome.Quarantined, "the request, or a part of its prompt, has crashed servers and is not run again").WithRetryAfter(retryAfter), true
 	case Hold:
 		return outcome.Refuse(outcome.Quarantined, "servers have fallen silent under the request; it is held back until it is known whether they crashed").WithRetryAfter(retryAfter), true
 	default:
@@ -125,14 +141,16 @@
 	learnedAt time.Time
 }
 
-// Table holds crashes and running attempts by fingerprint. Evidence is only added, and the status of a crash only
-// rises, so that tables of several hosts converge when the hosts exchange their evidence in any order. A table is not
+// Table holds crashes and running attempts by fingerprint. Evidence is only added, and the rank of the status
+// of a crash only rises, so that tables of several hosts converge when the hosts exchange their evidence in any order. A table is not
 // safe for concurrent use.
 type Table struct {
 	config  Config
 	entries map[id.Fingerprint]*entry
 	// serverCrashes indexes the fingerprints of entries by crash. It holds exactly the crashes that occur in entries.
 	serverCrashes map[CrashID]*serverCrash
+	// soundParts holds the parts of prompts of answers that were completed.
+	soundParts soundParts
 }
 
 // serverCrash is one crash with all fingerprints that it may count against.
@@ -177,7 +195,7 @@
 func (tb *Table) countCrashes(now time.Time, fp id.Fingerprint, en *entry) (confirmed, reported int) {
 	for crash, cs := range en.crashes {
 		switch {
-		case cs.status == Confirmed && !tb.attributedToOther(crash, fp, en):
+		case cs.status.isConfirmed() && !tb.attributedToOther(crash, fp, en):
 			confirmed++
 		case cs.status == Reported && now.Sub(cs.learnedAt) <= tb.config.ReportTTL:
 			reported++
@@ -190,7 +208,7 @@
 func (en *entry) confirmedCrashes() int {
 	count := 0
 	for _, cs := range en.crashes {
-		if cs.status == Confirmed {
+		if cs.status.isConfirmed() {
 			count++
 		}
 	}
@@ -201,7 +219,7 @@
 // with more confirmed crashes than this one, and with enough to be refused.
 func (tb *Table) attributedToOther(crash CrashID, fp id.Fingerprint, en *entry) bool {
 	for otherFP := range tb.serverCrashes[crash].fingerprints {
-		if otherFP == fp || tb.entries[otherFP].crashes[crash].status != Confirmed {
+		if otherFP == fp || !tb.entries[otherFP].crashes[crash].status.isConfirmed() {
 			continue
 		}
 		if crashes := tb.entries[otherFP].confirmedCrashes(); crashes >= tb.config.CrashLimit && crashes > en.confirmedCrashes() {
@@ -215,11 +233,11 @@
 // confirmed crashes of this one. Either may then have caused the crash; one more crash shows which.
 func (tb *Table) ambiguous(fp id.Fingerprint, en *entry) bool {
 	for crash, cs := range en.crashes {
-		if cs.status != Confirmed {
+		if !cs.status.isConfirmed() {
 			continue
 		}
 		for otherFP := range tb.serverCrashes[crash].fingerprints {
-			if otherFP != fp && tb.entries[otherFP].crashes[crash].status == Confirmed && tb.entries[otherFP].confirmedCrashes() == en.confirmedCrashes() {
+			if otherFP != fp && tb.entries[otherFP].crashes[crash].status.isConfirmed() && tb.entries[otherFP].confirmedCrashes() == en.confirmedCrashes() {
 				return true
 			}
 		}
@@ -290,16 +308,23 @@
 	return cleared
 }
 
-// Learn records evidence and reports whether it was new. Evidence with a status that is unknown, or not higher than the
-// recorded one, is ignored.
+// maxEntryCrashes bounds the crashes that are recorded for one fingerprint. A part of a prompt that most requests have
+// is on every server that crashes.
+const maxEntryCrashes = 64
+
+// Learn records evidence and reports whether it was new. Evidence with a status that is unknown, or of no higher rank
+// than the recorded one, is ignored.
 func (tb *Table) Learn(now time.Time, ev Evidence) bool {
-	if ev.Status < Reported || ev.Status > Cleared {
+	if ev.Status.rank() == 0 {
 		return false
 	}
 	en := tb.getOrCreate(now, ev.Fingerprint)
-	if en.crashes[ev.Crash].status >= ev.Status {
+	if en.crashes[ev.Crash].status.rank() >= ev.Status.rank() {
 		return false
 	}
+	if _, known := en.crashes[ev.Crash]; !known && len(en.crashes) >= maxEntryCrashes {
+		tb.forgetCrash(ev.Fingerprint, en.mostDispensableCrash())
+	}
 	if en.crashes == nil {
 		en.crashes = map[CrashID]crashState{}
 	}
@@ -311,7 +336,7 @@
 		tb.serverCrashes[ev.Crash] = sc
 	}
 	sc.fingerprints[ev.Fingerprint] = struct{}{}
-	if ev.Status == Confirmed && sc.firstConfirmedAt.IsZero() {
+	if ev.Status.isConfirmed() && sc.firstConfirmedAt.IsZero() {
 		sc.firstConfirmedAt = now
 	}
 	return true
@@ -394,15 +419,36 @@
 // remove deletes the entry of the fingerprint, which must exist, together with its references from serverCrashes.
 func (tb *Table) remove(fp id.Fingerprint) {
 	for crash := range tb.entries[fp].crashes {
-		sc := tb.serverCrashes[crash]
-		delete(sc.fingerprints, fp)
-		if len(sc.fingerprints) == 0 {
-			delete(tb.serverCrashes, crash)
-		}
+		tb.forgetCrash(fp, crash)
 	}
 	delete(tb.entries, fp)
 }
 
+// forgetCrash removes one recorded crash of a fingerprint.
+func (tb *Table) forgetCrash(fp id.Fingerprint, crash CrashID) {
+	delete(tb.entries[fp].crashes, crash)
+	sc := tb.serverCrashes[crash]
+	delete(sc.fingerprints, fp)
+	if len(sc.fingerprints) == 0 {
+		delete(tb.serverCrashes, crash)
+	}
+}
+
+// mostDispensableCrash returns the crash that is forgotten first: a cleared one before any other, then the one learned
+// first.
+func (en *entry) mostDispensableCrash() CrashID {
+	return slices.MinFunc(slices.Collect(maps.Keys(en.crashes)), func(left, right CrashID) int {
+		leftState, rightState := en.crashes[left], en.crashes[right]
+		if (leftState.status == Cleared) != (rightState.status == Cleared) {
+			return cmp.Compare(rightState.status.rank(), leftState.status.rank())
+		}
+		if byTime := leftState.learnedAt.Compare(rightState.learnedAt); byTime != 0 {
+			return byTime
+		}
+		return cmp.Compare(left, right)
+	})
+}
+
 // Len returns the number of fingerprints in the table.
 func (tb *Table) Len() int {
 	return len(tb.entries)
--- a/transport/peer/broker.go
+++ b/transport/peer/broker.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer/peerconnect"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 )
 
 // errNotRunning is returned if the local host does not run the component that would answer the call.
@@ -128,9 +129,7 @@
 			RetryAfterMicros: ended.RetryAfter.Microseconds(),
 		})
 	}
-	for _, evidence := range report.Evidence {
-		message.Evidence = append(message.Evidence, encodeFact(crashlog.ToFact(evidence)))
-	}
+	message.Evidence = encodeEvidence(report.Evidence)
 	_, err := call(ctx, cl, host, message, rpcMethod(peerconnect.PeerClient.Progress))
 	return err
 }
@@ -223,13 +222,44 @@
 			RetryAfter:   durationFromMicros(ended.GetRetryAfterMicros()),
 		})
 	}
-	for _, fact := range request.Msg.GetEvidence() {
-		report.Evidence = append(report.Evidence, crashlog.FromFact(decodeFact(fact)))
-	}
+	report.Evidence = decodeEvidence(request.Msg.GetEvidence())
 	sv.local.BrokerServer.HandleReport(report)
 	return connect.NewResponse(&peer.ProgressResponse{}), nil
 }
 
+// encodeEvidence returns the evidence in the form in which hosts exchange facts.
+func encodeEvidence(evidence []quarantine.Evidence) []*peer.Fact {
+	var facts []*peer.Fact
+	for _, ev := range evidence {
+		facts = append(facts, encodeFact(crashlog.ToFact(ev)))
+	}
+	return facts
+}
+
+func decodeEvidence(facts []*peer.Fact) []quarantine.Evidence {
+	var evidence []quarantine.Evidence
+	for _, fact := range facts {
+		evidence = append(evidence, crashlog.FromFact(decodeFact(fact)))
+	}
+	return evidence
+}
+
+func encodePromptParts(parts []id.PromptPart) []uint64 {
+	var hashes []uint64
+	for _, part := range parts {
+		hashes = append(hashes, uint64(part))
+	}
+	return hashes
+}
+
+func decodePromptParts(hashes []uint64) []id.PromptPart {
+	var parts []id.PromptPart
+	for _, hash := range hashes {
+		parts = append(parts, id.PromptPart(hash))
+	}
+	return parts
+}
+
 // encodeBrokerGrantRequest returns the wire form of a request without its host. Points in time are encoded relative to
 // now, because the clocks of hosts may differ.
 func encodeBrokerGrantRequest(request broker.GrantRequest, now time.Time) *peer.PlacedRequest {
@@ -251,6 +281,8 @@
 	for _, name := range request.AvoidedEngines {
 		message.Avoid = append(message.Avoid, string(name))
 	}
+	message.Parts = encodePromptParts(request.PromptParts)
+	message.Evidence = encodeEvidence(request.Evidence)
 	message.Limits = encodeStatements(request.RequestLimits)
 	for name, until := range request.BackoffUntil {
 		message.Banned = append(message.Banned, &peer.BannedEngine{Engine: string(name), ForMicros: until.Sub(now).Microseconds()})
@@ -275,7 +307,9 @@
 			AttemptNumber:      int(message.GetNumber()),
 			ContentFingerprint: id.Fingerprint(message.GetFingerprint()),
 			RunAlone:           message.GetAlone(),
+			PromptParts:        decodePromptParts(message.GetParts()),
 		},
+		Evidence:      decodeEvidence(message.GetEvidence()),
 		Service:       id.Service(message.GetService()),
 		RequestLimits: decodeStatements(message.GetLimits()),
 	}
@@ -292,7 +326,7 @@
 }
 
 func encodeBrokerGrant(grant batch.Grant) *peer.Place {
-	message := &peer.Place{Attempt: string(grant.Attempt), Urgency: int32(grant.Urgency), StartMicros: grant.PredictedFirstEvent.Microseconds()}
+	message := &peer.Place{Attempt: string(grant.Attempt), Urgency: int32(grant.Urgency), StartMicros: grant.PredictedFirstEvent.Microseconds(), SuspectParts: encodePromptParts(grant.SuspectParts)}
 	for _, part := range grant.Parts {
 		message.Parts = append(message.Parts, &peer.PlacePart{
 			Engine:  string(part.Engine),
@@ -322,6 +356,7 @@
 		Attempt:             id.Attempt(message.GetAttempt()),
 		Urgency:             int(message.GetUrgency()),
 		PredictedFirstEvent: durationFromMicros(message.GetStartMicros()),
+		SuspectParts:        decodePromptParts(message.GetSuspectParts()),
 	}
 	if grant.Attempt == "" || len(message.GetParts()) == 0 {
 		return batch.Grant{}, errInvalidGrant
--- a/transport/peer/fuzz_test.go
+++ b/transport/peer/fuzz_test.go
@@ -43,12 +43,13 @@
 // unreachablePeers is a cluster in which no other host can be reached and no request is quarantined.
 type unreachablePeers struct{}
 
-func (unreachablePeers) QuarantineDecision(id.Fingerprint) (quarantine.Decision, time.Duration) {
-	return quarantine.Run, 0
+func (unreachablePeers) Judge(quarantine.Content) quarantine.Verdict {
+	return quarantine.Verdict{Decision: quarantine.Run}
 }
-func (unreachablePeers) LearnReportedEvidence(quarantine.Evidence) {}
-func (unreachablePeers) Dispatchers(id.Service) []id.Host          { return nil }
-func (unreachablePeers) LeadsService(id.Service) bool              { return true }
+func (unreachablePeers) PartsCompleted(id.Service, []id.PromptPart) bool { return false }
+func (unreachablePeers) LearnReportedEvidence(quarantine.Evidence)       {}
+func (unreachablePeers) Dispatchers(id.Service) []id.Host                { return nil }
+func (unreachablePeers) LeadsService(id.Service) bool                    { return true }
 func (unreachablePeers) RequestGrant(context.Context, id.Host, broker.GrantRequest) (broker.GrantResponse, error) {
 	return broker.GrantResponse{}, errNotRunning
 }
