A common part of prompts on many crashed engines explains no other crash

Cause: a crash was attributed to any other fingerprint with more crashes, and the common first part has more than the part that crashes engines. Once it had three, the part was no longer suspect; a content that crashes engines would have been let off in the same way. Change: only a part that was the only suspect of two isolated crashes explains crashes of others; contents are no longer compared with parts when two could be the cause.

--- a/state/quarantine/parts.go
+++ b/state/quarantine/parts.go
@@ -130,7 +130,7 @@
 	}
 	for crash, cs := range en.crashes {
 		switch {
-		case !cs.status.isConfirmed() || tb.attributedToOther(crash, part.Fingerprint(), en):
+		case !cs.status.isConfirmed() || tb.hasKnownCause(crash, part):
 		case cs.status == ConfirmedIsolated:
 			crashes.isolated[crash] = cs.learnedAt
 		case !tb.ranIsolated(crash):
@@ -161,6 +161,28 @@
 	return right
 }
 
+// hasKnownCause reports whether another part on the crashed server is known to crash servers.
+func (tb *Table) hasKnownCause(crash CrashID, part id.PromptPart) bool {
+	for fp := range tb.serverCrashes[crash].fingerprints {
+		if other, ok := fp.PromptPart(); ok && other != part && tb.entries[fp].crashes[crash].status.isConfirmed() && tb.partMustBeCause(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// partMustBeCause reports whether a part is known to crash servers: it was the only suspect of IsolatedCrashLimit requests
+// that ran isolated on crashed servers.
+func (tb *Table) partMustBeCause(part id.PromptPart) bool {
+	onlySuspect := 0
+	for crash, cs := range tb.entries[part.Fingerprint()].crashes {
+		if cs.status == ConfirmedIsolated && tb.allSuspectsIn(crash, Content{PromptParts: []id.PromptPart{part}}) {
+			onlySuspect++
+		}
+	}
+	return onlySuspect >= tb.config.Parts.IsolatedCrashLimit
+}
+
 // ranIsolated reports whether a request ran isolated on the server that crashed. Other parts on that server are then not
 // the cause.
 func (tb *Table) ranIsolated(crash CrashID) bool {
--- a/state/quarantine/quarantine.go
+++ b/state/quarantine/quarantine.go
@@ -222,6 +222,13 @@
 		if otherFP == fp || !tb.entries[otherFP].crashes[crash].status.isConfirmed() {
 			continue
 		}
+		if part, ok := otherFP.PromptPart(); ok {
+			// A common part is on many crashed servers without being the cause.
+			if tb.partMustBeCause(part) {
+				return true
+			}
+			continue
+		}
 		if crashes := tb.entries[otherFP].confirmedCrashes(); crashes >= tb.config.CrashLimit && crashes > en.confirmedCrashes() {
 			return true
 		}
@@ -229,7 +236,7 @@
 	return false
 }
 
-// ambiguous reports whether another fingerprint with the same number of confirmed crashes took part in one of the
+// ambiguous reports whether another content with the same number of confirmed crashes took part in one of the
 // confirmed crashes of this one. Either may then have caused the crash; one more crash shows which.
 func (tb *Table) ambiguous(fp id.Fingerprint, en *entry) bool {
 	for crash, cs := range en.crashes {
@@ -237,7 +244,7 @@
 			continue
 		}
 		for otherFP := range tb.serverCrashes[crash].fingerprints {
-			if otherFP != fp && tb.entries[otherFP].crashes[crash].status.isConfirmed() && tb.entries[otherFP].confirmedCrashes() == en.confirmedCrashes() {
+			if _, isPart := otherFP.PromptPart(); !isPart && otherFP != fp && tb.entries[otherFP].crashes[crash].status.isConfirmed() && tb.entries[otherFP].confirmedCrashes() == en.confirmedCrashes() {
 				return true
 			}
 		}
