Hosts read the crash evidence in the store once after their start

Cause: a started host took evidence from the first host it met, which had started at the same moment, or from the host that reads the store for all, which had read it before they were there. Evidence: no line of learned evidence on the new dispatcher between its start at 18.5 s and the next crash at 18.96 s. Change: a host reads the log of evidence once, as soon as the store answers. Red before: crashlog.TestStartedHostReadsLogOnce.

--- a/coordination/crashlog/syncer.go
+++ b/coordination/crashlog/syncer.go
@@ -28,7 +28,8 @@
 	ReadInterval time.Duration
 	// BatchDelay is how long evidence is collected before it is appended in one call.
 	BatchDelay time.Duration
-	// AppendRetryInterval is the time between attempts to append records that the log has not accepted.
+	// AppendRetryInterval is the time between attempts to append records that the log has not accepted, and between
+	// attempts of a host that is not to read the log to read it once.
 	AppendRetryInterval time.Duration
 	// CallTimeout bounds a call to the log; ReadWait comes on top of it.
 	CallTimeout time.Duration
@@ -101,7 +102,7 @@
 	log     Log
 	metrics tally.Scope
 	logger  *slog.Logger
-	// shouldRead reports whether the local host is to read the log now.
+	// shouldRead reports whether the local host is to read the log now. Otherwise it reads the log only once.
 	shouldRead func() bool
 	// learn is called with each piece of evidence that was read and has not expired.
 	learn func(quarantine.Evidence)
@@ -140,6 +141,11 @@
 			if err := sy.Read(ctx, sy.config.ReadWait); err != nil {
 				delay = retryDelay
 			}
+		} else if sy.hasReadNothing() {
+			// The hosts that this host meets first may have started with it and know nothing either.
+			if err := sy.Read(ctx, 0); err != nil {
+				delay = sy.config.AppendRetryInterval
+			}
 		}
 		timer.Sleep(ctx, sy.clock, delay)
 	}
@@ -147,6 +153,13 @@
 	return nil
 }
 
+// hasReadNothing reports whether no read has succeeded yet.
+func (sy *Syncer) hasReadNothing() bool {
+	sy.mutex.Lock()
+	defer sy.mutex.Unlock()
+	return sy.nextOffset == id.NoOffset
+}
+
 // QueueEvidence queues evidence to be appended after BatchDelay. Run retries what the log does not accept.
 func (sy *Syncer) QueueEvidence(evidence ...quarantine.Evidence) {
 	now := sy.clock.Now()
--- a/coordination/crashlog/syncer_test.go
+++ b/coordination/crashlog/syncer_test.go
@@ -58,7 +58,12 @@
 }
 
 func newSyncer(lg *pagedLog, learn func(quarantine.Evidence)) *crashlog.Syncer {
-	return crashlog.New(crashlog.DefaultConfig(time.Hour), timer.NewSystem(), lg, tally.NoopScope, slog.New(slog.DiscardHandler), func() bool { return true }, learn)
+	return newSyncerOfReader(lg, true, learn)
+}
+
+// newSyncerOfReader returns a syncer of a host that reads the log for all others, or does not.
+func newSyncerOfReader(lg *pagedLog, isReader bool, learn func(quarantine.Evidence)) *crashlog.Syncer {
+	return crashlog.New(crashlog.DefaultConfig(time.Hour), timer.NewSystem(), lg, tally.NoopScope, slog.New(slog.DiscardHandler), func() bool { return isReader }, learn)
 }
 
 func confirmedEvidence(fp id.Fingerprint) quarantine.Evidence {
@@ -115,3 +120,26 @@
 		assert.NilError(t, <-runResult)
 	})
 }
+
+// TestStartedHostReadsLogOnce checks that a host which is not to read the log reads it once after its start, as soon as
+// the log is available. The hosts that it meets may have started at the same time and know nothing.
+func TestStartedHostReadsLogOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lg := &pagedLog{unavailable: true}
+		learned := 0
+		syncer := newSyncerOfReader(lg, false, func(quarantine.Evidence) { learned++ })
+		ctx, cancel := context.WithCancel(t.Context())
+		runResult := make(chan error)
+		go func() { runResult <- syncer.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		lg.unavailable = false
+		assert.NilError(t, lg.Append(ctx, []crashlog.Record{{Evidence: confirmedEvidence(1), At: time.Now()}}))
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, learned, 1)
+		assert.NilError(t, lg.Append(ctx, []crashlog.Record{{Evidence: confirmedEvidence(2), At: time.Now()}}))
+		time.Sleep(time.Minute)
+		assert.Equal(t, learned, 1)
+		cancel()
+		assert.NilError(t, <-runResult)
+	})
+}
