Suspects run apart from each other at first, and exclusive only after a crash under one of them

To find the cause it is enough that no other suspect begins on the engine that answers. Change: after a crash that others may have caused, the answering engine gets no other suspect until the answer begins; only after a crash under an isolated request does it run nothing else. Suspects go to the engine with the fewest answers.

--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -59,10 +59,12 @@
 	// may have crashed engines. At most one request with the same content runs at a time.
 	RunAlone bool
 	// PromptParts are the parts of the prompt that other requests may have too. SuspectParts are those that may have
-	// crashed engines: until its answer begins, the request runs on engines that run nothing else and get nothing else, and
-	// at most one request with the same suspect part runs like that at a time.
+	// crashed engines: until its answer begins, the engine that answers the request gets no other request with suspect
+	// parts to answer, and at most one request with the same suspect part runs at a time. If Exclusive is set, that engine
+	// also runs and gets nothing else until then.
 	PromptParts  []id.PromptPart
 	SuspectParts []id.PromptPart
+	Exclusive    bool
 }
 
 // Part is the share of a grant that one engine takes.
@@ -133,6 +135,7 @@
 	Request      id.Request
 	RunAlone     bool
 	SuspectParts []id.PromptPart
+	Exclusive    bool
 }
 
 // RenewGrant reports a grant that an entry host holds. It extends the lifetime of the grant, and it makes a grant known
--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -54,9 +54,17 @@
 	return min(1, float64(en.RequestLimit)*readTime.Seconds())
 }
 
-// runsAloneRequest reports whether the engine runs a request that is to run alone, or isolated until its answer begins.
+// runsAloneRequest reports whether the engine runs a request that is to run alone, or answers one that is exclusive until
+// its answer begins.
 func (en *engine) runsAloneRequest() bool {
-	return slices.ContainsFunc(en.tasks, func(tk task) bool { return tk.request.RunAlone || tk.isIsolated() })
+	return slices.ContainsFunc(en.tasks, func(tk task) bool {
+		return tk.request.RunAlone || tk.answers && tk.request.Exclusive && tk.isIsolated()
+	})
+}
+
+// answersIsolated reports whether the engine answers a request with suspect parts whose answer has not begun.
+func (en *engine) answersIsolated() bool {
+	return slices.ContainsFunc(en.tasks, func(tk task) bool { return tk.answers && tk.isIsolated() })
 }
 
 // load sums up the tasks of an engine.
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -186,7 +186,8 @@
 	readTime := mc.profile.PrefillTime(ev.Request.PromptTokens)
 	partReadTime := readTime / time.Duration(max(1, len(ev.Grant.Parts)))
 	request := ev.Request
-	request.SuspectParts = ev.Grant.SuspectParts
+	// The grant does not say whether it is exclusive.
+	request.SuspectParts, request.Exclusive = ev.Grant.SuspectParts, len(ev.Grant.SuspectParts) > 0
 	gr := &activeGrant{
 		Grant:            ev.Grant,
 		request:          request,
--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -132,6 +132,7 @@
 		ContentFingerprint: id.Fingerprint(fingerprint),
 		RunAlone:           td.HasArg("alone"),
 		SuspectParts:       parseSuspects(td),
+		Exclusive:          td.HasArg("exclusive"),
 	}
 	rq.WaitLimit = max(2*time.Second, 4*rq.FirstEventTarget)
 	var backoffList string
@@ -172,7 +173,7 @@
 	if td.HasArg("withdraw") {
 		return batch.Review{Withdrawn: []id.Request{id.Request(name)}}
 	}
-	return batch.Review{Changed: []batch.ReviewedRequest{{Request: id.Request(name), RunAlone: td.HasArg("alone"), SuspectParts: parseSuspects(td)}}}
+	return batch.Review{Changed: []batch.ReviewedRequest{{Request: id.Request(name), RunAlone: td.HasArg("alone"), SuspectParts: parseSuspects(td), Exclusive: td.HasArg("exclusive")}}}
 }
 
 func parseAttempt(t *testing.T, td *datadriven.TestData) id.Attempt {
--- a/coordination/batch/queue.go
+++ b/coordination/batch/queue.go
@@ -156,7 +156,7 @@
 	}
 	for _, reviewed := range ev.Changed {
 		if wt, ok := mc.waitingByID[reviewed.Request]; ok {
-			wt.RunAlone, wt.SuspectParts = reviewed.RunAlone, reviewed.SuspectParts
+			wt.RunAlone, wt.SuspectParts, wt.Exclusive = reviewed.RunAlone, reviewed.SuspectParts, reviewed.Exclusive
 		}
 	}
 }
--- a/coordination/batch/selection.go
+++ b/coordination/batch/selection.go
@@ -142,39 +142,54 @@
 	return time.Duration(min(1, mc.config.FreeSlotFactor*freeShare) * float64(available))
 }
 
-// needsFreeEngine reports whether a request is to run on engines that run nothing else, at least until its answer begins.
-func (rq Request) needsFreeEngine() bool { return rq.RunAlone || len(rq.SuspectParts) > 0 }
-
-// isIsolated reports whether the engines of a grant get nothing else because the answer to a suspect prompt has not begun.
-func (gr *activeGrant) isIsolated() bool { return len(gr.request.SuspectParts) > 0 && !gr.started }
-
 // mayTake reports whether a candidate may get a request or a part of it, regardless of its free memory and slots. It
-// checks RunAlone, SuspectParts, BackoffUntil and, if avoidFailed is set, AvoidedEngines.
+// checks RunAlone, BackoffUntil and, if avoidFailed is set, AvoidedEngines.
 func (mc *Machine) mayTake(cd *candidate, wt *waitingRequest, avoidFailed bool) bool {
-	if wt.needsFreeEngine() && !mc.mayTakeAloneRequest(cd, wt) || wt.BackoffUntil != nil && mc.candidatesAt.Before(wt.BackoffUntil[cd.engine.Engine]) {
+	if wt.RunAlone && !mc.mayTakeAloneRequest(cd, wt) || wt.BackoffUntil != nil && mc.candidatesAt.Before(wt.BackoffUntil[cd.engine.Engine]) {
 		return false
 	}
 	return !avoidFailed || !slices.Contains(wt.AvoidedEngines, cd.engine.Engine)
 }
 
-// mayTakeAloneRequest reports whether a candidate may get a request that is to run alone or isolated. No candidate may
-// while another such request with the same content or suspect part runs.
+// mayTakeAloneRequest reports whether a candidate may get a request that is to run alone. No candidate may while
+// another such request with the same content runs.
 func (mc *Machine) mayTakeAloneRequest(cd *candidate, wt *waitingRequest) bool {
 	for _, gr := range mc.grantsByAttempt {
-		if wt.RunAlone && gr.request.RunAlone && gr.request.ContentFingerprint == wt.ContentFingerprint && wt.ContentFingerprint != 0 {
+		if gr.request.RunAlone && gr.request.ContentFingerprint == wt.ContentFingerprint && wt.ContentFingerprint != 0 {
 			return false
 		}
+	}
+	return len(cd.engine.tasks) <= mc.maxTasksBeside(wt)
+}
+
+// maxTasksBeside returns how many tasks an engine may have that gets a request which is to have it for itself.
+func (mc *Machine) maxTasksBeside(wt *waitingRequest) int {
+	if mc.candidatesAt.Sub(wt.waitingSince) >= mc.config.RunAloneWait {
+		return mc.minTasks
+	}
+	return 0
+}
+
+// mayAnswer reports whether a candidate may answer a request with regard to its suspect parts. Engines that only help to
+// read the prompt are not restricted, because it is the answering engine that crashes.
+func (mc *Machine) mayAnswer(cd *candidate, wt *waitingRequest) bool {
+	switch {
+	case len(wt.SuspectParts) == 0:
+		return true
+	case cd.engine.answersIsolated() || wt.Exclusive && len(cd.engine.tasks) > mc.maxTasksBeside(wt):
+		return false
+	}
+	for _, gr := range mc.grantsByAttempt {
 		if gr.isIsolated() && slices.ContainsFunc(wt.SuspectParts, func(part id.PromptPart) bool { return slices.Contains(gr.request.SuspectParts, part) }) {
 			return false
 		}
 	}
-	maxTasks := 0
-	if mc.candidatesAt.Sub(wt.waitingSince) >= mc.config.RunAloneWait {
-		maxTasks = mc.minTasks
-	}
-	return len(cd.engine.tasks) <= maxTasks
+	return true
 }
 
+// isIsolated reports whether a grant has suspect parts and its answer has not begun.
+func (gr *activeGrant) isIsolated() bool { return len(gr.request.SuspectParts) > 0 && !gr.started }
+
 // hasOtherCandidate reports whether a candidate outside the request's AvoidedEngines exists, even one without room for
 // the request. The avoided engines get nothing then.
 func (mc *Machine) hasOtherCandidate(wt *waitingRequest) bool {
@@ -201,10 +216,17 @@
 	var bestFirstEvent time.Duration
 	for ix := range mc.candidates {
 		cd := &mc.candidates[ix]
-		if !mc.mayTake(cd, wt, avoidFailed) || !mc.hasRoom(cd, neededTokens) {
+		if !mc.mayTake(cd, wt, avoidFailed) || !mc.hasRoom(cd, neededTokens) || !mc.mayAnswer(cd, wt) {
 			continue
 		}
 		firstEvent := cd.waitTime + wt.readTime + cd.passTime/2
+		if len(wt.SuspectParts) > 0 && firstEvent <= wt.FirstEventTarget {
+			// The fewer answers the engine writes, the fewer are lost if it crashes.
+			if best == nil || bestFirstEvent > wt.FirstEventTarget || cd.load.slotsUsed < best.load.slotsUsed {
+				best, bestFirstEvent = cd, firstEvent
+			}
+			continue
+		}
 		if firstEvent <= packingWait && cd.load.slotsUsed < packingSlots {
 			best, bestFirstEvent = cd, firstEvent
 			break
@@ -358,7 +380,7 @@
 	best := -1
 	for _, ix := range mc.orderedIndexes {
 		cd := &mc.candidates[ix]
-		if !mc.hasRoom(cd, neededTokens) || mc.readBudgetFor(now, cd, wt) < partReadTime {
+		if !mc.hasRoom(cd, neededTokens) || mc.readBudgetFor(now, cd, wt) < partReadTime || !mc.mayAnswer(cd, wt) {
 			continue
 		}
 		if best < 0 || mc.isBetterAnsweringEngine(cd, &mc.candidates[best], strict) {
--- a/coordination/broker/review.go
+++ b/coordination/broker/review.go
@@ -14,7 +14,7 @@
 func (wr *waitingRequest) judge(qr Quarantine, requestID id.Request) (outcome.Outcome, bool) {
 	verdict := qr.Judge(wr.content)
 	wr.isolation = batch.ReviewedRequest{
-		Request: requestID, RunAlone: wr.askedToRunAlone || verdict.Decision == quarantine.RunAlone, SuspectParts: verdict.SuspectParts,
+		Request: requestID, RunAlone: wr.askedToRunAlone || verdict.Decision == quarantine.RunAlone, SuspectParts: verdict.SuspectParts, Exclusive: verdict.Exclusive,
 	}
 	return quarantine.RefusalOutcome(verdict.Decision, verdict.ExpiresIn)
 }
@@ -40,7 +40,7 @@
 				delete(dp.waiting, requestID)
 				review.Withdrawn = append(review.Withdrawn, requestID)
 				sv.pendingDeliveries.Go(func() { sv.deliverResponse(dp.service, waiting.host, requestID, GrantResponse{Refusal: &refusal}) })
-			case waiting.isolation.RunAlone != previous.RunAlone || !slices.Equal(waiting.isolation.SuspectParts, previous.SuspectParts):
+			case waiting.isolation.RunAlone != previous.RunAlone || waiting.isolation.Exclusive != previous.Exclusive || !slices.Equal(waiting.isolation.SuspectParts, previous.SuspectParts):
 				dp.waiting[requestID] = waiting
 				review.Changed = append(review.Changed, waiting.isolation)
 			}
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -235,7 +235,7 @@
 		sv.metrics.Counter("quarantine_refused").Inc(1)
 		return GrantResponse{Refusal: &refusal}, nil
 	}
-	request.RunAlone, request.SuspectParts = waiting.isolation.RunAlone, waiting.isolation.SuspectParts
+	request.RunAlone, request.SuspectParts, request.Exclusive = waiting.isolation.RunAlone, waiting.isolation.SuspectParts, waiting.isolation.Exclusive
 	dp := sv.dispatcherFor(now, request.Service)
 	delete(dp.waiting, request.ID)
 	var response GrantResponse
--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -110,7 +110,7 @@
 func (jb *job) setIsolation(request *broker.GrantRequest) {
 	verdict := jb.runner.quarantine.Judge(jb.content())
 	request.RunAlone = verdict.Decision == quarantine.RunAlone || verdict.Decision == quarantine.Wait
-	request.SuspectParts = verdict.SuspectParts
+	request.SuspectParts, request.Exclusive = verdict.SuspectParts, verdict.Exclusive
 	request.Evidence = jb.runner.quarantine.EvidenceAbout(jb.request.PromptParts)
 }
 
--- a/state/quarantine/parts.go
+++ b/state/quarantine/parts.go
@@ -8,8 +8,8 @@
 
 // PartConfig sets the limits for parts of prompts. A part that crashes each server that begins an answer on it is found
 // by elimination: all parts of the requests that ran on a crashed server are suspected, except those with which answers
-// were completed, and requests with suspected parts run isolated until their answers begin. If the server of an isolated
-// request crashes, one of its suspected parts is the cause.
+// were completed, and requests with suspected parts run isolated from each other until their answers begin. If the server
+// of an isolated request crashes, one of its suspected parts is the cause.
 type PartConfig struct {
 	// IsolatedCrashLimit is the number of crashes under isolated requests at which requests with the same suspected parts
 	// are refused.
@@ -38,6 +38,9 @@
 	// SuspectParts are the parts of the prompt because of which the request is to run isolated until its answer begins: if
 	// its server crashes meanwhile, one of them is the cause.
 	SuspectParts []id.PromptPart
+	// Exclusive says that the server must run nothing else meanwhile, because crashes under isolated requests count
+	// against one of the suspects. Otherwise it must only run no other request with suspects.
+	Exclusive bool
 	// ExpiresIn is how long Refuse or Hold lasts without new evidence.
 	ExpiresIn time.Duration
 }
@@ -53,11 +56,11 @@
 	if len(content.PromptParts) == 0 {
 		return verdict
 	}
-	expiresIn, suspects := tb.judgeParts(now, content)
-	if expiresIn > 0 {
-		return Verdict{Decision: Refuse, ExpiresIn: expiresIn}
+	refusedFor, suspects, exclusive := tb.judgeParts(now, content)
+	if refusedFor > 0 {
+		return Verdict{Decision: Refuse, ExpiresIn: refusedFor}
 	}
-	verdict.SuspectParts = suspects
+	verdict.SuspectParts, verdict.Exclusive = suspects, exclusive
 	return verdict
 }
 
@@ -75,12 +78,10 @@
 // IsolatedCrashLimit crashes under isolated requests with different other suspects. A request with a single suspect shows
 // whether that is the cause, and is needed to clear it. Where requests can't run isolated, CrashLimit crashes refuse it.
 // In all cases nothing else may be common to all of these crashes.
-func (tb *Table) judgeParts(now time.Time, content Content) (time.Duration, []id.PromptPart) {
+func (tb *Table) judgeParts(now time.Time, content Content) (refusedFor time.Duration, suspects []id.PromptPart, exclusive bool) {
 	config := tb.config.Parts
 	suspected := false
-	var suspects []id.PromptPart
 	conclusive := map[CrashID]time.Time{}
-	var refusedFor time.Duration
 	refuse := func(crashes map[CrashID]time.Time, limit int) {
 		if len(crashes) >= limit && !tb.haveOtherCause(crashes, content) {
 			refusedFor = max(refusedFor, tb.untilRetrial(now, crashes, limit))
@@ -103,6 +104,7 @@
 			continue
 		}
 		suspected = suspected || count >= suspectFrom
+		exclusive = exclusive || len(crashes.isolated) > 0
 		suspects = append(suspects, part)
 		severalSuspects = append(severalSuspects, crashes)
 		if !sound && len(crashes.isolated) == 0 {
@@ -116,9 +118,9 @@
 		}
 	}
 	if !suspected {
-		return refusedFor, nil
+		return refusedFor, nil, false
 	}
-	return refusedFor, suspects
+	return refusedFor, suspects, exclusive
 }
 
 // crashesOfPart returns the crashes that count against a part, with the time at which each was learned.
--- a/state/quarantine/parts_test.go
+++ b/state/quarantine/parts_test.go
@@ -99,6 +99,9 @@
 	}
 	if len(suspects) > 0 {
 		text += " isolated because of " + strings.Join(suspects, " ")
+		if verdict.Exclusive {
+			text += ", exclusive"
+		}
 	}
 	return text + "\n"
 }
