Failing tests: hosts do not follow a store that is restored from an older copy

TestRestoredCopyBringsNothingBack passes, since the list stands still. The stand-in's store gets restores, an era in all answers and 410 for offsets beyond its end.

--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -33,16 +34,19 @@
 
 // logRecord is a record of a keyed topic.
 type logRecord struct {
-	key   string
-	value []byte
+	key     string
+	value   []byte
+	addedAt time.Time
 }
 
 // Store is the stand-in for the platform's store, which holds topics of keyed records. It is safe for concurrent use.
 type Store struct {
 	server *httptest.Server
 
-	mutex     sync.Mutex
-	topics    map[string][]logRecord
+	mutex  sync.Mutex
+	topics map[string][]logRecord
+	// era is in a header field of all responses. It rises with each restore.
+	era       int
 	fault     StoreFault
 	callCount int
 	// changed is closed and replaced when a record is appended or the fault is set, which wakes reads that wait.
@@ -51,7 +55,7 @@
 
 // NewStore starts an empty store on a free loopback port.
 func NewStore() *Store {
-	st := &Store{topics: map[string][]logRecord{}, changed: make(chan struct{})}
+	st := &Store{topics: map[string][]logRecord{}, era: 1, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/log-newest", st.readNewest)
 	mux.HandleFunc("GET /-/log-read", st.readLog)
@@ -89,10 +93,37 @@
 func (st *Store) Put(topic, key string, value []byte) {
 	st.mutex.Lock()
 	defer st.mutex.Unlock()
-	st.topics[topic] = append(st.topics[topic], logRecord{key: key, value: value})
+	st.topics[topic] = append(st.topics[topic], logRecord{key: key, value: value, addedAt: time.Now()})
 	st.notifyChange()
 }
 
+// Restore brings the store back to a copy of the given time. Records added since are gone, and their offsets are given out
+// again.
+func (st *Store) Restore(copyTime time.Time) {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	st.era++
+	for topic, records := range st.topics {
+		st.topics[topic] = slices.DeleteFunc(slices.Clone(records), func(record logRecord) bool { return record.addedAt.After(copyTime) })
+	}
+	st.notifyChange()
+}
+
+// Keys returns the keys of a topic that are not deleted, in order.
+func (st *Store) Keys(topic string) []string {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	present := map[string]bool{}
+	for _, record := range st.topics[topic] {
+		present[record.key] = len(record.value) > 0
+	}
+	maps.DeleteFunc(present, func(_ string, isPresent bool) bool { return !isPresent })
+	return slices.Sorted(maps.Keys(present))
+}
+
+// setEra sets the header field with the era. The caller holds the lock.
+func (st *Store) setEra(rw http.ResponseWriter) { rw.Header().Set("Store-Era", strconv.Itoa(st.era)) }
+
 // notifyChange wakes the reads that wait. The caller holds the lock.
 func (st *Store) notifyChange() {
 	close(st.changed)
@@ -105,6 +136,7 @@
 		st.mutex.Lock()
 		st.callCount++
 		fault := st.fault
+		st.setEra(rw)
 		st.mutex.Unlock()
 		switch fault {
 		case RejectsCalls:
@@ -174,8 +206,9 @@
 		st.mutex.Lock()
 		records := st.topics[query.Get("Topic")]
 		fault, changed := st.fault, st.changed
+		st.setEra(rw)
 		st.mutex.Unlock()
-		if fault == OffsetsExpired {
+		if fault == OffsetsExpired || firstOffset > len(records) {
 			rw.WriteHeader(http.StatusGone)
 			return
 		}
