Offsets carry the era of the store, so that hosts follow one that is restored from an older copy

Cause: everything that follows the store takes the larger offset for the newer one. Offsets are given out again after a restore, so the list of servers stood still until they passed the old end, and the records between were never read. Evidence: no host logged the entry that drained; offsets in the logs jump over the gap. A read from an earlier era counts as expired, an answer of an earlier era as outdated; all comparisons of offsets, between hosts too, then hold as they are. A restore makes hosts restart the read that waits for a desired state, gives entries that the copy lacks the grace period of an outage, and keeps servers that were known to leave as leaving for 6 s, since the copy lists them as ready. Ruled out: resetting each follower by hand (six places, and hosts of two eras still compare offsets). Red before: site.TestServerDrainedAfterRestoreGetsNoRequests (known red until now). With the era left out of offsets TestFleetFollowsRestoredStore, TestRestoredListKeepsWhatWasKnown and TestHostsConverge fail. TestHostsConverge with 30,000 checks passes.

--- a/coordination/statesync/follower.go
+++ b/coordination/statesync/follower.go
@@ -367,6 +367,21 @@
 	}
 }
 
+// noteEra is called with the end of a newer list before it is applied. If the store was restored since the local copy, it
+// restarts the waiting read of the desired state, which may wait at an offset that the store gives out again, and makes
+// entries that are dropped in the next time count as dropped in an outage. The caller holds the lock.
+func (fl *Follower) noteEra(now time.Time, next id.Offset) {
+	previous := fl.serverList.NextOffset()
+	if previous == id.NoOffset || next.Era() <= previous.Era() {
+		return
+	}
+	fl.outageEndedAt = now
+	fl.restartTableRead()
+	fl.metrics.Counter("store_restores").Inc(1)
+	fl.logger.Warn("platform's store was restored from an older copy", "era", int64(next.Era()), "previous_era", int64(previous.Era()),
+		"end", next.Position(), "previous_end", previous.Position())
+}
+
 // outageOngoing reports whether the store must be unavailable to all hosts: the local host failed to read the list, and
 // no other host has confirmed it for longer than outageListAge. The caller holds the lock.
 func (fl *Follower) outageOngoing(now time.Time) bool {
--- a/coordination/statesync/serverlist.go
+++ b/coordination/statesync/serverlist.go
@@ -22,7 +22,7 @@
 	}
 	fl.mutex.Unlock()
 	if graceEnded {
-		fl.logger.Info("backend servers dropped in an outage of the store were not listed again")
+		fl.logger.Info("grace period of backend servers after an outage or a restore of the store has ended")
 		fl.onChange()
 	}
 	if due {
@@ -118,6 +118,7 @@
 	}
 	now := fl.clock.Now()
 	fl.confirmList(now)
+	fl.noteEra(now, read.Next)
 	outage := fl.dropsMayBeFromOutage(now)
 	unchangedSince := fl.serverList.UnchangedSince()
 	var changed []serverlist.Record
@@ -176,12 +177,12 @@
 	for _, rc := range changed {
 		switch {
 		case rc.Dropped:
-			fl.logger.Info("backend server gone", "server", string(rc.ID), "source", source, "offset", int64(rc.Offset))
+			fl.logger.Info("backend server gone", "server", string(rc.ID), "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
 		case rc.Server == nil:
-			fl.logger.Warn("backend server entry names no usable server", "server", string(rc.ID), "source", source, "offset", int64(rc.Offset))
+			fl.logger.Warn("backend server entry names no usable server", "server", string(rc.ID), "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
 		default:
 			fl.logger.Info("backend server listed", "server", string(rc.ID), "service", string(rc.Server.Service), "address", rc.Server.Address,
-				"draining", rc.Server.Draining, "born", rc.Server.StartedAtMillis, "source", source, "offset", int64(rc.Offset))
+				"draining", rc.Server.Draining, "born", rc.Server.StartedAtMillis, "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
 		}
 	}
 }
--- a/coordination/statesync/sync.go
+++ b/coordination/statesync/sync.go
@@ -119,6 +119,7 @@
 	}
 	fl.mutex.Lock()
 	now := fl.clock.Now()
+	fl.noteEra(now, response.Next)
 	var changed []serverlist.Record
 	if response.FullList {
 		changed = fl.serverList.ApplyFullList(now, response.Next, fl.decodeServers(response.Records), fl.dropsMayBeFromOutage(now))
--- a/site/host.go
+++ b/site/host.go
@@ -164,7 +164,7 @@
 	}, scope, seed)
 	followerConfig := statesync.DefaultConfig()
 	followerConfig.Seeds = ht.settings.Peers.Seeds
-	ht.store = platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool)
+	ht.store = platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool, ht.logger)
 	ht.updateFollower = statesync.New(followerConfig, ht.localMember.Host, ht.localMember.AvailabilityZone, ht.clock, ht.store, ht.peerClient, ht.peerClient, scope, ht.logger, seed, ht.onFleetChanged)
 	ht.requestLimits = requestlimit.NewTracker(ht.clock, scope, ht.logger, ht.gossip.SpreadFact, func() { ht.grantServer.Refresh() })
 	ht.fleet = newFleet(ht.updateFollower, ht.clock, ht.requestLimits, ht.gossip.SpreadFact)
--- a/state/id/id.go
+++ b/state/id/id.go
@@ -55,12 +55,37 @@
 // enough that sums of token numbers and the times that engines take to process the tokens do not overflow.
 const MaxTokens Tokens = 1 << 32
 
-// Offset is the position of a record in a stream of the platform's log.
+// Offset is the position of a record in a stream of the platform's log, with the era of the log in its upper bits. All
+// offsets of an era are higher than those of earlier eras, so that what was read later compares as newer although
+// positions are given out again when the log is restored from an older copy.
 type Offset int64
 
 // NoOffset is the offset before the first record of a stream.
 const NoOffset Offset = -1
 
+// Era counts how often a log was restored from an older copy. It is 0 for a log that does not tell.
+type Era int64
+
+// positionBits is the number of bits of an offset for the position within an era.
+const positionBits = 40
+
+// MaxEra and MaxPosition are the highest values that an offset can hold.
+const (
+	MaxEra      Era   = 1<<(62-positionBits) - 1
+	MaxPosition int64 = 1<<positionBits - 1
+)
+
+// NewOffset returns the offset of a position in an era. Both are limited to the range that an offset can hold.
+func NewOffset(era Era, position int64) Offset {
+	return Offset(min(max(era, 0), MaxEra))<<positionBits | Offset(min(max(position, 0), MaxPosition))
+}
+
+// Era returns the era of the offset; 0 for NoOffset.
+func (of Offset) Era() Era { return Era(max(of, 0) >> positionBits) }
+
+// Position returns the position of the offset within its era; 0 for NoOffset.
+func (of Offset) Position() int64 { return int64(max(of, 0)) & MaxPosition }
+
 // Incarnation distinguishes successive processes of the same host.
 type Incarnation int64
 
--- a/state/serverlist/serverlist.go
+++ b/state/serverlist/serverlist.go
@@ -41,6 +41,14 @@
 	DroppedInOutage bool
 }
 
+// startedAtMillis returns the start time of the server that the record describes; zero if it describes none.
+func (rc Record) startedAtMillis() int64 {
+	if rc.Server == nil {
+		return 0
+	}
+	return rc.Server.StartedAtMillis
+}
+
 // sameState reports whether two records of one server have the same content, whatever their offsets.
 func (rc Record) sameState(other Record) bool {
 	if rc.Dropped != other.Dropped || (rc.Server == nil) != (other.Server == nil) {
@@ -49,6 +57,10 @@
 	return rc.Server == nil || *rc.Server == *other.Server
 }
 
+// restoredLeavingHold is how long a server that was known to leave counts as leaving although a restored store lists it
+// as ready: the time of three heartbeats, after which the store drops a server that is gone, and some time to read it.
+const restoredLeavingHold = 6 * time.Second
+
 // relistGrace is how long a server stays usable after its entry was dropped in an outage of the store, so that it has
 // time to be listed again.
 const relistGrace = 2500 * time.Millisecond
@@ -62,12 +74,27 @@
 	// They are zero for other entries.
 	graceStart  time.Time
 	graceServer *Server
+	// startedAtMillis is the start time of the server that the entry last described.
+	startedAtMillis int64
+	// leavingUntil is when the server no longer counts as leaving because of what was known before the store was restored.
+	// It is zero for other entries.
+	leavingUntil time.Time
+}
+
+// knownToLeave reports whether the entry says that its server is leaving or gone, other than by expiring in an outage of
+// the store.
+func (en *entry) knownToLeave() bool {
+	return en.Dropped && !en.DroppedInOutage || en.Server != nil && en.Server.Draining
 }
 
 // usableServer returns the server that the entry lists, or the server within its grace period if the entry was dropped
 // in an outage. It returns nil if there is none.
 func (en *entry) usableServer(now time.Time) *Server {
 	switch {
+	case en.Server != nil && !en.Dropped && now.Before(en.leavingUntil):
+		leaving := *en.Server
+		leaving.Draining = true
+		return &leaving
 	case en.Server != nil && !en.Dropped:
 		return en.Server
 	case en.graceServer != nil && now.Sub(en.graceStart) < relistGrace:
@@ -151,11 +178,13 @@
 
 // ApplyFullList merges the full list as it was at the offset next and returns the records that changed the copy.
 // Entries that are missing in the full list and older than next have been dropped. A full list older than the copy is
-// ignored. For outage see Apply.
+// ignored. For outage see Apply; a full list of a later era counts as read after an outage, because servers that listed
+// themselves since the copy from which the store was restored have to do it again.
 func (ls *List) ApplyFullList(now time.Time, next id.Offset, records []Record, outage bool) []Record {
 	if next < ls.nextOffset {
 		return nil
 	}
+	outage = outage || ls.Loaded() && next.Era() > ls.nextOffset.Era()
 	if next > ls.nextOffset {
 		// The full list does not show servers that were listed and dropped in between.
 		ls.fullListOffset, ls.unchangedSince = next, max(ls.unchangedSince, next)
@@ -204,7 +233,7 @@
 func (ls *List) mergeRecord(now time.Time, rc Record, outage bool) bool {
 	en, found := ls.entries[rc.ID]
 	if !found {
-		ls.entries[rc.ID] = &entry{Record: rc, changeOffset: rc.Offset}
+		ls.entries[rc.ID] = &entry{Record: rc, changeOffset: rc.Offset, startedAtMillis: rc.startedAtMillis()}
 		ls.noteChangeAt(rc.Offset)
 		return true
 	}
@@ -225,6 +254,16 @@
 		en.graceStart = time.Time{}
 		en.graceServer = nil
 	}
+	switch {
+	case rc.Server == nil || rc.Server.Draining || rc.Server.StartedAtMillis != en.startedAtMillis:
+		en.leavingUntil = time.Time{}
+	case rc.Offset.Era() > en.Offset.Era() && en.knownToLeave():
+		// The copy from which the store was restored is older than what is known.
+		en.leavingUntil = now.Add(restoredLeavingHold)
+	}
+	if rc.Server != nil {
+		en.startedAtMillis = rc.Server.StartedAtMillis
+	}
 	en.Record = rc
 	return !unchanged
 }
@@ -257,8 +296,8 @@
 	return sv == nil || sv.Draining
 }
 
-// ExpireGracePeriods removes the servers that were not listed again within their grace period, and reports whether
-// there were any.
+// ExpireGracePeriods removes the servers that were not listed again within their grace period, and admits those that
+// counted as leaving since a restore of the store. It reports whether there were any.
 func (ls *List) ExpireGracePeriods(now time.Time) bool {
 	ended := false
 	for _, en := range ls.entries {
@@ -267,6 +306,11 @@
 			ls.cachedServers = nil
 			ended = true
 		}
+		if !en.leavingUntil.IsZero() && !now.Before(en.leavingUntil) {
+			en.leavingUntil = time.Time{}
+			ls.cachedServers = nil
+			ended = true
+		}
 	}
 	return ended
 }
