Write host addresses and crash evidence again after a restore of the store

What callers would have seen: after a restore from an older copy and a loss of all hosts, requests that crash servers run again, and a host without reachable seeds finds no other one. Cause: both are appended once and then believed kept; an acknowledged append may be missing in the copy. Change: a host announces its address again when an answer of the store shows a later era. The host that reads the evidence of crashes for all compares the copy with what hosts keep in the store, and appends what is missing. Nothing else on the users' platform is written by hosts (topics keyed.hosts and keyed.crashes are all).

--- a/coordination/crashlog/syncer.go
+++ b/coordination/crashlog/syncer.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,6 +107,8 @@
 	shouldRead func() bool
 	// learn is called with each piece of evidence that was read and has not expired.
 	learn func(quarantine.Evidence)
+	// storedEvidence returns the evidence that should be in the log; nil if the log never loses records.
+	storedEvidence func() []quarantine.Evidence
 
 	// mutex guards the following fields.
 	mutex sync.Mutex
@@ -119,9 +122,22 @@
 	lastReadFailed   bool
 }
 
+// Option changes a syncer.
+type Option func(*Syncer)
+
+// WithStoredEvidence makes a syncer append evidence again that a log lacks after it was restored from an older copy. The
+// function returns the evidence that should be in the log.
+func WithStoredEvidence(storedEvidence func() []quarantine.Evidence) Option {
+	return func(sy *Syncer) { sy.storedEvidence = storedEvidence }
+}
+
 // New returns a syncer that has read nothing yet.
-func New(config Config, clock timer.Clock, log Log, metrics tally.Scope, logger *slog.Logger, shouldRead func() bool, learn func(quarantine.Evidence)) *Syncer {
-	return &Syncer{config: config, clock: clock, log: log, metrics: metrics, logger: logger, shouldRead: shouldRead, learn: learn, nextOffset: id.NoOffset}
+func New(config Config, clock timer.Clock, log Log, metrics tally.Scope, logger *slog.Logger, shouldRead func() bool, learn func(quarantine.Evidence), options ...Option) *Syncer {
+	sy := &Syncer{config: config, clock: clock, log: log, metrics: metrics, logger: logger, shouldRead: shouldRead, learn: learn, nextOffset: id.NoOffset}
+	for _, option := range options {
+		option(sy)
+	}
+	return sy
 }
 
 // Run reads and appends evidence until the context ends, and then tries to append what is still pending. It always
@@ -231,6 +247,9 @@
 			return err
 		}
 		sy.learnRecords(ctx, encoded)
+		if from != id.NoOffset && next.Era() > from.Era() {
+			sy.queueLostEvidence(encoded)
+		}
 		sy.mutex.Lock()
 		// A log that reads from a stale copy may return an offset before the one already reached.
 		sy.nextOffset = max(next, from)
@@ -242,6 +261,24 @@
 	}
 }
 
+// queueLostEvidence queues the evidence that should be in the log but is not among all of its records.
+func (sy *Syncer) queueLostEvidence(encodedRecords [][]byte) {
+	if sy.storedEvidence == nil {
+		return
+	}
+	present := map[quarantine.Evidence]bool{}
+	for _, encoded := range encodedRecords {
+		if rec, err := Decode(encoded); err == nil {
+			present[rec.Evidence] = true
+		}
+	}
+	lost := slices.DeleteFunc(sy.storedEvidence(), func(ev quarantine.Evidence) bool { return present[ev] })
+	sy.logger.Info("platform's log of crash evidence was restored from an older copy", "lost", len(lost), "present", len(present))
+	if len(lost) > 0 {
+		sy.QueueEvidence(lost...)
+	}
+}
+
 // recordReadResult counts a read, and writes a log line when reads begin to fail or succeed again.
 func (sy *Syncer) recordReadResult(err error) {
 	sy.metrics.Counter("evidence_reads").Inc(1)
--- a/coordination/crashlog/syncer_test.go
+++ b/coordination/crashlog/syncer_test.go
@@ -20,9 +20,11 @@
 
 func TestMain(m *testing.M) { testutil.Main(m) }
 
-// pagedLog is a log in memory that returns at most two records for each read.
+// pagedLog is a log in memory that returns at most two records for each read, but all of them for an offset of an
+// earlier era.
 type pagedLog struct {
 	encoded        [][]byte
+	era            id.Era
 	unavailable    bool
 	droppedRecords int
 }
@@ -47,9 +49,12 @@
 	if lg.unavailable {
 		return nil, from, errLogUnavailable
 	}
-	first := max(0, int(from))
+	if from != id.NoOffset && from.Era() < lg.era {
+		return lg.encoded, id.NewOffset(lg.era, int64(len(lg.encoded))), nil
+	}
+	first := int(from.Position())
 	end := min(len(lg.encoded), first+2)
-	return lg.encoded[first:end], id.Offset(end), nil
+	return lg.encoded[first:end], id.NewOffset(lg.era, int64(end)), nil
 }
 
 func (lg *pagedLog) Drop(_ context.Context, records []crashlog.Record) error {
@@ -143,3 +148,27 @@
 		assert.NilError(t, <-runResult)
 	})
 }
+
+// TestEvidenceIsAppendedAgainAfterRestore restores the log from a copy that lacks evidence. The syncer must append what is
+// missing, once, and not what the copy has.
+func TestEvidenceIsAppendedAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lg := &pagedLog{}
+		stored := func() []quarantine.Evidence {
+			return []quarantine.Evidence{confirmedEvidence(1), confirmedEvidence(2), confirmedEvidence(3)}
+		}
+		syncer := crashlog.New(crashlog.DefaultConfig(time.Hour), timer.NewSystem(), lg, tally.NoopScope, slog.New(slog.DiscardHandler),
+			func() bool { return true }, func(quarantine.Evidence) {}, crashlog.WithStoredEvidence(stored))
+		ctx, cancel := context.WithCancel(t.Context())
+		runResult := make(chan error)
+		go func() { runResult <- syncer.Run(ctx) }()
+		syncer.QueueEvidence(stored()...)
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, len(lg.encoded), 3)
+		lg.encoded, lg.era = lg.encoded[:1], 2
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, len(lg.encoded), 3)
+		cancel()
+		assert.NilError(t, <-runResult)
+	})
+}
--- a/site/crash_quarantine.go
+++ b/site/crash_quarantine.go
@@ -228,6 +228,20 @@
 	cq.storeEvidence(conclusive...)
 }
 
+// StoredEvidence returns the evidence that hosts write to the store: about fingerprints with at least minSharedCrashes
+// crashes, without reports.
+func (cq *crashQuarantine) StoredEvidence() []quarantine.Evidence {
+	cq.mutex.Lock()
+	defer cq.mutex.Unlock()
+	var stored []quarantine.Evidence
+	for _, fingerprint := range cq.table.Fingerprints() {
+		if evidence := cq.table.EvidenceFor(fingerprint); len(evidence) >= minSharedCrashes {
+			stored = append(stored, slices.DeleteFunc(evidence, func(ev quarantine.Evidence) bool { return ev.Status == quarantine.Reported })...)
+		}
+	}
+	return stored
+}
+
 // logEvidence logs and counts new evidence, together with the decision that results from it for the content, or for
 // requests with the part and no other.
 func (cq *crashQuarantine) logEvidence(evidence quarantine.Evidence, source string) {
--- a/site/discovery.go
+++ b/site/discovery.go
@@ -18,17 +18,20 @@
 	maxDiscoveredHosts = 8
 )
 
-// discoverHosts announces this host's peer address in the store, and adds the announced addresses of other hosts as
+// discoverHosts announces this host's peer address in the store, again after each restore of the store, and adds the announced addresses of other hosts as
 // seeds while no other host is known, for example because the seeds in the settings are missing or unreachable. It does
 // neither before the host is ready. It runs until the context ends and always returns nil.
 func (ht *Host) discoverHosts(ctx context.Context) error {
 	announced := false
+	var announcedEra id.Era
 	for timer.Sleep(ctx, ht.clock, discoveryInterval) {
 		if ready, _ := ht.Ready(); !ready {
 			continue
 		}
-		if !announced && ht.shouldAnnounce() {
+		if era := ht.store.Era(); (!announced || era > announcedEra) && ht.shouldAnnounce() {
+			// An announcement of before the restore may be missing in the copy.
 			announced = ht.announce(ctx)
+			announcedEra = era
 		}
 		if len(ht.gossip.OtherHosts()) == 0 {
 			ht.addSeedsFromStore(ctx)
--- a/site/host.go
+++ b/site/host.go
@@ -169,7 +169,8 @@
 	ht.requestLimits = requestlimit.NewTracker(ht.clock, scope, ht.logger, ht.gossip.SpreadFact, func() { ht.grantServer.Refresh() })
 	ht.fleet = newFleet(ht.updateFollower, ht.clock, ht.requestLimits, ht.gossip.SpreadFact)
 	ht.crashQuarantine = newCrashQuarantine(ht.clock, scope, ht.logger, ht.gossip.SpreadFact)
-	ht.evidenceSyncer = crashlog.New(evidenceSyncConfig(), ht.clock, platform.NewCrashLog(ht.store), scope, ht.logger, ht.updateFollower.IsListReader, ht.crashQuarantine.LearnStoredEvidence)
+	ht.evidenceSyncer = crashlog.New(evidenceSyncConfig(), ht.clock, platform.NewCrashLog(ht.store), scope, ht.logger, ht.updateFollower.IsListReader, ht.crashQuarantine.LearnStoredEvidence,
+		crashlog.WithStoredEvidence(ht.crashQuarantine.StoredEvidence))
 	ht.crashQuarantine.storeEvidence = ht.evidenceSyncer.QueueEvidence
 	ht.grantServer = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peerClient, ht.crashQuarantine, scope, ht.logger, seed)
 	ht.crashQuarantine.reportToDispatcher = func(service id.Service, evidence quarantine.Evidence) {
--- a/state/quarantine/quarantine.go
+++ b/state/quarantine/quarantine.go
@@ -371,6 +371,9 @@
 	return evidence
 }
 
+// Fingerprints returns all fingerprints in the table, in order.
+func (tb *Table) Fingerprints() []id.Fingerprint { return slices.Sorted(maps.Keys(tb.entries)) }
+
 // RefusedFingerprints returns the fingerprints whose requests are refused now, in order.
 func (tb *Table) RefusedFingerprints(now time.Time) []id.Fingerprint {
 	var refused []id.Fingerprint
