--- a/coordination/crashlog/syncer_test.go
+++ b/coordination/crashlog/syncer_test.go
@@ -130,15 +130,16 @@
 // the log is available. The hosts that it meets may have started at the same time and know nothing.
 func TestStartedHostReadsLogOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		lg := &pagedLog{unavailable: true}
+		lg := &pagedLog{}
+		assert.NilError(t, lg.Append(t.Context(), []crashlog.Record{{Evidence: confirmedEvidence(1), At: time.Now()}}))
+		lg.unavailable = true
 		learned := 0
 		syncer := newSyncerOfReader(lg, false, func(quarantine.Evidence) { learned++ })
 		ctx, cancel := context.WithCancel(t.Context())
 		runResult := make(chan error)
 		go func() { runResult <- syncer.Run(ctx) }()
-		time.Sleep(10 * time.Second)
+		time.Sleep(9 * time.Second)
 		lg.unavailable = false
-		assert.NilError(t, lg.Append(ctx, []crashlog.Record{{Evidence: confirmedEvidence(1), At: time.Now()}}))
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, learned, 1)
 		assert.NilError(t, lg.Append(ctx, []crashlog.Record{{Evidence: confirmedEvidence(2), At: time.Now()}}))
