Updates to readers of the list are not marked for relaying by a race

Cause: broadcast set Relay in the update that goroutines which send to the other readers still read, so that a reader could forward an update to its zone that relays bring there too. Change: relays get a copy.

--- a/coordination/statesync/broadcast.go
+++ b/coordination/statesync/broadcast.go
@@ -66,9 +66,11 @@
 	if !relay {
 		return
 	}
-	update.Relay = true
+	// The goroutines above still read update.
+	relayed := update
+	relayed.Relay = true
 	for _, zonePeers := range groupByZone("Relay", others) {
-		fl.group.Go(func() { fl.sendToZone(zonePeers, update) })
+		fl.group.Go(func() { fl.sendToZone(zonePeers, relayed) })
 	}
 }
 
