Soak: a mix with a store that comes back from older copies

The store refuses calls and comes back from a copy of up to 5 s of age; the operator and the servers write again what they wrote last, and the store drops servers that are gone 3.6 s later.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -56,6 +56,11 @@
 		terminateHost, killHost, suspendHost, killAllHosts, disruptLink, failStore, failServer,
 		crashAndRestartServer, crashAndRestartServer, crashAndRestartServer, replaceServer, reloadSettings,
 	}},
+	// Restores has a store that comes back from older copies while servers and desired states change.
+	"Restores": {seriesPerSecond: 2, faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
+		terminateHost, killHost, suspendHost, killAllHosts, disruptLink, failStore, restoreStore, restoreStore, restoreStore,
+		failServer, crashAndRestartServer, replaceServer, replaceServer, publishDesiredStates, publishDesiredStates, reloadSettings,
+	}},
 	// Limits has servers that name a limit of requests per second.
 	"Limits": {seriesPerSecond: 1, faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
 		terminateHost, killHost, suspendHost, disruptLink, failStore, limitServer, limitServer, limitServer, limitServer,
@@ -184,6 +189,43 @@
 	}
 }
 
+// restoreStore has the store refuse calls and come back from a copy of up to five seconds of age. The platform's operator
+// and the servers then write again what they wrote last.
+func restoreStore(tb *testbed, random *rand.Rand) scheduledFault {
+	copyAge := time.Duration(random.Int64N(int64(5 * time.Second)))
+	return scheduledFault{
+		description: fmt.Sprint("the store comes back from a copy of ", copyAge),
+		inject:      func() { tb.store.SetFault(standin.RejectsCalls) },
+		revert: func() {
+			tb.mutex.Lock()
+			tb.store.Restore(time.Now().Add(-copyAge))
+			for _, sv := range tb.servers {
+				if sv.draining {
+					tb.store.Put("keyed.servers", sv.ID, sv.ListEntry("draining"))
+				} else if !sv.retired {
+					tb.store.ListServer(sv.Server)
+				}
+			}
+			tb.mutex.Unlock()
+			tb.publishDesiredState(0)
+			tb.store.SetFault(standin.NoStoreFault)
+			// The store drops servers from which it hears nothing.
+			time.AfterFunc(lapseTime, func() {
+				tb.mutex.Lock()
+				defer tb.mutex.Unlock()
+				for _, sv := range tb.servers {
+					if sv.retired && !sv.draining {
+						tb.store.Put("keyed.servers", sv.ID, nil)
+					}
+				}
+			})
+		},
+	}
+}
+
+// lapseTime is the time after which the platform's store drops a server from which it hears nothing.
+const lapseTime = 3600 * time.Millisecond
+
 // failServer has one of the active servers fail with one of the faults up to ForeignResponseOnReuse. The server is
 // chosen when the fault is injected, because earlier faults may add or retire servers.
 func failServer(tb *testbed, random *rand.Rand) scheduledFault {
@@ -258,9 +300,9 @@
 // drainAndClose lists a server as draining. After the time within which hosts must stop sending to it, and one second
 // more, it removes the server from the list and ends it.
 func (tb *testbed) drainAndClose(sv *server) {
-	tb.store.Put("keyed.servers", sv.ID, sv.ListEntry("draining"))
+	tb.list(sv, "draining")
 	time.Sleep(drainLimit + time.Second)
-	tb.store.Put("keyed.servers", sv.ID, nil)
+	tb.list(sv, "")
 	sv.Close()
 }
 
--- a/soak/recovery_test.go
+++ b/soak/recovery_test.go
@@ -90,7 +90,7 @@
 		for _, sv := range tb.activeServers() {
 			if sv.Service == service && tb.markRetired(sv) {
 				tb.addServer(service, nil)
-				tb.store.Put("keyed.servers", sv.ID, sv.ListEntry("draining"))
+				tb.list(sv, "draining")
 				draining = append(draining, sv)
 				break
 			}
@@ -103,7 +103,7 @@
 				tb.reportViolation("DRAIN", "%s ran %s %s after it was listed as draining", sv.ID, run.Attempt, run.StartedAt.Sub(drainStartedAt))
 			}
 		}
-		tb.store.Put("keyed.servers", sv.ID, nil)
+		tb.list(sv, "")
 		sv.Close()
 	}
 }
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -64,7 +64,7 @@
 	store *standin.Store
 	hosts []*host
 
-	// mutex guards the fields from here to crashedServers, and the retired field of servers.
+	// mutex guards the fields from here to crashedServers, and the fields retired and draining of servers.
 	mutex sync.Mutex
 	// servers contains all servers, also those that have ended.
 	servers []*server
@@ -113,6 +113,8 @@
 	ratePerSecond float64
 	// retired says that the server is draining or has ended for good, so that no more faults use it.
 	retired bool
+	// draining says that the list shows the server as draining.
+	draining bool
 }
 
 // newTestbed starts three servers of each service and the hosts. Hosts reach one another, the store and the servers
@@ -193,6 +195,18 @@
 	}
 }
 
+// list sets the state of a server in the list, or removes the server for an empty state.
+func (tb *testbed) list(sv *server, state string) {
+	tb.mutex.Lock()
+	defer tb.mutex.Unlock()
+	sv.draining = state == "draining"
+	if state == "" {
+		tb.store.Put("keyed.servers", sv.ID, nil)
+		return
+	}
+	tb.store.Put("keyed.servers", sv.ID, sv.ListEntry(state))
+}
+
 // activeServers returns the servers that are not retired.
 func (tb *testbed) activeServers() []*server {
 	tb.mutex.Lock()
