--- a/state/quarantine/parts.go
+++ b/state/quarantine/parts.go
@@ -87,7 +87,7 @@
 			refusedFor = max(refusedFor, tb.untilRetrial(now, crashes, limit))
 		}
 	}
-	var severalSuspects []partCrashes
+	var suspectCrashes []partCrashes
 	for _, part := range content.PromptParts {
 		crashes := tb.crashesOfPart(now, part)
 		for crash, learnedAt := range crashes.isolated {
@@ -106,14 +106,14 @@
 		suspected = suspected || count >= suspectFrom
 		exclusive = exclusive || len(crashes.isolated) > 0
 		suspects = append(suspects, part)
-		severalSuspects = append(severalSuspects, crashes)
+		suspectCrashes = append(suspectCrashes, crashes)
 		if !sound && len(crashes.isolated) == 0 {
 			refuse(crashes.shared, config.CrashLimit)
 		}
 	}
 	refuse(conclusive, config.IsolatedCrashLimit)
 	if len(suspects) > 1 {
-		for _, crashes := range severalSuspects {
+		for _, crashes := range suspectCrashes {
 			refuse(crashes.isolated, config.IsolatedCrashLimit)
 		}
 	}
