The grace of servers that are dropped in an outage ends 2.5 s after the store is back

The store is stable 3 s after its return, and the bound is 2 s from then on. Change: the grace counts from the return of the store. A server that lives is listed again within two seconds of it. Red before: statesync.TestDropAfterOutageIsImmediate, for an outage and for a restore.

--- a/coordination/statesync/follower.go
+++ b/coordination/statesync/follower.go
@@ -67,14 +67,9 @@
 	}
 }
 
-const (
-	// outageDropWindow is how long after an outage of the store entries may still be dropped because of it. It covers the
-	// store's own grace period of two seconds and the interval of a heartbeat.
-	outageDropWindow = 3500 * time.Millisecond
-	// outageListAge is the age of the list from which the store counts as unavailable to all hosts. If the store rejected
-	// only the reader of the list, another host would have taken over and confirmed the list sooner.
-	outageListAge = 1200 * time.Millisecond
-)
+// outageListAge is the age of the list from which the store counts as unavailable to all hosts. If the store rejected
+// only the reader of the list, another host would have taken over and confirmed the list sooner.
+const outageListAge = 1200 * time.Millisecond
 
 // Follower replicates the desired state and the list of backend servers: it reads them from the store or receives them
 // from other hosts, and sends changes on to other hosts. Its methods may be called concurrently.
@@ -358,7 +353,7 @@
 // restarts the waiting read of the desired state. The caller holds the lock.
 func (fl *Follower) confirmList(confirmedAt time.Time) {
 	if fl.outageOngoing(confirmedAt) {
-		fl.outageEndedAt = confirmedAt
+		fl.recordOutageEnd(confirmedAt)
 		fl.restartTableRead()
 	}
 	if confirmedAt.After(fl.listConfirmedAt) {
@@ -367,6 +362,12 @@
 	}
 }
 
+// recordOutageEnd records that an outage of the store ended. The caller holds the lock.
+func (fl *Follower) recordOutageEnd(endedAt time.Time) {
+	fl.outageEndedAt = endedAt
+	fl.serverList.RecordOutageEnd(endedAt)
+}
+
 // noteEra is called with the end of a newer list before it is applied. If the store was restored since the local copy, it
 // restarts the waiting read of the desired state, which may wait at an offset that the store gives out again, and makes
 // entries that are dropped in the next time count as dropped in an outage. The caller holds the lock.
@@ -375,7 +376,7 @@
 	if previous == id.NoOffset || next.Era() <= previous.Era() {
 		return
 	}
-	fl.outageEndedAt = now
+	fl.recordOutageEnd(now)
 	fl.restartTableRead()
 	fl.metrics.Counter("store_restores").Inc(1)
 	fl.logger.Warn("platform's store was restored from an older copy", "era", int64(next.Era()), "previous_era", int64(previous.Era()),
@@ -392,7 +393,7 @@
 // that only the local host can't reach does not count as an outage, as that says nothing about the servers. The caller
 // holds the lock.
 func (fl *Follower) dropsMayBeFromOutage(now time.Time) bool {
-	return fl.outageOngoing(now) || now.Sub(fl.outageEndedAt) < outageDropWindow
+	return fl.outageOngoing(now) || now.Sub(fl.outageEndedAt) < serverlist.RelistGrace
 }
 
 // noteStoreFailure records that a call to the store failed. Only the first of several failures in a row is logged.
--- a/coordination/statesync/follower_test.go
+++ b/coordination/statesync/follower_test.go
@@ -401,6 +401,37 @@
 	}
 }
 
+// TestDropAfterOutageIsImmediate drops the entry of a server three seconds after the store has come back, from an outage
+// or from an older copy. The users' limit for such a server is two seconds, so it must not get the grace period of
+// servers that are dropped in an outage.
+func TestDropAfterOutageIsImmediate(t *testing.T) {
+	for name, interrupt := range map[string]func(*fakeStore, []id.Host){
+		"outage": func(st *fakeStore, hosts []id.Host) {
+			st.setRejected(true, hosts...)
+			time.Sleep(4 * time.Second)
+			st.setRejected(false, hosts...)
+		},
+		"restore": func(st *fakeStore, _ []id.Host) { st.restore(2, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := newStore()
+				st.appendEntry("server-1", "ready")
+				st.appendEntry("server-2", "ready")
+				nw := newNetwork(st, "a", "b", "c", "d", "e")
+				defer nw.runFollowers(t)()
+				time.Sleep(5 * time.Second)
+				interrupt(st, nw.hosts)
+				time.Sleep(3 * time.Second)
+				st.dropEntry("server-1")
+				time.Sleep(1500 * time.Millisecond)
+				assert.Equal(t, nw.hostsReporting("server-1"), 0)
+				assert.Equal(t, nw.hostsReporting("server-2"), len(nw.hosts))
+			})
+		})
+	}
+}
+
 // TestListReaderFailover checks that one host reads the list for all. When the store rejects that host, another one
 // must take over, and every host, rejected or not, must learn of a leaving server within two seconds.
 func TestListReaderFailover(t *testing.T) {
--- a/state/serverlist/serverlist.go
+++ b/state/serverlist/serverlist.go
@@ -61,17 +61,17 @@
 // as ready: the time of three heartbeats, after which the store drops a server that is gone, and some time to read it.
 const restoredLeavingHold = 6 * time.Second
 
-// relistGrace is how long a server stays usable after its entry was dropped in an outage of the store, so that it has
-// time to be listed again.
-const relistGrace = 2500 * time.Millisecond
+// RelistGrace is how long after an outage of the store a server stays usable whose entry was dropped in the outage or
+// since. A server that lives is listed again within two seconds.
+const RelistGrace = 2500 * time.Millisecond
 
 // entry is the newest record of a server.
 type entry struct {
 	Record
 	// changeOffset is the offset of the last record that changed the content of the entry.
 	changeOffset id.Offset
-	// graceStart is when the entry was dropped in an outage of the store, and graceServer is the server that it described.
-	// They are zero for other entries.
+	// graceStart is when the outage of the store ended in which the entry was dropped, and graceServer is the server that it
+	// described. They are zero for other entries.
 	graceStart  time.Time
 	graceServer *Server
 	// startedAtMillis is the start time of the server that the entry last described.
@@ -97,7 +97,7 @@
 		return &leaving
 	case en.Server != nil && !en.Dropped:
 		return en.Server
-	case en.graceServer != nil && now.Sub(en.graceStart) < relistGrace:
+	case en.graceServer != nil && now.Sub(en.graceStart) < RelistGrace:
 		return en.graceServer
 	default:
 		return nil
@@ -114,6 +114,8 @@
 	// fullListOffset is the offset at which the full list was last read. A full list has no records of entries dropped
 	// before, so the copy does not know all changes before that offset.
 	fullListOffset id.Offset
+	// outageEndedAt is when the last known outage of the store ended.
+	outageEndedAt time.Time
 	// cachedServers is the result of Servers; nil after a change.
 	cachedServers []Server
 }
@@ -127,6 +129,9 @@
 // list yet.
 func (ls *List) NextOffset() id.Offset { return ls.nextOffset }
 
+// RecordOutageEnd records that an outage of the store ended, or that it came back from an older copy.
+func (ls *List) RecordOutageEnd(endedAt time.Time) { ls.outageEndedAt = endedAt }
+
 // UnchangedSince returns an offset such that no record from it to Next changed the list. It is id.NoOffset in a new
 // copy, and has no meaning before the full list has been received.
 func (ls *List) UnchangedSince() id.Offset { return ls.unchangedSince }
@@ -248,6 +253,9 @@
 	rc.DroppedInOutage = rc.Dropped && (rc.DroppedInOutage || outage || en.Dropped && en.DroppedInOutage)
 	if rc.Dropped && !en.Dropped && rc.DroppedInOutage && en.Server != nil {
 		en.graceStart = now
+		if now.Sub(ls.outageEndedAt) < RelistGrace {
+			en.graceStart = ls.outageEndedAt
+		}
 		en.graceServer = en.Server
 	}
 	if !rc.Dropped {
