Name the engines of each attempt in the logs of the product's own front

Cause looked for: e2e.TestRequestThatCrashesEngines (known red) could not be traced, since no line said which engines an attempt had and which one crashed. Change: one line for each attempt: fingerprint, attempt, engines, whether it ran alone, result, failed engine, tokens.

--- a/coordination/modelcall/runner.go
+++ b/coordination/modelcall/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -48,6 +49,7 @@
 	dispatchers Dispatchers
 	fleet       Fleet
 	metrics     tally.Scope
+	logger      *slog.Logger
 	tracer      trace.Tracer
 
 	// mutex guards retries.
@@ -59,7 +61,7 @@
 
 // NewRunner returns a runner. The retry policy must not be used by others, because the runner guards it with its own
 // mutex.
-func NewRunner(config Config, clock timer.Clock, engines Engines, dispatchers Dispatchers, fl Fleet, retries *retry.Policy, metrics tally.Scope, tracer trace.Tracer) *Runner {
+func NewRunner(config Config, clock timer.Clock, engines Engines, dispatchers Dispatchers, fl Fleet, retries *retry.Policy, metrics tally.Scope, logger *slog.Logger, tracer trace.Tracer) *Runner {
 	return &Runner{
 		config:      config,
 		clock:       clock,
@@ -68,6 +70,7 @@
 		fleet:       fl,
 		retries:     retries,
 		metrics:     metrics,
+		logger:      logger,
 		tracer:      tracer,
 	}
 }
@@ -183,6 +186,8 @@
 	defer span.End()
 	result := rn.followStreams(ctx, state, grant)
 	span.SetAttributes(attribute.String("result", result.String()))
+	rn.logger.Info("attempt ended", "fingerprint", state.call.ContentFingerprint.String(), "attempt", string(grant.Attempt), "engines", state.summary.Engines,
+		"alone", grant.RunsAlone, "result", result.String(), "engine", string(result.engine), "tokens", state.summary.DeliveredTokens)
 	return rn.concludeAttempt(ctx, state, grant, result)
 }
 
--- a/coordination/modelcall/runner_test.go
+++ b/coordination/modelcall/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"strconv"
 	"strings"
 	"sync"
@@ -270,7 +271,7 @@
 // runScripts runs one call with the given time until its deadline and waits for the cleanup after it.
 func runScripts(engines *fakeEngines, timeout time.Duration, callerLeavesAt int) runResult {
 	runner := modelcall.NewRunner(modelcall.DefaultConfig(), timer.NewSystem(), engines, engines, engines,
-		retry.New(retry.DefaultConfig(), 1), tally.NoopScope, noop.NewTracerProvider().Tracer(""))
+		retry.New(retry.DefaultConfig(), 1), tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
 	collector := &tokenCollector{callerLeavesAt: callerLeavesAt}
 	startedAt := time.Now()
 	_, callOutcome := runner.Run(engines.ctx, modelcall.Call{
--- a/host.go
+++ b/host.go
@@ -183,7 +183,7 @@
 	ht.shardClient = shard.NewClient(ht.localMember.Host, ht.localMember.Incarnation, ht.clock, ht.peerClient, ht.fleet, ht.shardServer, scope, seed)
 	ht.peerClient.Bind(ht.localPeerComponents(), ht.gossip)
 	tracer := ht.traces.Provider.Tracer("hibiscuslever")
-	ht.modelRunner = modelcall.NewRunner(modelcall.DefaultConfig(), ht.clock, ht.engineClient, ht.shardClient, ht.fleet, retry.New(retry.DefaultConfig(), seed), scope, tracer)
+	ht.modelRunner = modelcall.NewRunner(modelcall.DefaultConfig(), ht.clock, ht.engineClient, ht.shardClient, ht.fleet, retry.New(retry.DefaultConfig(), seed), scope, ht.logger, tracer)
 	ht.plainRunner = servicecall.NewRunner(ht.clock, ht.fleet, ht.serviceClient, ht.peerClient, retry.New(retry.DefaultConfig(), seed), scope, tracer, seed)
 	// Every host reads the stored crash evidence, hence the constant true.
 	ht.quarantineSyncer = crashlog.New(crashlog.DefaultConfig(shard.DefaultServerConfig().QuarantineTTL), ht.clock, streams.NewQuarantine(ht.platformClient), scope, ht.logger,
