--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -67,7 +67,7 @@
 type waitingRequest struct {
 	host    id.Host
 	content quarantine.Content
-	// askedToRunAlone says that the entry host wants the request to run alone. isolation is how it is to run now.
+	// askedToRunAlone says that the entry host asked for the request to run alone. isolation is how it is to run now.
 	askedToRunAlone bool
 	isolation       batch.ReviewedRequest
 }
--- a/site/crash_quarantine.go
+++ b/site/crash_quarantine.go
@@ -75,7 +75,7 @@
 	table *quarantine.Table
 }
 
-// newCrashQuarantine returns a quarantine without evidence. The caller sets reportToDispatcher and storeEvidence before
+// newCrashQuarantine returns a quarantine without evidence. The caller sets the other functions of the quarantine before
 // its first use.
 func newCrashQuarantine(clock timer.Clock, metrics tally.Scope, logger *slog.Logger, spreadFact func(membership.Fact)) *crashQuarantine {
 	return &crashQuarantine{
--- a/site/crash_test.go
+++ b/site/crash_test.go
@@ -54,29 +54,38 @@
 	return times
 }
 
-// timeSinceCrashLimit returns the time since the crash that reached crashLimit, or zero if there were fewer crashes.
-func (env *testEnv) timeSinceCrashLimit() time.Duration {
+// timeSinceCrash returns the time since the crash with the given number, from 1, or zero if there were fewer crashes.
+func (env *testEnv) timeSinceCrash(number int) time.Duration {
 	times := env.crashTimes()
-	if len(times) < crashLimit {
+	if len(times) < number {
 		return 0
 	}
-	return time.Since(times[crashLimit-1])
+	return time.Since(times[number-1])
 }
 
+// timeSinceCrashLimit returns the time since the crash that reached crashLimit, or zero if there were fewer crashes.
+func (env *testEnv) timeSinceCrashLimit() time.Duration { return env.timeSinceCrash(crashLimit) }
+
 // never is a shouldContinue function for sendRepeatedly that does not extend the duration.
 func never() bool { return false }
 
 // lateRuns returns the number of requests with crashMark that servers began to run more than agreementTime after the
 // crash that reached crashLimit.
 func (env *testEnv) lateRuns() int {
+	return env.runsAfterCrash(crashLimit, func(run standin.ExecutedRequest) bool { return strings.Contains(run.Body+run.Target, crashMark) })
+}
+
+// runsAfterCrash returns the number of matching requests that servers began to run more than agreementTime after the
+// crash with the given number, from 1.
+func (env *testEnv) runsAfterCrash(number int, matches func(standin.ExecutedRequest) bool) int {
 	times := env.crashTimes()
-	if len(times) < crashLimit {
+	if len(times) < number {
 		return 0
 	}
 	late := 0
 	for _, server := range env.servers {
 		for _, run := range server.ExecutedRequests() {
-			if strings.Contains(run.Body+run.Target, crashMark) && run.StartedAt.Sub(times[crashLimit-1]) > agreementTime {
+			if matches(run) && run.StartedAt.Sub(times[number-1]) > agreementTime {
 				late++
 			}
 		}
--- a/site/prompt_part_test.go
+++ b/site/prompt_part_test.go
@@ -21,29 +21,7 @@
 // lateRunsOfPart returns the number of requests with crashMark in the parts of their prompts that servers began to run
 // more than agreementTime after the crash that reached partCrashLimit.
 func (env *testEnv) lateRunsOfPart() int {
-	times := env.crashTimes()
-	if len(times) < partCrashLimit {
-		return 0
-	}
-	late := 0
-	for _, server := range env.servers {
-		for _, run := range server.ExecutedRequests() {
-			if strings.Contains(run.PromptParts, crashMark) && run.StartedAt.Sub(times[partCrashLimit-1]) > agreementTime {
-				late++
-			}
-		}
-	}
-	return late
-}
-
-// timeSincePartCrashLimit returns the time since the crash that reached partCrashLimit, or zero if there were fewer
-// crashes.
-func (env *testEnv) timeSincePartCrashLimit() time.Duration {
-	times := env.crashTimes()
-	if len(times) < partCrashLimit {
-		return 0
-	}
-	return time.Since(times[partCrashLimit-1])
+	return env.runsAfterCrash(partCrashLimit, func(run standin.ExecutedRequest) bool { return strings.Contains(run.PromptParts, crashMark) })
 }
 
 // promptPartRequests are the kinds of requests that list the parts of a prompt.
@@ -100,7 +78,7 @@
 					})
 				}
 				got := sendRepeatedly(hosts, "a", agreementTime, func() bool {
-					return env.timeSincePartCrashLimit() < 2*agreementTime && len(env.crashTimes()) >= partCrashLimit
+					return env.timeSinceCrash(partCrashLimit) < 2*agreementTime && len(env.crashTimes()) >= partCrashLimit
 				}, func(host *testHost, attemptID string) response {
 					return requestKind.send(host, attemptID, attemptID, "first:40,"+crashMark+":200,"+attemptID+":300")
 				})
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -209,7 +209,7 @@
 			tb.mutex.Unlock()
 			tb.publishDesiredState(0)
 			tb.store.SetFault(standin.NoStoreFault)
-			// The store drops servers from which it hears nothing.
+			// The store drops servers that send no heartbeats.
 			time.AfterFunc(lapseTime, func() {
 				tb.mutex.Lock()
 				defer tb.mutex.Unlock()
@@ -223,7 +223,7 @@
 	}
 }
 
-// lapseTime is the time after which the platform's store drops a server from which it hears nothing.
+// lapseTime is the time after which the platform's store drops a server that sends no heartbeats.
 const lapseTime = 3600 * time.Millisecond
 
 // failServer has one of the active servers fail with one of the faults up to ForeignResponseOnReuse. The server is
