At the product's own front, an engine that has crashed is not granted before it is polled again

Cause: the end of the suspect's attempt freed the engine that it had just crashed, and the dispatcher granted it to the next request that waited to run alone. Its host found the engine unreachable and counted a second crash of the request. Change: a reported crash holds the engine until a poll that started later succeeds. Ruled out: removing the engine, which refuses requests for a model whose only engine crashed (TestCrashIsCountedBeforeReportReturns failed). Red before: shard.TestSuspectIsGrantedCrashedEngine.

--- a/coordination/dispatch/engine.go
+++ b/coordination/dispatch/engine.go
@@ -26,6 +26,8 @@
 	pendingPrefillAt time.Time
 	// exclusiveAttempt is the attempt with RunAlone that occupies the engine; empty if there is none.
 	exclusiveAttempt id.Attempt
+	// held says that the engine gets no new grants because it has crashed.
+	held bool
 	// drainingFor is the request that the engine is drained for; nil if there is none.
 	drainingFor *waitingRequest
 	// unreportedGrants holds the grants that no load report covers yet, oldest first.
@@ -49,6 +51,7 @@
 	if en, ok := mc.enginesByName[spec.Engine]; ok {
 		mc.totalCapacityTokens += spec.CapacityTokens - en.CapacityTokens
 		en.EngineSpec = spec
+		en.held = false
 		return
 	}
 	en := &engine{
--- a/coordination/dispatch/event.go
+++ b/coordination/dispatch/event.go
@@ -94,6 +94,9 @@
 // SetEngine adds an engine or replaces its description.
 type SetEngine struct{ Spec EngineSpec }
 
+// HoldEngine stops new grants on an engine that has crashed under an attempt until SetEngine shows it again.
+type HoldEngine struct{ Engine id.Engine }
+
 // RemoveEngine removes an engine.
 type RemoveEngine struct{ Engine id.Engine }
 
@@ -134,6 +137,7 @@
 func (RenewGrant) event()    {}
 func (FinishAttempt) event() {}
 func (SetEngine) event()     {}
+func (HoldEngine) event()    {}
 func (RemoveEngine) event()  {}
 func (ReportLoad) event()    {}
 func (ListAttempts) event()  {}
--- a/coordination/dispatch/machine.go
+++ b/coordination/dispatch/machine.go
@@ -144,6 +144,10 @@
 		mc.finishAttempt(now, ev.Attempt)
 	case SetEngine:
 		mc.setEngine(now, ev.Spec)
+	case HoldEngine:
+		if en, ok := mc.enginesByName[ev.Engine]; ok {
+			en.held = true
+		}
 	case RemoveEngine:
 		mc.removeEngine(ev.Engine)
 	case ReportLoad:
--- a/coordination/dispatch/placement.go
+++ b/coordination/dispatch/placement.go
@@ -289,7 +289,7 @@
 // prompts of this length may use, and little enough pending prefill. While it is drained for another request, it takes
 // no long prompt.
 func (mc *Machine) hasRoom(now time.Time, en *engine, wt *waitingRequest, partTokens id.Tokens) bool {
-	if en.exclusiveAttempt != "" || wt.RunAlone && en.streamCount > 0 {
+	if en.held || en.exclusiveAttempt != "" || wt.RunAlone && en.streamCount > 0 {
 		return false
 	}
 	if !en.acceptsModel(wt.Model) || wt.mustAvoid(en) {
--- a/coordination/shard/dispatcher.go
+++ b/coordination/shard/dispatcher.go
@@ -38,6 +38,8 @@
 	spec dispatch.EngineSpec
 	// reachable is set by a successful poll and reset after MaxPollFailures consecutive failures.
 	reachable bool
+	// crashedAt is when an attempt last reported a crash of the engine.
+	crashedAt time.Time
 	// reportedLeaving means that the engine itself has reported that it is leaving.
 	reportedLeaving bool
 	// inProgress is set while a poll is running.
@@ -225,6 +227,10 @@
 	poll.inProgress = false
 	now := sv.clock.Now()
 	defer dp.updateReady()
+	if result.err == nil && poll.lastPolled.Before(poll.crashedAt) {
+		// The poll may have been answered before the crash.
+		return
+	}
 	if result.err != nil {
 		sv.handlePollFailure(ctx, now, dp, poll, engine)
 		return
@@ -259,6 +265,15 @@
 	}
 }
 
+// holdCrashedEngine stops new grants on an engine that crashed under an attempt until a poll that starts later succeeds.
+// Otherwise the end of the attempt would free the dead engine for the next request. The caller holds the mutex.
+func (sv *Server) holdCrashedEngine(ctx context.Context, now time.Time, dp *shardDispatcher, engine id.Engine) {
+	if poll, ok := dp.enginePolls[engine]; ok {
+		poll.crashedAt = now
+	}
+	sv.applyEffects(ctx, dp, dp.machine.Step(now, dispatch.HoldEngine{Engine: engine}))
+}
+
 // handlePollFailure removes an engine from the machine after MaxPollFailures consecutive failures. The caller holds the
 // mutex.
 func (sv *Server) handlePollFailure(ctx context.Context, now time.Time, dp *shardDispatcher, poll *enginePoll, engine fleet.Engine) {
--- a/coordination/shard/server.go
+++ b/coordination/shard/server.go
@@ -302,6 +302,9 @@
 			}
 		}
 	}
+	if ended.CrashedEngine != "" {
+		sv.holdCrashedEngine(ctx, now, dp, ended.CrashedEngine)
+	}
 	sv.applyEffects(ctx, dp, dp.machine.Step(now, dispatch.FinishAttempt{Attempt: ended.Attempt}))
 }
 
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -30,6 +30,8 @@
 	// loadCalls counts the polls of the engine's load, and loadDelay is how long the engine takes to answer one.
 	loadCalls int
 	loadDelay time.Duration
+	// engineDown makes polls of the engine fail.
+	engineDown bool
 	// attemptTokens is the engine memory that attempts hold.
 	attemptTokens map[id.Attempt]id.Tokens
 	servers       map[id.Host]*shard.Server
@@ -83,8 +85,11 @@
 func (cl *cluster) FetchLoad(ctx context.Context, _ string) (shard.EngineReport, error) {
 	cl.mutex.Lock()
 	cl.loadCalls++
-	delay, leaving := cl.loadDelay, cl.leavingByReport
+	delay, leaving, down := cl.loadDelay, cl.leavingByReport, cl.engineDown
 	cl.mutex.Unlock()
+	if down {
+		return shard.EngineReport{}, errors.New("connection refused")
+	}
 	select {
 	case <-time.After(delay):
 	case <-ctx.Done():
@@ -401,6 +406,43 @@
 	})
 }
 
+// TestSuspectIsGrantedCrashedEngine guards against a request that waits to run alone and is granted the engine that the
+// suspect before it has just crashed: the host would count the dead engine as a second crash of the request.
+func TestSuspectIsGrantedCrashedEngine(t *testing.T) {
+	runWithCluster(t, func(ctx context.Context, t *testing.T, cl *cluster) {
+		client := cl.startClient(ctx)
+		crashing, unrelated := newGrantRequest("crashing", 1000), newGrantRequest("unrelated", 1000)
+		var attempts []id.Attempt
+		for _, request := range []shard.GrantRequest{crashing, unrelated} {
+			grant, oc := client.Acquire(ctx, request)
+			assert.Assert(t, oc.OK(), oc.Detail)
+			attempts = append(attempts, grant.Attempt)
+		}
+		client.ReportEnded(ctx, shard.EndedGrant{Request: "crashing", Attempt: attempts[0], CrashedEngine: "engine-1"})
+		client.ReportEnded(ctx, shard.EndedGrant{Request: "unrelated", Attempt: attempts[1], CrashedEngine: "engine-1"})
+		crashing.AttemptNumber, unrelated.AttemptNumber = 2, 2
+		grant, oc := client.Acquire(ctx, crashing)
+		assert.Assert(t, oc.OK(), oc.Detail)
+		assert.Assert(t, grant.RunsAlone)
+		granted := make(chan bool, 1)
+		go func() {
+			_, oc := client.Acquire(ctx, unrelated)
+			granted <- oc.OK()
+		}()
+		time.Sleep(time.Second)
+		cl.mutex.Lock()
+		cl.engineDown = true
+		cl.mutex.Unlock()
+		client.ReportEnded(ctx, shard.EndedGrant{Request: "crashing", Attempt: grant.Attempt, CrashedEngine: "engine-1"})
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, len(granted), 0, "the engine was granted before it was polled again")
+		cl.mutex.Lock()
+		cl.engineDown = false
+		cl.mutex.Unlock()
+		assert.Assert(t, <-granted)
+	})
+}
+
 // TestRetryAfterLostCrashReport guards against a request that is retried beside others because the report of its first
 // crash has not reached the dispatcher.
 func TestRetryAfterLostCrashReport(t *testing.T) {
