A host that learns of a restore from other hosts announces its address again as well

Cause: the only call to the store of a host that does not read the list may be a read that waits for a desired state. If the operator writes again at once, the position that it waits at exists in the new era too, and the read shows the era only when it ends, up to 20 s later. Other hosts' offsets show the era at once. Change: the later one of the store's era and of the list's offset counts.

--- a/site/discovery.go
+++ b/site/discovery.go
@@ -28,7 +28,9 @@
 		if ready, _ := ht.Ready(); !ready {
 			continue
 		}
-		if era := ht.store.Era(); (!announced || era > announcedEra) && ht.shouldAnnounce() {
+		// Other hosts may know of a restore first: a read of this host that waits in the store shows it only when it ends.
+		era := max(ht.store.Era(), ht.updateFollower.Status().NextOffset.Era())
+		if (!announced || era > announcedEra) && ht.shouldAnnounce() {
 			// An announcement of before the restore may be missing in the copy.
 			announced = ht.announce(ctx)
 			announcedEra = era
