--- a/coordination/shard/dispatcher.go
+++ b/coordination/shard/dispatcher.go
@@ -266,7 +266,7 @@
 }
 
 // holdCrashedEngine stops new grants on an engine that crashed under an attempt until a poll that starts later succeeds.
-// Otherwise the end of the attempt would free the dead engine for the next request. The caller holds the mutex.
+// Otherwise the end of the attempt would free the crashed engine for the next request. The caller holds the mutex.
 func (sv *Server) holdCrashedEngine(ctx context.Context, now time.Time, dp *shardDispatcher, engine id.Engine) {
 	if poll, ok := dp.enginePolls[engine]; ok {
 		poll.crashedAt = now
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -407,7 +407,7 @@
 }
 
 // TestSuspectIsGrantedCrashedEngine guards against a request that waits to run alone and is granted the engine that the
-// suspect before it has just crashed: the host would count the dead engine as a second crash of the request.
+// suspect before it has just crashed: the host would count the crashed engine as a second crash of the request.
 func TestSuspectIsGrantedCrashedEngine(t *testing.T) {
 	runWithCluster(t, func(ctx context.Context, t *testing.T, cl *cluster) {
 		client := cl.startClient(ctx)
--- a/transport/peer/broker.go
+++ b/transport/peer/broker.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/coordination/crashlog"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer/peerconnect"
@@ -129,7 +130,7 @@
 			RetryAfterMicros: ended.RetryAfter.Microseconds(),
 		})
 	}
-	message.Evidence = encodeEvidence(report.Evidence)
+	message.Evidence = encodeFacts(report.Evidence, crashlog.ToFact)
 	_, err := call(ctx, cl, host, message, rpcMethod(peerconnect.PeerClient.Progress))
 	return err
 }
@@ -227,11 +228,11 @@
 	return connect.NewResponse(&peer.ProgressResponse{}), nil
 }
 
-// encodeEvidence returns the evidence in the form in which hosts exchange facts.
-func encodeEvidence(evidence []quarantine.Evidence) []*peer.Fact {
+// encodeFacts returns the wire form of items that hosts exchange as facts.
+func encodeFacts[T any](items []T, toFact func(T) membership.Fact) []*peer.Fact {
 	var facts []*peer.Fact
-	for _, ev := range evidence {
-		facts = append(facts, encodeFact(crashlog.ToFact(ev)))
+	for _, item := range items {
+		facts = append(facts, encodeFact(toFact(item)))
 	}
 	return facts
 }
@@ -282,8 +283,8 @@
 		message.Avoid = append(message.Avoid, string(name))
 	}
 	message.Parts = encodePromptParts(request.PromptParts)
-	message.Evidence = encodeEvidence(request.Evidence)
-	message.Limits = encodeStatements(request.RequestLimits)
+	message.Evidence = encodeFacts(request.Evidence, crashlog.ToFact)
+	message.Limits = encodeFacts(request.RequestLimits, requestlimit.ToFact)
 	for name, until := range request.BackoffUntil {
 		message.Banned = append(message.Banned, &peer.BannedEngine{Engine: string(name), ForMicros: until.Sub(now).Microseconds()})
 	}
--- a/transport/peer/request_limit.go
+++ b/transport/peer/request_limit.go
@@ -18,7 +18,7 @@
 		return cl.local.PermitIssuer.Issue(request)
 	}
 	message := &peer.PermitRequest{
-		Service: string(request.Service), MaxWaitMicros: request.MaxWait.Microseconds(), Limits: encodeStatements(request.Limits), Host: string(cl.self.Host),
+		Service: string(request.Service), MaxWaitMicros: request.MaxWait.Microseconds(), Limits: encodeFacts(request.Limits, requestlimit.ToFact), Host: string(cl.self.Host),
 	}
 	for _, server := range request.Servers {
 		message.Servers = append(message.Servers, string(server))
@@ -49,16 +49,7 @@
 	return connect.NewResponse(&peer.PermitResponse{Server: string(permit.Server), WaitMicros: permit.Wait.Microseconds()}), nil
 }
 
-// encodeStatements returns the wire form of statements on request limits.
-func encodeStatements(statements []serverlimit.Statement) []*peer.Fact {
-	var facts []*peer.Fact
-	for _, statement := range statements {
-		facts = append(facts, encodeFact(requestlimit.ToFact(statement)))
-	}
-	return facts
-}
-
-// decodeStatements is the reverse of encodeStatements. It skips facts of other kinds.
+// decodeStatements decodes statements on request limits. It skips facts of other kinds.
 func decodeStatements(facts []*peer.Fact) []serverlimit.Statement {
 	var statements []serverlimit.Statement
 	for _, fact := range facts {
