--- a/layers_test.go
+++ b/layers_test.go
@@ -26,7 +26,7 @@
 // random source, so that tests can replay their decisions.
 var purePackages = []string{
 	"coordination/dispatch", "coordination/membership", "coordination/claim", "coordination/lease",
-	"coordination/placement", "coordination/retry", "coordination/batch", "coordination/balance",
+	"coordination/placement", "coordination/retry", "coordination/batch", "coordination/balance", "coordination/reachability",
 	"state/route", "state/serverlist", "state/container", "state/id", "state/limit", "state/lists", "state/outcome", "state/quarantine", "state/serverlimit",
 }
 
