Senders tell a refused connection from a silent one, and a server from the way to it

ProbeHTTP returned a bool and a failed dial was one error, so callers could not see whether an address refused a connection or did not answer, nor whether anything but this host's link was at fault.

ProbeHTTP returns a ProbeResult now. ReachableThroughPeer and Undetermined are new results: the server did not respond to this host, but did to another one, or no other host could tell. A crash counts only by ConnectionRefused, as before; the new results leave it to the server list and give no reported evidence. Requests may demand a kept connection, responses say whether theirs was new, and the pool can drop the idle connections to an address; all three serve hosts that have lost their links.

--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -28,19 +28,27 @@
 	RequestCompleted(service id.Service, content quarantine.Content)
 }
 
-// ProbeResult says how a server responded to opening a connection, which occupies none of its request slots.
+// ProbeResult says how a server responded to a probe. Opening a connection occupies none of its request slots.
 type ProbeResult int
 
-// Values of ProbeResult.
+// Values of ProbeResult. ConnectionRefused and Unresponsive say something about the server, and not about this host's
+// link to it: another host that reaches some other server at that moment found the same, or there is no other host.
 const (
-	// Reachable means that the server accepted a connection.
+	// Reachable means that the server responded to this host.
 	Reachable ProbeResult = iota + 1
 	// ConnectionRefused means that nothing listens at the server's address.
 	ConnectionRefused
 	// Unresponsive means that there was no response in time.
 	Unresponsive
+	// ReachableThroughPeer means that the server did not respond to this host, but did respond to another one.
+	ReachableThroughPeer
+	// Undetermined means that the server did not respond to this host, and that no other host could tell why.
+	Undetermined
 )
 
+// Alive reports whether the server responded to any host.
+func (pr ProbeResult) Alive() bool { return pr == Reachable || pr == ReachableThroughPeer }
+
 // String returns the name of the result in logs and metrics.
 func (pr ProbeResult) String() string {
 	switch pr {
@@ -50,6 +58,10 @@
 		return "refuses"
 	case Unresponsive:
 		return "silent"
+	case ReachableThroughPeer:
+		return "answers_peer"
+	case Undetermined:
+		return "undetermined"
 	default:
 		return "unknown"
 	}
--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -129,6 +129,10 @@
 		{name: "unresponsive, gone", probeResult: forward.Unresponsive, otherProbeResult: forward.Reachable, listed: "gone", statusBeforeList: quarantine.Reported, statusAfterList: quarantine.Confirmed},
 		{name: "all unresponsive", probeResult: forward.Unresponsive, otherProbeResult: forward.Unresponsive, listed: "same"},
 		{name: "all unresponsive, gone", probeResult: forward.Unresponsive, otherProbeResult: forward.Unresponsive, listed: "gone", statusAfterList: quarantine.Confirmed},
+		{name: "reachable through a peer", probeResult: forward.ReachableThroughPeer, otherProbeResult: forward.Reachable, listed: "same"},
+		{name: "reachable through a peer, gone", probeResult: forward.ReachableThroughPeer, otherProbeResult: forward.Reachable, listed: "gone", statusAfterList: quarantine.Confirmed},
+		{name: "undetermined", probeResult: forward.Undetermined, otherProbeResult: forward.Reachable, listed: "same"},
+		{name: "undetermined, restarted", probeResult: forward.Undetermined, otherProbeResult: forward.Reachable, listed: "restarted", statusAfterList: quarantine.Confirmed},
 		{name: "timeout, connection refused", hang: true, probeResult: forward.ConnectionRefused, listed: "same", statusBeforeList: quarantine.Confirmed, statusAfterList: quarantine.Confirmed},
 		{name: "timeout, reachable", hang: true, probeResult: forward.Reachable, listed: "same"},
 	} {
--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -59,7 +59,10 @@
 	sv.sentTo = append(sv.sentTo, attempt.Address)
 	return forward.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n"))}, nil
 }
-func (sv *fakeServers) ProbeHTTP(context.Context, string) bool { return true }
+
+func (sv *fakeServers) ProbeHTTP(context.Context, string) forward.ProbeResult {
+	return forward.Reachable
+}
 
 func (sv *fakeServers) ProbeConnection(context.Context, string) forward.ProbeResult {
 	return forward.Reachable
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -81,6 +81,8 @@
 	Helpers []batch.Part
 	// NewConnection demands a newly opened connection instead of a pooled one.
 	NewConnection bool
+	// KeptConnection demands an idle pooled connection. If there is none, nothing is sent.
+	KeptConnection bool
 	// Urgency orders requests inside an engine, 0 first. If it is negative, no urgency is sent.
 	Urgency int
 }
@@ -93,7 +95,9 @@
 	Length int64
 	// EndsWithConnection says that the end of the connection is the only mark of the end of the body.
 	EndsWithConnection bool
-	Body               io.ReadCloser
+	// NewConnection says that the request was sent on a newly opened connection.
+	NewConnection bool
+	Body          io.ReadCloser
 	// NotRun says that the server did not run the request and will not run it later.
 	NotRun bool
 	// Misdirected says that a different server now has the address.
@@ -113,6 +117,14 @@
 // ErrNotSent is wrapped by the error of an attempt that failed before any byte of the request reached the server.
 var ErrNotSent = errors.New("nothing was sent")
 
+// ErrConnectionRefused is wrapped, together with ErrNotSent, by the error of an attempt whose server refused a
+// connection.
+var ErrConnectionRefused = errors.New("the connection was refused")
+
+// ErrUndetermined is wrapped, together with ErrNotSent, by the error of an attempt that this host could not send and no
+// other host could send for it. Nothing follows from it about the server.
+var ErrUndetermined = errors.New("no host could tell whether the server is reachable")
+
 // ErrStaleConnection is wrapped by the error of an attempt on a reused connection that ended before any byte of the
 // response arrived.
 var ErrStaleConnection = errors.New("the reused connection brought no answer")
@@ -124,8 +136,8 @@
 type Sender interface {
 	// Send sends the request of an attempt and returns the head of the response.
 	Send(ctx context.Context, attempt Attempt) (Response, error)
-	// ProbeHTTP reports whether the engine at an address responds to an HTTP request.
-	ProbeHTTP(ctx context.Context, address string) bool
+	// ProbeHTTP sends an HTTP request to the engine at an address and reports how that went.
+	ProbeHTTP(ctx context.Context, address string) ProbeResult
 	// ProbeConnection opens a connection to the server at an address and reports how that went.
 	ProbeConnection(ctx context.Context, address string) ProbeResult
 	// Reserve reserves memory on an engine under a ticket for ttl, or renews the reservation, and reports whether the
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -125,7 +125,7 @@
 	sm.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), sm.runner.config.ProbeTimeout)
 	defer cancel()
-	alive := sm.runner.askedForBackoff(id.BackendServer(sm.engine.Engine)) || sm.runner.sender.ProbeHTTP(ctx, sm.engine.Address)
+	alive := sm.runner.askedForBackoff(id.BackendServer(sm.engine.Engine)) || sm.runner.sender.ProbeHTTP(ctx, sm.engine.Address).Alive()
 	sm.mutex.Lock()
 	defer sm.mutex.Unlock()
 	if sm.stopped {
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -27,6 +27,8 @@
 	Body   []byte
 	// NewConnection opens a new connection for the request instead of reusing an idle one.
 	NewConnection bool
+	// KeptConnection uses only an idle connection. If there is none, the error wraps ErrNotSent and ErrNoIdleConnection.
+	KeptConnection bool
 	// MatchesRequest reports whether a response with the given status and header belongs to this request. Responses to
 	// other requests on the same connection are skipped. If it is nil, the first response is taken.
 	MatchesRequest func(status int, header http.Header) bool
@@ -35,6 +37,9 @@
 // ErrNotSent means that no part of the request reached the server.
 var ErrNotSent = errors.New("the request was not sent")
 
+// ErrNoIdleConnection means that there was no idle connection for a request with KeptConnection.
+var ErrNoIdleConnection = errors.New("there is no idle connection")
+
 // ErrStaleConnection means that a reused connection ended before any byte of the response arrived. The server may have
 // run the request. The error says nothing about the server itself, which may well answer on a new connection.
 var ErrStaleConnection = errors.New("the reused connection brought no answer")
@@ -48,7 +53,9 @@
 	// EndsWithConnection says that the head announces neither a length nor chunks, so that the end of the connection is
 	// the only mark of the end of the body.
 	EndsWithConnection bool
-	Body               io.ReadCloser
+	// NewConnection says that the request was sent on a newly opened connection.
+	NewConnection bool
+	Body          io.ReadCloser
 }
 
 const (
@@ -67,6 +74,9 @@
 	if !request.NewConnection {
 		cn = pl.takeIdle(request.Address)
 	}
+	if cn == nil && request.KeptConnection {
+		return nil, errors.Join(ErrNotSent, ErrNoIdleConnection)
+	}
 	if cn == nil {
 		var err error
 		if cn, err = pl.dial(ctx, request.Address); err != nil {
@@ -182,7 +192,7 @@
 		ex.reusable = !response.Close && response.ProtoAtLeast(1, 1) && !endsWithConnection
 		ex.keepAliveTimeout = parseKeepAliveTimeout(response.Header)
 		ex.body = response.Body
-		return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, EndsWithConnection: endsWithConnection, Body: ex}, nil
+		return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, EndsWithConnection: endsWithConnection, NewConnection: !ex.conn.reused, Body: ex}, nil
 	}
 	ex.abort()
 	return nil, errors.New("the server sent only answers to other requests")
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -152,6 +152,16 @@
 	return nil
 }
 
+// DropIdle closes the idle connections to an address.
+func (pl *Pool) DropIdle(address string) {
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	for _, cn := range pl.idle[address] {
+		_ = cn.Close()
+	}
+	delete(pl.idle, address)
+}
+
 // readBufferBytes is the size of a connection's read buffer.
 const readBufferBytes = 4096
 
--- a/transport/backend/pool_test.go
+++ b/transport/backend/pool_test.go
@@ -206,3 +206,34 @@
 		assert.Equal(t, errors.Is(err, ErrStaleConnection), tc.stale, "%+v: %v", tc, err)
 	}
 }
+
+// TestKeptConnectionOnly checks that a request that demands a kept connection opens none, sends nothing if there is none,
+// and that the response says whether its connection was new.
+func TestKeptConnectionOnly(t *testing.T) {
+	address, opened := startServer(t, func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "answer") })
+	pool := NewPool(DefaultConfig(), timer.NewSystem())
+	defer pool.Close()
+	send := func(keptConnection bool) (bool, error) {
+		response, err := pool.Do(t.Context(), Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h", KeptConnection: keptConnection})
+		if err != nil {
+			return false, err
+		}
+		_, err = io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		return response.NewConnection, response.Body.Close()
+	}
+	_, err := send(true)
+	assert.ErrorIs(t, err, ErrNotSent)
+	assert.ErrorIs(t, err, ErrNoIdleConnection)
+	assert.Equal(t, opened.Load(), int64(0))
+	newConnection, err := send(false)
+	assert.NilError(t, err)
+	assert.Assert(t, newConnection)
+	newConnection, err = send(true)
+	assert.NilError(t, err)
+	assert.Assert(t, !newConnection)
+	assert.Equal(t, opened.Load(), int64(1))
+	pool.DropIdle(address)
+	_, err = send(true)
+	assert.ErrorIs(t, err, ErrNoIdleConnection)
+}
