Package peerrelay sends single attempts through a peer that reaches the server

Clients of a host that has lost its links to the engines get failures, although the other hosts reach all of them.

peerrelay.Sender implements forward.Sender around the direct one. A call that could not be sent directly, or whose server is known to be out of reach, is made by a peer; what may have been sent is never sent again. The peer's Server has only a direct sender, so a relay of a relay is impossible, keeps no state of the request, sends once, and refuses as not sent when it is leaving, busy or has no direct way itself, or when the server is leaving. Probes go through a peer as well; the word of a peer counts only if it reaches some other server at that moment. A background task probes marked servers, servers that show which links are lost, and a server with an exchange in progress if all exchanges are silent, since a silent cut that hits only kept connections fails no dial. Hosts that are cut off spread it as the new CutOffFact.

The tests run hosts and servers in a simulated network and time; TestRequestRunsOnce fails calls at random and checks that no request runs twice, or at all after ErrNotSent.

--- a/coordination/membership/types.go
+++ b/coordination/membership/types.go
@@ -92,6 +92,9 @@
 	// the server's id, the detail is the start time of the process in Unix milliseconds, and the value holds the version
 	// of the statement and the rate.
 	RequestLimitFact
+	// CutOffFact says whether a host is cut off from the backend servers: the key is the hash of the host's name, and the
+	// value is the time of the change in Unix milliseconds, doubled, plus one if the host is cut off.
+	CutOffFact
 )
 
 // factID identifies a fact without its value.
--- /dev/null
+++ b/coordination/peerrelay/links.go
@@ -0,0 +1,246 @@
+package peerrelay
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// IdleConnections are the host's idle connections to backend servers.
+type IdleConnections interface {
+	// DropIdle closes the idle connections to an address.
+	DropIdle(address string)
+}
+
+// Links knows this host's own links to the backend servers. It is safe for concurrent use.
+type Links struct {
+	clock   timer.Clock
+	idle    IdleConnections
+	logger  *slog.Logger
+	metrics tally.Scope
+	// cutOffChanged is called when the host is cut off from all backend servers, and when it no longer is. Calls may come
+	// out of order; changedAt is later for the later change. It must not block.
+	cutOffChanged func(changedAt time.Time, cutOff bool)
+
+	// mutex guards the fields below.
+	mutex   sync.Mutex
+	tracker *reachability.Tracker
+	zones   map[string]id.AvailabilityZone
+	// markedCount is the number of servers that are not reached directly.
+	markedCount int
+	cutOff      bool
+	// changedAt is when cutOff last changed.
+	changedAt time.Time
+	// suspectedAt is when the direct way failed to a server that a peer reaches while the others count as reachable;
+	// zero if that has been followed up.
+	suspectedAt time.Time
+	// inProgress counts the direct exchanges in progress by address. lastSign is when one of them last received anything.
+	inProgress map[string]int
+	lastSign   time.Time
+}
+
+// NewLinks returns the links of a host that knows no backend servers yet.
+func NewLinks(config reachability.Config, clock timer.Clock, idle IdleConnections, metrics tally.Scope, logger *slog.Logger, cutOffChanged func(changedAt time.Time, cutOff bool)) *Links {
+	return &Links{
+		clock: clock, idle: idle, logger: logger, metrics: metrics, cutOffChanged: cutOffChanged,
+		tracker: reachability.NewTracker(config), zones: map[string]id.AvailabilityZone{}, inProgress: map[string]int{},
+	}
+}
+
+// UpdateServers takes a new version of the server list.
+func (lk *Links) UpdateServers(listed []serverlist.Server) {
+	zones := make(map[string]id.AvailabilityZone, len(listed))
+	for _, server := range listed {
+		zones[server.Address] = server.AvailabilityZone
+	}
+	lk.update(func() {
+		lk.zones = zones
+		lk.tracker.UpdateServers(listed)
+	})
+}
+
+// Way returns the way to the server at an address.
+func (lk *Links) Way(address string) reachability.Way {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	return lk.tracker.Way(address)
+}
+
+// CutOff reports whether the host is cut off from the backend servers.
+func (lk *Links) CutOff() bool {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	return lk.cutOff
+}
+
+// MarkedServers returns the number of servers that are not reached directly.
+func (lk *Links) MarkedServers() int {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	return lk.markedCount
+}
+
+// zone returns the availability zone of the server at an address; empty if it is not known.
+func (lk *Links) zone(address string) id.AvailabilityZone {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	return lk.zones[address]
+}
+
+// reachedOther reports whether a server other than the one at an address was reached directly within a time.
+func (lk *Links) reachedOther(address string, within time.Duration) bool {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	return lk.tracker.ReachedOther(address, lk.clock.Now().Add(-within))
+}
+
+// recordDirect records how a direct exchange with the server at an address went.
+func (lk *Links) recordDirect(address string, result reachability.Result) {
+	lk.update(func() {
+		now := lk.clock.Now()
+		if result == reachability.Connected || result == reachability.Answered {
+			lk.lastSign = now
+		}
+		lk.tracker.RecordDirect(now, address, result)
+	})
+}
+
+// recordThroughPeer records whether a peer reached the server at an address.
+func (lk *Links) recordThroughPeer(address string, reached bool) {
+	lk.update(func() {
+		before := lk.tracker.Way(address)
+		lk.tracker.RecordThroughPeer(lk.clock.Now(), address, reached)
+		if before == reachability.Direct && lk.tracker.Way(address) != reachability.Direct && !lk.tracker.CutOff() {
+			lk.suspectedAt = lk.clock.Now()
+		}
+	})
+}
+
+// update changes the tracker and applies what follows: it closes idle connections to servers whose links are silent,
+// logs changes, and reports when the host is cut off or no longer is.
+func (lk *Links) update(change func()) {
+	lk.mutex.Lock()
+	change()
+	marked := lk.tracker.Marked()
+	throughPeer := marked[reachability.ThroughPeer]
+	markedCount := len(throughPeer) + len(marked[reachability.KeptConnections])
+	countChanged := markedCount != lk.markedCount
+	lk.markedCount = markedCount
+	cutOff := lk.tracker.CutOff()
+	changed := cutOff != lk.cutOff
+	lk.cutOff = cutOff
+	if changed {
+		lk.changedAt = laterMillisecond(lk.clock.Now(), lk.changedAt)
+	}
+	changedAt := lk.changedAt
+	servers := len(lk.zones)
+	lk.mutex.Unlock()
+	if !countChanged && !changed {
+		return
+	}
+	for _, address := range throughPeer {
+		lk.idle.DropIdle(address)
+	}
+	if countChanged {
+		lk.logger.Info("ways to backend servers changed", "servers", servers, "through_peer", len(throughPeer), "kept_connections", len(marked[reachability.KeptConnections]))
+	}
+	if !changed {
+		return
+	}
+	message := "host reaches backend servers again"
+	if cutOff {
+		message = "host is cut off from backend servers"
+		lk.metrics.Counter("cut_off").Inc(1)
+	}
+	lk.logger.Warn(message, "servers", servers, "through_peer", len(throughPeer), "kept_connections", len(marked[reachability.KeptConnections]))
+	lk.cutOffChanged(changedAt, cutOff)
+}
+
+// laterMillisecond returns now, or a time in the first millisecond after another time if now is not later than that.
+func laterMillisecond(now, other time.Time) time.Time {
+	if now.UnixMilli() > other.UnixMilli() {
+		return now
+	}
+	return other.Add(time.Millisecond)
+}
+
+// nextProbe returns the address of the marked server to probe now, if any.
+func (lk *Links) nextProbe() (string, bool) {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	if lk.markedCount == 0 {
+		return "", false
+	}
+	return lk.tracker.NextProbe(lk.clock.Now())
+}
+
+// takeSuspects returns up to count servers to probe because the direct way to another server failed that a peer
+// reaches: they show whether the host's link or that of the server is lost.
+func (lk *Links) takeSuspects(count int) []string {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	if lk.suspectedAt.IsZero() {
+		return nil
+	}
+	// recently is the time within which a server that answered needs no probe.
+	const recently = 200 * time.Millisecond
+	since := lk.suspectedAt.Add(-recently)
+	lk.suspectedAt = time.Time{}
+	return lk.tracker.Unmarked(count, since)
+}
+
+// otherServers returns some servers other than the one at an address that are reached directly as far as is known.
+func (lk *Links) otherServers(address string) []string {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	return lk.tracker.Unmarked(suspectProbes, lk.clock.Now(), address)
+}
+
+// beginExchange records that a direct exchange begins. The returned function ends it.
+func (lk *Links) beginExchange(address string) func() {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	if len(lk.inProgress) == 0 {
+		lk.lastSign = lk.clock.Now()
+	}
+	lk.inProgress[address]++
+	return sync.OnceFunc(func() {
+		lk.mutex.Lock()
+		defer lk.mutex.Unlock()
+		if lk.inProgress[address]--; lk.inProgress[address] <= 0 {
+			delete(lk.inProgress, address)
+		}
+	})
+}
+
+// recordSign records that a direct exchange received something.
+func (lk *Links) recordSign() {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	lk.lastSign = lk.clock.Now()
+}
+
+// takeSilent returns the address of an exchange in progress if no exchange has received anything for a time although the
+// host's links count as sound. The time starts anew.
+func (lk *Links) takeSilent(silence time.Duration) (string, bool) {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	now := lk.clock.Now()
+	if len(lk.inProgress) == 0 || now.Sub(lk.lastSign) < silence {
+		return "", false
+	}
+	lk.lastSign = now
+	for address := range lk.inProgress {
+		if lk.tracker.Way(address) == reachability.Direct {
+			return address, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/coordination/peerrelay/sender.go
@@ -0,0 +1,221 @@
+package peerrelay
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// maxPeersPerCall bounds the peers that are asked to make one call.
+const maxPeersPerCall = 3
+
+// Dependencies are the components that a Sender uses.
+type Dependencies struct {
+	Host             id.Host
+	AvailabilityZone id.AvailabilityZone
+	Clock            timer.Clock
+	// Direct sends on the host's own connections.
+	Direct    forward.Sender
+	Links     *Links
+	Members   Members
+	Transport Transport
+	Metrics   tally.Scope
+	Logger    *slog.Logger
+	Tracer    trace.Tracer
+	// Seed determines the choice among peers.
+	Seed uint64
+}
+
+// Sender sends requests to backend servers directly, or through a peer where this host has lost its own link. It
+// implements forward.Sender and is safe for concurrent use.
+type Sender struct {
+	host      id.Host
+	clock     timer.Clock
+	direct    *directSender
+	links     *Links
+	peers     *peers
+	transport Transport
+	metrics   tally.Scope
+	logger    *slog.Logger
+	tracer    trace.Tracer
+	// probes are the probes in progress that Run waits for.
+	probes tasks.Group
+}
+
+// NewSender returns a Sender that uses the given components.
+func NewSender(deps Dependencies) *Sender {
+	return &Sender{
+		host:      deps.Host,
+		clock:     deps.Clock,
+		direct:    &directSender{sender: deps.Direct, links: deps.Links, clock: deps.Clock},
+		links:     deps.Links,
+		peers:     newPeers(deps.Members, deps.AvailabilityZone, deps.Clock, deps.Seed),
+		transport: deps.Transport,
+		metrics:   deps.Metrics,
+		logger:    deps.Logger,
+		tracer:    deps.Tracer,
+	}
+}
+
+// LearnCutOff takes another host's fact that it is cut off from the backend servers, or no longer is.
+func (sd *Sender) LearnCutOff(fact membership.Fact) { sd.peers.learnCutOff(fact) }
+
+// CutOffHosts returns the names of the other hosts that are cut off from the backend servers, in order.
+func (sd *Sender) CutOffHosts() []id.Host { return sd.peers.cutOffHosts() }
+
+// Send sends the request of an attempt and returns the head of the response. A request that was not sent directly goes
+// through a peer. A request that may have been sent is never sent again.
+func (sd *Sender) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
+	startedAt := sd.clock.Now()
+	way := sd.links.Way(attempt.Address)
+	reason := way.String()
+	if way == reachability.Direct || way == reachability.KeptConnections && !attempt.NewConnection {
+		directAttempt := attempt
+		directAttempt.KeptConnection = way == reachability.KeptConnections
+		response, err := sd.direct.send(ctx, directAttempt)
+		if err == nil || !errors.Is(err, forward.ErrNotSent) || ctx.Err() != nil || !sd.peers.any() {
+			return response, err
+		}
+		reason = err.Error()
+	}
+	attempt.Remaining -= sd.clock.Now().Sub(startedAt)
+	ctx, span := sd.tracer.Start(ctx, "peer.relay", trace.WithAttributes(attribute.String("server", string(attempt.Server))))
+	defer span.End()
+	call := sd.newCall(ctx, Send, attempt.Address)
+	call.Attempt = attempt
+	answer, peer, err := sd.callThroughPeers(ctx, call)
+	result := "answered"
+	if err != nil {
+		result = err.Error()
+	}
+	span.SetAttributes(attribute.String("peer", string(peer)))
+	sd.logger.Info("attempt relayed", "request", attempt.ID, "server", string(attempt.Server), "address", attempt.Address, "peer", string(peer), "way", way.String(), "reason", reason,
+		"result", result, "took_ms", sd.clock.Now().Sub(startedAt).Milliseconds())
+	return answer.Response, err
+}
+
+// newCall returns a call of this host with the time that is left until the end of the context.
+func (sd *Sender) newCall(ctx context.Context, kind Kind, address string) Call {
+	call := Call{Kind: kind, From: sd.host, Address: address}
+	if deadline, ok := ctx.Deadline(); ok {
+		call.Timeout = deadline.Sub(sd.clock.Now())
+	}
+	return call
+}
+
+// callThroughPeers has a peer make a call, and returns the peer. If the peer does not take the call, it asks another
+// one. It asks no other one if the call may have been sent, or if a peer that reaches other servers did not reach this
+// one.
+func (sd *Sender) callThroughPeers(ctx context.Context, call Call) (Answer, id.Host, error) {
+	var tried []id.Host
+	failure := &Failure{Reason: PeerUnreachable, NotSent: true, Detail: errNoPeer}
+	zone := sd.links.zone(call.Address)
+	for len(tried) < maxPeersPerCall && ctx.Err() == nil {
+		peer, end, ok := sd.peers.choose(zone, tried)
+		if !ok {
+			break
+		}
+		tried = append(tried, peer.Host)
+		answer, err := sd.transport.Relay(ctx, peer, call)
+		if err == nil {
+			sd.countRelayed(call.Kind, "answered")
+			sd.recordAnswer(call, answer)
+			if call.Kind == Send {
+				answer.Response.Body = &endingBody{ReadCloser: answer.Response.Body, end: end}
+				return answer, peer.Host, nil
+			}
+			end()
+			return answer, peer.Host, nil
+		}
+		end()
+		failure = asFailure(err)
+		sd.countRelayed(call.Kind, string(failure.Reason))
+		if !failure.NotSent {
+			return Answer{}, peer.Host, failure
+		}
+		if failure.Reason == ServerLeaving || ctx.Err() != nil {
+			return Answer{}, peer.Host, failure
+		}
+		if failure.Reason == ServerUnreachable && failure.ReachesOther {
+			sd.links.recordThroughPeer(call.Address, false)
+			return Answer{}, peer.Host, failure
+		}
+		sd.peers.backOff(peer.Host, failure.Reason)
+	}
+	var last id.Host
+	if len(tried) > 0 {
+		last = tried[len(tried)-1]
+	}
+	return Answer{}, last, failure
+}
+
+// recordAnswer records whether a peer reached the server of a call. The word of a peer that reaches no server does not
+// count.
+func (sd *Sender) recordAnswer(call Call, answer Answer) {
+	reached := answer.Probe == 0 || answer.Probe == forward.Reachable
+	if reached || answer.ReachesOther {
+		sd.links.recordThroughPeer(call.Address, reached)
+	}
+}
+
+func (sd *Sender) countRelayed(kind Kind, result string) {
+	sd.metrics.Tagged(map[string]string{"kind": string(kind), "result": result}).Counter("relayed_out").Inc(1)
+}
+
+// Reserve reserves memory on an engine under a ticket for ttl, directly or through a peer.
+func (sd *Sender) Reserve(ctx context.Context, address, ticket string, tokens id.Tokens, ttl time.Duration) (bool, error) {
+	if sd.links.Way(address) == reachability.Direct {
+		granted, err := sd.direct.reserve(ctx, address, ticket, tokens, ttl)
+		if !sd.mayUsePeer(ctx, err) {
+			return granted, err
+		}
+	}
+	call := sd.newCall(ctx, Reserve, address)
+	call.Ticket, call.Tokens, call.TTL = ticket, tokens, ttl
+	answer, _, err := sd.callThroughPeers(ctx, call)
+	return answer.Granted, err
+}
+
+// Release releases the memory that is reserved under a ticket, directly or through a peer.
+func (sd *Sender) Release(ctx context.Context, address, ticket string) error {
+	if sd.links.Way(address) == reachability.Direct {
+		if err := sd.direct.release(ctx, address, ticket); !sd.mayUsePeer(ctx, err) {
+			return err
+		}
+	}
+	call := sd.newCall(ctx, Release, address)
+	call.Ticket = ticket
+	_, _, err := sd.callThroughPeers(ctx, call)
+	return err
+}
+
+// mayUsePeer reports whether a call that ended directly with an error may be made through a peer.
+func (sd *Sender) mayUsePeer(ctx context.Context, err error) bool {
+	return errors.Is(err, forward.ErrNotSent) && ctx.Err() == nil && sd.peers.any()
+}
+
+// endingBody is the body of a response that arrives through a peer.
+type endingBody struct {
+	io.ReadCloser
+	// end ends the call.
+	end func()
+}
+
+// Close ends the call.
+func (eb *endingBody) Close() error {
+	eb.end()
+	return eb.ReadCloser.Close()
+}
--- /dev/null
+++ b/coordination/peerrelay/sender_test.go
@@ -0,0 +1,438 @@
+package peerrelay_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/peerrelay"
+	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// TestHostWithoutLinksIsServedThroughPeers cuts a host from all servers, silently or so that connections are refused.
+// Each request must be served: the first ones after a failed dial in the same call, later ones through a peer at once.
+// Once the links are back, requests must be sent directly again.
+func TestHostWithoutLinksIsServedThroughPeers(t *testing.T) {
+	for name, state := range map[string]linkState{"silent": silent, "refused": refusing} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := newNetwork("a1", "a2", "b1", "b2")
+				cutHost := nw.hosts["a1"]
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error)
+				go func() { ended <- cutHost.sender.Run(ctx) }()
+				cutHost.cut(state)
+				for number := range 8 {
+					server := listed[number%len(listed)]
+					startedAt := time.Now()
+					body, err := cutHost.send(t.Context(), newAttempt(fmt.Sprint(number), string(server.ID)))
+					assert.NilError(t, err)
+					assert.Equal(t, body, "answer of "+string(server.ID))
+					if number >= 2 {
+						assert.Assert(t, time.Since(startedAt) < 50*time.Millisecond, "request %d took %v", number, time.Since(startedAt))
+					}
+				}
+				assert.Assert(t, cutHost.links.CutOff())
+				assert.DeepEqual(t, cutHost.cutOff, []bool{true})
+				time.Sleep(5 * time.Second)
+				assert.Assert(t, cutHost.links.CutOff())
+				cutHost.cut(up)
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, cutHost.links.MarkedServers(), 0)
+				assert.DeepEqual(t, cutHost.cutOff, []bool{true, false})
+				relayed := len(nw.relayed)
+				for number := range 8 {
+					_, err := cutHost.send(t.Context(), newAttempt(fmt.Sprint("later", number), string(listed[number%len(listed)].ID)))
+					assert.NilError(t, err)
+				}
+				assert.Equal(t, len(nw.relayed), relayed)
+				for request, runs := range nw.runs {
+					assert.Equal(t, runs, 1, "request %s", request)
+				}
+				cancel()
+				assert.NilError(t, <-ended)
+			})
+		})
+	}
+}
+
+// TestRelayedAttemptIsUnchanged checks that the server gets the attempt as the entry host made it, with a deadline that
+// accounts for the time of the failed dial.
+func TestRelayedAttemptIsUnchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		nw.hosts["a1"].cut(silent)
+		attempt := newAttempt("r1", "s2")
+		_, err := nw.hosts["a1"].send(t.Context(), attempt)
+		assert.NilError(t, err)
+		want := attempt
+		want.Remaining -= dialTimeout
+		assert.DeepEqual(t, nw.lastAttempt, want)
+	})
+}
+
+// TestKeptConnectionsAreUsedWhileNewOnesAreRefused checks that a host whose new connections are refused sends on its
+// kept connections, and through a peer once there are none.
+func TestKeptConnectionsAreUsedWhileNewOnesAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		cutHost := nw.hosts["a1"]
+		cutHost.kept["s3:80"] = 1
+		cutHost.cut(refusing)
+		for _, server := range []string{"s1", "s2"} {
+			_, err := cutHost.send(t.Context(), newAttempt(server, server))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, cutHost.links.Way("s3:80"), reachability.KeptConnections)
+		relayed := len(nw.relayed)
+		for number := range 3 {
+			_, err := cutHost.send(t.Context(), newAttempt(fmt.Sprint(number), "s3"))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, len(nw.relayed), relayed)
+		assert.Equal(t, cutHost.links.Way("s3:80"), reachability.KeptConnections)
+		cutHost.DropIdle("s3:80")
+		dials := cutHost.dials
+		_, err := cutHost.send(t.Context(), newAttempt("last", "s3"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(nw.relayed), relayed+1)
+		assert.Equal(t, cutHost.dials, dials)
+	})
+}
+
+// TestSilentKeptConnectionsAreNoticed checks that a host notices a silent cut although all of its requests are sent on
+// kept connections, so that no dial fails, and that it then sends none on such a connection.
+func TestSilentKeptConnectionsAreNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		cutHost := nw.hosts["a1"]
+		for _, server := range listed {
+			cutHost.kept[server.Address] = 4
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- cutHost.sender.Run(ctx) }()
+		cutHost.cut(silent)
+		hung := make(chan error, 2)
+		for _, server := range []string{"s1", "s2"} {
+			go func() {
+				_, err := cutHost.send(ctx, newAttempt("hangs at "+server, server))
+				hung <- err
+			}()
+		}
+		time.Sleep(1200 * time.Millisecond)
+		assert.Assert(t, cutHost.links.CutOff())
+		for _, server := range listed {
+			assert.Equal(t, cutHost.kept[server.Address], 0)
+			_, err := cutHost.send(t.Context(), newAttempt(string(server.ID), string(server.ID)))
+			assert.NilError(t, err)
+		}
+		cancel()
+		assert.ErrorIs(t, <-hung, context.Canceled)
+		assert.ErrorIs(t, <-hung, context.Canceled)
+		assert.NilError(t, <-ended)
+	})
+}
+
+// failure returns the failure of a call that a peer did not take.
+func failure(reason peerrelay.Reason) *peerrelay.Failure {
+	return &peerrelay.Failure{Reason: reason, NotSent: true, Detail: "test"}
+}
+
+// TestPeersThatDoNotTakeCallsAreSkipped checks that a request goes to the next peer if a peer is busy, leaving, cut off
+// or unreachable, that at most three peers are asked, and that none of them is asked again soon.
+func TestPeersThatDoNotTakeCallsAreSkipped(t *testing.T) {
+	for _, reason := range []peerrelay.Reason{peerrelay.Busy, peerrelay.PeerLeaving, peerrelay.PeerCutOff, peerrelay.PeerUnreachable, peerrelay.Unsupported} {
+		t.Run(string(reason), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := newNetwork("a1", "a2", "a3", "b1", "b2", "c1", "c2")
+				nw.hosts["a1"].cut(refusing)
+				nw.beforeRelay = func(peer id.Host, _ peerrelay.Call) error {
+					if peer != "c1" && peer != "c2" {
+						return failure(reason)
+					}
+					return nil
+				}
+				_, err := nw.hosts["a1"].send(t.Context(), newAttempt("r1", "s2"))
+				assert.ErrorIs(t, err, forward.ErrNotSent)
+				assert.ErrorIs(t, err, forward.ErrUndetermined)
+				assert.Equal(t, len(nw.relayed), 3)
+				assert.Equal(t, nw.runCount("r1"), 0)
+				_, err = nw.hosts["a1"].send(t.Context(), newAttempt("r1", "s2"))
+				assert.NilError(t, err)
+				slices.Sort(nw.relayed)
+				assert.Equal(t, len(slices.Compact(slices.Clone(nw.relayed))), len(nw.relayed), "a peer was asked twice: %v", nw.relayed)
+				assert.Equal(t, nw.runCount("r1"), 1)
+			})
+		})
+	}
+}
+
+// TestRelayRefuses checks which calls a host does not make for others, that it reports them as not sent, and that they
+// don't reach the server.
+func TestRelayRefuses(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(peer *host)
+		reason  peerrelay.Reason
+	}{
+		{"leaving", func(peer *host) { peer.refuses = true }, peerrelay.PeerLeaving},
+		{"server leaving", func(peer *host) { peer.leaving["s1"] = true }, peerrelay.ServerLeaving},
+		{"server leaving by an old list", func(peer *host) { peer.leaving["s1"], peer.listAge = true, 5*time.Second }, ""},
+		{"busy", func(peer *host) {
+			peer.cut(silent, "blocked:80")
+			for range 64 {
+				go func() {
+					_, _ = peer.server.Handle(peerContext, peerrelay.Call{Kind: peerrelay.ProbeConnection, Address: "blocked:80"}, time.Now())
+				}()
+			}
+			synctest.Wait()
+		}, peerrelay.Busy},
+		{"cut off from the server", func(peer *host) {
+			peer.cut(refusing, "s1:80")
+			_, _ = peer.send(peerContext, newAttempt("own", "s1"))
+		}, peerrelay.PeerCutOff},
+		{"sound", func(*host) {}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := newNetwork("a1", "b1", "b2")
+				peer := nw.hosts["b1"]
+				tc.prepare(peer)
+				_, err := peer.server.Handle(t.Context(), peerrelay.Call{Kind: peerrelay.Send, From: "a1", Address: "s1:80", Attempt: newAttempt("r1", "s1")}, time.Now())
+				if tc.reason == "" {
+					assert.NilError(t, err)
+					assert.Equal(t, nw.runCount("r1"), 1)
+					return
+				}
+				var refusal *peerrelay.Failure
+				assert.Assert(t, errors.As(err, &refusal), "%d in flight", peer.server.InFlight())
+				assert.Equal(t, refusal.Reason, tc.reason)
+				assert.ErrorIs(t, err, forward.ErrNotSent)
+				assert.Equal(t, nw.runCount("r1"), 0)
+				assert.NilError(t, peer.sender.Release(t.Context(), "s2:80", "t"))
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// peerContext is the context of calls in preparations of tests.
+var peerContext = context.Background()
+
+// TestFailureThatPeerConfirms checks that a request whose server a peer does not reach either goes to no further peer,
+// and that the error says whether the server refuses connections.
+func TestFailureThatPeerConfirms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1", "b2")
+		for _, ht := range nw.hosts {
+			_, err := ht.send(t.Context(), newAttempt("warm up "+string(ht.name), "s4"))
+			assert.NilError(t, err)
+			ht.cut(refusing, "s1:80")
+		}
+		_, err := nw.hosts["a1"].send(t.Context(), newAttempt("r1", "s1"))
+		assert.ErrorIs(t, err, forward.ErrNotSent)
+		assert.ErrorIs(t, err, forward.ErrConnectionRefused)
+		assert.Assert(t, !errors.Is(err, forward.ErrUndetermined))
+		assert.Equal(t, len(nw.relayed), 1)
+		assert.Equal(t, nw.hosts["a1"].links.Way("s1:80"), reachability.Direct)
+	})
+}
+
+// TestRequestRunsOnce fails calls to peers at random, before and after the peer has sent the request. A request must run
+// once at most, and not at all if the error says that nothing was sent.
+func TestRequestRunsOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		modes := rapid.SliceOfN(rapid.SampledFrom([]string{"served", "refused", "broken before", "broken after"}), 8, 8).Draw(rt, "modes")
+		states := rapid.SliceOfN(rapid.SampledFrom([]linkState{up, refusing, silent}), 4, 4).Draw(rt, "links")
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork("a1", "a2", "b1", "b2")
+			for ix, name := range []id.Host{"a1", "a2", "b1", "b2"} {
+				nw.hosts[name].cut(states[ix], "s1:80", "s2:80")
+			}
+			calls := 0
+			nw.beforeRelay = func(id.Host, peerrelay.Call) error {
+				calls++
+				switch modes[(calls-1)%len(modes)] {
+				case "refused":
+					return failure(peerrelay.Busy)
+				case "broken before":
+					return &peerrelay.Failure{Reason: peerrelay.PeerUnreachable, Detail: "test"}
+				}
+				return nil
+			}
+			nw.afterRelay = func(id.Host, peerrelay.Call) error {
+				if modes[(calls-1)%len(modes)] == "broken after" {
+					return &peerrelay.Failure{Reason: peerrelay.PeerUnreachable, Detail: "test"}
+				}
+				return nil
+			}
+			for number := range 6 {
+				request := fmt.Sprint(number)
+				_, err := nw.hosts["a1"].send(t.Context(), newAttempt(request, string(listed[number%2].ID)))
+				runs := nw.runCount(request)
+				if runs > 1 || errors.Is(err, forward.ErrNotSent) && runs > 0 || err == nil && runs != 1 {
+					rt.Fatalf("request %s ran %d times, error %v", request, runs, err)
+				}
+			}
+		})
+	})
+}
+
+// TestProbeResults checks the result of a probe by what this host and a peer find.
+func TestProbeResults(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		own, peer    linkState
+		peerCutOff   bool
+		withoutPeers bool
+		want         forward.ProbeResult
+	}{
+		{name: "reachable", own: up, peer: silent, want: forward.Reachable},
+		{name: "refused here", own: refusing, want: forward.ReachableThroughPeer},
+		{name: "silent here", own: silent, want: forward.ReachableThroughPeer},
+		{name: "refused everywhere", own: refusing, peer: refusing, want: forward.ConnectionRefused},
+		{name: "silent everywhere", own: silent, peer: silent, want: forward.Unresponsive},
+		{name: "refused here, peer reaches nothing", own: refusing, peerCutOff: true, want: forward.Undetermined},
+		{name: "silent here, peer reaches nothing", own: silent, peerCutOff: true, want: forward.Undetermined},
+		{name: "refused, no peers", own: refusing, withoutPeers: true, want: forward.ConnectionRefused},
+		{name: "silent, no peers", own: silent, withoutPeers: true, want: forward.Unresponsive},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := newNetwork("a1", "b1")
+				if tc.withoutPeers {
+					nw.hosts["a1"].members = nil
+				}
+				nw.hosts["a1"].cut(tc.own, "s1:80")
+				nw.hosts["b1"].cut(tc.peer, "s1:80")
+				if tc.peerCutOff {
+					nw.hosts["b1"].cut(refusing)
+				}
+				for _, probe := range []func(context.Context, string) forward.ProbeResult{nw.hosts["a1"].sender.ProbeConnection, nw.hosts["a1"].sender.ProbeHTTP} {
+					ctx, cancel := context.WithTimeout(t.Context(), dialTimeout)
+					startedAt := time.Now()
+					assert.Equal(t, probe(ctx, "s1:80"), tc.want)
+					assert.Assert(t, time.Since(startedAt) <= dialTimeout)
+					cancel()
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestOrdersGoThroughPeers checks that memory is reserved and released through a peer where this host has no link.
+func TestOrdersGoThroughPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		cutHost := nw.hosts["a1"]
+		cutHost.cut(refusing)
+		for range 2 {
+			granted, err := cutHost.sender.Reserve(t.Context(), "s1:80", "t1", 100, time.Second)
+			assert.NilError(t, err)
+			assert.Assert(t, granted)
+			assert.NilError(t, cutHost.sender.Release(t.Context(), "s1:80", "t1"))
+		}
+		assert.Equal(t, cutHost.dials, 1)
+	})
+}
+
+// TestPeersOfOwnZoneArePreferred checks that calls go to peers of the host's own zone, then to those of the server's zone,
+// then to others, and are spread over several peers.
+func TestPeersOfOwnZoneArePreferred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "a2", "a3", "b1", "b2", "c1")
+		cutHost := nw.hosts["a1"]
+		cutHost.cut(refusing)
+		chosen := func(without ...id.Host) map[id.Host]int {
+			for ix := range cutHost.members {
+				cutHost.members[ix].Status = membership.Alive
+				if slices.Contains(without, cutHost.members[ix].Host) {
+					cutHost.members[ix].Status = membership.Suspect
+				}
+			}
+			nw.relayed = nil
+			for number := range 40 {
+				_, err := cutHost.send(t.Context(), newAttempt(fmt.Sprint(len(without), number), "s2"))
+				assert.NilError(t, err)
+			}
+			counts := map[id.Host]int{}
+			for _, peer := range nw.relayed {
+				counts[peer]++
+			}
+			return counts
+		}
+		counts := chosen()
+		assert.Assert(t, counts["a2"] > 5 && counts["a3"] > 5 && counts["a2"]+counts["a3"] == 40, "%v", counts)
+		counts = chosen("a2", "a3")
+		assert.Assert(t, counts["b1"] > 5 && counts["b2"] > 5 && counts["b1"]+counts["b2"] == 40, "%v", counts)
+		counts = chosen("a2", "a3", "b1", "b2")
+		assert.Equal(t, counts["c1"], 40)
+	})
+}
+
+// TestCutOffPeersAreNotAsked checks that hosts that spread the fact that they are cut off get no calls, that a later fact
+// overrides an earlier one in any order, and that a fact about an earlier process of a host says nothing.
+func TestCutOffPeersAreNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		cutHost := nw.hosts["a1"]
+		cutHost.cut(refusing)
+		now := time.Now()
+		cutHost.members[0].Incarnation = id.Incarnation(now.Add(-time.Second).UnixNano())
+		served := func() bool {
+			_, err := cutHost.send(t.Context(), newAttempt("r", "s1"))
+			return err == nil
+		}
+		assert.Assert(t, served())
+		cutHost.sender.LearnCutOff(peerrelay.CutOffFact("b1", now, true))
+		assert.Assert(t, !served())
+		assert.DeepEqual(t, cutHost.sender.CutOffHosts(), []id.Host{"b1"})
+		cutHost.sender.LearnCutOff(peerrelay.CutOffFact("b1", now.Add(time.Millisecond), false))
+		cutHost.sender.LearnCutOff(peerrelay.CutOffFact("b1", now, true))
+		cutHost.sender.LearnCutOff(peerrelay.CutOffFact("unknown", now, true))
+		assert.Assert(t, served())
+		cutHost.sender.LearnCutOff(peerrelay.CutOffFact("b1", now.Add(time.Second), true))
+		assert.Assert(t, !served())
+		cutHost.members[0].Incarnation = id.Incarnation(now.Add(2 * time.Second).UnixNano())
+		assert.Assert(t, served())
+	})
+}
+
+// TestCallEndsWithItsClient checks that a call through a peer ends, and is no longer in flight at the peer, when the
+// client leaves, and that calls in flight are counted until their body is closed.
+func TestCallEndsWithItsClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		nw.answerTime = time.Second
+		nw.hosts["a1"].cut(refusing)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := nw.hosts["a1"].send(ctx, newAttempt("r1", "s1"))
+			ended <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, nw.hosts["b1"].server.InFlight(), int64(1))
+		cancel()
+		synctest.Wait()
+		assert.Assert(t, !errors.Is(<-ended, forward.ErrNotSent))
+		assert.Equal(t, nw.hosts["b1"].server.InFlight(), int64(0))
+		response, err := nw.hosts["a1"].sender.Send(t.Context(), newAttempt("r2", "s1"))
+		assert.NilError(t, err)
+		assert.Equal(t, nw.hosts["b1"].server.InFlight(), int64(1))
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, nw.hosts["b1"].server.InFlight(), int64(0))
+	})
+}
