Calls to backend servers pass between hosts in frames over HTTP

Raw HTTP on the peers' port: a length, a description in JSON and the body of the request; frames for the head, each part of the body, the end and a failure of the response. Parts are flushed at once. Texts are encoded byte by byte, so that targets and fields that are not valid UTF-8 arrive unchanged.

--- /dev/null
+++ b/transport/peer/relay_server.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/peerrelay"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// RelayServer makes calls to backend servers on behalf of other hosts.
+type RelayServer interface {
+	// Handle makes a call that arrived at receivedAt. Its errors are a *peerrelay.Failure.
+	Handle(ctx context.Context, call peerrelay.Call, receivedAt time.Time) (peerrelay.Answer, error)
+}
+
+// relayHandler takes relayed calls over HTTP.
+type relayHandler struct {
+	server RelayServer
+	clock  timer.Clock
+}
+
+// ServeHTTP makes one call. If the entry host closes its connection, the context of the call ends.
+func (rh *relayHandler) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
+	receivedAt := rh.clock.Now()
+	call, err := decodeRelayCall(httpRequest.Body)
+	if err != nil {
+		_ = writeJSONFrame(writer, failureFrame, relayFailure{Reason: peerrelay.Malformed, NotSent: true, Detail: octets(err.Error())})
+		return
+	}
+	answer, err := rh.server.Handle(httpRequest.Context(), call, receivedAt)
+	if err != nil {
+		_ = writeJSONFrame(writer, failureFrame, encodeFailure(err))
+		return
+	}
+	if answer.Response.Body != nil {
+		defer func() { _ = answer.Response.Body.Close() }()
+	}
+	if err := copyAnswer(writer, answer); err != nil {
+		// The entry host has left, or the connection to it broke.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// encodeFailure returns the wire form of a failure.
+func encodeFailure(err error) relayFailure {
+	var failure *peerrelay.Failure
+	if !errors.As(err, &failure) {
+		return relayFailure{Reason: peerrelay.ExchangeFailed, Detail: octets(err.Error())}
+	}
+	return relayFailure{
+		Reason: failure.Reason, NotSent: failure.NotSent, ConnectionRefused: failure.ConnectionRefused, Stale: failure.Stale, ReachesOther: failure.ReachesOther, Detail: octets(failure.Detail),
+	}
+}
+
+// copyAnswer writes the result of a call and the body of its response. Each part of the body is passed on as soon as it
+// arrives. A body that breaks off ends with a failure instead of its end. The error is that of writing.
+func copyAnswer(writer http.ResponseWriter, answer peerrelay.Answer) error {
+	controller := http.NewResponseController(writer)
+	if err := writeJSONFrame(writer, headFrame, encodeRelayHead(answer)); err != nil {
+		return err
+	}
+	if answer.Response.Body == nil {
+		return writeFrame(writer, endFrame, nil)
+	}
+	const chunkBytes = 32 << 10
+	chunk := make([]byte, chunkBytes)
+	flushNeeded := true
+	for {
+		if flushNeeded {
+			if err := controller.Flush(); err != nil {
+				return err
+			}
+		}
+		count, readErr := answer.Response.Body.Read(chunk)
+		flushNeeded = count > 0
+		if count > 0 {
+			if err := writeFrame(writer, dataFrame, chunk[:count]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(readErr, io.EOF):
+			return writeFrame(writer, endFrame, nil)
+		case readErr != nil:
+			return writeJSONFrame(writer, failureFrame, relayFailure{Reason: peerrelay.ExchangeFailed, Detail: octets(readErr.Error())})
+		}
+	}
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -41,6 +41,8 @@
 	UpdateFollower *statesync.Follower
 	// PermitIssuer is also set only on hosts that serve on the users' platform.
 	PermitIssuer *requestlimit.Issuer
+	// RelayServer makes calls to backend servers on behalf of other hosts. It is nil on hosts that make none.
+	RelayServer RelayServer
 }
 
 // Server implements the RPCs that other hosts call.
@@ -58,6 +60,9 @@
 func (sv *Server) Handler(options ...connect.HandlerOption) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerconnect.NewPeerHandler(sv, append(options, connect.WithReadMaxBytes(maxMessageBytes))...))
+	if sv.local.RelayServer != nil {
+		mux.Handle("POST "+relayPath, &relayHandler{server: sv.local.RelayServer, clock: sv.clock})
+	}
 	return mux
 }
 
