A peer's word on a server counts only if the peer connects to another one at that moment

Hosts that lose their links at the same moment confirmed each other's failures: a peer counted as a witness for a second after its last answer, also on a kept connection, so that a request through a peer that had been cut off just then was reported as confirmed. TestCrashDetection's neighbour in package site showed the opposite case: a server that starts again within milliseconds refused the host and accepted the peer, which was taken for a lost link, and the crash was not counted (logs: health answers_peer, counted not yet).

A peer now dials a few other servers unless one of them accepted a connection in the last 100 ms. A probe that was refused here and reached through a peer dials once more; if that succeeds, the link works and the server had not been listening. A single server that a peer does not reach directly no longer makes the entry host avoid that peer. The probe of silent exchanges takes two servers after 200 ms, so that one round decides.

--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -38,8 +38,9 @@
 	cutOff      bool
 	// changedAt is when cutOff last changed.
 	changedAt time.Time
-	// suspectedAt is when the direct way failed to a server that a peer reaches while the others count as reachable;
-	// zero if that has been followed up.
+	// suspect is a server to which the direct way failed at suspectedAt, although a peer reaches it, while the host does
+	// not count as cut off; empty if that has been followed up.
+	suspect     string
 	suspectedAt time.Time
 	// inProgress counts the direct exchanges in progress by address. lastSign is when one of them last received anything.
 	inProgress map[string]int
@@ -94,11 +95,11 @@
 	return lk.zones[address]
 }
 
-// reachedOther reports whether a server other than the one at an address was reached directly within a time.
-func (lk *Links) reachedOther(address string, within time.Duration) bool {
+// connectedToOther reports whether a server other than the one at an address accepted a connection within a time.
+func (lk *Links) connectedToOther(address string, within time.Duration) bool {
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
-	return lk.tracker.ReachedOther(address, lk.clock.Now().Add(-within))
+	return lk.tracker.ConnectedToOther(address, lk.clock.Now().Add(-within))
 }
 
 // recordDirect records how a direct exchange with the server at an address went.
@@ -118,7 +119,7 @@
 		before := lk.tracker.Way(address)
 		lk.tracker.RecordThroughPeer(lk.clock.Now(), address, reached)
 		if before == reachability.Direct && lk.tracker.Way(address) != reachability.Direct && !lk.tracker.CutOff() {
-			lk.suspectedAt = lk.clock.Now()
+			lk.suspect, lk.suspectedAt = address, lk.clock.Now()
 		}
 	})
 }
@@ -181,26 +182,27 @@
 	return lk.tracker.NextProbe(lk.clock.Now())
 }
 
-// takeSuspects returns up to count servers to probe because the direct way to another server failed that a peer
-// reaches: they show whether the host's link or that of the server is lost.
-func (lk *Links) takeSuspects(count int) []string {
+// takeSuspects returns the servers to probe because the direct way failed to one that a peer reaches: that server, since
+// it may just have started again, and up to count others, which show whether the link of the host or only that to the
+// server is lost. The first result is empty if there is nothing to probe.
+func (lk *Links) takeSuspects(count int) (string, []string) {
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
-	if lk.suspectedAt.IsZero() {
-		return nil
+	if lk.suspect == "" {
+		return "", nil
 	}
 	// recently is the time within which a server that answered needs no probe.
 	const recently = 200 * time.Millisecond
-	since := lk.suspectedAt.Add(-recently)
-	lk.suspectedAt = time.Time{}
-	return lk.tracker.Unmarked(count, since)
+	suspect := lk.suspect
+	lk.suspect = ""
+	return suspect, lk.tracker.Unmarked(count, lk.suspectedAt.Add(-recently), suspect)
 }
 
-// otherServers returns some servers other than the one at an address that are reached directly as far as is known.
-func (lk *Links) otherServers(address string) []string {
+// otherServers returns up to count servers other than the one at an address.
+func (lk *Links) otherServers(address string, count int) []string {
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
-	return lk.tracker.Unmarked(suspectProbes, lk.clock.Now(), address)
+	return lk.tracker.Others(count, address)
 }
 
 // beginExchange records that a direct exchange begins. The returned function ends it.
@@ -227,20 +229,21 @@
 	lk.lastSign = lk.clock.Now()
 }
 
-// takeSilent returns the address of an exchange in progress if no exchange has received anything for a time although the
-// host's links count as sound. The time starts anew.
-func (lk *Links) takeSilent(silence time.Duration) (string, bool) {
+// takeSilent returns up to count servers to probe if there are exchanges in progress and none of them has received anything
+// for a time, although the host's links count as sound: first a server with an exchange in progress, then others. The
+// time starts anew.
+func (lk *Links) takeSilent(silence time.Duration, count int) []string {
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	now := lk.clock.Now()
 	if len(lk.inProgress) == 0 || now.Sub(lk.lastSign) < silence {
-		return "", false
+		return nil
 	}
 	lk.lastSign = now
 	for address := range lk.inProgress {
 		if lk.tracker.Way(address) == reachability.Direct {
-			return address, true
+			return append([]string{address}, lk.tracker.Unmarked(count-1, now.Add(-silence), address)...)
 		}
 	}
-	return "", false
+	return nil
 }
--- a/coordination/peerrelay/peerrelay.go
+++ b/coordination/peerrelay/peerrelay.go
@@ -76,8 +76,9 @@
 	Busy Reason = "busy"
 	// PeerLeaving means that the peer accepts no new calls because it is leaving.
 	PeerLeaving Reason = "peer_leaving"
-	// PeerCutOff means that the peer does not reach the server directly either.
-	PeerCutOff Reason = "peer_cut_off"
+	// PeerCutOff means that the peer is cut off from all servers, NoDirectWay that it does not reach this one directly.
+	PeerCutOff  Reason = "peer_cut_off"
+	NoDirectWay Reason = "no_direct_way"
 	// ServerLeaving means that the peer knows that the server is leaving.
 	ServerLeaving Reason = "server_leaving"
 	// ServerUnreachable means that the peer could not connect to the server.
--- a/coordination/peerrelay/probe.go
+++ b/coordination/peerrelay/probe.go
@@ -10,9 +10,9 @@
 
 const (
 	// hedgeDelay is how long a direct probe runs before a peer is asked too.
-	hedgeDelay = 100 * time.Millisecond
+	hedgeDelay = 60 * time.Millisecond
 	// directGrace is how long a direct probe may take although a peer has already reached the server.
-	directGrace = 200 * time.Millisecond
+	directGrace = 150 * time.Millisecond
 )
 
 // ProbeConnection opens a connection to the server at an address and reports how that went, directly or, if that fails
@@ -78,6 +78,9 @@
 	if throughPeer == 0 {
 		throughPeer = <-peerResult
 	}
+	if throughPeer == forward.ReachableThroughPeer && direct == forward.ConnectionRefused && sd.hasRestarted(ctx, address) {
+		return forward.ConnectionRefused
+	}
 	if throughPeer == forward.ReachableThroughPeer {
 		if direct != forward.ConnectionRefused {
 			// A channel that hangs while a peer reaches the server counts as a lost link.
@@ -88,21 +91,27 @@
 	return throughPeer
 }
 
+// hasRestarted reports whether the server at an address, which refused a connection before, accepts one now. The link
+// works then, and the server has started again, so that none of its idle connections is of use.
+func (sd *Sender) hasRestarted(ctx context.Context, address string) bool {
+	if sd.direct.probeConnection(ctx, address) != forward.Reachable {
+		return false
+	}
+	sd.links.idle.DropIdle(address)
+	return true
+}
+
 // probeThroughPeers has peers probe the server at an address until one reaches it or, although it reaches some other
 // server, does not.
 func (sd *Sender) probeThroughPeers(ctx context.Context, kind Kind, address string) forward.ProbeResult {
-	for range maxPeersPerCall {
-		answer, peer, err := sd.callThroughPeers(ctx, sd.newCall(ctx, kind, address))
-		switch {
-		case err != nil:
-			return forward.Undetermined
-		case answer.Probe == forward.Reachable:
-			return forward.ReachableThroughPeer
-		case answer.ReachesOther:
-			return answer.Probe
-		}
-		// A peer that reaches nothing says nothing about the server.
-		sd.peers.backOff(peer, PeerCutOff)
+	answer, peer, err := sd.callThroughPeers(ctx, sd.newCall(ctx, kind, address))
+	result := answer.Probe
+	switch {
+	case err != nil:
+		result = forward.Undetermined
+	case result == forward.Reachable:
+		result = forward.ReachableThroughPeer
 	}
-	return forward.Undetermined
+	sd.logger.Info("backend server probed through a peer", "address", address, "kind", string(kind), "peer", string(peer), "health", result.String(), "detail", errorText(err))
+	return result
 }
--- a/coordination/peerrelay/prober.go
+++ b/coordination/peerrelay/prober.go
@@ -14,8 +14,10 @@
 	probeTimeout = 400 * time.Millisecond
 	// suspectProbes is the number of other servers that are probed at once when the link to a server is lost.
 	suspectProbes = 2
-	// silenceBeforeProbe is how long none of the exchanges in progress may receive anything before a server is probed.
-	silenceBeforeProbe = 300 * time.Millisecond
+	// silenceBeforeProbe is how long none of the exchanges in progress may receive anything before silenceProbes servers
+	// are probed.
+	silenceProbes      = 2
+	silenceBeforeProbe = 200 * time.Millisecond
 )
 
 // Run probes servers until the context ends: those whose links are lost, to notice when they are back; others, to find
@@ -33,11 +35,12 @@
 	if address, due := sd.links.nextProbe(); due {
 		sd.startProbe(ctx, func(ctx context.Context) { sd.direct.probeConnection(ctx, address) })
 	}
-	suspects := sd.links.takeSuspects(suspectProbes)
-	if address, silent := sd.links.takeSilent(silenceBeforeProbe); silent {
-		suspects = append(suspects, address)
+	suspect, others := sd.links.takeSuspects(suspectProbes)
+	if suspect != "" {
+		sd.startProbe(ctx, func(ctx context.Context) { sd.hasRestarted(ctx, suspect) })
 	}
-	for _, address := range suspects {
+	others = append(others, sd.links.takeSilent(silenceBeforeProbe, silenceProbes)...)
+	for _, address := range others {
 		sd.startProbe(ctx, func(ctx context.Context) { sd.ProbeConnection(ctx, address) })
 	}
 }
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -116,9 +116,9 @@
 	return call
 }
 
-// callThroughPeers has a peer make a call, and returns the peer. If the peer does not take the call, it asks another
-// one. It asks no other one if the call may have been sent, or if a peer that reaches other servers did not reach this
-// one.
+// callThroughPeers has a peer make a call, and returns the peer. If the peer does not take the call, or its answer says
+// nothing about the server, it asks another one. It asks no other one if the call may have been sent, or if a peer that
+// reaches other servers did not reach this one.
 func (sd *Sender) callThroughPeers(ctx context.Context, call Call) (Answer, id.Host, error) {
 	var tried []id.Host
 	failure := &Failure{Reason: PeerUnreachable, NotSent: true, Detail: errNoPeer}
@@ -130,30 +130,30 @@
 		}
 		tried = append(tried, peer.Host)
 		answer, err := sd.transport.Relay(ctx, peer, call)
+		if err == nil && call.Kind == Send {
+			answer.Response.Body = &endingBody{ReadCloser: answer.Response.Body, end: end}
+		} else {
+			end()
+		}
 		if err == nil {
 			sd.countRelayed(call.Kind, "answered")
-			sd.recordAnswer(call, answer)
-			if call.Kind == Send {
-				answer.Response.Body = &endingBody{ReadCloser: answer.Response.Body, end: end}
+			if sd.recordAnswer(call, answer) {
 				return answer, peer.Host, nil
 			}
-			end()
-			return answer, peer.Host, nil
+			failure = &Failure{Reason: PeerCutOff, NotSent: true, Detail: "the peer reaches no server"}
+			continue
 		}
-		end()
 		failure = asFailure(err)
 		sd.countRelayed(call.Kind, string(failure.Reason))
-		if !failure.NotSent {
+		switch {
+		case !failure.NotSent, failure.Reason == ServerLeaving, ctx.Err() != nil:
 			return Answer{}, peer.Host, failure
-		}
-		if failure.Reason == ServerLeaving || ctx.Err() != nil {
-			return Answer{}, peer.Host, failure
-		}
-		if failure.Reason == ServerUnreachable && failure.ReachesOther {
+		case failure.Reason == ServerUnreachable && failure.ReachesOther:
 			sd.links.recordThroughPeer(call.Address, false)
 			return Answer{}, peer.Host, failure
+		case failure.Reason != ServerUnreachable && failure.Reason != NoDirectWay:
+			sd.peers.backOff(peer.Host, failure.Reason)
 		}
-		sd.peers.backOff(peer.Host, failure.Reason)
 	}
 	var last id.Host
 	if len(tried) > 0 {
@@ -162,13 +162,15 @@
 	return Answer{}, last, failure
 }
 
-// recordAnswer records whether a peer reached the server of a call. The word of a peer that reaches no server does not
-// count.
-func (sd *Sender) recordAnswer(call Call, answer Answer) {
+// recordAnswer records whether a peer reached the server of a call, and reports whether the answer says so. The word of a
+// peer that reaches no server does not count.
+func (sd *Sender) recordAnswer(call Call, answer Answer) bool {
 	reached := answer.Probe == 0 || answer.Probe == forward.Reachable
-	if reached || answer.ReachesOther {
-		sd.links.recordThroughPeer(call.Address, reached)
+	if !reached && !answer.ReachesOther {
+		return false
 	}
+	sd.links.recordThroughPeer(call.Address, reached)
+	return true
 }
 
 func (sd *Sender) countRelayed(kind Kind, result string) {
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -22,11 +22,15 @@
 	callsPerCore = 512
 	// minCalls is the lowest such number.
 	minCalls = 64
-	// witnessWindow is the time within which a peer must have reached some other server for its word that a server does
-	// not respond to count.
-	witnessWindow = time.Second
+	// witnessWindow is the time within which some other server must have accepted a connection of the peer for its word that
+	// a server does not respond to count. It is short, because the peer may have lost its own links just now.
+	witnessWindow = 100 * time.Millisecond
+	// witnessTimeout bounds the dials by which a peer finds out whether it reaches other servers after an attempt failed.
+	witnessTimeout = 150 * time.Millisecond
 	// answerMargin is the part of a probe's time that remains for the answer to reach the entry host.
 	answerMargin = 40 * time.Millisecond
+	// witnessDials is the number of other servers that a peer dials to find out whether it reaches any.
+	witnessDials = 4
 	// maxListAge is the age up to which the server list decides that a server is leaving.
 	maxListAge = time.Second
 )
@@ -146,9 +150,9 @@
 		return sv.probe(ctx, call, sv.direct.probeConnection), nil
 	case Reserve:
 		granted, err := sv.direct.reserve(ctx, call.Address, call.Ticket, call.Tokens, call.TTL)
-		return Answer{Granted: granted}, sv.describe(call, err)
+		return Answer{Granted: granted}, sv.describe(ctx, call, err)
 	case Release:
-		return Answer{}, sv.describe(call, sv.direct.release(ctx, call.Address, call.Ticket))
+		return Answer{}, sv.describe(ctx, call, sv.direct.release(ctx, call.Address, call.Ticket))
 	default:
 		return Answer{}, &Failure{Reason: Unsupported, NotSent: true, Detail: "unknown kind of call"}
 	}
@@ -160,9 +164,12 @@
 		return &Failure{Reason: reason, NotSent: true, Detail: detail}
 	}
 	server := call.Attempt.Server
+	isProbe := call.Kind == ProbeHTTP || call.Kind == ProbeConnection
 	switch {
-	case sv.links.Way(call.Address) != reachability.Direct:
-		return refusal(PeerCutOff, "the peer has no direct way to the server")
+	case sv.links.CutOff():
+		return refusal(PeerCutOff, "the peer is cut off from the servers")
+	case !isProbe && sv.links.Way(call.Address) != reachability.Direct:
+		return refusal(NoDirectWay, "the peer has no direct way to the server")
 	case call.Kind == Release:
 	case !sv.accepts():
 		return refusal(PeerLeaving, "the peer is leaving")
@@ -181,15 +188,15 @@
 	attempt.Remaining -= passed
 	response, err := sv.direct.send(ctx, attempt)
 	if err != nil {
-		cancel()
-		return Answer{}, sv.describe(call, err)
+		defer cancel()
+		return Answer{}, sv.describe(ctx, call, err)
 	}
 	response.Body = &cancellingBody{ReadCloser: response.Body, cancel: cancel}
 	return Answer{Response: response}, nil
 }
 
 // describe returns the failure of a call that ended with an error, or nil.
-func (sv *Server) describe(call Call, err error) error {
+func (sv *Server) describe(ctx context.Context, call Call, err error) error {
 	if err == nil {
 		return nil
 	}
@@ -199,30 +206,41 @@
 	}
 	if failure.NotSent {
 		failure.Reason = ServerUnreachable
-		failure.ReachesOther = sv.links.reachedOther(call.Address, witnessWindow)
+		ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+		defer cancel()
+		sv.dialOthers(ctx, call.Address).Wait()
+		failure.ReachesOther = sv.links.connectedToOther(call.Address, witnessWindow+witnessTimeout)
 	}
 	return failure
 }
 
 // probe probes a server and finds out at the same time whether this host reaches some other server.
 func (sv *Server) probe(ctx context.Context, call Call, probeDirectly func(context.Context, string) forward.ProbeResult) Answer {
+	startedAt := sv.clock.Now()
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerMargin))
 		defer cancel()
 	}
-	var others sync.WaitGroup
-	if !sv.links.reachedOther(call.Address, witnessWindow) {
-		for _, address := range sv.links.otherServers(call.Address) {
-			others.Go(func() { sv.direct.probeConnection(ctx, address) })
-		}
-	}
+	others := sv.dialOthers(ctx, call.Address)
 	result := probeDirectly(ctx, call.Address)
 	if result == forward.Reachable {
 		return Answer{Probe: result, ReachesOther: true}
 	}
 	others.Wait()
-	return Answer{Probe: result, ReachesOther: sv.links.reachedOther(call.Address, witnessWindow)}
+	return Answer{Probe: result, ReachesOther: sv.links.connectedToOther(call.Address, sv.clock.Now().Sub(startedAt)+witnessWindow)}
+}
+
+// dialOthers opens connections to some servers other than the one at an address, unless one of them accepted a connection
+// just now. The caller waits for them with the result.
+func (sv *Server) dialOthers(ctx context.Context, address string) *sync.WaitGroup {
+	var dials sync.WaitGroup
+	if !sv.links.connectedToOther(address, witnessWindow) {
+		for _, other := range sv.links.otherServers(address, witnessDials) {
+			dials.Go(func() { sv.direct.probeConnection(ctx, other) })
+		}
+	}
+	return &dials
 }
 
 // cancellingBody is a body whose context ends when it is closed.
--- a/coordination/reachability/tracker.go
+++ b/coordination/reachability/tracker.go
@@ -29,8 +29,9 @@
 	failure Result
 	// peerReached says that a peer has reached the server since the direct way failed.
 	peerReached bool
-	// reachedAt is when the server last answered or accepted a connection.
-	reachedAt time.Time
+	// reachedAt is when the server last answered or accepted a connection, connectedAt when it last accepted one.
+	reachedAt   time.Time
+	connectedAt time.Time
 	// returnedAt is when the server last returned to the direct way. probeWait is the time between probes of the server,
 	// and notBefore when it may be probed again.
 	returnedAt time.Time
@@ -148,7 +149,7 @@
 }
 
 func (tr *Tracker) recordConnected(now time.Time, known *server) {
-	known.reachedAt = now
+	known.reachedAt, known.connectedAt = now, now
 	if known.way() != Direct {
 		tr.lastReturn = now
 	}
@@ -242,10 +243,10 @@
 	return marked
 }
 
-// ReachedOther reports whether a server other than the one at an address was reached directly since a time.
-func (tr *Tracker) ReachedOther(address string, since time.Time) bool {
+// ConnectedToOther reports whether a server other than the one at an address accepted a connection since a time.
+func (tr *Tracker) ConnectedToOther(address string, since time.Time) bool {
 	for other, known := range tr.servers {
-		if other != address && !known.reachedAt.Before(since) {
+		if other != address && !known.connectedAt.Before(since) {
 			return true
 		}
 	}
@@ -269,6 +270,24 @@
 	return addresses
 }
 
+// Others returns up to count addresses other than one, those that are reached directly as far as is known first.
+func (tr *Tracker) Others(count int, address string) []string {
+	var direct, failed []string
+	for offset := range tr.probeOrder {
+		other := tr.probeOrder[(tr.nextProbed+offset)%len(tr.probeOrder)]
+		known := tr.servers[other]
+		switch {
+		case other == address || known == nil:
+		case known.failure == 0 && known.way() == Direct:
+			direct = append(direct, other)
+		default:
+			failed = append(failed, other)
+		}
+	}
+	others := append(direct, failed...)
+	return others[:min(count, len(others))]
+}
+
 // NextProbe returns the address of the marked server that is to be probed now, or false if no probe is due.
 func (tr *Tracker) NextProbe(now time.Time) (string, bool) {
 	period := tr.config.ProbePeriod
