Hosts that have lost their links to backend servers serve through peers

Clients of hosts that were cut off from all engines got failures for as long as the cut lasted, and reports of such hosts made dispatchers back off from sound engines.

The sender of a host is now peerrelay.Sender. The host takes calls of peers at its peers' port, waits for them in a planned stop like for its own requests, and spreads whether it is cut off.

--- a/cmd/hibiscuslever/status.go
+++ b/cmd/hibiscuslever/status.go
@@ -48,6 +48,18 @@
 	for _, listRevision := range status.Revisions {
 		_, _ = fmt.Fprintf(table, "List %s at revision %d\n", listRevision.List, listRevision.Revision)
 	}
+	if status.CutOff {
+		_, _ = fmt.Fprintln(table, "The host is cut off from the backend servers")
+	}
+	if status.ThroughPeers > 0 {
+		_, _ = fmt.Fprintf(table, "%d backend servers are reached through other hosts\n", status.ThroughPeers)
+	}
+	if status.InFlightForPeers > 0 {
+		_, _ = fmt.Fprintf(table, "%d calls for other hosts in progress\n", status.InFlightForPeers)
+	}
+	for _, host := range status.CutOffHosts {
+		_, _ = fmt.Fprintf(table, "Host %s is cut off from the backend servers\n", host)
+	}
 	if status.StoreAway {
 		_, _ = fmt.Fprintln(table, "The platform can't be reached")
 	}
--- a/protocol/operator/operator.go
+++ b/protocol/operator/operator.go
@@ -69,10 +69,17 @@
 	// NotReady says why the host does not accept requests of callers. It is empty if it does.
 	NotReady string
 	// InFlight is the number of requests of callers that the host is handling.
-	InFlight  int64
-	Revisions []ListRevision
-	Hosts     []HostStatus
-	Shards    []ShardStatus
+	InFlight int64
+	// InFlightForPeers is the number of calls to backend servers that the host makes on behalf of other hosts.
+	InFlightForPeers int64
+	// CutOff is set if the host is cut off from the backend servers. CutOffHosts are the other hosts that are.
+	CutOff      bool
+	CutOffHosts []id.Host
+	// ThroughPeers is the number of backend servers that the host reaches through other hosts only.
+	ThroughPeers int
+	Revisions    []ListRevision
+	Hosts        []HostStatus
+	Shards       []ShardStatus
 	// Engines lists the engines. A host on the users' platform lists all other backend servers too.
 	Engines []EngineStatus
 	// Started is the time at which the host started.
--- a/site/host.go
+++ b/site/host.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"connectrpc.com/otelconnect"
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
@@ -24,6 +25,8 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/gossip"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/peerrelay"
+	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
 	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
@@ -61,6 +64,13 @@
 	clientHandler  *platform.ClientHandler
 	fleet          *fleet
 
+	// links knows which backend servers this host reaches. backendSender sends to them, through peers where necessary, and
+	// relayServer sends on behalf of peers. relayPool holds the connections for calls through peers.
+	links         *peerrelay.Links
+	backendSender *peerrelay.Sender
+	relayServer   *peerrelay.Server
+	relayPool     *backend.Pool
+
 	requestLimits   *requestlimit.Tracker
 	permitClient    *requestlimit.Client
 	permitIssuer    *requestlimit.Issuer
@@ -180,13 +190,14 @@
 	ht.grantClient = broker.NewClient(batch.DefaultConfig(), ht.localMember.Host, ht.clock, ht.peerClient, ht.fleet, scope, ht.logger, seed)
 	ht.permitClient = requestlimit.NewClient(ht.requestLimits, ht.localMember.Host, ht.peerClient)
 	ht.permitIssuer = requestlimit.NewIssuer(ht.clock, ht.peerClient, ht.fleet, ht.requestLimits)
+	ht.assembleRelay(tracer, seed)
 	ht.peerClient.Bind(ht.localPeerComponents(), ht.gossip)
 	ht.forwarder = forward.NewRunner(forward.DefaultConfig().WithMemoryBounds(ht.settings.Memory.FreeWithin, ht.settings.Memory.UnusedWithin), forward.Dependencies{
 		Host:        ht.localMember.Host,
 		Incarnation: ht.localMember.Incarnation,
 		Clock:       ht.clock,
 		Balancer:    balance.New(ht.localMember.AvailabilityZone, seed),
-		Sender:      platform.NewBackendClient(ht.pool),
+		Sender:      ht.backendSender,
 		Dispatcher:  ht.grantClient,
 		Fleet:       ht.fleet,
 		Quarantine:  ht.crashQuarantine,
@@ -201,9 +212,49 @@
 	return nil
 }
 
+// assembleRelay creates the components that send to backend servers directly, through peers, and on behalf of peers.
+func (ht *Host) assembleRelay(tracer trace.Tracer, seed uint64) {
+	direct := platform.NewBackendClient(ht.pool)
+	ht.links = peerrelay.NewLinks(reachability.DefaultConfig(), ht.clock, ht.pool, ht.metrics.Scope, ht.logger, func(changedAt time.Time, cutOff bool) {
+		ht.gossip.SpreadFact(peerrelay.CutOffFact(ht.localMember.Host, changedAt, cutOff))
+	})
+	relayPoolConfig := backend.DefaultConfig()
+	relayPoolConfig.MaxIdlePerAddress = maxIdleRelayConnections
+	ht.relayPool = backend.NewPool(relayPoolConfig, ht.clock)
+	ht.backendSender = peerrelay.NewSender(peerrelay.Dependencies{
+		Host:             ht.localMember.Host,
+		AvailabilityZone: ht.localMember.AvailabilityZone,
+		Clock:            ht.clock,
+		Direct:           direct,
+		Links:            ht.links,
+		Members:          ht.gossip,
+		Transport: peer.NewRelayClient(ht.relayPool, func(ctx context.Context, member membership.Member) {
+			ht.gossip.ConnectionRefused(ctx, member.Host)
+		}),
+		Metrics: ht.metrics.Scope,
+		Logger:  ht.logger,
+		Tracer:  tracer,
+		Seed:    seed,
+	})
+	ht.relayServer = peerrelay.NewServer(peerrelay.ServerDependencies{
+		Clock:          ht.clock,
+		Direct:         direct,
+		Links:          ht.links,
+		Fleet:          ht.fleet,
+		Accepts:        func() bool { return !ht.clientHandler.RefusesNewRequests() },
+		OwnRequests:    func() int64 { return ht.clientHandler.InFlight() },
+		ProcessorShare: ht.settings.Limits.ProcessorShare,
+		Metrics:        ht.metrics.Scope,
+		Logger:         ht.logger,
+	})
+}
+
+// maxIdleRelayConnections limits the idle connections to each peer for calls to backend servers through it.
+const maxIdleRelayConnections = 32
+
 // localPeerComponents returns the components that answer calls of other hosts.
 func (ht *Host) localPeerComponents() peer.LocalComponents {
-	return peer.LocalComponents{GossipRunner: ht.gossip, BrokerServer: ht.grantServer, BrokerClient: ht.grantClient, UpdateFollower: ht.updateFollower, PermitIssuer: ht.permitIssuer}
+	return peer.LocalComponents{GossipRunner: ht.gossip, BrokerServer: ht.grantServer, BrokerClient: ht.grantClient, UpdateFollower: ht.updateFollower, PermitIssuer: ht.permitIssuer, RelayServer: ht.relayServer}
 }
 
 // retryConfig returns the configuration of this host's retries. The ratio of retries to requests is the same on all
@@ -234,7 +285,7 @@
 	ht.logger.Info("host started", "zone", string(ht.localMember.AvailabilityZone), "clients", ht.localMember.CallerAddress, "peers", ht.localMember.PeerAddress,
 		"incarnation", int64(ht.localMember.Incarnation), "seeds", ht.settings.Peers.Seeds)
 	err := lifecycle.Process{
-		Tasks:     []func(context.Context) error{ht.updateFollower.Run, ht.grantServer.Run, ht.grantClient.Run, ht.pool.Run, ht.evidenceSyncer.Run, ht.join, ht.discoverHosts, ht.updateGauges},
+		Tasks:     []func(context.Context) error{ht.updateFollower.Run, ht.grantServer.Run, ht.grantClient.Run, ht.pool.Run, ht.relayPool.Run, ht.backendSender.Run, ht.evidenceSyncer.Run, ht.join, ht.discoverHosts, ht.updateGauges},
 		Servers:   ht.httpServers(),
 		Listeners: ht.listeners,
 		ShutDown:  ht.shutDown,
@@ -336,6 +387,8 @@
 		if statement, ok := requestlimit.FromFact(fact); ok {
 			ht.requestLimits.Learn("gossip", statement)
 		}
+	case membership.CutOffFact:
+		ht.backendSender.LearnCutOff(fact)
 	}
 }
 
@@ -343,6 +396,7 @@
 func (ht *Host) onFleetChanged() {
 	servers, _ := ht.updateFollower.Servers()
 	ht.fleet.updateList(servers)
+	ht.links.UpdateServers(servers)
 	ht.forwarder.UpdateServers(servers)
 	ht.permitClient.UpdateServers(servers)
 	ht.scheduleConnectionLimits()
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -18,6 +18,9 @@
 	exitShare = 0.96
 )
 
+// inFlight returns the number of requests in progress: those of clients, and those sent on behalf of peers.
+func (ht *Host) inFlight() int64 { return ht.clientHandler.InFlight() + ht.relayServer.InFlight() }
+
 // shutDown withdraws the host from the addresses that clients are given, continues to serve clients that have cached
 // its address for a while, and returns when all requests in flight have finished or the time is over. Requests that
 // still wait for a grant when the host stops accepting new ones are refused; they have not run.
@@ -25,7 +28,7 @@
 	const pollInterval = 20 * time.Millisecond
 	startedLeavingAt := ht.clock.Now()
 	grace := ht.settings.Operators.ShutdownTimeout
-	ht.logger.Info("host is leaving", "in_flight", ht.clientHandler.InFlight(), "grace_ms", grace.Milliseconds())
+	ht.logger.Info("host is leaving", "in_flight", ht.inFlight(), "grace_ms", grace.Milliseconds())
 	ht.mutex.Lock()
 	ht.leaving = true
 	ht.mutex.Unlock()
@@ -40,15 +43,15 @@
 	ht.forwarder.RejectWaiting()
 	graceShareEnd := func(share float64) time.Time { return startedLeavingAt.Add(time.Duration(share * float64(grace))) }
 	aborted := false
-	for ht.clientHandler.InFlight() > 0 && ht.clock.Now().Before(graceShareEnd(exitShare)) {
+	for ht.inFlight() > 0 && ht.clock.Now().Before(graceShareEnd(exitShare)) {
 		if !aborted && !ht.clock.Now().Before(graceShareEnd(abortShare)) {
 			aborted = true
-			ht.logger.Warn("host aborts the requests that it can't finish in time", "in_flight", ht.clientHandler.InFlight())
+			ht.logger.Warn("host aborts the requests that it can't finish in time", "in_flight", ht.inFlight())
 			ht.forwarder.Abort()
 		}
 		if !timer.Sleep(ctx, ht.clock, pollInterval) {
 			return
 		}
 	}
-	ht.logger.Info("host has finished its requests", "in_flight", ht.clientHandler.InFlight(), "took_ms", ht.clock.Now().Sub(startedLeavingAt).Milliseconds())
+	ht.logger.Info("host has finished its requests", "in_flight", ht.inFlight(), "took_ms", ht.clock.Now().Sub(startedLeavingAt).Milliseconds())
 }
--- a/telemetry/explain_test.go
+++ b/telemetry/explain_test.go
@@ -85,3 +85,20 @@
 	assert.Equal(t, telemetry.ContentLines(lines, "beef")[0].String(),
 		"05:11:54.100 host-b               attempt ended fingerprint=beef request=r8 result=read answer; EOF server=app-1")
 }
+
+// TestRequestLinesOfRelayedAttempt checks that the lines of a request include those of the host that sent an attempt on
+// behalf of its entry host.
+func TestRequestLinesOfRelayedAttempt(t *testing.T) {
+	lines, _, err := telemetry.ReadLogLines(strings.NewReader(`
+{"time":"2026-03-15T05:11:54.4Z","msg":"request ended","host":"host-b","request":"r8","server":"app-1","outcome":"answered"}
+{"time":"2026-03-15T05:11:54.1Z","msg":"attempt sent for a peer","host":"host-c","request":"r8","server":"app-1","peer":"host-b","result":"answered"}
+{"time":"2026-03-15T05:11:54.2Z","msg":"attempt relayed","host":"host-b","request":"r8","server":"app-1","peer":"host-c","way":"through_peer"}
+{"time":"2026-03-15T05:11:54.1Z","msg":"attempt sent for a peer","host":"host-c","request":"r9","server":"app-1","peer":"host-b","result":"answered"}
+`))
+	assert.NilError(t, err)
+	var messages []string
+	for _, line := range telemetry.RequestLines(lines, "r8") {
+		messages = append(messages, line.Host+": "+line.Message)
+	}
+	assert.DeepEqual(t, messages, []string{"host-c: attempt sent for a peer", "host-b: attempt relayed", "host-b: request ended"})
+}
