--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -244,6 +244,7 @@
 		return st.classifySendError(sendCtx, ctx, primary, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	st.result.PassedOn++
 	rn.applyEngineState(st.server, sentAt, response)
 	switch {
 	case response.Misdirected:
@@ -288,6 +289,7 @@
 		}
 		return broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unreachable}, attemptResult{reason: err.Error(), retryCause: retry.NotSent}
 	}
+	st.result.PassedOn++
 	st.sentCount++
 	st.mayHaveRun = true
 	return st.classifyLoss(sendCtx, ctx, primary, err)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -192,6 +192,8 @@
 	// Status is the HTTP status of the forwarded response, Attempts the number of attempts made.
 	Status   int
 	Attempts int
+	// PassedOn is the number of attempts of which a server may have received a part or all of the request.
+	PassedOn int
 	// Fingerprint identifies the content of the request.
 	Fingerprint id.Fingerprint
 	// Server is the server or engine of the last attempt, Helpers the number of engines that helped with it.
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -203,6 +203,7 @@
 			balanceResult = balance.Lost
 			return nil, retry.NotSent, err.Error()
 		}
+		jb.result.PassedOn++
 		jb.sentCount++
 		jb.mayHaveRun = true
 		if ctx.Err() == nil {
@@ -215,6 +216,7 @@
 		return nil, retryCause, err.Error()
 	}
 	defer func() { _ = response.Body.Close() }()
+	jb.result.PassedOn++
 	rn.applyServerState(server, startedAt, response)
 	load = response.Load
 	jb.sentCount++
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -359,7 +359,10 @@
 	case errors.Is(context.Cause(ctx), errHostLeaving):
 		jb.setOutcomeOnShutdown()
 	case context.Cause(ctx) == context.Canceled: //nolint:errorlint // the cause is the client's own cancellation
-		jb.result.Outcome = outcome.Fail(outcome.CallerGone, "the client has gone")
+		jb.result.Outcome = outcome.Refuse(outcome.CallerGone, "the client has gone")
+		if jb.mayHaveRun {
+			jb.result.Outcome.Kind = outcome.Failed
+		}
 	case jb.mayHaveRun:
 		jb.result.Outcome = outcome.Fail(outcome.DeadlineExceeded, "the answer was not complete in the request's time")
 	default:
