--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -37,6 +37,8 @@
 	backoffs []map[id.Engine]time.Time
 	// waitLimitAt holds the time until which the client waits, for each call of Acquire.
 	waitLimitAt []time.Time
+	// faultAt is when the first fault was reported.
+	faultAt time.Time
 }
 
 func (fd *fakeDispatcher) Acquire(ctx context.Context, grantRequest broker.GrantRequest) (batch.Grant, outcome.Outcome) {
@@ -49,8 +51,13 @@
 	fd.grants = fd.grants[1:]
 	return grant, outcome.Outcome{Kind: outcome.Finished}
 }
-func (fd *fakeDispatcher) ReportStarted(id.Attempt)            {}
-func (fd *fakeDispatcher) ReportEnded(ended broker.EndedGrant) { fd.ended = append(fd.ended, ended) }
+func (fd *fakeDispatcher) ReportStarted(id.Attempt) {}
+func (fd *fakeDispatcher) ReportEnded(ended broker.EndedGrant) {
+	fd.ended = append(fd.ended, ended)
+	if ended.Fault != batch.NoFault && fd.faultAt.IsZero() {
+		fd.faultAt = time.Now()
+	}
+}
 
 // fakeServers responds to every attempt with a stream of one event and records the addresses.
 type fakeServers struct{ sentTo []string }
--- /dev/null
+++ b/coordination/forward/silence_test.go
@@ -0,0 +1,75 @@
+package forward_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// silentServers are streaming servers that respond to no probe.
+type silentServers struct{ streamingServers }
+
+func (*silentServers) ProbeHTTP(context.Context, string) bool { return false }
+
+// TestSilentEngineDoesNotEndStream guards against requests that are lost because a sound engine falls silent for a
+// moment: the stream stays at its engine unless it can go on at another one.
+func TestSilentEngineDoesNotEndStream(t *testing.T) {
+	const event1, event2, event3 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	const silence = 1300 * time.Millisecond
+	rt := route.Route{Kind: route.Streaming, HasPrompt: true, Resumable: true, MaxAttempts: 2, TargetLatency: 400 * time.Millisecond, MaxPause: 300 * time.Millisecond}
+	singleAttempt, notResumable := rt, rt
+	singleAttempt.MaxAttempts = 1
+	notResumable.Resumable = false
+	other := []batch.Grant{grantOn("2", "two")}
+	for _, tc := range []struct {
+		name   string
+		route  route.Route
+		budget float64
+		// hostStops makes the host reject requests that wait for grants from the start.
+		hostStops bool
+		grants    []batch.Grant
+		wantSends int
+	}{
+		{"another engine has room", rt, 100, false, other, 2},
+		{"no grant on another engine", rt, 100, false, nil, 1},
+		{"no retry budget", rt, 0, false, other, 1},
+		{"host is stopping", rt, 100, true, other, 1},
+		{"single attempt", singleAttempt, 100, false, other, 1},
+		{"not resumable", notResumable, 100, false, other, 1},
+	} {
+		for name, chunks := range map[string][]chunk{
+			"within the stream":      {{0, event1}, {silence, event2}, {silence, event3}},
+			"before the first event": {{silence, event1}, {0, event2}, {0, event3}},
+		} {
+			t.Run(tc.name+"/"+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					dispatcher := &fakeDispatcher{grants: append([]batch.Grant{grantOn("1", "one")}, tc.grants...)}
+					resumed := slowBody{chunks: []chunk{{0, event2}, {0, event3}}}
+					if len(chunks) > 1 && chunks[0].delay > 0 {
+						resumed = slowBody{chunks: []chunk{{0, event1}, {0, event2}, {0, event3}}}
+					}
+					backends := &silentServers{streamingServers{bodyByAddress: map[string]slowBody{"one:80": {chunks: chunks}, "two:80": resumed}}}
+					rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}, Retries: retry.New(retry.Config{MaxAttempts: 3, InitialBudget: tc.budget}, 1)})
+					if tc.hostStops {
+						time.AfterFunc(silence/4, rn.RejectWaiting)
+					}
+					client := &fakeClient{}
+					now := time.Now()
+					result := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", PromptTokens: 1000, ArrivedAt: now, Deadline: now.Add(10 * time.Second), Route: tc.route}, client)
+					assert.Assert(t, result.Complete, "%+v", result)
+					assert.Equal(t, client.body.String(), event1+event2+event3)
+					assert.Equal(t, len(backends.sentTo), tc.wantSends)
+				})
+			})
+		}
+	}
+}
+
