A silent engine keeps its stream until another engine can run it

Cause: the stream monitor aborted an attempt 600 ms after the last event plus a probe of 400 ms without a response, and asked only then whether the request could run elsewhere. If attempts, retry budget or room were used up, the host was stopping or the route can't be resumed, the client's connection was closed. Stalled streams already stayed until a grant on another engine was held; unresponsive engines now go the same way. The dispatcher still learns of the engine at once, by a report of its own, and the check for a crash runs then too: without that TestRequestThatCrashesServersIsRefused failed, because evidence against a content came only with the end of the attempt.

TestSilentEngineIsReportedOnce holds the opposite fault: a dead engine is still reported within two seconds, and once.

--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -68,8 +68,8 @@
 func (jb *job) crashSubjects() []crashSubject {
 	subjects := []crashSubject{{jb.result.Fingerprint, quarantine.Confirmed}}
 	parts, status := jb.request.PromptParts, quarantine.Confirmed
-	if len(jb.isolatedParts) > 0 {
-		parts, status = jb.isolatedParts, quarantine.ConfirmedIsolated
+	if isolated := jb.isolation(); len(isolated) > 0 {
+		parts, status = isolated, quarantine.ConfirmedIsolated
 	}
 	for _, part := range parts {
 		subjects = append(subjects, crashSubject{part.Fingerprint(), status})
@@ -186,7 +186,7 @@
 		}
 	}
 	rn.metrics.Tagged(map[string]string{"health": probeResult.String()}).Counter("attempts_broken").Inc(1)
-	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "parts", jb.request.PromptPartNames(), "isolated", len(jb.isolatedParts) > 0, "server", string(server.ID),
+	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "parts", jb.request.PromptPartNames(), "isolated", len(jb.isolation()) > 0, "server", string(server.ID),
 		"address", server.Address, "born", server.StartedAtMillis, "crash", crash.String(), "health", probeResult.String(), "counted", counted, "cause", cause.Error(),
 		"list_age_ms", rn.fleet.ListAge().Milliseconds())
 	return probeResult == ConnectionRefused
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -84,7 +84,7 @@
 	}
 	st.grantedAt = rn.clock.Now()
 	st.server = rn.serverOfPart(st.request.Service, grant.Parts[0])
-	st.isolatedParts = grant.SuspectParts
+	st.setIsolatedParts(grant.SuspectParts)
 	st.grantsUsed++
 	st.result.Attempts++
 	st.result.Server = id.BackendServer(grant.Parts[0].Engine)
@@ -222,9 +222,14 @@
 	if rn.clock.Now().Sub(st.grantedAt) > rn.config.GrantTTL {
 		return broker.EndedGrant{}, attemptResult{reason: "the place was given too long ago", retryCause: retry.NotSent}
 	}
-	grantRequest := st.grantRequest
-	monitor := startStreamMonitor(rn, primary, monitorLimits{firstEventWait: grant.PredictedFirstEvent + rn.config.IdleBeforeProbe, stallLimit: st.stallLimit(), firstEventDeadline: reservedMemory.firstEventDeadline()},
-		func(searchCtx context.Context) bool { return st.findFailover(searchCtx, grantRequest, primary.Engine) }, func(err error) { cancel(err) })
+	grantRequest, attemptsMade := st.grantRequest, st.sentCount+1
+	monitor := startStreamMonitor(rn, primary, monitorLimits{firstEventWait: grant.PredictedFirstEvent + rn.config.IdleBeforeProbe, stallLimit: st.stallLimit(), firstEventDeadline: reservedMemory.firstEventDeadline()}, monitorCallbacks{
+		findFailover: func(searchCtx context.Context) bool {
+			return st.findFailover(searchCtx, grantRequest, primary.Engine, attemptsMade)
+		},
+		handleUnresponsive: func(checkCtx context.Context) { st.handleUnresponsive(checkCtx, primary.Engine) },
+		abort:              func(err error) { cancel(err) },
+	})
 	defer monitor.stop()
 	if st.rejectQuarantined() {
 		// This host may have learned of crashes while it waited for the memory.
@@ -261,9 +266,17 @@
 	return st.forwardEvents(sendCtx, ctx, grant, response, monitor)
 }
 
-// errUnresponsive is the cause of aborting an attempt whose engine does not respond. errStalled is the cause of
-// aborting one whose stream makes no progress although the engine may still respond, or whose first event did not
-// arrive before the deadline for using the reserved memory.
+// handleUnresponsive reports to the dispatcher that the engine of the current attempt does not respond, and checks whether
+// it crashed. The attempt stays there meanwhile.
+func (st *engineJob) handleUnresponsive(ctx context.Context, engine id.Engine) {
+	st.runner.logger.Info("engine does not respond", "request", st.request.ID, "engine", string(engine))
+	st.runner.dispatcher.ReportEnded(broker.EndedGrant{Service: st.request.Service, FailedEngine: engine, Fault: batch.Unresponsive})
+	st.checkForCrash(ctx, st.server, st.grantedAt, Unresponsive, errUnresponsive)
+}
+
+// errUnresponsive is the cause of aborting an attempt whose engine does not respond, once the stream can go on at another
+// engine. errStalled is the cause of aborting one whose stream makes no progress although the engine may still respond,
+// or whose first event did not arrive before the deadline for using the reserved memory.
 var (
 	errUnresponsive = errors.New("the engine is silent")
 	errStalled      = errors.New("the stream has stalled")
@@ -296,12 +309,12 @@
 }
 
 // classifyLoss describes an attempt that was sent and then lost: the connection to the engine broke, or the stream
-// monitor aborted the attempt. It checks whether the engine crashed, except for a stalled stream. sendCtx is the
-// context of the attempt, ctx that of the request.
+// monitor aborted the attempt. It checks whether the engine crashed if the connection broke. sendCtx is the context of the
+// attempt, ctx that of the request.
 //
-// An unresponsive engine and a stalled stream are reported as Unresponsive, a crashed engine and one that accepts no
-// connections any more as Unreachable; the dispatcher backs off longer from these. If the engine still accepts
-// connections, only its response failed, and it is reported as ErrorResponse.
+// A stalled stream is reported as Unresponsive, a crashed engine and one that accepts no connections any more as
+// Unreachable; the dispatcher backs off longer from these. handleUnresponsive has reported an unresponsive engine. If the
+// engine still accepts connections, only its response failed, and it is reported as ErrorResponse.
 func (st *engineJob) classifyLoss(sendCtx, ctx context.Context, primary batch.Part, err error) (broker.EndedGrant, attemptResult) {
 	if ctx.Err() != nil {
 		return broker.EndedGrant{}, attemptResult{reason: "ended: " + context.Cause(ctx).Error(), retryCause: retry.Interrupted}
@@ -309,7 +322,7 @@
 	ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unresponsive}
 	switch cause := context.Cause(sendCtx); {
 	case errors.Is(cause, errUnresponsive):
-		st.checkForCrash(ctx, st.server, st.grantedAt, Unresponsive, cause)
+		ended.Fault = batch.NoFault
 		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
 	case errors.Is(cause, errStalled):
 		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
@@ -376,7 +389,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if len(ev.data) > 0 {
-			st.isolatedParts = nil
+			st.setIsolatedParts(nil)
 			monitor.recordEvent(ev)
 			rn.dispatcher.ReportStarted(grant.Attempt)
 			if sinkErr := st.forwardEvent(response, ev); sinkErr != nil {
--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -10,7 +10,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
 
-// failoverGrant holds a grant on another engine for a stream that has stalled. The stream stays at its engine until
+// failoverGrant holds a grant on another engine for a stream that has stalled or whose engine does not respond. The stream stays at its engine until
 // there is such a grant. It is safe for concurrent use: the stream monitor stores the grant while the attempt still
 // runs.
 type failoverGrant struct {
@@ -41,12 +41,13 @@
 	return fg.present
 }
 
-// findFailover requests a grant on another engine for a stalled stream and stores it. It reports whether it got one and
-// the retry policy allows its use. The grant on the stalled engine stays valid meanwhile, because the new request to
-// the dispatcher has its own id. ctx ends when the stream makes progress.
-func (st *engineJob) findFailover(ctx context.Context, grantRequest broker.GrantRequest, stalledEngine id.Engine) bool {
+// findFailover requests a grant on another engine for a stream that has stalled or whose engine does not respond, and
+// stores it. It reports whether it got one and the retry policy allows its use. The grant on the first engine stays valid
+// meanwhile, because the new request to the dispatcher has its own id. The number of attempts made includes the current
+// one. ctx ends when the stream goes on.
+func (st *engineJob) findFailover(ctx context.Context, grantRequest broker.GrantRequest, stalledEngine id.Engine, attemptsMade int) bool {
 	rn := st.runner
-	if rn.grantContext.Err() != nil {
+	if rn.grantContext.Err() != nil || st.grantsUsed >= rn.config.MaxGrants || !st.retryAllowed(attemptsMade) {
 		return false
 	}
 	grantRequest.ID = id.NewRequest(rn.host, rn.incarnation, rn.requestCounter.Add(1))
@@ -63,7 +64,7 @@
 			"reason", string(oc.Reason), "detail", oc.Detail)
 		return false
 	}
-	if acquireCtx.Err() == nil && st.takeRetry(ctx, retry.Interrupted) {
+	if acquireCtx.Err() == nil && st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade) {
 		st.failover.store(grantRequest, grant)
 		return true
 	}
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -319,12 +319,28 @@
 	backoffWait time.Duration
 	// limitReached says that chooseServer found only servers whose request limits are reached.
 	limitReached bool
-	// isolatedParts are the parts of the prompt because of which the current attempt runs isolated, until its first event.
-	isolatedParts []id.PromptPart
+	// isolationMutex guards isolatedParts, which the stream monitor reads. They are the parts of the prompt because of which
+	// the current attempt runs isolated, until its first event.
+	isolationMutex sync.Mutex
+	isolatedParts  []id.PromptPart
 	// newConnection makes further attempts use new connections, because a reused one ended without a response.
 	newConnection bool
 }
 
+// setIsolatedParts replaces the parts of the prompt because of which the current attempt runs isolated.
+func (jb *job) setIsolatedParts(parts []id.PromptPart) {
+	jb.isolationMutex.Lock()
+	defer jb.isolationMutex.Unlock()
+	jb.isolatedParts = parts
+}
+
+// isolation returns the parts of the prompt because of which the current attempt runs isolated.
+func (jb *job) isolation() []id.PromptPart {
+	jb.isolationMutex.Lock()
+	defer jb.isolationMutex.Unlock()
+	return jb.isolatedParts
+}
+
 // remaining returns the time until the request's deadline.
 func (jb *job) remaining() time.Duration { return jb.deadline.Sub(jb.runner.clock.Now()) }
 
@@ -332,6 +348,11 @@
 // charges the service's retry budget. It charges nothing if nothing was sent or the dispatcher preempted the attempt.
 // The backoff that the retry policy asks for is not waited for.
 func (jb *job) takeRetry(ctx context.Context, cause retry.Cause) bool {
+	return jb.takeRetryAfter(ctx, cause, jb.sentCount)
+}
+
+// takeRetryAfter is takeRetry after a number of attempts. It may be called while the last one of them runs.
+func (jb *job) takeRetryAfter(ctx context.Context, cause retry.Cause, attemptsMade int) bool {
 	if ctx.Err() != nil {
 		return false
 	}
@@ -340,7 +361,7 @@
 	decision := rn.retries.Decide(retry.Failure{
 		Service:       jb.request.Service,
 		Cause:         cause,
-		AttemptsMade:  jb.sentCount,
+		AttemptsMade:  attemptsMade,
 		Idempotent:    jb.request.Route.Repeatable(),
 		UntilDeadline: jb.remaining(),
 	})
@@ -352,6 +373,15 @@
 	return decision.Retry
 }
 
+// retryAllowed reports whether the retry policy would allow a retry of an interrupted attempt, the last one of the given
+// number of attempts. It may be called while that attempt runs.
+func (jb *job) retryAllowed(attemptsMade int) bool {
+	rn := jb.runner
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.retries.Allows(retry.Failure{Service: jb.request.Service, Cause: retry.Interrupted, AttemptsMade: attemptsMade, Idempotent: jb.request.Route.Repeatable()})
+}
+
 // setOutcomeOnContextEnd sets the outcome of a request whose context has ended: because the host is shutting down,
 // because the client has disconnected, or because the deadline has passed.
 func (jb *job) setOutcomeOnContextEnd(ctx context.Context) {
--- a/coordination/forward/silence_test.go
+++ b/coordination/forward/silence_test.go
@@ -73,3 +73,28 @@
 	}
 }
 
+// TestSilentEngineIsReportedOnce checks that the dispatcher learns of an engine that responds to nothing while the
+// stream stays there, and that the end of the attempt does not count as a second fault.
+func TestSilentEngineIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := &fakeDispatcher{grants: []batch.Grant{grantOn("1", "one")}}
+		backends := &silentServers{streamingServers{bodyByAddress: map[string]slowBody{"one:80": {repeated: chunk{time.Hour, "x"}}}}}
+		rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}})
+		now := time.Now()
+		result := rn.Run(t.Context(), &forward.Request{
+			ID: "request", Service: "service", PromptTokens: 1000, ArrivedAt: now, Deadline: now.Add(4 * time.Second),
+			Route: route.Route{Kind: route.Streaming, HasPrompt: true, Resumable: true, MaxAttempts: 2, TargetLatency: 400 * time.Millisecond},
+		}, &fakeClient{})
+		assert.Assert(t, !result.HeadSent, "%+v", result)
+		faults := 0
+		for _, ended := range dispatcher.ended {
+			if ended.Fault != batch.NoFault {
+				assert.Equal(t, ended.Fault, batch.Unresponsive)
+				assert.Equal(t, string(ended.FailedEngine), "one")
+				faults++
+			}
+		}
+		assert.Equal(t, faults, 1)
+		assert.Assert(t, now.Add(2*time.Second).After(dispatcher.faultAt), "%s", dispatcher.faultAt.Sub(now))
+	})
+}
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -10,9 +10,10 @@
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
-// streamMonitor watches the stream of one attempt. It aborts the attempt in three cases: the stream is idle and the
-// engine does not respond to a probe; the stream has stalled, even if the engine still responds, and a grant on another
-// engine is available; or reserved memory has waited too long for the first event.
+// streamMonitor watches the stream of one attempt. A stream that has stalled, or that is idle at an engine that does not
+// respond to a probe, stays there until another engine can run it, because the engine may go on at any moment. Only then
+// does the monitor abort the attempt. It also aborts an attempt whose reserved memory has waited too long for the first
+// event.
 type streamMonitor struct {
 	runner *Runner
 	// engine is the engine that sends the stream.
@@ -20,11 +21,13 @@
 	// idleLimit is how long the stream may be idle before the engine is probed.
 	idleLimit time.Duration
 	// stallLimit is how long the stream may go without an event with an id, even if the engine responds, before
-	// findFailover is called; zero for no limit.
+	// findFailover is called; zero if the stream cannot go on at another engine.
 	stallLimit time.Duration
-	// findFailover acquires a grant on another engine for the stalled stream and reports whether it succeeded. Its
-	// context ends when the stream makes progress.
+	// findFailover acquires a grant on another engine for the stream and reports whether it succeeded. Its context ends
+	// when the engine shows that it is alive or, for a stalled stream, when the stream makes progress.
 	findFailover func(context.Context) bool
+	// handleUnresponsive is called once if the engine does not respond to a probe, with a context like that of findFailover.
+	handleUnresponsive func(context.Context)
 	// abort ends the attempt with errUnresponsive or errStalled as its cause.
 	abort func(error)
 	// firstEventDeadline is when the attempt is aborted if no event with an id has come, because memory is reserved for
@@ -33,13 +36,15 @@
 
 	// mutex guards the fields below and firstEventDeadline.
 	mutex sync.Mutex
-	// cancelSearch ends a running findFailover, which search waits for; nil if none runs.
-	cancelSearch context.CancelFunc
-	search       sync.WaitGroup
+	// cancelCallback ends a running findFailover or handleUnresponsive, which callbacks waits for; nil if none runs.
+	cancelCallback context.CancelFunc
+	callbacks      sync.WaitGroup
 	// lastActivity is when the engine last showed that it is alive, lastProgress when the last event with an id
 	// arrived. Both start at the predicted time of the first event.
 	lastActivity time.Time
 	lastProgress time.Time
+	// unresponsive says that the engine did not respond to a probe.
+	unresponsive bool
 	stopped      bool
 	nextCheck    timer.Subscription
 }
@@ -53,11 +58,22 @@
 	firstEventDeadline time.Time
 }
 
+// monitorCallbacks are the functions that a streamMonitor calls. They have the same meaning as in streamMonitor.
+type monitorCallbacks struct {
+	findFailover       func(context.Context) bool
+	handleUnresponsive func(context.Context)
+	abort              func(error)
+}
+
 // startStreamMonitor starts to watch a stream. The caller must call stop.
-func startStreamMonitor(rn *Runner, engine batch.Part, limits monitorLimits, findFailover func(context.Context) bool, abort func(error)) *streamMonitor {
+func startStreamMonitor(rn *Runner, engine batch.Part, limits monitorLimits, callbacks monitorCallbacks) *streamMonitor {
 	firstCheck := limits.firstEventWait
 	predictedStart := rn.clock.Now().Add(firstCheck - rn.config.IdleBeforeProbe)
-	sm := &streamMonitor{runner: rn, engine: engine, idleLimit: rn.config.IdleBeforeProbe, stallLimit: limits.stallLimit, firstEventDeadline: limits.firstEventDeadline, findFailover: findFailover, abort: abort, lastActivity: predictedStart, lastProgress: predictedStart}
+	sm := &streamMonitor{
+		runner: rn, engine: engine, idleLimit: rn.config.IdleBeforeProbe, stallLimit: limits.stallLimit, firstEventDeadline: limits.firstEventDeadline,
+		findFailover: callbacks.findFailover, handleUnresponsive: callbacks.handleUnresponsive, abort: callbacks.abort,
+		lastActivity: predictedStart, lastProgress: predictedStart,
+	}
 	if !limits.firstEventDeadline.IsZero() {
 		firstCheck = min(firstCheck, max(0, limits.firstEventDeadline.Sub(rn.clock.Now())))
 	}
@@ -75,68 +91,89 @@
 	sm.lastActivity = sm.runner.clock.Now()
 	if ev.id != "" {
 		sm.firstEventDeadline = time.Time{}
-		if sm.cancelSearch != nil {
-			sm.cancelSearch()
-		}
 		sm.lastProgress = sm.lastActivity
 	}
+	if sm.cancelCallback != nil && !sm.stalled(sm.lastActivity) {
+		sm.cancelCallback()
+	}
 }
 
-// check aborts the attempt with errStalled if the first event is overdue, searches for another engine for a stalled
-// stream, probes the engine if the stream has been idle for too long, and schedules the next check. The timer calls it
-// on its own goroutine, because the search and the probe may block.
+// check aborts the attempt with errStalled if the first event is overdue, searches for another engine if the stream has
+// stalled, probes the engine if the stream has been idle for too long, searches for another engine if it does not
+// respond, and schedules the next check. The timer calls it on its own goroutine, because the searches and the probe may
+// block.
 func (sm *streamMonitor) check() {
 	sm.mutex.Lock()
+	defer sm.mutex.Unlock()
 	if sm.stopped {
-		sm.mutex.Unlock()
 		return
 	}
 	now := sm.runner.clock.Now()
 	if !sm.firstEventDeadline.IsZero() && !now.Before(sm.firstEventDeadline) {
-		sm.mutex.Unlock()
 		sm.abort(errStalled)
 		return
 	}
-	if sm.stalled(now) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		sm.cancelSearch = cancel
-		sm.search.Add(1)
-		sm.mutex.Unlock()
-		found := sm.findFailover(ctx)
-		sm.search.Done()
-		if found {
-			sm.abort(errStalled)
-			return
+	stalled := sm.stalled(now)
+	if stalled && sm.failOver(errStalled) || sm.stopped {
+		return
+	}
+	nextCheck := sm.idleLimit
+	if idleLeft := sm.idleLeft(); idleLeft > 0 {
+		nextCheck = idleLeft
+	} else if sm.probe() {
+		sm.lastActivity = sm.runner.clock.Now()
+	} else if sm.idleLeft() <= 0 && !sm.stopped {
+		if !sm.unresponsive {
+			sm.unresponsive = true
+			sm.runCallback(sm.handleUnresponsive)
 		}
-		sm.mutex.Lock()
-		sm.cancelSearch = nil
-		if sm.stopped {
-			sm.mutex.Unlock()
+		if !sm.stopped && !stalled && sm.stallLimit > 0 && sm.failOver(errUnresponsive) {
 			return
 		}
-		now = sm.runner.clock.Now()
 	}
-	if idleLeft := sm.idleLimit - now.Sub(sm.lastActivity); idleLeft > 0 {
-		sm.nextCheck = sm.runner.clock.After(idleLeft, sm.check)
-		sm.mutex.Unlock()
-		return
+	if !sm.stopped {
+		sm.nextCheck = sm.runner.clock.After(nextCheck, sm.check)
 	}
-	sm.mutex.Unlock()
+}
+
+// idleLeft returns how long the stream may still be idle before the engine is probed. The caller holds the mutex.
+func (sm *streamMonitor) idleLeft() time.Duration {
+	return sm.idleLimit - sm.runner.clock.Now().Sub(sm.lastActivity)
+}
+
+// probe reports whether the engine responds. An engine that asked for backoff is not probed. The caller holds the mutex,
+// which is unlocked meanwhile.
+func (sm *streamMonitor) probe() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), sm.runner.config.ProbeTimeout)
 	defer cancel()
-	alive := sm.runner.askedForBackoff(id.BackendServer(sm.engine.Engine)) || sm.runner.sender.ProbeHTTP(ctx, sm.engine.Address)
+	sm.mutex.Unlock()
+	defer sm.mutex.Lock()
+	return sm.runner.askedForBackoff(id.BackendServer(sm.engine.Engine)) || sm.runner.sender.ProbeHTTP(ctx, sm.engine.Address)
+}
+
+// runCallback runs a callback with a context that ends when the stream goes on or the monitor stops. The caller holds the
+// mutex, which is unlocked meanwhile.
+func (sm *streamMonitor) runCallback(callback func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sm.cancelCallback = cancel
+	sm.callbacks.Add(1)
+	sm.mutex.Unlock()
+	callback(ctx)
+	sm.callbacks.Done()
 	sm.mutex.Lock()
-	defer sm.mutex.Unlock()
-	if sm.stopped {
-		return
-	}
-	if !alive && sm.runner.clock.Now().Sub(sm.lastActivity) >= sm.idleLimit {
-		sm.abort(errUnresponsive)
-		return
+	sm.cancelCallback = nil
+}
+
+// failOver searches for another engine for the stream. If it finds one, it aborts the attempt with the given cause and
+// returns true. The caller holds the mutex, which is unlocked meanwhile.
+func (sm *streamMonitor) failOver(cause error) bool {
+	found := false
+	sm.runCallback(func(ctx context.Context) { found = sm.findFailover(ctx) })
+	if found {
+		sm.abort(cause)
 	}
-	sm.lastActivity = sm.runner.clock.Now()
-	sm.nextCheck = sm.runner.clock.After(sm.idleLimit, sm.check)
+	return found
 }
 
 // stalled reports whether the stream has gone without an event with an id for too long. The caller holds the mutex.
@@ -144,14 +181,14 @@
 	return sm.stallLimit > 0 && now.Sub(sm.lastProgress) >= sm.stallLimit
 }
 
-// stop ends the monitoring and waits until a running search for another engine has ended.
+// stop ends the monitoring and waits until a running callback has ended.
 func (sm *streamMonitor) stop() {
 	sm.mutex.Lock()
 	sm.stopped = true
-	if sm.cancelSearch != nil {
-		sm.cancelSearch()
+	if sm.cancelCallback != nil {
+		sm.cancelCallback()
 	}
 	sm.nextCheck.Stop()
 	sm.mutex.Unlock()
-	sm.search.Wait()
+	sm.callbacks.Wait()
 }
