The time after which another server is tried does not cut an answer that has begun

Cause: a repeatable request to a plain service gives its first server half of the remaining time, if another server can be tried. That time was the context of the whole exchange, so it also ended the body of an answer that was already being forwarded: of streams on plain routes and of answers larger than the buffer.

Evidence: both cases of TestAttemptTimeDoesNotCutBegunAnswer failed before (head sent, not complete after 400 of 800 ms) and pass now, also with the race detector. TestSlowServerTimeout, the opposite fault, is unchanged: a server that does not answer is still given up.

--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -190,12 +190,13 @@
 	}()
 	ctx, span := rn.tracer.Start(ctx, "server.attempt", trace.WithAttributes(attribute.String("server", string(server.ID))))
 	defer span.End()
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	remaining := jb.remaining()
+	var slowTimer *slowServerTimer
 	if jb.canTryAnotherServer(tried) {
-		attemptCtx, cancel = context.WithTimeout(ctx, time.Duration(rn.config.AttemptTimeoutShare*float64(remaining)))
-		defer cancel()
+		slowTimer = startSlowServerTimer(rn.clock, time.Duration(rn.config.AttemptTimeoutShare*float64(remaining)), func() { cancel(errSlowServer) })
+		defer slowTimer.keep()
 	}
 	response, err := rn.sender.Send(attemptCtx, Attempt{Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID, NewConnection: jb.newConnection, Urgency: -1})
 	if err != nil {
@@ -234,7 +235,7 @@
 		}
 		return &bufferedResponse{status: response.Status, header: response.Header, body: body, notRun: true}, retry.BackendRefused, "the server did not run the request"
 	}
-	return jb.handlePlainResponse(ctx, server, startedAt, response, &balanceResult)
+	return jb.handlePlainResponse(ctx, server, startedAt, response, slowTimer, &balanceResult)
 }
 
 // classifyInterruption returns the retry cause of an attempt that ended without a complete response, after checking
@@ -273,10 +274,14 @@
 
 // handlePlainResponse reads a response and forwards it, unless it is a failure that justifies another attempt. Streams
 // and responses larger than the buffer are forwarded as they arrive. The results are those of attemptPlain.
-func (jb *job) handlePlainResponse(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response, balanceResult *balance.Result) (*bufferedResponse, retry.Cause, string) {
+func (jb *job) handlePlainResponse(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response, slowTimer *slowServerTimer, balanceResult *balance.Result) (*bufferedResponse, retry.Cause, string) {
 	// copyRest forwards the rest of the response. Its description is "passed through" even if the response was cut off,
 	// because a response that was forwarded in part is not retried.
 	copyRest := func(prefix []byte) (*bufferedResponse, retry.Cause, string) {
+		if !slowTimer.keep() {
+			jb.mayHaveRun = true
+			return nil, retry.Interrupted, errSlowServer.Error()
+		}
 		if err := jb.copyToClient(response, prefix); err != nil {
 			jb.classifyInterruption(ctx, server, startedAt, err)
 		}
