A slow server keeps its request until another one can take it

Cause: the attempt was given up after half of the remaining time if another server could be tried when it began. By then the retry budget may be used up, or the other server may be leaving or out of reach: the channel was given up before anything better was in hand. A monitor now searches for a server that accepts connections, may get the request, and is allowed by the retry policy, and aborts the attempt only then; else it searches again after half of what is left.

Evidence: two of three cases of TestSlowServerKeepsRequestThatNoOtherCanTake failed before (budget used up meanwhile, other server out of reach); the third, another server that can take it, and TestSlowServerTimeout hold the opposite fault.

--- a/coordination/forward/attempt_time_test.go
+++ b/coordination/forward/attempt_time_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -9,7 +10,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
@@ -75,3 +78,64 @@
 	sb.rest = sb.rest[count:]
 	return count, nil
 }
+
+// spentBudgetServers answers after a delay and spends the service's retry budget meanwhile.
+type spentBudgetServers struct {
+	slowServers
+	spend func()
+	// unreachable holds the addresses that accept no connections.
+	unreachable map[string]bool
+}
+
+func (sv *spentBudgetServers) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
+	if sv.spend != nil {
+		sv.spend()
+	}
+	return sv.slowServers.Send(ctx, attempt)
+}
+
+func (sv *spentBudgetServers) ProbeConnection(_ context.Context, address string) forward.ProbeResult {
+	if sv.unreachable[address] {
+		return forward.Unresponsive
+	}
+	return forward.Reachable
+}
+
+// TestSlowServerKeepsRequestThatNoOtherCanTake guards against requests that are lost because a slow server is given up
+// although by then no other server can take them.
+func TestSlowServerKeepsRequestThatNoOtherCanTake(t *testing.T) {
+	const requestTimeout = 800 * time.Millisecond
+	one, two := serverlist.Server{ID: "one", Address: "one"}, serverlist.Server{ID: "two", Address: "two"}
+	for _, tc := range []struct {
+		name        string
+		spendBudget bool
+		unreachable map[string]bool
+		wantBody    string
+		wantSends   int
+	}{
+		{"another server can take it", false, nil, "from two", 2},
+		{"the retry budget was used up meanwhile", true, nil, "from one", 1},
+		{"the other server can't be reached", false, map[string]bool{"two": true}, "from one", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				backends := &spentBudgetServers{slowServers: slowServers{delays: map[string]time.Duration{"one": 600 * time.Millisecond, "two": 50 * time.Millisecond}}, unreachable: tc.unreachable}
+				balancer := balance.New("", 1)
+				balancer.EndRequest(time.Now(), two, balance.ErrorResponse, nil, time.Millisecond)
+				rn := newRunner(forward.Dependencies{Sender: backends, Fleet: fakeFleet{listed: []serverlist.Server{one, two}}, Balancer: balancer, Retries: retry.New(retry.Config{MaxAttempts: 3, InitialBudget: 10}, 1)})
+				if tc.spendBudget {
+					backends.spend = func() { rn.SetInitialRetryBudget(0) }
+				}
+				client := &fakeClient{}
+				now := time.Now()
+				result := rn.Run(t.Context(), &forward.Request{
+					ID: "request", Service: "service", ArrivedAt: now, Deadline: now.Add(requestTimeout), Route: route.Route{Kind: route.Idempotent, MaxAttempts: 2},
+				}, client)
+				assert.Assert(t, result.Complete, "%+v", result)
+				assert.Equal(t, result.Status, http.StatusOK)
+				assert.Equal(t, client.body.String(), tc.wantBody)
+				assert.Equal(t, len(backends.sentTo), tc.wantSends)
+			})
+		})
+	}
+}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -44,7 +44,7 @@
 			jb.result.Cause = "quarantined: servers crashed while running this content"
 			return
 		}
-		server, wait, ok := jb.chooseServer(ctx, tried)
+		server, wait, ok := jb.takeReplacementOrChoose(ctx, tried)
 		if !ok {
 			jb.backoffWait = wait
 			break
@@ -70,6 +70,9 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if jb.hasReplacement {
+			continue
+		}
 		if retryCause == retry.NotSent {
 			// Attempts that reached no server use up neither the limit of the route nor the retry budget.
 			const maxUnsentAttempts = 3
@@ -99,6 +102,16 @@
 	}
 }
 
+// takeReplacementOrChoose returns the server for which the last attempt was aborted, or else what chooseServer returns.
+func (jb *job) takeReplacementOrChoose(ctx context.Context, tried []id.BackendServer) (serverlist.Server, time.Duration, bool) {
+	if !jb.hasReplacement {
+		return jb.chooseServer(ctx, tried)
+	}
+	jb.hasReplacement = false
+	jb.recordSent(jb.replacement)
+	return jb.replacement, 0, true
+}
+
 // minLimitRetryAfter is the shortest time after which a client is asked to retry because request limits are reached.
 const minLimitRetryAfter = 200 * time.Millisecond
 
@@ -193,17 +206,17 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	remaining := jb.remaining()
-	var slowTimer *slowServerTimer
-	if jb.canTryAnotherServer(tried) {
-		slowTimer = startSlowServerTimer(rn.clock, time.Duration(rn.config.AttemptTimeoutShare*float64(remaining)), func() { cancel(errSlowServer) })
-		defer slowTimer.keep()
-	}
+	monitor := jb.watchSlowServer(ctx, tried, func() { cancel(errSlowServer) })
+	defer func() { jb.replacement, jb.hasReplacement = monitor.takeReplacement() }()
 	response, err := rn.sender.Send(attemptCtx, Attempt{Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID, NewConnection: jb.newConnection, Urgency: -1})
 	if err != nil {
 		if errors.Is(err, ErrNotSent) {
 			balanceResult = balance.Lost
 			return nil, retry.NotSent, err.Error()
 		}
+		if !monitor.keep() {
+			err = errSlowServer
+		}
 		jb.result.PassedOn++
 		jb.sentCount++
 		jb.mayHaveRun = true
@@ -235,20 +248,20 @@
 		}
 		return &bufferedResponse{status: response.Status, header: response.Header, body: body, notRun: true}, retry.BackendRefused, "the server did not run the request"
 	}
-	return jb.handlePlainResponse(ctx, server, startedAt, response, slowTimer, &balanceResult)
+	return jb.handlePlainResponse(ctx, server, startedAt, response, monitor, &balanceResult)
 }
 
 // classifyInterruption returns the retry cause of an attempt that ended without a complete response, after checking
-// whether its server crashed. If the request's deadline has passed, the check runs in the background. If the client has
-// disconnected, there is no check.
+// whether its server crashed. If the request's deadline has passed or another server takes the request, the check runs in
+// the background. If the client has disconnected, there is no check.
 func (jb *job) classifyInterruption(ctx context.Context, server serverlist.Server, startedAt time.Time, err error) retry.Cause {
 	rn := jb.runner
 	switch {
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && !errors.Is(err, errSlowServer):
 		if jb.checkForCrash(ctx, server, startedAt, rn.probeConnection(ctx, server), err) {
 			return retry.Crashed
 		}
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case ctx.Err() == nil, errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		rn.background.Go(func() {
 			jb.checkForCrash(context.Background(), server, startedAt, rn.probeConnection(context.Background(), server), err)
 		})
@@ -274,11 +287,11 @@
 
 // handlePlainResponse reads a response and forwards it, unless it is a failure that justifies another attempt. Streams
 // and responses larger than the buffer are forwarded as they arrive. The results are those of attemptPlain.
-func (jb *job) handlePlainResponse(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response, slowTimer *slowServerTimer, balanceResult *balance.Result) (*bufferedResponse, retry.Cause, string) {
+func (jb *job) handlePlainResponse(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response, monitor *slowServerMonitor, balanceResult *balance.Result) (*bufferedResponse, retry.Cause, string) {
 	// copyRest forwards the rest of the response. Its description is "passed through" even if the response was cut off,
 	// because a response that was forwarded in part is not retried.
 	copyRest := func(prefix []byte) (*bufferedResponse, retry.Cause, string) {
-		if !slowTimer.keep() {
+		if !monitor.keep() {
 			jb.mayHaveRun = true
 			return nil, retry.Interrupted, errSlowServer.Error()
 		}
@@ -293,6 +306,9 @@
 	}
 	body, complete, err := readUpTo(response.Body, jb.runner.config.ResponseBufferBytes)
 	if err != nil {
+		if !monitor.keep() {
+			err = errSlowServer
+		}
 		jb.mayHaveRun = true
 		if ctx.Err() == nil {
 			*balanceResult = balance.Lost
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -30,7 +30,7 @@
 	// response that fails within this size can still be replaced by that of another attempt.
 	ResponseBufferBytes int64
 	// AttemptTimeoutShare is the part of the remaining time that one server gets for a repeatable request before
-	// another server is tried.
+	// another server is tried, if one can take the request by then.
 	AttemptTimeoutShare float64
 	// IdleBeforeProbe is how long a stream may be idle before its engine is probed. Ahead of the first event, the
 	// predicted time until that event is added.
@@ -323,6 +323,10 @@
 	// the current attempt runs isolated, until its first event.
 	isolationMutex sync.Mutex
 	isolatedParts  []id.PromptPart
+	// replacement is the server for which the last attempt was aborted because its server was slow to answer; it is set if
+	// hasReplacement is.
+	replacement    serverlist.Server
+	hasReplacement bool
 	// newConnection makes further attempts use new connections, because a reused one ended without a response.
 	newConnection bool
 }
