Requests that wait for a grant are refused while their clients can still receive it

Cause: a waiting request was refused when its prompt could no longer be read before its client leaves. For a short prompt that is the moment at which the client leaves; the ways and the start of the engine were left out. The refusal now comes StartOverhead (100 ms) earlier, also in the prediction at admission, since no first event can come in that time. Besides, the entry host refuses by itself 50 ms before the client leaves if no dispatcher's response has come. Attempts after the first, whose clients may have a part of the answer, are not affected.

Evidence: queueing.txt case 4 and TestWaitingRequestIsRefusedBeforeClientLeaves failed before (still waiting after 1.9 s; 3 s) and pass now.

--- a/coordination/batch/admission.go
+++ b/coordination/batch/admission.go
@@ -52,13 +52,14 @@
 	case len(mc.waitingByID) >= mc.config.MaxWaitingRequests:
 		return outcome.Refuse(outcome.Overloaded, "the queue is full").WithRetryAfter(mc.boundedRetryAfter(maxRetryAfter)), false
 	}
-	if shortestBackoff > 0 && now.Sub(wt.ArrivedAt)+shortestBackoff+wt.readTime/mc.maxPartsPerPrompt() > wt.WaitLimit {
+	if shortestBackoff > 0 && now.Add(shortestBackoff).After(wt.refuseAt) {
 		return outcome.Refuse(outcome.Overloaded, "all engines asked to be left alone").WithRetryAfter(mc.addJitter(shortestBackoff)), false
 	}
 	predictedStart := firstRequestWait + time.Duration(float64(mc.queueFor(wt).totalReadTime)/readers)
-	predictedReadDone := now.Sub(wt.ArrivedAt) + predictedStart + time.Duration(float64(wt.readTime)/max(1, min(readers, float64(mc.config.MaxParts))))
-	if predictedReadDone > wt.WaitLimit {
-		return outcome.Refuse(outcome.Overloaded, "the request can't start in its time").WithRetryAfter(mc.boundedRetryAfter(predictedReadDone - wt.WaitLimit)), false
+	predictedReadTime := time.Duration(float64(wt.readTime) / max(1, min(readers, float64(mc.config.MaxParts))))
+	predictedFirstEvent := now.Sub(wt.ArrivedAt) + predictedStart + predictedReadTime + mc.startTime(wt.Request)
+	if predictedFirstEvent > wt.WaitLimit {
+		return outcome.Refuse(outcome.Overloaded, "the request can't start in its time").WithRetryAfter(mc.boundedRetryAfter(predictedFirstEvent - wt.WaitLimit)), false
 	}
 	return outcome.Outcome{}, true
 }
--- a/coordination/batch/queue.go
+++ b/coordination/batch/queue.go
@@ -20,8 +20,8 @@
 	latestStart time.Time
 	// sortTime orders requests of the same priority; the earliest goes first.
 	sortTime time.Time
-	// refuseAt is when the request is refused if it still waits: after that its prompt can't be read before the client
-	// stops waiting, even if as many engines as possible read it.
+	// refuseAt is when the request is refused if it still waits: after that its first event can't come before the client
+	// stops waiting, even if as many engines as possible read the prompt.
 	refuseAt time.Time
 	// removed says that the request no longer waits. It may still be in waitDeadlines.
 	removed bool
@@ -113,7 +113,7 @@
 	maxParts := mc.maxPartsPerPrompt()
 	plannedParts := mc.plannedPartsPerPrompt()
 	wt.latestStart = rq.ArrivedAt.Add(rq.FirstEventTarget - wt.readTime/plannedParts - mc.config.StartOverhead)
-	wt.refuseAt = rq.ArrivedAt.Add(rq.WaitLimit - wt.readTime/maxParts)
+	wt.refuseAt = rq.ArrivedAt.Add(rq.WaitLimit - wt.readTime/maxParts - mc.startTime(rq))
 	backlog := time.Duration(mc.config.BacklogWeight * float64(mc.queueFor(wt).readTimeByOrganisation[rq.Organisation]))
 	wt.sortTime = wt.latestStart.Add((time.Duration(mc.config.ReadTimeWeight)*wt.readTime + backlog) / plannedParts)
 	if mc.config.FirstComeFirstServed {
@@ -122,6 +122,15 @@
 	return wt
 }
 
+// startTime returns the time between a grant and the first event that is not spent on reading. It is zero for attempts
+// after the first, whose clients may have received a part of the answer and can't be refused any more.
+func (mc *Machine) startTime(rq Request) time.Duration {
+	if rq.AttemptNumber > 1 {
+		return 0
+	}
+	return mc.config.StartOverhead
+}
+
 // maxPartsPerPrompt returns the number of engines that could read one prompt together, at least 1. It counts leaving
 // engines too. It is a Duration so that reading times can be divided by it.
 func (mc *Machine) maxPartsPerPrompt() time.Duration {
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -32,6 +32,9 @@
 	// dispatcherWaitShare is the fraction of a request's first-event target after which the local host chooses the engines
 	// itself, if a call to a dispatcher has failed.
 	dispatcherWaitShare = 0.7
+	// refusalLead is how long before a client stops waiting its request is refused if no dispatcher has responded, so that the
+	// client receives the refusal.
+	refusalLead = 50 * time.Millisecond
 	// reportDelay is how long started attempts, ended grants and evidence are batched before they are reported.
 	reportDelay = 5 * time.Millisecond
 	// heldReportPeriod is the time between reports of all held grants.
@@ -121,10 +124,16 @@
 	return nil
 }
 
-// Acquire requests a grant and waits for it until the context ends. It fails over to the next dispatcher in order when
-// a call to a dispatcher fails, and chooses the engines itself if no dispatcher can be reached in time.
+// Acquire requests a grant and waits for it until the context ends or, for a first attempt, until shortly before the
+// client stops waiting. It fails over to the next dispatcher in order when a call to a dispatcher fails, and chooses the
+// engines itself if no dispatcher can be reached in time.
 func (cl *Client) Acquire(ctx context.Context, request GrantRequest) (batch.Grant, outcome.Outcome) {
 	request.Host = cl.host
+	if request.AttemptNumber <= 1 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, request.ArrivedAt.Add(request.WaitLimit-refusalLead).Sub(cl.clock.Now()))
+		defer cancel()
+	}
 	responses := cl.addWaiter(request.ID)
 	defer cl.removeWaiter(request.ID)
 	select {
