A stream leaves a silent engine only for one that accepts connections

Cause: a grant on another engine was taken for a place in hand. The engine is now asked for a connection first, which the attempt then uses; if it accepts none, the dispatcher learns of it and the stream stays.

Evidence: the two cases "the other engine can't be reached" of TestSilentEngineDoesNotEndStream failed before (sent twice) and pass now; the case "another engine has room" holds the opposite fault.

--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -42,7 +42,7 @@
 }
 
 // findFailover requests a grant on another engine for a stream that has stalled or whose engine does not respond, and
-// stores it. It reports whether it got one and the retry policy allows its use. The grant on the first engine stays valid
+// stores it. It reports whether it got one, the engine accepts connections and the retry policy allows its use. The grant on the first engine stays valid
 // meanwhile, because the new request to the dispatcher has its own id. The number of attempts made includes the current
 // one. ctx ends when the stream goes on.
 func (st *engineJob) findFailover(ctx context.Context, grantRequest broker.GrantRequest, stalledEngine id.Engine, attemptsMade int) bool {
@@ -64,10 +64,20 @@
 			"reason", string(oc.Reason), "detail", oc.Detail)
 		return false
 	}
-	if acquireCtx.Err() == nil && st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade) {
+	ended := broker.EndedGrant{Request: grantRequest.ID, Attempt: grant.Attempt}
+	primary := grant.Parts[0]
+	switch {
+	case acquireCtx.Err() != nil:
+	case rn.probeConnection(acquireCtx, rn.serverOfPart(st.request.Service, primary)) != Reachable:
+		if acquireCtx.Err() == nil {
+			ended.FailedEngine, ended.Fault = primary.Engine, batch.Unreachable
+		}
+		rn.logger.Info("stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(stalledEngine),
+			"reason", "the next engine can't be reached", "next", string(primary.Engine))
+	case st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade):
 		st.failover.store(grantRequest, grant)
 		return true
 	}
-	rn.dispatcher.ReportEnded(broker.EndedGrant{Request: grantRequest.ID, Attempt: grant.Attempt})
+	rn.dispatcher.ReportEnded(ended)
 	return false
 }
--- a/coordination/forward/silence_test.go
+++ b/coordination/forward/silence_test.go
@@ -15,7 +15,18 @@
 )
 
 // silentServers are streaming servers that respond to no probe.
-type silentServers struct{ streamingServers }
+type silentServers struct {
+	streamingServers
+	// unreachable holds the addresses that accept no connections.
+	unreachable map[string]bool
+}
+
+func (ss *silentServers) ProbeConnection(_ context.Context, address string) forward.ProbeResult {
+	if ss.unreachable[address] {
+		return forward.Unresponsive
+	}
+	return forward.Reachable
+}
 
 func (*silentServers) ProbeHTTP(context.Context, string) bool { return false }
 
@@ -36,14 +47,17 @@
 		// hostStops makes the host reject requests that wait for grants from the start.
 		hostStops bool
 		grants    []batch.Grant
-		wantSends int
+		// unreachable holds the addresses that accept no connections.
+		unreachable map[string]bool
+		wantSends   int
 	}{
-		{"another engine has room", rt, 100, false, other, 2},
-		{"no grant on another engine", rt, 100, false, nil, 1},
-		{"no retry budget", rt, 0, false, other, 1},
-		{"host is stopping", rt, 100, true, other, 1},
-		{"single attempt", singleAttempt, 100, false, other, 1},
-		{"not resumable", notResumable, 100, false, other, 1},
+		{"another engine has room", rt, 100, false, other, nil, 2},
+		{"no grant on another engine", rt, 100, false, nil, nil, 1},
+		{"no retry budget", rt, 0, false, other, nil, 1},
+		{"host is stopping", rt, 100, true, other, nil, 1},
+		{"single attempt", singleAttempt, 100, false, other, nil, 1},
+		{"not resumable", notResumable, 100, false, other, nil, 1},
+		{"the other engine can't be reached", rt, 100, false, other, map[string]bool{"two:80": true}, 1},
 	} {
 		for name, chunks := range map[string][]chunk{
 			"within the stream":      {{0, event1}, {silence, event2}, {silence, event3}},
@@ -56,7 +70,7 @@
 					if len(chunks) > 1 && chunks[0].delay > 0 {
 						resumed = slowBody{chunks: []chunk{{0, event1}, {0, event2}, {0, event3}}}
 					}
-					backends := &silentServers{streamingServers{bodyByAddress: map[string]slowBody{"one:80": {chunks: chunks}, "two:80": resumed}}}
+					backends := &silentServers{streamingServers: streamingServers{bodyByAddress: map[string]slowBody{"one:80": {chunks: chunks}, "two:80": resumed}}, unreachable: tc.unreachable}
 					rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}, Retries: retry.New(retry.Config{MaxAttempts: 3, InitialBudget: tc.budget}, 1)})
 					if tc.hostStops {
 						time.AfterFunc(silence/4, rn.RejectWaiting)
@@ -78,7 +92,7 @@
 func TestSilentEngineIsReportedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dispatcher := &fakeDispatcher{grants: []batch.Grant{grantOn("1", "one")}}
-		backends := &silentServers{streamingServers{bodyByAddress: map[string]slowBody{"one:80": {repeated: chunk{time.Hour, "x"}}}}}
+		backends := &silentServers{streamingServers: streamingServers{bodyByAddress: map[string]slowBody{"one:80": {repeated: chunk{time.Hour, "x"}}}}}
 		rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}})
 		now := time.Now()
 		result := rn.Run(t.Context(), &forward.Request{
