Connections to backend servers have no timeout for unacknowledged bytes

Cause: an end by silence outside of the deadlines of requests. Every use of such a connection has a deadline of its own: requests and probes by their context, streams by the monitor, memory orders 500 ms, calls to the store their call timeout. The sockets had no keep-alive probes, whose count the option would have overruled; they have neither now. Sockets between hosts, of clients and of the store's calls set no such option.

--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -23,19 +23,15 @@
 	KeepAliveMargin time.Duration
 	// MaxIdlePerAddress limits the idle connections to one address.
 	MaxIdlePerAddress int
-	// UnacknowledgedTimeout is how long sent bytes may stay unacknowledged before the kernel closes the connection
-	// (TCP_USER_TIMEOUT).
-	UnacknowledgedTimeout time.Duration
 }
 
 // DefaultConfig returns the timeouts and limits that hosts use.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:           400 * time.Millisecond,
-		IdleTimeout:           8 * time.Second,
-		KeepAliveMargin:       500 * time.Millisecond,
-		MaxIdlePerAddress:     8,
-		UnacknowledgedTimeout: 2 * time.Second,
+		DialTimeout:       400 * time.Millisecond,
+		IdleTimeout:       8 * time.Second,
+		KeepAliveMargin:   500 * time.Millisecond,
+		MaxIdlePerAddress: 8,
 	}
 }
 
@@ -130,14 +126,14 @@
 	pl.idle[cn.address] = append(pl.idle[cn.address], cn)
 }
 
-// dial opens a connection to an address.
+// dial opens a connection to an address. The connection has no timeouts of its own: a request ends with its context, because
+// a server that is silent for a moment may still answer.
 func (pl *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: pl.config.DialTimeout, KeepAlive: -1}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	setUserTimeout(connection, pl.config.UnacknowledgedTimeout)
 	limited := &limitedReader{Reader: connection, remaining: unlimited}
 	return &conn{Conn: connection, address: address, limitedReader: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
--- a/transport/backend/socket.go
+++ b/transport/backend/socket.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,19 +27,3 @@
 	})
 	return err == nil && open
 }
-
-// setUserTimeout limits how long sent bytes may stay unacknowledged. If the system does not support the option, its
-// default applies.
-func setUserTimeout(connection net.Conn, timeout time.Duration) {
-	syscallConn, ok := connection.(syscall.Conn)
-	if !ok {
-		return
-	}
-	rawConn, err := syscallConn.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = rawConn.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-}
