The product's own front keeps an attempt at a silent engine if no other may follow it

Evidence: case 18 of coordination/modelcall/testdata/scripts/runs.txt ended as retries_exhausted after the first token before, and is complete now; cases 2 to 5 hold the opposite fault.

--- a/coordination/modelcall/runner.go
+++ b/coordination/modelcall/runner.go
@@ -120,24 +120,36 @@
 	}
 }
 
-// decideRetry asks the retry policy whether to run another attempt. A request may always be repeated, because tokens
-// that were already delivered are not delivered again.
-func (rn *Runner) decideRetry(state *requestState, cause retry.Cause) retry.Decision {
-	rn.mutex.Lock()
-	defer rn.mutex.Unlock()
-	decision := rn.retries.Decide(retry.Failure{
+// retryFailure describes a failed attempt for the retry policy. A request may always be repeated, because tokens that were
+// already delivered are not delivered again.
+func (rn *Runner) retryFailure(state *requestState, cause retry.Cause) retry.Failure {
+	return retry.Failure{
 		Service:       state.call.Service,
 		Cause:         cause,
 		AttemptsMade:  state.summary.Attempts,
 		Idempotent:    true,
 		UntilDeadline: state.call.Deadline.Sub(rn.clock.Now()),
-	})
+	}
+}
+
+// decideRetry asks the retry policy whether to run another attempt.
+func (rn *Runner) decideRetry(state *requestState, cause retry.Cause) retry.Decision {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	decision := rn.retries.Decide(rn.retryFailure(state, cause))
 	if decision.BudgetExhausted {
 		rn.metrics.Counter("retry_budget_exhausted").Inc(1)
 	}
 	return decision
 }
 
+// retryAllowed reports whether the retry policy would allow another attempt.
+func (rn *Runner) retryAllowed(state *requestState, cause retry.Cause) bool {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.retries.Allows(rn.retryFailure(state, cause))
+}
+
 // outcomeWithoutRetry returns the outcome of a request whose last attempt failed and that is not retried: a refusal if
 // no engine can have run it, or else a failure.
 func (rn *Runner) outcomeWithoutRetry(state *requestState, cause retry.Cause) outcome.Outcome {
--- a/coordination/modelcall/runner_test.go
+++ b/coordination/modelcall/runner_test.go
@@ -269,9 +269,9 @@
 }
 
 // runScripts runs one call with the given time until its deadline and waits for the cleanup after it.
-func runScripts(engines *fakeEngines, timeout time.Duration, callerLeavesAt int) runResult {
+func runScripts(engines *fakeEngines, timeout time.Duration, callerLeavesAt int, retries retry.Config) runResult {
 	runner := modelcall.NewRunner(modelcall.DefaultConfig(), timer.NewSystem(), engines, engines, engines,
-		retry.New(retry.DefaultConfig(), 1), tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
+		retry.New(retries, 1), tally.NoopScope, slog.New(slog.DiscardHandler), noop.NewTracerProvider().Tracer(""))
 	collector := &tokenCollector{callerLeavesAt: callerLeavesAt}
 	startedAt := time.Now()
 	_, callOutcome := runner.Run(engines.ctx, modelcall.Call{
@@ -285,8 +285,8 @@
 }
 
 // TestScriptedStreams runs the scripts in testdata with virtual time. Each line of a script is a streamScript.
-// Arguments of run are the deadline, the number of parts of each grant, the token at which the caller leaves, and the
-// first acquire that hangs.
+// Arguments of run are the deadline, the number of parts of each grant, the token at which the caller leaves, the first
+// acquire that hangs, and whether there is no retry budget.
 func TestScriptedStreams(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
@@ -295,6 +295,10 @@
 			td.MaybeScanArgs(t, "parts", &partsPerGrant)
 			td.MaybeScanArgs(t, "caller-leaves-at", &callerLeavesAt)
 			td.MaybeScanArgs(t, "hang-from-acquire", &hangFromAcquire)
+			retries := retry.DefaultConfig()
+			if td.HasArg("no-budget") {
+				retries.InitialBudget, retries.BudgetRatio = 0, 0
+			}
 			timeout, err := time.ParseDuration(deadline)
 			assert.NilError(t, err)
 			var scripts []streamScript
@@ -305,7 +309,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				engines := newFakeEngines(t.Context(), scripts, partsPerGrant)
 				engines.hangFromAcquire = hangFromAcquire
-				result = runScripts(engines, timeout, callerLeavesAt)
+				result = runScripts(engines, timeout, callerLeavesAt, retries)
 			})
 			assert.Assert(t, result.elapsed <= timeout+100*time.Millisecond, "answered after %s", result.elapsed)
 			return fmt.Sprintf("%q %s %s within deadline, attempts %v, held attempts %d\n",
@@ -328,7 +332,7 @@
 		partsPerGrant := rapid.IntRange(1, 3).Draw(rt, "parts")
 		var result runResult
 		synctest.Test(t, func(t *testing.T) {
-			result = runScripts(newFakeEngines(t.Context(), scripts, partsPerGrant), 10*time.Second, -1)
+			result = runScripts(newFakeEngines(t.Context(), scripts, partsPerGrant), 10*time.Second, -1, retry.DefaultConfig())
 		})
 		if result.elapsed > 10*time.Second+100*time.Millisecond {
 			rt.Fatalf("answered after %s", result.elapsed)
--- a/coordination/modelcall/streams.go
+++ b/coordination/modelcall/streams.go
@@ -168,7 +168,7 @@
 
 // handleEvents handles the events of all streams until the attempt has ended, its grant is revoked or the context ends.
 // If no event arrives for IdleBeforeProbe, it probes the engines in the background. The attempt continues if all of
-// them answer.
+// them answer, and if one does not but the request may not be retried.
 func (as *attemptStreams) handleEvents(ctx context.Context) attemptResult {
 	rn := as.runner
 	revoked := rn.dispatchers.RevocationSignal(as.grant.Attempt)
@@ -197,7 +197,8 @@
 			}
 		case probeResult := <-probeResults:
 			probing = false
-			if probeResult.kind != failed {
+			// An unresponsive engine may go on at any moment, so the attempt continues if no other may follow it.
+			if probeResult.kind == crashed || probeResult.kind == unresponsive && rn.retryAllowed(as.state, probeResult.cause) {
 				return probeResult
 			}
 			lastActivity = rn.clock.Now()
