A leaving host accepts new requests for 2.5 s at most

Cause: a leaving host accepted requests for 0.4 of the time that it has to stop (3.2 s of 8), and aborted at 0.92 what had not ended; what was taken later than 3 s after the signal has to be answered. With more time the gap grows: one second at 10 s, 9 s at 30 s. The host now accepts them for 0.3 of that time and never longer than 2.5 s; its clients have other hosts, and a refusal says that nothing ran.

--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -7,10 +7,15 @@
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
+// maxAcceptTime is the longest time during which a leaving host still accepts new requests. A host that accepted them for
+// longer would have to abort those that take as long as a client waits.
+const maxAcceptTime = 2500 * time.Millisecond
+
 // Parts of the shutdown timeout.
 const (
-	// acceptShare is the part during which the host still accepts new requests, from clients that have cached its address.
-	acceptShare = 0.4
+	// acceptShare is the part during which the host still accepts new requests, from clients that have cached its address,
+	// up to maxAcceptTime.
+	acceptShare = 0.3
 	// abortShare is the part after which the host aborts the requests that it can't finish, so that their clients still
 	// get a response.
 	abortShare = 0.92
@@ -18,6 +23,11 @@
 	exitShare = 0.96
 )
 
+// acceptTime returns how long a leaving host accepts new requests if it has the given time to stop.
+func acceptTime(grace time.Duration) time.Duration {
+	return min(maxAcceptTime, time.Duration(acceptShare*float64(grace)))
+}
+
 // shutDown withdraws the host from the addresses that clients are given, continues to serve clients that have cached
 // its address for a while, and returns when all requests in flight have finished or the time is over. Requests that
 // still wait for a grant when the host stops accepting new ones are refused; they have not run.
@@ -34,8 +44,7 @@
 		ht.grantServer.Leave()
 	}
 	go ht.gossip.Leave(ctx)
-	acceptTime := time.Duration(acceptShare * float64(grace))
-	timer.Sleep(ctx, ht.clock, acceptTime)
+	timer.Sleep(ctx, ht.clock, acceptTime(grace))
 	ht.clientHandler.RefuseNewRequests()
 	ht.forwarder.RejectWaiting()
 	graceShareEnd := func(share float64) time.Time { return startedLeavingAt.Add(time.Duration(share * float64(grace))) }
