A host may open connections to servers with a dialer of its own

site.WithDialer gives the pool of connections a function in place of net.Dialer (backend.Config.Dial). Tests cut a host off from servers with it. The timeout of dials is now the deadline of the context that the function gets; net.Dialer reports it as the same error (i/o timeout). The store is reached through the same pool, so that the function opens the connections to it, too.

--- a/site/host.go
+++ b/site/host.go
@@ -146,7 +146,9 @@
 		clientOptions = append(clientOptions, connect.WithInterceptors(interceptor))
 		ht.handlerOptions = append(ht.handlerOptions, connect.WithInterceptors(interceptor))
 	}
-	ht.pool = backend.NewPool(backend.DefaultConfig(), ht.clock)
+	poolConfig := backend.DefaultConfig()
+	poolConfig.Dial = hostOptions.dial
+	ht.pool = backend.NewPool(poolConfig, ht.clock)
 	ht.peerClient = peer.NewHTTP1Client(ht.localMember, ht.clock, clientOptions...)
 	gossipConfig := gossip.DefaultConfig()
 	gossipConfig.Seeds = ht.settings.Peers.Seeds
--- a/site/options.go
+++ b/site/options.go
@@ -7,6 +7,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/backend"
 )
 
 // Option overrides a default of a host.
@@ -18,6 +19,7 @@
 	logger   *slog.Logger
 	traces   *telemetry.Traces
 	seed     uint64
+	dial     backend.DialFunc
 }
 
 // WithSettings sets the host's settings.
@@ -45,6 +47,12 @@
 	return func(hostOptions *options) { hostOptions.seed = seed }
 }
 
+// WithDialer sets the function that opens connections to backend servers and to the store. By default they are opened
+// with net.Dialer.
+func WithDialer(dial backend.DialFunc) Option {
+	return func(hostOptions *options) { hostOptions.dial = dial }
+}
+
 func newOptions(opts []Option) options {
 	resolved := options{
 		settings: settings.Default(),
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -26,8 +26,13 @@
 	// UnacknowledgedTimeout is how long sent bytes may stay unacknowledged before the kernel closes the connection
 	// (TCP_USER_TIMEOUT).
 	UnacknowledgedTimeout time.Duration
+	// Dial opens connections. If it is nil, they are opened with net.Dialer.
+	Dial DialFunc
 }
 
+// DialFunc opens a connection, like net.Dialer.DialContext. It returns at the latest when the context ends.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // DefaultConfig returns the timeouts and limits that hosts use.
 func DefaultConfig() Config {
 	return Config{
@@ -132,8 +137,13 @@
 
 // dial opens a connection to an address.
 func (pl *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: pl.config.DialTimeout, KeepAlive: -1}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	dial := pl.config.Dial
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, pl.config.DialTimeout)
+	defer cancel()
+	connection, err := dial(dialCtx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/transport/backend/pool_test.go
+++ b/transport/backend/pool_test.go
@@ -206,3 +206,18 @@
 		assert.Equal(t, errors.Is(err, ErrStaleConnection), tc.stale, "%+v: %v", tc, err)
 	}
 }
+
+// TestDialFunction checks that the pool opens connections with the function of its configuration, which gets a context
+// that ends after the timeout of dials.
+func TestDialFunction(t *testing.T) {
+	config := DefaultConfig()
+	config.DialTimeout = 10 * time.Millisecond
+	config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		assert.Equal(t, network+" "+address, "tcp server:80")
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	pool := NewPool(config, timer.NewSystem())
+	defer pool.Close()
+	assert.ErrorIs(t, pool.Preconnect(t.Context(), "server:80"), context.DeadlineExceeded)
+}
