--- a/site/env_test.go
+++ b/site/env_test.go
@@ -41,6 +41,8 @@
 	shutdownTimeout time.Duration
 	// unreachablePeers makes hosts announce an address at which other hosts can't reach them.
 	unreachablePeers bool
+	// linkedHosts makes hosts reach servers through links that a test can cut.
+	linkedHosts bool
 	// hostOptions are the options of hosts in addition to their settings.
 	hostOptions []site.Option
 }
@@ -68,9 +70,14 @@
 	}
 }
 
-// addServer starts a server of a service and adds it to the list of servers.
+// addServer starts a server of a service in zone-a and adds it to the list of servers.
 func (env *testEnv) addServer(name, service string) *standin.Server {
-	server := standin.NewServer(name, service, "zone-a")
+	return env.addServerInZone(name, service, "zone-a")
+}
+
+// addServerInZone starts a server of a service in an availability zone and adds it to the list of servers.
+func (env *testEnv) addServerInZone(name, service, zone string) *standin.Server {
+	server := standin.NewServer(name, service, zone)
 	env.servers[name] = server
 	env.t.Cleanup(server.Close)
 	env.store.ListServer(server)
@@ -102,6 +109,8 @@
 	settings settings.Settings
 	stop     context.CancelFunc
 	runEnded chan error
+	// links are the links to servers, or nil if the host reaches them directly.
+	links *standin.Links
 }
 
 // startHost starts a host and, if awaitReady is set, waits until it is ready.
@@ -119,10 +128,16 @@
 	}
 	hostSettings.Operators.ShutdownTimeout = env.shutdownTimeout
 	hostSettings.Retries = settings.Retries{Share: 1, Slack: 100}
-	siteHost, err := site.New(append([]site.Option{site.WithSettings(hostSettings), site.WithSeed(1)}, env.hostOptions...)...)
+	hostOptions := append([]site.Option{site.WithSettings(hostSettings), site.WithSeed(1)}, env.hostOptions...)
+	var links *standin.Links
+	if env.linkedHosts {
+		links = standin.NewLinks()
+		hostOptions = append(hostOptions, site.WithDialer(links.Dial))
+	}
+	siteHost, err := site.New(hostOptions...)
 	assert.NilError(env.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &testHost{settings: siteHost.Settings(), stop: cancel, runEnded: make(chan error, 1)}
+	started := &testHost{settings: siteHost.Settings(), stop: cancel, runEnded: make(chan error, 1), links: links}
 	go func() { started.runEnded <- siteHost.Run(ctx) }()
 	env.t.Cleanup(func() {
 		cancel()
