--- a/coordination/batch/admission.go
+++ b/coordination/batch/admission.go
@@ -53,7 +53,7 @@
 		return outcome.Refuse(outcome.Overloaded, "the queue is full").WithRetryAfter(mc.boundedRetryAfter(maxRetryAfter)), false
 	}
 	if shortestBackoff > 0 && now.Add(shortestBackoff).After(wt.refuseAt) {
-		return outcome.Refuse(outcome.Overloaded, "all engines asked to be left alone").WithRetryAfter(mc.addJitter(shortestBackoff)), false
+		return outcome.Refuse(outcome.Overloaded, "all engines asked to be left alone or are out of reach of the host").WithRetryAfter(mc.addJitter(shortestBackoff)), false
 	}
 	predictedStart := firstRequestWait + time.Duration(float64(mc.queueFor(wt).totalReadTime)/readers)
 	predictedReadTime := time.Duration(float64(wt.readTime) / max(1, min(readers, float64(mc.config.MaxParts))))
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -227,8 +227,10 @@
 		findFailover: func(searchCtx context.Context) bool {
 			return st.findFailover(searchCtx, grantRequest, primary.Engine, attemptsMade)
 		},
-		handleUnresponsive: func(checkCtx context.Context) { st.handleUnresponsive(checkCtx, primary.Engine) },
-		abort:              func(err error) { cancel(err) },
+		handleNoResponse: func(checkCtx context.Context, result ProbeResult) {
+			st.handleNoResponse(checkCtx, primary.Engine, result)
+		},
+		abort: func(err error) { cancel(err) },
 	})
 	defer monitor.stop()
 	if st.rejectQuarantined() {
@@ -266,19 +268,25 @@
 	return st.forwardEvents(sendCtx, ctx, grant, response, monitor)
 }
 
-// handleUnresponsive reports to the dispatcher that the engine of the current attempt does not respond, and checks whether
-// it crashed. The attempt stays there meanwhile.
-func (st *engineJob) handleUnresponsive(ctx context.Context, engine id.Engine) {
-	st.runner.logger.Info("engine does not respond", "request", st.request.ID, "engine", string(engine))
+// handleNoResponse handles the result of a probe to which the engine of the current attempt did not respond. If the engine
+// has failed, and not this host's link to it, the dispatcher learns of that, and it is checked whether the engine crashed.
+// The attempt stays there meanwhile.
+func (st *engineJob) handleNoResponse(ctx context.Context, engine id.Engine, result ProbeResult) {
+	st.runner.logger.Info("engine does not respond", "request", st.request.ID, "engine", string(engine), "health", result.String())
+	if !result.saysServerFailed() {
+		return
+	}
 	st.runner.dispatcher.ReportEnded(broker.EndedGrant{Service: st.request.Service, FailedEngine: engine, Fault: batch.Unresponsive})
 	st.checkForCrash(ctx, st.server, st.grantedAt, Unresponsive, errUnresponsive)
 }
 
 // errUnresponsive is the cause of aborting an attempt whose engine does not respond, once the stream can go on at another
-// engine. errStalled is the cause of aborting one whose stream makes no progress although the engine may still respond,
-// or whose first event did not arrive before the deadline for using the reserved memory.
+// engine. errLinkLost is the cause if only this host does not reach the engine. errStalled is the cause of aborting an
+// attempt whose stream makes no progress although the engine may still respond, or whose first event did not arrive before
+// the deadline for using the reserved memory.
 var (
 	errUnresponsive = errors.New("the engine is silent")
+	errLinkLost     = errors.New("the link to the engine is lost")
 	errStalled      = errors.New("the stream has stalled")
 )
 
@@ -300,7 +308,12 @@
 		if ctx.Err() != nil {
 			return broker.EndedGrant{}, attemptResult{reason: "ended before it was sent", retryCause: retry.NotSent}
 		}
-		return broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unreachable}, attemptResult{reason: err.Error(), retryCause: retry.NotSent}
+		ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unreachable}
+		if errors.Is(err, ErrUndetermined) {
+			ended.Fault = batch.NoFault
+			st.runner.recordUnreachable(st.server)
+		}
+		return ended, attemptResult{reason: err.Error(), retryCause: retry.NotSent}
 	}
 	st.result.PassedOn++
 	st.sentCount++
@@ -313,15 +326,16 @@
 // attempt, ctx that of the request.
 //
 // A stalled stream is reported as Unresponsive, a crashed engine and one that accepts no connections any more as
-// Unreachable; the dispatcher backs off longer from these. handleUnresponsive has reported an unresponsive engine. If the
-// engine still accepts connections, only its response failed, and it is reported as ErrorResponse.
+// Unreachable; the dispatcher backs off longer from these. handleNoResponse has reported an unresponsive engine. If the
+// engine still accepts connections, only its response failed, and it is reported as ErrorResponse. A lost link says nothing
+// about the engine.
 func (st *engineJob) classifyLoss(sendCtx, ctx context.Context, primary batch.Part, err error) (broker.EndedGrant, attemptResult) {
 	if ctx.Err() != nil {
 		return broker.EndedGrant{}, attemptResult{reason: "ended: " + context.Cause(ctx).Error(), retryCause: retry.Interrupted}
 	}
 	ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unresponsive}
 	switch cause := context.Cause(sendCtx); {
-	case errors.Is(cause, errUnresponsive):
+	case errors.Is(cause, errUnresponsive), errors.Is(cause, errLinkLost):
 		ended.Fault = batch.NoFault
 		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
 	case errors.Is(cause, errStalled):
@@ -332,9 +346,13 @@
 		ended.Fault = batch.Unreachable
 		return ended, attemptResult{reason: "the engine crashed: " + err.Error(), retryCause: retry.Crashed}
 	}
-	ended.Fault = batch.ErrorResponse
-	if probeResult == Unresponsive {
+	switch probeResult {
+	case Unresponsive, ConnectionRefused:
 		ended.Fault = batch.Unreachable
+	case ReachableThroughPeer, Undetermined:
+		ended.Fault = batch.NoFault
+	default:
+		ended.Fault = batch.ErrorResponse
 	}
 	return ended, attemptResult{reason: "the engine broke off: " + err.Error(), retryCause: retry.Interrupted}
 }
--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -8,6 +8,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
 // failoverGrant holds a grant on another engine for a stream that has stalled or whose engine does not respond. The stream stays at its engine until
@@ -68,10 +69,7 @@
 	primary := grant.Parts[0]
 	switch {
 	case acquireCtx.Err() != nil:
-	case rn.probeConnection(acquireCtx, rn.serverOfPart(st.request.Service, primary)) != Reachable:
-		if acquireCtx.Err() == nil {
-			ended.FailedEngine, ended.Fault = primary.Engine, batch.Unreachable
-		}
+	case !rn.accepts(acquireCtx, rn.serverOfPart(st.request.Service, primary), &ended):
 		rn.logger.Info("stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(stalledEngine),
 			"reason", "the next engine can't be reached", "next", string(primary.Engine))
 	case st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade):
@@ -81,3 +79,13 @@
 	rn.dispatcher.ReportEnded(ended)
 	return false
 }
+
+// accepts reports whether an engine accepts connections, from this host or another one. If it has failed, the report to the
+// dispatcher says so.
+func (rn *Runner) accepts(ctx context.Context, engine serverlist.Server, ended *broker.EndedGrant) bool {
+	result := rn.probeConnection(ctx, engine)
+	if result.saysServerFailed() && ctx.Err() == nil {
+		ended.FailedEngine, ended.Fault = id.Engine(engine.ID), batch.Unreachable
+	}
+	return result.Alive()
+}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -94,7 +94,7 @@
 	case jb.result.Attempts == 0 && jb.limitReached:
 		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "the request limits of the service's servers are reached").WithRetryAfter(rn.addJitter(max(jb.backoffWait, minLimitRetryAfter)))
 	case jb.result.Attempts == 0 && jb.backoffWait > 0:
-		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "all servers of the service want to be left alone").WithRetryAfter(rn.addJitter(jb.backoffWait))
+		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "all servers of the service want to be left alone or are out of reach").WithRetryAfter(rn.addJitter(jb.backoffWait))
 	case jb.result.Attempts == 0:
 		jb.result.Outcome = outcome.Refuse(outcome.NoCapacity, "no server of the service takes requests").WithRetryAfter(time.Second)
 	default:
@@ -212,6 +212,9 @@
 	if err != nil {
 		if errors.Is(err, ErrNotSent) {
 			balanceResult = balance.Lost
+			if errors.Is(err, ErrUndetermined) {
+				rn.recordUnreachable(server)
+			}
 			return nil, retry.NotSent, err.Error()
 		}
 		if !monitor.keep() {
--- a/coordination/forward/slow_server.go
+++ b/coordination/forward/slow_server.go
@@ -131,7 +131,7 @@
 			return serverlist.Server{}, false
 		}
 		permitted := rn.limits.Rate(server) == 0 || rn.limits.Acquire(ctx, jb.request.Service, []serverlist.Server{server}, 0).Granted()
-		if permitted && rn.probeConnection(ctx, server) == Reachable {
+		if permitted && rn.probeConnection(ctx, server).Alive() {
 			return server, true
 		}
 		excluded = append(excluded, server.ID)
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -26,9 +26,10 @@
 	// findFailover acquires a grant on another engine for the stream and reports whether it succeeded. Its context ends
 	// when the engine shows that it is alive or, for a stalled stream, when the stream makes progress.
 	findFailover func(context.Context) bool
-	// handleUnresponsive is called once if the engine does not respond to a probe, with a context like that of findFailover.
-	handleUnresponsive func(context.Context)
-	// abort ends the attempt with errUnresponsive or errStalled as its cause.
+	// handleNoResponse is called if the engine does not respond to a probe of this host, with the result and a context like
+	// that of findFailover. Equal results in a row are passed on once.
+	handleNoResponse func(context.Context, ProbeResult)
+	// abort ends the attempt with errUnresponsive, errLinkLost or errStalled as its cause.
 	abort func(error)
 	// firstEventDeadline is when the attempt is aborted if no event with an id has come, because memory is reserved for
 	// it; zero for no deadline.
@@ -43,10 +44,10 @@
 	// arrived. Both start at the predicted time of the first event.
 	lastActivity time.Time
 	lastProgress time.Time
-	// unresponsive says that the engine did not respond to a probe.
-	unresponsive bool
-	stopped      bool
-	nextCheck    timer.Subscription
+	// lastResult is the result of the last probe.
+	lastResult ProbeResult
+	stopped    bool
+	nextCheck  timer.Subscription
 }
 
 // monitorLimits are the limits that a streamMonitor enforces.
@@ -60,9 +61,9 @@
 
 // monitorCallbacks are the functions that a streamMonitor calls. They have the same meaning as in streamMonitor.
 type monitorCallbacks struct {
-	findFailover       func(context.Context) bool
-	handleUnresponsive func(context.Context)
-	abort              func(error)
+	findFailover     func(context.Context) bool
+	handleNoResponse func(context.Context, ProbeResult)
+	abort            func(error)
 }
 
 // startStreamMonitor starts to watch a stream. The caller must call stop.
@@ -71,7 +72,7 @@
 	predictedStart := rn.clock.Now().Add(firstCheck - rn.config.IdleBeforeProbe)
 	sm := &streamMonitor{
 		runner: rn, engine: engine, idleLimit: rn.config.IdleBeforeProbe, stallLimit: limits.stallLimit, firstEventDeadline: limits.firstEventDeadline,
-		findFailover: callbacks.findFailover, handleUnresponsive: callbacks.handleUnresponsive, abort: callbacks.abort,
+		findFailover: callbacks.findFailover, handleNoResponse: callbacks.handleNoResponse, abort: callbacks.abort,
 		lastActivity: predictedStart, lastProgress: predictedStart,
 	}
 	if !limits.firstEventDeadline.IsZero() {
@@ -120,35 +121,49 @@
 	nextCheck := sm.idleLimit
 	if idleLeft := sm.idleLeft(); idleLeft > 0 {
 		nextCheck = idleLeft
-	} else if sm.probe() {
-		sm.lastActivity = sm.runner.clock.Now()
-	} else if sm.idleLeft() <= 0 && !sm.stopped {
-		if !sm.unresponsive {
-			sm.unresponsive = true
-			sm.runCallback(sm.handleUnresponsive)
-		}
-		if !sm.stopped && !stalled && sm.stallLimit > 0 && sm.failOver(errUnresponsive) {
-			return
-		}
+	} else if result := sm.probe(); result == Reachable {
+		sm.lastResult, sm.lastActivity = result, sm.runner.clock.Now()
+	} else if sm.idleLeft() <= 0 && !sm.stopped && sm.leave(result, stalled) {
+		return
 	}
 	if !sm.stopped {
 		sm.nextCheck = sm.runner.clock.After(nextCheck, sm.check)
 	}
 }
 
+// leave handles the result of a probe to which the engine did not respond. It reports whether the stream goes on at another
+// engine, for which it searches unless that was just done. The caller holds the mutex, which is unlocked meanwhile.
+func (sm *streamMonitor) leave(result ProbeResult, searched bool) bool {
+	if result != sm.lastResult {
+		sm.lastResult = result
+		sm.runCallback(func(ctx context.Context) { sm.handleNoResponse(ctx, result) })
+	}
+	if searched || sm.stopped || sm.stallLimit == 0 {
+		return false
+	}
+	cause := errUnresponsive
+	if !result.saysServerFailed() {
+		cause = errLinkLost
+	}
+	return sm.failOver(cause)
+}
+
 // idleLeft returns how long the stream may still be idle before the engine is probed. The caller holds the mutex.
 func (sm *streamMonitor) idleLeft() time.Duration {
 	return sm.idleLimit - sm.runner.clock.Now().Sub(sm.lastActivity)
 }
 
-// probe reports whether the engine responds. An engine that asked for backoff is not probed. The caller holds the mutex,
-// which is unlocked meanwhile.
-func (sm *streamMonitor) probe() bool {
+// probe returns how the engine responds to a probe. An engine that asked for backoff is not probed and counts as reachable.
+// The caller holds the mutex, which is unlocked meanwhile.
+func (sm *streamMonitor) probe() ProbeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), sm.runner.config.ProbeTimeout)
 	defer cancel()
 	sm.mutex.Unlock()
 	defer sm.mutex.Lock()
-	return sm.runner.askedForBackoff(id.BackendServer(sm.engine.Engine)) || sm.runner.sender.ProbeHTTP(ctx, sm.engine.Address)
+	if sm.runner.askedForBackoff(id.BackendServer(sm.engine.Engine)) {
+		return Reachable
+	}
+	return sm.runner.sender.ProbeHTTP(ctx, sm.engine.Address)
 }
 
 // runCallback runs a callback with a context that ends when the stream goes on or the monitor stops. The caller holds the
