--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -8,9 +8,10 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
-// failoverGrant holds a grant on another engine for a stream that has stalled. The stream stays at its engine until
+// failoverGrant holds a grant on another engine for a stream that has stalled or whose engine does not respond. The stream stays at its engine until
 // there is such a grant. It is safe for concurrent use: the stream monitor stores the grant while the attempt still
 // runs.
 type failoverGrant struct {
@@ -41,12 +42,13 @@
 	return fg.present
 }
 
-// findFailover requests a grant on another engine for a stalled stream and stores it. It reports whether it got one and
-// the retry policy allows its use. The grant on the stalled engine stays valid meanwhile, because the new request to
-// the dispatcher has its own id. ctx ends when the stream makes progress.
-func (st *engineJob) findFailover(ctx context.Context, grantRequest broker.GrantRequest, stalledEngine id.Engine) bool {
+// findFailover requests a grant on another engine for a stream that has stalled or whose engine does not respond, and
+// stores it. It reports whether it got one, the engine accepts connections and the retry policy allows its use. The grant on the first engine stays valid
+// meanwhile, because the new request to the dispatcher has its own id. The number of attempts made includes the current
+// one. ctx ends when the stream goes on.
+func (st *engineJob) findFailover(ctx context.Context, grantRequest broker.GrantRequest, stalledEngine id.Engine, attemptsMade int) bool {
 	rn := st.runner
-	if rn.grantContext.Err() != nil {
+	if rn.grantContext.Err() != nil || st.grantsUsed >= rn.config.MaxGrants || !st.retryAllowed(attemptsMade) {
 		return false
 	}
 	grantRequest.ID = id.NewRequest(rn.host, rn.incarnation, rn.requestCounter.Add(1))
@@ -63,10 +65,27 @@
 			"reason", string(oc.Reason), "detail", oc.Detail)
 		return false
 	}
-	if acquireCtx.Err() == nil && st.takeRetry(ctx, retry.Interrupted) {
+	ended := broker.EndedGrant{Request: grantRequest.ID, Attempt: grant.Attempt}
+	primary := grant.Parts[0]
+	switch {
+	case acquireCtx.Err() != nil:
+	case !rn.accepts(acquireCtx, rn.serverOfPart(st.request.Service, primary), &ended):
+		rn.logger.Info("stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(stalledEngine),
+			"reason", "the next engine can't be reached", "next", string(primary.Engine))
+	case st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade):
 		st.failover.store(grantRequest, grant)
 		return true
 	}
-	rn.dispatcher.ReportEnded(broker.EndedGrant{Request: grantRequest.ID, Attempt: grant.Attempt})
+	rn.dispatcher.ReportEnded(ended)
 	return false
 }
+
+// accepts reports whether an engine accepts connections, from this host or another one. If it has failed, the report to the
+// dispatcher says so.
+func (rn *Runner) accepts(ctx context.Context, engine serverlist.Server, ended *broker.EndedGrant) bool {
+	result := rn.probeConnection(ctx, engine)
+	if result.saysServerFailed() && ctx.Err() == nil {
+		ended.FailedEngine, ended.Fault = id.Engine(engine.ID), batch.Unreachable
+	}
+	return result.Alive()
+}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -44,7 +44,7 @@
 			jb.result.Cause = "quarantined: servers crashed while running this content"
 			return
 		}
-		server, wait, ok := jb.chooseServer(ctx, tried)
+		server, wait, ok := jb.takeReplacementOrChoose(ctx, tried)
 		if !ok {
 			jb.backoffWait = wait
 			break
@@ -70,6 +70,9 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if jb.hasReplacement {
+			continue
+		}
 		if retryCause == retry.NotSent {
 			// Attempts that reached no server use up neither the limit of the route nor the retry budget.
 			const maxUnsentAttempts = 3
@@ -91,7 +94,7 @@
 	case jb.result.Attempts == 0 && jb.limitReached:
 		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "the request limits of the service's servers are reached").WithRetryAfter(rn.addJitter(max(jb.backoffWait, minLimitRetryAfter)))
 	case jb.result.Attempts == 0 && jb.backoffWait > 0:
-		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "all servers of the service want to be left alone").WithRetryAfter(rn.addJitter(jb.backoffWait))
+		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "all servers of the service want to be left alone or are out of reach").WithRetryAfter(rn.addJitter(jb.backoffWait))
 	case jb.result.Attempts == 0:
 		jb.result.Outcome = outcome.Refuse(outcome.NoCapacity, "no server of the service takes requests").WithRetryAfter(time.Second)
 	default:
@@ -99,6 +102,16 @@
 	}
 }
 
+// takeReplacementOrChoose returns the server for which the last attempt was aborted, or else what chooseServer returns.
+func (jb *job) takeReplacementOrChoose(ctx context.Context, tried []id.BackendServer) (serverlist.Server, time.Duration, bool) {
+	if !jb.hasReplacement {
+		return jb.chooseServer(ctx, tried)
+	}
+	jb.hasReplacement = false
+	jb.recordSent(jb.replacement)
+	return jb.replacement, 0, true
+}
+
 // minLimitRetryAfter is the shortest time after which a client is asked to retry because request limits are reached.
 const minLimitRetryAfter = 200 * time.Millisecond
 
@@ -190,19 +203,24 @@
 	}()
 	ctx, span := rn.tracer.Start(ctx, "server.attempt", trace.WithAttributes(attribute.String("server", string(server.ID))))
 	defer span.End()
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	remaining := jb.remaining()
-	if jb.canTryAnotherServer(tried) {
-		attemptCtx, cancel = context.WithTimeout(ctx, time.Duration(rn.config.AttemptTimeoutShare*float64(remaining)))
-		defer cancel()
-	}
+	monitor := jb.watchSlowServer(ctx, tried, func() { cancel(errSlowServer) })
+	defer func() { jb.replacement, jb.hasReplacement = monitor.takeReplacement() }()
 	response, err := rn.sender.Send(attemptCtx, Attempt{Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID, NewConnection: jb.newConnection, Urgency: -1})
 	if err != nil {
 		if errors.Is(err, ErrNotSent) {
 			balanceResult = balance.Lost
+			if errors.Is(err, ErrUndetermined) {
+				rn.recordUnreachable(server)
+			}
 			return nil, retry.NotSent, err.Error()
 		}
+		if !monitor.keep() {
+			err = errSlowServer
+		}
+		jb.result.PassedOn++
 		jb.sentCount++
 		jb.mayHaveRun = true
 		if ctx.Err() == nil {
@@ -215,6 +233,7 @@
 		return nil, retryCause, err.Error()
 	}
 	defer func() { _ = response.Body.Close() }()
+	jb.result.PassedOn++
 	rn.applyServerState(server, startedAt, response)
 	load = response.Load
 	jb.sentCount++
@@ -232,20 +251,20 @@
 		}
 		return &bufferedResponse{status: response.Status, header: response.Header, body: body, notRun: true}, retry.BackendRefused, "the server did not run the request"
 	}
-	return jb.handlePlainResponse(ctx, server, startedAt, response, &balanceResult)
+	return jb.handlePlainResponse(ctx, server, startedAt, response, monitor, &balanceResult)
 }
 
 // classifyInterruption returns the retry cause of an attempt that ended without a complete response, after checking
-// whether its server crashed. If the request's deadline has passed, the check runs in the background. If the client has
-// disconnected, there is no check.
+// whether its server crashed. If the request's deadline has passed or another server takes the request, the check runs in
+// the background. If the client has disconnected, there is no check.
 func (jb *job) classifyInterruption(ctx context.Context, server serverlist.Server, startedAt time.Time, err error) retry.Cause {
 	rn := jb.runner
 	switch {
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && !errors.Is(err, errSlowServer):
 		if jb.checkForCrash(ctx, server, startedAt, rn.probeConnection(ctx, server), err) {
 			return retry.Crashed
 		}
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case ctx.Err() == nil, errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		rn.background.Go(func() {
 			jb.checkForCrash(context.Background(), server, startedAt, rn.probeConnection(context.Background(), server), err)
 		})
@@ -271,10 +290,14 @@
 
 // handlePlainResponse reads a response and forwards it, unless it is a failure that justifies another attempt. Streams
 // and responses larger than the buffer are forwarded as they arrive. The results are those of attemptPlain.
-func (jb *job) handlePlainResponse(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response, balanceResult *balance.Result) (*bufferedResponse, retry.Cause, string) {
+func (jb *job) handlePlainResponse(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response, monitor *slowServerMonitor, balanceResult *balance.Result) (*bufferedResponse, retry.Cause, string) {
 	// copyRest forwards the rest of the response. Its description is "passed through" even if the response was cut off,
 	// because a response that was forwarded in part is not retried.
 	copyRest := func(prefix []byte) (*bufferedResponse, retry.Cause, string) {
+		if !monitor.keep() {
+			jb.mayHaveRun = true
+			return nil, retry.Interrupted, errSlowServer.Error()
+		}
 		if err := jb.copyToClient(response, prefix); err != nil {
 			jb.classifyInterruption(ctx, server, startedAt, err)
 		}
@@ -286,6 +309,9 @@
 	}
 	body, complete, err := readUpTo(response.Body, jb.runner.config.ResponseBufferBytes)
 	if err != nil {
+		if !monitor.keep() {
+			err = errSlowServer
+		}
 		jb.mayHaveRun = true
 		if ctx.Err() == nil {
 			*balanceResult = balance.Lost
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -30,7 +30,7 @@
 	// response that fails within this size can still be replaced by that of another attempt.
 	ResponseBufferBytes int64
 	// AttemptTimeoutShare is the part of the remaining time that one server gets for a repeatable request before
-	// another server is tried.
+	// another server is tried, if one can take the request by then.
 	AttemptTimeoutShare float64
 	// IdleBeforeProbe is how long a stream may be idle before its engine is probed. Ahead of the first event, the
 	// predicted time until that event is added.
@@ -319,12 +319,32 @@
 	backoffWait time.Duration
 	// limitReached says that chooseServer found only servers whose request limits are reached.
 	limitReached bool
-	// isolatedParts are the parts of the prompt because of which the current attempt runs isolated, until its first event.
-	isolatedParts []id.PromptPart
+	// isolationMutex guards isolatedParts, which the stream monitor reads. They are the parts of the prompt because of which
+	// the current attempt runs isolated, until its first event.
+	isolationMutex sync.Mutex
+	isolatedParts  []id.PromptPart
+	// replacement is the server for which the last attempt was aborted because its server was slow to answer; it is set if
+	// hasReplacement is.
+	replacement    serverlist.Server
+	hasReplacement bool
 	// newConnection makes further attempts use new connections, because a reused one ended without a response.
 	newConnection bool
 }
 
+// setIsolatedParts replaces the parts of the prompt because of which the current attempt runs isolated.
+func (jb *job) setIsolatedParts(parts []id.PromptPart) {
+	jb.isolationMutex.Lock()
+	defer jb.isolationMutex.Unlock()
+	jb.isolatedParts = parts
+}
+
+// isolation returns the parts of the prompt because of which the current attempt runs isolated.
+func (jb *job) isolation() []id.PromptPart {
+	jb.isolationMutex.Lock()
+	defer jb.isolationMutex.Unlock()
+	return jb.isolatedParts
+}
+
 // remaining returns the time until the request's deadline.
 func (jb *job) remaining() time.Duration { return jb.deadline.Sub(jb.runner.clock.Now()) }
 
@@ -332,6 +352,11 @@
 // charges the service's retry budget. It charges nothing if nothing was sent or the dispatcher preempted the attempt.
 // The backoff that the retry policy asks for is not waited for.
 func (jb *job) takeRetry(ctx context.Context, cause retry.Cause) bool {
+	return jb.takeRetryAfter(ctx, cause, jb.sentCount)
+}
+
+// takeRetryAfter is takeRetry after a number of attempts. It may be called while the last one of them runs.
+func (jb *job) takeRetryAfter(ctx context.Context, cause retry.Cause, attemptsMade int) bool {
 	if ctx.Err() != nil {
 		return false
 	}
@@ -340,7 +365,7 @@
 	decision := rn.retries.Decide(retry.Failure{
 		Service:       jb.request.Service,
 		Cause:         cause,
-		AttemptsMade:  jb.sentCount,
+		AttemptsMade:  attemptsMade,
 		Idempotent:    jb.request.Route.Repeatable(),
 		UntilDeadline: jb.remaining(),
 	})
@@ -352,6 +377,15 @@
 	return decision.Retry
 }
 
+// retryAllowed reports whether the retry policy would allow a retry of an interrupted attempt, the last one of the given
+// number of attempts. It may be called while that attempt runs.
+func (jb *job) retryAllowed(attemptsMade int) bool {
+	rn := jb.runner
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.retries.Allows(retry.Failure{Service: jb.request.Service, Cause: retry.Interrupted, AttemptsMade: attemptsMade, Idempotent: jb.request.Route.Repeatable()})
+}
+
 // setOutcomeOnContextEnd sets the outcome of a request whose context has ended: because the host is shutting down,
 // because the client has disconnected, or because the deadline has passed.
 func (jb *job) setOutcomeOnContextEnd(ctx context.Context) {
@@ -359,7 +393,10 @@
 	case errors.Is(context.Cause(ctx), errHostLeaving):
 		jb.setOutcomeOnShutdown()
 	case context.Cause(ctx) == context.Canceled: //nolint:errorlint // the cause is the client's own cancellation
-		jb.result.Outcome = outcome.Fail(outcome.CallerGone, "the client has gone")
+		jb.result.Outcome = outcome.Refuse(outcome.CallerGone, "the client has gone")
+		if jb.mayHaveRun {
+			jb.result.Outcome.Kind = outcome.Failed
+		}
 	case jb.mayHaveRun:
 		jb.result.Outcome = outcome.Fail(outcome.DeadlineExceeded, "the answer was not complete in the request's time")
 	default:
--- a/coordination/forward/server_state.go
+++ b/coordination/forward/server_state.go
@@ -48,6 +48,17 @@
 	rn.recordLimit(server, sentAt, response)
 }
 
+// unreachableBackoff is how long this host sends nothing to a server that it could not reach in any way.
+const unreachableBackoff = 500 * time.Millisecond
+
+// recordUnreachable keeps requests of this host away from a server that neither it nor another host could reach, although
+// nothing is known against the server. Other hosts may still send to it.
+func (rn *Runner) recordUnreachable(server serverlist.Server) {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	rn.backoffs.RecordBackoff(rn.clock.Now(), server, unreachableBackoff)
+}
+
 // serverOfPart returns the listed server of the engine in a part of a grant. If the engine is not listed, it returns a
 // server made from the part, without a start time.
 func (rn *Runner) serverOfPart(service id.Service, part batch.Part) serverlist.Server {
@@ -116,7 +127,7 @@
 		backoffEnd, backingOff := rn.backoffs.BackoffUntil(now, server)
 		rn.mutex.Unlock()
 		if backingOff {
-			return broker.EndedGrant{FailedEngine: part.Engine, Fault: batch.Full, RetryAfter: backoffEnd.Sub(now)}, "an engine of the grant wants to be left alone", true
+			return broker.EndedGrant{FailedEngine: part.Engine, Fault: batch.Full, RetryAfter: backoffEnd.Sub(now)}, "an engine of the grant wants to be left alone or is out of reach", true
 		}
 	}
 	return broker.EndedGrant{}, "", false
