Soak: hosts that are cut off from servers

The mix Partitions cuts one host, or all but one, off from all servers for 4 to 8 s, silent, reset, refused or living, beside signals, restarts, faults of the store, of links and of servers, and changes. A forwarder that the hosts share accepts each connection before it can tell whose it is, so that it can neither refuse a dial nor let it time out; the test program therefore acts as the daemon in this mix, with the links of the stand-in as its dialer, switched through standard input. The other mixes run the daemon as before and draw the same faults.

New check RECOVER: while hosts have been cut off for 3 s and a host that reaches the servers is undisturbed, cut-off hosts serve at least two thirds as often as the others, or all but 10 and one in 50. Four more clients stay with each host. checkAfterFaults already demands that all hosts serve after the cuts.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -35,6 +35,7 @@
 		}
 	}
 	tb.checkCrashingRequests(runsByID)
+	tb.checkCutOffHosts()
 	for _, sv := range servers {
 		if sv.ratePerSecond > 0 {
 			tb.checkRequestLimit(sv, exchangesByID)
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -87,6 +87,8 @@
 	transport    *http.Transport
 	sentRequests int
 	currentHost  *host
+	// onlyHost is the host that the client stays with whatever happens; nil if it chooses hosts itself.
+	onlyHost *host
 }
 
 // newClient returns a client whose requests are drawn from a random sequence for its name and the seed. Request IDs
@@ -99,6 +101,9 @@
 func (cl *client) run(ctx context.Context) {
 	defer cl.transport.CloseIdleConnections()
 	for ctx.Err() == nil {
+		if cl.onlyHost != nil {
+			cl.currentHost = cl.onlyHost
+		}
 		if cl.currentHost == nil {
 			cl.currentHost = cl.discoverHost()
 		}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -16,8 +16,10 @@
 	// startAfter is the time from the start of injectFaults to the fault, duration the time from there until it is
 	// reverted.
 	startAfter, duration time.Duration
-	description          string
-	inject, revert       func()
+	// fixedDuration replaces the duration that is drawn for each fault, unless it is zero.
+	fixedDuration  time.Duration
+	description    string
+	inject, revert func()
 }
 
 // faultMix determines which faults are drawn and how often.
@@ -25,11 +27,15 @@
 	// seriesPerSecond is the number of series of faults for each second of a run, in addition to two for the whole run.
 	// All faults of a series are of one kind.
 	seriesPerSecond int
+	// moreSeries is the number of series for the whole run in addition to those.
+	moreSeries int
 	// faultGenerators draw one fault each. They are drawn with equal probability, so that a kind that is listed several
 	// times comes more often.
 	faultGenerators []func(tb *testbed, random *rand.Rand) scheduledFault
 	// sendCrashingRequests has a client repeatedly send requests that crash each server that runs them.
 	sendCrashingRequests bool
+	// cutsHosts says that faults may cut hosts off from servers.
+	cutsHosts bool
 }
 
 // faultMixes contains the mixes under the names that testdata/seeds.txt uses. The faults that a seed draws depend on
@@ -66,6 +72,12 @@
 		terminateHost, killHost, suspendHost, disruptLink, failStore, limitServer, limitServer, limitServer, limitServer,
 		announceOrStallServer, replaceServer, publishDesiredStates, reloadSettings,
 	}},
+	// Partitions has hosts that are cut off from all servers, but not from clients, one another and the store.
+	// There are few other faults, because hosts are compared while nothing else disturbs them.
+	"Partitions": {moreSeries: 4, cutsHosts: true, faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
+		cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, terminateHost, killHost,
+		suspendHost, disruptLink, failStore, failServer, replaceServer, publishDesiredStates, reloadSettings,
+	}},
 }
 
 // drawFaults draws the faults to inject within the given total time and returns them by start time. It draws series of
@@ -76,12 +88,15 @@
 	randomDuration := func(lowest, highest time.Duration) time.Duration {
 		return lowest + time.Duration(random.Int64N(int64(highest-lowest)))
 	}
-	for range 2 + mx.seriesPerSecond*int(total/time.Second) {
+	for range 2 + mx.moreSeries + mx.seriesPerSecond*int(total/time.Second) {
 		generate := mx.faultGenerators[random.IntN(len(mx.faultGenerators))]
 		startAfter := randomDuration(total/10, total*8/10)
 		for range 1 + max(0, random.IntN(5)-2) {
 			ft := generate(tb, random)
 			ft.startAfter, ft.duration = startAfter, randomDuration(100*time.Millisecond, 2500*time.Millisecond)
+			if ft.fixedDuration > 0 {
+				ft.duration = ft.fixedDuration
+			}
 			if ft.revert == nil {
 				ft.revert = func() {}
 			}
@@ -179,6 +194,33 @@
 	}
 }
 
+// cutOffHosts cuts one host, or all but one, off from all servers for 4 to 8 s, so that the hosts have time to find
+// another way.
+func cutOffHosts(tb *testbed, random *rand.Rand) scheduledFault {
+	mode := standin.LinkMode(1 + random.IntN(int(standin.LinkLiving)))
+	duration := 4*time.Second + time.Duration(random.Int64N(int64(4*time.Second)))
+	cutHosts := slices.Clone(tb.hosts)
+	random.Shuffle(len(cutHosts), func(left, right int) { cutHosts[left], cutHosts[right] = cutHosts[right], cutHosts[left] })
+	cutHosts = cutHosts[:1+random.IntN(len(cutHosts)-1)]
+	var names []string
+	for _, hs := range cutHosts {
+		names = append(names, hs.name)
+	}
+	ft := scheduledFault{fixedDuration: duration, description: fmt.Sprintf("links from %s to servers are %s", strings.Join(names, " and "), mode)}
+	cuts := make([]int, len(cutHosts))
+	ft.inject = func() {
+		for ix, hs := range cutHosts {
+			cuts[ix] = hs.cutServerLinks(mode)
+		}
+	}
+	ft.revert = func() {
+		for ix, hs := range cutHosts {
+			hs.endCut(cuts[ix])
+		}
+	}
+	return ft
+}
+
 // failStore has the store refuse calls, leave calls unanswered, or report that the offset of each read has expired.
 func failStore(tb *testbed, random *rand.Rand) scheduledFault {
 	fault := []standin.StoreFault{standin.RejectsCalls, standin.IgnoresCalls, standin.OffsetsExpired}[random.IntN(3)]
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
 )
 
 // host runs one hibiscusleverd process at a time and starts a new one when it has ended.
@@ -21,6 +24,8 @@
 	// callerAddress, readyAddress and directoryAddress are the IP:ports on which the daemon listens.
 	callerAddress, readyAddress, directoryAddress string
 	settingsPath                                  string
+	// cuttable says that the processes are those of runCuttableHost.
+	cuttable bool
 	// peerLink and clientLink carry the connections of other hosts and of clients to the daemon, storeLink those of the
 	// daemon to the store.
 	peerLink, clientLink, storeLink *link
@@ -29,7 +34,12 @@
 	mutex     sync.Mutex
 	process   *exec.Cmd
 	startedAt time.Time
-	output    *bytes.Buffer
+	// serverLinks is the mode of the links to servers, cuts is how often they were cut, and control is the input of a
+	// cuttable process.
+	serverLinks standin.LinkMode
+	cuts        int
+	control     io.WriteCloser
+	output      *bytes.Buffer
 	// exitExpected says that the process was sent a signal to end, restartDisabled that no new process may be started.
 	exitExpected    bool
 	restartDisabled bool
@@ -83,6 +93,11 @@
 	hs.exitExpected = false
 	hs.output = &bytes.Buffer{}
 	hs.process = exec.Command(filepath.Join(binariesDir, "hibiscusleverd"), "--settings", hs.settingsPath)
+	if hs.cuttable {
+		hs.process = exec.Command(os.Args[0])
+		hs.process.Env = append(os.Environ(), cuttableHostVariable+"="+hs.settingsPath)
+		hs.control, _ = hs.process.StdinPipe()
+	}
 	hs.process.Stdout, hs.process.Stderr = hs.output, hs.output
 	hs.exited = make(chan struct{})
 	hs.startedAt = time.Now()
@@ -90,6 +105,7 @@
 		hs.testbed.reportViolation("START", "%s: %v", hs.name, err)
 		return
 	}
+	hs.sendServerLinks()
 	go hs.supervise(hs.process, hs.output, hs.exited)
 }
 
@@ -117,6 +133,39 @@
 	hs.start()
 }
 
+// cutServerLinks cuts the links to all servers, for this process and later ones, and returns the number of the cut.
+func (hs *host) cutServerLinks(mode standin.LinkMode) int {
+	hs.mutex.Lock()
+	defer hs.mutex.Unlock()
+	hs.cuts++
+	hs.setServerLinks(mode)
+	return hs.cuts
+}
+
+// endCut opens the links to servers, unless they were cut again since the cut with this number.
+func (hs *host) endCut(number int) {
+	hs.mutex.Lock()
+	defer hs.mutex.Unlock()
+	if hs.cuts == number {
+		hs.setServerLinks(standin.LinkOpen)
+	}
+}
+
+// setServerLinks sets the mode of the links to servers. The caller holds the mutex.
+func (hs *host) setServerLinks(mode standin.LinkMode) {
+	hs.serverLinks = mode
+	hs.testbed.recordLinkChange(hs.name, mode)
+	hs.sendServerLinks()
+}
+
+// sendServerLinks tells a cuttable process the mode of the links to servers. The caller holds the mutex.
+func (hs *host) sendServerLinks() {
+	if hs.control != nil {
+		// A process that has ended does not need it.
+		_, _ = fmt.Fprintln(hs.control, int(hs.serverLinks))
+	}
+}
+
 // signal sends a signal to the daemon's process. After SIGTERM or SIGKILL the next process is started restartDelay
 // after the end of this one.
 func (hs *host) signal(sig syscall.Signal, restartDelay time.Duration) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,7 +26,7 @@
 	seedCount       = flag.Int("soak.seeds", 0, "`NUMBER` of consecutive seeds to run instead of the runs in testdata/seeds.txt")
 	firstSeed       = flag.Uint64("soak.from", 1, "first `SEED` to run with -soak.seeds")
 	faultSeconds    = flag.Float64("soak.seconds", 8, "`SECONDS` of faults for each seed of -soak.seeds")
-	mixName         = flag.String("soak.mix", "Dense", "`NAME` of the fault mix for the seeds of -soak.seeds: Sparse, Dense, Words or Crashing")
+	mixName         = flag.String("soak.mix", "Dense", "`NAME` of the fault mix for the seeds of -soak.seeds: Sparse, Dense, Words, Crashing, Restores, Limits or Partitions")
 	checkTimeLimits = flag.Bool("soak.timed", false, "also check time limits; needs a machine that is otherwise idle")
 	logFolder       = flag.String("soak.logs", "", "existing `FOLDER` to write the host logs of failed seeds to")
 )
@@ -35,6 +35,9 @@
 var binariesDir string
 
 func TestMain(m *testing.M) {
+	if path := os.Getenv(cuttableHostVariable); path != "" {
+		os.Exit(runCuttableHost(path))
+	}
 	flag.Parse()
 	os.Exit(testutil.WithBuiltPrograms(func(dir string) int {
 		binariesDir = dir
@@ -91,7 +94,7 @@
 func runSoak(t *testing.T, ru soakRun) {
 	mx, ok := faultMixes[ru.mix]
 	assert.Assert(t, ok, "mix %q does not exist", ru.mix)
-	tb := newTestbed(t)
+	tb := newTestbed(t, mx)
 	defer tb.close()
 	tb.eventually("START", "all hosts are ready", tb.allHostsReady)
 	ctx, stopClients := context.WithCancel(t.Context())
@@ -100,6 +103,14 @@
 		cl := newClient(tb, fmt.Sprintf("c%d", ix+1), ru.seed)
 		group.Go(func() { cl.run(ctx) })
 	}
+	if mx.cutsHosts {
+		const clientsPerHost = 4
+		for ix := range clientsPerHost * hostCount {
+			cl := newClient(tb, fmt.Sprintf("h%d", ix+1), ru.seed)
+			cl.onlyHost = tb.hosts[ix%hostCount]
+			group.Go(func() { cl.run(ctx) })
+		}
+	}
 	if mx.sendCrashingRequests {
 		cl := newClient(tb, "marked", ru.seed)
 		crashingCtx, cancelCrashing := context.WithCancel(ctx)
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -84,6 +84,8 @@
 	crashedServers map[string]bool
 	// disruptions are the times at which faults of hosts and of links began and ended.
 	disruptions []disruption
+	// linkChanges are the changes of the links between hosts and servers, in order.
+	linkChanges []linkChange
 	// convergedAt is when convergenceTime had passed since all hosts served each kind of request again after the faults.
 	convergedAt time.Time
 	// stopCrashingRequests ends the client that sends requests that crash servers, and waits for it; nil if there is
@@ -119,7 +121,7 @@
 
 // newTestbed starts three servers of each service and the hosts. Hosts reach one another, the store and the servers
 // through links, and clients reach hosts through links. It does not wait until the hosts are ready.
-func newTestbed(t *testing.T) *testbed {
+func newTestbed(t *testing.T, mx faultMix) *testbed {
 	tb := &testbed{t: t, store: standin.NewStore(), hostLogs: map[string][]byte{}, crashedServers: map[string]bool{}}
 	for range 3 {
 		tb.addServer("books", nil)
@@ -130,7 +132,7 @@
 	var peerSeeds []string
 	peerListenAddresses := make([]string, hostCount)
 	for ix := range hostCount {
-		hs := &host{testbed: tb, name: fmt.Sprint("host-", ix+1), callerAddress: testutil.FreeAddress(t), readyAddress: testutil.FreeAddress(t), directoryAddress: testutil.FreeAddress(t)}
+		hs := &host{testbed: tb, cuttable: mx.cutsHosts, name: fmt.Sprint("host-", ix+1), callerAddress: testutil.FreeAddress(t), readyAddress: testutil.FreeAddress(t), directoryAddress: testutil.FreeAddress(t)}
 		peerListenAddresses[ix] = testutil.FreeAddress(t)
 		hs.peerLink, hs.clientLink, hs.storeLink = tb.addLink(hs.name+" peers", peerListenAddresses[ix]), tb.addLink(hs.name+" clients", hs.callerAddress), tb.addLink(hs.name+" store", tb.store.Address())
 		peerSeeds = append(peerSeeds, hs.peerLink.address())
--- a/standin/site/links.go
+++ b/standin/site/links.go
@@ -34,8 +34,9 @@
 // safe for concurrent use.
 type Links struct {
 	mutex sync.Mutex
-	// modes holds the modes of links by the address of the server. A link that is missing is open.
-	modes map[string]LinkMode
+	// modes holds the modes of links by the address of the server, and defaultMode that of the other links.
+	modes       map[string]LinkMode
+	defaultMode LinkMode
 	// conns contains the connections that are not closed, with the address that was dialed.
 	conns map[*linkConn]string
 	// writtenRequests is the number of clients' requests that were written to servers.
@@ -63,6 +64,16 @@
 	}
 }
 
+// SetModeOfAll sets the mode of all links, also of those to addresses that were never dialed.
+func (ls *Links) SetModeOfAll(mode LinkMode) {
+	ls.mutex.Lock()
+	defer ls.mutex.Unlock()
+	ls.modes, ls.defaultMode = map[string]LinkMode{}, mode
+	for conn := range ls.conns {
+		conn.setMode(mode)
+	}
+}
+
 // WrittenRequests returns the number of clients' requests that the host has written to servers, including those that
 // were held back.
 func (ls *Links) WrittenRequests() int {
@@ -75,11 +86,19 @@
 func (ls *Links) mode(address string) LinkMode {
 	ls.mutex.Lock()
 	defer ls.mutex.Unlock()
-	return ls.modes[address]
+	return ls.modeLocked(address)
+}
+
+// modeLocked is mode for a caller that holds the mutex.
+func (ls *Links) modeLocked(address string) LinkMode {
+	if mode, ok := ls.modes[address]; ok {
+		return mode
+	}
+	return ls.defaultMode
 }
 
-// Dial opens a connection like net.Dialer.DialContext, as far as the mode of the link to the address allows. An address
-// that is not that of a server, such as the store's, is always dialed.
+// Dial opens a connection like net.Dialer.DialContext, as far as the mode of the link to the address allows. A host
+// dials the store with the same function: SetMode does not affect it, SetModeOfAll does.
 func (ls *Links) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	switch ls.mode(address) {
 	case LinkOpen:
@@ -98,7 +117,7 @@
 	defer ls.mutex.Unlock()
 	ls.conns[conn] = address
 	// The mode may have changed during the dial.
-	conn.setMode(ls.modes[address])
+	conn.setMode(ls.modeLocked(address))
 	return conn, nil
 }
 
--- a/standin/site/links_test.go
+++ b/standin/site/links_test.go
@@ -67,6 +67,11 @@
 			assert.NilError(t, getReport(open, other))
 			links.SetMode(LinkOpen, server)
 			assert.NilError(t, getReport(open, server))
+			links.SetModeOfAll(testCase.mode)
+			err = getReport(links.client(), other)
+			assert.Assert(t, errors.Is(err, testCase.newErr), "%v", err)
+			links.SetModeOfAll(LinkOpen)
+			assert.NilError(t, getReport(open, other))
 		})
 	}
 }
