--- a/experiment/pattern.go
+++ b/experiment/pattern.go
@@ -78,6 +78,18 @@
 	Listed time.Duration
 }
 
+// Cut is a time during which the entry hosts of an availability zone reach the dispatcher, but no engine.
+type Cut struct {
+	// Zone is the number of the zone, from 0.
+	Zone int
+	// The cut lasts from At on for the time For. If hosts pass on requests through hosts that reach the engines, For is
+	// the time until they do.
+	At  time.Duration
+	For time.Duration
+	// DialTimeout is the time after which a host gives up an attempt to reach an engine; zero if it is refused at once.
+	DialTimeout time.Duration
+}
+
 // Pattern describes the load and the engines of a simulation. Times in it count from the start of the simulation.
 type Pattern struct {
 	EngineCount int
@@ -90,6 +102,7 @@
 	Kinds         []Kind
 	Bursts        []Burst
 	Losses        []Loss
+	Cuts          []Cut
 	Clients       Clients
 }
 
@@ -115,9 +128,9 @@
 }
 
 // ReadPattern reads a pattern file. It has a section Engines, a section "Kind NAME" for each kind of request, a section
-// "Burst N" for each burst, a section "Loss N" for each loss of engines, and a section Clients. The key Base names
-// another pattern file in the same folder, whose values apply where the file does not override them. Errors name the
-// file.
+// "Burst N" for each burst, a section "Loss N" for each loss of engines, a section "Cut N" for each cut between hosts and
+// engines, and a section Clients. The key Base names another pattern file in the same folder, whose values apply where
+// the file does not override them. Errors name the file.
 func ReadPattern(path string) (Pattern, error) {
 	file, err := loadWithBases(path, maxBaseDepth)
 	if err != nil {
@@ -174,6 +187,11 @@
 			return fmt.Errorf("a loss removes %d of %d engines; at least one must be lost and one must remain", loss.Count, pt.EngineCount)
 		}
 	}
+	for _, cut := range pt.Cuts {
+		if cut.Zone < 0 || cut.Zone >= pt.Clients.Zones {
+			return fmt.Errorf("a cut refers to zone %d of %d", cut.Zone, pt.Clients.Zones)
+		}
+	}
 	return nil
 }
 
@@ -214,8 +232,14 @@
 			return err
 		}
 		pt.Losses = append(pt.Losses, loss)
+	case parseSectionTitle(section.Name(), "Cut", &name):
+		var cut Cut
+		if err := section.StrictMapTo(&cut); err != nil {
+			return err
+		}
+		pt.Cuts = append(pt.Cuts, cut)
 	default:
-		return errors.New("unknown section; want Engines, Clients, Kind NAME, Burst N or Loss N")
+		return errors.New("unknown section; want Engines, Clients, Kind NAME, Burst N, Loss N or Cut N")
 	}
 	return nil
 }
--- a/experiment/policy_test.go
+++ b/experiment/policy_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// TestCutOffZoneTakesEnginesFromOthers checks that hosts of one zone which can't reach the engines, because dials are
+// refused or time out, take at most a twentieth of the benefit from each other zone.
+func TestCutOffZoneTakesEnginesFromOthers(t *testing.T) {
+	const toleratedLoss = 0.05
+	pt := readPattern(t, "cut-off.ini")
+	earnedByZone := func(pt experiment.Pattern, zone int) float64 {
+		return meanOverSeeds(pt, experiment.Policy{Config: batch.DefaultConfig()}, func(rs experiment.Result) float64 { return rs.ZoneShares[zone] })
+	}
+	for _, dialTimeout := range []time.Duration{0, 400 * time.Millisecond} {
+		withoutCut, withCut := pt, pt
+		withoutCut.Cuts, withCut.Cuts = nil, slices.Clone(pt.Cuts)
+		withCut.Cuts[0].DialTimeout = dialTimeout
+		for zone := range pt.Clients.Zones {
+			if zone != pt.Cuts[0].Zone {
+				got, want := earnedByZone(withCut, zone), earnedByZone(withoutCut, zone)
+				assert.Check(t, got >= want-toleratedLoss, "dials end after %s: zone %d earns %.3f, without the cut %.3f", dialTimeout, zone, got, want)
+			}
+		}
+	}
+}
+
 // TestSameSeedGivesSameResult checks that a simulation is deterministic.
 func TestSameSeedGivesSameResult(t *testing.T) {
 	pt := readPattern(t, "crest.ini")
@@ -98,7 +119,7 @@
 
 // TestInvalidPatterns checks that invalid and missing pattern files are rejected with an error that names the file.
 func TestInvalidPatterns(t *testing.T) {
-	for _, name := range []string{"none.ini", "unknown-section.txt", "bad-value.txt", "unknown-kind.txt", "too-many-lost.txt", "own-base.txt"} {
+	for _, name := range []string{"none.ini", "unknown-section.txt", "bad-value.txt", "unknown-kind.txt", "too-many-lost.txt", "own-base.txt", "unknown-zone.txt"} {
 		_, err := experiment.ReadPattern("testdata/" + name)
 		assert.ErrorContains(t, err, name)
 	}
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -49,6 +49,8 @@
 	WorstWindowShare       float64
 	WorstZoneShare         float64
 	WorstOrganisationShare float64
+	// ZoneShares holds the share of each availability zone.
+	ZoneShares []float64
 	// Requests holds the requests that their clients did not abandon, in the order of arrival.
 	Requests []RequestResult
 }
@@ -96,6 +98,10 @@
 	const minWindowLoad = 0.5
 	rs.WorstWindowShare = lowestShare(byWindow, minWindowLoad*total.possible/float64(max(1, len(byWindow))))
 	rs.WorstZoneShare = lowestShare(byZone, 0)
+	for zone := range pt.Clients.Zones {
+		sum := cmp.Or(byZone[zone], &benefitSum{})
+		rs.ZoneShares = append(rs.ZoneShares, sum.earnedShare())
+	}
 	rs.WorstOrganisationShare = lowestShare(byOrganisation, 0)
 	for kindIndex := range rs.Kinds {
 		kr := &rs.Kinds[kindIndex]
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -107,6 +107,9 @@
 	for _, loss := range pt.Losses {
 		sm.schedule(loss.At, func(time.Time) { sm.applyLoss(loss) })
 	}
+	for _, cut := range pt.Cuts {
+		sm.schedule(cut.At, func(time.Time) { sm.cutOff(cut) })
+	}
 	// drainTime leaves the last arrivals time to be answered.
 	const drainTime = 20 * time.Second
 	sm.scheduler.RunUntil(sm.start.Add(end + drainTime))
@@ -222,18 +225,44 @@
 	if failedPart > 0 {
 		delay += sm.pattern.StallTime
 	}
+	sm.failAttempt(rq, grant, grant.Parts[failedPart].Engine, delay)
+	return true
+}
+
+// failAttempt ends an attempt after a delay, because of an engine that can't be reached, and submits the request again
+// so that it avoids the engine.
+func (sm *simulation) failAttempt(rq *request, grant batch.Grant, engine id.Engine, delay time.Duration) {
 	sm.scheduler.ScheduleAt(sm.scheduler.Now().Add(delay), func(time.Time) {
 		if rq.ended || rq.grant.Attempt != grant.Attempt {
 			return
 		}
 		sm.cancelJob(rq)
-		rq.avoidedEngines = append(rq.avoidedEngines, grant.Parts[failedPart].Engine)
+		rq.avoidedEngines = append(rq.avoidedEngines, engine)
 		rq.grant = batch.Grant{}
 		rq.attemptNumber++
-		sm.stepDispatcher(batch.FinishAttempt{Attempt: grant.Attempt, FailedEngine: grant.Parts[failedPart].Engine, Fault: batch.Unreachable})
+		sm.stepDispatcher(batch.FinishAttempt{Attempt: grant.Attempt, FailedEngine: engine, Fault: batch.Unreachable})
 		sm.submit(rq)
 	})
-	return true
+}
+
+// cutOff aborts the attempts of entry hosts that lose the way to the engines. The hosts notice after one dispatch time.
+func (sm *simulation) cutOff(cut Cut) {
+	for _, rq := range sm.requestsByArrival {
+		if !rq.ended && rq.job != nil && rq.zoneIndex == cut.Zone {
+			sm.failAttempt(rq, rq.grant, rq.grant.Parts[0].Engine, sm.dispatchTime(rq))
+		}
+	}
+}
+
+// currentCut returns the cut that separates a request's entry host from the engines at a time, if there is one.
+func (sm *simulation) currentCut(now time.Time, rq *request) (Cut, bool) {
+	sinceStart := now.Sub(sm.start)
+	for _, cut := range sm.pattern.Cuts {
+		if cut.Zone == rq.zoneIndex && sinceStart >= cut.At && sinceStart < cut.At+cut.For {
+			return cut, true
+		}
+	}
+	return Cut{}, false
 }
 
 // cancelJob removes a request's job from its engines, if it has one.
@@ -247,12 +276,16 @@
 	rq.job = nil
 }
 
-// startJob starts an attempt on the engines of its grant, unless the grant is outdated or one of the engines has
-// failed. The engine of the first part produces the answer; the others help to read the prompt.
+// startJob starts an attempt on the engines of its grant, unless the grant is outdated, one of the engines has failed or
+// the entry host is cut off. The engine of the first part produces the answer; the others help to read the prompt.
 func (sm *simulation) startJob(now time.Time, rq *request, grant batch.Grant) {
 	if rq.ended || rq.grant.Attempt != grant.Attempt || sm.abortIfEngineFailed(rq, grant) {
 		return
 	}
+	if cut, ok := sm.currentCut(now, rq); ok {
+		sm.failAttempt(rq, grant, grant.Parts[0].Engine, cut.DialTimeout)
+		return
+	}
 	job := &enginesim.Job{ID: string(grant.Attempt), PromptTokens: rq.promptTokens, AnswerTokens: id.Tokens(rq.answerEvents * sm.pattern.EngineProfile.StepsPerDecodePass), ReservedTokens: grant.Parts[0].MemoryTokens, Urgency: grant.Urgency}
 	job.OnEvent = func(at time.Time, last bool) {
 		sm.scheduler.ScheduleAt(at.Add(serverHop), func(receivedAt time.Time) { sm.handleEvent(receivedAt, rq, grant, last) })
