--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -28,19 +28,30 @@
 	RequestCompleted(service id.Service, content quarantine.Content)
 }
 
-// ProbeResult says how a server responded to opening a connection, which occupies none of its request slots.
+// ProbeResult says how a server responded to a probe. Opening a connection occupies none of its request slots.
 type ProbeResult int
 
-// Values of ProbeResult.
+// Values of ProbeResult. ConnectionRefused and Unresponsive say something about the server, and not about this host's
+// link to it: another host that reaches some other server at that moment found the same, or there is no other host.
 const (
-	// Reachable means that the server accepted a connection.
+	// Reachable means that the server responded to this host.
 	Reachable ProbeResult = iota + 1
 	// ConnectionRefused means that nothing listens at the server's address.
 	ConnectionRefused
 	// Unresponsive means that there was no response in time.
 	Unresponsive
+	// ReachableThroughPeer means that the server did not respond to this host, but did respond to another one.
+	ReachableThroughPeer
+	// Undetermined means that the server did not respond to this host, and that no other host could tell why.
+	Undetermined
 )
 
+// Alive reports whether the server responded to any host.
+func (pr ProbeResult) Alive() bool { return pr == Reachable || pr == ReachableThroughPeer }
+
+// saysServerFailed reports whether the server did not respond for a reason that is not this host's link to it.
+func (pr ProbeResult) saysServerFailed() bool { return pr == ConnectionRefused || pr == Unresponsive }
+
 // String returns the name of the result in logs and metrics.
 func (pr ProbeResult) String() string {
 	switch pr {
@@ -50,6 +61,10 @@
 		return "refuses"
 	case Unresponsive:
 		return "silent"
+	case ReachableThroughPeer:
+		return "answers_peer"
+	case Undetermined:
+		return "undetermined"
 	default:
 		return "unknown"
 	}
@@ -68,8 +83,8 @@
 func (jb *job) crashSubjects() []crashSubject {
 	subjects := []crashSubject{{jb.result.Fingerprint, quarantine.Confirmed}}
 	parts, status := jb.request.PromptParts, quarantine.Confirmed
-	if len(jb.isolatedParts) > 0 {
-		parts, status = jb.isolatedParts, quarantine.ConfirmedIsolated
+	if isolated := jb.isolation(); len(isolated) > 0 {
+		parts, status = isolated, quarantine.ConfirmedIsolated
 	}
 	for _, part := range parts {
 		subjects = append(subjects, crashSubject{part.Fingerprint(), status})
@@ -186,7 +201,7 @@
 		}
 	}
 	rn.metrics.Tagged(map[string]string{"health": probeResult.String()}).Counter("attempts_broken").Inc(1)
-	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "parts", jb.request.PromptPartNames(), "isolated", len(jb.isolatedParts) > 0, "server", string(server.ID),
+	rn.logger.Info("backend server broke off", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "parts", jb.request.PromptPartNames(), "isolated", len(jb.isolation()) > 0, "server", string(server.ID),
 		"address", server.Address, "born", server.StartedAtMillis, "crash", crash.String(), "health", probeResult.String(), "counted", counted, "cause", cause.Error(),
 		"list_age_ms", rn.fleet.ListAge().Milliseconds())
 	return probeResult == ConnectionRefused
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -84,7 +84,7 @@
 	}
 	st.grantedAt = rn.clock.Now()
 	st.server = rn.serverOfPart(st.request.Service, grant.Parts[0])
-	st.isolatedParts = grant.SuspectParts
+	st.setIsolatedParts(grant.SuspectParts)
 	st.grantsUsed++
 	st.result.Attempts++
 	st.result.Server = id.BackendServer(grant.Parts[0].Engine)
@@ -222,9 +222,16 @@
 	if rn.clock.Now().Sub(st.grantedAt) > rn.config.GrantTTL {
 		return broker.EndedGrant{}, attemptResult{reason: "the place was given too long ago", retryCause: retry.NotSent}
 	}
-	grantRequest := st.grantRequest
-	monitor := startStreamMonitor(rn, primary, monitorLimits{firstEventWait: grant.PredictedFirstEvent + rn.config.IdleBeforeProbe, stallLimit: st.stallLimit(), firstEventDeadline: reservedMemory.firstEventDeadline()},
-		func(searchCtx context.Context) bool { return st.findFailover(searchCtx, grantRequest, primary.Engine) }, func(err error) { cancel(err) })
+	grantRequest, attemptsMade := st.grantRequest, st.sentCount+1
+	monitor := startStreamMonitor(rn, primary, monitorLimits{firstEventWait: grant.PredictedFirstEvent + rn.config.IdleBeforeProbe, stallLimit: st.stallLimit(), firstEventDeadline: reservedMemory.firstEventDeadline()}, monitorCallbacks{
+		findFailover: func(searchCtx context.Context) bool {
+			return st.findFailover(searchCtx, grantRequest, primary.Engine, attemptsMade)
+		},
+		handleNoResponse: func(checkCtx context.Context, result ProbeResult) {
+			st.handleNoResponse(checkCtx, primary.Engine, result)
+		},
+		abort: func(err error) { cancel(err) },
+	})
 	defer monitor.stop()
 	if st.rejectQuarantined() {
 		// This host may have learned of crashes while it waited for the memory.
@@ -244,6 +251,7 @@
 		return st.classifySendError(sendCtx, ctx, primary, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	st.result.PassedOn++
 	rn.applyEngineState(st.server, sentAt, response)
 	switch {
 	case response.Misdirected:
@@ -260,11 +268,25 @@
 	return st.forwardEvents(sendCtx, ctx, grant, response, monitor)
 }
 
-// errUnresponsive is the cause of aborting an attempt whose engine does not respond. errStalled is the cause of
-// aborting one whose stream makes no progress although the engine may still respond, or whose first event did not
-// arrive before the deadline for using the reserved memory.
+// handleNoResponse handles the result of a probe to which the engine of the current attempt did not respond. If the engine
+// has failed, and not this host's link to it, the dispatcher learns of that, and it is checked whether the engine crashed.
+// The attempt stays there meanwhile.
+func (st *engineJob) handleNoResponse(ctx context.Context, engine id.Engine, result ProbeResult) {
+	st.runner.logger.Info("engine does not respond", "request", st.request.ID, "engine", string(engine), "health", result.String())
+	if !result.saysServerFailed() {
+		return
+	}
+	st.runner.dispatcher.ReportEnded(broker.EndedGrant{Service: st.request.Service, FailedEngine: engine, Fault: batch.Unresponsive})
+	st.checkForCrash(ctx, st.server, st.grantedAt, Unresponsive, errUnresponsive)
+}
+
+// errUnresponsive is the cause of aborting an attempt whose engine does not respond, once the stream can go on at another
+// engine. errLinkLost is the cause if only this host does not reach the engine. errStalled is the cause of aborting an
+// attempt whose stream makes no progress although the engine may still respond, or whose first event did not arrive before
+// the deadline for using the reserved memory.
 var (
 	errUnresponsive = errors.New("the engine is silent")
+	errLinkLost     = errors.New("the link to the engine is lost")
 	errStalled      = errors.New("the stream has stalled")
 )
 
@@ -286,28 +308,35 @@
 		if ctx.Err() != nil {
 			return broker.EndedGrant{}, attemptResult{reason: "ended before it was sent", retryCause: retry.NotSent}
 		}
-		return broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unreachable}, attemptResult{reason: err.Error(), retryCause: retry.NotSent}
+		ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unreachable}
+		if errors.Is(err, ErrUndetermined) {
+			ended.Fault = batch.NoFault
+			st.runner.recordUnreachable(st.server)
+		}
+		return ended, attemptResult{reason: err.Error(), retryCause: retry.NotSent}
 	}
+	st.result.PassedOn++
 	st.sentCount++
 	st.mayHaveRun = true
 	return st.classifyLoss(sendCtx, ctx, primary, err)
 }
 
 // classifyLoss describes an attempt that was sent and then lost: the connection to the engine broke, or the stream
-// monitor aborted the attempt. It checks whether the engine crashed, except for a stalled stream. sendCtx is the
-// context of the attempt, ctx that of the request.
+// monitor aborted the attempt. It checks whether the engine crashed if the connection broke. sendCtx is the context of the
+// attempt, ctx that of the request.
 //
-// An unresponsive engine and a stalled stream are reported as Unresponsive, a crashed engine and one that accepts no
-// connections any more as Unreachable; the dispatcher backs off longer from these. If the engine still accepts
-// connections, only its response failed, and it is reported as ErrorResponse.
+// A stalled stream is reported as Unresponsive, a crashed engine and one that accepts no connections any more as
+// Unreachable; the dispatcher backs off longer from these. handleNoResponse has reported an unresponsive engine. If the
+// engine still accepts connections, only its response failed, and it is reported as ErrorResponse. A lost link says nothing
+// about the engine.
 func (st *engineJob) classifyLoss(sendCtx, ctx context.Context, primary batch.Part, err error) (broker.EndedGrant, attemptResult) {
 	if ctx.Err() != nil {
 		return broker.EndedGrant{}, attemptResult{reason: "ended: " + context.Cause(ctx).Error(), retryCause: retry.Interrupted}
 	}
 	ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unresponsive}
 	switch cause := context.Cause(sendCtx); {
-	case errors.Is(cause, errUnresponsive):
-		st.checkForCrash(ctx, st.server, st.grantedAt, Unresponsive, cause)
+	case errors.Is(cause, errUnresponsive), errors.Is(cause, errLinkLost):
+		ended.Fault = batch.NoFault
 		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
 	case errors.Is(cause, errStalled):
 		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
@@ -317,9 +346,13 @@
 		ended.Fault = batch.Unreachable
 		return ended, attemptResult{reason: "the engine crashed: " + err.Error(), retryCause: retry.Crashed}
 	}
-	ended.Fault = batch.ErrorResponse
-	if probeResult == Unresponsive {
+	switch probeResult {
+	case Unresponsive, ConnectionRefused:
 		ended.Fault = batch.Unreachable
+	case ReachableThroughPeer, Undetermined:
+		ended.Fault = batch.NoFault
+	default:
+		ended.Fault = batch.ErrorResponse
 	}
 	return ended, attemptResult{reason: "the engine broke off: " + err.Error(), retryCause: retry.Interrupted}
 }
@@ -374,7 +407,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if len(ev.data) > 0 {
-			st.isolatedParts = nil
+			st.setIsolatedParts(nil)
 			monitor.recordEvent(ev)
 			rn.dispatcher.ReportStarted(grant.Attempt)
 			if sinkErr := st.forwardEvent(response, ev); sinkErr != nil {
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -23,9 +23,6 @@
 	KeepAliveMargin time.Duration
 	// MaxIdlePerAddress limits the idle connections to one address.
 	MaxIdlePerAddress int
-	// UnacknowledgedTimeout is how long sent bytes may stay unacknowledged before the kernel closes the connection
-	// (TCP_USER_TIMEOUT).
-	UnacknowledgedTimeout time.Duration
 	// Dial opens connections. If it is nil, they are opened with net.Dialer.
 	Dial DialFunc
 }
@@ -36,11 +33,10 @@
 // DefaultConfig returns the timeouts and limits that hosts use.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:           400 * time.Millisecond,
-		IdleTimeout:           8 * time.Second,
-		KeepAliveMargin:       500 * time.Millisecond,
-		MaxIdlePerAddress:     8,
-		UnacknowledgedTimeout: 2 * time.Second,
+		DialTimeout:       400 * time.Millisecond,
+		IdleTimeout:       8 * time.Second,
+		KeepAliveMargin:   500 * time.Millisecond,
+		MaxIdlePerAddress: 8,
 	}
 }
 
@@ -135,7 +131,8 @@
 	pl.idle[cn.address] = append(pl.idle[cn.address], cn)
 }
 
-// dial opens a connection to an address.
+// dial opens a connection to an address. The connection has no timeouts of its own: a request ends with its context, because
+// a server that is silent for a moment may still answer.
 func (pl *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	dial := pl.config.Dial
 	if dial == nil {
@@ -147,7 +144,6 @@
 	if err != nil {
 		return nil, err
 	}
-	setUserTimeout(connection, pl.config.UnacknowledgedTimeout)
 	limited := &limitedReader{Reader: connection, remaining: unlimited}
 	return &conn{Conn: connection, address: address, limitedReader: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
@@ -162,6 +158,16 @@
 	return nil
 }
 
+// DropIdle closes the idle connections to an address.
+func (pl *Pool) DropIdle(address string) {
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	for _, cn := range pl.idle[address] {
+		_ = cn.Close()
+	}
+	delete(pl.idle, address)
+}
+
 // readBufferBytes is the size of a connection's read buffer.
 const readBufferBytes = 4096
 
