A peer that has just lost its own links is no witness against a server

Cause: a peer's word counted if it had connected to another server in the last 100 ms. Hosts that lost their links since then confirmed each other's refused connections. What a peer did earlier does not count any more: it dials other servers after the server has failed, or has not responded for 100 ms; with links lost it reaches none.

Evidence: TestPeerThatHasJustLostItsLinksIsNoWitness failed before and passes now; TestProbeIsAnsweredByWitness and TestFailureThatPeerConfirms hold the opposite fault.

--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -471,3 +471,25 @@
 		}
 	})
 }
+
+// TestPeerThatHasJustLostItsLinksIsNoWitness guards against sound servers that count as crashed because hosts that lose
+// their links at the same moment confirm each other's failures.
+func TestPeerThatHasJustLostItsLinksIsNoWitness(t *testing.T) {
+	for _, state := range []linkState{refusing, silent} {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork("a1", "a2", "b1")
+			for _, ht := range nw.hosts {
+				for _, server := range listed {
+					assert.Equal(t, ht.sender.ProbeConnection(t.Context(), server.Address), forward.Reachable)
+				}
+			}
+			for _, ht := range nw.hosts {
+				ht.cut(state)
+			}
+			_, err := nw.hosts["a1"].sender.Send(t.Context(), forward.Attempt{Request: &forward.Request{ID: "request"}, Server: "s1", Address: "s1:80", Remaining: time.Second})
+			assert.ErrorIs(t, err, forward.ErrNotSent)
+			assert.ErrorIs(t, err, forward.ErrUndetermined)
+			assert.Equal(t, nw.hosts["a1"].sender.ProbeConnection(t.Context(), "s2:80"), forward.Undetermined)
+		})
+	}
+}
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -22,10 +22,10 @@
 	callsPerCore = 512
 	// minCalls is the lowest such number.
 	minCalls = 64
-	// witnessWindow is the time within which some other server must have accepted a connection of the peer for its word that
-	// a server does not respond to count. It is short, because the peer may have lost its own links just now.
-	witnessWindow = 100 * time.Millisecond
-	// witnessTimeout bounds the dials by which a peer finds out whether it reaches other servers after an attempt failed.
+	// witnessDelay is how long a server must not have responded to a probe before the peer dials other servers. A peer that
+	// loses its own links meanwhile then reaches none of them.
+	witnessDelay = 100 * time.Millisecond
+	// witnessTimeout bounds these dials.
 	witnessTimeout = 150 * time.Millisecond
 	// answerMargin is the part of a probe's time that remains for the answer to reach the entry host.
 	answerMargin = 40 * time.Millisecond
@@ -206,41 +206,50 @@
 	}
 	if failure.NotSent {
 		failure.Reason = ServerUnreachable
-		ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
-		defer cancel()
-		sv.dialOthers(ctx, call.Address).Wait()
-		failure.ReachesOther = sv.links.connectedToOther(call.Address, witnessWindow+witnessTimeout)
+		failure.ReachesOther = sv.reachesOther(ctx, call.Address)
 	}
 	return failure
 }
 
-// probe probes a server and finds out at the same time whether this host reaches some other server.
+// probe probes a server and, if that fails or takes long, finds out whether this host reaches some other server.
 func (sv *Server) probe(ctx context.Context, call Call, probeDirectly func(context.Context, string) forward.ProbeResult) Answer {
-	startedAt := sv.clock.Now()
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerMargin))
 		defer cancel()
 	}
-	others := sv.dialOthers(ctx, call.Address)
-	result := probeDirectly(ctx, call.Address)
-	if result == forward.Reachable {
-		return Answer{Probe: result, ReachesOther: true}
+	results := make(chan forward.ProbeResult, 1)
+	go func() { results <- probeDirectly(ctx, call.Address) }()
+	delayed, delay := timer.Wait(sv.clock, witnessDelay)
+	defer delay.Stop()
+	result := forward.ProbeResult(0)
+	select {
+	case result = <-results:
+	case <-delayed:
+	}
+	reachesOther := result == forward.Reachable || sv.reachesOther(ctx, call.Address)
+	if result == 0 {
+		result = <-results
 	}
-	others.Wait()
-	return Answer{Probe: result, ReachesOther: sv.links.connectedToOther(call.Address, sv.clock.Now().Sub(startedAt)+witnessWindow)}
+	return Answer{Probe: result, ReachesOther: reachesOther || result == forward.Reachable}
 }
 
-// dialOthers opens connections to some servers other than the one at an address, unless one of them accepted a connection
-// just now. The caller waits for them with the result.
-func (sv *Server) dialOthers(ctx context.Context, address string) *sync.WaitGroup {
-	var dials sync.WaitGroup
-	if !sv.links.connectedToOther(address, witnessWindow) {
-		for _, other := range sv.links.otherServers(address, witnessDials) {
-			dials.Go(func() { sv.direct.probeConnection(ctx, other) })
+// reachesOther reports whether this host can open a connection now to a server other than the one at an address. What it
+// did earlier does not count, because it may have lost its links since.
+func (sv *Server) reachesOther(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	others := sv.links.otherServers(address, witnessDials)
+	results := make(chan forward.ProbeResult, len(others))
+	for _, other := range others {
+		go func() { results <- sv.direct.probeConnection(ctx, other) }()
+	}
+	for range others {
+		if <-results == forward.Reachable {
+			return true
 		}
 	}
-	return &dials
+	return false
 }
 
 // cancellingBody is a body whose context ends when it is closed.
--- a/coordination/reachability/tracker.go
+++ b/coordination/reachability/tracker.go
@@ -243,16 +243,6 @@
 	return marked
 }
 
-// ConnectedToOther reports whether a server other than the one at an address accepted a connection since a time.
-func (tr *Tracker) ConnectedToOther(address string, since time.Time) bool {
-	for other, known := range tr.servers {
-		if other != address && !known.connectedAt.Before(since) {
-			return true
-		}
-	}
-	return false
-}
-
 // Unmarked returns up to count addresses that are reached directly and have not been reached since a time, other than
 // those excluded. Addresses of different services and availability zones come first.
 func (tr *Tracker) Unmarked(count int, since time.Time, excluded ...string) []string {
