A stream that goes on after its connection broke uses a new connection

Callers saw: of streams on a host whose links to all engines were reset and then refused, 1 to 4 of 15 stayed incomplete: the resumed attempt went to a kept connection that was being reset as well, which used up the attempts of the route.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -246,6 +246,8 @@
 		ResumeAfter: st.lastEventID,
 		Helpers:     grant.Parts[1:],
 		Urgency:     grant.Urgency,
+
+		NewConnection: st.newConnection,
 	})
 	if err != nil {
 		return st.classifySendError(sendCtx, ctx, primary, err)
@@ -341,6 +343,7 @@
 	case errors.Is(cause, errStalled):
 		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
 	}
+	st.newConnection = true
 	probeResult := st.runner.probeConnection(ctx, st.server)
 	if st.checkForCrash(ctx, st.server, st.grantedAt, probeResult, err) {
 		ended.Fault = batch.Unreachable
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -327,7 +327,8 @@
 	// hasReplacement is.
 	replacement    serverlist.Server
 	hasReplacement bool
-	// newConnection makes further attempts use new connections, because a reused one ended without a response.
+	// newConnection makes further attempts use new connections, because a reused one ended without a response or the
+	// connection of a stream broke, as others may just now.
 	newConnection bool
 }
 
