No request is lost on a kept connection after a link to another server was lost

While the link to some server is lost, a server that has given no sign since gets a new connection, whose dial shows whether its link works before anything is sent. Where new connections are refused, kept ones are used only after something has arrived on one, 50 ms after the loss or the last break.

--- a/coordination/peerrelay/direct.go
+++ b/coordination/peerrelay/direct.go
@@ -34,6 +34,9 @@
 		if !attempt.KeptConnection {
 			ds.recordError(ctx, attempt.Address, startedAt, err)
 		}
+		if !errors.Is(err, forward.ErrNotSent) && ctx.Err() == nil {
+			ds.links.recordBreak()
+		}
 		return response, err
 	}
 	result := reachability.Answered
@@ -41,7 +44,7 @@
 		result = reachability.Connected
 	}
 	ds.links.recordDirect(attempt.Address, result)
-	response.Body = &watchedBody{ReadCloser: response.Body, links: ds.links, end: end}
+	response.Body = &watchedBody{ReadCloser: response.Body, ctx: ctx, links: ds.links, end: end}
 	return response, nil
 }
 
@@ -114,17 +117,21 @@
 // watchedBody is the body of a response that arrives directly.
 type watchedBody struct {
 	io.ReadCloser
+	ctx   context.Context
 	links *Links
 	// end ends the exchange.
 	end func()
 }
 
-// Read reads the body and records that something arrived.
+// Read reads the body and records that something arrived or that the connection broke.
 func (wb *watchedBody) Read(buffer []byte) (int, error) {
 	count, err := wb.ReadCloser.Read(buffer)
 	if count > 0 {
 		wb.links.recordSign()
 	}
+	if err != nil && !errors.Is(err, io.EOF) && wb.ctx.Err() == nil {
+		wb.links.recordBreak()
+	}
 	return count, err
 }
 
--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -42,9 +42,14 @@
 	// not count as cut off; empty if that has been followed up.
 	suspect     string
 	suspectedAt time.Time
-	// inProgress counts the direct exchanges in progress by address. lastSign is when one of them last received anything.
-	inProgress map[string]int
-	lastSign   time.Time
+	// lostAt is when the first of the marked servers was marked; zero if none is.
+	lostAt time.Time
+	// inProgress counts the direct exchanges in progress by address. lastSign is when the last sign of any server arrived,
+	// lastKeptSign when one last arrived on a connection that was open before, and lastBreak when a connection last broke.
+	inProgress   map[string]int
+	lastSign     time.Time
+	lastKeptSign time.Time
+	lastBreak    time.Time
 }
 
 // NewLinks returns the links of a host that knows no backend servers yet.
@@ -74,6 +79,37 @@
 	return lk.tracker.Way(address)
 }
 
+// keptConnectionProof is how long after a link was lost or a connection broke something must arrive on a kept connection
+// for kept connections to count as usable: what arrives before may have been under way.
+const keptConnectionProof = 50 * time.Millisecond
+
+// plan returns the way to send to the server at an address, and whether to open a new connection for it. Idle connections
+// may end with the first bytes that are sent on them, so that a request that must not be repeated is lost. Where links
+// are lost, they are therefore used only if kept connections are seen to live. While the link to some server is lost,
+// others that have given no sign since get a new connection, which shows whether their links work before anything is sent.
+func (lk *Links) plan(address string) (way reachability.Way, newConnection bool) {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	way = lk.tracker.Way(address)
+	switch way {
+	case reachability.KeptConnections:
+		if doubtfulSince := later(lk.lostAt, lk.lastBreak); lk.lastKeptSign.Sub(doubtfulSince) < keptConnectionProof {
+			way = reachability.ThroughPeer
+		}
+	case reachability.Direct:
+		newConnection = lk.markedCount > 0 && lk.tracker.ReachedAt(address).Before(lk.lostAt)
+	}
+	return way, newConnection
+}
+
+// later returns the later one of two times.
+func later(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
+
 // CutOff reports whether the host is cut off from the backend servers.
 func (lk *Links) CutOff() bool {
 	lk.mutex.Lock()
@@ -109,6 +145,9 @@
 		if result == reachability.Connected || result == reachability.Answered {
 			lk.lastSign = now
 		}
+		if result == reachability.Answered {
+			lk.lastKeptSign = now
+		}
 		lk.tracker.RecordDirect(now, address, result)
 	})
 }
@@ -133,6 +172,9 @@
 	throughPeer := marked[reachability.ThroughPeer]
 	markedCount := len(throughPeer) + len(marked[reachability.KeptConnections])
 	countChanged := markedCount != lk.markedCount
+	if lk.markedCount == 0 && markedCount > 0 {
+		lk.lostAt = lk.clock.Now()
+	}
 	lk.markedCount = markedCount
 	cutOff := lk.tracker.CutOff()
 	changed := cutOff != lk.cutOff
@@ -227,6 +269,14 @@
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	lk.lastSign = lk.clock.Now()
+	lk.lastKeptSign = lk.lastSign
+}
+
+// recordBreak records that a connection broke while an exchange was in progress on it.
+func (lk *Links) recordBreak() {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	lk.lastBreak = lk.clock.Now()
 }
 
 // takeSilent returns up to count servers to probe if there are exchanges in progress and none of them has received anything
--- a/coordination/peerrelay/network_test.go
+++ b/coordination/peerrelay/network_test.go
@@ -32,9 +32,11 @@
 
 const (
 	up linkState = iota
-	// silent links lose all packets; refusing links refuse new connections and keep old ones.
+	// silent links lose all packets; refusing links refuse new connections and keep old ones; breaking links refuse new
+	// connections and break old ones when something is sent.
 	silent
 	refusing
+	breaking
 )
 
 // dialTimeout is the time after which opening a connection on a silent link fails.
@@ -148,7 +150,7 @@
 	state := ht.linkStates[address]
 	ht.network.mutex.Unlock()
 	switch state {
-	case refusing:
+	case refusing, breaking:
 		return errors.Join(forward.ErrConnectionRefused, forward.ErrNotSent)
 	case silent:
 		if !timer.Sleep(ctx, timer.NewSystem(), dialTimeout) {
@@ -161,9 +163,9 @@
 
 // connect takes a kept connection or opens one, and reports whether it is new. A kept connection on a silent link brings
 // no answer.
-func (ht *host) connect(ctx context.Context, address string, keptOnly bool) (bool, error) {
+func (ht *host) connect(ctx context.Context, address string, keptOnly, newConnection bool) (bool, error) {
 	ht.network.mutex.Lock()
-	kept := ht.kept[address] > 0
+	kept := ht.kept[address] > 0 && !newConnection
 	state := ht.linkStates[address]
 	if kept {
 		ht.kept[address]--
@@ -173,6 +175,8 @@
 	case kept && state == silent:
 		<-ctx.Done()
 		return false, ctx.Err()
+	case kept && state == breaking:
+		return false, errors.Join(forward.ErrStaleConnection, errors.New("connection reset"))
 	case kept:
 		return false, nil
 	case keptOnly:
@@ -183,7 +187,7 @@
 
 // Send runs the request of an attempt, and keeps the connection.
 func (ht *host) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
-	isNew, err := ht.connect(ctx, attempt.Address, attempt.KeptConnection)
+	isNew, err := ht.connect(ctx, attempt.Address, attempt.KeptConnection, attempt.NewConnection)
 	if err != nil {
 		return forward.Response{}, err
 	}
@@ -220,12 +224,12 @@
 }
 
 func (ht *host) Reserve(ctx context.Context, address, ticket string, _ id.Tokens, _ time.Duration) (bool, error) {
-	_, err := ht.connect(ctx, address, false)
+	_, err := ht.connect(ctx, address, false, false)
 	return err == nil && ticket != "", err
 }
 
 func (ht *host) Release(ctx context.Context, address, _ string) error {
-	_, err := ht.connect(ctx, address, false)
+	_, err := ht.connect(ctx, address, false, false)
 	return err
 }
 
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -80,11 +80,12 @@
 // through a peer. A request that may have been sent is never sent again.
 func (sd *Sender) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
 	startedAt := sd.clock.Now()
-	way := sd.links.Way(attempt.Address)
+	way, newConnection := sd.links.plan(attempt.Address)
 	reason := way.String()
 	if way == reachability.Direct || way == reachability.KeptConnections && !attempt.NewConnection {
 		directAttempt := attempt
 		directAttempt.KeptConnection = way == reachability.KeptConnections
+		directAttempt.NewConnection = attempt.NewConnection || newConnection
 		response, err := sd.direct.send(ctx, directAttempt)
 		if err == nil || !errors.Is(err, forward.ErrNotSent) || ctx.Err() != nil || !sd.peers.any() {
 			return response, err
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -82,31 +82,56 @@
 }
 
 // TestKeptConnectionsAreUsedWhileNewOnesAreRefused checks that a host whose new connections are refused sends on its
-// kept connections, and through a peer once there are none.
+// kept connections once it has seen that they live, and through a peer once there are none.
 func TestKeptConnectionsAreUsedWhileNewOnesAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nw := newNetwork("a1", "b1")
 		cutHost := nw.hosts["a1"]
 		cutHost.kept["s3:80"] = 1
+		stream, err := cutHost.sender.Send(t.Context(), newAttempt("stream", "s4"))
+		assert.NilError(t, err)
 		cutHost.cut(refusing)
-		for _, server := range []string{"s1", "s2"} {
+		for _, server := range []string{"s1", "s2", "s3"} {
 			_, err := cutHost.send(t.Context(), newAttempt(server, server))
 			assert.NilError(t, err)
 		}
 		assert.Equal(t, cutHost.links.Way("s3:80"), reachability.KeptConnections)
-		relayed := len(nw.relayed)
+		assert.Equal(t, len(nw.relayed), 3)
+		time.Sleep(100 * time.Millisecond)
+		_, err = stream.Body.Read(make([]byte, 4))
+		assert.NilError(t, err)
 		for number := range 3 {
 			_, err := cutHost.send(t.Context(), newAttempt(fmt.Sprint(number), "s3"))
 			assert.NilError(t, err)
 		}
-		assert.Equal(t, len(nw.relayed), relayed)
+		assert.Equal(t, len(nw.relayed), 3)
 		assert.Equal(t, cutHost.links.Way("s3:80"), reachability.KeptConnections)
 		cutHost.DropIdle("s3:80")
 		dials := cutHost.dials
-		_, err := cutHost.send(t.Context(), newAttempt("last", "s3"))
+		_, err = cutHost.send(t.Context(), newAttempt("last", "s3"))
 		assert.NilError(t, err)
-		assert.Equal(t, len(nw.relayed), relayed+1)
+		assert.Equal(t, len(nw.relayed), 4)
 		assert.Equal(t, cutHost.dials, dials)
+		assert.NilError(t, stream.Body.Close())
+	})
+}
+
+// TestDeadKeptConnectionsAreNotUsed cuts a host so that new connections are refused and kept ones break when something is
+// sent on them. Once a dial to one server has failed, no request may be lost on a kept connection to any server.
+func TestDeadKeptConnectionsAreNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		cutHost := nw.hosts["a1"]
+		for _, server := range listed[1:] {
+			cutHost.kept[server.Address] = 2
+		}
+		cutHost.cut(breaking)
+		assert.Equal(t, cutHost.sender.ProbeConnection(t.Context(), "s1:80"), forward.ReachableThroughPeer)
+		for number := range 12 {
+			body, err := cutHost.send(t.Context(), newAttempt(fmt.Sprint(number), string(listed[number%len(listed)].ID)))
+			assert.NilError(t, err)
+			assert.Equal(t, body, "answer of "+string(listed[number%len(listed)].ID))
+		}
 	})
 }
 
--- a/coordination/reachability/tracker.go
+++ b/coordination/reachability/tracker.go
@@ -243,6 +243,14 @@
 	return marked
 }
 
+// ReachedAt returns when the server at an address last answered or accepted a connection; zero if it never did.
+func (tr *Tracker) ReachedAt(address string) time.Time {
+	if known, listed := tr.servers[address]; listed {
+		return known.reachedAt
+	}
+	return time.Time{}
+}
+
 // ConnectedToOther reports whether a server other than the one at an address accepted a connection since a time.
 func (tr *Tracker) ConnectedToOther(address string, since time.Time) bool {
 	for other, known := range tr.servers {
