--- a/coordination/reachability/tracker.go
+++ b/coordination/reachability/tracker.go
@@ -243,6 +243,14 @@
 	return marked
 }
 
+// ReachedAt returns when the server at an address last answered or accepted a connection; zero if it never did.
+func (tr *Tracker) ReachedAt(address string) time.Time {
+	if known, listed := tr.servers[address]; listed {
+		return known.reachedAt
+	}
+	return time.Time{}
+}
+
 // Unmarked returns up to count addresses that are reached directly and have not been reached since a time, other than
 // those excluded. Addresses of different services and availability zones come first.
 func (tr *Tracker) Unmarked(count int, since time.Time, excluded ...string) []string {
