--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -23,6 +23,9 @@
 	exitShare = 0.96
 )
 
+// inFlight returns the number of requests in progress: those of clients, and those sent on behalf of peers.
+func (ht *Host) inFlight() int64 { return ht.clientHandler.InFlight() + ht.relayServer.InFlight() }
+
 // acceptTime returns how long a leaving host accepts new requests if it has the given time to stop.
 func acceptTime(grace time.Duration) time.Duration {
 	return min(maxAcceptTime, time.Duration(acceptShare*float64(grace)))
@@ -35,7 +38,7 @@
 	const pollInterval = 20 * time.Millisecond
 	startedLeavingAt := ht.clock.Now()
 	grace := ht.settings.Operators.ShutdownTimeout
-	ht.logger.Info("host is leaving", "in_flight", ht.clientHandler.InFlight(), "grace_ms", grace.Milliseconds())
+	ht.logger.Info("host is leaving", "in_flight", ht.inFlight(), "grace_ms", grace.Milliseconds())
 	ht.mutex.Lock()
 	ht.leaving = true
 	ht.mutex.Unlock()
@@ -49,15 +52,15 @@
 	ht.forwarder.RejectWaiting()
 	graceShareEnd := func(share float64) time.Time { return startedLeavingAt.Add(time.Duration(share * float64(grace))) }
 	aborted := false
-	for ht.clientHandler.InFlight() > 0 && ht.clock.Now().Before(graceShareEnd(exitShare)) {
+	for ht.inFlight() > 0 && ht.clock.Now().Before(graceShareEnd(exitShare)) {
 		if !aborted && !ht.clock.Now().Before(graceShareEnd(abortShare)) {
 			aborted = true
-			ht.logger.Warn("host aborts the requests that it can't finish in time", "in_flight", ht.clientHandler.InFlight())
+			ht.logger.Warn("host aborts the requests that it can't finish in time", "in_flight", ht.inFlight())
 			ht.forwarder.Abort()
 		}
 		if !timer.Sleep(ctx, ht.clock, pollInterval) {
 			return
 		}
 	}
-	ht.logger.Info("host has finished its requests", "in_flight", ht.clientHandler.InFlight(), "took_ms", ht.clock.Now().Sub(startedLeavingAt).Milliseconds())
+	ht.logger.Info("host has finished its requests", "in_flight", ht.inFlight(), "took_ms", ht.clock.Now().Sub(startedLeavingAt).Milliseconds())
 }
