--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -225,13 +225,13 @@
 	if failedPart > 0 {
 		delay += sm.pattern.StallTime
 	}
-	sm.failAttempt(rq, grant, grant.Parts[failedPart].Engine, delay)
+	sm.failAttempt(rq, grant, grant.Parts[failedPart].Engine, batch.Unreachable, delay)
 	return true
 }
 
-// failAttempt ends an attempt after a delay, because of an engine that can't be reached, and submits the request again
-// so that it avoids the engine.
-func (sm *simulation) failAttempt(rq *request, grant batch.Grant, engine id.Engine, delay time.Duration) {
+// failAttempt ends an attempt after a delay, because of an engine that its host can't reach, reports the fault, and submits
+// the request again so that it avoids the engine.
+func (sm *simulation) failAttempt(rq *request, grant batch.Grant, engine id.Engine, fault batch.Fault, delay time.Duration) {
 	sm.scheduler.ScheduleAt(sm.scheduler.Now().Add(delay), func(time.Time) {
 		if rq.ended || rq.grant.Attempt != grant.Attempt {
 			return
@@ -240,16 +240,17 @@
 		rq.avoidedEngines = append(rq.avoidedEngines, engine)
 		rq.grant = batch.Grant{}
 		rq.attemptNumber++
-		sm.stepDispatcher(batch.FinishAttempt{Attempt: grant.Attempt, FailedEngine: engine, Fault: batch.Unreachable})
+		sm.stepDispatcher(batch.FinishAttempt{Attempt: grant.Attempt, FailedEngine: engine, Fault: fault})
 		sm.submit(rq)
 	})
 }
 
 // cutOff aborts the attempts of entry hosts that lose the way to the engines. The hosts notice after one dispatch time.
+// They report no fault of an engine that other hosts reach.
 func (sm *simulation) cutOff(cut Cut) {
 	for _, rq := range sm.requestsByArrival {
 		if !rq.ended && rq.job != nil && rq.zoneIndex == cut.Zone {
-			sm.failAttempt(rq, rq.grant, rq.grant.Parts[0].Engine, sm.dispatchTime(rq))
+			sm.failAttempt(rq, rq.grant, rq.grant.Parts[0].Engine, batch.NoFault, sm.dispatchTime(rq))
 		}
 	}
 }
@@ -283,7 +284,7 @@
 		return
 	}
 	if cut, ok := sm.currentCut(now, rq); ok {
-		sm.failAttempt(rq, grant, grant.Parts[0].Engine, cut.DialTimeout)
+		sm.failAttempt(rq, grant, grant.Parts[0].Engine, batch.NoFault, cut.DialTimeout)
 		return
 	}
 	job := &enginesim.Job{ID: string(grant.Attempt), PromptTokens: rq.promptTokens, AnswerTokens: id.Tokens(rq.answerEvents * sm.pattern.EngineProfile.StepsPerDecodePass), ReservedTokens: grant.Parts[0].MemoryTokens, Urgency: grant.Urgency}
