A response without an id on a reused connection is not taken as the answer

Callers were told "not run, try again" (503) for a request that the server was running, when the server sent the refusal of an earlier request once more on a kept connection, without the id of its request.

Cause: BackendClient.Send took a response without X-Attempt-Id as the answer if its status was 300 or higher. On a reused connection such a response may belong to an earlier exchange. It can arrive between the pool's check for pending bytes and the write, or after the write, so looking for bytes before the request is written can't tell.

Fix: on a reused connection a response that names no request is skipped like one that names another request. The answer that follows is taken. If none follows within 500 ms, the exchange fails with ErrStaleConnection: the request may have run, so a request that may run twice is sent again on a new connection and any other one gets 502. On a new connection a refusal without an id is still taken, and one that names the request is taken everywhere.

Ruled out: refusals with the id of another request were skipped before. Closing each connection after a refusal would also work, but costs a connection per refusal at times of overload.

--- a/site/server_faults_test.go
+++ b/site/server_faults_test.go
@@ -120,3 +120,29 @@
 		assert.Equal(t, streamed.status, http.StatusOK)
 	}
 }
+
+// TestRepeatedRefusal has a server send the refusal of an earlier request once more on a kept connection before it
+// answers a request that it runs. The client must get the answer, and the server must run the request once.
+func TestRepeatedRefusal(t *testing.T) {
+	for _, fault := range []standin.ServerFault{standin.RepeatsRefusal, standin.RepeatsRefusalWithoutID} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			env := newTestEnv(t)
+			server := env.addServer("book-1", "books")
+			env.publishTable()
+			host := env.startHost("host-1", true)
+			server.SetFault(fault)
+			send := func(attemptID string) response {
+				return host.sendRequest(t.Context(), http.MethodPost, "/order/x", attemptID, "order")
+			}
+			refused := send("refused")
+			assert.Equal(t, refused.status, http.StatusServiceUnavailable, "%+v", refused)
+			for number := range 3 {
+				attemptID := fmt.Sprint("o", number)
+				got := send(attemptID)
+				assert.Equal(t, got.status, http.StatusOK, "%+v", got)
+				assert.Equal(t, got.body, "answer of book-1 to "+attemptID)
+			}
+			assert.Equal(t, len(server.ExecutedRequests()), 3)
+		})
+	}
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -49,6 +49,11 @@
 	StallsStreams
 	// Unresponsive makes the server respond to nothing at all, requests for its report included.
 	Unresponsive
+	// RepeatsRefusal makes the server reject the first request on a connection as not run, and send that refusal once more
+	// before the responses to the requests that follow, which it runs. RepeatsRefusalWithoutID is the same, but the
+	// repeated refusals don't name their request.
+	RepeatsRefusal
+	RepeatsRefusalWithoutID
 )
 
 // ExecutedRequest is a request that a server started to run.
@@ -364,6 +369,9 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		sv.recordBackoffResponse()
 		return
+	case fault == RepeatsRefusal || fault == RepeatsRefusalWithoutID:
+		sv.repeatRefusal(rw, rq.Header.Get("X-Attempt-Id"), fault == RepeatsRefusal)
+		return
 	case fault == RejectsAsNotRun:
 		header.Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
 // Request is one request to a backend server.
@@ -30,13 +32,18 @@
 	// MatchesRequest reports whether a response with the given status and header belongs to this request. Responses to
 	// other requests on the same connection are skipped. If it is nil, the first response is taken.
 	MatchesRequest func(status int, header http.Header) bool
+	// IsUnidentified reports whether a response with the given header names no request. On a reused connection such a
+	// response may be an earlier one that the server sent once more, so it is skipped there. If it is nil, all responses
+	// count as identified.
+	IsUnidentified func(header http.Header) bool
 }
 
 // ErrNotSent means that no part of the request reached the server.
 var ErrNotSent = errors.New("the request was not sent")
 
-// ErrStaleConnection means that a reused connection ended before any byte of the response arrived. The server may have
-// run the request. The error says nothing about the server itself, which may well answer on a new connection.
+// ErrStaleConnection means that a reused connection ended before any byte of the response arrived, or brought only
+// responses that name no request. The server may have run the request. The error says nothing about the server itself,
+// which may well answer on a new connection.
 var ErrStaleConnection = errors.New("the reused connection brought no answer")
 
 // Response is the head of a server's response and a stream of its body. The caller must close Body.
@@ -54,6 +61,8 @@
 const (
 	// maxSkippedResponses is the number of skipped responses after which an exchange fails.
 	maxSkippedResponses = 3
+	// unidentifiedResponseWait is how long an exchange waits for its response after a response that names no request.
+	unidentifiedResponseWait = 500 * time.Millisecond
 	// maxSkippedBodyBytes limits the body of a skipped response.
 	maxSkippedBodyBytes = 256 << 10
 	// maxHeadBytes limits the head of a response together with the interim responses before it.
@@ -155,6 +164,12 @@
 func (ex *exchange) receiveResponse(request Request) (*Response, error) {
 	// http.ReadResponse needs the method to know whether the response has a body.
 	httpRequest := &http.Request{Method: request.Method}
+	var closeTimer timer.Subscription
+	defer func() {
+		if closeTimer != nil {
+			closeTimer.Stop()
+		}
+	}()
 	for range maxSkippedResponses {
 		if _, err := ex.conn.reader.Peek(1); err != nil {
 			ex.abort()
@@ -167,7 +182,11 @@
 			return nil, errors.Wrap(err, "read answer")
 		}
 		ex.conn.limitedReader.setLimit(unlimited)
-		if request.MatchesRequest != nil && !request.MatchesRequest(response.StatusCode, response.Header) {
+		unidentified := ex.conn.reused && request.IsUnidentified != nil && request.IsUnidentified(response.Header)
+		if unidentified && closeTimer == nil {
+			closeTimer = ex.pool.clock.After(unidentifiedResponseWait, func() { _ = ex.conn.Close() })
+		}
+		if unidentified || request.MatchesRequest != nil && !request.MatchesRequest(response.StatusCode, response.Header) {
 			if err := discardBody(response.Body); err != nil {
 				ex.abort()
 				return nil, errors.Wrap(err, "skip an answer to another request")
