Test that a refusal of the same request is not repeated to it

An engine that refuses a request may get it again, with the same id. If it then sent the earlier refusal once more on the kept connection and ran the request, the id would match, and the client would be told "not run" or a second engine would get it. This does not happen now: an engine's refusal is closed unread, which closes its connection. The comment says so, and the test keeps it that way. Plain services are not affected: a server that refused a request doesn't get it again.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -250,6 +250,8 @@
 		rn.fleet.RecordLeaving(id.BackendServer(primary.Engine))
 		return broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Gone}, attemptResult{reason: "another server has the address", retryCause: retry.BackendRefused}
 	case response.NotRun:
+		// The body is not read, so that the connection is closed. On a reused one, the engine could send this refusal once
+		// more when it runs the request after all.
 		failedEngine, fault := st.engineAtFault(grant, response)
 		return broker.EndedGrant{FailedEngine: failedEngine, Fault: fault, RetryAfter: response.RetryAfter}, attemptResult{reason: "the engine did not run the request", retryCause: retry.BackendRefused}
 	}
--- a/site/server_faults_test.go
+++ b/site/server_faults_test.go
@@ -146,3 +146,20 @@
 		})
 	}
 }
+
+// TestRepeatedRefusalOfSameRequest has the only engine refuse a request and send that refusal once more on the kept
+// connection when the request comes again, which it then runs. A client that is told that its request was not run must
+// be told the truth.
+func TestRepeatedRefusalOfSameRequest(t *testing.T) {
+	env := newTestEnv(t)
+	engine := env.addServer("engine-1", "models")
+	env.publishTable()
+	host := env.startHost("host-1", true)
+	engine.SetFault(standin.RepeatsRefusal)
+	for number := range 3 {
+		runsBefore := len(engine.ExecutedRequests())
+		got := host.sendPrompt(fmt.Sprint("c", number), 1000)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Equal(t, len(engine.ExecutedRequests()), runsBefore)
+	}
+}
