A status that promises "not run" is passed on only if the server says so

A client whose request must not run twice was sent a server's 408, 429 or 503 although the server had not said that it did not run the request (X-Not-Executed). To clients these statuses promise that the request has not run and never will, so they send it again.

Cause: such an answer counted as an ordinary error and was passed on with its status. Only X-Not-Executed says that a request was not run; any other answer may come after it ran.

Fix: the request then counts as one that may have run, and its client gets 502, at plain services and at engines. Requests that may run twice still get the server's own status, and true refusals (X-Not-Executed) are passed on as before.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -341,13 +341,14 @@
 }
 
 // handleErrorResponse handles an engine's response that has a status other than success. The response is forwarded to
-// the client unless the request is run again, part of a stream was forwarded before, or the response is incomplete.
+// the client unless the request is run again, part of a stream was forwarded before, the response is incomplete, or its
+// status would falsely tell the client that the request has not run.
 func (st *engineJob) handleErrorResponse(ctx context.Context, primary batch.Part, response Response) (broker.EndedGrant, attemptResult) {
 	body, complete, err := readUpTo(response.Body, st.runner.config.ResponseBufferBytes)
 	ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.ErrorResponse}
 	st.mayHaveRun = true
 	result := attemptResult{reason: "the engine failed with status " + http.StatusText(response.Status), retryCause: retry.Interrupted}
-	if st.result.HeadSent || err != nil || !complete {
+	if st.result.HeadSent || err != nil || !complete || st.falselyPromisesNotRun(response.Status) {
 		return ended, result
 	}
 	if response.Status >= http.StatusInternalServerError && st.sentCount < st.request.Route.MaxAttempts && st.request.Route.Repeatable() && st.takeRetry(ctx, retry.Interrupted) {
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -280,6 +280,11 @@
 		}
 		return nil, 0, "passed through"
 	}
+	if jb.falselyPromisesNotRun(response.Status) {
+		jb.mayHaveRun = true
+		*balanceResult = balance.ErrorResponse
+		return nil, retry.Interrupted, "the server failed with status " + http.StatusText(response.Status)
+	}
 	if jb.request.Route.Kind == route.Streaming && response.Status < http.StatusInternalServerError {
 		*balanceResult = balance.Answered
 		return copyRest(nil)
@@ -307,6 +312,17 @@
 	return copyRest(body)
 }
 
+// falselyPromisesNotRun reports whether the status of a response that does not say that the request was not run would
+// tell the client so, and the request must not run twice.
+func (jb *job) falselyPromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return !jb.request.Route.Repeatable()
+	default:
+		return false
+	}
+}
+
 // readUpTo reads a body up to a limit and reports whether the body ended before the limit. The result is meaningless if
 // err is not nil.
 func readUpTo(body io.Reader, limit int64) ([]byte, bool, error) {
