An event with a line as long as the read buffer is one event

A stream whose event has a line that fills the read buffer of 2048 bytes was split there: the rest of the line was read as a line of its own. If only the line end was left, half of the event was forwarded as a whole one, and a resumed stream went on in the middle of it. If the rest began with "id:", a piece of the data became the id to resume after.

Fix: the pieces of a long line are joined before they are looked at.

Evidence, before the change: go test ./coordination/forward -run TestLineLongerThanReadBuffer the event ends after its first line ("id: 3" and the blank line are missing) It passes with it.

--- a/coordination/forward/events.go
+++ b/coordination/forward/events.go
@@ -53,9 +53,11 @@
 	}
 }
 
+// readBufferBytes is the size of the read buffer of a stream. Longer lines are read in pieces.
+const readBufferBytes = 2048
+
 func newEventReader(body io.Reader) *eventReader {
-	const bufferBytes = 2048
-	return &eventReader{input: bufio.NewReaderSize(body, bufferBytes)}
+	return &eventReader{input: bufio.NewReaderSize(body, readBufferBytes)}
 }
 
 // next returns the next complete event. Its data is valid until the next call. At the end of the stream it returns the
@@ -65,12 +67,14 @@
 	var ev event
 	er.pending.Reset()
 	er.boundary = eventBoundary{}
+	lineContinues := false
 	for {
 		line, err := er.input.ReadSlice('\n')
 		er.pending.Write(line)
 		er.boundary.advance(line)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			err = nil
+		isLineStart := !lineContinues
+		lineContinues = errors.Is(err, bufio.ErrBufferFull)
+		if lineContinues {
 			if er.pending.Len() > maxEventBytes {
 				return event{}, errEventTooLong
 			}
@@ -86,13 +90,15 @@
 				return event{data: er.pending.Bytes()}, io.EOF
 			}
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
-			ev.data = er.pending.Bytes()
-			return ev, nil
-		}
-		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
-			ev.id = string(bytes.TrimPrefix(value, []byte(" ")))
+		if isLineStart {
+			trimmed := bytes.TrimRight(line, "\r\n")
+			if len(trimmed) == 0 {
+				ev.data = er.pending.Bytes()
+				return ev, nil
+			}
+			if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+				ev.id = string(bytes.TrimPrefix(value, []byte(" ")))
+			}
 		}
 		if er.pending.Len() > maxEventBytes {
 			return event{}, errEventTooLong
--- a/coordination/forward/events_test.go
+++ b/coordination/forward/events_test.go
@@ -66,6 +66,23 @@
 	}
 }
 
+// TestLineLongerThanReadBuffer checks that an event with a long line is returned as one event with its own id, wherever
+// the read buffer ends in the line.
+func TestLineLongerThanReadBuffer(t *testing.T) {
+	for length := readBufferBytes - 16; length < readBufferBytes+16; length++ {
+		text := "data: " + strings.Repeat("x", length) + "id: 9\ndata: end\nid: 3\n\n"
+		ev, err := newEventReader(strings.NewReader(text)).next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(ev.data), text)
+		assert.Equal(t, ev.id, "3")
+		text = "id: 3\ndata: " + strings.Repeat("x", length) + "id: 9\n\n"
+		ev, err = newEventReader(strings.NewReader(text)).next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(ev.data), text)
+		assert.Equal(t, ev.id, "3")
+	}
+}
+
 // FuzzEventReader checks that no byte of the stream is lost or added, that no event exceeds the size limit, and that a
 // stream ends inside an event for the reader exactly if it does for eventBoundary.
 func FuzzEventReader(f *testing.F) {
