An error that an engine writes into a stream is not forwarded as an event

Clients found the text of an error, or the whole head of an HTTP response, in the middle of their stream.

A stream without length and chunks has no other frame, so the head of an error answer that an engine writes into it passed, and if a blank line came last the stream even counted as complete. The same held for a resumed stream that consists of an error's text.

Fix: the lines of an event have to be fields: data, event, id, retry, or a token and a colon as in names of header fields; an event has at least one of the four. Anything else ends the attempt as broken off, so that the stream is resumed or aborted. Comments, blank lines, events without ids, several data lines, CRLF, a byte order mark and the line with the version of the weights pass unchanged (TestValidEventsPassUnchanged).

Ruled out: answers with an error status after the head has gone were dropped before; the test has these cases too.

--- a/coordination/forward/events.go
+++ b/coordination/forward/events.go
@@ -18,7 +18,10 @@
 // small host.
 const maxEventBytes = 64 << 10
 
-var errEventTooLong = errors.New("an event of the stream is too long")
+var (
+	errEventTooLong = errors.New("an event of the stream is too long")
+	errNotAnEvent   = errors.New("the stream contains something that is not an event")
+)
 
 // eventReader splits a stream into complete events, so that an incomplete event is never forwarded.
 type eventReader struct {
@@ -26,6 +29,8 @@
 	// pending holds the lines of the event that is being read.
 	pending  bytes.Buffer
 	boundary eventBoundary
+	// started says that the first line of the stream has been read.
+	started bool
 }
 
 // eventBoundary tracks whether the bytes of a stream so far end inside an event. Comments and blank lines between events
@@ -62,18 +67,35 @@
 
 // next returns the next complete event. Its data is valid until the next call. At the end of the stream it returns the
 // remaining comments together with io.EOF, or io.ErrUnexpectedEOF if the stream ends inside an event. It returns
-// errEventTooLong for an event that exceeds the limit.
+// errEventTooLong for an event that exceeds the limit, and errNotAnEvent for lines that can't be part of an event, such as
+// the head of an HTTP response that a server wrote into a stream.
 func (er *eventReader) next() (event, error) {
 	var ev event
 	er.pending.Reset()
 	er.boundary = eventBoundary{}
 	lineContinues := false
+	var hasKnownField, hasUnknownField bool
 	for {
 		line, err := er.input.ReadSlice('\n')
 		er.pending.Write(line)
 		er.boundary.advance(line)
 		isLineStart := !lineContinues
 		lineContinues = errors.Is(err, bufio.ErrBufferFull)
+		if isLineStart && (err == nil || lineContinues) {
+			if !er.started {
+				line = bytes.TrimPrefix(line, byteOrderMark)
+				er.started = true
+			}
+			switch classifyLine(line, lineContinues) {
+			case invalidLine:
+				return event{}, errNotAnEvent
+			case knownField:
+				hasKnownField = true
+			case unknownField:
+				hasUnknownField = true
+			case commentOrBlank:
+			}
+		}
 		if lineContinues {
 			if er.pending.Len() > maxEventBytes {
 				return event{}, errEventTooLong
@@ -93,6 +115,9 @@
 		if isLineStart {
 			trimmed := bytes.TrimRight(line, "\r\n")
 			if len(trimmed) == 0 {
+				if hasUnknownField && !hasKnownField {
+					return event{}, errNotAnEvent
+				}
 				ev.data = er.pending.Bytes()
 				return ev, nil
 			}
--- a/coordination/forward/events_test.go
+++ b/coordination/forward/events_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -66,6 +67,54 @@
 	}
 }
 
+// errorTexts are error answers that a server writes into a stream that has begun.
+var errorTexts = []string{
+	"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nfailed\n\n",
+	"HTTP/1.0 503 Service Unavailable\n\n",
+	"Internal Server Error\n\n",
+	"failed\n\n",
+	"{\"error\": \"failed\"}\n\n",
+	"<html><body>failed</body></html>\r\n\r\n",
+	"error: the engine failed\n\n",
+	"Content-Type: text/plain\r\n\r\n",
+	"id: 2\nHTTP/1.1 500 Internal Server Error\n\n",
+}
+
+// TestErrorInsideStreamIsNotAnEvent checks that no error answer in a stream is returned as an event.
+func TestErrorInsideStreamIsNotAnEvent(t *testing.T) {
+	for _, text := range errorTexts {
+		reader := newEventReader(strings.NewReader("id: 1\ndata: a\n\n" + text))
+		ev, err := reader.next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(ev.data), "id: 1\ndata: a\n\n")
+		ev, err = reader.next()
+		assert.ErrorIs(t, err, errNotAnEvent, "%q", text)
+		assert.Equal(t, len(ev.data), 0)
+	}
+}
+
+// TestValidEventsPassUnchanged checks that all forms of events and of what may stand between them are returned unchanged.
+func TestValidEventsPassUnchanged(t *testing.T) {
+	for _, text := range []string{
+		": comment\n\n", ":\n\n", "\n", "\r\n\r\n", ": comment\nid: 1\ndata: a\n\n", "data: no id\n\n", "data\n\n", "data:\n\n", "retry: 100\n\n",
+		"event: done\ndata: {\"a\": 1}\n\n", "data: a\ndata: b\ndata: HTTP/1.1 500 Internal Server Error\nid:7\n\n", "\ufeffid: 1\ndata: a\n\n", "\ufeff: comment\n\n",
+		"x-weight-versions:4\nid: 2\ndata: a\n\n", "x-weight-versions: 4\r\nid: 2\r\ndata: a\r\n\r\n", "id: 1\ndata: a\rid: 2\n\n",
+		"data: " + strings.Repeat("y", 5000) + "\nid: 5\n\n", "data: a: b\n\n", "id\n\n",
+	} {
+		reader := newEventReader(strings.NewReader(text))
+		joined := ""
+		for {
+			ev, err := reader.next()
+			joined += string(ev.data)
+			if err != nil {
+				assert.Equal(t, err, io.EOF, "%q", text)
+				break
+			}
+		}
+		assert.Equal(t, joined, text)
+	}
+}
+
 // TestLineLongerThanReadBuffer checks that an event with a long line is returned as one event with its own id, wherever
 // the read buffer ends in the line.
 func TestLineLongerThanReadBuffer(t *testing.T) {
@@ -83,11 +132,16 @@
 	}
 }
 
-// FuzzEventReader checks that no byte of the stream is lost or added, that no event exceeds the size limit, and that a
-// stream ends inside an event for the reader exactly if it does for eventBoundary.
+// FuzzEventReader checks that no byte of the stream is lost or added, that no event exceeds the size limit, that a
+// stream ends inside an event for the reader exactly if it does for eventBoundary, and that only streams with lines that
+// are no fields of events are rejected.
 func FuzzEventReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid: 3\n"))
 	f.Add([]byte("\n\n\n"))
+	f.Add([]byte("\ufeffid: 1\ndata: a\n\nx-weight-versions:4\nid: 2\ndata: b\n\n"))
+	for _, text := range errorTexts {
+		f.Add([]byte("id: 1\ndata: a\n\n" + text))
+	}
 	f.Add(bytes.Repeat([]byte("x"), 70_000))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		reader := newEventReader(bytes.NewReader(raw))
@@ -107,6 +161,14 @@
 				assert.Assert(t, !boundary.insideEvent)
 				return
 			}
+			if errors.Is(err, errNotAnEvent) {
+				assert.Assert(t, bytes.HasPrefix(raw, joined))
+				assert.Assert(t, slices.ContainsFunc(bytes.Split(raw[len(joined):], []byte("\n")), func(line []byte) bool {
+					kind := classifyLine(bytes.TrimPrefix(line, byteOrderMark), false)
+					return kind == invalidLine || kind == unknownField
+				}))
+				return
+			}
 			if err != nil {
 				assert.ErrorIs(t, err, errEventTooLong)
 				assert.Assert(t, bytes.HasPrefix(raw, joined))
--- /dev/null
+++ b/coordination/forward/resumed_stream_test.go
@@ -0,0 +1,114 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+)
+
+// scriptedAnswer is an answer of a server.
+type scriptedAnswer struct {
+	status      int
+	contentType string
+	body        string
+	// breaksOff says that the connection breaks off after the body, notRun that the server says it did not run the request.
+	breaksOff bool
+	notRun    bool
+}
+
+// answeringServers gives the answers to the attempts in order.
+type answeringServers struct {
+	fakeServers
+	answers []scriptedAnswer
+}
+
+// brokenReader is the end of a connection that breaks off.
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func (sv *answeringServers) Send(context.Context, forward.Attempt) (forward.Response, error) {
+	answer := sv.answers[0]
+	sv.answers = sv.answers[1:]
+	body := io.Reader(strings.NewReader(answer.body))
+	if answer.breaksOff {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	response := forward.Response{Status: answer.status, Length: -1, NotRun: answer.notRun, Header: http.Header{}, Body: io.NopCloser(body)}
+	if answer.contentType != "" {
+		response.Header.Set("Content-Type", answer.contentType)
+	}
+	return response, nil
+}
+
+const (
+	event1, event2, event3 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	errorHead              = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nfailed\r\n\r\n"
+	eventStreamType        = "text/event-stream"
+)
+
+// stream returns a complete stream of events, brokenStream one that breaks off.
+func stream(body string) scriptedAnswer {
+	return scriptedAnswer{status: http.StatusOK, contentType: eventStreamType, body: body}
+}
+
+func brokenStream(body string) scriptedAnswer {
+	return scriptedAnswer{status: http.StatusOK, contentType: eventStreamType, body: body, breaksOff: true}
+}
+
+// TestErrorInsideStream checks that a client gets nothing but the events of its stream in order, whatever the engines
+// answer after a stream broke off. The stream goes on at an engine that resumes it; if there is none, it is not complete.
+func TestErrorInsideStream(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		answers []scriptedAnswer
+		// forwarded is the part of the stream that comes from these answers.
+		forwarded string
+	}{
+		{"error with a text", []scriptedAnswer{brokenStream(event1), {status: http.StatusInternalServerError, contentType: "text/plain", body: "failed\n\n"}}, event1},
+		{"error with events", []scriptedAnswer{brokenStream(event1), {status: http.StatusBadGateway, contentType: eventStreamType, body: event2}}, event1},
+		{"error as if the request were wrong", []scriptedAnswer{brokenStream(event1), {status: http.StatusNotFound, contentType: "text/plain", body: "no such stream\n\n"}}, event1},
+		{"not run", []scriptedAnswer{brokenStream(event1), {status: http.StatusServiceUnavailable, body: "full\n\n", notRun: true}}, event1},
+		{"head of an error in the first stream", []scriptedAnswer{stream(event1 + errorHead)}, event1},
+		{"text of an error in the first stream", []scriptedAnswer{stream(event1 + "Internal Server Error\n\n")}, event1},
+		{"head of an error in the resumed stream", []scriptedAnswer{brokenStream(event1), stream(event2 + errorHead)}, event1 + event2},
+		{"head of an error as the resumed stream", []scriptedAnswer{brokenStream(event1), stream(errorHead)}, event1},
+	} {
+		for _, resumed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, resumed %t", tc.name, resumed), func(t *testing.T) {
+				var grants []batch.Grant
+				for ix := range tc.answers {
+					grants = append(grants, grantOn(fmt.Sprint(ix), fmt.Sprint("engine-", ix)))
+				}
+				servers := &answeringServers{answers: tc.answers}
+				want := tc.forwarded
+				if resumed {
+					grants = append(grants, grantOn("last", "last"))
+					rest := strings.TrimPrefix(event1+event2+event3, tc.forwarded)
+					servers.answers = append(servers.answers[:len(tc.answers):len(tc.answers)], stream(rest))
+					want += rest
+				}
+				rn := newRunner(forward.Dependencies{Sender: servers, Dispatcher: &fakeDispatcher{grants: grants}, Fleet: fakeFleet{}})
+				client := &fakeClient{}
+				now := time.Now()
+				result := rn.Run(t.Context(), &forward.Request{
+					ID: "request", Service: "service", PromptTokens: 1000, MaxAnswerTokens: 50, ArrivedAt: now, Deadline: now.Add(10 * time.Second),
+					Route: route.Route{Kind: route.Streaming, HasPrompt: true, Resumable: true, MaxAttempts: 4},
+				}, client)
+				assert.Equal(t, client.body.String(), want)
+				assert.Equal(t, result.Complete, resumed, "%+v", result)
+				assert.Assert(t, result.HeadSent)
+			})
+		}
+	}
+}
