An error inside a stream of a plain service is not passed on

Fix: the bytes of a stream of events pass up to the first line that can't be part of an event; the stream then ends as broken off. Only the start of a line is held back, until its name is known. Other bodies are not looked at.

--- a/coordination/forward/event_line.go
+++ b/coordination/forward/event_line.go
@@ -49,3 +49,60 @@
 	}
 	return true
 }
+
+// eventLineFilter passes on the bytes of an event stream up to the first line that can't be part of an event.
+type eventLineFilter struct {
+	// started says that the first line of the stream has been checked, insideLine that the current line has been.
+	started    bool
+	insideLine bool
+	// undecided holds the start of the current line, which is not known to be valid yet.
+	undecided []byte
+}
+
+// next adds the next bytes of the stream. It returns the bytes to pass on, which are valid until the next call, and
+// errNotAnEvent if a line that can't be part of an event follows them.
+func (lf *eventLineFilter) next(chunk []byte) ([]byte, error) {
+	if len(lf.undecided) > 0 {
+		chunk = append(lf.undecided, chunk...)
+		lf.undecided = nil
+	}
+	position := 0
+	for position < len(chunk) {
+		rest := chunk[position:]
+		lineEnd := bytes.IndexByte(rest, '\n')
+		if !lf.insideLine {
+			line := rest
+			if !lf.started {
+				if lineEnd < 0 && len(line) < len(byteOrderMark) && bytes.HasPrefix(byteOrderMark, line) {
+					return lf.hold(chunk, position), nil
+				}
+				line = bytes.TrimPrefix(line, byteOrderMark)
+			}
+			line, _, _ = bytes.Cut(line, []byte("\n"))
+			name, _, isDecided := bytes.Cut(line, []byte(":"))
+			isDecided = isDecided || lineEnd >= 0
+			switch {
+			case classifyLine(line, !isDecided) == invalidLine || len(name) > maxFieldNameBytes:
+				return chunk[:position], errNotAnEvent
+			case !isDecided:
+				return lf.hold(chunk, position), nil
+			}
+			lf.started = true
+		}
+		if lf.insideLine = lineEnd < 0; lf.insideLine {
+			position = len(chunk)
+			break
+		}
+		position += lineEnd + 1
+	}
+	return chunk[:position], nil
+}
+
+// maxFieldNameBytes limits the name of a field in a line of an event stream.
+const maxFieldNameBytes = 256
+
+// hold keeps the bytes from a position on as undecided and returns those before it.
+func (lf *eventLineFilter) hold(chunk []byte, position int) []byte {
+	lf.undecided = bytes.Clone(chunk[position:])
+	return chunk[:position]
+}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -350,9 +350,9 @@
 	jb.result.Complete = true
 }
 
-// copyToClient sends the head of a response, the prefix of its body that was already read, and the rest as it arrives.
-// It returns an error only if reading from the server fails; a failure to write to the client is recorded as the
-// result's cause.
+// copyToClient sends the head of a response, the prefix of its body that was already read, and the rest as it arrives. Of
+// a stream of events, it sends nothing from the first line on that can't be part of an event. It returns an error only if
+// reading from the server fails; a failure to write to the client is recorded as the result's cause.
 func (jb *job) copyToClient(response Response, prefix []byte) error {
 	jb.result.HeadSent = true
 	jb.result.Status = response.Status
@@ -361,27 +361,32 @@
 		return nil
 	}
 	jb.result.TimeToFirstByte = jb.runner.clock.Now().Sub(jb.request.ArrivedAt)
-	if err := jb.sink.Write(prefix); err != nil {
-		jb.result.Cause = err.Error()
-		return nil
-	}
 	const chunkBytes = 32 << 10
+	body := io.MultiReader(bytes.NewReader(prefix), response.Body)
 	chunk := make([]byte, chunkBytes)
 	isEventStream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 	var boundary eventBoundary
-	boundary.advance(prefix)
-	empty := len(prefix) == 0
+	var filter eventLineFilter
+	empty := true
 	for {
-		chunkLength, err := response.Body.Read(chunk)
+		chunkLength, err := body.Read(chunk)
+		content := chunk[:chunkLength]
 		if isEventStream {
-			boundary.advance(chunk[:chunkLength])
+			boundary.advance(content)
 			empty = empty && chunkLength == 0
 			if errors.Is(err, io.EOF) && (boundary.insideEvent || empty && response.EndsWithConnection) {
 				err = io.ErrUnexpectedEOF
 			}
+			var filterErr error
+			content, filterErr = filter.next(content)
+			if filterErr != nil {
+				err = filterErr
+			} else if err != nil {
+				content = append(content, filter.undecided...)
+			}
 		}
-		if chunkLength > 0 {
-			if err := jb.sink.Write(chunk[:chunkLength]); err != nil {
+		if len(content) > 0 {
+			if err := jb.sink.Write(content); err != nil {
 				jb.result.Cause = err.Error()
 				return nil
 			}
