A stream is resumed only with a stream of events

Clients found the body of an answer that is no stream in the middle of theirs, or their stream ended as complete: the next engine answered 200 with a text, an object or a body without a type. The status alone decided that it resumed the stream.

Fix: an attempt that goes on with a stream whose head the client has must answer with text/event-stream; otherwise it has failed and another engine is tried. The first answer of a request is passed on as before. The type is compared as a media type, also at plain services.

The servers of stall_test.go sent no Content-Type, which engines always send with streams; they do now. Their checks are the same.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -367,6 +367,10 @@
 func (st *engineJob) forwardEvents(sendCtx, ctx context.Context, grant batch.Grant, response Response, monitor *streamMonitor) (broker.EndedGrant, attemptResult) {
 	rn := st.runner
 	primary := grant.Parts[0]
+	if st.result.HeadSent && !hasEventStream(response.Header) {
+		st.mayHaveRun = true
+		return broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.ErrorResponse}, attemptResult{reason: "the engine did not resume the stream", retryCause: retry.Interrupted}
+	}
 	reader := newEventReader(response.Body)
 	receivedEvents := false
 	for {
--- a/coordination/forward/event_line.go
+++ b/coordination/forward/event_line.go
@@ -2,9 +2,16 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strings"
 )
 
+// hasEventStream reports whether the body of a response with the given header is a stream of events.
+func hasEventStream(header http.Header) bool {
+	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // lineKind is what a line of an event stream is.
 type lineKind int
 
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -364,7 +363,7 @@
 	const chunkBytes = 32 << 10
 	body := io.MultiReader(bytes.NewReader(prefix), response.Body)
 	chunk := make([]byte, chunkBytes)
-	isEventStream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	isEventStream := hasEventStream(response.Header)
 	var boundary eventBoundary
 	var filter eventLineFilter
 	empty := true
--- a/coordination/forward/resumed_stream_test.go
+++ b/coordination/forward/resumed_stream_test.go
@@ -82,6 +82,9 @@
 		{"head of an error in the first stream", []scriptedAnswer{stream(event1 + errorHead)}, event1},
 		{"text of an error in the first stream", []scriptedAnswer{stream(event1 + "Internal Server Error\n\n")}, event1},
 		{"head of an error in the resumed stream", []scriptedAnswer{brokenStream(event1), stream(event2 + errorHead)}, event1 + event2},
+		{"text of the status of a success", []scriptedAnswer{brokenStream(event1), {status: http.StatusOK, contentType: "text/plain", body: event2 + event3}}, event1},
+		{"object with the status of a success", []scriptedAnswer{brokenStream(event1), {status: http.StatusOK, contentType: "application/json", body: "\n"}}, event1},
+		{"no type with the status of a success", []scriptedAnswer{brokenStream(event1), {status: http.StatusOK, body: ": failed\n\n"}}, event1},
 		{"head of an error as the resumed stream", []scriptedAnswer{brokenStream(event1), stream(errorHead)}, event1},
 	} {
 		for _, resumed := range []bool{true, false} {
--- a/coordination/forward/stall_test.go
+++ b/coordination/forward/stall_test.go
@@ -70,7 +70,7 @@
 	body := sv.bodyByAddress[attempt.Address]
 	body.ctx = ctx
 	body.truncated = attempt.Address == sv.truncatedAddress
-	return forward.Response{Status: http.StatusOK, Length: -1, Body: &body}, nil
+	return forward.Response{Status: http.StatusOK, Length: -1, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: &body}, nil
 }
 
 // TestStalledStreamFailsOver checks that a stream that makes no progress is resumed on another engine before the client
