A resumed stream has to go on after the last event

Clients got pieces of their stream twice or from two runs: an engine that was asked to go on after an event and started from the beginning, or from an earlier event, was forwarded as it came.

Fix: in a stream that is resumed, by the host or by the client on a route that allows it, ids that are numbers have to rise above that of the last event; others must not repeat it. Otherwise the attempt has failed and another engine is tried. Ids need not be consecutive, because the protocol only says that they increase: a gap can't be told from a larger step. Streams that are not resumed pass whatever their ids are.

Evidence, before the change: go test ./coordination/forward -run 'TestErrorInsideStream|TestResumedStreamsPassUnchanged' 7 of the new cases fail: "resumed stream from the start", "with the last event" and "that goes back", with and without another engine, and "resumed by the client from the start" All pass with it.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -372,9 +372,13 @@
 		return broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.ErrorResponse}, attemptResult{reason: "the engine did not resume the stream", retryCause: retry.Interrupted}
 	}
 	reader := newEventReader(response.Body)
+	resumed := st.lastEventID != "" && st.request.Route.Repeatable()
 	receivedEvents := false
 	for {
 		ev, err := reader.next()
+		if resumed && ev.id != "" && !idFollows(st.lastEventID, ev.id) {
+			ev, err = event{}, errNotResumed
+		}
 		receivedEvents = receivedEvents || len(ev.data) > 0
 		if errors.Is(err, io.EOF) && !receivedEvents && response.EndsWithConnection {
 			// An engine that crashes before its first event ends the connection in the same way.
--- a/coordination/forward/events.go
+++ b/coordination/forward/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/go-faster/errors"
 )
@@ -21,8 +22,20 @@
 var (
 	errEventTooLong = errors.New("an event of the stream is too long")
 	errNotAnEvent   = errors.New("the stream contains something that is not an event")
+	errNotResumed   = errors.New("the stream does not go on after the last event")
 )
 
+// idFollows reports whether an event with the id next may follow the one with the id last. Ids that are numbers have to
+// rise; others have to differ.
+func idFollows(last, next string) bool {
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	nextNumber, nextErr := strconv.ParseUint(next, 10, 64)
+	if lastErr != nil || nextErr != nil {
+		return last != next
+	}
+	return lastNumber < nextNumber
+}
+
 // eventReader splits a stream into complete events, so that an incomplete event is never forwarded.
 type eventReader struct {
 	input *bufio.Reader
--- a/coordination/forward/resumed_stream_test.go
+++ b/coordination/forward/resumed_stream_test.go
@@ -85,6 +85,9 @@
 		{"text of the status of a success", []scriptedAnswer{brokenStream(event1), {status: http.StatusOK, contentType: "text/plain", body: event2 + event3}}, event1},
 		{"object with the status of a success", []scriptedAnswer{brokenStream(event1), {status: http.StatusOK, contentType: "application/json", body: "\n"}}, event1},
 		{"no type with the status of a success", []scriptedAnswer{brokenStream(event1), {status: http.StatusOK, body: ": failed\n\n"}}, event1},
+		{"resumed stream from the start", []scriptedAnswer{brokenStream(event1 + event2), stream(event1 + event2 + event3)}, event1 + event2},
+		{"resumed stream with the last event", []scriptedAnswer{brokenStream(event1 + event2), stream(event2 + event3)}, event1 + event2},
+		{"resumed stream that goes back", []scriptedAnswer{brokenStream(event1), stream(event2 + event1 + event3)}, event1 + event2},
 		{"head of an error as the resumed stream", []scriptedAnswer{brokenStream(event1), stream(errorHead)}, event1},
 	} {
 		for _, resumed := range []bool{true, false} {
@@ -115,3 +118,34 @@
 		}
 	}
 }
+
+// TestResumedStreamsPassUnchanged checks that events of a resumed stream are forwarded whose ids rise in any steps, or that
+// have no ids or ones that are no numbers, and that a stream that may not be resumed is forwarded whatever its ids are.
+func TestResumedStreamsPassUnchanged(t *testing.T) {
+	const otherEvents = "id: 9\ndata: b\n\n: comment\n\ndata: no id\n\nid: 10\ndata: c\n\nid: a\ndata: d\n\nid: b\ndata: e\n\nid: 99999999999999999999\ndata: f\n\n"
+	for _, tc := range []struct {
+		name        string
+		resumable   bool
+		lastEventID string
+		answers     []scriptedAnswer
+		want        string
+	}{
+		{"other ids", true, "", []scriptedAnswer{brokenStream(event1), stream(otherEvents)}, event1 + otherEvents},
+		{"resumed by the client", true, "8", []scriptedAnswer{brokenStream(""), stream(otherEvents)}, otherEvents},
+		{"not resumable", false, "8", []scriptedAnswer{stream(event1 + event2 + event1)}, event1 + event2 + event1},
+		{"resumed by the client from the start", true, "1", []scriptedAnswer{stream(event1 + event2), stream(event2 + event3)}, event2 + event3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			dispatcher := &fakeDispatcher{grants: []batch.Grant{grantOn("1", "one"), grantOn("2", "two")}}
+			rn := newRunner(forward.Dependencies{Sender: &answeringServers{answers: tc.answers}, Dispatcher: dispatcher, Fleet: fakeFleet{}})
+			client := &fakeClient{}
+			now := time.Now()
+			result := rn.Run(t.Context(), &forward.Request{
+				ID: "request", Service: "service", PromptTokens: 1000, MaxAnswerTokens: 50, ArrivedAt: now, Deadline: now.Add(10 * time.Second), LastEventID: tc.lastEventID,
+				Route: route.Route{Kind: route.Streaming, HasPrompt: true, Resumable: tc.resumable, MaxAttempts: 4},
+			}, client)
+			assert.Assert(t, result.Complete, "%+v", result)
+			assert.Equal(t, client.body.String(), tc.want)
+		})
+	}
+}
