A stream that is resumed without any event is not complete

A client's stream ended as if it were complete when the next engine answered the resumption with an empty stream: nothing was forwarded, and the end of the body counted as the end of the stream.

Fix: an attempt that goes on with a stream whose head the client has, and that ends without an event, counts as broken off, so that another engine is tried or the client's stream is aborted. Where an engine broke off between its last event and the end of its stream, the client's stream is now aborted too; it can't be told from the other case, and an aborted stream may be resumed by the client. A client that resumes a stream itself still gets an empty one, and one with only events without ids.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -373,15 +373,18 @@
 	}
 	reader := newEventReader(response.Body)
 	resumed := st.lastEventID != "" && st.request.Route.Repeatable()
-	receivedEvents := false
+	resumesResponse := st.result.HeadSent
+	receivedEvents, receivedField := false, false
 	for {
 		ev, err := reader.next()
 		if resumed && ev.id != "" && !idFollows(st.lastEventID, ev.id) {
 			ev, err = event{}, errNotResumed
 		}
 		receivedEvents = receivedEvents || len(ev.data) > 0
-		if errors.Is(err, io.EOF) && !receivedEvents && response.EndsWithConnection {
-			// An engine that crashes before its first event ends the connection in the same way.
+		receivedField = receivedField || ev.hasField
+		if errors.Is(err, io.EOF) && (!receivedEvents && response.EndsWithConnection || !receivedField && resumesResponse) {
+			// An engine that crashes before its first event ends the connection in the same way. A stream that broke off
+			// was not at its end, so that an engine that resumes it has at least one event.
 			err = io.ErrUnexpectedEOF
 		}
 		if len(ev.data) > 0 {
--- a/coordination/forward/events.go
+++ b/coordination/forward/events.go
@@ -9,10 +9,14 @@
 	"github.com/go-faster/errors"
 )
 
-// event is one complete server-sent event, with data exactly as the engine sent it.
+// event is one complete server-sent event, with data exactly as the engine sent it. A block of comments is an event
+// without fields.
 type event struct {
 	id   string
 	data []byte
+	// hasField says that the event has a field, hasData that it has one with data.
+	hasField bool
+	hasData  bool
 }
 
 // maxEventBytes bounds the size of one event, so that hundreds of streams without line ends fit into the memory of a
@@ -87,7 +91,7 @@
 	er.pending.Reset()
 	er.boundary = eventBoundary{}
 	lineContinues := false
-	var hasKnownField, hasUnknownField bool
+	hasUnknownField := false
 	for {
 		line, err := er.input.ReadSlice('\n')
 		er.pending.Write(line)
@@ -103,7 +107,8 @@
 			case invalidLine:
 				return event{}, errNotAnEvent
 			case knownField:
-				hasKnownField = true
+				ev.hasField = true
+				ev.hasData = ev.hasData || bytes.HasPrefix(line, []byte("data"))
 			case unknownField:
 				hasUnknownField = true
 			case commentOrBlank:
@@ -128,7 +133,7 @@
 		if isLineStart {
 			trimmed := bytes.TrimRight(line, "\r\n")
 			if len(trimmed) == 0 {
-				if hasUnknownField && !hasKnownField {
+				if hasUnknownField && !ev.hasField {
 					return event{}, errNotAnEvent
 				}
 				ev.data = er.pending.Bytes()
--- a/coordination/forward/resumed_stream_test.go
+++ b/coordination/forward/resumed_stream_test.go
@@ -85,6 +85,7 @@
 		{"text of the status of a success", []scriptedAnswer{brokenStream(event1), {status: http.StatusOK, contentType: "text/plain", body: event2 + event3}}, event1},
 		{"object with the status of a success", []scriptedAnswer{brokenStream(event1), {status: http.StatusOK, contentType: "application/json", body: "\n"}}, event1},
 		{"no type with the status of a success", []scriptedAnswer{brokenStream(event1), {status: http.StatusOK, body: ": failed\n\n"}}, event1},
+		{"resumed stream without events", []scriptedAnswer{brokenStream(event1), stream("")}, event1},
 		{"resumed stream from the start", []scriptedAnswer{brokenStream(event1 + event2), stream(event1 + event2 + event3)}, event1 + event2},
 		{"resumed stream with the last event", []scriptedAnswer{brokenStream(event1 + event2), stream(event2 + event3)}, event1 + event2},
 		{"resumed stream that goes back", []scriptedAnswer{brokenStream(event1), stream(event2 + event1 + event3)}, event1 + event2},
@@ -132,6 +133,8 @@
 	}{
 		{"other ids", true, "", []scriptedAnswer{brokenStream(event1), stream(otherEvents)}, event1 + otherEvents},
 		{"resumed by the client", true, "8", []scriptedAnswer{brokenStream(""), stream(otherEvents)}, otherEvents},
+		{"resumed by the client, nothing left", true, "3", []scriptedAnswer{stream("")}, ""},
+		{"only events without ids left", true, "", []scriptedAnswer{brokenStream(event1), stream("data: [DONE]\n\n")}, event1 + "data: [DONE]\n\n"},
 		{"not resumable", false, "8", []scriptedAnswer{stream(event1 + event2 + event1)}, event1 + event2 + event1},
 		{"resumed by the client from the start", true, "1", []scriptedAnswer{stream(event1 + event2), stream(event2 + event3)}, event2 + event3},
 	} {
