A stream is not resumed after an event without an id

An event with data but without an id leaves nothing to resume after: the next engine started from the last id or from the beginning, and the client got the pieces since then twice. Such a stream is now aborted when it breaks off. Comments and fields without data don't matter.

Evidence, before the change: go test ./coordination/forward -run TestStreamWithoutIDsIsNotResumed true (result.Complete bool) != false (tc.complete bool): the second engine's stream follows "data: a" It passes with it.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -27,6 +27,9 @@
 	grantRequest broker.GrantRequest
 	// lastEventID is the id of the last event that was forwarded.
 	lastEventID string
+	// endsUnnumbered says that an event with data but without an id was forwarded after the one with lastEventID. The stream
+	// can't be resumed then, because no engine can be told to go on after it.
+	endsUnnumbered bool
 	// grantsUsed counts the grants used so far, failover grants included.
 	grantsUsed int
 	// mutex guards lastEventAt, the time when an event was last forwarded.
@@ -106,6 +109,8 @@
 	case result.final:
 	case ctx.Err() != nil:
 		st.setOutcomeOnContextEnd(ctx)
+	case st.endsUnnumbered:
+		st.setOutcomeOnFailure(result.reason)
 	case st.failover.isPresent():
 		st.grantRequest.AvoidedEngines = append(st.grantRequest.AvoidedEngines, grant.Parts[0].Engine)
 		return true
@@ -435,5 +440,6 @@
 	if ev.id != "" {
 		st.lastEventID = ev.id
 	}
+	st.endsUnnumbered = ev.id == "" && (st.endsUnnumbered || ev.hasData)
 	return nil
 }
--- a/coordination/forward/resumed_stream_test.go
+++ b/coordination/forward/resumed_stream_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// TestStreamWithoutIDsIsNotResumed checks that a stream is not resumed after an event with data but without an id, because
+// an engine can't be told to go on after it.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	for _, tc := range []struct {
+		first    string
+		complete bool
+	}{{"data: a\n\n", false}, {event1 + "data: b\n\n", false}, {"data: a\n\n" + event1, true}, {event1 + ": comment\n\nretry: 10\n\n", true}} {
+		dispatcher := &fakeDispatcher{grants: []batch.Grant{grantOn("1", "one"), grantOn("2", "two")}}
+		rn := newRunner(forward.Dependencies{Sender: &answeringServers{answers: []scriptedAnswer{brokenStream(tc.first), stream(event2)}}, Dispatcher: dispatcher, Fleet: fakeFleet{}})
+		client := &fakeClient{}
+		now := time.Now()
+		result := rn.Run(t.Context(), &forward.Request{
+			ID: "request", Service: "service", PromptTokens: 1000, MaxAnswerTokens: 50, ArrivedAt: now, Deadline: now.Add(10 * time.Second),
+			Route: route.Route{Kind: route.Streaming, HasPrompt: true, Resumable: true, MaxAttempts: 4},
+		}, client)
+		assert.Equal(t, result.Complete, tc.complete, "%+v", result)
+		assert.Assert(t, strings.HasPrefix(client.body.String(), tc.first))
+		assert.Equal(t, strings.Count(client.body.String(), event2) == 1, tc.complete)
+	}
+}
+
 // TestResumedStreamsPassUnchanged checks that events of a resumed stream are forwarded whose ids rise in any steps, or that
 // have no ids or ones that are no numbers, and that a stream that may not be resumed is forwarded whatever its ids are.
 func TestResumedStreamsPassUnchanged(t *testing.T) {
