End-to-end test of errors inside streams

Engines of the stand-in write the head and the text of an error into streams that have begun, or answer the resumption of a stream with a text.

--- a/site/server_faults_test.go
+++ b/site/server_faults_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -163,3 +165,30 @@
 		assert.Equal(t, len(engine.ExecutedRequests()), runsBefore)
 	}
 }
+
+// TestErrorInsideStream has engines write errors into streams that have begun, or answer the resumption of a stream with a
+// text. Clients must get nothing but events in order, and streams must not end as complete before their last event.
+func TestErrorInsideStream(t *testing.T) {
+	for _, faults := range [][]standin.ServerFault{
+		{standin.WritesErrorIntoStream, standin.NoServerFault},
+		{standin.WritesErrorIntoStream, standin.WritesErrorIntoStream},
+		{standin.WritesErrorIntoStream, standin.AnswersTextOnResume},
+		{standin.CutsResponses, standin.AnswersTextOnResume},
+	} {
+		t.Run(fmt.Sprint(faults), func(t *testing.T) {
+			env := newTestEnv(t)
+			for index, fault := range faults {
+				env.addServer(fmt.Sprint("engine-", index), "models").SetFault(fault)
+			}
+			env.publishTable()
+			host := env.startHost("host-1", true)
+			for number := range 4 {
+				got := host.sendPrompt(fmt.Sprint("c", number), 1000)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Assert(t, strings.HasPrefix(eventStream(5), got.body), "%q", got.body)
+				assert.Assert(t, got.err != nil || got.body == eventStream(5), "complete with %q", got.body)
+				assert.Assert(t, got.err == nil || !slices.Contains(faults, standin.NoServerFault), "broken off after %q", got.body)
+			}
+		})
+	}
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -54,6 +54,10 @@
 	// repeated refusals don't name their request.
 	RepeatsRefusal
 	RepeatsRefusalWithoutID
+	// WritesErrorIntoStream makes the server write the head and the text of an error into each stream after its first
+	// event, and end the stream. AnswersTextOnResume makes it answer a request to resume a stream with a text.
+	WritesErrorIntoStream
+	AnswersTextOnResume
 )
 
 // ExecutedRequest is a request that a server started to run.
@@ -480,6 +484,11 @@
 	firstEvent := 1
 	if lastEvent, err := strconv.Atoi(executed.LastEventID); err == nil {
 		firstEvent = lastEvent + 1
+		if fault == AnswersTextOnResume {
+			rw.Header().Set("Content-Type", "text/plain")
+			_, _ = io.WriteString(rw, errorText)
+			return
+		}
 	}
 	for number := firstEvent; number <= sv.EventCount; number++ {
 		select {
@@ -496,6 +505,10 @@
 		}
 		_, _ = io.WriteString(rw, event)
 		_ = controller.Flush()
+		if fault == WritesErrorIntoStream {
+			_, _ = io.WriteString(rw, "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n"+errorText)
+			return
+		}
 		if fault == StallsStreams {
 			sv.sendComments(rw, rq)
 			sv.markDisconnected(executed)
@@ -505,6 +518,9 @@
 	sv.markCompleted(executed)
 }
 
+// errorText is the text of an error that looks like the end of a stream.
+const errorText = "the server failed\r\n\r\n"
+
 // sendGarbage writes bytes that are not HTTP until the host closes the connection.
 func (sv *Server) sendGarbage(rw http.ResponseWriter, rq *http.Request) {
 	conn, _, err := http.NewResponseController(rw).Hijack()
