The log says why an entry of the list is not usable

The log named an entry that describes no usable server, but not what is wrong with it: decodeServer returned nil. It now returns an error, the record keeps its text, and the line that is logged once for each change of the entry has it ("problem") beside the id and the size.

--- a/coordination/statesync/follower_test.go
+++ b/coordination/statesync/follower_test.go
@@ -127,8 +127,8 @@
 	return route.New(route.Contents{Version: route.Version(body[0])}), nil
 }
 
-func (hs hostStore) DecodeServer(name id.BackendServer, body []byte) *serverlist.Server {
-	return &serverlist.Server{ID: name, Draining: len(body) > 0 && body[0] == 'd'}
+func (hs hostStore) DecodeServer(name id.BackendServer, body []byte) (*serverlist.Server, error) {
+	return &serverlist.Server{ID: name, Draining: len(body) > 0 && body[0] == 'd'}, nil
 }
 
 // appendEntry appends a new record with the entry of a server.
@@ -136,7 +136,7 @@
 	st.mutex.Lock()
 	defer st.mutex.Unlock()
 	rc := serverlist.Record{ID: id.BackendServer(server), Offset: id.NewOffset(st.era, int64(len(st.records))), Body: []byte(body)}
-	rc.Server = hostStore{fakeStore: st}.DecodeServer(rc.ID, rc.Body)
+	rc.Decode(hostStore{fakeStore: st}.DecodeServer)
 	st.records = append(st.records, rc)
 }
 
--- a/coordination/statesync/serverlist.go
+++ b/coordination/statesync/serverlist.go
@@ -179,7 +179,7 @@
 		case rc.Dropped:
 			fl.logger.Info("backend server gone", "server", string(rc.ID), "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
 		case rc.Server == nil:
-			fl.logger.Warn("backend server entry names no usable server", "server", string(rc.ID), "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
+			fl.logger.Warn("backend server entry names no usable server", "server", string(rc.ID), "problem", rc.Problem, "bytes", len(rc.Body), "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
 		default:
 			fl.logger.Info("backend server listed", "server", string(rc.ID), "service", string(rc.Server.Service), "address", rc.Server.Address,
 				"draining", rc.Server.Draining, "born", rc.Server.StartedAtMillis, "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
--- a/coordination/statesync/statesync.go
+++ b/coordination/statesync/statesync.go
@@ -50,8 +50,8 @@
 	ReadServerChanges(ctx context.Context, from id.Offset) (ServersRead, error)
 	// DecodeTable decodes a desired state in the store's encoding.
 	DecodeTable(body []byte) (*route.Table, error)
-	// DecodeServer decodes an entry of the list. It returns nil if the entry does not describe a usable server.
-	DecodeServer(name id.BackendServer, body []byte) *serverlist.Server
+	// DecodeServer decodes an entry of the list. It fails if the entry does not describe a usable server.
+	DecodeServer(name id.BackendServer, body []byte) (*serverlist.Server, error)
 }
 
 // Update carries what the sender has just learned to other hosts.
--- a/coordination/statesync/sync.go
+++ b/coordination/statesync/sync.go
@@ -142,7 +142,7 @@
 	decoded := slices.Clone(records)
 	for ix, rc := range decoded {
 		if !rc.Dropped {
-			decoded[ix].Server = fl.store.DecodeServer(rc.ID, rc.Body)
+			decoded[ix].Decode(fl.store.DecodeServer)
 		}
 	}
 	return decoded
--- a/state/serverlist/serverlist.go
+++ b/state/serverlist/serverlist.go
@@ -34,6 +34,8 @@
 	Dropped bool
 	// Server is the decoded entry; nil if the entry does not describe a usable server.
 	Server *Server
+	// Problem says why the entry does not describe a usable server; empty if it does or is removed.
+	Problem string
 	// Body is the entry in the platform's encoding.
 	Body []byte
 	// DroppedInOutage is set if the entry was removed during an outage of the platform's store or shortly after one. It
@@ -41,6 +43,16 @@
 	DroppedInOutage bool
 }
 
+// Decode sets the server that the body of the record describes, or why it describes no usable one.
+func (rc *Record) Decode(decode func(server id.BackendServer, body []byte) (*Server, error)) {
+	server, err := decode(rc.ID, rc.Body)
+	if err != nil {
+		rc.Server, rc.Problem = nil, err.Error()
+		return
+	}
+	rc.Server, rc.Problem = server, ""
+}
+
 // startedAtMillis returns the start time of the server that the record describes; zero if it describes none.
 func (rc Record) startedAtMillis() int64 {
 	if rc.Server == nil {
--- a/transport/peer/fuzz_test.go
+++ b/transport/peer/fuzz_test.go
@@ -83,8 +83,11 @@
 // unavailableStore is a store that can't be read and whose entries can't be decoded.
 type unavailableStore struct{ statesync.Store }
 
-func (unavailableStore) DecodeTable([]byte) (*route.Table, error)                 { return nil, errNotRunning }
-func (unavailableStore) DecodeServer(id.BackendServer, []byte) *serverlist.Server { return nil }
+func (unavailableStore) DecodeTable([]byte) (*route.Table, error) { return nil, errNotRunning }
+func (unavailableStore) DecodeServer(id.BackendServer, []byte) (*serverlist.Server, error) {
+	return nil, errNotRunning
+}
+
 func (unavailableStore) NewestTable(context.Context) (statesync.TableRead, error) {
 	return statesync.TableRead{}, errNotRunning
 }
