Attempts of the product's own front get connections of their own

The attempt was reported as not run and sent elsewhere while the engine ran it.

Fix: a request that opens a stream closes its connection at its end. Polls, cancellations and orders still share connections. A stream holds its connection for as long as it lasts, so that little is lost: one connection per attempt.

Evidence, before the change: go test ./transport/engine -run TestRepeatedRefusalIsNotTheAnswer client_test.go:126: assertion failed: 4 (int64) != 0 (int64): four attempts ran and were taken as refused It passes with it, as do go test -race ./transport/engine and go test ./e2e.

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -95,8 +95,10 @@
 }
 
 // openStream sends a request that opens a stream. Only status 503 with a reason in the body proves that the engine did
-// not run the attempt; after any other error response it may have run.
+// not run the attempt; after any other error response it may have run. The request gets a connection of its own, because
+// a refusal does not name its attempt: on a kept connection, the engine could send it once more to another attempt.
 func (cl *Client) openStream(request *http.Request, stream modelcall.StreamRequest) modelcall.OpenResult {
+	request.Close = true
 	request.Header.Set(engine.AttemptHeader, string(stream.Attempt))
 	request.Header.Set(engine.ResumeHeader, strconv.Itoa(stream.FirstTokenIndex))
 	response, err := cl.httpClient.Do(request)
--- a/transport/engine/client_test.go
+++ b/transport/engine/client_test.go
@@ -1,11 +1,15 @@
 package engine_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,3 +83,49 @@
 		assert.Equal(t, result.Draining, tc.draining, tc.body)
 	}
 }
+
+// TestRepeatedRefusalIsNotTheAnswer has an engine send a refusal once more on a kept connection when the next attempt
+// comes, which it runs. That attempt must not count as refused.
+func TestRepeatedRefusalIsNotTheAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 22\r\n\r\n{\"Reason\":\"Draining\"}\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var refused, ran atomic.Int64
+	var connections sync.WaitGroup
+	serve := func(connection net.Conn) {
+		defer func() { _ = connection.Close() }()
+		reader := bufio.NewReader(connection)
+		for number := 0; ; number++ {
+			httpRequest, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, httpRequest.Body)
+			if number > 0 {
+				ran.Add(1)
+			} else {
+				refused.Add(1)
+			}
+			_, _ = io.WriteString(connection, refusal)
+		}
+	}
+	connections.Go(func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Go(func() { serve(connection) })
+		}
+	})
+	client := newClient(t)
+	for range 5 {
+		result := client.Open(context.Background(), modelcall.StreamRequest{Address: listener.Addr().String(), Attempt: "a/1", Body: []byte("body")})
+		assert.Equal(t, result.FailureCause, retry.BackendRefused)
+	}
+	assert.Equal(t, ran.Load(), int64(0))
+	assert.Equal(t, refused.Load(), int64(5))
+	client.Close()
+	assert.NilError(t, listener.Close())
+	connections.Wait()
+}
