--- a/site/server_faults_test.go
+++ b/site/server_faults_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -120,3 +122,73 @@
 		assert.Equal(t, streamed.status, http.StatusOK)
 	}
 }
+
+// TestRepeatedRefusal has a server send the refusal of an earlier request once more on a kept connection before it
+// answers a request that it runs. The client must get the answer, and the server must run the request once.
+func TestRepeatedRefusal(t *testing.T) {
+	for _, fault := range []standin.ServerFault{standin.RepeatsRefusal, standin.RepeatsRefusalWithoutID} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			env := newTestEnv(t)
+			server := env.addServer("book-1", "books")
+			env.publishTable()
+			host := env.startHost("host-1", true)
+			server.SetFault(fault)
+			send := func(attemptID string) response {
+				return host.sendRequest(t.Context(), http.MethodPost, "/order/x", attemptID, "order")
+			}
+			refused := send("refused")
+			assert.Equal(t, refused.status, http.StatusServiceUnavailable, "%+v", refused)
+			for number := range 3 {
+				attemptID := fmt.Sprint("o", number)
+				got := send(attemptID)
+				assert.Equal(t, got.status, http.StatusOK, "%+v", got)
+				assert.Equal(t, got.body, "answer of book-1 to "+attemptID)
+			}
+			assert.Equal(t, len(server.ExecutedRequests()), 3)
+		})
+	}
+}
+
+// TestRepeatedRefusalOfSameRequest has the only engine refuse a request and send that refusal once more on the kept
+// connection when the request comes again, which it then runs. A client that is told that its request was not run must
+// be told the truth.
+func TestRepeatedRefusalOfSameRequest(t *testing.T) {
+	env := newTestEnv(t)
+	engine := env.addServer("engine-1", "models")
+	env.publishTable()
+	host := env.startHost("host-1", true)
+	engine.SetFault(standin.RepeatsRefusal)
+	for number := range 3 {
+		runsBefore := len(engine.ExecutedRequests())
+		got := host.sendPrompt(fmt.Sprint("c", number), 1000)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Equal(t, len(engine.ExecutedRequests()), runsBefore)
+	}
+}
+
+// TestErrorInsideStream has engines write errors into streams that have begun, or answer the resumption of a stream with a
+// text. Clients must get nothing but events in order, and streams must not end as complete before their last event.
+func TestErrorInsideStream(t *testing.T) {
+	for _, faults := range [][]standin.ServerFault{
+		{standin.WritesErrorIntoStream, standin.NoServerFault},
+		{standin.WritesErrorIntoStream, standin.WritesErrorIntoStream},
+		{standin.WritesErrorIntoStream, standin.AnswersTextOnResume},
+		{standin.CutsResponses, standin.AnswersTextOnResume},
+	} {
+		t.Run(fmt.Sprint(faults), func(t *testing.T) {
+			env := newTestEnv(t)
+			for index, fault := range faults {
+				env.addServer(fmt.Sprint("engine-", index), "models").SetFault(fault)
+			}
+			env.publishTable()
+			host := env.startHost("host-1", true)
+			for number := range 4 {
+				got := host.sendPrompt(fmt.Sprint("c", number), 1000)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Assert(t, strings.HasPrefix(eventStream(5), got.body), "%q", got.body)
+				assert.Assert(t, got.err != nil || got.body == eventStream(5), "complete with %q", got.body)
+				assert.Assert(t, got.err == nil || !slices.Contains(faults, standin.NoServerFault), "broken off after %q", got.body)
+			}
+		})
+	}
+}
