Hosts of a zone that is cut off as a whole ask peers of other zones

The zone of a peer that reaches no server comes last in the same call, and that peer gets no calls for a second. While the loss of a link is unconfirmed, and in the first second after it, the host's own zone comes last.

--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -102,6 +102,13 @@
 	return way, newConnection
 }
 
+// lostFor reports whether the link to some server has been lost for a time.
+func (lk *Links) lostFor(duration time.Duration) bool {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	return lk.markedCount > 0 && lk.clock.Now().Sub(lk.lostAt) >= duration
+}
+
 // later returns the later one of two times.
 func later(left, right time.Time) time.Time {
 	if left.After(right) {
--- a/coordination/peerrelay/peers.go
+++ b/coordination/peerrelay/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,17 +64,20 @@
 }
 
 // choose returns a peer for a call to a server in an availability zone, other than those tried. It prefers peers in this
-// host's zone, then those in the server's zone. Among these it takes the one of two random ones that has fewer calls of
-// this host in progress. The caller must call the returned function when the call has ended.
-func (pr *peers) choose(serverZone id.AvailabilityZone, tried []id.Host) (membership.Member, func(), bool) {
+// host's zone, then those in the server's zone; those in zones that may be cut off as a whole come last. Among these it
+// takes the one of two random ones that has fewer calls of this host in progress. The caller must call the returned
+// function when the call has ended.
+func (pr *peers) choose(serverZone id.AvailabilityZone, tried []id.Host, cutOffZones []id.AvailabilityZone) (membership.Member, func(), bool) {
 	members := pr.members.RemoteMembers()
 	pr.mutex.Lock()
 	defer pr.mutex.Unlock()
 	now := pr.clock.Now()
-	var ownZone, sameZone, others []membership.Member
+	var ownZone, sameZone, others, last []membership.Member
 	for _, member := range members {
 		switch {
 		case !pr.usable(now, member, tried):
+		case slices.Contains(cutOffZones, member.AvailabilityZone):
+			last = append(last, member)
 		case member.AvailabilityZone == pr.zone:
 			ownZone = append(ownZone, member)
 		case member.AvailabilityZone == serverZone:
@@ -83,7 +87,7 @@
 		}
 	}
 	var candidates []membership.Member
-	for _, preferred := range [][]membership.Member{ownZone, sameZone, others} {
+	for _, preferred := range [][]membership.Member{ownZone, sameZone, others, last} {
 		candidates = append(candidates, preferred...)
 		if pr.hasRoom(candidates) {
 			break
@@ -102,12 +106,7 @@
 
 // usable reports whether a member may get a call. The caller holds the mutex.
 func (pr *peers) usable(now time.Time, member membership.Member, tried []id.Host) bool {
-	for _, host := range tried {
-		if host == member.Host {
-			return false
-		}
-	}
-	return member.Status == membership.Alive && !now.Before(pr.backoffUntil[member.Host]) && !pr.isCutOff(member)
+	return !slices.Contains(tried, member.Host) && member.Status == membership.Alive && !now.Before(pr.backoffUntil[member.Host]) && !pr.isCutOff(member)
 }
 
 // hasRoom reports whether one of the members has fewer calls of this host in progress than preferredCalls. The caller
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -22,6 +22,10 @@
 // maxPeersPerCall bounds the peers that are asked to make one call.
 const maxPeersPerCall = 3
 
+// ownZoneDoubt is how long after this host has lost its first link the peers of its own zone are asked last: they may have
+// lost theirs at the same moment, and need some time to notice and spread it.
+const ownZoneDoubt = time.Second
+
 // Dependencies are the components that a Sender uses.
 type Dependencies struct {
 	Host             id.Host
@@ -122,10 +126,14 @@
 // reaches other servers did not reach this one.
 func (sd *Sender) callThroughPeers(ctx context.Context, call Call) (Answer, id.Host, error) {
 	var tried []id.Host
+	var cutOffZones []id.AvailabilityZone
+	if !sd.links.lostFor(ownZoneDoubt) {
+		cutOffZones = append(cutOffZones, sd.peers.zone)
+	}
 	failure := &Failure{Reason: PeerUnreachable, NotSent: true, Detail: errNoPeer}
 	zone := sd.links.zone(call.Address)
 	for len(tried) < maxPeersPerCall && ctx.Err() == nil {
-		peer, end, ok := sd.peers.choose(zone, tried)
+		peer, end, ok := sd.peers.choose(zone, tried, cutOffZones)
 		if !ok {
 			break
 		}
@@ -136,13 +144,12 @@
 		} else {
 			end()
 		}
-		if err == nil {
+		if err == nil && sd.recordAnswer(call, answer) {
 			sd.countRelayed(call.Kind, "answered")
-			if sd.recordAnswer(call, answer) {
-				return answer, peer.Host, nil
-			}
-			failure = &Failure{Reason: PeerCutOff, NotSent: true, Detail: "the peer reaches no server"}
-			continue
+			return answer, peer.Host, nil
+		}
+		if err == nil {
+			err = &Failure{Reason: PeerCutOff, NotSent: true, Detail: "the peer reaches no server"}
 		}
 		failure = asFailure(err)
 		sd.countRelayed(call.Kind, string(failure.Reason))
@@ -152,7 +159,11 @@
 		case failure.Reason == ServerUnreachable && failure.ReachesOther:
 			sd.links.recordThroughPeer(call.Address, false)
 			return Answer{}, peer.Host, failure
-		case failure.Reason != ServerUnreachable && failure.Reason != NoDirectWay:
+		case failure.Reason == PeerCutOff, failure.Reason == ServerUnreachable:
+			// The peer reaches no server, and others in its zone may have lost their links with it.
+			cutOffZones = append(cutOffZones, peer.AvailabilityZone)
+		}
+		if failure.Reason != NoDirectWay {
 			sd.peers.backOff(peer.Host, failure.Reason)
 		}
 	}
