--- a/state/route/table.go
+++ b/state/route/table.go
@@ -101,14 +101,18 @@
 	}
 	const hashRange = 1 << 32
 	point := totalWeight * float64(xxhash.Sum64String(requestID)%hashRange) / hashRange
+	// Rounding errors may leave the point just beyond the last share with a weight.
+	var last id.Service
 	for _, share := range rt.Shares {
-		point -= max(0, share.Weight)
-		if point < 0 {
-			return share.Service
+		if share.Weight <= 0 {
+			continue
+		}
+		last = share.Service
+		if point -= share.Weight; point < 0 {
+			break
 		}
 	}
-	// Rounding errors may leave the point just beyond the last share.
-	return rt.Shares[len(rt.Shares)-1].Service
+	return last
 }
 
 // EngineProfile describes the performance and the memory of the engines of a service.
@@ -135,8 +139,8 @@
 	StepsPerDecodePass int
 }
 
-// PrefillTime returns the time that one engine needs for a prompt if it does nothing else. It is limited to 24 hours,
-// and zero if the prefill rate is not known.
+// PrefillTime returns the time that one engine needs for a prompt if it does nothing else. It is limited to the range from
+// 0 to 24 hours, and zero if the prefill rate is not known.
 func (en EngineProfile) PrefillTime(prompt id.Tokens) time.Duration {
 	if en.PrefillTokensPerSecond <= 0 {
 		return 0
@@ -145,7 +149,7 @@
 	seconds := tokens / en.PrefillTokensPerSecond
 	pairs := tokens * (tokens + 1) / 2 / 1e6
 	const maxTime = float64(24 * time.Hour)
-	return time.Duration(min(maxTime, seconds*float64(time.Second)+pairs*float64(en.PrefillPerMillionPairs)))
+	return time.Duration(max(0, min(maxTime, seconds*float64(time.Second)+pairs*float64(en.PrefillPerMillionPairs))))
 }
 
 // Service is a group of engines or backend servers that handle the same requests.
