The next peer is told the time that is left then

What callers would see: nothing but late failures; engines were told more time than is left. A host that has lost its links asks up to three peers to send an attempt. The second and third one got the deadline and the timeout as they were before the first was asked, although each peer that can't be connected to takes 400 ms.

Cause: callThroughPeers passed the same description to each peer. Ruled out: the direct dial before (Send takes it off) and the time at the peer itself (Server.send takes it off).

Evidence: TestTimeAtFailedPeersIsTakenOff, red before ("5s (last.Timeout) != 4.2s"), green after: go test ./coordination/peerrelay -run TestTimeAtFailedPeersIsTakenOff

Fix: what has passed since the call was described is taken off before each peer is asked.

--- a/coordination/peerrelay/peerrelay.go
+++ b/coordination/peerrelay/peerrelay.go
@@ -46,6 +46,16 @@
 	TTL    time.Duration
 }
 
+// after returns the call as it is to be made when a time has passed since it was described.
+func (cl Call) after(passed time.Duration) Call {
+	if cl.Timeout > 0 {
+		// A timeout of zero would mean that there is none.
+		cl.Timeout = max(time.Millisecond, cl.Timeout-passed)
+	}
+	cl.Attempt.Remaining -= passed
+	return cl
+}
+
 // Answer is the result of a call that a peer made.
 type Answer struct {
 	// Response is the response of the backend server, for the kind Send. The caller must close its body.
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -132,13 +132,14 @@
 	}
 	failure := &Failure{Reason: PeerUnreachable, NotSent: true, Detail: errNoPeer}
 	zone := sd.links.zone(call.Address)
+	startedAt := sd.clock.Now()
 	for len(tried) < maxPeersPerCall && ctx.Err() == nil {
 		peer, end, ok := sd.peers.choose(zone, tried, cutOffZones)
 		if !ok {
 			break
 		}
 		tried = append(tried, peer.Host)
-		answer, err := sd.transport.Relay(ctx, peer, call)
+		answer, err := sd.transport.Relay(ctx, peer, call.after(sd.clock.Now().Sub(startedAt)))
 		if err == nil && call.Kind == Send {
 			answer.Response.Body = &endingBody{ReadCloser: answer.Response.Body, end: end}
 		} else {
