A grant on an engine out of reach of one host is no fault of the engine

What callers would see: at all hosts, refusals and waits while some hosts are cut off and find no peer. A host that can reach an engine in no way keeps its requests away from it for 500 ms. A request that was waiting for a grant by then can still be granted that engine. The host then reported the engine as full, with the rest of its own 500 ms as the backoff that the engine had asked for, and the dispatcher gave the engine nothing from any host for up to that time.

Cause: the table of backoffs did not tell what a server asked for from what the host alone decided. For the same reason the monitor of a stream took an engine out of reach for one that asked for backoff, that is, for one that is alive. Ruled out: the report of the failed attempt itself (it names no fault); new requests (they name the engine in BackoffUntil).

Fix: the table keeps the end of the backoff that the server itself asked for apart. Only that is reported, and only that counts as a sign of life.

--- a/coordination/forward/lost_link_test.go
+++ b/coordination/forward/lost_link_test.go
@@ -81,3 +81,23 @@
 		})
 	}
 }
+
+// TestGrantOnEngineOutOfReach guards against engines that get nothing from any host because a request of a host that has
+// lost its links was granted one: the request goes to another engine, and the dispatcher learns of no fault.
+func TestGrantOnEngineOutOfReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := &fakeDispatcher{grants: []batch.Grant{grantOn("1", "one"), grantOn("2", "two"), grantOn("3", "one"), grantOn("4", "two")}}
+		backends := &unlinkedServers{
+			streamingServers: streamingServers{bodyByAddress: map[string]slowBody{"two:80": {chunks: []chunk{{0, "id: 1\ndata: a\n\n"}}}}},
+			sendErrors:       map[string]error{"one:80": errors.Join(forward.ErrNotSent, forward.ErrUndetermined)},
+		}
+		rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}})
+		for number := range 2 {
+			assert.Assert(t, runRequest(t, rn, number, route.Route{Kind: route.Streaming, HasPrompt: true, Resumable: true, MaxAttempts: 2}).Complete)
+		}
+		assert.DeepEqual(t, backends.sentTo, []string{"one:80", "two:80", "two:80"})
+		for _, ended := range dispatcher.ended {
+			assert.Equal(t, ended.Fault, batch.NoFault, "%+v", ended)
+		}
+	})
+}
--- a/coordination/forward/server_state.go
+++ b/coordination/forward/server_state.go
@@ -56,7 +56,7 @@
 func (rn *Runner) recordUnreachable(server serverlist.Server) {
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
-	rn.backoffs.RecordBackoff(rn.clock.Now(), server, unreachableBackoff)
+	rn.backoffs.RecordUnreachable(rn.clock.Now(), server, unreachableBackoff)
 }
 
 // serverOfPart returns the listed server of the engine in a part of a grant. If the engine is not listed, it returns a
@@ -109,10 +109,11 @@
 	return engines
 }
 
-// findUnusableEngine looks for an engine of a grant that must not get the request because it is leaving or asked for
-// backoff; the dispatcher may not have learned of this yet. It returns the report to the dispatcher, the reason, and
-// whether there is such an engine. If only an old server list shows that the engine is leaving, it is reported as full
-// and not as gone, because it may have been listed again and other hosts must not give it up.
+// findUnusableEngine looks for an engine of a grant that must not get the request because it is leaving, asked for
+// backoff, or is out of reach of this host; the dispatcher may not have learned of this yet. It returns the report to the
+// dispatcher, the reason, and whether there is such an engine. If only an old server list shows that the engine is leaving,
+// it is reported as full and not as gone, because it may have been listed again and other hosts must not give it up. That
+// this host does not reach an engine is no fault of the engine.
 func (rn *Runner) findUnusableEngine(grant batch.Grant) (broker.EndedGrant, string, bool) {
 	now := rn.clock.Now()
 	for _, part := range grant.Parts {
@@ -124,10 +125,14 @@
 			return broker.EndedGrant{FailedEngine: part.Engine, Fault: batch.Full}, "an engine of the grant is leaving by an old list", true
 		}
 		rn.mutex.Lock()
-		backoffEnd, backingOff := rn.backoffs.BackoffUntil(now, server)
+		askedUntil, asked := rn.backoffs.AskedUntil(now, server)
+		_, backingOff := rn.backoffs.BackoffUntil(now, server)
 		rn.mutex.Unlock()
-		if backingOff {
-			return broker.EndedGrant{FailedEngine: part.Engine, Fault: batch.Full, RetryAfter: backoffEnd.Sub(now)}, "an engine of the grant wants to be left alone or is out of reach", true
+		switch {
+		case asked:
+			return broker.EndedGrant{FailedEngine: part.Engine, Fault: batch.Full, RetryAfter: askedUntil.Sub(now)}, "an engine of the grant wants to be left alone", true
+		case backingOff:
+			return broker.EndedGrant{FailedEngine: part.Engine}, "an engine of the grant is out of reach", true
 		}
 	}
 	return broker.EndedGrant{}, "", false
@@ -141,6 +146,6 @@
 func (rn *Runner) askedForBackoff(server id.BackendServer) bool {
 	rn.mutex.Lock()
 	defer rn.mutex.Unlock()
-	_, backingOff := rn.backoffs.BackoffUntil(rn.clock.Now(), server)
-	return backingOff
+	_, asked := rn.backoffs.AskedUntil(rn.clock.Now(), server)
+	return asked
 }
--- a/state/backoff/backoff.go
+++ b/state/backoff/backoff.go
@@ -1,5 +1,5 @@
-// Package backoff records which backend servers have asked for backoff, and limits the requests that they receive
-// afterwards. It is pure: it reads no clock and does no I/O.
+// Package backoff records which backend servers have asked for backoff or are out of reach of the host, and limits the
+// requests that they receive afterwards. It is pure: it reads no clock and does no I/O.
 //
 // It addresses the load pattern in which all servers of a service are full and each asks every host to retry after the
 // same time. Each host then retries after a slightly different time and with one request, instead of sending all the
@@ -34,6 +34,8 @@
 	// server has restarted, which ends the backoff.
 	startedAtMillis int64
 	backoffUntil    time.Time
+	// askedUntil is the end of the backoff that the server itself asked for; zero if the host alone decided on it.
+	askedUntil time.Time
 	// lastSentAt is when a request was last sent to the server; zero if none was sent since the server last asked for
 	// backoff. A request that is sent after the backoff is a trial.
 	lastSentAt time.Time
@@ -53,6 +55,20 @@
 // RecordBackoff records that a server has asked for backoff. A backoff that would end before the current one does not
 // shorten it.
 func (tb *Table) RecordBackoff(now time.Time, server serverlist.Server, duration time.Duration) {
+	entry, backoffUntil := tb.extend(now, server, duration)
+	if backoffUntil.After(entry.askedUntil) {
+		entry.askedUntil = backoffUntil
+	}
+}
+
+// RecordUnreachable records that the host sends nothing to a server for a time, although the server did not ask for it. A
+// backoff that would end before the current one does not shorten it.
+func (tb *Table) RecordUnreachable(now time.Time, server serverlist.Server, duration time.Duration) {
+	tb.extend(now, server, duration)
+}
+
+// extend makes the backoff of a server last at least for a time, and returns it and the end of that time.
+func (tb *Table) extend(now time.Time, server serverlist.Server, duration time.Duration) (*serverBackoff, time.Time) {
 	duration = min(duration, maxBackoff)
 	duration += time.Duration(tb.random.Float64() * min(maxJitterShare*float64(duration), float64(maxJitter)))
 	entry, exists := tb.backoffs[server.ID]
@@ -61,9 +77,11 @@
 		tb.backoffs[server.ID] = entry
 	}
 	entry.lastSentAt = time.Time{}
-	if backoffUntil := now.Add(duration); backoffUntil.After(entry.backoffUntil) {
+	backoffUntil := now.Add(duration)
+	if backoffUntil.After(entry.backoffUntil) {
 		entry.backoffUntil = backoffUntil
 	}
+	return entry, backoffUntil
 }
 
 // AllowsRequest reports whether a request may be sent to a server now: either the server has no backoff, or the backoff
@@ -101,6 +119,15 @@
 	return entry.backoffUntil, true
 }
 
+// AskedUntil returns the end of the backoff that a server asked for, or false if it asked for none or it is over.
+func (tb *Table) AskedUntil(now time.Time, server id.BackendServer) (time.Time, bool) {
+	entry, exists := tb.backoffs[server]
+	if !exists || !now.Before(entry.askedUntil) {
+		return time.Time{}, false
+	}
+	return entry.askedUntil, true
+}
+
 // MinWait returns the shortest time until the backoff of any of the servers ends. It is zero if one of them has no
 // backoff or it is over, and if there are no servers.
 func (tb *Table) MinWait(now time.Time, servers []serverlist.Server) time.Duration {
