A request that waits for a second grant is refused before its client leaves

What callers would see: neither an answer nor a refusal. A request under whose first grant nothing was sent, as on a host that is cut off and finds no peer, waits for a second grant; if none comes, its client leaves first.

Cause: the refusal before the client leaves was tied to the number of the attempt: later attempts may belong to clients that have a part of the answer. Whether that is so was known (HeadSent) but not passed on. Ruled out: the dispatcher's own refusal, which for short prompts comes at the moment at which the client leaves.

Evidence: the new cases of TestWaitingRequestIsRefusedBeforeClientLeaves (red before: waited 3s, that is until the deadline) and TestRequestThatWasNotSentIsRefusedBeforeClientLeaves (red before: false, false, false), green after: go test ./coordination/broker ./coordination/forward -run BeforeClientLeaves

--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -27,6 +27,9 @@
 	// Evidence is what the entry host knows against the parts of the prompt. The dispatcher thus knows of a crash before
 	// it places a request that is sent again after it.
 	Evidence []quarantine.Evidence
+	// Unanswered says that the client has received nothing yet, so that it can still be refused. Only the entry host uses
+	// it; dispatchers do not receive it.
+	Unanswered bool
 }
 
 // GrantResponse is a dispatcher's response to a GrantRequest. If neither Grant nor Refusal is set, the request is
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -124,12 +124,12 @@
 	return nil
 }
 
-// Acquire requests a grant and waits for it until the context ends or, for a first attempt, until shortly before the
-// client stops waiting. It fails over to the next dispatcher in order when a call to a dispatcher fails, and chooses the
+// Acquire requests a grant and waits for it until the context ends or, for a first attempt and while the client has received
+// nothing, until shortly before the client stops waiting. It fails over to the next dispatcher in order when a call to a dispatcher fails, and chooses the
 // engines itself if no dispatcher can be reached in time.
 func (cl *Client) Acquire(ctx context.Context, request GrantRequest) (batch.Grant, outcome.Outcome) {
 	request.Host = cl.host
-	if request.AttemptNumber <= 1 {
+	if request.AttemptNumber <= 1 || request.Unanswered {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, request.ArrivedAt.Add(request.WaitLimit-refusalLead).Sub(cl.clock.Now()))
 		defer cancel()
--- a/coordination/broker/wait_test.go
+++ b/coordination/broker/wait_test.go
@@ -28,20 +28,21 @@
 func (mutePeers) SendReport(context.Context, id.Host, broker.Report) error { return nil }
 
 // TestWaitingRequestIsRefusedBeforeClientLeaves guards against requests that get neither an answer nor a refusal because
-// their clients leave while they wait for a grant. A later attempt, whose client may have a part of the answer, waits on.
+// their clients leave while they wait for a grant. A later attempt waits on if its client may have a part of the answer.
 func TestWaitingRequestIsRefusedBeforeClientLeaves(t *testing.T) {
 	const waitLimit, deadline = 2 * time.Second, 3 * time.Second
 	for _, tc := range []struct {
 		attemptNumber int
+		unanswered    bool
 		wantBefore    time.Duration
-	}{{1, waitLimit}, {2, deadline + time.Millisecond}} {
+	}{{1, false, waitLimit}, {1, true, waitLimit}, {2, false, deadline + time.Millisecond}, {2, true, waitLimit}} {
 		synctest.Test(t, func(t *testing.T) {
 			client := broker.NewClient(batch.DefaultConfig(), "entry", timer.NewSystem(), mutePeers{}, singleEngineFleet{network: &network{}}, tally.NoopScope, slog.New(slog.DiscardHandler), 1)
 			client.SetHostsKnown()
 			ctx, cancel := context.WithTimeout(t.Context(), deadline)
 			defer cancel()
 			arrivedAt := time.Now()
-			_, oc := client.Acquire(ctx, broker.GrantRequest{Service: service, Request: batch.Request{ID: "request", ArrivedAt: arrivedAt, WaitLimit: waitLimit, AttemptNumber: tc.attemptNumber}})
+			_, oc := client.Acquire(ctx, broker.GrantRequest{Service: service, Unanswered: tc.unanswered, Request: batch.Request{ID: "request", ArrivedAt: arrivedAt, WaitLimit: waitLimit, AttemptNumber: tc.attemptNumber}})
 			waited := time.Since(arrivedAt)
 			assert.Equal(t, oc.Kind, outcome.Refused)
 			assert.Assert(t, oc.RetryAfter > 0)
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -134,6 +134,7 @@
 	}
 	st.setIsolation(&st.grantRequest)
 	st.grantRequest.WaitLimit = st.waitLimitFromArrival()
+	st.grantRequest.Unanswered = !st.result.HeadSent
 	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
 	acquireCtx, span := rn.tracer.Start(acquireCtx, "dispatch.place")
 	st.grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service)
--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -37,12 +37,15 @@
 	backoffs []map[id.Engine]time.Time
 	// waitLimitAt holds the time until which the client waits, for each call of Acquire.
 	waitLimitAt []time.Time
+	// unanswered says, for each call of Acquire, whether the client had received nothing yet.
+	unanswered []bool
 	// faultAt is when the first fault was reported.
 	faultAt time.Time
 }
 
 func (fd *fakeDispatcher) Acquire(ctx context.Context, grantRequest broker.GrantRequest) (batch.Grant, outcome.Outcome) {
 	fd.backoffs = append(fd.backoffs, grantRequest.BackoffUntil)
+	fd.unanswered = append(fd.unanswered, grantRequest.Unanswered)
 	fd.waitLimitAt = append(fd.waitLimitAt, grantRequest.ArrivedAt.Add(grantRequest.WaitLimit))
 	if ctx.Err() != nil || len(fd.grants) == 0 {
 		return batch.Grant{}, outcome.Refuse(outcome.NoCapacity, "no engine is left")
--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -53,6 +53,7 @@
 	}
 	grantRequest.ID = id.NewRequest(rn.host, rn.incarnation, rn.requestCounter.Add(1))
 	grantRequest.AttemptNumber++
+	grantRequest.Unanswered = false
 	grantRequest.AvoidedEngines = append(append([]id.Engine(nil), grantRequest.AvoidedEngines...), stalledEngine)
 	grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service)
 	st.setIsolation(&grantRequest)
--- a/coordination/forward/lost_link_test.go
+++ b/coordination/forward/lost_link_test.go
@@ -142,3 +142,20 @@
 	time.Sleep(rs.headAfter)
 	return rs.unlinkedServers.Send(ctx, attempt)
 }
+
+// TestRequestThatWasNotSentIsRefusedBeforeClientLeaves guards against requests that get neither an answer nor a refusal
+// because they wait for a second grant after nothing was sent under the first: the dispatcher client has to know that their
+// clients can still be refused, other than those that have received a part of the answer.
+func TestRequestThatWasNotSentIsRefusedBeforeClientLeaves(t *testing.T) {
+	const event1, event2 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := &fakeDispatcher{grants: []batch.Grant{grantOn("1", "one"), grantOn("2", "two"), grantOn("3", "three")}}
+		backends := &unlinkedServers{
+			streamingServers: streamingServers{truncatedAddress: "two:80", bodyByAddress: map[string]slowBody{"two:80": {chunks: []chunk{{0, event1}}}, "three:80": {chunks: []chunk{{0, event2}}}}},
+			sendErrors:       map[string]error{"one:80": errors.Join(forward.ErrNotSent, forward.ErrUndetermined)},
+		}
+		rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}})
+		assert.Assert(t, runRequest(t, rn, 1, route.Route{Kind: route.Streaming, HasPrompt: true, Resumable: true, MaxAttempts: 2}).Complete)
+		assert.DeepEqual(t, dispatcher.unanswered, []bool{true, true, false})
+	})
+}
