A call that does not fit into a frame costs a host none of its peers

What callers would see: refusals at hosts that are cut off, for a second after one request whose head can't be relayed.

Cause: a call that can't be encoded, or that a peer can't read, counted as a failure of the peer, which then got no calls for 1 s; up to three peers were lost so for each such request. Ruled out: bodies that are too long are refused before by the limits of clients.

Evidence: TestCallThatCannotBeRelayedCostsNoPeer, red before ("no peer can take the call"), green after: go test ./coordination/peerrelay -run TestCallThatCannotBeRelayedCostsNoPeer

Fix: such a failure says nothing about the peer and keeps no calls from it.

--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -168,7 +168,7 @@
 			// The peer reaches no server, and others in its zone may have lost their links with it.
 			cutOffZones = append(cutOffZones, peer.AvailabilityZone)
 		}
-		if failure.Reason != NoDirectWay {
+		if failure.Reason != NoDirectWay && failure.Reason != Malformed {
 			sd.peers.backOff(peer.Host, failure.Reason)
 		}
 	}
