Memory that a cut-off host can't reserve is no fault of the engine

What callers would see: at all hosts, longer waits while some hosts are cut off and find no peer.

Cause: why memory was not reserved was lost: a refusal of the engine and the lost link of one host looked the same. Ruled out: attempts, whose errors are told apart (classifySendError); an engine that refuses is still reported (second case of the test).

Evidence: TestReservationOnEngineOutOfReach, red before ("dispatcher.ended[0].Fault 4 != 0"), green after: go test ./coordination/forward -run TestReservationOnEngineOutOfReach

Fix: if no host could tell whether the engine is reachable, no fault is reported, and this host keeps away from the engine for a moment, as after an attempt.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -218,9 +218,13 @@
 	ctx, span := rn.tracer.Start(ctx, "engine.attempt", trace.WithAttributes(
 		attribute.String("attempt", string(grant.Attempt)), attribute.String("engine", string(primary.Engine))))
 	defer span.End()
-	reservedMemory, refusedPart := rn.reserve(ctx, grant)
-	if refusedPart != nil {
-		return broker.EndedGrant{FailedEngine: refusedPart.Engine, Fault: batch.Full}, attemptResult{reason: "an engine has no memory to set aside", retryCause: retry.NotSent}
+	reservedMemory, refused := rn.reserve(ctx, grant)
+	switch {
+	case refused != nil && errors.Is(refused.err, ErrUndetermined):
+		rn.recordUnreachable(rn.serverOfPart(st.request.Service, refused.part))
+		return broker.EndedGrant{FailedEngine: refused.part.Engine}, attemptResult{reason: refused.err.Error(), retryCause: retry.NotSent}
+	case refused != nil:
+		return broker.EndedGrant{FailedEngine: refused.part.Engine, Fault: batch.Full}, attemptResult{reason: "an engine has no memory to set aside", retryCause: retry.NotSent}
 	}
 	defer reservedMemory.release()
 	sendCtx, cancel := context.WithCancelCause(ctx)
--- a/coordination/forward/reservation.go
+++ b/coordination/forward/reservation.go
@@ -29,7 +29,7 @@
 
 // reserve reserves the memory of a grant on all of its engines. If an engine refuses or does not answer in time, it
 // returns the part of that engine, and releases what the others have reserved.
-func (rn *Runner) reserve(ctx context.Context, grant batch.Grant) (*reservation, *batch.Part) {
+func (rn *Runner) reserve(ctx context.Context, grant batch.Grant) (*reservation, *refusedReservation) {
 	rv := &reservation{runner: rn, reservedAt: rn.clock.Now()}
 	for _, part := range grant.Parts {
 		if part.Ticket != "" {
@@ -57,26 +57,33 @@
 	return rv.reservedAt.Add(rv.runner.config.UnusedReservationTimeout)
 }
 
-// reserveAll reserves the memory on all engines, or renews the reservations, and returns a part whose engine did not
-// grant it; nil if all did.
-func (rv *reservation) reserveAll(ctx context.Context) *batch.Part {
+// refusedReservation is memory that was not reserved.
+type refusedReservation struct {
+	part batch.Part
+	// err is why the engine could not be asked; nil if it refused.
+	err error
+}
+
+// reserveAll reserves the memory on all engines, or renews the reservations, and returns one that was not granted; nil if
+// all were.
+func (rv *reservation) reserveAll(ctx context.Context) *refusedReservation {
 	ctx, cancel := context.WithTimeout(ctx, reservationCallTimeout)
 	defer cancel()
-	granted := make([]bool, len(rv.parts))
+	refused := make([]*refusedReservation, len(rv.parts))
 	var calls sync.WaitGroup
 	for ix, part := range rv.parts {
 		calls.Go(func() {
 			ok, err := rv.runner.sender.Reserve(ctx, part.Address, part.Ticket, part.MemoryTokens, rv.runner.config.ReservationTTL)
-			granted[ix] = ok && err == nil
-			if !granted[ix] {
+			if !ok || err != nil {
+				refused[ix] = &refusedReservation{part, err}
 				rv.runner.logger.Warn("memory not set aside", "engine", string(part.Engine), "ticket", part.Ticket, "tokens", int64(part.MemoryTokens), "error", errorText(err))
 			}
 		})
 	}
 	calls.Wait()
-	for ix, ok := range granted {
-		if !ok {
-			return &rv.parts[ix]
+	for _, reservation := range refused {
+		if reservation != nil {
+			return reservation
 		}
 	}
 	return nil
--- a/coordination/forward/reservation_test.go
+++ b/coordination/forward/reservation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,3 +61,39 @@
 		})
 	}
 }
+
+// unlinkedReservations are servers of which one can't be reached to reserve memory, by this host or another one.
+type unlinkedReservations struct {
+	streamingServers
+	reserveError error
+}
+
+func (ur *unlinkedReservations) Reserve(_ context.Context, address, _ string, _ id.Tokens, _ time.Duration) (bool, error) {
+	if address == "one:80" {
+		return false, ur.reserveError
+	}
+	return true, nil
+}
+
+// TestReservationOnEngineOutOfReach guards against engines that get nothing from any host because a host that has lost its
+// links could reserve no memory there. An engine that has no memory to reserve is still reported.
+func TestReservationOnEngineOutOfReach(t *testing.T) {
+	for _, tc := range []struct {
+		reserveError error
+		wantFault    batch.Fault
+	}{{errors.Join(forward.ErrNotSent, forward.ErrUndetermined), batch.NoFault}, {nil, batch.Full}} {
+		synctest.Test(t, func(t *testing.T) {
+			unreached := grantOn("1", "two", "one")
+			unreached.Parts[1].Ticket = "ticket"
+			dispatcher := &fakeDispatcher{grants: []batch.Grant{unreached, grantOn("2", "two")}}
+			backends := &unlinkedReservations{reserveError: tc.reserveError, streamingServers: streamingServers{bodyByAddress: map[string]slowBody{"two:80": {chunks: []chunk{{0, "id: 1\ndata: a\n\n"}}}}}}
+			rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}})
+			assert.Assert(t, runRequest(t, rn, 1, route.Route{Kind: route.Streaming, HasPrompt: true, MaxAttempts: 1}).Complete)
+			synctest.Wait()
+			assert.Equal(t, dispatcher.ended[0].FailedEngine, id.Engine("one"))
+			assert.Equal(t, dispatcher.ended[0].Fault, tc.wantFault)
+			_, outOfReach := dispatcher.backoffs[1]["one"]
+			assert.Equal(t, outOfReach, tc.reserveError != nil)
+		})
+	}
+}
