--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -96,6 +96,10 @@
 		}
 		reason = err.Error()
 	}
+	if attempt.HandleRelayed != nil {
+		attempt.HandleRelayed()
+		attempt.HandleRelayed = nil
+	}
 	attempt.Remaining -= sd.clock.Now().Sub(startedAt)
 	ctx, span := sd.tracer.Start(ctx, "peer.relay", trace.WithAttributes(attribute.String("server", string(attempt.Server))))
 	defer span.End()
@@ -132,13 +136,14 @@
 	}
 	failure := &Failure{Reason: PeerUnreachable, NotSent: true, Detail: errNoPeer}
 	zone := sd.links.zone(call.Address)
+	startedAt := sd.clock.Now()
 	for len(tried) < maxPeersPerCall && ctx.Err() == nil {
 		peer, end, ok := sd.peers.choose(zone, tried, cutOffZones)
 		if !ok {
 			break
 		}
 		tried = append(tried, peer.Host)
-		answer, err := sd.transport.Relay(ctx, peer, call)
+		answer, err := sd.transport.Relay(ctx, peer, call.after(sd.clock.Now().Sub(startedAt)))
 		if err == nil && call.Kind == Send {
 			answer.Response.Body = &endingBody{ReadCloser: answer.Response.Body, end: end}
 		} else {
@@ -163,7 +168,7 @@
 			// The peer reaches no server, and others in its zone may have lost their links with it.
 			cutOffZones = append(cutOffZones, peer.AvailabilityZone)
 		}
-		if failure.Reason != NoDirectWay {
+		if failure.Reason != NoDirectWay && failure.Reason != Malformed {
 			sd.peers.backOff(peer.Host, failure.Reason)
 		}
 	}
