A peer connects to another server after a failure before its word on the server counts

Sound contents were refused as crashing servers after all hosts had lost their links at the same moment: TestAllHostsWithoutServersKeepClientsWaiting/refused in package site, once, 290 of 1922 requests. The hosts confirmed each other's refused probes, since each had connected to another server within the 100 ms before, that is, before the cut.

An earlier success does not count any more. The peer dials other servers after its own probe or attempt has failed, or after 40 ms without a result. TestHostsCutOffTogetherConfirmNothing fails on the code before ("refuses != undetermined") and passes now: go test -race ./coordination/peerrelay

--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -138,13 +138,6 @@
 	return lk.zones[address]
 }
 
-// connectedToOther reports whether a server other than the one at an address accepted a connection within a time.
-func (lk *Links) connectedToOther(address string, within time.Duration) bool {
-	lk.mutex.Lock()
-	defer lk.mutex.Unlock()
-	return lk.tracker.ConnectedToOther(address, lk.clock.Now().Add(-within))
-}
-
 // recordDirect records how a direct exchange with the server at an address went.
 func (lk *Links) recordDirect(address string, result reachability.Result) {
 	lk.update(func() {
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -536,3 +536,30 @@
 		})
 	}
 }
+
+// TestHostsCutOffTogetherConfirmNothing cuts all hosts off at the same moment, just after each has opened a connection. No
+// probe may count as confirmed by another host, and no server as failed.
+func TestHostsCutOffTogetherConfirmNothing(t *testing.T) {
+	for name, state := range map[string]linkState{"silent": silent, "refused": refusing} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := newNetwork("a1", "b1", "b2")
+				for _, ht := range nw.hosts {
+					for _, server := range listed {
+						assert.Equal(t, ht.sender.ProbeConnection(t.Context(), server.Address), forward.Reachable)
+					}
+					ht.cut(state)
+				}
+				for _, server := range listed {
+					ctx, cancel := context.WithTimeout(t.Context(), dialTimeout)
+					assert.Equal(t, nw.hosts["a1"].sender.ProbeConnection(ctx, server.Address), forward.Undetermined)
+					cancel()
+					_, err := nw.hosts["b1"].send(t.Context(), newAttempt("at "+string(server.ID), string(server.ID)))
+					assert.ErrorIs(t, err, forward.ErrUndetermined)
+				}
+				assert.Assert(t, !nw.hosts["a1"].links.CutOff())
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -22,9 +22,8 @@
 	callsPerCore = 512
 	// minCalls is the lowest such number.
 	minCalls = 64
-	// witnessWindow is the time within which some other server must have accepted a connection of the peer for its word that
-	// a server does not respond to count. It is short, because the peer may have lost its own links just now.
-	witnessWindow = 100 * time.Millisecond
+	// witnessDelay is how long a probe may go without a result before the peer finds out whether it reaches other servers.
+	witnessDelay = 40 * time.Millisecond
 	// witnessTimeout bounds the dials by which a peer finds out whether it reaches other servers after an attempt failed.
 	witnessTimeout = 150 * time.Millisecond
 	// answerMargin is the part of a probe's time that remains for the answer to reach the entry host.
@@ -208,39 +207,49 @@
 		failure.Reason = ServerUnreachable
 		ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 		defer cancel()
-		sv.dialOthers(ctx, call.Address).Wait()
-		failure.ReachesOther = sv.links.connectedToOther(call.Address, witnessWindow+witnessTimeout)
+		failure.ReachesOther = sv.connectsToOther(ctx, call.Address)
 	}
 	return failure
 }
 
-// probe probes a server and finds out at the same time whether this host reaches some other server.
+// probe probes a server. If the server does not respond, or not at once, it also finds out whether this host reaches some
+// other server.
 func (sv *Server) probe(ctx context.Context, call Call, probeDirectly func(context.Context, string) forward.ProbeResult) Answer {
-	startedAt := sv.clock.Now()
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerMargin))
 		defer cancel()
 	}
-	others := sv.dialOthers(ctx, call.Address)
-	result := probeDirectly(ctx, call.Address)
-	if result == forward.Reachable {
-		return Answer{Probe: result, ReachesOther: true}
+	result := make(chan forward.ProbeResult, 1)
+	go func() { result <- probeDirectly(ctx, call.Address) }()
+	delayed, subscription := timer.Wait(sv.clock, witnessDelay)
+	defer subscription.Stop()
+	select {
+	case found := <-result:
+		return Answer{Probe: found, ReachesOther: found == forward.Reachable || sv.connectsToOther(ctx, call.Address)}
+	case <-delayed:
+		reachesOther := sv.connectsToOther(ctx, call.Address)
+		found := <-result
+		return Answer{Probe: found, ReachesOther: reachesOther || found == forward.Reachable}
 	}
-	others.Wait()
-	return Answer{Probe: result, ReachesOther: sv.links.connectedToOther(call.Address, sv.clock.Now().Sub(startedAt)+witnessWindow)}
 }
 
-// dialOthers opens connections to some servers other than the one at an address, unless one of them accepted a connection
-// just now. The caller waits for them with the result.
-func (sv *Server) dialOthers(ctx context.Context, address string) *sync.WaitGroup {
-	var dials sync.WaitGroup
-	if !sv.links.connectedToOther(address, witnessWindow) {
-		for _, other := range sv.links.otherServers(address, witnessDials) {
-			dials.Go(func() { sv.direct.probeConnection(ctx, other) })
+// connectsToOther reports whether some server other than the one at an address accepts a connection now. An earlier success
+// does not count, because this host may have lost its links since, together with the entry host.
+func (sv *Server) connectsToOther(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	others := sv.links.otherServers(address, witnessDials)
+	results := make(chan forward.ProbeResult, len(others))
+	for _, other := range others {
+		go func() { results <- sv.direct.probeConnection(ctx, other) }()
+	}
+	for range others {
+		if <-results == forward.Reachable {
+			return true
 		}
 	}
-	return &dials
+	return false
 }
 
 // cancellingBody is a body whose context ends when it is closed.
--- a/coordination/reachability/tracker.go
+++ b/coordination/reachability/tracker.go
@@ -29,9 +29,8 @@
 	failure Result
 	// peerReached says that a peer has reached the server since the direct way failed.
 	peerReached bool
-	// reachedAt is when the server last answered or accepted a connection, connectedAt when it last accepted one.
-	reachedAt   time.Time
-	connectedAt time.Time
+	// reachedAt is when the server last answered or accepted a connection.
+	reachedAt time.Time
 	// returnedAt is when the server last returned to the direct way. probeWait is the time between probes of the server,
 	// and notBefore when it may be probed again.
 	returnedAt time.Time
@@ -149,7 +148,7 @@
 }
 
 func (tr *Tracker) recordConnected(now time.Time, known *server) {
-	known.reachedAt, known.connectedAt = now, now
+	known.reachedAt = now
 	if known.way() != Direct {
 		tr.lastReturn = now
 	}
@@ -251,16 +250,6 @@
 	return time.Time{}
 }
 
-// ConnectedToOther reports whether a server other than the one at an address accepted a connection since a time.
-func (tr *Tracker) ConnectedToOther(address string, since time.Time) bool {
-	for other, known := range tr.servers {
-		if other != address && !known.connectedAt.Before(since) {
-			return true
-		}
-	}
-	return false
-}
-
 // Unmarked returns up to count addresses that are reached directly and have not been reached since a time, other than
 // those excluded. Addresses of different services and availability zones come first.
 func (tr *Tracker) Unmarked(count int, since time.Time, excluded ...string) []string {
