A server that fails while others of its service are reached is left to the retry, not to a peer

If another server of the service accepts a connection, or has sent anything during the dial that timed out, the request fails as not sent, as it did before there were relays, so that the next server gets it; a peer is asked about the failed one in the background. A relayed attempt whose link is not known to be lost gets a new connection at the peer.

--- a/coordination/peerrelay/direct.go
+++ b/coordination/peerrelay/direct.go
@@ -44,7 +44,7 @@
 		result = reachability.Connected
 	}
 	ds.links.recordDirect(attempt.Address, result)
-	response.Body = &watchedBody{ReadCloser: response.Body, ctx: ctx, links: ds.links, end: end}
+	response.Body = &watchedBody{ReadCloser: response.Body, ctx: ctx, address: attempt.Address, links: ds.links, end: end}
 	return response, nil
 }
 
@@ -117,8 +117,9 @@
 // watchedBody is the body of a response that arrives directly.
 type watchedBody struct {
 	io.ReadCloser
-	ctx   context.Context
-	links *Links
+	ctx     context.Context
+	address string
+	links   *Links
 	// end ends the exchange.
 	end func()
 }
@@ -127,7 +128,7 @@
 func (wb *watchedBody) Read(buffer []byte) (int, error) {
 	count, err := wb.ReadCloser.Read(buffer)
 	if count > 0 {
-		wb.links.recordSign()
+		wb.links.recordSign(wb.address)
 	}
 	if err != nil && !errors.Is(err, io.EOF) && wb.ctx.Err() == nil {
 		wb.links.recordBreak()
@@ -140,3 +141,19 @@
 	wb.end()
 	return wb.ReadCloser.Close()
 }
+
+// connectsToAny reports whether one of the servers at some addresses accepts a connection now.
+func (ds *directSender) connectsToAny(ctx context.Context, addresses []string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan forward.ProbeResult, len(addresses))
+	for _, address := range addresses {
+		go func() { results <- ds.probeConnection(ctx, address) }()
+	}
+	for range addresses {
+		if <-results == forward.Reachable {
+			return true
+		}
+	}
+	return false
+}
--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,8 @@
 	mutex   sync.Mutex
 	tracker *reachability.Tracker
 	zones   map[string]id.AvailabilityZone
+	// services holds the service of each server by address.
+	services map[string]id.Service
 	// markedCount is the number of servers that are not reached directly.
 	markedCount int
 	cutOff      bool
@@ -49,7 +52,11 @@
 	inProgress   map[string]int
 	lastSign     time.Time
 	lastKeptSign time.Time
-	lastBreak    time.Time
+	// lastSilenceProbe is when takeSilent last returned servers.
+	lastSilenceProbe time.Time
+	// signs holds when a server last gave a sign, by service and address.
+	signs     map[id.Service]map[string]time.Time
+	lastBreak time.Time
 }
 
 // NewLinks returns the links of a host that knows no backend servers yet.
@@ -63,11 +70,22 @@
 // UpdateServers takes a new version of the server list.
 func (lk *Links) UpdateServers(listed []serverlist.Server) {
 	zones := make(map[string]id.AvailabilityZone, len(listed))
+	services := make(map[string]id.Service, len(listed))
+	signs := map[id.Service]map[string]time.Time{}
 	for _, server := range listed {
 		zones[server.Address] = server.AvailabilityZone
+		services[server.Address] = server.Service
+		signs[server.Service] = map[string]time.Time{}
 	}
 	lk.update(func() {
-		lk.zones = zones
+		for service, byAddress := range signs {
+			for address, at := range lk.signs[service] {
+				if services[address] == service {
+					byAddress[address] = at
+				}
+			}
+		}
+		lk.zones, lk.services, lk.signs = zones, services, signs
 		lk.tracker.UpdateServers(listed)
 	})
 }
@@ -138,12 +156,33 @@
 	return lk.zones[address]
 }
 
+// recordServerSign records that a server gave a sign. The caller holds the mutex.
+func (lk *Links) recordServerSign(address string, now time.Time) {
+	if signs := lk.signs[lk.services[address]]; signs != nil {
+		signs[address] = now
+	}
+}
+
+// signSince reports whether anything has arrived since a time from another server of the service than the one at an
+// address.
+func (lk *Links) signSince(address string, since time.Time) bool {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	for other, at := range lk.signs[lk.services[address]] {
+		if other != address && at.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordDirect records how a direct exchange with the server at an address went.
 func (lk *Links) recordDirect(address string, result reachability.Result) {
 	lk.update(func() {
 		now := lk.clock.Now()
 		if result == reachability.Connected || result == reachability.Answered {
 			lk.lastSign = now
+			lk.recordServerSign(address, now)
 		}
 		if result == reachability.Answered {
 			lk.lastKeptSign = now
@@ -240,11 +279,15 @@
 	return suspect, lk.tracker.Unmarked(count, lk.suspectedAt.Add(-recently), suspect)
 }
 
-// otherServers returns up to count servers other than the one at an address.
-func (lk *Links) otherServers(address string, count int) []string {
+// otherServers returns up to count servers other than the one at an address, only those of its service if sameService is
+// set.
+func (lk *Links) otherServers(address string, count int, sameService bool) []string {
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
-	return lk.tracker.Others(count, address)
+	others := slices.DeleteFunc(lk.tracker.Others(address), func(other string) bool {
+		return sameService && lk.services[other] != lk.services[address]
+	})
+	return others[:min(count, len(others))]
 }
 
 // beginExchange records that a direct exchange begins. The returned function ends it.
@@ -264,12 +307,13 @@
 	})
 }
 
-// recordSign records that a direct exchange received something.
-func (lk *Links) recordSign() {
+// recordSign records that a direct exchange with the server at an address received something.
+func (lk *Links) recordSign(address string) {
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	lk.lastSign = lk.clock.Now()
 	lk.lastKeptSign = lk.lastSign
+	lk.recordServerSign(address, lk.lastSign)
 }
 
 // recordBreak records that a connection broke while an exchange was in progress on it.
@@ -286,10 +330,10 @@
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	now := lk.clock.Now()
-	if len(lk.inProgress) == 0 || now.Sub(lk.lastSign) < silence {
+	if len(lk.inProgress) == 0 || now.Sub(later(lk.lastSign, lk.lastSilenceProbe)) < silence {
 		return nil
 	}
-	lk.lastSign = now
+	lk.lastSilenceProbe = now
 	for address := range lk.inProgress {
 		if lk.tracker.Way(address) == reachability.Direct {
 			return append([]string{address}, lk.tracker.Unmarked(count-1, now.Add(-silence), address)...)
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,6 +27,15 @@
 // lost theirs at the same moment, and need some time to notice and spread it.
 const ownZoneDoubt = time.Second
 
+const (
+	// inTransitTime is the time after the start of a dial within which what arrives may have been sent before.
+	inTransitTime = 50 * time.Millisecond
+	// linkCheckDials is the number of other servers that are dialled after a refused connection, linkCheckTimeout the time that
+	// this may take.
+	linkCheckDials   = 2
+	linkCheckTimeout = 100 * time.Millisecond
+)
+
 // Dependencies are the components that a Sender uses.
 type Dependencies struct {
 	Host             id.Host
@@ -57,6 +67,8 @@
 	tracer    trace.Tracer
 	// probes are the probes in progress that Run waits for.
 	probes tasks.Group
+	// probing holds the addresses of the servers that peers are asked about in the background.
+	probing sync.Map
 }
 
 // NewSender returns a Sender that uses the given components.
@@ -94,7 +106,13 @@
 		if err == nil || !errors.Is(err, forward.ErrNotSent) || ctx.Err() != nil || !sd.peers.any() {
 			return response, err
 		}
+		if way == reachability.Direct && sd.reachesOthers(ctx, attempt.Address, startedAt, err) {
+			sd.probeInBackground(attempt.Address)
+			return response, err
+		}
 		reason = err.Error()
+		// The server may have failed, and idle connections of the peer with it.
+		attempt.NewConnection = attempt.NewConnection || way == reachability.Direct
 	}
 	attempt.Remaining -= sd.clock.Now().Sub(startedAt)
 	ctx, span := sd.tracer.Start(ctx, "peer.relay", trace.WithAttributes(attribute.String("server", string(attempt.Server))))
@@ -112,6 +130,33 @@
 	return answer.Response, err
 }
 
+// reachesOthers reports whether this host's links to other servers of the service work, although it could not connect to the
+// one at an address since startedAt. It is then better to choose another server than to ask a peer. If the connection was
+// refused, another server must accept one; if it timed out, it suffices that something has arrived from another one since.
+func (sd *Sender) reachesOthers(ctx context.Context, address string, startedAt time.Time, err error) bool {
+	if !errors.Is(err, forward.ErrConnectionRefused) {
+		return sd.links.signSince(address, startedAt.Add(inTransitTime))
+	}
+	ctx, cancel := context.WithTimeout(ctx, linkCheckTimeout)
+	defer cancel()
+	return sd.direct.connectsToAny(ctx, sd.links.otherServers(address, linkCheckDials, true))
+}
+
+// probeInBackground has a peer probe the server at an address, unless one already does, to find out whether the server has
+// failed or this host has lost its link to it.
+func (sd *Sender) probeInBackground(address string) {
+	if _, running := sd.probing.LoadOrStore(address, true); running {
+		return
+	}
+	started := sd.startProbe(context.Background(), func(ctx context.Context) {
+		defer sd.probing.Delete(address)
+		sd.probeThroughPeers(ctx, ProbeConnection, address)
+	})
+	if !started {
+		sd.probing.Delete(address)
+	}
+}
+
 // newCall returns a call of this host with the time that is left until the end of the context.
 func (sd *Sender) newCall(ctx context.Context, kind Kind, address string) Call {
 	call := Call{Kind: kind, From: sd.host, Address: address}
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -207,13 +207,14 @@
 		failure.Reason = ServerUnreachable
 		ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 		defer cancel()
-		failure.ReachesOther = sv.connectsToOther(ctx, call.Address)
+		failure.ReachesOther = sv.direct.connectsToAny(ctx, sv.links.otherServers(call.Address, witnessDials, false))
 	}
 	return failure
 }
 
 // probe probes a server. If the server does not respond, or not at once, it also finds out whether this host reaches some
-// other server.
+// other server. An earlier success does not count, because this host may have lost its links since, together with the
+// entry host.
 func (sv *Server) probe(ctx context.Context, call Call, probeDirectly func(context.Context, string) forward.ProbeResult) Answer {
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
@@ -226,32 +227,14 @@
 	defer subscription.Stop()
 	select {
 	case found := <-result:
-		return Answer{Probe: found, ReachesOther: found == forward.Reachable || sv.connectsToOther(ctx, call.Address)}
+		return Answer{Probe: found, ReachesOther: found == forward.Reachable || sv.direct.connectsToAny(ctx, sv.links.otherServers(call.Address, witnessDials, false))}
 	case <-delayed:
-		reachesOther := sv.connectsToOther(ctx, call.Address)
+		reachesOther := sv.direct.connectsToAny(ctx, sv.links.otherServers(call.Address, witnessDials, false))
 		found := <-result
 		return Answer{Probe: found, ReachesOther: reachesOther || found == forward.Reachable}
 	}
 }
 
-// connectsToOther reports whether some server other than the one at an address accepts a connection now. An earlier success
-// does not count, because this host may have lost its links since, together with the entry host.
-func (sv *Server) connectsToOther(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	others := sv.links.otherServers(address, witnessDials)
-	results := make(chan forward.ProbeResult, len(others))
-	for _, other := range others {
-		go func() { results <- sv.direct.probeConnection(ctx, other) }()
-	}
-	for range others {
-		if <-results == forward.Reachable {
-			return true
-		}
-	}
-	return false
-}
-
 // cancellingBody is a body whose context ends when it is closed.
 type cancellingBody struct {
 	io.ReadCloser
--- a/coordination/reachability/tracker.go
+++ b/coordination/reachability/tracker.go
@@ -267,8 +267,8 @@
 	return addresses
 }
 
-// Others returns up to count addresses other than one, those that are reached directly as far as is known first.
-func (tr *Tracker) Others(count int, address string) []string {
+// Others returns the addresses other than one, those that are reached directly as far as is known first.
+func (tr *Tracker) Others(address string) []string {
 	var direct, failed []string
 	for offset := range tr.probeOrder {
 		other := tr.probeOrder[(tr.nextProbed+offset)%len(tr.probeOrder)]
@@ -281,8 +281,7 @@
 			failed = append(failed, other)
 		}
 	}
-	others := append(direct, failed...)
-	return others[:min(count, len(others))]
+	return append(direct, failed...)
 }
 
 // NextProbe returns the address of the marked server that is to be probed now, or false if no probe is due.
