--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -22,10 +22,9 @@
 	callsPerCore = 512
 	// minCalls is the lowest such number.
 	minCalls = 64
-	// witnessDelay is how long a server must not have responded to a probe before the peer dials other servers. A peer that
-	// loses its own links meanwhile then reaches none of them.
-	witnessDelay = 100 * time.Millisecond
-	// witnessTimeout bounds these dials.
+	// witnessDelay is how long a probe may go without a result before the peer finds out whether it reaches other servers.
+	witnessDelay = 40 * time.Millisecond
+	// witnessTimeout bounds the dials by which a peer finds out whether it reaches other servers after an attempt failed.
 	witnessTimeout = 150 * time.Millisecond
 	// answerMargin is the part of a probe's time that remains for the answer to reach the entry host.
 	answerMargin = 40 * time.Millisecond
@@ -206,50 +205,34 @@
 	}
 	if failure.NotSent {
 		failure.Reason = ServerUnreachable
-		failure.ReachesOther = sv.reachesOther(ctx, call.Address)
+		ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+		defer cancel()
+		failure.ReachesOther = sv.direct.connectsToAny(ctx, sv.links.otherServers(call.Address, witnessDials, false))
 	}
 	return failure
 }
 
-// probe probes a server and, if that fails or takes long, finds out whether this host reaches some other server.
+// probe probes a server. If the server does not respond, or not at once, it also finds out whether this host reaches some
+// other server. An earlier success does not count, because this host may have lost its links since, together with the
+// entry host.
 func (sv *Server) probe(ctx context.Context, call Call, probeDirectly func(context.Context, string) forward.ProbeResult) Answer {
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerMargin))
 		defer cancel()
 	}
-	results := make(chan forward.ProbeResult, 1)
-	go func() { results <- probeDirectly(ctx, call.Address) }()
-	delayed, delay := timer.Wait(sv.clock, witnessDelay)
-	defer delay.Stop()
-	result := forward.ProbeResult(0)
+	result := make(chan forward.ProbeResult, 1)
+	go func() { result <- probeDirectly(ctx, call.Address) }()
+	delayed, subscription := timer.Wait(sv.clock, witnessDelay)
+	defer subscription.Stop()
 	select {
-	case result = <-results:
+	case found := <-result:
+		return Answer{Probe: found, ReachesOther: found == forward.Reachable || sv.direct.connectsToAny(ctx, sv.links.otherServers(call.Address, witnessDials, false))}
 	case <-delayed:
+		reachesOther := sv.direct.connectsToAny(ctx, sv.links.otherServers(call.Address, witnessDials, false))
+		found := <-result
+		return Answer{Probe: found, ReachesOther: reachesOther || found == forward.Reachable}
 	}
-	reachesOther := result == forward.Reachable || sv.reachesOther(ctx, call.Address)
-	if result == 0 {
-		result = <-results
-	}
-	return Answer{Probe: result, ReachesOther: reachesOther || result == forward.Reachable}
-}
-
-// reachesOther reports whether this host can open a connection now to a server other than the one at an address. What it
-// did earlier does not count, because it may have lost its links since.
-func (sv *Server) reachesOther(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
-	defer cancel()
-	others := sv.links.otherServers(address, witnessDials)
-	results := make(chan forward.ProbeResult, len(others))
-	for _, other := range others {
-		go func() { results <- sv.direct.probeConnection(ctx, other) }()
-	}
-	for range others {
-		if <-results == forward.Reachable {
-			return true
-		}
-	}
-	return false
 }
 
 // cancellingBody is a body whose context ends when it is closed.
