--- a/site/env_test.go
+++ b/site/env_test.go
@@ -41,6 +41,8 @@
 	shutdownTimeout time.Duration
 	// unreachablePeers makes hosts announce an address at which other hosts can't reach them.
 	unreachablePeers bool
+	// hostZone is the availability zone of the hosts that are started next.
+	hostZone id.AvailabilityZone
 	// linkedHosts makes hosts reach servers through links that a test can cut.
 	linkedHosts bool
 	// hostOptions are the options of hosts in addition to their settings.
@@ -50,7 +52,7 @@
 // newTestEnv returns an environment with a store and the routes chat, read and order, but without servers and hosts.
 // The desired state is not in the store before publishTable is called.
 func newTestEnv(t *testing.T) *testEnv {
-	env := &testEnv{t: t, store: standin.NewStore(), servers: map[string]*standin.Server{}, apiKeys: []string{apiKey}, engineCapacity: 300_000, shutdownTimeout: 500 * time.Millisecond}
+	env := &testEnv{t: t, store: standin.NewStore(), servers: map[string]*standin.Server{}, apiKeys: []string{apiKey}, engineCapacity: 300_000, hostZone: "zone-a", shutdownTimeout: 500 * time.Millisecond}
 	t.Cleanup(env.store.Close)
 	env.routes = []map[string]any{
 		env.newRoute("chat", "/chat/", "streaming", "models", 2, 3000),
@@ -117,7 +119,7 @@
 func (env *testEnv) startHost(name string, awaitReady bool, seeds ...string) *testHost {
 	hostSettings := settings.Default()
 	hostSettings.Host = settings.Host{
-		Name: id.Host(name), AvailabilityZone: "zone-a", CallerAddress: anyPort, PeerAddress: anyPort,
+		Name: id.Host(name), AvailabilityZone: env.hostZone, CallerAddress: anyPort, PeerAddress: anyPort,
 		OperatorAddress: anyPort, ReadyAddress: anyPort, DirectoryAddress: anyPort,
 	}
 	hostSettings.Platform = settings.Platform{URL: "http://" + env.store.Address(), Kind: settings.KindStore}
--- a/site/partition_test.go
+++ b/site/partition_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
 
 const (
@@ -80,8 +81,8 @@
 	}
 }
 
-// partitionEnv has three hosts with links that can be cut, four servers of each service in two zones, and clients that
-// send requests of all kinds to each host.
+// partitionEnv has hosts with links that can be cut, four servers of each service in two zones, and clients that send
+// requests of all kinds to each host.
 type partitionEnv struct {
 	*testEnv
 	hosts []*testHost
@@ -93,8 +94,13 @@
 	exchanges []*partitionExchange
 }
 
-// newPartitionEnv starts the servers and hosts.
+// newPartitionEnv starts the servers and three hosts in zone-a.
 func newPartitionEnv(t *testing.T) *partitionEnv {
+	return newPartitionEnvInZones(t, "zone-a", "zone-a", "zone-a")
+}
+
+// newPartitionEnvInZones starts the servers, and a host in each of the given zones.
+func newPartitionEnvInZones(t *testing.T, zones ...id.AvailabilityZone) *partitionEnv {
 	env := &partitionEnv{testEnv: newTestEnv(t)}
 	env.linkedHosts = true
 	for number := range 4 {
@@ -104,9 +110,11 @@
 	}
 	env.shutdownTimeout = 2 * time.Second
 	env.publishTable()
-	env.hosts = []*testHost{env.startHost("host-1", true)}
-	for number := 2; number <= 3; number++ {
-		env.hosts = append(env.hosts, env.startHost(fmt.Sprint("host-", number), true, env.hosts[0].settings.Host.PeerAddress))
+	var seeds []string
+	for index, zone := range zones {
+		env.hostZone = zone
+		env.hosts = append(env.hosts, env.startHost(fmt.Sprint("host-", index+1), true, seeds...))
+		seeds = []string{env.hosts[0].settings.Host.PeerAddress}
 	}
 	t.Cleanup(func() {
 		// The hosts shut down at the same time.
@@ -241,7 +249,11 @@
 // runPartition cuts some hosts off from the servers that match, and checks that all hosts serve as before, the cut-off
 // ones from detectionTime on, and that these send requests to servers directly again after the cut.
 func runPartition(t *testing.T, mode standin.LinkMode, matches func(*standin.Server) bool, cutHosts ...int) {
-	env := newPartitionEnv(t)
+	newPartitionEnv(t).runPartition(mode, matches, cutHosts...)
+}
+
+// runPartition does what the function of this name does, in an environment without clients so far.
+func (env *partitionEnv) runPartition(mode standin.LinkMode, matches func(*standin.Server) bool, cutHosts ...int) {
 	env.startClients()
 	time.Sleep(partitionWarmUp)
 	cutAt := env.setLinks(mode, matches, cutHosts...)
@@ -285,6 +297,14 @@
 	forEachCut(t, func(t *testing.T, mode standin.LinkMode) { runPartition(t, mode, anyServer, 0, 2) })
 }
 
+// TestZoneWithoutServersFailsRequests has all hosts of a zone lose the links to all servers, so that only hosts of another
+// zone reach them.
+func TestZoneWithoutServersFailsRequests(t *testing.T) {
+	forEachCut(t, func(t *testing.T, mode standin.LinkMode) {
+		newPartitionEnvInZones(t, "zone-a", "zone-a", "zone-a", "zone-b", "zone-b").runPartition(mode, anyServer, 0, 1, 2)
+	})
+}
+
 // TestHostWithoutOneServiceFailsRequests has a host lose the links to all servers of one service.
 func TestHostWithoutOneServiceFailsRequests(t *testing.T) {
 	for _, service := range []string{"books", "models"} {
