--- a/coordination/forward/attempt_time_test.go
+++ b/coordination/forward/attempt_time_test.go
@@ -50,11 +50,14 @@
 	}
 }
 
-// wholeReads makes each chunk of a body arrive in reads of any size.
+// wholeReads makes each chunk of a body arrive in reads of any size. Bodies of routes without streams are no events.
 type wholeReads struct{ *streamingServers }
 
 func (wr *wholeReads) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
 	response, err := wr.streamingServers.Send(ctx, attempt)
+	if attempt.Route.Kind != route.Streaming {
+		response.Header = http.Header{"Content-Type": {"text/plain"}}
+	}
 	response.Body = &splittingBody{slowBody: response.Body.(*slowBody)}
 	return response, err
 }
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -27,6 +27,9 @@
 	grantRequest broker.GrantRequest
 	// lastEventID is the id of the last event that was forwarded.
 	lastEventID string
+	// endsUnnumbered says that an event with data but without an id was forwarded after the one with lastEventID. The stream
+	// can't be resumed then, because no engine can be told to go on after it.
+	endsUnnumbered bool
 	// grantsUsed counts the grants used so far, failover grants included.
 	grantsUsed int
 	// mutex guards lastEventAt, the time when an event was last forwarded.
@@ -106,6 +109,8 @@
 	case result.final:
 	case ctx.Err() != nil:
 		st.setOutcomeOnContextEnd(ctx)
+	case st.endsUnnumbered:
+		st.setOutcomeOnFailure(result.reason)
 	case st.failover.isPresent():
 		st.grantRequest.AvoidedEngines = append(st.grantRequest.AvoidedEngines, grant.Parts[0].Engine)
 		return true
@@ -246,6 +251,8 @@
 		ResumeAfter: st.lastEventID,
 		Helpers:     grant.Parts[1:],
 		Urgency:     grant.Urgency,
+
+		NewConnection: st.newConnection,
 	})
 	if err != nil {
 		return st.classifySendError(sendCtx, ctx, primary, err)
@@ -258,6 +265,8 @@
 		rn.fleet.RecordLeaving(id.BackendServer(primary.Engine))
 		return broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Gone}, attemptResult{reason: "another server has the address", retryCause: retry.BackendRefused}
 	case response.NotRun:
+		// The body is not read, so that the connection is closed. On a reused one, the engine could send this refusal once
+		// more when it runs the request after all.
 		failedEngine, fault := st.engineAtFault(grant, response)
 		return broker.EndedGrant{FailedEngine: failedEngine, Fault: fault, RetryAfter: response.RetryAfter}, attemptResult{reason: "the engine did not run the request", retryCause: retry.BackendRefused}
 	}
@@ -341,6 +350,7 @@
 	case errors.Is(cause, errStalled):
 		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
 	}
+	st.newConnection = true
 	probeResult := st.runner.probeConnection(ctx, st.server)
 	if st.checkForCrash(ctx, st.server, st.grantedAt, probeResult, err) {
 		ended.Fault = batch.Unreachable
@@ -372,13 +382,14 @@
 }
 
 // handleErrorResponse handles an engine's response that has a status other than success. The response is forwarded to
-// the client unless the request is run again, part of a stream was forwarded before, or the response is incomplete.
+// the client unless the request is run again, part of a stream was forwarded before, the response is incomplete, or its
+// status would falsely tell the client that the request has not run.
 func (st *engineJob) handleErrorResponse(ctx context.Context, primary batch.Part, response Response) (broker.EndedGrant, attemptResult) {
 	body, complete, err := readUpTo(response.Body, st.runner.config.ResponseBufferBytes)
 	ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.ErrorResponse}
 	st.mayHaveRun = true
 	result := attemptResult{reason: "the engine failed with status " + http.StatusText(response.Status), retryCause: retry.Interrupted}
-	if st.result.HeadSent || err != nil || !complete {
+	if st.result.HeadSent || err != nil || !complete || st.falselyPromisesNotRun(response.Status) {
 		return ended, result
 	}
 	if response.Status >= http.StatusInternalServerError && st.sentCount < st.request.Route.MaxAttempts && st.request.Route.Repeatable() && st.takeRetry(ctx, retry.Interrupted) {
@@ -397,13 +408,24 @@
 func (st *engineJob) forwardEvents(sendCtx, ctx context.Context, grant batch.Grant, response Response, monitor *streamMonitor) (broker.EndedGrant, attemptResult) {
 	rn := st.runner
 	primary := grant.Parts[0]
+	if st.result.HeadSent && !hasEventStream(response.Header) {
+		st.mayHaveRun = true
+		return broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.ErrorResponse}, attemptResult{reason: "the engine did not resume the stream", retryCause: retry.Interrupted}
+	}
 	reader := newEventReader(response.Body)
-	receivedEvents := false
+	resumed := st.lastEventID != "" && st.request.Route.Repeatable()
+	resumesResponse := st.result.HeadSent
+	receivedEvents, receivedField := false, false
 	for {
 		ev, err := reader.next()
+		if resumed && ev.id != "" && !idFollows(st.lastEventID, ev.id) {
+			ev, err = event{}, errNotResumed
+		}
 		receivedEvents = receivedEvents || len(ev.data) > 0
-		if errors.Is(err, io.EOF) && !receivedEvents && response.EndsWithConnection {
-			// An engine that crashes before its first event ends the connection in the same way.
+		receivedField = receivedField || ev.hasField
+		if errors.Is(err, io.EOF) && (!receivedEvents && response.EndsWithConnection || !receivedField && resumesResponse) {
+			// An engine that crashes before its first event ends the connection in the same way. A stream that broke off
+			// was not at its end, so that an engine that resumes it has at least one event.
 			err = io.ErrUnexpectedEOF
 		}
 		if len(ev.data) > 0 {
@@ -454,5 +476,6 @@
 	if ev.id != "" {
 		st.lastEventID = ev.id
 	}
+	st.endsUnnumbered = ev.id == "" && (st.endsUnnumbered || ev.hasData)
 	return nil
 }
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -303,6 +302,11 @@
 		}
 		return nil, 0, "passed through"
 	}
+	if jb.falselyPromisesNotRun(response.Status) {
+		jb.mayHaveRun = true
+		*balanceResult = balance.ErrorResponse
+		return nil, retry.Interrupted, "the server failed with status " + http.StatusText(response.Status)
+	}
 	if jb.request.Route.Kind == route.Streaming && response.Status < http.StatusInternalServerError {
 		*balanceResult = balance.Answered
 		return copyRest(nil)
@@ -333,6 +337,17 @@
 	return copyRest(body)
 }
 
+// falselyPromisesNotRun reports whether the status of a response that does not say that the request was not run would
+// tell the client so, and the request must not run twice.
+func (jb *job) falselyPromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return !jb.request.Route.Repeatable()
+	default:
+		return false
+	}
+}
+
 // readUpTo reads a body up to a limit and reports whether the body ended before the limit. The result is meaningless if
 // err is not nil.
 func readUpTo(body io.Reader, limit int64) ([]byte, bool, error) {
@@ -360,9 +375,9 @@
 	jb.result.Complete = true
 }
 
-// copyToClient sends the head of a response, the prefix of its body that was already read, and the rest as it arrives.
-// It returns an error only if reading from the server fails; a failure to write to the client is recorded as the
-// result's cause.
+// copyToClient sends the head of a response, the prefix of its body that was already read, and the rest as it arrives. Of
+// a stream of events, it sends nothing from the first line on that can't be part of an event. It returns an error only if
+// reading from the server fails; a failure to write to the client is recorded as the result's cause.
 func (jb *job) copyToClient(response Response, prefix []byte) error {
 	jb.result.HeadSent = true
 	jb.result.Status = response.Status
@@ -371,27 +386,32 @@
 		return nil
 	}
 	jb.result.TimeToFirstByte = jb.runner.clock.Now().Sub(jb.request.ArrivedAt)
-	if err := jb.sink.Write(prefix); err != nil {
-		jb.result.Cause = err.Error()
-		return nil
-	}
 	const chunkBytes = 32 << 10
+	body := io.MultiReader(bytes.NewReader(prefix), response.Body)
 	chunk := make([]byte, chunkBytes)
-	isEventStream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	isEventStream := hasEventStream(response.Header)
 	var boundary eventBoundary
-	boundary.advance(prefix)
-	empty := len(prefix) == 0
+	var filter eventLineFilter
+	empty := true
 	for {
-		chunkLength, err := response.Body.Read(chunk)
+		chunkLength, err := body.Read(chunk)
+		content := chunk[:chunkLength]
 		if isEventStream {
-			boundary.advance(chunk[:chunkLength])
+			boundary.advance(content)
 			empty = empty && chunkLength == 0
 			if errors.Is(err, io.EOF) && (boundary.insideEvent || empty && response.EndsWithConnection) {
 				err = io.ErrUnexpectedEOF
 			}
+			var filterErr error
+			content, filterErr = filter.next(content)
+			if filterErr != nil {
+				err = filterErr
+			} else if err != nil {
+				content = append(content, filter.undecided...)
+			}
 		}
-		if chunkLength > 0 {
-			if err := jb.sink.Write(chunk[:chunkLength]); err != nil {
+		if len(content) > 0 {
+			if err := jb.sink.Write(content); err != nil {
 				jb.result.Cause = err.Error()
 				return nil
 			}
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -22,6 +22,10 @@
 // maxPeersPerCall bounds the peers that are asked to make one call.
 const maxPeersPerCall = 3
 
+// ownZoneDoubt is how long after this host has lost its first link the peers of its own zone are asked last: they may have
+// lost theirs at the same moment, and need some time to notice and spread it.
+const ownZoneDoubt = time.Second
+
 // Dependencies are the components that a Sender uses.
 type Dependencies struct {
 	Host             id.Host
@@ -80,11 +84,12 @@
 // through a peer. A request that may have been sent is never sent again.
 func (sd *Sender) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
 	startedAt := sd.clock.Now()
-	way := sd.links.Way(attempt.Address)
+	way, newConnection := sd.links.plan(attempt.Address)
 	reason := way.String()
 	if way == reachability.Direct || way == reachability.KeptConnections && !attempt.NewConnection {
 		directAttempt := attempt
 		directAttempt.KeptConnection = way == reachability.KeptConnections
+		directAttempt.NewConnection = attempt.NewConnection || newConnection
 		response, err := sd.direct.send(ctx, directAttempt)
 		if err == nil || !errors.Is(err, forward.ErrNotSent) || ctx.Err() != nil || !sd.peers.any() {
 			return response, err
@@ -121,10 +126,14 @@
 // reaches other servers did not reach this one.
 func (sd *Sender) callThroughPeers(ctx context.Context, call Call) (Answer, id.Host, error) {
 	var tried []id.Host
+	var cutOffZones []id.AvailabilityZone
+	if !sd.links.lostFor(ownZoneDoubt) {
+		cutOffZones = append(cutOffZones, sd.peers.zone)
+	}
 	failure := &Failure{Reason: PeerUnreachable, NotSent: true, Detail: errNoPeer}
 	zone := sd.links.zone(call.Address)
 	for len(tried) < maxPeersPerCall && ctx.Err() == nil {
-		peer, end, ok := sd.peers.choose(zone, tried)
+		peer, end, ok := sd.peers.choose(zone, tried, cutOffZones)
 		if !ok {
 			break
 		}
@@ -135,13 +144,12 @@
 		} else {
 			end()
 		}
-		if err == nil {
+		if err == nil && sd.recordAnswer(call, answer) {
 			sd.countRelayed(call.Kind, "answered")
-			if sd.recordAnswer(call, answer) {
-				return answer, peer.Host, nil
-			}
-			failure = &Failure{Reason: PeerCutOff, NotSent: true, Detail: "the peer reaches no server"}
-			continue
+			return answer, peer.Host, nil
+		}
+		if err == nil {
+			err = &Failure{Reason: PeerCutOff, NotSent: true, Detail: "the peer reaches no server"}
 		}
 		failure = asFailure(err)
 		sd.countRelayed(call.Kind, string(failure.Reason))
@@ -151,7 +159,11 @@
 		case failure.Reason == ServerUnreachable && failure.ReachesOther:
 			sd.links.recordThroughPeer(call.Address, false)
 			return Answer{}, peer.Host, failure
-		case failure.Reason != ServerUnreachable && failure.Reason != NoDirectWay:
+		case failure.Reason == PeerCutOff, failure.Reason == ServerUnreachable:
+			// The peer reaches no server, and others in its zone may have lost their links with it.
+			cutOffZones = append(cutOffZones, peer.AvailabilityZone)
+		}
+		if failure.Reason != NoDirectWay {
 			sd.peers.backOff(peer.Host, failure.Reason)
 		}
 	}
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -82,31 +82,56 @@
 }
 
 // TestKeptConnectionsAreUsedWhileNewOnesAreRefused checks that a host whose new connections are refused sends on its
-// kept connections, and through a peer once there are none.
+// kept connections once it has seen that they live, and through a peer once there are none.
 func TestKeptConnectionsAreUsedWhileNewOnesAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nw := newNetwork("a1", "b1")
 		cutHost := nw.hosts["a1"]
 		cutHost.kept["s3:80"] = 1
+		stream, err := cutHost.sender.Send(t.Context(), newAttempt("stream", "s4"))
+		assert.NilError(t, err)
 		cutHost.cut(refusing)
-		for _, server := range []string{"s1", "s2"} {
+		for _, server := range []string{"s1", "s2", "s3"} {
 			_, err := cutHost.send(t.Context(), newAttempt(server, server))
 			assert.NilError(t, err)
 		}
 		assert.Equal(t, cutHost.links.Way("s3:80"), reachability.KeptConnections)
-		relayed := len(nw.relayed)
+		assert.Equal(t, len(nw.relayed), 3)
+		time.Sleep(100 * time.Millisecond)
+		_, err = stream.Body.Read(make([]byte, 4))
+		assert.NilError(t, err)
 		for number := range 3 {
 			_, err := cutHost.send(t.Context(), newAttempt(fmt.Sprint(number), "s3"))
 			assert.NilError(t, err)
 		}
-		assert.Equal(t, len(nw.relayed), relayed)
+		assert.Equal(t, len(nw.relayed), 3)
 		assert.Equal(t, cutHost.links.Way("s3:80"), reachability.KeptConnections)
 		cutHost.DropIdle("s3:80")
 		dials := cutHost.dials
-		_, err := cutHost.send(t.Context(), newAttempt("last", "s3"))
+		_, err = cutHost.send(t.Context(), newAttempt("last", "s3"))
 		assert.NilError(t, err)
-		assert.Equal(t, len(nw.relayed), relayed+1)
+		assert.Equal(t, len(nw.relayed), 4)
 		assert.Equal(t, cutHost.dials, dials)
+		assert.NilError(t, stream.Body.Close())
+	})
+}
+
+// TestDeadKeptConnectionsAreNotUsed cuts a host so that new connections are refused and kept ones break when something is
+// sent on them. Once a dial to one server has failed, no request may be lost on a kept connection to any server.
+func TestDeadKeptConnectionsAreNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		cutHost := nw.hosts["a1"]
+		for _, server := range listed[1:] {
+			cutHost.kept[server.Address] = 2
+		}
+		cutHost.cut(breaking)
+		assert.Equal(t, cutHost.sender.ProbeConnection(t.Context(), "s1:80"), forward.ReachableThroughPeer)
+		for number := range 12 {
+			body, err := cutHost.send(t.Context(), newAttempt(fmt.Sprint(number), string(listed[number%len(listed)].ID)))
+			assert.NilError(t, err)
+			assert.Equal(t, body, "answer of "+string(listed[number%len(listed)].ID))
+		}
 	})
 }
 
@@ -155,10 +180,10 @@
 	for _, reason := range []peerrelay.Reason{peerrelay.Busy, peerrelay.PeerLeaving, peerrelay.PeerCutOff, peerrelay.PeerUnreachable, peerrelay.Unsupported} {
 		t.Run(string(reason), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				nw := newNetwork("a1", "a2", "a3", "b1", "b2", "c1", "c2")
+				nw := newNetwork("a1", "b1", "b2", "b3", "c1")
 				nw.hosts["a1"].cut(refusing)
-				nw.beforeRelay = func(peer id.Host, _ peerrelay.Call) error {
-					if peer != "c1" && peer != "c2" {
+				nw.beforeRelay = func(id.Host, peerrelay.Call) error {
+					if len(nw.relayed) <= 3 {
 						return failure(reason)
 					}
 					return nil
@@ -360,6 +385,12 @@
 		nw := newNetwork("a1", "a2", "a3", "b1", "b2", "c1")
 		cutHost := nw.hosts["a1"]
 		cutHost.cut(refusing)
+		for _, server := range []string{"s1", "s2"} {
+			_, err := cutHost.send(t.Context(), newAttempt("first at "+server, server))
+			assert.NilError(t, err)
+		}
+		assert.Assert(t, cutHost.links.CutOff())
+		time.Sleep(time.Second)
 		chosen := func(without ...id.Host) map[id.Host]int {
 			for ix := range cutHost.members {
 				cutHost.members[ix].Status = membership.Alive
@@ -471,3 +502,59 @@
 		}
 	})
 }
+
+// TestPeerThatHasJustLostItsLinksIsNoWitness guards against sound servers that count as crashed because hosts that lose
+// their links at the same moment confirm each other's failures.
+func TestPeerThatHasJustLostItsLinksIsNoWitness(t *testing.T) {
+	for _, state := range []linkState{refusing, silent} {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork("a1", "a2", "b1")
+			for _, ht := range nw.hosts {
+				for _, server := range listed {
+					assert.Equal(t, ht.sender.ProbeConnection(t.Context(), server.Address), forward.Reachable)
+				}
+			}
+			for _, ht := range nw.hosts {
+				ht.cut(state)
+			}
+			_, err := nw.hosts["a1"].sender.Send(t.Context(), forward.Attempt{Request: &forward.Request{ID: "request"}, Server: "s1", Address: "s1:80", Remaining: time.Second})
+			assert.ErrorIs(t, err, forward.ErrNotSent)
+			assert.ErrorIs(t, err, forward.ErrUndetermined)
+			assert.Equal(t, nw.hosts["a1"].sender.ProbeConnection(t.Context(), "s2:80"), forward.Undetermined)
+		})
+	}
+}
+
+// TestZoneWithoutLinks cuts all hosts of a zone off. Although they prefer peers of their own zone, which can't help, each
+// request must be served by a host of another zone, and each host of the zone must find that it is cut off.
+func TestZoneWithoutLinks(t *testing.T) {
+	for name, state := range map[string]linkState{"silent": silent, "refused": refusing} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := newNetwork("a1", "a2", "a3", "a4", "a5", "b1")
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error, 5)
+				for _, zoneHost := range []id.Host{"a1", "a2", "a3", "a4", "a5"} {
+					nw.hosts[zoneHost].cut(state)
+					go func() { ended <- nw.hosts[zoneHost].sender.Run(ctx) }()
+				}
+				for number := range 6 {
+					for _, zoneHost := range []id.Host{"a1", "a2", "a3", "a4", "a5"} {
+						startedAt := time.Now()
+						body, err := nw.hosts[zoneHost].send(t.Context(), newAttempt(fmt.Sprint(zoneHost, number), string(listed[number%4].ID)))
+						assert.NilError(t, err)
+						assert.Equal(t, body, "answer of "+string(listed[number%4].ID))
+						assert.Assert(t, time.Since(startedAt) < 2*dialTimeout, "%s, request %d took %v", zoneHost, number, time.Since(startedAt))
+					}
+				}
+				for _, zoneHost := range []id.Host{"a1", "a2", "a3", "a4", "a5"} {
+					assert.Assert(t, nw.hosts[zoneHost].links.CutOff())
+				}
+				cancel()
+				for range cap(ended) {
+					assert.NilError(t, <-ended)
+				}
+			})
+		})
+	}
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -49,6 +49,15 @@
 	StallsStreams
 	// Unresponsive makes the server respond to nothing at all, requests for its report included.
 	Unresponsive
+	// RepeatsRefusal makes the server reject the first request on a connection as not run, and send that refusal once more
+	// before the responses to the requests that follow, which it runs. RepeatsRefusalWithoutID is the same, but the
+	// repeated refusals don't name their request.
+	RepeatsRefusal
+	RepeatsRefusalWithoutID
+	// WritesErrorIntoStream makes the server write the head and the text of an error into each stream after its first
+	// event, and end the stream. AnswersTextOnResume makes it answer a request to resume a stream with a text.
+	WritesErrorIntoStream
+	AnswersTextOnResume
 )
 
 // ExecutedRequest is a request that a server started to run.
@@ -364,23 +373,18 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		sv.recordBackoffResponse()
 		return
+	case fault == RepeatsRefusal || fault == RepeatsRefusalWithoutID:
+		sv.repeatRefusal(rw, rq.Header.Get("X-Attempt-Id"), fault == RepeatsRefusal)
+		return
 	case fault == RejectsAsNotRun:
 		header.Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	deadlineMillis, _ := strconv.Atoi(rq.Header.Get("X-Deadline-Ms"))
 	if fault == AnnouncesLeaving {
 		header.Set("Server-Leaving", "1")
 	}
-	executed := &ExecutedRequest{
-		Attempt: rq.Header.Get("X-Attempt-Id"), Tenant: rq.Header.Get("X-Tenant"), DeadlineMillis: deadlineMillis,
-		LastEventID: rq.Header.Get("Last-Event-Id"), Helpers: rq.Header.Get("X-Helpers"), PromptParts: rq.Header.Get("X-Prompt-Prefix"), Target: rq.RequestURI,
-		APIKey: rq.Header.Get("Api-Key"), Body: string(body), StartedAt: time.Now(),
-	}
-	sv.mutex.Lock()
-	sv.executedRequests = append(sv.executedRequests, executed)
-	sv.mutex.Unlock()
+	executed := sv.recordExecution(rq, body)
 	header.Set("X-Response-Seal", "seal-of-"+sv.ID)
 	if sv.crashIfMarked(rq, body) {
 		sv.waitWhileUnresponsive()
@@ -411,6 +415,20 @@
 	}
 }
 
+// recordExecution records that the server started to run a request.
+func (sv *Server) recordExecution(rq *http.Request, body []byte) *ExecutedRequest {
+	deadlineMillis, _ := strconv.Atoi(rq.Header.Get("X-Deadline-Ms"))
+	executed := &ExecutedRequest{
+		Attempt: rq.Header.Get("X-Attempt-Id"), Tenant: rq.Header.Get("X-Tenant"), DeadlineMillis: deadlineMillis,
+		LastEventID: rq.Header.Get("Last-Event-Id"), Helpers: rq.Header.Get("X-Helpers"), PromptParts: rq.Header.Get("X-Prompt-Prefix"), Target: rq.RequestURI,
+		APIKey: rq.Header.Get("Api-Key"), Body: string(body), StartedAt: time.Now(),
+	}
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.executedRequests = append(sv.executedRequests, executed)
+	return executed
+}
+
 // respond sends the plain response to a request, or applies the fault that affects it.
 func (sv *Server) respond(rw http.ResponseWriter, executed *ExecutedRequest, fault ServerFault) {
 	text := "answer of " + sv.ID + " to " + executed.Attempt
@@ -472,6 +490,11 @@
 	firstEvent := 1
 	if lastEvent, err := strconv.Atoi(executed.LastEventID); err == nil {
 		firstEvent = lastEvent + 1
+		if fault == AnswersTextOnResume {
+			rw.Header().Set("Content-Type", "text/plain")
+			_, _ = io.WriteString(rw, errorText)
+			return
+		}
 	}
 	for number := firstEvent; number <= sv.EventCount; number++ {
 		select {
@@ -488,6 +511,10 @@
 		}
 		_, _ = io.WriteString(rw, event)
 		_ = controller.Flush()
+		if fault == WritesErrorIntoStream {
+			_, _ = io.WriteString(rw, "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n"+errorText)
+			return
+		}
 		if fault == StallsStreams {
 			sv.sendComments(rw, rq)
 			sv.markDisconnected(executed)
@@ -497,6 +524,9 @@
 	sv.markCompleted(executed)
 }
 
+// errorText is the text of an error that looks like the end of a stream.
+const errorText = "the server failed\r\n\r\n"
+
 // sendGarbage writes bytes that are not HTTP until the host closes the connection.
 func (sv *Server) sendGarbage(rw http.ResponseWriter, rq *http.Request) {
 	conn, _, err := http.NewResponseController(rw).Hijack()
