A service without a weight gets no requests

The service of a request is chosen by subtracting weights from a point until it is below zero. If rounding left it just above, or the sum of very large weights was infinite, the last share was taken, also one with the weight 0: its service got requests that the desired state sends elsewhere.

Fix: the last share with a positive weight is taken.

Evidence, before the change: go test ./state/route -run TestServiceForNeedsWeight [1e+308 1e+308 0]: 2 (weights[index] > 0 is false) It passes with it.

--- a/state/route/table.go
+++ b/state/route/table.go
@@ -101,14 +101,18 @@
 	}
 	const hashRange = 1 << 32
 	point := totalWeight * float64(xxhash.Sum64String(requestID)%hashRange) / hashRange
+	// Rounding errors may leave the point just beyond the last share with a weight.
+	var last id.Service
 	for _, share := range rt.Shares {
-		point -= max(0, share.Weight)
-		if point < 0 {
-			return share.Service
+		if share.Weight <= 0 {
+			continue
+		}
+		last = share.Service
+		if point -= share.Weight; point < 0 {
+			break
 		}
 	}
-	// Rounding errors may leave the point just beyond the last share.
-	return rt.Shares[len(rt.Shares)-1].Service
+	return last
 }
 
 // EngineProfile describes the performance and the memory of the engines of a service.
--- a/state/route/table_test.go
+++ b/state/route/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -52,3 +53,20 @@
 	assert.Assert(t, counts["b"] > requestCount/20 && counts["b"] < requestCount/5, "%v", counts)
 	assert.Equal(t, route.Route{}.ServiceFor("x"), id.Service(""))
 }
+
+// TestServiceForNeedsWeight checks that a service without a positive weight gets no requests, whatever the other weights.
+func TestServiceForNeedsWeight(t *testing.T) {
+	for _, weights := range [][]float64{{1, 0}, {0.1, 0.2, 0}, {1e308, 1e308, 0}, {1e308, 1e308, -1e308}, {5e-324, 0}, {0, 1, 0}} {
+		rt := route.Route{}
+		for index, weight := range weights {
+			rt.Shares = append(rt.Shares, route.Share{Service: id.Service(fmt.Sprint(index)), Weight: weight})
+		}
+		for number := range 1000 {
+			service := rt.ServiceFor(fmt.Sprint(number))
+			index, err := strconv.Atoi(string(service))
+			assert.NilError(t, err)
+			assert.Assert(t, weights[index] > 0, "%v: %s", weights, service)
+		}
+	}
+	assert.Equal(t, route.Route{Shares: []route.Share{{Service: "a", Weight: 0}, {Service: "b", Weight: -1}}}.ServiceFor("request"), id.Service(""))
+}
