The predicted time to read a prompt is not negative

With a negative time per million pairs in the desired state, the predicted reading time overflowed to the lowest duration, so that prompts counted as read before they began. It is limited to the range from 0 to 24 hours.

--- a/state/route/table.go
+++ b/state/route/table.go
@@ -139,8 +139,8 @@
 	StepsPerDecodePass int
 }
 
-// PrefillTime returns the time that one engine needs for a prompt if it does nothing else. It is limited to 24 hours,
-// and zero if the prefill rate is not known.
+// PrefillTime returns the time that one engine needs for a prompt if it does nothing else. It is limited to the range from
+// 0 to 24 hours, and zero if the prefill rate is not known.
 func (en EngineProfile) PrefillTime(prompt id.Tokens) time.Duration {
 	if en.PrefillTokensPerSecond <= 0 {
 		return 0
@@ -149,7 +149,7 @@
 	seconds := tokens / en.PrefillTokensPerSecond
 	pairs := tokens * (tokens + 1) / 2 / 1e6
 	const maxTime = float64(24 * time.Hour)
-	return time.Duration(min(maxTime, seconds*float64(time.Second)+pairs*float64(en.PrefillPerMillionPairs)))
+	return time.Duration(max(0, min(maxTime, seconds*float64(time.Second)+pairs*float64(en.PrefillPerMillionPairs))))
 }
 
 // Service is a group of engines or backend servers that handle the same requests.
