The stand-in records requests that it reads directly like the others

Requests that come after a repeated refusal are read from the connection itself. They are now recorded with all their fields, so that the soak's checks hold for them too.

--- a/standin/site/repeated_refusal.go
+++ b/standin/site/repeated_refusal.go
@@ -27,27 +27,14 @@
 			return
 		}
 		_, _ = fmt.Fprintf(conn, refusal, idField)
-		executed, err := sv.executeRaw(rq)
+		body, err := io.ReadAll(rq.Body)
 		if err != nil {
 			return
 		}
+		executed := sv.recordExecution(rq, body)
+		time.Sleep(sv.WorkDuration)
 		text := "answer of " + sv.ID + " to " + executed.Attempt
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-of-%s\r\nContent-Length: %d\r\n\r\n%s", executed.Attempt, sv.ID, len(text), text)
 		sv.markCompleted(executed)
 	}
 }
-
-// executeRaw records a request that was read directly from the connection as run, and takes the time of a request to a
-// plain service.
-func (sv *Server) executeRaw(rq *http.Request) (*ExecutedRequest, error) {
-	body, err := io.ReadAll(rq.Body)
-	if err != nil {
-		return nil, err
-	}
-	executed := &ExecutedRequest{Attempt: rq.Header.Get("X-Attempt-Id"), Target: rq.RequestURI, Body: string(body), StartedAt: time.Now()}
-	sv.mutex.Lock()
-	sv.executedRequests = append(sv.executedRequests, executed)
-	sv.mutex.Unlock()
-	time.Sleep(sv.WorkDuration)
-	return executed, nil
-}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -381,18 +381,10 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	deadlineMillis, _ := strconv.Atoi(rq.Header.Get("X-Deadline-Ms"))
 	if fault == AnnouncesLeaving {
 		header.Set("Server-Leaving", "1")
 	}
-	executed := &ExecutedRequest{
-		Attempt: rq.Header.Get("X-Attempt-Id"), Tenant: rq.Header.Get("X-Tenant"), DeadlineMillis: deadlineMillis,
-		LastEventID: rq.Header.Get("Last-Event-Id"), Helpers: rq.Header.Get("X-Helpers"), PromptParts: rq.Header.Get("X-Prompt-Prefix"), Target: rq.RequestURI,
-		APIKey: rq.Header.Get("Api-Key"), Body: string(body), StartedAt: time.Now(),
-	}
-	sv.mutex.Lock()
-	sv.executedRequests = append(sv.executedRequests, executed)
-	sv.mutex.Unlock()
+	executed := sv.recordExecution(rq, body)
 	header.Set("X-Response-Seal", "seal-of-"+sv.ID)
 	if sv.crashIfMarked(rq, body) {
 		sv.waitWhileUnresponsive()
@@ -423,6 +415,20 @@
 	}
 }
 
+// recordExecution records that the server started to run a request.
+func (sv *Server) recordExecution(rq *http.Request, body []byte) *ExecutedRequest {
+	deadlineMillis, _ := strconv.Atoi(rq.Header.Get("X-Deadline-Ms"))
+	executed := &ExecutedRequest{
+		Attempt: rq.Header.Get("X-Attempt-Id"), Tenant: rq.Header.Get("X-Tenant"), DeadlineMillis: deadlineMillis,
+		LastEventID: rq.Header.Get("Last-Event-Id"), Helpers: rq.Header.Get("X-Helpers"), PromptParts: rq.Header.Get("X-Prompt-Prefix"), Target: rq.RequestURI,
+		APIKey: rq.Header.Get("Api-Key"), Body: string(body), StartedAt: time.Now(),
+	}
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.executedRequests = append(sv.executedRequests, executed)
+	return executed
+}
+
 // respond sends the plain response to a request, or applies the fault that affects it.
 func (sv *Server) respond(rw http.ResponseWriter, executed *ExecutedRequest, fault ServerFault) {
 	text := "answer of " + sv.ID + " to " + executed.Attempt
