An engine that falls silent under many requests counts as one fault

What callers would see: waits and refusals for up to 8 s after a sound engine was silent for about a second. Each stream at the engine reports the silence on its own. The reports counted as faults in a row, each of which doubles the time in which the engine gets nothing from any host: four streams made 8 s of it, although the engine went on a moment later.

Cause: a report about work that was placed before the engine got its backoff was counted as if the engine had failed once more after it. Ruled out: reports of one stream (equal results are passed on once); a first event resets the count, but not the backoff that runs.

Evidence: script silence.txt, red before ("waiting 1 granted 0" 1.1 s after the reports, expected a grant), green after: go test ./coordination/batch -run TestScheduling/silence

Fix: a silence that is reported while the engine gets nothing anyway does not add to the count. An engine that is silent again after its backoff, and one that is unreachable, rest for longer as before.

--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -230,8 +230,11 @@
 		en.consecutiveFaults++
 		backoff = mc.config.FaultBackoff / 4 * time.Duration(en.consecutiveFaults)
 	case Unreachable, Unresponsive:
-		en.consecutiveFaults++
-		backoff <<= min(en.consecutiveFaults-1, 5)
+		// Each request that an engine runs when it falls silent brings a report of its own. All of them are one fault.
+		if ev.Fault != Unresponsive || !now.Before(en.backoffUntil) {
+			en.consecutiveFaults++
+		}
+		backoff <<= min(max(0, en.consecutiveFaults-1), 5)
 	}
 	backoff = min(backoff, mc.config.MaxFaultBackoff)
 	if until := now.Add(backoff); until.After(en.backoffUntil) {
