Long heads pass a relay

What callers would see: a failure instead of an answer at hosts that are cut off, if the head of the response has some 43 KiB of characters that JSON escapes. The engine had run the request.

Cause: heads of up to 64 KiB are accepted from servers, and JSON takes up to six bytes for one of them, but a frame with a head may have 256 KiB. A request's head had the same limit. Ruled out: bodies, which are passed on as they are.

Evidence: TestLongHeadPassesRelay, red before ("malformed: the relayed call is too long"), green after: go test ./transport/peer -run TestLongHeadPassesRelay

Fix: the limit of a frame with a head is 1 MiB.

--- a/transport/peer/relay_frames.go
+++ b/transport/peer/relay_frames.go
@@ -24,8 +24,8 @@
 
 // Limits of relayed calls.
 const (
-	// maxRelayHeadBytes bounds the description of a call or of a response.
-	maxRelayHeadBytes = 256 << 10
+	// maxRelayHeadBytes bounds the description of a call or of a response. JSON takes up to six bytes for one of a head.
+	maxRelayHeadBytes = 1 << 20
 	// maxRelayBodyBytes bounds the body of a relayed request.
 	maxRelayBodyBytes = 64 << 20
 	// maxRelayDataBytes bounds one frame with a part of a response's body.
--- a/transport/peer/relay_test.go
+++ b/transport/peer/relay_test.go
@@ -132,6 +132,22 @@
 	}
 }
 
+// TestLongHeadPassesRelay guards against answers that are lost because the head of a response, which the client of servers
+// accepts, is too long for a frame: characters that JSON escapes take six bytes.
+func TestLongHeadPassesRelay(t *testing.T) {
+	const headBytes = 64 << 10
+	value := strings.Repeat("<", headBytes)
+	client, peer := startRelay(t, func(context.Context, peerrelay.Call) (peerrelay.Answer, error) {
+		return peerrelay.Answer{Response: forward.Response{Status: http.StatusOK, Header: http.Header{"Long": {value}}, Body: http.NoBody}}, nil
+	})
+	call := fullCall()
+	call.Attempt.Header.Set("Long", value)
+	answer, err := client.Relay(t.Context(), peer, call)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Response.Header.Get("Long"), value)
+	assert.NilError(t, answer.Response.Body.Close())
+}
+
 // TestHostWithoutRelay checks that a call to a host that knows no relayed calls, or that listens no more, was not sent.
 func TestHostWithoutRelay(t *testing.T) {
 	server := httptest.NewServer(NewServer(LocalComponents{}, timer.NewSystem()).Handler())
