A silence that has ended is no evidence of a crash

What callers would see: contents that are quarantined (refused) although they ran to their end. A stream now stays at an engine that is silent, and the engine is checked for a crash meanwhile. The attempt then waited for 10 s for the list to decide, also after the engine had gone on and the request was complete. If the engine left the list within that time, as some do without being marked as draining, a confirmed crash counted against the content of each such request.

Cause: the check was written for attempts that have lost their server. Ruled out: reports that wait for a second host (their ends are those of the evidence); evidence from before the end of the request (RequestCompleted withdraws it).

Evidence: TestSilenceThatEndedIsNoCrash, red before ("1 != 0" confirmed crashes in the case "goes on"), green after; an engine that never goes on still counts: go test ./coordination/forward -run TestSilenceThatEndedIsNoCrash

Fix: the next event, or the end of the request, withdraws the attempt from those that wait for the list.

--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -108,6 +109,7 @@
 
 // unresolvedAttempt is an attempt that lost its server without it being known whether the server crashed.
 type unresolvedAttempt struct {
+	request  *Request
 	subjects []crashSubject
 	server   serverlist.Server
 	// startedAt is when the attempt started, lostAt when the connection was lost.
@@ -194,7 +196,7 @@
 		rn.quarantine.LearnLocalEvidence(server.Service, confirmedEvidence(subjects, crash)...)
 	default:
 		counted = "not yet, the list will tell"
-		rn.queueUnresolved(unresolvedAttempt{subjects: subjects, server: server, startedAt: startedAt, lostAt: rn.clock.Now()})
+		rn.queueUnresolved(unresolvedAttempt{request: jb.request, subjects: subjects, server: server, startedAt: startedAt, lostAt: rn.clock.Now()})
 		if probeResult == Unresponsive && rn.otherServerReachable(ctx, server) {
 			counted = quarantine.Reported.String()
 			rn.quarantine.LearnLocalEvidence(server.Service, quarantine.Evidence{Fingerprint: jb.result.Fingerprint, Crash: crash, Status: quarantine.Reported})
@@ -238,6 +240,13 @@
 	rn.unresolved = append(rn.unresolved, attempt)
 }
 
+// dropUnresolved drops the unresolved attempts of a request at a server that has shown that it runs the request.
+func (rn *Runner) dropUnresolved(request *Request, server id.BackendServer) {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	rn.unresolved = slices.DeleteFunc(rn.unresolved, func(attempt unresolvedAttempt) bool { return attempt.request == request && attempt.server.ID == server })
+}
+
 // goneOrRestarted reports whether a server is no longer listed, or is listed with another start time. It is meant for
 // servers that did not announce that they are leaving. It returns false for a server whose start time is unknown.
 func (rn *Runner) goneOrRestarted(knownServer serverlist.Server, listed []serverlist.Server) bool {
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -40,6 +41,8 @@
 	// grantedAt is when the current grant arrived, server the engine that responds under it, as listed at that time.
 	grantedAt time.Time
 	server    serverlist.Server
+	// silenceChecked says that the engine was checked for a crash because it was silent, and has sent nothing since.
+	silenceChecked atomic.Bool
 }
 
 // runOnEngines acquires grants on engines and forwards the events of the stream until it is complete or is not retried.
@@ -96,7 +99,11 @@
 		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.PromptTokens), "urgency", grant.Urgency,
 		"predicted_ms", grant.PredictedFirstEvent.Milliseconds(), "waited_ms", rn.clock.Now().Sub(st.request.ArrivedAt).Milliseconds(),
 		"list_age_ms", rn.fleet.ListAge().Milliseconds())
+	st.silenceChecked.Store(false)
 	ended, result := st.runOnGrant(ctx, grant)
+	if st.result.Complete {
+		st.endSilence()
+	}
 	ended.Request = st.grantRequest.ID
 	ended.Attempt = grant.Attempt
 	rn.dispatcher.ReportEnded(ended)
@@ -293,6 +300,15 @@
 	}
 	st.runner.dispatcher.ReportEnded(broker.EndedGrant{Service: st.request.Service, FailedEngine: engine, Fault: batch.Unresponsive})
 	st.checkForCrash(ctx, st.server, st.grantedAt, Unresponsive, errUnresponsive)
+	st.silenceChecked.Store(true)
+}
+
+// endSilence withdraws what the silence of the engine of the current attempt says about crashes, because the engine went
+// on.
+func (st *engineJob) endSilence() {
+	if st.silenceChecked.CompareAndSwap(true, false) {
+		st.runner.dropUnresolved(st.request, st.server.ID)
+	}
 }
 
 // errUnresponsive is the cause of aborting an attempt whose engine does not respond, once the stream can go on at another
@@ -437,6 +453,7 @@
 		if len(ev.data) > 0 {
 			st.setIsolatedParts(nil)
 			monitor.recordEvent(ev)
+			st.endSilence()
 			rn.dispatcher.ReportStarted(grant.Attempt)
 			if sinkErr := st.forwardEvent(response, ev); sinkErr != nil {
 				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), final: true}
--- a/coordination/forward/silence_test.go
+++ b/coordination/forward/silence_test.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
 // silentServers are streaming servers that respond to no probe.
@@ -114,3 +115,34 @@
 		assert.Assert(t, now.Add(2*time.Second).After(dispatcher.faultAt), "%s", dispatcher.faultAt.Sub(now))
 	})
 }
+
+// TestSilenceThatEndedIsNoCrash guards against contents that are quarantined because of engines that fell silent for a
+// moment, went on with the stream, and left some time later. An engine that never went on still counts as crashed.
+func TestSilenceThatEndedIsNoCrash(t *testing.T) {
+	const event1, event2 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for _, tc := range []struct {
+		name        string
+		silence     time.Duration
+		wantCrashes int
+	}{{"goes on", 1300 * time.Millisecond, 0}, {"never goes on", time.Hour, 1}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server := newServer("one", time.Hour)
+				dispatcher := &fakeDispatcher{grants: []batch.Grant{grantOn("1", "one")}}
+				backends := &silentServers{streamingServers: streamingServers{bodyByAddress: map[string]slowBody{"one:80": {chunks: []chunk{{0, event1}, {tc.silence, event2}}}}}}
+				table := newLocalQuarantine()
+				rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{listed: []serverlist.Server{server}}, Quarantine: table})
+				now := time.Now()
+				result := rn.Run(t.Context(), &forward.Request{
+					ID: "request", Service: server.Service, PromptTokens: 1000, ArrivedAt: now, Deadline: now.Add(4 * time.Second),
+					Route: route.Route{Kind: route.Streaming, HasPrompt: true, Resumable: true, MaxAttempts: 2, TargetLatency: 400 * time.Millisecond},
+				}, &fakeClient{})
+				synctest.Wait()
+				assert.Equal(t, result.Complete, tc.wantCrashes == 0, "%+v", result)
+				time.Sleep(time.Second)
+				rn.UpdateServers(nil)
+				assert.Equal(t, table.ConfirmedCrashes(result.Fingerprint), tc.wantCrashes)
+			})
+		})
+	}
+}
