Hosts that have lost their links report engines that stop answering

What callers would see: more retries of a request that makes engines stand still, at hosts that are cut off.

Cause: such a report needs another server of the service that accepts connections, as a sign that not all links are lost. A server that only a peer reaches did not count, although "the engine does not respond" is the word of two hosts already. Ruled out: confirmed crashes, which need no such sign.

Evidence: case "unresponsive, other reachable through a peer" of TestCrashDetection, red before, green after; a server of which nobody knows whether it is reachable is no such sign (next case): go test ./coordination/forward -run TestCrashDetection

Fix: a server counts if any host reaches it.

--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -209,14 +209,14 @@
 	return probeResult == ConnectionRefused
 }
 
-// otherServerReachable reports whether a server of the service other than the unresponsive one accepts a connection. If
-// not, this host itself may be cut off from the network. It probes only the first server that takes requests.
+// otherServerReachable reports whether a server of the service other than the unresponsive one accepts a connection, of this
+// host or another one. If not, this host itself may be cut off from the network. It probes only the first server that takes requests.
 func (rn *Runner) otherServerReachable(ctx context.Context, unresponsive serverlist.Server) bool {
 	for _, server := range rn.fleet.Servers(unresponsive.Service) {
 		if server.ID == unresponsive.ID || server.Draining || rn.askedForBackoff(server.ID) {
 			continue
 		}
-		return rn.probeConnection(ctx, server) == Reachable
+		return rn.probeConnection(ctx, server).Alive()
 	}
 	return false
 }
--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -126,6 +126,8 @@
 		{name: "reachable", probeResult: forward.Reachable, listed: "same"},
 		{name: "reachable, restarted", probeResult: forward.Reachable, listed: "restarted", statusAfterList: quarantine.Confirmed},
 		{name: "unresponsive", probeResult: forward.Unresponsive, otherProbeResult: forward.Reachable, listed: "same", statusBeforeList: quarantine.Reported, statusAfterList: quarantine.Reported},
+		{name: "unresponsive, other reachable through a peer", probeResult: forward.Unresponsive, otherProbeResult: forward.ReachableThroughPeer, listed: "same", statusBeforeList: quarantine.Reported, statusAfterList: quarantine.Reported},
+		{name: "unresponsive, other undetermined", probeResult: forward.Unresponsive, otherProbeResult: forward.Undetermined, listed: "same"},
 		{name: "unresponsive, gone", probeResult: forward.Unresponsive, otherProbeResult: forward.Reachable, listed: "gone", statusBeforeList: quarantine.Reported, statusAfterList: quarantine.Confirmed},
 		{name: "all unresponsive", probeResult: forward.Unresponsive, otherProbeResult: forward.Unresponsive, listed: "same"},
 		{name: "all unresponsive, gone", probeResult: forward.Unresponsive, otherProbeResult: forward.Unresponsive, listed: "gone", statusAfterList: quarantine.Confirmed},
