Connections that one host loses at once count as one fault of the engine

What callers would see: waits and refusals for seconds after the connections of one host were reset, although all engines are sound. Each stream on such a connection ends with a report that the engine broke off, since the engine can be connected to.

Cause: as for silence, reports about work that was placed before the engine got its backoff counted as further faults. Ruled out: lost links (they are told apart by the probe after the break); an engine that fails each request is still counted after each backoff.

Evidence: case 2 of script silence.txt, red before ("waiting 1 granted 0" after 260 ms, expected a grant), green after: go test ./coordination/batch -run TestScheduling/silence

Fix: such a report does not add to the count while the engine gets nothing anyway.

--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -204,6 +204,14 @@
 	mc.engines = slices.DeleteFunc(mc.engines, func(other *engine) bool { return other == en })
 }
 
+// countFault counts a fault of an engine that may still run requests. Each request that it ran brings a report of its own;
+// those that arrive while the engine gets nothing anyway are about the same fault.
+func (en *engine) countFault(now time.Time) {
+	if en.consecutiveFaults == 0 || !now.Before(en.backoffUntil) {
+		en.consecutiveFaults++
+	}
+}
+
 // recordFault stops new work for an engine that failed an attempt, for a time that depends on the kind of fault.
 func (mc *Machine) recordFault(now time.Time, ev FinishAttempt) {
 	en, ok := mc.enginesByName[ev.FailedEngine]
@@ -227,14 +235,14 @@
 			en.consecutiveRejections++
 		}
 	case ErrorResponse:
-		en.consecutiveFaults++
+		en.countFault(now)
 		backoff = mc.config.FaultBackoff / 4 * time.Duration(en.consecutiveFaults)
-	case Unreachable, Unresponsive:
-		// Each request that an engine runs when it falls silent brings a report of its own. All of them are one fault.
-		if ev.Fault != Unresponsive || !now.Before(en.backoffUntil) {
-			en.consecutiveFaults++
-		}
-		backoff <<= min(max(0, en.consecutiveFaults-1), 5)
+	case Unresponsive:
+		en.countFault(now)
+		backoff <<= min(en.consecutiveFaults-1, 5)
+	case Unreachable:
+		en.consecutiveFaults++
+		backoff <<= min(en.consecutiveFaults-1, 5)
 	}
 	backoff = min(backoff, mc.config.MaxFaultBackoff)
 	if until := now.Add(backoff); until.After(en.backoffUntil) {
