The newest loss of a link decides which kept connections are in doubt

What callers would see: a request that may not be repeated is lost on a kept connection at a host that has just lost its links, if it had been without its link to a single other server before. For the same reason such a host asks the peers of its own zone first, which may have lost their links with it.

Cause: the moment of the loss was that of the first marked server, and was kept as long as any server was marked. Servers that had answered since counted as reached after the loss, also after a second one.

Evidence: TestKeptConnectionsAfterSecondLoss, red before ("the reused connection brought no answer"), green after: go test ./coordination/peerrelay -run TestKeptConnectionsAfterSecondLoss

Fix: the moment of the loss is when the number of marked servers last grew.

--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -42,7 +42,7 @@
 	// not count as cut off; empty if that has been followed up.
 	suspect     string
 	suspectedAt time.Time
-	// lostAt is when the first of the marked servers was marked; zero if none is.
+	// lostAt is when the number of marked servers last grew; zero if it never did.
 	lostAt time.Time
 	// inProgress counts the direct exchanges in progress by address. lastSign is when the last sign of any server arrived,
 	// lastKeptSign when one last arrived on a connection that was open before, and lastBreak when a connection last broke.
@@ -172,7 +172,7 @@
 	throughPeer := marked[reachability.ThroughPeer]
 	markedCount := len(throughPeer) + len(marked[reachability.KeptConnections])
 	countChanged := markedCount != lk.markedCount
-	if lk.markedCount == 0 && markedCount > 0 {
+	if markedCount > lk.markedCount {
 		lk.lostAt = lk.clock.Now()
 	}
 	lk.markedCount = markedCount
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -572,3 +572,25 @@
 		assert.Equal(t, relayed, want)
 	}
 }
+
+// TestKeptConnectionsAfterSecondLoss guards against requests that are lost on a kept connection because the host had lost
+// its link to some other server long before: what counts is the newest loss.
+func TestKeptConnectionsAfterSecondLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		cutHost := nw.hosts["a1"]
+		cutHost.cut(silent, "s1:80")
+		_, err := cutHost.send(t.Context(), newAttempt("first loss", "s1"))
+		assert.NilError(t, err)
+		time.Sleep(6 * time.Second)
+		_, err = cutHost.send(t.Context(), newAttempt("keeps a connection", "s3"))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		cutHost.cut(breaking, "s2:80", "s3:80", "s4:80")
+		_, err = cutHost.send(t.Context(), newAttempt("second loss", "s2"))
+		assert.NilError(t, err)
+		_, err = cutHost.send(t.Context(), newAttempt("after it", "s3"))
+		assert.NilError(t, err)
+		assert.Equal(t, nw.runCount("after it"), 1)
+	})
+}
