A long silence of one exchange costs fewer probes

What callers would see: nothing; servers get connections that nobody needs. A host whose exchanges in progress bring nothing for 200 ms connects to two servers, and did so again every 200 to 250 ms while the silence lasted, which is the rule while long prompts are read.

Cause: the time between rounds of probes was the same whether or not the round before had found the links sound. Ruled out: probes of lost links, which have their own periods.

Fix: the time doubles after each round, up to 800 ms, and starts anew as soon as an exchange receives something. The first round comes after 200 ms as before; a cut that begins in the middle of a long silence is noticed up to 600 ms later.

--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -50,6 +50,8 @@
 	lastSign     time.Time
 	lastKeptSign time.Time
 	lastBreak    time.Time
+	// silentRounds is the number of rounds of probes since a sign last came from an exchange.
+	silentRounds int
 }
 
 // NewLinks returns the links of a host that knows no backend servers yet.
@@ -146,7 +148,7 @@
 			lk.lastSign = now
 		}
 		if result == reachability.Answered {
-			lk.lastKeptSign = now
+			lk.lastKeptSign, lk.silentRounds = now, 0
 		}
 		lk.tracker.RecordDirect(now, address, result)
 	})
@@ -252,7 +254,7 @@
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	if len(lk.inProgress) == 0 {
-		lk.lastSign = lk.clock.Now()
+		lk.lastSign, lk.silentRounds = lk.clock.Now(), 0
 	}
 	lk.inProgress[address]++
 	return sync.OnceFunc(func() {
@@ -269,7 +271,7 @@
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	lk.lastSign = lk.clock.Now()
-	lk.lastKeptSign = lk.lastSign
+	lk.lastKeptSign, lk.silentRounds = lk.lastSign, 0
 }
 
 // recordBreak records that a connection broke while an exchange was in progress on it.
@@ -279,17 +281,21 @@
 	lk.lastBreak = lk.clock.Now()
 }
 
+// maxSilenceDoublings limits how often the time before the next round of probes doubles.
+const maxSilenceDoublings = 2
+
 // takeSilent returns up to count servers to probe if there are exchanges in progress and none of them has received anything
 // for a time, although the host's links count as sound: first a server with an exchange in progress, then others. The
-// time starts anew.
+// time then starts anew; it doubles up to maxSilenceDoublings times until an exchange receives something.
 func (lk *Links) takeSilent(silence time.Duration, count int) []string {
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	now := lk.clock.Now()
-	if len(lk.inProgress) == 0 || now.Sub(lk.lastSign) < silence {
+	if len(lk.inProgress) == 0 || now.Sub(lk.lastSign) < silence<<min(lk.silentRounds, maxSilenceDoublings) {
 		return nil
 	}
 	lk.lastSign = now
+	lk.silentRounds++
 	for address := range lk.inProgress {
 		if lk.tracker.Way(address) == reachability.Direct {
 			return append([]string{address}, lk.tracker.Unmarked(count-1, now.Add(-silence), address)...)
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -594,3 +594,23 @@
 		assert.Equal(t, nw.runCount("after it"), 1)
 	})
 }
+
+// TestLongSilenceCostsFewProbes guards against a host that opens new connections all the time because its only exchange in
+// progress brings nothing for long, as one whose prompt is read does: the time between two rounds of probes doubles up to
+// 800 ms until something arrives.
+func TestLongSilenceCostsFewProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		host := nw.hosts["a1"]
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- host.sender.Run(ctx) }()
+		nw.answerTime = 3900 * time.Millisecond
+		_, err := host.send(t.Context(), newAttempt("r1", "s2"))
+		assert.NilError(t, err)
+		// Rounds of two probes follow 0.2 s, 0.6 s, 1.4 s, 2.2 s, 3 s and 3.8 s after the exchange has begun.
+		assert.Assert(t, host.dials <= 1+2*6, "%d connections", host.dials)
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+}
