--- a/coordination/forward/server_state.go
+++ b/coordination/forward/server_state.go
@@ -48,8 +48,9 @@
 	rn.recordLimit(server, sentAt, response)
 }
 
-// unreachableBackoff is how long this host sends nothing to a server that it could not reach in any way.
-const unreachableBackoff = 500 * time.Millisecond
+// unreachableBackoff is how long this host sends nothing to a server that it could not reach in any way. It is short,
+// because a way through another host may be found meanwhile.
+const unreachableBackoff = 100 * time.Millisecond
 
 // recordUnreachable keeps requests of this host away from a server that neither it nor another host could reach, although
 // nothing is known against the server. Other hosts may still send to it.
--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -45,15 +45,17 @@
 	// not count as cut off; empty if that has been followed up.
 	suspect     string
 	suspectedAt time.Time
-	// lostAt is when the first of the marked servers was marked; zero if none is.
+	// lostAt is when the number of marked servers last grew; zero if it never did.
 	lostAt time.Time
 	// inProgress counts the direct exchanges in progress by address. lastSign is when the last sign of any server arrived,
 	// lastKeptSign when one last arrived on a connection that was open before, and lastBreak when a connection last broke.
 	inProgress   map[string]int
 	lastSign     time.Time
 	lastKeptSign time.Time
-	// lastSilenceProbe is when takeSilent last returned servers.
+	// lastSilenceProbe is when takeSilent last returned servers, silentRounds how often it did since a sign last came from an
+	// exchange.
 	lastSilenceProbe time.Time
+	silentRounds     int
 	// signs holds when a server last gave a sign, by service and address.
 	signs     map[id.Service]map[string]time.Time
 	lastBreak time.Time
@@ -185,7 +187,7 @@
 			lk.recordServerSign(address, now)
 		}
 		if result == reachability.Answered {
-			lk.lastKeptSign = now
+			lk.lastKeptSign, lk.silentRounds = now, 0
 		}
 		lk.tracker.RecordDirect(now, address, result)
 	})
@@ -211,7 +213,7 @@
 	throughPeer := marked[reachability.ThroughPeer]
 	markedCount := len(throughPeer) + len(marked[reachability.KeptConnections])
 	countChanged := markedCount != lk.markedCount
-	if lk.markedCount == 0 && markedCount > 0 {
+	if markedCount > lk.markedCount {
 		lk.lostAt = lk.clock.Now()
 	}
 	lk.markedCount = markedCount
@@ -295,7 +297,7 @@
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	if len(lk.inProgress) == 0 {
-		lk.lastSign = lk.clock.Now()
+		lk.lastSign, lk.silentRounds = lk.clock.Now(), 0
 	}
 	lk.inProgress[address]++
 	return sync.OnceFunc(func() {
@@ -312,7 +314,7 @@
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	lk.lastSign = lk.clock.Now()
-	lk.lastKeptSign = lk.lastSign
+	lk.lastKeptSign, lk.silentRounds = lk.lastSign, 0
 	lk.recordServerSign(address, lk.lastSign)
 }
 
@@ -323,17 +325,21 @@
 	lk.lastBreak = lk.clock.Now()
 }
 
+// maxSilenceDoublings limits how often the time before the next round of probes doubles.
+const maxSilenceDoublings = 2
+
 // takeSilent returns up to count servers to probe if there are exchanges in progress and none of them has received anything
 // for a time, although the host's links count as sound: first a server with an exchange in progress, then others. The
-// time starts anew.
+// time then starts anew; it doubles up to maxSilenceDoublings times until an exchange receives something.
 func (lk *Links) takeSilent(silence time.Duration, count int) []string {
 	lk.mutex.Lock()
 	defer lk.mutex.Unlock()
 	now := lk.clock.Now()
-	if len(lk.inProgress) == 0 || now.Sub(later(lk.lastSign, lk.lastSilenceProbe)) < silence {
+	if len(lk.inProgress) == 0 || now.Sub(later(lk.lastSign, lk.lastSilenceProbe)) < silence<<min(lk.silentRounds, maxSilenceDoublings) {
 		return nil
 	}
 	lk.lastSilenceProbe = now
+	lk.silentRounds++
 	for address := range lk.inProgress {
 		if lk.tracker.Way(address) == reachability.Direct {
 			return append([]string{address}, lk.tracker.Unmarked(count-1, now.Add(-silence), address)...)
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -631,3 +631,45 @@
 		})
 	}
 }
+
+// TestKeptConnectionsAfterSecondLoss guards against requests that are lost on a kept connection because the host had lost
+// its link to some other server long before: what counts is the newest loss.
+func TestKeptConnectionsAfterSecondLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		cutHost := nw.hosts["a1"]
+		cutHost.cut(silent, "s1:80")
+		_, err := cutHost.send(t.Context(), newAttempt("first loss", "s1"))
+		assert.NilError(t, err)
+		time.Sleep(6 * time.Second)
+		_, err = cutHost.send(t.Context(), newAttempt("keeps a connection", "s3"))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		cutHost.cut(breaking, "s2:80", "s3:80", "s4:80")
+		_, err = cutHost.send(t.Context(), newAttempt("second loss", "s2"))
+		assert.NilError(t, err)
+		_, err = cutHost.send(t.Context(), newAttempt("after it", "s3"))
+		assert.NilError(t, err)
+		assert.Equal(t, nw.runCount("after it"), 1)
+	})
+}
+
+// TestLongSilenceCostsFewProbes guards against a host that opens new connections all the time because its only exchange in
+// progress brings nothing for long, as one whose prompt is read does: the time between two rounds of probes doubles up to
+// 800 ms until something arrives.
+func TestLongSilenceCostsFewProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		host := nw.hosts["a1"]
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- host.sender.Run(ctx) }()
+		nw.answerTime = 3900 * time.Millisecond
+		_, err := host.send(t.Context(), newAttempt("r1", "s2"))
+		assert.NilError(t, err)
+		// Rounds of two probes follow 0.2 s, 0.6 s, 1.4 s, 2.2 s, 3 s and 3.8 s after the exchange has begun.
+		assert.Assert(t, host.dials <= 1+2*6, "%d connections", host.dials)
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+}
--- a/state/backoff/backoff.go
+++ b/state/backoff/backoff.go
@@ -85,13 +85,13 @@
 }
 
 // AllowsRequest reports whether a request may be sent to a server now: either the server has no backoff, or the backoff
-// is over and no request was sent within trialTimeout.
+// is over and, if the server asked for it, no request was sent within trialTimeout.
 func (tb *Table) AllowsRequest(now time.Time, server serverlist.Server) bool {
 	entry, exists := tb.backoffs[server.ID]
 	if !exists || entry.startedAtMillis != server.StartedAtMillis {
 		return true
 	}
-	return !now.Before(entry.backoffUntil) && now.Sub(entry.lastSentAt) >= trialTimeout
+	return !now.Before(entry.backoffUntil) && (entry.askedUntil.IsZero() || now.Sub(entry.lastSentAt) >= trialTimeout)
 }
 
 // RecordSent records that a request is sent to a server.
