No further peer is asked once two could not connect

What callers would see: neither an answer nor a refusal when no host reaches the servers of a service: an attempt under which nothing was sent took 2.05 s (the own dial and three peers, one after the other), which is as long as clients with short prompts wait.

Cause: the number of peers that are asked was bounded, the time was not. A peer that reaches no server answers after its dial and the dials by which it finds that out, 550 ms in all. Ruled out: one failed server of many (the first peer that reaches others decides).

Evidence: TestUnreachableServersDoNotHoldRequest, red before (2.05s), green after: go test ./coordination/peerrelay -run TestUnreachableServersDoNotHoldRequest

Fix: once 600 ms have passed since the first peer was asked, no further one is. A second peer, in another zone if the first reaches nothing, is asked as before.

--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -22,6 +22,9 @@
 // maxPeersPerCall bounds the peers that are asked to make one call.
 const maxPeersPerCall = 3
 
+// maxAskTime is the time since a call was first passed to a peer after which no further peer is asked.
+const maxAskTime = 600 * time.Millisecond
+
 // ownZoneDoubt is how long after this host has lost its first link the peers of its own zone are asked last: they may have
 // lost theirs at the same moment, and need some time to notice and spread it.
 const ownZoneDoubt = time.Second
@@ -137,7 +140,7 @@
 	failure := &Failure{Reason: PeerUnreachable, NotSent: true, Detail: errNoPeer}
 	zone := sd.links.zone(call.Address)
 	startedAt := sd.clock.Now()
-	for len(tried) < maxPeersPerCall && ctx.Err() == nil {
+	for len(tried) < maxPeersPerCall && ctx.Err() == nil && sd.clock.Now().Sub(startedAt) < maxAskTime {
 		peer, end, ok := sd.peers.choose(zone, tried, cutOffZones)
 		if !ok {
 			break
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -614,3 +614,20 @@
 		assert.NilError(t, <-ended)
 	})
 }
+
+// TestUnreachableServersDoNotHoldRequest guards against requests that are held until their clients leave because no host
+// reaches any server: after some time, no further peer is asked.
+func TestUnreachableServersDoNotHoldRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1", "b2", "c1")
+		for _, host := range nw.hosts {
+			host.cut(silent)
+		}
+		startedAt := time.Now()
+		_, err := nw.hosts["a1"].send(t.Context(), newAttempt("r1", "s1"))
+		assert.ErrorIs(t, err, forward.ErrUndetermined)
+		// The host dials, and so do two peers, which then try other servers.
+		const witnessTime = 150 * time.Millisecond
+		assert.Assert(t, time.Since(startedAt) <= dialTimeout+2*(dialTimeout+witnessTime), "%s", time.Since(startedAt))
+	})
+}
