An answer does not look at the ways to all servers

What callers saw: nothing. Each answer of a server made the host compute the ways to all listed servers, under a mutex that all requests take.

Cause: each change of the tracker was followed by a full review, although a success changes no way while no link is lost.

The tests of the package cover the behaviour: go test -race ./coordination/peerrelay

Fix: such a success is recorded without the review.

--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -142,7 +142,7 @@
 
 // recordDirect records how a direct exchange with the server at an address went.
 func (lk *Links) recordDirect(address string, result reachability.Result) {
-	lk.update(func() {
+	record := func() {
 		now := lk.clock.Now()
 		if result == reachability.Connected || result == reachability.Answered {
 			lk.lastSign = now
@@ -151,7 +151,22 @@
 			lk.lastKeptSign, lk.silentRounds = now, 0
 		}
 		lk.tracker.RecordDirect(now, address, result)
-	})
+	}
+	if !lk.recordWithoutLosses(result, record) {
+		lk.update(record)
+	}
+}
+
+// recordWithoutLosses records a success if no link is lost, and reports whether it did. Such a success changes no way, so
+// that the ways to all servers need not be looked at for each answer.
+func (lk *Links) recordWithoutLosses(result reachability.Result, record func()) bool {
+	lk.mutex.Lock()
+	defer lk.mutex.Unlock()
+	if result != reachability.Connected && result != reachability.Answered || lk.markedCount > 0 || lk.cutOff {
+		return false
+	}
+	record()
+	return true
 }
 
 // recordThroughPeer records whether a peer reached the server at an address.
