A peer that did not take a call comes last instead of getting none

Requests at hosts that were cut off were refused with "all servers of the service want to be left alone or are out of reach" while one peer was left that reached the servers: a single call that this peer did not take kept all calls from it for a second (TestMostHostsWithoutServersFailRequests/silent and TestSecondPartitionBreaksFirstOnesWay/reset in package site, once each, beside a load of 30).

Such a peer gets calls again if there is no other one; the word of a host that it is cut off still excludes it.

--- a/coordination/peerrelay/peers.go
+++ b/coordination/peerrelay/peers.go
@@ -72,10 +72,12 @@
 	pr.mutex.Lock()
 	defer pr.mutex.Unlock()
 	now := pr.clock.Now()
-	var ownZone, sameZone, others, last []membership.Member
+	var ownZone, sameZone, others, last, backedOff []membership.Member
 	for _, member := range members {
 		switch {
-		case !pr.usable(now, member, tried):
+		case !pr.usable(member, tried):
+		case now.Before(pr.backoffUntil[member.Host]):
+			backedOff = append(backedOff, member)
 		case slices.Contains(cutOffZones, member.AvailabilityZone):
 			last = append(last, member)
 		case member.AvailabilityZone == pr.zone:
@@ -93,6 +95,9 @@
 			break
 		}
 	}
+	if len(candidates) == 0 {
+		candidates = backedOff
+	}
 	if len(candidates) == 0 {
 		return membership.Member{}, nil, false
 	}
@@ -105,8 +110,8 @@
 }
 
 // usable reports whether a member may get a call. The caller holds the mutex.
-func (pr *peers) usable(now time.Time, member membership.Member, tried []id.Host) bool {
-	return !slices.Contains(tried, member.Host) && member.Status == membership.Alive && !now.Before(pr.backoffUntil[member.Host]) && !pr.isCutOff(member)
+func (pr *peers) usable(member membership.Member, tried []id.Host) bool {
+	return !slices.Contains(tried, member.Host) && member.Status == membership.Alive && !pr.isCutOff(member)
 }
 
 // hasRoom reports whether one of the members has fewer calls of this host in progress than preferredCalls. The caller
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -595,3 +595,21 @@
 		})
 	}
 }
+
+// TestOnlyPeerIsAskedAgain checks that a peer that did not take a call gets the next one if there is no other.
+func TestOnlyPeerIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		nw.hosts["a1"].cut(refusing)
+		nw.beforeRelay = func(id.Host, peerrelay.Call) error {
+			if len(nw.relayed) == 1 {
+				return failure(peerrelay.PeerUnreachable)
+			}
+			return nil
+		}
+		_, err := nw.hosts["a1"].send(t.Context(), newAttempt("r1", "s1"))
+		assert.ErrorIs(t, err, forward.ErrUndetermined)
+		_, err = nw.hosts["a1"].send(t.Context(), newAttempt("r1", "s1"))
+		assert.NilError(t, err)
+	})
+}
