--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -507,6 +507,28 @@
 	})
 }
 
+// TestPeerThatHasJustLostItsLinksIsNoWitness guards against sound servers that count as crashed because hosts that lose
+// their links at the same moment confirm each other's failures.
+func TestPeerThatHasJustLostItsLinksIsNoWitness(t *testing.T) {
+	for _, state := range []linkState{refusing, silent} {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork("a1", "a2", "b1")
+			for _, ht := range nw.hosts {
+				for _, server := range listed {
+					assert.Equal(t, ht.sender.ProbeConnection(t.Context(), server.Address), forward.Reachable)
+				}
+			}
+			for _, ht := range nw.hosts {
+				ht.cut(state)
+			}
+			_, err := nw.hosts["a1"].sender.Send(t.Context(), forward.Attempt{Request: &forward.Request{ID: "request"}, Server: "s1", Address: "s1:80", Remaining: time.Second})
+			assert.ErrorIs(t, err, forward.ErrNotSent)
+			assert.ErrorIs(t, err, forward.ErrUndetermined)
+			assert.Equal(t, nw.hosts["a1"].sender.ProbeConnection(t.Context(), "s2:80"), forward.Undetermined)
+		})
+	}
+}
+
 // TestZoneWithoutLinks cuts all hosts of a zone off. Although they prefer peers of their own zone, which can't help, each
 // request must be served by a host of another zone, and each host of the zone must find that it is cut off.
 func TestZoneWithoutLinks(t *testing.T) {
@@ -541,6 +563,20 @@
 	}
 }
 
+// TestCallerLearnsThatAttemptIsRelayed checks that the caller of Send learns of it if and only if a peer is to send the
+// attempt.
+func TestCallerLearnsThatAttemptIsRelayed(t *testing.T) {
+	for state, want := range map[linkState]int{up: 0, refusing: 1} {
+		nw := newNetwork("a1", "b1")
+		nw.hosts["a1"].cut(state)
+		attempt, relayed := newAttempt("r1", "s2"), 0
+		attempt.HandleRelayed = func() { relayed++ }
+		_, err := nw.hosts["a1"].send(t.Context(), attempt)
+		assert.NilError(t, err)
+		assert.Equal(t, relayed, want)
+	}
+}
+
 // TestHostsCutOffTogetherConfirmNothing cuts all hosts off at the same moment, just after each has opened a connection. No
 // probe may count as confirmed by another host, and no server as failed.
 func TestHostsCutOffTogetherConfirmNothing(t *testing.T) {
@@ -613,3 +649,45 @@
 		assert.NilError(t, err)
 	})
 }
+
+// TestKeptConnectionsAfterSecondLoss guards against requests that are lost on a kept connection because the host had lost
+// its link to some other server long before: what counts is the newest loss.
+func TestKeptConnectionsAfterSecondLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		cutHost := nw.hosts["a1"]
+		cutHost.cut(silent, "s1:80")
+		_, err := cutHost.send(t.Context(), newAttempt("first loss", "s1"))
+		assert.NilError(t, err)
+		time.Sleep(6 * time.Second)
+		_, err = cutHost.send(t.Context(), newAttempt("keeps a connection", "s3"))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		cutHost.cut(breaking, "s2:80", "s3:80", "s4:80")
+		_, err = cutHost.send(t.Context(), newAttempt("second loss", "s2"))
+		assert.NilError(t, err)
+		_, err = cutHost.send(t.Context(), newAttempt("after it", "s3"))
+		assert.NilError(t, err)
+		assert.Equal(t, nw.runCount("after it"), 1)
+	})
+}
+
+// TestLongSilenceCostsFewProbes guards against a host that opens new connections all the time because its only exchange in
+// progress brings nothing for long, as one whose prompt is read does: the time between two rounds of probes doubles up to
+// 800 ms until something arrives.
+func TestLongSilenceCostsFewProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork("a1", "b1")
+		host := nw.hosts["a1"]
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- host.sender.Run(ctx) }()
+		nw.answerTime = 3900 * time.Millisecond
+		_, err := host.send(t.Context(), newAttempt("r1", "s2"))
+		assert.NilError(t, err)
+		// Rounds of two probes follow 0.2 s, 0.6 s, 1.4 s, 2.2 s, 3 s and 3.8 s after the exchange has begun.
+		assert.Assert(t, host.dials <= 1+2*6, "%d connections", host.dials)
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+}
