--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -108,6 +109,7 @@
 
 // unresolvedAttempt is an attempt that lost its server without it being known whether the server crashed.
 type unresolvedAttempt struct {
+	request  *Request
 	subjects []crashSubject
 	server   serverlist.Server
 	// startedAt is when the attempt started, lostAt when the connection was lost.
@@ -194,7 +196,7 @@
 		rn.quarantine.LearnLocalEvidence(server.Service, confirmedEvidence(subjects, crash)...)
 	default:
 		counted = "not yet, the list will tell"
-		rn.queueUnresolved(unresolvedAttempt{subjects: subjects, server: server, startedAt: startedAt, lostAt: rn.clock.Now()})
+		rn.queueUnresolved(unresolvedAttempt{request: jb.request, subjects: subjects, server: server, startedAt: startedAt, lostAt: rn.clock.Now()})
 		if probeResult == Unresponsive && rn.otherServerReachable(ctx, server) {
 			counted = quarantine.Reported.String()
 			rn.quarantine.LearnLocalEvidence(server.Service, quarantine.Evidence{Fingerprint: jb.result.Fingerprint, Crash: crash, Status: quarantine.Reported})
@@ -207,14 +209,14 @@
 	return probeResult == ConnectionRefused
 }
 
-// otherServerReachable reports whether a server of the service other than the unresponsive one accepts a connection. If
-// not, this host itself may be cut off from the network. It probes only the first server that takes requests.
+// otherServerReachable reports whether a server of the service other than the unresponsive one accepts a connection, of this
+// host or another one. If not, this host itself may be cut off from the network. It probes only the first server that takes requests.
 func (rn *Runner) otherServerReachable(ctx context.Context, unresponsive serverlist.Server) bool {
 	for _, server := range rn.fleet.Servers(unresponsive.Service) {
 		if server.ID == unresponsive.ID || server.Draining || rn.askedForBackoff(server.ID) {
 			continue
 		}
-		return rn.probeConnection(ctx, server) == Reachable
+		return rn.probeConnection(ctx, server).Alive()
 	}
 	return false
 }
@@ -238,6 +240,13 @@
 	rn.unresolved = append(rn.unresolved, attempt)
 }
 
+// dropUnresolved drops the unresolved attempts of a request at a server that has shown that it runs the request.
+func (rn *Runner) dropUnresolved(request *Request, server id.BackendServer) {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	rn.unresolved = slices.DeleteFunc(rn.unresolved, func(attempt unresolvedAttempt) bool { return attempt.request == request && attempt.server.ID == server })
+}
+
 // goneOrRestarted reports whether a server is no longer listed, or is listed with another start time. It is meant for
 // servers that did not announce that they are leaving. It returns false for a server whose start time is unknown.
 func (rn *Runner) goneOrRestarted(knownServer serverlist.Server, listed []serverlist.Server) bool {
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -40,6 +41,8 @@
 	// grantedAt is when the current grant arrived, server the engine that responds under it, as listed at that time.
 	grantedAt time.Time
 	server    serverlist.Server
+	// silenceChecked says that the engine was checked for a crash because it was silent, and has sent nothing since.
+	silenceChecked atomic.Bool
 }
 
 // runOnEngines acquires grants on engines and forwards the events of the stream until it is complete or is not retried.
@@ -96,7 +99,11 @@
 		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.PromptTokens), "urgency", grant.Urgency,
 		"predicted_ms", grant.PredictedFirstEvent.Milliseconds(), "waited_ms", rn.clock.Now().Sub(st.request.ArrivedAt).Milliseconds(),
 		"list_age_ms", rn.fleet.ListAge().Milliseconds())
+	st.silenceChecked.Store(false)
 	ended, result := st.runOnGrant(ctx, grant)
+	if st.result.Complete {
+		st.endSilence()
+	}
 	ended.Request = st.grantRequest.ID
 	ended.Attempt = grant.Attempt
 	rn.dispatcher.ReportEnded(ended)
@@ -134,6 +141,7 @@
 	}
 	st.setIsolation(&st.grantRequest)
 	st.grantRequest.WaitLimit = st.waitLimitFromArrival()
+	st.grantRequest.Unanswered = !st.result.HeadSent
 	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
 	acquireCtx, span := rn.tracer.Start(acquireCtx, "dispatch.place")
 	st.grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service)
@@ -217,9 +225,13 @@
 	ctx, span := rn.tracer.Start(ctx, "engine.attempt", trace.WithAttributes(
 		attribute.String("attempt", string(grant.Attempt)), attribute.String("engine", string(primary.Engine))))
 	defer span.End()
-	reservedMemory, refusedPart := rn.reserve(ctx, grant)
-	if refusedPart != nil {
-		return broker.EndedGrant{FailedEngine: refusedPart.Engine, Fault: batch.Full}, attemptResult{reason: "an engine has no memory to set aside", retryCause: retry.NotSent}
+	reservedMemory, refused := rn.reserve(ctx, grant)
+	switch {
+	case refused != nil && errors.Is(refused.err, ErrUndetermined):
+		rn.recordUnreachable(rn.serverOfPart(st.request.Service, refused.part))
+		return broker.EndedGrant{FailedEngine: refused.part.Engine}, attemptResult{reason: refused.err.Error(), retryCause: retry.NotSent}
+	case refused != nil:
+		return broker.EndedGrant{FailedEngine: refused.part.Engine, Fault: batch.Full}, attemptResult{reason: "an engine has no memory to set aside", retryCause: retry.NotSent}
 	}
 	defer reservedMemory.release()
 	sendCtx, cancel := context.WithCancelCause(ctx)
@@ -253,6 +265,7 @@
 		Urgency:     grant.Urgency,
 
 		NewConnection: st.newConnection,
+		HandleRelayed: monitor.recordRelayed,
 	})
 	if err != nil {
 		return st.classifySendError(sendCtx, ctx, primary, err)
@@ -287,6 +300,15 @@
 	}
 	st.runner.dispatcher.ReportEnded(broker.EndedGrant{Service: st.request.Service, FailedEngine: engine, Fault: batch.Unresponsive})
 	st.checkForCrash(ctx, st.server, st.grantedAt, Unresponsive, errUnresponsive)
+	st.silenceChecked.Store(true)
+}
+
+// endSilence withdraws what the silence of the engine of the current attempt says about crashes, because the engine went
+// on.
+func (st *engineJob) endSilence() {
+	if st.silenceChecked.CompareAndSwap(true, false) {
+		st.runner.dropUnresolved(st.request, st.server.ID)
+	}
 }
 
 // errUnresponsive is the cause of aborting an attempt whose engine does not respond, once the stream can go on at another
@@ -431,6 +453,7 @@
 		if len(ev.data) > 0 {
 			st.setIsolatedParts(nil)
 			monitor.recordEvent(ev)
+			st.endSilence()
 			rn.dispatcher.ReportStarted(grant.Attempt)
 			if sinkErr := st.forwardEvent(response, ev); sinkErr != nil {
 				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), final: true}
--- a/coordination/reachability/tracker.go
+++ b/coordination/reachability/tracker.go
@@ -29,9 +29,8 @@
 	failure Result
 	// peerReached says that a peer has reached the server since the direct way failed.
 	peerReached bool
-	// reachedAt is when the server last answered or accepted a connection, connectedAt when it last accepted one.
-	reachedAt   time.Time
-	connectedAt time.Time
+	// reachedAt is when the server last answered or accepted a connection.
+	reachedAt time.Time
 	// returnedAt is when the server last returned to the direct way. probeWait is the time between probes of the server,
 	// and notBefore when it may be probed again.
 	returnedAt time.Time
@@ -149,7 +148,7 @@
 }
 
 func (tr *Tracker) recordConnected(now time.Time, known *server) {
-	known.reachedAt, known.connectedAt = now, now
+	known.reachedAt = now
 	if known.way() != Direct {
 		tr.lastReturn = now
 	}
@@ -268,8 +267,8 @@
 	return addresses
 }
 
-// Others returns up to count addresses other than one, those that are reached directly as far as is known first.
-func (tr *Tracker) Others(count int, address string) []string {
+// Others returns the addresses other than one, those that are reached directly as far as is known first.
+func (tr *Tracker) Others(address string) []string {
 	var direct, failed []string
 	for offset := range tr.probeOrder {
 		other := tr.probeOrder[(tr.nextProbed+offset)%len(tr.probeOrder)]
@@ -282,8 +281,7 @@
 			failed = append(failed, other)
 		}
 	}
-	others := append(direct, failed...)
-	return others[:min(count, len(others))]
+	return append(direct, failed...)
 }
 
 // NextProbe returns the address of the marked server that is to be probed now, or false if no probe is due.
