A server is reported as failed only if a peer confirms it

A peer is asked now, for 200 ms at most; unless it confirms the failure, the attempt counts as undetermined: this host tries another server, and nobody else hears of it.

Test: TestServerThatFailsAloneIsNotRelayed demanded the report although the peer reached the server; it now demands it if and only if the peer does not reach it either, and still that the attempt is not relayed and ends within the time of a dial.

--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,6 +36,8 @@
 	// this may take.
 	linkCheckDials   = 2
 	linkCheckTimeout = 100 * time.Millisecond
+	// confirmationTimeout bounds the probe by which a peer confirms that a server has failed.
+	confirmationTimeout = 200 * time.Millisecond
 )
 
 // Dependencies are the components that a Sender uses.
@@ -70,8 +71,6 @@
 	tracer    trace.Tracer
 	// probes are the probes in progress that Run waits for.
 	probes tasks.Group
-	// probing holds the addresses of the servers that peers are asked about in the background.
-	probing sync.Map
 }
 
 // NewSender returns a Sender that uses the given components.
@@ -110,7 +109,9 @@
 			return response, err
 		}
 		if way == reachability.Direct && sd.reachesOthers(ctx, attempt.Address, startedAt, err) {
-			sd.probeInBackground(attempt.Address)
+			if !sd.peerConfirms(ctx, attempt.Address) {
+				err = errors.Join(forward.ErrUndetermined, err)
+			}
 			return response, err
 		}
 		reason = err.Error()
@@ -149,19 +150,13 @@
 	return sd.direct.connectsToAny(ctx, sd.links.otherServers(address, linkCheckDials, true))
 }
 
-// probeInBackground has a peer probe the server at an address, unless one already does, to find out whether the server has
-// failed or this host has lost its link to it.
-func (sd *Sender) probeInBackground(address string) {
-	if _, running := sd.probing.LoadOrStore(address, true); running {
-		return
-	}
-	started := sd.startProbe(context.Background(), func(ctx context.Context) {
-		defer sd.probing.Delete(address)
-		sd.probeThroughPeers(ctx, ProbeConnection, address)
-	})
-	if !started {
-		sd.probing.Delete(address)
-	}
+// peerConfirms reports whether a peer that reaches other servers does not reach the one at an address either. Without that
+// the failure may be one of this host's own link, which may also have been lost or have come back during the dial.
+func (sd *Sender) peerConfirms(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmationTimeout)
+	defer cancel()
+	result := sd.probeThroughPeers(ctx, ProbeConnection, address)
+	return result == forward.ConnectionRefused || result == forward.Unresponsive
 }
 
 // newCall returns a call of this host with the time that is left until the end of the context.
