Revert "An idle stream that comes through a peer stays at its engine"

Cause: a peer that has just lost its own links takes the call and sends it on a kept connection that brings nothing. That some peer reaches the engine does not show that the peer of this stream does. So the stream has to leave as soon as its engine is probed, as before.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -265,7 +265,6 @@
 		Urgency:     grant.Urgency,
 
 		NewConnection: st.newConnection,
-		HandleRelayed: monitor.recordRelayed,
 	})
 	if err != nil {
 		return st.classifySendError(sendCtx, ctx, primary, err)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -85,8 +85,6 @@
 	KeptConnection bool
 	// Urgency orders requests inside an engine, 0 first. If it is negative, no urgency is sent.
 	Urgency int
-	// HandleRelayed is called when the attempt is to be sent by another host; nil if nobody needs to know.
-	HandleRelayed func()
 }
 
 // Response is the head of a backend server's response, with the body still to be read. The caller must close Body.
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -46,10 +46,8 @@
 	lastProgress time.Time
 	// lastResult is the result of the last probe.
 	lastResult ProbeResult
-	// relayed says that the stream comes through another host, so that the engine need not respond to this one.
-	relayed   bool
-	stopped   bool
-	nextCheck timer.Subscription
+	stopped    bool
+	nextCheck  timer.Subscription
 }
 
 // monitorLimits are the limits that a streamMonitor enforces.
@@ -101,13 +99,6 @@
 	}
 }
 
-// recordRelayed records that the stream comes through another host.
-func (sm *streamMonitor) recordRelayed() {
-	sm.mutex.Lock()
-	defer sm.mutex.Unlock()
-	sm.relayed = true
-}
-
 // check aborts the attempt with errStalled if the first event is overdue, searches for another engine if the stream has
 // stalled, probes the engine if the stream has been idle for too long, searches for another engine if it does not
 // respond, and schedules the next check. The timer calls it on its own goroutine, because the searches and the probe may
@@ -130,7 +121,7 @@
 	nextCheck := sm.idleLimit
 	if idleLeft := sm.idleLeft(); idleLeft > 0 {
 		nextCheck = idleLeft
-	} else if result := sm.probe(); result == Reachable || result == ReachableThroughPeer && sm.relayed {
+	} else if result := sm.probe(); result == Reachable {
 		sm.lastResult, sm.lastActivity = result, sm.runner.clock.Now()
 	} else if sm.idleLeft() <= 0 && !sm.stopped && sm.leave(result, stalled) {
 		return
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -99,10 +99,6 @@
 		}
 		reason = err.Error()
 	}
-	if attempt.HandleRelayed != nil {
-		attempt.HandleRelayed()
-		attempt.HandleRelayed = nil
-	}
 	attempt.Remaining -= sd.clock.Now().Sub(startedAt)
 	ctx, span := sd.tracer.Start(ctx, "peer.relay", trace.WithAttributes(attribute.String("server", string(attempt.Server))))
 	defer span.End()
