--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -118,10 +118,6 @@
 		// The server may have failed, and idle connections of the peer with it.
 		attempt.NewConnection = attempt.NewConnection || way == reachability.Direct
 	}
-	if attempt.HandleRelayed != nil {
-		attempt.HandleRelayed()
-		attempt.HandleRelayed = nil
-	}
 	attempt.Remaining -= sd.clock.Now().Sub(startedAt)
 	ctx, span := sd.tracer.Start(ctx, "peer.relay", trace.WithAttributes(attribute.String("server", string(attempt.Server))))
 	defer span.End()
