--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -124,9 +124,9 @@
 	return nil
 }
 
-// Acquire requests a grant and waits for it until the context ends or, for a first attempt and while the client has received
-// nothing, until shortly before the client stops waiting. It fails over to the next dispatcher in order when a call to a dispatcher fails, and chooses the
-// engines itself if no dispatcher can be reached in time.
+// Acquire requests a grant and waits for it until the context ends or, as long as the client has received nothing, until
+// shortly before the client stops waiting. It fails over to the next dispatcher in order when a call to a dispatcher
+// fails, and chooses the engines itself if no dispatcher can be reached in time.
 func (cl *Client) Acquire(ctx context.Context, request GrantRequest) (batch.Grant, outcome.Outcome) {
 	request.Host = cl.host
 	if request.AttemptNumber <= 1 || request.Unanswered {
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -37,7 +37,7 @@
 
 	// mutex guards the fields below and firstEventDeadline.
 	mutex sync.Mutex
-	// cancelCallback ends a running findFailover or handleUnresponsive, which callbacks waits for; nil if none runs.
+	// cancelCallback ends a running findFailover or handleNoResponse, which callbacks waits for; nil if none runs.
 	cancelCallback context.CancelFunc
 	callbacks      sync.WaitGroup
 	// lastActivity is when the engine last showed that it is alive, lastProgress when the last event with an id
--- a/coordination/peerrelay/prober.go
+++ b/coordination/peerrelay/prober.go
@@ -45,9 +45,9 @@
 	}
 }
 
-// startProbe runs a probe in the background. It returns false if Run has ended.
-func (sd *Sender) startProbe(ctx context.Context, probe func(context.Context)) bool {
-	return sd.probes.Go(func() {
+// startProbe runs a probe in the background.
+func (sd *Sender) startProbe(ctx context.Context, probe func(context.Context)) {
+	sd.probes.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		probe(ctx)
