--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -29,7 +29,7 @@
 	// lastEventID is the id of the last event that was forwarded.
 	lastEventID string
 	// endsUnnumbered says that an event with data but without an id was forwarded after the one with lastEventID. The stream
-	// can't be resumed then, because no engine can be told to go on after it.
+	// can't be resumed then, because no request can ask an engine to go on after it.
 	endsUnnumbered bool
 	// grantsUsed counts the grants used so far, failover grants included.
 	grantsUsed int
--- a/coordination/forward/resumed_stream_test.go
+++ b/coordination/forward/resumed_stream_test.go
@@ -121,7 +121,7 @@
 }
 
 // TestStreamWithoutIDsIsNotResumed checks that a stream is not resumed after an event with data but without an id, because
-// an engine can't be told to go on after it.
+// no request can ask an engine to go on after it.
 func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
 	for _, tc := range []struct {
 		first    string
--- a/coordination/peerrelay/deadline_test.go
+++ b/coordination/peerrelay/deadline_test.go
@@ -12,7 +12,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
 
-// TestTimeAtFailedPeersIsTakenOff checks that a peer that is asked after others is told the time that is left then.
+// TestTimeAtFailedPeersIsTakenOff checks that a peer that is asked after others gets the time that is left then.
 func TestTimeAtFailedPeersIsTakenOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const peerTime = 250 * time.Millisecond
--- a/coordination/peerrelay/peers.go
+++ b/coordination/peerrelay/peers.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// any reports whether there is any other host that is not known to be dead.
+// any reports whether there is any other host whose status is not Dead.
 func (pr *peers) any() bool {
 	for _, member := range pr.members.RemoteMembers() {
 		if member.Status != membership.Dead {
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -218,8 +218,8 @@
 	return Answer{}, last, failure
 }
 
-// recordAnswer records whether a peer reached the server of a call, and reports whether the answer says so. The word of a
-// peer that reaches no server does not count.
+// recordAnswer records whether a peer reached the server of a call, and reports whether it did or reaches another one. The
+// answer of a peer that reaches no server does not count.
 func (sd *Sender) recordAnswer(call Call, answer Answer) bool {
 	reached := answer.Probe == 0 || answer.Probe == forward.Reachable
 	if !reached && !answer.ReachesOther {
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -181,7 +181,7 @@
 	return nil
 }
 
-// send sends an attempt once. The deadline that the server is told accounts for the time that passed here.
+// send sends an attempt once. The deadline that is sent to the server accounts for the time that passed here.
 func (sv *Server) send(ctx context.Context, cancel func(), call Call, passed time.Duration) (Answer, error) {
 	attempt := call.Attempt
 	attempt.Remaining -= passed
