One function each for dials that ended early and for a peer's word on a server

The read of the whole change found the condition of a dial that its caller ended early twice in directSender, and the dials by which a peer finds out whether it reaches another server three times in Server.

--- a/coordination/peerrelay/direct.go
+++ b/coordination/peerrelay/direct.go
@@ -55,12 +55,17 @@
 	case !errors.Is(err, forward.ErrNotSent):
 	case errors.Is(err, forward.ErrConnectionRefused):
 		ds.links.recordDirect(address, reachability.ConnectionRefused)
-	case errors.Is(ctx.Err(), context.Canceled) || ds.clock.Now().Sub(startedAt) < minDialTime && ctx.Err() != nil:
+	case ds.endedEarly(ctx, startedAt):
 	default:
 		ds.links.recordDirect(address, reachability.TimedOut)
 	}
 }
 
+// endedEarly reports whether the caller ended a dial that began at startedAt too early for its failure to say anything.
+func (ds *directSender) endedEarly(ctx context.Context, startedAt time.Time) bool {
+	return errors.Is(ctx.Err(), context.Canceled) || ds.clock.Now().Sub(startedAt) < minDialTime && ctx.Err() != nil
+}
+
 // probeConnection opens a connection to the server at an address.
 func (ds *directSender) probeConnection(ctx context.Context, address string) forward.ProbeResult {
 	startedAt := ds.clock.Now()
@@ -70,7 +75,7 @@
 		ds.links.recordDirect(address, reachability.Connected)
 	case result == forward.ConnectionRefused:
 		ds.links.recordDirect(address, reachability.ConnectionRefused)
-	case errors.Is(ctx.Err(), context.Canceled) || ds.clock.Now().Sub(startedAt) < minDialTime && ctx.Err() != nil:
+	case ds.endedEarly(ctx, startedAt):
 	default:
 		ds.links.recordDirect(address, reachability.TimedOut)
 	}
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -207,7 +207,7 @@
 		failure.Reason = ServerUnreachable
 		ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 		defer cancel()
-		failure.ReachesOther = sv.direct.connectsToAny(ctx, sv.links.otherServers(call.Address, witnessDials, false))
+		failure.ReachesOther = sv.reachesOther(ctx, call.Address)
 	}
 	return failure
 }
@@ -227,14 +227,19 @@
 	defer subscription.Stop()
 	select {
 	case found := <-result:
-		return Answer{Probe: found, ReachesOther: found == forward.Reachable || sv.direct.connectsToAny(ctx, sv.links.otherServers(call.Address, witnessDials, false))}
+		return Answer{Probe: found, ReachesOther: found == forward.Reachable || sv.reachesOther(ctx, call.Address)}
 	case <-delayed:
-		reachesOther := sv.direct.connectsToAny(ctx, sv.links.otherServers(call.Address, witnessDials, false))
+		reachesOther := sv.reachesOther(ctx, call.Address)
 		found := <-result
 		return Answer{Probe: found, ReachesOther: reachesOther || found == forward.Reachable}
 	}
 }
 
+// reachesOther reports whether this host can open a connection now to a server other than the one at an address.
+func (sv *Server) reachesOther(ctx context.Context, address string) bool {
+	return sv.direct.connectsToAny(ctx, sv.links.otherServers(address, witnessDials, false))
+}
+
 // cancellingBody is a body whose context ends when it is closed.
 type cancellingBody struct {
 	io.ReadCloser
