--- a/review/lab/fleet_test.go
+++ b/review/lab/fleet_test.go
@@ -17,8 +17,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
 )
 
 // Exit codes of a case.
@@ -38,12 +36,13 @@
 
 	heartbeat = 1200 * time.Millisecond
 	contact   = 3 * time.Second
+	drainTime = 2 * time.Second
 	graceS    = 8
 )
 
 // fleet is a small deployment: the platform's store, engines, and daemons as processes.
 type fleet struct {
-	store   *standin.Store
+	store   *store
 	dir     string
 	started time.Time
 	trouble bool
@@ -69,7 +68,7 @@
 		t.Log(err)
 		os.Exit(exitNotRun)
 	}
-	fl := &fleet{store: standin.NewStore(), dir: dir, started: time.Now(), trouble: os.Getenv("TROUBLE") != "0", record: record, stop: make(chan struct{})}
+	fl := &fleet{store: newStore(), dir: dir, started: time.Now(), trouble: os.Getenv("TROUBLE") != "0", record: record, stop: make(chan struct{})}
 	fl.note("case %s, disruption %t", t.Name(), fl.trouble)
 	return fl
 }
@@ -274,6 +273,7 @@
 	mutex    sync.Mutex
 	server   *http.Server
 	down     bool
+	state    string
 	born     int64
 	sequence int
 	arrivals []run
@@ -310,7 +310,7 @@
 	}
 	server := &http.Server{Handler: http.HandlerFunc(en.serve), ReadHeaderTimeout: time.Minute}
 	en.mutex.Lock()
-	en.server, en.down, en.born, en.sequence = server, false, time.Now().UnixMilli(), 0
+	en.server, en.down, en.state, en.born, en.sequence = server, false, "ready", time.Now().UnixMilli(), 0
 	en.mutex.Unlock()
 	go func() { _ = server.Serve(listener) }()
 }
@@ -324,12 +324,36 @@
 	}
 	en.sequence++
 	entry, _ := json.Marshal(map[string]any{
-		"Service": en.service, "Address": en.address, "Zone": en.zone, "Version": "v1", "Slots": 16, "State": "ready", "ColdRemainingMs": 0,
+		"Service": en.service, "Address": en.address, "Zone": en.zone, "Version": "v1", "Slots": 16, "State": en.state, "ColdRemainingMs": 0,
 		"Sequence": en.sequence, "born": en.born, "Stage": "prefill_decode", "Models": []any{map[string]any{"Name": "m", "Version": 1}},
 	})
 	en.fleet.store.Put("keyed.servers", en.id, entry)
 }
 
+// drain reports that the engine leaves. It serves for DrainMs and a little longer, and then exits.
+func (en *engine) drain(longer time.Duration) (ack time.Time) {
+	en.mutex.Lock()
+	en.state = "draining"
+	en.mutex.Unlock()
+	en.beat()
+	ack = time.Now()
+	go func() {
+		select {
+		case <-time.After(drainTime + longer):
+		case <-en.fleet.stop:
+			return
+		}
+		en.mutex.Lock()
+		en.down = true
+		server := en.server
+		en.mutex.Unlock()
+		en.fleet.store.Put("keyed.servers", en.id, nil)
+		en.fleet.note("%s exits", en.id)
+		_ = server.Close()
+	}()
+	return ack
+}
+
 // crash ends all channels of the engine. It is back after a time, as a new boot under the same id.
 func (en *engine) crash(downtime time.Duration) {
 	en.mutex.Lock()
