--- a/review/lab/fleet_test.go
+++ b/review/lab/fleet_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -144,15 +145,19 @@
 	exited   chan struct{}
 }
 
-// freeAddress returns an address on loopback at which nothing listens.
+// freeAddress returns an address on loopback at which nothing listens, with a port below those of outgoing channels.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fmt.Println(err)
-		os.Exit(exitNotRun)
+	const firstPort, ports, tries = 12_000, 18_000, 200
+	for range tries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	fmt.Println("no free port")
+	os.Exit(exitNotRun)
+	return ""
 }
 
 var (
@@ -214,6 +219,8 @@
 // start starts the process of the host. Its log goes to the file NAME.log of the folder in LOGS, if that is set.
 func (hs *host) start() {
 	hs.process = exec.Command("target/hibiscusleverd")
+	// The daemons end with this program, however it ends.
+	hs.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	hs.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "HIBISCUSLEVER_NODE_FILE=" + hs.settings}
 	if folder := os.Getenv("LOGS"); folder != "" {
 		output, err := os.OpenFile(filepath.Join(folder, hs.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
