--- a/review/lab/unframed_test.go
+++ b/review/lab/unframed_test.go
@@ -19,10 +19,16 @@
 
 const (
 	engineProcessEnv = "REVIEW_ENGINE"
-	streamLength     = 8
-	streamPause      = 45 * time.Millisecond
+	// streamPieces is the number of events of a stream, plainPieces that of the pieces of a plain answer.
+	streamPieces = 8
+	streamPause  = 45 * time.Millisecond
+	plainPieces  = 16
+	plainPause   = 5 * time.Millisecond
 )
 
+// plainPiece is a piece of a plain answer.
+var plainPiece = strings.Repeat("x", 4095) + "\n"
+
 // TestEngineProcess is no test but an engine in a process of its own: it serves at the address in REVIEW_ENGINE until it
 // is killed. Its answers have no length and end with their channel.
 func TestEngineProcess(t *testing.T) {
@@ -60,19 +66,28 @@
 		return
 	}
 	defer func() { _ = channel.Close() }()
-	time.Sleep(80 * time.Millisecond)
-	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Seal: " + attempt + "\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	isStream := request.Header.Get("X-Token-Count") != ""
+	contentType, pieces, pause, work := "application/octet-stream", plainPieces, plainPause, 30*time.Millisecond
+	if isStream {
+		contentType, pieces, pause, work = "text/event-stream", streamPieces, streamPause, 80*time.Millisecond
+	}
+	time.Sleep(work)
+	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Seal: " + attempt + "\r\nContent-Type: " + contentType + "\r\nConnection: close\r\n\r\n"
 	if _, err := channel.Write([]byte(head)); err != nil {
 		return
 	}
 	last := 0
 	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &last)
-	for number := last + 1; number <= streamLength; number++ {
-		if _, err := fmt.Fprintf(channel, "id: %d\ndata: event %d of %s\n\n", number, number, attempt); err != nil {
+	for number := last + 1; number <= pieces; number++ {
+		piece := plainPiece
+		if isStream {
+			piece = fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", number, number, attempt)
+		}
+		if _, err := channel.Write([]byte(piece)); err != nil {
 			return
 		}
-		fmt.Printf("%s event %d\n", attempt, number)
-		time.Sleep(streamPause)
+		fmt.Printf("piece %d of %s\n", number, attempt)
+		time.Sleep(pause)
 	}
 }
 
@@ -80,6 +95,7 @@
 type engineProcess struct {
 	fleet   *fleet
 	id      string
+	service string
 	zone    string
 	address string
 
@@ -137,19 +153,22 @@
 	}
 	ep.sequence++
 	entry := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":16,"State":"ready","ColdRemainingMs":0,"Sequence":%d,"born":%d,"Stage":"prefill_decode","Models":[{"Name":"m","Version":1}]}`,
-		modelService, ep.address, ep.zone, ep.sequence, ep.born)
+		ep.service, ep.address, ep.zone, ep.sequence, ep.born)
 	ep.fleet.store.Put("keyed.servers", ep.id, []byte(entry))
 }
 
-// TestCrashDuringAnswerWithoutLength has engines, whose streams have no length, crash while they write.
+// TestCrashDuringAnswerWithoutLength has engines and servers of the plain service, whose answers have no length, crash
+// while they write.
 func TestCrashDuringAnswerWithoutLength(t *testing.T) {
 	fl := newFleet(t)
-	const engineCount = 6
+	const enginesPerService = 6
 	var engines []*engineProcess
-	for ix := range engineCount {
-		ep := &engineProcess{fleet: fl, id: fmt.Sprintf("i-llm-%d", ix+1), zone: fmt.Sprintf("norte-%c", 'a'+ix%3), address: freeAddress()}
-		ep.start()
-		engines = append(engines, ep)
+	for ix := range enginesPerService {
+		for _, service := range []string{modelService, plainService} {
+			ep := &engineProcess{fleet: fl, id: fmt.Sprintf("i-%s-%d", service, ix+1), service: service, zone: fmt.Sprintf("norte-%c", 'a'+ix%3), address: freeAddress()}
+			ep.start()
+			engines = append(engines, ep)
+		}
 	}
 	go func() {
 		for {
@@ -167,16 +186,16 @@
 	fl.startHosts(3)
 	time.Sleep(contact)
 	const (
-		clients  = 24
-		crashes  = 6
-		downtime = 2 * time.Second
-		interval = 5 * time.Second
+		clientsPerService = 24
+		crashes           = 12
+		downtime          = 2 * time.Second
+		interval          = 4 * time.Second
 	)
 	var wait sync.WaitGroup
 	var mutex sync.Mutex
-	var whole, failed, endedEarly int
+	whole, endedEarly, failed := map[string]int{}, map[string]int{}, map[string]int{}
 	stop := make(chan struct{})
-	for number := range clients {
+	for number := range 2 * clientsPerService {
 		wait.Go(func() {
 			for sent := 0; ; sent++ {
 				select {
@@ -186,25 +205,32 @@
 				}
 				attempt := fmt.Sprintf("c%d-%d", number, sent)
 				hs := fl.hosts[(number+sent)%len(fl.hosts)]
-				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				service, method, path, tokens, deadline := modelService, http.MethodPost, "/quote/"+attempt, "4960,1600", 10*time.Second
+				if number%2 == 1 {
+					service, method, path, tokens, deadline = plainService, http.MethodGet, "/stock/"+attempt, "", 1500*time.Millisecond
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), deadline)
 				fl.note("client %d sends %s to %s", number, attempt, hs.name)
-				got := fl.send(ctx, hs, http.MethodPost, attempt, "/quote/"+attempt, "4960,1600", 10*time.Second, []byte("prompt "+attempt))
+				got := fl.send(ctx, hs, method, attempt, path, tokens, deadline, nil)
 				cancel()
-				pieces := strings.Count(got.body, "\n\n")
-				ended := "as complete"
+				pieces, all := strings.Count(got.body, "\n\n"), streamPieces
+				if service == plainService {
+					pieces, all = len(got.body)/len(plainPiece), plainPieces
+				}
+				ended := "as a whole"
 				mutex.Lock()
 				switch {
 				case got.status != http.StatusOK || got.err != nil:
-					failed++
+					failed[service]++
 					ended = "as a failure"
-				case pieces < streamLength:
-					endedEarly++
-					ended = "as complete before its last piece"
+				case pieces < all:
+					endedEarly[service]++
+					ended = "as if it were whole"
 				default:
-					whole++
+					whole[service]++
 				}
 				mutex.Unlock()
-				fl.note("client %d gets %d with %d pieces to %s, which ends %s; error %v", number, got.status, pieces, attempt, ended, got.err)
+				fl.note("client %d gets %d with %d of %d pieces to %s, which ends %s; error %v", number, got.status, pieces, all, attempt, ended, got.err)
 				time.Sleep(100 * time.Millisecond)
 			}
 		})
@@ -229,11 +255,13 @@
 	}
 	mutex.Lock()
 	defer mutex.Unlock()
-	if whole < 100 {
-		fl.finish(exitNotRun, "only %d streams were whole, %d failed", whole, failed)
+	if whole[modelService] < 100 || whole[plainService] < 100 {
+		fl.finish(exitNotRun, "too few answers: %v whole, %v failed", whole, failed)
 	}
-	if endedEarly > 0 {
-		fl.finish(exitBroken, "ORDER: %d streams ended as complete before their last piece; %d were whole, %d failed", endedEarly, whole, failed)
+	counts := fmt.Sprintf("%d streams ended as complete before their last piece, %d plain answers of success lacked a part; whole: %d and %d; failed: %d and %d",
+		endedEarly[modelService], endedEarly[plainService], whole[modelService], whole[plainService], failed[modelService], failed[plainService])
+	if endedEarly[modelService] > 0 || endedEarly[plainService] > 0 {
+		fl.finish(exitBroken, "ORDER and MIXED: %s", counts)
 	}
-	fl.finish(exitHeld, "held: no stream ended as complete before its last piece; %d were whole, %d failed", whole, failed)
+	fl.finish(exitHeld, "held: %s", counts)
 }
