A stopping host sends the ends of responses before it closes its connections

What callers saw: at a planned stop a refusal or the last chunk of a stream was missing, though the host had logged the request as ended.

Cause: the count of requests in flight falls when a handler returns, but net/http sends a refusal that was not flushed, and the end of a chunked body, after that. When the count was 0 the servers were closed at once. A request whose head had been read and whose handler had not started was cut the same way. The peers' port had the same fault for answers to relayed calls.

Now the process closes listeners and idle connections first, and then waits until no connection is in net/http's state Active, within the time that ShutDown returns (0.98 of the grace on the users' platform, 0.5 s at the product's own front, where calls of other hosts may wait for a grant).

Ruled out: http.Server.Shutdown alone, which waits up to 5 s for connections on which nothing was sent. A head of which only a part has arrived is still cut; its request was not read.

--- a/host.go
+++ b/host.go
@@ -261,6 +261,7 @@
 		Servers:   ht.servers(),
 		Listeners: ht.listeners,
 		ShutDown:  ht.shutDown,
+		Clock:     ht.clock,
 	}.Run(ctx)
 	ht.close()
 	return err
@@ -301,8 +302,8 @@
 // shutDown notifies the other hosts that this host is leaving, so that they no longer give its address to callers. It
 // continues to serve while callers may still use address lists that they received before, then rejects new requests and
 // waits for those in flight. The shutdown timeout bounds all of this except the final wait for work that outlasts its
-// request, such as the cleanup after attempts.
-func (ht *Host) shutDown(ctx context.Context) {
+// request, such as the cleanup after attempts. It returns how long the ends of responses may still be sent.
+func (ht *Host) shutDown(ctx context.Context) time.Duration {
 	const drainCheckInterval = 50 * time.Millisecond
 	ht.logger.Info("host is leaving")
 	ctx, cancel := context.WithTimeout(ctx, ht.settings.Operators.ShutdownTimeout)
@@ -316,8 +317,13 @@
 	ht.modelRunner.Wait()
 	ht.plainRunner.Wait()
 	ht.logger.Info("host has finished its requests", "in_flight", ht.callerServer.InFlight())
+	return responseEndTime
 }
 
+// responseEndTime is how long the servers of a host that has finished its requests may take to send the ends of
+// responses. Calls of other hosts that wait longer, such as those for a grant, end with the host.
+const responseEndTime = 500 * time.Millisecond
+
 func (ht *Host) close() {
 	ht.closeListeners()
 	ht.engineClient.Close()
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -5,9 +5,12 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
+
+	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
 // Process is a set of tasks and HTTP servers that run and stop together.
@@ -17,12 +20,15 @@
 	// Servers are the HTTP servers. Each serves the listener at the same index of Listeners.
 	Servers   []*http.Server
 	Listeners []net.Listener
-	// ShutDown finishes the requests in flight, while tasks and servers still run. They are stopped when it returns.
-	// Its context ends early if a task or server stops by itself.
-	ShutDown func(context.Context)
+	// ShutDown finishes the requests in flight, while tasks and servers still run. It returns how long the servers may
+	// then take to send what handlers have written; they accept no connections meanwhile. Its context ends early if a
+	// task or server stops by itself.
+	ShutDown func(context.Context) time.Duration
+	Clock    timer.Clock
 }
 
-// Run runs the tasks and servers until the context ends, calls ShutDown, stops them, and returns when all have stopped.
+// Run runs the tasks and servers until the context ends, calls ShutDown, lets the servers send the ends of responses,
+// stops all, and returns when all have stopped.
 // If a task or server stops by itself, Run stops the others without calling ShutDown and returns the error of the
 // first.
 func (pr Process) Run(ctx context.Context) error {
@@ -34,15 +40,28 @@
 		taskCtx, cancel := context.WithCancel(backgroundCtx)
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
 	}
+	conns := newConnections()
 	for index, server := range pr.Servers {
 		listener := pr.Listeners[index]
-		group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+		conns.watch(server)
+		serverCtx, cancel := context.WithCancel(backgroundCtx)
+		group.Add(func() error {
+			err := server.Serve(listener)
+			if errors.Is(err, http.ErrServerClosed) {
+				// The server may still answer on open connections; the group must not stop because of its listener.
+				<-serverCtx.Done()
+			}
+			return err
+		}, func(error) {
+			cancel()
+			_ = server.Close()
+		})
 	}
 	shutdownCtx, cancel := context.WithCancel(backgroundCtx)
 	group.Add(func() error {
 		select {
 		case <-ctx.Done():
-			pr.ShutDown(shutdownCtx)
+			pr.finishResponses(shutdownCtx, conns, pr.ShutDown(shutdownCtx))
 		case <-shutdownCtx.Done():
 		}
 		return nil
@@ -52,3 +71,25 @@
 	}
 	return nil
 }
+
+// finishResponses closes the listeners and the idle connections, and waits until no request is being answered on the
+// others, at most until the timeout has passed or the context ends.
+func (pr Process) finishResponses(ctx context.Context, conns *connections, timeout time.Duration) {
+	// Shutdown with a context that has ended does not wait.
+	endedCtx, cancel := context.WithCancel(ctx)
+	cancel()
+	for _, server := range pr.Servers {
+		_ = server.Shutdown(endedCtx)
+	}
+	expired, subscription := timer.Wait(pr.Clock, timeout)
+	defer subscription.Stop()
+	for conns.activeCount() > 0 {
+		select {
+		case <-conns.changed:
+		case <-expired:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/site/host.go
+++ b/site/host.go
@@ -291,6 +291,7 @@
 		Servers:   ht.httpServers(),
 		Listeners: ht.listeners,
 		ShutDown:  ht.shutDown,
+		Clock:     ht.clock,
 	}.Run(ctx)
 	ht.forwarder.Wait()
 	ht.peerClient.Close()
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -21,6 +21,8 @@
 	abortShare = 0.92
 	// exitShare is the part after which the host no longer waits for requests in flight.
 	exitShare = 0.96
+	// closeShare is the part after which the host closes connections on which the end of a response is still being sent.
+	closeShare = 0.98
 )
 
 // inFlight returns the number of requests in progress: those of clients, and those sent on behalf of peers.
@@ -32,9 +34,10 @@
 }
 
 // shutDown withdraws the host from the addresses that clients are given, continues to serve clients that have cached
-// its address for a while, and returns when all requests in flight have finished or the time is over. Requests that
-// still wait for a grant when the host stops accepting new ones are refused; they have not run.
-func (ht *Host) shutDown(ctx context.Context) {
+// its address for a while, and ends when all requests in flight have finished or the time is over. Requests that
+// still wait for a grant when the host stops accepting new ones are refused; they have not run. It returns how long the
+// ends of responses may still be sent.
+func (ht *Host) shutDown(ctx context.Context) time.Duration {
 	const pollInterval = 20 * time.Millisecond
 	startedLeavingAt := ht.clock.Now()
 	grace := ht.settings.Operators.ShutdownTimeout
@@ -59,8 +62,9 @@
 			ht.forwarder.Abort()
 		}
 		if !timer.Sleep(ctx, ht.clock, pollInterval) {
-			return
+			break
 		}
 	}
 	ht.logger.Info("host has finished its requests", "in_flight", ht.inFlight(), "took_ms", ht.clock.Now().Sub(startedLeavingAt).Milliseconds())
+	return graceShareEnd(closeShare).Sub(ht.clock.Now())
 }
