A leaving host sends nothing for the first time after the time in which it accepts requests

What callers saw: at a planned stop orders ended without an answer that had been read long after the signal.

Cause: whether the host still accepts requests was looked at before the body was read, and nowhere after. A request whose body arrived late, that waited for a permit or for memory, or whose first server could not be reached or did not run it, was passed on late in the grace and cut at its end.

Now a request that no server may have run is refused as not run (503 with Retry-After) when the host stops accepting: before each sending, and at once while it waits for a permit or for memory. A grant that arrives at that moment goes back to the dispatcher. What a server may have run goes on, also on another server.

Ruled out: waits for a grant were refused before, but a grant that was at hand without a wait was used, because the end of the grant waits reaches a new context only some time later.

Conclusion: what remains is one dial that is under way when the host stops accepting: a request may be sent at its end.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -154,10 +154,11 @@
 	case hostLeaving && len(grant.Parts) == 0:
 		st.setOutcomeOnShutdown()
 	case ctx.Err() != nil:
-		if len(grant.Parts) > 0 {
-			rn.dispatcher.ReportEnded(broker.EndedGrant{Request: st.grantRequest.ID, Attempt: grant.Attempt})
-		}
+		st.returnGrant(grant)
 		st.setOutcomeOnContextEnd(ctx)
+	case st.refusesFirstSending():
+		st.returnGrant(grant)
+		st.setOutcomeOnShutdown()
 	case !oc.OK():
 		if st.mayHaveRun {
 			oc.Kind = outcome.Failed
@@ -169,6 +170,13 @@
 	return batch.Grant{}, false
 }
 
+// returnGrant returns a grant to the dispatcher that was not used. It does nothing if the grant is empty.
+func (st *engineJob) returnGrant(grant batch.Grant) {
+	if len(grant.Parts) > 0 {
+		st.runner.dispatcher.ReportEnded(broker.EndedGrant{Request: st.grantRequest.ID, Attempt: grant.Attempt})
+	}
+}
+
 // waitLimitFromArrival returns how long after the arrival of the request the client gives up. That is route.WaitLimit
 // after the last forwarded event, or after the arrival if there was none, but never later than the deadline.
 func (st *engineJob) waitLimitFromArrival() time.Duration {
@@ -225,8 +233,16 @@
 	ctx, span := rn.tracer.Start(ctx, "engine.attempt", trace.WithAttributes(
 		attribute.String("attempt", string(grant.Attempt)), attribute.String("engine", string(primary.Engine))))
 	defer span.End()
-	reservedMemory, refused := rn.reserve(ctx, grant)
+	reserveCtx, detach := st.withFirstSending(ctx)
+	reservedMemory, refused := rn.reserve(reserveCtx, grant)
+	detach()
 	switch {
+	case st.refusesFirstSending():
+		if reservedMemory != nil {
+			reservedMemory.release()
+		}
+		st.setOutcomeOnShutdown()
+		return broker.EndedGrant{}, attemptResult{reason: "the host is leaving", final: true}
 	case refused != nil && errors.Is(refused.err, ErrUndetermined):
 		rn.recordUnreachable(rn.serverOfPart(st.request.Service, refused.part))
 		return broker.EndedGrant{FailedEngine: refused.part.Engine}, attemptResult{reason: refused.err.Error(), retryCause: retry.NotSent}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -44,6 +44,9 @@
 			return
 		}
 		server, wait, ok := jb.takeReplacementOrChoose(ctx, tried)
+		if jb.refusesFirstSending() && (lastErrorResponse == nil || lastErrorResponse.notRun) {
+			break
+		}
 		if !ok {
 			jb.backoffWait = wait
 			break
@@ -90,6 +93,8 @@
 		jb.writeBuffered(*lastErrorResponse)
 	case ctx.Err() != nil:
 		jb.setOutcomeOnContextEnd(ctx)
+	case jb.refusesFirstSending():
+		jb.setOutcomeOnShutdown()
 	case jb.result.Attempts == 0 && jb.limitReached:
 		jb.result.Outcome = outcome.Refuse(outcome.Overloaded, "the request limits of the service's servers are reached").WithRetryAfter(rn.addJitter(max(jb.backoffWait, minLimitRetryAfter)))
 	case jb.result.Attempts == 0 && jb.backoffWait > 0:
@@ -168,7 +173,9 @@
 	if !permit.Granted() {
 		return serverlist.Server{}, permit.Wait, false
 	}
-	if !timer.Sleep(ctx, rn.clock, permit.Wait) {
+	sleepCtx, detach := jb.withFirstSending(ctx)
+	defer detach()
+	if !timer.Sleep(sleepCtx, rn.clock, permit.Wait) {
 		return serverlist.Server{}, 0, false
 	}
 	for _, server := range rn.fleet.Servers(jb.request.Service) {
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -157,8 +157,8 @@
 	return rn.retries.Budgets()
 }
 
-// RejectWaiting rejects all requests that wait for a grant now or later. Other hosts may still serve those of them that
-// have not run in an earlier attempt.
+// RejectWaiting rejects all requests that wait for a grant now or later, and all others that no server may have run yet.
+// Other hosts may still serve those that have not run.
 func (rn *Runner) RejectWaiting() { rn.cancelGrantWaits() }
 
 // Wait blocks until the crash checks that outlive their requests have ended.
@@ -387,6 +387,22 @@
 	return rn.retries.Allows(retry.Failure{Service: jb.request.Service, Cause: retry.Interrupted, AttemptsMade: attemptsMade, Idempotent: jb.request.Route.Repeatable()})
 }
 
+// refusesFirstSending reports whether the request must not be sent any more, because the host no longer accepts requests
+// and no server may have run this one yet: it could not be finished before the host stops, while another host can serve
+// it.
+func (jb *job) refusesFirstSending() bool {
+	return jb.runner.grantContext.Err() != nil && !jb.mayHaveRun && !jb.result.HeadSent
+}
+
+// withFirstSending returns a copy of ctx for what precedes a sending. It also ends when the request must not be sent for
+// the first time any more. The caller must call the returned function to free resources.
+func (jb *job) withFirstSending(ctx context.Context) (context.Context, context.CancelFunc) {
+	if jb.mayHaveRun || jb.result.HeadSent {
+		return context.WithCancel(ctx)
+	}
+	return withShutdown(ctx, jb.runner.grantContext)
+}
+
 // setOutcomeOnContextEnd sets the outcome of a request whose context has ended: because the host is shutting down,
 // because the client has disconnected, or because the deadline has passed.
 func (jb *job) setOutcomeOnContextEnd(ctx context.Context) {
--- /dev/null
+++ b/site/leaving_host_test.go
@@ -0,0 +1,54 @@
+package site_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestBodyThatArrivesAfterAcceptTime stops a host while the body of an order is still arriving. If the body is complete
+// within the time in which the host accepts requests, the order runs. If it is complete later, the order is refused as not
+// run, because it may not be repeated and the host may have to cut it.
+func TestBodyThatArrivesAfterAcceptTime(t *testing.T) {
+	const grace = 2 * time.Second
+	for _, tc := range []struct {
+		name       string
+		arrives    time.Duration
+		wantStatus int
+		wantRuns   int
+	}{
+		{"in time", 200 * time.Millisecond, http.StatusOK, 1},
+		{"late", 900 * time.Millisecond, http.StatusServiceUnavailable, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.shutdownTimeout = grace
+			server := env.addServer("b1", "books")
+			env.publishTable()
+			host := env.startHost("host-1", true)
+			conn, err := net.Dial("tcp", host.settings.Host.CallerAddress)
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: a1\r\nApi-Key: %s\r\nX-Deadline-Ms: 10000\r\nContent-Length: 8\r\n\r\nfour", hostName, apiKey)
+			assert.NilError(t, err)
+			// The head has to arrive before the signal.
+			time.Sleep(100 * time.Millisecond)
+			host.stop()
+			time.Sleep(tc.arrives)
+			_, err = io.WriteString(conn, "four")
+			assert.NilError(t, err)
+			httpResponse, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, httpResponse.StatusCode, tc.wantStatus)
+			assert.Equal(t, httpResponse.Header.Get("Retry-After") != "", tc.wantStatus == http.StatusServiceUnavailable)
+			assert.Equal(t, len(server.ExecutedRequests()), tc.wantRuns)
+		})
+	}
+}
