A second SIGTERM does not end a host that is stopping

What callers saw: all requests in flight cut at once, if SIGTERM was sent twice to a host, as service managers and scripts do.

Cause: after the first signal the default action of SIGTERM was restored. Now only that of SIGINT is, for one who started the command in a terminal.

Ruled out: SIGHUP and a change of the desired state during a stop. The grace is read once when the stop begins, Host.Reload takes only seeds, and SIGHUP stays subscribed until the process ends.

Before: command.TestRepeatedSignals red in the two cases that repeat with SIGTERM ("signal: terminated"). After: green, twice; SIGINT still ends the process.

Conclusion: a stop ends early only by SIGINT or SIGKILL.

--- a/command/command.go
+++ b/command/command.go
@@ -103,12 +103,13 @@
 }
 
 // Execute runs a command, prints its error to errOut, and returns the exit code. SIGINT and SIGTERM end the command's
-// context, so that it can shut down gracefully; a second such signal ends the process immediately.
+// context, so that it can shut down gracefully. A SIGINT after that ends the process immediately; a SIGTERM does nothing
+// more, because service managers may repeat it.
 func Execute(root *cobra.Command, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	// After the first signal, stop restores the default action, by which the next signal ends the process.
-	context.AfterFunc(ctx, stop)
+	// Reset restores the default action, by which SIGINT ends the process.
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
 	err := root.ExecuteContext(ctx)
 	var usageError UsageError
 	switch {
