A host with a short grace answers what it aborts

What callers saw: with a ShutdownTimeout of 0 every request in flight ended with a closed connection; with 1 s the aborted ones had 40 ms to get their answer.

Cause: the parts of the grace scale with it, and a host without a grace left the wait before it aborted anything. Now the abort precedes the end by 250 ms where the grace allows, but not before 0.84 of it, since what a server answers until then must not be cut. Without a grace the requests are aborted at once and their answers get 250 ms.

Ruled out: SIGHUP changes no grace; a host with nothing in flight ends after its accept time (TestIdleHostStopsAfterAcceptTime: grace of 10 minutes).

Before: site.TestShortGraceLeavesTimeForAnswers red for 0, 1, 2 and 4 s; TestShortGraceAnswersWhatItAborts red for 0 (EOF), green for 200 ms and 1 s on a machine with little load. After: green, twice.

Conclusion: streams whose head has gone are still cut at the abort; no answer fits there.

--- a/site/leaving_host_test.go
+++ b/site/leaving_host_test.go
@@ -52,3 +52,47 @@
 		})
 	}
 }
+
+// TestShortGraceAnswersWhatItAborts stops hosts that have little or no time while a server works on an order. The client
+// gets an answer that promises nothing, not a closed connection.
+func TestShortGraceAnswersWhatItAborts(t *testing.T) {
+	for _, grace := range []time.Duration{0, 200 * time.Millisecond, time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.shutdownTimeout = grace
+			server := env.addServer("b1", "books")
+			server.WorkDuration = waitLimit
+			env.publishTable()
+			host := env.startHost("host-1", true)
+			received := make(chan response, 1)
+			go func() { received <- host.get("/order/1", "a1") }()
+			env.eventually(func() bool { return len(server.ExecutedRequests()) == 1 })
+			host.stop()
+			got := <-received
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusBadGateway)
+		})
+	}
+}
+
+// TestIdleHostStopsAfterAcceptTime checks that a host without requests ends when it no longer accepts any, although a
+// client keeps an idle connection.
+func TestIdleHostStopsAfterAcceptTime(t *testing.T) {
+	// grace is so long that a host that used all of it would not end within waitLimit.
+	const grace = 10 * time.Minute
+	env := newTestEnv(t)
+	env.shutdownTimeout = grace
+	env.addServer("b1", "books")
+	env.publishTable()
+	host := env.startHost("host-1", true)
+	assert.Equal(t, host.get("/read/1", "a1").status, http.StatusOK)
+	host.stop()
+	select {
+	case err := <-host.runEnded:
+		assert.NilError(t, err)
+		host.runEnded <- nil
+	case <-time.After(waitLimit):
+		t.Fatal("the host has not stopped")
+	}
+}
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -17,20 +17,59 @@
 	// up to maxAcceptTime.
 	acceptShare = 0.3
 	// abortShare is the part after which the host aborts the requests that it can't finish, so that their clients still
-	// get a response.
-	abortShare = 0.92
+	// get a response. A host with little time aborts them earlier, but not before earliestAbortShare, because servers may
+	// answer until then.
+	abortShare         = 0.92
+	earliestAbortShare = 0.84
 	// exitShare is the part after which the host no longer waits for requests in flight.
 	exitShare = 0.96
 	// closeShare is the part after which the host closes connections on which the end of a response is still being sent.
 	closeShare = 0.98
 )
 
+const (
+	// minAnswerTime is the time in which clients of aborted requests get their responses, if the shutdown timeout is long
+	// enough. A host without a shutdown timeout takes it nevertheless.
+	minAnswerTime = 250 * time.Millisecond
+	// closeDelay is how long after minAnswerTime a host without a shutdown timeout closes its connections.
+	closeDelay = 50 * time.Millisecond
+)
+
 // inFlight returns the number of requests in progress: those of clients, and those sent on behalf of peers.
 func (ht *Host) inFlight() int64 { return ht.clientHandler.InFlight() + ht.relayServer.InFlight() }
 
 // acceptTime returns how long a leaving host accepts new requests if it has the given time to stop.
 func acceptTime(grace time.Duration) time.Duration {
-	return min(maxAcceptTime, time.Duration(acceptShare*float64(grace)))
+	return min(maxAcceptTime, share(acceptShare, grace))
+}
+
+// share returns a part of the time that a host has to stop.
+func share(part float64, grace time.Duration) time.Duration {
+	return time.Duration(part * float64(grace))
+}
+
+// abortTime returns after what time a leaving host aborts the requests that it can't finish.
+func abortTime(grace time.Duration) time.Duration {
+	if grace <= 0 {
+		return 0
+	}
+	return min(share(abortShare, grace), max(share(earliestAbortShare, grace), exitTime(grace)-minAnswerTime))
+}
+
+// exitTime returns after what time a leaving host no longer waits for requests in flight.
+func exitTime(grace time.Duration) time.Duration {
+	if grace <= 0 {
+		return minAnswerTime
+	}
+	return share(exitShare, grace)
+}
+
+// closeTime returns after what time a leaving host closes its connections whatever is sent on them.
+func closeTime(grace time.Duration) time.Duration {
+	if grace <= 0 {
+		return minAnswerTime + closeDelay
+	}
+	return share(closeShare, grace)
 }
 
 // shutDown withdraws the host from the addresses that clients are given, continues to serve clients that have cached
@@ -53,10 +92,10 @@
 	timer.Sleep(ctx, ht.clock, acceptTime(grace))
 	ht.clientHandler.RefuseNewRequests()
 	ht.forwarder.RejectWaiting()
-	graceShareEnd := func(share float64) time.Time { return startedLeavingAt.Add(time.Duration(share * float64(grace))) }
+	elapsed := func() time.Duration { return ht.clock.Now().Sub(startedLeavingAt) }
 	aborted := false
-	for ht.inFlight() > 0 && ht.clock.Now().Before(graceShareEnd(exitShare)) {
-		if !aborted && !ht.clock.Now().Before(graceShareEnd(abortShare)) {
+	for ht.inFlight() > 0 && elapsed() < exitTime(grace) {
+		if !aborted && elapsed() >= abortTime(grace) {
 			aborted = true
 			ht.logger.Warn("host aborts the requests that it can't finish in time", "in_flight", ht.inFlight())
 			ht.forwarder.Abort()
@@ -65,6 +104,6 @@
 			break
 		}
 	}
-	ht.logger.Info("host has finished its requests", "in_flight", ht.inFlight(), "took_ms", ht.clock.Now().Sub(startedLeavingAt).Milliseconds())
-	return graceShareEnd(closeShare).Sub(ht.clock.Now())
+	ht.logger.Info("host has finished its requests", "in_flight", ht.inFlight(), "took_ms", elapsed().Milliseconds())
+	return closeTime(grace) - elapsed()
 }
--- a/site/shutdown_test.go
+++ b/site/shutdown_test.go
@@ -21,3 +21,24 @@
 		assert.Assert(t, accepted > 0 && accepted < grace/2, "%s of %s", accepted, grace)
 	}
 }
+
+// TestShortGraceLeavesTimeForAnswers checks that a host aborts requests so early that their clients still get an answer,
+// but not before the last sixth of the time that it has, in which servers may still finish.
+func TestShortGraceLeavesTimeForAnswers(t *testing.T) {
+	for grace, wantAnswerTime := range map[time.Duration]time.Duration{
+		0:                200 * time.Millisecond,
+		time.Second:      100 * time.Millisecond,
+		2 * time.Second:  200 * time.Millisecond,
+		4 * time.Second:  200 * time.Millisecond,
+		8 * time.Second:  300 * time.Millisecond,
+		30 * time.Second: time.Second,
+	} {
+		t.Run(grace.String(), func(t *testing.T) {
+			abort, exit := abortTime(grace), exitTime(grace)
+			assert.Assert(t, exit-abort >= wantAnswerTime, "aborts after %s, ends after %s", abort, exit)
+			assert.Assert(t, abort >= grace*5/6 && abort >= acceptTime(grace), "aborts after %s", abort)
+			assert.Assert(t, exit < grace || grace == 0, "ends after %s", exit)
+			assert.Assert(t, closeTime(grace) > exit, "ends after %s", exit)
+		})
+	}
+}
