lifecycle: the parts of the grace, for both kinds of host

No change of behaviour. The product's own front needs the same times. The two tests of the times move along; only the names that they call differ.

--- a/site/shutdown_test.go
+++ b/lifecycle/grace_test.go
@@ -1,10 +1,12 @@
-package site
+package lifecycle_test
 
 import (
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/lifecycle"
 )
 
 // TestLeavingHostAcceptsNoRequestThatItMustAbort guards against requests that are lost because a leaving host takes them
@@ -16,7 +18,7 @@
 		margin = 400 * time.Millisecond
 	)
 	for _, grace := range []time.Duration{500 * time.Millisecond, 5 * time.Second, 8 * time.Second, 10 * time.Second, 30 * time.Second, 5 * time.Minute} {
-		accepted := acceptTime(grace)
+		accepted := lifecycle.Grace(grace).AcceptTime()
 		assert.Assert(t, accepted <= lateAfter-margin, "%s of %s", accepted, grace)
 		assert.Assert(t, accepted > 0 && accepted < grace/2, "%s of %s", accepted, grace)
 	}
@@ -34,11 +36,12 @@
 		30 * time.Second: time.Second,
 	} {
 		t.Run(grace.String(), func(t *testing.T) {
-			abort, exit := abortTime(grace), exitTime(grace)
+			gr := lifecycle.Grace(grace)
+			abort, exit := gr.AbortTime(), gr.ExitTime()
 			assert.Assert(t, exit-abort >= wantAnswerTime, "aborts after %s, ends after %s", abort, exit)
-			assert.Assert(t, abort >= grace*5/6 && abort >= acceptTime(grace), "aborts after %s", abort)
+			assert.Assert(t, abort >= grace*5/6 && abort >= gr.AcceptTime(), "aborts after %s", abort)
 			assert.Assert(t, exit < grace || grace == 0, "ends after %s", exit)
-			assert.Assert(t, closeTime(grace) > exit, "ends after %s", exit)
+			assert.Assert(t, gr.CloseTime() > exit, "ends after %s", exit)
 		})
 	}
 }
