The product's own front answers what it can't finish before it stops

What callers saw at the product's own front: with a ShutdownTimeout not above KeepAddresses (30 s by default) a leaving host took requests until it ended and closed their connections; with any ShutdownTimeout those that outlast it got no answer, and a request whose body arrived late was still run.

Cause: the accept time was KeepAddresses whatever the time to stop, nothing aborted the requests, and the check for a stop preceded the body only.

A request is refused if the server was closed while its body arrived or its limits were asked for.

--- a/host.go
+++ b/host.go
@@ -301,18 +301,31 @@
 
 // shutDown notifies the other hosts that this host is leaving, so that they no longer give its address to callers. It
 // continues to serve while callers may still use address lists that they received before, then rejects new requests and
-// waits for those in flight. The shutdown timeout bounds all of this except the final wait for work that outlasts its
-// request, such as the cleanup after attempts. It returns how long the ends of responses may still be sent.
+// waits for those in flight. Those that it can't finish are aborted, so that their callers still get a response. The
+// shutdown timeout bounds all of this except the final wait for work that outlasts its request, such as the cleanup after
+// attempts. It returns how long the ends of responses may still be sent.
 func (ht *Host) shutDown(ctx context.Context) time.Duration {
 	const drainCheckInterval = 50 * time.Millisecond
-	ht.logger.Info("host is leaving")
-	ctx, cancel := context.WithTimeout(ctx, ht.settings.Operators.ShutdownTimeout)
-	defer cancel()
-	ht.gossip.Leave(ctx)
-	timer.Sleep(ctx, ht.clock, ht.settings.Callers.KeepAddresses)
+	startedLeavingAt := ht.clock.Now()
+	elapsed := func() time.Duration { return ht.clock.Now().Sub(startedLeavingAt) }
+	grace := lifecycle.Grace(ht.settings.Operators.ShutdownTimeout)
+	ht.logger.Info("host is leaving", "in_flight", ht.callerServer.InFlight(), "grace_ms", time.Duration(grace).Milliseconds())
+	acceptTime := grace.AcceptTimeUpTo(ht.settings.Callers.KeepAddresses)
+	leaveCtx, cancel := context.WithTimeout(ctx, acceptTime)
+	ht.gossip.Leave(leaveCtx)
+	cancel()
+	timer.Sleep(ctx, ht.clock, acceptTime-elapsed())
 	ht.callerServer.Close()
-	for ht.callerServer.InFlight() > 0 && ctx.Err() == nil {
-		timer.Sleep(ctx, ht.clock, drainCheckInterval)
+	aborted := false
+	for ht.callerServer.InFlight() > 0 && elapsed() < grace.ExitTime() {
+		if !aborted && elapsed() >= grace.AbortTime() {
+			aborted = true
+			ht.logger.Warn("host aborts the requests that it can't finish in time", "in_flight", ht.callerServer.InFlight())
+			ht.callerServer.Abort()
+		}
+		if !timer.Sleep(ctx, ht.clock, drainCheckInterval) {
+			break
+		}
 	}
 	ht.modelRunner.Wait()
 	ht.plainRunner.Wait()
--- a/lifecycle/grace.go
+++ b/lifecycle/grace.go
@@ -35,7 +35,12 @@
 
 // AcceptTime returns how long a leaving host accepts new requests.
 func (gr Grace) AcceptTime() time.Duration {
-	return min(maxAcceptTime, gr.share(acceptShare))
+	return gr.AcceptTimeUpTo(maxAcceptTime)
+}
+
+// AcceptTimeUpTo returns how long a leaving host accepts new requests if its callers may use its address for a time.
+func (gr Grace) AcceptTimeUpTo(addressTime time.Duration) time.Duration {
+	return min(addressTime, gr.share(acceptShare))
 }
 
 // share returns a part of the grace.
--- a/lifecycle/grace_test.go
+++ b/lifecycle/grace_test.go
@@ -45,3 +45,12 @@
 		})
 	}
 }
+
+// TestCallersThatKeepAddressesDoNotUseUpGrace checks that a host whose callers may use its address for longer than it has
+// to stop does not accept requests until it ends.
+func TestCallersThatKeepAddressesDoNotUseUpGrace(t *testing.T) {
+	const keepAddresses = 30 * time.Second
+	for grace, want := range map[time.Duration]time.Duration{0: 0, 10 * time.Second: 3 * time.Second, 10 * time.Minute: keepAddresses} {
+		assert.Equal(t, lifecycle.Grace(grace).AcceptTimeUpTo(keepAddresses), want)
+	}
+}
--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -58,18 +59,24 @@
 	)
 	ec.Response().Header().Set("X-Request-Id", string(call.RequestID))
 	ec.Response().Header().Set("Entry-Host", string(sv.config.Host))
-	ctx := ec.Request().Context()
+	ctx, detach := sv.withAbort(ec.Request().Context())
+	defer detach()
 	if oc := sv.dependencies.Limits.Spend(ctx, quota.SpendRequest{Organisation: organisation.Name, Request: call.RequestID, PromptTokens: call.PromptTokens}); !oc.OK() {
 		return sv.writeError(ec, oc)
 	}
 	defer sv.dependencies.Limits.Release(call.RequestID)
-	return sv.runCall(ec, call, request, isChat)
+	// The server may have been closed while the body arrived.
+	if oc := sv.refuseAfterClose(); !oc.OK() {
+		return sv.writeError(ec, oc)
+	}
+	return sv.runCall(ctx, ec, call, request, isChat)
 }
 
 // runCall runs a call, writes its response and records the metrics.
-func (sv *Server) runCall(ec echo.Context, call modelcall.Call, request openai.Request, isChat bool) error {
+func (sv *Server) runCall(ctx context.Context, ec echo.Context, call modelcall.Call, request openai.Request, isChat bool) error {
 	writer := &responseWriter{server: sv, ec: ec, call: call, request: request, isChat: isChat, createdUnix: sv.clock.Now().Unix()}
-	summary, oc := sv.dependencies.Models.Run(ec.Request().Context(), call, writer)
+	summary, oc := sv.dependencies.Models.Run(ctx, call, writer)
+	oc = abortedOutcome(ctx, oc)
 	band := promptBand(call.PromptTokens)
 	sv.metrics.Tagged(map[string]string{"outcome": oc.Kind.String(), "band": band}).Counter("requests").Inc(1)
 	if oc.OK() {
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/uber-go/tally/v4"
 
@@ -98,11 +99,15 @@
 	lastRequestNumber atomic.Uint64
 	inFlight          atomic.Int64
 	shuttingDown      atomic.Bool
+	// abortContext ends when all requests are to end.
+	abortContext context.Context
+	abort        context.CancelFunc
 }
 
 // NewServer returns a server for a host.
 func NewServer(config Config, dependencies Dependencies, clock timer.Clock, metrics tally.Scope) *Server {
 	sv := &Server{config: config, dependencies: dependencies, clock: clock, metrics: metrics, echo: echo.New()}
+	sv.abortContext, sv.abort = context.WithCancel(context.Background())
 	sv.echo.HideBanner = true
 	sv.echo.HTTPErrorHandler = sv.handleError
 	sv.echo.GET("/v1/addresses", sv.handleAddresses)
@@ -129,6 +134,41 @@
 	sv.shuttingDown.Store(true)
 }
 
+// Abort ends all requests in flight. Their callers get the outcome.
+func (sv *Server) Abort() {
+	sv.abort()
+}
+
+// errAborted is the cancellation cause of requests that the host can't finish before it stops.
+var errAborted = errors.New("the host is shutting down")
+
+// withAbort returns a copy of ctx that also ends when the server aborts its requests, then with errAborted as its cause.
+// The caller must call the returned function to free resources.
+func (sv *Server) withAbort(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	detach := context.AfterFunc(sv.abortContext, func() { cancel(errAborted) })
+	return ctx, func() {
+		detach()
+		cancel(nil)
+	}
+}
+
+// abortedOutcome returns the outcome of a request whose context may have been ended by Abort.
+func abortedOutcome(ctx context.Context, oc outcome.Outcome) outcome.Outcome {
+	if !oc.OK() && errors.Is(context.Cause(ctx), errAborted) {
+		oc.Reason, oc.Detail = outcome.ShuttingDown, "the host stops before the answer is complete"
+	}
+	return oc
+}
+
+// refuseAfterClose returns a refusal if the server is closed.
+func (sv *Server) refuseAfterClose() outcome.Outcome {
+	if sv.shuttingDown.Load() {
+		return outcome.Refuse(outcome.ShuttingDown, "the host is shutting down; ask for addresses again").WithRetryAfter(time.Second)
+	}
+	return outcome.Done()
+}
+
 // nextRequestID returns a new request ID. It is unique in the fleet, because it includes the host and its incarnation.
 func (sv *Server) nextRequestID() id.Request {
 	return id.NewRequest(sv.config.Host, sv.config.Incarnation, sv.lastRequestNumber.Add(1))
@@ -169,8 +209,8 @@
 	if !ready {
 		return organisation, plan, outcome.Refuse(outcome.NotReady, sv.dependencies.Lists.NotReadyReason()).WithRetryAfter(time.Second)
 	}
-	if sv.shuttingDown.Load() {
-		return organisation, plan, outcome.Refuse(outcome.ShuttingDown, "the host is shutting down; ask for addresses again").WithRetryAfter(time.Second)
+	if oc := sv.refuseAfterClose(); !oc.OK() {
+		return organisation, plan, oc
 	}
 	key, ok := strings.CutPrefix(ec.Request().Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -55,11 +55,16 @@
 	requestID := sv.nextRequestID()
 	ec.Response().Header().Set("X-Request-Id", string(requestID))
 	ec.Response().Header().Set("Entry-Host", string(sv.config.Host))
-	ctx := ec.Request().Context()
+	ctx, detach := sv.withAbort(ec.Request().Context())
+	defer detach()
 	if oc := sv.dependencies.Limits.Spend(ctx, quota.SpendRequest{Organisation: organisation.Name, Request: requestID}); !oc.OK() {
 		return sv.writeError(ec, oc)
 	}
 	defer sv.dependencies.Limits.Release(requestID)
+	// The server may have been closed while the body arrived.
+	if oc := sv.refuseAfterClose(); !oc.OK() {
+		return sv.writeError(ec, oc)
+	}
 	response, oc := sv.dependencies.Services.Run(ctx, servicecall.Call{
 		Request: servicecall.Request{
 			Method: ec.Request().Method,
@@ -76,7 +81,7 @@
 	})
 	sv.metrics.Tagged(map[string]string{"outcome": oc.Kind.String()}).Counter("service_requests").Inc(1)
 	if !oc.OK() {
-		return sv.writeError(ec, oc)
+		return sv.writeError(ec, abortedOutcome(ctx, oc))
 	}
 	return writeServiceResponse(ec, response)
 }
