A leaving host passes no request to a peer for the first time after its accept time

What callers saw: the same as with late first sendings, on a host that has lost links to servers.

Cause: an attempt that was under way when the host stopped accepting went on to a peer after a dial of 0.4 s, and to up to three peers one after another for 0.6 s.

Now an attempt carries the question whether it may still begin, and the sender asks it before each peer. It stays on the host; messages between hosts are unchanged.

Ruled out: a request that a peer relays through a leaving host late. The leaving host refuses it as not sent from the end of its accept time on, and is no longer chosen once it is known to leave (site's TestPlannedStopWaitsForRelayedCalls, peerrelay's TestRelayRefuses).

Conclusion: what remains is one dial of 0.4 s that is under way.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -279,6 +279,7 @@
 		ResumeAfter: st.lastEventID,
 		Helpers:     grant.Parts[1:],
 		Urgency:     grant.Urgency,
+		MayBegin:    st.maySend,
 
 		NewConnection: st.newConnection,
 	})
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -85,6 +85,9 @@
 	KeptConnection bool
 	// Urgency orders requests inside an engine, 0 first. If it is negative, no urgency is sent.
 	Urgency int
+	// MayBegin reports whether the request may still be sent; nil means that it may. A sender that has waited since Send was
+	// called asks it before it sends. Peers don't get it.
+	MayBegin func() bool
 }
 
 // Response is the head of a backend server's response, with the body still to be read. The caller must close Body.
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -214,7 +214,7 @@
 	remaining := jb.remaining()
 	monitor := jb.watchSlowServer(ctx, tried, func() { cancel(errSlowServer) })
 	defer func() { jb.replacement, jb.hasReplacement = monitor.takeReplacement() }()
-	response, err := rn.sender.Send(attemptCtx, Attempt{Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID, NewConnection: jb.newConnection, Urgency: -1})
+	response, err := rn.sender.Send(attemptCtx, Attempt{Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID, NewConnection: jb.newConnection, Urgency: -1, MayBegin: jb.maySend})
 	if err != nil {
 		if errors.Is(err, ErrNotSent) {
 			balanceResult = balance.Lost
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -394,6 +394,9 @@
 	return jb.runner.grantContext.Err() != nil && !jb.mayHaveRun && !jb.result.HeadSent
 }
 
+// maySend reports whether the request may still be sent.
+func (jb *job) maySend() bool { return !jb.refusesFirstSending() }
+
 // withFirstSending returns a copy of ctx for what precedes a sending. It also ends when the request must not be sent for
 // the first time any more. The caller must call the returned function to free resources.
 func (jb *job) withFirstSending(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -166,7 +166,7 @@
 
 // callThroughPeers has a peer make a call, and returns the peer. If the peer does not take the call, or its answer says
 // nothing about the server, it asks another one. It asks no other one if the call may have been sent, or if a peer that
-// reaches other servers did not reach this one.
+// reaches other servers did not reach this one, or once the request of an attempt must not be sent any more.
 func (sd *Sender) callThroughPeers(ctx context.Context, call Call) (Answer, id.Host, error) {
 	var tried []id.Host
 	var cutOffZones []id.AvailabilityZone
@@ -176,7 +176,7 @@
 	failure := &Failure{Reason: PeerUnreachable, NotSent: true, Detail: errNoPeer}
 	zone := sd.links.zone(call.Address)
 	startedAt := sd.clock.Now()
-	for len(tried) < maxPeersPerCall && ctx.Err() == nil && sd.clock.Now().Sub(startedAt) < maxAskTime {
+	for len(tried) < maxPeersPerCall && ctx.Err() == nil && sd.clock.Now().Sub(startedAt) < maxAskTime && mayBegin(call) {
 		peer, end, ok := sd.peers.choose(zone, tried, cutOffZones)
 		if !ok {
 			break
@@ -218,6 +218,11 @@
 	return Answer{}, last, failure
 }
 
+// mayBegin reports whether a call may still be passed to a peer.
+func mayBegin(call Call) bool {
+	return call.Attempt.MayBegin == nil || call.Attempt.MayBegin()
+}
+
 // recordAnswer records whether a peer reached the server of a call, and reports whether it did or reaches another one. The
 // answer of a peer that reaches no server does not count.
 func (sd *Sender) recordAnswer(call Call, answer Answer) bool {
