Test: changes during a stop neither end nor lengthen it

SIGHUP with a longer ShutdownTimeout and a new desired state without the route of a request in flight.

--- a/site/env_test.go
+++ b/site/env_test.go
@@ -108,6 +108,7 @@
 
 // testHost is a running host.
 type testHost struct {
+	host     *site.Host
 	settings settings.Settings
 	stop     context.CancelFunc
 	runEnded chan error
@@ -139,7 +140,7 @@
 	siteHost, err := site.New(hostOptions...)
 	assert.NilError(env.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &testHost{settings: siteHost.Settings(), stop: cancel, runEnded: make(chan error, 1), links: links}
+	started := &testHost{host: siteHost, settings: siteHost.Settings(), stop: cancel, runEnded: make(chan error, 1), links: links}
 	go func() { started.runEnded <- siteHost.Run(ctx) }()
 	env.t.Cleanup(func() {
 		cancel()
--- a/site/leaving_host_test.go
+++ b/site/leaving_host_test.go
@@ -96,3 +96,48 @@
 		t.Fatal("the host has not stopped")
 	}
 }
+
+// TestChangesDuringStopDoNotChangeIt reloads settings with a longer time to stop and changes the desired state while a host
+// stops. An order whose route is dropped meanwhile is answered, and one that takes too long is aborted when it would have
+// been without the changes.
+func TestChangesDuringStopDoNotChangeIt(t *testing.T) {
+	const grace = 2 * time.Second
+	for _, tc := range []struct {
+		name       string
+		work       time.Duration
+		wantStatus int
+	}{
+		{"an order that ends in time", time.Second, http.StatusOK},
+		{"an order that takes too long", waitLimit, http.StatusBadGateway},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.shutdownTimeout = grace
+			env.routes = append(env.routes, env.newRoute("slow", "/slow/", "non_idempotent", "books", 1, int(waitLimit.Milliseconds())))
+			server := env.addServer("b1", "books")
+			server.WorkDuration = tc.work
+			env.publishTable()
+			host := env.startHost("host-1", true)
+			received := make(chan response, 1)
+			go func() { received <- host.get("/slow/1", "a1") }()
+			env.eventually(func() bool { return len(server.ExecutedRequests()) == 1 })
+			host.stop()
+			longer := host.settings
+			longer.Operators.ShutdownTimeout = time.Hour
+			host.host.Reload(longer)
+			env.routes = env.routes[:len(env.routes)-1]
+			env.publishTable()
+			got := <-received
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, tc.wantStatus)
+			select {
+			case err := <-host.runEnded:
+				assert.NilError(t, err)
+				host.runEnded <- nil
+			case <-time.After(waitLimit):
+				t.Fatal("the host has not stopped")
+			}
+		})
+	}
+}
