Soak: SIGHUP waits for the start of the runtime by the time that it has run

Cause: until the Go runtime has started, the default action of SIGHUP ends the process; no code of the daemon runs by then. The soak waited 20 ms of wall time, in which a process on a busy machine may hardly have run.

Now it also waits until the first thread has run for 5 ms, 1 s at most.

The check is as strict: every SIGHUP is still sent, none earlier than before, and e2e.TestHangupWhileStarting holds the rest of the start.

Conclusion: a SIGHUP in the first 5 ms of run time still ends a daemon; nothing in it can prevent that.

--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -49,8 +50,14 @@
 	exited chan struct{}
 }
 
-// runtimeStartTime is how long the Go runtime of a daemon may take to start on a busy machine.
-const runtimeStartTime = 20 * time.Millisecond
+// The start of the Go runtime of a daemon, during which SIGHUP ends the process. runtimeStartTime is the time that it may
+// take, runtimeStartRunTime the time that its first thread must have run, which on a busy machine may be much later.
+// maxRuntimeStartTime bounds the wait for that, for a process that is paused.
+const (
+	runtimeStartTime    = 20 * time.Millisecond
+	runtimeStartRunTime = 5 * time.Millisecond
+	maxRuntimeStartTime = time.Second
+)
 
 // writeSettings writes the daemon's settings file to the folder dir.
 func (hs *host) writeSettings(dir, zone, peerListenAddress, operatorAddress string, peerSeeds []string) error {
@@ -175,9 +182,8 @@
 		return
 	}
 	if sig == syscall.SIGHUP {
-		// In the first 2 ms of a process, while the Go runtime starts, SIGHUP ends it. e2e.TestHangupWhileStarting
-		// covers the rest of the start.
-		time.Sleep(runtimeStartTime - time.Since(hs.startedAt))
+		// e2e.TestHangupWhileStarting covers the rest of the start.
+		hs.awaitRuntimeStart()
 	}
 	if sig != syscall.SIGHUP {
 		hs.testbed.recordDisruption(hs.name)
@@ -188,6 +194,30 @@
 	_ = hs.process.Process.Signal(sig)
 }
 
+// awaitRuntimeStart waits until the Go runtime of the daemon has started. The caller holds the mutex.
+func (hs *host) awaitRuntimeStart() {
+	const pollInterval = time.Millisecond
+	time.Sleep(runtimeStartTime - time.Since(hs.startedAt))
+	for time.Since(hs.startedAt) < maxRuntimeStartTime && firstThreadRunTime(hs.process.Process.Pid) < runtimeStartRunTime {
+		time.Sleep(pollInterval)
+	}
+}
+
+// firstThreadRunTime returns how long the first thread of a process has run. It returns runtimeStartRunTime if the system
+// does not say, as for a process that has ended.
+func firstThreadRunTime(pid int) time.Duration {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/schedstat", pid))
+	if err != nil {
+		return runtimeStartRunTime
+	}
+	runTime, _, _ := strings.Cut(string(content), " ")
+	nanoseconds, err := strconv.ParseInt(runTime, 10, 64)
+	if err != nil {
+		return runtimeStartRunTime
+	}
+	return time.Duration(nanoseconds)
+}
+
 // stopForGood sends a signal to end the daemon, starts no new process, and waits for the end. After waitLimit it
 // reports a violation and kills the process.
 func (hs *host) stopForGood(sig syscall.Signal) {
