--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -12,9 +12,9 @@
 func (ht *Host) inFlight() int64 { return ht.clientHandler.InFlight() + ht.relayServer.InFlight() }
 
 // shutDown withdraws the host from the addresses that clients are given, continues to serve clients that have cached
-// its address for a while, and ends when all requests in flight have finished or the time is over. Requests that
-// still wait for a grant when the host stops accepting new ones are refused; they have not run. It returns how long the
-// ends of responses may still be sent.
+// its address for a while, and ends when all requests in flight have finished or the time is over. Requests that no
+// server may have run when the host stops accepting new ones are refused. It returns how long the ends of responses may
+// still be sent.
 func (ht *Host) shutDown(ctx context.Context) time.Duration {
 	const pollInterval = 20 * time.Millisecond
 	startedLeavingAt := ht.clock.Now()
