--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -25,6 +26,8 @@
 	// task or server stops by itself.
 	ShutDown func(context.Context) time.Duration
 	Clock    timer.Clock
+	// Logger logs that connections are closed although the servers still answer on them.
+	Logger *slog.Logger
 }
 
 // Run runs the tasks and servers until the context ends, calls ShutDown, lets the servers send the ends of responses,
@@ -87,6 +90,7 @@
 		select {
 		case <-conns.changed:
 		case <-expired:
+			pr.Logger.Warn("connections closed while responses were being sent", "connections", conns.activeCount())
 			return
 		case <-ctx.Done():
 			return
--- a/lifecycle/response_end_test.go
+++ b/lifecycle/response_end_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -72,6 +75,8 @@
 	address string
 	stop    context.CancelFunc
 	ended   chan error
+	// log holds the log lines; it is complete when the process has ended.
+	log bytes.Buffer
 }
 
 // startProcess starts a process whose connections take writeDelay for each write, and that gives its servers
@@ -83,6 +88,7 @@
 	rp := &runningProcess{handler: &countingHandler{handler: handler}, address: listener.Addr().String(), stop: stop, ended: make(chan error, 1)}
 	process := lifecycle.Process{
 		Clock:     timer.NewSystem(),
+		Logger:    slog.New(slog.NewTextHandler(&rp.log, nil)),
 		Servers:   []*http.Server{{Handler: rp.handler}},
 		Listeners: []net.Listener{slowListener{listener, writeDelay}},
 		ShutDown: func(context.Context) time.Duration {
@@ -189,4 +195,5 @@
 	rp.awaitRequest()
 	rp.stop()
 	rp.awaitEnd(t)
+	assert.Assert(t, strings.Contains(rp.log.String(), "connections closed while responses were being sent"), rp.log.String())
 }
--- a/site/host.go
+++ b/site/host.go
@@ -292,6 +292,7 @@
 		Listeners: ht.listeners,
 		ShutDown:  ht.shutDown,
 		Clock:     ht.clock,
+		Logger:    ht.logger,
 	}.Run(ctx)
 	ht.forwarder.Wait()
 	ht.peerClient.Close()
