--- a/site/host.go
+++ b/site/host.go
@@ -291,6 +291,8 @@
 		Servers:   ht.httpServers(),
 		Listeners: ht.listeners,
 		ShutDown:  ht.shutDown,
+		Clock:     ht.clock,
+		Logger:    ht.logger,
 	}.Run(ctx)
 	ht.forwarder.Wait()
 	ht.peerClient.Close()
