A process that ends no longer counts as reachable because it accepted a probe

What callers saw: nothing by itself; it stands in the way of telling a crashed server from one that runs. While the system closes the sockets of a process that ends, its listener may still accept a connection. The probe of a connection reported such a server as reachable.

Cause: Pool.Preconnect returns as soon as the connection is open, and nobody looks at it again.

Now a probe looks at its connection after 5 ms, and opens another one if it was closed or reset: a server that has ended refuses that one, a server that closes connections beyond its limit accepts it and counts as reachable. The connection stays in the pool as before. A reset while the connection is being opened counts like one after it.

Ruled out: an HTTP request as a probe, which waits for a slot of the server.

Conclusion: a probe takes 5 ms longer; a refused connection shows at once, as before.

--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -134,27 +134,37 @@
 // dial opens a connection to an address. The connection has no timeouts of its own: a request ends with its context, because
 // a server that is silent for a moment may still answer.
 func (pl *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	connection, err := pl.dialTimed(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(connection, address), nil
+}
+
+// dialTimed opens a connection to an address within the timeout for that.
+func (pl *Pool) dialTimed(ctx context.Context, address string) (net.Conn, error) {
 	dial := pl.config.Dial
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, pl.config.DialTimeout)
 	defer cancel()
-	connection, err := dial(dialCtx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
+	return dial(dialCtx, "tcp", address)
+}
+
+func newConn(connection net.Conn, address string) *conn {
 	limited := &limitedReader{Reader: connection, remaining: unlimited}
-	return &conn{Conn: connection, address: address, limitedReader: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
+	return &conn{Conn: connection, address: address, limitedReader: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
 }
 
-// Preconnect opens a connection to an address and stores it for later requests, as far as the limits of the pool allow.
+// Preconnect opens a connection to an address, as DialRunning does, and stores it for later requests, as far as the limits
+// of the pool allow.
 func (pl *Pool) Preconnect(ctx context.Context, address string) error {
-	cn, err := pl.dial(ctx, address)
+	connection, err := DialRunning(ctx, pl.clock, func(dialCtx context.Context) (net.Conn, error) { return pl.dialTimed(dialCtx, address) })
 	if err != nil {
 		return err
 	}
-	pl.putIdle(cn, 0)
+	pl.putIdle(newConn(connection, address), 0)
 	return nil
 }
 
