A response to HEAD without a length ends with its head

Cause: transport/backend took every response without length and chunks for one that ends with its connection, also one that has no body.

Ruled out: statuses without a body (204, 304), whose length is known.

Before: transport/backend TestResponseThatEndsWithConnection fails for a response to HEAD without a length. After: it passes. testutil.CutServer, which the test uses, writes a response up to any of its bytes and ends the connection.

Conclusion: the connection of such a response is reused, too.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -207,7 +207,7 @@
 			}
 			continue
 		}
-		endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+		endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 		ex.reusable = !response.Close && response.ProtoAtLeast(1, 1) && !endsWithConnection
 		ex.keepAliveTimeout = parseKeepAliveTimeout(response.Header)
 		ex.body = response.Body
