A caller that counts as gone gets no 200 with an empty body

What callers saw: a caller of the product's own front that closes only its side of the connection after its request got status 200 with an empty body, framed as whole, or a stream that ended like a complete one without its last events.

Cause: net/http ends the context of a request when the caller's side is closed. responseWriter.finish returned without having written anything, and net/http makes that a 200 without a body, or ends the chunks of a stream.

Ruled out: the platform's front, which writes a 502 or 503 then and closes the connection in the middle of an answer; the other handlers of transport/caller, transport/operator and transport/peer, which write a response or end the connection on each path (by reading).

Before: transport/caller TestHalfClosedCallerGetsNoWholeAnswer fails in all three cases (document, stream before and after its first token).

Conclusion: a handler whose client may have gone ends the connection instead of returning.

--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -283,11 +283,12 @@
 }
 
 // finish completes the response. An incomplete answer never has a finish reason or the final [DONE] event, so that the
-// caller can't take it for a complete one.
+// caller can't take it for a complete one. If the caller has gone, finish panics with http.ErrAbortHandler.
 func (rw *responseWriter) finish(summary modelcall.Summary, oc outcome.Outcome) error {
 	switch {
 	case oc.Reason == outcome.CallerGone:
-		return nil
+		// A caller that has closed only its side of the connection would take what net/http adds for the end of an answer.
+		panic(http.ErrAbortHandler)
 	case !oc.OK() && rw.streamStarted:
 		return rw.sendJSON(newErrorBody(oc))
 	case !oc.OK():
