A document whose response breaks off after it is an error

What callers saw: nothing known; a host took a report or a list for whole whose response was cut off between the end of the document and the end of its framing.

Cause: fetch.JSON stops to read at the end of the document.

Conclusion: such a response is read to the end of its framing, which also makes its connection reusable.

--- a/transport/fetch/fetch.go
+++ b/transport/fetch/fetch.go
@@ -12,7 +12,7 @@
 )
 
 // JSON sends a GET request to a URL and decodes the JSON body of the response into value. It reads at most maxBytes
-// bytes of the body. A status other than 200 is an error.
+// bytes of the body. A status other than 200 is an error, and so is a body that breaks off, even after the document.
 func JSON(ctx context.Context, client *http.Client, url string, maxBytes int64, value any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -26,8 +26,12 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d from %s", response.StatusCode, url)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxBytes)).Decode(value); err != nil {
+	body := io.LimitReader(response.Body, maxBytes)
+	if err := json.NewDecoder(body).Decode(value); err != nil {
 		return errors.Wrapf(err, "decode response from %s", url)
 	}
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return errors.Wrapf(err, "read the end of the response from %s", url)
+	}
 	return nil
 }
