A crash does not make a part of a service's answer a whole one at the own front

What callers saw: at the product's own front, 200 and a part of an answer that has neither length nor chunks, framed as whole, if the server crashed while it wrote. With an idempotency key, the part would be recorded as the result (by reading).

Cause: such an answer ends with its connection, and the system of a process that crashes closes the connection in the ordinary way. transport/service took that for the end of the answer.

Ruled out, by transport/service TestCutResponseIsNotAnswered over every byte position of head, body, chunks and trailers, on a new and on a reused connection, closed and reset: all other framings.

The client opens a connection to the server after the end of a success without length, as backend.DialRunning does; if that is refused, the request counts as one that may have run, and is repeated elsewhere if it may be.

NewClient takes the timer service.

--- a/host.go
+++ b/host.go
@@ -165,7 +165,7 @@
 	}
 	ht.platformClient = platform.NewClient(ht.settings.Platform.URL, ht.traceTransport)
 	ht.engineClient = engine.NewClient(ht.clock, ht.traceTransport)
-	ht.serviceClient = service.NewClient(ht.traceTransport)
+	ht.serviceClient = service.NewClient(ht.clock, ht.traceTransport)
 	ht.peerClient = peer.NewClient(ht.localMember, ht.clock, connect.WithInterceptors(ht.traceInterceptor))
 	gossipConfig := gossip.DefaultConfig()
 	gossipConfig.Seeds = ht.settings.Peers.Seeds
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -8,12 +8,15 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/servicecall"
 	"github.com/hibiscuslever/hibiscuslever/protocol/engine"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/backend"
 )
 
 const (
@@ -25,15 +28,19 @@
 
 // Client calls backend servers by their addresses. It is safe for concurrent use.
 type Client struct {
+	clock        timer.Clock
+	dialer       *net.Dialer
 	pooledClient *http.Client
 	// singleUseClient opens a new connection for each request.
 	singleUseClient *http.Client
 }
 
 // NewClient returns a client whose HTTP transports are wrapped by a function, which may add tracing.
-func NewClient(wrap func(http.RoundTripper) http.RoundTripper) *Client {
+func NewClient(clock timer.Clock, wrap func(http.RoundTripper) http.RoundTripper) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
+		clock:        clock,
+		dialer:       dialer,
 		pooledClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute})),
 		// net/http resends a request with an Idempotency-Key header if a reused connection is lost. Requests that must
 		// be sent at most once therefore get a new connection.
@@ -73,9 +80,32 @@
 	if err != nil || len(body) > maxResponseBytes {
 		return servicecall.Response{}, servicecall.MayHaveRun
 	}
+	if endsWithConnection(response) && response.StatusCode < http.StatusMultipleChoices && !cl.runs(ctx, address) {
+		return servicecall.Response{}, servicecall.MayHaveRun
+	}
 	return servicecall.Response{Status: response.StatusCode, Header: response.Header, Body: body}, servicecall.Answered
 }
 
+// endsWithConnection reports whether the end of the connection is the only mark of the end of a response's body. A body that
+// was compressed has an end of its own.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed && response.Request.Method != http.MethodHead
+}
+
+// runs reports whether the server at an address still runs, that is accepts a connection. The connection of a process that
+// crashes ends like the one of a server that closes it.
+func (cl *Client) runs(ctx context.Context, address string) bool {
+	connection, err := backend.DialRunning(ctx, cl.clock, func(dialCtx context.Context) (net.Conn, error) {
+		return cl.dialer.DialContext(dialCtx, "tcp", address)
+	})
+	if err != nil {
+		return errors.Is(err, syscall.ECONNRESET)
+	}
+	// The connection has served its purpose.
+	_ = connection.Close()
+	return true
+}
+
 // isRefusal reports whether the body of a response with status 503 says that the server is draining and did not run the
 // request.
 func isRefusal(body io.Reader) bool {
--- a/transport/service/client_test.go
+++ b/transport/service/client_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/servicecall"
 	"github.com/hibiscuslever/hibiscuslever/testutil"
+	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/service"
 )
 
@@ -31,7 +32,7 @@
 				panic(http.ErrAbortHandler)
 			}
 		}))
-		client := service.NewClient(noTracing)
+		client := service.NewClient(timer.NewSystem(), noTracing)
 		address := strings.TrimPrefix(server.URL, "http://")
 		newRequest := func() servicecall.Request {
 			return servicecall.Request{Method: http.MethodPost, Path: "/", Header: http.Header{"Idempotency-Key": {"k"}}, AtMostOnce: atMostOnce}
@@ -55,7 +56,7 @@
 	server := httptest.NewServer(http.NotFoundHandler())
 	address := strings.TrimPrefix(server.URL, "http://")
 	server.Close()
-	client := service.NewClient(noTracing)
+	client := service.NewClient(timer.NewSystem(), noTracing)
 	defer client.Close()
 	_, result := client.Send(context.Background(), address, servicecall.Request{Method: http.MethodPost, Path: "/", Header: http.Header{}, AtMostOnce: true})
 	assert.Equal(t, result, servicecall.NotSent)
