A crash does not make a part of an answer without length a whole one

A request that crashed its server after its first event was cleared of all its crashes.

Cause: an answer with neither length nor chunks ends with its connection. The system of a process that crashes closes the connection in the ordinary way. forward took any such end for the end of the answer; only streams without an event or cut inside one were doubted.

Now the end of a success without length counts only if the server accepts a connection after it and the list shows no newer start of it, or of another server at its address. A plain answer that fits the buffer is held until then; of a stream and of a longer answer only the end. Otherwise it is a lost attempt like any other: a crash counts against the request, a repeatable request goes to another server, a stream resumes after its last event, and what can't be repeated is broken off. A stream that resumes after such an end may be empty. Failures pass as before.

TestStreamCutInsideEventIsNotComplete: its second server refused connections and was yet expected to give a whole stream. It is reachable now; all that is asserted stays.

Conclusion: what remains is a server that crashes and listens again before the probe, and before the list shows it.

--- a/coordination/forward/broken_stream_test.go
+++ b/coordination/forward/broken_stream_test.go
@@ -18,7 +18,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
-// cutOffServers sends streams of unknown length that end where the connection ends. All servers refuse probes.
+// cutOffServers sends streams of unknown length that end where the connection ends. Server one refuses probes.
 type cutOffServers struct {
 	fakeServers
 	// bodies holds the body of each attempt in order.
@@ -33,8 +33,11 @@
 	}, nil
 }
 
-func (sv *cutOffServers) ProbeConnection(context.Context, string) forward.ProbeResult {
-	return forward.ConnectionRefused
+func (sv *cutOffServers) ProbeConnection(_ context.Context, address string) forward.ProbeResult {
+	if address == "one:80" {
+		return forward.ConnectionRefused
+	}
+	return forward.Reachable
 }
 
 // TestStreamCutInsideEventIsNotComplete checks that a stream whose connection ends inside or before an event is resumed if that
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -31,6 +31,9 @@
 	// endsUnnumbered says that an event with data but without an id was forwarded after the one with lastEventID. The stream
 	// can't be resumed then, because no request can ask an engine to go on after it.
 	endsUnnumbered bool
+	// endUnconfirmed says that the stream was resumed because its end was not confirmed. It may have been the end, so that a
+	// stream that resumes it may have no event.
+	endUnconfirmed bool
 	// grantsUsed counts the grants used so far, failover grants included.
 	grantsUsed int
 	// mutex guards lastEventAt, the time when an event was last forwarded.
@@ -444,10 +447,16 @@
 		}
 		receivedEvents = receivedEvents || len(ev.data) > 0
 		receivedField = receivedField || ev.hasField
-		if errors.Is(err, io.EOF) && (!receivedEvents && response.EndsWithConnection || !receivedField && resumesResponse) {
+		switch mayBeEmpty := resumesResponse && st.endUnconfirmed; {
+		case !errors.Is(err, io.EOF):
+		case !mayBeEmpty && (!receivedEvents && response.EndsWithConnection || !receivedField && resumesResponse):
 			// An engine that crashes before its first event ends the connection in the same way. A stream that broke off
 			// was not at its end, so that an engine that resumes it has at least one event.
-			err = io.ErrUnexpectedEOF
+			ev, err = event{}, io.ErrUnexpectedEOF
+		default:
+			if endErr := st.confirmEnd(ctx, st.server, st.grantedAt, response); endErr != nil {
+				ev, err = event{}, endErr
+			}
 		}
 		if len(ev.data) > 0 {
 			st.setIsolatedParts(nil)
@@ -470,6 +479,7 @@
 			return broker.EndedGrant{}, attemptResult{reason: "answered", final: true}
 		default:
 			st.mayHaveRun = true
+			st.endUnconfirmed = errors.Is(err, errEndUnconfirmed)
 			return st.classifyLoss(sendCtx, ctx, primary, err)
 		}
 	}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -297,7 +297,7 @@
 			jb.mayHaveRun = true
 			return nil, retry.Interrupted, errSlowServer.Error()
 		}
-		if err := jb.copyToClient(response, prefix); err != nil {
+		if err := jb.copyToClient(ctx, server, startedAt, response, prefix); err != nil {
 			jb.classifyInterruption(ctx, server, startedAt, err)
 		}
 		return nil, 0, "passed through"
@@ -312,6 +312,9 @@
 		return copyRest(nil)
 	}
 	body, complete, err := readUpTo(response.Body, jb.runner.config.ResponseBufferBytes)
+	if err == nil && complete {
+		err = jb.confirmEnd(ctx, server, startedAt, response)
+	}
 	if err != nil {
 		if !monitor.keep() {
 			err = errSlowServer
@@ -377,8 +380,9 @@
 
 // copyToClient sends the head of a response, the prefix of its body that was already read, and the rest as it arrives. Of
 // a stream of events, it sends nothing from the first line on that can't be part of an event. It returns an error only if
-// reading from the server fails; a failure to write to the client is recorded as the result's cause.
-func (jb *job) copyToClient(response Response, prefix []byte) error {
+// reading from the server fails or the end is not confirmed; a failure to write to the client is recorded as the result's
+// cause.
+func (jb *job) copyToClient(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response, prefix []byte) error {
 	jb.result.HeadSent = true
 	jb.result.Status = response.Status
 	if err := jb.sink.WriteHead(response.Status, response.Header, response.Length); err != nil {
@@ -417,8 +421,11 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			jb.result.Complete = true
-			return nil
+			err = jb.confirmEnd(ctx, server, startedAt, response)
+			if err == nil {
+				jb.result.Complete = true
+				return nil
+			}
 		}
 		if err != nil {
 			jb.result.Cause = "the answer broke off: " + err.Error()
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -58,6 +58,10 @@
 	// event, and end the stream. AnswersTextOnResume makes it answer a request to resume a stream with a text.
 	WritesErrorIntoStream
 	AnswersTextOnResume
+	// OmitsLengths makes responses end with their connection, without length and chunks. CrashesWithoutLength is the same, but
+	// the server crashes after half of each response, and its connection is closed in the ordinary way.
+	OmitsLengths
+	CrashesWithoutLength
 )
 
 // ExecutedRequest is a request that a server started to run.
@@ -447,6 +451,9 @@
 	case ForeignResponseOnReuse:
 		sv.respondRaw(rw, text, executed.Attempt, "", "another")
 		return
+	case OmitsLengths, CrashesWithoutLength:
+		sv.respondWithoutLength(rw, executed, "text/plain", []string{text[:5], text[5:]}, 0)
+		return
 	}
 	_, _ = io.WriteString(rw, text)
 	sv.markCompleted(executed)
@@ -496,6 +503,14 @@
 			return
 		}
 	}
+	if fault == OmitsLengths || fault == CrashesWithoutLength {
+		var events []string
+		for number := firstEvent; number <= sv.EventCount; number++ {
+			events = append(events, fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number))
+		}
+		sv.respondWithoutLength(rw, executed, "text/event-stream", events, interval)
+		return
+	}
 	for number := firstEvent; number <= sv.EventCount; number++ {
 		select {
 		case <-time.After(interval):
@@ -527,6 +542,35 @@
 // errorText is the text of an error that looks like the end of a stream.
 const errorText = "the server failed\r\n\r\n"
 
+// respondWithoutLength writes a response that ends with its connection in parts, with a pause before each. If the fault
+// demands it, the server crashes before the part in the middle and restarts after a second.
+func (sv *Server) respondWithoutLength(rw http.ResponseWriter, executed *ExecutedRequest, contentType string, parts []string, pause time.Duration) {
+	sv.mutex.Lock()
+	crashes := sv.fault == CrashesWithoutLength
+	sv.mutex.Unlock()
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-of-%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", executed.Attempt, sv.ID, contentType)
+	for index, part := range parts {
+		time.Sleep(pause)
+		if crashes && index == len(parts)/2 {
+			sv.Crash(Crash{Downtime: time.Second})
+			return
+		}
+		if err == nil {
+			_, err = io.WriteString(conn, part)
+		}
+	}
+	if err != nil {
+		sv.markDisconnected(executed)
+		return
+	}
+	sv.markCompleted(executed)
+}
+
 // sendGarbage writes bytes that are not HTTP until the host closes the connection.
 func (sv *Server) sendGarbage(rw http.ResponseWriter, rq *http.Request) {
 	conn, _, err := http.NewResponseController(rw).Hijack()
