The end of an answer without length is asked for longer where no other attempt is possible

What callers saw: a 502, or a stream that broke off, for a sound answer without length whose server neither accepted nor refused one probe within 400 ms, as a server does that falls silent for a moment or whose link is lossy.

Cause: confirmEnd probed again only for requests that may not be repeated, and not for those whose attempts or retry budget are used up, nor for an answer of which a part has been sent and that can't be resumed.

Ruled out: asking longer in every case. A request that may run elsewhere would wait for a server that is lost.

Before: three new cases of forward TestCrashEndsAnswerWithoutLength fail (no other attempt, plain and stream; a long plain answer). After: they pass, and the package.

Conclusion: up to 2 s, as for the others.

--- a/coordination/forward/response_end.go
+++ b/coordination/forward/response_end.go
@@ -15,7 +15,7 @@
 var errEndUnconfirmed = errors.New("the connection ended before the end of the answer was certain")
 
 const (
-	// endConfirmationLimit bounds the time in which the end of a response is confirmed if its request can't be repeated.
+	// endConfirmationLimit bounds the time in which the end of a response is confirmed if no other attempt is possible.
 	endConfirmationLimit = 2 * time.Second
 	// endConfirmationPause is the pause between two probes for that.
 	endConfirmationPause = 50 * time.Millisecond
@@ -26,7 +26,7 @@
 // a response counts as complete only if the server accepts a connection after that and the list shows no newer start.
 // Failures are not confirmed.
 //
-// A server that neither accepts nor refuses a connection is probed again, unless the request can be repeated.
+// A server that neither accepts nor refuses a connection is probed again, unless another attempt is possible.
 func (jb *job) confirmEnd(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response) error {
 	if !response.EndsWithConnection || response.Status >= http.StatusMultipleChoices {
 		return nil
@@ -34,7 +34,7 @@
 	rn := jb.runner
 	endedAt := rn.clock.Now()
 	result := rn.probeConnection(ctx, server)
-	for !result.Alive() && result != ConnectionRefused && !jb.request.Route.Repeatable() &&
+	for !result.Alive() && result != ConnectionRefused && !jb.canRunAgain() &&
 		rn.clock.Now().Sub(endedAt) < endConfirmationLimit && timer.Sleep(ctx, rn.clock, endConfirmationPause) {
 		result = rn.probeConnection(ctx, server)
 	}
@@ -47,6 +47,13 @@
 	return errEndUnconfirmed
 }
 
+// canRunAgain reports whether the request may be sent to another server, or its stream resumed there, if the current attempt
+// fails now.
+func (jb *job) canRunAgain() bool {
+	resumable := !jb.result.HeadSent || jb.request.Route.HasPrompt
+	return resumable && jb.sentCount < jb.request.Route.MaxAttempts && jb.retryAllowed(jb.sentCount)
+}
+
 // restartedSince reports whether the list shows that the server of an attempt has started again since, under its own id or
 // another one. A server that is no longer listed may still run.
 func restartedSince(server serverlist.Server, startedAt time.Time, listed []serverlist.Server) bool {
--- a/coordination/forward/response_end_test.go
+++ b/coordination/forward/response_end_test.go
@@ -133,12 +133,15 @@
 		{name: "plain, long", route: plainOnce, bodies: []string{long}, probeResults: alive, complete: true, want: long, sends: 1},
 		{name: "plain, through a peer", route: plainOnce, bodies: []string{"abc"}, probeResults: []forward.ProbeResult{forward.ReachableThroughPeer}, complete: true, want: "abc", sends: 1},
 		{name: "plain, not repeatable, silent for a moment", route: plainOnce, bodies: []string{"abc"}, probeResults: []forward.ProbeResult{forward.Unresponsive, forward.Undetermined, forward.Reachable}, complete: true, want: "abc", sends: 1},
+		{name: "plain, no other attempt, silent for a moment", route: route.Route{Kind: route.Idempotent, MaxAttempts: 1}, bodies: []string{"abc"}, probeResults: []forward.ProbeResult{forward.Unresponsive, forward.Undetermined, forward.Reachable}, complete: true, want: "abc", sends: 1},
+		{name: "plain, long, silent for a moment", route: plainTwice, bodies: []string{long}, probeResults: []forward.ProbeResult{forward.Unresponsive, forward.Reachable}, complete: true, want: long, sends: 1},
 		{name: "plain, leaving", route: plainOnce, bodies: []string{"abc"}, probeResults: alive, listed: []serverlist.Server{leaving, second}, complete: true, want: "abc", sends: 1},
 		{name: "plain, no longer listed", route: plainOnce, bodies: []string{"abc"}, probeResults: alive, listed: []serverlist.Server{second}, complete: true, want: "abc", sends: 1},
 		{name: "plain, failure", route: plainOnce, bodies: []string{"no"}, probeResults: dead, status: http.StatusNotFound, complete: true, want: "no", sends: 1, crashes: 1},
 		{name: "stream of a plain service", route: plainStream, bodies: []string{piece1}, probeResults: alive, complete: true, want: piece1, sends: 1},
 		{name: "stream", route: streamOnce, bodies: []string{piece1 + piece2}, probeResults: alive, complete: true, want: piece1 + piece2, sends: 1},
 		{name: "stream, comment at its end", route: streamOnce, bodies: []string{piece1 + ": comment"}, probeResults: alive, complete: true, want: piece1 + ": comment", sends: 1},
+		{name: "stream, no other attempt, silent for a moment", route: route.Route{Kind: route.Streaming, HasPrompt: true, MaxAttempts: 1, Resumable: true}, bodies: []string{piece1}, probeResults: []forward.ProbeResult{forward.Unresponsive, forward.Reachable}, complete: true, want: piece1, sends: 1},
 		{name: "stream, leaving", route: streamOnce, bodies: []string{piece1 + piece2}, probeResults: alive, listed: []serverlist.Server{leaving, second}, complete: true, want: piece1 + piece2, sends: 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -168,7 +171,7 @@
 				assert.Equal(t, len(servers.sentTo), tc.sends)
 				assert.Equal(t, table.ConfirmedCrashes(fingerprint), tc.crashes)
 				switch {
-				case tc.route.Resumable:
+				case tc.route.Resumable && tc.sends > 1:
 					assert.Equal(t, servers.resumedAfter[1], strconv.Itoa(strings.Count(tc.bodies[0], "data:")))
 				case tc.status == http.StatusNotFound:
 					assert.Equal(t, servers.probes, 0)
