Bound the fields of a response head before it is parsed

Callers saw: while a faulty server sent thousands of short header fields, the host that had called it ran out of memory, and the requests of its other clients ended with it.

Cause: the head of a response was limited in bytes (64 KB) but not in fields. A parsed field takes a multiple of its bytes, and a head that stops halfway is kept until the request's deadline.

Ruled out: http.ReadResponse bounds neither fields nor bytes of a head. Trailers and chunk lengths are bounded by the read buffer of 4 KB. A count in the parsed form comes too late, since the parser has allocated it by then.

The fields are counted in the bytes that arrive from the connection, up to 256 for each head, interim ones included. The bytes of a head, with the interim heads before it, end at 40 KB. Bytes of a body that arrive with the head are not counted.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -73,7 +72,9 @@
 	// maxSkippedBodyBytes limits the body of a skipped response.
 	maxSkippedBodyBytes = 256 << 10
 	// maxHeadBytes limits the head of a response together with the interim responses before it.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 40 << 10
+	// maxHeadFields limits the header fields of each head.
+	maxHeadFields = 256
 )
 
 // Do sends a request once and returns the head of the response. Its error wraps ErrNotSent or ErrStaleConnection where
@@ -186,7 +187,7 @@
 			return nil, errors.Wrap(ex.markStale(err), "read answer")
 		}
 		ex.conn.limitedReader.setLimit(maxHeadBytes)
-		response, err := readFinalResponse(ex.conn.reader, httpRequest)
+		response, err := ex.conn.readFinalResponse(httpRequest)
 		if err != nil {
 			ex.abort()
 			return nil, errors.Wrap(err, "read answer")
@@ -237,9 +238,16 @@
 
 // readFinalResponse reads the next response and skips interim (1xx) ones, except for 101 Switching Protocols, which is
 // final.
-func readFinalResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+func (cn *conn) readFinalResponse(request *http.Request) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(reader, request)
+		buffered, err := cn.reader.Peek(cn.reader.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if err := cn.limitedReader.startHead(buffered); err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(cn.reader, request)
 		if err != nil {
 			return nil, err
 		}
