--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -69,8 +69,8 @@
 	maxSkippedResponses = 3
 	// unidentifiedResponseWait is how long an exchange waits for its response after a response that names no request.
 	unidentifiedResponseWait = 500 * time.Millisecond
-	// maxSkippedBodyBytes limits the body of a skipped response.
-	maxSkippedBodyBytes = 256 << 10
+	// maxDiscardedBodyBytes limits the body of a skipped or discarded response.
+	maxDiscardedBodyBytes = 256 << 10
 	// maxHeadBytes limits the head of a response together with the interim responses before it.
 	maxHeadBytes = 40 << 10
 	// maxHeadFields limits the header fields of each head.
@@ -198,7 +198,7 @@
 			closeTimer = ex.pool.clock.After(unidentifiedResponseWait, func() { _ = ex.conn.Close() })
 		}
 		if unidentified || request.MatchesRequest != nil && !request.MatchesRequest(response.StatusCode, response.Header) {
-			if err := discardBody(response.Body); err != nil {
+			if err := DiscardBody(response.Body); err != nil {
 				ex.abort()
 				return nil, errors.Wrap(err, "skip an answer to another request")
 			}
@@ -218,11 +218,12 @@
 	return nil, errors.New("the server sent only answers to other requests")
 }
 
-// discardBody reads the body of a skipped response to its end. A body longer than maxSkippedBodyBytes is an error.
-func discardBody(body io.Reader) error {
-	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes+1))
-	if err == nil && skipped > maxSkippedBodyBytes {
-		err = fmt.Errorf("its body is longer than %d bytes", maxSkippedBodyBytes)
+// DiscardBody reads the body of a response to its end, so that the connection can be reused. A body longer than
+// maxDiscardedBodyBytes is an error.
+func DiscardBody(body io.Reader) error {
+	discarded, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBodyBytes+1))
+	if err == nil && discarded > maxDiscardedBodyBytes {
+		err = fmt.Errorf("its body is longer than %d bytes", maxDiscardedBodyBytes)
 	}
 	return err
 }
