End relayed probes and orders whose answer has no end

Callers saw: nothing so far; the same class as probes that a host makes itself.

Cause: the client of relayed calls read the body of an answer that has none without a bound in bytes.

TestEndlessBodyOfRelayedProbe, deadline of 3 s: red before after 3.00 s, passes now in less than 0.01 s.

--- a/transport/peer/relay_client.go
+++ b/transport/peer/relay_client.go
@@ -69,10 +69,14 @@
 		return peerrelay.Answer{}, err
 	}
 	if call.Kind != peerrelay.Send {
-		_, err := io.Copy(io.Discard, relayed)
+		err := backend.DiscardBody(relayed)
 		_ = relayed.Close()
-		if err != nil {
+		var failure *peerrelay.Failure
+		switch {
+		case errors.As(err, &failure):
 			return peerrelay.Answer{}, err
+		case err != nil:
+			return peerrelay.Answer{}, brokenRelay(err)
 		}
 		return answer, nil
 	}
