Bound the lines of engines' streams to 64 KB

Callers saw: engines whose streams have lines without end made the product's own front keep a megabyte for each stream.

Cause: a line of a stream could have 1 MB; the users' platform's streams have had 64 KB for an event.

TestLongFramePasses holds the other direction, a frame of 60 KB.

--- a/transport/engine/stream.go
+++ b/transport/engine/stream.go
@@ -12,8 +12,9 @@
 	"github.com/hibiscuslever/hibiscuslever/protocol/engine"
 )
 
-// maxEventLineBytes limits a line of a stream.
-const maxEventLineBytes = 1 << 20
+// maxEventLineBytes limits a line of a stream, so that hundreds of streams without line ends fit into the memory of a
+// small host.
+const maxEventLineBytes = 64 << 10
 
 // frameStream reads the frames of an attempt from a stream of server-sent events.
 type frameStream struct {
