Bound the response to an append to the log

Callers saw: nothing so far; a log service that answers an append without end made the host keep what it sent until the call's deadline.

Cause: the JSON of the response was decoded without a bound in bytes.

The response, which holds one offset, ends at 4 KB. TestEndlessAppendResponse (8 MB of text, deadline of 3 s): red before after 3.00 s, passes now in less than 0.2 s. The append counts as one that may be stored, as before.

--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +22,8 @@
 const (
 	dialTimeout      = time.Second
 	maxResponseBytes = 256 << 20
+	// maxAppendResponseBytes limits the response to an append, which holds one offset.
+	maxAppendResponseBytes = 4096
 )
 
 // Client calls the platform at one URL. It is safe for concurrent use.
@@ -70,7 +73,7 @@
 		return id.NoOffset, MaybeStored
 	}
 	var appended platform.AppendResponse
-	if json.NewDecoder(response.Body).Decode(&appended) != nil {
+	if json.NewDecoder(io.LimitReader(response.Body, maxAppendResponseBytes)).Decode(&appended) != nil {
 		return id.NoOffset, MaybeStored
 	}
 	return appended.Offset, Stored
