Bound response heads of the clients on net/http to 40 KB

Callers saw: nothing so far; the same class as the heads of backend servers.

Cause: http.Transport accepts response heads of 10 MB unless told otherwise; the clients of engines, plain services, the platform and peers on the product's own front left it at that.

Ruled out: interim responses, of which net/http ends a series by itself. The operator's client, which is a process of its own.

TestLongHeads and TestLongHeadOfPeer: heads of 1 MB were accepted by all clients before and are rejected now; heads of 24 KB are accepted. net/http offers no bound on the number of fields: 40 KB of short fields still cost a multiple there.

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -47,9 +47,10 @@
 // NewClient returns a client whose HTTP transport is wrapped by a function, which may add tracing.
 func NewClient(clock timer.Clock, wrap func(http.RoundTripper) http.RoundTripper) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: fetch.MaxHeadBytes,
 	}
 	return &Client{httpClient: &http.Client{Transport: wrap(transport)}, clock: clock}
 }
--- a/transport/fetch/fetch.go
+++ b/transport/fetch/fetch.go
@@ -11,6 +11,9 @@
 	"github.com/go-faster/errors"
 )
 
+// MaxHeadBytes limits the head of a response that an HTTP client of a host accepts.
+const MaxHeadBytes = 40 << 10
+
 // JSON sends a GET request to a URL and decodes the JSON body of the response into value. It reads at most maxBytes
 // bytes of the body. A status other than 200 is an error.
 func JSON(ctx context.Context, client *http.Client, url string, maxBytes int64, value any) error {
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/lists"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/fetch"
 )
 
 // dialTimeout limits the time to open a connection to another host.
@@ -94,10 +95,11 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     time.Minute,
-		Protocols:           new(http.Protocols),
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: fetch.MaxHeadBytes,
+		Protocols:              new(http.Protocols),
 	}
 }
 
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -36,8 +36,9 @@
 // a function, which may add tracing.
 func NewClient(baseURL string, wrap func(http.RoundTripper) http.RoundTripper) *Client {
 	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout: time.Minute,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: fetch.MaxHeadBytes,
 	}
 	return &Client{baseURL: baseURL, httpClient: &http.Client{Transport: wrap(transport)}}
 }
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/servicecall"
 	"github.com/hibiscuslever/hibiscuslever/protocol/engine"
+	"github.com/hibiscuslever/hibiscuslever/transport/fetch"
 )
 
 const (
@@ -34,10 +35,10 @@
 func NewClient(wrap func(http.RoundTripper) http.RoundTripper) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		pooledClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute})),
+		pooledClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: fetch.MaxHeadBytes})),
 		// net/http resends a request with an Idempotency-Key header if a reused connection is lost. Requests that must
 		// be sent at most once therefore get a new connection.
-		singleUseClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true})),
+		singleUseClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: fetch.MaxHeadBytes})),
 	}
 }
 
