Refuse long request bodies that find no memory

Callers saw: while clients sent many requests with long bodies, the host ran out of memory, and the requests of its other clients ended with it.

Cause: the length of one body was limited (MaxBodyBytes), the sum of all of them was not. A body was also read into a buffer that grew, which cost several times its bytes until the next garbage collection.

Ruled out: waiting for memory. A body that waits keeps its request's time and its client from other hosts.

--- a/site/host.go
+++ b/site/host.go
@@ -211,6 +211,10 @@
 		Seed:        seed,
 	})
 	ht.clientHandler = platform.NewClientHandler(ht.updateFollower, ht.forwarder, ht.clock, ht.logger)
+	// bodyMemoryShare is the part of the process's memory that the bodies of requests may take. The rest is for responses
+	// and for what is kept besides.
+	const bodyMemoryShare = 0.3
+	ht.clientHandler.LimitBodyMemory(int64(bodyMemoryShare * ht.settings.Limits.MemoryMegabytes * (1 << 20)))
 	return nil
 }
 
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -300,3 +300,33 @@
 		})
 	}
 }
+
+// TestLongRequestBodiesExhaustMemory has clients send more bytes in the bodies of concurrent requests than the memory
+// of the smallest host, while no server answers. The daemon must stay within that memory.
+func TestLongRequestBodiesExhaustMemory(t *testing.T) {
+	const (
+		requests  = 64
+		bodyBytes = 4 << 20
+	)
+	address, processID := startHostWithMemory(t, faultyResponse{})
+	ctx, cancel := context.WithTimeout(t.Context(), faultyTime)
+	defer cancel()
+	body := bytes.Repeat([]byte("x"), bodyBytes)
+	var group sync.WaitGroup
+	for ix := range requests {
+		group.Go(func() {
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/read/x", bytes.NewReader(body))
+			assert.Check(t, err)
+			request.Host = virtualHost
+			standin.SetRequestHeaders(request.Header, fmt.Sprint("request-", ix), apiKey, "")
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				assert.Check(t, response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "", "%s", response.Status)
+				_ = response.Body.Close()
+			}
+		})
+	}
+	group.Wait()
+	peak := peakResidentMegabytes(t, processID)
+	t.Logf("resident memory %d MB", peak)
+	assert.Assert(t, peak < memoryMegabytes, "resident memory of %d MB", peak)
+}
