--- a/transport/peer/relay_discard_test.go
+++ b/transport/peer/relay_discard_test.go
@@ -20,10 +20,9 @@
 // waiting for its deadline.
 func TestEndlessBodyOfRelayedProbe(t *testing.T) {
 	peer := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		if err := writeJSONFrame(writer, headFrame, relayHead{Probe: 1}); err != nil {
-			return
-		}
-		for writeFrame(writer, dataFrame, make([]byte, 4096)) == nil {
+		err := writeJSONFrame(writer, headFrame, relayHead{Probe: 1})
+		for err == nil {
+			err = writeFrame(writer, dataFrame, make([]byte, 4096))
 		}
 	}))
 	defer peer.Close()
