Count the bodies of relayed calls in the memory for bodies

Callers saw: nothing so far; the same class as the bodies of clients. A peer that makes calls for other hosts read bodies of up to 64 MB each, for up to 512 calls per core, without a bound on their sum.

The memory for bodies is now a package (transport/bodymemory) and covers the bodies of clients' requests and of relayed calls together. The peer first reads and discards the rest of the call: if it closed the connection while the entry host still sends, the entry host would receive a reset, and the request would count as one that may have run.

TestLongRelayedBodiesExhaustMemory: the fifth call of 2 MB was made before, and is rejected as busy and not sent now, with room for four. A short one is made meanwhile, and a long one once there is memory. TestLongRequestBodiesExhaustMemory takes 86 MB, as before.

What remains: the copy of a body that an entry host makes to send a call to a peer.

--- a/coordination/peerrelay/peerrelay.go
+++ b/coordination/peerrelay/peerrelay.go
@@ -82,7 +82,7 @@
 	PeerUnreachable Reason = "peer_unreachable"
 	// Unsupported means that the peer does not know the call.
 	Unsupported Reason = "unsupported"
-	// Busy means that the peer runs as many calls as it may.
+	// Busy means that the peer runs as many calls as it may, or has no memory for the body of the call.
 	Busy Reason = "busy"
 	// PeerLeaving means that the peer accepts no new calls because it is leaving.
 	PeerLeaving Reason = "peer_leaving"
--- a/site/host.go
+++ b/site/host.go
@@ -39,6 +39,7 @@
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/backend"
+	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
 	"github.com/hibiscuslever/hibiscuslever/transport/operator"
 	"github.com/hibiscuslever/hibiscuslever/transport/peer"
 )
@@ -62,6 +63,7 @@
 	grantClient    *broker.Client
 	forwarder      *forward.Runner
 	clientHandler  *platform.ClientHandler
+	bodyMemory     *bodymemory.Memory
 	fleet          *fleet
 
 	// links knows which backend servers this host reaches. backendSender sends to them, through peers where necessary, and
@@ -214,7 +216,10 @@
 	// bodyMemoryShare is the part of the process's memory that the bodies of requests may take. The rest is for responses
 	// and for what is kept besides.
 	const bodyMemoryShare = 0.3
-	ht.clientHandler.LimitBodyMemory(int64(bodyMemoryShare * ht.settings.Limits.MemoryMegabytes * (1 << 20)))
+	if megabytes := ht.settings.Limits.MemoryMegabytes; megabytes > 0 {
+		ht.bodyMemory = bodymemory.New(int64(bodyMemoryShare * megabytes * (1 << 20)))
+	}
+	ht.clientHandler.LimitBodies(ht.bodyMemory)
 	return nil
 }
 
@@ -260,7 +265,7 @@
 
 // localPeerComponents returns the components that answer calls of other hosts.
 func (ht *Host) localPeerComponents() peer.LocalComponents {
-	return peer.LocalComponents{GossipRunner: ht.gossip, BrokerServer: ht.grantServer, BrokerClient: ht.grantClient, UpdateFollower: ht.updateFollower, PermitIssuer: ht.permitIssuer, RelayServer: ht.relayServer}
+	return peer.LocalComponents{GossipRunner: ht.gossip, BrokerServer: ht.grantServer, BrokerClient: ht.grantClient, UpdateFollower: ht.updateFollower, PermitIssuer: ht.permitIssuer, RelayServer: ht.relayServer, BodyMemory: ht.bodyMemory}
 }
 
 // retryConfig returns the configuration of this host's retries. The ratio of retries to requests is the same on all
--- a/platform/body_memory.go
+++ b/transport/bodymemory/memory.go
@@ -1,70 +1,74 @@
-package platform
+// Package bodymemory limits the memory that the bodies of all requests to a host take at the same time.
+package bodymemory
 
 import (
 	"bytes"
 	"io"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-faster/errors"
 )
 
 const (
-	// uncountedBodyBytes is the length up to which a body of a request does not count as part of the body memory, so that
+	// UncountedBytes is the length up to which a body of a request does not count as part of the body memory, so that
 	// few long bodies don't keep short ones out.
-	uncountedBodyBytes = 64 << 10
-	// bodyMemoryStepBytes is the step in which memory is reserved for a body without an announced length.
-	bodyMemoryStepBytes = 256 << 10
+	UncountedBytes = 64 << 10
+	// stepBytes is the step in which memory is reserved for a body without an announced length.
+	stepBytes = 256 << 10
 	// maxInitialBufferBytes is the largest buffer that is allocated for a body before any of it has arrived.
 	maxInitialBufferBytes = 8 << 20
-	// bodyMemoryRetryAfter is when a client may retry a request whose body found no memory.
-	bodyMemoryRetryAfter = 500 * time.Millisecond
 )
 
-// errBodyMemoryExhausted means that the bodies of other requests take all memory that is meant for bodies.
-var errBodyMemoryExhausted = errors.New("the bodies of other requests take all memory that is meant for them")
+// ErrExhausted means that the bodies of other requests take all memory that is meant for bodies.
+var ErrExhausted = errors.New("the bodies of other requests take all memory that is meant for them")
 
-// bodyMemory limits the memory that the bodies of all requests take at the same time. It is safe for concurrent use.
-type bodyMemory struct {
-	// limit is the limit in bytes; 0 for no limit.
+// Memory is what the bodies of all requests may take together. It is safe for concurrent use. A nil Memory has no limit.
+type Memory struct {
 	limit    int64
 	reserved atomic.Int64
 }
 
-// limitedBody is the body of a request that takes part of a bodyMemory.
+// New returns a memory with a limit in bytes.
+func New(limit int64) *Memory { return &Memory{limit: limit} }
+
+// Reserved returns the bytes that are reserved for bodies.
+func (mm *Memory) Reserved() int64 { return mm.reserved.Load() }
+
+// limitedBody is the body of a request that takes part of a Memory.
 type limitedBody struct {
 	io.ReadCloser
-	memory *bodyMemory
+	memory *Memory
 	// announced is the length of the body, or -1 if the client has not announced it.
 	announced int64
 	// read and reserved are the bytes that were read and that are reserved.
 	read     int64
 	reserved int64
-	// rejected says that errBodyMemoryExhausted was returned. The bytes read from then on are not kept.
+	// rejected says that ErrExhausted was returned. The bytes read from then on are not kept.
 	rejected bool
 }
 
-// limitBody makes the body of a request part of the memory until the returned function is called.
-func (bm *bodyMemory) limitBody(request *http.Request) func() {
-	if bm.limit <= 0 || request.Body == nil || request.Body == http.NoBody {
+// Limit makes the body of a request part of the memory until the returned function is called. Reading the body fails with
+// ErrExhausted if there is no memory for it.
+func (mm *Memory) Limit(request *http.Request) func() {
+	if mm == nil || request.Body == nil || request.Body == http.NoBody {
 		return func() {}
 	}
-	body := &limitedBody{ReadCloser: request.Body, memory: bm, announced: request.ContentLength}
+	body := &limitedBody{ReadCloser: request.Body, memory: mm, announced: request.ContentLength}
 	request.Body = body
 	return body.release
 }
 
-// Read reads from the body. It returns errBodyMemoryExhausted, once and before it reads, if there is no memory for the
+// Read reads from the body. It returns ErrExhausted, once and before it reads, if there is no memory for the
 // whole body or, if its length is unknown, for the next bytes.
 func (lb *limitedBody) Read(buffer []byte) (int, error) {
 	if !lb.rejected && !lb.reserve() {
 		lb.rejected = true
-		return 0, errBodyMemoryExhausted
+		return 0, ErrExhausted
 	}
 	if lb.announced < 0 && !lb.rejected {
 		// The one byte more tells the end of the body from bytes that need further memory.
-		buffer = buffer[:min(int64(len(buffer)), max(uncountedBodyBytes, lb.reserved)+1-lb.read)]
+		buffer = buffer[:min(int64(len(buffer)), max(UncountedBytes, lb.reserved)+1-lb.read)]
 	}
 	count, err := lb.ReadCloser.Read(buffer)
 	lb.read += int64(count)
@@ -76,11 +80,11 @@
 	needed := lb.announced
 	if needed < 0 {
 		needed = lb.reserved
-		if lb.read > max(uncountedBodyBytes, lb.reserved) {
-			needed = lb.read + bodyMemoryStepBytes
+		if lb.read > max(UncountedBytes, lb.reserved) {
+			needed = lb.read + stepBytes
 		}
 	}
-	if needed <= max(uncountedBodyBytes, lb.reserved) {
+	if needed <= max(UncountedBytes, lb.reserved) {
 		return true
 	}
 	added := needed - lb.reserved
@@ -99,14 +103,9 @@
 	lb.reserved = 0
 }
 
-// LimitBodyMemory limits the memory in bytes that the bodies of all requests take at the same time; 0 stands for no
-// limit. It must be called before the handler serves. A request whose body exceeds the memory that is left is refused
-// as not run.
-func (ch *ClientHandler) LimitBodyMemory(limit int64) { ch.bodyMemory.limit = limit }
-
-// readBody reads a body to its end into a buffer of the announced length, which is -1 if it is unknown. The buffer is
+// Read reads a body to its end into a buffer of the announced length, which is -1 if it is unknown. The buffer is
 // allocated when the first bytes have arrived, so that a body that finds no memory takes none.
-func readBody(body io.Reader, announced int64) ([]byte, error) {
+func Read(body io.Reader, announced int64) ([]byte, error) {
 	first := make([]byte, bytes.MinRead)
 	count, err := body.Read(first)
 	if err != nil && !errors.Is(err, io.EOF) {
--- a/transport/peer/relay_server.go
+++ b/transport/peer/relay_server.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/peerrelay"
 	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
 )
 
 // RelayServer makes calls to backend servers on behalf of other hosts.
@@ -22,12 +23,21 @@
 type relayHandler struct {
 	server RelayServer
 	clock  timer.Clock
+	// bodyMemory limits the memory for the bodies of calls; nil for no limit.
+	bodyMemory *bodymemory.Memory
 }
 
 // ServeHTTP makes one call. If the entry host closes its connection, the context of the call ends.
 func (rh *relayHandler) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
 	receivedAt := rh.clock.Now()
+	defer rh.bodyMemory.Limit(httpRequest)()
 	call, err := decodeRelayCall(httpRequest.Body)
+	if errors.Is(err, bodymemory.ErrExhausted) {
+		// The entry host would receive a reset instead of the failure if the connection were closed while it still sends.
+		_, _ = io.CopyN(io.Discard, httpRequest.Body, maxRelayHeadBytes+maxRelayBodyBytes)
+		_ = writeJSONFrame(writer, failureFrame, relayFailure{Reason: peerrelay.Busy, NotSent: true, Detail: octets(err.Error())})
+		return
+	}
 	if err != nil {
 		_ = writeJSONFrame(writer, failureFrame, relayFailure{Reason: peerrelay.Malformed, NotSent: true, Detail: octets(err.Error())})
 		return
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer/peerconnect"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
 )
 
 // LocalComponents holds the components of the local host that answer calls from other hosts and from itself.
@@ -43,6 +44,8 @@
 	PermitIssuer *requestlimit.Issuer
 	// RelayServer makes calls to backend servers on behalf of other hosts. It is nil on hosts that make none.
 	RelayServer RelayServer
+	// BodyMemory limits the memory for the bodies of these calls; nil for no limit.
+	BodyMemory *bodymemory.Memory
 }
 
 // Server implements the RPCs that other hosts call.
@@ -61,7 +64,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerconnect.NewPeerHandler(sv, append(options, connect.WithReadMaxBytes(maxMessageBytes))...))
 	if sv.local.RelayServer != nil {
-		mux.Handle("POST "+relayPath, &relayHandler{server: sv.local.RelayServer, clock: sv.clock})
+		mux.Handle("POST "+relayPath, &relayHandler{server: sv.local.RelayServer, clock: sv.clock, bodyMemory: sv.local.BodyMemory})
 	}
 	return mux
 }
