--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -1,11 +1,11 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -70,10 +70,12 @@
 	maxSkippedResponses = 3
 	// unidentifiedResponseWait is how long an exchange waits for its response after a response that names no request.
 	unidentifiedResponseWait = 500 * time.Millisecond
-	// maxSkippedBodyBytes limits the body of a skipped response.
-	maxSkippedBodyBytes = 256 << 10
+	// maxDiscardedBodyBytes limits the body of a skipped or discarded response.
+	maxDiscardedBodyBytes = 256 << 10
 	// maxHeadBytes limits the head of a response together with the interim responses before it.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 40 << 10
+	// maxHeadFields limits the header fields of each head.
+	maxHeadFields = 256
 )
 
 // Do sends a request once and returns the head of the response. Its error wraps ErrNotSent or ErrStaleConnection where
@@ -95,7 +97,7 @@
 	ex := &exchange{ctx: ctx, pool: pl, conn: cn, writeResult: make(chan error, 1)}
 	ex.stopContextWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	head := encodeRequestHead(request)
-	if len(request.Body) == 0 || len(request.Body) <= maxSynchronousBodyBytes {
+	if len(request.Body) <= maxSynchronousBodyBytes {
 		_, err := cn.Write(append(head, request.Body...))
 		ex.writeResult <- err
 		if err != nil {
@@ -103,8 +105,10 @@
 			return nil, errors.Wrap(ex.markStale(err), "send request")
 		}
 	} else {
+		// A long body is not copied behind the head, because many of them may be sent at once.
 		go func() {
-			_, err := cn.Write(append(head, request.Body...))
+			parts := net.Buffers{head, request.Body}
+			_, err := parts.WriteTo(cn.Conn)
 			ex.writeResult <- err
 		}()
 	}
@@ -118,7 +122,7 @@
 // encodeRequestHead returns the request line and the header fields, up to and including the empty line.
 func encodeRequestHead(request Request) []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(1024 + len(request.Body))
+	buffer.Grow(1024 + min(len(request.Body), maxSynchronousBodyBytes))
 	buffer.WriteString(request.Method)
 	buffer.WriteByte(' ')
 	buffer.WriteString(request.Target)
@@ -186,7 +190,7 @@
 			return nil, errors.Wrap(ex.markStale(err), "read answer")
 		}
 		ex.conn.limitedReader.setLimit(maxHeadBytes)
-		response, err := readFinalResponse(ex.conn.reader, httpRequest)
+		response, err := ex.conn.readFinalResponse(httpRequest)
 		if err != nil {
 			ex.abort()
 			return nil, errors.Wrap(err, "read answer")
@@ -197,7 +201,7 @@
 			closeTimer = ex.pool.clock.After(unidentifiedResponseWait, func() { _ = ex.conn.Close() })
 		}
 		if unidentified || request.MatchesRequest != nil && !request.MatchesRequest(response.StatusCode, response.Header) {
-			if err := discardBody(response.Body); err != nil {
+			if err := DiscardBody(response.Body); err != nil {
 				ex.abort()
 				return nil, errors.Wrap(err, "skip an answer to another request")
 			}
@@ -217,11 +221,12 @@
 	return nil, errors.New("the server sent only answers to other requests")
 }
 
-// discardBody reads the body of a skipped response to its end. A body longer than maxSkippedBodyBytes is an error.
-func discardBody(body io.Reader) error {
-	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes+1))
-	if err == nil && skipped > maxSkippedBodyBytes {
-		err = fmt.Errorf("its body is longer than %d bytes", maxSkippedBodyBytes)
+// DiscardBody reads the body of a response to its end, so that the connection can be reused. A body longer than
+// maxDiscardedBodyBytes is an error.
+func DiscardBody(body io.Reader) error {
+	discarded, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBodyBytes+1))
+	if err == nil && discarded > maxDiscardedBodyBytes {
+		err = fmt.Errorf("its body is longer than %d bytes", maxDiscardedBodyBytes)
 	}
 	return err
 }
@@ -237,9 +242,16 @@
 
 // readFinalResponse reads the next response and skips interim (1xx) ones, except for 101 Switching Protocols, which is
 // final.
-func readFinalResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+func (cn *conn) readFinalResponse(request *http.Request) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(reader, request)
+		buffered, err := cn.reader.Peek(cn.reader.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if err := cn.limitedReader.startHead(buffered); err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(cn.reader, request)
 		if err != nil {
 			return nil, err
 		}
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +22,8 @@
 const (
 	dialTimeout      = time.Second
 	maxResponseBytes = 256 << 20
+	// maxAppendResponseBytes limits the response to an append, which holds one offset.
+	maxAppendResponseBytes = 4096
 )
 
 // Client calls the platform at one URL. It is safe for concurrent use.
@@ -33,8 +36,9 @@
 // a function, which may add tracing.
 func NewClient(baseURL string, wrap func(http.RoundTripper) http.RoundTripper) *Client {
 	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout: time.Minute,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: fetch.MaxHeadBytes,
 	}
 	return &Client{baseURL: baseURL, httpClient: &http.Client{Transport: wrap(transport)}}
 }
@@ -70,7 +74,7 @@
 		return id.NoOffset, MaybeStored
 	}
 	var appended platform.AppendResponse
-	if json.NewDecoder(response.Body).Decode(&appended) != nil {
+	if json.NewDecoder(io.LimitReader(response.Body, maxAppendResponseBytes)).Decode(&appended) != nil {
 		return id.NoOffset, MaybeStored
 	}
 	return appended.Offset, Stored
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuslever/hibiscuslever/protocol/engine"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/backend"
+	"github.com/hibiscuslever/hibiscuslever/transport/fetch"
 )
 
 const (
@@ -41,10 +42,10 @@
 	return &Client{
 		clock:        clock,
 		dialer:       dialer,
-		pooledClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute})),
+		pooledClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: fetch.MaxHeadBytes})),
 		// net/http resends a request with an Idempotency-Key header if a reused connection is lost. Requests that must
 		// be sent at most once therefore get a new connection.
-		singleUseClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true})),
+		singleUseClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: fetch.MaxHeadBytes})),
 	}
 }
 
