A refusal that is written before the body was read reaches its client

What callers saw: a whole request whose refusal (401, 404, 413, 503) a change of the desired state brings ended with a closed connection while its body was still on its way; a client that takes a failed write for the end never saw the refusal.

Cause: the refusal was written before the body was read. net/http reads at most 256 KB more, stops reading for 0.5 s, and closes; bytes that arrive later are answered by a reset. The opposite fault was there too: a client that stopped within the first 256 KB got no refusal at all, and one that waited for 100 Continue kept its connection, since nothing limited the reading.

Now the rest of a refused body is read beside the handler, in constant memory: for 100 ms before the refusal is written, after which the connection stays open if the body has ended; otherwise the refusal announces the close, is flushed, and the rest is discarded for 5 s (1 s at a host that is leaving) and 32 MB at most.

Ruled out: a write deadline left from an earlier request (net/http removes it after each request), a read deadline left by reading a body (set anew for each request); bodies that arrive with the head (20 KB, with a length and chunked, 20 requests on one connection: kept, before and after).

--- a/transport/caller/error_response.go
+++ b/transport/caller/error_response.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/protocol/openai"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/transport/requestbody"
 )
 
 // httpStatus returns the HTTP status for an outcome without a complete answer. For the reasons DeadlineExceeded,
@@ -69,8 +70,8 @@
 	}}
 }
 
-// writeError responds to a request without a complete answer. A Failed outcome tells the caller not to retry, because
-// the request may have run.
+// writeError responds to a request without a complete answer, and reads the rest of the request's body. A Failed outcome
+// tells the caller not to retry, because the request may have run.
 func (sv *Server) writeError(ec echo.Context, oc outcome.Outcome) error {
 	sv.metrics.Tagged(map[string]string{"reason": string(oc.Reason), "outcome": oc.Kind.String()}).Counter("requests_without_answer").Inc(1)
 	header := ec.Response().Header()
@@ -82,7 +83,9 @@
 	if oc.Kind == outcome.Failed {
 		header.Set("X-Should-Retry", "false")
 	}
-	return ec.JSON(httpStatus(oc), newErrorBody(oc))
+	var err error
+	requestbody.Refuse(ec.Response(), ec.Request(), sv.clock, requestbody.DiscardTime, func() { err = ec.JSON(httpStatus(oc), newErrorBody(oc)) })
+	return err
 }
 
 // handleError responds to errors that echo reports, such as unknown paths. It does nothing if the response has started.
