A silent engine at the product's own front keeps its request until another is in hand

What callers saw: a stream whose engine was silent for a second or two and would have gone on was given up after a probe without a response if the retry policy allowed another attempt; if no other engine had room, it ended in the middle.

Cause: the class of lost-beside-changes: the attempt and its grant were given up before another grant was held. Now the runner looks for a grant, under an identifier of its own so that the first one stays valid, on engines that respond to a probe, while the attempt goes on. It leaves only with that grant and a retry from the budget, and ends the search when an event arrives. A probe that began before the last event no longer counts as silence. An engine that refuses connections is left at once, as before, and so is one whose request runs alone.

Ruled out: no grant of the search stays behind when the engine goes on, its result comes late, or the caller leaves (cases 22 and 25).

In cases 2 to 5 the second attempt's identifier is host.1.1-2/2 instead of host.1.1/2; everything else in them is as it was.

--- a/coordination/modelcall/runner.go
+++ b/coordination/modelcall/runner.go
@@ -82,7 +82,11 @@
 
 // requestState is the state of a request across its attempts.
 type requestState struct {
-	call      Call
+	call Call
+	// requestID is the identifier under which the current grant is or was requested.
+	requestID id.Request
+	// failover is the grant for the next attempt, or nil if it is still to be acquired.
+	failover  *failover
 	sink      Sink
 	startedAt time.Time
 	// nextTokenIndex is the index of the next token to deliver.
@@ -102,13 +106,18 @@
 	rn.mutex.Lock()
 	rn.retries.RecordFirstAttempt(call.Service)
 	rn.mutex.Unlock()
-	state := &requestState{call: call, sink: sink, startedAt: rn.clock.Now()}
+	state := &requestState{call: call, requestID: call.RequestID, sink: sink, startedAt: rn.clock.Now()}
 	for {
 		state.summary.Attempts++
 		callOutcome, cause := rn.runAttempt(ctx, state)
 		if cause == 0 {
 			return state.summary, callOutcome
 		}
+		if state.failover != nil {
+			// The retry was allowed when the attempt ended in favour of the failover.
+			rn.metrics.Tagged(map[string]string{"cause": cause.String()}).Counter("retries").Inc(1)
+			continue
+		}
 		decision := rn.decideRetry(state, cause)
 		if !decision.Retry {
 			return state.summary, rn.outcomeWithoutRetry(state, cause)
@@ -176,7 +185,7 @@
 // runAttempt acquires a grant and runs one attempt with it. It returns the outcome of the request, or the cause of a
 // failure after which the request may be retried; the cause is zero if the outcome is final.
 func (rn *Runner) runAttempt(ctx context.Context, state *requestState) (outcome.Outcome, retry.Cause) {
-	grant, acquireOutcome := rn.acquireGrant(ctx, state)
+	grant, acquireOutcome := rn.nextGrant(ctx, state)
 	if ctx.Err() != nil {
 		if len(grant.Parts) > 0 {
 			rn.endInBackground(ctx, state, grant, attemptResult{}, true)
@@ -212,6 +221,15 @@
 	return refusal
 }
 
+// nextGrant returns the grant for the next attempt: the failover if there is one, or else one that it acquires.
+func (rn *Runner) nextGrant(ctx context.Context, state *requestState) (dispatch.Grant, outcome.Outcome) {
+	if found := state.failover; found != nil {
+		state.failover, state.requestID = nil, found.requestID
+		return found.grant, outcome.Done()
+	}
+	return rn.acquireGrant(ctx, state)
+}
+
 // acquireGrant asks the dispatchers of the call's shards for a grant, one after another. It proceeds to the next shard
 // only if the shard has no capacity or the request is too large for all its engines.
 func (rn *Runner) acquireGrant(ctx context.Context, state *requestState) (dispatch.Grant, outcome.Outcome) {
@@ -233,7 +251,7 @@
 	call := state.call
 	return rn.dispatchers.Acquire(ctx, shard.GrantRequest{
 		Request: dispatch.Request{
-			ID:              call.RequestID,
+			ID:              state.requestID,
 			Organisation:    call.Organisation,
 			Weight:          call.Weight,
 			Model:           call.Model,
@@ -269,7 +287,7 @@
 	case crashed:
 		rn.fleet.RecordObservation(string(result.engine), fleet.Unreachable)
 		rn.metrics.Counter("engines_lost").Inc(1)
-		rn.dispatchers.ReportEnded(ctx, shard.EndedGrant{Request: state.call.RequestID, Attempt: grant.Attempt, CrashedEngine: result.engine})
+		rn.dispatchers.ReportEnded(ctx, shard.EndedGrant{Request: state.requestID, Attempt: grant.Attempt, CrashedEngine: result.engine})
 		rn.cleanUpInBackground(ctx, func(ctx context.Context) { rn.cancelOnEngines(ctx, grant, result) })
 		state.avoidedEngines = append(state.avoidedEngines, result.engine)
 		return outcome.Outcome{}, retry.Crashed
@@ -289,7 +307,7 @@
 // endInBackground cancels an attempt on its engines, if asked to, and then reports its end to the dispatcher, without
 // delaying the caller.
 func (rn *Runner) endInBackground(ctx context.Context, state *requestState, grant dispatch.Grant, result attemptResult, cancelEngines bool) {
-	requestID := state.call.RequestID
+	requestID := state.requestID
 	rn.cleanUpInBackground(ctx, func(ctx context.Context) {
 		if cancelEngines {
 			rn.cancelOnEngines(ctx, grant, result)
--- a/coordination/modelcall/runner_test.go
+++ b/coordination/modelcall/runner_test.go
@@ -44,7 +44,7 @@
 //	ready          sends that the follower is ready
 //	other-attempt  sends a frame of another attempt
 //	wait=DURATION  pauses
-//	health=STATE   sets the health of all engines from then on
+//	health=STATE   sets the health of the engines of its attempt from then on
 //	freeze         sends nothing more but keeps the stream open
 //	cut            ends the stream
 type streamScript []string
@@ -60,19 +60,36 @@
 	// mutex guards the fields below.
 	mutex         sync.Mutex
 	openedLeaders int
-	health        modelcall.Health
+	// healths holds the health of the engines of each attempt, by the first part of their addresses; healthy if not set.
+	healths map[string]modelcall.Health
 	// memoryHolders holds "ADDRESS ATTEMPT" for each engine that holds memory for an attempt.
 	memoryHolders map[string]bool
 	endedAttempts map[id.Attempt]string
 	acquires      int
 	revoked       chan struct{}
-	// hangFromAcquire is the number of the first acquire that gets no reply; zero if all do.
-	hangFromAcquire int
+	acquireFaults
 }
 
+// acquireFaults are what the dispatcher does wrong from an acquire on. The number of the first acquire is 1; 0 stands for
+// none.
+type acquireFaults struct {
+	// hangFromAcquire is the number of the first acquire that gets no reply, and refuseFromAcquire that of the first one
+	// for which there is no capacity.
+	hangFromAcquire   int
+	refuseFromAcquire int
+	// lateFromAcquire is the number of the first acquire that is granted only after lateGrant, even if nobody waits for it
+	// any more.
+	lateFromAcquire int
+	// silentFromAcquire is the number of the first acquire that grants engines that don't respond.
+	silentFromAcquire int
+}
+
+// lateGrant is how long a late grant takes.
+const lateGrant = 2 * time.Second
+
 func newFakeEngines(ctx context.Context, scripts []streamScript, partsPerGrant int) *fakeEngines {
 	return &fakeEngines{
-		ctx: ctx, leaderScripts: scripts, partsPerGrant: partsPerGrant, health: modelcall.Healthy,
+		ctx: ctx, leaderScripts: scripts, partsPerGrant: partsPerGrant, healths: map[string]modelcall.Health{},
 		memoryHolders: map[string]bool{}, endedAttempts: map[id.Attempt]string{}, revoked: make(chan struct{}),
 	}
 }
@@ -80,11 +97,20 @@
 func (fe *fakeEngines) Acquire(ctx context.Context, request shard.GrantRequest) (dispatch.Grant, outcome.Outcome) {
 	fe.mutex.Lock()
 	fe.acquires++
-	hangs := fe.hangFromAcquire > 0 && fe.acquires >= fe.hangFromAcquire
+	has := func(firstAcquire int) bool { return firstAcquire > 0 && fe.acquires >= firstAcquire }
+	hangs, refuses, late := has(fe.hangFromAcquire), has(fe.refuseFromAcquire), has(fe.lateFromAcquire)
+	if has(fe.silentFromAcquire) {
+		fe.healths[fmt.Sprintf("e%d", request.AttemptNumber)] = modelcall.Unresponsive
+	}
 	fe.mutex.Unlock()
-	if hangs {
+	switch {
+	case hangs:
 		<-ctx.Done()
 		return dispatch.Grant{}, outcome.Refuse(outcome.DeadlineExceeded, "no engine")
+	case refuses:
+		return dispatch.Grant{}, outcome.Refuse(outcome.NoCapacity, "no engine")
+	case late:
+		time.Sleep(lateGrant)
 	}
 	grant := dispatch.Grant{Attempt: id.NewAttempt(request.ID, request.AttemptNumber)}
 	for part := range fe.partsPerGrant {
@@ -148,14 +174,18 @@
 	if reservesMemory {
 		fe.memoryHolders[request.Address+" "+string(request.Attempt)] = true
 	}
-	return modelcall.OpenResult{Stream: &scriptedStream{engines: fe, ctx: ctx, attempt: request.Attempt, steps: steps}}
+	return modelcall.OpenResult{Stream: &scriptedStream{engines: fe, ctx: ctx, attempt: request.Attempt, address: request.Address, steps: steps}}
 }
 
-func (fe *fakeEngines) ProbeHealth(ctx context.Context, _ string) modelcall.Health {
+func (fe *fakeEngines) ProbeHealth(ctx context.Context, address string) modelcall.Health {
+	attempt, _, _ := strings.Cut(address, ".")
 	fe.mutex.Lock()
-	health := fe.health
+	health, found := fe.healths[attempt]
 	fe.mutex.Unlock()
-	if health == modelcall.Unresponsive {
+	switch {
+	case !found:
+		return modelcall.Healthy
+	case health == modelcall.Unresponsive:
 		<-ctx.Done()
 	}
 	return health
@@ -184,6 +214,7 @@
 	engines *fakeEngines
 	ctx     context.Context
 	attempt id.Attempt
+	address string
 	steps   streamScript
 }
 
@@ -222,7 +253,8 @@
 	case "health":
 		ss.engines.mutex.Lock()
 		defer ss.engines.mutex.Unlock()
-		ss.engines.health = map[string]modelcall.Health{"healthy": modelcall.Healthy, "unresponsive": modelcall.Unresponsive, "unreachable": modelcall.Unreachable}[value]
+		attempt, _, _ := strings.Cut(ss.address, ".")
+		ss.engines.healths[attempt] = map[string]modelcall.Health{"healthy": modelcall.Healthy, "unresponsive": modelcall.Unresponsive, "unreachable": modelcall.Unreachable}[value]
 		return modelcall.Frame{}, false, nil
 	case "ready":
 		return modelcall.Frame{Attempt: ss.attempt, Kind: modelcall.FollowerReady}, true, nil
@@ -285,16 +317,20 @@
 }
 
 // TestScriptedStreams runs the scripts in testdata with virtual time. Each line of a script is a streamScript.
-// Arguments of run are the deadline, the number of parts of each grant, the token at which the caller leaves, the first
-// acquire that hangs, and whether there is no retry budget.
+// Arguments of run are the deadline, the number of parts of each grant, the token at which the caller leaves, the
+// acquireFaults, and whether there is no retry budget.
 func TestScriptedStreams(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
-			deadline, partsPerGrant, callerLeavesAt, hangFromAcquire := "10s", 1, -1, 0
+			deadline, partsPerGrant, callerLeavesAt := "10s", 1, -1
+			var faults acquireFaults
 			td.MaybeScanArgs(t, "deadline", &deadline)
 			td.MaybeScanArgs(t, "parts", &partsPerGrant)
 			td.MaybeScanArgs(t, "caller-leaves-at", &callerLeavesAt)
-			td.MaybeScanArgs(t, "hang-from-acquire", &hangFromAcquire)
+			td.MaybeScanArgs(t, "hang-from-acquire", &faults.hangFromAcquire)
+			td.MaybeScanArgs(t, "refuse-from-acquire", &faults.refuseFromAcquire)
+			td.MaybeScanArgs(t, "late-from-acquire", &faults.lateFromAcquire)
+			td.MaybeScanArgs(t, "silent-from-acquire", &faults.silentFromAcquire)
 			retries := retry.DefaultConfig()
 			if td.HasArg("no-budget") {
 				retries.InitialBudget, retries.BudgetRatio = 0, 0
@@ -308,7 +344,7 @@
 			var result runResult
 			synctest.Test(t, func(t *testing.T) {
 				engines := newFakeEngines(t.Context(), scripts, partsPerGrant)
-				engines.hangFromAcquire = hangFromAcquire
+				engines.acquireFaults = faults
 				result = runScripts(engines, timeout, callerLeavesAt, retries)
 			})
 			assert.Assert(t, result.elapsed <= timeout+100*time.Millisecond, "answered after %s", result.elapsed)
--- a/coordination/modelcall/streams.go
+++ b/coordination/modelcall/streams.go
@@ -167,13 +167,14 @@
 }
 
 // handleEvents handles the events of all streams until the attempt has ended, its grant is revoked or the context ends.
-// If no event arrives for IdleBeforeProbe, it probes the engines in the background. The attempt continues if all of
-// them answer, and if one does not but the request may not be retried.
+// If no event arrives for IdleBeforeProbe, it probes the engines in the background. The attempt continues if all of them
+// answer. If one does not, it may go on at any moment, so the attempt continues until the request has a failover.
 func (as *attemptStreams) handleEvents(ctx context.Context) attemptResult {
 	rn := as.runner
 	revoked := rn.dispatchers.RevocationSignal(as.grant.Attempt)
 	probeResults := make(chan attemptResult, 1)
-	probing := false
+	// activeSinceProbe says that an event has arrived since the last probe began.
+	probing, activeSinceProbe := false, false
 	idleChecks := make(chan struct{}, 1)
 	ticker := timer.Every(rn.clock, rn.config.IdleBeforeProbe/idleChecksPerInterval, func() {
 		select {
@@ -183,23 +184,44 @@
 	})
 	defer ticker.Stop()
 	lastActivity := rn.clock.Now()
+	var search *failoverSearch
+	defer func() { search.end(ctx) }()
 	for {
 		select {
 		case event := <-as.events:
-			lastActivity = rn.clock.Now()
+			lastActivity, activeSinceProbe = rn.clock.Now(), true
+			search.end(ctx)
+			search = nil
 			if result, ended := as.handleEvent(ctx, event); ended {
 				return result
 			}
 		case <-idleChecks:
 			if !probing && rn.clock.Now().Sub(lastActivity) >= rn.config.IdleBeforeProbe {
-				probing = true
+				probing, activeSinceProbe = true, false
 				go as.probeEngines(ctx, probeResults)
 			}
 		case probeResult := <-probeResults:
 			probing = false
-			// An unresponsive engine may go on at any moment, so the attempt continues if no other may follow it.
-			if probeResult.kind == crashed || probeResult.kind == unresponsive && rn.retryAllowed(as.state, probeResult.cause) {
+			lastActivity = rn.clock.Now()
+			switch {
+			case probeResult.kind == crashed:
 				return probeResult
+			case probeResult.kind != unresponsive:
+				search.end(ctx)
+				search = nil
+			case search == nil && !activeSinceProbe && rn.retryAllowed(as.state, probeResult.cause):
+				if as.grant.RunsAlone {
+					return probeResult
+				}
+				rn.metrics.Counter("failover_searches").Inc(1)
+				search = as.startFailoverSearch(ctx, probeResult)
+			}
+		case found := <-search.results():
+			unresponsiveResult := search.unresponsive
+			search.cancel()
+			search = nil
+			if as.useFailover(ctx, found, unresponsiveResult.cause) {
+				return unresponsiveResult
 			}
 			lastActivity = rn.clock.Now()
 		case <-revoked:
