A caller that closed only its side of the connection gets no empty success

What callers saw: at the product's own front, a caller that closed its sending side after the request and read on received 200 with an empty body instead of an answer or an error.

Cause: net/http ends the request's context at the end of the caller's bytes, the request ended as "the caller has gone", and the handler returned without having written anything, which net/http sends as 200 with a length of 0. Now the error is written, with 504 (may have run).

Ruled out: on the platform's way the outcome is written in this case too (502); plain services at the own front answer with the outcome of the retries.

Before: transport/caller TestHalfClosedConnectionGetsEmptySuccess red ("200 != 504"). After: it passes; go test -race ./transport/caller and e2e TestMemoryReleasedAfterCallersLeaveAndHostIsKilled, TestRequestsEndToEnd and TestNotRunOutcomeMatchesEngineLedgers: ok.

--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -282,12 +282,11 @@
 	return rw.newCompletion("text_completion", openai.Choice{Text: &text, FinishReason: finishReason})
 }
 
-// finish completes the response. An incomplete answer never has a finish reason or the final [DONE] event, so that the
+// finish completes the response, also that of a caller that has gone: one that has closed only its side of the connection
+// reads on, and a handler that writes nothing sends an empty success. An incomplete answer never has a finish reason or the final [DONE] event, so that the
 // caller can't take it for a complete one.
 func (rw *responseWriter) finish(summary modelcall.Summary, oc outcome.Outcome) error {
 	switch {
-	case oc.Reason == outcome.CallerGone:
-		return nil
 	case !oc.OK() && rw.streamStarted:
 		return rw.sendJSON(newErrorBody(oc))
 	case !oc.OK():
--- a/transport/caller/error_response.go
+++ b/transport/caller/error_response.go
@@ -15,7 +15,7 @@
 )
 
 // httpStatus returns the HTTP status for an outcome without a complete answer. For the reasons DeadlineExceeded,
-// BackendLost and RetriesExhausted, 504 means that the request may have run and 503 that it did not.
+// BackendLost, RetriesExhausted and CallerGone, 504 means that the request may have run and 503 that it did not.
 func httpStatus(oc outcome.Outcome) int {
 	switch oc.Reason {
 	case outcome.BadRequest, outcome.IdempotencyKeyTooOld:
@@ -34,7 +34,7 @@
 		return http.StatusUnprocessableEntity
 	case outcome.ResultUnknown:
 		return http.StatusConflict
-	case outcome.DeadlineExceeded, outcome.BackendLost, outcome.RetriesExhausted:
+	case outcome.DeadlineExceeded, outcome.BackendLost, outcome.RetriesExhausted, outcome.CallerGone:
 		if oc.Kind == outcome.Failed {
 			return http.StatusGatewayTimeout
 		}
