Each search for a failover has an identifier of its own

What callers would see: none was seen; found while the change was read again. Two searches in a row for the same request asked for a grant under the same identifier, so that the report on the unused first grant, which is sent in the background, could release the second one while it was in use.

Cause: the identifier was made of the number of the attempt, which does not change while the attempt goes on. It is made of the number of the search now.

Before: case 26 of runs.txt (two searches that find only engines that don't respond) red: one identifier for both grants. After: go test -race -count=3 ./coordination/modelcall: ok. In cases 2 to 5 and 21 to 22 the identifier is host.1.1-1 instead of host.1.1-2; nothing else in them changed.

--- a/coordination/modelcall/failover.go
+++ b/coordination/modelcall/failover.go
@@ -31,18 +31,20 @@
 func (as *attemptStreams) startFailoverSearch(ctx context.Context, unresponsive attemptResult) *failoverSearch {
 	ctx, cancel := context.WithCancel(ctx)
 	search := &failoverSearch{runner: as.runner, cancel: cancel, unresponsive: unresponsive, found: make(chan *failover, 1)}
+	as.state.failoverSearches++
 	request := *as.state
-	request.requestID = failoverRequestID(request.call.RequestID, request.summary.Attempts+1)
+	request.requestID = failoverRequestID(request.call.RequestID, request.failoverSearches)
 	request.summary.Attempts++
 	request.avoidedEngines = append(append([]id.Engine(nil), request.avoidedEngines...), unresponsive.engine)
 	as.runner.backgroundWork.Go(func() { search.found <- as.runner.findFailover(ctx, &request) })
 	return search
 }
 
-// failoverRequestID returns the identifier under which a grant for a later attempt is requested while an earlier one goes
-// on: the dispatcher releases the grant of a request that asks for another.
-func failoverRequestID(requestID id.Request, attemptNumber int) id.Request {
-	return id.Request(string(requestID) + "-" + strconv.Itoa(attemptNumber))
+// failoverRequestID returns the identifier under which a search requests a grant. It differs from that of the attempt in
+// progress, because the dispatcher releases the grant of a request that asks for another, and from those of other
+// searches, because reports on their grants may arrive late.
+func failoverRequestID(requestID id.Request, searchNumber int) id.Request {
+	return id.Request(string(requestID) + "-" + strconv.Itoa(searchNumber))
 }
 
 // findFailover acquires a grant on engines that all respond. It returns nil if there is none before the context ends.
--- a/coordination/modelcall/runner.go
+++ b/coordination/modelcall/runner.go
@@ -86,7 +86,10 @@
 	// requestID is the identifier under which the current grant is or was requested.
 	requestID id.Request
 	// failover is the grant for the next attempt, or nil if it is still to be acquired.
-	failover  *failover
+	failover *failover
+	// failoverSearches counts the searches for a failover.
+	failoverSearches int
+
 	sink      Sink
 	startedAt time.Time
 	// nextTokenIndex is the index of the next token to deliver.
