--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -289,12 +289,13 @@
 	return rw.newCompletion("text_completion", openai.Choice{Text: &text, FinishReason: finishReason})
 }
 
-// finish completes the response. An incomplete answer never has a finish reason or the final [DONE] event, so that the
-// caller can't take it for a complete one. If the caller has gone, finish panics with http.ErrAbortHandler.
+// finish completes the response, also that of a caller that has gone: one that has closed only its side of the connection
+// reads on, and a handler that writes nothing sends an empty success. An incomplete answer never has a finish reason or the
+// final [DONE] event, so that the caller can't take it for a complete one. If the caller has gone during a stream, finish
+// panics with http.ErrAbortHandler.
 func (rw *responseWriter) finish(summary modelcall.Summary, oc outcome.Outcome) error {
 	switch {
-	case oc.Reason == outcome.CallerGone:
-		// A caller that has closed only its side of the connection would take what net/http adds for the end of an answer.
+	case oc.Reason == outcome.CallerGone && rw.streamStarted:
 		panic(http.ErrAbortHandler)
 	case !oc.OK() && rw.streamStarted:
 		return rw.sendJSON(newErrorBody(oc))
