--- a/coordination/statesync/serverlist.go
+++ b/coordination/statesync/serverlist.go
@@ -4,8 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/hibiscuslever/hibiscuslever/state/id"
-	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
@@ -90,23 +91,33 @@
 	return fl.serverList.Loaded() && !fl.discoveringPeers() && fl.clock.Now().Sub(fl.listReadAt) < recent
 }
 
-// readServerList reads the list from the store, applies it, and sends what changed to other hosts.
+// readServerList reads the list from the store until the end of what is there, and applies and sends on each part.
 func (fl *Follower) readServerList(ctx context.Context) {
+	for fl.readListPart(ctx) {
+	}
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	fl.readingList = false
+	// Spreads the reads of hosts that receive no updates over time. The larger the fleet, the less often each host reads.
+	fl.fallbackReadPause = time.Duration(fl.random.Float64() * float64(len(fl.peers.LiveHosts())) * float64(fallbackPausePerHost))
+}
+
+// readListPart makes one read of the list, applies it, and sends what changed to other hosts. It reports whether the store
+// has more. The list counts as up to date only once it has not.
+func (fl *Follower) readListPart(ctx context.Context) bool {
 	fl.mutex.Lock()
 	from := fl.serverList.NextOffset()
+	fl.listReadAt = fl.clock.Now()
 	fl.mutex.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, fl.config.CallTimeout)
 	read, err := fl.fetchServerList(callCtx, from)
 	cancel()
-	fl.mutex.Lock()
-	fl.readingList = false
-	fl.listReadFailed = fl.listReadFailed || err != nil
-	// Spreads the reads of hosts that receive no updates over time. The larger the fleet, the less often each host reads.
-	fl.fallbackReadPause = time.Duration(fl.random.Float64() * float64(len(fl.peers.LiveHosts())) * float64(fallbackPausePerHost))
-	fl.mutex.Unlock()
 	if err != nil {
+		fl.mutex.Lock()
+		fl.listReadFailed = true
+		fl.mutex.Unlock()
 		fl.noteStoreFailure("list of backend servers", err)
-		return
+		return false
 	}
 	fl.noteStoreSuccess()
 	fl.mutex.Lock()
@@ -114,10 +125,14 @@
 		// The store answered from an outdated replica.
 		fl.mutex.Unlock()
 		fl.metrics.Counter("stale_reads").Inc(1)
-		return
+		return false
 	}
 	now := fl.clock.Now()
-	fl.confirmList(now)
+	if read.More {
+		fl.noteListAnswer(now)
+	} else {
+		fl.confirmList(now)
+	}
 	fl.noteEra(now, read.Next)
 	outage := fl.dropsMayBeFromOutage(now)
 	unchangedSince := fl.serverList.UnchangedSince()
@@ -132,34 +147,70 @@
 	for ix := range changed {
 		changed[ix].DroppedInOutage = changed[ix].Dropped && outage
 	}
-	version := route.Version(0)
+	update := Update{Sender: fl.localHost, From: unchangedSince, Next: read.Next, Records: changed, ListAge: now.Sub(fl.listConfirmedAt)}
 	if fl.table != nil {
-		version = fl.table.Version()
+		update.Version = fl.table.Version()
 	}
+	neverConfirmed := fl.listConfirmedAt.IsZero()
 	fl.mutex.Unlock()
 	fl.logServerChanges("store", changed)
 	if len(changed) > 0 {
 		fl.onChange()
 	}
-	fl.broadcast(Update{Sender: fl.localHost, Version: version, From: unchangedSince, Next: read.Next, Records: changed}, len(changed) > 0)
+	if neverConfirmed || read.More && len(changed) == 0 {
+		return read.More
+	}
+	fl.broadcast(update, len(changed) > 0)
+	return read.More
 }
 
 // fallbackPausePerHost times the number of hosts in the fleet is the longest pause between two reads of a host that
 // receives no updates. With it, hundreds of such hosts together read some tens of times per second.
 const fallbackPausePerHost = 20 * time.Millisecond
 
-// fetchServerList reads the changes of the list from the offset from on. It reads the full list if from is id.NoOffset
-// or the store no longer retains the changes.
+// fetchServerList makes one read of the changes of the list from the offset from on, or of the full list if from is
+// id.NoOffset or the store no longer retains the changes. It returns the full list as a whole after its last page; until
+// then it returns no records, and that there are more.
 func (fl *Follower) fetchServerList(ctx context.Context, from id.Offset) (ServersRead, error) {
 	fl.countStoreCall("servers")
-	if from == id.NoOffset {
-		return fl.store.ReadServerList(ctx)
-	}
-	read, err := fl.store.ReadServerChanges(ctx, from)
-	if err == nil && read.Expired {
-		return fl.store.ReadServerList(ctx)
+	if from != id.NoOffset && from >= fl.fullListRead.position.Next {
+		fl.fullListRead = fullListRead{}
+		read, err := fl.store.ReadServerChanges(ctx, from)
+		if err != nil || !read.Expired {
+			return read, err
+		}
 	}
-	return read, err
+	return fl.fetchFullListPage(ctx, from)
+}
+
+// fullListRead is what a host has read of the full list. It is zero while none is read.
+type fullListRead struct {
+	position ListPosition
+	records  []serverlist.Record
+}
+
+// fetchFullListPage reads the next page of the full list. See fetchServerList for the result. What was read before is kept
+// if the read fails, unless it can't go on.
+func (fl *Follower) fetchFullListPage(ctx context.Context, from id.Offset) (ServersRead, error) {
+	progress := &fl.fullListRead
+	read, err := fl.store.ReadServerPage(ctx, progress.position)
+	if err != nil {
+		if errors.Is(err, ErrReadRestarts) {
+			*progress = fullListRead{}
+		}
+		return ServersRead{}, err
+	}
+	firstPage := progress.position == ListPosition{}
+	progress.position = read.Position
+	progress.records = append(progress.records, read.Records...)
+	if read.More {
+		return ServersRead{Next: from, More: true}, nil
+	}
+	read.Records = progress.records
+	// Pages are no snapshot: entries may have changed while later pages were read.
+	read.More = !firstPage
+	*progress = fullListRead{}
+	return read, nil
 }
 
 // sendUpdate sends an update to a host and counts failures.
@@ -179,7 +230,7 @@
 		case rc.Dropped:
 			fl.logger.Info("backend server gone", "server", string(rc.ID), "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
 		case rc.Server == nil:
-			fl.logger.Warn("backend server entry names no usable server", "server", string(rc.ID), "problem", rc.Problem, "bytes", len(rc.Body), "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
+			fl.logger.Warn("backend server entry names no usable server", "server", string(rc.ID), "problem", rc.Problem, "bytes", rc.UnusableBytes, "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
 		default:
 			fl.logger.Info("backend server listed", "server", string(rc.ID), "service", string(rc.Server.Service), "address", rc.Server.Address,
 				"draining", rc.Server.Draining, "born", rc.Server.StartedAtMillis, "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
