Quote only the beginning of a malformed response in errors

Cause: the errors of http.ReadResponse quote the whole line that they reject, and they get into log lines, results of requests and messages to other hosts.

Texts longer than 256 bytes are now cut.

--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -253,7 +253,7 @@
 		}
 		response, err := http.ReadResponse(cn.reader, request)
 		if err != nil {
-			return nil, err
+			return nil, shortenError(err)
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
@@ -261,6 +261,19 @@
 	}
 }
 
+// maxErrorBytes limits the text of an error that quotes a response.
+const maxErrorBytes = 256
+
+// shortenError returns the error, or one with the beginning of its text if that is long. A long text quotes the response
+// and would otherwise get into logs and messages to other hosts.
+func shortenError(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return err
+	}
+	return errors.New(text[:maxErrorBytes] + "...")
+}
+
 // parseKeepAliveTimeout returns how long the server keeps an idle connection open according to its Keep-Alive header
 // field, or 0 if the field has no timeout. A timeout of 0 s is returned as 1 ms, so that it differs from a missing one.
 func parseKeepAliveTimeout(header http.Header) time.Duration {
