Bound load reports of engines to 128 KB

Callers saw: nothing so far; on the product's own front, engines whose load reports do not end made a host keep up to 4 MB for each of them, and the reports of many engines are fetched at the same time.

TestLoadReportWithManyModels holds the other direction, a thousand models with long names. Lists of attempts and events of the prefix cache keep their bound of 4 MB, since they grow with the work of an engine.

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -32,6 +32,8 @@
 	// maxRefusalBytes limits how much of the body of a refusal is read.
 	maxRefusalBytes  = 4096
 	maxResponseBytes = 4 << 20
+	// maxLoadReportBytes limits a report of an engine's load. Reports of many engines are fetched at the same time.
+	maxLoadReportBytes = 128 << 10
 	// maxHealthProbes limits the probes of one ProbeHealth call. initialHealthPause is the pause after the first probe; it
 	// doubles with each probe.
 	maxHealthProbes    = 4
@@ -175,7 +177,7 @@
 // the age that the engine states.
 func (cl *Client) FetchLoad(ctx context.Context, address string) (shard.EngineReport, error) {
 	var load engine.LoadReport
-	if err := cl.getJSON(ctx, "http://"+address+engine.LoadPath, &load); err != nil {
+	if err := fetch.JSON(ctx, cl.httpClient, "http://"+address+engine.LoadPath, maxLoadReportBytes, &load); err != nil {
 		return shard.EngineReport{}, err
 	}
 	return shard.EngineReport{
@@ -222,7 +224,7 @@
 // FetchModels returns the models that an engine has loaded, and the number of models that fit into it.
 func (cl *Client) FetchModels(ctx context.Context, address string) ([]id.Model, int, error) {
 	var load engine.LoadReport
-	if err := cl.getJSON(ctx, "http://"+address+engine.LoadPath, &load); err != nil {
+	if err := fetch.JSON(ctx, cl.httpClient, "http://"+address+engine.LoadPath, maxLoadReportBytes, &load); err != nil {
 		return nil, 0, err
 	}
 	return load.Models, load.ModelSlots, nil
