A drain behind unreadable entries is known late

Cause: the list was read once in 400 ms, and of that read one response was taken, a megabyte at most. The list counted as up to date although the response said that the partition ends later, so that no other host took over either.

Fix: ServersRead.More says that the store has more. The follower reads on at once, applies and sends on each part, and counts the list as up to date only when there is no more. Each response has a time limit of its own. Updates that are sent before that carry the age of the list, so that other hosts don't take it for current (old hosts read that field too). A host that has never had a current list is not ready and gives no copy of it.

--- a/coordination/statesync/follower.go
+++ b/coordination/statesync/follower.go
@@ -97,7 +97,8 @@
 	// tableAppliedAt is when the local host put the current desired state in force.
 	tableAppliedAt time.Time
 	// listConfirmedAt is when the list was last known to be up to date. outageEndedAt is when it was confirmed for the
-	// first time after an outage. listReadFailed is set if a read by the local host has failed since listConfirmedAt.
+	// first time after an outage. listReadFailed is set if a read by the local host has failed since the last one that did
+	// not, and since listConfirmedAt.
 	listConfirmedAt time.Time
 	outageEndedAt   time.Time
 	listReadFailed  bool
@@ -108,7 +109,7 @@
 	// cancelTableRead cancels the read of the desired state that waits in the store, so that it is restarted. It is nil if
 	// no read waits.
 	cancelTableRead context.CancelCauseFunc
-	// readingList is set while the list is read from the store, and listReadAt is when the last read started.
+	// readingList is set while the list is read from the store, and listReadAt is when the last call for it started.
 	readingList bool
 	listReadAt  time.Time
 	// syncing is set while a sync with another host runs; there is one at a time.
@@ -156,11 +157,12 @@
 	return fl.table
 }
 
-// Loaded reports whether the host has both a desired state and the list of backend servers.
+// Loaded reports whether the host has both a desired state and a list of backend servers that was up to date at some time
+// since its start or, if it comes from another host, at that host.
 func (fl *Follower) Loaded() bool {
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
-	return fl.table != nil && fl.serverList.Loaded()
+	return fl.table != nil && fl.serverList.Loaded() && !fl.listConfirmedAt.IsZero()
 }
 
 // TableAge returns the time since the local host put the current desired state in force.
--- a/coordination/statesync/follower_test.go
+++ b/coordination/statesync/follower_test.go
@@ -29,8 +29,12 @@
 type fakeStore struct {
 	mutex sync.Mutex
 	// era counts the restores. The offsets of all records are of this era.
-	era           id.Era
-	records       []serverlist.Record
+	era     id.Era
+	records []serverlist.Record
+	// pageSize limits the number of records of the list in a response, and pageTime is how long a response then takes; 0 for
+	// no limit and no time.
+	pageSize      int
+	pageTime      time.Duration
 	listReads     int
 	rejectedHosts map[id.Host]bool
 	// tableChanges is the number of desired states after the first one.
@@ -114,13 +118,37 @@
 		<-ctx.Done()
 		return statesync.ServersRead{}, ctx.Err()
 	}
+	if err := hs.waitForPage(ctx); err != nil {
+		return statesync.ServersRead{}, err
+	}
 	hs.mutex.Lock()
 	defer hs.mutex.Unlock()
 	hs.listReads++
 	if from != 0 && from.Era() < hs.era {
 		return statesync.ServersRead{Expired: true}, nil
 	}
-	return statesync.ServersRead{Records: hs.records[from.Position():], Next: id.NewOffset(hs.era, int64(len(hs.records)))}, nil
+	end := int64(len(hs.records))
+	next := end
+	if hs.pageSize > 0 {
+		next = min(end, from.Position()+int64(hs.pageSize))
+	}
+	return statesync.ServersRead{Records: hs.records[from.Position():next], Next: id.NewOffset(hs.era, next), More: next < end}, nil
+}
+
+// waitForPage waits for as long as a response with records of the list takes. It fails if the context ends before.
+func (hs hostStore) waitForPage(ctx context.Context) error {
+	hs.mutex.Lock()
+	pageTime := hs.pageTime
+	hs.mutex.Unlock()
+	if pageTime == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(pageTime):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func (hs hostStore) DecodeTable(body []byte) (*route.Table, error) {
@@ -128,9 +156,25 @@
 }
 
 func (hs hostStore) DecodeServer(name id.BackendServer, body []byte) (*serverlist.Server, error) {
+	if string(body) == unreadableEntry {
+		return nil, errUnreadable
+	}
 	return &serverlist.Server{ID: name, Draining: len(body) > 0 && body[0] == 'd'}, nil
 }
 
+// unreadableEntry is the body of an entry that names no server.
+const unreadableEntry = "unreadable"
+
+// errUnreadable is the error of an entry that names no server.
+var errUnreadable = errors.New("unreadable entry")
+
+// setPages sets the number of records of the list in a response and the time that one takes.
+func (st *fakeStore) setPages(pageSize int, pageTime time.Duration) {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	st.pageSize, st.pageTime = pageSize, pageTime
+}
+
 // appendEntry appends a new record with the entry of a server.
 func (st *fakeStore) appendEntry(server, body string) {
 	st.mutex.Lock()
--- a/coordination/statesync/outage.go
+++ b/coordination/statesync/outage.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// noteListAnswer records that the store answered a read of the list while it has more of it. This may end an outage of the
+// store, but does not confirm the list. The caller holds the lock.
+func (fl *Follower) noteListAnswer(now time.Time) {
+	if fl.outageOngoing(now) {
+		fl.recordOutageEnd(now)
+		fl.restartTableRead()
+	}
+	fl.listReadFailed = false
+}
+
 // recordOutageEnd records that an outage of the store ended. The caller holds the lock.
 func (fl *Follower) recordOutageEnd(endedAt time.Time) {
 	fl.outageEndedAt = endedAt
--- a/coordination/statesync/serverlist.go
+++ b/coordination/statesync/serverlist.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/state/id"
-	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
@@ -90,23 +89,33 @@
 	return fl.serverList.Loaded() && !fl.discoveringPeers() && fl.clock.Now().Sub(fl.listReadAt) < recent
 }
 
-// readServerList reads the list from the store, applies it, and sends what changed to other hosts.
+// readServerList reads the list from the store until the end of what is there, and applies and sends on each part.
 func (fl *Follower) readServerList(ctx context.Context) {
+	for fl.readListPart(ctx) {
+	}
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	fl.readingList = false
+	// Spreads the reads of hosts that receive no updates over time. The larger the fleet, the less often each host reads.
+	fl.fallbackReadPause = time.Duration(fl.random.Float64() * float64(len(fl.peers.LiveHosts())) * float64(fallbackPausePerHost))
+}
+
+// readListPart makes one read of the list, applies it, and sends what changed to other hosts. It reports whether the store
+// has more. The list counts as up to date only once it has not.
+func (fl *Follower) readListPart(ctx context.Context) bool {
 	fl.mutex.Lock()
 	from := fl.serverList.NextOffset()
+	fl.listReadAt = fl.clock.Now()
 	fl.mutex.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, fl.config.CallTimeout)
 	read, err := fl.fetchServerList(callCtx, from)
 	cancel()
-	fl.mutex.Lock()
-	fl.readingList = false
-	fl.listReadFailed = fl.listReadFailed || err != nil
-	// Spreads the reads of hosts that receive no updates over time. The larger the fleet, the less often each host reads.
-	fl.fallbackReadPause = time.Duration(fl.random.Float64() * float64(len(fl.peers.LiveHosts())) * float64(fallbackPausePerHost))
-	fl.mutex.Unlock()
 	if err != nil {
+		fl.mutex.Lock()
+		fl.listReadFailed = true
+		fl.mutex.Unlock()
 		fl.noteStoreFailure("list of backend servers", err)
-		return
+		return false
 	}
 	fl.noteStoreSuccess()
 	fl.mutex.Lock()
@@ -114,10 +123,14 @@
 		// The store answered from an outdated replica.
 		fl.mutex.Unlock()
 		fl.metrics.Counter("stale_reads").Inc(1)
-		return
+		return false
 	}
 	now := fl.clock.Now()
-	fl.confirmList(now)
+	if read.More {
+		fl.noteListAnswer(now)
+	} else {
+		fl.confirmList(now)
+	}
 	fl.noteEra(now, read.Next)
 	outage := fl.dropsMayBeFromOutage(now)
 	unchangedSince := fl.serverList.UnchangedSince()
@@ -132,16 +145,21 @@
 	for ix := range changed {
 		changed[ix].DroppedInOutage = changed[ix].Dropped && outage
 	}
-	version := route.Version(0)
+	update := Update{Sender: fl.localHost, From: unchangedSince, Next: read.Next, Records: changed, ListAge: now.Sub(fl.listConfirmedAt)}
 	if fl.table != nil {
-		version = fl.table.Version()
+		update.Version = fl.table.Version()
 	}
+	neverConfirmed := fl.listConfirmedAt.IsZero()
 	fl.mutex.Unlock()
 	fl.logServerChanges("store", changed)
 	if len(changed) > 0 {
 		fl.onChange()
 	}
-	fl.broadcast(Update{Sender: fl.localHost, Version: version, From: unchangedSince, Next: read.Next, Records: changed}, len(changed) > 0)
+	if neverConfirmed || read.More && len(changed) == 0 {
+		return read.More
+	}
+	fl.broadcast(update, len(changed) > 0)
+	return read.More
 }
 
 // fallbackPausePerHost times the number of hosts in the fleet is the longest pause between two reads of a host that
--- a/coordination/statesync/statesync.go
+++ b/coordination/statesync/statesync.go
@@ -31,6 +31,8 @@
 	Records []serverlist.Record
 	// Next is the offset to read from next.
 	Next id.Offset
+	// More is set when the store has records from Next on already.
+	More bool
 	// FullList is set when Records is the full list rather than the records from an offset on.
 	FullList bool
 	// Expired is set when the store no longer retains the requested records.
--- a/coordination/statesync/sync.go
+++ b/coordination/statesync/sync.go
@@ -149,7 +149,8 @@
 }
 
 // BuildSyncResponse returns what a host lacks that has the desired state with the given version and the list up to the
-// offset next. The response contains the full list if the changes from that offset on are not known.
+// offset next. The response contains the full list if the changes from that offset on are not known, and nothing of the
+// list while it has never been up to date.
 func (fl *Follower) BuildSyncResponse(version route.Version, next id.Offset) SyncResponse {
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
@@ -160,6 +161,10 @@
 			response.CompressedTable = fl.compressedTable
 		}
 	}
+	if fl.listConfirmedAt.IsZero() {
+		response.Next = id.NoOffset
+		return response
+	}
 	if records, complete := fl.serverList.ChangesSince(next); complete {
 		response.Records = records
 	} else {
