No host starts beside many unreadable entries

Cause: the whole list had to be read within one CallTimeout (700 ms), page after page, and each try started at the first page again. Hosts also kept the bodies of such entries and sent them to others, beyond the limit of a message.

Fix: the store's adapter reads one page (ReadServerPage) from a position, and the follower keeps position and records across calls, time-outs and failures. It starts again only if the store was restored or a page does not lead on. After a list of several pages it reads on to the end before the list counts as current. Messages between hosts keep their form: an entry without a body is, for old hosts, one that can't be decoded, as before; bodies that old hosts send are dropped on arrival.

Ruled out: a longer CallTimeout, which only moves the limit and delays the notice of a silent store. Leaving the keys out too: hosts would not agree whether an entry that was usable before is gone or odd.

The stand-in of the store in statesync has pages.

--- a/coordination/statesync/follower.go
+++ b/coordination/statesync/follower.go
@@ -112,6 +112,8 @@
 	// readingList is set while the list is read from the store, and listReadAt is when the last call for it started.
 	readingList bool
 	listReadAt  time.Time
+	// fullListRead is used only by the goroutine that has set readingList.
+	fullListRead fullListRead
 	// syncing is set while a sync with another host runs; there is one at a time.
 	syncing bool
 	group   tasks.Group
--- a/coordination/statesync/follower_test.go
+++ b/coordination/statesync/follower_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -101,10 +102,34 @@
 	}
 }
 
-func (hs hostStore) ReadServerList(ctx context.Context) (statesync.ServersRead, error) {
-	read, err := hs.ReadServerChanges(ctx, 0)
-	read.FullList = true
-	return read, err
+func (hs hostStore) ReadServerPage(ctx context.Context, position statesync.ListPosition) (statesync.ServersRead, error) {
+	start, _ := strconv.ParseInt(position.LastKey, 10, 64)
+	read, err := hs.ReadServerChanges(ctx, id.NewOffset(hs.currentEra(), start))
+	if err != nil {
+		return statesync.ServersRead{}, err
+	}
+	if start == 0 {
+		position.Next = hs.end()
+	}
+	if read.Next.Era() != position.Next.Era() {
+		return statesync.ServersRead{}, statesync.ErrReadRestarts
+	}
+	position.LastKey = strconv.FormatInt(read.Next.Position(), 10)
+	read.FullList, read.Next, read.Position = true, position.Next, position
+	return read, nil
+}
+
+func (hs hostStore) currentEra() id.Era {
+	hs.mutex.Lock()
+	defer hs.mutex.Unlock()
+	return hs.era
+}
+
+// end returns the offset after the last record.
+func (hs hostStore) end() id.Offset {
+	hs.mutex.Lock()
+	defer hs.mutex.Unlock()
+	return id.NewOffset(hs.era, int64(len(hs.records)))
 }
 
 func (hs hostStore) ReadServerChanges(ctx context.Context, from id.Offset) (statesync.ServersRead, error) {
--- a/coordination/statesync/serverlist.go
+++ b/coordination/statesync/serverlist.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
@@ -166,18 +168,49 @@
 // receives no updates. With it, hundreds of such hosts together read some tens of times per second.
 const fallbackPausePerHost = 20 * time.Millisecond
 
-// fetchServerList reads the changes of the list from the offset from on. It reads the full list if from is id.NoOffset
-// or the store no longer retains the changes.
+// fetchServerList makes one read of the changes of the list from the offset from on, or of the full list if from is
+// id.NoOffset or the store no longer retains the changes. It returns the full list as a whole after its last page; until
+// then it returns no records, and that there are more.
 func (fl *Follower) fetchServerList(ctx context.Context, from id.Offset) (ServersRead, error) {
 	fl.countStoreCall("servers")
-	if from == id.NoOffset {
-		return fl.store.ReadServerList(ctx)
+	if from != id.NoOffset && from >= fl.fullListRead.position.Next {
+		fl.fullListRead = fullListRead{}
+		read, err := fl.store.ReadServerChanges(ctx, from)
+		if err != nil || !read.Expired {
+			return read, err
+		}
+	}
+	return fl.fetchFullListPage(ctx, from)
+}
+
+// fullListRead is what a host has read of the full list. It is zero while none is read.
+type fullListRead struct {
+	position ListPosition
+	records  []serverlist.Record
+}
+
+// fetchFullListPage reads the next page of the full list. See fetchServerList for the result. What was read before is kept
+// if the read fails, unless it can't go on.
+func (fl *Follower) fetchFullListPage(ctx context.Context, from id.Offset) (ServersRead, error) {
+	progress := &fl.fullListRead
+	read, err := fl.store.ReadServerPage(ctx, progress.position)
+	if err != nil {
+		if errors.Is(err, ErrReadRestarts) {
+			*progress = fullListRead{}
+		}
+		return ServersRead{}, err
 	}
-	read, err := fl.store.ReadServerChanges(ctx, from)
-	if err == nil && read.Expired {
-		return fl.store.ReadServerList(ctx)
+	firstPage := progress.position == ListPosition{}
+	progress.position = read.Position
+	progress.records = append(progress.records, read.Records...)
+	if read.More {
+		return ServersRead{Next: from, More: true}, nil
 	}
-	return read, err
+	read.Records = progress.records
+	// Pages are no snapshot: entries may have changed while later pages were read.
+	read.More = !firstPage
+	*progress = fullListRead{}
+	return read, nil
 }
 
 // sendUpdate sends an update to a host and counts failures.
@@ -197,7 +230,7 @@
 		case rc.Dropped:
 			fl.logger.Info("backend server gone", "server", string(rc.ID), "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
 		case rc.Server == nil:
-			fl.logger.Warn("backend server entry names no usable server", "server", string(rc.ID), "problem", rc.Problem, "bytes", len(rc.Body), "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
+			fl.logger.Warn("backend server entry names no usable server", "server", string(rc.ID), "problem", rc.Problem, "bytes", rc.UnusableBytes, "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
 		default:
 			fl.logger.Info("backend server listed", "server", string(rc.ID), "service", string(rc.Server.Service), "address", rc.Server.Address,
 				"draining", rc.Server.Draining, "born", rc.Server.StartedAtMillis, "source", source, "offset", rc.Offset.Position(), "era", int64(rc.Offset.Era()))
--- a/coordination/statesync/statesync.go
+++ b/coordination/statesync/statesync.go
@@ -11,6 +11,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
@@ -31,14 +33,27 @@
 	Records []serverlist.Record
 	// Next is the offset to read from next.
 	Next id.Offset
-	// More is set when the store has records from Next on already.
+	// More is set when the store has more already: of the full list after Position, of other records from Next on.
 	More bool
+	// Position is where the read of the full list stands after Records.
+	Position ListPosition
 	// FullList is set when Records is the full list rather than the records from an offset on.
 	FullList bool
 	// Expired is set when the store no longer retains the requested records.
 	Expired bool
 }
 
+// ListPosition is a position in a read of the full list of backend servers. The zero value is the beginning.
+type ListPosition struct {
+	// LastKey is the key of the last entry that was read.
+	LastKey string
+	// Next is the offset from which the changes are read that follow the full list.
+	Next id.Offset
+}
+
+// ErrReadRestarts is the error of a read of the full list that can't go on at its position and has to start again.
+var ErrReadRestarts = errors.New("the read of the full list has to start again")
+
 // Store reads the desired state and the list of backend servers from the platform's store.
 type Store interface {
 	// NewestTable returns the newest desired state.
@@ -46,8 +61,9 @@
 	// AwaitTable returns the newest desired state at the offset from or later. If there is none yet, it waits for one, at
 	// most for wait.
 	AwaitTable(ctx context.Context, from id.Offset, wait time.Duration) (TableRead, error)
-	// ReadServerList returns the full list of backend servers.
-	ReadServerList(ctx context.Context) (ServersRead, error)
+	// ReadServerPage returns the entries of the full list of backend servers after a position, as many as fit into one
+	// response. Its errors wrap ErrReadRestarts if the read can't go on there.
+	ReadServerPage(ctx context.Context, position ListPosition) (ServersRead, error)
 	// ReadServerChanges returns the records of the list at the offset from and later. It does not wait for new ones.
 	ReadServerChanges(ctx context.Context, from id.Offset) (ServersRead, error)
 	// DecodeTable decodes a desired state in the store's encoding.
--- a/state/serverlist/serverlist.go
+++ b/state/serverlist/serverlist.go
@@ -36,18 +36,22 @@
 	Server *Server
 	// Problem says why the entry does not describe a usable server; empty if it does or is removed.
 	Problem string
-	// Body is the entry in the platform's encoding.
-	Body []byte
+	// Body is the entry in the platform's encoding; nil if it does not describe a usable server. UnusableBytes is the length
+	// of such an entry in bytes.
+	Body          []byte
+	UnusableBytes int
 	// DroppedInOutage is set if the entry was removed during an outage of the platform's store or shortly after one. It
 	// may then have expired only because of the outage, while the server still runs.
 	DroppedInOutage bool
 }
 
-// Decode sets the server that the body of the record describes, or why it describes no usable one.
+// Decode sets the server that the body of the record describes. If it describes no usable one, Decode sets why, and removes
+// the body: other writers may leave entries of any size.
 func (rc *Record) Decode(decode func(server id.BackendServer, body []byte) (*Server, error)) {
 	server, err := decode(rc.ID, rc.Body)
 	if err != nil {
 		rc.Server, rc.Problem = nil, err.Error()
+		rc.Body, rc.UnusableBytes = nil, len(rc.Body)
 		return
 	}
 	rc.Server, rc.Problem = server, ""
