The rest of a refused body is not taken for the next request

What callers saw: a client that had sent Expect: 100-continue and was refused early got a response that did not announce the close of its connection. If it sent its body nevertheless, and the host stopped discarding it (after 32 MB, 5 s, or 1 s at a leaving host), the host read the rest of the body as the next request and served it: a request inside another one could be run, and a request that followed on the connection could be swallowed as body and get no answer.

Cause: since the memory for bodies is limited, the body of net/http's own request is replaced. net/http tells by the type of that body whether the client waits for consent and whether the body was read to its end. With another type it keeps the connection. The tests of early refusals have no memory for bodies, so they did not see it.

Conclusion: a request that net/http still holds must keep its body.

--- a/transport/peer/relay_server.go
+++ b/transport/peer/relay_server.go
@@ -30,6 +30,8 @@
 // ServeHTTP makes one call. If the entry host closes its connection, the context of the call ends.
 func (rh *relayHandler) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
 	receivedAt := rh.clock.Now()
+	// net/http decides by the body of its own request whether the connection can be kept.
+	httpRequest = httpRequest.WithContext(httpRequest.Context())
 	defer rh.bodyMemory.Limit(httpRequest)()
 	call, err := decodeRelayCall(httpRequest.Body)
 	if errors.Is(err, bodymemory.ErrExhausted) {
