Tests of early ends read the quarantine after the background work

What was seen: go test -race ./coordination/forward failed with data races in TestClientsThatLeaveLeavingServer and TestCrashAfterClientLeft.

Cause: the tests changed a map of their fleet, and read a quarantine without a lock, beside the goroutine that looks at a server. The races are between test code only. The tests now wait for the background work before they read, and the fleet's change is atomic; what they check is unchanged.

--- a/coordination/forward/early_end_test.go
+++ b/coordination/forward/early_end_test.go
@@ -93,8 +93,8 @@
 				if tc.counted {
 					want = quarantine.Confirmed
 				}
-				assert.Equal(t, crashStatus(table), want)
 				rn.Wait()
+				assert.Equal(t, crashStatus(table), want)
 			})
 		})
 	}
@@ -125,15 +125,23 @@
 		backends.down.Store(false)
 		rn.UpdateServers([]serverlist.Server{newServer("one", 0)})
 		time.Sleep(10 * time.Second)
+		rn.Wait()
 		for number := range clientCount {
 			fingerprint := id.NewFingerprint("", []byte(fmt.Sprint("/order/", number)), nil)
 			assert.Equal(t, len(table.EvidenceFor(fingerprint)), 0, "client %d", number)
 		}
 		assert.Assert(t, backends.probeCount.Load() <= maxProbes, "%d probes", backends.probeCount.Load())
-		rn.Wait()
 	})
 }
 
+// leavingFleet is a fakeFleet in which all servers begin to leave at some time.
+type leavingFleet struct {
+	fakeFleet
+	leaving atomic.Bool
+}
+
+func (lf *leavingFleet) ListedAsLeaving(id.BackendServer) bool { return lf.leaving.Load() }
+
 // TestClientsThatLeaveLeavingServer checks that a server that is leaving and ends is no crash of the requests whose clients
 // have left it.
 func TestClientsThatLeaveLeavingServer(t *testing.T) {
@@ -141,15 +149,15 @@
 		one := newServer("one", time.Hour)
 		backends := &hangingServers{}
 		table := newLocalQuarantine()
-		fleet := fakeFleet{listed: []serverlist.Server{one}, listedAsLeaving: map[id.BackendServer]bool{}}
+		fleet := &leavingFleet{fakeFleet: fakeFleet{listed: []serverlist.Server{one}}}
 		rn := newRunner(forward.Dependencies{Sender: backends, Quarantine: table, Fleet: fleet})
 		requestThatLeaves(t, rn, newOrder())
-		fleet.listedAsLeaving["one"] = true
+		fleet.leaving.Store(true)
 		backends.down.Store(true)
 		time.Sleep(2 * time.Second)
 		rn.UpdateServers(nil)
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, crashStatus(table), quarantine.CrashStatus(0))
 		rn.Wait()
+		assert.Equal(t, crashStatus(table), quarantine.CrashStatus(0))
 	})
 }
