--- a/site/partition_test.go
+++ b/site/partition_test.go
@@ -73,7 +73,7 @@
 func (ex *partitionExchange) outcome() string {
 	switch {
 	case ex.got.status == 0:
-		return "no response"
+		return fmt.Sprint("no response: ", ex.got.err)
 	case ex.got.status == http.StatusOK:
 		return fmt.Sprintf("200, served %t", ex.served())
 	default:
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -45,6 +46,8 @@
 	repeated string
 	// byteRate is how many bytes of head the server sends each second; 0 for no limit.
 	byteRate int
+	// requests counts the requests that servers received, if it is set.
+	requests *atomic.Int64
 }
 
 // shortFields returns header fields with different names and no values.
@@ -65,6 +68,9 @@
 		if err != nil {
 			return
 		}
+		if faulty.requests != nil && request.Header.Get("X-Attempt-Id") != "" {
+			faulty.requests.Add(1)
+		}
 		head := []byte(strings.ReplaceAll(faulty.head, "%s", request.Header.Get("X-Attempt-Id")))
 		for ; faulty.byteRate > 0 && len(head) > faulty.byteRate/10; time.Sleep(100 * time.Millisecond) {
 			if _, err := connection.Write(head[:faulty.byteRate/10]); err != nil {
@@ -103,7 +109,7 @@
 		t.Cleanup(func() { _ = listener.Close() })
 		go serveFaulty(listener, faulty)
 		entry, err := json.Marshal(map[string]any{
-			"Service": []string{"books", "models"}[ix%2], "Address": listener.Addr().String(), "Zone": "zone-a", "Version": "v1", "Slots": 16,
+			"Service": []string{"books", "models"}[ix%2], "Address": listener.Addr().String(), "Zone": "zone-a", "Version": "v1", "Slots": 16, "ColdRemainingMs": 0,
 			"State": "ready", "Sequence": 1, "born": time.Now().UnixMilli(),
 		})
 		assert.NilError(t, err)
@@ -226,6 +232,7 @@
 		{name: "no answer", repeated: "x"},
 	} {
 		t.Run(faulty.name, func(t *testing.T) {
+			faulty.requests = new(atomic.Int64)
 			address, processID := startHostWithMemory(t, faulty)
 			initial := peakResidentMegabytes(t, processID)
 			ctx, cancel := context.WithTimeout(t.Context(), faultyTime)
@@ -246,7 +253,8 @@
 			}
 			group.Wait()
 			peak := peakResidentMegabytes(t, processID)
-			t.Logf("resident memory %d MB, at the start %d MB; %d responses, %d KB", peak, initial, responses, bodyBytes>>10)
+			t.Logf("resident memory %d MB, at the start %d MB; %d requests at servers, %d responses, %d KB", peak, initial, faulty.requests.Load(), responses, bodyBytes>>10)
+			assert.Assert(t, faulty.requests.Load() >= faultyServers, "%d requests at servers", faulty.requests.Load())
 			assert.Assert(t, peak < memoryMegabytes, "resident memory of %d MB", peak)
 		})
 	}
