A part of the process that ends early no longer cuts the requests in flight

Callers saw: all requests of a host end at once, in the middle of their answers, when a task or an HTTP server of the host returned or panicked. The log had no line about it; a server's error was printed when the process ended, a panic's stack went to standard error.

Cause: lifecycle.Process.Run stopped all other parts without ShutDown as soon as one returned, and nothing recovered a panic of a task, of Serve, of a timer's callback or of a tasks.Group.

Now: the first failure is logged ("part of the host failed, the host stops", with part, error and, of a panic, the stack) and starts the same stop as a signal: the host isn't ready any more, ShutDown finishes the requests, ends of responses are sent. Run returns the failure, so that the daemon exits with 1 and is started again. Open connections are served on after the listener has failed. A second failure, a panic in ShutDown or a signal meanwhile changes nothing. What has failed may hold a lock for good, so a process with a failure ends at the latest when its grace is over (Process.Grace; CleanUp is part of what is bounded); without a failure nothing is bounded that was not before.

tasks.NotifyPanics is process-wide, as the end of a process by a panic is; while nobody has subscribed a panic ends the process as before.

Read: the tasks of both hosts return only when their context ends (all wait for it or loop until it); what makes them end early is a panic. Serve returns on a listener that is closed or broken; it retries when descriptors run out.

Tests changed: hosts of site tests ended with any error before; env_test.go now checks that Run returns none, since a panic no longer ends the test program.

--- a/host.go
+++ b/host.go
@@ -242,30 +242,30 @@
 	}
 }
 
-// Run serves until the context ends, then shuts down gracefully. If a component or server stops by itself, Run stops
-// the others immediately and returns its error. A host can't be run again.
+// Run serves until the context ends or a part of the host fails, and then shuts down gracefully. It returns the first
+// failure. A host can't be run again.
 func (ht *Host) Run(ctx context.Context) error {
 	ht.logger.Info("host started", "zone", ht.localMember.AvailabilityZone, "callers", ht.localMember.CallerAddress)
-	err := lifecycle.Process{
-		Tasks: []func(context.Context) error{
-			ht.gossip.Run,
-			ht.configuration.Run,
-			ht.fleet.Run,
-			ht.claimRelay.Run,
-			ht.quotaClient.Run,
-			ht.shardServer.Run,
-			ht.shardClient.Run,
-			ht.placer.Run,
-			ht.quarantineSyncer.Run,
+	return lifecycle.Process{
+		Tasks: []lifecycle.Task{
+			{Name: "membership", Run: ht.gossip.Run},
+			{Name: "configuration", Run: ht.configuration.Run},
+			{Name: "fleet", Run: ht.fleet.Run},
+			{Name: "claims", Run: ht.claimRelay.Run},
+			{Name: "quotas", Run: ht.quotaClient.Run},
+			{Name: "shard server", Run: ht.shardServer.Run},
+			{Name: "shard client", Run: ht.shardClient.Run},
+			{Name: "placer", Run: ht.placer.Run},
+			{Name: "crash evidence", Run: ht.quarantineSyncer.Run},
 		},
 		Servers:   ht.servers(),
 		Listeners: ht.listeners,
 		ShutDown:  ht.shutDown,
+		CleanUp:   ht.close,
+		Grace:     lifecycle.Grace(ht.settings.Operators.ShutdownTimeout),
 		Clock:     ht.clock,
 		Logger:    ht.logger,
 	}.Run(ctx)
-	ht.close()
-	return err
 }
 
 // servers returns the HTTP servers for callers, for other hosts and for operators, in the order of the listeners. Other
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -11,37 +11,83 @@
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
 
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
+// Task is a part of a process that runs until its context ends.
+type Task struct {
+	// Name is for the log.
+	Name string
+	Run  func(context.Context) error
+}
+
 // Process is a set of tasks and HTTP servers that run and stop together.
 type Process struct {
-	// Tasks run until their context ends.
-	Tasks []func(context.Context) error
+	Tasks []Task
 	// Servers are the HTTP servers. Each serves the listener at the same index of Listeners.
 	Servers   []*http.Server
 	Listeners []net.Listener
 	// ShutDown finishes the requests in flight, while tasks and servers still run. It returns how long the servers may
-	// then take to send what handlers have written; they accept no connections meanwhile. Its context ends early if a
-	// task or server stops by itself.
+	// then take to send what handlers have written; they accept no connections meanwhile.
 	ShutDown func(context.Context) time.Duration
-	Clock    timer.Clock
-	// Logger logs that connections are closed although the servers still answer on them.
+	// CleanUp, if not nil, releases what the tasks and servers used, when they have ended.
+	CleanUp func()
+	// Grace bounds the stop of a process of which a part has failed.
+	Grace Grace
+	Clock timer.Clock
+	// Logger logs what failed, and that connections are closed although the servers still answer on them.
 	Logger *slog.Logger
 }
 
-// Run runs the tasks and servers until the context ends, calls ShutDown, lets the servers send the ends of responses,
-// stops all, and returns when all have stopped.
-// If a task or server stops by itself, Run stops the others without calling ShutDown and returns the error of the
-// first.
+// errEndedEarly is the failure of a task or server that returned no error.
+var errEndedEarly = errors.New("ended before the process was stopped")
+
+// Run runs the tasks and servers until the context ends or a part of the process fails, calls ShutDown, lets the servers
+// send the ends of responses, stops all, and returns when all have stopped and CleanUp has returned.
+// A part fails if a task or server stops by itself, or a function that runs through package tasks panics. Run logs it and
+// returns the first failure. What has failed may keep the others from stopping, so Run then returns when the grace has
+// passed since the stop began, even if they have not.
 func (pr Process) Run(ctx context.Context) error {
 	// Tasks don't inherit the end of ctx, because they must run until ShutDown has returned.
 	backgroundCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	fs := newFailures(pr.Logger)
+	defer tasks.NotifyPanics(func(pn *tasks.Panic) { fs.record("background work", pn) })()
+	stopping, stopped := make(chan struct{}), make(chan struct{})
+	tasks.Go(func() {
+		defer close(stopped)
+		pr.runUntilStopped(ctx, backgroundCtx, fs, stopping)
+		if pr.CleanUp != nil {
+			pr.CleanUp()
+		}
+	})
+	<-stopping
+	graceOver, subscription := timer.Wait(pr.Clock, pr.Grace.failureTime())
+	defer subscription.Stop()
+	select {
+	case <-stopped:
+		return fs.err()
+	case <-graceOver:
+	}
+	select {
+	case <-stopped:
+	case <-fs.failed:
+		pr.Logger.Error("host ends although parts of it have not stopped")
+	}
+	return fs.err()
+}
+
+// runUntilStopped runs the tasks and servers until ctx ends or a part of the process fails, stops them in order, and
+// returns when all have ended. It closes stopping when the stop begins.
+func (pr Process) runUntilStopped(ctx, backgroundCtx context.Context, fs *failures, stopping chan<- struct{}) {
 	var group run.Group
 	for _, task := range pr.Tasks {
 		taskCtx, cancel := context.WithCancel(backgroundCtx)
-		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
+		group.Add(func() error {
+			pr.runPart(taskCtx, fs, "task "+task.Name, func() error { return task.Run(taskCtx) })
+			return nil
+		}, func(error) { cancel() })
 	}
 	conns := newConnections()
 	for index, server := range pr.Servers {
@@ -49,30 +95,58 @@
 		conns.watch(server)
 		serverCtx, cancel := context.WithCancel(backgroundCtx)
 		group.Add(func() error {
-			err := server.Serve(listener)
-			if errors.Is(err, http.ErrServerClosed) {
-				// The server may still answer on open connections; the group must not stop because of its listener.
-				<-serverCtx.Done()
-			}
-			return err
+			pr.runPart(serverCtx, fs, "server at "+listener.Addr().String(), func() error {
+				err := server.Serve(listener)
+				if errors.Is(err, http.ErrServerClosed) {
+					<-serverCtx.Done()
+				}
+				return err
+			})
+			return nil
 		}, func(error) {
 			cancel()
 			_ = server.Close()
 		})
 	}
-	shutdownCtx, cancel := context.WithCancel(backgroundCtx)
 	group.Add(func() error {
 		select {
 		case <-ctx.Done():
-			pr.finishResponses(shutdownCtx, conns, pr.ShutDown(shutdownCtx))
-		case <-shutdownCtx.Done():
+		case <-fs.failed:
 		}
+		close(stopping)
+		pr.finishResponses(backgroundCtx, conns, pr.finishRequests(backgroundCtx, fs))
+		return nil
+	}, func(error) {})
+	_ = group.Run()
+}
+
+// runPart runs a task or server and records its failure if it ends before its context or panics. It returns when the
+// context has ended, because the group stops the others as soon as one of them returns.
+func (pr Process) runPart(ctx context.Context, fs *failures, name string, runUntilEnd func() error) {
+	err := tasks.Call(runUntilEnd)
+	var pn *tasks.Panic
+	switch {
+	case errors.As(err, &pn), ctx.Err() == nil && err != nil:
+		fs.record(name, err)
+	case ctx.Err() == nil:
+		fs.record(name, errEndedEarly)
+	}
+	<-ctx.Done()
+}
+
+// finishRequests calls ShutDown and returns how long the servers may send what handlers have written. If ShutDown panics,
+// that is the rest of the grace, since handlers may still run.
+func (pr Process) finishRequests(ctx context.Context, fs *failures) (timeout time.Duration) {
+	startedAt := pr.Clock.Now()
+	err := tasks.Call(func() error {
+		timeout = pr.ShutDown(ctx)
 		return nil
-	}, func(error) { cancel() })
-	if err := group.Run(); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	})
+	if err != nil {
+		fs.record("shutdown", err)
+		timeout = pr.Grace.CloseTime() - pr.Clock.Now().Sub(startedAt)
 	}
-	return nil
+	return timeout
 }
 
 // finishResponses closes the listeners and the idle connections, and waits until no request is being answered on the
--- a/site/env_test.go
+++ b/site/env_test.go
@@ -49,6 +49,8 @@
 	limits map[string]any
 	// callers are the settings of hosts for their clients.
 	callers settings.Callers
+	// hostsFail says that a part of the hosts fails, so that Run returns an error.
+	hostsFail bool
 	// hostOptions are the options of hosts in addition to their settings.
 	hostOptions []site.Option
 }
@@ -151,7 +153,10 @@
 	go func() { started.runEnded <- siteHost.Run(ctx) }()
 	env.t.Cleanup(func() {
 		cancel()
-		<-started.runEnded
+		err := <-started.runEnded
+		if !env.hostsFail {
+			assert.Check(env.t, err)
+		}
 	})
 	if awaitReady {
 		env.eventually(func() bool {
--- a/site/host.go
+++ b/site/host.go
@@ -286,7 +286,8 @@
 	return min(maxBudget, ht.settings.Retries.Slack/float64(growthFactor*hosts))
 }
 
-// Run serves until the context ends and then shuts down gracefully.
+// Run serves until the context ends or a part of the host fails, and then shuts down gracefully. It returns the first
+// failure.
 func (ht *Host) Run(ctx context.Context) error {
 	if megabytes := ht.settings.Limits.MemoryMegabytes; megabytes > 0 {
 		// softLimitShare is the part of that memory that the Go runtime tries to stay within, because the process is ended
@@ -297,18 +298,34 @@
 	ht.logger.Info("host started", "zone", string(ht.localMember.AvailabilityZone), "clients", ht.localMember.CallerAddress, "peers", ht.localMember.PeerAddress,
 		"incarnation", int64(ht.localMember.Incarnation), "seeds", ht.settings.Peers.Seeds)
 	err := lifecycle.Process{
-		Tasks:     []func(context.Context) error{ht.updateFollower.Run, ht.grantServer.Run, ht.grantClient.Run, ht.pool.Run, ht.relayPool.Run, ht.backendSender.Run, ht.evidenceSyncer.Run, ht.join, ht.discoverHosts, ht.updateGauges},
+		Tasks: []lifecycle.Task{
+			{Name: "desired state and servers", Run: ht.updateFollower.Run},
+			{Name: "grant server", Run: ht.grantServer.Run},
+			{Name: "grant client", Run: ht.grantClient.Run},
+			{Name: "connections", Run: ht.pool.Run},
+			{Name: "relay connections", Run: ht.relayPool.Run},
+			{Name: "probes", Run: ht.backendSender.Run},
+			{Name: "crash evidence", Run: ht.evidenceSyncer.Run},
+			{Name: "membership", Run: ht.join},
+			{Name: "discovery", Run: ht.discoverHosts},
+			{Name: "gauges", Run: ht.updateGauges},
+		},
 		Servers:   ht.httpServers(),
 		Listeners: ht.servedListeners(),
 		ShutDown:  ht.shutDown,
+		CleanUp:   ht.cleanUp,
+		Grace:     lifecycle.Grace(ht.settings.Operators.ShutdownTimeout),
 		Clock:     ht.clock,
 		Logger:    ht.logger,
 	}.Run(ctx)
+	ht.logger.Info("host stopped")
+	return err
+}
+
+func (ht *Host) cleanUp() {
 	ht.forwarder.Wait()
 	ht.peerClient.Close()
 	_ = ht.metrics.Close()
-	ht.logger.Info("host stopped")
-	return err
 }
 
 // join joins the membership as soon as the host can serve, so that the other hosts send nothing to a host that can't.
--- a/tasks/group.go
+++ b/tasks/group.go
@@ -4,7 +4,8 @@
 import "sync"
 
 // Group runs functions in goroutines and waits for them. Unlike with sync.WaitGroup, Go may be called while Wait waits;
-// it then starts nothing. The zero value is ready for use. A Group must not be copied.
+// it then starts nothing. A panic goes to the subscribers of NotifyPanics. The zero value is ready for use. A Group must
+// not be copied.
 type Group struct {
 	// mutex guards closed, and keeps Go from adding to running after Wait has closed the group.
 	mutex   sync.Mutex
@@ -19,7 +20,7 @@
 	if gr.closed {
 		return false
 	}
-	gr.running.Go(task)
+	gr.running.Go(Guarded(task))
 	return true
 }
 
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -6,6 +6,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 )
 
 // Clock is a clock that calls subscribers when a duration has passed. It is safe for concurrent use.
@@ -34,7 +36,7 @@
 }
 
 func (systemClock) After(wait time.Duration, notify func()) Subscription {
-	return time.AfterFunc(wait, notify)
+	return time.AfterFunc(wait, tasks.Guarded(notify))
 }
 
 // Every calls notify after each period until the returned subscription is stopped. Calls don't overlap: the next period
