A panic in the background no longer ends all requests of the host

Callers saw: a panic in any goroutine but a request handler's ended the process, with every request in flight and without a line in the log (the stack went to standard error).

Cause: only client handlers recover. The host's code had 16 go statements and 5 callbacks outside package tasks, and 13 uses of sync.WaitGroup, in 24 files.

The two monitors lock the mutex again while they panic. Gossip unlocks its mutex when its fold panics, membership's task ends when gossip panics, and the stop of a host calls what may wait for such a mutex in a goroutine of its own, so that the listeners and the requests don't wait for it; what still hangs is bounded by the grace.

Ruled out by reading: the other places that unlock and lock again have no deferred Unlock around them. Not covered: goroutines that libraries start and in which they call the host's code without package tasks (net/http reads from client connections in the background, OpenTelemetry's exporter), and locks without defer in other packages than those named.

--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuslever/hibiscuslever/lifecycle/hangup"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/site"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 )
 
@@ -79,11 +80,11 @@
 	if err != nil {
 		return command.NewUsageError(fmt.Errorf("settings %s: %w", path, err))
 	}
-	go func() {
+	tasks.Go(func() {
 		for range hangup.Signals() {
 			reloadSettings(host, logger, path)
 		}
-	}()
+	})
 	return host.Run(ctx)
 }
 
--- a/command/command.go
+++ b/command/command.go
@@ -13,6 +13,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 )
 
 // Version is the version of all programs.
@@ -109,7 +111,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	// Reset restores the default action, by which SIGINT ends the process.
-	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
+	context.AfterFunc(ctx, tasks.Guarded(func() { signal.Reset(os.Interrupt) }))
 	err := root.ExecuteContext(ctx)
 	var usageError UsageError
 	switch {
--- a/coordination/forward/reservation.go
+++ b/coordination/forward/reservation.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reservationCallTimeout)
 	defer cancel()
 	refused := make([]*refusedReservation, len(rv.parts))
-	var calls sync.WaitGroup
+	var calls tasks.WaitGroup
 	for ix, part := range rv.parts {
 		calls.Go(func() {
 			ok, err := rv.runner.sender.Reserve(ctx, part.Address, part.Ticket, part.MemoryTokens, rv.runner.config.ReservationTTL)
@@ -103,7 +103,7 @@
 		rv.renewal.Stop()
 	}
 	for _, part := range rv.parts {
-		go rv.runner.releasePart(part)
+		tasks.Go(func() { rv.runner.releasePart(part) })
 	}
 }
 
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -174,7 +174,7 @@
 // caller must call the returned function to free resources.
 func withShutdown(ctx, shutdown context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	detach := context.AfterFunc(shutdown, func() { cancel(errHostLeaving) })
+	detach := context.AfterFunc(shutdown, tasks.Guarded(func() { cancel(errHostLeaving) }))
 	return ctx, func() {
 		detach()
 		cancel(nil)
--- a/coordination/forward/slow_server.go
+++ b/coordination/forward/slow_server.go
@@ -58,9 +58,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sm.cancelSearch = cancel
-	sm.mutex.Unlock()
-	server, found := sm.findServer(ctx)
-	sm.mutex.Lock()
+	server, found := sm.findServerUnlocked(ctx)
 	switch {
 	case sm.kept:
 	case found && sm.takeRetry():
@@ -71,6 +69,13 @@
 	}
 }
 
+// findServerUnlocked searches for another server. The caller holds the mutex, which is unlocked meanwhile.
+func (sm *slowServerMonitor) findServerUnlocked(ctx context.Context) (serverlist.Server, bool) {
+	sm.mutex.Unlock()
+	defer sm.mutex.Lock()
+	return sm.findServer(ctx)
+}
+
 // keep makes the monitor abort the attempt no more and reports whether it has not done so. A nil monitor never aborts.
 func (sm *slowServerMonitor) keep() bool {
 	if sm == nil {
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -7,6 +7,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -39,7 +40,7 @@
 	mutex sync.Mutex
 	// cancelCallback ends a running findFailover or handleNoResponse, which callbacks waits for; nil if none runs.
 	cancelCallback context.CancelFunc
-	callbacks      sync.WaitGroup
+	callbacks      tasks.WaitGroup
 	// lastActivity is when the engine last showed that it is alive, lastProgress when the last event with an id
 	// arrived. Both start at the predicted time of the first event.
 	lastActivity time.Time
@@ -172,12 +173,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sm.cancelCallback = cancel
-	sm.callbacks.Add(1)
 	sm.mutex.Unlock()
-	callback(ctx)
-	sm.callbacks.Done()
-	sm.mutex.Lock()
-	sm.cancelCallback = nil
+	defer func() {
+		sm.mutex.Lock()
+		sm.cancelCallback = nil
+	}()
+	sm.callbacks.Run(func() { callback(ctx) })
 }
 
 // failOver searches for another engine for the stream. If it finds one, it aborts the attempt with the given cause and
--- a/coordination/gossip/runner.go
+++ b/coordination/gossip/runner.go
@@ -186,14 +186,7 @@
 	}
 	rn.recordContact(msg)
 	rn.step(ctx, membership.Received{Message: msg})
-	rn.mutex.Lock()
-	buildAnswer := rn.machine.NextMessage
-	if msg.Joining {
-		buildAnswer = rn.machine.FullState
-	}
-	partialAnswer := buildAnswer()
-	rn.mutex.Unlock()
-	return rn.withFreshness(partialAnswer), reached
+	return rn.withFreshness(rn.answerTo(msg)), reached
 }
 
 // withFreshness adds the local host's revision and list freshness to a message. The caller must not hold the mutex: the
@@ -241,9 +234,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, rn.config.ExchangeTimeout)
 	defer cancel()
-	rn.mutex.Lock()
-	msg := rn.machine.NextMessage()
-	rn.mutex.Unlock()
+	msg := rn.nextMessage()
 	answer, _, err := rn.exchange(ctx, target.PeerAddress, msg)
 	if err != nil {
 		return false
@@ -254,13 +245,7 @@
 
 // step passes an event to the machine and carries out the effects. The caller must not hold the mutex.
 func (rn *Runner) step(ctx context.Context, ev membership.Event) {
-	rn.mutex.Lock()
-	effects := append([]membership.Effect(nil), rn.machine.Step(rn.clock.Now(), ev)...)
-	if slices.ContainsFunc(effects, func(ef membership.Effect) bool { return ef.Kind == membership.MemberChanged }) {
-		rn.cachedLive = nil
-	}
-	rn.mutex.Unlock()
-	for _, ef := range effects {
+	for _, ef := range rn.stepMachine(ev) {
 		switch ef.Kind {
 		case membership.SendProbe:
 			rn.exchanges.Go(func() { rn.runProbe(ctx, ef) })
@@ -277,6 +262,34 @@
 	}
 }
 
+// stepMachine passes an event to the machine and returns the effects.
+func (rn *Runner) stepMachine(ev membership.Event) []membership.Effect {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	effects := slices.Clone(rn.machine.Step(rn.clock.Now(), ev))
+	if slices.ContainsFunc(effects, func(ef membership.Effect) bool { return ef.Kind == membership.MemberChanged }) {
+		rn.cachedLive = nil
+	}
+	return effects
+}
+
+// nextMessage returns what the machine sends next to another host.
+func (rn *Runner) nextMessage() membership.Message {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	return rn.machine.NextMessage()
+}
+
+// answerTo returns the answer to a message, without the local host's revision and list freshness.
+func (rn *Runner) answerTo(msg membership.Message) membership.Message {
+	rn.mutex.Lock()
+	defer rn.mutex.Unlock()
+	if msg.Joining {
+		return rn.machine.FullState()
+	}
+	return rn.machine.NextMessage()
+}
+
 // runProbe sends a direct or indirect probe, and passes the result to the machine unless the context has ended.
 func (rn *Runner) runProbe(ctx context.Context, ef membership.Effect) {
 	timeout := rn.config.ExchangeTimeout
@@ -305,9 +318,7 @@
 func (rn *Runner) Leave(ctx context.Context) {
 	rn.step(ctx, membership.Leave{})
 	for _, mb := range rn.Live() {
-		rn.mutex.Lock()
-		msg := rn.machine.NextMessage()
-		rn.mutex.Unlock()
+		msg := rn.nextMessage()
 		callCtx, cancel := context.WithTimeout(ctx, rn.config.ExchangeTimeout)
 		_, _, _ = rn.exchange(callCtx, mb.PeerAddress, msg)
 		cancel()
--- a/coordination/modelcall/runner.go
+++ b/coordination/modelcall/runner.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/shard"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -56,7 +57,7 @@
 	mutex   sync.Mutex
 	retries *retry.Policy
 	// backgroundWork counts the cleanups that go on after their attempts have ended.
-	backgroundWork sync.WaitGroup
+	backgroundWork tasks.WaitGroup
 }
 
 // NewRunner returns a runner. The retry policy must not be used by others, because the runner guards it with its own
@@ -338,7 +339,7 @@
 	if result.streamReaders != nil {
 		result.streamReaders.Wait()
 	}
-	var group sync.WaitGroup
+	var group tasks.WaitGroup
 	for _, part := range grant.Parts {
 		group.Go(func() {
 			for ctx.Err() == nil {
--- a/coordination/modelcall/streams.go
+++ b/coordination/modelcall/streams.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"slices"
-	"sync"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -39,7 +39,7 @@
 	// draining reports that the engine refused the attempt because it is leaving.
 	draining bool
 	// streamReaders counts the goroutines that may still be opening streams of the attempt.
-	streamReaders *sync.WaitGroup
+	streamReaders *tasks.WaitGroup
 }
 
 // String returns the name of the result that is recorded in traces.
@@ -91,7 +91,7 @@
 	// startReported says that the first token of the attempt was reported to the dispatcher.
 	startReported bool
 	// readers counts the goroutines that open and read streams.
-	readers sync.WaitGroup
+	readers tasks.WaitGroup
 }
 
 // followStreams opens the streams of an attempt and passes tokens to the sink until the answer is complete or the
@@ -198,7 +198,7 @@
 		case <-idleChecks:
 			if !probing && rn.clock.Now().Sub(lastActivity) >= rn.config.IdleBeforeProbe {
 				probing, activeSinceProbe = true, false
-				go as.probeEngines(ctx, probeResults)
+				tasks.Go(func() { as.probeEngines(ctx, probeResults) })
 			}
 		case probeResult := <-probeResults:
 			probing = false
@@ -244,7 +244,7 @@
 	ctx, cancel := context.WithTimeout(ctx, as.runner.config.EngineCallTimeout)
 	defer cancel()
 	healths := make([]Health, len(as.grant.Parts))
-	var group sync.WaitGroup
+	var group tasks.WaitGroup
 	for index, part := range as.grant.Parts {
 		group.Go(func() { healths[index] = as.runner.engines.ProbeHealth(ctx, part.Address) })
 	}
--- a/coordination/peerrelay/direct.go
+++ b/coordination/peerrelay/direct.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -153,7 +154,7 @@
 	defer cancel()
 	results := make(chan forward.ProbeResult, len(addresses))
 	for _, address := range addresses {
-		go func() { results <- ds.probeConnection(ctx, address) }()
+		tasks.Go(func() { results <- ds.probeConnection(ctx, address) })
 	}
 	for range addresses {
 		if <-results == forward.Reachable {
--- a/coordination/peerrelay/probe.go
+++ b/coordination/peerrelay/probe.go
@@ -6,6 +6,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 )
 
 const (
@@ -39,7 +40,7 @@
 	directCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	directResult := make(chan forward.ProbeResult, 1)
-	go func() { directResult <- probeDirectly(directCtx, address) }()
+	tasks.Go(func() { directResult <- probeDirectly(directCtx, address) })
 	hedged, hedge := timerChannel(sd, hedgeDelay)
 	defer hedge()
 	direct := forward.ProbeResult(0)
@@ -51,7 +52,7 @@
 	case <-hedged:
 	}
 	peerResult := make(chan forward.ProbeResult, 1)
-	go func() { peerResult <- sd.probeThroughPeers(ctx, kind, address) }()
+	tasks.Go(func() { peerResult <- sd.probeThroughPeers(ctx, kind, address) })
 	var throughPeer forward.ProbeResult
 	if direct == 0 {
 		select {
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -222,7 +223,7 @@
 		defer cancel()
 	}
 	result := make(chan forward.ProbeResult, 1)
-	go func() { result <- probeDirectly(ctx, call.Address) }()
+	tasks.Go(func() { result <- probeDirectly(ctx, call.Address) })
 	delayed, subscription := timer.Wait(sv.clock, witnessDelay)
 	defer subscription.Stop()
 	select {
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/lease"
 	"github.com/hibiscuslever/hibiscuslever/coordination/placement"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -104,7 +105,7 @@
 	loadingModels map[id.Engine]id.Model
 	// lastEnginePoll is when engines were last polled and compared with the demand.
 	lastEnginePoll time.Time
-	pendingOrders  sync.WaitGroup
+	pendingOrders  tasks.WaitGroup
 }
 
 // New returns a placer that holds no lease.
@@ -220,7 +221,7 @@
 	defer cancel()
 	listed := pl.fleet.AllEngines()
 	reports := make([]placement.Engine, len(listed))
-	var group sync.WaitGroup
+	var group tasks.WaitGroup
 	for ix, en := range listed {
 		group.Go(func() {
 			models, modelSlots, err := pl.engineClient.FetchModels(ctx, en.Address)
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/limit"
 	"github.com/hibiscuslever/hibiscuslever/state/lists"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -204,7 +205,7 @@
 	cl.unreportedEnds = append(cl.unreportedEnds, ended)
 	cl.mutex.Unlock()
 	if plan.Concurrency > 0 {
-		go cl.renew(context.Background(), false)
+		tasks.Go(func() { cl.renew(context.Background(), false) })
 	}
 }
 
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/claim"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -56,7 +57,7 @@
 	waiters map[uint64]chan claim.Answer
 	// tickScheduled is set while a timer for the next tick is pending.
 	tickScheduled bool
-	logCalls      sync.WaitGroup
+	logCalls      tasks.WaitGroup
 }
 
 // New returns a relay that has read nothing yet. The countRelays function returns the number of relays that share the
--- a/coordination/servicecall/runner.go
+++ b/coordination/servicecall/runner.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -56,7 +57,7 @@
 	retries *retry.Policy
 	random  *rand.Rand
 	// backgroundAppends counts the appends that go on after their calls have ended.
-	backgroundAppends sync.WaitGroup
+	backgroundAppends tasks.WaitGroup
 }
 
 // NewRunner returns a runner. The seed determines its random choice among servers.
--- a/coordination/shard/canceller.go
+++ b/coordination/shard/canceller.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -29,7 +29,7 @@
 	grantHolders   GrantHolders
 	clock          timer.Clock
 	metrics        tally.Scope
-	runningCancels sync.WaitGroup
+	runningCancels tasks.WaitGroup
 }
 
 func newCanceller(engines EngineClient, holders GrantHolders, clock timer.Clock, metrics tally.Scope) *canceller {
--- a/coordination/shard/client.go
+++ b/coordination/shard/client.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -215,7 +216,7 @@
 	cl.mutex.Lock()
 	cl.queueEndedLocked(EndedGrant{Shard: request.Shard, Request: request.ID, Attempt: id.NewAttempt(request.ID, request.AttemptNumber), Withdrawn: true})
 	cl.mutex.Unlock()
-	go cl.reportShard(context.Background(), request.Shard, false)
+	tasks.Go(func() { cl.reportShard(context.Background(), request.Shard, false) })
 }
 
 // ReportStarted records that the first token of an attempt has arrived; the next periodic report says so.
@@ -304,7 +305,7 @@
 		}
 	}
 	cl.mutex.Unlock()
-	var reports sync.WaitGroup
+	var reports tasks.WaitGroup
 	for shard := range shards {
 		reports.Go(func() { cl.reportShard(ctx, shard, true) })
 	}
--- a/coordination/shard/dispatcher.go
+++ b/coordination/shard/dispatcher.go
@@ -7,6 +7,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 )
 
 // shardDispatcher is the state machine of one shard, with the calls that wait for a response from it and the state of
@@ -160,7 +161,7 @@
 		if fullPoll {
 			poll.lastFullPoll = now
 		}
-		go sv.pollEngine(ctx, dp, engine, poll.nextCacheEvent, fullPoll)
+		tasks.Go(func() { sv.pollEngine(ctx, dp, engine, poll.nextCacheEvent, fullPoll) })
 	}
 	for name := range dp.enginePolls {
 		if !listedEngines[name] {
--- a/events.go
+++ b/events.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 )
 
 // onMemberChanged logs that the status or the description of a host has changed.
@@ -26,11 +27,11 @@
 // onNewerRevision fetches the configuration from a host that announced a higher revision. The fetch runs in its own
 // goroutine because gossip handlers must not block; if it fails, gossip reports the revision again.
 func (ht *Host) onNewerRevision(host id.Host) {
-	go func() {
+	tasks.Go(func() {
 		if err := ht.configuration.SyncFrom(context.Background(), host); err != nil {
 			ht.gossip.RetryNewerRevision()
 		}
-	}()
+	})
 }
 
 // onConfigurationChanged announces the new revision to the other hosts by gossip.
--- a/site/host.go
+++ b/site/host.go
@@ -37,6 +37,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/backend"
@@ -342,7 +343,7 @@
 		}
 	}
 	gossipEnded := make(chan error, 1)
-	go func() { gossipEnded <- ht.gossip.Run(ctx) }()
+	tasks.Go(func() { gossipEnded <- tasks.Call(func() error { return ht.gossip.Run(ctx) }) })
 	for discoveryEnd := ht.clock.Now().Add(discoveryWait); len(ht.gossip.OtherHosts()) == 0 && ht.clock.Now().Before(discoveryEnd); {
 		if !timer.Sleep(ctx, ht.clock, pollInterval) {
 			break
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/lifecycle"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -24,10 +25,13 @@
 	ht.leaving = true
 	ht.mutex.Unlock()
 	ht.clientHandler.DisableKeepAlives()
-	if len(ht.gossip.OtherHosts()) > 0 {
-		ht.grantServer.Leave()
-	}
-	go ht.gossip.Leave(ctx)
+	// These lock mutexes that a goroutine may have left locked when it panicked.
+	tasks.Go(func() {
+		if len(ht.gossip.OtherHosts()) > 0 {
+			ht.grantServer.Leave()
+		}
+		ht.gossip.Leave(ctx)
+	})
 	timer.Sleep(ctx, ht.clock, grace.AcceptTime())
 	ht.clientHandler.RefuseNewRequests()
 	ht.forwarder.RejectWaiting()
--- a/tasks/group_test.go
+++ b/tasks/group_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/testutil"
@@ -31,3 +32,49 @@
 		assert.Equal(t, ended.Load(), int64(3))
 	})
 }
+
+// TestPanicEndsProcess has each way to run a function panic while somebody has subscribed.
+func TestPanicEndsProcess(t *testing.T) {
+	for name, run := range map[string]func(task func()){
+		"guarded": func(task func()) { tasks.Guarded(task)() },
+		"goroutine": func(task func()) {
+			ended := make(chan struct{})
+			tasks.Go(func() {
+				defer close(ended)
+				task()
+			})
+			<-ended
+		},
+		"group": func(task func()) {
+			var group tasks.Group
+			group.Go(task)
+			group.Wait()
+		},
+		"wait group": func(task func()) {
+			var group tasks.WaitGroup
+			group.Go(task)
+			group.Wait()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reported := make(chan *tasks.Panic, 1)
+			unsubscribe := tasks.NotifyPanics(func(pn *tasks.Panic) { reported <- pn })
+			defer unsubscribe()
+			run(func() { panic("index 7") })
+			pn := <-reported
+			assert.Error(t, pn, "panic: index 7")
+			assert.Assert(t, cmp.Contains(pn.Stack(), "group_test.go"))
+		})
+	}
+}
+
+// TestPanicGoesUnnoticed checks that a panic continues while nobody has subscribed.
+func TestPanicGoesUnnoticed(t *testing.T) {
+	tasks.NotifyPanics(func(*tasks.Panic) { t.Error("the subscription has ended") })()
+	recovered := func() (recovered any) {
+		defer func() { recovered = recover() }()
+		tasks.Guarded(func() { panic("index 7") })()
+		return nil
+	}()
+	assert.Equal(t, recovered, "index 7")
+}
--- a/telemetry/logwriter.go
+++ b/telemetry/logwriter.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 )
 
 // dropReportPeriod is the minimum time between two lines that report dropped lines.
@@ -50,7 +52,7 @@
 func NewLogWriter(out io.Writer, limits LogLimits, format string, attributes ...any) *LogWriter {
 	writer := &LogWriter{out: out, limits: limits, wake: make(chan struct{}, 1), writerDone: make(chan struct{})}
 	writer.dropLogger = NewLogger(unlimitedWriter{writer}, format, slog.LevelInfo.String()).With(attributes...)
-	go writer.writePending()
+	tasks.Go(writer.writePending)
 	return writer
 }
 
@@ -88,7 +90,7 @@
 		return
 	}
 	lw.dropReportScheduled = true
-	time.AfterFunc(dropReportPeriod, func() {
+	time.AfterFunc(dropReportPeriod, tasks.Guarded(func() {
 		lw.mutex.Lock()
 		defer lw.mutex.Unlock()
 		lw.dropReportScheduled = false
@@ -97,7 +99,7 @@
 		}
 		lw.reportDrops()
 		lw.wakeWriter()
-	})
+	}))
 }
 
 // reportDrops queues a line that reports how many lines were dropped since the last report. The caller holds the mutex.
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -95,7 +96,7 @@
 		}
 	}
 	ex := &exchange{ctx: ctx, pool: pl, conn: cn, writeResult: make(chan error, 1)}
-	ex.stopContextWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
+	ex.stopContextWatch = context.AfterFunc(ctx, tasks.Guarded(func() { _ = cn.Close() }))
 	head := encodeRequestHead(request)
 	if len(request.Body) <= maxSynchronousBodyBytes {
 		_, err := cn.Write(append(head, request.Body...))
@@ -106,11 +107,11 @@
 		}
 	} else {
 		// A long body is not copied behind the head, because many of them may be sent at once.
-		go func() {
+		tasks.Go(func() {
 			parts := net.Buffers{head, request.Body}
 			_, err := parts.WriteTo(cn.Conn)
 			ex.writeResult <- err
-		}()
+		})
 	}
 	return ex.receiveResponse(request)
 }
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/lists"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -146,7 +147,7 @@
 // The caller must call the returned function to free resources.
 func (sv *Server) withAbort(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	detach := context.AfterFunc(sv.abortContext, func() { cancel(errAborted) })
+	detach := context.AfterFunc(sv.abortContext, tasks.Guarded(func() { cancel(errAborted) }))
 	return ctx, func() {
 		detach()
 		cancel(nil)
--- a/transport/requestbody/requestbody.go
+++ b/transport/requestbody/requestbody.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -56,7 +57,7 @@
 		return discarded
 	}
 	ended := make(chan Discarded, 1)
-	go func() { ended <- discard(request.Body) }()
+	tasks.Go(func() { ended <- discard(request.Body) })
 	delayPassed, delay := timer.Wait(clock, maxRefusalDelay)
 	defer delay.Stop()
 	select {
