--- a/telemetry/logwriter_test.go
+++ b/telemetry/logwriter_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,6 +113,99 @@
 	})
 }
 
+// writeResult is what a write returns: the number of bytes taken and an error.
+type writeResult struct {
+	bytes int
+	err   error
+}
+
+// scriptedWriter returns results in order, and then takes all bytes.
+type scriptedWriter struct {
+	lockedBuffer
+	results []writeResult
+	// writes counts the calls.
+	writes int
+}
+
+func (sw *scriptedWriter) Write(part []byte) (int, error) {
+	sw.writes++
+	if len(sw.results) == 0 {
+		return sw.lockedBuffer.Write(part)
+	}
+	result := sw.results[0]
+	sw.results = sw.results[1:]
+	count, _ := sw.lockedBuffer.Write(part[:min(result.bytes, len(part))])
+	return count, result.err
+}
+
+// dropCount is a counter of dropped lines.
+type dropCount struct{ lines int64 }
+
+func (dc *dropCount) Inc(delta int64) { dc.lines += delta }
+
+// TestFailedWritesAreNotCounted lets writes fail. The lines that were not written whole must be reported and counted as
+// dropped, also if the report itself can't be written at first, and what is written later must begin on a new line.
+func TestFailedWritesAreNotCounted(t *testing.T) {
+	broken, full := &os.PathError{Op: "write", Err: syscall.EPIPE}, &os.PathError{Op: "write", Err: syscall.EAGAIN}
+	for _, tc := range []struct {
+		name      string
+		results   []writeResult
+		wantLines string
+		wantDrops int64
+		// wantWrites bounds the number of writes in five seconds.
+		wantWrites int
+	}{
+		{"reader gone once", []writeResult{{0, broken}}, "", 3, 3},
+		{"reader gone during the report too", []writeResult{{0, broken}, {0, broken}}, "", 3, 4},
+		{"part of a line written", []writeResult{{6, broken}}, "one\ntw\n", 2, 4},
+		{"end of the part not written at first", []writeResult{{6, broken}, {0, broken}}, "one\ntw\n", 2, 5},
+		{"pipe full for a moment", []writeResult{{2, full}, {0, full}, {4, full}}, "one\ntwo\nthree\n", 0, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out := &scriptedWriter{results: tc.results}
+				logWriter := telemetry.NewLogWriter(out, telemetry.LogLimits{MaxBytesPerSecond: 1 << 20, MaxPendingBytes: 256 << 10}, "JSON")
+				drops := &dropCount{}
+				logWriter.CountDrops(drops)
+				for _, line := range []string{"one\n", "two\n", "three\n"} {
+					_, err := logWriter.Write([]byte(line))
+					assert.NilError(t, err)
+				}
+				time.Sleep(5 * time.Second)
+				logWriter.Close()
+				lines, report, _ := strings.Cut(out.content.String(), "{")
+				assert.Equal(t, lines, tc.wantLines)
+				assert.Equal(t, drops.lines, tc.wantDrops)
+				assert.Equal(t, strings.Contains(report, fmt.Sprintf(`"count":%d}`, tc.wantDrops)), tc.wantDrops > 0, report)
+				assert.Assert(t, out.writes <= tc.wantWrites, out.writes)
+			})
+		})
+	}
+}
+
+// TestGoneReaderKeepsWriterBusy lets all writes fail. They must be rare and what waits must stay bounded.
+func TestGoneReaderKeepsWriterBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const seconds, linesPerSecond = 60, 1000
+		results := make([]writeResult, 1000)
+		for ix := range results {
+			results[ix].err = syscall.EPIPE
+		}
+		out := &scriptedWriter{results: results}
+		logWriter := telemetry.NewLogWriter(out, telemetry.LogLimits{MaxBytesPerSecond: 1 << 20, MaxPendingBytes: 4096}, "JSON")
+		drops := &dropCount{}
+		for range seconds * linesPerSecond {
+			_, err := logWriter.Write([]byte(strings.Repeat("x", 99) + "\n"))
+			assert.NilError(t, err)
+			time.Sleep(time.Second / linesPerSecond)
+		}
+		logWriter.Close()
+		logWriter.CountDrops(drops)
+		assert.Equal(t, drops.lines, int64(seconds*linesPerSecond))
+		assert.Assert(t, out.writes <= 2*seconds+2, out.writes)
+	})
+}
+
 // BenchmarkLogStreamedRequest measures the logging of one streamed request, which writes three lines.
 func BenchmarkLogStreamedRequest(b *testing.B) {
 	logWriter := telemetry.NewLogWriter(io.Discard, telemetry.LogLimits{MaxBytesPerSecond: 1 << 30, MaxPendingBytes: 1 << 30}, "JSON")
