The demo's engines serve until its hosts have finished their requests

Cause: hosts, engines, backend servers and platform shared one context, so the engines closed with the signal.

Now the hosts are stopped first and the rest when they have ended; a wait for readiness still ends with the signal.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -51,17 +51,22 @@
 	BookingServers []*service.Server
 
 	platformURL string
-	cancel      context.CancelFunc
-	group       sync.WaitGroup
+	// stopHosts stops the entry hosts, stopBackends the platform, the engines and the backend servers.
+	stopHosts    context.CancelFunc
+	stopBackends context.CancelFunc
+	hostGroup    sync.WaitGroup
+	backendGroup sync.WaitGroup
 }
 
 // Start starts a fleet, publishes the lists of plans and organisations, and returns when all hosts are ready. Each
-// organisation uses the key that OrganisationAPIKey returns. The caller stops the fleet with Stop or by cancelling the
-// context.
+// organisation uses the key that OrganisationAPIKey returns. When the context ends, the hosts shut down; the caller then
+// calls Stop.
 func Start(ctx context.Context, logger *slog.Logger, organisations []id.Organisation) (*Fleet, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	fleet := &Fleet{cancel: cancel}
-	if err := fleet.start(ctx, logger, organisations); err != nil {
+	hostCtx, stopHosts := context.WithCancel(ctx)
+	// The hosts need the backends until they have finished their requests.
+	backendCtx, stopBackends := context.WithCancel(context.WithoutCancel(ctx))
+	fleet := &Fleet{stopHosts: stopHosts, stopBackends: stopBackends}
+	if err := fleet.start(hostCtx, backendCtx, logger, organisations); err != nil {
 		fleet.Stop()
 		return nil, err
 	}
@@ -69,25 +74,25 @@
 }
 
 // start starts the platform, the engines and backend servers, and the hosts, in this order.
-func (fl *Fleet) start(ctx context.Context, logger *slog.Logger, organisations []id.Organisation) error {
+func (fl *Fleet) start(hostCtx, backendCtx context.Context, logger *slog.Logger, organisations []id.Organisation) error {
 	platformStandIn := platform.New(platform.DefaultConfig(), timer.NewSystem())
-	address, err := fl.serve(ctx, platformStandIn.Handler())
+	address, err := fl.serve(backendCtx, platformStandIn.Handler())
 	if err != nil {
 		return err
 	}
 	fl.platformURL = "http://" + address
-	if err := fl.startBackends(ctx, platformStandIn); err != nil {
+	if err := fl.startBackends(backendCtx, platformStandIn); err != nil {
 		return err
 	}
 	for index, zone := range zones {
-		if err := fl.startHost(ctx, logger, index, zone); err != nil {
+		if err := fl.startHost(hostCtx, logger, index, zone); err != nil {
 			return err
 		}
 	}
-	if err := fl.publishLists(ctx, organisations); err != nil {
+	if err := fl.publishLists(hostCtx, organisations); err != nil {
 		return err
 	}
-	return fl.waitAllHostsReady(ctx)
+	return fl.waitAllHostsReady(hostCtx)
 }
 
 // serve serves a handler at a free loopback port until the context ends, and returns the IP:port.
@@ -97,7 +102,7 @@
 		return "", errors.Wrap(err, "listen")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	fl.group.Go(func() { _ = server.Serve(listener) })
+	fl.backendGroup.Go(func() { _ = server.Serve(listener) })
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return listener.Addr().String(), nil
 }
@@ -117,7 +122,7 @@
 		if err != nil {
 			return err
 		}
-		fl.group.Go(func() { server.Run(ctx) })
+		fl.backendGroup.Go(func() { server.Run(ctx) })
 		platformStandIn.PutHost(protocol.Host{
 			Kind: protocol.EngineHost, Name: name, Service: "lever-llm", Address: address,
 			AvailabilityZone: zones[index%len(zones)], State: protocol.Live,
@@ -160,7 +165,7 @@
 		return err
 	}
 	fl.Hosts = append(fl.Hosts, host)
-	fl.group.Go(func() { _ = host.Run(ctx) })
+	fl.hostGroup.Go(func() { _ = host.Run(ctx) })
 	return nil
 }
 
@@ -220,8 +225,10 @@
 	return addresses
 }
 
-// Stop stops the fleet and waits until all its goroutines have ended.
+// Stop shuts the hosts down, then stops the rest, and waits until all its goroutines have ended.
 func (fl *Fleet) Stop() {
-	fl.cancel()
-	fl.group.Wait()
+	fl.stopHosts()
+	fl.hostGroup.Wait()
+	fl.stopBackends()
+	fl.backendGroup.Wait()
 }
