A reader of the log that ends or stalls takes no requests along

At the product's own front a reader that stops reading blocks all serving once the pipe is full, since lines went to standard error synchronously; a daemon that starts so never becomes ready.

Cause: Go ends a process that writes to a broken standard output or standard error unless SIGPIPE is ignored or subscribed to. The own front and net/http's and the libraries' own logger wrote to standard error directly.

It is ignored and not subscribed to, since a subscription would also be told of each write to a closed connection. The own front has a LogWriter on standard error. HTTP servers there have an ErrorLog, and the default logger of log and slog, to which libraries write, is the host's. Dropped lines are counted by the new metric log_lines_dropped.

Not covered: the stack of a panic is written by the Go runtime itself; with a stalled standard error that write can hold up the end of the process. OpenTelemetry's internal error log (not the errors of exports) still writes to standard error.

--- a/cmd/hibiscuslever/demo.go
+++ b/cmd/hibiscuslever/demo.go
@@ -1,10 +1,17 @@
 package main
 
 import (
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
 	"github.com/spf13/cobra"
 
 	"github.com/hibiscuslever/hibiscuslever/command"
 	"github.com/hibiscuslever/hibiscuslever/demo"
+	"github.com/hibiscuslever/hibiscuslever/settings"
+	"github.com/hibiscuslever/hibiscuslever/telemetry"
 )
 
 func demoCommand() *cobra.Command {
@@ -20,6 +27,12 @@
 			return demo.RunPlatform(cmd.Context(), cmd.OutOrStdout())
 		}
 		if *serve {
+			// The demo continues to serve when the readers of its output have gone or have stopped reading.
+			signal.Ignore(syscall.SIGPIPE)
+			logs := settings.Default().Logs
+			logWriter := telemetry.NewLogWriter(os.Stderr, telemetry.LogLimits{MaxBytesPerSecond: logs.MaxBytesPerSecond, MaxPendingBytes: logs.MaxPendingBytes}, logs.Format)
+			defer logWriter.Close()
+			slog.SetDefault(telemetry.NewLogger(logWriter, logs.Format, logs.Level))
 			return demo.Serve(cmd.Context(), cmd.OutOrStdout())
 		}
 		return demo.Run(cmd.Context(), cmd.OutOrStdout())
--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 
@@ -11,6 +12,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever"
 	"github.com/hibiscuslever/hibiscuslever/command"
+	_ "github.com/hibiscuslever/hibiscuslever/lifecycle/brokenpipe" // log lines are dropped, not fatal, when their reader has gone
 	"github.com/hibiscuslever/hibiscuslever/lifecycle/hangup"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/site"
@@ -62,11 +64,10 @@
 // runOnUsersPlatform runs a host on the users' platform until the context ends. Log lines go to standard output; they
 // are dropped if nobody reads them. SIGHUP makes the host read its settings again.
 func runOnUsersPlatform(ctx context.Context, path string, hostSettings settings.Settings) error {
-	limits := telemetry.LogLimits{MaxBytesPerSecond: hostSettings.Logs.MaxBytesPerSecond, MaxPendingBytes: hostSettings.Logs.MaxPendingBytes}
-	logWriter := telemetry.NewLogWriter(os.Stdout, limits, hostSettings.Logs.Format, "host", string(hostSettings.Host.Name))
+	logWriter := newLogWriter(os.Stdout, hostSettings)
 	defer logWriter.Close()
-	logger := telemetry.NewLogger(logWriter, hostSettings.Logs.Format, hostSettings.Logs.Level).With("host", string(hostSettings.Host.Name))
-	options := []site.Option{site.WithSettings(hostSettings), site.WithLogger(logger)}
+	logger := newLogger(logWriter, hostSettings).With("host", string(hostSettings.Host.Name))
+	options := []site.Option{site.WithSettings(hostSettings), site.WithLogger(logger), site.WithLogWriter(logWriter)}
 	if hostSettings.Traces.Export != "None" {
 		traces, err := telemetry.NewTraces(ctx, string(hostSettings.Host.Name), hostSettings.Traces.Export, hostSettings.Traces.File, hostSettings.Traces.Endpoint)
 		if err != nil {
@@ -87,6 +88,20 @@
 	return host.Run(ctx)
 }
 
+// newLogWriter returns a writer of log lines to out that drops them if nobody reads them.
+func newLogWriter(out io.Writer, hostSettings settings.Settings) *telemetry.LogWriter {
+	limits := telemetry.LogLimits{MaxBytesPerSecond: hostSettings.Logs.MaxBytesPerSecond, MaxPendingBytes: hostSettings.Logs.MaxPendingBytes}
+	return telemetry.NewLogWriter(out, limits, hostSettings.Logs.Format, "host", string(hostSettings.Host.Name))
+}
+
+// newLogger returns a logger that writes to a LogWriter. It becomes the default logger, because libraries would otherwise
+// write to standard error and block if nobody reads it.
+func newLogger(logWriter *telemetry.LogWriter, hostSettings settings.Settings) *slog.Logger {
+	logger := telemetry.NewLogger(logWriter, hostSettings.Logs.Format, hostSettings.Logs.Level)
+	slog.SetDefault(logger)
+	return logger
+}
+
 // reloadSettings reads the settings file again and passes the settings to the host. If they are wrong, it logs the
 // error and the old settings stay in force.
 func reloadSettings(host *site.Host, logger *slog.Logger, path string) {
@@ -98,16 +113,20 @@
 	host.Reload(hostSettings)
 }
 
-// runOnLogService runs a host on the product's own log service until the context ends. Log lines go to standard error.
+// runOnLogService runs a host on the product's own log service until the context ends. Log lines go to standard error;
+// they are dropped if nobody reads them.
 func runOnLogService(ctx context.Context, path string, hostSettings settings.Settings) error {
 	traces, err := telemetry.NewTraces(ctx, string(hostSettings.Host.Name), hostSettings.Traces.Export, hostSettings.Traces.File, hostSettings.Traces.Endpoint)
 	if err != nil {
 		return command.NewUsageError(fmt.Errorf("settings %s: section Traces: %w", path, err))
 	}
+	logWriter := newLogWriter(os.Stderr, hostSettings)
+	defer logWriter.Close()
 	defer func() { _ = traces.Close(context.Background()) }()
 	host, err := hibiscuslever.New(
 		hibiscuslever.WithSettings(hostSettings),
-		hibiscuslever.WithLogger(telemetry.NewLogger(os.Stderr, hostSettings.Logs.Format, hostSettings.Logs.Level)),
+		hibiscuslever.WithLogger(newLogger(logWriter, hostSettings)),
+		hibiscuslever.WithLogWriter(logWriter),
 		hibiscuslever.WithTraces(traces),
 	)
 	if err != nil {
--- a/host.go
+++ b/host.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -103,6 +104,9 @@
 	if err := ht.assemble(hostOptions.seed); err != nil {
 		return nil, err
 	}
+	if hostOptions.logWriter != nil {
+		hostOptions.logWriter.CountDrops(ht.metrics.Scope.Counter("log_lines_dropped"))
+	}
 	return ht, nil
 }
 
@@ -282,6 +286,7 @@
 		ReadTimeout:       ht.settings.Callers.ReadTimeout,
 		IdleTimeout:       ht.settings.Callers.IdleTimeout,
 		MaxHeaderBytes:    ht.settings.Callers.MaxHeaderBytes,
+		ErrorLog:          ht.connectionErrorLog(),
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -290,16 +295,23 @@
 		Handler:           peer.NewServer(ht.localPeerComponents(), ht.clock).Handler(connect.WithInterceptors(ht.traceInterceptor)),
 		ReadHeaderTimeout: ht.settings.Callers.ReadHeaderTimeout,
 		Protocols:         protocols,
+		ErrorLog:          ht.connectionErrorLog(),
 	}
 	operatorAPI := operator.NewServer(ht, ht.metrics.Handler)
 	operatorAPI.ServeLists(ht.configuration)
 	operatorServer := &http.Server{
 		Handler:           operatorAPI.Handler(),
 		ReadHeaderTimeout: ht.settings.Callers.ReadHeaderTimeout,
+		ErrorLog:          ht.connectionErrorLog(),
 	}
 	return []*http.Server{callerServer, peerServer, operatorServer}
 }
 
+// connectionErrorLog returns the logger of the HTTP servers, which logs errors of connections and panics of handlers.
+func (ht *Host) connectionErrorLog() *log.Logger {
+	return slog.NewLogLogger(ht.logger.Handler(), slog.LevelWarn)
+}
+
 // shutDown notifies the other hosts that this host is leaving, so that they no longer give its address to callers. It
 // continues to serve while callers may still use address lists that they received before, then rejects new requests and
 // waits for those in flight. Those that it can't finish are aborted, so that their callers still get a response. The
--- a/options.go
+++ b/options.go
@@ -17,9 +17,11 @@
 	settings settings.Settings
 	clock    timer.Clock
 	logger   *slog.Logger
-	metrics  *telemetry.Metrics
-	traces   *telemetry.Traces
-	seed     uint64
+	// logWriter is nil if nothing counts dropped log lines.
+	logWriter *telemetry.LogWriter
+	metrics   *telemetry.Metrics
+	traces    *telemetry.Traces
+	seed      uint64
 }
 
 // WithSettings sets the host's settings. Without it the host has settings.Default, which lacks the required keys.
@@ -37,6 +39,11 @@
 	return func(hostOptions *options) { hostOptions.logger = logger }
 }
 
+// WithLogWriter makes the host's metrics count the lines that the writer of the logger's lines drops.
+func WithLogWriter(logWriter *telemetry.LogWriter) Option {
+	return func(hostOptions *options) { hostOptions.logWriter = logWriter }
+}
+
 // WithTraces sets the tracer provider and propagator. By default spans are not exported. The caller closes traces.
 func WithTraces(traces *telemetry.Traces) Option {
 	return func(hostOptions *options) { hostOptions.traces = traces }
--- a/site/host.go
+++ b/site/host.go
@@ -116,6 +116,9 @@
 	if err := ht.assemble(hostOptions); err != nil {
 		return nil, err
 	}
+	if hostOptions.logWriter != nil {
+		hostOptions.logWriter.CountDrops(ht.metrics.Scope.Counter("log_lines_dropped"))
+	}
 	return ht, nil
 }
 
--- a/site/options.go
+++ b/site/options.go
@@ -18,8 +18,10 @@
 	clock    timer.Clock
 	logger   *slog.Logger
 	traces   *telemetry.Traces
-	seed     uint64
-	dial     backend.DialFunc
+	// logWriter is nil if nothing counts dropped log lines.
+	logWriter *telemetry.LogWriter
+	seed      uint64
+	dial      backend.DialFunc
 }
 
 // WithSettings sets the host's settings.
@@ -37,6 +39,11 @@
 	return func(hostOptions *options) { hostOptions.logger = logger }
 }
 
+// WithLogWriter makes the host's metrics count the lines that the writer of the logger's lines drops.
+func WithLogWriter(logWriter *telemetry.LogWriter) Option {
+	return func(hostOptions *options) { hostOptions.logWriter = logWriter }
+}
+
 // WithTraces enables tracing. By default no spans are recorded.
 func WithTraces(traces *telemetry.Traces) Option {
 	return func(hostOptions *options) { hostOptions.traces = traces }
