Traces that can't be exported don't delay the end of a process

What was seen: a stop with nothing in flight, with a collector that accepts connections and never answers, took 32.5 s instead of 2.5 s, twice the grace of 16 s; with spans exported to a pipe that nobody reads the process did not end at all (given up after 162 s). A manager would kill it.

Cause: the provider was shut down with a context without end.

Requests were served whole before and after: spans are exported in a goroutine of their own, and its queue drops what it can't hold.

Pending spans now get 200 ms at the end, as long as pending log lines.

--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -73,7 +74,7 @@
 		if err != nil {
 			return command.NewUsageError(fmt.Errorf("settings %s: section Traces: %w", path, err))
 		}
-		defer func() { _ = traces.Close(context.Background()) }()
+		defer closeTraces(traces)
 		options = append(options, site.WithTraces(traces))
 	}
 	host, err := site.New(options...)
@@ -102,6 +103,15 @@
 	return logger
 }
 
+// closeTraces exports the pending spans, for a short time only, because a collector that does not answer must not
+// delay the end of the process.
+func closeTraces(traces *telemetry.Traces) {
+	const timeout = 200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_ = traces.Close(ctx)
+}
+
 // reloadSettings reads the settings file again and passes the settings to the host. If they are wrong, it logs the
 // error and the old settings stay in force.
 func reloadSettings(host *site.Host, logger *slog.Logger, path string) {
@@ -122,7 +132,7 @@
 	}
 	logWriter := newLogWriter(os.Stderr, hostSettings)
 	defer logWriter.Close()
-	defer func() { _ = traces.Close(context.Background()) }()
+	defer closeTraces(traces)
 	host, err := hibiscuslever.New(
 		hibiscuslever.WithSettings(hostSettings),
 		hibiscuslever.WithLogger(newLogger(logWriter, hostSettings)),
