One wait for requests in flight for the hosts of both platforms

Both fronts polled their requests in flight, aborted those that can't finish and left at the exit time, each with its own copy of the loop. lifecycle.Drain serves both now. The front of the log service logs took_ms as the other one does, and polls every 20 ms instead of 50 ms.

--- a/host.go
+++ b/host.go
@@ -306,31 +306,24 @@
 // shutdown timeout bounds all of this except the final wait for work that outlasts its request, such as the cleanup after
 // attempts. It returns how long the ends of responses may still be sent.
 func (ht *Host) shutDown(ctx context.Context) time.Duration {
-	const drainCheckInterval = 50 * time.Millisecond
-	startedLeavingAt := ht.clock.Now()
-	elapsed := func() time.Duration { return ht.clock.Now().Sub(startedLeavingAt) }
-	grace := lifecycle.Grace(ht.settings.Operators.ShutdownTimeout)
-	ht.logger.Info("host is leaving", "in_flight", ht.callerServer.InFlight(), "grace_ms", time.Duration(grace).Milliseconds())
-	acceptTime := grace.AcceptTimeUpTo(ht.settings.Callers.KeepAddresses)
+	drain := lifecycle.Drain{
+		Clock:     ht.clock,
+		Logger:    ht.logger,
+		Grace:     lifecycle.Grace(ht.settings.Operators.ShutdownTimeout),
+		StartedAt: ht.clock.Now(),
+		InFlight:  ht.callerServer.InFlight,
+		Abort:     ht.callerServer.Abort,
+	}
+	ht.logger.Info("host is leaving", "in_flight", ht.callerServer.InFlight(), "grace_ms", time.Duration(drain.Grace).Milliseconds())
+	acceptTime := drain.Grace.AcceptTimeUpTo(ht.settings.Callers.KeepAddresses)
 	leaveCtx, cancel := context.WithTimeout(ctx, acceptTime)
 	ht.gossip.Leave(leaveCtx)
 	cancel()
-	timer.Sleep(ctx, ht.clock, acceptTime-elapsed())
+	timer.Sleep(ctx, ht.clock, acceptTime-drain.Elapsed())
 	ht.callerServer.Close()
-	aborted := false
-	for ht.callerServer.InFlight() > 0 && elapsed() < grace.ExitTime() {
-		if !aborted && elapsed() >= grace.AbortTime() {
-			aborted = true
-			ht.logger.Warn("host aborts the requests that it can't finish in time", "in_flight", ht.callerServer.InFlight())
-			ht.callerServer.Abort()
-		}
-		if !timer.Sleep(ctx, ht.clock, drainCheckInterval) {
-			break
-		}
-	}
+	drain.Wait(ctx)
 	ht.modelRunner.Wait()
 	ht.plainRunner.Wait()
-	ht.logger.Info("host has finished its requests", "in_flight", ht.callerServer.InFlight())
 	return responseEndTime
 }
 
--- /dev/null
+++ b/lifecycle/drain.go
@@ -0,0 +1,46 @@
+package lifecycle
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// drainPollInterval is the time between two checks whether a host has requests in flight.
+const drainPollInterval = 20 * time.Millisecond
+
+// Drain waits for the requests in flight of a host that no longer accepts new ones.
+type Drain struct {
+	Clock  timer.Clock
+	Logger *slog.Logger
+	// Grace is the time that the host has to stop, from StartedAt on.
+	Grace     Grace
+	StartedAt time.Time
+	// InFlight returns the number of requests in flight.
+	InFlight func() int64
+	// Abort ends the requests in flight, so that their clients still get a response. It is called once at most.
+	Abort func()
+}
+
+// Elapsed returns how long ago the stop began.
+func (dr Drain) Elapsed() time.Duration { return dr.Clock.Now().Sub(dr.StartedAt) }
+
+// Wait returns when no request is in flight, when the host has to end, or when the context ends. It aborts requests that
+// can't finish in time. It returns how long the ends of responses may still be sent.
+func (dr Drain) Wait(ctx context.Context) time.Duration {
+	aborted := false
+	for dr.InFlight() > 0 && dr.Elapsed() < dr.Grace.ExitTime() {
+		if !aborted && dr.Elapsed() >= dr.Grace.AbortTime() {
+			aborted = true
+			dr.Logger.Warn("host aborts the requests that it can't finish in time", "in_flight", dr.InFlight())
+			dr.Abort()
+		}
+		if !timer.Sleep(ctx, dr.Clock, drainPollInterval) {
+			break
+		}
+	}
+	dr.Logger.Info("host has finished its requests", "in_flight", dr.InFlight(), "took_ms", dr.Elapsed().Milliseconds())
+	return dr.Grace.CloseTime() - dr.Elapsed()
+}
--- /dev/null
+++ b/lifecycle/drain_test.go
@@ -0,0 +1,97 @@
+package lifecycle_test
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/lifecycle"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// steppedClock is a clock on which each wait ends at once and moves the time forward.
+type steppedClock struct {
+	now time.Time
+}
+
+func (sc *steppedClock) Now() time.Time { return sc.now }
+
+func (sc *steppedClock) After(wait time.Duration, notify func()) timer.Subscription {
+	sc.now = sc.now.Add(wait)
+	notify()
+	return endedSubscription{}
+}
+
+type endedSubscription struct{}
+
+func (endedSubscription) Stop() bool { return false }
+
+// TestDrain checks when requests in flight are aborted, and when the wait for them ends.
+func TestDrain(t *testing.T) {
+	const (
+		grace = lifecycle.Grace(10 * time.Second)
+		// never is the end of requests that don't end by themselves.
+		never = time.Hour
+		// pollTime bounds what a wait adds to the moment that it waits for.
+		pollTime = 50 * time.Millisecond
+	)
+	for _, tc := range []struct {
+		name string
+		// startedBefore is how long before the wait the stop began.
+		startedBefore time.Duration
+		// endsAfter is when the requests end by themselves, and endsAfterAbort how long after they were aborted. Both times
+		// count from the start of the stop.
+		endsAfter, endsAfterAbort time.Duration
+		wantAbortAt, wantEndAt    time.Duration
+	}{
+		{"no requests", 3 * time.Second, 0, 0, 0, 3 * time.Second},
+		{"requests that end in time", 3 * time.Second, 7 * time.Second, 0, 0, 7 * time.Second},
+		{"requests that end in the last sixth", 0, grace.AbortTime() - pollTime, 0, 0, grace.AbortTime() - pollTime},
+		{"aborted requests", 3 * time.Second, never, 100 * time.Millisecond, grace.AbortTime(), grace.AbortTime() + 100*time.Millisecond},
+		{"requests that do not end", 3 * time.Second, never, never, grace.AbortTime(), grace.ExitTime()},
+		{"a stop that was held up", time.Duration(grace), never, 0, 0, time.Duration(grace)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			startedAt := time.Now()
+			clock := &steppedClock{now: startedAt.Add(tc.startedBefore)}
+			endsAt, abortedAt := tc.endsAfter, time.Duration(0)
+			drain := lifecycle.Drain{
+				Clock: clock, Logger: slog.New(slog.DiscardHandler), Grace: grace, StartedAt: startedAt,
+				InFlight: func() int64 {
+					if clock.now.Sub(startedAt) < endsAt {
+						return 1
+					}
+					return 0
+				},
+				Abort: func() {
+					assert.Equal(t, abortedAt, time.Duration(0), "aborted twice")
+					abortedAt = clock.now.Sub(startedAt)
+					endsAt = abortedAt + tc.endsAfterAbort
+				},
+			}
+			left := drain.Wait(t.Context())
+			assert.Equal(t, left, grace.CloseTime()-drain.Elapsed())
+			for _, times := range []struct{ got, want time.Duration }{{abortedAt, tc.wantAbortAt}, {drain.Elapsed(), tc.wantEndAt}} {
+				assert.Assert(t, times.got >= times.want && times.got <= times.want+pollTime, "%s, not %s", times.got, times.want)
+			}
+		})
+	}
+}
+
+// TestDrainEndsWithContext checks that a wait for requests ends when a component of the host has stopped by itself.
+func TestDrainEndsWithContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var log bytes.Buffer
+	drain := lifecycle.Drain{
+		Clock: timer.NewSystem(), Logger: slog.New(slog.NewTextHandler(&log, nil)), Grace: lifecycle.Grace(time.Hour), StartedAt: time.Now(),
+		InFlight: func() int64 { cancel(); return 2 },
+		Abort:    func() { t.Error("aborted") },
+	}
+	drain.Wait(ctx)
+	assert.Assert(t, strings.Contains(log.String(), "in_flight=2"), log.String())
+}
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -16,10 +16,15 @@
 // server may have run when the host stops accepting new ones are refused. It returns how long the ends of responses may
 // still be sent.
 func (ht *Host) shutDown(ctx context.Context) time.Duration {
-	const pollInterval = 20 * time.Millisecond
-	startedLeavingAt := ht.clock.Now()
-	grace := lifecycle.Grace(ht.settings.Operators.ShutdownTimeout)
-	ht.logger.Info("host is leaving", "in_flight", ht.inFlight(), "grace_ms", time.Duration(grace).Milliseconds())
+	drain := lifecycle.Drain{
+		Clock:     ht.clock,
+		Logger:    ht.logger,
+		Grace:     lifecycle.Grace(ht.settings.Operators.ShutdownTimeout),
+		StartedAt: ht.clock.Now(),
+		InFlight:  ht.inFlight,
+		Abort:     ht.forwarder.Abort,
+	}
+	ht.logger.Info("host is leaving", "in_flight", ht.inFlight(), "grace_ms", time.Duration(drain.Grace).Milliseconds())
 	ht.mutex.Lock()
 	ht.leaving = true
 	ht.mutex.Unlock()
@@ -28,21 +33,8 @@
 		ht.grantServer.Leave()
 	}
 	go ht.gossip.Leave(ctx)
-	timer.Sleep(ctx, ht.clock, grace.AcceptTime())
+	timer.Sleep(ctx, ht.clock, drain.Grace.AcceptTime())
 	ht.clientHandler.RefuseNewRequests()
 	ht.forwarder.RejectWaiting()
-	elapsed := func() time.Duration { return ht.clock.Now().Sub(startedLeavingAt) }
-	aborted := false
-	for ht.inFlight() > 0 && elapsed() < grace.ExitTime() {
-		if !aborted && elapsed() >= grace.AbortTime() {
-			aborted = true
-			ht.logger.Warn("host aborts the requests that it can't finish in time", "in_flight", ht.inFlight())
-			ht.forwarder.Abort()
-		}
-		if !timer.Sleep(ctx, ht.clock, pollInterval) {
-			break
-		}
-	}
-	ht.logger.Info("host has finished its requests", "in_flight", ht.inFlight(), "took_ms", elapsed().Milliseconds())
-	return grace.CloseTime() - elapsed()
+	return drain.Wait(ctx)
 }
