A calm stop writes no warnings about the store

On-call read "store lost" and "failed to read crash evidence from the platform's log" at every stop of a host on the users' platform: the stop closes the reads that wait in the store, and the follower and the crash syncer took the cut read for a failure of the store.

TestCalmStopWritesWarnings failed in e2e (one daemon) and in site (three hosts, each of them) with exactly these two lines. No other line at WARN or ERROR showed on either platform, also not for the end of reports to dispatchers and calls to peers.

A read whose context has ended is no longer recorded as a failure.

--- a/coordination/crashlog/syncer.go
+++ b/coordination/crashlog/syncer.go
@@ -242,6 +242,10 @@
 		callCtx, cancel := context.WithTimeout(ctx, sy.config.CallTimeout+wait)
 		encoded, next, err := sy.log.Read(callCtx, from, wait)
 		cancel()
+		if err != nil && ctx.Err() != nil {
+			// A read that ended because the host stops is no failure of the log.
+			return err
+		}
 		sy.recordReadResult(err)
 		if err != nil {
 			return err
--- a/coordination/statesync/follower.go
+++ b/coordination/statesync/follower.go
@@ -254,7 +254,7 @@
 			continue
 		}
 		if err != nil {
-			fl.noteStoreFailure("desired state", err)
+			fl.noteStoreFailure(ctx, "desired state", err)
 			timer.Sleep(ctx, fl.clock, fl.jitter(backoff))
 			backoff = min(2*backoff, fl.config.MaxBackoff)
 			continue
--- a/coordination/statesync/outage.go
+++ b/coordination/statesync/outage.go
@@ -1,6 +1,7 @@
 package statesync
 
 import (
+	"context"
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -68,8 +69,12 @@
 	return fl.outageOngoing(now) || now.Sub(fl.outageEndedAt) < serverlist.RelistGrace
 }
 
-// noteStoreFailure records that a call to the store failed. Only the first of several failures in a row is logged.
-func (fl *Follower) noteStoreFailure(dataset string, err error) {
+// noteStoreFailure records that a call to the store failed. Only the first of several failures in a row is logged. A call
+// that ended with its context, because the host stops, is no failure.
+func (fl *Follower) noteStoreFailure(ctx context.Context, dataset string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	fl.mutex.Lock()
 	justFailed := !fl.storeUnavailable
 	fl.storeUnavailable = true
--- a/coordination/statesync/serverlist.go
+++ b/coordination/statesync/serverlist.go
@@ -116,7 +116,7 @@
 		fl.mutex.Lock()
 		fl.listReadFailed = true
 		fl.mutex.Unlock()
-		fl.noteStoreFailure("list of backend servers", err)
+		fl.noteStoreFailure(ctx, "list of backend servers", err)
 		return false
 	}
 	fl.noteStoreSuccess()
