A host frozen during its stop answers the requests that it can't finish

A host whose process did not run between its abort time and its exit time (frozen, or without processor time) skipped the abort: it left the wait for its requests at once and closed their connections. Callers saw a closed connection where they would have got a 502.

TestFreezeDuringStopCutsRequests stops a daemon with a grace of 4 s, freezes it from 2 s to 4 s, and failed with EOF at the client and "connections closed while responses were being sent". The case in TestDrain failed with no abort and -200 ms left for the ends of responses.

The wait now always aborts before it ends and leaves clients up to a quarter of a second (at most half of the time between abort and exit) for the answers, and some time for their last bytes. A stop that is not late takes as long as before: the exit time of the grace is later than that.

--- a/lifecycle/drain.go
+++ b/lifecycle/drain.go
@@ -28,12 +28,15 @@
 func (dr Drain) Elapsed() time.Duration { return dr.Clock.Now().Sub(dr.StartedAt) }
 
 // Wait returns when no request is in flight, when the host has to end, or when the context ends. It aborts requests that
-// can't finish in time. It returns how long the ends of responses may still be sent.
+// can't finish in time. It returns how long the ends of responses may still be sent. A process that did not run when it
+// had to abort or to end does both later, because the clients of aborted requests still need their responses.
 func (dr Drain) Wait(ctx context.Context) time.Duration {
 	aborted := false
-	for dr.InFlight() > 0 && dr.Elapsed() < dr.Grace.ExitTime() {
+	exitAt := dr.Grace.ExitTime()
+	for dr.InFlight() > 0 && (!aborted || dr.Elapsed() < exitAt) {
 		if !aborted && dr.Elapsed() >= dr.Grace.AbortTime() {
 			aborted = true
+			exitAt = max(exitAt, dr.Elapsed()+min(minAnswerTime, (dr.Grace.ExitTime()-dr.Grace.AbortTime())/2))
 			dr.Logger.Warn("host aborts the requests that it can't finish in time", "in_flight", dr.InFlight())
 			dr.Abort()
 		}
@@ -42,5 +45,5 @@
 		}
 	}
 	dr.Logger.Info("host has finished its requests", "in_flight", dr.InFlight(), "took_ms", dr.Elapsed().Milliseconds())
-	return dr.Grace.CloseTime() - dr.Elapsed()
+	return max(dr.Grace.CloseTime()-dr.Elapsed(), min(closeDelay, dr.Grace.CloseTime()-dr.Grace.ExitTime()))
 }
