A message of another host with wild figures no longer makes a shard's dispatcher panic

Callers at the product's own front would see: all requests of the dispatching host end at once. A request for a grant whose prompt has a negative or very large number of tokens made dispatch.Machine divide the prompt among a negative number of engines ("makeslice: cap out of range" in chooseParts). The handler's panic is caught by net/http, but the request stays queued, so the next tick of the dispatcher, in the background, runs into it again.

Evidence: transport/peer.FuzzBackgroundAfterShardMessages fails with that panic on its seed of -1<<62 prompt tokens before the change, and passes with it. It passes messages to a host and then lets its timers run for 70 s of fake time, as FuzzBackgroundAfterMessages does for the users' platform, on which nothing was found.

Cause: decodeShardGrantRequest, decodeShardGrant and decodeShardReportResponse took numbers as they came, unlike the decoders of the users' platform.

coordination/shard.FuzzWildEngineReports has engines report wild figures: none of its seeds made the dispatcher fail.

--- a/transport/peer/encoding.go
+++ b/transport/peer/encoding.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/dispatch"
@@ -36,17 +37,19 @@
 	}
 }
 
+// decodeShardGrantRequest is the reverse of encodeShardGrantRequest. It limits token counts, the deadline and the weight to
+// valid ranges.
 func decodeShardGrantRequest(message *peer.AcquireRequest, now time.Time) shard.GrantRequest {
 	return shard.GrantRequest{
 		Request: dispatch.Request{
 			ID:              id.Request(message.GetRequest()),
 			Organisation:    id.Organisation(message.GetOrganisation()),
-			Weight:          message.GetWeight(),
+			Weight:          clampWeight(message.GetWeight()),
 			Model:           id.Model(message.GetModel()),
-			PromptTokens:    id.Tokens(message.GetPromptTokens()),
-			MaxAnswerTokens: id.Tokens(message.GetAnswerTokens()),
+			PromptTokens:    clampTokens(message.GetPromptTokens()),
+			MaxAnswerTokens: clampTokens(message.GetAnswerTokens()),
 			Priority:        message.GetPriority(),
-			Deadline:        now.Add(time.Duration(message.GetRemainingMillis()) * time.Millisecond),
+			Deadline:        now.Add(durationFromMicros(min(max(message.GetRemainingMillis(), 0), maxDurationMicros/microsPerMilli) * microsPerMilli)),
 			AttemptNumber:   int(message.GetNumber()),
 			PrefixHashes:    message.GetPrefix(),
 			AvoidedEngines:  decodeNames[id.Engine](message.GetAvoid()),
@@ -59,6 +62,20 @@
 	}
 }
 
+// microsPerMilli is the number of microseconds in a millisecond.
+const microsPerMilli = int64(time.Millisecond / time.Microsecond)
+
+// maxWeight bounds the weight of an organisation in a message.
+const maxWeight = 1e6
+
+// clampWeight limits a weight of a message to the range from 0 to maxWeight. What is no number becomes 0.
+func clampWeight(weight float64) float64 {
+	if math.IsNaN(weight) {
+		return 0
+	}
+	return min(max(weight, 0), maxWeight)
+}
+
 func encodeNames[N ~string](names []N) []string {
 	texts := make([]string, len(names))
 	for index, name := range names {
@@ -84,12 +101,12 @@
 }
 
 func decodeShardGrant(message *peer.Grant) dispatch.Grant {
-	grant := dispatch.Grant{Attempt: id.Attempt(message.GetAttempt()), Priority: message.GetPriority(), AnswerTokens: id.Tokens(message.GetAnswerTokens()), RunsAlone: message.GetAlone()}
+	grant := dispatch.Grant{Attempt: id.Attempt(message.GetAttempt()), Priority: message.GetPriority(), AnswerTokens: clampTokens(message.GetAnswerTokens()), RunsAlone: message.GetAlone()}
 	for _, part := range message.GetParts() {
 		grant.Parts = append(grant.Parts, dispatch.Part{
 			Engine:       id.Engine(part.GetEngine()),
 			Address:      part.GetAddress(),
-			PromptTokens: id.Tokens(part.GetTokens()),
+			PromptTokens: clampTokens(part.GetTokens()),
 		})
 	}
 	return grant
@@ -196,8 +213,8 @@
 	for _, load := range message.GetEngines() {
 		response.EngineLoads = append(response.EngineLoads, shard.EngineLoad{
 			Engine:        id.Engine(load.GetEngine()),
-			FreeTokens:    id.Tokens(load.GetFreeTokens()),
-			PendingTokens: id.Tokens(load.GetPendingTokens()),
+			FreeTokens:    clampTokens(load.GetFreeTokens()),
+			PendingTokens: clampTokens(load.GetPendingTokens()),
 		})
 	}
 	return response
