SIGINT after SIGTERM ends a process only at a terminal

Red first: TestRepeatedSignals/no terminal/terminated, then interrupt and /interrupt, then interrupt: "signal: interrupt". On the real programs TestSignalsWithoutEffectCutRequests (users' platform and own front: "signal: interrupt" during a stop with requests in flight).

Decision: a SIGINT during the stop ends the process only if the process is in the foreground group of its controlling terminal, since only then can it be a user's Ctrl-C. "Standard input is a terminal" was ruled out: `hibiscusleverd < file` at a terminal would have lost Ctrl-C. "A second SIGINT" was ruled out: managers repeat signals. Elsewhere SIGQUIT and SIGKILL end a process at once.

The opposite fault, an operator at a terminal who can't end it, is the test's foreground cases, on a pseudo-terminal. The test's four former cases had no fixed place: their result was the same everywhere. All four run in the foreground with the same expectation, and all four run without a terminal; there the two with SIGINT as the second signal expect the opposite, as decided.

Execute no longer gives SIGTERM its default action back before it returns, as one that arrived between that and the exit would have changed the exit code.

The context of a command has the signal as its cause (StopSignal).

--- a/command/command.go
+++ b/command/command.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
@@ -103,14 +101,11 @@
 }
 
 // Execute runs a command, prints its error to errOut, and returns the exit code. SIGINT and SIGTERM end the command's
-// context, so that it can shut down gracefully. A SIGINT after that ends the process immediately; a SIGTERM does nothing
-// more, because service managers may repeat it.
+// context with a StopSignal as its cause, so that it can shut down gracefully. After that, SIGINT ends the process
+// immediately if it is in the foreground of a terminal. Otherwise both do nothing more, because service managers may
+// repeat them or send one after the other.
 func Execute(root *cobra.Command, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	// Reset restores the default action, by which SIGINT ends the process.
-	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
-	err := root.ExecuteContext(ctx)
+	err := root.ExecuteContext(stopOnSignals(context.Background()))
 	var usageError UsageError
 	switch {
 	case err == nil:
