--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -81,6 +82,7 @@
 	if err != nil {
 		return command.NewUsageError(fmt.Errorf("settings %s: %w", path, err))
 	}
+	command.LogIgnoredSignals(ctx, logger, syscall.SIGUSR1, syscall.SIGUSR2)
 	go func() {
 		for range hangup.Signals() {
 			reloadSettings(host, logger, path)
@@ -133,9 +135,11 @@
 	logWriter := newLogWriter(os.Stderr, hostSettings)
 	defer logWriter.Close()
 	defer closeTraces(traces)
+	logger := newLogger(logWriter, hostSettings)
+	command.LogIgnoredSignals(ctx, logger.With("host", string(hostSettings.Host.Name)), syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2)
 	host, err := hibiscuslever.New(
 		hibiscuslever.WithSettings(hostSettings),
-		hibiscuslever.WithLogger(newLogger(logWriter, hostSettings)),
+		hibiscuslever.WithLogger(logger),
 		hibiscuslever.WithLogWriter(logWriter),
 		hibiscuslever.WithTraces(traces),
 	)
--- a/host.go
+++ b/host.go
@@ -264,7 +264,7 @@
 		},
 		Servers:   ht.servers(),
 		Listeners: ht.listeners,
-		ShutDown:  ht.shutDown,
+		ShutDown:  func(shutdownCtx context.Context) time.Duration { return ht.shutDown(shutdownCtx, context.Cause(ctx)) },
 		Clock:     ht.clock,
 		Logger:    ht.logger,
 	}.Run(ctx)
@@ -316,13 +316,13 @@
 // continues to serve while callers may still use address lists that they received before, then rejects new requests and
 // waits for those in flight. Those that it can't finish are aborted, so that their callers still get a response. The
 // shutdown timeout bounds all of this except the final wait for work that outlasts its request, such as the cleanup after
-// attempts. It returns how long the ends of responses may still be sent.
-func (ht *Host) shutDown(ctx context.Context) time.Duration {
+// attempts. It returns how long the ends of responses may still be sent. The cause says what asked for the shutdown.
+func (ht *Host) shutDown(ctx context.Context, cause error) time.Duration {
 	const drainCheckInterval = 50 * time.Millisecond
 	startedLeavingAt := ht.clock.Now()
 	elapsed := func() time.Duration { return ht.clock.Now().Sub(startedLeavingAt) }
 	grace := lifecycle.Grace(ht.settings.Operators.ShutdownTimeout)
-	ht.logger.Info("host is leaving", "in_flight", ht.callerServer.InFlight(), "grace_ms", time.Duration(grace).Milliseconds())
+	ht.logger.Info("host is leaving", "cause", cause.Error(), "in_flight", ht.callerServer.InFlight(), "grace_ms", time.Duration(grace).Milliseconds())
 	acceptTime := grace.AcceptTimeUpTo(ht.settings.Callers.KeepAddresses)
 	leaveCtx, cancel := context.WithTimeout(ctx, acceptTime)
 	ht.gossip.Leave(leaveCtx)
--- a/site/host.go
+++ b/site/host.go
@@ -303,7 +303,7 @@
 		Tasks:     []func(context.Context) error{ht.updateFollower.Run, ht.grantServer.Run, ht.grantClient.Run, ht.pool.Run, ht.relayPool.Run, ht.backendSender.Run, ht.evidenceSyncer.Run, ht.join, ht.discoverHosts, ht.updateGauges},
 		Servers:   ht.httpServers(),
 		Listeners: ht.servedListeners(),
-		ShutDown:  ht.shutDown,
+		ShutDown:  func(shutdownCtx context.Context) time.Duration { return ht.shutDown(shutdownCtx, context.Cause(ctx)) },
 		Clock:     ht.clock,
 		Logger:    ht.logger,
 	}.Run(ctx)
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -14,12 +14,12 @@
 // shutDown withdraws the host from the addresses that clients are given, continues to serve clients that have cached
 // its address for a while, and ends when all requests in flight have finished or the time is over. Requests that no
 // server may have run when the host stops accepting new ones are refused. It returns how long the ends of responses may
-// still be sent.
-func (ht *Host) shutDown(ctx context.Context) time.Duration {
+// still be sent. The cause says what asked for the shutdown.
+func (ht *Host) shutDown(ctx context.Context, cause error) time.Duration {
 	const pollInterval = 20 * time.Millisecond
 	startedLeavingAt := ht.clock.Now()
 	grace := lifecycle.Grace(ht.settings.Operators.ShutdownTimeout)
-	ht.logger.Info("host is leaving", "in_flight", ht.inFlight(), "grace_ms", time.Duration(grace).Milliseconds())
+	ht.logger.Info("host is leaving", "cause", cause.Error(), "in_flight", ht.inFlight(), "grace_ms", time.Duration(grace).Milliseconds())
 	ht.mutex.Lock()
 	ht.leaving = true
 	ht.mutex.Unlock()
