SIGTERM ends a daemon that can't read its settings

What was seen: a daemon whose settings file blocks (a pipe without a writer; a network file system that does not answer) did not end on SIGTERM: TestTerminationWhileReadingSettings still waited after 182 s.

Cause: SIGTERM ends the context only, and nothing looked at it while the file was read.

--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -49,7 +49,10 @@
 	if path == "" {
 		return command.NewUsageError(fmt.Errorf("the flag --settings is missing and %s is not set; see --help", settingsVariable))
 	}
-	hostSettings, err := settings.Read(path)
+	hostSettings, err := readSettings(cmd.Context(), path)
+	if cmd.Context().Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return command.NewUsageError(err)
 	}
@@ -63,6 +66,23 @@
 	return runOnLogService(cmd.Context(), path, hostSettings)
 }
 
+// readSettings reads a settings file until the context ends, because reading a file can block.
+func readSettings(ctx context.Context, path string) (settings.Settings, error) {
+	var hostSettings settings.Settings
+	result := make(chan error, 1)
+	go func() {
+		var err error
+		hostSettings, err = settings.Read(path)
+		result <- err
+	}()
+	select {
+	case err := <-result:
+		return hostSettings, err
+	case <-ctx.Done():
+		return settings.Settings{}, context.Cause(ctx)
+	}
+}
+
 // runOnUsersPlatform runs a host on the users' platform until the context ends. Log lines go to standard output; they
 // are dropped if nobody reads them. SIGHUP makes the host read its settings again.
 func runOnUsersPlatform(ctx context.Context, path string, hostSettings settings.Settings) error {
