--- a/cmd/hibiscuslever/demo.go
+++ b/cmd/hibiscuslever/demo.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -33,7 +34,14 @@
 			logWriter := telemetry.NewLogWriter(os.Stderr, telemetry.LogLimits{MaxBytesPerSecond: logs.MaxBytesPerSecond, MaxPendingBytes: logs.MaxPendingBytes}, logs.Format)
 			defer logWriter.Close()
 			slog.SetDefault(telemetry.NewLogger(logWriter, logs.Format, logs.Level))
-			return demo.Serve(cmd.Context(), cmd.OutOrStdout())
+			ctx := cmd.Context()
+			if !signal.Ignored(syscall.SIGHUP) {
+				// A demo whose terminal has been closed stops.
+				var stop context.CancelFunc
+				ctx, stop = signal.NotifyContext(ctx, syscall.SIGHUP)
+				defer stop()
+			}
+			return demo.Serve(ctx, cmd.OutOrStdout())
 		}
 		return demo.Run(cmd.Context(), cmd.OutOrStdout())
 	}
