--- a/e2e/log_reader_test.go
+++ b/e2e/log_reader_test.go
@@ -97,21 +97,25 @@
 			assert.NilError(t, err)
 			t.Cleanup(func() { _ = reader.Close() })
 			lines := bufio.NewScanner(reader)
-			for lines.Scan() && !strings.Contains(lines.Text(), "log lines dropped") {
-			}
-			assert.NilError(t, lines.Err())
+			scanTo(t, lines, "log lines dropped")
 			t.Log(lines.Text(), before, after)
 			sp.startRequests(time.Millisecond)()
 			assert.NilError(t, sp.cmd.Process.Signal(syscall.SIGTERM))
-			for lines.Scan() && !strings.Contains(lines.Text(), "host is leaving") {
-			}
-			assert.Assert(t, strings.Contains(lines.Text(), "host is leaving"))
+			scanTo(t, lines, "host is leaving")
 			<-sp.exited
 			assert.Equal(t, sp.cmd.ProcessState.ExitCode(), 0, sp.cmd.ProcessState)
 		})
 	}
 }
 
+// scanTo reads lines up to one that contains a text.
+func scanTo(t *testing.T, lines *bufio.Scanner, text string) {
+	t.Helper()
+	for !strings.Contains(lines.Text(), text) {
+		assert.Assert(t, lines.Scan(), "no line with %q: %v", text, lines.Err())
+	}
+}
+
 // droppedLogLines returns the value of the metric log_lines_dropped of a daemon.
 func (pr *process) droppedLogLines(t *testing.T) int {
 	t.Helper()
