`publish` says that an edit may have been accepted when its response is missing

What operators saw: SIGTERM, SIGINT or a lost connection during `hibiscuslever publish` printed only the error of the call ("call host: Post …: SIGTERM"), though the host may have accepted the edit; publishing it again then fails with a conflict with oneself.

Now a call whose response has not arrived is told from one that could not be sent (NoResponseError), and the command points to the history. Going on with the call after the signal was ruled out: the operator's Ctrl-C would wait up to 10 s for a host that may be frozen.

--- a/cmd/hibiscuslever/lists.go
+++ b/cmd/hibiscuslever/lists.go
@@ -139,7 +139,11 @@
 		Operator: currentUserName(),
 		Check:    checkOnly,
 	})
-	if err != nil {
+	var noResponse operator.NoResponseError
+	switch {
+	case errors.As(err, &noResponse) && !checkOnly:
+		return fmt.Errorf("%w; the edit may have been accepted: look at the history before publishing again", err)
+	case err != nil:
 		return err
 	}
 	if !response.Accepted {
--- a/transport/operator/client.go
+++ b/transport/operator/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -66,6 +67,15 @@
 	return response, err
 }
 
+// NoResponseError means that a host may have received and executed a call whose response has not arrived.
+type NoResponseError struct{ err error }
+
+// Error returns the text of the cause.
+func (ne NoResponseError) Error() string { return ne.err.Error() }
+
+// Unwrap returns the cause.
+func (ne NoResponseError) Unwrap() error { return ne.err }
+
 // call sends a request as JSON and decodes the JSON response. A status other than 200 is an error that includes the
 // body.
 func (cl *Client) call(ctx context.Context, method, path string, request, response any) error {
@@ -80,12 +90,16 @@
 	httpRequest.Header.Set("Content-Type", "application/json")
 	httpResponse, err := cl.httpClient.Do(httpRequest)
 	if err != nil {
-		return errors.Wrap(err, "call host")
+		var networkError *net.OpError
+		if errors.As(err, &networkError) && networkError.Op == "dial" {
+			return errors.Wrap(err, "call host")
+		}
+		return NoResponseError{errors.Wrap(err, "call host")}
 	}
 	defer func() { _ = httpResponse.Body.Close() }()
 	responseBody, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes))
 	if err != nil {
-		return errors.Wrap(err, "read response of host")
+		return NoResponseError{errors.Wrap(err, "read response of host")}
 	}
 	if httpResponse.StatusCode != http.StatusOK {
 		return fmt.Errorf("host %s responded with status %d: %s", cl.baseURL, httpResponse.StatusCode, bytes.TrimSpace(responseBody))
