--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -49,7 +50,10 @@
 	if path == "" {
 		return command.NewUsageError(fmt.Errorf("the flag --settings is missing and %s is not set; see --help", settingsVariable))
 	}
-	hostSettings, err := settings.Read(path)
+	hostSettings, err := readSettings(cmd.Context(), path)
+	if cmd.Context().Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return command.NewUsageError(err)
 	}
@@ -63,6 +67,23 @@
 	return runOnLogService(cmd.Context(), path, hostSettings)
 }
 
+// readSettings reads a settings file until the context ends, because reading a file can block.
+func readSettings(ctx context.Context, path string) (settings.Settings, error) {
+	var hostSettings settings.Settings
+	result := make(chan error, 1)
+	tasks.Go(func() {
+		var err error
+		hostSettings, err = settings.Read(path)
+		result <- err
+	})
+	select {
+	case err := <-result:
+		return hostSettings, err
+	case <-ctx.Done():
+		return settings.Settings{}, context.Cause(ctx)
+	}
+}
+
 // runOnUsersPlatform runs a host on the users' platform until the context ends. Log lines go to standard output; they
 // are dropped if nobody reads them. SIGHUP makes the host read its settings again.
 func runOnUsersPlatform(ctx context.Context, path string, hostSettings settings.Settings) error {
@@ -82,6 +103,7 @@
 	if err != nil {
 		return command.NewUsageError(fmt.Errorf("settings %s: %w", path, err))
 	}
+	command.LogIgnoredSignals(ctx, logger, syscall.SIGUSR1, syscall.SIGUSR2)
 	tasks.Go(func() {
 		for range hangup.Signals() {
 			reloadSettings(host, logger, path)
@@ -134,9 +156,11 @@
 	logWriter := newLogWriter(os.Stderr, hostSettings)
 	defer logWriter.Close()
 	defer closeTraces(traces)
+	logger := newLogger(logWriter, hostSettings)
+	command.LogIgnoredSignals(ctx, logger.With("host", string(hostSettings.Host.Name)), syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2)
 	host, err := hibiscuslever.New(
 		hibiscuslever.WithSettings(hostSettings),
-		hibiscuslever.WithLogger(newLogger(logWriter, hostSettings)),
+		hibiscuslever.WithLogger(logger),
 		hibiscuslever.WithLogWriter(logWriter),
 		hibiscuslever.WithTraces(traces),
 	)
--- a/lifecycle/early_end_test.go
+++ b/lifecycle/early_end_test.go
@@ -100,7 +100,7 @@
 		Clock:   timer.NewSystem(),
 		Grace:   lifecycle.Grace(longTimeout),
 		Logger:  slog.New(slog.NewTextHandler(&fp.log, nil)),
-		ShutDown: func(ctx context.Context) time.Duration {
+		ShutDown: func(ctx context.Context, _ error) time.Duration {
 			if fp.shutdowns.Add(1) == 1 {
 				close(fp.leaving)
 			}
@@ -285,7 +285,7 @@
 // TestPanicInShutDownCutsRequests has ShutDown panic while a request is in flight.
 func TestPanicInShutDownCutsRequests(t *testing.T) {
 	fp := newFailingProcess(t)
-	fp.process.ShutDown = func(context.Context) time.Duration {
+	fp.process.ShutDown = func(context.Context, error) time.Duration {
 		close(fp.leaving)
 		panic("index 9")
 	}
@@ -304,7 +304,7 @@
 	const grace = 400 * time.Millisecond
 	for name, hang := range map[string]func(*failingProcess, func()){
 		"shutdown": func(fp *failingProcess, block func()) {
-			fp.process.ShutDown = func(context.Context) time.Duration { block(); return 0 }
+			fp.process.ShutDown = func(context.Context, error) time.Duration { block(); return 0 }
 		},
 		"task": func(fp *failingProcess, block func()) {
 			fp.process.Tasks[0].Run = func(context.Context) error { block(); return nil }
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -28,9 +28,9 @@
 	// Servers are the HTTP servers. Each serves the listener at the same index of Listeners.
 	Servers   []*http.Server
 	Listeners []net.Listener
-	// ShutDown finishes the requests in flight, while tasks and servers still run. It returns how long the servers may
-	// then take to send what handlers have written; they accept no connections meanwhile.
-	ShutDown func(context.Context) time.Duration
+	// ShutDown finishes the requests in flight, while tasks and servers still run. The cause says why the process stops. It
+	// returns how long the servers may then take to send what handlers have written; they accept no connections meanwhile.
+	ShutDown func(ctx context.Context, cause error) time.Duration
 	// CleanUp, if not nil, releases what the tasks and servers used, when they have ended.
 	CleanUp func()
 	// Grace bounds the stop of a process of which a part has failed.
@@ -109,12 +109,15 @@
 		})
 	}
 	group.Add(func() error {
+		var cause error
 		select {
 		case <-ctx.Done():
+			cause = context.Cause(ctx)
 		case <-fs.failed:
+			cause = fs.err()
 		}
 		close(stopping)
-		pr.finishResponses(backgroundCtx, conns, pr.finishRequests(backgroundCtx, fs))
+		pr.finishResponses(backgroundCtx, conns, pr.finishRequests(backgroundCtx, cause, fs))
 		return nil
 	}, func(error) {})
 	_ = group.Run()
@@ -136,10 +139,10 @@
 
 // finishRequests calls ShutDown and returns how long the servers may send what handlers have written. If ShutDown panics,
 // that is the rest of the grace, since handlers may still run.
-func (pr Process) finishRequests(ctx context.Context, fs *failures) (timeout time.Duration) {
+func (pr Process) finishRequests(ctx context.Context, cause error, fs *failures) (timeout time.Duration) {
 	startedAt := pr.Clock.Now()
 	err := tasks.Call(func() error {
-		timeout = pr.ShutDown(ctx)
+		timeout = pr.ShutDown(ctx, cause)
 		return nil
 	})
 	if err != nil {
--- a/lifecycle/response_end_test.go
+++ b/lifecycle/response_end_test.go
@@ -91,7 +91,7 @@
 		Logger:    slog.New(slog.NewTextHandler(&rp.log, nil)),
 		Servers:   []*http.Server{{Handler: rp.handler}},
 		Listeners: []net.Listener{slowListener{listener, writeDelay}},
-		ShutDown: func(context.Context) time.Duration {
+		ShutDown: func(context.Context, error) time.Duration {
 			for rp.handler.inFlight.Load() > 0 {
 				time.Sleep(time.Millisecond)
 			}
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -15,8 +15,8 @@
 // shutDown withdraws the host from the addresses that clients are given, continues to serve clients that have cached
 // its address for a while, and ends when all requests in flight have finished or the time is over. Requests that no
 // server may have run when the host stops accepting new ones are refused. It returns how long the ends of responses may
-// still be sent.
-func (ht *Host) shutDown(ctx context.Context) time.Duration {
+// still be sent. The cause says what asked for the shutdown.
+func (ht *Host) shutDown(ctx context.Context, cause error) time.Duration {
 	drain := lifecycle.Drain{
 		Clock:     ht.clock,
 		Logger:    ht.logger,
@@ -25,7 +25,7 @@
 		InFlight:  ht.inFlight,
 		Abort:     ht.forwarder.Abort,
 	}
-	ht.logger.Info("host is leaving", "in_flight", ht.inFlight(), "grace_ms", time.Duration(drain.Grace).Milliseconds())
+	ht.logger.Info("host is leaving", "cause", cause.Error(), "in_flight", ht.inFlight(), "grace_ms", time.Duration(drain.Grace).Milliseconds())
 	ht.mutex.Lock()
 	ht.leaving = true
 	ht.mutex.Unlock()
