A stop waits until clients have the last bytes of their answers

At the end of a stop, connections were closed as soon as net/http had written. Two things could cut the end of an answer then: - a client that had sent more than the host read, such as a part of its next request, or that sent it right after the close: the system resets the connection and discards what is still in the send queue; - a machine that goes down with its process, as containers do: what was in the send queue is lost.

What a client's system had received before the reset was not lost on Linux.

While a process is stopping, closing a connection now ends the sending direction first, discards what still arrives, and waits until the send queue is empty. Idle connections wait only if their queue is not empty. The wait ends with the time that the stop leaves for the ends of responses, after 2 s without progress, and 0.2 s after the last byte was acknowledged if the client goes on sending. If the size of the queue is not known, it counts as empty.

The connections of startProcess without a write delay are plain ones now, because the wrapper of the test hides the socket.

--- a/lifecycle/connections.go
+++ b/lifecycle/connections.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -15,10 +16,13 @@
 	active map[net.Conn]struct{}
 	// changed receives a value when a connection has left active.
 	changed chan struct{}
+	// stopping is done when the process stops, and closing is closed when all connections are to be closed.
+	stopping context.Context
+	closing  chan struct{}
 }
 
-func newConnections() *connections {
-	return &connections{active: map[net.Conn]struct{}{}, changed: make(chan struct{}, 1)}
+func newConnections(stopping context.Context) *connections {
+	return &connections{active: map[net.Conn]struct{}{}, changed: make(chan struct{}, 1), stopping: stopping, closing: make(chan struct{})}
 }
 
 // watch follows the connections of a server that does not serve yet. The server's own hook is still called.
@@ -26,19 +30,33 @@
 	hook := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		cn.record(conn, state)
-		if hook != nil {
-			hook(conn, state)
+		if hook == nil {
+			return
 		}
+		if stopping, ok := conn.(*stoppingConn); ok {
+			conn = stopping.Conn
+		}
+		hook(conn, state)
 	}
 }
 
 func (cn *connections) record(conn net.Conn, state http.ConnState) {
-	cn.mutex.Lock()
-	defer cn.mutex.Unlock()
 	if state == http.StateActive {
-		cn.active[conn] = struct{}{}
+		cn.add(conn)
 		return
 	}
+	cn.remove(conn)
+}
+
+func (cn *connections) add(conn net.Conn) {
+	cn.mutex.Lock()
+	defer cn.mutex.Unlock()
+	cn.active[conn] = struct{}{}
+}
+
+func (cn *connections) remove(conn net.Conn) {
+	cn.mutex.Lock()
+	defer cn.mutex.Unlock()
 	delete(cn.active, conn)
 	select {
 	case cn.changed <- struct{}{}:
@@ -52,3 +70,20 @@
 	defer cn.mutex.Unlock()
 	return len(cn.active)
 }
+
+func (cn *connections) isActive(conn net.Conn) bool {
+	cn.mutex.Lock()
+	defer cn.mutex.Unlock()
+	_, active := cn.active[conn]
+	return active
+}
+
+// waitsForClients reports whether the process is stopping and connections may still wait for their clients.
+func (cn *connections) waitsForClients() bool {
+	select {
+	case <-cn.closing:
+		return false
+	default:
+		return cn.stopping.Err() != nil
+	}
+}
--- /dev/null
+++ b/lifecycle/last_bytes.go
@@ -0,0 +1,168 @@
+package lifecycle
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+const (
+	// firstSendQueueCheck is the time until the first check of what a client has not received yet. The time between checks
+	// doubles up to lastSendQueueCheck.
+	firstSendQueueCheck = time.Millisecond
+	lastSendQueueCheck  = 16 * time.Millisecond
+	// stalledSendTime is how long a client may receive nothing before its connection is closed nevertheless.
+	stalledSendTime = 2 * time.Second
+	// discardTime is how long a client that has received everything may go on sending. Systems may discard what a client
+	// has received and not read yet when the connection is reset because of bytes that nobody reads.
+	discardTime = 200 * time.Millisecond
+	// discardBytes bounds what is read between two checks.
+	discardBytes = 64 << 10
+)
+
+// tcpConn is what a connection must offer so that its last bytes can be waited for.
+type tcpConn interface {
+	CloseWrite() error
+	SyscallConn() (syscall.RawConn, error)
+}
+
+// stoppingListener is a listener whose connections are closed by a stopping process only when their clients have received
+// what was sent.
+type stoppingListener struct {
+	net.Listener
+	connections *connections
+	clock       timer.Clock
+}
+
+// Accept waits for the next connection.
+func (sl stoppingListener) Accept() (net.Conn, error) {
+	conn, err := sl.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &stoppingConn{Conn: conn, connections: sl.connections, clock: sl.clock}, nil
+}
+
+// stoppingConn is a connection of a stoppingListener.
+type stoppingConn struct {
+	net.Conn
+	connections *connections
+	clock       timer.Clock
+	// resets says that Close resets the connection, so that the client does not take the response for complete.
+	resets atomic.Bool
+}
+
+// CloseWrite ends the response without closing the connection. net/http uses it.
+func (sc *stoppingConn) CloseWrite() error {
+	if conn, ok := sc.Conn.(tcpConn); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger makes Close reset the connection if seconds is 0.
+func (sc *stoppingConn) SetLinger(seconds int) error {
+	sc.resets.Store(seconds == 0)
+	if conn, ok := sc.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return conn.SetLinger(seconds)
+	}
+	return nil
+}
+
+// Close closes the connection. If the process is stopping, it first ends the sending direction, discards what the client
+// still sends, which would reset the connection, and waits until the client has received what was sent. Close is called
+// by net/http while the connection is active, when a response has ended; it must not wait for an idle one.
+func (sc *stoppingConn) Close() error {
+	conn, ok := sc.Conn.(tcpConn)
+	if !ok || sc.resets.Load() || !sc.connections.waitsForClients() {
+		return sc.Conn.Close()
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return sc.Conn.Close()
+	}
+	switch {
+	case sc.connections.isActive(sc):
+		_ = conn.CloseWrite()
+		sc.awaitLastBytes(raw)
+	case unsentBytes(raw) > 0:
+		sc.connections.add(sc)
+		_ = conn.CloseWrite()
+		// net/http waits for the next request.
+		_ = sc.Conn.SetReadDeadline(time.Unix(1, 0))
+		go func() {
+			sc.awaitLastBytes(raw)
+			_ = sc.Conn.Close()
+			sc.connections.remove(sc)
+		}()
+		return nil
+	}
+	return sc.Conn.Close()
+}
+
+// awaitLastBytes waits until the client has received what was sent and no longer sends, until it receives nothing any
+// more, or until all connections are to be closed.
+func (sc *stoppingConn) awaitLastBytes(raw syscall.RawConn) {
+	buffer := make([]byte, discardBytes/16)
+	unsent := unsentBytes(raw)
+	changedAt := sc.clock.Now()
+	discarded := false
+	for pause := firstSendQueueCheck; ; pause = min(2*pause, lastSendQueueCheck) {
+		count, open := discardReceived(raw, buffer)
+		discarded = discarded || count > 0
+		now, left := sc.clock.Now(), unsentBytes(raw)
+		if left < unsent {
+			unsent, changedAt = left, now
+		}
+		switch {
+		case left == 0 && (!open || !discarded || now.Sub(changedAt) >= discardTime), now.Sub(changedAt) >= stalledSendTime:
+			return
+		}
+		passed, subscription := timer.Wait(sc.clock, pause)
+		select {
+		case <-passed:
+		case <-sc.connections.closing:
+			subscription.Stop()
+			return
+		}
+	}
+}
+
+// unsentBytes returns how many bytes the client's system has not acknowledged, or 0 if that is not known.
+func unsentBytes(raw syscall.RawConn) int {
+	count := 0
+	_ = raw.Control(func(fd uintptr) {
+		if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			count = queued
+		}
+	})
+	return count
+}
+
+// discardReceived reads what has arrived, up to discardBytes. It returns the number of bytes, and false if the client has
+// ended or broken the connection.
+func discardReceived(raw syscall.RawConn, buffer []byte) (total int, open bool) {
+	open = true
+	err := raw.Control(func(fd uintptr) {
+		for total < discardBytes {
+			count, _, err := unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
+			switch {
+			case err == unix.EINTR: //nolint:errorlint // a system call returns the bare number
+				continue
+			case err != nil:
+				open = err == unix.EAGAIN //nolint:errorlint // as above
+				return
+			case count == 0:
+				open = false
+				return
+			}
+			total += count
+		}
+	})
+	return total, open && err == nil
+}
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -43,9 +43,9 @@
 		taskCtx, cancel := context.WithCancel(backgroundCtx)
 		group.Add(func() error { return task(taskCtx) }, func(error) { cancel() })
 	}
-	conns := newConnections()
+	conns := newConnections(ctx)
 	for index, server := range pr.Servers {
-		listener := pr.Listeners[index]
+		listener := stoppingListener{pr.Listeners[index], conns, pr.Clock}
 		conns.watch(server)
 		serverCtx, cancel := context.WithCancel(backgroundCtx)
 		group.Add(func() error {
@@ -76,19 +76,27 @@
 }
 
 // finishResponses closes the listeners and the idle connections, and waits until no request is being answered on the
-// others, at most until the timeout has passed or the context ends.
+// others and their clients have received the responses, at most until the timeout has passed or the context ends.
 func (pr Process) finishResponses(ctx context.Context, conns *connections, timeout time.Duration) {
+	defer close(conns.closing)
 	// Shutdown with a context that has ended does not wait.
 	endedCtx, cancel := context.WithCancel(ctx)
 	cancel()
-	for _, server := range pr.Servers {
-		_ = server.Shutdown(endedCtx)
+	closeIdle := func() {
+		for _, server := range pr.Servers {
+			_ = server.Shutdown(endedCtx)
+		}
 	}
+	closeIdle()
 	expired, subscription := timer.Wait(pr.Clock, timeout)
 	defer subscription.Stop()
 	for conns.activeCount() > 0 {
 		select {
 		case <-conns.changed:
+			if conns.activeCount() == 0 {
+				// Connections that have become idle meanwhile may still have bytes to send.
+				closeIdle()
+			}
 		case <-expired:
 			pr.Logger.Warn("connections closed while responses were being sent", "connections", conns.activeCount())
 			return
--- a/lifecycle/response_end_test.go
+++ b/lifecycle/response_end_test.go
@@ -32,6 +32,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "accept")
 	}
+	if sl.writeDelay == 0 {
+		return conn, nil
+	}
 	return &slowConn{Conn: conn, writeDelay: sl.writeDelay, closed: make(chan struct{})}, nil
 }
 
