--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -11,10 +11,12 @@
 
 	"github.com/hibiscuslever/hibiscuslever"
 	"github.com/hibiscuslever/hibiscuslever/command"
+	"github.com/hibiscuslever/hibiscuslever/lifecycle"
 	"github.com/hibiscuslever/hibiscuslever/lifecycle/hangup"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/site"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
+	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
 // settingsVariable is the name of the environment variable that holds the path of the settings file.
@@ -62,6 +64,7 @@
 // runOnUsersPlatform runs a host on the users' platform until the context ends. Log lines go to standard output; they
 // are dropped if nobody reads them. SIGHUP makes the host read its settings again.
 func runOnUsersPlatform(ctx context.Context, path string, hostSettings settings.Settings) error {
+	stopClock := newStopClock(ctx, hostSettings)
 	limits := telemetry.LogLimits{MaxBytesPerSecond: hostSettings.Logs.MaxBytesPerSecond, MaxPendingBytes: hostSettings.Logs.MaxPendingBytes}
 	logWriter := telemetry.NewLogWriter(os.Stdout, limits, hostSettings.Logs.Format, "host", string(hostSettings.Host.Name))
 	defer logWriter.Close()
@@ -72,7 +75,7 @@
 		if err != nil {
 			return command.NewUsageError(fmt.Errorf("settings %s: section Traces: %w", path, err))
 		}
-		defer func() { _ = traces.Close(context.Background()) }()
+		defer closeTraces(traces, stopClock)
 		options = append(options, site.WithTraces(traces))
 	}
 	host, err := site.New(options...)
@@ -100,11 +103,12 @@
 
 // runOnLogService runs a host on the product's own log service until the context ends. Log lines go to standard error.
 func runOnLogService(ctx context.Context, path string, hostSettings settings.Settings) error {
+	stopClock := newStopClock(ctx, hostSettings)
 	traces, err := telemetry.NewTraces(ctx, string(hostSettings.Host.Name), hostSettings.Traces.Export, hostSettings.Traces.File, hostSettings.Traces.Endpoint)
 	if err != nil {
 		return command.NewUsageError(fmt.Errorf("settings %s: section Traces: %w", path, err))
 	}
-	defer func() { _ = traces.Close(context.Background()) }()
+	defer closeTraces(traces, stopClock)
 	host, err := hibiscuslever.New(
 		hibiscuslever.WithSettings(hostSettings),
 		hibiscuslever.WithLogger(telemetry.NewLogger(os.Stderr, hostSettings.Logs.Format, hostSettings.Logs.Level)),
@@ -115,3 +119,14 @@
 	}
 	return host.Run(ctx)
 }
+
+func newStopClock(ctx context.Context, hostSettings settings.Settings) *lifecycle.StopClock {
+	return lifecycle.NewStopClock(ctx, timer.NewSystem(), lifecycle.Grace(hostSettings.Operators.ShutdownTimeout))
+}
+
+// closeTraces exports the last spans in the time that the process has left. The collector may not answer.
+func closeTraces(traces *telemetry.Traces, stopClock *lifecycle.StopClock) {
+	ctx, cancel := stopClock.CloseContext()
+	defer cancel()
+	_ = traces.Close(ctx)
+}
