Work that outlasts its requests does not keep a host beyond its grace

A host of the log service waited without a bound for the calls that clean up after requests (up to 5 s) and for appends to the log (up to 10 s), before its servers sent the ends of responses. Its servers then had half a second in any case, also if the grace was over before. The manager killed such a host.

TestSilentEngineDelaysStop failed: a host with a grace of 8 s answered its last request 4.85 s after the signal, its engines took no further calls, and it had not ended after 8 s. It now ends 7.85 s after the signal with a warning. Sound work is waited for as before.

Drain.Await bounds the wait, and Drain.Left the time for the ends of responses, by what is left of the grace. TestAwait is new with it.

--- a/host.go
+++ b/host.go
@@ -303,7 +303,7 @@
 // shutDown notifies the other hosts that this host is leaving, so that they no longer give its address to callers. It
 // continues to serve while callers may still use address lists that they received before, then rejects new requests and
 // waits for those in flight. Those that it can't finish are aborted, so that their callers still get a response. The
-// shutdown timeout bounds all of this except the final wait for work that outlasts its request, such as the cleanup after
+// shutdown timeout bounds all of this, and the final wait for work that outlasts its request, such as the cleanup after
 // attempts. It returns how long the ends of responses may still be sent.
 func (ht *Host) shutDown(ctx context.Context) time.Duration {
 	drain := lifecycle.Drain{
@@ -322,9 +322,8 @@
 	timer.Sleep(ctx, ht.clock, acceptTime-drain.Elapsed())
 	ht.callerServer.Close()
 	drain.Wait(ctx)
-	ht.modelRunner.Wait()
-	ht.plainRunner.Wait()
-	return responseEndTime
+	drain.Await(ht.modelRunner.Wait, ht.plainRunner.Wait)
+	return min(responseEndTime, drain.Left())
 }
 
 // responseEndTime is how long the servers of a host that has finished its requests may take to send the ends of
--- a/lifecycle/drain.go
+++ b/lifecycle/drain.go
@@ -45,5 +45,29 @@
 		}
 	}
 	dr.Logger.Info("host has finished its requests", "in_flight", dr.InFlight(), "took_ms", dr.Elapsed().Milliseconds())
+	return dr.Left()
+}
+
+// Left returns how long the host may still run.
+func (dr Drain) Left() time.Duration {
 	return max(dr.Grace.CloseTime()-dr.Elapsed(), min(closeDelay, dr.Grace.CloseTime()-dr.Grace.ExitTime()))
 }
+
+// Await runs functions that wait for what outlasts its requests, one after the other. It returns when all have returned
+// or the host has to end.
+func (dr Drain) Await(waits ...func()) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for _, wait := range waits {
+			wait()
+		}
+	}()
+	expired, subscription := timer.Wait(dr.Clock, dr.Left())
+	defer subscription.Stop()
+	select {
+	case <-ended:
+	case <-expired:
+		dr.Logger.Warn("host ends before the work that outlasts its requests", "took_ms", dr.Elapsed().Milliseconds())
+	}
+}
--- a/lifecycle/drain_test.go
+++ b/lifecycle/drain_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -96,3 +97,26 @@
 	drain.Wait(ctx)
 	assert.Assert(t, strings.Contains(log.String(), "in_flight=2"), log.String())
 }
+
+// TestAwait checks that a stop waits for work that outlasts its requests, at most until the host has to end.
+func TestAwait(t *testing.T) {
+	const grace = lifecycle.Grace(10 * time.Second)
+	for _, tc := range []struct {
+		name           string
+		work, wantTime time.Duration
+	}{
+		{"short work", time.Second, 2 * time.Second},
+		{"endless work", time.Minute, grace.CloseTime()},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				drain := lifecycle.Drain{Clock: timer.NewSystem(), Logger: slog.New(slog.DiscardHandler), Grace: grace, StartedAt: time.Now()}
+				work := func() { time.Sleep(tc.work) }
+				drain.Await(work, work)
+				assert.Equal(t, drain.Elapsed(), tc.wantTime)
+				// The work ends before the test does.
+				time.Sleep(2 * tc.work)
+			})
+		})
+	}
+}
