--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -8,18 +8,19 @@
 	"log/slog"
 	"os"
 	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/hibiscuslever/hibiscuslever"
 	"github.com/hibiscuslever/hibiscuslever/command"
+	"github.com/hibiscuslever/hibiscuslever/lifecycle"
 	_ "github.com/hibiscuslever/hibiscuslever/lifecycle/brokenpipe" // log lines are dropped, not fatal, when their reader has gone
 	"github.com/hibiscuslever/hibiscuslever/lifecycle/hangup"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/site"
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
+	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
 // settingsVariable is the name of the environment variable that holds the path of the settings file.
@@ -87,6 +88,7 @@
 // runOnUsersPlatform runs a host on the users' platform until the context ends. Log lines go to standard output; they
 // are dropped if nobody reads them. SIGHUP makes the host read its settings again.
 func runOnUsersPlatform(ctx context.Context, path string, hostSettings settings.Settings) error {
+	stopClock := newStopClock(ctx, hostSettings)
 	logWriter := newLogWriter(os.Stdout, hostSettings)
 	defer logWriter.Close()
 	logger := newLogger(logWriter, hostSettings).With("host", string(hostSettings.Host.Name))
@@ -96,7 +98,7 @@
 		if err != nil {
 			return command.NewUsageError(fmt.Errorf("settings %s: section Traces: %w", path, err))
 		}
-		defer closeTraces(traces)
+		defer closeTraces(traces, stopClock)
 		options = append(options, site.WithTraces(traces))
 	}
 	host, err := site.New(options...)
@@ -126,15 +128,6 @@
 	return logger
 }
 
-// closeTraces exports the pending spans, for a short time only, because a collector that does not answer must not
-// delay the end of the process.
-func closeTraces(traces *telemetry.Traces) {
-	const timeout = 200 * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	_ = traces.Close(ctx)
-}
-
 // reloadSettings reads the settings file again and passes the settings to the host. If they are wrong, it logs the
 // error and the old settings stay in force.
 func reloadSettings(host *site.Host, logger *slog.Logger, path string) {
@@ -149,13 +142,14 @@
 // runOnLogService runs a host on the product's own log service until the context ends. Log lines go to standard error;
 // they are dropped if nobody reads them.
 func runOnLogService(ctx context.Context, path string, hostSettings settings.Settings) error {
+	stopClock := newStopClock(ctx, hostSettings)
 	traces, err := telemetry.NewTraces(ctx, string(hostSettings.Host.Name), hostSettings.Traces.Export, hostSettings.Traces.File, hostSettings.Traces.Endpoint)
 	if err != nil {
 		return command.NewUsageError(fmt.Errorf("settings %s: section Traces: %w", path, err))
 	}
 	logWriter := newLogWriter(os.Stderr, hostSettings)
 	defer logWriter.Close()
-	defer closeTraces(traces)
+	defer closeTraces(traces, stopClock)
 	logger := newLogger(logWriter, hostSettings)
 	command.LogIgnoredSignals(ctx, logger.With("host", string(hostSettings.Host.Name)), syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2)
 	host, err := hibiscuslever.New(
@@ -169,3 +163,14 @@
 	}
 	return host.Run(ctx)
 }
+
+func newStopClock(ctx context.Context, hostSettings settings.Settings) *lifecycle.StopClock {
+	return lifecycle.NewStopClock(ctx, timer.NewSystem(), lifecycle.Grace(hostSettings.Operators.ShutdownTimeout))
+}
+
+// closeTraces exports the last spans in the time that the process has left. The collector may not answer.
+func closeTraces(traces *telemetry.Traces, stopClock *lifecycle.StopClock) {
+	ctx, cancel := stopClock.CloseContext()
+	defer cancel()
+	_ = traces.Close(ctx)
+}
