Soak: links close connections that both sides have ended

Seen: four runs of 12 s side by side that open a connection for nearly every request ended with "dial tcp: socket: too many open files" (limit 20,000) in the soak's own check of a planned stop, and with requests that got no server. Cause: a link passed the end of each direction on as a half-close and never closed the two sockets, so each connection of a run kept two descriptors until the end of the run. Red first: TestLinkKeepsEndedConnections on the code before: "timeout hit after 10s: 2 connections are open". Ruled out: the hosts; the errors came from the test program's own dialer. A connection is closed once both directions have ended, so that data still passes after a half-close; links that are reset or closed treat their open connections as before.

--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -4,7 +4,11 @@
 	"io"
 	"net"
 	"sync"
+	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // linkMode is the way in which a link treats its connections.
@@ -134,8 +138,8 @@
 	}
 }
 
-// forwardConn connects to the target and copies data in both directions. It resets the client's connection if the
-// target cannot be reached.
+// forwardConn connects to the target and copies data in both directions until both have ended. It resets the client's
+// connection if the target cannot be reached.
 func (ln *link) forwardConn(clientConn *net.TCPConn) {
 	ln.mutex.Lock()
 	target := ln.target
@@ -150,8 +154,19 @@
 		ln.resetConns(clientConn)
 		return
 	}
-	go ln.copyDirection(clientConn, targetConn, blockingToTarget)
+	requestsEnded := make(chan struct{})
+	go func() {
+		defer close(requestsEnded)
+		ln.copyDirection(clientConn, targetConn, blockingToTarget)
+	}()
 	ln.copyDirection(targetConn, clientConn, blockingFromTarget)
+	<-requestsEnded
+	ln.mutex.Lock()
+	defer ln.mutex.Unlock()
+	for _, cn := range []*net.TCPConn{clientConn, targetConn} {
+		_ = cn.Close()
+		delete(ln.openConns, cn)
+	}
 }
 
 // resetConns resets connections and removes them from the open ones.
@@ -212,3 +227,38 @@
 		}
 	}
 }
+
+// TestLinkKeepsEndedConnections checks that a link closes a connection that both sides have ended, so that long runs with
+// many connections don't run out of descriptors.
+func TestLinkKeepsEndedConnections(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = target.Close() }()
+	go func() {
+		conn, err := target.Accept()
+		if err == nil {
+			_, _ = io.Copy(conn, conn)
+			_ = conn.Close()
+		}
+	}()
+	ln, err := newLink("test", target.Addr().String())
+	assert.NilError(t, err)
+	defer ln.close()
+	conn, err := net.Dial("tcp", ln.address())
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "x")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	echo, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, string(echo), "x")
+	assert.NilError(t, conn.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ln.mutex.Lock()
+		defer ln.mutex.Unlock()
+		if openConns := len(ln.openConns); openConns > 0 {
+			return poll.Continue("%d connections are open", openConns)
+		}
+		return poll.Success()
+	})
+}
