--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -23,6 +23,11 @@
 	tb.mutex.Lock()
 	exchanges, servers := tb.exchanges, tb.servers
 	tb.mutex.Unlock()
+	tb.eventually("STOP", "servers have noticed the end of all hosts", func() bool {
+		return !slices.ContainsFunc(servers, func(sv *server) bool {
+			return slices.ContainsFunc(sv.ExecutedRequests(), func(run standin.ExecutedRequest) bool { return run.EndedAt.IsZero() })
+		})
+	})
 	exchangesByID := map[string]*exchange{}
 	for _, ex := range exchanges {
 		exchangesByID[ex.id] = ex
@@ -36,6 +41,7 @@
 	}
 	tb.checkCrashingRequests(runsByID)
 	tb.checkCutOffHosts()
+	tb.checkLosses(runsByID)
 	for _, sv := range servers {
 		if sv.ratePerSecond > 0 {
 			tb.checkRequestLimit(sv, exchangesByID)
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -44,6 +45,12 @@
 	chatRequests  = requestKind{path: "/chat/", service: "models", streaming: true, timeout: 3 * time.Second, promptDoublings: 2}
 	// longChatRequests includes prompts that exceed the memory of an engine.
 	longChatRequests = requestKind{path: "/chat/", service: "models", streaming: true, timeout: 3 * time.Second, promptDoublings: 10}
+	// patientChatRequests are streams that may last longer than the grace of a host.
+	patientChatRequests = requestKind{path: "/chat/", service: "models", streaming: true, timeout: 9 * time.Second, promptDoublings: 2}
+
+	// allKinds and plannedKinds are the kinds that clients draw from, the latter in the mix of planned work.
+	allKinds     = []requestKind{readRequests, readRequests, orderRequests, chatRequests, longChatRequests}
+	plannedKinds = []requestKind{readRequests, orderRequests, patientChatRequests, patientChatRequests}
 )
 
 // exchange is one request of a client and what the client received of the response.
@@ -58,6 +65,8 @@
 	sentAt, endedAt time.Time
 	// abandonedAt is when the client gave up before the end of the response; zero if it did not.
 	abandonedAt time.Time
+	// connection is the client's address of the last connection that the request was sent on; empty if there was none.
+	connection string
 	// status is the status of the response; zero if none came.
 	status int
 	// fromServer says that the response has the seal of a server, so that the host did not make it up itself. serverID
@@ -100,6 +109,10 @@
 // run sends random kinds of requests until the context ends. It abandons one in 25 after 1 to 120 ms.
 func (cl *client) run(ctx context.Context) {
 	defer cl.transport.CloseIdleConnections()
+	kinds := allKinds
+	if cl.testbed.mix.plannedOnly {
+		kinds = plannedKinds
+	}
 	for ctx.Err() == nil {
 		if cl.onlyHost != nil {
 			cl.currentHost = cl.onlyHost
@@ -111,7 +124,7 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		kind := []requestKind{readRequests, readRequests, orderRequests, chatRequests, longChatRequests}[cl.random.IntN(5)]
+		kind := kinds[cl.random.IntN(len(kinds))]
 		var abandonAfter time.Duration
 		if cl.random.IntN(25) == 0 {
 			abandonAfter = time.Duration(1+cl.random.IntN(120)) * time.Millisecond
@@ -178,7 +191,7 @@
 		const shortestPrompt = 512
 		tokenCounts = fmt.Sprintf("%d,%d", shortestPrompt+cl.random.IntN(shortestPrompt<<cl.random.IntN(1+kind.promptDoublings)), 1+cl.random.IntN(255))
 	}
-	timeout := clientTimeout
+	timeout := max(clientTimeout, kind.timeout+clientPatience)
 	if abandonAfter > 0 {
 		timeout = abandonAfter
 	}
@@ -196,6 +209,9 @@
 
 // roundTrip sends the request of an exchange and fills in what the client receives.
 func (cl *client) roundTrip(ctx context.Context, ex *exchange, hs *host, tokenCounts string) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		ex.connection = info.Conn.LocalAddr().String()
+	}})
 	// Without GetBody, net/http cannot send the request a second time on its own after a connection was lost.
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hs.clientLink.address()+ex.path, io.NopCloser(strings.NewReader(ex.requestBody)))
 	if err != nil {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -20,6 +20,8 @@
 	fixedDuration  time.Duration
 	description    string
 	inject, revert func()
+	// planned says that the fault is planned work, which must not cost a request.
+	planned bool
 }
 
 // faultMix determines which faults are drawn and how often.
@@ -36,6 +38,15 @@
 	sendCrashingRequests bool
 	// cutsHosts says that faults may cut hosts off from servers.
 	cutsHosts bool
+	// clientsPerHost is the number of clients that stay with each host whatever happens.
+	clientsPerHost int
+	// plannedOnly says that all faults are planned work.
+	plannedOnly bool
+	// grace is how long the hosts may take to stop; zero for shutdownTimeout.
+	grace time.Duration
+	// longestAnswers are the longest times that servers work on the requests of clients, by service. Services that are
+	// not listed take the same time for all.
+	longestAnswers map[string]time.Duration
 }
 
 // faultMixes contains the mixes under the names that testdata/seeds.txt uses. The faults that a seed draws depend on
@@ -74,10 +85,19 @@
 	}},
 	// Partitions has hosts that are cut off from all servers, but not from clients, one another and the store.
 	// There are few other faults, because hosts are compared while nothing else disturbs them.
-	"Partitions": {moreSeries: 4, cutsHosts: true, faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
+	"Partitions": {moreSeries: 4, cutsHosts: true, clientsPerHost: 4, faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
 		cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, terminateHost, killHost,
 		suspendHost, disruptLink, failStore, failServer, replaceServer, publishDesiredStates, reloadSettings,
 	}},
+	// Planned has planned work alone, so that no request may be lost.
+	"Planned": {
+		seriesPerSecond: 1, clientsPerHost: 4, plannedOnly: true, grace: 5 * time.Second,
+		longestAnswers: map[string]time.Duration{"books": 800 * time.Millisecond, "models": 6 * time.Second},
+		faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
+			terminateHost, terminateHost, terminateHostRepeatedly, terminateHostRepeatedly, terminateHostAndItsSuccessor,
+			publishDesiredStates, reloadSettings, reloadSettings,
+		},
+	},
 }
 
 // drawFaults draws the faults to inject within the given total time and returns them by start time. It draws series of
@@ -88,7 +108,7 @@
 	randomDuration := func(lowest, highest time.Duration) time.Duration {
 		return lowest + time.Duration(random.Int64N(int64(highest-lowest)))
 	}
-	for range 2 + mx.moreSeries + mx.seriesPerSecond*int(total/time.Second) {
+	for range (2 + mx.moreSeries + mx.seriesPerSecond*int(total/time.Second)) * max(zoneCount, len(tb.hosts)) / zoneCount {
 		generate := mx.faultGenerators[random.IntN(len(mx.faultGenerators))]
 		startAfter := randomDuration(total/10, total*8/10)
 		for range 1 + max(0, random.IntN(5)-2) {
@@ -120,6 +140,9 @@
 	}
 	var actions []timedAction
 	for _, ft := range faults {
+		if !ft.planned {
+			ft.inject, ft.revert = tb.recordUnplanned(ft.inject, ft.revert)
+		}
 		actions = append(actions, timedAction{ft.startAfter, ft.inject}, timedAction{min(ft.startAfter+ft.duration, total), ft.revert})
 	}
 	slices.SortStableFunc(actions, func(left, right timedAction) int { return int(left.at - right.at) })
@@ -148,7 +171,7 @@
 // terminateHost has a host stop in an orderly way and restart.
 func terminateHost(tb *testbed, random *rand.Rand) scheduledFault {
 	hs, restartDelay := randomHost(tb, random), randomRestartDelay(random)
-	return scheduledFault{description: "SIGTERM to " + hs.name, inject: func() { hs.signal(syscall.SIGTERM, restartDelay) }}
+	return scheduledFault{planned: true, description: "SIGTERM to " + hs.name, inject: func() { hs.signal(syscall.SIGTERM, restartDelay) }}
 }
 
 // killHost ends a host without warning. It restarts later.
@@ -180,7 +203,7 @@
 // reloadSettings has a host read its settings again.
 func reloadSettings(tb *testbed, random *rand.Rand) scheduledFault {
 	hs := randomHost(tb, random)
-	return scheduledFault{description: "SIGHUP to " + hs.name, inject: func() { hs.signal(syscall.SIGHUP, 0) }}
+	return scheduledFault{planned: true, description: "SIGHUP to " + hs.name, inject: func() { hs.signal(syscall.SIGHUP, 0) }}
 }
 
 // disruptLink has the link of a host or a server delay, reset or hold back its connections.
@@ -386,7 +409,7 @@
 // publishDesiredStates publishes one new desired state or five in quick succession. Each adds a route.
 func publishDesiredStates(tb *testbed, random *rand.Rand) scheduledFault {
 	stateCount := 1 + 4*random.IntN(2)
-	return scheduledFault{description: fmt.Sprint("new desired states: ", stateCount), inject: func() {
+	return scheduledFault{planned: true, description: fmt.Sprint("new desired states: ", stateCount), inject: func() {
 		for range stateCount {
 			tb.publishDesiredState(1)
 		}
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,10 +47,18 @@
 	restartDisabled bool
 	// restartDelay is the time between the end of the process and the next start.
 	restartDelay time.Duration
+	// terminateNext says that the next process is sent SIGTERM when terminateNextAfter has passed since its start.
+	terminateNext      bool
+	terminateNextAfter time.Duration
+	// processTimes are the times of all processes so far, in order.
+	processTimes []processTimes
 	// exited is closed when the process has ended and its output is checked; each process has its own.
 	exited chan struct{}
 }
 
+// processTimes are the start of a process and the first SIGTERM that it was sent; zero if there was none.
+type processTimes struct{ startedAt, terminatedAt time.Time }
+
 // The start of the Go runtime of a daemon, during which SIGHUP ends the process. runtimeStartTime is the time that it may
 // take, runtimeStartRunTime the time that its first thread must have run, which on a busy machine may be much later.
 // maxRuntimeStartTime bounds the wait for that, for a process that is paused.
@@ -85,7 +94,7 @@
 [Logs]
 Format = JSON
 `, hs.name, zone, hs.callerAddress, peerListenAddress, hs.peerLink.address(), operatorAddress, hs.readyAddress, hs.directoryAddress, hs.storeLink.address(),
-		strings.Join(peerSeeds, ","), shutdownTimeout, retryShare, retrySlack)
+		strings.Join(peerSeeds, ","), hs.testbed.grace(), retryShare, retrySlack)
 	hs.settingsPath = filepath.Join(dir, hs.name+".ini")
 	return os.WriteFile(hs.settingsPath, []byte(text), 0o600)
 }
@@ -99,7 +108,11 @@
 	}
 	hs.exitExpected = false
 	hs.output = &bytes.Buffer{}
-	hs.process = exec.Command(filepath.Join(binariesDir, "hibiscusleverd"), "--settings", hs.settingsPath)
+	program := *daemonPath
+	if program == "" {
+		program = filepath.Join(binariesDir, "hibiscusleverd")
+	}
+	hs.process = exec.Command(program, "--settings", hs.settingsPath)
 	if hs.cuttable {
 		hs.process = exec.Command(os.Args[0])
 		hs.process.Env = append(os.Environ(), cuttableHostVariable+"="+hs.settingsPath)
@@ -108,12 +121,17 @@
 	hs.process.Stdout, hs.process.Stderr = hs.output, hs.output
 	hs.exited = make(chan struct{})
 	hs.startedAt = time.Now()
+	hs.processTimes = append(hs.processTimes, processTimes{startedAt: hs.startedAt})
 	if err := hs.process.Start(); err != nil {
 		hs.testbed.reportViolation("START", "%s: %v", hs.name, err)
 		return
 	}
 	hs.sendServerLinks()
 	go hs.supervise(hs.process, hs.output, hs.exited)
+	if hs.terminateNext {
+		hs.terminateNext = false
+		go hs.terminateAgain(hs.process, hs.terminateNextAfter)
+	}
 }
 
 // supervise waits for the end of a process and starts the next one. It reports a violation if the process ended without
@@ -178,6 +196,11 @@
 func (hs *host) signal(sig syscall.Signal, restartDelay time.Duration) {
 	hs.mutex.Lock()
 	defer hs.mutex.Unlock()
+	hs.signalLocked(sig, restartDelay)
+}
+
+// signalLocked is signal for a caller that holds the mutex.
+func (hs *host) signalLocked(sig syscall.Signal, restartDelay time.Duration) {
 	if hs.process == nil || hs.process.Process == nil {
 		return
 	}
@@ -191,9 +214,50 @@
 	if sig == syscall.SIGTERM || sig == syscall.SIGKILL {
 		hs.exitExpected, hs.restartDelay = true, restartDelay
 	}
+	if last := &hs.processTimes[len(hs.processTimes)-1]; sig == syscall.SIGTERM && last.terminatedAt.IsZero() {
+		last.terminatedAt = time.Now()
+	}
 	_ = hs.process.Process.Signal(sig)
 }
 
+// currentProcess returns the last process that was started.
+func (hs *host) currentProcess() *exec.Cmd {
+	hs.mutex.Lock()
+	defer hs.mutex.Unlock()
+	return hs.process
+}
+
+// terminateAgain sends SIGTERM to a process after each of the given times in turn, unless another process has replaced it.
+func (hs *host) terminateAgain(process *exec.Cmd, gaps ...time.Duration) {
+	for _, gap := range gaps {
+		time.Sleep(gap)
+		hs.mutex.Lock()
+		if hs.process == process {
+			hs.signalLocked(syscall.SIGTERM, hs.restartDelay)
+		}
+		hs.mutex.Unlock()
+	}
+}
+
+// terminateNextProcess has the next process sent SIGTERM when a time has passed since its start.
+func (hs *host) terminateNextProcess(after time.Duration) {
+	hs.mutex.Lock()
+	defer hs.mutex.Unlock()
+	hs.terminateNext, hs.terminateNextAfter = true, after
+}
+
+// firstSIGTERM returns when the process that ran at a time was first sent SIGTERM; zero if it was not.
+func (hs *host) firstSIGTERM(at time.Time) time.Time {
+	hs.mutex.Lock()
+	defer hs.mutex.Unlock()
+	for _, pt := range slices.Backward(hs.processTimes) {
+		if !pt.startedAt.After(at) {
+			return pt.terminatedAt
+		}
+	}
+	return time.Time{}
+}
+
 // awaitRuntimeStart waits until the Go runtime of the daemon has started. The caller holds the mutex.
 func (hs *host) awaitRuntimeStart() {
 	const pollInterval = time.Millisecond
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,7 +51,17 @@
 	modeChanged chan struct{}
 	// openConns contains the connections of both sides.
 	openConns map[*net.TCPConn]bool
-	closed    bool
+	// targetEnds describes how targets ended their connections, by the address of the client.
+	targetEnds map[string][]targetEnd
+	closed     bool
+}
+
+// targetEnd describes how the target ended a connection.
+type targetEnd struct {
+	// at is when it ended, lastPassedOnAt when data was last passed on to the target.
+	at, lastPassedOnAt time.Time
+	// unread says that the target closed the connection without reading all of the data.
+	unread bool
 }
 
 // newLink starts a link in the forwarding mode to a target, an IP:port. The caller must close it.
@@ -58,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln := &link{name: name, listener: listener, target: target, modeChanged: make(chan struct{}), openConns: map[*net.TCPConn]bool{}}
+	ln := &link{name: name, listener: listener, target: target, modeChanged: make(chan struct{}), openConns: map[*net.TCPConn]bool{}, targetEnds: map[string][]targetEnd{}}
 	go ln.acceptConns()
 	return ln, nil
 }
@@ -146,20 +158,32 @@
 	ln.mutex.Unlock()
 	conn, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
+		ln.recordTargetEnd(clientConn, targetEnd{unread: true})
 		ln.resetConns(clientConn)
 		return
 	}
 	targetConn := conn.(*net.TCPConn)
 	if !ln.track(targetConn) {
+		ln.recordTargetEnd(clientConn, targetEnd{unread: true})
 		ln.resetConns(clientConn)
 		return
 	}
+	var lastPassedOnAt atomic.Pointer[time.Time]
 	requestsEnded := make(chan struct{})
 	go func() {
 		defer close(requestsEnded)
-		ln.copyDirection(clientConn, targetConn, blockingToTarget)
+		ln.copyDirection(clientConn, targetConn, blockingToTarget, func() {
+			now := time.Now()
+			lastPassedOnAt.Store(&now)
+		}, func(error) {})
 	}()
-	ln.copyDirection(targetConn, clientConn, blockingFromTarget)
+	ln.copyDirection(targetConn, clientConn, blockingFromTarget, func() {}, func(err error) {
+		end := targetEnd{unread: err != io.EOF || hasPendingError(targetConn)}
+		if at := lastPassedOnAt.Load(); at != nil {
+			end.lastPassedOnAt = *at
+		}
+		ln.recordTargetEnd(clientConn, end)
+	})
 	<-requestsEnded
 	ln.mutex.Lock()
 	defer ln.mutex.Unlock()
@@ -169,6 +193,39 @@
 	}
 }
 
+// recordTargetEnd records that the target ends the connection of a client now. It is called before the client can notice.
+func (ln *link) recordTargetEnd(clientConn *net.TCPConn, end targetEnd) {
+	end.at = time.Now()
+	ln.mutex.Lock()
+	defer ln.mutex.Unlock()
+	address := clientConn.RemoteAddr().String()
+	ln.targetEnds[address] = append(ln.targetEnds[address], end)
+}
+
+// hasPendingError reports whether a connection has an error that no call has returned yet. On loopback, data that was sent
+// to a connection that its other side had closed has caused one by the time at which the close is read.
+func hasPendingError(cn *net.TCPConn) bool {
+	raw, err := cn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	code := 0
+	controlErr := raw.Control(func(fd uintptr) { code, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	return controlErr != nil || err != nil || code != 0
+}
+
+// targetEndOf returns how the target ended the connection of a client between two times; zero if it did not end it.
+func (ln *link) targetEndOf(clientAddress string, from, to time.Time) targetEnd {
+	ln.mutex.Lock()
+	defer ln.mutex.Unlock()
+	for _, end := range ln.targetEnds[clientAddress] {
+		if !end.at.Before(from) && !end.at.After(to) {
+			return end
+		}
+	}
+	return targetEnd{}
+}
+
 // resetConns resets connections and removes them from the open ones.
 func (ln *link) resetConns(conns ...*net.TCPConn) {
 	ln.mutex.Lock()
@@ -181,11 +238,15 @@
 
 // copyDirection copies data from one connection to the other until the source ends or either fails. It propagates the
 // end of the source as a half-close, and resets both connections after an error. Before it passes on data or an end, it
-// calls holdBack with the given blocking mode.
-func (ln *link) copyDirection(from, to *net.TCPConn, blockingMode linkMode) {
+// calls holdBack with the given blocking mode. It calls onPassedOn after data was passed on and onEnd when the source has
+// ended or failed.
+func (ln *link) copyDirection(from, to *net.TCPConn, blockingMode linkMode, onPassedOn func(), onEnd func(error)) {
 	buffer := make([]byte, 32<<10)
 	for {
 		length, err := from.Read(buffer)
+		if err != nil {
+			onEnd(err)
+		}
 		if !ln.holdBack(blockingMode) {
 			return
 		}
@@ -194,6 +255,7 @@
 				ln.resetConns(from, to)
 				return
 			}
+			onPassedOn()
 		}
 		if err == io.EOF {
 			_ = to.CloseWrite()
--- /dev/null
+++ b/soak/planned_test.go
@@ -0,0 +1,295 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+
+	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
+)
+
+// Limits of the users' platform for requests that are cut around planned work.
+const (
+	// lossSlack is how long after the last byte of a request its connection may still end without an answer, if the host
+	// has not passed the request on.
+	lossSlack = 200 * time.Millisecond
+	// lateSendLimit is how long after SIGTERM a request may be sent that the host may cut at the end of its grace.
+	lateSendLimit = 3 * time.Second
+	// graceEndShare is the last part of the grace, in which a host may cut requests that servers still work on.
+	graceEndShare = 1. / 6
+)
+
+// shortestAnswer is the shortest time that servers work on requests whose duration is drawn.
+const shortestAnswer = 100 * time.Millisecond
+
+// drawAnswerDuration returns how long servers work on the request with an attempt ID, between shortestAnswer and a longest
+// time, with shorter ones drawn more often. It returns zero for requests of the checks that follow the faults.
+func drawAnswerDuration(attempt string, longest time.Duration) time.Duration {
+	if !strings.HasPrefix(attempt, "c") && !strings.HasPrefix(attempt, "h") {
+		return 0
+	}
+	share := float64(xxhash.Sum64String(attempt)) / math.MaxUint64
+	return time.Duration(float64(shortestAnswer) * math.Pow(float64(longest)/float64(shortestAnswer), share))
+}
+
+// randomSignalGap draws the time between two signals to the same process, 100 to 999 ms.
+func randomSignalGap(random *rand.Rand) time.Duration {
+	return time.Duration(100+random.IntN(900)) * time.Millisecond
+}
+
+// terminateHostRepeatedly sends a host SIGTERM two or three times while it stops. It restarts later.
+func terminateHostRepeatedly(tb *testbed, random *rand.Rand) scheduledFault {
+	hs, restartDelay := randomHost(tb, random), randomRestartDelay(random)
+	gaps := []time.Duration{randomSignalGap(random), randomSignalGap(random)}[:1+random.IntN(2)]
+	return scheduledFault{planned: true, description: fmt.Sprintf("SIGTERM to %s, repeated after %v", hs.name, gaps), inject: func() {
+		process := hs.currentProcess()
+		hs.signal(syscall.SIGTERM, restartDelay)
+		go hs.terminateAgain(process, gaps...)
+	}}
+}
+
+// terminateHostAndItsSuccessor sends SIGTERM to a host and, less than 400 ms after the start of its next process, to that
+// one too.
+func terminateHostAndItsSuccessor(tb *testbed, random *rand.Rand) scheduledFault {
+	hs, restartDelay := randomHost(tb, random), randomRestartDelay(random)
+	after := time.Duration(random.IntN(400)) * time.Millisecond
+	return scheduledFault{planned: true, description: fmt.Sprintf("SIGTERM to %s, and to its next process after %s", hs.name, after), inject: func() {
+		hs.terminateNextProcess(after)
+		hs.signal(syscall.SIGTERM, restartDelay)
+	}}
+}
+
+// timeSpan is the time of a fault; to is zero until the fault has ended.
+type timeSpan struct{ from, to time.Time }
+
+// recordUnplanned returns the actions of a fault with the recording of its time as an unplanned one.
+func (tb *testbed) recordUnplanned(inject, revert func()) (recordedInject, recordedRevert func()) {
+	span := &timeSpan{}
+	return func() {
+			tb.mutex.Lock()
+			span.from = time.Now()
+			tb.unplannedFaults = append(tb.unplannedFaults, span)
+			tb.mutex.Unlock()
+			inject()
+		}, func() {
+			revert()
+			tb.mutex.Lock()
+			defer tb.mutex.Unlock()
+			span.to = time.Now()
+		}
+}
+
+// unplannedFaultNear reports whether there was an unplanned fault near an exchange: from contactTime before it to its end. Requests
+// that crash servers count as such a fault.
+func (tb *testbed) unplannedFaultNear(ex *exchange) bool {
+	if tb.mix.sendCrashingRequests && (tb.convergedAt.IsZero() || ex.sentAt.Before(tb.convergedAt.Add(convergenceTime+contactTime))) {
+		return true
+	}
+	return slices.ContainsFunc(tb.unplannedFaults, func(span *timeSpan) bool {
+		return span.from.Before(ex.endedAt) && (span.to.IsZero() || span.to.Add(contactTime).After(ex.sentAt))
+	})
+}
+
+// verdict is the cause of the end of a request without unplanned faults nearby.
+type verdict string
+
+// Verdicts. All but lost are allowed.
+const (
+	answered        verdict = "answered"
+	clientLeft      verdict = "client left"
+	neverRead       verdict = "never read"
+	withinLossSlack verdict = "closed within the loss slack"
+	serverBrokeOff  verdict = "server broke off"
+	timeLimit       verdict = "time limit reached"
+	endOfGrace      verdict = "server at work at the end of the grace"
+	lost            verdict = "lost"
+)
+
+// verdict decides whether the host may have ended an exchange as it did. The runs are those of the request, by start. The
+// end is how the host ended the connection; zero if it did not. The process that took the request was first sent SIGTERM
+// at terminatedAt, zero if it was not, and then had the grace to stop.
+func (ex *exchange) verdict(runs []standin.ExecutedRequest, end targetEnd, terminatedAt time.Time, grace time.Duration) verdict {
+	switch {
+	case ex.err == nil:
+		return answered
+	case !ex.abandonedAt.IsZero():
+		return clientLeft
+	case len(runs) == 0:
+		if end.at.IsZero() || end.unread || end.lastPassedOnAt.Before(ex.sentAt) {
+			return neverRead
+		}
+		if end.at.Sub(end.lastPassedOnAt) <= lossSlack {
+			return withinLossSlack
+		}
+		if end.at.Sub(ex.sentAt) >= ex.kind.timeout {
+			return timeLimit
+		}
+		return lost
+	}
+	last := runs[len(runs)-1]
+	cutAt := ex.endedAt
+	if !end.at.IsZero() {
+		cutAt = end.at
+	}
+	graceEnd := terminatedAt.Add(grace)
+	switch {
+	case last.BrokenOff:
+		return serverBrokeOff
+	case cutAt.Sub(ex.sentAt) >= ex.kind.timeout:
+		return timeLimit
+	case terminatedAt.IsZero() || ex.sentAt.After(terminatedAt.Add(lateSendLimit)):
+		return lost
+	case !last.StartedAt.After(graceEnd) && !last.EndedAt.Before(graceEnd.Add(-time.Duration(graceEndShare*float64(grace)))):
+		return endOfGrace
+	}
+	return lost
+}
+
+// checkLosses checks that no request was lost around planned work, and logs how many ended without a whole answer for an
+// allowed reason.
+func (tb *testbed) checkLosses(runsByID map[string][]serverRun) {
+	hostsByName := map[string]*host{}
+	for _, hs := range tb.hosts {
+		hostsByName[hs.name] = hs
+	}
+	counts, undisturbed := map[verdict]int{}, 0
+	for _, ex := range tb.exchanges {
+		if tb.unplannedFaultNear(ex) {
+			continue
+		}
+		undisturbed++
+		if ex.err == nil {
+			continue
+		}
+		hs := hostsByName[ex.hostName]
+		var runs []standin.ExecutedRequest
+		for _, rn := range runsByID[ex.id] {
+			runs = append(runs, rn.ExecutedRequest)
+		}
+		slices.SortFunc(runs, func(left, right standin.ExecutedRequest) int { return left.StartedAt.Compare(right.StartedAt) })
+		takenAt := ex.sentAt
+		if len(runs) > 0 {
+			takenAt = runs[0].StartedAt
+		}
+		terminatedAt := hs.firstSIGTERM(takenAt)
+		end := hs.clientLink.targetEndOf(ex.connection, ex.sentAt, ex.endedAt)
+		vd := ex.verdict(runs, end, terminatedAt, tb.grace())
+		counts[vd]++
+		switch vd {
+		case lost:
+			tb.reportViolation("LOST", "around planned work: %s; %s", ex, describeCut(runs, end, terminatedAt))
+		case withinLossSlack, timeLimit, endOfGrace:
+			tb.t.Logf("%s: %s; %s", vd, ex, describeCut(runs, end, terminatedAt))
+		}
+	}
+	var causes []string
+	for _, vd := range slices.Sorted(maps.Keys(counts)) {
+		causes = append(causes, fmt.Sprintf("%s: %d", vd, counts[vd]))
+	}
+	tb.t.Logf("%d requests without an unplanned fault nearby; without a whole answer: %s", undisturbed, strings.Join(causes, ", "))
+}
+
+// describeCut describes the runs of a request that was cut, the end of its connection and the first SIGTERM to the process that
+// took it.
+func describeCut(runs []standin.ExecutedRequest, end targetEnd, terminatedAt time.Time) string {
+	const clockFormat = "05.000"
+	var sb strings.Builder
+	for _, run := range runs {
+		fmt.Fprintf(&sb, "ran from %s to %s, completed: %t, broken off: %t; ", run.StartedAt.Format(clockFormat), run.EndedAt.Format(clockFormat), run.Completed, run.BrokenOff)
+	}
+	if !end.at.IsZero() {
+		fmt.Fprintf(&sb, "connection ended at %s, unread: %t; ", end.at.Format(clockFormat), end.unread)
+	}
+	if terminatedAt.IsZero() {
+		return sb.String() + "no SIGTERM"
+	}
+	return sb.String() + "SIGTERM at " + terminatedAt.Format(clockFormat)
+}
+
+// TestVerdict checks which requests count as lost around planned work: each exception, and the nearest case that is none.
+func TestVerdict(t *testing.T) {
+	const grace = 6 * time.Second
+	terminatedAt := time.Now()
+	at := func(offset time.Duration) time.Time { return terminatedAt.Add(offset) }
+	type cutRequest struct {
+		exchange
+		runs         []standin.ExecutedRequest
+		end          targetEnd
+		terminatedAt time.Time
+	}
+	// passedOn is a stream of a stopping host that was cut one second after SIGTERM.
+	passedOn := func() cutRequest {
+		return cutRequest{
+			exchange:     exchange{kind: patientChatRequests, sentAt: at(-time.Second), endedAt: at(time.Second), status: http.StatusOK, err: io.ErrUnexpectedEOF},
+			runs:         []standin.ExecutedRequest{{StartedAt: at(-time.Second), DisconnectedAt: at(time.Second), EndedAt: at(time.Second)}},
+			end:          targetEnd{at: at(time.Second), lastPassedOnAt: at(-time.Second)},
+			terminatedAt: terminatedAt,
+		}
+	}
+	endRun := func(cr *cutRequest, offset time.Duration) {
+		cr.runs[0].DisconnectedAt, cr.runs[0].EndedAt = at(offset), at(offset)
+	}
+	completeRun := func(cr *cutRequest, offset time.Duration) {
+		cr.runs[0].Completed, cr.runs[0].DisconnectedAt, cr.runs[0].EndedAt = true, time.Time{}, at(offset)
+		cr.endedAt = at(grace)
+	}
+	// holdUnrun makes it a request that no server ran, and whose connection ended when a time had passed since its last byte.
+	holdUnrun := func(cr *cutRequest, held time.Duration) {
+		cr.runs, cr.end.at = nil, cr.end.lastPassedOnAt.Add(held)
+	}
+	for name, tc := range map[string]struct {
+		change func(*cutRequest)
+		want   verdict
+	}{
+		"a stream that is cut":                           {func(*cutRequest) {}, lost},
+		"a stream that is cut without a SIGTERM":         {func(cr *cutRequest) { cr.terminatedAt = time.Time{} }, lost},
+		"no answer at all":                               {func(cr *cutRequest) { cr.status, cr.err = 0, io.EOF }, lost},
+		"a refusal that is cut":                          {func(cr *cutRequest) { cr.status = http.StatusServiceUnavailable }, lost},
+		"a whole answer":                                 {func(cr *cutRequest) { cr.err = nil }, answered},
+		"a whole refusal":                                {func(cr *cutRequest) { cr.err, cr.status = nil, http.StatusServiceUnavailable }, answered},
+		"the client left":                                {func(cr *cutRequest) { cr.abandonedAt = cr.endedAt }, clientLeft},
+		"the server broke off":                           {func(cr *cutRequest) { cr.runs[0].BrokenOff = true }, serverBrokeOff},
+		"the server broke off an earlier run":            {func(cr *cutRequest) { cr.runs = append(cr.runs, cr.runs[0]); cr.runs[0].BrokenOff = true }, lost},
+		"cut at the time limit":                          {func(cr *cutRequest) { cr.kind.timeout = 2 * time.Second }, timeLimit},
+		"cut before the time limit":                      {func(cr *cutRequest) { cr.kind.timeout = 2*time.Second + 1 }, lost},
+		"cut before the time limit, noticed after it":    {func(cr *cutRequest) { cr.endedAt = cr.sentAt.Add(cr.kind.timeout) }, lost},
+		"server at work in the last sixth":               {func(cr *cutRequest) { endRun(cr, 5*time.Second) }, endOfGrace},
+		"server cut before the last sixth":               {func(cr *cutRequest) { endRun(cr, 5*time.Second-1) }, lost},
+		"cut before the last sixth, noticed in it":       {func(cr *cutRequest) { cr.endedAt = at(5 * time.Second) }, lost},
+		"server complete in the last sixth":              {func(cr *cutRequest) { completeRun(cr, 5*time.Second) }, endOfGrace},
+		"server complete before the last sixth":          {func(cr *cutRequest) { completeRun(cr, 5*time.Second-1) }, lost},
+		"server at work in the last sixth, no SIGTERM":   {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.terminatedAt = time.Time{} }, lost},
+		"an earlier run in the last sixth":               {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.runs = append(cr.runs, passedOn().runs[0]) }, lost},
+		"server at work only after the grace":            {func(cr *cutRequest) { endRun(cr, grace+time.Second); cr.runs[0].StartedAt = at(grace + 1) }, lost},
+		"server at work at the end, sent 3 s late":       {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.sentAt = at(lateSendLimit) }, endOfGrace},
+		"server at work at the end, sent later":          {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.sentAt = at(lateSendLimit + 1) }, lost},
+		"not passed on, closed within the slack":         {func(cr *cutRequest) { holdUnrun(cr, lossSlack) }, withinLossSlack},
+		"not passed on, closed later":                    {func(cr *cutRequest) { holdUnrun(cr, lossSlack+1) }, lost},
+		"not passed on, refusal cut later":               {func(cr *cutRequest) { holdUnrun(cr, lossSlack+1); cr.status = http.StatusServiceUnavailable }, lost},
+		"not passed on, closed at the time limit":        {func(cr *cutRequest) { holdUnrun(cr, cr.kind.timeout) }, timeLimit},
+		"not passed on, closed before it":                {func(cr *cutRequest) { holdUnrun(cr, cr.kind.timeout-1) }, lost},
+		"not passed on, closed unread":                   {func(cr *cutRequest) { holdUnrun(cr, time.Second); cr.end.unread = true }, neverRead},
+		"passed on, closed with later data unread":       {func(cr *cutRequest) { cr.end.unread = true }, lost},
+		"the close came before the request":              {func(cr *cutRequest) { holdUnrun(cr, time.Second); cr.end.lastPassedOnAt = cr.sentAt.Add(-1) }, neverRead},
+		"no connection":                                  {func(cr *cutRequest) { cr.runs, cr.end = nil, targetEnd{} }, neverRead},
+		"passed on, closed by another than the host":     {func(cr *cutRequest) { cr.end = targetEnd{} }, lost},
+		"server at work in the last sixth, first of two": {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.runs = append(cr.runs, cr.runs[0]) }, endOfGrace},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cr := passedOn()
+			tc.change(&cr)
+			assert.Equal(t, cr.verdict(cr.runs, cr.end, cr.terminatedAt, grace), tc.want)
+		})
+	}
+}
--- a/soak/recovery_test.go
+++ b/soak/recovery_test.go
@@ -200,7 +200,7 @@
 		}
 	}
 	time.Sleep(delayBeforeSignal)
-	acceptEnd := time.Now().Add(lifecycle.Grace(shutdownTimeout).AcceptTime())
+	acceptEnd := time.Now().Add(lifecycle.Grace(tb.grace()).AcceptTime())
 	hs.signal(syscall.SIGTERM, 0)
 	group.Wait()
 	close(exchanges)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,8 +26,10 @@
 	seedCount       = flag.Int("soak.seeds", 0, "`NUMBER` of consecutive seeds to run instead of the runs in testdata/seeds.txt")
 	firstSeed       = flag.Uint64("soak.from", 1, "first `SEED` to run with -soak.seeds")
 	faultSeconds    = flag.Float64("soak.seconds", 8, "`SECONDS` of faults for each seed of -soak.seeds")
-	mixName         = flag.String("soak.mix", "Dense", "`NAME` of the fault mix for the seeds of -soak.seeds: Sparse, Dense, Words, Crashing, Restores, Limits or Partitions")
+	mixName         = flag.String("soak.mix", "Dense", "`NAME` of the fault mix for the seeds of -soak.seeds: Sparse, Dense, Words, Crashing, Restores, Limits, Partitions or Planned")
 	checkTimeLimits = flag.Bool("soak.timed", false, "also check time limits; needs a machine that is otherwise idle")
+	hostCount       = flag.Int("soak.hosts", 3, "`NUMBER` of hosts of each run")
+	daemonPath      = flag.String("soak.daemon", "", "`FILE` of the daemon to test instead of the one built from the source; the mix Partitions ignores it")
 	logFolder       = flag.String("soak.logs", "", "existing `FOLDER` to write the host logs of failed seeds to")
 )
 
@@ -56,7 +58,7 @@
 	}
 }
 
-// soakRun describes one run. Its faults depend on all of the fields. Once the hosts are ready, the faults are injected
+// soakRun describes one run. Its faults depend on all of the fields and on the number of hosts. Once the hosts are ready, the faults are injected
 // and reverted within faultDuration; the checks follow.
 type soakRun struct {
 	seed          uint64
@@ -103,13 +105,10 @@
 		cl := newClient(tb, fmt.Sprintf("c%d", ix+1), ru.seed)
 		group.Go(func() { cl.run(ctx) })
 	}
-	if mx.cutsHosts {
-		const clientsPerHost = 4
-		for ix := range clientsPerHost * hostCount {
-			cl := newClient(tb, fmt.Sprintf("h%d", ix+1), ru.seed)
-			cl.onlyHost = tb.hosts[ix%hostCount]
-			group.Go(func() { cl.run(ctx) })
-		}
+	for ix := range mx.clientsPerHost * *hostCount {
+		cl := newClient(tb, fmt.Sprintf("h%d", ix+1), ru.seed)
+		cl.onlyHost = tb.hosts[ix%*hostCount]
+		group.Go(func() { cl.run(ctx) })
 	}
 	if mx.sendCrashingRequests {
 		cl := newClient(tb, "marked", ru.seed)
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -18,10 +18,12 @@
 	// virtualHost and apiKey are what clients' requests carry as Host and API key.
 	virtualHost = "shop.example"
 	apiKey      = "key-of-acme"
-	hostCount   = 3
+	// zoneCount is the number of availability zones, which is also the least number of servers of each service.
+	zoneCount   = 3
 	clientCount = 6
 
-	// Settings of the hosts. shutdownTimeout is how long a host may take to finish its requests after SIGTERM. All
+	// Settings of the hosts. shutdownTimeout is how long a host may take to finish its requests after SIGTERM, unless the
+	// mix has a grace of its own. All
 	// hosts together may add retries of retryShare of a service's requests, and retrySlack more in each window of 10 s.
 	shutdownTimeout = 3 * time.Second
 	retryShare      = 0.2
@@ -52,6 +54,8 @@
 
 	// clientTimeout is longer than each route's timeout, so that clients receive late responses too.
 	clientTimeout = 6 * time.Second
+	// clientPatience is how much longer than the route's timeout a client waits at least.
+	clientPatience = 2 * time.Second
 	// waitLimit bounds each wait for a condition, so that a run that hangs ends with a violation. The time limits above
 	// are checked separately.
 	waitLimit = time.Minute
@@ -61,6 +65,7 @@
 // happened.
 type testbed struct {
 	t     *testing.T
+	mix   faultMix
 	store *standin.Store
 	hosts []*host
 
@@ -84,6 +89,8 @@
 	crashedServers map[string]bool
 	// disruptions are the times at which faults of hosts and of links began and ended.
 	disruptions []disruption
+	// unplannedFaults are the times of the faults that are no planned work.
+	unplannedFaults []*timeSpan
 	// linkChanges are the changes of the links between hosts and servers, in order.
 	linkChanges []linkChange
 	// convergedAt is when convergenceTime had passed since all hosts served each kind of request again after the faults.
@@ -119,19 +126,19 @@
 	draining bool
 }
 
-// newTestbed starts three servers of each service and the hosts. Hosts reach one another, the store and the servers
+// newTestbed starts the servers and the hosts, with three servers of each service or as many as there are hosts. Hosts reach one another, the store and the servers
 // through links, and clients reach hosts through links. It does not wait until the hosts are ready.
 func newTestbed(t *testing.T, mx faultMix) *testbed {
-	tb := &testbed{t: t, store: standin.NewStore(), hostLogs: map[string][]byte{}, crashedServers: map[string]bool{}}
-	for range 3 {
+	tb := &testbed{t: t, mix: mx, store: standin.NewStore(), hostLogs: map[string][]byte{}, crashedServers: map[string]bool{}}
+	for range max(zoneCount, *hostCount) {
 		tb.addServer("books", nil)
 		tb.addServer("models", nil)
 	}
 	tb.publishDesiredState(0)
 	dir := t.TempDir()
 	var peerSeeds []string
-	peerListenAddresses := make([]string, hostCount)
-	for ix := range hostCount {
+	peerListenAddresses := make([]string, *hostCount)
+	for ix := range *hostCount {
 		hs := &host{testbed: tb, cuttable: mx.cutsHosts, name: fmt.Sprint("host-", ix+1), callerAddress: testutil.FreeAddress(t), readyAddress: testutil.FreeAddress(t), directoryAddress: testutil.FreeAddress(t)}
 		peerListenAddresses[ix] = testutil.FreeAddress(t)
 		hs.peerLink, hs.clientLink, hs.storeLink = tb.addLink(hs.name+" peers", peerListenAddresses[ix]), tb.addLink(hs.name+" clients", hs.callerAddress), tb.addLink(hs.name+" store", tb.store.Address())
@@ -139,7 +146,7 @@
 		tb.hosts = append(tb.hosts, hs)
 	}
 	for ix, hs := range tb.hosts {
-		assert.NilError(t, hs.writeSettings(dir, fmt.Sprintf("zone-%c", 'a'+ix), peerListenAddresses[ix], testutil.FreeAddress(t), peerSeeds))
+		assert.NilError(t, hs.writeSettings(dir, fmt.Sprintf("zone-%c", 'a'+ix%zoneCount), peerListenAddresses[ix], testutil.FreeAddress(t), peerSeeds))
 		hs.start()
 	}
 	return tb
@@ -161,10 +168,13 @@
 	tb.mutex.Lock()
 	tb.startedServers++
 	name := fmt.Sprintf("%s-%d", service, tb.startedServers)
-	zone := fmt.Sprintf("zone-%c", 'a'+tb.startedServers%hostCount)
+	zone := fmt.Sprintf("zone-%c", 'a'+tb.startedServers%zoneCount)
 	tb.mutex.Unlock()
 	sv := &server{Server: standin.NewServer(name, service, zone), link: reusedLink}
 	sv.WorkDuration, sv.EventInterval = 30*time.Millisecond, 30*time.Millisecond
+	if longest, ok := tb.mix.longestAnswers[service]; ok {
+		sv.AnswerDuration = func(attempt string) time.Duration { return drawAnswerDuration(attempt, longest) }
+	}
 	if reusedLink == nil {
 		sv.link = tb.addLink(name, sv.Address())
 	} else {
@@ -197,6 +207,14 @@
 	}
 }
 
+// grace returns how long the hosts may take to finish their requests after SIGTERM.
+func (tb *testbed) grace() time.Duration {
+	if tb.mix.grace > 0 {
+		return tb.mix.grace
+	}
+	return shutdownTimeout
+}
+
 // list sets the state of a server in the list, or removes the server for an empty state.
 func (tb *testbed) list(sv *server, state string) {
 	tb.mutex.Lock()
@@ -241,7 +259,11 @@
 	desiredState["Version"] = tb.desiredStateVersion
 	routes := desiredState["Routes"].([]any)
 	// This is the order of the routes in the example.
-	for ix, kind := range []requestKind{chatRequests, readRequests, orderRequests} {
+	kinds := []requestKind{chatRequests, readRequests, orderRequests}
+	if tb.mix.plannedOnly {
+		kinds[0] = patientChatRequests
+	}
+	for ix, kind := range kinds {
 		routes[ix].(map[string]any)["TimeoutMs"] = kind.timeout.Milliseconds()
 		routes[ix].(map[string]any)["MaxAttempts"] = maxAttempts
 	}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -83,6 +83,10 @@
 	Completed bool
 	// DisconnectedAt is when the host closed the connection before the end; zero if it did not.
 	DisconnectedAt time.Time
+	// EndedAt is when the server stopped working on the request, in whichever way; zero while it works on it.
+	EndedAt time.Time
+	// BrokenOff means that the server itself ended its work or the connection before the end.
+	BrokenOff bool
 }
 
 // Server is a stand-in for one model engine or one backend server of a plain service. A request with token counts in
@@ -97,6 +101,9 @@
 	EventInterval time.Duration
 	// WorkDuration is the time that the server takes for a request to a plain service.
 	WorkDuration time.Duration
+	// AnswerDuration, if it is not nil, returns how long the server works on the request with an attempt ID, streams
+	// included. The fields above apply to requests for which it returns zero.
+	AnswerDuration func(attempt string) time.Duration
 	// ListedAddress is the IP:port in the server list, if it differs from the server's own.
 	ListedAddress string
 	address       string
@@ -161,6 +168,7 @@
 		sv.closed = true
 		close(sv.responsiveAgain)
 	}
+	sv.breakOffRequests()
 	httpServer := sv.httpServer
 	sv.mutex.Unlock()
 	httpServer.CloseClientConnections()
@@ -197,6 +205,9 @@
 	}
 	sv.mutex.Unlock()
 	stopServer := func() {
+		sv.mutex.Lock()
+		sv.breakOffRequests()
+		sv.mutex.Unlock()
 		_ = oldServer.Listener.Close()
 		oldServer.CloseClientConnections()
 	}
@@ -389,6 +400,7 @@
 		header.Set("Server-Leaving", "1")
 	}
 	executed := sv.recordExecution(rq, body)
+	defer sv.markEnded(executed)
 	header.Set("X-Response-Seal", "seal-of-"+sv.ID)
 	if sv.crashIfMarked(rq, body) {
 		sv.waitWhileUnresponsive()
@@ -411,8 +423,12 @@
 		sv.streamEvents(rw, rq, executed, fault)
 		return
 	}
+	workDuration := sv.WorkDuration
+	if duration := sv.answerDuration(executed.Attempt); duration > 0 {
+		workDuration = duration
+	}
 	select {
-	case <-time.After(sv.WorkDuration):
+	case <-time.After(workDuration):
 		sv.respond(rw, executed, fault)
 	case <-rq.Context().Done():
 		sv.markDisconnected(executed)
@@ -494,6 +510,9 @@
 	sv.mutex.Lock()
 	interval := sv.EventInterval
 	sv.mutex.Unlock()
+	if duration := sv.answerDuration(executed.Attempt); duration > 0 {
+		interval = duration / time.Duration(sv.EventCount)
+	}
 	firstEvent := 1
 	if lastEvent, err := strconv.Atoi(executed.LastEventID); err == nil {
 		firstEvent = lastEvent + 1
@@ -629,7 +648,7 @@
 func (sv *Server) markCompleted(executed *ExecutedRequest) {
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
-	executed.Completed = true
+	executed.Completed, executed.EndedAt = true, time.Now()
 }
 
 // markDisconnected records that the host closed the connection of a request before its end.
@@ -637,6 +656,34 @@
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	executed.DisconnectedAt = time.Now()
+	executed.EndedAt = executed.DisconnectedAt
+}
+
+// markEnded records that the server no longer works on a request. If it is neither complete nor disconnected, the server
+// broke it off.
+func (sv *Server) markEnded(executed *ExecutedRequest) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	if executed.EndedAt.IsZero() {
+		executed.EndedAt, executed.BrokenOff = time.Now(), true
+	}
+}
+
+// breakOffRequests records that the server breaks off the requests that it works on. The caller holds the mutex.
+func (sv *Server) breakOffRequests() {
+	for _, executed := range sv.executedRequests {
+		if executed.EndedAt.IsZero() {
+			executed.BrokenOff = true
+		}
+	}
+}
+
+// answerDuration returns what AnswerDuration says; zero if there is none.
+func (sv *Server) answerDuration(attempt string) time.Duration {
+	if sv.AnswerDuration == nil {
+		return 0
+	}
+	return sv.AnswerDuration(attempt)
 }
 
 // handleOrder reserves or releases memory. It rejects IDs that contain a comma or a slash.
