Soak: tests of the records that the rule LOST is decided by

TestTargetEnd and TestDataCrossesClose: whether a host has read all that a client sent; red (nothing is read, half is read) with targetEnd.unread always false.

--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -324,3 +324,61 @@
 		return poll.Success()
 	})
 }
+
+// TestTargetEnd checks whether a link can tell a target that has read all data from one that has not.
+func TestTargetEnd(t *testing.T) {
+	readAll := func(conn net.Conn) { _, _ = io.ReadFull(conn, make([]byte, 2)) }
+	for name, tc := range map[string]struct {
+		// serve is what the target does before it closes a connection on which it gets two bytes.
+		serve      func(net.Conn)
+		wantUnread bool
+	}{
+		"all is read":                {readAll, false},
+		"nothing is read":            {func(net.Conn) { time.Sleep(50 * time.Millisecond) }, true},
+		"half is read":               {func(conn net.Conn) { _, _ = io.ReadFull(conn, make([]byte, 1)); time.Sleep(50 * time.Millisecond) }, true},
+		"all is read and the answer": {func(conn net.Conn) { readAll(conn); _, _ = io.WriteString(conn, "half an ans") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = target.Close() }()
+			go func() {
+				if conn, err := target.Accept(); err == nil {
+					tc.serve(conn)
+					_ = conn.Close()
+				}
+			}()
+			ln, err := newLink("test", target.Addr().String())
+			assert.NilError(t, err)
+			defer ln.close()
+			sentAt := time.Now()
+			conn, err := net.Dial("tcp", ln.address())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "xx")
+			assert.NilError(t, err)
+			_, _ = io.ReadAll(conn)
+			end := ln.targetEndOf(conn.LocalAddr().String(), sentAt, time.Now())
+			assert.Assert(t, !end.at.IsZero())
+			assert.Equal(t, end.unread, tc.wantUnread)
+		})
+	}
+}
+
+// TestDataCrossesClose checks that data that was sent to a closed connection is not taken for read.
+func TestDataCrossesClose(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, accepted.Close())
+	_, err = io.WriteString(conn, "x")
+	assert.NilError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, err != io.EOF || hasPendingError(conn.(*net.TCPConn)))
+}
