--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -4,7 +4,13 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // linkMode is the way in which a link treats its connections.
@@ -45,7 +51,17 @@
 	modeChanged chan struct{}
 	// openConns contains the connections of both sides.
 	openConns map[*net.TCPConn]bool
-	closed    bool
+	// targetEnds describes how targets ended their connections, by the address of the client.
+	targetEnds map[string][]targetEnd
+	closed     bool
+}
+
+// targetEnd describes how the target ended a connection.
+type targetEnd struct {
+	// at is when it ended, lastPassedOnAt when data was last passed on to the target.
+	at, lastPassedOnAt time.Time
+	// unread says that the target closed the connection without reading all of the data.
+	unread bool
 }
 
 // newLink starts a link in the forwarding mode to a target, an IP:port. The caller must close it.
@@ -54,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln := &link{name: name, listener: listener, target: target, modeChanged: make(chan struct{}), openConns: map[*net.TCPConn]bool{}}
+	ln := &link{name: name, listener: listener, target: target, modeChanged: make(chan struct{}), openConns: map[*net.TCPConn]bool{}, targetEnds: map[string][]targetEnd{}}
 	go ln.acceptConns()
 	return ln, nil
 }
@@ -134,24 +150,80 @@
 	}
 }
 
-// forwardConn connects to the target and copies data in both directions. It resets the client's connection if the
-// target cannot be reached.
+// forwardConn connects to the target and copies data in both directions until both have ended. It resets the client's
+// connection if the target cannot be reached.
 func (ln *link) forwardConn(clientConn *net.TCPConn) {
 	ln.mutex.Lock()
 	target := ln.target
 	ln.mutex.Unlock()
 	conn, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
+		ln.recordTargetEnd(clientConn, targetEnd{unread: true})
 		ln.resetConns(clientConn)
 		return
 	}
 	targetConn := conn.(*net.TCPConn)
 	if !ln.track(targetConn) {
+		ln.recordTargetEnd(clientConn, targetEnd{unread: true})
 		ln.resetConns(clientConn)
 		return
 	}
-	go ln.copyDirection(clientConn, targetConn, blockingToTarget)
-	ln.copyDirection(targetConn, clientConn, blockingFromTarget)
+	var lastPassedOnAt atomic.Pointer[time.Time]
+	requestsEnded := make(chan struct{})
+	go func() {
+		defer close(requestsEnded)
+		ln.copyDirection(clientConn, targetConn, blockingToTarget, func() {
+			now := time.Now()
+			lastPassedOnAt.Store(&now)
+		}, func(error) {})
+	}()
+	ln.copyDirection(targetConn, clientConn, blockingFromTarget, func() {}, func(err error) {
+		end := targetEnd{unread: err != io.EOF || hasPendingError(targetConn)}
+		if at := lastPassedOnAt.Load(); at != nil {
+			end.lastPassedOnAt = *at
+		}
+		ln.recordTargetEnd(clientConn, end)
+	})
+	<-requestsEnded
+	ln.mutex.Lock()
+	defer ln.mutex.Unlock()
+	for _, cn := range []*net.TCPConn{clientConn, targetConn} {
+		_ = cn.Close()
+		delete(ln.openConns, cn)
+	}
+}
+
+// recordTargetEnd records that the target ends the connection of a client now. It is called before the client can notice.
+func (ln *link) recordTargetEnd(clientConn *net.TCPConn, end targetEnd) {
+	end.at = time.Now()
+	ln.mutex.Lock()
+	defer ln.mutex.Unlock()
+	address := clientConn.RemoteAddr().String()
+	ln.targetEnds[address] = append(ln.targetEnds[address], end)
+}
+
+// hasPendingError reports whether a connection has an error that no call has returned yet. On loopback, data that was sent
+// to a connection that its other side had closed has caused one by the time at which the close is read.
+func hasPendingError(cn *net.TCPConn) bool {
+	raw, err := cn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	code := 0
+	controlErr := raw.Control(func(fd uintptr) { code, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	return controlErr != nil || err != nil || code != 0
+}
+
+// targetEndOf returns how the target ended the connection of a client between two times; zero if it did not end it.
+func (ln *link) targetEndOf(clientAddress string, from, to time.Time) targetEnd {
+	ln.mutex.Lock()
+	defer ln.mutex.Unlock()
+	for _, end := range ln.targetEnds[clientAddress] {
+		if !end.at.Before(from) && !end.at.After(to) {
+			return end
+		}
+	}
+	return targetEnd{}
 }
 
 // resetConns resets connections and removes them from the open ones.
@@ -166,11 +238,15 @@
 
 // copyDirection copies data from one connection to the other until the source ends or either fails. It propagates the
 // end of the source as a half-close, and resets both connections after an error. Before it passes on data or an end, it
-// calls holdBack with the given blocking mode.
-func (ln *link) copyDirection(from, to *net.TCPConn, blockingMode linkMode) {
+// calls holdBack with the given blocking mode. It calls onPassedOn after data was passed on and onEnd when the source has
+// ended or failed.
+func (ln *link) copyDirection(from, to *net.TCPConn, blockingMode linkMode, onPassedOn func(), onEnd func(error)) {
 	buffer := make([]byte, 32<<10)
 	for {
 		length, err := from.Read(buffer)
+		if err != nil {
+			onEnd(err)
+		}
 		if !ln.holdBack(blockingMode) {
 			return
 		}
@@ -179,6 +255,7 @@
 				ln.resetConns(from, to)
 				return
 			}
+			onPassedOn()
 		}
 		if err == io.EOF {
 			_ = to.CloseWrite()
@@ -212,3 +289,96 @@
 		}
 	}
 }
+
+// TestLinkKeepsEndedConnections checks that a link closes a connection that both sides have ended, so that long runs with
+// many connections don't run out of descriptors.
+func TestLinkKeepsEndedConnections(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = target.Close() }()
+	go func() {
+		conn, err := target.Accept()
+		if err == nil {
+			_, _ = io.Copy(conn, conn)
+			_ = conn.Close()
+		}
+	}()
+	ln, err := newLink("test", target.Addr().String())
+	assert.NilError(t, err)
+	defer ln.close()
+	conn, err := net.Dial("tcp", ln.address())
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "x")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	echo, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, string(echo), "x")
+	assert.NilError(t, conn.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ln.mutex.Lock()
+		defer ln.mutex.Unlock()
+		if openConns := len(ln.openConns); openConns > 0 {
+			return poll.Continue("%d connections are open", openConns)
+		}
+		return poll.Success()
+	})
+}
+
+// TestTargetEnd checks whether a link can tell a target that has read all data from one that has not.
+func TestTargetEnd(t *testing.T) {
+	readAll := func(conn net.Conn) { _, _ = io.ReadFull(conn, make([]byte, 2)) }
+	for name, tc := range map[string]struct {
+		// serve is what the target does before it closes a connection on which it gets two bytes.
+		serve      func(net.Conn)
+		wantUnread bool
+	}{
+		"all is read":                {readAll, false},
+		"nothing is read":            {func(net.Conn) { time.Sleep(50 * time.Millisecond) }, true},
+		"half is read":               {func(conn net.Conn) { _, _ = io.ReadFull(conn, make([]byte, 1)); time.Sleep(50 * time.Millisecond) }, true},
+		"all is read and the answer": {func(conn net.Conn) { readAll(conn); _, _ = io.WriteString(conn, "half an ans") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = target.Close() }()
+			go func() {
+				if conn, err := target.Accept(); err == nil {
+					tc.serve(conn)
+					_ = conn.Close()
+				}
+			}()
+			ln, err := newLink("test", target.Addr().String())
+			assert.NilError(t, err)
+			defer ln.close()
+			sentAt := time.Now()
+			conn, err := net.Dial("tcp", ln.address())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "xx")
+			assert.NilError(t, err)
+			_, _ = io.ReadAll(conn)
+			end := ln.targetEndOf(conn.LocalAddr().String(), sentAt, time.Now())
+			assert.Assert(t, !end.at.IsZero())
+			assert.Equal(t, end.unread, tc.wantUnread)
+		})
+	}
+}
+
+// TestDataCrossesClose checks that data that was sent to a closed connection is not taken for read.
+func TestDataCrossesClose(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, accepted.Close())
+	_, err = io.WriteString(conn, "x")
+	assert.NilError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, err != io.EOF || hasPendingError(conn.(*net.TCPConn)))
+}
