Work that starts while a host waits for its work no longer makes it panic

Callers could see: the host ends at once during its stop, before the ends of their answers. Background work is counted with WaitGroups, and sync.WaitGroup panics ("WaitGroup is reused before previous Wait has returned") if work starts at the moment at which a waiter is released. The stop waits for such work while more of it may start: shutDown of the product's own front for clean-up after attempts, shard.Server for cancellations, which polls of engines start, and the relay, placer and runners alike.

Now tasks.WaitGroup counts by itself and lets functions start at any time. In the real program the panic was not seen.

--- a/coordination/shard/fuzz_test.go
+++ b/coordination/shard/fuzz_test.go
@@ -36,7 +36,7 @@
 }
 func (wildEngines) CancelAttempt(context.Context, string, id.Attempt) error { return nil }
 func (wildEngines) Orphaned(context.Context, id.Attempt) bool               { return true }
-func (wildEngines) Shards() []id.Shard { return []id.Shard{"one"} }
+func (wildEngines) Shards() []id.Shard                                      { return []id.Shard{"one"} }
 
 func (wildEngines) Engines(id.Shard) []fleet.Engine {
 	return []fleet.Engine{{Name: "a", Address: "a:1"}, {Name: "b", Address: "b:1"}, {Name: "c", Address: "c:1"}}
--- a/tasks/group_test.go
+++ b/tasks/group_test.go
@@ -78,3 +78,24 @@
 	}()
 	assert.Equal(t, recovered, "index 7")
 }
+
+// TestTaskStartedDuringWaitPanics starts functions while others wait for the group.
+func TestTaskStartedDuringWaitPanics(t *testing.T) {
+	const rounds, waiters = 2000, 8
+	var group, waiting tasks.WaitGroup
+	var ended atomic.Int64
+	for range waiters {
+		waiting.Go(func() {
+			for ended.Load() < rounds {
+				group.Wait()
+			}
+		})
+	}
+	for range rounds {
+		group.Go(func() { time.Sleep(time.Microsecond); ended.Add(1) })
+		time.Sleep(2 * time.Microsecond)
+	}
+	waiting.Wait()
+	group.Wait()
+	assert.Equal(t, ended.Load(), int64(rounds))
+}
--- a/tasks/panic.go
+++ b/tasks/panic.go
@@ -99,20 +99,3 @@
 	}()
 	return task()
 }
-
-// WaitGroup is a sync.WaitGroup whose goroutines pass panics to the subscribers of NotifyPanics. The zero value is ready
-// for use. A WaitGroup must not be copied.
-type WaitGroup struct{ running sync.WaitGroup }
-
-// Go runs task in a separate goroutine.
-func (wg *WaitGroup) Go(task func()) { wg.running.Go(Guarded(task)) }
-
-// Wait returns when all functions that were passed to Go and Run have ended.
-func (wg *WaitGroup) Wait() { wg.running.Wait() }
-
-// Run runs task in the calling goroutine. Wait waits for it as well.
-func (wg *WaitGroup) Run(task func()) {
-	wg.running.Add(1)
-	defer wg.running.Done()
-	task()
-}
