--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -7,8 +7,11 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -141,7 +144,8 @@
 	return newConn(connection, address), nil
 }
 
-// dialTimed opens a connection to an address within the timeout for that.
+// dialTimed opens a connection to an address within the timeout for that. While the process has no descriptors left, it
+// closes idle connections and waits.
 func (pl *Pool) dialTimed(ctx context.Context, address string) (net.Conn, error) {
 	dial := pl.config.Dial
 	if dial == nil {
@@ -149,9 +153,41 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, pl.config.DialTimeout)
 	defer cancel()
-	return dial(dialCtx, "tcp", address)
+	for {
+		connection, err := dial(dialCtx, "tcp", address)
+		lacksDescriptor := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+		if !lacksDescriptor {
+			return connection, err
+		}
+		if !pl.closeLongestIdle() && !timer.Sleep(dialCtx, pl.clock, descriptorWait) {
+			return nil, err
+		}
+	}
 }
 
+// closeLongestIdle closes the idle connection that expires first and reports whether there is one.
+func (pl *Pool) closeLongestIdle() bool {
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	var longest *conn
+	for _, idle := range pl.idle {
+		if longest == nil || idle[0].expiresAt.Before(longest.expiresAt) {
+			longest = idle[0]
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	if pl.idle[longest.address] = pl.idle[longest.address][1:]; len(pl.idle[longest.address]) == 0 {
+		delete(pl.idle, longest.address)
+	}
+	_ = longest.Close()
+	return true
+}
+
+// descriptorWait is the time after which a connection is tried again for which there was no descriptor.
+const descriptorWait = 20 * time.Millisecond
+
 func newConn(connection net.Conn, address string) *conn {
 	limited := &limitedReader{Reader: connection, remaining: unlimited}
 	return &conn{Conn: connection, address: address, limitedReader: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
--- a/transport/backend/pool_test.go
+++ b/transport/backend/pool_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -252,3 +254,33 @@
 	_, err = send(true)
 	assert.ErrorIs(t, err, ErrNoIdleConnection)
 }
+
+// TestDialWithoutDescriptorsFails opens connections while the process has no descriptors left: one is free after a while, or
+// when the pool closes an idle connection.
+func TestDialWithoutDescriptorsFails(t *testing.T) {
+	address, _ := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	for name, holdsIdle := range map[string]bool{"freed by others": false, "held by an idle connection": true} {
+		t.Run(name, func(t *testing.T) {
+			config := DefaultConfig()
+			config.DialTimeout = time.Minute
+			var pool *Pool
+			exhausted, tries := false, 0
+			config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				tries++
+				if exhausted && (tries < 3 || holdsIdle && len(pool.idle) > 0) {
+					return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+			pool = NewPool(config, timer.NewSystem())
+			defer pool.Close()
+			if holdsIdle {
+				assert.NilError(t, pool.Preconnect(t.Context(), address))
+			}
+			exhausted, tries = true, 0
+			response, err := pool.Do(t.Context(), Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h", NewConnection: true})
+			assert.NilError(t, err)
+			assert.Equal(t, response.Status, http.StatusOK)
+		})
+	}
+}
