Many short bodies at once no longer take more memory than a host has

Callers saw (or would see, where the system ends a process at its limit): all requests of a host end at once. Bodies of up to 64 KB did not count as body memory at all.

Now bodies from 4 to 64 KB have 0.15 of the memory of the settings for themselves, so that long bodies still don't keep them out; what finds no room is refused as not run, as long bodies are. Bodies up to 4 KB are never refused for memory. A body of unknown length that finds no room among the short ones counts as a long one.

Not measured: streams to clients that don't read, lists and gossip from peers, traces. Bytes that the system has received and the host has not read don't show in resident memory.

--- a/site/host.go
+++ b/site/host.go
@@ -215,11 +215,11 @@
 		Seed:        seed,
 	})
 	ht.clientHandler = platform.NewClientHandler(ht.updateFollower, ht.forwarder, ht.clock, ht.logger)
-	// bodyMemoryShare is the part of the process's memory that the bodies of requests may take. The rest is for responses
-	// and for what is kept besides.
-	const bodyMemoryShare = 0.3
+	// bodyMemoryShare and shortBodyMemoryShare are the parts of the process's memory that the long and the short bodies of
+	// requests may take. The rest is for responses and for what is kept besides.
+	const bodyMemoryShare, shortBodyMemoryShare = 0.3, 0.15
 	if megabytes := ht.settings.Limits.MemoryMegabytes; megabytes > 0 {
-		ht.bodyMemory = bodymemory.New(int64(bodyMemoryShare * megabytes * (1 << 20)))
+		ht.bodyMemory = bodymemory.New(int64(bodyMemoryShare*megabytes*(1<<20)), int64(shortBodyMemoryShare*megabytes*(1<<20)))
 	}
 	ht.clientHandler.LimitBodies(ht.bodyMemory)
 	return nil
--- a/transport/bodymemory/memory.go
+++ b/transport/bodymemory/memory.go
@@ -12,8 +12,10 @@
 
 const (
 	// UncountedBytes is the length up to which a body of a request does not count as part of the body memory, so that
-	// few long bodies don't keep short ones out.
+	// few long bodies don't keep short ones out. Such bodies have a limit of their own.
 	UncountedBytes = 64 << 10
+	// smallBytes is the length up to which a body has no limit at all.
+	smallBytes = 4 << 10
 	// stepBytes is the step in which memory is reserved for a body without an announced length.
 	stepBytes = 256 << 10
 	// maxInitialBufferBytes is the largest buffer that is allocated for a body before any of it has arrived.
@@ -27,10 +29,13 @@
 type Memory struct {
 	limit    int64
 	reserved atomic.Int64
+	// shortLimit limits the bodies up to UncountedBytes; 0 for no limit.
+	shortLimit    int64
+	shortReserved atomic.Int64
 }
 
-// New returns a memory with a limit in bytes.
-func New(limit int64) *Memory { return &Memory{limit: limit} }
+// New returns a memory with limits in bytes for bodies above UncountedBytes and for shorter ones, 0 for no limit of these.
+func New(limit, shortLimit int64) *Memory { return &Memory{limit: limit, shortLimit: shortLimit} }
 
 // Reserved returns the bytes that are reserved for bodies.
 func (mm *Memory) Reserved() int64 { return mm.reserved.Load() }
@@ -44,6 +49,8 @@
 	// read and reserved are the bytes that were read and that are reserved.
 	read     int64
 	reserved int64
+	// shortReserved are the bytes that are reserved for it as a short body.
+	shortReserved int64
 	// rejected says that ErrExhausted was returned. The bytes read from then on are not kept.
 	rejected bool
 }
@@ -85,7 +92,14 @@
 		}
 	}
 	if needed <= max(UncountedBytes, lb.reserved) {
-		return true
+		if lb.reserved > 0 || lb.reserveShort(max(needed, lb.read)) {
+			return true
+		}
+		if lb.announced >= 0 {
+			return false
+		}
+		// A body of unknown length may be a long one.
+		needed = lb.read + stepBytes
 	}
 	added := needed - lb.reserved
 	// A body that takes all of the memory or more is accepted while it is the only one. It could never be served otherwise.
@@ -94,6 +108,21 @@
 		return false
 	}
 	lb.reserved = needed
+	lb.releaseShort()
+	return true
+}
+
+// reserveShort reserves memory for a short body and reports whether there was enough.
+func (lb *limitedBody) reserveShort(needed int64) bool {
+	if lb.memory.shortLimit == 0 || needed <= max(smallBytes, lb.shortReserved) {
+		return true
+	}
+	added := needed - lb.shortReserved
+	if lb.memory.shortReserved.Add(added) > lb.memory.shortLimit {
+		lb.memory.shortReserved.Add(-added)
+		return false
+	}
+	lb.shortReserved = needed
 	return true
 }
 
@@ -101,6 +130,12 @@
 func (lb *limitedBody) release() {
 	lb.memory.reserved.Add(-lb.reserved)
 	lb.reserved = 0
+	lb.releaseShort()
+}
+
+func (lb *limitedBody) releaseShort() {
+	lb.memory.shortReserved.Add(-lb.shortReserved)
+	lb.shortReserved = 0
 }
 
 // Read reads a body to its end into a buffer of the announced length, which is -1 if it is unknown. The buffer is
--- a/transport/bodymemory/memory_test.go
+++ b/transport/bodymemory/memory_test.go
@@ -16,7 +16,7 @@
 func TestMemory(t *testing.T) {
 	const limit = 1 << 20
 	for _, announced := range []bool{true, false} {
-		memory := New(limit)
+		memory := New(limit, 0)
 		read := func(length int) (body io.Reader, release func(), content int, err error) {
 			request := &http.Request{Body: io.NopCloser(strings.NewReader(strings.Repeat("x", length))), ContentLength: -1}
 			if announced {
@@ -65,3 +65,50 @@
 		}
 	}
 }
+
+// TestManyShortBodiesExceedMemory reads short bodies, with and without an announced length, until their memory is used up.
+// Small ones must be read nevertheless, long ones have memory of their own, and released memory must be usable again.
+func TestManyShortBodiesExceedMemory(t *testing.T) {
+	const limit, shortLimit, length, tries = 1 << 20, 200_000, 40_000, 100
+	for _, announced := range []bool{true, false} {
+		memory := New(limit, shortLimit)
+		read := func(length int) (release func(), err error) {
+			request := &http.Request{Body: io.NopCloser(strings.NewReader(strings.Repeat("x", length))), ContentLength: -1}
+			if announced {
+				request.ContentLength = int64(length)
+			}
+			release = memory.Limit(request)
+			_, err = io.ReadAll(request.Body)
+			return release, err
+		}
+		var releases []func()
+		accepted := 0
+		for range tries {
+			release, err := read(length)
+			releases = append(releases, release)
+			if err == nil {
+				accepted++
+				continue
+			}
+			assert.ErrorIs(t, err, ErrExhausted)
+		}
+		maxAccepted := shortLimit / length
+		if !announced {
+			maxAccepted += limit / stepBytes
+		}
+		assert.Assert(t, accepted >= shortLimit/length && accepted <= maxAccepted, "%d", accepted)
+		release, err := read(smallBytes)
+		assert.NilError(t, err)
+		release()
+		if announced {
+			release, err = read(600_000)
+			assert.NilError(t, err)
+			release()
+		}
+		for _, release := range releases {
+			release()
+		}
+		_, err = read(length)
+		assert.NilError(t, err)
+	}
+}
--- a/transport/peer/relay_memory_test.go
+++ b/transport/peer/relay_memory_test.go
@@ -31,7 +31,7 @@
 		}
 		return peerrelay.Answer{Response: forward.Response{Status: http.StatusOK, Body: http.NoBody}}, nil
 	})
-	memory := bodymemory.New(bodyMemoryBytes)
+	memory := bodymemory.New(bodyMemoryBytes, 0)
 	server := httptest.NewServer(NewServer(LocalComponents{RelayServer: relay, BodyMemory: memory}, timer.NewSystem()).Handler())
 	defer server.Close()
 	releaseHeld := sync.OnceFunc(func() { close(release) })
