A program that fails ends although nobody reads its error

What was seen: a daemon or a command that fails while its standard error is a full pipe never ended: TestStalledLogReaderKeepsFailedProcess, both cases, "the process does not end" after 60 s. At the product's own front the log has the same pipe, so a host that had failed stayed as a process that serves nothing, and a manager did not start it again.

Cause: Execute printed the error synchronously before the exit. Now it gives up after a second (the test: 1.02 s and 1.01 s).

--- a/command/command.go
+++ b/command/command.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
@@ -107,15 +108,28 @@
 func Execute(root *cobra.Command, errOut io.Writer) int {
 	err := root.ExecuteContext(stopOnSignals(context.Background()))
 	var usageError UsageError
-	switch {
-	case err == nil:
+	if err == nil {
 		return ExitSuccess
-	case errors.As(err, &usageError), isUnknownCommand(root, err):
-		_, _ = fmt.Fprintf(errOut, "%s: %v\n", root.Name(), err)
+	}
+	printError(errOut, root.Name(), err)
+	if errors.As(err, &usageError) || isUnknownCommand(root, err) {
 		return ExitBadUsage
-	default:
-		_, _ = fmt.Fprintf(errOut, "%s: %v\n", root.Name(), err)
-		return ExitFailure
+	}
+	return ExitFailure
+}
+
+// printError prints the error of a command, and gives up after a time, because the end of the process must not depend on
+// somebody reading its output.
+func printError(out io.Writer, name string, err error) {
+	const timeout = time.Second
+	printed := make(chan struct{})
+	go func() {
+		defer close(printed)
+		_, _ = fmt.Fprintf(out, "%s: %v\n", name, err)
+	}()
+	select {
+	case <-printed:
+	case <-time.After(timeout):
 	}
 }
 
--- a/e2e/log_reader_test.go
+++ b/e2e/log_reader_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/testutil"
 )
 
 // redirectLog lets both outputs of a program go to a file.
@@ -144,6 +146,35 @@
 	return rs
 }
 
+// TestStalledLogReaderKeepsFailedProcess starts programs that fail, with outputs that nobody reads. They must end, since a
+// manager can start them again only then.
+func TestStalledLogReaderKeepsFailedProcess(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		args         []string
+		wantExitCode int
+	}{
+		{"hibiscusleverd", []string{"--settings", "/nonexistent"}, 2},
+		{"hibiscuslever", []string{"status", "--host", "http://" + testutil.FreeAddress(t)}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			reader, writer, err := os.Pipe()
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = reader.Close() })
+			fillPipe(t, writer)
+			pr := &process{name: tc.name}
+			startServing(t, pr, redirectLog(writer), tc.name, tc.args...)
+			assert.NilError(t, writer.Close())
+			select {
+			case <-pr.exited:
+			case <-time.After(waitLimit):
+				t.Fatal("the process does not end")
+			}
+			assert.Equal(t, pr.cmd.ProcessState.ExitCode(), tc.wantExitCode, pr.cmd.ProcessState)
+		})
+	}
+}
+
 // fillPipe writes to a pipe until it takes nothing more.
 func fillPipe(t *testing.T, writer *os.File) {
 	t.Helper()
