--- a/e2e/log_reader_test.go
+++ b/e2e/log_reader_test.go
@@ -146,6 +146,24 @@
 	return rs
 }
 
+// TestPrintingCommandOutlivesReader runs commands that only print, with an output whose reader has gone. They must end as
+// users expect of a command in a pipeline.
+func TestPrintingCommandOutlivesReader(t *testing.T) {
+	for _, args := range [][]string{{"completion", "bash"}, {"version"}, {"demo"}} {
+		t.Run(strings.Join(args, " "), func(t *testing.T) {
+			reader, writer, err := os.Pipe()
+			assert.NilError(t, err)
+			assert.NilError(t, reader.Close())
+			pr := &process{name: "hibiscuslever"}
+			startServing(t, pr, func(cmd *exec.Cmd) { cmd.Stdout = writer }, "hibiscuslever", args...)
+			assert.NilError(t, writer.Close())
+			<-pr.exited
+			status, ok := pr.cmd.ProcessState.Sys().(syscall.WaitStatus)
+			assert.Assert(t, ok && status.Signaled() && status.Signal() == syscall.SIGPIPE, pr.cmd.ProcessState)
+		})
+	}
+}
+
 // TestStalledLogReaderKeepsFailedProcess starts programs that fail, with outputs that nobody reads. They must end, since a
 // manager can start them again only then.
 func TestStalledLogReaderKeepsFailedProcess(t *testing.T) {
