--- a/lifecycle/last_bytes.go
+++ b/lifecycle/last_bytes.go
@@ -20,7 +20,7 @@
 	stalledSendTime = 2 * time.Second
 	// discardTime is how long a client that has received everything may go on sending. Systems may discard what a client
 	// has received and not read yet when the connection is reset because of bytes that nobody reads.
-	discardTime = 200 * time.Millisecond
+	discardTime = 100 * time.Millisecond
 	// discardBytes bounds what is read between two checks.
 	discardBytes = 64 << 10
 )
