A client that resets its connection does not delay a stop; kept connections are waited for

TestResetByClientDelaysStop failed: on a clock on which no time passes, the process did not end, for a reset before the response was written and for one while it was in the send queue. A reset connection is now closed at once. - A kept connection that became idle at the end of the stop was counted under the key with which net/http removes it a moment later, and it could become idle between the check for idle connections and the one for active ones. The process then ended before the client's system had the response.

--- a/lifecycle/last_bytes.go
+++ b/lifecycle/last_bytes.go
@@ -1,11 +1,13 @@
 package lifecycle
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/hibiscuslever/hibiscuslever/timer"
@@ -86,41 +88,46 @@
 	if err != nil {
 		return sc.Conn.Close()
 	}
-	switch {
-	case sc.connections.isActive(sc):
-		_ = conn.CloseWrite()
+	active := sc.connections.isActive(sc)
+	if !active && unsentBytes(raw) == 0 || conn.CloseWrite() != nil {
+		// Nothing is to be sent, or the client has reset the connection.
+		return sc.Conn.Close()
+	}
+	if active {
 		sc.awaitLastBytes(raw)
-	case unsentBytes(raw) > 0:
-		sc.connections.add(sc)
-		_ = conn.CloseWrite()
-		// net/http waits for the next request.
-		_ = sc.Conn.SetReadDeadline(time.Unix(1, 0))
-		go func() {
-			sc.awaitLastBytes(raw)
-			_ = sc.Conn.Close()
-			sc.connections.remove(sc)
-		}()
-		return nil
+		return sc.Conn.Close()
 	}
-	return sc.Conn.Close()
+	// net/http removes sc itself when it has closed it.
+	sc.connections.add(sc.Conn)
+	// net/http waits for the next request.
+	_ = sc.Conn.SetReadDeadline(time.Unix(1, 0))
+	go func() {
+		sc.awaitLastBytes(raw)
+		_ = sc.Conn.Close()
+		sc.connections.remove(sc.Conn)
+	}()
+	return nil
 }
 
 // awaitLastBytes waits until the client has received what was sent and no longer sends, until it receives nothing any
-// more, or until all connections are to be closed.
+// more or has reset the connection, or until all connections are to be closed.
 func (sc *stoppingConn) awaitLastBytes(raw syscall.RawConn) {
 	buffer := make([]byte, discardBytes/16)
 	unsent := unsentBytes(raw)
 	changedAt := sc.clock.Now()
 	discarded := false
 	for pause := firstSendQueueCheck; ; pause = min(2*pause, lastSendQueueCheck) {
-		count, open := discardReceived(raw, buffer)
+		count, err := discardReceived(raw, buffer)
 		discarded = discarded || count > 0
 		now, left := sc.clock.Now(), unsentBytes(raw)
 		if left < unsent {
 			unsent, changedAt = left, now
 		}
+		ended := errors.Is(err, io.EOF)
 		switch {
-		case left == 0 && (!open || !discarded || now.Sub(changedAt) >= discardTime), now.Sub(changedAt) >= stalledSendTime:
+		case err != nil && !ended,
+			left == 0 && (ended || !discarded || now.Sub(changedAt) >= discardTime),
+			now.Sub(changedAt) >= stalledSendTime:
 			return
 		}
 		passed, subscription := timer.Wait(sc.clock, pause)
@@ -144,25 +151,29 @@
 	return count
 }
 
-// discardReceived reads what has arrived, up to discardBytes. It returns the number of bytes, and false if the client has
-// ended or broken the connection.
-func discardReceived(raw syscall.RawConn, buffer []byte) (total int, open bool) {
-	open = true
+// discardReceived reads what has arrived, up to discardBytes, and returns the number of bytes. The error is io.EOF if the
+// client has ended its side of the connection.
+func discardReceived(raw syscall.RawConn, buffer []byte) (int, error) {
+	total := 0
+	var receiveErr error
 	err := raw.Control(func(fd uintptr) {
-		for total < discardBytes {
+		for total < discardBytes && receiveErr == nil {
 			count, _, err := unix.Recvfrom(int(fd), buffer, unix.MSG_DONTWAIT)
 			switch {
-			case err == unix.EINTR: //nolint:errorlint // a system call returns the bare number
-				continue
-			case err != nil:
-				open = err == unix.EAGAIN //nolint:errorlint // as above
+			case errors.Is(err, unix.EINTR):
+			case errors.Is(err, unix.EAGAIN):
 				return
+			case err != nil:
+				receiveErr = err
 			case count == 0:
-				open = false
-				return
+				receiveErr = io.EOF
+			default:
+				total += count
 			}
-			total += count
 		}
 	})
-	return total, open && err == nil
+	if err == nil {
+		err = receiveErr
+	}
+	return total, err
 }
--- a/lifecycle/last_bytes_test.go
+++ b/lifecycle/last_bytes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
 // slowClient is a client with a small receive buffer.
@@ -71,12 +74,18 @@
 
 // startStoppable starts a process whose handler runs only once the returned function has stopped the process.
 func startStoppable(t *testing.T, handler http.HandlerFunc) (rp *runningProcess, stop func()) {
+	t.Helper()
+	return startStoppableWithClock(t, handler, timer.NewSystem())
+}
+
+// startStoppableWithClock is startStoppable with a clock.
+func startStoppableWithClock(t *testing.T, handler http.HandlerFunc, clock timer.Clock) (rp *runningProcess, stop func()) {
 	t.Helper()
 	stopped := make(chan struct{})
-	rp = startProcess(t, func(writer http.ResponseWriter, httpRequest *http.Request) {
+	rp = startProcessWithClock(t, func(writer http.ResponseWriter, httpRequest *http.Request) {
 		<-stopped
 		handler(writer, httpRequest)
-	}, 0, longTimeout)
+	}, 0, longTimeout, clock)
 	return rp, func() {
 		rp.awaitRequest()
 		rp.stop()
@@ -186,6 +195,44 @@
 	})
 }
 
+// stoppedClock is a clock on which no time passes, although waits end.
+type stoppedClock struct {
+	timer.Clock
+	now time.Time
+}
+
+func (sc stoppedClock) Now() time.Time { return sc.now }
+
+// TestResetByClientDelaysStop stops a process with a response in its send queue for a client that resets the connection,
+// during the stop and before the response is sent. No time passes for the process, so that it can't give the client up.
+func TestResetByClientDelaysStop(t *testing.T) {
+	for _, resetsFirst := range []bool{false, true} {
+		t.Run(fmt.Sprint("first ", resetsFirst), func(t *testing.T) {
+			t.Parallel()
+			written, reset := make(chan struct{}), make(chan struct{})
+			rp, stop := startStoppableWithClock(t, func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("Connection", "close")
+				_, _ = io.WriteString(writer, longBody[:queuedBytes])
+				_ = http.NewResponseController(writer).Flush()
+				close(written)
+				if resetsFirst {
+					<-reset
+				}
+			}, stoppedClock{timer.NewSystem(), time.Now()})
+			client := dialSlowly(t, rp.address, request)
+			stop()
+			<-written
+			if !resetsFirst {
+				time.Sleep(shortDelay)
+			}
+			assert.NilError(t, client.conn.SetLinger(0))
+			assert.NilError(t, client.conn.Close())
+			close(reset)
+			rp.awaitEnd(t)
+		})
+	}
+}
+
 // TestResetIsNotTurnedIntoEnd resets a connection of a stopping process. An ordinary end would be the end of a response
 // that has neither a length nor chunks.
 func TestResetIsNotTurnedIntoEnd(t *testing.T) {
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -88,15 +88,18 @@
 		}
 	}
 	closeIdle()
+	isFinished := func() bool {
+		if conns.activeCount() == 0 {
+			// Connections that have become idle meanwhile may still have bytes to send.
+			closeIdle()
+		}
+		return conns.activeCount() == 0
+	}
 	expired, subscription := timer.Wait(pr.Clock, timeout)
 	defer subscription.Stop()
-	for conns.activeCount() > 0 {
+	for !isFinished() {
 		select {
 		case <-conns.changed:
-			if conns.activeCount() == 0 {
-				// Connections that have become idle meanwhile may still have bytes to send.
-				closeIdle()
-			}
 		case <-expired:
 			pr.Logger.Warn("connections closed while responses were being sent", "connections", conns.activeCount())
 			return
--- a/lifecycle/response_end_test.go
+++ b/lifecycle/response_end_test.go
@@ -85,12 +85,19 @@
 // startProcess starts a process whose connections take writeDelay for each write, and that gives its servers
 // responseTimeout to send what handlers have written.
 func startProcess(t *testing.T, handler http.HandlerFunc, writeDelay, responseTimeout time.Duration) *runningProcess {
+	t.Helper()
+	return startProcessWithClock(t, handler, writeDelay, responseTimeout, timer.NewSystem())
+}
+
+// startProcessWithClock is startProcess with a clock.
+func startProcessWithClock(t *testing.T, handler http.HandlerFunc, writeDelay, responseTimeout time.Duration, clock timer.Clock) *runningProcess {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(t.Context())
 	rp := &runningProcess{handler: &countingHandler{handler: handler}, address: listener.Addr().String(), stop: stop, ended: make(chan error, 1)}
 	process := lifecycle.Process{
-		Clock:     timer.NewSystem(),
+		Clock:     clock,
 		Logger:    slog.New(slog.NewTextHandler(&rp.log, nil)),
 		Servers:   []*http.Server{{Handler: rp.handler}},
 		Listeners: []net.Listener{slowListener{listener, writeDelay}},
