A wait group reports panics before its Wait returns

lifecycle.TestManyPanicsFloodLog failed since: Wait returned while goroutines that had panicked were still to report it, the process ended, and the next of these panics had no subscriber.

--- a/tasks/wait_group.go
+++ b/tasks/wait_group.go
@@ -16,9 +16,11 @@
 // Go runs task in a separate goroutine.
 func (wg *WaitGroup) Go(task func()) {
 	wg.begin()
+	// The subscribers learn of a panic before Wait returns.
+	guarded := Guarded(task)
 	Go(func() {
 		defer wg.end()
-		task()
+		guarded()
 	})
 }
 
