A stop because of a failure also waits until clients have the last bytes of their answers

What callers saw: when a part of the host failed (a task, a listener, a panic in the background), the host finished its requests, but a client that read slowly and had sent more on its connection got a reset in the middle of its answer.

Cause: connections wait for their clients only once the context of the process has ended. It ends by SIGTERM, and not by a failure.

Evidence: TestFailureCutsLastBytes failed for all nine ways to fail: "connection reset by peer: after 8559 bytes" (8559 to 12665 of 65536).

Ruled out: closing a channel when the stop begins, instead of the context. TestStopWaitsForSendQueue failed with it (trial), because a response may end between the end of the context and that moment.

Fix: connections wait from the end of the context or the first failure on, whichever comes first. Both are visible before ShutDown is called.

--- a/lifecycle/connections.go
+++ b/lifecycle/connections.go
@@ -16,13 +16,14 @@
 	active map[net.Conn]struct{}
 	// changed receives a value when a connection has left active.
 	changed chan struct{}
-	// stopping is done when the process stops, and closing is closed when all connections are to be closed.
+	// The process stops when stopping is done or failed is closed. All connections are to be closed when closing is closed.
 	stopping context.Context
+	failed   <-chan struct{}
 	closing  chan struct{}
 }
 
-func newConnections(stopping context.Context) *connections {
-	return &connections{active: map[net.Conn]struct{}{}, changed: make(chan struct{}, 1), stopping: stopping, closing: make(chan struct{})}
+func newConnections(stopping context.Context, failed <-chan struct{}) *connections {
+	return &connections{active: map[net.Conn]struct{}{}, changed: make(chan struct{}, 1), stopping: stopping, failed: failed, closing: make(chan struct{})}
 }
 
 // watch follows the connections of a server that does not serve yet. The server's own hook is still called.
@@ -83,6 +84,11 @@
 	select {
 	case <-cn.closing:
 		return false
+	default:
+	}
+	select {
+	case <-cn.failed:
+		return true
 	default:
 		return cn.stopping.Err() != nil
 	}
