A stop answers requests that arrive as it closes its listeners

Cause: http.Server.Shutdown makes the server drop requests that it has read and not begun to handle, and connections whose first request has not arrived are closed although it may be under way.

Now the listeners are closed and kept connections end after their next answer; the servers are shut down only when no request is being answered and no connection younger than 200 ms waits for its first one. The time that a stop has for the ends of responses still bounds all.

--- a/lifecycle/connections.go
+++ b/lifecycle/connections.go
@@ -5,25 +5,37 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
+// newConnectionTime is how long a new connection may be without a request before a stop no longer waits for one.
+const newConnectionTime = 200 * time.Millisecond
+
 // connections holds the connections of HTTP servers on which a request is being answered. A connection is among them
 // from the moment at which the head of a request has been read until net/http has sent the whole response, which is
 // after the handler has returned. It is safe for concurrent use.
 type connections struct {
-	// mutex guards active.
+	clock timer.Clock
+	// mutex guards active and acceptedAt.
 	mutex  sync.Mutex
 	active map[net.Conn]struct{}
-	// changed receives a value when a connection has left active.
+	// acceptedAt holds the connections whose first request has not begun.
+	acceptedAt map[net.Conn]time.Time
+	// changed receives a value when a connection has left active or acceptedAt.
 	changed chan struct{}
 	// The process stops when stopping is done or failed is closed. All connections are to be closed when closing is closed.
 	stopping context.Context
 	failed   <-chan struct{}
 	closing  chan struct{}
+	// listenersClosed says that the listeners were closed to stop.
+	listenersClosed atomic.Bool
 }
 
-func newConnections(stopping context.Context, failed <-chan struct{}) *connections {
-	return &connections{active: map[net.Conn]struct{}{}, changed: make(chan struct{}, 1), stopping: stopping, failed: failed, closing: make(chan struct{})}
+func newConnections(clock timer.Clock, stopping context.Context, failed <-chan struct{}) *connections {
+	return &connections{clock: clock, active: map[net.Conn]struct{}{}, acceptedAt: map[net.Conn]time.Time{}, changed: make(chan struct{}, 1), stopping: stopping, failed: failed, closing: make(chan struct{})}
 }
 
 // watch follows the connections of a server that does not serve yet. The server's own hook is still called.
@@ -42,16 +54,22 @@
 }
 
 func (cn *connections) record(conn net.Conn, state http.ConnState) {
-	if state == http.StateActive {
+	switch state {
+	case http.StateNew:
+		cn.mutex.Lock()
+		defer cn.mutex.Unlock()
+		cn.acceptedAt[conn] = cn.clock.Now()
+	case http.StateActive:
 		cn.add(conn)
-		return
+	default:
+		cn.remove(conn)
 	}
-	cn.remove(conn)
 }
 
 func (cn *connections) add(conn net.Conn) {
 	cn.mutex.Lock()
 	defer cn.mutex.Unlock()
+	delete(cn.acceptedAt, conn)
 	cn.active[conn] = struct{}{}
 }
 
@@ -59,6 +77,7 @@
 	cn.mutex.Lock()
 	defer cn.mutex.Unlock()
 	delete(cn.active, conn)
+	delete(cn.acceptedAt, conn)
 	select {
 	case cn.changed <- struct{}{}:
 	default:
@@ -72,6 +91,19 @@
 	return len(cn.active)
 }
 
+// awaitsRequest reports whether a connection is so new that its first request may be about to arrive.
+func (cn *connections) awaitsRequest() bool {
+	cn.mutex.Lock()
+	defer cn.mutex.Unlock()
+	now := cn.clock.Now()
+	for _, acceptedAt := range cn.acceptedAt {
+		if now.Sub(acceptedAt) < newConnectionTime {
+			return true
+		}
+	}
+	return false
+}
+
 func (cn *connections) isActive(conn net.Conn) bool {
 	cn.mutex.Lock()
 	defer cn.mutex.Unlock()
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -89,7 +89,7 @@
 			return nil
 		}, func(error) { cancel() })
 	}
-	conns := newConnections(ctx, fs.failed)
+	conns := newConnections(pr.Clock, ctx, fs.failed)
 	for index, server := range pr.Servers {
 		listener := stoppingListener{pr.Listeners[index], conns, pr.Clock}
 		conns.watch(server)
@@ -97,7 +97,7 @@
 		group.Add(func() error {
 			pr.runPart(serverCtx, fs, "server at "+listener.Addr().String(), func() error {
 				err := server.Serve(listener)
-				if errors.Is(err, http.ErrServerClosed) {
+				if errors.Is(err, http.ErrServerClosed) || conns.listenersClosed.Load() {
 					<-serverCtx.Done()
 				}
 				return err
@@ -153,30 +153,24 @@
 }
 
 // finishResponses closes the listeners and the idle connections, and waits until no request is being answered on the
-// others and their clients have received the responses, at most until the timeout has passed or the context ends.
+// others, nor about to arrive on a new one, and their clients have received the responses, at most until the timeout has
+// passed or the context ends.
 func (pr Process) finishResponses(ctx context.Context, conns *connections, timeout time.Duration) {
 	defer close(conns.closing)
-	// Shutdown with a context that has ended does not wait.
-	endedCtx, cancel := context.WithCancel(ctx)
-	cancel()
-	closeIdle := func() {
-		for _, server := range pr.Servers {
-			_ = server.Shutdown(endedCtx)
-		}
-	}
-	closeIdle()
-	isFinished := func() bool {
-		if conns.activeCount() == 0 {
-			// Connections that have become idle meanwhile may still have bytes to send.
-			closeIdle()
-		}
-		return conns.activeCount() == 0
+	conns.listenersClosed.Store(true)
+	for index, server := range pr.Servers {
+		_ = pr.Listeners[index].Close()
+		server.SetKeepAlivesEnabled(false)
 	}
 	expired, subscription := timer.Wait(pr.Clock, timeout)
 	defer subscription.Stop()
-	for !isFinished() {
+	newConnectionsOver, newSubscription := timer.Wait(pr.Clock, newConnectionTime)
+	defer newSubscription.Stop()
+	for !pr.hasFinishedResponses(ctx, conns) {
 		select {
 		case <-conns.changed:
+		case <-newConnectionsOver:
+			newConnectionsOver = nil
 		case <-expired:
 			pr.Logger.Warn("connections closed while responses were being sent", "connections", conns.activeCount())
 			return
@@ -185,3 +179,19 @@
 		}
 	}
 }
+
+// hasFinishedResponses reports whether no response is being sent and no request is about to arrive. If so, it has shut the
+// servers down, which makes them drop requests that they have read.
+func (pr Process) hasFinishedResponses(ctx context.Context, conns *connections) bool {
+	if conns.activeCount() > 0 || conns.awaitsRequest() {
+		return false
+	}
+	// Shutdown with a context that has ended does not wait.
+	endedCtx, cancel := context.WithCancel(ctx)
+	cancel()
+	for _, server := range pr.Servers {
+		_ = server.Shutdown(endedCtx)
+	}
+	// Connections that were idle may still have bytes to send.
+	return conns.activeCount() == 0
+}
