--- a/e2e/descriptors_linux_test.go
+++ b/e2e/descriptors_linux_test.go
@@ -72,7 +72,7 @@
 			}
 			requests.assertWhole()
 			if stops {
-				awaitExit(t, ph.process, 0)
+				ph.assertExitCode(t, 0)
 			} else {
 				for _, conn := range conns {
 					_ = conn.Close()
--- a/e2e/early_end_linux_test.go
+++ b/e2e/early_end_linux_test.go
@@ -43,17 +43,6 @@
 	t.Fatalf("%s does not listen at %s", pr.name, address)
 }
 
-// awaitExit waits for the end of a program and checks its exit code.
-func awaitExit(t *testing.T, pr *process, want int) {
-	t.Helper()
-	select {
-	case <-pr.exited:
-		assert.Equal(t, pr.cmd.ProcessState.ExitCode(), want)
-	case <-time.After(waitLimit):
-		t.Fatalf("%s has not ended", pr.name)
-	}
-}
-
 // TestBrokenListenerCutsRequests breaks a listener of a daemon that has requests in flight. They must get their whole
 // answers, and the daemon must end with an exit code that has it started again.
 func TestBrokenListenerCutsRequests(t *testing.T) {
@@ -67,7 +56,7 @@
 			breakListener(t, ph.process, addressOf(ph))
 			ph.eventually("the host is not ready", func() bool { return !ph.isReady() })
 			requests.assertWhole()
-			awaitExit(t, ph.process, 1)
+			ph.assertExitCode(t, 1)
 			assert.Assert(t, strings.Contains(ph.stdout.String(), "part of the host failed"))
 			assert.Assert(t, strings.Contains(ph.stderr.String(), "server at "+addressOf(ph)))
 		})
@@ -83,6 +72,6 @@
 	fl.engineHoldingMemory()
 	breakListener(t, host, host.address)
 	assert.NilError(t, <-streamed)
-	awaitExit(t, host, 1)
+	host.assertExitCode(t, 1)
 	assert.Assert(t, strings.Contains(host.stderr.String(), "part of the host failed"))
 }
--- a/e2e/log_reader_test.go
+++ b/e2e/log_reader_test.go
@@ -38,8 +38,7 @@
 			assertWhole = sp.startRequests(2 * time.Second)
 			assert.NilError(t, sp.cmd.Process.Signal(syscall.SIGTERM))
 			assertWhole()
-			<-sp.exited
-			assert.Equal(t, sp.cmd.ProcessState.ExitCode(), 0, sp.cmd.ProcessState)
+			sp.assertExitCode(t, 0)
 		})
 	}
 }
@@ -59,8 +58,7 @@
 			assertWhole = sp.startRequests(2 * time.Second)
 			assert.NilError(t, sp.cmd.Process.Signal(syscall.SIGTERM))
 			assertWhole()
-			<-sp.exited
-			assert.Equal(t, sp.cmd.ProcessState.ExitCode(), 0, sp.cmd.ProcessState)
+			sp.assertExitCode(t, 0)
 		})
 	}
 }
@@ -104,8 +102,7 @@
 			sp.startRequests(time.Millisecond)()
 			assert.NilError(t, sp.cmd.Process.Signal(syscall.SIGTERM))
 			scanTo(t, lines, "host is leaving")
-			<-sp.exited
-			assert.Equal(t, sp.cmd.ProcessState.ExitCode(), 0, sp.cmd.ProcessState)
+			sp.assertExitCode(t, 0)
 		})
 	}
 }
--- a/e2e/signal_table_test.go
+++ b/e2e/signal_table_linux_test.go
@@ -78,13 +78,6 @@
 	_ = sp.cmd.Process.Signal(syscall.SIGCONT)
 }
 
-// assertExitCode waits for the end of a program.
-func (sp *servingProgram) assertExitCode(t *testing.T, want int) {
-	t.Helper()
-	<-sp.exited
-	assert.Equal(t, sp.cmd.ProcessState.ExitCode(), want, sp.cmd.ProcessState)
-}
-
 // TestSignalsWithoutEffectCutRequests sends each signal that has no effect to a program with requests in flight, and all
 // signals that have none during a stop while it stops.
 func TestSignalsWithoutEffectCutRequests(t *testing.T) {
@@ -176,7 +169,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = settingsPipe.Close() })
 	assert.NilError(t, daemon.cmd.Process.Signal(syscall.SIGTERM))
-	(&servingProgram{process: daemon}).assertExitCode(t, 0)
+	daemon.assertExitCode(t, 0)
 }
 
 // TestTerminationBeforeReady sends SIGTERM to daemons whose platform does not answer.
@@ -202,7 +195,7 @@
 			(&fleet{t: t}).waitForHTTP(pr.operatorAddress + "/healthz")
 			signalledAt := time.Now()
 			assert.NilError(t, pr.cmd.Process.Signal(syscall.SIGTERM))
-			(&servingProgram{process: pr}).assertExitCode(t, 0)
+			pr.assertExitCode(t, 0)
 			t.Log(time.Since(signalledAt))
 		})
 	}
@@ -250,7 +243,7 @@
 				return strings.Contains(ph.stdout.String(), "settings reloaded") || strings.Contains(ph.stdout.String(), "settings not reloaded")
 			})
 			requests.assertWhole()
-			(&servingProgram{process: ph.process}).assertExitCode(t, 0)
+			ph.assertExitCode(t, 0)
 		})
 	}
 }
--- a/e2e/stop_log_test.go
+++ b/e2e/stop_log_test.go
@@ -20,7 +20,7 @@
 	return lines
 }
 
-// awaitExit waits until a daemon has ended. The test fails after waitLimit.
+// awaitExit waits until a program has ended. The test fails after waitLimit.
 func (pr *process) awaitExit(t *testing.T) {
 	t.Helper()
 	select {
@@ -30,6 +30,13 @@
 	}
 }
 
+// assertExitCode waits until a program has ended and checks how.
+func (pr *process) assertExitCode(t *testing.T, want int) {
+	t.Helper()
+	pr.awaitExit(t)
+	assert.Equal(t, pr.cmd.ProcessState.ExitCode(), want, pr.cmd.ProcessState)
+}
+
 // TestCalmStopWritesWarnings stops daemons of both platforms that finish all of their requests. Warnings about a store or
 // a peer that is lost would mislead operators.
 func TestCalmStopWritesWarnings(t *testing.T) {
--- a/e2e/traces_test.go
+++ b/e2e/traces_test.go
@@ -40,8 +40,7 @@
 			signalledAt := time.Now()
 			assert.NilError(t, ph.cmd.Process.Signal(syscall.SIGTERM))
 			requests.assertWhole()
-			<-ph.exited
-			assert.Equal(t, ph.cmd.ProcessState.ExitCode(), 0, ph.cmd.ProcessState)
+			ph.assertExitCode(t, 0)
 			assert.Assert(t, time.Since(signalledAt) < grace, time.Since(signalledAt))
 			t.Log(time.Since(signalledAt))
 		})
