--- a/lifecycle/connections.go
+++ b/lifecycle/connections.go
@@ -34,7 +34,7 @@
 	listenersClosed atomic.Bool
 }
 
-func newConnections(clock timer.Clock, stopping context.Context, failed <-chan struct{}) *connections {
+func newConnections(stopping context.Context, clock timer.Clock, failed <-chan struct{}) *connections {
 	return &connections{clock: clock, active: map[net.Conn]struct{}{}, acceptedAt: map[net.Conn]time.Time{}, changed: make(chan struct{}, 1), stopping: stopping, failed: failed, closing: make(chan struct{})}
 }
 
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -89,7 +89,7 @@
 			return nil
 		}, func(error) { cancel() })
 	}
-	conns := newConnections(pr.Clock, ctx, fs.failed)
+	conns := newConnections(ctx, pr.Clock, fs.failed)
 	for index, server := range pr.Servers {
 		listener := stoppingListener{pr.Listeners[index], conns, pr.Clock}
 		conns.watch(server)
