SIGTERM to a daemon that checks its settings no longer makes it exit as if they were valid

A script then takes the settings for valid.

Evidence: TestTerminatedCheckSucceeds failed: exit code 0, want 1. The check now fails with an error that names the signal.

--- a/cmd/hibiscusleverd/main.go
+++ b/cmd/hibiscusleverd/main.go
@@ -53,6 +53,9 @@
 	}
 	hostSettings, err := readSettings(cmd.Context(), path)
 	if cmd.Context().Err() != nil {
+		if checkOnly {
+			return fmt.Errorf("settings %s have not been checked: %w", path, context.Cause(cmd.Context()))
+		}
 		return nil
 	}
 	if err != nil {
