--- a/e2e/terminated_check_test.go
+++ b/e2e/terminated_check_test.go
@@ -22,5 +22,5 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = settingsPipe.Close() })
 	assert.NilError(t, daemon.cmd.Process.Signal(syscall.SIGTERM))
-	(&servingProgram{process: daemon}).assertExitCode(t, command.ExitFailure)
+	daemon.assertExitCode(t, command.ExitFailure)
 }
