--- a/command/command.go
+++ b/command/command.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 )
 
 // Version is the version of all programs.
@@ -123,10 +125,10 @@
 func printError(out io.Writer, name string, err error) {
 	const timeout = time.Second
 	printed := make(chan struct{})
-	go func() {
+	tasks.Go(func() {
 		defer close(printed)
 		_, _ = fmt.Fprintf(out, "%s: %v\n", name, err)
-	}()
+	})
 	select {
 	case <-printed:
 	case <-time.After(timeout):
