The end of a stop resets connections whose response is still being written

Cause: when the time for the ends of responses was over, connections on which a handler was still writing were closed in the ordinary way.

Ruled out: telling versions of the protocol apart in the connection, which does not see the request. Connections that have begun to end, because their response is whole, are still closed in the ordinary way, so their last bytes are not lost.

--- a/lifecycle/connections.go
+++ b/lifecycle/connections.go
@@ -104,6 +104,19 @@
 	return false
 }
 
+// resetUnfinished makes Close reset the connections on which a response is still being written. An ordinary end would make
+// a response that ends with its connection look complete.
+func (cn *connections) resetUnfinished() {
+	cn.mutex.Lock()
+	defer cn.mutex.Unlock()
+	for conn := range cn.active {
+		if stopping, ok := conn.(*stoppingConn); ok && !stopping.ending.Load() {
+			// The error is that of a closed connection.
+			_ = stopping.SetLinger(0)
+		}
+	}
+}
+
 func (cn *connections) isActive(conn net.Conn) bool {
 	cn.mutex.Lock()
 	defer cn.mutex.Unlock()
--- a/lifecycle/last_bytes.go
+++ b/lifecycle/last_bytes.go
@@ -58,10 +58,13 @@
 	clock       timer.Clock
 	// resets says that Close resets the connection, so that the client does not take the response for complete.
 	resets atomic.Bool
+	// ending says that the last response has been written and the connection is being closed.
+	ending atomic.Bool
 }
 
 // CloseWrite ends the response without closing the connection. net/http uses it.
 func (sc *stoppingConn) CloseWrite() error {
+	sc.ending.Store(true)
 	if conn, ok := sc.Conn.(tcpConn); ok {
 		return conn.CloseWrite()
 	}
@@ -81,6 +84,7 @@
 // still sends, which would reset the connection, and waits until the client has received what was sent. Close is called
 // by net/http while the connection is active, when a response has ended; it must not wait for an idle one.
 func (sc *stoppingConn) Close() error {
+	sc.ending.Store(true)
 	conn, ok := sc.Conn.(tcpConn)
 	if !ok || sc.resets.Load() || !sc.connections.waitsForClients() {
 		return sc.Conn.Close()
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -173,8 +173,10 @@
 			newConnectionsOver = nil
 		case <-expired:
 			pr.Logger.Warn("connections closed while responses were being sent", "connections", conns.activeCount())
+			conns.resetUnfinished()
 			return
 		case <-ctx.Done():
+			conns.resetUnfinished()
 			return
 		}
 	}
