A stop waits until connections that were just accepted are counted

Cause: net/http counts a connection as new only after the listener's Accept has returned it. A stop that came between the two saw neither a new nor an active connection, shut the servers down, and net/http dropped a request that it had read on that connection.

Ruled out: counting in Accept of the wrapped listener, which leaves the moment before it; a longer time for new connections, which starts only when the connection has been counted. A server's Serve returns after all connections it accepted were counted, so the stop waits for that.

--- a/lifecycle/connections.go
+++ b/lifecycle/connections.go
@@ -19,12 +19,15 @@
 // after the handler has returned. It is safe for concurrent use.
 type connections struct {
 	clock timer.Clock
-	// mutex guards active and acceptedAt.
+	// mutex guards active, acceptedAt and accepting.
 	mutex  sync.Mutex
 	active map[net.Conn]struct{}
 	// acceptedAt holds the connections whose first request has not begun.
 	acceptedAt map[net.Conn]time.Time
-	// changed receives a value when a connection has left active or acceptedAt.
+	// accepting is the number of servers that may still accept connections. net/http reports a connection as new after it
+	// was accepted, and before it accepts the next one.
+	accepting int
+	// changed receives a value when a connection has left active or acceptedAt, or a server no longer accepts any.
 	changed chan struct{}
 	// The process stops when stopping is done or failed is closed. All connections are to be closed when closing is closed.
 	stopping context.Context
@@ -40,6 +43,7 @@
 
 // watch follows the connections of a server that does not serve yet. The server's own hook is still called.
 func (cn *connections) watch(server *http.Server) {
+	cn.accepting++
 	hook := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		cn.record(conn, state)
@@ -78,6 +82,18 @@
 	defer cn.mutex.Unlock()
 	delete(cn.active, conn)
 	delete(cn.acceptedAt, conn)
+	cn.notify()
+}
+
+// acceptEnded records that a server accepts no further connection.
+func (cn *connections) acceptEnded() {
+	cn.mutex.Lock()
+	defer cn.mutex.Unlock()
+	cn.accepting--
+	cn.notify()
+}
+
+func (cn *connections) notify() {
 	select {
 	case cn.changed <- struct{}{}:
 	default:
@@ -91,10 +107,14 @@
 	return len(cn.active)
 }
 
-// awaitsRequest reports whether a connection is so new that its first request may be about to arrive.
+// awaitsRequest reports whether a connection is so new that its first request may be about to arrive, or may still be
+// accepted.
 func (cn *connections) awaitsRequest() bool {
 	cn.mutex.Lock()
 	defer cn.mutex.Unlock()
+	if cn.accepting > 0 {
+		return true
+	}
 	now := cn.clock.Now()
 	for _, acceptedAt := range cn.acceptedAt {
 		if now.Sub(acceptedAt) < newConnectionTime {
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -96,7 +96,7 @@
 		serverCtx, cancel := context.WithCancel(backgroundCtx)
 		group.Add(func() error {
 			pr.runPart(serverCtx, fs, "server at "+listener.Addr().String(), func() error {
-				err := server.Serve(listener)
+				err := serve(server, listener, conns)
 				if errors.Is(err, http.ErrServerClosed) || conns.listenersClosed.Load() {
 					<-serverCtx.Done()
 				}
@@ -123,6 +123,12 @@
 	_ = group.Run()
 }
 
+// serve accepts connections until the listener is closed or fails.
+func serve(server *http.Server, listener net.Listener, conns *connections) error {
+	defer conns.acceptEnded()
+	return server.Serve(listener)
+}
+
 // runPart runs a task or server and records its failure if it ends before its context or panics. It returns when the
 // context has ended, because the group stops the others as soon as one of them returns.
 func (pr Process) runPart(ctx context.Context, fs *failures, name string, runUntilEnd func() error) {
