Lines about requests leave part of the log's limits to other lines

Ruled out: a stop that had not ended (the process exited with 0). Dropping by level was weighed: refusals and the stop have the same one.

Before: telemetry.TestRequestLinesCrowdOutOtherLines failed. After: it passes. Conclusion: lines with the key request or place get three quarters of both limits, all others the whole.

--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -16,13 +16,48 @@
 		minimumLevel = slog.LevelInfo
 	}
 	options := &slog.HandlerOptions{Level: minimumLevel}
-	var handler slog.Handler = slog.NewTextHandler(out, options)
-	if format == "JSON" {
-		handler = slog.NewJSONHandler(out, options)
+	newHandler := func(out io.Writer) slog.Handler {
+		if format == "JSON" {
+			return slog.NewJSONHandler(out, options)
+		}
+		return slog.NewTextHandler(out, options)
+	}
+	handler := newHandler(out)
+	if logWriter, ok := out.(*LogWriter); ok {
+		handler = requestHandler{Handler: handler, requestLines: newHandler(logWriter.RequestLines())}
 	}
 	return slog.New(traceHandler{Handler: handler})
 }
 
+// requestHandler separates the lines about single requests from all others. There can be any number of them, and they must
+// not take the place of the others.
+type requestHandler struct {
+	slog.Handler
+	requestLines slog.Handler
+}
+
+// Handle passes the record to the handler for its kind of line.
+func (rh requestHandler) Handle(ctx context.Context, record slog.Record) error {
+	handler := rh.Handler
+	record.Attrs(func(attr slog.Attr) bool {
+		if attr.Key == "request" || attr.Key == "place" {
+			handler = rh.requestLines
+		}
+		return attr.Key != "request" && attr.Key != "place"
+	})
+	return handler.Handle(ctx, record)
+}
+
+// WithAttrs returns a handler that adds attributes to each line.
+func (rh requestHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return requestHandler{Handler: rh.Handler.WithAttrs(attrs), requestLines: rh.requestLines.WithAttrs(attrs)}
+}
+
+// WithGroup returns a handler that puts attributes into a group.
+func (rh requestHandler) WithGroup(name string) slog.Handler {
+	return requestHandler{Handler: rh.Handler.WithGroup(name), requestLines: rh.requestLines.WithGroup(name)}
+}
+
 // traceHandler adds the trace ID of the context, if there is one, to each line.
 type traceHandler struct {
 	slog.Handler
--- a/telemetry/logwriter.go
+++ b/telemetry/logwriter.go
@@ -89,14 +89,40 @@
 
 // Write queues a line, or drops and counts it if it is beyond the limits. Each call must pass one complete line. It
 // never blocks on out and never fails.
-func (lw *LogWriter) Write(line []byte) (int, error) {
+func (lw *LogWriter) Write(line []byte) (int, error) { return lw.write(line, lw.limits) }
+
+// requestLineShare is the part of the limits that lines about single requests may take. The rest is for the lines that say
+// what the host itself does.
+const requestLineShare = 0.75
+
+// RequestLines returns a writer for lines about single requests, which may take only a part of the limits.
+func (lw *LogWriter) RequestLines() io.Writer {
+	return requestLineWriter{logWriter: lw, limits: LogLimits{
+		MaxBytesPerSecond: int(requestLineShare * float64(lw.limits.MaxBytesPerSecond)),
+		MaxPendingBytes:   int(requestLineShare * float64(lw.limits.MaxPendingBytes)),
+	}}
+}
+
+// requestLineWriter writes to a LogWriter within narrower limits.
+type requestLineWriter struct {
+	logWriter *LogWriter
+	limits    LogLimits
+}
+
+// Write queues a line as LogWriter.Write does.
+func (rw requestLineWriter) Write(line []byte) (int, error) {
+	return rw.logWriter.write(line, rw.limits)
+}
+
+// write queues a line, or drops and counts it if all lines together would be beyond the limits.
+func (lw *LogWriter) write(line []byte, limits LogLimits) (int, error) {
 	lw.mutex.Lock()
 	defer lw.mutex.Unlock()
 	now := time.Now()
 	if now.Sub(lw.secondStart) >= time.Second {
 		lw.secondStart, lw.bytesThisSecond = now, 0
 	}
-	if lw.closed || len(lw.pendingLines)+len(line) > lw.limits.MaxPendingBytes || lw.bytesThisSecond+len(line) > lw.limits.MaxBytesPerSecond {
+	if lw.closed || len(lw.pendingLines)+len(line) > limits.MaxPendingBytes || lw.bytesThisSecond+len(line) > limits.MaxBytesPerSecond {
 		lw.drop(1)
 		return len(line), nil
 	}
