Requests are refused at once while no backend server can be reached by any way

Cause: a host whose links are lost asks its peers; when all hosts lose theirs at once, each request found that out by itself, with dials that time out, and then waited for a grant that nobody could use. Afterwards the queue of what had waited kept new streams out.

Ruled out: the fact that a host is cut off, which needs a peer that reaches servers.

Before: site.TestAllHostsWithoutServersKeepClientsWaiting failed (3 of 43 requests refused at once, others waited 0.8 to 2.1 s).

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -81,7 +81,7 @@
 // attempt acquires a grant and runs the request under it. It reports whether another attempt is to be made.
 func (st *engineJob) attempt(ctx context.Context) bool {
 	rn := st.runner
-	if st.rejectQuarantined() {
+	if st.rejectQuarantined() || st.rejectUnreachable() {
 		return false
 	}
 	grant, ok := st.acquireGrant(ctx)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -150,6 +150,12 @@
 	Release(ctx context.Context, address, ticket string) error
 }
 
+// Reachability says whether backend servers can be reached.
+type Reachability interface {
+	// ServersUnreachable reports whether no backend server can be reached by any way.
+	ServersUnreachable() bool
+}
+
 // Dispatcher grants attempts on engines.
 type Dispatcher interface {
 	// Acquire blocks until the dispatcher grants or refuses the request, or ctx ends.
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -43,6 +43,9 @@
 			jb.result.Cause = "quarantined: servers crashed while running this content"
 			return
 		}
+		if lastErrorResponse == nil && jb.rejectUnreachable() {
+			return
+		}
 		server, wait, ok := jb.takeReplacementOrChoose(ctx, tried)
 		if jb.refusesFirstSending() && (lastErrorResponse == nil || lastErrorResponse.notRun) {
 			break
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -97,6 +97,7 @@
 	incarnation id.Incarnation
 	clock       timer.Clock
 	sender      Sender
+	reaches     Reachability
 	dispatcher  Dispatcher
 	fleet       Fleet
 	metrics     tally.Scope
@@ -187,15 +188,17 @@
 	Incarnation id.Incarnation
 	Clock       timer.Clock
 	Sender      Sender
-	Dispatcher  Dispatcher
-	Fleet       Fleet
-	Quarantine  Quarantine
-	Limits      RequestLimits
-	Retries     *retry.Policy
-	Balancer    *balance.Balancer
-	Metrics     tally.Scope
-	Logger      *slog.Logger
-	Tracer      trace.Tracer
+	// Reachability may be nil. Requests are then sent although no server may be reached.
+	Reachability Reachability
+	Dispatcher   Dispatcher
+	Fleet        Fleet
+	Quarantine   Quarantine
+	Limits       RequestLimits
+	Retries      *retry.Policy
+	Balancer     *balance.Balancer
+	Metrics      tally.Scope
+	Logger       *slog.Logger
+	Tracer       trace.Tracer
 	// Seed determines the random parts of retry delays and backoffs.
 	Seed uint64
 }
@@ -208,6 +211,7 @@
 		incarnation: deps.Incarnation,
 		clock:       deps.Clock,
 		sender:      deps.Sender,
+		reaches:     deps.Reachability,
 		dispatcher:  deps.Dispatcher,
 		fleet:       deps.Fleet,
 		retries:     deps.Retries,
@@ -394,6 +398,20 @@
 	return jb.runner.grantContext.Err() != nil && !jb.mayHaveRun && !jb.result.HeadSent
 }
 
+// rejectUnreachable reports whether the request must not wait for a server, because none can be reached and none may have
+// run it yet. In that case it sets the outcome.
+func (jb *job) rejectUnreachable() bool {
+	// retryAfter is the least time after which the client may try again.
+	const retryAfter = 500 * time.Millisecond
+	rn := jb.runner
+	if rn.reaches == nil || jb.mayHaveRun || jb.result.HeadSent || !rn.reaches.ServersUnreachable() {
+		return false
+	}
+	jb.result.Outcome = outcome.Refuse(outcome.NoCapacity, "no backend server can be reached").WithRetryAfter(rn.addJitter(retryAfter))
+	rn.metrics.Counter("unreachable_refused").Inc(1)
+	return true
+}
+
 // maySend reports whether the request may still be sent.
 func (jb *job) maySend() bool { return !jb.refusesFirstSending() }
 
--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -59,6 +60,11 @@
 	// signs holds when a server last gave a sign, by service and address.
 	signs     map[id.Service]map[string]time.Time
 	lastBreak time.Time
+	// outage knows whether no server can be reached by any way. outageProbedAt holds when each server was last probed because
+	// of that, by address, and outagePeerProbedAt is when one was last probed through a peer.
+	outage             reachability.Outage
+	outageProbedAt     map[string]time.Time
+	outagePeerProbedAt time.Time
 }
 
 // NewLinks returns the links of a host that knows no backend servers yet.
@@ -66,6 +72,7 @@
 	return &Links{
 		clock: clock, idle: idle, logger: logger, metrics: metrics, cutOffChanged: cutOffChanged,
 		tracker: reachability.NewTracker(config), zones: map[string]id.AvailabilityZone{}, inProgress: map[string]int{},
+		outageProbedAt: map[string]time.Time{},
 	}
 }
 
@@ -88,6 +95,7 @@
 			}
 		}
 		lk.zones, lk.services, lk.signs = zones, services, signs
+		maps.DeleteFunc(lk.outageProbedAt, func(address string, _ time.Time) bool { return services[address] == "" })
 		lk.tracker.UpdateServers(listed)
 	})
 }
@@ -189,6 +197,7 @@
 		if result == reachability.Answered {
 			lk.lastKeptSign, lk.silentRounds = now, 0
 		}
+		lk.recordForOutage(now, address, result)
 		lk.tracker.RecordDirect(now, address, result)
 	}
 	if !lk.recordWithoutLosses(result, record) {
@@ -211,6 +220,8 @@
 // recordThroughPeer records whether a peer reached the server at an address.
 func (lk *Links) recordThroughPeer(address string, reached bool) {
 	lk.update(func() {
+		// A peer that does not reach this server reaches others.
+		lk.outage.RecordReached()
 		before := lk.tracker.Way(address)
 		lk.tracker.RecordThroughPeer(lk.clock.Now(), address, reached)
 		if before == reachability.Direct && lk.tracker.Way(address) != reachability.Direct && !lk.tracker.CutOff() {
@@ -330,6 +341,7 @@
 	defer lk.mutex.Unlock()
 	lk.lastSign = lk.clock.Now()
 	lk.lastKeptSign, lk.silentRounds = lk.lastSign, 0
+	lk.outage.RecordReached()
 	lk.recordServerSign(address, lk.lastSign)
 }
 
--- a/coordination/peerrelay/prober.go
+++ b/coordination/peerrelay/prober.go
@@ -43,6 +43,7 @@
 	for _, address := range others {
 		sd.startProbe(ctx, func(ctx context.Context) { sd.ProbeConnection(ctx, address) })
 	}
+	sd.startOutageProbes(ctx)
 }
 
 // startProbe runs a probe in the background.
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -71,6 +72,8 @@
 	tracer    trace.Tracer
 	// probes are the probes in progress that Run waits for.
 	probes tasks.Group
+	// outageLogged says that the log says that no server can be reached.
+	outageLogged atomic.Bool
 }
 
 // NewSender returns a Sender that uses the given components.
@@ -211,6 +214,9 @@
 			sd.peers.backOff(peer.Host, failure.Reason)
 		}
 	}
+	if saysPeersUnable(failure) {
+		sd.links.recordPeersUnable()
+	}
 	var last id.Host
 	if len(tried) > 0 {
 		last = tried[len(tried)-1]
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -166,7 +166,7 @@
 	server := call.Attempt.Server
 	isProbe := call.Kind == ProbeHTTP || call.Kind == ProbeConnection
 	switch {
-	case sv.links.CutOff():
+	case sv.links.CutOff(), sv.links.outageTotal(true):
 		return refusal(PeerCutOff, "the peer is cut off from the servers")
 	case !isProbe && sv.links.Way(call.Address) != reachability.Direct:
 		return refusal(NoDirectWay, "the peer has no direct way to the server")
--- a/site/host.go
+++ b/site/host.go
@@ -202,20 +202,21 @@
 	ht.assembleRelay(tracer, seed)
 	ht.peerClient.Bind(ht.localPeerComponents(), ht.gossip)
 	ht.forwarder = forward.NewRunner(forward.DefaultConfig().WithMemoryBounds(ht.settings.Memory.FreeWithin, ht.settings.Memory.UnusedWithin), forward.Dependencies{
-		Host:        ht.localMember.Host,
-		Incarnation: ht.localMember.Incarnation,
-		Clock:       ht.clock,
-		Balancer:    balance.New(ht.localMember.AvailabilityZone, seed),
-		Sender:      ht.backendSender,
-		Dispatcher:  ht.grantClient,
-		Fleet:       ht.fleet,
-		Quarantine:  ht.crashQuarantine,
-		Limits:      ht.permitClient,
-		Retries:     retry.New(ht.retryConfig(), seed),
-		Metrics:     scope,
-		Logger:      ht.logger,
-		Tracer:      tracer,
-		Seed:        seed,
+		Host:         ht.localMember.Host,
+		Incarnation:  ht.localMember.Incarnation,
+		Clock:        ht.clock,
+		Balancer:     balance.New(ht.localMember.AvailabilityZone, seed),
+		Sender:       ht.backendSender,
+		Reachability: ht.backendSender,
+		Dispatcher:   ht.grantClient,
+		Fleet:        ht.fleet,
+		Quarantine:   ht.crashQuarantine,
+		Limits:       ht.permitClient,
+		Retries:      retry.New(ht.retryConfig(), seed),
+		Metrics:      scope,
+		Logger:       ht.logger,
+		Tracer:       tracer,
+		Seed:         seed,
 	})
 	ht.clientHandler = platform.NewClientHandler(ht.updateFollower, ht.forwarder, ht.clock, ht.logger)
 	// bodyMemoryShare and shortBodyMemoryShare are the parts of the process's memory that the long and the short bodies of
