Every host learns which zones are evacuated

The records evacuate/ZONE come with the reads of the desired state, so that no call to the store is added. Readers send the whole copy on; updates of the list, copies and notices carry it; membership messages carry the offset of the last change, since the version of the desired state doesn't show it.

The stand-in of the store in statesync's tests reports an offset of an earlier era as expired when a read ends without records, as the adapter does; before, it never did for a read that waits beyond the end of the restored topic.

--- a/coordination/membership/types.go
+++ b/coordination/membership/types.go
@@ -136,6 +136,9 @@
 	NextOffset     id.Offset
 	// Age is the time since the copy was last known to be up to date.
 	Age time.Duration
+	// EvacuationsUnchangedSince is an offset since which no record changed the evacuated availability zones, which are
+	// replicated beside the list; 0 if no change is known.
+	EvacuationsUnchangedSince id.Offset
 }
 
 // Event is an input of the machine.
--- a/coordination/statesync/follower.go
+++ b/coordination/statesync/follower.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hibiscuslever/hibiscuslever/state/evacuation"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
@@ -88,12 +89,16 @@
 	// compressedTable is the desired state as it is sent to other hosts.
 	compressedTable []byte
 	serverList      *serverlist.List
+	evacuations     *evacuation.Set
 	random          *rand.Rand
 	// startedAt is when Run was called.
 	startedAt time.Time
 	// announcedVersion is the highest version of the desired state that some host, the local one included, has sent to
 	// others.
 	announcedVersion route.Version
+	// announcedEvacuations is the highest offset of a change of the evacuated zones that some host, the local one included,
+	// has sent to all others. Updates of the list do not count, because most of them go to few hosts.
+	announcedEvacuations id.Offset
 	// tableAppliedAt is when the local host put the current desired state in force.
 	tableAppliedAt time.Time
 	// listConfirmedAt is when the list was last known to be up to date. outageEndedAt is when it was confirmed for the
@@ -122,18 +127,19 @@
 // New returns a follower without copies. The seed initializes its random numbers.
 func New(config Config, localHost id.Host, localZone id.AvailabilityZone, clock timer.Clock, store Store, peers Peers, seeds Seeds, metrics tally.Scope, logger *slog.Logger, seed uint64, onChange func()) *Follower {
 	return &Follower{
-		config:     config,
-		localHost:  localHost,
-		localZone:  localZone,
-		clock:      clock,
-		store:      store,
-		peers:      peers,
-		seeds:      seeds,
-		metrics:    metrics,
-		logger:     logger,
-		onChange:   onChange,
-		serverList: serverlist.New(),
-		random:     rand.New(rand.NewPCG(seed, seed)),
+		config:      config,
+		localHost:   localHost,
+		localZone:   localZone,
+		clock:       clock,
+		store:       store,
+		peers:       peers,
+		seeds:       seeds,
+		metrics:     metrics,
+		logger:      logger,
+		onChange:    onChange,
+		serverList:  serverlist.New(),
+		evacuations: evacuation.New(),
+		random:      rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
@@ -261,6 +267,7 @@
 		}
 		backoff = fl.config.Backoff
 		fl.noteStoreSuccess()
+		fl.applyEvacuationsFromStore(next, read)
 		if read.Body != nil {
 			fl.applyTableFromStore(read.Body)
 		}
@@ -276,13 +283,13 @@
 	}
 }
 
-// readsTableFromStore reports whether the local host has to read the desired state from the store: if it has none, is
-// one of the first in the order of readers, which send it to others, is isolated or in a small fleet, or has not had
+// readsTableFromStore reports whether the local host has to read the desired state from the store: if it has none or
+// does not know the evacuated zones, is one of the first in the order of readers, which send it to others, is isolated or in a small fleet, or has not had
 // its list confirmed for longer than FallbackReadAfter.
 func (fl *Follower) readsTableFromStore() bool {
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
-	if fl.table == nil {
+	if fl.table == nil || !fl.evacuations.Loaded() {
 		return true
 	}
 	if fl.discoveringPeers() {
@@ -362,21 +369,26 @@
 		return
 	}
 	version := fl.Table().Version()
-	rank := fl.readerRank()
-	if rank < 0 || rank > lastReaderRank {
-		return
-	}
-	fl.clock.After(time.Duration(rank)*announceStep, func() {
+	fl.announceInTurn(func() {
 		fl.mutex.Lock()
 		announced := fl.announcedVersion >= version
 		fl.announcedVersion = max(fl.announcedVersion, version)
+		evacuations := fl.evacuations.State()
 		fl.mutex.Unlock()
 		if !announced {
-			fl.broadcast(Update{Sender: fl.localHost, Version: version, CompressedTable: compressed, From: id.NoOffset, Next: id.NoOffset}, true)
+			fl.broadcast(Update{Sender: fl.localHost, Version: version, CompressedTable: compressed, From: id.NoOffset, Next: id.NoOffset, Evacuations: evacuations}, true)
 		}
 	})
 }
 
+// announceInTurn calls announce after the wait of the local host's rank in the order of readers, or not at all if the host
+// is not one of the first in that order.
+func (fl *Follower) announceInTurn(announce func()) {
+	if rank := fl.readerRank(); rank >= 0 && rank <= lastReaderRank {
+		fl.clock.After(time.Duration(rank)*announceStep, announce)
+	}
+}
+
 // announceStep is the additional time that each further host in the order of readers waits before it sends a desired
 // state from the store to others.
 const announceStep = 100 * time.Millisecond
--- a/coordination/statesync/follower_test.go
+++ b/coordination/statesync/follower_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
+	"github.com/hibiscuslever/hibiscuslever/state/evacuation"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
@@ -40,6 +41,8 @@
 	rejectedHosts map[id.Host]bool
 	// tableChanges is the number of desired states after the first one.
 	tableChanges int
+	// evacuations holds the records of evacuated zones, which share the offsets of the desired states.
+	evacuations []evacuation.Record
 	// unresponsiveTo holds the hosts that get no answer. A waiting read is never answered once the readEpoch of its host
 	// has changed.
 	unresponsiveTo map[id.Host]bool
@@ -72,9 +75,32 @@
 	return hs.newestTable(), nil
 }
 
-// newestTable returns the newest desired state. The caller holds the lock.
+// newestTable returns the newest desired state, and the newest record of each evacuated zone. The caller holds the lock.
 func (hs hostStore) newestTable() statesync.TableRead {
-	return statesync.TableRead{Body: []byte{byte(1 + hs.tableChanges)}, Next: id.NewOffset(hs.era, int64(1+hs.tableChanges))}
+	newest := map[id.AvailabilityZone]evacuation.Record{}
+	for _, rc := range hs.evacuations {
+		newest[rc.Zone] = rc
+	}
+	read := statesync.TableRead{Body: []byte{byte(1 + hs.tableChanges)}, Next: hs.tableEnd()}
+	for _, rc := range newest {
+		if !rc.Ended {
+			read.Evacuations = append(read.Evacuations, rc)
+		}
+	}
+	return read
+}
+
+// tableEnd returns the offset after the last record of the desired states and of the evacuated zones. The caller holds the
+// lock.
+func (st *fakeStore) tableEnd() id.Offset {
+	return id.NewOffset(st.era, int64(1+st.tableChanges+len(st.evacuations)))
+}
+
+// evacuate appends a record that evacuates a zone, or ends that.
+func (st *fakeStore) evacuate(zone id.AvailabilityZone, ended bool) {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	st.evacuations = append(st.evacuations, evacuation.Record{Zone: zone, Offset: st.tableEnd(), Ended: ended})
 }
 
 func (hs hostStore) AwaitTable(ctx context.Context, from id.Offset, wait time.Duration) (statesync.TableRead, error) {
@@ -89,10 +115,15 @@
 		hs.mutex.Unlock()
 		// A read that waits at the end of an earlier era is answered once there are records at its position.
 		if answered && read.Next.Position() > from.Position() {
-			return statesync.TableRead{Body: read.Body, Next: read.Next, Expired: read.Next.Era() > from.Era()}, nil
+			hs.mutex.Lock()
+			defer hs.mutex.Unlock()
+			read.Evacuations = slices.DeleteFunc(slices.Clone(hs.evacuations), func(rc evacuation.Record) bool { return rc.Offset < from || rc.Offset >= read.Next })
+			read.Expired = read.Next.Era() > from.Era()
+			return read, nil
 		}
 		if answered && !time.Now().Before(deadline) {
-			return statesync.TableRead{Next: from}, nil
+			// The adapter of the store reports the offset of an earlier era as expired.
+			return statesync.TableRead{Next: from, Expired: hs.currentEra() > from.Era()}, nil
 		}
 		select {
 		case <-time.After(pollPeriod):
--- a/coordination/statesync/serverlist.go
+++ b/coordination/statesync/serverlist.go
@@ -16,6 +16,7 @@
 	fl.mutex.Lock()
 	now := fl.clock.Now()
 	graceEnded := fl.serverList.ExpireGracePeriods(now)
+	zones := fl.evacuations.Expire(now)
 	due := !fl.readingList && fl.listReadDue(now)
 	if due {
 		fl.readingList = true
@@ -24,6 +25,9 @@
 	fl.mutex.Unlock()
 	if graceEnded {
 		fl.logger.Info("grace period of backend servers after an outage or a restore of the store has ended")
+	}
+	fl.logEvacuations("hold after a restore", zones)
+	if graceEnded || len(zones) > 0 {
 		fl.onChange()
 	}
 	if due {
@@ -147,7 +151,7 @@
 	for ix := range changed {
 		changed[ix].DroppedInOutage = changed[ix].Dropped && outage
 	}
-	update := Update{Sender: fl.localHost, From: unchangedSince, Next: read.Next, Records: changed, ListAge: now.Sub(fl.listConfirmedAt)}
+	update := Update{Sender: fl.localHost, From: unchangedSince, Next: read.Next, Records: changed, ListAge: now.Sub(fl.listConfirmedAt), Evacuations: fl.evacuations.State()}
 	if fl.table != nil {
 		update.Version = fl.table.Version()
 	}
--- a/coordination/statesync/statesync.go
+++ b/coordination/statesync/statesync.go
@@ -1,5 +1,5 @@
-// Package statesync replicates two things to every host: the desired state, which is the routing table that the platform
-// prescribes, and the list of backend servers.
+// Package statesync replicates three things to every host: the desired state, which is the routing table that the platform
+// prescribes, the evacuated availability zones, and the list of backend servers.
 //
 // The hosts that accept new work are ordered by a rendezvous hash, the order of readers. The first of them reads the
 // list from the platform's store for all hosts, and the first few wait in the store for a new desired state. They send
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hibiscuslever/hibiscuslever/state/evacuation"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
@@ -22,6 +23,9 @@
 type TableRead struct {
 	// Body is the newest desired state as the store encodes it; nil if there is none from the requested offset on.
 	Body []byte
+	// Evacuations holds the records of evacuated zones from the requested offset on, or the newest one of each zone if no
+	// offset was requested.
+	Evacuations []evacuation.Record
 	// Next is the offset to read from next.
 	Next id.Offset
 	// Expired is set when the store no longer retains the requested records.
@@ -86,6 +90,8 @@
 	Records []serverlist.Record
 	// ListAge is the time since the list was known to be up to date.
 	ListAge time.Duration
+	// Evacuations is the sender's copy of the evacuated zones; nil if it has none.
+	Evacuations *evacuation.State
 	// Relay asks the receiver to forward the update to the other hosts of its availability zone.
 	Relay bool
 }
@@ -104,6 +110,8 @@
 	FullList bool
 	// ListAge is the time since the list was known to be up to date.
 	ListAge time.Duration
+	// Evacuations is the responding host's copy of the evacuated zones; nil if it has none.
+	Evacuations *evacuation.State
 }
 
 // Status says how recent a host's copies are. Hosts add it to the messages that they exchange in any case, so that a
@@ -117,6 +125,9 @@
 	NextOffset     id.Offset
 	// ListAge is the time since the list was known to be up to date.
 	ListAge time.Duration
+	// EvacuationsUnchangedSince is an offset since which no record changed the evacuated zones; 0 if the host does not know
+	// of any change.
+	EvacuationsUnchangedSince id.Offset
 }
 
 // Peer describes another host.
--- a/coordination/statesync/sync.go
+++ b/coordination/statesync/sync.go
@@ -15,6 +15,10 @@
 	newTable := update.CompressedTable != nil && fl.applyCompressedTable(string(update.Sender), update.CompressedTable)
 	fl.mutex.Lock()
 	now := fl.clock.Now()
+	zones := fl.applyPeerEvacuations(now, update.Evacuations)
+	if update.Evacuations != nil && update.Next == id.NoOffset {
+		fl.announcedEvacuations = max(fl.announcedEvacuations, update.Evacuations.UnchangedSince)
+	}
 	changed, complete := fl.serverList.Apply(now, update.From, update.Next, fl.decodeServers(update.Records), false)
 	if complete && update.Next >= fl.serverList.NextOffset() {
 		fl.confirmList(now.Add(-update.ListAge))
@@ -24,10 +28,11 @@
 	notice, hasNotice := fl.newerTableNotice(update)
 	fl.mutex.Unlock()
 	fl.logServerChanges(string(update.Sender), changed)
-	if len(changed) > 0 {
+	fl.logEvacuations(string(update.Sender), zones)
+	if len(changed) > 0 || len(zones) > 0 {
 		fl.onChange()
 	}
-	if update.Relay && (newTable || len(changed) > 0) {
+	if update.Relay && (newTable || len(changed) > 0 || len(zones) > 0) {
 		fl.relayToZone(update)
 	}
 	if startSync {
@@ -57,7 +62,8 @@
 	if confirmedAt := now.Add(-st.ListAge); confirmed && confirmedAt.After(fl.listConfirmedAt) {
 		fl.confirmList(confirmedAt)
 	}
-	outdated := fl.serverList.Loaded() && st.NextOffset != id.NoOffset && !confirmed || fl.table != nil && fl.table.Version() < st.Version
+	outdated := fl.serverList.Loaded() && st.NextOffset != id.NoOffset && !confirmed || fl.table != nil && fl.table.Version() < st.Version ||
+		fl.table != nil && fl.evacuations.NextOffset() < st.EvacuationsUnchangedSince
 	startSync := outdated && fl.tryStartSync()
 	fl.mutex.Unlock()
 	if startSync {
@@ -69,22 +75,23 @@
 func (fl *Follower) Status() Status {
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
-	st := Status{Version: -1, UnchangedSince: fl.serverList.UnchangedSince(), NextOffset: fl.serverList.NextOffset(), ListAge: fl.clock.Now().Sub(fl.listConfirmedAt)}
+	st := Status{Version: -1, EvacuationsUnchangedSince: fl.evacuations.UnchangedSince(), UnchangedSince: fl.serverList.UnchangedSince(), NextOffset: fl.serverList.NextOffset(), ListAge: fl.clock.Now().Sub(fl.listConfirmedAt)}
 	if fl.table != nil {
 		st.Version = fl.table.Version()
 	}
 	return st
 }
 
-// newerTableNotice returns an update that tells the sender of update that its desired state is outdated; it covers no
-// part of the list. It returns false if that is not so, or unless the local host is among the first lastReaderRank
+// newerTableNotice returns an update that tells the sender of update that its desired state is outdated, or its copy of the
+// evacuated zones; it covers no part of the list. It returns false if that is not so, or unless the local host is among the first lastReaderRank
 // hosts in the order of readers, so that only a few hosts answer. The caller holds the lock.
 func (fl *Follower) newerTableNotice(update Update) (Update, bool) {
-	if fl.table == nil || fl.table.Version() <= update.Version {
+	newerZones := update.Evacuations != nil && update.Evacuations.NextOffset < fl.evacuations.UnchangedSince()
+	if fl.table == nil || fl.table.Version() <= update.Version && !newerZones {
 		return Update{}, false
 	}
 	rank := fl.readerRank()
-	return Update{Sender: fl.localHost, Version: fl.table.Version(), From: id.NoOffset, Next: id.NoOffset}, rank >= 0 && rank < lastReaderRank
+	return Update{Sender: fl.localHost, Version: fl.table.Version(), From: id.NoOffset, Next: id.NoOffset, Evacuations: fl.evacuations.State()}, rank >= 0 && rank < lastReaderRank
 }
 
 // syncFrom requests from another host what the local copies lack, and applies it.
@@ -111,6 +118,7 @@
 
 // applySync applies what another host sent. For source see applyTable.
 func (fl *Follower) applySync(source string, response SyncResponse) {
+	fl.applyEvacuationsFromPeer(source, response.Evacuations)
 	if response.CompressedTable != nil {
 		fl.applyCompressedTable(source, response.CompressedTable)
 	}
@@ -154,7 +162,7 @@
 func (fl *Follower) BuildSyncResponse(version route.Version, next id.Offset) SyncResponse {
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
-	response := SyncResponse{From: next, Next: fl.serverList.NextOffset(), Version: -1, ListAge: fl.clock.Now().Sub(fl.listConfirmedAt)}
+	response := SyncResponse{From: next, Next: fl.serverList.NextOffset(), Version: -1, ListAge: fl.clock.Now().Sub(fl.listConfirmedAt), Evacuations: fl.evacuations.State()}
 	if fl.table != nil {
 		response.Version = fl.table.Version()
 		if response.Version > version {
--- a/site/host.go
+++ b/site/host.go
@@ -175,10 +175,10 @@
 		NewerRevision: func(id.Host) {},
 		LocalFreshness: func() (id.Offset, membership.ListFreshness) {
 			status := ht.updateFollower.Status()
-			return id.Offset(status.Version), membership.ListFreshness{UnchangedSince: status.UnchangedSince, NextOffset: status.NextOffset, Age: status.ListAge}
+			return id.Offset(status.Version), membership.ListFreshness{UnchangedSince: status.UnchangedSince, NextOffset: status.NextOffset, Age: status.ListAge, EvacuationsUnchangedSince: status.EvacuationsUnchangedSince}
 		},
 		RemoteFreshness: func(host id.Host, version id.Offset, freshness membership.ListFreshness) {
-			ht.updateFollower.HandleStatus(host, statesync.Status{Version: route.Version(version), UnchangedSince: freshness.UnchangedSince, NextOffset: freshness.NextOffset, ListAge: freshness.Age})
+			ht.updateFollower.HandleStatus(host, statesync.Status{Version: route.Version(version), UnchangedSince: freshness.UnchangedSince, NextOffset: freshness.NextOffset, ListAge: freshness.Age, EvacuationsUnchangedSince: freshness.EvacuationsUnchangedSince})
 		},
 	}, scope, seed)
 	followerConfig := statesync.DefaultConfig()
--- a/transport/peer/encoding.go
+++ b/transport/peer/encoding.go
@@ -232,6 +232,8 @@
 		ListQuiet:     int64(message.ListFreshness.UnchangedSince),
 		ListNext:      int64(message.ListFreshness.NextOffset),
 		ListAgeMillis: message.ListFreshness.Age.Milliseconds(),
+
+		EvacuationsQuiet: int64(message.ListFreshness.EvacuationsUnchangedSince),
 	}
 	for _, member := range message.Updates {
 		encoded.Updates = append(encoded.Updates, &peer.MemberUpdate{
@@ -262,6 +264,8 @@
 			UnchangedSince: id.Offset(encoded.GetListQuiet()),
 			NextOffset:     id.Offset(encoded.GetListNext()),
 			Age:            durationFromMillis(encoded.GetListAgeMillis()),
+
+			EvacuationsUnchangedSince: id.Offset(encoded.GetEvacuationsQuiet()),
 		},
 	}
 	for _, member := range encoded.GetUpdates() {
--- a/transport/peer/fuzz_test.go
+++ b/transport/peer/fuzz_test.go
@@ -127,6 +127,8 @@
 		&peer.ProgressRequest{Held: []*peer.HeldPlace{{Request: grantRequest, Place: grant, Started: true}}},
 		&peer.ProgressRequest{Held: []*peer.HeldPlace{{}}, Started: []*peer.StartedPlace{{}}, Ended: []*peer.EndedPlace{{Fault: -9, RetryAfterMicros: -1 << 63}}},
 		&peer.TellRequest{From: -1, Next: 1 << 62, Records: []*peer.ServerRecord{{Id: "a", Offset: -4}, nil}},
+		&peer.TellRequest{From: -1, Next: -1, Evacuations: &peer.Evacuations{Quiet: 1 << 62, Next: -9, Zones: []*peer.Evacuation{{Zone: "z", Offset: -1}, nil}}},
+		&peer.TellRequest{From: -1, Next: -1, Evacuations: &peer.Evacuations{Quiet: -1 << 63, Next: 1<<63 - 1, Zones: []*peer.Evacuation{{}, {Zone: "z"}, {Zone: "z", Offset: 1<<63 - 1}}}},
 		&peer.ExchangeMessage{Host: "x", Updates: []*peer.MemberUpdate{{Host: "local", Status: 99, Sequence: 1<<32 - 1}, {Host: "y", Status: 4}}, Facts: []*peer.Fact{{Kind: 77, Value: -1}}},
 	} {
 		body, err := proto.Marshal(message)
--- a/transport/peer/updates.go
+++ b/transport/peer/updates.go
@@ -9,6 +9,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer/peerconnect"
+	"github.com/hibiscuslever/hibiscuslever/state/evacuation"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
@@ -25,7 +26,8 @@
 		Table:   update.CompressedTable,
 		Relay:   update.Relay,
 
-		AgeMillis: update.ListAge.Milliseconds(),
+		AgeMillis:   update.ListAge.Milliseconds(),
+		Evacuations: encodeEvacuations(update.Evacuations),
 	}
 	_, err := call(ctx, cl, host, message, rpcMethod(peerconnect.PeerClient.Tell))
 	return err
@@ -65,6 +67,7 @@
 		CompressedTable: request.Msg.GetTable(),
 		Relay:           request.Msg.GetRelay(),
 		ListAge:         durationFromMillis(request.Msg.GetAgeMillis()),
+		Evacuations:     decodeEvacuations(request.Msg.GetEvacuations()),
 	})
 	return connect.NewResponse(&peer.TellResponse{}), nil
 }
@@ -83,7 +86,8 @@
 		From:    int64(response.From),
 		Whole:   response.FullList,
 
-		AgeMillis: response.ListAge.Milliseconds(),
+		AgeMillis:   response.ListAge.Milliseconds(),
+		Evacuations: encodeEvacuations(response.Evacuations),
 	}), nil
 }
 
@@ -96,9 +100,33 @@
 		From:            id.Offset(message.GetFrom()),
 		FullList:        message.GetWhole(),
 		ListAge:         durationFromMillis(message.GetAgeMillis()),
+		Evacuations:     decodeEvacuations(message.GetEvacuations()),
 	}
 }
 
+func encodeEvacuations(state *evacuation.State) *peer.Evacuations {
+	if state == nil {
+		return nil
+	}
+	encoded := &peer.Evacuations{Quiet: int64(state.UnchangedSince), Next: int64(state.NextOffset)}
+	for _, record := range state.Zones {
+		encoded.Zones = append(encoded.Zones, &peer.Evacuation{Zone: string(record.Zone), Offset: int64(record.Offset)})
+	}
+	return encoded
+}
+
+// decodeEvacuations returns the copy in a message, or nil if the message has none.
+func decodeEvacuations(encoded *peer.Evacuations) *evacuation.State {
+	if encoded == nil {
+		return nil
+	}
+	state := &evacuation.State{UnchangedSince: id.Offset(encoded.GetQuiet()), NextOffset: id.Offset(encoded.GetNext())}
+	for _, message := range encoded.GetZones() {
+		state.Zones = append(state.Zones, evacuation.Record{Zone: id.AvailabilityZone(message.GetZone()), Offset: id.Offset(message.GetOffset())})
+	}
+	return state
+}
+
 // durationFromMillis converts a duration of a message and limits it to the range from 0 to 1 h.
 func durationFromMillis(value int64) time.Duration {
 	const maxMillis = int64(time.Hour / time.Millisecond)
