Evacuated servers get nothing new, whoever chooses them

The host's view marks the servers of evacuated zones. Dispatchers, hosts that place on their own, the choice for plain services, permits, retries, resumptions and relays for other hosts leave them out; an entry host looks again before it reserves memory, before it sends and before each peer that it asks to send. What runs goes on and counts as load. No departure is spread and no fault counted. A grant on an evacuated engine makes the request name all evacuated engines as not usable, so that a dispatcher with older knowledge wastes one grant of a request. Without any engine left, requests that wait are refused at once with a time to return; a prompt that fits only beside the evacuated engines may come again.

TestNoEngineIsOvercommitted draws evacuated engines besides leaving ones, and the scripts' output says if a refusal for want of engines has no time to return.

--- a/cmd/hibiscuslever/status.go
+++ b/cmd/hibiscuslever/status.go
@@ -66,6 +66,9 @@
 	if status.ListAge > 0 {
 		_, _ = fmt.Fprintf(table, "List of backend servers up to date %s ago\n", status.ListAge.Round(time.Millisecond))
 	}
+	for _, zone := range status.EvacuatedZones {
+		_, _ = fmt.Fprintf(table, "Zone %s is evacuated\n", zone)
+	}
 	_, _ = fmt.Fprintln(table, "\nHOST\tZONE\tSTATUS\tCALLERS")
 	for _, host := range status.Hosts {
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", host.Name, host.AvailabilityZone, host.Status, host.CallerAddress)
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -178,9 +178,9 @@
 	return slices.ContainsFunc(servers, func(sv serverlist.Server) bool { return bl.isEligible(sv, avoided) })
 }
 
-// isEligible reports whether a server may get a request: it is not listed as draining, gone or to be avoided.
+// isEligible reports whether a server may get a request: it is not listed as draining, evacuated, gone or to be avoided.
 func (bl *Balancer) isEligible(sv serverlist.Server, avoided []id.BackendServer) bool {
-	return !sv.Draining && !bl.stateOf(sv).gone && !slices.Contains(avoided, sv.ID)
+	return sv.TakesNewWork() && !bl.stateOf(sv).gone && !slices.Contains(avoided, sv.ID)
 }
 
 // fastestAnswerTime returns the least mean answer time of the servers, eligible or not; zero if none has answered.
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -27,7 +27,7 @@
 	return counts
 }
 
-// TestAvoidsUnavailableServers checks that servers get no requests if they are lost, gone, draining or to be avoided. A
+// TestAvoidsUnavailableServers checks that servers get no requests if they are lost, gone, draining, evacuated or to be avoided. A
 // lost server must be chosen again after its backoff, or earlier if no other server is left.
 func TestAvoidsUnavailableServers(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -43,6 +43,12 @@
 	listed[2].Draining = true
 	counts = countChoices(bl, now, listed)
 	assert.Equal(t, counts["b"]+counts["c"], 0)
+	listed[2].Draining, listed[2].Evacuated = false, true
+	counts = countChoices(bl, now, listed)
+	assert.Equal(t, counts["b"]+counts["c"], 0)
+	assert.Assert(t, !bl.HasEligible(listed[1:], nil))
+	listed[2].Evacuated = false
+	assert.Assert(t, countChoices(bl, now, listed)["c"] > 0, "a server is used at once when its evacuation ends")
 	listed[1].StartedAtMillis = 7
 	assert.Assert(t, countChoices(bl, now, listed)["b"] > 0, "a server that restarted is not gone")
 }
--- a/coordination/batch/admission.go
+++ b/coordination/batch/admission.go
@@ -1,7 +1,9 @@
 package batch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
@@ -22,14 +24,17 @@
 // read before the client stops waiting, if the engines can't hold it, or if the queue is full. Attempts after the first
 // continue interrupted work: they are refused only if no engine is left or the engines can't hold them.
 func (mc *Machine) admit(now time.Time, wt *waitingRequest) (outcome.Outcome, bool) {
-	remainingEngines := 0
+	remainingEngines, evacuatedEngines := 0, 0
 	// readers is the number of engines that read prompts like this one, where an engine with a request limit counts less.
 	readers := 0.0
 	firstRequestWait := time.Duration(math.MaxInt64)
 	// shortestBackoff is the time until the first engine may get the request from its entry host.
 	shortestBackoff := time.Duration(math.MaxInt64)
 	for _, en := range mc.engines {
-		if en.Leaving {
+		if !en.remains() {
+			if en.isEvacuated() {
+				evacuatedEngines++
+			}
 			continue
 		}
 		remainingEngines++
@@ -42,11 +47,14 @@
 	if readers == 0 {
 		readers, firstRequestWait = 1, 0
 	}
+	tokens := wt.PromptTokens + wt.MaxAnswerTokens
 	switch {
 	case remainingEngines == 0:
-		return outcome.Refuse(outcome.NoCapacity, "no engine serves the request now").WithRetryAfter(mc.boundedRetryAfter(time.Second)), false
-	case wt.PromptTokens+wt.MaxAnswerTokens > mc.maxRequestTokens(min(remainingEngines, mc.config.MaxParts)):
+		return mc.noEngineRefusal(), false
+	case tokens > mc.maxRequestTokens(min(remainingEngines+evacuatedEngines, mc.config.MaxParts)):
 		return outcome.Refuse(outcome.PromptExceedsFleet, "the prompt is longer than the engines can hold"), false
+	case tokens > mc.maxRequestTokens(min(remainingEngines, mc.config.MaxParts)):
+		return outcome.Refuse(outcome.NoCapacity, "the prompt is longer than the engines outside the evacuated zones can hold").WithRetryAfter(mc.boundedRetryAfter(maxRetryAfter)), false
 	case wt.AttemptNumber > 1:
 		return outcome.Outcome{}, true
 	case len(mc.waitingByID) >= mc.config.MaxWaitingRequests:
@@ -64,6 +72,24 @@
 	return outcome.Outcome{}, true
 }
 
+// noEngineRefusal returns the refusal of a request for which no engine remains.
+func (mc *Machine) noEngineRefusal() outcome.Outcome {
+	return outcome.Refuse(outcome.NoCapacity, "no engine serves the request now").WithRetryAfter(mc.boundedRetryAfter(time.Second))
+}
+
+// refuseEvacuated refuses all waiting requests if no engine remains because of an evacuation. Without one, an engine that
+// takes the place of those that are leaving may be listed any moment.
+func (mc *Machine) refuseEvacuated() {
+	if len(mc.waitingByID) == 0 || !slices.ContainsFunc(mc.engines, (*engine).isEvacuated) || slices.ContainsFunc(mc.engines, (*engine).remains) {
+		return
+	}
+	for _, requestID := range slices.Sorted(maps.Keys(mc.waitingByID)) {
+		wt := mc.waitingByID[requestID]
+		mc.removeWaiting(wt)
+		mc.addRefusal(wt, mc.noEngineRefusal())
+	}
+}
+
 // boundedRetryAfter returns the time after which a client is asked to retry: the given time within the bounds, plus
 // jitter.
 func (mc *Machine) boundedRetryAfter(wait time.Duration) time.Duration {
--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -99,6 +99,8 @@
 	StartedAtMillis int64
 	// Leaving engines finish what they run and get nothing new.
 	Leaving bool
+	// Evacuated engines finish what they run and get nothing new until the evacuation of their availability zone ends.
+	Evacuated bool
 	// RequestLimit is the rate of requests that the engine accepts from all hosts together; zero for no limit.
 	RequestLimit serverlimit.Rate
 	// CountedElsewhere says that another host counts the requests to engines with a limit. Such engines get nothing from
--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -39,9 +39,15 @@
 
 // isUsable reports whether the engine may get new work, regardless of its request limit.
 func (en *engine) isUsable(now time.Time) bool {
-	return !en.Leaving && !now.Before(en.backoffUntil)
+	return en.remains() && !now.Before(en.backoffUntil)
 }
 
+// remains reports whether the engine is neither leaving nor evacuated.
+func (en *engine) remains() bool { return !en.Leaving && !en.Evacuated }
+
+// isEvacuated reports whether the engine gets nothing new only because it is evacuated.
+func (en *engine) isEvacuated() bool { return en.Evacuated && !en.Leaving }
+
 // isWithheld reports whether the engine gets nothing because another host counts its requests.
 func (en *engine) isWithheld() bool { return en.CountedElsewhere && en.RequestLimit > 0 }
 
--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -88,6 +88,7 @@
 		mc.profile = ev.Profile
 	case SetEngines:
 		mc.updateEngines(now, ev.Engines)
+		mc.refuseEvacuated()
 	case Submit:
 		mc.submit(now, ev.Request)
 	case Withdraw:
--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 )
 
@@ -86,7 +87,7 @@
 	return formatEffects(effects) + fmt.Sprintf("waiting %d granted %d\n", sc.machine.Waiting(), sc.machine.Granted())
 }
 
-// parseEngines reads one engine from each line of a command's input: its name, then "leaving", "started=N", "limit=N" and
+// parseEngines reads one engine from each line of a command's input: its name, then "leaving", "evacuated", "started=N", "limit=N" and
 // "elsewhere" if they apply. The last one says that another host counts the requests of the engine.
 func (sc *scriptRunner) parseEngines(td *datadriven.TestData) batch.SetEngines {
 	var engineList batch.SetEngines
@@ -95,6 +96,7 @@
 		spec := batch.EngineSpec{Engine: id.Engine(fields[0]), Address: fields[0] + ":1"}
 		for _, field := range fields[1:] {
 			spec.Leaving = spec.Leaving || field == "leaving"
+			spec.Evacuated = spec.Evacuated || field == "evacuated"
 			spec.CountedElsewhere = spec.CountedElsewhere || field == "elsewhere"
 			_, _ = fmt.Sscanf(field, "started=%d", &spec.StartedAtMillis)
 			_, _ = fmt.Sscanf(field, "limit=%g", (*float64)(&spec.RequestLimit))
@@ -189,6 +191,9 @@
 	for _, ef := range effects {
 		if ef.Kind == batch.Refused {
 			fmt.Fprintf(&sb, "%s refused: %s", ef.Request, ef.Outcome.Reason)
+			if ef.Outcome.Reason == outcome.NoCapacity && ef.Outcome.RetryAfter <= 0 {
+				sb.WriteString(" without a time to return")
+			}
 			if strings.Contains(ef.Outcome.Detail, "left alone") {
 				fmt.Fprintf(&sb, ", retry after %s", ef.Outcome.RetryAfter.Truncate(time.Second))
 			}
@@ -267,8 +272,8 @@
 }
 
 // TestNoEngineIsOvercommitted submits, starts and finishes requests and lets engines leave and return at random. No
-// engine may get more than its memory and its slots hold, no leaving engine may get anything, and no request may wait
-// longer than its wait limit.
+// engine may get more than its memory and its slots hold, no leaving or evacuated engine may get anything, and no request may
+// wait longer than its wait limit.
 func TestNoEngineIsOvercommitted(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		mc := batch.New(batch.DefaultConfig(), 7)
@@ -276,11 +281,13 @@
 		mc.Step(now, batch.SetEngineProfile{Profile: engineProfile()})
 		engineCount := rapid.IntRange(1, 8).Draw(rt, "engines")
 		acceptingEngines := map[id.Engine]bool{}
+		// Engines that accept nothing are evacuated or leaving.
+		evacuate := rapid.Bool().Draw(rt, "evacuate")
 		listEngines := func() batch.SetEngines {
 			var listed batch.SetEngines
 			for ix := range engineCount {
 				name := id.Engine(fmt.Sprintf("e%d", ix))
-				listed.Engines = append(listed.Engines, batch.EngineSpec{Engine: name, Address: string(name), Leaving: !acceptingEngines[name]})
+				listed.Engines = append(listed.Engines, batch.EngineSpec{Engine: name, Address: string(name), Leaving: !acceptingEngines[name] && !evacuate, Evacuated: !acceptingEngines[name] && evacuate})
 			}
 			return listed
 		}
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -147,7 +147,7 @@
 	st.grantRequest.Unanswered = !st.result.HeadSent
 	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
 	acquireCtx, span := rn.tracer.Start(acquireCtx, "dispatch.place")
-	st.grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service)
+	st.grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service, st.grantRequest.AttemptNumber)
 	grant, oc := rn.dispatcher.Acquire(acquireCtx, st.grantRequest)
 	span.SetAttributes(attribute.String("attempt", string(grant.Attempt)), attribute.Int("engines", len(grant.Parts)))
 	span.End()
@@ -273,6 +273,10 @@
 		// This host may have learned of crashes while it waited for the memory.
 		return broker.EndedGrant{}, attemptResult{reason: "quarantined meanwhile: servers crashed while running this content", final: true}
 	}
+	if engine, evacuated := rn.evacuatedEngine(grant); evacuated {
+		// The evacuation may have begun while this host waited for the memory.
+		return broker.EndedGrant{FailedEngine: engine}, attemptResult{reason: evacuatedReason, retryCause: retry.NotSent}
+	}
 	sentAt := rn.clock.Now()
 	response, err := rn.sender.Send(sendCtx, Attempt{
 		Request:     st.request,
@@ -282,7 +286,10 @@
 		ResumeAfter: st.lastEventID,
 		Helpers:     grant.Parts[1:],
 		Urgency:     grant.Urgency,
-		MayBegin:    st.maySend,
+		MayBegin: func() bool {
+			_, evacuated := rn.evacuatedEngine(grant)
+			return st.maySend() && !evacuated
+		},
 
 		NewConnection: st.newConnection,
 	})
--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -89,18 +89,26 @@
 	listedAsLeaving map[id.BackendServer]bool
 	// announcedLeaving holds the servers that announced that they are leaving.
 	announcedLeaving map[id.BackendServer]bool
-	age              time.Duration
+	// evacuated reports which servers are evacuated; nil if none is.
+	evacuated func(server id.BackendServer) bool
+	age       time.Duration
 }
 
-// Servers returns the listed servers. Those that announced that they are leaving are marked as draining.
+// Servers returns the listed servers. Those that announced that they are leaving are marked as draining, evacuated ones as
+// evacuated.
 func (fl fakeFleet) Servers(id.Service) []serverlist.Server {
 	listed := slices.Clone(fl.listed)
 	for ix, server := range listed {
 		listed[ix].Draining = server.Draining || fl.announcedLeaving[server.ID]
+		listed[ix].Evacuated = fl.Evacuated(server.ID)
 	}
 	return listed
 }
 
+func (fl fakeFleet) Evacuated(server id.BackendServer) bool {
+	return fl.evacuated != nil && fl.evacuated(server)
+}
+
 func (fl fakeFleet) ListedAsLeaving(server id.BackendServer) bool { return fl.listedAsLeaving[server] }
 func (fl fakeFleet) ListAge() time.Duration                       { return fl.age }
 func (fl fakeFleet) AnnouncedLeaving(server id.BackendServer) bool {
--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -55,7 +55,7 @@
 	grantRequest.AttemptNumber++
 	grantRequest.Unanswered = false
 	grantRequest.AvoidedEngines = append(append([]id.Engine(nil), grantRequest.AvoidedEngines...), stalledEngine)
-	grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service)
+	grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service, grantRequest.AttemptNumber)
 	st.setIsolation(&grantRequest)
 	grantRequest.WaitLimit = st.waitLimitFromArrival()
 	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -170,6 +170,8 @@
 	// AnnouncedLeaving reports whether a server itself announced that it is leaving, or was found replaced at its
 	// address by another server.
 	AnnouncedLeaving(server id.BackendServer) bool
+	// Evacuated reports whether the operator has evacuated the availability zone of a listed server.
+	Evacuated(server id.BackendServer) bool
 	// ListAge returns the time since the list was last known to be up to date.
 	ListAge() time.Duration
 	// RecordLeaving records that a server announced that it is leaving, or that another server has its address. It
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -108,10 +108,11 @@
 
 // takeReplacementOrChoose returns the server for which the last attempt was aborted, or else what chooseServer returns.
 func (jb *job) takeReplacementOrChoose(ctx context.Context, tried []id.BackendServer) (serverlist.Server, time.Duration, bool) {
-	if !jb.hasReplacement {
+	hasReplacement := jb.hasReplacement && !jb.runner.fleet.Evacuated(jb.replacement.ID)
+	jb.hasReplacement = false
+	if !hasReplacement {
 		return jb.chooseServer(ctx, tried)
 	}
-	jb.hasReplacement = false
 	jb.recordSent(jb.replacement)
 	return jb.replacement, 0, true
 }
@@ -180,7 +181,7 @@
 	}
 	for _, server := range rn.fleet.Servers(jb.request.Service) {
 		rn.mutex.Lock()
-		usable := server.ID == permit.Server && !server.Draining && rn.backoffs.AllowsRequest(rn.clock.Now(), server)
+		usable := server.ID == permit.Server && server.TakesNewWork() && rn.backoffs.AllowsRequest(rn.clock.Now(), server)
 		rn.mutex.Unlock()
 		if usable {
 			jb.recordSent(server)
@@ -214,7 +215,8 @@
 	remaining := jb.remaining()
 	monitor := jb.watchSlowServer(ctx, tried, func() { cancel(errSlowServer) })
 	defer func() { jb.replacement, jb.hasReplacement = monitor.takeReplacement() }()
-	response, err := rn.sender.Send(attemptCtx, Attempt{Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID, NewConnection: jb.newConnection, Urgency: -1, MayBegin: jb.maySend})
+	mayBegin := func() bool { return jb.maySend() && !rn.fleet.Evacuated(server.ID) }
+	response, err := rn.sender.Send(attemptCtx, Attempt{Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID, NewConnection: jb.newConnection, Urgency: -1, MayBegin: mayBegin})
 	if err != nil {
 		if errors.Is(err, ErrNotSent) {
 			balanceResult = balance.Lost
--- a/coordination/forward/server_state.go
+++ b/coordination/forward/server_state.go
@@ -72,7 +72,7 @@
 }
 
 // withoutBackoff returns the servers that may get requests now. The duration is the shortest time until the backoff of
-// an excluded server that does not drain ends. It is zero if there is no such server, or if one is excluded only
+// an excluded server that takes new work otherwise ends. It is zero if there is no such server, or if one is excluded only
 // because the trial request after its backoff is still unanswered. It does not modify servers. The caller holds the
 // mutex.
 func (rn *Runner) withoutBackoff(servers []serverlist.Server) ([]serverlist.Server, time.Duration) {
@@ -86,7 +86,7 @@
 		for _, server := range servers[ix:] {
 			if rn.backoffs.AllowsRequest(now, server) {
 				allowed = append(allowed, server)
-			} else if !server.Draining {
+			} else if server.TakesNewWork() {
 				backingOff = append(backingOff, server)
 			}
 		}
@@ -95,31 +95,46 @@
 	return servers, 0
 }
 
-// engineBackoffs returns the engines of a service that asked for backoff, with the time when it ends.
-func (rn *Runner) engineBackoffs(service id.Service) map[id.Engine]time.Time {
+// engineBackoffs returns the engines of a service that must get nothing from this host for an attempt, with the time when
+// that ends: those that asked for backoff and, for an attempt after the first, the evacuated ones. The dispatcher knows these
+// itself unless its knowledge is older than this host's; the first attempt then shows it.
+func (rn *Runner) engineBackoffs(service id.Service, attemptNumber int) map[id.Engine]time.Time {
+	engines := map[id.Engine]time.Time{}
+	now := rn.clock.Now()
 	rn.mutex.Lock()
-	defer rn.mutex.Unlock()
-	backoffs := rn.backoffs.ServiceBackoffs(rn.clock.Now(), service)
-	if len(backoffs) == 0 {
-		return nil
-	}
-	engines := make(map[id.Engine]time.Time, len(backoffs))
-	for server, backoffEnd := range backoffs {
+	for server, backoffEnd := range rn.backoffs.ServiceBackoffs(now, service) {
 		engines[id.Engine(server)] = backoffEnd
 	}
+	rn.mutex.Unlock()
+	if attemptNumber > 1 {
+		for _, server := range rn.fleet.Servers(service) {
+			if server.Evacuated {
+				engines[id.Engine(server.ID)] = now.Add(evacuatedBackoff)
+			}
+		}
+	}
+	if len(engines) == 0 {
+		return nil
+	}
 	return engines
 }
 
-// findUnusableEngine looks for an engine of a grant that must not get the request because it is leaving, asked for
-// backoff, or is out of reach of this host; the dispatcher may not have learned of this yet. It returns the report to the
+// evacuatedBackoff is how long a dispatcher is to leave evacuated engines out that it gave to a request. It exceeds the time
+// in which hosts learn of an evacuation from each other.
+const evacuatedBackoff = 2 * time.Second
+
+// findUnusableEngine looks for an engine of a grant that must not get the request because it is evacuated or leaving, asked
+// for backoff, or is out of reach of this host; the dispatcher may not have learned of this yet. It returns the report to the
 // dispatcher, the reason, and whether there is such an engine. If only an old server list shows that the engine is leaving,
 // it is reported as full and not as gone, because it may have been listed again and other hosts must not give it up. That
-// this host does not reach an engine is no fault of the engine.
+// this host does not reach an engine, or that it is evacuated, is no fault of the engine.
 func (rn *Runner) findUnusableEngine(grant batch.Grant) (broker.EndedGrant, string, bool) {
 	now := rn.clock.Now()
 	for _, part := range grant.Parts {
 		server := id.BackendServer(part.Engine)
 		switch {
+		case rn.fleet.Evacuated(server):
+			return broker.EndedGrant{FailedEngine: part.Engine}, evacuatedReason, true
 		case rn.fleet.AnnouncedLeaving(server), rn.fleet.ListedAsLeaving(server) && rn.fleet.ListAge() <= maxListAgeForReports:
 			return broker.EndedGrant{FailedEngine: part.Engine, Fault: batch.Gone}, "an engine of the grant is leaving", true
 		case rn.fleet.ListedAsLeaving(server):
@@ -139,6 +154,19 @@
 	return broker.EndedGrant{}, "", false
 }
 
+// evacuatedReason is why a grant with an evacuated engine ends.
+const evacuatedReason = "an engine of the grant is evacuated"
+
+// evacuatedEngine returns an engine of a grant that is evacuated, and false if there is none.
+func (rn *Runner) evacuatedEngine(grant batch.Grant) (id.Engine, bool) {
+	for _, part := range grant.Parts {
+		if rn.fleet.Evacuated(id.BackendServer(part.Engine)) {
+			return part.Engine, true
+		}
+	}
+	return "", false
+}
+
 // maxListAgeForReports is the age up to which this host reports engines as gone to others on the basis of its server
 // list. It exceeds two read periods of the list, so that one failed read does not count.
 const maxListAgeForReports = time.Second
--- a/coordination/peerrelay/network_test.go
+++ b/coordination/peerrelay/network_test.go
@@ -73,8 +73,10 @@
 	// cutOff holds the arguments of the calls of the callback.
 	cutOff  []bool
 	leaving map[id.BackendServer]bool
-	refuses bool
-	listAge time.Duration
+	// evacuated holds the servers that the host knows to be evacuated.
+	evacuated map[id.BackendServer]bool
+	refuses   bool
+	listAge   time.Duration
 }
 
 // listed are the backend servers of the network: two of a service in each of two zones.
@@ -89,7 +91,7 @@
 func newNetwork(names ...id.Host) *network {
 	nw := &network{hosts: map[id.Host]*host{}, runs: map[string]int{}, answerTime: 10 * time.Millisecond}
 	for _, name := range names {
-		ht := &host{network: nw, name: name, linkStates: map[string]linkState{}, kept: map[string]int{}, leaving: map[id.BackendServer]bool{}}
+		ht := &host{network: nw, name: name, linkStates: map[string]linkState{}, kept: map[string]int{}, leaving: map[id.BackendServer]bool{}, evacuated: map[id.BackendServer]bool{}}
 		for _, other := range names {
 			if other != name {
 				ht.members = append(ht.members, membership.Member{Host: other, Status: membership.Alive, PeerAddress: string(other) + ":1", AvailabilityZone: id.AvailabilityZone(other[:1])})
@@ -238,6 +240,7 @@
 	return ht.leaving[server]
 }
 func (ht *host) AnnouncedLeaving(id.BackendServer) bool { return false }
+func (ht *host) Evacuated(server id.BackendServer) bool { return ht.evacuated[server] }
 func (ht *host) ListAge() time.Duration                 { return ht.listAge }
 func (ht *host) DropIdle(address string) {
 	ht.network.mutex.Lock()
--- a/coordination/peerrelay/peerrelay.go
+++ b/coordination/peerrelay/peerrelay.go
@@ -91,6 +91,8 @@
 	NoDirectWay Reason = "no_direct_way"
 	// ServerLeaving means that the peer knows that the server is leaving.
 	ServerLeaving Reason = "server_leaving"
+	// ServerEvacuated means that the peer knows that the server, or an engine that is to help it, is evacuated.
+	ServerEvacuated Reason = "server_evacuated"
 	// ServerUnreachable means that the peer could not connect to the server.
 	ServerUnreachable Reason = "server_unreachable"
 	// ExchangeFailed means that the peer's exchange with the server failed after something was sent.
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -198,7 +198,7 @@
 		failure = asFailure(err)
 		sd.countRelayed(call.Kind, string(failure.Reason))
 		switch {
-		case !failure.NotSent, failure.Reason == ServerLeaving, ctx.Err() != nil:
+		case !failure.NotSent, failure.Reason == ServerLeaving, failure.Reason == ServerEvacuated, ctx.Err() != nil:
 			return Answer{}, peer.Host, failure
 		case failure.Reason == ServerUnreachable && failure.ReachesOther:
 			sd.links.recordThroughPeer(call.Address, false)
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -216,6 +216,9 @@
 		{"leaving", func(peer *host) { peer.refuses = true }, peerrelay.PeerLeaving},
 		{"server leaving", func(peer *host) { peer.leaving["s1"] = true }, peerrelay.ServerLeaving},
 		{"server leaving by an old list", func(peer *host) { peer.leaving["s1"], peer.listAge = true, 5*time.Second }, ""},
+		{"server evacuated", func(peer *host) { peer.evacuated["s1"] = true }, peerrelay.ServerEvacuated},
+		{"server evacuated by an old list", func(peer *host) { peer.evacuated["s1"], peer.listAge = true, 5*time.Second }, peerrelay.ServerEvacuated},
+		{"another server evacuated", func(peer *host) { peer.evacuated["s2"] = true }, ""},
 		{"busy", func(peer *host) {
 			peer.cut(silent, "blocked:80")
 			for range 64 {
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -41,6 +43,8 @@
 	ListedAsLeaving(server id.BackendServer) bool
 	// AnnouncedLeaving reports whether a server itself announced that it is leaving.
 	AnnouncedLeaving(server id.BackendServer) bool
+	// Evacuated reports whether the operator has evacuated the availability zone of a listed server.
+	Evacuated(server id.BackendServer) bool
 	// ListAge returns the time since the list was last known to be up to date.
 	ListAge() time.Duration
 }
@@ -158,7 +162,8 @@
 	}
 }
 
-// refuse returns the failure of a call that this host does not take, or nil. Orders that free memory are always taken.
+// refuse returns the failure of a call that this host does not take, or nil. Orders that free memory are always taken. Memory
+// is also reserved on evacuated engines, because that may renew the reservation of a running request.
 func (sv *Server) refuse(call Call) *Failure {
 	refusal := func(reason Reason, detail string) *Failure {
 		return &Failure{Reason: reason, NotSent: true, Detail: detail}
@@ -178,10 +183,19 @@
 	case call.Kind != Send:
 	case sv.fleet.AnnouncedLeaving(server), sv.fleet.ListedAsLeaving(server) && sv.fleet.ListAge() <= maxListAge:
 		return refusal(ServerLeaving, "the server is leaving")
+	case sv.isEvacuated(call.Attempt):
+		return refusal(ServerEvacuated, "the server or an engine that helps it is evacuated")
 	}
 	return nil
 }
 
+// isEvacuated reports whether the server of an attempt or an engine that is to help it is evacuated.
+func (sv *Server) isEvacuated(attempt forward.Attempt) bool {
+	return sv.fleet.Evacuated(attempt.Server) || slices.ContainsFunc(attempt.Helpers, func(part batch.Part) bool {
+		return sv.fleet.Evacuated(id.BackendServer(part.Engine))
+	})
+}
+
 // send sends an attempt once. The deadline that is sent to the server accounts for the time that passed here.
 func (sv *Server) send(ctx context.Context, cancel func(), call Call, passed time.Duration) (Answer, error) {
 	attempt := call.Attempt
--- a/coordination/requestlimit/permit.go
+++ b/coordination/requestlimit/permit.go
@@ -85,7 +85,7 @@
 var errNotIssuer = errors.New("another host issues the permits of the service")
 
 // Issue permits one request to the server that can get it first, if that is within the request's MaxWait. A server that
-// is not listed gets none.
+// is not listed, or is evacuated, gets none.
 func (is *Issuer) Issue(request PermitRequest) (Permit, error) {
 	is.tracker.Learn(string(request.Host), request.Limits...)
 	leads := is.peers.LeadsService(request.Service)
@@ -126,11 +126,11 @@
 // unlistedWait is the time after which a host asks again whose servers the issuer's list does not show.
 const unlistedWait = 500 * time.Millisecond
 
-// accountFor returns the account of a server with its current limit, or false if the server is not listed. The caller
-// holds the mutex.
+// accountFor returns the account of a server with its current limit, or false if the server is not listed or is evacuated.
+// The caller holds the mutex.
 func (is *Issuer) accountFor(now time.Time, name id.BackendServer, listed []serverlist.Server) (*serverAccount, bool) {
 	for _, server := range listed {
-		if server.ID != name {
+		if server.ID != name || server.Evacuated {
 			continue
 		}
 		account, ok := is.accounts[name]
--- a/coordination/requestlimit/permit_test.go
+++ b/coordination/requestlimit/permit_test.go
@@ -217,6 +217,25 @@
 	})
 }
 
+// TestNoPermitForEvacuatedServer checks that the issuer permits no request to an evacuated server, also if the host that
+// asks does not know of the evacuation.
+func TestNoPermitForEvacuatedServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, hosts := newNetwork(1)
+		evacuated := limitedServer
+		evacuated.Evacuated = true
+		clock := timer.NewSystem()
+		tracker := requestlimit.NewTracker(clock, tally.NoopScope, slog.New(slog.DiscardHandler), func(membership.Fact) {}, func() {})
+		issuer := requestlimit.NewIssuer(clock, hostPeers{nw, hosts[0]}, fleetOf{evacuated, otherServer}, tracker)
+		permit, err := issuer.Issue(requestlimit.PermitRequest{Host: hosts[0], Service: service, Servers: []id.BackendServer{"limited"}, MaxWait: time.Second})
+		assert.NilError(t, err)
+		assert.Assert(t, !permit.Granted() && permit.Wait > 0)
+		permit, err = issuer.Issue(requestlimit.PermitRequest{Host: hosts[0], Service: service, Servers: []id.BackendServer{"limited", "other"}, MaxWait: time.Second})
+		assert.NilError(t, err)
+		assert.Equal(t, permit.Server, id.BackendServer("other"))
+	})
+}
+
 // TestFactsOrderStatements checks that facts keep statements, and that a higher value stands for the statement that
 // applies.
 func TestFactsOrderStatements(t *testing.T) {
--- a/protocol/operator/operator.go
+++ b/protocol/operator/operator.go
@@ -88,6 +88,9 @@
 	StoreAway bool
 	// ListAge is the time since the list of backend servers was known to be up to date.
 	ListAge time.Duration
+	// EvacuatedZones lists the availability zones whose engines and backend servers get no new requests, because the
+	// operator has evacuated them.
+	EvacuatedZones []id.AvailabilityZone
 }
 
 // ListRevision is the revision of a list.
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,8 @@
 	// serversByService holds the listed servers by service; those with a departure are marked as draining. Its slices are
 	// returned to callers and never modified.
 	serversByService map[id.Service][]serverlist.Server
+	// evacuatedServers holds the listed servers in availability zones that the operator has evacuated.
+	evacuatedServers map[id.BackendServer]bool
 }
 
 // departure says that a server is leaving. It applies to the process that started at startedAtMillis, in Unix
@@ -98,18 +101,32 @@
 	return membership.Fact{Kind: membership.DepartureFact, Key: uint64(id.HashServer(server.ID)), Value: server.StartedAtMillis}
 }
 
-// groupByService rebuilds serversByService from the listed servers. The caller holds the lock.
+// groupByService rebuilds serversByService and evacuatedServers from the listed servers. The caller holds the lock.
 func (fl *fleet) groupByService(servers []serverlist.Server) {
 	fl.serversByService = map[id.Service][]serverlist.Server{}
+	fl.evacuatedServers = map[id.BackendServer]bool{}
+	evacuatedZones := fl.follower.EvacuatedZones()
 	for _, server := range servers {
 		if recordedDeparture, departed := fl.departures[id.HashServer(server.ID)]; departed && recordedDeparture.startedAtMillis == server.StartedAtMillis {
 			server.Draining = true
 		}
+		if slices.Contains(evacuatedZones, server.AvailabilityZone) {
+			server.Evacuated = true
+			fl.evacuatedServers[server.ID] = true
+		}
 		fl.serversByService[server.Service] = append(fl.serversByService[server.Service], server)
 	}
 }
 
-// Servers returns the listed servers of a service. Those that announced that they are leaving are marked as draining.
+// Evacuated reports whether the operator has evacuated the availability zone of a listed server.
+func (fl *fleet) Evacuated(server id.BackendServer) bool {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	return fl.evacuatedServers[server]
+}
+
+// Servers returns the listed servers of a service. Those that announced that they are leaving are marked as draining, those
+// in evacuated availability zones as evacuated.
 // The caller must not modify the result.
 func (fl *fleet) Servers(service id.Service) []serverlist.Server {
 	fl.mutex.Lock()
@@ -205,7 +222,7 @@
 	servers := fl.Servers(service)
 	specs := make([]batch.EngineSpec, 0, len(servers))
 	for _, server := range servers {
-		specs = append(specs, batch.EngineSpec{Engine: id.Engine(server.ID), Address: server.Address, StartedAtMillis: server.StartedAtMillis, Leaving: server.Draining, RequestLimit: fl.limits.Rate(server)})
+		specs = append(specs, batch.EngineSpec{Engine: id.Engine(server.ID), Address: server.Address, StartedAtMillis: server.StartedAtMillis, Leaving: server.Draining, Evacuated: server.Evacuated, RequestLimit: fl.limits.Rate(server)})
 	}
 	return specs
 }
--- a/site/gauges.go
+++ b/site/gauges.go
@@ -27,6 +27,7 @@
 	scope.Gauge("hosts").Update(float64(1 + len(ht.gossip.RemoteMembers())))
 	scope.Gauge("list_age_seconds").Update(ht.updateFollower.ListAge().Seconds())
 	scope.Gauge("store_away").Update(boolToFloat(ht.updateFollower.StoreUnavailable()))
+	scope.Gauge("zones_evacuated").Update(float64(len(ht.updateFollower.EvacuatedZones())))
 	if table := ht.updateFollower.Table(); table != nil {
 		scope.Gauge("desired_state_version").Update(float64(table.Version()))
 		scope.Gauge("desired_state_age_seconds").Update(ht.updateFollower.TableAge().Seconds())
--- a/site/status.go
+++ b/site/status.go
@@ -23,6 +23,7 @@
 		Started:          ht.startedAt,
 		StoreAway:        ht.updateFollower.StoreUnavailable(),
 		ListAge:          ht.updateFollower.ListAge(),
+		EvacuatedZones:   ht.updateFollower.EvacuatedZones(),
 	}
 	if ready, reason := ht.Ready(); !ready {
 		status.NotReady = reason
--- a/state/serverlist/serverlist.go
+++ b/state/serverlist/serverlist.go
@@ -21,11 +21,17 @@
 	Slots int
 	// Draining is set while the server finishes the requests that it has and must get no new ones.
 	Draining bool
+	// Evacuated is set if the operator has evacuated the server's availability zone: the server must get no new requests
+	// until that ends. The list itself never sets it.
+	Evacuated bool
 	// StartedAtMillis is when the server started, in Unix milliseconds. A different value under the same id means that
 	// another server process has taken over the id.
 	StartedAtMillis int64
 }
 
+// TakesNewWork reports whether the server may get new requests: it is neither draining nor evacuated.
+func (sv Server) TakesNewWork() bool { return !sv.Draining && !sv.Evacuated }
+
 // Record is an entry of the list as it was set or removed at an offset.
 type Record struct {
 	ID     id.BackendServer
