The soak evacuates zones

After the faults each zone is evacuated once more. With -soak.timed nothing may reach a zone after 5 s without an unplanned fault nearby.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -42,6 +42,7 @@
 	tb.checkCrashingRequests(runsByID)
 	tb.checkCutOffHosts()
 	tb.checkLosses(runsByID)
+	tb.checkEvacuations()
 	for _, sv := range servers {
 		if sv.ratePerSecond > 0 {
 			tb.checkRequestLimit(sv, exchangesByID)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -38,6 +38,8 @@
 	sendCrashingRequests bool
 	// cutsHosts says that faults may cut hosts off from servers.
 	cutsHosts bool
+	// evacuatesZones says that faults may evacuate zones, and that this is checked after the faults too.
+	evacuatesZones bool
 	// clientsPerHost is the number of clients that stay with each host whatever happens.
 	clientsPerHost int
 	// plannedOnly says that all faults are planned work.
@@ -89,6 +91,11 @@
 		cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, cutOffHosts, terminateHost, killHost,
 		suspendHost, disruptLink, failStore, failServer, replaceServer, publishDesiredStates, reloadSettings,
 	}},
+	// Evacuations has zones that the operator evacuates, for some seconds each, beside faults of hosts and of the store.
+	"Evacuations": {moreSeries: 3, evacuatesZones: true, faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
+		evacuateZones, evacuateZones, evacuateZones, evacuateZones, evacuateZones, evacuateZones, terminateHost, killHost, killAllHosts,
+		suspendHost, disruptLink, failStore, restoreStore, crashAndRestartServer, publishDesiredStates,
+	}},
 	// Planned has planned work alone, so that no request may be lost.
 	"Planned": {
 		seriesPerSecond: 1, clientsPerHost: 4, plannedOnly: true, grace: 5 * time.Second,
@@ -271,6 +278,11 @@
 					tb.store.ListServer(sv.Server)
 				}
 			}
+			if tb.mix.evacuatesZones {
+				for ix := range zoneCount {
+					tb.writeEvacuation(fmt.Sprintf("zone-%c", 'a'+ix))
+				}
+			}
 			tb.mutex.Unlock()
 			tb.publishDesiredState(0)
 			tb.store.SetFault(standin.NoStoreFault)
--- a/soak/recovery_test.go
+++ b/soak/recovery_test.go
@@ -40,6 +40,9 @@
 		tb.stopCrashingRequests()
 	}
 	tb.checkNewRoute(probe)
+	if tb.mix.evacuatesZones {
+		tb.checkEvacuation()
+	}
 	tb.checkListedDrain()
 	tb.checkAnnouncedDrain(probe)
 	tb.checkClientDisconnect(probe)
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -91,6 +91,9 @@
 	disruptions []disruption
 	// unplannedFaults are the times of the faults that are no planned work.
 	unplannedFaults []*timeSpan
+	// evacuations are the evacuations of zones so far, and evacuationCounts says how often each zone is evacuated now.
+	evacuations      []*zoneEvacuation
+	evacuationCounts map[string]int
 	// linkChanges are the changes of the links between hosts and servers, in order.
 	linkChanges []linkChange
 	// convergedAt is when convergenceTime had passed since all hosts served each kind of request again after the faults.
@@ -129,7 +132,7 @@
 // newTestbed starts the servers and the hosts, with three servers of each service or as many as there are hosts. Hosts reach one another, the store and the servers
 // through links, and clients reach hosts through links. It does not wait until the hosts are ready.
 func newTestbed(t *testing.T, mx faultMix) *testbed {
-	tb := &testbed{t: t, mix: mx, store: standin.NewStore(), hostLogs: map[string][]byte{}, crashedServers: map[string]bool{}}
+	tb := &testbed{t: t, mix: mx, store: standin.NewStore(), hostLogs: map[string][]byte{}, crashedServers: map[string]bool{}, evacuationCounts: map[string]int{}}
 	for range max(zoneCount, *hostCount) {
 		tb.addServer("books", nil)
 		tb.addServer("models", nil)
