A host that has just started does not take a service from its dispatcher

Cause: dispatchers were ordered by processor share and a hash of their names.

Package succession orders the live hosts by what membership already carries: share, then hosts that started late after the others, then the hash. Late is later than 10 s after the oldest live host, or a sixteenth of the time between the first and the last start, so that a fleet that is started together and a rolling restart still agree. It is a function of the members alone: no clock, no message, no store.

Hosts of the earlier build order by hash only. The lowest ten bits of a host's incarnation say that it orders by starts; earlier builds pass them on unchanged. While one live host does not have them all order by the hash, so that both builds agree throughout a rolling update.

Ruled out: the oldest host first (a rolling restart in the order of starts moves a service at every step, and one host gets all services); an age by each host's clock (hosts disagree while it ends); a fact that names the dispatcher (facts expire, and a host that is back before the next one has announced itself takes the service).

Tests: TestOrder (script), TestRestartedHostDoesNotReturn and TestRollingRestartMovesServiceSeldom (properties; the second of them counts moves), site.TestHostSaysThatItOrdersDispatchersByStart. With the old order the first two fail. TestDispatchersAreOrderedByProcessorShare moved from transport/peer to succession with its code, unchanged otherwise.

--- a/site/host.go
+++ b/site/host.go
@@ -31,6 +31,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
+	"github.com/hibiscuslever/hibiscuslever/coordination/succession"
 	"github.com/hibiscuslever/hibiscuslever/lifecycle"
 	"github.com/hibiscuslever/hibiscuslever/platform"
 	"github.com/hibiscuslever/hibiscuslever/settings"
@@ -108,7 +109,7 @@
 	}
 	ht.localMember = membership.Member{
 		Host:             ht.settings.Host.Name,
-		Incarnation:      id.Incarnation(hostOptions.clock.Now().UnixNano()),
+		Incarnation:      succession.MarkIncarnation(id.Incarnation(hostOptions.clock.Now().UnixNano())),
 		PeerAddress:      ht.settings.Host.EffectivePeerAddress(),
 		CallerAddress:    ht.settings.Host.CallerAddress,
 		AvailabilityZone: ht.settings.Host.AvailabilityZone,
--- a/transport/peer/broker.go
+++ b/transport/peer/broker.go
@@ -1,10 +1,8 @@
 package peer
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,6 +13,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/statesync"
+	"github.com/hibiscuslever/hibiscuslever/coordination/succession"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer"
 	"github.com/hibiscuslever/hibiscuslever/protocol/peer/peerconnect"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -27,9 +26,8 @@
 // errInvalidGrant is returned for a message with an incomplete grant.
 var errInvalidGrant = connect.NewError(connect.CodeInvalidArgument, errors.New("the grant has no attempt, engine or address"))
 
-// Dispatchers returns the live hosts in order of preference as dispatcher of a service. Hosts with the largest
-// processor share come first, because one dispatcher serves all hosts. Among hosts with equal shares, a hash of the
-// host and the service decides. The caller must not change the slice.
+// Dispatchers returns the live hosts in order of preference as dispatcher of a service, as succession.Order defines it.
+// The caller must not change the slice.
 func (cl *Client) Dispatchers(service id.Service) []id.Host {
 	liveMembers := cl.members.Live()
 	cl.mutex.Lock()
@@ -40,24 +38,11 @@
 	if len(liveMembers) > 0 && len(cached.liveMembers) == len(liveMembers) && &cached.liveMembers[0] == &liveMembers[0] {
 		return cached.dispatchers
 	}
-	dispatchers := orderDispatchers(service, liveMembers)
+	dispatchers := succession.Order(service, liveMembers)
 	cl.dispatcherOrders[service] = dispatcherOrder{liveMembers: liveMembers, dispatchers: dispatchers}
 	return dispatchers
 }
 
-// orderDispatchers computes the order that Dispatchers returns. The order does not depend on the order of the members.
-func orderDispatchers(service id.Service, liveMembers []membership.Member) []id.Host {
-	shares := make(map[id.Host]uint32, len(liveMembers))
-	hosts := make([]id.Host, len(liveMembers))
-	for index, member := range liveMembers {
-		hosts[index] = member.Host
-		shares[member.Host] = member.ProcessorShare
-	}
-	dispatchers := id.RendezvousOrder("Service/"+string(service), hosts)
-	slices.SortStableFunc(dispatchers, func(left, right id.Host) int { return cmp.Compare(shares[right], shares[left]) })
-	return dispatchers
-}
-
 // LeadsService reports whether the local host is the first dispatcher of a service.
 func (cl *Client) LeadsService(service id.Service) bool {
 	dispatchers := cl.Dispatchers(service)
