A new dispatcher asks all hosts what they hold before it gives places

Reports to a lost dispatcher were lost, so that ended grants counted on for up to five seconds.

- A dispatcher that is started, or becomes the first one, asks all live hosts at once (new call Held; hosts of the earlier build answer that they do not know it) and holds grants back until all have answered, at most 50 ms.
For a second it is cautious.
- A dispatcher that is not the first one by its own view is cautious all the time and asks again each second while it is asked for places: another one gives places as well.
- A report that did not arrive makes the host skip that dispatcher, as a failed request does, and goes to the next one with the held grants.
- A host that chooses engines itself is cautious: it begins at an engine of its own instead of the first in name order, and does not pack.

Log line "dispatcher asked for held places" (first, leads, hosts, failed, learned, granted, waiting, after_ms), counters dispatcher_surveys and dispatcher_survey_failures.

--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -111,6 +111,8 @@
 	RequestGrant(ctx context.Context, dispatcher id.Host, request GrantRequest) (GrantResponse, error)
 	// DeliverResponse passes a response to the entry host that waits for it and reports whether it was still waiting.
 	DeliverResponse(ctx context.Context, host id.Host, requestID id.Request, response GrantResponse) (bool, error)
+	// AskHeldGrants returns the grants of a service that the client on a host holds.
+	AskHeldGrants(ctx context.Context, host id.Host, service id.Service) ([]HeldGrant, error)
 	// SendReport sends a report to the dispatchers on a host.
 	SendReport(ctx context.Context, dispatcher id.Host, report Report) error
 }
--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -41,6 +41,8 @@
 	liveHosts []id.Host
 	// unresponsiveHosts holds the hosts to which calls block until they time out.
 	unresponsiveHosts map[id.Host]bool
+	// cutLinks holds pairs of hosts of which the first can't reach the second.
+	cutLinks map[[2]id.Host]bool
 	// reportDelay is how long reports are under way.
 	reportDelay time.Duration
 	// uninformedHosts holds the hosts that don't know the engines yet.
@@ -165,6 +167,13 @@
 	return nw.clients[host].DeliverResponse(requestID, response), nil
 }
 
+func (nw *network) AskHeldGrants(ctx context.Context, host id.Host, service id.Service) ([]broker.HeldGrant, error) {
+	if err := nw.call(ctx, host); err != nil {
+		return nil, err
+	}
+	return nw.clients[host].HeldGrants(service), nil
+}
+
 func (nw *network) SendReport(ctx context.Context, dispatcher id.Host, report broker.Report) error {
 	if err := nw.call(ctx, dispatcher); err != nil {
 		return err
--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -325,8 +325,8 @@
 }
 
 // chooseWithoutDispatcher chooses the engines for a request itself, while no dispatcher can be reached. It takes only
-// this host's grants into account, because the grants of other hosts aren't known here. For the same reason it uses no
-// engines with a request limit.
+// this host's grants into account, because the grants of other hosts aren't known here. For the same reason it chooses
+// cautiously, and uses no engines with a request limit.
 func (cl *Client) chooseWithoutDispatcher(request GrantRequest) (batch.Grant, outcome.Outcome) {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
@@ -349,6 +349,7 @@
 			machine.Step(now, batch.RenewGrant{Request: held.GrantRequest.Request, Grant: held.Grant, Started: held.Started})
 		}
 	}
+	machine.Step(now, batch.TakeOver{CautiousUntil: now.Add(cautionPeriod)})
 	cl.metrics.Counter("local_choices").Inc(1)
 	for _, effect := range machine.Step(now, batch.Submit{Request: request.Request}) {
 		if effect.Request != request.ID {
@@ -490,7 +491,11 @@
 			dl := cl.beginDelivery(service, dispatcher)
 			cl.mutex.Unlock()
 			if dl != nil || !report.isEmpty() {
-				cl.pendingSends.Go(func() { _ = cl.sendReport(service, dispatcher, *report, dl) })
+				cl.pendingSends.Go(func() {
+					if err := cl.sendReport(service, dispatcher, *report, dl); err != nil {
+						cl.reportLost(service, dispatcher, *report, err)
+					}
+				})
 			}
 		}
 	}
@@ -522,7 +527,7 @@
 }
 
 // sendReport sends a report to a dispatcher, with the evidence of a delivery unless that is nil. Evidence that was not
-// received is repeated in the next report. Other contents of a failed report are lost.
+// received is repeated in the next report.
 func (cl *Client) sendReport(service id.Service, dispatcher id.Host, report Report, dl *delivery) error {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
--- a/coordination/broker/hand_over.go
+++ b/coordination/broker/hand_over.go
@@ -25,12 +25,7 @@
 func (cl *Client) startHandOver(service id.Service, dispatcher id.Host) {
 	ho := &handOver{dispatcher: dispatcher, ended: make(chan struct{})}
 	cl.handOvers[service] = ho
-	report := Report{Host: cl.host}
-	for _, held := range cl.heldGrants {
-		if held.GrantRequest.Service == service {
-			report.HeldGrants = append(report.HeldGrants, *held)
-		}
-	}
+	report := Report{Host: cl.host, HeldGrants: cl.heldGrantsOf(service)}
 	dl := cl.beginDelivery(service, dispatcher)
 	if dl == nil && report.isEmpty() {
 		close(ho.ended)
@@ -39,8 +34,51 @@
 	started := cl.pendingSends.Go(func() {
 		ho.err = cl.sendReport(service, dispatcher, report, dl)
 		close(ho.ended)
+		if ho.err != nil {
+			cl.reportLost(service, dispatcher, report, ho.err)
+		}
 	})
 	if !started {
 		close(ho.ended)
 	}
 }
+
+// heldGrantsOf returns the held grants of a service. The caller holds the mutex.
+func (cl *Client) heldGrantsOf(service id.Service) []HeldGrant {
+	var heldGrants []HeldGrant
+	for _, held := range cl.heldGrants {
+		if held.GrantRequest.Service == service {
+			heldGrants = append(heldGrants, *held)
+		}
+	}
+	return heldGrants
+}
+
+// HeldGrants returns the grants of a service that this host holds.
+func (cl *Client) HeldGrants(service id.Service) []HeldGrant {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	return cl.heldGrantsOf(service)
+}
+
+// reportLost skips a dispatcher for some time that did not receive a report. It queues the starts and ends in the report
+// again, and selects the dispatcher of the service anew, so that the next one learns the grants that this host holds.
+func (cl *Client) reportLost(service id.Service, dispatcher id.Host, report Report, err error) {
+	cl.backOff(dispatcher, err)
+	if len(report.StartedAttempts)+len(report.EndedGrants) > 0 {
+		cl.queueAgain(report)
+	}
+	cl.selectDispatcher(service)
+}
+
+// queueAgain queues the starts and ends in a report before those that were queued since.
+func (cl *Client) queueAgain(report Report) {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	cl.unreportedStarts = append(report.StartedAttempts, cl.unreportedStarts...)
+	cl.unreportedEnds = append(report.EndedGrants, cl.unreportedEnds...)
+	if excess := len(cl.unreportedEnds) - maxUnreportedEnds; excess > 0 {
+		cl.unreportedEnds = cl.unreportedEnds[excess:]
+	}
+	cl.scheduleReport()
+}
--- a/coordination/broker/review_test.go
+++ b/coordination/broker/review_test.go
@@ -55,6 +55,8 @@
 	responses map[id.Request]broker.GrantResponse
 }
 
+func (rp *recordingPeers) Dispatchers(id.Service) []id.Host { return nil }
+
 func (rp *recordingPeers) LeadsService(id.Service) bool { return true }
 
 func (rp *recordingPeers) DeliverResponse(_ context.Context, _ id.Host, requestID id.Request, response broker.GrantResponse) (bool, error) {
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -60,7 +60,8 @@
 	machine *batch.Machine
 	waiting map[id.Request]waitingRequest
 	// lastUsed is when a host last sent a request or a report.
-	lastUsed time.Time
+	lastUsed  time.Time
+	knowledge knowledge
 }
 
 // waitingRequest is a request that waits for a grant.
@@ -237,6 +238,7 @@
 	}
 	request.RunAlone, request.SuspectParts, request.Exclusive = waiting.isolation.RunAlone, waiting.isolation.SuspectParts, waiting.isolation.Exclusive
 	dp := sv.dispatcherFor(now, request.Service)
+	sv.prepare(now, dp)
 	delete(dp.waiting, request.ID)
 	var response GrantResponse
 	var otherEffects []batch.Effect
--- /dev/null
+++ b/coordination/broker/takeover.go
@@ -0,0 +1,113 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+const (
+	// knowledgeWait bounds the time for which a new dispatcher holds back its first grants until the other hosts have told
+	// it of the grants that they hold.
+	knowledgeWait = 50 * time.Millisecond
+	// askTimeout bounds one call that asks a host for its held grants. What comes after knowledgeWait is used as well.
+	askTimeout = 500 * time.Millisecond
+	// cautionPeriod is how long a dispatcher grants cautiously after it has taken over, or while it is not the first one:
+	// other dispatchers may still grant, and hosts that were not reached report what they hold within heldReportPeriod.
+	cautionPeriod = time.Second
+	// askPeriod is the least time between two times at which a dispatcher asks all hosts, and the period while it is not
+	// the first one.
+	askPeriod = time.Second
+)
+
+// knowledge is what a dispatcher does to learn of running requests. The server's mutex guards it.
+type knowledge struct {
+	// leads says that the host was the first dispatcher when a host last asked for a grant.
+	leads bool
+	// askedAt is when all hosts were last asked for the grants that they hold.
+	askedAt time.Time
+	// survey is the newest time of asking.
+	survey *survey
+}
+
+// survey counts the answers of hosts that were asked for the grants that they hold.
+type survey struct {
+	beganAt time.Time
+	asked   int
+	// answered and failed count the calls that have ended. learned counts the grants in the answers that were unknown.
+	answered int
+	failed   int
+	learned  int
+	// first is the first dispatcher by this host's order, and leads says that it is this host.
+	first id.Host
+	leads bool
+}
+
+// prepare is called before a dispatcher decides about a request. If the dispatcher has taken over the service, it asks all
+// hosts for the grants that they hold and holds back its own until then. While this host is not the first dispatcher it
+// asks again in every askPeriod, because another one grants as well, and grants cautiously. The caller holds the mutex.
+func (sv *Server) prepare(now time.Time, dp *serviceDispatcher) {
+	leads := sv.peers.LeadsService(dp.service)
+	hasTakenOver := leads && !dp.knowledge.leads || dp.knowledge.askedAt.IsZero()
+	dp.knowledge.leads = leads
+	if leads && !hasTakenOver {
+		return
+	}
+	caution := batch.TakeOver{CautiousUntil: now.Add(cautionPeriod)}
+	if now.Sub(dp.knowledge.askedAt) >= askPeriod {
+		dp.knowledge.askedAt = now
+		if asked := sv.askHosts(now, dp, leads); asked > 0 {
+			caution.HoldUntil = now.Add(knowledgeWait)
+		}
+	}
+	sv.applyEffects(dp, dp.machine.Step(now, caution))
+}
+
+// askHosts asks all live hosts, in the background, for the grants of a service that they hold, and returns how many it
+// asks. The caller holds the mutex.
+func (sv *Server) askHosts(now time.Time, dp *serviceDispatcher, leads bool) int {
+	hosts := sv.peers.Dispatchers(dp.service)
+	sy := &survey{beganAt: now, asked: len(hosts), leads: leads}
+	dp.knowledge.survey = sy
+	if len(hosts) > 0 {
+		sy.first = hosts[0]
+	}
+	sv.metrics.Counter("dispatcher_surveys").Inc(1)
+	for _, host := range hosts {
+		if !sv.pendingDeliveries.Go(func() { sv.askHost(dp, sy, host) }) {
+			return 0
+		}
+	}
+	return len(hosts)
+}
+
+// askHost asks one host for the grants of a service that it holds, and passes them on to the dispatcher.
+func (sv *Server) askHost(dp *serviceDispatcher, sy *survey, host id.Host) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	heldGrants, err := sv.peers.AskHeldGrants(ctx, host, dp.service)
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	now := sv.clock.Now()
+	if err != nil {
+		sy.failed++
+		sv.metrics.Counter("dispatcher_survey_failures").Inc(1)
+	} else {
+		sy.answered++
+	}
+	for _, held := range heldGrants {
+		if _, _, known := dp.machine.ActiveGrant(held.Grant.Attempt); !known {
+			sy.learned++
+		}
+		sv.applyEffects(dp, dp.machine.Step(now, batch.RenewGrant{Request: held.GrantRequest.Request, Grant: held.Grant, Started: held.Started}))
+	}
+	if sy.answered == sy.asked && dp.knowledge.survey == sy {
+		sv.applyEffects(dp, dp.machine.Step(now, batch.Informed{}))
+	}
+	if sy.answered+sy.failed == sy.asked {
+		sv.logger.Info("dispatcher asked for held places", "service", string(dp.service), "first", string(sy.first), "leads", sy.leads, "hosts", sy.asked,
+			"failed", sy.failed, "learned", sy.learned, "granted", dp.machine.Granted(), "waiting", dp.machine.Waiting(), "after_ms", now.Sub(sy.beganAt).Milliseconds())
+	}
+}
--- a/protocol/peer/peerconnect/peer.connect.go
+++ b/protocol/peer/peerconnect/peer.connect.go
@@ -65,6 +65,8 @@
 	PeerCopyProcedure = "/hibiscuslever.peer.Peer/Copy"
 	// PeerPermitProcedure is the fully-qualified name of the Peer's Permit RPC.
 	PeerPermitProcedure = "/hibiscuslever.peer.Peer/Permit"
+	// PeerHeldProcedure is the fully-qualified name of the Peer's Held RPC.
+	PeerHeldProcedure = "/hibiscuslever.peer.Peer/Held"
 )
 
 // PeerClient is a client for the hibiscuslever.peer.Peer service.
@@ -101,6 +103,8 @@
 	Copy(context.Context, *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error)
 	// Permit asks the host that counts the requests to servers with a request limit for permission to send one.
 	Permit(context.Context, *connect.Request[peer.PermitRequest]) (*connect.Response[peer.PermitResponse], error)
+	// Held returns the grants of a service that the entry host holds. A host that takes over as dispatcher asks for them.
+	Held(context.Context, *connect.Request[peer.HeldRequest]) (*connect.Response[peer.HeldResponse], error)
 }
 
 // NewPeerClient constructs a client for the hibiscuslever.peer.Peer service. By default, it uses
@@ -204,6 +208,12 @@
 			connect.WithSchema(peerMethods.ByName("Permit")),
 			connect.WithClientOptions(opts...),
 		),
+		held: connect.NewClient[peer.HeldRequest, peer.HeldResponse](
+			httpClient,
+			baseURL+PeerHeldProcedure,
+			connect.WithSchema(peerMethods.ByName("Held")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -224,6 +234,7 @@
 	tell     *connect.Client[peer.TellRequest, peer.TellResponse]
 	copy     *connect.Client[peer.CopyRequest, peer.CopyResponse]
 	permit   *connect.Client[peer.PermitRequest, peer.PermitResponse]
+	held     *connect.Client[peer.HeldRequest, peer.HeldResponse]
 }
 
 // Acquire calls hibiscuslever.peer.Peer.Acquire.
@@ -301,6 +312,11 @@
 	return c.permit.CallUnary(ctx, req)
 }
 
+// Held calls hibiscuslever.peer.Peer.Held.
+func (c *peerClient) Held(ctx context.Context, req *connect.Request[peer.HeldRequest]) (*connect.Response[peer.HeldResponse], error) {
+	return c.held.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the hibiscuslever.peer.Peer service.
 type PeerHandler interface {
 	// Acquire requests a grant from a shard dispatcher. It is idempotent per request ID. If the request is still queued
@@ -335,6 +351,8 @@
 	Copy(context.Context, *connect.Request[peer.CopyRequest]) (*connect.Response[peer.CopyResponse], error)
 	// Permit asks the host that counts the requests to servers with a request limit for permission to send one.
 	Permit(context.Context, *connect.Request[peer.PermitRequest]) (*connect.Response[peer.PermitResponse], error)
+	// Held returns the grants of a service that the entry host holds. A host that takes over as dispatcher asks for them.
+	Held(context.Context, *connect.Request[peer.HeldRequest]) (*connect.Response[peer.HeldResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -434,6 +452,12 @@
 		connect.WithSchema(peerMethods.ByName("Permit")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerHeldHandler := connect.NewUnaryHandler(
+		PeerHeldProcedure,
+		svc.Held,
+		connect.WithSchema(peerMethods.ByName("Held")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hibiscuslever.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerAcquireProcedure:
@@ -466,6 +490,8 @@
 			peerCopyHandler.ServeHTTP(w, r)
 		case PeerPermitProcedure:
 			peerPermitHandler.ServeHTTP(w, r)
+		case PeerHeldProcedure:
+			peerHeldHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -534,3 +560,7 @@
 func (UnimplementedPeerHandler) Permit(context.Context, *connect.Request[peer.PermitRequest]) (*connect.Response[peer.PermitResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Permit is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Held(context.Context, *connect.Request[peer.HeldRequest]) (*connect.Response[peer.HeldResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hibiscuslever.peer.Peer.Held is not implemented"))
+}
--- a/transport/peer/broker.go
+++ b/transport/peer/broker.go
@@ -97,9 +97,7 @@
 	}
 	now := cl.clock.Now()
 	message := &peer.ProgressRequest{Host: string(report.Host)}
-	for _, held := range report.HeldGrants {
-		message.Held = append(message.Held, &peer.HeldPlace{Request: encodeBrokerGrantRequest(held.GrantRequest, now), Place: encodeBrokerGrant(held.Grant), Started: held.Started})
-	}
+	message.Held = encodeHeldGrants(report.HeldGrants, now)
 	for _, started := range report.StartedAttempts {
 		message.Started = append(message.Started, &peer.StartedPlace{Service: string(started.Service), Attempt: string(started.Attempt)})
 	}
@@ -187,13 +185,11 @@
 	}
 	now := sv.clock.Now()
 	report := broker.Report{Host: id.Host(request.Msg.GetHost())}
-	for _, held := range request.Msg.GetHeld() {
-		grant, err := decodeBrokerGrant(held.GetPlace())
-		if err != nil {
-			return nil, err
-		}
-		report.HeldGrants = append(report.HeldGrants, broker.HeldGrant{GrantRequest: decodeBrokerGrantRequest(held.GetRequest(), now), Grant: grant, Started: held.GetStarted()})
+	heldGrants, err := decodeHeldGrants(request.Msg.GetHeld(), now)
+	if err != nil {
+		return nil, err
 	}
+	report.HeldGrants = heldGrants
 	for _, started := range request.Msg.GetStarted() {
 		report.StartedAttempts = append(report.StartedAttempts, broker.StartedAttempt{Service: id.Service(started.GetService()), Attempt: id.Attempt(started.GetAttempt())})
 	}
--- a/transport/peer/fuzz_test.go
+++ b/transport/peer/fuzz_test.go
@@ -58,6 +58,10 @@
 	return false, errNotRunning
 }
 
+func (unreachablePeers) AskHeldGrants(context.Context, id.Host, id.Service) ([]broker.HeldGrant, error) {
+	return nil, errNotRunning
+}
+
 func (unreachablePeers) SendReport(context.Context, id.Host, broker.Report) error {
 	return errNotRunning
 }
