A cautious scheduler tries again soon

A request that is not granted because all engines have prompts to read by prediction was tried again only with the next event, or after up to 180 ms: found by broker.TestQueuedRequestGoesToNextDispatcher, which took 235 ms and now takes under 90. The script shows it: s8 is granted on c as soon as c's prompt is read by prediction.

--- a/coordination/batch/selection.go
+++ b/coordination/batch/selection.go
@@ -30,6 +30,10 @@
 	untilNext := min(maxInterval, mc.dispatchQueue(now, &mc.shortQueue, maxShortHeads, mc.proposeShort))
 	untilNext = min(untilNext, mc.dispatchQueue(now, &mc.longQueue, maxLongHeads, mc.proposeLong))
 	untilNext = min(untilNext, mc.untilNextRequest(now))
+	if mc.isCautious(now) {
+		// An engine that is skipped because it has prompts to read may have read one at any time.
+		untilNext = min(untilNext, mc.config.DispatchLead)
+	}
 	// The lower bound keeps the ticks from dispatching again immediately if a request may start within DispatchLead.
 	mc.nextDispatchAt = now.Add(max(untilNext-mc.config.DispatchLead, mc.config.DispatchLead/2))
 }
