Requests that are queued at a lost dispatcher go to the next one at once

Cause: an entry host whose request is queued sends it again every 400 ms. When the dispatcher was lost meanwhile, the request was late (aims of 250 to 300 ms) although the host knew of the loss from another call. The host now sends its queued requests to the next dispatcher when it selects that one.

Test: broker.TestQueuedRequestGoesToNextDispatcher: 400 ms without the change.

--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -58,8 +58,8 @@
 	// mutex guards the fields below up to ownMachines.
 	mutex      sync.Mutex
 	heldGrants map[id.Attempt]*HeldGrant
-	// waiters holds a channel for the response to each request that waits for a grant.
-	waiters          map[id.Request]chan GrantResponse
+	// waiters holds the requests that wait for a grant.
+	waiters          map[id.Request]*waiter
 	unreportedStarts []StartedAttempt
 	unreportedEnds   []EndedGrant
 	// evidenceBuffers holds the local host's evidence about crashes.
@@ -80,6 +80,16 @@
 	hostsKnownOnce sync.Once
 }
 
+// waiter is a request that waits for a grant.
+type waiter struct {
+	service   id.Service
+	responses chan GrantResponse
+	// queuedAt is the dispatcher at which the request is queued; empty if it is at none. moved gets an element when another
+	// dispatcher is selected meanwhile.
+	queuedAt id.Host
+	moved    chan struct{}
+}
+
 // dispatcherBackoff says how long to skip a dispatcher to which a call failed. A call also fails if the host answers
 // that it is leaving or doesn't know the engines.
 type dispatcherBackoff struct {
@@ -102,7 +112,7 @@
 		seed:               seed,
 		heldGrants:         map[id.Attempt]*HeldGrant{},
 		evidenceBuffers:    map[id.Service]*evidenceBuffer{},
-		waiters:            map[id.Request]chan GrantResponse{},
+		waiters:            map[id.Request]*waiter{},
 		dispatcherBackoffs: map[id.Host]*dispatcherBackoff{},
 		handOvers:          map[id.Service]*handOver{},
 		ownMachines:        map[id.Service]*batch.Machine{},
@@ -134,7 +144,7 @@
 		ctx, cancel = context.WithTimeout(ctx, request.ArrivedAt.Add(request.WaitLimit-refusalLead).Sub(cl.clock.Now()))
 		defer cancel()
 	}
-	responses := cl.addWaiter(request.ID)
+	wt := cl.addWaiter(request)
 	defer cl.removeWaiter(request.ID)
 	select {
 	case <-cl.hostsKnown:
@@ -161,7 +171,7 @@
 		}
 		cl.clearBackoff(dispatcher)
 		if response.Grant == nil && response.Refusal == nil {
-			response = cl.awaitResponse(ctx, responses)
+			response = cl.awaitResponse(ctx, wt, dispatcher)
 		}
 		switch {
 		case response.Refusal != nil:
@@ -205,13 +215,13 @@
 	})
 }
 
-// addWaiter registers a channel on which DeliverResponse passes on the response to a request.
-func (cl *Client) addWaiter(requestID id.Request) <-chan GrantResponse {
+// addWaiter registers a request, so that DeliverResponse passes on the response to it.
+func (cl *Client) addWaiter(request GrantRequest) *waiter {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
-	responses := make(chan GrantResponse, 1)
-	cl.waiters[requestID] = responses
-	return responses
+	wt := &waiter{service: request.Service, responses: make(chan GrantResponse, 1), moved: make(chan struct{}, 1)}
+	cl.waiters[request.ID] = wt
+	return wt
 }
 
 func (cl *Client) removeWaiter(requestID id.Request) {
@@ -220,13 +230,19 @@
 	delete(cl.waiters, requestID)
 }
 
-// awaitResponse returns the response that is delivered within grantRequestPeriod, or an empty one.
-func (cl *Client) awaitResponse(ctx context.Context, responses <-chan GrantResponse) GrantResponse {
+// awaitResponse returns the response that is delivered within grantRequestPeriod, or an empty one, also if another
+// dispatcher is selected meanwhile.
+func (cl *Client) awaitResponse(ctx context.Context, wt *waiter, dispatcher id.Host) GrantResponse {
+	if !cl.setQueuedAt(wt, dispatcher) {
+		return GrantResponse{}
+	}
+	defer cl.setQueuedAt(wt, "")
 	timeout, sub := timer.Wait(cl.clock, grantRequestPeriod)
 	defer sub.Stop()
 	select {
-	case response := <-responses:
+	case response := <-wt.responses:
 		return response
+	case <-wt.moved:
 	case <-timeout:
 	case <-ctx.Done():
 	}
@@ -237,12 +253,12 @@
 func (cl *Client) DeliverResponse(requestID id.Request, response GrantResponse) bool {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
-	responses, isWaiting := cl.waiters[requestID]
+	wt, isWaiting := cl.waiters[requestID]
 	if !isWaiting {
 		return false
 	}
 	select {
-	case responses <- response:
+	case wt.responses <- response:
 	default:
 		// A response is already buffered; a dispatcher that responds again sends the same one.
 	}
@@ -261,6 +277,7 @@
 		}
 		if ho := cl.handOvers[service]; ho == nil || ho.dispatcher != dispatcher || ho.hasFailed() {
 			cl.startHandOver(service, dispatcher)
+			cl.moveQueued(service, dispatcher)
 		}
 		return dispatcher, true
 	}
--- a/coordination/broker/hand_over.go
+++ b/coordination/broker/hand_over.go
@@ -82,3 +82,29 @@
 	}
 	cl.scheduleReport()
 }
+
+// setQueuedAt records at which dispatcher a request is queued. It returns false, and records nothing, if another one has
+// been selected since.
+func (cl *Client) setQueuedAt(wt *waiter, dispatcher id.Host) bool {
+	cl.mutex.Lock()
+	defer cl.mutex.Unlock()
+	if ho := cl.handOvers[wt.service]; dispatcher != "" && ho != nil && ho.dispatcher != dispatcher {
+		return false
+	}
+	wt.queuedAt = dispatcher
+	return true
+}
+
+// moveQueued has the requests of a service that are queued at other dispatchers sent to the one that has been selected. The
+// caller holds the mutex.
+func (cl *Client) moveQueued(service id.Service, dispatcher id.Host) {
+	for _, wt := range cl.waiters {
+		if wt.service != service || wt.queuedAt == "" || wt.queuedAt == dispatcher {
+			continue
+		}
+		select {
+		case wt.moved <- struct{}{}:
+		default:
+		}
+	}
+}
--- a/coordination/broker/takeover_test.go
+++ b/coordination/broker/takeover_test.go
@@ -137,3 +137,25 @@
 		assert.Assert(t, !oc.OK(), "a grant was issued for capacity that is in use")
 	})
 }
+
+// TestQueuedRequestGoesToNextDispatcher checks that a request which is queued at a dispatcher that is lost goes to the next
+// one as soon as its host notices the loss, by any call.
+func TestQueuedRequestGoesToNextDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := startHosts(t, "first", "second", "third")
+		defer stop()
+		var grants []batch.Grant
+		for requestNumber := range uint64(engineSlots) {
+			grant, oc := nw.acquire(t, "third", requestNumber, time.Second)
+			assert.Assert(t, oc.OK(), "request %d: %+v", requestNumber, oc)
+			grants = append(grants, grant)
+		}
+		const lostAfter, noticedAfter = 20 * time.Millisecond, 40 * time.Millisecond
+		time.AfterFunc(lostAfter, func() { nw.cut("third", "first", true) })
+		time.AfterFunc(noticedAfter, func() { nw.clients["third"].ReportEnded(broker.EndedGrant{Attempt: grants[0].Attempt}) })
+		began := time.Now()
+		_, oc := nw.acquire(t, "third", engineSlots, time.Second)
+		assert.Assert(t, oc.OK(), "%+v", oc)
+		assert.Assert(t, time.Since(began) < noticedAfter+50*time.Millisecond, "it took %s", time.Since(began))
+	})
+}
