--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -293,9 +293,9 @@
 	}
 }
 
-// TestNoEngineIsOvercommitted submits, starts and finishes requests and lets engines leave and return at random. No
-// engine may get more than its memory and its slots hold, no leaving engine may get anything, and no request may wait
-// longer than its wait limit.
+// TestNoEngineIsOvercommitted submits, starts and finishes requests, and lets engines leave and return and the machine take
+// over at random. No engine may get more than its memory and its slots hold, no leaving engine may get anything, and no
+// request may wait longer than its wait limit.
 func TestNoEngineIsOvercommitted(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		mc := batch.New(batch.DefaultConfig(), 7)
@@ -318,7 +318,7 @@
 		checker.checkEffects(rt, mc.Step(now, listEngines()), acceptingEngines)
 		for step := range rapid.IntRange(5, 80).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(rt, "wait")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
 			case 0, 1, 2:
 				rq := batch.Request{
 					ID:               id.Request(fmt.Sprintf("r%d", step)),
@@ -344,6 +344,9 @@
 				name := id.Engine(fmt.Sprintf("e%d", rapid.IntRange(0, engineCount-1).Draw(rt, "leaving")))
 				acceptingEngines[name] = !acceptingEngines[name]
 				checker.checkEffects(rt, mc.Step(now, listEngines()), acceptingEngines)
+			case 6:
+				hold := time.Duration(rapid.IntRange(0, 100).Draw(rt, "hold")) * time.Millisecond
+				checker.checkEffects(rt, mc.Step(now, batch.TakeOver{HoldUntil: now.Add(hold), CautiousUntil: now.Add(10 * hold)}), acceptingEngines)
 			}
 		}
 		now = now.Add(5 * time.Second)
