A dispatcher that was frozen or cut off asks what runs before it goes on

Cause: while it was away the hosts used the next one; it then packed engines by what it knew from before, until each host had reported to it again. It now counts as having taken over when it has heard of no other host for two seconds although it knew of running requests.

Test: broker.TestDispatcherThatWasCutOffAsksAgain (3 and 8 s), red without.

--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -132,6 +132,7 @@
 			sv.logger.Info("dispatcher stopped", "service", string(service))
 			continue
 		}
+		sv.checkContact(now, dp)
 		sv.applyEffects(dp, dp.machine.Step(now, batch.Tick{}))
 		next = min(next, runningTickPeriod)
 		if dp.machine.Waiting() > 0 {
@@ -238,6 +239,7 @@
 	}
 	request.RunAlone, request.SuspectParts, request.Exclusive = waiting.isolation.RunAlone, waiting.isolation.SuspectParts, waiting.isolation.Exclusive
 	dp := sv.dispatcherFor(now, request.Service)
+	sv.noteContact(now, dp, request.Host)
 	sv.prepare(now, dp)
 	delete(dp.waiting, request.ID)
 	var response GrantResponse
@@ -359,10 +361,12 @@
 	}
 	for _, held := range report.HeldGrants {
 		dp := sv.dispatcherFor(now, held.GrantRequest.Service)
+		sv.noteContact(now, dp, report.Host)
 		sv.applyEffects(dp, dp.machine.Step(now, batch.RenewGrant{Request: held.GrantRequest.Request, Grant: held.Grant, Started: held.Started}))
 	}
 	for _, started := range report.StartedAttempts {
 		dp := sv.dispatcherFor(now, started.Service)
+		sv.noteContact(now, dp, report.Host)
 		sv.applyEffects(dp, dp.machine.Step(now, batch.AttemptStarted{Attempt: started.Attempt}))
 	}
 	var answered []answeredPrompt
--- a/coordination/broker/takeover.go
+++ b/coordination/broker/takeover.go
@@ -20,6 +20,9 @@
 	// askPeriod is the least time between two times at which a dispatcher asks all hosts, and the period while it is not
 	// the first one.
 	askPeriod = time.Second
+	// maxContactGap is the time without a word of another host after which a dispatcher that knows of running requests may
+	// have missed others: its host was frozen or cut off. Hosts report what they hold in every heldReportPeriod.
+	maxContactGap = 2 * time.Second
 )
 
 // knowledge is what a dispatcher does to learn of running requests. The server's mutex guards it.
@@ -30,6 +33,29 @@
 	askedAt time.Time
 	// survey is the newest time of asking.
 	survey *survey
+	// lastContact is when another host last sent a request or a report; zero if none has since the last survey.
+	lastContact time.Time
+	// isStale says that the dispatcher may have missed requests that began to run.
+	isStale bool
+}
+
+// noteContact records that a host has sent a request or a report. It must be called before the dispatcher acts on that.
+// The caller holds the mutex.
+func (sv *Server) noteContact(now time.Time, dp *serviceDispatcher, host id.Host) {
+	sv.checkContact(now, dp)
+	hosts := sv.peers.Dispatchers(dp.service)
+	if host != "" && len(hosts) > 0 && host != hosts[0] {
+		dp.knowledge.lastContact = now
+	}
+}
+
+// checkContact marks a dispatcher as stale that knows of running requests and has heard of no other host for
+// maxContactGap. The caller holds the mutex.
+func (sv *Server) checkContact(now time.Time, dp *serviceDispatcher) {
+	last := dp.knowledge.lastContact
+	if !last.IsZero() && now.Sub(last) > maxContactGap && dp.machine.Granted() > 0 {
+		dp.knowledge.isStale, dp.knowledge.lastContact = true, time.Time{}
+	}
 }
 
 // survey counts the answers of hosts that were asked for the grants that they hold.
@@ -45,13 +71,13 @@
 	leads bool
 }
 
-// prepare is called before a dispatcher decides about a request. If the dispatcher has taken over the service, it asks all
-// hosts for the grants that they hold and holds back its own until then. While this host is not the first dispatcher it
+// prepare is called before a dispatcher decides about a request. If the dispatcher has taken over the service, or is stale,
+// it asks all hosts for the grants that they hold and holds back its own until then. While this host is not the first dispatcher it
 // asks again in every askPeriod, because another one grants as well, and grants cautiously. The caller holds the mutex.
 func (sv *Server) prepare(now time.Time, dp *serviceDispatcher) {
 	leads := sv.peers.LeadsService(dp.service)
-	hasTakenOver := leads && !dp.knowledge.leads || dp.knowledge.askedAt.IsZero()
-	dp.knowledge.leads = leads
+	hasTakenOver := leads && !dp.knowledge.leads || dp.knowledge.askedAt.IsZero() || dp.knowledge.isStale
+	dp.knowledge.leads, dp.knowledge.isStale = leads, false
 	if leads && !hasTakenOver {
 		return
 	}
--- a/coordination/broker/takeover_test.go
+++ b/coordination/broker/takeover_test.go
@@ -159,3 +159,30 @@
 		assert.Assert(t, time.Since(began) < noticedAfter+50*time.Millisecond, "it took %s", time.Since(began))
 	})
 }
+
+// TestDispatcherThatWasCutOffAsksAgain cuts the first dispatcher off for some seconds, in which another host's requests run
+// by grants of the second one. When the first one is back, it gives no place that they hold, although its own host asks
+// before the others report.
+func TestDispatcherThatWasCutOffAsksAgain(t *testing.T) {
+	for _, cutFor := range []time.Duration{3 * time.Second, 8 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			nw, stop := startHosts(t, "first", "second", "third")
+			defer stop()
+			_, oc := nw.acquire(t, "third", 1, time.Second)
+			assert.Assert(t, oc.OK(), "%+v", oc)
+			for _, host := range []id.Host{"second", "third"} {
+				nw.cut(host, "first", true)
+			}
+			for requestNumber := uint64(2); requestNumber <= engineSlots; requestNumber++ {
+				_, oc := nw.acquire(t, "third", requestNumber, time.Second)
+				assert.Assert(t, oc.OK(), "request %d: %+v", requestNumber, oc)
+			}
+			time.Sleep(cutFor)
+			for _, host := range []id.Host{"second", "third"} {
+				nw.cut(host, "first", false)
+			}
+			_, oc = nw.acquire(t, "first", engineSlots+1, 300*time.Millisecond)
+			assert.Assert(t, !oc.OK(), "a grant was issued for capacity that is in use, after %s", cutFor)
+		})
+	}
+}
