--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -81,6 +81,12 @@
 		effects = sc.machine.Step(sc.now, parseReview(t, td))
 	case "tick":
 		effects = sc.machine.Step(sc.now, batch.Tick{})
+	case "takeover":
+		effects = sc.machine.Step(sc.now, batch.TakeOver{HoldUntil: sc.now.Add(parseMillis(t, td, "hold")), CautiousUntil: sc.now.Add(parseMillis(t, td, "cautious"))})
+	case "informed":
+		effects = sc.machine.Step(sc.now, batch.Informed{})
+	case "renew":
+		effects = sc.machine.Step(sc.now, sc.parseRenewal(t, td))
 	default:
 		t.Fatalf("unknown command %q", td.Cmd)
 	}
@@ -157,6 +163,27 @@
 	return rq
 }
 
+// parseMillis reads an argument in milliseconds; zero if it is missing.
+func parseMillis(t *testing.T, td *datadriven.TestData, name string) time.Duration {
+	millis := 0
+	td.MaybeScanArgs(t, name, &millis)
+	return time.Duration(millis) * time.Millisecond
+}
+
+// parseRenewal reads a grant that an entry host holds: a request as in submit, the engines that run it, separated by
+// slashes, and "started" if its first event has arrived.
+func (sc *scriptRunner) parseRenewal(t *testing.T, td *datadriven.TestData) batch.RenewGrant {
+	rq := sc.parseRequest(t, td)
+	var engines string
+	td.ScanArgs(t, "on", &engines)
+	renewal := batch.RenewGrant{Request: rq, Grant: batch.Grant{Attempt: id.NewAttempt(rq.ID, rq.AttemptNumber)}, Started: td.HasArg("started")}
+	for name := range strings.SplitSeq(engines, "/") {
+		renewal.Grant.Parts = append(renewal.Grant.Parts, batch.Part{Engine: id.Engine(name), Address: name + ":1"})
+	}
+	renewal.Grant.Parts[0].MemoryTokens = rq.PromptTokens + rq.MaxAnswerTokens
+	return renewal
+}
+
 // parseSuspects reads the argument suspects=(PART,PART).
 func parseSuspects(td *datadriven.TestData) []id.PromptPart {
 	var parts []id.PromptPart
@@ -271,9 +298,9 @@
 	}
 }
 
-// TestNoEngineIsOvercommitted submits, starts and finishes requests and lets engines leave and return at random. No
-// engine may get more than its memory and its slots hold, no leaving or evacuated engine may get anything, and no request may
-// wait longer than its wait limit.
+// TestNoEngineIsOvercommitted submits, starts and finishes requests, and lets engines leave and return and the machine take
+// over at random. No engine may get more than its memory and its slots hold, no leaving or evacuated engine may get anything,
+// and no request may wait longer than its wait limit.
 func TestNoEngineIsOvercommitted(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		mc := batch.New(batch.DefaultConfig(), 7)
@@ -298,7 +325,7 @@
 		checker.checkEffects(rt, mc.Step(now, listEngines()), acceptingEngines)
 		for step := range rapid.IntRange(5, 80).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(rt, "wait")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
 			case 0, 1, 2:
 				rq := batch.Request{
 					ID:               id.Request(fmt.Sprintf("r%d", step)),
@@ -324,6 +351,9 @@
 				name := id.Engine(fmt.Sprintf("e%d", rapid.IntRange(0, engineCount-1).Draw(rt, "leaving")))
 				acceptingEngines[name] = !acceptingEngines[name]
 				checker.checkEffects(rt, mc.Step(now, listEngines()), acceptingEngines)
+			case 6:
+				hold := time.Duration(rapid.IntRange(0, 100).Draw(rt, "hold")) * time.Millisecond
+				checker.checkEffects(rt, mc.Step(now, batch.TakeOver{HoldUntil: now.Add(hold), CautiousUntil: now.Add(10 * hold)}), acceptingEngines)
 			}
 		}
 		now = now.Add(5 * time.Second)
