Account of requests to a cold server

An account can have a second limit, that of a cold server: its rate with a burst of a quarter second, and at most half of what all hosts may send it in any one second. Requests of the second before count.

Why half: two hosts that both count, without knowing of each other, then hold the bound together, and a host that takes over needs no state of the lost one. Ruled out: the window of 4 s of Server-Limit, because a server that was busy before would get nothing for seconds.

--- a/state/serverlimit/account.go
+++ b/state/serverlimit/account.go
@@ -20,6 +20,10 @@
 	rate Rate
 	// limiter is nil if there is no limit.
 	limiter *rate.Limiter
+	// cold is the limit while the server is cold, and coldLimiter counts against its rate. coldLimiter is nil if the server
+	// is not cold.
+	cold        ColdLimit
+	coldLimiter *rate.Limiter
 	// recent holds the times of the requests of the last recentDuration, in the order in which they were counted.
 	recent []time.Time
 }
@@ -42,11 +46,27 @@
 	ac.rate = perSecond
 }
 
+// SetColdLimit changes the limit that applies in addition to the rate because the server is cold. The zero value ends it.
+// A new limit allows no burst, and the requests of the second before count against MaxPerSecond.
+func (ac *Account) SetColdLimit(now time.Time, limit ColdLimit) {
+	if limit.Rate == ac.cold.Rate {
+		ac.cold = limit
+		return
+	}
+	ac.cold, ac.coldLimiter = limit, nil
+	if limit.Rate > 0 {
+		ac.coldLimiter = rate.NewLimiter(rate.Limit(limit.Rate), limit.Rate.burst())
+		ac.coldLimiter.ReserveN(now, limit.Rate.burst())
+	}
+}
+
 // Restart makes the account allow nothing at once, as for a new limit.
 func (ac *Account) Restart(now time.Time) {
-	perSecond := ac.rate
+	perSecond, cold := ac.rate, ac.cold
 	ac.SetRate(now, 0)
 	ac.SetRate(now, perSecond)
+	ac.SetColdLimit(now, ColdLimit{})
+	ac.SetColdLimit(now, cold)
 }
 
 // burst returns the number of requests that may be sent at once.
@@ -54,12 +74,15 @@
 
 // Wait returns the time until the server may get a request; zero if it may get one now.
 func (ac *Account) Wait(now time.Time) time.Duration {
-	if ac.limiter == nil {
+	if ac.limiter == nil && ac.coldLimiter == nil {
 		return 0
 	}
 	ac.dropOld(now)
-	missing := 1 - ac.limiter.TokensAt(now)
-	wait := max(0, time.Duration(missing/float64(ac.rate)*float64(time.Second)))
+	wait := ac.coldWait(now)
+	if ac.limiter == nil {
+		return wait
+	}
+	wait = max(wait, untilToken(ac.limiter, now))
 	maxRecent := ac.rate.burst() + int(float64(ac.rate)*recentDuration.Seconds())
 	if excess := len(ac.recent) - maxRecent; excess >= 0 {
 		wait = max(wait, ac.recent[excess].Add(recentDuration).Sub(now))
@@ -67,6 +90,24 @@
 	return wait
 }
 
+// coldWait returns the time until the limit of a cold server allows a request; zero if it allows one now.
+func (ac *Account) coldWait(now time.Time) time.Duration {
+	if ac.coldLimiter == nil {
+		return 0
+	}
+	wait := untilToken(ac.coldLimiter, now)
+	if excess := len(ac.recent) - ac.cold.MaxPerSecond; excess >= 0 && ac.cold.MaxPerSecond > 0 {
+		wait = max(wait, ac.recent[excess].Add(time.Second).Sub(now))
+	}
+	return wait
+}
+
+// untilToken returns the time until a limiter allows a request; zero if it allows one now.
+func untilToken(limiter *rate.Limiter, now time.Time) time.Duration {
+	missing := 1 - limiter.TokensAt(now)
+	return max(0, time.Duration(missing/float64(limiter.Limit())*float64(time.Second)))
+}
+
 // Reserve counts a request that is sent after the returned wait, if that is at most maxWait. Otherwise it counts nothing
 // and returns false with the wait.
 func (ac *Account) Reserve(now time.Time, maxWait time.Duration) (time.Duration, bool) {
@@ -75,8 +116,10 @@
 		return wait, false
 	}
 	ac.dropOld(now)
-	if ac.limiter != nil {
-		ac.limiter.ReserveN(now, 1)
+	for _, limiter := range []*rate.Limiter{ac.limiter, ac.coldLimiter} {
+		if limiter != nil {
+			limiter.ReserveN(now, 1)
+		}
 	}
 	ac.recent = append(ac.recent, now.Add(wait))
 	return wait, true
