Which servers are cold: entries, answers, new processes

Hosts read ColdS and ColdPerS of services, ColdRemainingMs of entries and X-Cold-Ms of answers. A server counts as cold until the latest of what its entry, its answers and the listing of its process say; a host that has just started judges by start times. The remaining time of an entry counts from when the host merged the record, and its fall is no change of the list, which otherwise would change for all hosts with each heartbeat of a cold server. Answers are spread by gossip. While the list is older than 3 s any server may be cold. The permits of plain services keep the limit.

Nothing uses this yet without ColdPerS in the desired state.

--- a/coordination/membership/types.go
+++ b/coordination/membership/types.go
@@ -95,6 +95,9 @@
 	// CutOffFact says whether a host is cut off from the backend servers: the key is the hash of the host's name, and the
 	// value is the time of the change in Unix milliseconds, doubled, plus one if the host is cut off.
 	CutOffFact
+	// ColdFact says that a backend server answered that it is cold: the key is the hash of the server's id, the detail is
+	// the start time of the process, and the value is the time of the answer, both in Unix milliseconds.
+	ColdFact FactKind = 48
 )
 
 // factID identifies a fact without its value.
--- /dev/null
+++ b/coordination/requestlimit/cold.go
@@ -0,0 +1,214 @@
+package requestlimit
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/state/coldstart"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+// ColdService describes the cold servers of a service. The zero value is for a service that has none.
+type ColdService struct {
+	// Duration is how long a server is cold after its start.
+	Duration time.Duration
+	// Limit is the limit of a cold server.
+	Limit serverlimit.ColdLimit
+}
+
+// HasColdServers reports whether servers of the service may be cold.
+func (cs ColdService) HasColdServers() bool { return cs.Limit.Rate > 0 }
+
+// ColdFleet gives access to what this host knows of the services and of the list of servers.
+type ColdFleet interface {
+	// ColdService describes the cold servers of a service.
+	ColdService(service id.Service) ColdService
+	// ListAge returns the time since the list was last known to be up to date.
+	ListAge() time.Duration
+}
+
+// ColdStarts knows which servers are cold, logs changes and exchanges what servers said with the other hosts. It is safe
+// for concurrent use.
+type ColdStarts struct {
+	clock   timer.Clock
+	metrics tally.Scope
+	logger  *slog.Logger
+	fleet   ColdFleet
+	// spreadFact sends a fact to all other hosts by gossip.
+	spreadFact func(membership.Fact)
+	// changed is called when a server may have become cold or warm.
+	changed func()
+
+	// mutex guards the following fields.
+	mutex sync.Mutex
+	book  *coldstart.Book
+	// servers are the listed servers whose services have cold servers, and cold those of them that were cold when this was
+	// last checked. listOutdated says whether the list was outdated then.
+	servers      []serverlist.Server
+	cold         map[id.BackendServer]bool
+	listOutdated bool
+}
+
+// NewColdStarts returns an instance that knows of no servers.
+func NewColdStarts(clock timer.Clock, metrics tally.Scope, logger *slog.Logger, fleet ColdFleet, spreadFact func(membership.Fact), changed func()) *ColdStarts {
+	return &ColdStarts{
+		clock: clock, metrics: metrics, logger: logger, fleet: fleet, spreadFact: spreadFact, changed: changed,
+		book: coldstart.NewBook(), cold: map[id.BackendServer]bool{},
+	}
+}
+
+// outdatedListAge is the age of the list from which on a server may have become cold without a trace in it.
+const outdatedListAge = 3 * time.Second
+
+// Limit returns the limit of a server while it is cold, or may be because the list is outdated. It has no rate if the
+// server is warm.
+func (cs *ColdStarts) Limit(server serverlist.Server) serverlimit.ColdLimit {
+	service := cs.fleet.ColdService(server.Service)
+	if !service.HasColdServers() {
+		return serverlimit.ColdLimit{}
+	}
+	cs.mutex.Lock()
+	isCold := cs.book.State(server, service.Duration).IsCold(cs.clock.Now())
+	cs.mutex.Unlock()
+	limit := service.Limit
+	switch {
+	case isCold:
+		return limit
+	case cs.fleet.ListAge() > outdatedListAge:
+		limit.Assumed = true
+		return limit
+	default:
+		return serverlimit.ColdLimit{}
+	}
+}
+
+// UpdateServers takes a new version of the list of servers, or of the desired state.
+func (cs *ColdStarts) UpdateServers(listed []serverlist.Server) {
+	cs.mutex.Lock()
+	cs.book.UpdateList(cs.clock.Now(), listed)
+	cs.servers = nil
+	for _, server := range listed {
+		if cs.fleet.ColdService(server.Service).HasColdServers() {
+			cs.servers = append(cs.servers, server)
+		}
+	}
+	cs.mutex.Unlock()
+	cs.check()
+}
+
+// RecordAnswer records for how long a server remains cold according to its answer to this host; zero if the answer does
+// not say that it is cold.
+func (cs *ColdStarts) RecordAnswer(server serverlist.Server, remaining time.Duration) {
+	if remaining <= 0 || !cs.fleet.ColdService(server.Service).HasColdServers() {
+		return
+	}
+	now := cs.clock.Now()
+	cs.mutex.Lock()
+	wasCold := cs.book.State(server, cs.fleet.ColdService(server.Service).Duration).IsCold(now)
+	isNew := cs.book.Tell(now, id.HashServer(server.ID), remaining, coldstart.Answered)
+	cs.mutex.Unlock()
+	if !isNew || wasCold {
+		return
+	}
+	cs.spreadFact(membership.Fact{Kind: membership.ColdFact, Key: uint64(id.HashServer(server.ID)), Detail: uint64(server.StartedAtMillis), Value: now.UnixMilli()})
+	if cs.check() {
+		cs.changed()
+	}
+}
+
+// maxFactAge is the age from which on a fact says nothing any more, and the largest difference of two hosts' clocks for
+// which facts count.
+const maxFactAge = 30 * time.Second
+
+// LearnFact takes the fact of another host that a server answered that it is cold. The server counts as cold for the
+// whole time of its service, because the clocks of hosts differ.
+func (cs *ColdStarts) LearnFact(fact membership.Fact) {
+	now := cs.clock.Now()
+	if age := now.Sub(time.UnixMilli(fact.Value)); age > maxFactAge || age < -maxFactAge {
+		return
+	}
+	cs.mutex.Lock()
+	for _, server := range cs.servers {
+		if uint64(id.HashServer(server.ID)) == fact.Key && uint64(server.StartedAtMillis) == fact.Detail {
+			cs.book.Tell(now, id.HashServer(server.ID), cs.fleet.ColdService(server.Service).Duration, coldstart.Reported)
+		}
+	}
+	cs.mutex.Unlock()
+	if cs.check() {
+		cs.changed()
+	}
+}
+
+// AnyService reports whether a service has cold servers.
+func (cs *ColdStarts) AnyService() bool {
+	cs.mutex.Lock()
+	defer cs.mutex.Unlock()
+	return len(cs.servers) > 0
+}
+
+// Count returns the number of listed servers that are known to be cold.
+func (cs *ColdStarts) Count() int {
+	cs.mutex.Lock()
+	defer cs.mutex.Unlock()
+	return len(cs.cold)
+}
+
+// checkInterval is the time between two checks of which servers have become warm.
+const checkInterval = 100 * time.Millisecond
+
+// Run notices when servers become warm and when the list becomes outdated, until the context ends. It always returns nil.
+func (cs *ColdStarts) Run(ctx context.Context) error {
+	subscription := timer.Every(cs.clock, checkInterval, func() {
+		if cs.check() {
+			cs.changed()
+		}
+	})
+	<-ctx.Done()
+	subscription.Stop()
+	return nil
+}
+
+// check logs which servers have become cold or warm since the last check, and reports whether there are any.
+func (cs *ColdStarts) check() bool {
+	cs.mutex.Lock()
+	defer cs.mutex.Unlock()
+	now, listAge := cs.clock.Now(), cs.fleet.ListAge()
+	anyChanged := false
+	if outdated := len(cs.servers) > 0 && listAge > outdatedListAge; outdated != cs.listOutdated {
+		cs.listOutdated, anyChanged = outdated, true
+		cs.logger.Info("servers may have become cold unnoticed", "applies", outdated, "list_age_ms", listAge.Milliseconds(), "servers", len(cs.servers))
+	}
+	cold := map[id.BackendServer]bool{}
+	for _, server := range cs.servers {
+		state := cs.book.State(server, cs.fleet.ColdService(server.Service).Duration)
+		isCold := state.IsCold(now)
+		if isCold {
+			cold[server.ID] = true
+		}
+		if isCold != cs.cold[server.ID] {
+			anyChanged = true
+			cs.logChange(now, server, state, listAge)
+		}
+	}
+	cs.cold = cold
+	return anyChanged
+}
+
+// logChange logs that a server became cold or warm.
+func (cs *ColdStarts) logChange(now time.Time, server serverlist.Server, state coldstart.State, listAge time.Duration) {
+	isCold := state.IsCold(now)
+	if isCold {
+		cs.metrics.Counter("servers_turned_cold").Inc(1)
+	}
+	cs.logger.Info("backend server became cold or warm", "server", string(server.ID), "zone", string(server.AvailabilityZone), "cold", isCold,
+		"source", string(state.Source), "remaining_ms", max(0, state.Until.Sub(now)).Milliseconds(),
+		"limit_per_s", float64(cs.fleet.ColdService(server.Service).Limit.Rate), "list_age_ms", listAge.Milliseconds())
+}
--- a/coordination/requestlimit/permit.go
+++ b/coordination/requestlimit/permit.go
@@ -140,6 +140,7 @@
 		}
 		account.lastUsed = now
 		account.SetRate(now, is.tracker.Rate(server))
+		account.SetColdLimit(now, is.tracker.ColdLimit(server))
 		return account, true
 	}
 	return nil, false
@@ -183,6 +184,16 @@
 	return &Client{Tracker: tracker, host: host, peers: peers, deniedUntil: map[id.BackendServer]time.Time{}}
 }
 
+// Rate returns the rate in force for a server, which is its rate while it is cold if that is the lower one; zero if it has
+// no limit. A server that only may be cold, because the list is outdated, has none: no host may be left to issue permits.
+func (cl *Client) Rate(server serverlist.Server) serverlimit.Rate {
+	named, cold := cl.Tracker.Rate(server), cl.ColdLimit(server)
+	if cold.Assumed {
+		return named
+	}
+	return cold.InForce(named)
+}
+
 // Acquire asks for a permit to send a request to one of the given servers of a service, within maxWait. If the issuer
 // can't be reached, no permit is granted: this host can't tell what the other hosts send.
 func (cl *Client) Acquire(ctx context.Context, service id.Service, servers []serverlist.Server, maxWait time.Duration) Permit {
--- a/coordination/requestlimit/tracker.go
+++ b/coordination/requestlimit/tracker.go
@@ -25,6 +25,9 @@
 	// changed is called when a limit has changed.
 	changed func()
 
+	// cold knows the cold servers; nil if no service has any.
+	cold *ColdStarts
+
 	// mutex guards table.
 	mutex sync.Mutex
 	table *serverlimit.Table
@@ -35,8 +38,23 @@
 	return &Tracker{clock: clock, metrics: metrics, logger: logger, spreadFact: spreadFact, changed: changed, table: serverlimit.NewTable()}
 }
 
-// RecordResponse records what a server's response to a request that was sent at sentAt says of the server's limit.
+// SetColdStarts makes the tracker respect the limits of cold servers. It must be called before the other methods.
+func (tr *Tracker) SetColdStarts(cold *ColdStarts) { tr.cold = cold }
+
+// ColdLimit returns the limit of a server while it is cold or may be; without a rate if it is warm.
+func (tr *Tracker) ColdLimit(server serverlist.Server) serverlimit.ColdLimit {
+	if tr.cold == nil {
+		return serverlimit.ColdLimit{}
+	}
+	return tr.cold.Limit(server)
+}
+
+// RecordResponse records what a server's response to a request that was sent at sentAt says of the server's limit, and
+// of the time for which it remains cold.
 func (tr *Tracker) RecordResponse(server serverlist.Server, sentAt time.Time, named Named, successful bool) {
+	if tr.cold != nil {
+		tr.cold.RecordAnswer(server, named.ColdFor)
+	}
 	if named.Invalid != "" {
 		tr.metrics.Counter("request_limits_invalid").Inc(1)
 		tr.logger.Warn("ignored an invalid request limit", "server", string(server.ID), "address", server.Address, "value", named.Invalid)
@@ -62,6 +80,8 @@
 	Rate serverlimit.Rate
 	// Invalid is the text that the response names instead of a rate; empty if there is none.
 	Invalid string
+	// ColdFor is how long the server remains cold; zero if the response does not say that it is cold.
+	ColdFor time.Duration
 }
 
 // Learn takes statements of another host.
@@ -84,15 +104,18 @@
 	}
 }
 
-// Rate returns the rate in force for a server; zero if it has no limit.
+// Rate returns the rate that a server named; zero if it has no limit.
 func (tr *Tracker) Rate(server serverlist.Server) serverlimit.Rate {
 	tr.mutex.Lock()
 	defer tr.mutex.Unlock()
 	return tr.table.Rate(server)
 }
 
-// Any reports whether any limit is or was known.
+// Any reports whether any limit is or was known, or a service has cold servers.
 func (tr *Tracker) Any() bool {
+	if tr.cold != nil && tr.cold.AnyService() {
+		return true
+	}
 	tr.mutex.Lock()
 	defer tr.mutex.Unlock()
 	return !tr.table.IsEmpty()
--- a/layers_test.go
+++ b/layers_test.go
@@ -27,7 +27,7 @@
 var purePackages = []string{
 	"coordination/dispatch", "coordination/membership", "coordination/claim", "coordination/lease",
 	"coordination/placement", "coordination/retry", "coordination/batch", "coordination/balance", "coordination/reachability",
-	"state/route", "state/serverlist", "state/container", "state/id", "state/limit", "state/lists", "state/outcome", "state/quarantine", "state/serverlimit",
+	"state/coldstart", "state/route", "state/serverlist", "state/container", "state/id", "state/limit", "state/lists", "state/outcome", "state/quarantine", "state/serverlimit",
 }
 
 // impureImports are packages that pure packages must not import.
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -160,6 +160,10 @@
 	// MaxConnections is the number of connections that one server accepts from all hosts together. Zero means that there
 	// is no limit.
 	MaxConnections int
+	// ColdDuration is how long a server is cold after it has started during traffic, and ColdRequestsPerSecond is the
+	// number of requests a second that it takes meanwhile. The service has no cold servers if the latter is zero.
+	ColdDuration          time.Duration
+	ColdRequestsPerSecond float64
 	// Engine describes the engines of the service. It is nil for a service of backend servers.
 	Engine *EngineProfile
 }
--- a/state/serverlist/serverlist.go
+++ b/state/serverlist/serverlist.go
@@ -24,6 +24,11 @@
 	// StartedAtMillis is when the server started, in Unix milliseconds. A different value under the same id means that
 	// another server process has taken over the id.
 	StartedAtMillis int64
+	// ColdRemaining is how much longer the server was to be cold when it wrote the entry.
+	ColdRemaining time.Duration
+	// ColdUntil is when the server is no longer cold according to the entry, by the clock of this host; zero if the entry
+	// does not say that it is cold. Only the result of List.Servers has it.
+	ColdUntil time.Time
 }
 
 // Record is an entry of the list as it was set or removed at an offset.
@@ -65,12 +70,22 @@
 	return rc.Server.StartedAtMillis
 }
 
-// sameState reports whether two records of one server have the same content, whatever their offsets.
-func (rc Record) sameState(other Record) bool {
-	if rc.Dropped != other.Dropped || (rc.Server == nil) != (other.Server == nil) {
+// sameState reports whether a record has the same content as an earlier one of the same server, whatever their offsets.
+// The time for which a server remains cold falls with each entry that it writes, which changes nothing until it ends.
+func (rc Record) sameState(earlier Record) bool {
+	if rc.Dropped != earlier.Dropped || (rc.Server == nil) != (earlier.Server == nil) {
 		return false
 	}
-	return rc.Server == nil || *rc.Server == *other.Server
+	if rc.Server == nil {
+		return true
+	}
+	server, earlierServer := *rc.Server, *earlier.Server
+	if server.ColdRemaining > 0 && server.ColdRemaining < earlierServer.ColdRemaining {
+		server.ColdRemaining = earlierServer.ColdRemaining
+	} else if server.ColdRemaining > 0 {
+		return false
+	}
+	return server == earlierServer
 }
 
 // restoredLeavingHold is how long a server that was known to leave counts as leaving although a restored store lists it
@@ -95,6 +110,20 @@
 	// leavingUntil is when the server no longer counts as leaving because of what was known before the store was restored.
 	// It is zero for other entries.
 	leavingUntil time.Time
+	// coldUntil is when the server is no longer cold; zero if the record does not say that it is.
+	coldUntil time.Time
+}
+
+// setColdUntil takes the remaining time of the newest record, which was written before now. A record that drops the entry
+// says nothing of it.
+func (en *entry) setColdUntil(now time.Time) {
+	switch {
+	case en.Dropped || en.Server == nil:
+	case en.Server.ColdRemaining > 0:
+		en.coldUntil = now.Add(en.Server.ColdRemaining)
+	default:
+		en.coldUntil = time.Time{}
+	}
 }
 
 // knownToLeave reports whether the entry says that its server is leaving or gone, other than by expiring in an outage of
@@ -254,7 +283,9 @@
 func (ls *List) mergeRecord(now time.Time, rc Record, outage bool) bool {
 	en, found := ls.entries[rc.ID]
 	if !found {
-		ls.entries[rc.ID] = &entry{Record: rc, changeOffset: rc.Offset, startedAtMillis: rc.startedAtMillis()}
+		en = &entry{Record: rc, changeOffset: rc.Offset, startedAtMillis: rc.startedAtMillis()}
+		en.setColdUntil(now)
+		ls.entries[rc.ID] = en
 		ls.noteChangeAt(rc.Offset)
 		return true
 	}
@@ -289,6 +320,7 @@
 		en.startedAtMillis = rc.Server.StartedAtMillis
 	}
 	en.Record = rc
+	en.setColdUntil(now)
 	return !unchanged
 }
 
@@ -349,7 +381,9 @@
 	servers := make([]Server, 0, len(ls.entries))
 	for _, en := range ls.entries {
 		if sv := en.usableServer(now); sv != nil {
-			servers = append(servers, *sv)
+			listed := *sv
+			listed.ColdUntil = en.coldUntil
+			servers = append(servers, listed)
 		}
 	}
 	slices.SortFunc(servers, func(left, right Server) int { return strings.Compare(string(left.ID), string(right.ID)) })
--- a/state/serverlist/serverlist_test.go
+++ b/state/serverlist/serverlist_test.go
@@ -58,6 +58,57 @@
 	assert.Equal(t, serverNames(serverList.Servers(now)), "a ", "records after a gap count nevertheless")
 }
 
+// coldRecord is a record of a server that remains cold for some seconds.
+func coldRecord(name string, offset int, seconds float64) serverlist.Record {
+	rc := listedRecord(name, offset, false)
+	rc.Server.ColdRemaining = time.Duration(seconds * float64(time.Second))
+	return rc
+}
+
+// TestRemainingColdTime has a server count down the time for which it remains cold. Only its beginning, its end and a
+// renewal change the list, and each copy knows the end by its own clock.
+func TestRemainingColdTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	reader, follower := serverlist.New(), serverlist.New()
+	for _, serverList := range []*serverlist.List{reader, follower} {
+		serverList.ApplyFullList(now, 10, []serverlist.Record{listedRecord("a", 1, false)}, false)
+		assert.Assert(t, serverList.Servers(now)[0].ColdUntil.IsZero())
+	}
+	for index, step := range []struct {
+		remaining  float64
+		wantChange bool
+		// wantReader and wantFollower are the times in seconds after which the copies take the server as warm.
+		wantReader, wantFollower float64
+	}{
+		{3, true, 3, 3}, {2.2, false, 2.2, 2}, {1.1, false, 1.1, 1}, {3, true, 3, 3}, {3, true, 3, 3}, {2, false, 2, 2}, {0, true, 0, 0}, {0, false, 0, 0}, {0.1, true, 0.1, 0.1},
+	} {
+		offset := id.Offset(10 + index)
+		changed, _ := reader.Apply(now, offset, offset+1, []serverlist.Record{coldRecord("a", int(offset), step.remaining)}, false)
+		assert.Equal(t, len(changed) > 0, step.wantChange, "step %d", index)
+		follower.Apply(now, offset, offset+1, changed, false)
+		for serverList, want := range map[*serverlist.List]float64{reader: step.wantReader, follower: step.wantFollower} {
+			// A server that is added makes the copy compute its result again.
+			serverList.Apply(now, offset+1, offset+1, []serverlist.Record{listedRecord("b", int(offset), index%2 == 0)}, false)
+			coldUntil := serverList.Servers(now)[0].ColdUntil
+			if want == 0 {
+				assert.Assert(t, coldUntil.IsZero(), "step %d", index)
+				continue
+			}
+			assert.Equal(t, coldUntil, now.Add(time.Duration(want*float64(time.Second))), "step %d", index)
+		}
+		now = now.Add(time.Second)
+	}
+}
+
+// TestDroppedEntryKeepsColdTime checks that a server whose entry expires in an outage remains cold while it stays usable.
+func TestDroppedEntryKeepsColdTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	serverList := serverlist.New()
+	serverList.ApplyFullList(now, 10, []serverlist.Record{coldRecord("a", 1, 5)}, false)
+	serverList.Apply(now, 10, 11, []serverlist.Record{droppedRecord("a", 10)}, true)
+	assert.Equal(t, serverList.Servers(now)[0].ColdUntil, now.Add(5*time.Second))
+}
+
 // TestMergeOrderDoesNotMatter checks that the records of one log give the same list when they are applied in any order,
 // in parts and repeatedly.
 func TestMergeOrderDoesNotMatter(t *testing.T) {
--- a/transport/peer/relay_frames.go
+++ b/transport/peer/relay_frames.go
@@ -125,6 +125,7 @@
 	RequestLimit       float64             `json:",omitempty"`
 	InvalidLimit       octets              `json:",omitempty"`
 	RetryAfterMs       int64               `json:",omitempty"`
+	ColdForMs          int64               `json:",omitempty"`
 	FailedEngine       octets              `json:",omitempty"`
 	Load               *balance.Load       `json:",omitempty"`
 
@@ -286,6 +287,7 @@
 		Status: response.Status, Header: encodeHeader(response.Header), Length: response.Length, EndsWithConnection: response.EndsWithConnection,
 		NotRun: response.NotRun, Misdirected: response.Misdirected, Leaving: response.Leaving,
 		RequestLimit: float64(response.RequestLimit.Rate), InvalidLimit: octets(response.RequestLimit.Invalid),
+		ColdForMs:    response.RequestLimit.ColdFor.Milliseconds(),
 		RetryAfterMs: response.RetryAfter.Milliseconds(), FailedEngine: octets(response.FailedEngine), Load: response.Load,
 		Probe: answer.Probe, ReachesOther: answer.ReachesOther, Granted: answer.Granted,
 	}
@@ -313,7 +315,7 @@
 		Response: forward.Response{
 			Status: rh.Status, Header: decodeHeader(rh.Header), Length: rh.Length, EndsWithConnection: rh.EndsWithConnection,
 			NotRun: rh.NotRun, Misdirected: rh.Misdirected, Leaving: rh.Leaving,
-			RequestLimit: requestlimit.Named{Rate: serverlimit.Rate(rh.RequestLimit), Invalid: string(rh.InvalidLimit)},
+			RequestLimit: requestlimit.Named{Rate: serverlimit.Rate(rh.RequestLimit), Invalid: string(rh.InvalidLimit), ColdFor: time.Duration(min(max(0, rh.ColdForMs), maxRelayMillis)) * time.Millisecond},
 			RetryAfter:   time.Duration(min(max(0, rh.RetryAfterMs), maxRelayMillis)) * time.Millisecond, FailedEngine: string(rh.FailedEngine), Load: rh.Load,
 		},
 		Probe: rh.Probe, ReachesOther: rh.ReachesOther, Granted: rh.Granted,
--- a/transport/peer/relay_test.go
+++ b/transport/peer/relay_test.go
@@ -61,7 +61,7 @@
 func fullResponse() forward.Response {
 	return forward.Response{
 		Status: http.StatusServiceUnavailable, Header: http.Header{"X-Seal": {"\xfe1"}, "Set": {"a", "b"}}, Length: -1, EndsWithConnection: true, NotRun: true, Misdirected: true, Leaving: true,
-		RequestLimit: requestlimit.Named{Rate: 12.5, Invalid: "bad"}, RetryAfter: 250 * time.Millisecond, FailedEngine: "10.0.0.2:80", Load: &balance.Load{Running: 1, Waiting: 2, Slots: 3},
+		RequestLimit: requestlimit.Named{Rate: 12.5, Invalid: "bad", ColdFor: 1200 * time.Millisecond}, RetryAfter: 250 * time.Millisecond, FailedEngine: "10.0.0.2:80", Load: &balance.Load{Running: 1, Waiting: 2, Slots: 3},
 	}
 }
 
