Dispatchers keep the limits of cold engines

A cold engine gets grants by its account; a host that does not count sends it nothing; it counts less for admission. An engine that could not be reached, or did not respond, may have started again: the limit applies for ColdS after its backoff, without withholding.

--- a/coordination/batch/batch.go
+++ b/coordination/batch/batch.go
@@ -101,6 +101,12 @@
 	Leaving bool
 	// RequestLimit is the rate of requests that the engine accepts from all hosts together; zero for no limit.
 	RequestLimit serverlimit.Rate
+	// ColdLimit applies in addition while the engine is cold; without a rate otherwise. ColdAfterFault is the limit of the
+	// service's cold engines, which applies for ColdDuration after an engine could not be reached or did not respond, because
+	// it may have been started again; without a rate if the service has no cold engines.
+	ColdLimit      serverlimit.ColdLimit
+	ColdAfterFault serverlimit.ColdLimit
+	ColdDuration   time.Duration
 	// CountedElsewhere says that another host counts the requests to engines with a limit. Such engines get nothing from
 	// this machine.
 	CountedElsewhere bool
--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -24,8 +24,10 @@
 	// consecutiveRejections counts the requests that the engine rejected with a request for backoff since it last started
 	// an answer.
 	consecutiveRejections int
-	// requests counts the parts of grants against the engine's RequestLimit.
+	// requests counts the parts of grants against the engine's RequestLimit and ColdLimit.
 	requests serverlimit.Account
+	// mayBeColdUntil is until when ColdAfterFault applies.
+	mayBeColdUntil time.Time
 }
 
 // task is an engine's part of a grant.
@@ -43,15 +45,35 @@
 }
 
 // isWithheld reports whether the engine gets nothing because another host counts its requests.
-func (en *engine) isWithheld() bool { return en.CountedElsewhere && en.RequestLimit > 0 }
+func (en *engine) isWithheld() bool { return en.CountedElsewhere && en.knownLimit() > 0 }
+
+// knownLimit returns the rate of requests that the engine is known to accept; zero for no limit. An engine that only may
+// be cold has none.
+func (en *engine) knownLimit() serverlimit.Rate {
+	if en.ColdLimit.Assumed {
+		return en.RequestLimit
+	}
+	return en.ColdLimit.InForce(en.RequestLimit)
+}
+
+// updateLimits puts the limits that are in force into the account.
+func (en *engine) updateLimits(now time.Time) {
+	en.requests.SetRate(now, en.RequestLimit)
+	cold := en.ColdLimit
+	if cold.Rate == 0 && now.Before(en.mayBeColdUntil) {
+		cold = en.ColdAfterFault
+	}
+	en.requests.SetColdLimit(now, cold)
+}
 
 // readingShare returns the share of its time that the engine can spend on prompts that take readTime to read. It is
 // below 1 only for an engine with a request limit.
 func (en *engine) readingShare(readTime time.Duration) float64 {
-	if en.RequestLimit == 0 {
+	limit := en.knownLimit()
+	if limit == 0 {
 		return 1
 	}
-	return min(1, float64(en.RequestLimit)*readTime.Seconds())
+	return min(1, float64(limit)*readTime.Seconds())
 }
 
 // runsAloneRequest reports whether the engine runs a request that is to run alone, or answers one that is exclusive until
@@ -171,7 +193,7 @@
 		if alreadyListed && en.StartedAtMillis == spec.StartedAtMillis && en.Address == spec.Address {
 			wasWithheld := en.isWithheld()
 			en.EngineSpec = spec
-			en.requests.SetRate(now, spec.RequestLimit)
+			en.updateLimits(now)
 			if wasWithheld {
 				en.requests.Restart(now)
 			}
@@ -181,7 +203,7 @@
 			mc.removeEngine(en)
 		}
 		en = &engine{EngineSpec: spec}
-		en.requests.SetRate(now, spec.RequestLimit)
+		en.updateLimits(now)
 		mc.enginesByName[spec.Engine] = en
 		mc.engines = append(mc.engines, en)
 		if alreadyListed {
@@ -248,4 +270,8 @@
 	if until := now.Add(backoff); until.After(en.backoffUntil) {
 		en.backoffUntil = until
 	}
+	if ev.Fault == Unreachable || ev.Fault == Unresponsive {
+		en.mayBeColdUntil = en.backoffUntil.Add(en.ColdDuration)
+		en.updateLimits(now)
+	}
 }
--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 )
 
 // engineProfile returns the profile of the engines in all tests of this package.
@@ -86,8 +87,15 @@
 	return formatEffects(effects) + fmt.Sprintf("waiting %d granted %d\n", sc.machine.Waiting(), sc.machine.Granted())
 }
 
-// parseEngines reads one engine from each line of a command's input: its name, then "leaving", "started=N", "limit=N" and
-// "elsewhere" if they apply. The last one says that another host counts the requests of the engine.
+// coldBounds are those of the users' deployments with cold engines.
+var coldBounds = serverlimit.ColdBounds{Overage: 1.5, Slack: 5}
+
+// coldDuration is how long the engines of scripts are cold after their start.
+const coldDuration = 3 * time.Second
+
+// parseEngines reads one engine from each line of a command's input: its name, then "leaving", "started=N", "limit=N",
+// "cold=N", "maybecold=N", "coldafterfault=N" and "elsewhere" if they apply. The last one says that another host counts the
+// requests of the engine.
 func (sc *scriptRunner) parseEngines(td *datadriven.TestData) batch.SetEngines {
 	var engineList batch.SetEngines
 	for line := range strings.Lines(td.Input) {
@@ -98,12 +106,29 @@
 			spec.CountedElsewhere = spec.CountedElsewhere || field == "elsewhere"
 			_, _ = fmt.Sscanf(field, "started=%d", &spec.StartedAtMillis)
 			_, _ = fmt.Sscanf(field, "limit=%g", (*float64)(&spec.RequestLimit))
+			parseCold(field, &spec)
 		}
 		engineList.Engines = append(engineList.Engines, spec)
 	}
 	return engineList
 }
 
+// parseCold reads what a field of an engine's line says of the time for which the engine is cold.
+func parseCold(field string, spec *batch.EngineSpec) {
+	var perSecond float64
+	if _, err := fmt.Sscanf(field, "cold=%g", &perSecond); err == nil {
+		spec.ColdLimit = coldBounds.Limit(perSecond)
+	}
+	if _, err := fmt.Sscanf(field, "maybecold=%g", &perSecond); err == nil {
+		spec.ColdLimit = coldBounds.Limit(perSecond)
+		spec.ColdLimit.Assumed = true
+	}
+	if _, err := fmt.Sscanf(field, "coldafterfault=%g", &perSecond); err == nil {
+		spec.ColdAfterFault, spec.ColdDuration = coldBounds.Limit(perSecond), coldDuration
+		spec.ColdAfterFault.Assumed = true
+	}
+}
+
 // parseRequest reads the request of a submit command. Prompt and answer are in tokens, target and pause in
 // milliseconds. The argument backoff lists engines that asked for backoff as ENGINE:MILLISECONDS, separated by slashes.
 func (sc *scriptRunner) parseRequest(t *testing.T, td *datadriven.TestData) batch.Request {
--- a/coordination/batch/selection.go
+++ b/coordination/batch/selection.go
@@ -122,6 +122,7 @@
 	mc.candidates = mc.candidates[:0]
 	mc.minTasks = math.MaxInt
 	for _, en := range mc.engines {
+		en.updateLimits(now)
 		if !en.isUsable(now) || en.isWithheld() || en.requests.Wait(now) > 0 || en.runsAloneRequest() {
 			continue
 		}
