Hosts keep the limits of cold servers

The host puts together the book, the dispatchers and the permits, logs a line for each server that becomes cold or warm, and has the gauge engines_cold.

A service without ColdPerS is treated as before.

--- a/settings/keys.go
+++ b/settings/keys.go
@@ -79,6 +79,12 @@
 		{"Engines", "ShortShare", "a number from 0 to 0.9", func(settings *Settings, value string) bool {
 			return setFloatInRange(&settings.Engines.ShortShare, value, 0, 0.9)
 		}},
+		{"Engines", "ColdOverage", allowedNonNegativeNumber, func(settings *Settings, value string) bool {
+			return setCappedNumber(&settings.Engines.ColdOverage, value, 1000)
+		}},
+		{"Engines", "ColdSlack", allowedNonNegativeNumber, func(settings *Settings, value string) bool {
+			return setCappedNumber(&settings.Engines.ColdSlack, value, 1_000_000)
+		}},
 		{"Claims", "Retention", allowedPositiveDuration, func(settings *Settings, value string) bool {
 			return setPositiveDuration(&settings.Claims.Retention, value)
 		}},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -121,6 +121,10 @@
 	MaxStreams int
 	// ShortShare is the fraction of each engine's memory and streams that is reserved for short prompts.
 	ShortShare float64
+	// ColdOverage and ColdSlack bound the requests to a cold server in any one second, counted over all hosts: the number of
+	// requests a second that it takes, times ColdOverage, plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
 }
 
 // Claims bounds the age of idempotency keys.
@@ -171,7 +175,7 @@
 			KeepAddresses:     30 * time.Second,
 			MaxAddresses:      8,
 		},
-		Engines:   Engines{PrefillTokensPerSecond: 80_000, MaxStreams: 128, ShortShare: 0.1},
+		Engines:   Engines{PrefillTokensPerSecond: 80_000, MaxStreams: 128, ShortShare: 0.1, ColdOverage: 1.5, ColdSlack: 5},
 		Claims:    Claims{Retention: 24 * time.Hour, Margin: 10 * time.Minute},
 		Logs:      Logs{Format: "Text", Level: "Info", MaxBytesPerSecond: 512 << 10, MaxPendingBytes: 256 << 10},
 		Traces:    Traces{Export: "None"},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -72,6 +72,7 @@
 		"Host.DirectoryAddress": parsed.Host.DirectoryAddress, "Platform.URL": parsed.Platform.URL, "Peers.Seeds": parsed.Peers.Seeds,
 		"Retries.Share": parsed.Retries.Share, "Retries.Slack": parsed.Retries.Slack, "Limits.MemoryMegabytes": parsed.Limits.MemoryMegabytes,
 		"Limits.ProcessorShare": parsed.Limits.ProcessorShare, "Operators.ShutdownTimeout": parsed.Operators.ShutdownTimeout,
+		"Engines.ColdOverage": parsed.Engines.ColdOverage, "Engines.ColdSlack": parsed.Engines.ColdSlack,
 		"Memory.FreeWithin": parsed.Memory.FreeWithin, "Memory.UnusedWithin": parsed.Memory.UnusedWithin,
 	}[section+"."+keyName]
 }
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -22,6 +22,8 @@
 	follower *statesync.Follower
 	clock    timer.Clock
 	limits   *requestlimit.Tracker
+	// coldBounds says how far the requests to cold servers may exceed their rate.
+	coldBounds serverlimit.ColdBounds
 	// spreadFact sends a fact to all other hosts by gossip.
 	spreadFact func(membership.Fact)
 
@@ -50,9 +52,10 @@
 // by gossip.
 const departureTTL = time.Hour
 
-func newFleet(follower *statesync.Follower, clock timer.Clock, limits *requestlimit.Tracker, spreadFact func(membership.Fact)) *fleet {
+func newFleet(follower *statesync.Follower, clock timer.Clock, limits *requestlimit.Tracker, coldBounds serverlimit.ColdBounds, spreadFact func(membership.Fact)) *fleet {
 	return &fleet{
 		follower:           follower,
+		coldBounds:         coldBounds,
 		limits:             limits,
 		clock:              clock,
 		spreadFact:         spreadFact,
@@ -204,12 +207,32 @@
 func (fl *fleet) Engines(service id.Service) []batch.EngineSpec {
 	servers := fl.Servers(service)
 	specs := make([]batch.EngineSpec, 0, len(servers))
+	cold := fl.ColdService(service)
+	coldAfterFault := cold.Limit
+	coldAfterFault.Assumed = true
 	for _, server := range servers {
-		specs = append(specs, batch.EngineSpec{Engine: id.Engine(server.ID), Address: server.Address, StartedAtMillis: server.StartedAtMillis, Leaving: server.Draining, RequestLimit: fl.limits.Rate(server)})
+		spec := batch.EngineSpec{Engine: id.Engine(server.ID), Address: server.Address, StartedAtMillis: server.StartedAtMillis, Leaving: server.Draining, RequestLimit: fl.limits.Rate(server)}
+		if cold.HasColdServers() {
+			spec.ColdLimit, spec.ColdAfterFault, spec.ColdDuration = fl.limits.ColdLimit(server), coldAfterFault, cold.Duration
+		}
+		specs = append(specs, spec)
 	}
 	return specs
 }
 
+// ColdService describes the cold servers of a service.
+func (fl *fleet) ColdService(service id.Service) requestlimit.ColdService {
+	table := fl.follower.Table()
+	if table == nil {
+		return requestlimit.ColdService{}
+	}
+	described, ok := table.Service(service)
+	if !ok || described.ColdRequestsPerSecond == 0 {
+		return requestlimit.ColdService{}
+	}
+	return requestlimit.ColdService{Duration: described.ColdDuration, Limit: fl.coldBounds.Limit(described.ColdRequestsPerSecond)}
+}
+
 // RequestLimits returns what recent responses to this host said of the request limits of a service's servers.
 func (fl *fleet) RequestLimits(service id.Service) []serverlimit.Statement {
 	return fl.limits.ObservedStatements(fl.Servers(service))
--- a/site/gauges.go
+++ b/site/gauges.go
@@ -24,6 +24,7 @@
 	scope.Gauge("calls_for_peers_in_flight").Update(float64(ht.relayServer.InFlight()))
 	scope.Gauge("cut_off").Update(boolToFloat(ht.links.CutOff()))
 	scope.Gauge("servers_through_peers").Update(float64(ht.links.MarkedServers()))
+	scope.Gauge("engines_cold").Update(float64(ht.coldStarts.Count()))
 	scope.Gauge("hosts").Update(float64(1 + len(ht.gossip.RemoteMembers())))
 	scope.Gauge("list_age_seconds").Update(ht.updateFollower.ListAge().Seconds())
 	scope.Gauge("store_away").Update(boolToFloat(ht.updateFollower.StoreUnavailable()))
--- a/site/host.go
+++ b/site/host.go
@@ -37,6 +37,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
@@ -76,6 +77,7 @@
 	relayPool     *backend.Pool
 
 	requestLimits   *requestlimit.Tracker
+	coldStarts      *requestlimit.ColdStarts
 	permitClient    *requestlimit.Client
 	permitIssuer    *requestlimit.Issuer
 	crashQuarantine *crashQuarantine
@@ -186,7 +188,10 @@
 	ht.store = platform.NewStore(strings.TrimPrefix(ht.settings.Platform.URL, "http://"), ht.pool, ht.logger)
 	ht.updateFollower = statesync.New(followerConfig, ht.localMember.Host, ht.localMember.AvailabilityZone, ht.clock, ht.store, ht.peerClient, ht.peerClient, scope, ht.logger, seed, ht.onFleetChanged)
 	ht.requestLimits = requestlimit.NewTracker(ht.clock, scope, ht.logger, ht.gossip.SpreadFact, func() { ht.grantServer.Refresh() })
-	ht.fleet = newFleet(ht.updateFollower, ht.clock, ht.requestLimits, ht.gossip.SpreadFact)
+	coldBounds := serverlimit.ColdBounds{Overage: ht.settings.Engines.ColdOverage, Slack: ht.settings.Engines.ColdSlack}
+	ht.fleet = newFleet(ht.updateFollower, ht.clock, ht.requestLimits, coldBounds, ht.gossip.SpreadFact)
+	ht.coldStarts = requestlimit.NewColdStarts(ht.clock, scope, ht.logger, ht.fleet, ht.gossip.SpreadFact, func() { ht.grantServer.Refresh() })
+	ht.requestLimits.SetColdStarts(ht.coldStarts)
 	ht.crashQuarantine = newCrashQuarantine(ht.clock, scope, ht.logger, ht.gossip.SpreadFact)
 	ht.evidenceSyncer = crashlog.New(evidenceSyncConfig(), ht.clock, platform.NewCrashLog(ht.store), scope, ht.logger, ht.updateFollower.IsListReader, ht.crashQuarantine.LearnStoredEvidence,
 		crashlog.WithStoredEvidence(ht.crashQuarantine.StoredEvidence))
@@ -312,6 +317,7 @@
 			{Name: "crash evidence", Run: ht.evidenceSyncer.Run},
 			{Name: "membership", Run: ht.join},
 			{Name: "discovery", Run: ht.discoverHosts},
+			{Name: "cold servers", Run: ht.coldStarts.Run},
 			{Name: "gauges", Run: ht.updateGauges},
 		},
 		Servers:   ht.httpServers(),
@@ -431,6 +437,8 @@
 		if statement, ok := requestlimit.FromFact(fact); ok {
 			ht.requestLimits.Learn("gossip", statement)
 		}
+	case membership.ColdFact:
+		ht.coldStarts.LearnFact(fact)
 	case membership.CutOffFact:
 		ht.backendSender.LearnCutOff(fact)
 	}
@@ -440,6 +448,10 @@
 func (ht *Host) onFleetChanged() {
 	servers, _ := ht.updateFollower.Servers()
 	ht.fleet.updateList(servers)
+	if ht.updateFollower.Loaded() {
+		// A part of the list would make the rest look like servers that have just started.
+		ht.coldStarts.UpdateServers(servers)
+	}
 	ht.links.UpdateServers(servers)
 	ht.forwarder.UpdateServers(servers)
 	ht.permitClient.UpdateServers(servers)
