--- a/coordination/membership/types.go
+++ b/coordination/membership/types.go
@@ -96,7 +96,8 @@
 	// value is the time of the change in Unix milliseconds, doubled, plus one if the host is cut off.
 	CutOffFact
 	// ColdFact says that a backend server answered that it is cold: the key is the hash of the server's id, the detail is
-	// the start time of the process, and the value is the time of the answer, both in Unix milliseconds.
+	// the start time of the process in Unix milliseconds, and the value holds the time of the answer and the time for which the
+	// server remains cold.
 	ColdFact FactKind = 48
 )
 
--- a/coordination/requestlimit/cold.go
+++ b/coordination/requestlimit/cold.go
@@ -104,10 +104,13 @@
 	cs.check()
 }
 
+// negligibleTime is the longest time for which a server remains cold that is over before the hosts have learned of it.
+const negligibleTime = 100 * time.Millisecond
+
 // RecordAnswer records for how long a server remains cold according to its answer to this host; zero if the answer does
 // not say that it is cold.
 func (cs *ColdStarts) RecordAnswer(server serverlist.Server, remaining time.Duration) {
-	if remaining <= 0 || !cs.fleet.ColdService(server.Service).HasColdServers() {
+	if remaining <= negligibleTime || !cs.fleet.ColdService(server.Service).HasColdServers() {
 		return
 	}
 	now := cs.clock.Now()
@@ -118,27 +121,42 @@
 	if !isNew || wasCold {
 		return
 	}
-	cs.spreadFact(membership.Fact{Kind: membership.ColdFact, Key: uint64(id.HashServer(server.ID)), Detail: uint64(server.StartedAtMillis), Value: now.UnixMilli()})
+	cs.spreadFact(coldFact(now, server, remaining))
 	if cs.check() {
 		cs.changed()
 	}
 }
 
-// maxFactAge is the age from which on a fact says nothing any more, and the largest difference of two hosts' clocks for
-// which facts count.
-const maxFactAge = 30 * time.Second
+const (
+	// remainingBits is the number of low bits of a fact's value that hold the remaining time in milliseconds. The bits above
+	// hold the time of the answer, so that of two answers the later one wins.
+	remainingBits = 20
+	// maxFactAge is the age from which on a fact says nothing any more, and the largest difference of two hosts' clocks for
+	// which facts count.
+	maxFactAge = 30 * time.Second
+)
+
+// coldFact returns the fact that a server answered at now that it remains cold for a time.
+func coldFact(now time.Time, server serverlist.Server, remaining time.Duration) membership.Fact {
+	remainingMillis := min(remaining.Milliseconds(), 1<<remainingBits-1)
+	return membership.Fact{
+		Kind: membership.ColdFact, Key: uint64(id.HashServer(server.ID)), Detail: uint64(server.StartedAtMillis),
+		Value: now.UnixMilli()<<remainingBits | remainingMillis,
+	}
+}
 
-// LearnFact takes the fact of another host that a server answered that it is cold. The server counts as cold for the
-// whole time of its service, because the clocks of hosts differ.
+// LearnFact takes the fact of another host that a server answered that it is cold. The remaining time counts from now,
+// because the clocks of hosts differ.
 func (cs *ColdStarts) LearnFact(fact membership.Fact) {
 	now := cs.clock.Now()
-	if age := now.Sub(time.UnixMilli(fact.Value)); age > maxFactAge || age < -maxFactAge {
+	if age := now.Sub(time.UnixMilli(fact.Value >> remainingBits)); age > maxFactAge || age < -maxFactAge {
 		return
 	}
+	remaining := time.Duration(fact.Value&(1<<remainingBits-1)) * time.Millisecond
 	cs.mutex.Lock()
 	for _, server := range cs.servers {
 		if uint64(id.HashServer(server.ID)) == fact.Key && uint64(server.StartedAtMillis) == fact.Detail {
-			cs.book.Tell(now, id.HashServer(server.ID), cs.fleet.ColdService(server.Service).Duration, coldstart.Reported)
+			cs.book.Tell(now, id.HashServer(server.ID), remaining, coldstart.Reported)
 		}
 	}
 	cs.mutex.Unlock()
--- a/site/env_test.go
+++ b/site/env_test.go
@@ -41,6 +41,8 @@
 	shutdownTimeout time.Duration
 	// unreachablePeers makes hosts announce an address at which other hosts can't reach them.
 	unreachablePeers bool
+	// coldSeconds and coldPerSecond describe the cold servers of all services; zero for none.
+	coldSeconds, coldPerSecond float64
 	// hostZone is the availability zone of the hosts that are started next.
 	hostZone id.AvailabilityZone
 	// linkedHosts makes hosts reach servers through links that a test can cut.
@@ -98,18 +100,24 @@
 // publishTable writes a desired state with the current routes and the next version to the store.
 func (env *testEnv) publishTable() {
 	env.tableVersion++
+	services := []map[string]any{
+		{"Name": "books", "HealthPath": "/healthz", "MaxConnections": 50},
+		{"Name": "models", "HealthPath": "/healthz", "MaxConnections": 50, "Engine": map[string]any{
+			"Slots": 8, "KvCapacityTokens": env.engineCapacity, "Stride": 51, "step_ms": 0.85, "per_seq_ms": 0.004, "context_per_k": 0.003,
+			"read_per_s": 177000.0, "pairs_per_m": 0.184, "chunk": 2048,
+		}},
+	}
+	for _, service := range services {
+		if env.coldPerSecond > 0 {
+			service["ColdS"], service["ColdPerS"] = env.coldSeconds, env.coldPerSecond
+		}
+	}
 	body, err := json.Marshal(map[string]any{
-		"Version": env.tableVersion,
-		"Routes":  env.routes,
-		"Services": []map[string]any{
-			{"Name": "books", "HealthPath": "/healthz", "MaxConnections": 50},
-			{"Name": "models", "HealthPath": "/healthz", "MaxConnections": 50, "Engine": map[string]any{
-				"Slots": 8, "KvCapacityTokens": env.engineCapacity, "Stride": 51, "step_ms": 0.85, "per_seq_ms": 0.004, "context_per_k": 0.003,
-				"read_per_s": 177000.0, "pairs_per_m": 0.184, "chunk": 2048,
-			}},
-		},
-		"Limits":  env.limits,
-		"Tenants": []map[string]any{{"Name": "acme", "ApiKeys": env.apiKeys}},
+		"Version":  env.tableVersion,
+		"Routes":   env.routes,
+		"Services": services,
+		"Limits":   env.limits,
+		"Tenants":  []map[string]any{{"Name": "acme", "ApiKeys": env.apiKeys}},
 	})
 	assert.NilError(env.t, err)
 	env.store.Put("keyed.op", "config", body)
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -121,6 +121,9 @@
 	expiredReservations int
 	// requestLimit is the value of the header field with which each response names a limit; empty if none is named.
 	requestLimit string
+	// coldUntil is when the server is no longer cold, and coldInAnswers says that its answers name the remaining time.
+	coldUntil     time.Time
+	coldInAnswers bool
 	// arrivals are the times at which requests of clients arrived, whether or not they ran.
 	arrivals []time.Time
 	// backoffResponses are the times at which the server rejected a request and asked for backoff.
@@ -280,6 +283,14 @@
 	sv.requestLimit = limit
 }
 
+// SetCold makes the server cold for a time, which its entry in the list names from the next ListEntry on. If inAnswers is
+// set, its answers name it, too.
+func (sv *Server) SetCold(duration time.Duration, inAnswers bool) {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	sv.coldUntil, sv.coldInAnswers = time.Now().Add(duration), inAnswers
+}
+
 // Arrivals returns the times at which requests of clients arrived, whether or not they ran.
 func (sv *Server) Arrivals() []time.Time {
 	sv.mutex.Lock()
@@ -330,11 +341,11 @@
 		address = sv.Address()
 	}
 	sv.mutex.Lock()
-	startedAt := sv.startedAt
+	startedAt, coldRemaining := sv.startedAt, max(0, time.Until(sv.coldUntil))
 	sv.mutex.Unlock()
 	body, _ := json.Marshal(map[string]any{
 		"Service": sv.Service, "Address": address, "Zone": sv.Zone, "Version": "v1", "Slots": 8,
-		"State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": startedAt.UnixMilli(),
+		"State": state, "ColdRemainingMs": coldRemaining.Milliseconds(), "Sequence": 1, "born": startedAt.UnixMilli(),
 	})
 	return body
 }
@@ -366,6 +377,8 @@
 	}
 	sv.mutex.Lock()
 	fault, requestLimit := sv.fault, sv.requestLimit
+	coldRemaining := max(0, time.Until(sv.coldUntil))
+	namesColdTime := sv.coldInAnswers && coldRemaining > 0
 	sv.arrivals = append(sv.arrivals, time.Now())
 	sv.mutex.Unlock()
 	body, err := io.ReadAll(rq.Body)
@@ -376,6 +389,9 @@
 	if requestLimit != "" {
 		header.Set("Server-Limit", requestLimit)
 	}
+	if namesColdTime {
+		header.Set("X-Cold-Ms", strconv.FormatInt(coldRemaining.Milliseconds(), 10))
+	}
 	header.Set("X-Attempt-Id", rq.Header.Get("X-Attempt-Id"))
 	switch {
 	case fault == WrongInstance || rq.Header.Get("X-Expect-Instance") != sv.ID:
