Tests of what hosts know of cold servers, and of two issuers of permits

Bounded lines and facts, facts that are too old, an outdated list, a server that names a limit as well, and two groups of hosts that each have an issuer: together at most 30 permits in a second (allowed 30.5), each group at least 0.8 of the rate. They test code that stands; those of the outdated list and of the issuers pin what the design says.

--- /dev/null
+++ b/coordination/requestlimit/cold_test.go
@@ -0,0 +1,184 @@
+package requestlimit_test
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/testutil"
+	"github.com/hibiscuslever/hibiscuslever/timer"
+)
+
+const (
+	// coldPeriod and coldRate are those of the service of the tests, and coldAllowed what all hosts may send in any second.
+	coldPeriod  = 3 * time.Second
+	coldRate    = 17
+	coldAllowed = coldRate*1.5 + 5
+)
+
+// coldFleet is a fleet whose service books has cold servers and whose list has a given age.
+type coldFleet struct {
+	mutex   sync.Mutex
+	listAge time.Duration
+}
+
+func (cf *coldFleet) ColdService(name id.Service) requestlimit.ColdService {
+	if name != service {
+		return requestlimit.ColdService{}
+	}
+	return requestlimit.ColdService{Duration: coldPeriod, Limit: serverlimit.ColdBounds{Overage: 1.5, Slack: 5}.Limit(coldRate)}
+}
+
+func (cf *coldFleet) ListAge() time.Duration {
+	cf.mutex.Lock()
+	defer cf.mutex.Unlock()
+	return cf.listAge
+}
+
+func (cf *coldFleet) setListAge(age time.Duration) {
+	cf.mutex.Lock()
+	defer cf.mutex.Unlock()
+	cf.listAge = age
+}
+
+// coldHost is what one host knows of cold servers, with what it wrote and spread.
+type coldHost struct {
+	*requestlimit.ColdStarts
+	fleet   *coldFleet
+	log     bytes.Buffer
+	facts   []membership.Fact
+	changes int
+}
+
+func newColdHost() *coldHost {
+	ch := &coldHost{fleet: &coldFleet{}}
+	ch.ColdStarts = requestlimit.NewColdStarts(timer.NewSystem(), tally.NoopScope, slog.New(slog.NewTextHandler(&ch.log, nil)), ch.fleet,
+		func(fact membership.Fact) { ch.facts = append(ch.facts, fact) }, func() { ch.changes++ })
+	return ch
+}
+
+// lines returns the number of log lines that have a text.
+func (ch *coldHost) lines(text string) int { return strings.Count(ch.log.String(), text) }
+
+// otherService is a server of a service without cold servers.
+var otherService = serverlist.Server{ID: "engine", Service: "models", StartedAtMillis: 1}
+
+func TestAnswerOfColdServerReachesOtherHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := newColdHost(), newColdHost()
+		for _, host := range []*coldHost{first, second} {
+			host.UpdateServers([]serverlist.Server{limitedServer, otherServer, otherService})
+			assert.Equal(t, host.Limit(limitedServer), serverlimit.ColdLimit{})
+		}
+		for range 100 {
+			first.RecordAnswer(limitedServer, 2*time.Second)
+			first.RecordAnswer(otherServer, 50*time.Millisecond)
+			first.RecordAnswer(otherService, 2*time.Second)
+		}
+		assert.Equal(t, len(first.facts), 1)
+		assert.Equal(t, first.changes, 1)
+		second.LearnFact(first.facts[0])
+		want := serverlimit.ColdLimit{Rate: coldRate, MaxPerSecond: 15}
+		for _, host := range []*coldHost{first, second} {
+			assert.Equal(t, host.Limit(limitedServer), want)
+			assert.Equal(t, host.Limit(otherServer), serverlimit.ColdLimit{})
+			assert.Equal(t, host.Limit(otherService), serverlimit.ColdLimit{})
+			assert.Equal(t, host.Count(), 1)
+			assert.Equal(t, host.lines("became cold or warm"), 1, host.log.String())
+		}
+		assert.Equal(t, second.lines(`source="another host" remaining_ms=2000`), 1, second.log.String())
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, second.Limit(limitedServer), serverlimit.ColdLimit{})
+		time.Sleep(time.Minute)
+		second.LearnFact(first.facts[0])
+		assert.Equal(t, second.Limit(limitedServer), serverlimit.ColdLimit{}, "a fact of long ago counts")
+	})
+}
+
+// TestColdServersOfOutdatedList checks that any server may be cold while the list is outdated, that this is no reason to
+// leave it out, and that it is logged once.
+func TestColdServersOfOutdatedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host := newColdHost()
+		host.UpdateServers([]serverlist.Server{limitedServer, otherService})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { assert.Check(t, host.Run(ctx)) })
+		host.fleet.setListAge(3500 * time.Millisecond)
+		time.Sleep(time.Second)
+		assert.Equal(t, host.Limit(limitedServer), serverlimit.ColdLimit{Rate: coldRate, MaxPerSecond: 15, Assumed: true})
+		assert.Equal(t, host.Limit(otherService), serverlimit.ColdLimit{})
+		assert.Equal(t, host.Count(), 0)
+		assert.Equal(t, host.changes, 1)
+		tracker := requestlimit.NewTracker(timer.NewSystem(), tally.NoopScope, slog.New(slog.DiscardHandler), func(membership.Fact) {}, func() {})
+		tracker.SetColdStarts(host.ColdStarts)
+		assert.Assert(t, tracker.Any())
+		client := requestlimit.NewClient(tracker, "host", hostPeers{})
+		assert.Equal(t, client.Rate(limitedServer), serverlimit.Rate(0))
+		restarted := limitedServer
+		restarted.StartedAtMillis++
+		host.UpdateServers([]serverlist.Server{restarted, otherService})
+		assert.Equal(t, client.Rate(restarted), serverlimit.Rate(coldRate))
+		client.RecordResponse(restarted, time.Now(), requestlimit.Named{Rate: 2}, true)
+		assert.Equal(t, client.Rate(restarted), serverlimit.Rate(2))
+		host.fleet.setListAge(0)
+		time.Sleep(coldPeriod + time.Second)
+		assert.Equal(t, host.Limit(restarted), serverlimit.ColdLimit{})
+		assert.Equal(t, host.lines("may have become cold unnoticed"), 2, host.log.String())
+		assert.Equal(t, host.lines("became cold or warm"), 2, host.log.String())
+		cancel()
+		running.Wait()
+	})
+}
+
+// TestTwoIssuersOfPermitsForColdServer has two groups of hosts, each with an issuer of its own, use up the permits for a
+// cold server that they can get.
+func TestTwoIssuersOfPermitsForColdServer(t *testing.T) {
+	const duration = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		nw, hosts := newNetwork(6)
+		for _, host := range hosts {
+			cold := newColdHost()
+			cold.UpdateServers([]serverlist.Server{otherServer})
+			cold.UpdateServers([]serverlist.Server{otherServer, limitedServer})
+			nw.clients[host].SetColdStarts(cold.ColdStarts)
+		}
+		nw.setLive(hosts[3:], hosts[3:]...)
+		var mutex sync.Mutex
+		sent := map[bool][]time.Time{}
+		var demand sync.WaitGroup
+		for index, host := range hosts {
+			demand.Go(func() {
+				for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(3 * time.Millisecond) {
+					if nw.clients[host].Acquire(t.Context(), service, []serverlist.Server{limitedServer}, 0).Granted() {
+						mutex.Lock()
+						sent[index < 3] = append(sent[index < 3], time.Now())
+						mutex.Unlock()
+					}
+				}
+			})
+		}
+		demand.Wait()
+		for _, times := range sent {
+			assert.Assert(t, float64(len(times)) >= 0.8*coldRate*duration.Seconds()-1, "%d permits", len(times))
+		}
+		all := append(sent[true], sent[false]...)
+		slices.SortFunc(all, time.Time.Compare)
+		most := testutil.MaxInWindow(all, time.Second)
+		assert.Assert(t, float64(most) <= coldAllowed, "%d permits in a second, allowed %g", most, coldAllowed)
+	})
+}
