--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -46,6 +46,9 @@
 		if sv.ratePerSecond > 0 {
 			tb.checkRequestLimit(sv, exchangesByID)
 		}
+		for _, cold := range sv.coldTimes {
+			tb.checkColdServer(sv, cold)
+		}
 	}
 	excessRequests, runsPerService := 0, map[string]int{}
 	requestsPerService := map[string]int{}
@@ -129,6 +132,21 @@
 	}
 }
 
+// checkColdServer checks that a server that said that it is cold got no more requests in any second than the users allow,
+// summed over all hosts, once they had time to learn of it from the list or from its answers.
+func (tb *testbed) checkColdServer(sv *server, cold coldTime) {
+	const (
+		listAllowance  = time.Second
+		overage, slack = 1.5, 5
+	)
+	counted := slices.DeleteFunc(sv.Arrivals(), func(at time.Time) bool {
+		return at.Before(cold.listedAt.Add(listAllowance)) || !at.Before(cold.until)
+	})
+	if most, allowed := testutil.MaxInWindow(counted, time.Second), tb.mix.coldPerSecond*overage+slack; float64(most) > allowed {
+		tb.reportViolation("FAILBACK", "%s, cold from %s to %s, got %d requests in a second, allowed %g", sv.ID, cold.listedAt.Format(time.StampMilli), cold.until.Format(time.StampMilli), most, allowed)
+	}
+}
+
 // minServedRequests is the number of requests that a run must have served for its checks to be meaningful.
 const minServedRequests = 50
 
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -44,6 +44,8 @@
 	plannedOnly bool
 	// grace is how long the hosts may take to stop; zero for shutdownTimeout.
 	grace time.Duration
+	// coldPerSecond is the number of requests a second that a cold server takes; zero if the services have no cold servers.
+	coldPerSecond float64
 	// longestAnswers are the longest times that servers work on the requests of clients, by service. Services that are
 	// not listed take the same time for all.
 	longestAnswers map[string]time.Duration
@@ -83,6 +85,11 @@
 		terminateHost, killHost, suspendHost, disruptLink, failStore, limitServer, limitServer, limitServer, limitServer,
 		announceOrStallServer, replaceServer, publishDesiredStates, reloadSettings,
 	}},
+	// Cold has servers of a whole availability zone that become cold at once, while hosts come and go.
+	"Cold": {seriesPerSecond: 1, coldPerSecond: 2, clientsPerHost: 4, faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
+		coldZone, coldZone, coldZone, coldZone, terminateHost, killHost, killHost, suspendHost, killAllHosts, crashAndRestartServer, replaceServer,
+		publishDesiredStates, reloadSettings,
+	}},
 	// Partitions has hosts that are cut off from all servers, but not from clients, one another and the store.
 	// There are few other faults, because hosts are compared while nothing else disturbs them.
 	"Partitions": {moreSeries: 4, cutsHosts: true, clientsPerHost: 4, faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
@@ -348,6 +355,23 @@
 	}}
 }
 
+// coldSeconds is how long servers are cold after their start.
+const coldSeconds = 3.0
+
+// coldZone has all active servers of an availability zone become cold. They say so in the list and in their answers.
+func coldZone(tb *testbed, random *rand.Rand) scheduledFault {
+	zone := fmt.Sprintf("zone-%c", 'a'+random.IntN(zoneCount))
+	duration := time.Duration(1500+random.IntN(3000)) * time.Millisecond
+	return scheduledFault{description: fmt.Sprint("the servers of ", zone, " become cold for ", duration), inject: func() {
+		for _, sv := range tb.activeServers() {
+			if sv.Zone == zone {
+				sv.SetCold(duration, true)
+				tb.listCold(sv, duration)
+			}
+		}
+	}}
+}
+
 // replaceServer starts a new server and then takes an old one out of service as the platform does it: the list shows it
 // as draining before it ends.
 func replaceServer(tb *testbed, random *rand.Rand) scheduledFault {
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -120,12 +120,17 @@
 	link *link
 	// ratePerSecond is the limit that the server names; zero if it names none.
 	ratePerSecond float64
+	// coldTimes are the times in which the server said that it is cold.
+	coldTimes []coldTime
 	// retired says that the server is draining or has ended for good, so that no more faults use it.
 	retired bool
 	// draining says that the list shows the server as draining.
 	draining bool
 }
 
+// coldTime is a time in which a server said in the list that it is cold.
+type coldTime struct{ listedAt, until time.Time }
+
 // newTestbed starts the servers and the hosts, with three servers of each service or as many as there are hosts. Hosts reach one another, the store and the servers
 // through links, and clients reach hosts through links. It does not wait until the hosts are ready.
 func newTestbed(t *testing.T, mx faultMix) *testbed {
@@ -227,6 +232,16 @@
 	tb.store.Put("keyed.servers", sv.ID, sv.ListEntry(state))
 }
 
+// listCold lists a server that has become cold for a time, unless it is retired.
+func (tb *testbed) listCold(sv *server, duration time.Duration) {
+	tb.mutex.Lock()
+	defer tb.mutex.Unlock()
+	if !sv.retired {
+		sv.coldTimes = append(sv.coldTimes, coldTime{time.Now(), time.Now().Add(duration)})
+		tb.store.ListServer(sv.Server)
+	}
+}
+
 // activeServers returns the servers that are not retired.
 func (tb *testbed) activeServers() []*server {
 	tb.mutex.Lock()
@@ -257,6 +272,11 @@
 	tb.addedRoutes += newRoutes
 	desiredState := standin.ExampleDesiredState(virtualHost, apiKey)
 	desiredState["Version"] = tb.desiredStateVersion
+	if tb.mix.coldPerSecond > 0 {
+		for _, service := range desiredState["Services"].([]any) {
+			service.(map[string]any)["ColdS"], service.(map[string]any)["ColdPerS"] = coldSeconds, tb.mix.coldPerSecond
+		}
+	}
 	routes := desiredState["Routes"].([]any)
 	// This is the order of the routes in the example.
 	kinds := []requestKind{chatRequests, readRequests, orderRequests}
