--- a/coordination/requestlimit/cold.go
+++ b/coordination/requestlimit/cold.go
@@ -205,6 +205,7 @@
 		cs.logger.Info("servers may have become cold unnoticed", "applies", outdated, "list_age_ms", listAge.Milliseconds(), "servers", len(cs.servers))
 	}
 	cold := map[id.BackendServer]bool{}
+	changes := map[coldChange]changedServers{}
 	for _, server := range cs.servers {
 		state := cs.book.State(server, cs.fleet.ColdService(server.Service).Duration)
 		isCold := state.IsCold(now)
@@ -212,21 +213,48 @@
 			cold[server.ID] = true
 		}
 		if isCold != cs.cold[server.ID] {
-			anyChanged = true
-			cs.logChange(now, server, state, listAge)
+			change := coldChange{server.Service, server.AvailabilityZone, isCold, state.Source}
+			changes[change] = changes[change].with(server.ID, state.Until)
 		}
 	}
 	cs.cold = cold
-	return anyChanged
+	for change, servers := range changes {
+		cs.logChange(now, change, servers, listAge)
+	}
+	return anyChanged || len(changes) > 0
+}
+
+// coldChange is what servers that became cold or warm at the same time have in common.
+type coldChange struct {
+	service id.Service
+	zone    id.AvailabilityZone
+	isCold  bool
+	source  coldstart.Source
+}
+
+// changedServers are servers with the same change, and the time until which the last of them counts as cold.
+type changedServers struct {
+	names []string
+	until time.Time
+}
+
+// with returns the servers and one more.
+func (cs changedServers) with(server id.BackendServer, until time.Time) changedServers {
+	if until.After(cs.until) {
+		cs.until = until
+	}
+	cs.names = append(cs.names, string(server))
+	return cs
 }
 
-// logChange logs that a server became cold or warm.
-func (cs *ColdStarts) logChange(now time.Time, server serverlist.Server, state coldstart.State, listAge time.Duration) {
-	isCold := state.IsCold(now)
-	if isCold {
-		cs.metrics.Counter("servers_turned_cold").Inc(1)
+// logChange logs that servers became cold or warm.
+func (cs *ColdStarts) logChange(now time.Time, change coldChange, servers changedServers, listAge time.Duration) {
+	const maxNames = 8
+	if change.isCold {
+		cs.metrics.Counter("servers_turned_cold").Inc(int64(len(servers.names)))
 	}
-	cs.logger.Info("backend server became cold or warm", "server", string(server.ID), "zone", string(server.AvailabilityZone), "cold", isCold,
-		"source", string(state.Source), "remaining_ms", max(0, state.Until.Sub(now)).Milliseconds(),
-		"limit_per_s", float64(cs.fleet.ColdService(server.Service).Limit.Rate), "list_age_ms", listAge.Milliseconds())
+	cs.logger.Info("backend servers became cold or warm", "service", string(change.service), "zone", string(change.zone), "cold", change.isCold,
+		"count", len(servers.names), "first", servers.names[:min(maxNames, len(servers.names))], "source", string(change.source),
+		"remaining_ms", max(0, servers.until.Sub(now)).Milliseconds(), "limit_per_s", float64(cs.fleet.ColdService(change.service).Limit.Rate),
+		"list_age_ms", listAge.Milliseconds())
 }
--- a/coordination/requestlimit/cold_test.go
+++ b/coordination/requestlimit/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
 	"strings"
@@ -138,8 +139,17 @@
 		host.fleet.setListAge(0)
 		time.Sleep(coldPeriod + time.Second)
 		assert.Equal(t, host.Limit(restarted), serverlimit.ColdLimit{})
+		zone := []serverlist.Server{limitedServer}
+		for number := range 100 {
+			zone = append(zone, serverlist.Server{ID: id.BackendServer(fmt.Sprint("zone-", number)), Service: service, StartedAtMillis: 1})
+		}
+		host.UpdateServers(zone)
+		assert.Equal(t, host.Count(), len(zone))
+		assert.Equal(t, host.lines("count=101 first="), 1, host.log.String())
+		time.Sleep(coldPeriod + time.Second)
+		assert.Equal(t, host.Count(), 0)
 		assert.Equal(t, host.lines("may have become cold unnoticed"), 2, host.log.String())
-		assert.Equal(t, host.lines("became cold or warm"), 2, host.log.String())
+		assert.Equal(t, host.lines("became cold or warm"), 4, host.log.String())
 		cancel()
 		running.Wait()
 	})
