Cold servers are checked only while there are any

The check for servers that have become warm went over all servers ten times a second on each host, also in calm. Servers become cold only by events that check by themselves, so that the timer has work only while a server is cold or the age of the list crosses its bound.

--- a/coordination/requestlimit/cold.go
+++ b/coordination/requestlimit/cold.go
@@ -185,7 +185,7 @@
 // Run notices when servers become warm and when the list becomes outdated, until the context ends. It always returns nil.
 func (cs *ColdStarts) Run(ctx context.Context) error {
 	subscription := timer.Every(cs.clock, checkInterval, func() {
-		if cs.check() {
+		if cs.mayChange() && cs.check() {
 			cs.changed()
 		}
 	})
@@ -194,13 +194,25 @@
 	return nil
 }
 
+// mayChange reports whether a server may have become warm, or the list outdated or up to date, since the last check.
+func (cs *ColdStarts) mayChange() bool {
+	cs.mutex.Lock()
+	defer cs.mutex.Unlock()
+	return len(cs.cold) > 0 || cs.outdated(cs.fleet.ListAge()) != cs.listOutdated
+}
+
+// outdated reports whether servers may have become cold unnoticed, for an age of the list. The caller holds the mutex.
+func (cs *ColdStarts) outdated(listAge time.Duration) bool {
+	return len(cs.servers) > 0 && listAge > outdatedListAge
+}
+
 // check logs which servers have become cold or warm since the last check, and reports whether there are any.
 func (cs *ColdStarts) check() bool {
 	cs.mutex.Lock()
 	defer cs.mutex.Unlock()
 	now, listAge := cs.clock.Now(), cs.fleet.ListAge()
 	anyChanged := false
-	if outdated := len(cs.servers) > 0 && listAge > outdatedListAge; outdated != cs.listOutdated {
+	if outdated := cs.outdated(listAge); outdated != cs.listOutdated {
 		cs.listOutdated, anyChanged = outdated, true
 		cs.logger.Info("servers may have become cold unnoticed", "applies", outdated, "list_age_ms", listAge.Milliseconds(), "servers", len(cs.servers))
 	}
