--- a/layers_test.go
+++ b/layers_test.go
@@ -28,7 +28,7 @@
 	"coordination/dispatch", "coordination/membership", "coordination/claim", "coordination/lease",
 	"coordination/placement", "coordination/retry", "coordination/batch", "coordination/balance", "coordination/reachability",
 	"coordination/succession",
-	"state/route", "state/serverlist", "state/container", "state/evacuation", "state/id", "state/limit", "state/lists", "state/outcome", "state/quarantine", "state/serverlimit",
+	"state/coldstart", "state/route", "state/serverlist", "state/container", "state/evacuation", "state/id", "state/limit", "state/lists", "state/outcome", "state/quarantine", "state/serverlimit",
 }
 
 // impureImports are packages that pure packages must not import.
