Metric of what first events take over what is predicted

dispatch_granted and waiting showed how full a service is, but not whether the predictions that order and refusals rest on hold. TestPredictionFollowsMeasuredTimes checks the value.

--- a/coordination/batch/prediction.go
+++ b/coordination/batch/prediction.go
@@ -67,6 +67,12 @@
 	mc.correctionFor(len(gr.Parts)).observe(gr.modelledFirstEvent, now.Sub(gr.grantedAt))
 }
 
+// FirstEventRatios returns the running means of measured over predicted time to the first event, of prompts that one engine
+// reads and of those that several read. The predictions of grants are multiplied by them.
+func (mc *Machine) FirstEventRatios() (single, shared float64) {
+	return 1 + mc.singleCorrection.meanExcess, 1 + mc.sharedCorrection.meanExcess
+}
+
 // meanPassTime returns the mean duration of a pass in which the candidates only write answers.
 func (mc *Machine) meanPassTime() time.Duration {
 	if len(mc.candidates) == 0 {
--- a/coordination/batch/prediction_test.go
+++ b/coordination/batch/prediction_test.go
@@ -70,6 +70,8 @@
 		predicted = grant(fmt.Sprintf("r%d", ix), 2, modelled)
 	}
 	assert.Assert(t, predicted > 2*modelled*95/100 && predicted <= 2*modelled, "predicted %s, measured %s", predicted, 2*modelled)
+	ratio, _ := machine.FirstEventRatios()
+	assert.Assert(t, ratio > 1.9 && ratio <= 2, "the ratio is %.2f", ratio)
 	grant("lost", 1000, modelled)
 	afterLost := grant("last", 2, modelled)
 	assert.Assert(t, afterLost < predicted*11/10, "%s before, %s after one lost request", predicted, afterLost)
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -404,6 +404,10 @@
 	Waiting int
 	// Granted is the number of grants that have not ended.
 	Granted int
+	// SingleFirstEventRatio and SharedFirstEventRatio are the running means of measured over predicted time to the first
+	// event, of prompts that one engine reads and of those that several read.
+	SingleFirstEventRatio float64
+	SharedFirstEventRatio float64
 }
 
 // Status returns the state of every dispatcher on this host.
@@ -412,7 +416,8 @@
 	defer sv.mutex.Unlock()
 	var statuses []Status
 	for service, dp := range sv.dispatchers {
-		statuses = append(statuses, Status{Service: service, Waiting: dp.machine.Waiting(), Granted: dp.machine.Granted()})
+		single, shared := dp.machine.FirstEventRatios()
+		statuses = append(statuses, Status{Service: service, Waiting: dp.machine.Waiting(), Granted: dp.machine.Granted(), SingleFirstEventRatio: single, SharedFirstEventRatio: shared})
 	}
 	return statuses
 }
--- a/site/gauges.go
+++ b/site/gauges.go
@@ -35,6 +35,8 @@
 		tagged := scope.Tagged(map[string]string{"service": string(status.Service)})
 		tagged.Gauge("dispatch_waiting").Update(float64(status.Waiting))
 		tagged.Gauge("dispatch_granted").Update(float64(status.Granted))
+		tagged.Tagged(map[string]string{"engines": "one"}).Gauge("first_event_ratio").Update(status.SingleFirstEventRatio)
+		tagged.Tagged(map[string]string{"engines": "several"}).Gauge("first_event_ratio").Update(status.SharedFirstEventRatio)
 	}
 	for service, budget := range ht.forwarder.RetryBudgets() {
 		scope.Tagged(map[string]string{"service": string(service)}).Gauge("retry_budget").Update(budget)
