--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -51,6 +51,11 @@
 	headBuffer     []*waitingRequest
 	lastExpiry     time.Time
 	effects        []Effect
+	// singleCorrection corrects the predicted first events of prompts that one engine reads, sharedCorrection those of
+	// prompts that several engines read.
+	singleCorrection predictionCorrection
+	sharedCorrection predictionCorrection
+	room             roomForecast
 }
 
 // activeGrant is a grant that has been issued or taken over and has not been released.
@@ -59,6 +64,10 @@
 	request   Request
 	renewedAt time.Time
 	started   bool
+	// grantedAt is when the machine issued the grant, and modelledFirstEvent the time from then to the first event as it
+	// was predicted without correction. Both are zero for a grant that was taken over.
+	grantedAt          time.Time
+	modelledFirstEvent time.Duration
 	// needsShortPasses says that the prompt is short, or that the request has a strict pause. Long prompts avoid engines
 	// that answer such requests.
 	needsShortPasses bool
@@ -103,6 +112,9 @@
 	case RenewGrant:
 		mc.renew(now, ev)
 	case AttemptStarted:
+		if gr, ok := mc.grantsByAttempt[ev.Attempt]; ok && !gr.started {
+			mc.observeFirstEvent(now, gr)
+		}
 		mc.markStarted(now, ev.Attempt)
 	case FinishAttempt:
 		mc.recordFault(now, ev)
@@ -161,6 +173,9 @@
 	}
 	mc.waitingByID[rq.ID] = wt
 	mc.queueFor(wt).push(wt)
+	if mc.hasShortPrompt(wt) {
+		mc.room.countArrival(now)
+	}
 	mc.waitDeadlines.Push(wt)
 }
 
@@ -268,6 +283,9 @@
 // releaseGrant removes a grant and its tasks. Reading that has not been done no longer counts as the engines' work.
 func (mc *Machine) releaseGrant(now time.Time, gr *activeGrant) {
 	delete(mc.grantsByAttempt, gr.Attempt)
+	if gr.started && !gr.grantedAt.IsZero() {
+		mc.room.countHold(now.Sub(gr.grantedAt))
+	}
 	if mc.grantsByRequest[gr.request.ID] == gr {
 		delete(mc.grantsByRequest, gr.request.ID)
 	}
--- a/coordination/batch/selection.go
+++ b/coordination/batch/selection.go
@@ -28,6 +28,7 @@
 	}
 	mc.updateCandidates(now)
 	untilNext := min(maxInterval, mc.dispatchQueue(now, &mc.shortQueue, maxShortHeads, mc.proposeShort))
+	mc.refuseHopeless(now)
 	untilNext = min(untilNext, mc.dispatchQueue(now, &mc.longQueue, maxLongHeads, mc.proposeLong))
 	untilNext = min(untilNext, mc.untilNextRequest(now))
 	if mc.isCautious(now) {
@@ -65,7 +66,7 @@
 // waiting request has a predicted start.
 func (mc *Machine) dispatchQueue(now time.Time, qu *queue, limit int, propose func(time.Time, *waitingRequest) (proposal, bool)) time.Duration {
 	untilFirstStart := time.Duration(math.MaxInt64)
-	mc.headBuffer = qu.appendHeads(now, limit, mc.headBuffer[:0])
+	mc.headBuffer = qu.appendHeads(now.Add(mc.startOverhead(qu)-mc.config.StartOverhead), limit, mc.headBuffer[:0])
 	for _, wt := range mc.headBuffer {
 		prop, ok := propose(now, wt)
 		if !ok {
@@ -89,7 +90,11 @@
 	gr.renewedAt = now
 	gr.needsShortPasses = mc.hasShortPrompt(wt) || mc.hasStrictPause(wt.Request)
 	gr.Urgency = urgencyOf(wt)
+	gr.grantedAt = now
 	gr.PredictedFirstEvent = gr.firstEventAt.Sub(now)
+	if mc.config.CorrectsPredictions {
+		gr.PredictedFirstEvent = mc.correctionFor(len(gr.Parts)).correct(gr.modelledFirstEvent)
+	}
 	gr.SuspectParts = wt.SuspectParts
 	for _, part := range gr.Parts {
 		mc.enginesByName[part.Engine].requests.Reserve(now, 0)
@@ -243,6 +248,9 @@
 			best, bestFirstEvent = cd, firstEvent
 			break
 		}
+		if mc.config.CorrectsPredictions {
+			firstEvent = mc.modelFirstEvent(cd.waitTime, wt.readTime, cd.passTime)
+		}
 		if best == nil || firstEvent < bestFirstEvent {
 			best, bestFirstEvent = cd, firstEvent
 		}
@@ -274,9 +282,10 @@
 	partReadTime := wt.readTime / time.Duration(len(mc.bestIndexes))
 	return proposal{
 		grant: &activeGrant{
-			Grant:        Grant{Parts: mc.allocateParts(mc.bestIndexes, wt)},
-			partReadTime: partReadTime,
-			firstEventAt: now.Add(start + partReadTime + mc.longestPass(mc.bestIndexes)/2 + mc.config.GrantDelay),
+			Grant:              Grant{Parts: mc.allocateParts(mc.bestIndexes, wt)},
+			partReadTime:       partReadTime,
+			firstEventAt:       now.Add(start + partReadTime + mc.longestPass(mc.bestIndexes)/2 + mc.config.GrantDelay),
+			modelledFirstEvent: mc.modelFirstEvent(start, partReadTime, mc.longestPass(mc.bestIndexes)),
 		},
 		start:  start,
 		finish: start + partReadTime,
--- a/coordination/batch/takeover.go
+++ b/coordination/batch/takeover.go
@@ -67,8 +67,9 @@
 // shortProposal returns the proposal that grants a short prompt to a candidate.
 func (mc *Machine) shortProposal(now time.Time, wt *waitingRequest, cd *candidate) proposal {
 	return proposal{grant: &activeGrant{
-		Grant:        Grant{Parts: []Part{{Engine: cd.engine.Engine, Address: cd.engine.Address, MemoryTokens: wt.PromptTokens + wt.MaxAnswerTokens}}},
-		partReadTime: wt.readTime,
-		firstEventAt: now.Add(cd.waitTime + wt.readTime + mc.config.GrantDelay),
+		Grant:              Grant{Parts: []Part{{Engine: cd.engine.Engine, Address: cd.engine.Address, MemoryTokens: wt.PromptTokens + wt.MaxAnswerTokens}}},
+		partReadTime:       wt.readTime,
+		firstEventAt:       now.Add(cd.waitTime + wt.readTime + mc.config.GrantDelay),
+		modelledFirstEvent: mc.modelFirstEvent(cd.waitTime, wt.readTime, cd.passTime),
 	}}
 }
