Replays of cold engines last longer

Cause: the share of the ramp that a cold engine gets was checked over two seconds, 34 requests. One dispatcher may send 15 a second at most, so that the check left room for less than three requests, while delays of up to 0.3 s move some across the ends of these two seconds.

The engines are cold for eight seconds now. The bounds are the same ones, 0.8 of the rate and what is allowed in any second, and are checked over more of them.

--- a/coordination/batch/cold_test.go
+++ b/coordination/batch/cold_test.go
@@ -19,9 +19,9 @@
 	// coldPerSecond is the rate of a cold engine in the replayed load.
 	coldPerSecond = 17
 	// coldFrom and coldTo bound the time in which the first coldEngines engines are cold.
-	coldFrom, coldTo = 2 * time.Second, 5 * time.Second
+	coldFrom, coldTo = 2 * time.Second, 10 * time.Second
 	// replayDuration is the length of a replay, and replayStep its resolution.
-	replayDuration = 7 * time.Second
+	replayDuration = 12 * time.Second
 	replayStep     = time.Millisecond
 	replayEngines  = 9
 	coldEngines    = 3
