A test of resumed streams waits until its dispatcher packs

TestStreamResumesOnOtherEngine makes engine-1 cut its response and took it for granted that the first request of a new dispatcher goes to the first engine in the order of names. A new dispatcher now spreads its first grants. The test sends one request first and waits until that is over; its assertions are the same ones.

--- a/site/requests_test.go
+++ b/site/requests_test.go
@@ -124,12 +124,17 @@
 	faulty, healthy := env.addServer("engine-1", "models"), env.addServer("engine-2", "models")
 	env.publishTable()
 	host := env.startHost("host-1", true)
+	// A new dispatcher does not choose the first engine in the order of names, as the test needs, but spreads requests.
+	const afterTakeover = 1500 * time.Millisecond
+	assert.Equal(t, host.sendPrompt("a0", 4000).status, http.StatusOK)
+	time.Sleep(afterTakeover)
+	executedBefore := len(healthy.ExecutedRequests())
 	faulty.SetFault(standin.CutsResponses)
 	got := host.sendPrompt("a1", 4000)
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, eventStream(5))
 	assert.Equal(t, got.header.Get("X-Response-Seal"), "seal-of-engine-1")
-	assert.Equal(t, healthy.ExecutedRequests()[0].LastEventID, "2")
+	assert.Equal(t, healthy.ExecutedRequests()[executedBefore].LastEventID, "2")
 }
 
 // TestInterruptedStreamIsAborted checks that a stream which can't be resumed ends in such a way that the client does
