A host that has just returned does not dispatch for hosts that still take it for the first one

Cause: news of a new start takes up to two seconds to reach all hosts, but hosts skip a lost dispatcher for one second only.

A host that started late refuses grants and reports for its first five seconds while another host is the first one in its view.

Tests: broker.TestReturnedHostDoesNotDispatch, red without; StartedLate in TestRestartedHostDoesNotReturn. HandleReport of broker.Server now returns an error; the stand-ins of broker.Peers in tests got the new call.

--- a/coordination/broker/broker.go
+++ b/coordination/broker/broker.go
@@ -107,6 +107,8 @@
 	// LeadsService reports whether the local host is the first dispatcher of a service. Only the first dispatcher uses
 	// engines with a request limit, because the requests that all hosts send to them are counted there.
 	LeadsService(service id.Service) bool
+	// StartedLate reports whether the local host started so late after the others that it is ordered behind them.
+	StartedLate() bool
 	// RequestGrant asks the dispatcher on a host for a grant.
 	RequestGrant(ctx context.Context, dispatcher id.Host, request GrantRequest) (GrantResponse, error)
 	// DeliverResponse passes a response to the entry host that waits for it and reports whether it was still waiting.
--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -41,6 +41,10 @@
 	liveHosts []id.Host
 	// unresponsiveHosts holds the hosts to which calls block until they time out.
 	unresponsiveHosts map[id.Host]bool
+	// lateHosts holds the hosts that have started late after the others.
+	lateHosts map[id.Host]bool
+	// ownOrders holds the orders of hosts that do not know liveHosts.
+	ownOrders map[id.Host][]id.Host
 	// cutLinks holds pairs of hosts of which the first can't reach the second.
 	cutLinks map[[2]id.Host]bool
 	// reportDelay is how long reports are under way.
@@ -66,6 +70,22 @@
 	return len(dispatchers) > 0 && dispatchers[0] == hn.host
 }
 
+func (hn hostNetwork) Dispatchers(service id.Service) []id.Host {
+	hn.mutex.Lock()
+	order, hasOwn := hn.ownOrders[hn.host]
+	hn.mutex.Unlock()
+	if hasOwn {
+		return order
+	}
+	return hn.network.Dispatchers(service)
+}
+
+func (hn hostNetwork) StartedLate() bool {
+	hn.mutex.Lock()
+	defer hn.mutex.Unlock()
+	return hn.lateHosts[hn.host]
+}
+
 // singleEngineFleet is a host's view of a fleet that consists of one engine.
 type singleEngineFleet struct {
 	network *network
@@ -187,8 +207,7 @@
 		nw.endReports[report.Host]++
 		nw.mutex.Unlock()
 	}
-	nw.servers[dispatcher].HandleReport(report)
-	return nil
+	return nw.servers[dispatcher].HandleReport(report)
 }
 
 // startHosts runs the given hosts, all of them live, until the returned function is called.
--- a/coordination/broker/review_test.go
+++ b/coordination/broker/review_test.go
@@ -57,6 +57,8 @@
 
 func (rp *recordingPeers) Dispatchers(id.Service) []id.Host { return nil }
 
+func (rp *recordingPeers) StartedLate() bool { return false }
+
 func (rp *recordingPeers) LeadsService(id.Service) bool { return true }
 
 func (rp *recordingPeers) DeliverResponse(_ context.Context, _ id.Host, requestID id.Request, response broker.GrantResponse) (bool, error) {
--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -44,6 +44,8 @@
 	// evidenceChanged makes the next tick review the waiting requests.
 	evidenceChanged atomic.Bool
 
+	startedAt time.Time
+
 	// wake makes Run start the next tick immediately.
 	wake chan struct{}
 	// mutex guards the fields below and the dispatchers.
@@ -85,6 +87,7 @@
 		metrics:     metrics,
 		logger:      logger,
 		seed:        seed,
+		startedAt:   clock.Now(),
 		wake:        make(chan struct{}, 1),
 		dispatchers: map[id.Service]*serviceDispatcher{},
 	}
@@ -221,10 +224,13 @@
 	}
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
-	if sv.leaving {
+	now := sv.clock.Now()
+	switch {
+	case sv.leaving:
 		return GrantResponse{}, errLeaving
+	case sv.hasJustReturned(now, request.Service):
+		return GrantResponse{}, errReturned
 	}
-	now := sv.clock.Now()
 	if len(request.Evidence) > 0 {
 		sv.reviewWaiting(now)
 	}
@@ -318,13 +324,23 @@
 		sv.logger.Warn("answer not given", "host", string(host), "place", string(requestID), "error", err.Error())
 	}
 	if response.Grant != nil && (err != nil || !accepted) {
-		sv.HandleReport(Report{EndedGrants: []EndedGrant{{Service: service, Request: requestID, Attempt: response.Grant.Attempt}}})
+		sv.applyReport(Report{EndedGrants: []EndedGrant{{Service: service, Request: requestID, Attempt: response.Grant.Attempt}}})
 	}
 }
 
-// HandleReport updates the dispatchers from an entry host's report. What it says of crashes and of prompts that were
+// HandleReport updates the dispatchers from an entry host's report. It returns an error if the report has to go to another
+// host.
+func (sv *Server) HandleReport(report Report) error {
+	if sv.isForOther(report) {
+		return errReturned
+	}
+	sv.applyReport(report)
+	return nil
+}
+
+// applyReport updates the dispatchers from a report. What it says of crashes and of prompts that were
 // answered comes before the ends of grants, so that an engine that becomes free gets the right request next.
-func (sv *Server) HandleReport(report Report) {
+func (sv *Server) applyReport(report Report) {
 	for _, evidence := range report.Evidence {
 		sv.quarantine.LearnReportedEvidence(evidence)
 	}
--- a/coordination/broker/takeover.go
+++ b/coordination/broker/takeover.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
@@ -137,3 +140,27 @@
 			"failed", sy.failed, "learned", sy.learned, "granted", dp.machine.Granted(), "waiting", dp.machine.Waiting(), "after_ms", now.Sub(sy.beganAt).Milliseconds())
 	}
 }
+
+// returnPeriod is the time after the start of a host that was lost in which it dispatches for no service that another host
+// dispatches for. Hosts that have not heard of its new start yet may still take it for the first dispatcher.
+const returnPeriod = 5 * time.Second
+
+// errReturned makes the requesting or reporting host fail over to the next dispatcher.
+var errReturned = errors.New("the host has just started and another one dispatches")
+
+// hasJustReturned reports whether this host has started late after others and just now, and another one is the first
+// dispatcher of a service. The caller holds the mutex.
+func (sv *Server) hasJustReturned(now time.Time, service id.Service) bool {
+	return now.Sub(sv.startedAt) < returnPeriod && sv.peers.StartedLate() && !sv.peers.LeadsService(service)
+}
+
+// isForOther reports whether a report is about a service that another host dispatches for because this one has just
+// returned.
+func (sv *Server) isForOther(report Report) bool {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	now := sv.clock.Now()
+	return slices.ContainsFunc(report.HeldGrants, func(held HeldGrant) bool { return sv.hasJustReturned(now, held.GrantRequest.Service) }) ||
+		slices.ContainsFunc(report.StartedAttempts, func(started StartedAttempt) bool { return sv.hasJustReturned(now, started.Service) }) ||
+		slices.ContainsFunc(report.EndedGrants, func(ended EndedGrant) bool { return sv.hasJustReturned(now, ended.Service) })
+}
--- a/coordination/broker/takeover_test.go
+++ b/coordination/broker/takeover_test.go
@@ -186,3 +186,37 @@
 		})
 	}
 }
+
+// TestReturnedHostDoesNotDispatch has a host that was lost and has just started be asked for grants, and get reports, by
+// hosts that have not heard of its new start and take it for the first dispatcher. They must turn to the host that took
+// over at once, which alone knows what runs. Later the host dispatches if it is asked.
+func TestReturnedHostDoesNotDispatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := startHosts(t, "second", "first", "third")
+		defer stop()
+		nw.mutex.Lock()
+		nw.lateHosts = map[id.Host]bool{"first": true}
+		// The third host believes that the first one still dispatches.
+		nw.ownOrders = map[id.Host][]id.Host{"third": {"first", "second", "third"}}
+		nw.mutex.Unlock()
+		var grants []batch.Grant
+		for requestNumber := range uint64(engineSlots) {
+			began := time.Now()
+			grant, oc := nw.acquire(t, "third", requestNumber, time.Second)
+			assert.Assert(t, oc.OK(), "request %d: %+v", requestNumber, oc)
+			assert.Assert(t, time.Since(began) < 50*time.Millisecond, "it took %s", time.Since(began))
+			grants = append(grants, grant)
+		}
+		assert.Equal(t, len(nw.servers["first"].Status()), 0, "the first host dispatches")
+		time.Sleep(1100 * time.Millisecond)
+		nw.clients["third"].ReportEnded(broker.EndedGrant{Attempt: grants[0].Attempt})
+		time.Sleep(20 * time.Millisecond)
+		assert.Equal(t, nw.servers["second"].Status()[0].Granted, engineSlots-1)
+		assert.Equal(t, len(nw.servers["first"].Status()), 0, "the first host dispatches")
+		time.Sleep(10 * time.Second)
+		nw.clients["third"].ReportEnded(broker.EndedGrant{Attempt: grants[1].Attempt})
+		_, oc := nw.acquire(t, "third", engineSlots, time.Second)
+		assert.Assert(t, oc.OK(), "%+v", oc)
+		assert.Equal(t, len(nw.servers["first"].Status()), 1)
+	})
+}
--- a/coordination/succession/succession.go
+++ b/coordination/succession/succession.go
@@ -68,6 +68,12 @@
 	return ordered
 }
 
+// StartedLate reports whether Order places a host behind others because of its start.
+func StartedLate(host id.Host, live []membership.Member) bool {
+	lateFrom := firstLateStart(live)
+	return slices.ContainsFunc(live, func(member membership.Member) bool { return member.Host == host && member.Incarnation >= lateFrom })
+}
+
 // compareLate returns a negative number if left goes before right.
 func compareLate(left, right bool) int {
 	switch {
--- a/coordination/succession/succession_test.go
+++ b/coordination/succession/succession_test.go
@@ -70,6 +70,9 @@
 		seed := rapid.Uint64().Draw(rt, "shuffle")
 		rand.New(rand.NewPCG(seed, seed)).Shuffle(len(again), func(left, right int) { again[left], again[right] = again[right], again[left] })
 		assert.Equal(rt, succession.Order("models", again)[0], next, "the service moved because a host started")
+		for _, member := range again {
+			assert.Equal(rt, succession.StartedLate(member.Host, again), member.Host == lostHost, "%s", member.Host)
+		}
 	})
 }
 
--- a/transport/peer/broker.go
+++ b/transport/peer/broker.go
@@ -49,6 +49,10 @@
 	return len(dispatchers) > 0 && dispatchers[0] == cl.self.Host
 }
 
+// StartedLate reports whether the local host started so late after the other live hosts that it is ordered behind them as
+// a dispatcher.
+func (cl *Client) StartedLate() bool { return succession.StartedLate(cl.self.Host, cl.members.Live()) }
+
 // Peers returns the remote hosts that are not dead, with their availability zones and processor shares.
 func (cl *Client) Peers() []statesync.Peer {
 	var peers []statesync.Peer
@@ -92,8 +96,7 @@
 // SendReport sends held grants, started attempts, ended grants and evidence about crashes to the dispatchers on a host.
 func (cl *Client) SendReport(ctx context.Context, host id.Host, report broker.Report) error {
 	if host == cl.self.Host {
-		cl.local.BrokerServer.HandleReport(report)
-		return nil
+		return cl.local.BrokerServer.HandleReport(report)
 	}
 	now := cl.clock.Now()
 	message := &peer.ProgressRequest{Host: string(report.Host)}
@@ -205,7 +208,9 @@
 		})
 	}
 	report.Evidence = decodeEvidence(request.Msg.GetEvidence())
-	sv.local.BrokerServer.HandleReport(report)
+	if err := sv.local.BrokerServer.HandleReport(report); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
 	return connect.NewResponse(&peer.ProgressResponse{}), nil
 }
 
--- a/transport/peer/fuzz_test.go
+++ b/transport/peer/fuzz_test.go
@@ -50,6 +50,7 @@
 func (unreachablePeers) LearnReportedEvidence(quarantine.Evidence)       {}
 func (unreachablePeers) Dispatchers(id.Service) []id.Host                { return nil }
 func (unreachablePeers) LeadsService(id.Service) bool                    { return true }
+func (unreachablePeers) StartedLate() bool                               { return false }
 func (unreachablePeers) RequestGrant(context.Context, id.Host, broker.GrantRequest) (broker.GrantResponse, error) {
 	return broker.GrantResponse{}, errNotRunning
 }
