A test of crashes waits until its dispatcher packs

TestCrashEndsResponseWithoutLength makes one engine after the other crash and needs at least one crash.

--- a/site/env_test.go
+++ b/site/env_test.go
@@ -23,6 +23,9 @@
 	apiKey   = "key-of-acme"
 	// waitLimit is how long tests wait for something that should happen soon.
 	waitLimit = 20 * time.Second
+	// afterTakeover is how long after its first request a dispatcher surely packs requests onto the first engine in the order
+	// of names. Before that it spreads them.
+	afterTakeover = 1500 * time.Millisecond
 	// anyPort is an address at which a host chooses a free port.
 	anyPort = "127.0.0.1:0"
 )
--- a/site/requests_test.go
+++ b/site/requests_test.go
@@ -124,8 +124,6 @@
 	faulty, healthy := env.addServer("engine-1", "models"), env.addServer("engine-2", "models")
 	env.publishTable()
 	host := env.startHost("host-1", true)
-	// A new dispatcher does not choose the first engine in the order of names, as the test needs, but spreads requests.
-	const afterTakeover = 1500 * time.Millisecond
 	assert.Equal(t, host.sendPrompt("a0", 4000).status, http.StatusOK)
 	time.Sleep(afterTakeover)
 	executedBefore := len(healthy.ExecutedRequests())
--- a/site/response_end_test.go
+++ b/site/response_end_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -34,6 +35,8 @@
 					return kind.isWhole(kind.send(first, "warm-"+kind.name), "warm-"+kind.name) && kind.isWhole(kind.send(second, "warm2-"+kind.name), "warm2-"+kind.name)
 				})
 			}
+			// As long as a new dispatcher spreads requests, each engine may get them just when it is not the one that is to crash.
+			time.Sleep(afterTakeover)
 			if relayed {
 				first.links.SetMode(standin.LinkRefused, servers...)
 			}
