A prompt for which the engines take no new requests may come again

The dispatcher of the product's own front refused a request as longer than the fleet can hold (413, for good) when all engines that could hold it were leaving; found by evacuating all zones. It is now refused for want of engines (503) with a time to return, and as too long only if no engines could hold it.

--- a/coordination/dispatch/admission.go
+++ b/coordination/dispatch/admission.go
@@ -17,10 +17,13 @@
 )
 
 // admit decides whether a request may wait. If not, it returns the refusal and false: the shard can never hold the
-// prompt, the request can't finish before its deadline, the queue is full, or the predicted start is too late.
+// prompt, or can't while engines are leaving or evacuated, the request can't finish before its deadline, the queue is full, or the predicted start is too late.
 // Attempts after the first skip the prediction, because they continue interrupted work and are served first.
 func (mc *Machine) admit(now time.Time, wt *waitingRequest) (outcome.Outcome, bool) {
 	if len(mc.engines) > 0 && mc.ServesModel(wt.Model) && mc.minParts(wt) == 0 {
+		if mc.minPartsOn(wt, func(en *engine) bool { return slices.Contains(en.Models, wt.Model) }) > 0 {
+			return outcome.Refuse(outcome.NoCapacity, "the engines that could hold the prompt take no new requests").WithRetryAfter(mc.assignRetryAfter(now, wt)), false
+		}
 		return outcome.Refuse(outcome.PromptExceedsFleet, "the prompt is longer than the engines of the fleet can hold"), false
 	}
 	if !now.Before(wt.latestStart) {
--- a/coordination/dispatch/placement.go
+++ b/coordination/dispatch/placement.go
@@ -133,10 +133,15 @@
 // minParts returns the number of engines that are needed to hold a prompt and its answer, or 0 if the shard can't hold
 // them even when it is idle. It assumes that every engine has the memory of the largest one.
 func (mc *Machine) minParts(wt *waitingRequest) int {
+	return mc.minPartsOn(wt, func(en *engine) bool { return en.acceptsModel(wt.Model) })
+}
+
+// minPartsOn is minParts with the engines for which usable returns true.
+func (mc *Machine) minPartsOn(wt *waitingRequest, usable func(en *engine) bool) int {
 	var maxUsable id.Tokens
 	engineCount := 0
 	for _, en := range mc.engines {
-		if en.acceptsModel(wt.Model) {
+		if usable(en) {
 			maxUsable = max(maxUsable, mc.usableTokens(en, wt.PromptTokens))
 			engineCount++
 		}
