The operators' command evacuates a zone at the product's own front

A record of its own kind in the configuration stream; replicas fold it, checkpoints hold the zones, hosts of the build before ignore it. The view of the fleet leaves out backends of evacuated zones.

TestReplicasAgree draws evacuations and compares the zones of its readers besides the revisions.

--- a/cmd/hibiscuslever/main.go
+++ b/cmd/hibiscuslever/main.go
@@ -15,7 +15,7 @@
 			"the plan that each holds (Organisations). This program does not start or stop hosts.")
 	root.AddCommand(
 		experimentCommand(), explainCommand(),
-		showCommand(), checkCommand(), publishCommand(), historyCommand(), statusCommand(),
+		showCommand(), checkCommand(), publishCommand(), historyCommand(), statusCommand(), evacuateCommand(),
 		demoCommand(),
 	)
 	os.Exit(command.Execute(root, os.Stderr))
--- a/coordination/configuration/follower.go
+++ b/coordination/configuration/follower.go
@@ -96,8 +96,8 @@
 	log     Log
 	peers   Peers
 	metrics tally.Scope
-	// onChange is called with the new revision of the lists after each change. The lock is held during the call.
-	onChange func(id.Offset)
+	// onChange is called with the lists after each change. The lock is held during the call.
+	onChange func(*lists.Lists)
 
 	// mutex guards the fields below except readMutex.
 	mutex   sync.Mutex
@@ -121,7 +121,7 @@
 }
 
 // New returns a follower that has read no records yet.
-func New(config Config, clock timer.Clock, log Log, peers Peers, metrics tally.Scope, onChange func(id.Offset)) *Follower {
+func New(config Config, clock timer.Clock, log Log, peers Peers, metrics tally.Scope, onChange func(*lists.Lists)) *Follower {
 	return &Follower{
 		config:         config,
 		clock:          clock,
@@ -272,9 +272,9 @@
 func (fw *Follower) notifyChange(previousRevision id.Offset) {
 	close(fw.changeSignal)
 	fw.changeSignal = make(chan struct{})
-	if revision := fw.replica.Lists().Revision; revision != previousRevision {
+	if current := fw.replica.Lists(); current.Revision != previousRevision {
 		fw.metrics.Counter("configuration_changes").Inc(1)
-		fw.onChange(revision)
+		fw.onChange(current)
 	}
 }
 
--- a/coordination/configuration/publish.go
+++ b/coordination/configuration/publish.go
@@ -23,7 +23,21 @@
 	if err := fw.checkEdit(edit); err != nil {
 		return lists.Verdict{}, err
 	}
-	body, err := lists.EncodeRecord(lists.Record{Edit: &edit})
+	return fw.appendUntilDecided(ctx, lists.Record{Edit: &edit}, edit.Token)
+}
+
+// Evacuate appends an evacuation of an availability zone, or its end, to the log and returns the verdict on it once the log
+// shows it. It repeats the record like Publish.
+func (fw *Follower) Evacuate(ctx context.Context, evacuation lists.Evacuation) (lists.Verdict, error) {
+	if _, ready := fw.Lists(); !ready {
+		return lists.Verdict{}, fmt.Errorf("this host can't publish: %s", fw.NotReadyReason())
+	}
+	return fw.appendUntilDecided(ctx, lists.Record{Evacuation: &evacuation}, evacuation.Token)
+}
+
+// appendUntilDecided appends a record with a token until the log shows it, and returns the verdict on it.
+func (fw *Follower) appendUntilDecided(ctx context.Context, record lists.Record, token string) (lists.Verdict, error) {
+	body, err := lists.EncodeRecord(record)
 	if err != nil {
 		return lists.Verdict{}, err
 	}
@@ -31,7 +45,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, fw.config.CallTimeout)
 		fw.log.Append(callCtx, body)
 		cancel()
-		if verdict, ok := fw.readVerdict(ctx, edit.Token); ok {
+		if verdict, ok := fw.readVerdict(ctx, token); ok {
 			return verdict, nil
 		}
 		timer.Sleep(ctx, fw.clock, publishRetryDelay)
--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -22,7 +22,7 @@
 	Address          string
 	AvailabilityZone id.AvailabilityZone
 	// Leaving says that the engine must get no new requests. In a Listing, it means that the platform lists the engine as
-	// leaving. Methods that return engines also set it because of observations (see isUnavailable).
+	// leaving. Methods that return engines also set it because of observations and of evacuated zones (see isUnavailable).
 	Leaving bool
 	// ChecksFencing says that the engine rejects orders to load or unload a model whose fencing token is outdated.
 	ChecksFencing bool
@@ -71,6 +71,8 @@
 	// shards holds the engines of listing by shard, shardNames the sorted names of the shards.
 	shards     map[id.Shard][]Engine
 	shardNames []id.Shard
+	// evacuatedZones are the availability zones that the operator has evacuated.
+	evacuatedZones []id.AvailabilityZone
 }
 
 // unreachableTTL is how long a backend gets no new requests after a connection to it failed.
@@ -110,14 +112,22 @@
 	}
 }
 
+// SetEvacuatedZones sets the availability zones whose backends must get no new requests because the operator has evacuated
+// them. The slice must not be changed any more.
+func (fl *Fleet) SetEvacuatedZones(zones []id.AvailabilityZone) { fl.evacuatedZones = zones }
+
 // RecordObservation records an observation of the backend with the given name, in place of an earlier one.
 func (fl *Fleet) RecordObservation(now time.Time, name string, observation Observation) {
 	fl.observations[name] = timedObservation{observation: observation, observedAt: now}
 }
 
-// isUnavailable reports whether a backend must get no new requests, because the platform lists it as leaving
-// (listedLeaving) or because of an observation. An answer from the backend does not override the list.
-func (fl *Fleet) isUnavailable(now time.Time, name string, listedLeaving bool) bool {
+// isUnavailable reports whether a backend must get no new requests, because its availability zone is evacuated, because the
+// platform lists it as leaving (listedLeaving), or because of an observation. An answer from the backend does not override
+// the list.
+func (fl *Fleet) isUnavailable(now time.Time, name string, zone id.AvailabilityZone, listedLeaving bool) bool {
+	if slices.Contains(fl.evacuatedZones, zone) {
+		return true
+	}
 	newest, ok := fl.observations[name]
 	if !ok {
 		return listedLeaving
@@ -137,16 +147,16 @@
 	return fl.shardNames
 }
 
-// Engines returns the engines of a shard, sorted by name. The field Leaving takes observations into account.
+// Engines returns the engines of a shard, sorted by name. The field Leaving takes observations and evacuated zones into account.
 func (fl *Fleet) Engines(now time.Time, shard id.Shard) []Engine {
 	engines := slices.Clone(fl.shards[shard])
 	for ix := range engines {
-		engines[ix].Leaving = fl.isUnavailable(now, string(engines[ix].Name), engines[ix].Leaving)
+		engines[ix].Leaving = fl.isUnavailable(now, string(engines[ix].Name), engines[ix].AvailabilityZone, engines[ix].Leaving)
 	}
 	return engines
 }
 
-// AllEngines returns the engines of all shards. The field Leaving takes observations into account.
+// AllEngines returns the engines of all shards. The field Leaving takes observations and evacuated zones into account.
 func (fl *Fleet) AllEngines(now time.Time) []Engine {
 	var engines []Engine
 	for _, shard := range fl.shardNames {
@@ -159,7 +169,7 @@
 func (fl *Fleet) Servers(now time.Time, service id.Service) []BackendServer {
 	var servers []BackendServer
 	for _, sv := range fl.listing.Servers {
-		if sv.Service == service && !fl.isUnavailable(now, string(sv.Name), sv.Leaving) {
+		if sv.Service == service && !fl.isUnavailable(now, string(sv.Name), sv.AvailabilityZone, sv.Leaving) {
 			servers = append(servers, sv)
 		}
 	}
--- a/coordination/fleet/fleet_test.go
+++ b/coordination/fleet/fleet_test.go
@@ -38,6 +38,28 @@
 	assert.Assert(t, !fl.Engines(now.Add(time.Minute), "llm")[1].Leaving, "an unreachable engine must be tried again after a time")
 }
 
+// TestEvacuatedZoneIsUnavailable checks that the backends of an evacuated zone get no new requests, whatever was observed of
+// them, and that they are used again when the evacuation ends.
+func TestEvacuatedZoneIsUnavailable(t *testing.T) {
+	now := time.Unix(0, 0)
+	fl := fleet.New()
+	fl.SetListing(fleet.Listing{
+		Engines: []fleet.Engine{{Name: "one", Service: "llm", AvailabilityZone: "a"}, {Name: "two", Service: "llm", AvailabilityZone: "b"}},
+		Servers: []fleet.BackendServer{{Name: "three", Service: "orders", AvailabilityZone: "a"}, {Name: "four", Service: "orders", AvailabilityZone: "b"}},
+	})
+	fl.RecordObservation(now, "one", fleet.Answered)
+	fl.SetEvacuatedZones([]id.AvailabilityZone{"a", "nowhere"})
+	assert.Assert(t, fl.Engines(now, "llm")[0].Leaving)
+	assert.Assert(t, !fl.AllEngines(now)[1].Leaving)
+	servers := fl.Servers(now, "orders")
+	assert.Equal(t, len(servers), 1)
+	assert.Equal(t, servers[0].Name, id.BackendServer("four"))
+	assert.Assert(t, fl.HasService("orders"))
+	fl.SetEvacuatedZones(nil)
+	assert.Assert(t, !fl.Engines(now, "llm")[0].Leaving)
+	assert.Equal(t, len(fl.Servers(now, "orders")), 2)
+}
+
 // TestShardsAreCompleteAndBounded checks that no shard exceeds ShardSize and that every engine is in a shard.
 func TestShardsAreCompleteAndBounded(t *testing.T) {
 	for _, engineCount := range []int{1, 16, 32, 33, 150, 2200} {
--- a/coordination/fleet/view.go
+++ b/coordination/fleet/view.go
@@ -90,6 +90,14 @@
 	vw.fleet.RecordObservation(vw.clock.Now(), name, observation)
 }
 
+// SetEvacuatedZones sets the availability zones whose backends must get no new requests because the operator has evacuated
+// them. The slice must not be changed any more.
+func (vw *View) SetEvacuatedZones(zones []id.AvailabilityZone) {
+	vw.mutex.Lock()
+	defer vw.mutex.Unlock()
+	vw.fleet.SetEvacuatedZones(zones)
+}
+
 // Shards returns the names of all shards, sorted.
 func (vw *View) Shards() []id.Shard {
 	vw.mutex.Lock()
@@ -97,14 +105,14 @@
 	return vw.fleet.Shards()
 }
 
-// Engines returns the engines of a shard, sorted by name. The field Leaving takes observations into account.
+// Engines returns the engines of a shard, sorted by name. The field Leaving takes observations and evacuated zones into account.
 func (vw *View) Engines(shard id.Shard) []Engine {
 	vw.mutex.Lock()
 	defer vw.mutex.Unlock()
 	return vw.fleet.Engines(vw.clock.Now(), shard)
 }
 
-// AllEngines returns the engines of all shards. The field Leaving takes observations into account.
+// AllEngines returns the engines of all shards. The field Leaving takes observations and evacuated zones into account.
 func (vw *View) AllEngines() []Engine {
 	vw.mutex.Lock()
 	defer vw.mutex.Unlock()
--- a/events.go
+++ b/events.go
@@ -8,6 +8,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/fleet"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/lists"
 	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 )
@@ -34,10 +35,12 @@
 	})
 }
 
-// onConfigurationChanged announces the new revision to the other hosts by gossip.
-func (ht *Host) onConfigurationChanged(revision id.Offset) {
-	ht.gossip.SetRevision(revision)
-	ht.logger.Info("configuration changed", "revision", int64(revision))
+// onConfigurationChanged announces the new revision to the other hosts by gossip and puts the evacuated zones in force.
+func (ht *Host) onConfigurationChanged(current *lists.Lists) {
+	ht.gossip.SetRevision(current.Revision)
+	ht.fleet.SetEvacuatedZones(current.EvacuatedZones)
+	ht.metrics.Scope.Gauge("zones_evacuated").Update(float64(len(current.EvacuatedZones)))
+	ht.logger.Info("configuration changed", "revision", int64(current.Revision), "evacuated_zones", current.EvacuatedZones)
 }
 
 // onHostListUpdated has gossip also try the hosts of the platform's list, so that a host joins without configured seeds.
--- a/protocol/operator/operator.go
+++ b/protocol/operator/operator.go
@@ -12,6 +12,8 @@
 const (
 	// ListsPath is followed by the name of a list. GET returns the list and POST publishes a new content.
 	ListsPath = "/operators/lists/"
+	// EvacuationsPath takes evacuations of availability zones.
+	EvacuationsPath = "/operators/evacuations"
 	// HistoryPath returns the verdicts on the latest edits.
 	HistoryPath = "/operators/history"
 	// StatusPath returns the state of the fleet as the host knows it.
@@ -57,6 +59,26 @@
 	Winner id.Offset
 }
 
+// EvacuationRequest asks to evacuate an availability zone, or to end that.
+type EvacuationRequest struct {
+	Zone id.AvailabilityZone
+	// End asks to end the evacuation.
+	End bool
+	// Operator names the person who asks.
+	Operator string
+}
+
+// EvacuationResponse is the response to an EvacuationRequest.
+type EvacuationResponse struct {
+	Accepted bool
+	// Revision is the offset of the record in the log.
+	Revision id.Offset
+	// EvacuatedZones are the availability zones that are evacuated now.
+	EvacuatedZones []id.AvailabilityZone
+	// Problem says why the request was not accepted. It is empty if it was.
+	Problem string
+}
+
 // History holds the verdicts on the latest edits, oldest first.
 type History struct {
 	Verdicts []lists.Verdict
--- a/state/lists/edit.go
+++ b/state/lists/edit.go
@@ -68,6 +68,7 @@
 		Organisations:         ls.Organisations,
 		Revision:              ls.Revision,
 		Revisions:             maps.Clone(ls.Revisions),
+		EvacuatedZones:        ls.EvacuatedZones,
 		organisationsByKeySum: ls.organisationsByKeySum,
 	}
 	var err error
--- a/state/lists/lists.go
+++ b/state/lists/lists.go
@@ -78,10 +78,13 @@
 type Lists struct {
 	Plans         map[id.Plan]Plan
 	Organisations map[id.Organisation]Organisation
-	// Revision is the offset of the last accepted edit of either list, or NoOffset before the first one.
+	// Revision is the offset of the last accepted edit of either list, or of the last change of EvacuatedZones if that is
+	// later, or NoOffset before the first one.
 	Revision id.Offset
 	// Revisions holds the offset of the last accepted edit of each list.
 	Revisions map[Name]id.Offset
+	// EvacuatedZones are the evacuated availability zones, in order.
+	EvacuatedZones []id.AvailabilityZone
 
 	// organisationsByKeySum holds the organisation that owns each API key, by the SHA-256 sum of the key in lower-case
 	// hexadecimal digits.
--- a/state/lists/replica.go
+++ b/state/lists/replica.go
@@ -3,16 +3,19 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/go-faster/errors"
 
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
 
-// Record is one record of the configuration stream. Exactly one of its fields is set.
+// Record is one record of the configuration stream. Exactly one of its fields is set; hosts of earlier builds ignore an
+// evacuation.
 type Record struct {
 	Edit       *Edit       `json:",omitempty"`
 	Checkpoint *Checkpoint `json:",omitempty"`
+	Evacuation *Evacuation `json:",omitempty"`
 }
 
 // Checkpoint is the content of both lists after all records up to an offset. A replica can start from it if the log no
@@ -27,6 +30,8 @@
 	// Plans and Organisations hold the entries of the lists.
 	Plans         []Section
 	Organisations []Section
+	// EvacuatedZones are the evacuated availability zones.
+	EvacuatedZones []id.AvailabilityZone `json:",omitempty"`
 	// History holds the latest verdicts on edits, oldest first.
 	History []Verdict
 }
@@ -152,8 +157,8 @@
 	switch {
 	case rec.Checkpoint != nil:
 		rp.applyCheckpoint(*rec.Checkpoint)
-	case rec.Edit != nil && rp.complete:
-		rp.applyEdit(offset, *rec.Edit)
+	case rp.complete:
+		rp.applyDecision(offset, rec)
 	}
 	if rp.complete {
 		return
@@ -189,12 +194,22 @@
 	pendingRecords := rp.pendingRecords
 	rp.pendingRecords = nil
 	for _, pending := range pendingRecords {
-		if pending.offset > cp.UpTo && pending.record.Edit != nil {
-			rp.applyEdit(pending.offset, *pending.record.Edit)
+		if pending.offset > cp.UpTo {
+			rp.applyDecision(pending.offset, pending.record)
 		}
 	}
 }
 
+// applyDecision applies a record that is an edit or an evacuation; it ignores others.
+func (rp *Replica) applyDecision(offset id.Offset, rec Record) {
+	switch {
+	case rec.Edit != nil:
+		rp.applyEdit(offset, *rec.Edit)
+	case rec.Evacuation != nil:
+		rp.applyEvacuation(offset, *rec.Evacuation)
+	}
+}
+
 // listsFromCheckpoint returns the lists that a checkpoint contains, or an error if its entries are not valid.
 func listsFromCheckpoint(cp Checkpoint) (*Lists, error) {
 	withPlans, err := Empty().apply(Edit{List: Plans, Put: cp.Plans})
@@ -206,6 +221,7 @@
 		return nil, err
 	}
 	checkpointLists.Revision = cp.Revision
+	checkpointLists.EvacuatedZones = slices.Clone(cp.EvacuatedZones)
 	for list, revision := range cp.Revisions {
 		checkpointLists.Revisions[list] = revision
 	}
@@ -227,6 +243,11 @@
 	default:
 		rp.acceptEdit(offset, edit, &vd)
 	}
+	rp.addVerdict(vd)
+}
+
+// addVerdict adds a verdict to the history, which stays within maxHistory.
+func (rp *Replica) addVerdict(vd Verdict) {
 	rp.history = append(rp.history, vd)
 	if len(rp.history) > maxHistory {
 		rp.history = rp.history[len(rp.history)-maxHistory:]
@@ -255,6 +276,8 @@
 		Plans:         rp.lists.Sections(Plans),
 		Organisations: rp.lists.Sections(Organisations),
 		History:       rp.history,
+
+		EvacuatedZones: rp.lists.EvacuatedZones,
 	}
 }
 
--- a/state/lists/replica_test.go
+++ b/state/lists/replica_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -33,8 +35,9 @@
 	servedRevisions []id.Offset
 	// reference has read every record from the first one on.
 	reference *lists.Replica
-	// revisionsAfter holds the revision of reference after each record.
+	// revisionsAfter holds the revision of reference after each record, zonesAfter the evacuated zones.
 	revisionsAfter []id.Offset
+	zonesAfter     [][]id.AvailabilityZone
 }
 
 func newTestLog(newReader func() replica) *testLog {
@@ -55,6 +58,7 @@
 	tl.reference.ApplyRecord(id.Offset(len(tl.records)), body)
 	tl.records = append(tl.records, body)
 	tl.revisionsAfter = append(tl.revisionsAfter, tl.reference.Lists().Revision)
+	tl.zonesAfter = append(tl.zonesAfter, tl.reference.Lists().EvacuatedZones)
 	return nil
 }
 
@@ -80,6 +84,8 @@
 	tl.servedRevisions[readerIndex] = revision
 	if nextOffset := rp.NextOffset(); nextOffset > 0 && tl.revisionsAfter[nextOffset-1] != revision {
 		return fmt.Errorf("reader %d has revision %d after record %d, but a reader of all records has %d", readerIndex, revision, nextOffset-1, tl.revisionsAfter[nextOffset-1])
+	} else if zones := rp.Lists().EvacuatedZones; nextOffset > 0 && !slices.Equal(zones, tl.zonesAfter[nextOffset-1]) {
+		return fmt.Errorf("reader %d has the evacuated zones %v after record %d, but a reader of all records has %v", readerIndex, zones, nextOffset-1, tl.zonesAfter[nextOffset-1])
 	}
 	return nil
 }
@@ -92,7 +98,7 @@
 	}
 }
 
-// runRandomSteps draws random steps: edits, some from a stale revision and some appended twice, checkpoints, some of
+// runRandomSteps draws random steps: evacuations and their ends, edits, some from a stale revision and some appended twice, checkpoints, some of
 // them appended late, retention, restarts of readers, and reading.
 func (tl *testLog) runRandomSteps(rt *rapid.T) error {
 	var checkpoints []lists.Checkpoint
@@ -100,7 +106,13 @@
 	for range rapid.IntRange(10, 80).Draw(rt, "steps") {
 		readerIndex := rapid.IntRange(0, len(tl.readers)-1).Draw(rt, "reader")
 		var err error
-		switch rapid.IntRange(0, 7).Draw(rt, "action") {
+		switch rapid.IntRange(0, 8).Draw(rt, "action") {
+		case 8:
+			editCount++
+			evacuation := lists.Evacuation{
+				Zone: id.AvailabilityZone(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "zone")), Ended: rapid.Bool().Draw(rt, "ended"), Token: fmt.Sprint("evacuation-", editCount),
+			}
+			err = tl.append(lists.Record{Evacuation: &evacuation})
 		case 0, 1:
 			editCount++
 			base := tl.reference.Lists().Revisions[lists.Plans]
@@ -208,3 +220,45 @@
 	assert.Equal(t, rp.Lists().Revision, newerRevision)
 	assert.Equal(t, rp.NextOffset(), id.Offset(2))
 }
+
+// TestEvacuationsOfZones checks that the last record of a zone decides, that a record which the log has twice counts once,
+// that a record which changes nothing makes no new revision, that invalid ones are refused, and that a checkpoint holds the
+// evacuated zones.
+func TestEvacuationsOfZones(t *testing.T) {
+	rp := lists.NewReplica()
+	rp.SetLogStart(0)
+	apply := func(ev lists.Evacuation) lists.Verdict {
+		body, err := lists.EncodeRecord(lists.Record{Evacuation: &ev})
+		assert.NilError(t, err)
+		rp.ApplyRecord(rp.NextOffset(), body)
+		verdict, _ := rp.Verdict(ev.Token)
+		return verdict
+	}
+	assert.Assert(t, apply(lists.Evacuation{Zone: "b", Token: "1"}).Accepted)
+	assert.Assert(t, apply(lists.Evacuation{Zone: "a", Token: "2"}).Accepted)
+	assert.DeepEqual(t, rp.Lists().EvacuatedZones, []id.AvailabilityZone{"a", "b"})
+	assert.Equal(t, rp.Lists().Revision, id.Offset(1))
+	assert.Assert(t, apply(lists.Evacuation{Zone: "a", Token: "3"}).Accepted)
+	assert.Assert(t, apply(lists.Evacuation{Zone: "nowhere", Ended: true, Token: "4"}).Accepted)
+	assert.Equal(t, rp.Lists().Revision, id.Offset(1))
+	assert.Assert(t, apply(lists.Evacuation{Zone: "b", Ended: true, Token: "5"}).Accepted)
+	assert.DeepEqual(t, rp.Lists().EvacuatedZones, []id.AvailabilityZone{"a"})
+	apply(lists.Evacuation{Zone: "b", Token: "1"})
+	assert.Equal(t, len(rp.Lists().EvacuatedZones), 1, "a late copy of the first record evacuates the zone again")
+	for _, zone := range []string{"", strings.Repeat("z", 129)} {
+		verdict := apply(lists.Evacuation{Zone: id.AvailabilityZone(zone), Token: "bad" + zone})
+		assert.Assert(t, !verdict.Accepted && verdict.Reason != "")
+	}
+	restored := lists.NewReplica()
+	assert.NilError(t, restored.Restore(rp.Checkpoint()))
+	assert.DeepEqual(t, restored.Lists().EvacuatedZones, []id.AvailabilityZone{"a"})
+	edit := planEdit(id.NoOffset, "plan", 10)
+	body, err := lists.EncodeRecord(lists.Record{Edit: &edit})
+	assert.NilError(t, err)
+	rp.ApplyRecord(rp.NextOffset(), body)
+	assert.DeepEqual(t, rp.Lists().EvacuatedZones, []id.AvailabilityZone{"a"})
+	for number := range 300 {
+		apply(lists.Evacuation{Zone: id.AvailabilityZone(fmt.Sprint("zone-", number)), Token: fmt.Sprint("many-", number)})
+	}
+	assert.Equal(t, len(rp.Lists().EvacuatedZones), 256)
+}
--- a/status.go
+++ b/status.go
@@ -68,6 +68,7 @@
 		NotReady:         ht.notReadyReason(),
 		InFlight:         ht.callerServer.InFlight(),
 		Started:          ht.startedAt,
+		EvacuatedZones:   current.EvacuatedZones,
 	}
 	for _, list := range lists.Names() {
 		status.Revisions = append(status.Revisions, operator.ListRevision{List: list, Revision: current.Revisions[list]})
--- a/transport/operator/client.go
+++ b/transport/operator/client.go
@@ -53,6 +53,13 @@
 	return response, err
 }
 
+// Evacuate evacuates an availability zone, or ends that. A rejected request is not an error; the response gives the reason.
+func (cl *Client) Evacuate(ctx context.Context, request operator.EvacuationRequest) (operator.EvacuationResponse, error) {
+	var response operator.EvacuationResponse
+	err := cl.call(ctx, http.MethodPost, operator.EvacuationsPath, request, &response)
+	return response, err
+}
+
 // History returns the verdicts on the latest edits.
 func (cl *Client) History(ctx context.Context) (operator.History, error) {
 	var response operator.History
--- a/transport/operator/server.go
+++ b/transport/operator/server.go
@@ -29,6 +29,8 @@
 	History() []lists.Verdict
 	// Publish appends an edit to the log and waits for the verdict on it.
 	Publish(ctx context.Context, edit lists.Edit) (lists.Verdict, error)
+	// Evacuate appends an evacuation of an availability zone to the log and waits for the verdict on it.
+	Evacuate(ctx context.Context, evacuation lists.Evacuation) (lists.Verdict, error)
 }
 
 // Status describes the host.
@@ -55,12 +57,13 @@
 	return sv
 }
 
-// ServeLists adds the endpoints that show and publish the lists. It must be called before the server handles requests.
+// ServeLists adds the endpoints that show and publish the lists and that evacuate availability zones. It must be called before the server handles requests.
 func (sv *Server) ServeLists(listsProvider Lists) {
 	sv.lists = listsProvider
 	sv.echo.GET(operator.HistoryPath, sv.handleHistory)
 	sv.echo.GET(operator.ListsPath+":list", sv.handleShow)
 	sv.echo.POST(operator.ListsPath+":list", sv.handlePublish)
+	sv.echo.POST(operator.EvacuationsPath, sv.handleEvacuation)
 }
 
 // Handler returns the HTTP handler of all endpoints.
@@ -140,6 +143,26 @@
 	return sv.append(ec, edit, response)
 }
 
+// handleEvacuation evacuates an availability zone or ends that, and responds when the log shows it.
+func (sv *Server) handleEvacuation(ec echo.Context) error {
+	var request operator.EvacuationRequest
+	if err := ec.Bind(&request); err != nil {
+		return err
+	}
+	evacuation := lists.Evacuation{Zone: request.Zone, Ended: request.End, Operator: request.Operator, Token: rand.Text()}
+	if err := evacuation.Check(); err != nil {
+		return ec.JSON(http.StatusOK, operator.EvacuationResponse{Problem: err.Error()})
+	}
+	ctx, cancel := context.WithTimeout(ec.Request().Context(), publishTimeout)
+	defer cancel()
+	verdict, err := sv.lists.Evacuate(ctx, evacuation)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
+	}
+	current, _ := sv.lists.Lists()
+	return ec.JSON(http.StatusOK, operator.EvacuationResponse{Accepted: verdict.Accepted, Revision: verdict.Offset, EvacuatedZones: current.EvacuatedZones, Problem: verdict.Reason})
+}
+
 // newConflict returns the response to an edit that was made from an outdated revision.
 func newConflict(list lists.Name, currentLists *lists.Lists, baseRevision id.Offset) operator.PublishResponse {
 	return operator.PublishResponse{
