Test: an evacuated engine is granted by no dispatcher and not without one

Waiting and new requests are refused at once, and the engine is granted again at the end. Red when the spec's flag is ignored by the machine of placement (its tests as well).

--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -51,6 +51,8 @@
 	learnedCrashes map[id.Host][]quarantine.CrashID
 	// requestLimits holds what each host knows of the request limit of the engine.
 	requestLimits map[id.Host]serverlimit.Statement
+	// evacuated holds the hosts that know that the engine is evacuated.
+	evacuated map[id.Host]bool
 }
 
 // hostNetwork is the network as one host sees it.
@@ -89,7 +91,7 @@
 	}
 	sf.network.mutex.Lock()
 	defer sf.network.mutex.Unlock()
-	return []batch.EngineSpec{{Engine: "engine-1", Address: "10.0.0.1:80", RequestLimit: sf.network.requestLimits[sf.host].Rate}}
+	return []batch.EngineSpec{{Engine: "engine-1", Address: "10.0.0.1:80", Evacuated: sf.network.evacuated[sf.host], RequestLimit: sf.network.requestLimits[sf.host].Rate}}
 }
 
 func (sf singleEngineFleet) RequestLimits(id.Service) []serverlimit.Statement {
@@ -184,7 +186,7 @@
 
 // startHosts runs the given hosts, all of them live, until the returned function is called.
 func startHosts(t *testing.T, hosts ...id.Host) (*network, func()) {
-	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, liveHosts: hosts, unresponsiveHosts: map[id.Host]bool{}, endReports: map[id.Host]int{}, uninformedHosts: map[id.Host]bool{}, learnedCrashes: map[id.Host][]quarantine.CrashID{}, requestLimits: map[id.Host]serverlimit.Statement{}}
+	nw := &network{servers: map[id.Host]*broker.Server{}, clients: map[id.Host]*broker.Client{}, liveHosts: hosts, unresponsiveHosts: map[id.Host]bool{}, endReports: map[id.Host]int{}, uninformedHosts: map[id.Host]bool{}, learnedCrashes: map[id.Host][]quarantine.CrashID{}, requestLimits: map[id.Host]serverlimit.Statement{}, evacuated: map[id.Host]bool{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	clock, logger := timer.NewSystem(), slog.New(slog.DiscardHandler)
