A dispatcher that grants alone is not cautious any more

Cause: a new dispatcher spread short prompts for a second after each takeover, and all the time while it was not the first one in its own view, also if no other host granted anything. Spread short prompts keep long ones from engines.

The answers to its question now end the caution if they show that it grants alone: it is the first one, or the first one can't be reached, or on asking again nobody holds a new grant of another dispatcher. Not within 3 s of its own start, when it may not know all hosts.

--- a/coordination/batch/machine.go
+++ b/coordination/batch/machine.go
@@ -122,7 +122,7 @@
 	case TakeOver:
 		mc.takeOver(ev)
 	case Informed:
-		mc.heldUntil = time.Time{}
+		mc.inform(ev)
 	case Tick:
 		mc.expireGrants(now)
 	}
--- a/coordination/batch/machine_test.go
+++ b/coordination/batch/machine_test.go
@@ -85,7 +85,7 @@
 	case "takeover":
 		effects = sc.machine.Step(sc.now, batch.TakeOver{HoldUntil: sc.now.Add(parseMillis(t, td, "hold")), CautiousUntil: sc.now.Add(parseMillis(t, td, "cautious"))})
 	case "informed":
-		effects = sc.machine.Step(sc.now, batch.Informed{})
+		effects = sc.machine.Step(sc.now, batch.Informed{NoOtherGrants: td.HasArg("alone")})
 	case "renew":
 		effects = sc.machine.Step(sc.now, sc.parseRenewal(t, td))
 	default:
--- a/coordination/batch/takeover.go
+++ b/coordination/batch/takeover.go
@@ -4,19 +4,20 @@
 
 // TakeOver tells the machine that it has just begun to decide for the service, or does so beside another one, so that it
 // may not know all requests that run. It grants nothing before HoldUntil or Informed, whichever comes first. Until
-// CautiousUntil it grants short prompts cautiously.
+// CautiousUntil, or Informed with NoOtherGrants, it grants short prompts cautiously.
 type TakeOver struct {
 	HoldUntil     time.Time
 	CautiousUntil time.Time
 }
 
-// Informed tells the machine that it has been told of all running requests that it can be told of.
-type Informed struct{}
+// Informed tells the machine that it has been told of all running requests that it can be told of. If NoOtherGrants is set,
+// no other machine grants requests, so that it need not be cautious any more.
+type Informed struct{ NoOtherGrants bool }
 
 func (TakeOver) event() {}
 func (Informed) event() {}
 
-// takeOver holds back grants and makes them cautious for the given times. Neither time is ever shortened.
+// takeOver holds back grants and makes them cautious for the given times. It shortens neither time.
 func (mc *Machine) takeOver(ev TakeOver) {
 	if ev.HoldUntil.After(mc.heldUntil) {
 		mc.heldUntil = ev.HoldUntil
@@ -26,6 +27,14 @@
 	}
 }
 
+// inform ends the holding back of grants, and caution if no other machine grants requests.
+func (mc *Machine) inform(ev Informed) {
+	mc.heldUntil = time.Time{}
+	if ev.NoOtherGrants {
+		mc.cautiousUntil = time.Time{}
+	}
+}
+
 // isCautious reports whether the engines may run requests that the machine does not know.
 func (mc *Machine) isCautious(now time.Time) bool { return now.Before(mc.cautiousUntil) }
 
--- a/coordination/broker/takeover.go
+++ b/coordination/broker/takeover.go
@@ -23,6 +23,9 @@
 	// askPeriod is the least time between two times at which a dispatcher asks all hosts, and the period while it is not
 	// the first one.
 	askPeriod = time.Second
+	// acquaintanceTime is how long after its start a host may not know all others, if many start together. Each of them may
+	// then take itself for the first dispatcher.
+	acquaintanceTime = 3 * time.Second
 	// maxContactGap is the time without a word of another host after which a dispatcher that knows of running requests may
 	// have missed others: its host was frozen or cut off. Hosts report what they hold in every heldReportPeriod.
 	maxContactGap = 2 * time.Second
@@ -40,6 +43,8 @@
 	lastContact time.Time
 	// isStale says that the dispatcher may have missed requests that began to run.
 	isStale bool
+	// grantsAlone says that by the newest survey no other host grants requests of the service.
+	grantsAlone bool
 }
 
 // noteContact records that a host has sent a request or a report. It must be called before the dispatcher acts on that.
@@ -69,36 +74,65 @@
 	answered int
 	failed   int
 	learned  int
-	// first is the first dispatcher by this host's order, and leads says that it is this host.
-	first id.Host
-	leads bool
+	// first is the first dispatcher by this host's order, and leads says that it is this host. firstFailed says that it is
+	// another one and did not answer.
+	first       id.Host
+	leads       bool
+	firstFailed bool
+	// isRepeated says that this host has asked before since it took over.
+	isRepeated bool
+}
+
+// showsNoOther reports whether a survey whose calls have ended shows that no other host grants requests: this host is the
+// first one, or the first one can't be reached, or nobody holds a grant that this host has not given since it last asked.
+func (sy *survey) showsNoOther() bool {
+	switch {
+	case sy.failed > 1 || sy.failed == 1 && !sy.firstFailed:
+		return false
+	case sy.leads, sy.firstFailed:
+		return true
+	default:
+		return sy.isRepeated && sy.learned == 0
+	}
 }
 
 // prepare is called before a dispatcher decides about a request. If the dispatcher has taken over the service, or is stale,
-// it asks all hosts for the grants that they hold and holds back its own until then. While this host is not the first dispatcher it
-// asks again in every askPeriod, because another one grants as well, and grants cautiously. The caller holds the mutex.
+// it asks all hosts for the grants that they hold, holds back its own until then, and grants cautiously unless no other host
+// grants. While this host is not the first dispatcher, it asks again in every askPeriod, because another one may grant as
+// well. The caller holds the mutex.
 func (sv *Server) prepare(now time.Time, dp *serviceDispatcher) {
 	leads := sv.peers.LeadsService(dp.service)
-	hasTakenOver := leads && !dp.knowledge.leads || dp.knowledge.askedAt.IsZero() || dp.knowledge.isStale
-	dp.knowledge.leads, dp.knowledge.isStale = leads, false
+	known := &dp.knowledge
+	hasTakenOver := leads && !known.leads || known.askedAt.IsZero() || known.isStale
 	if leads && !hasTakenOver {
 		return
 	}
+	if hasTakenOver {
+		known.grantsAlone = false
+	}
 	caution := batch.TakeOver{CautiousUntil: now.Add(cautionPeriod)}
-	if now.Sub(dp.knowledge.askedAt) >= askPeriod {
-		dp.knowledge.askedAt = now
-		if asked := sv.askHosts(now, dp, leads); asked > 0 {
+	period := askPeriod
+	if leads {
+		// What another dispatcher has granted since the last time is not known.
+		period = knowledgeWait
+	}
+	if now.Sub(known.askedAt) >= period {
+		known.askedAt, known.leads, known.isStale = now, leads, false
+		if asked := sv.askHosts(now, dp, leads, !hasTakenOver); asked > 0 && !known.grantsAlone {
 			caution.HoldUntil = now.Add(knowledgeWait)
 		}
 	}
-	sv.applyEffects(dp, dp.machine.Step(now, caution))
+	known.leads = known.leads && leads
+	if !known.grantsAlone {
+		sv.applyEffects(dp, dp.machine.Step(now, caution))
+	}
 }
 
 // askHosts asks all live hosts, in the background, for the grants of a service that they hold, and returns how many it
 // asks. The caller holds the mutex.
-func (sv *Server) askHosts(now time.Time, dp *serviceDispatcher, leads bool) int {
+func (sv *Server) askHosts(now time.Time, dp *serviceDispatcher, leads, isRepeated bool) int {
 	hosts := sv.peers.Dispatchers(dp.service)
-	sy := &survey{beganAt: now, asked: len(hosts), leads: leads}
+	sy := &survey{beganAt: now, asked: len(hosts), leads: leads, isRepeated: isRepeated}
 	dp.knowledge.survey = sy
 	if len(hosts) > 0 {
 		sy.first = hosts[0]
@@ -122,6 +156,7 @@
 	now := sv.clock.Now()
 	if err != nil {
 		sy.failed++
+		sy.firstFailed = sy.firstFailed || !sy.leads && host == sy.first
 		sv.metrics.Counter("dispatcher_survey_failures").Inc(1)
 	} else {
 		sy.answered++
@@ -132,12 +167,10 @@
 		}
 		sv.applyEffects(dp, dp.machine.Step(now, batch.RenewGrant{Request: held.GrantRequest.Request, Grant: held.Grant, Started: held.Started}))
 	}
-	if sy.answered == sy.asked && dp.knowledge.survey == sy {
-		sv.applyEffects(dp, dp.machine.Step(now, batch.Informed{}))
-	}
 	if sy.answered+sy.failed == sy.asked {
+		sv.endSurvey(now, dp, sy)
 		sv.logger.Info("dispatcher asked for held places", "service", string(dp.service), "first", string(sy.first), "leads", sy.leads, "hosts", sy.asked,
-			"failed", sy.failed, "learned", sy.learned, "granted", dp.machine.Granted(), "waiting", dp.machine.Waiting(), "after_ms", now.Sub(sy.beganAt).Milliseconds())
+			"failed", sy.failed, "learned", sy.learned, "alone", dp.knowledge.grantsAlone, "granted", dp.machine.Granted(), "waiting", dp.machine.Waiting(), "after_ms", now.Sub(sy.beganAt).Milliseconds())
 	}
 }
 
@@ -164,3 +197,14 @@
 		slices.ContainsFunc(report.StartedAttempts, func(started StartedAttempt) bool { return sv.hasJustReturned(now, started.Service) }) ||
 		slices.ContainsFunc(report.EndedGrants, func(ended EndedGrant) bool { return sv.hasJustReturned(now, ended.Service) })
 }
+
+// endSurvey passes on to a dispatcher what a survey whose calls have ended shows. The caller holds the mutex.
+func (sv *Server) endSurvey(now time.Time, dp *serviceDispatcher, sy *survey) {
+	if dp.knowledge.survey != sy {
+		return
+	}
+	dp.knowledge.grantsAlone = sy.showsNoOther() && now.Sub(sv.startedAt) >= acquaintanceTime
+	if sy.failed == 0 || dp.knowledge.grantsAlone {
+		sv.applyEffects(dp, dp.machine.Step(now, batch.Informed{NoOtherGrants: dp.knowledge.grantsAlone}))
+	}
+}
