--- a/coordination/requestlimit/cold_test.go
+++ b/coordination/requestlimit/cold_test.go
@@ -1,13 +1,13 @@
 package requestlimit_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,20 +60,41 @@
 type coldHost struct {
 	*requestlimit.ColdStarts
 	fleet   *coldFleet
-	log     bytes.Buffer
+	log     logText
 	facts   []membership.Fact
-	changes int
+	changes atomic.Int32
+}
+
+// logText holds log lines. It is safe for concurrent use.
+type logText struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (lt *logText) Write(line []byte) (int, error) {
+	lt.mutex.Lock()
+	defer lt.mutex.Unlock()
+	return lt.text.Write(line)
+}
+
+func (lt *logText) String() string {
+	lt.mutex.Lock()
+	defer lt.mutex.Unlock()
+	return lt.text.String()
 }
 
 func newColdHost() *coldHost {
 	ch := &coldHost{fleet: &coldFleet{}}
 	ch.ColdStarts = requestlimit.NewColdStarts(timer.NewSystem(), tally.NoopScope, slog.New(slog.NewTextHandler(&ch.log, nil)), ch.fleet,
-		func(fact membership.Fact) { ch.facts = append(ch.facts, fact) }, func() { ch.changes++ })
+		func(fact membership.Fact) { ch.facts = append(ch.facts, fact) }, func() { ch.changes.Add(1) })
 	return ch
 }
 
-// lines returns the number of log lines that have a text.
-func (ch *coldHost) lines(text string) int { return strings.Count(ch.log.String(), text) }
+// lines returns the number of log lines that have a text, once all timers that are due have run.
+func (ch *coldHost) lines(text string) int {
+	synctest.Wait()
+	return strings.Count(ch.log.String(), text)
+}
 
 // otherService is a server of a service without cold servers.
 var otherService = serverlist.Server{ID: "engine", Service: "models", StartedAtMillis: 1}
@@ -91,7 +112,7 @@
 			first.RecordAnswer(otherService, 2*time.Second)
 		}
 		assert.Equal(t, len(first.facts), 1)
-		assert.Equal(t, first.changes, 1)
+		assert.Equal(t, first.changes.Load(), int32(1))
 		second.LearnFact(first.facts[0])
 		want := serverlimit.ColdLimit{Rate: coldRate, MaxPerSecond: 15}
 		for _, host := range []*coldHost{first, second} {
@@ -124,7 +145,8 @@
 		assert.Equal(t, host.Limit(limitedServer), serverlimit.ColdLimit{Rate: coldRate, MaxPerSecond: 15, Assumed: true})
 		assert.Equal(t, host.Limit(otherService), serverlimit.ColdLimit{})
 		assert.Equal(t, host.Count(), 0)
-		assert.Equal(t, host.changes, 1)
+		synctest.Wait()
+		assert.Equal(t, host.changes.Load(), int32(1))
 		tracker := requestlimit.NewTracker(timer.NewSystem(), tally.NoopScope, slog.New(slog.DiscardHandler), func(membership.Fact) {}, func() {})
 		tracker.SetColdStarts(host.ColdStarts)
 		assert.Assert(t, tracker.Any())
