Large prompts leave their engines the memory that short prompts in unused slots need

Cause: a prompt that is larger than an engine takes all of the memory of as few engines as hold it, so that their slots can't be used until the answer ends.

Each engine now keeps the mean memory of a short prompt for each unused slot; the rest goes to as few engines as before. If the engines have too little memory then, nothing is kept. Before the first short prompt is granted, nothing is kept either.

TestLargePromptsLeaveSlotsUsable is red without it: 4 short prompts find room beside the large one, and 7 with it.

--- a/coordination/batch/config.go
+++ b/coordination/batch/config.go
@@ -43,6 +43,9 @@
 	// RefusesHopeless says that short prompts that can no longer be on time are refused as soon as they are predicted to get
 	// no slot before their clients stop waiting.
 	RefusesHopeless bool
+	// KeepsSlotsUsable says that a request that is larger than one engine leaves each of its engines the memory that short
+	// prompts in its unused slots need.
+	KeepsSlotsUsable bool
 	// ReadTimeWeight is the factor of a prompt's reading time, on the planned engines, by which the request moves back in
 	// the queue, so that prompts that are shorter to read go first.
 	ReadTimeWeight int
@@ -90,6 +93,7 @@
 		StartOverhead:       100 * time.Millisecond,
 		CorrectsPredictions: true,
 		RefusesHopeless:     true,
+		KeepsSlotsUsable:    true,
 		ReadTimeWeight:      3,
 		BacklogWeight:       0.5,
 		FreeSlotFactor:      2,
--- a/coordination/batch/memory.go
+++ b/coordination/batch/memory.go
@@ -37,23 +37,45 @@
 
 // allocateParts returns the parts of a grant on the candidates with the given indexes, the answering engine first, with
 // the memory that the request takes on each engine. What does not fit on the answering engine goes to as few helpers as
-// possible, those with the most free memory first, and is to be reserved there under tickets. It returns nil if the
+// possible, those with the most free memory first, and is to be reserved there under tickets. Each engine keeps the memory
+// that its unused slots need for short prompts, unless the candidates have too little memory then. It returns nil if the
 // candidates have too little free memory.
 func (mc *Machine) allocateParts(indexes []int, wt *waitingRequest) []Part {
+	if !mc.isOversize(wt) {
+		parts := mc.emptyParts(indexes)
+		parts[0].MemoryTokens = wt.PromptTokens + wt.MaxAnswerTokens
+		return parts
+	}
+	if parts := mc.allocateOversize(indexes, wt, mc.room.meanMemory); parts != nil || mc.room.meanMemory == 0 {
+		return parts
+	}
+	return mc.allocateOversize(indexes, wt, 0)
+}
+
+// emptyParts returns parts without memory on the candidates with the given indexes.
+func (mc *Machine) emptyParts(indexes []int) []Part {
 	parts := make([]Part, len(indexes))
 	for partIndex, candidateIndex := range indexes {
 		en := mc.candidates[candidateIndex].engine
 		parts[partIndex] = Part{Engine: en.Engine, Address: en.Address}
 	}
-	neededTokens := wt.PromptTokens + wt.MaxAnswerTokens
-	if !mc.isOversize(wt) {
-		parts[0].MemoryTokens = neededTokens
-		return parts
-	}
+	return parts
+}
+
+// allocateOversize is allocateParts for a request that is larger than one engine. It leaves slotTokens of memory for each
+// unused slot of an engine.
+func (mc *Machine) allocateOversize(indexes []int, wt *waitingRequest, slotTokens id.Tokens) []Part {
+	parts := mc.emptyParts(indexes)
 	freeTokens := func(partIndex int) id.Tokens {
-		return max(0, id.Tokens(spreadMemoryShare*float64(mc.profile.Capacity))-mc.candidates[indexes[partIndex]].load.usedTokens)
+		ld := &mc.candidates[indexes[partIndex]].load
+		kept := id.Tokens(max(0, mc.profile.Slots-ld.slotsUsed)) * slotTokens
+		return max(0, id.Tokens(spreadMemoryShare*float64(mc.profile.Capacity))-ld.usedTokens-kept)
 	}
+	neededTokens := wt.PromptTokens + wt.MaxAnswerTokens
 	parts[0].MemoryTokens = min(neededTokens, freeTokens(0))
+	if parts[0].MemoryTokens < min(neededTokens, mc.minAnsweringTokens(wt)) && slotTokens > 0 {
+		return nil
+	}
 	remainingTokens := neededTokens - parts[0].MemoryTokens
 	helperIndexes := make([]int, 0, len(indexes))
 	for partIndex := 1; partIndex < len(indexes); partIndex++ {
--- a/coordination/batch/room.go
+++ b/coordination/batch/room.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
+	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 )
 
 const (
-	// holdWeight is the weight of one ended grant in the running mean of how long grants hold a slot.
+	// holdWeight is the weight of one grant in the running means of how long grants hold a slot and how much memory short
+	// prompts take.
 	holdWeight = 1.0 / 32
 	// arrivalPeriod is the period over which arrivals are counted.
 	arrivalPeriod = time.Second
@@ -24,6 +26,9 @@
 type roomForecast struct {
 	// meanHold is the running mean of the time from a grant to its end; zero before the first end.
 	meanHold time.Duration
+	// meanMemory is the running mean of the memory of a short prompt and its answer; zero before the first grant, and always
+	// if KeepsSlotsUsable is not set.
+	meanMemory id.Tokens
 	// periodStart is when the current period of arrivals began, arrivals the number of short prompts submitted in it, and
 	// arrivalRate the number per second in the period before.
 	periodStart time.Time
@@ -44,6 +49,15 @@
 	rf.meanHold += time.Duration(holdWeight * float64(held-rf.meanHold))
 }
 
+// countMemory takes in the memory of a short prompt that is granted.
+func (rf *roomForecast) countMemory(tokens id.Tokens) {
+	if rf.meanMemory == 0 {
+		rf.meanMemory = tokens
+		return
+	}
+	rf.meanMemory += id.Tokens(holdWeight * float64(tokens-rf.meanMemory))
+}
+
 // countArrival counts a short prompt that is submitted.
 func (rf *roomForecast) countArrival(now time.Time) {
 	rf.updateRate(now)
--- a/coordination/batch/room_test.go
+++ b/coordination/batch/room_test.go
@@ -118,3 +118,46 @@
 	assert.Equal(t, cr.machine.Waiting(), 0)
 	assert.Equal(t, cr.granted, len(cr.arrivedAt))
 }
+
+// TestLargePromptsLeaveSlotsUsable checks that a prompt that is larger than an engine leaves its engines the memory that short
+// prompts in their unused slots need, and takes all of it if it needs it.
+func TestLargePromptsLeaveSlotsUsable(t *testing.T) {
+	const shortTokens = 15_000
+	largeRequest := func(now time.Time, tokens id.Tokens) batch.Request {
+		return batch.Request{ID: "large", PromptTokens: tokens, MaxAnswerTokens: 1000, FirstEventTarget: 3 * time.Second, MaxPause: time.Second, WaitLimit: 15 * time.Second, ArrivedAt: now, AttemptNumber: 1}
+	}
+	for _, promptTokens := range []id.Tokens{400_000, 560_000} {
+		machine, now := newOneEngineMachine(batch.DefaultConfig())
+		machine.Step(now, batch.SetEngines{Engines: []batch.EngineSpec{{Engine: "a", Address: "a"}, {Engine: "b", Address: "b"}}})
+		grantShort := func(name string) (id.Attempt, bool) {
+			now = now.Add(time.Second)
+			rq := shortRequest(now, name)
+			rq.PromptTokens = shortTokens
+			effects := machine.Step(now, batch.Submit{Request: rq})
+			if len(effects) == 0 {
+				return "", false
+			}
+			attempt := effects[0].Grant.Attempt
+			now = now.Add(time.Second)
+			machine.Step(now, batch.AttemptStarted{Attempt: attempt})
+			return attempt, true
+		}
+		first, _ := grantShort("first")
+		machine.Step(now, batch.FinishAttempt{Attempt: first})
+		now = now.Add(time.Minute)
+		effects := machine.Step(now, batch.Submit{Request: largeRequest(now, promptTokens)})
+		assert.Equal(t, len(effects), 1, "the large prompt is not granted")
+		now = now.Add(10 * time.Second)
+		machine.Step(now, batch.AttemptStarted{Attempt: effects[0].Grant.Attempt})
+		granted := 0
+		for granted < 2*engineProfile().Slots {
+			if _, ok := grantShort(fmt.Sprintf("s%d", granted)); !ok {
+				break
+			}
+			granted++
+		}
+		if promptTokens == 400_000 {
+			assert.Equal(t, granted, 2*engineProfile().Slots-1)
+		}
+	}
+}
--- a/coordination/batch/selection.go
+++ b/coordination/batch/selection.go
@@ -83,6 +83,9 @@
 	gr.needsShortPasses = mc.hasShortPrompt(wt) || mc.hasStrictPause(wt.Request)
 	gr.Urgency = urgencyOf(wt)
 	gr.grantedAt = now
+	if mc.config.KeepsSlotsUsable && mc.hasShortPrompt(wt) {
+		mc.room.countMemory(wt.PromptTokens + wt.MaxAnswerTokens)
+	}
 	gr.PredictedFirstEvent = gr.firstEventAt.Sub(now)
 	if mc.config.CorrectsPredictions {
 		gr.PredictedFirstEvent = mc.correctionFor(len(gr.Parts)).correct(gr.modelledFirstEvent)
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -33,7 +33,10 @@
 		variant("full-reads", func(config *batch.Config) { config.FreeSlotFactor = math.MaxInt32 }),
 		variant("first-come", func(config *batch.Config) { config.FirstComeFirstServed = true }),
 		variant("no-shares", func(config *batch.Config) { config.BacklogWeight = 0 }),
-		variant("no-correction", func(config *batch.Config) { config.CorrectsPredictions, config.RefusesHopeless = false, false }),
+		variant("no-correction", func(config *batch.Config) {
+			config.CorrectsPredictions, config.RefusesHopeless, config.KeepsSlotsUsable = false, false, false
+		}),
+		variant("full-holders", func(config *batch.Config) { config.KeepsSlotsUsable = false }),
 		variant("no-refusal", func(config *batch.Config) { config.RefusesHopeless = false }),
 		variant("default", func(*batch.Config) {}),
 	}
