Requests that a returning engine can serve are not refused early

The forecast of slots counted engines that may get work now. An engine that is left alone after a failure, for a second or eight, may return before the clients that wait leave; its free slots now count as room for as many late requests. Found by reading, when refusals for want of a slot showed in the log of TestAllHostsWithoutServersKeepClientsWaiting/silent, a known red (there they came after 1.9 s, so not early).

--- a/coordination/batch/room.go
+++ b/coordination/batch/room.go
@@ -108,8 +108,21 @@
 	return used, anyFree
 }
 
+// freeSlotsElsewhere returns the free slots of engines that are not among the candidates now, because they failed a request
+// or asked for backoff, but may be again before the clients that wait leave.
+func (mc *Machine) freeSlotsElsewhere(now time.Time) int {
+	free := 0
+	for _, en := range mc.engines {
+		if !en.Leaving && !en.isWithheld() && !en.isUsable(now) {
+			free += max(0, mc.profile.Slots-mc.loadOf(now, en).slotsUsed)
+		}
+	}
+	return free
+}
+
 // refuseHopeless refuses short prompts that can no longer be on time and are predicted to get no slot before their clients
-// stop waiting, because those that can be on time take all that become free. It refuses none while a slot is free.
+// stop waiting, because those that can be on time take all that become free. It refuses none while a slot is free, nor any
+// that the free slots of engines that may return would serve.
 func (mc *Machine) refuseHopeless(now time.Time) {
 	qu := &mc.shortQueue
 	if !mc.config.RefusesHopeless || len(qu.late) == 0 || now.Sub(mc.room.lastForecast) < forecastInterval {
@@ -122,7 +135,8 @@
 	if anyFree || releaseRate == 0 {
 		return
 	}
-	leftRate := releaseRate - mc.room.arrivalRate
+	leftRate := max(0, releaseRate-mc.room.arrivalRate)
+	elsewhere := float64(mc.freeSlotsElsewhere(now))
 	var hopeless []*waitingRequest
 	ahead := len(qu.onTime)
 	for _, wt := range qu.late {
@@ -130,7 +144,7 @@
 			break
 		}
 		ahead++
-		if wt.AttemptNumber > 1 || leftRate > 0 && float64(ahead)/leftRate <= wt.refuseAt.Sub(now).Seconds() {
+		if wt.AttemptNumber > 1 || float64(ahead) <= elsewhere+leftRate*wt.refuseAt.Sub(now).Seconds() {
 			continue
 		}
 		ahead--
--- a/coordination/batch/room_test.go
+++ b/coordination/batch/room_test.go
@@ -161,3 +161,30 @@
 		}
 	}
 }
+
+// TestNothingIsRefusedEarlyWhileEnginesMayReturn checks that an engine that is left alone after a failure counts: the requests
+// that its free slots would serve are not refused early, and it serves them when it returns.
+func TestNothingIsRefusedEarlyWhileEnginesMayReturn(t *testing.T) {
+	cr := newCrowd(batch.DefaultConfig())
+	cr.step(batch.SetEngines{Engines: []batch.EngineSpec{{Engine: "a", Address: "a"}, {Engine: "b", Address: "b"}}})
+	cr.run(3*time.Second, 125*time.Millisecond)
+	assert.Equal(t, len(cr.refusedAfter), 0)
+	// Each failure of b is reported anew, so that it gets nothing for two seconds.
+	for range 2 {
+		cr.step(batch.FinishAttempt{Attempt: "unknown/1", FailedEngine: "b", Fault: batch.Unreachable})
+	}
+	for _, attempt := range slices.Sorted(maps.Keys(cr.runningUntil)) {
+		cr.step(batch.FinishAttempt{Attempt: attempt})
+		delete(cr.runningUntil, attempt)
+	}
+	cr.run(1500*time.Millisecond, 125*time.Millisecond)
+	early := 0
+	for _, waited := range cr.refusedAfter {
+		if waited < time.Second {
+			early++
+		}
+	}
+	assert.Assert(t, early <= len(cr.arrivedAt)-cr.granted-engineProfile().Slots, "%d refused early of %d that got no slot", early, len(cr.arrivedAt)-cr.granted)
+	waiting := cr.machine.Waiting()
+	assert.Assert(t, waiting >= engineProfile().Slots, "%d wait for the engine that may return", waiting)
+}
