--- a/coordination/batch/room.go
+++ b/coordination/batch/room.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
+	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 )
 
 const (
-	// holdWeight is the weight of one ended grant in the running mean of how long grants hold a slot.
+	// holdWeight is the weight of one grant in the running means of how long grants hold a slot and how much memory short
+	// prompts take.
 	holdWeight = 1.0 / 32
 	// arrivalPeriod is the period over which arrivals are counted.
 	arrivalPeriod = time.Second
@@ -24,6 +26,9 @@
 type roomForecast struct {
 	// meanHold is the running mean of the time from a grant to its end; zero before the first end.
 	meanHold time.Duration
+	// meanMemory is the running mean of the memory of a short prompt and its answer; zero before the first grant, and always
+	// if KeepsSlotsUsable is not set.
+	meanMemory id.Tokens
 	// periodStart is when the current period of arrivals began, arrivals the number of short prompts submitted in it, and
 	// arrivalRate the number per second in the period before.
 	periodStart time.Time
@@ -44,6 +49,15 @@
 	rf.meanHold += time.Duration(holdWeight * float64(held-rf.meanHold))
 }
 
+// countMemory takes in the memory of a short prompt that is granted.
+func (rf *roomForecast) countMemory(tokens id.Tokens) {
+	if rf.meanMemory == 0 {
+		rf.meanMemory = tokens
+		return
+	}
+	rf.meanMemory += id.Tokens(holdWeight * float64(tokens-rf.meanMemory))
+}
+
 // countArrival counts a short prompt that is submitted.
 func (rf *roomForecast) countArrival(now time.Time) {
 	rf.updateRate(now)
@@ -94,8 +108,21 @@
 	return used, anyFree
 }
 
+// freeSlotsElsewhere returns the free slots of engines that are not among the candidates now, because they failed a request
+// or asked for backoff, but may be again before the clients that wait leave.
+func (mc *Machine) freeSlotsElsewhere(now time.Time) int {
+	free := 0
+	for _, en := range mc.engines {
+		if !en.Leaving && !en.isWithheld() && !en.isUsable(now) {
+			free += max(0, mc.profile.Slots-mc.loadOf(now, en).slotsUsed)
+		}
+	}
+	return free
+}
+
 // refuseHopeless refuses short prompts that can no longer be on time and are predicted to get no slot before their clients
-// stop waiting, because those that can be on time take all that become free. It refuses none while a slot is free.
+// stop waiting, because those that can be on time take all that become free. It refuses none while a slot is free, nor any
+// that the free slots of engines that may return would serve.
 func (mc *Machine) refuseHopeless(now time.Time) {
 	qu := &mc.shortQueue
 	if !mc.config.RefusesHopeless || len(qu.late) == 0 || now.Sub(mc.room.lastForecast) < forecastInterval {
@@ -108,7 +135,8 @@
 	if anyFree || releaseRate == 0 {
 		return
 	}
-	leftRate := releaseRate - mc.room.arrivalRate
+	leftRate := max(0, releaseRate-mc.room.arrivalRate)
+	elsewhere := float64(mc.freeSlotsElsewhere(now))
 	var hopeless []*waitingRequest
 	ahead := len(qu.onTime)
 	for _, wt := range qu.late {
@@ -116,7 +144,7 @@
 			break
 		}
 		ahead++
-		if wt.AttemptNumber > 1 || leftRate > 0 && float64(ahead)/leftRate <= wt.refuseAt.Sub(now).Seconds() {
+		if wt.AttemptNumber > 1 || float64(ahead) <= elsewhere+leftRate*wt.refuseAt.Sub(now).Seconds() {
 			continue
 		}
 		ahead--
--- a/coordination/batch/room_test.go
+++ b/coordination/batch/room_test.go
@@ -118,3 +118,73 @@
 	assert.Equal(t, cr.machine.Waiting(), 0)
 	assert.Equal(t, cr.granted, len(cr.arrivedAt))
 }
+
+// TestLargePromptsLeaveSlotsUsable checks that a prompt that is larger than an engine leaves its engines the memory that short
+// prompts in their unused slots need, and takes all of it if it needs it.
+func TestLargePromptsLeaveSlotsUsable(t *testing.T) {
+	const shortTokens = 15_000
+	largeRequest := func(now time.Time, tokens id.Tokens) batch.Request {
+		return batch.Request{ID: "large", PromptTokens: tokens, MaxAnswerTokens: 1000, FirstEventTarget: 3 * time.Second, MaxPause: time.Second, WaitLimit: 15 * time.Second, ArrivedAt: now, AttemptNumber: 1}
+	}
+	for _, promptTokens := range []id.Tokens{400_000, 560_000} {
+		machine, now := newOneEngineMachine(batch.DefaultConfig())
+		machine.Step(now, batch.SetEngines{Engines: []batch.EngineSpec{{Engine: "a", Address: "a"}, {Engine: "b", Address: "b"}}})
+		grantShort := func(name string) (id.Attempt, bool) {
+			now = now.Add(time.Second)
+			rq := shortRequest(now, name)
+			rq.PromptTokens = shortTokens
+			effects := machine.Step(now, batch.Submit{Request: rq})
+			if len(effects) == 0 {
+				return "", false
+			}
+			attempt := effects[0].Grant.Attempt
+			now = now.Add(time.Second)
+			machine.Step(now, batch.AttemptStarted{Attempt: attempt})
+			return attempt, true
+		}
+		first, _ := grantShort("first")
+		machine.Step(now, batch.FinishAttempt{Attempt: first})
+		now = now.Add(time.Minute)
+		effects := machine.Step(now, batch.Submit{Request: largeRequest(now, promptTokens)})
+		assert.Equal(t, len(effects), 1, "the large prompt is not granted")
+		now = now.Add(10 * time.Second)
+		machine.Step(now, batch.AttemptStarted{Attempt: effects[0].Grant.Attempt})
+		granted := 0
+		for granted < 2*engineProfile().Slots {
+			if _, ok := grantShort(fmt.Sprintf("s%d", granted)); !ok {
+				break
+			}
+			granted++
+		}
+		if promptTokens == 400_000 {
+			assert.Equal(t, granted, 2*engineProfile().Slots-1)
+		}
+	}
+}
+
+// TestNothingIsRefusedEarlyWhileEnginesMayReturn checks that an engine that is left alone after a failure counts: the requests
+// that its free slots would serve are not refused early, and it serves them when it returns.
+func TestNothingIsRefusedEarlyWhileEnginesMayReturn(t *testing.T) {
+	cr := newCrowd(batch.DefaultConfig())
+	cr.step(batch.SetEngines{Engines: []batch.EngineSpec{{Engine: "a", Address: "a"}, {Engine: "b", Address: "b"}}})
+	cr.run(3*time.Second, 125*time.Millisecond)
+	assert.Equal(t, len(cr.refusedAfter), 0)
+	// Each failure of b is reported anew, so that it gets nothing for two seconds.
+	for range 2 {
+		cr.step(batch.FinishAttempt{Attempt: "unknown/1", FailedEngine: "b", Fault: batch.Unreachable})
+	}
+	for _, attempt := range slices.Sorted(maps.Keys(cr.runningUntil)) {
+		cr.step(batch.FinishAttempt{Attempt: attempt})
+		delete(cr.runningUntil, attempt)
+	}
+	cr.run(1500*time.Millisecond, 125*time.Millisecond)
+	early := 0
+	for _, waited := range cr.refusedAfter {
+		if waited < time.Second {
+			early++
+		}
+	}
+	assert.Assert(t, early <= len(cr.arrivedAt)-cr.granted-engineProfile().Slots, "%d refused early of %d that got no slot", early, len(cr.arrivedAt)-cr.granted)
+	waiting := cr.machine.Waiting()
+	assert.Assert(t, waiting >= engineProfile().Slots, "%d wait for the engine that may return", waiting)
+}
