--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -14,8 +14,12 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 )
 
-// maxBodyBytes is the largest accepted request body.
-const maxBodyBytes = 1 << 20
+const (
+	// maxBodyBytes is the largest accepted request body.
+	maxBodyBytes = 16 << 20
+	// maxReturnedBytes bounds the part of a body that a response repeats.
+	maxReturnedBytes = 1 << 20
+)
 
 // LedgerEntry describes a request that the server ran. It is sent as JSON under these field names.
 type LedgerEntry struct {
@@ -56,7 +60,8 @@
 }
 
 // handleRequest records a request in the ledger and responds with the server's name, the number of the ledger entry,
-// the method, the URI and the body. A draining server rejects it.
+// the method, the URI and the body up to
+// maxReturnedBytes. A draining server rejects it.
 func (sv *Server) handleRequest(rw http.ResponseWriter, rq *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(rw, rq.Body, maxBodyBytes))
 	if err != nil {
@@ -71,7 +76,7 @@
 		return
 	}
 	rw.Header().Set("Content-Type", "text/plain")
-	_, _ = fmt.Fprintf(rw, "%s %d %s %s %s", sv.name, entryNumber, rq.Method, rq.URL.RequestURI(), body)
+	_, _ = fmt.Fprintf(rw, "%s %d %s %s %s", sv.name, entryNumber, rq.Method, rq.URL.RequestURI(), body[:min(len(body), maxReturnedBytes)])
 }
 
 // appendToLedger adds a request to the ledger and returns its number, counted from 1. It returns false if the server is
