Clients that stall give way; heads, connections and the product's own front are part of the memory

Now: pieces instead of doubled buffers; heads, connections and the sum of all are bounded; who sends nothing, or less than 4 KB (a 64th of a long body) within StallTime, is refused with 408 (not run) or closed when others find no memory or connection; both fronts. Without MemoryMegabytes nothing changes but the buffers. Part of the change to the Go runtime's soft limit: 0.65 instead of 0.7 of the memory. The expected settings gained the two new keys with their defaults; the unit tests are unchanged.

--- a/host.go
+++ b/host.go
@@ -11,6 +11,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -35,6 +37,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
 	"github.com/hibiscuslever/hibiscuslever/transport/caller"
 	"github.com/hibiscuslever/hibiscuslever/transport/engine"
 	"github.com/hibiscuslever/hibiscuslever/transport/operator"
@@ -72,6 +75,7 @@
 	placer           *placer.Placer
 	quarantineSyncer *crashlog.Syncer
 	callerServer     *caller.Server
+	bodyMemory       *bodymemory.Memory
 
 	listeners []net.Listener
 }
@@ -193,6 +197,7 @@
 	ht.quarantineSyncer = crashlog.New(crashlog.DefaultConfig(shard.DefaultServerConfig().QuarantineTTL), ht.clock, streams.NewQuarantine(ht.platformClient), scope, ht.logger,
 		func() bool { return true }, ht.shardServer.LearnReportedEvidence)
 	ht.placer = placer.New(placer.DefaultConfig(), ht.localMember.Host, ht.localMember.Incarnation, ht.clock, streams.NewLeases(ht.platformClient), ht.engineClient, ht.fleet, ht.configuration, placementLeaseEligibility{ht}, scope)
+	ht.bodyMemory = bodymemory.ForProcess(bodymemory.OwnFront, ht.settings.Limits.MemoryMegabytes, ht.clock, ht.settings.Limits.StallTime)
 	ht.callerServer = caller.NewServer(ht.callerConfig(), caller.Dependencies{
 		Lists:     readyLists{host: ht},
 		Models:    ht.modelRunner,
@@ -241,6 +246,7 @@
 		Host:          ht.localMember.Host,
 		Incarnation:   ht.localMember.Incarnation,
 		MaxBodyBytes:  ht.settings.Callers.MaxBodyBytes,
+		BodyMemory:    ht.bodyMemory,
 		KeepAddresses: ht.settings.Callers.KeepAddresses,
 		KeyRetention:  ht.settings.Claims.Retention - ht.settings.Claims.Margin,
 	}
@@ -249,6 +255,9 @@
 // Run serves until the context ends or a part of the host fails, and then shuts down gracefully. It returns the first
 // failure. A host can't be run again.
 func (ht *Host) Run(ctx context.Context) error {
+	if megabytes := ht.settings.Limits.MemoryMegabytes; megabytes > 0 {
+		debug.SetMemoryLimit(bodymemory.SoftLimit(megabytes))
+	}
 	ht.logger.Info("host started", "zone", ht.localMember.AvailabilityZone, "callers", ht.localMember.CallerAddress)
 	return lifecycle.Process{
 		Tasks: []lifecycle.Task{
@@ -263,7 +272,7 @@
 			{Name: "crash evidence", Run: ht.quarantineSyncer.Run},
 		},
 		Servers:   ht.servers(),
-		Listeners: ht.listeners,
+		Listeners: ht.servedListeners(),
 		ShutDown:  ht.shutDown,
 		CleanUp:   ht.close,
 		Grace:     lifecycle.Grace(ht.settings.Operators.ShutdownTimeout),
@@ -272,6 +281,13 @@
 	}.Run(ctx)
 }
 
+// servedListeners returns the listeners in the order of the servers. That of callers limits their connections.
+func (ht *Host) servedListeners() []net.Listener {
+	served := slices.Clone(ht.listeners)
+	served[0] = caller.NewListener(served[0], bodymemory.ConnectionLimit(bodymemory.OwnFront, ht.settings.Limits.MaxConnections, ht.settings.Limits.MemoryMegabytes), ht.bodyMemory, ht.clock)
+	return served
+}
+
 // servers returns the HTTP servers for callers, for other hosts and for operators, in the order of the listeners. Other
 // hosts use HTTP/2 without TLS.
 func (ht *Host) servers() []*http.Server {
@@ -288,6 +304,7 @@
 		MaxHeaderBytes:    ht.settings.Callers.MaxHeaderBytes,
 		ErrorLog:          ht.connectionErrorLog(),
 	}
+	caller.TrackRequests(callerServer)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/lifecycle/connections.go
+++ b/lifecycle/connections.go
@@ -38,19 +38,27 @@
 	return &connections{clock: clock, active: map[net.Conn]struct{}{}, acceptedAt: map[net.Conn]time.Time{}, changed: make(chan struct{}, 1), stopping: stopping, failed: failed, closing: make(chan struct{})}
 }
 
-// watch follows the connections of a server that does not serve yet. The server's own hook is still called.
+// watch follows the connections of a server that does not serve yet. The server's own hooks are still called.
 func (cn *connections) watch(server *http.Server) {
+	if contextHook := server.ConnContext; contextHook != nil {
+		server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context { return contextHook(ctx, withoutStop(conn)) }
+	}
 	hook := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		cn.record(conn, state)
 		if hook == nil {
 			return
 		}
-		if stopping, ok := conn.(*stoppingConn); ok {
-			conn = stopping.Conn
-		}
-		hook(conn, state)
+		hook(withoutStop(conn), state)
+	}
+}
+
+// withoutStop returns the connection of the server's own listener.
+func withoutStop(conn net.Conn) net.Conn {
+	if stopping, ok := conn.(*stoppingConn); ok {
+		return stopping.Conn
 	}
+	return conn
 }
 
 func (cn *connections) record(conn net.Conn, state http.ConnState) {
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -111,6 +111,12 @@
 		{"Limits", "MemoryMegabytes", allowedNonNegativeNumber, func(settings *Settings, value string) bool {
 			return setCappedNumber(&settings.Limits.MemoryMegabytes, value, 1_000_000)
 		}},
+		{"Limits", "MaxConnections", "a whole number from 0 to 1000000", func(settings *Settings, value string) bool {
+			return setIntInRange(&settings.Limits.MaxConnections, value, 0, 1_000_000)
+		}},
+		{"Limits", "StallTime", allowedPositiveDuration, func(settings *Settings, value string) bool {
+			return setPositiveDuration(&settings.Limits.StallTime, value)
+		}},
 		{"Limits", "ProcessorShare", allowedNonNegativeNumber, func(settings *Settings, value string) bool {
 			return setCappedNumber(&settings.Limits.ProcessorShare, value, 1000)
 		}},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,6 +89,12 @@
 type Limits struct {
 	// MemoryMegabytes is the memory use at which the platform ends the process; 0 for no limit.
 	MemoryMegabytes float64
+	// MaxConnections is the number of clients' connections that may be open at a time; 0 for as many as fit in
+	// MemoryMegabytes.
+	MaxConnections int
+	// StallTime is how long a client whose request has begun to arrive may make no progress while other clients need its
+	// memory or its connection.
+	StallTime time.Duration
 	// ProcessorShare is the number of processor cores that the process may use, usually a fraction; 0 if it is unknown.
 	ProcessorShare float64
 }
@@ -178,6 +184,7 @@
 		Operators: Operators{ShutdownTimeout: 10 * time.Minute},
 		Platform:  Platform{Kind: KindLog},
 		Retries:   Retries{Share: 0.1, Slack: 50},
+		Limits:    Limits{StallTime: time.Second},
 		Memory:    Memory{FreeWithin: 4 * time.Second, UnusedWithin: 9 * time.Second},
 	}
 }
--- a/site/host.go
+++ b/site/host.go
@@ -218,12 +218,7 @@
 		Seed:        seed,
 	})
 	ht.clientHandler = platform.NewClientHandler(ht.updateFollower, ht.forwarder, ht.clock, ht.logger)
-	// bodyMemoryShare and shortBodyMemoryShare are the parts of the process's memory that the long and the short bodies of
-	// requests may take. The rest is for responses and for what is kept besides.
-	const bodyMemoryShare, shortBodyMemoryShare = 0.3, 0.15
-	if megabytes := ht.settings.Limits.MemoryMegabytes; megabytes > 0 {
-		ht.bodyMemory = bodymemory.New(int64(bodyMemoryShare*megabytes*(1<<20)), int64(shortBodyMemoryShare*megabytes*(1<<20)))
-	}
+	ht.bodyMemory = bodymemory.ForProcess(bodymemory.PlatformFront, ht.settings.Limits.MemoryMegabytes, ht.clock, ht.settings.Limits.StallTime)
 	ht.clientHandler.LimitBodies(ht.bodyMemory)
 	return nil
 }
@@ -294,10 +289,7 @@
 // failure.
 func (ht *Host) Run(ctx context.Context) error {
 	if megabytes := ht.settings.Limits.MemoryMegabytes; megabytes > 0 {
-		// softLimitShare is the part of that memory that the Go runtime tries to stay within, because the process is ended
-		// when it reaches the limit.
-		const softLimitShare = 0.7
-		debug.SetMemoryLimit(int64(softLimitShare * megabytes * (1 << 20)))
+		debug.SetMemoryLimit(bodymemory.SoftLimit(megabytes))
 	}
 	ht.logger.Info("host started", "zone", string(ht.localMember.AvailabilityZone), "clients", ht.localMember.CallerAddress, "peers", ht.localMember.PeerAddress,
 		"incarnation", int64(ht.localMember.Incarnation), "seeds", ht.settings.Peers.Seeds)
@@ -391,7 +383,9 @@
 func (ht *Host) servedListeners() []net.Listener {
 	timeouts := platform.ConnectionTimeouts{Header: ht.settings.Callers.ReadHeaderTimeout, Idle: ht.settings.Callers.IdleTimeout}
 	served := slices.Clone(ht.listeners)
-	served[0] = platform.NewClientListener(served[0], ht.updateFollower, timeouts, ht.clock)
+	clientListener := platform.NewClientListener(served[0], ht.updateFollower, timeouts, ht.clock)
+	clientListener.LimitConnections(bodymemory.ConnectionLimit(bodymemory.PlatformFront, ht.settings.Limits.MaxConnections, ht.settings.Limits.MemoryMegabytes), ht.bodyMemory)
+	served[0] = clientListener
 	return served
 }
 
--- a/state/outcome/outcome.go
+++ b/state/outcome/outcome.go
@@ -45,6 +45,8 @@
 	PromptTooLong Reason = "prompt_too_long"
 	// LimitReached means that a rate limit or the concurrency limit of the plan is reached.
 	LimitReached Reason = "limit_reached"
+	// BodyStalled means that the body of the request stopped arriving while its memory was needed for other requests.
+	BodyStalled Reason = "body_stalled"
 	// Overloaded means that the queue was full or that the request could not start in time.
 	Overloaded Reason = "overloaded"
 	// NoCapacity means that no engine or no dispatcher was available for the request.
--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
@@ -22,6 +23,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/lists"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
 )
 
 const (
@@ -40,10 +42,11 @@
 	if !oc.OK() {
 		return sv.writeError(ec, oc)
 	}
-	body, oc := sv.readBody(ec)
+	body, release, oc := sv.readBody(ec)
 	if !oc.OK() {
 		return sv.writeError(ec, oc)
 	}
+	defer release()
 	request, oc := parseRequest(body, isChat)
 	if !oc.OK() {
 		return sv.writeError(ec, oc)
@@ -101,29 +104,39 @@
 	}
 }
 
-// readBody reads the body of a request. A body longer than MaxBodyBytes is refused.
-func (sv *Server) readBody(ec echo.Context) ([]byte, outcome.Outcome) {
+// bodyMemoryRetryAfter is when a caller may repeat a request whose body found no memory.
+const bodyMemoryRetryAfter = 500 * time.Millisecond
+
+// readBody reads the body of a request. The returned function releases its memory. A body longer than MaxBodyBytes is
+// refused, and one for which there is no memory.
+func (sv *Server) readBody(ec echo.Context) ([]byte, func(), outcome.Outcome) {
 	request := ec.Request()
 	if request.ContentLength > sv.config.MaxBodyBytes {
-		return nil, sv.bodyTooLarge()
+		return nil, nil, sv.bodyTooLarge()
 	}
-	reader := http.MaxBytesReader(ec.Response(), request.Body, sv.config.MaxBodyBytes)
-	var body []byte
-	var err error
-	if request.ContentLength > 0 {
-		body = make([]byte, request.ContentLength)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
+	interruption := bodymemory.NewInterruption(ec.Response())
+	release := sv.config.BodyMemory.LimitInterruptible(request, interruption.Interrupt)
+	body, err := sv.config.BodyMemory.ReadAll(http.MaxBytesReader(ec.Response(), request.Body, sv.config.MaxBodyBytes), request.ContentLength)
+	if err != nil {
+		release()
+		return nil, nil, sv.bodyOutcome(err)
 	}
+	interruption.Undo()
+	return body, release, outcome.Done()
+}
+
+// bodyOutcome returns the refusal of a request whose body could not be read.
+func (sv *Server) bodyOutcome(err error) outcome.Outcome {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, sv.bodyTooLarge()
-	case err != nil:
-		return nil, outcome.Refuse(outcome.BadRequest, "the request's body ended early")
+		return sv.bodyTooLarge()
+	case errors.Is(err, bodymemory.ErrExhausted):
+		return outcome.Refuse(outcome.Overloaded, err.Error()).WithRetryAfter(bodyMemoryRetryAfter)
+	case errors.Is(err, bodymemory.ErrStalled):
+		return outcome.Refuse(outcome.BodyStalled, err.Error()).WithRetryAfter(bodyMemoryRetryAfter)
 	default:
-		return body, outcome.Done()
+		return outcome.Refuse(outcome.BadRequest, "the request's body ended early")
 	}
 }
 
--- a/transport/caller/error_response.go
+++ b/transport/caller/error_response.go
@@ -28,6 +28,8 @@
 		return http.StatusNotFound
 	case outcome.PromptTooLong, outcome.PromptExceedsFleet:
 		return http.StatusRequestEntityTooLarge
+	case outcome.BodyStalled:
+		return http.StatusRequestTimeout
 	case outcome.LimitReached:
 		return http.StatusTooManyRequests
 	case outcome.Quarantined:
@@ -70,6 +72,9 @@
 	}}
 }
 
+// stalledDiscardTime bounds how long a request whose caller has stalled occupies the host after its refusal.
+const stalledDiscardTime = 200 * time.Millisecond
+
 // writeError responds to a request without a complete answer, and reads the rest of the request's body. A Failed outcome
 // tells the caller not to retry, because the request may have run.
 func (sv *Server) writeError(ec echo.Context, oc outcome.Outcome) error {
@@ -84,7 +89,11 @@
 		header.Set("X-Should-Retry", "false")
 	}
 	var err error
-	requestbody.Refuse(ec.Response(), ec.Request(), sv.clock, requestbody.DiscardTime, func() { err = ec.JSON(httpStatus(oc), newErrorBody(oc)) })
+	discardTime := requestbody.DiscardTime
+	if oc.Reason == outcome.BodyStalled {
+		discardTime = stalledDiscardTime
+	}
+	requestbody.Refuse(ec.Response(), ec.Request(), sv.clock, discardTime, func() { err = ec.JSON(httpStatus(oc), newErrorBody(oc)) })
 	return err
 }
 
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
 )
 
 // Lists provides the lists of plans and organisations.
@@ -72,6 +73,8 @@
 	Incarnation id.Incarnation
 	// MaxBodyBytes limits the body of a request.
 	MaxBodyBytes int64
+	// BodyMemory limits the memory for the bodies of requests; nil for no limit.
+	BodyMemory *bodymemory.Memory
 	// KeepAddresses is how long callers may use the list of addresses before they ask for it again.
 	KeepAddresses time.Duration
 	// KeyRetention is the age above which idempotency keys are refused, because it is no longer known whether a request
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -44,10 +44,11 @@
 		}
 		return sv.writeError(ec, outcome.Refuse(outcome.Forbidden, fmt.Sprintf("plan %q does not allow service %q", plan.Name, name)))
 	}
-	body, oc := sv.readBody(ec)
+	body, release, oc := sv.readBody(ec)
 	if !oc.OK() {
 		return sv.writeError(ec, oc)
 	}
+	defer release()
 	key, oc := sv.readIdempotencyKey(ec.Request().Header)
 	if !oc.OK() {
 		return sv.writeError(ec, oc)
--- a/transport/peer/relay_server.go
+++ b/transport/peer/relay_server.go
@@ -32,15 +32,20 @@
 	receivedAt := rh.clock.Now()
 	// net/http decides by the body of its own request whether the connection can be kept.
 	httpRequest = httpRequest.WithContext(httpRequest.Context())
-	defer rh.bodyMemory.Limit(httpRequest)()
+	interruption := bodymemory.NewInterruption(writer)
+	defer rh.bodyMemory.LimitInterruptible(httpRequest, interruption.Interrupt)()
 	call, err := decodeRelayCall(httpRequest.Body)
-	if errors.Is(err, bodymemory.ErrExhausted) {
+	interruption.Undo()
+	switch {
+	case errors.Is(err, bodymemory.ErrExhausted):
 		// The entry host would receive a reset instead of the failure if the connection were closed while it still sends.
 		_, _ = io.CopyN(io.Discard, httpRequest.Body, maxRelayHeadBytes+maxRelayBodyBytes)
 		_ = writeJSONFrame(writer, failureFrame, relayFailure{Reason: peerrelay.Busy, NotSent: true, Detail: octets(err.Error())})
 		return
-	}
-	if err != nil {
+	case errors.Is(err, bodymemory.ErrStalled):
+		_ = writeJSONFrame(writer, failureFrame, relayFailure{Reason: peerrelay.Busy, NotSent: true, Detail: octets(err.Error())})
+		return
+	case err != nil:
 		_ = writeJSONFrame(writer, failureFrame, relayFailure{Reason: peerrelay.Malformed, NotSent: true, Detail: octets(err.Error())})
 		return
 	}
