--- a/host.go
+++ b/host.go
@@ -270,6 +270,7 @@
 			{Name: "shard client", Run: ht.shardClient.Run},
 			{Name: "placer", Run: ht.placer.Run},
 			{Name: "crash evidence", Run: ht.quarantineSyncer.Run},
+			{Name: "request memory", Run: bodymemory.NewReporter(ht.bodyMemory, ht.clock, ht.metrics.Scope, ht.logger).Run},
 		},
 		Servers:   ht.servers(),
 		Listeners: ht.servedListeners(),
--- a/site/host.go
+++ b/site/host.go
@@ -305,6 +305,7 @@
 			{Name: "membership", Run: ht.join},
 			{Name: "discovery", Run: ht.discoverHosts},
 			{Name: "gauges", Run: ht.updateGauges},
+			{Name: "request memory", Run: bodymemory.NewReporter(ht.bodyMemory, ht.clock, ht.metrics.Scope, ht.logger).Run},
 		},
 		Servers:   ht.httpServers(),
 		Listeners: ht.servedListeners(),
