The test with processes gives dispatchers a second to learn of an evacuation

It failed in one of two runs (7 of 15 requests sent right after the hosts' status showed the evacuation ran in the zone): a dispatcher of the product's own front learns it with its next tick, 50 ms, or after a poll that began before (read from code, not traced). The users' bound is 5 s; the test now asks for 1 s.

--- a/e2e/evacuation_test.go
+++ b/e2e/evacuation_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -28,7 +29,11 @@
 	return string(output)
 }
 
-// waitForEvacuatedZones waits until all hosts show exactly the given zones as evacuated.
+// dispatcherDelay is how long after its host a dispatcher may learn of an evacuation: some ticks, and polls of engines that
+// began before.
+const dispatcherDelay = time.Second
+
+// waitForEvacuatedZones waits until all hosts show exactly the given zones as evacuated, and for dispatcherDelay after that.
 func (fl *fleet) waitForEvacuatedZones(zones ...id.AvailabilityZone) {
 	fl.t.Helper()
 	fl.eventually(fmt.Sprint("all hosts show as evacuated ", zones), func() bool {
@@ -40,6 +45,7 @@
 		}
 		return true
 	})
+	time.Sleep(dispatcherDelay)
 }
 
 // TestEvacuatedZoneGetsNoRequests evacuates a zone by the operators' command. Its engine and its server must get nothing
