--- a/coordination/broker/server.go
+++ b/coordination/broker/server.go
@@ -44,6 +44,7 @@
 	// evidenceChanged makes the next tick review the waiting requests.
 	evidenceChanged atomic.Bool
 
+	// startedAt is when this host started.
 	startedAt time.Time
 
 	// wake makes Run start the next tick immediately.
@@ -338,8 +339,8 @@
 	return nil
 }
 
-// applyReport updates the dispatchers from a report. What it says of crashes and of prompts that were
-// answered comes before the ends of grants, so that an engine that becomes free gets the right request next.
+// applyReport updates the dispatchers from a report. What it says of crashes and of prompts that were answered comes before
+// the ends of grants, so that an engine that becomes free gets the right request next.
 func (sv *Server) applyReport(report Report) {
 	for _, evidence := range report.Evidence {
 		sv.quarantine.LearnReportedEvidence(evidence)
