A host whose seeds do not answer looks for others in the store at once

Cause: a host that knows no other one waits 0.4 s before it is ready, and looked into the store a second after that.

After 60 ms without an answer the host reads the announced addresses now. Ruled out: a shorter wait, which makes more hosts dispatch alone; asking at once, a call to the store for each host of each start. One call each, only after an answer is missing.

Test: site.TestHostWithoutSeedsIsReadyAlone, red before (one host known instead of two), 5 of 5 since.

--- a/site/host.go
+++ b/site/host.go
@@ -340,6 +340,9 @@
 	const (
 		pollInterval  = 20 * time.Millisecond
 		discoveryWait = 400 * time.Millisecond
+		// seedWait is how long the seeds have to answer before other hosts are looked for in the store. After all hosts have
+		// been lost, the seeds may be the last ones that are back.
+		seedWait = 60 * time.Millisecond
 	)
 	for !ht.updateFollower.Loaded() {
 		if !timer.Sleep(ctx, ht.clock, pollInterval) {
@@ -348,7 +351,12 @@
 	}
 	gossipEnded := make(chan error, 1)
 	tasks.Go(func() { gossipEnded <- tasks.Call(func() error { return ht.gossip.Run(ctx) }) })
-	for discoveryEnd := ht.clock.Now().Add(discoveryWait); len(ht.gossip.OtherHosts()) == 0 && ht.clock.Now().Before(discoveryEnd); {
+	joinedAt := ht.clock.Now()
+	for askedStore := false; len(ht.gossip.OtherHosts()) == 0 && ht.clock.Now().Before(joinedAt.Add(discoveryWait)); {
+		if !askedStore && !ht.clock.Now().Before(joinedAt.Add(seedWait)) {
+			askedStore = true
+			tasks.Go(func() { ht.addSeedsFromStore(ctx) })
+		}
 		if !timer.Sleep(ctx, ht.clock, pollInterval) {
 			break
 		}
