--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -101,6 +101,8 @@
 	EventInterval time.Duration
 	// WorkDuration is the time that the server takes for a request to a plain service.
 	WorkDuration time.Duration
+	// AnswerBytes is the number of bytes that are added to each plain response and to each event of a stream.
+	AnswerBytes int
 	// AnswerDuration, if it is not nil, returns how long the server works on the request with an attempt ID, streams
 	// included. The fields above apply to requests for which it returns zero.
 	AnswerDuration func(attempt string) time.Duration
@@ -451,7 +453,7 @@
 
 // respond sends the plain response to a request, or applies the fault that affects it.
 func (sv *Server) respond(rw http.ResponseWriter, executed *ExecutedRequest, fault ServerFault) {
-	text := "answer of " + sv.ID + " to " + executed.Attempt
+	text := "answer of " + sv.ID + " to " + executed.Attempt + strings.Repeat("+", sv.AnswerBytes)
 	if fault == CutsResponses {
 		rw.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		_, _ = io.WriteString(rw, text[:5])
@@ -537,7 +539,7 @@
 			sv.markDisconnected(executed)
 			return
 		}
-		event := fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number)
+		event := fmt.Sprintf("id: %d\ndata: event %d%s\n\n", number, number, strings.Repeat("+", sv.AnswerBytes))
 		if fault == CutsResponses && number == (sv.EventCount+1)/2 {
 			_, _ = io.WriteString(rw, event[:len(event)/2])
 			_ = controller.Flush()
