Shares of the memory of requests after measuring them on the real daemon

A connection of that front with a refused request counts 48 KB now and the sum 0.36 of the memory; at the users' platform 20 KB and 0.42; connections 0.32; the Go runtime's soft limit 0.58.

--- a/transport/bodymemory/shares.go
+++ b/transport/bodymemory/shares.go
@@ -11,12 +11,14 @@
 	longBodyShare   = 0.3
 	shortBodyShare  = 0.15
 	headShare       = 0.1
-	connectionShare = 0.4
-	// totalShare is what all of them may take together.
-	totalShare = 0.45
+	connectionShare = 0.32
+	// totalShare is what all of them may take together, ownFrontTotalShare the same at the product's own front, where a
+	// request in progress takes more that is not counted.
+	totalShare         = 0.42
+	ownFrontTotalShare = 0.36
 	// softLimitShare is the part that the Go runtime tries to stay within, because the process is ended when it reaches the
 	// limit.
-	softLimitShare = 0.65
+	softLimitShare = 0.58
 )
 
 // Front is the kind of server that clients connect to.
@@ -33,9 +35,17 @@
 // bytesPerConnection returns what an open connection takes with an ordinary request on it.
 func (fr Front) bytesPerConnection() int64 {
 	if fr == OwnFront {
-		return 32 << 10
+		return 48 << 10
 	}
-	return 24 << 10
+	return 20 << 10
+}
+
+// totalShare returns the part of the memory that all accounts may take together.
+func (fr Front) totalShare() float64 {
+	if fr == OwnFront {
+		return ownFrontTotalShare
+	}
+	return totalShare
 }
 
 // ForProcess returns a memory for a process that may use a number of megabytes, or nil if that is 0. Clients that stall for
@@ -45,7 +55,7 @@
 		return nil
 	}
 	mm := New(share(megabytes, longBodyShare), share(megabytes, shortBodyShare), WithHeadLimit(share(megabytes, headShare)),
-		WithTotalLimit(share(megabytes, totalShare)), WithInterruption(clock, stallTime))
+		WithTotalLimit(share(megabytes, front.totalShare())), WithInterruption(clock, stallTime))
 	mm.connectionBytes = front.bytesPerConnection()
 	return mm
 }
