Both fronts wait for a free connection in package bodymemory

The wait for a connection that closes, with the interruption of stalled clients meanwhile, and the error for a head without memory stood in transport/caller and in platform. They are now Memory.AwaitConnection and ErrNoHeadMemory.

Behaviour is the same. The listener for callers counted its connections again every 100 ms; it now does when a connection has closed, which is the only event that lowers the number (the number is lowered before the event is sent, and an event that is not received stays in the channel).

Ruled out: one listener for both fronts. That of the platform also closes idle connections and keeps a reserve of descriptors.

--- a/transport/caller/listener.go
+++ b/transport/caller/listener.go
@@ -6,9 +6,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
-
-	"github.com/go-faster/errors"
 
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
@@ -35,10 +32,10 @@
 }
 
 // Accept waits for the next connection. While as many are open as are allowed, it closes those of callers that have stalled
-// between or in requests, one at a time. It must not be called concurrently.
+// between or in requests, a few at a time. It must not be called concurrently.
 func (ls *Listener) Accept() (net.Conn, error) {
 	for ls.maxConns > 0 && ls.openConns.Load() >= ls.maxConns {
-		if !ls.awaitClose() {
+		if !ls.memory.AwaitConnection(ls.clock, ls.connClosed, ls.closed) {
 			return nil, net.ErrClosed
 		}
 	}
@@ -55,22 +52,6 @@
 	return &callerConn{TCPConn: tcpConn, listener: ls, head: ls.memory.NewHead(func() { _ = tcpConn.Close() })}, nil
 }
 
-// awaitClose interrupts a caller that has stalled and waits until a connection is closed, for a short time. It returns false
-// if the listener is closed.
-func (ls *Listener) awaitClose() bool {
-	const retryInterval = 100 * time.Millisecond
-	ls.memory.InterruptMostStalled()
-	passed, subscription := timer.Wait(ls.clock, retryInterval)
-	defer subscription.Stop()
-	select {
-	case <-ls.connClosed:
-	case <-passed:
-	case <-ls.closed:
-		return false
-	}
-	return true
-}
-
 // Close stops the listener.
 func (ls *Listener) Close() error {
 	ls.closeOnce.Do(func() { close(ls.closed) })
@@ -116,16 +97,13 @@
 	}
 }
 
-// errNoHeadMemory makes the server close a connection. net/http answers 400 to errors other than those of reading.
-var errNoHeadMemory = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the heads of other requests take all memory that is meant for them")}
-
 // Read reads from the connection. It fails if there is no memory for the head of a request.
 func (cc *callerConn) Read(buffer []byte) (int, error) {
 	count, err := cc.TCPConn.Read(buffer)
 	if count > 0 && !cc.serving.Load() && !cc.head.Received(buffer[:count]) {
-		// Closed here, the connection takes no answer that would promise something.
+		// The connection is closed before net/http can send a response on it.
 		_ = cc.TCPConn.Close()
-		return 0, errNoHeadMemory
+		return 0, bodymemory.ErrNoHeadMemory
 	}
 	return count, err
 }
