One refusal for bodies that find no memory

transport/caller and platform each had the same two refusals, their delay before a retry (500 ms) and the time for which a stalled client's body is still read (200 ms). They are now bodymemory.Refusal and requestbody.StalledDiscardTime.

Behaviour, texts and times are the same; the tests of the three packages pass.

--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
@@ -104,9 +103,6 @@
 	}
 }
 
-// bodyMemoryRetryAfter is when a caller may repeat a request whose body found no memory.
-const bodyMemoryRetryAfter = 500 * time.Millisecond
-
 // readBody reads the body of a request. The returned function releases its memory. A body longer than MaxBodyBytes is
 // refused, and one for which there is no memory.
 func (sv *Server) readBody(ec echo.Context) ([]byte, func(), outcome.Outcome) {
@@ -128,16 +124,13 @@
 // bodyOutcome returns the refusal of a request whose body could not be read.
 func (sv *Server) bodyOutcome(err error) outcome.Outcome {
 	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
+	if errors.As(err, &tooLarge) {
 		return sv.bodyTooLarge()
-	case errors.Is(err, bodymemory.ErrExhausted):
-		return outcome.Refuse(outcome.Overloaded, err.Error()).WithRetryAfter(bodyMemoryRetryAfter)
-	case errors.Is(err, bodymemory.ErrStalled):
-		return outcome.Refuse(outcome.BodyStalled, err.Error()).WithRetryAfter(bodyMemoryRetryAfter)
-	default:
-		return outcome.Refuse(outcome.BadRequest, "the request's body ended early")
 	}
+	if refusal, ok := bodymemory.Refusal(err); ok {
+		return refusal
+	}
+	return outcome.Refuse(outcome.BadRequest, "the request's body ended early")
 }
 
 // bodyTooLarge returns the refusal of a body longer than MaxBodyBytes.
--- a/transport/caller/error_response.go
+++ b/transport/caller/error_response.go
@@ -72,9 +72,6 @@
 	}}
 }
 
-// stalledDiscardTime bounds how long a request whose caller has stalled occupies the host after its refusal.
-const stalledDiscardTime = 200 * time.Millisecond
-
 // writeError responds to a request without a complete answer, and reads the rest of the request's body. A Failed outcome
 // tells the caller not to retry, because the request may have run.
 func (sv *Server) writeError(ec echo.Context, oc outcome.Outcome) error {
@@ -91,7 +88,7 @@
 	var err error
 	discardTime := requestbody.DiscardTime
 	if oc.Reason == outcome.BodyStalled {
-		discardTime = stalledDiscardTime
+		discardTime = requestbody.StalledDiscardTime
 	}
 	requestbody.Refuse(ec.Response(), ec.Request(), sv.clock, discardTime, func() { err = ec.JSON(httpStatus(oc), newErrorBody(oc)) })
 	return err
--- a/transport/requestbody/requestbody.go
+++ b/transport/requestbody/requestbody.go
@@ -15,6 +15,10 @@
 // DiscardTime bounds how long a request that is refused early usually occupies its handler.
 const DiscardTime = 5 * time.Second
 
+// StalledDiscardTime bounds how long a request whose client has stopped sending its body occupies its handler after the
+// refusal.
+const StalledDiscardTime = 200 * time.Millisecond
+
 const (
 	// maxDiscardedBytes bounds what is read of the body of one refused request. It exceeds the longest body that is
 	// usually allowed, so that clients with an older limit receive their refusals too.
