Calls that end before a peer is asked say nothing of the peers

A host whose own links to the servers are lost counts them as unreachable once no peer reaches one either. A call through peers whose request had ended, or must not be sent any more (evacuation, stop), stopped before it asked a peer, and its default failure was then recorded as one of the peers. The host refused requests until a probe through a peer succeeded, although the peers reached the servers.

That there is no peer to ask counts as before.

--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -214,7 +214,9 @@
 			sd.peers.backOff(peer.Host, failure.Reason)
 		}
 	}
-	if saysPeersUnable(failure) {
+	// A call that ended before a peer was asked says nothing of the peers.
+	callGoesOn := ctx.Err() == nil && mayBegin(call)
+	if (len(tried) > 0 || callGoesOn) && saysPeersUnable(failure) {
 		sd.links.recordPeersUnable()
 	}
 	var last id.Host
