--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -299,9 +299,15 @@
 	defer func() { _ = response.Body.Close() }()
 	st.result.PassedOn++
 	rn.applyEngineState(st.server, sentAt, response)
+	return st.handleResponse(sendCtx, ctx, grant, response, monitor)
+}
+
+// handleResponse forwards the response of the first engine of a grant, or reports why it can't be forwarded.
+func (st *engineJob) handleResponse(sendCtx, ctx context.Context, grant batch.Grant, response Response, monitor *streamMonitor) (broker.EndedGrant, attemptResult) {
+	primary := grant.Parts[0]
 	switch {
 	case response.Misdirected:
-		rn.fleet.RecordLeaving(id.BackendServer(primary.Engine))
+		st.runner.fleet.RecordLeaving(id.BackendServer(primary.Engine))
 		return broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Gone}, attemptResult{reason: "another server has the address", retryCause: retry.BackendRefused}
 	case response.NotRun:
 		// The body is not read, so that the connection is closed. On a reused one, the engine could send this refusal once
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -219,7 +219,10 @@
 	monitor := jb.watchSlowServer(ctx, tried, func() { cancel(errSlowServer) })
 	defer func() { jb.replacement, jb.hasReplacement = monitor.takeReplacement() }()
 	mayBegin := func() bool { return jb.maySend() && !rn.fleet.Evacuated(server.ID) }
-	response, err := rn.sender.Send(attemptCtx, Attempt{Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID, NewConnection: jb.newConnection, Urgency: -1, MayBegin: mayBegin})
+	response, err := rn.sender.Send(attemptCtx, Attempt{
+		Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID,
+		NewConnection: jb.newConnection, Urgency: -1, MayBegin: mayBegin,
+	})
 	if err != nil {
 		if errors.Is(err, ErrNotSent) {
 			balanceResult = balance.Lost
