Late requests are not refused while an engine at its limit has free slots

Cause: refuseHopeless counts the free slots of the candidates and of engines that failed or asked for backoff. An engine that has used up its limit for the moment (a cold one between two requests), or runs a request alone, is neither, so its free slots counted for nothing and requests were refused that it would have served.

Test: TestNothingIsRefusedEarlyWhileLimitedEngineHasSlots, red before (1 of 4 requests refused after 175 ms beside a cold engine with 4 free slots and 2 requests a second), green after, with all tests of the package.

What makes an engine a candidate is now one method, isCandidate, which both places use.

--- a/coordination/batch/engine.go
+++ b/coordination/batch/engine.go
@@ -53,6 +53,11 @@
 // isWithheld reports whether the engine gets nothing because another host counts its requests.
 func (en *engine) isWithheld() bool { return en.CountedElsewhere && en.knownLimit() > 0 }
 
+// isCandidate reports whether the engine may get new work now.
+func (en *engine) isCandidate(now time.Time) bool {
+	return en.isUsable(now) && !en.isWithheld() && en.requests.Wait(now) == 0 && !en.runsAloneRequest()
+}
+
 // knownLimit returns the rate of requests that the engine is known to accept; zero for no limit. An engine that only may
 // be cold has none.
 func (en *engine) knownLimit() serverlimit.Rate {
--- a/coordination/batch/room.go
+++ b/coordination/batch/room.go
@@ -108,12 +108,12 @@
 	return used, anyFree
 }
 
-// freeSlotsElsewhere returns the free slots of engines that are not among the candidates now, because they failed a request
-// or asked for backoff, but may be again before the clients that wait leave.
+// freeSlotsElsewhere returns the free slots of engines that are not among the candidates now, but may be again before the
+// clients that wait leave: because they failed a request, asked for backoff, have used up their limit or run a request alone.
 func (mc *Machine) freeSlotsElsewhere(now time.Time) int {
 	free := 0
 	for _, en := range mc.engines {
-		if !en.Leaving && !en.isWithheld() && !en.isUsable(now) {
+		if !en.Leaving && !en.isWithheld() && !en.isCandidate(now) {
 			free += max(0, mc.profile.Slots-mc.loadOf(now, en).slotsUsed)
 		}
 	}
--- a/coordination/batch/room_test.go
+++ b/coordination/batch/room_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 )
 
 // crowd drives a machine of one engine whose answers each hold a slot for holdTime.
@@ -188,3 +189,17 @@
 	waiting := cr.machine.Waiting()
 	assert.Assert(t, waiting >= engineProfile().Slots, "%d wait for the engine that may return", waiting)
 }
+
+// TestNothingIsRefusedEarlyWhileLimitedEngineHasSlots checks that the free slots of a cold engine count while its limit
+// allows it no request: those that wait for them are not refused, and get them as the limit allows.
+func TestNothingIsRefusedEarlyWhileLimitedEngineHasSlots(t *testing.T) {
+	cr := newCrowd(batch.DefaultConfig())
+	cr.run(4*time.Second, 275*time.Millisecond)
+	assert.Equal(t, len(cr.refusedAfter), 0)
+	cold := serverlimit.ColdLimit{Rate: 2, MaxPerSecond: 2}
+	cr.step(batch.SetEngines{Engines: []batch.EngineSpec{{Engine: "a", Address: "a"}, {Engine: "b", Address: "b", ColdLimit: cold}}})
+	cr.run(450*time.Millisecond, 125*time.Millisecond)
+	cr.run(4*time.Second, 0)
+	assert.Equal(t, len(cr.refusedAfter), 0, "refused after %s", cr.refusedAfter)
+	assert.Equal(t, cr.granted, len(cr.arrivedAt))
+}
--- a/coordination/batch/selection.go
+++ b/coordination/batch/selection.go
@@ -139,7 +139,7 @@
 	mc.minTasks = math.MaxInt
 	for _, en := range mc.engines {
 		en.updateLimits(now)
-		if !en.isUsable(now) || en.isWithheld() || en.requests.Wait(now) > 0 || en.runsAloneRequest() {
+		if !en.isCandidate(now) {
 			continue
 		}
 		mc.minTasks = min(mc.minTasks, len(en.tasks))
