Slots of evacuated engines do not hold back refusals

Cause: refuseHopeless keeps requests that the free slots of engines that may return would serve, and counted evacuated engines among them, which get nothing until the evacuation ends. With an evacuated zone as many requests as its engines have free slots waited to the end of their time and were refused then.

Test: TestEvacuatedEngineHoldsBackNoRefusals, red before (a refusal after 1.885 s beside one evacuated engine of 4 slots, 0.5 s allowed as without it), green after, with all tests of the package.

--- a/coordination/batch/room.go
+++ b/coordination/batch/room.go
@@ -113,7 +113,7 @@
 func (mc *Machine) freeSlotsElsewhere(now time.Time) int {
 	free := 0
 	for _, en := range mc.engines {
-		if !en.Leaving && !en.isWithheld() && !en.isCandidate(now) {
+		if en.remains() && !en.isWithheld() && !en.isCandidate(now) {
 			free += max(0, mc.profile.Slots-mc.loadOf(now, en).slotsUsed)
 		}
 	}
--- a/coordination/batch/room_test.go
+++ b/coordination/batch/room_test.go
@@ -203,3 +203,15 @@
 	assert.Equal(t, len(cr.refusedAfter), 0, "refused after %s", cr.refusedAfter)
 	assert.Equal(t, cr.granted, len(cr.arrivedAt))
 }
+
+// TestEvacuatedEngineHoldsBackNoRefusals checks that the slots of an evacuated engine do not count as ones that may become
+// free: requests that will get no slot are refused as early as without it.
+func TestEvacuatedEngineHoldsBackNoRefusals(t *testing.T) {
+	cr := newCrowd(batch.DefaultConfig())
+	cr.step(batch.SetEngines{Engines: []batch.EngineSpec{{Engine: "a", Address: "a"}, {Engine: "b", Address: "b", Evacuated: true}}})
+	cr.run(8*time.Second, 125*time.Millisecond)
+	assert.Assert(t, len(cr.refusedAfter) > 10, "%d refused", len(cr.refusedAfter))
+	for _, waited := range cr.refusedAfter[len(cr.refusedAfter)/2:] {
+		assert.Assert(t, waited < 500*time.Millisecond, "a later refusal came after %s", waited)
+	}
+}
