A dispatcher that is no longer the first one asks before it grants on

Cause: grantsAlone, learned by a survey while the host was the first dispatcher, stayed set when another host became the first one. A host that still asked this one, because it can't reach the other, got grants without caution and without waiting for the survey that is begun at the same time, also for places that the new first dispatcher had given.

Repair: losing the first place clears grantsAlone and drops the survey that is under way, as taking over does, and asks at once.

Test: TestDispatcherThatIsNoLongerFirstAsksAgain, red before (a grant was issued for capacity that is in use), green after, with all tests of the package. It needs more than 3 s of running (acquaintanceTime), which is why the tests so far did not meet it.

--- a/coordination/broker/takeover.go
+++ b/coordination/broker/takeover.go
@@ -96,29 +96,31 @@
 	}
 }
 
-// prepare is called before a dispatcher decides about a request. If the dispatcher has taken over the service, or is stale,
-// it asks all hosts for the grants that they hold, holds back its own until then, and grants cautiously unless no other host
-// grants. While this host is not the first dispatcher, it asks again in every askPeriod, because another one may grant as
-// well. The caller holds the mutex.
+// prepare is called before a dispatcher decides about a request. If the dispatcher has taken over the service, is no longer
+// the first one, or is stale, it asks all hosts for the grants that they hold, holds back its own until then, and grants
+// cautiously unless no other host grants. While this host is not the first dispatcher, it asks again in every askPeriod,
+// because another one may grant as well. The caller holds the mutex.
 func (sv *Server) prepare(now time.Time, dp *serviceDispatcher) {
 	leads := sv.peers.LeadsService(dp.service)
 	known := &dp.knowledge
 	hasTakenOver := leads && !known.leads || known.askedAt.IsZero() || known.isStale
+	lostLead := known.leads && !leads
 	if leads && !hasTakenOver {
 		return
 	}
-	if hasTakenOver {
-		known.grantsAlone = false
+	if hasTakenOver || lostLead {
+		// What surveys have shown so far does not tell what the other dispatcher has granted.
+		known.grantsAlone, known.survey = false, nil
 	}
 	caution := batch.TakeOver{CautiousUntil: now.Add(cautionPeriod)}
 	period := askPeriod
-	if leads {
+	if leads || lostLead {
 		// What another dispatcher has granted since the last time is not known.
 		period = knowledgeWait
 	}
 	if now.Sub(known.askedAt) >= period {
 		known.askedAt, known.leads, known.isStale = now, leads, false
-		if asked := sv.askHosts(now, dp, leads, !hasTakenOver); asked > 0 && !known.grantsAlone {
+		if asked := sv.askHosts(now, dp, leads, !hasTakenOver && !lostLead); asked > 0 && !known.grantsAlone {
 			caution.HoldUntil = now.Add(knowledgeWait)
 		}
 	}
--- a/coordination/broker/takeover_test.go
+++ b/coordination/broker/takeover_test.go
@@ -220,3 +220,26 @@
 		assert.Equal(t, len(nw.servers["first"].Status()), 1)
 	})
 }
+
+// TestDispatcherThatIsNoLongerFirstAsksAgain has a host that was the first dispatcher, and knew that no other one granted, be
+// asked for a grant when another host has become the first one and has granted what was free. It must learn that before it
+// grants.
+func TestDispatcherThatIsNoLongerFirstAsksAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, stop := startHosts(t, "first", "second", "third", "fourth")
+		defer stop()
+		// Only a host that has run for some seconds takes it that no other one grants.
+		time.Sleep(4 * time.Second)
+		_, oc := nw.acquire(t, "fourth", 1, time.Second)
+		assert.Assert(t, oc.OK(), "%+v", oc)
+		time.Sleep(1500 * time.Millisecond)
+		nw.cut("fourth", "second", true)
+		nw.setLiveUnnoticed("second", "first", "third", "fourth")
+		for requestNumber := uint64(2); requestNumber <= engineSlots; requestNumber++ {
+			_, oc := nw.acquire(t, "third", requestNumber, time.Second)
+			assert.Assert(t, oc.OK(), "request %d: %+v", requestNumber, oc)
+		}
+		_, oc = nw.acquire(t, "fourth", engineSlots+1, 300*time.Millisecond)
+		assert.Assert(t, !oc.OK(), "a grant was issued for capacity that is in use")
+	})
+}
