A longer cold time than known is told to the other hosts

Cause: RecordAnswer told the other hosts of an answer only if the server counted as warm until then. If a server that was known to be cold turned cold anew, or was listed with less, only the host that got the answer knew; the dispatcher and the issuer of permits on other hosts took the server for warm when the first time was over and gave it requests without a limit.

Repair: it is told if it is longer than known by more than negligibleTime, so that answers that differ by their way still are not.

Test: TestLongerColdTimeReachesOtherHosts, red before (1 fact, 2 wanted; and without that check the second host had no limit), green after, with all tests of the package.

--- a/coordination/requestlimit/cold.go
+++ b/coordination/requestlimit/cold.go
@@ -104,21 +104,23 @@
 	cs.check()
 }
 
-// negligibleTime is the longest time for which a server remains cold that is over before the hosts have learned of it.
+// negligibleTime is the longest time for which a server remains cold that is over before the hosts have learned of it. A
+// server that is known to be cold and says that it remains so for longer by no more than that is not reported again.
 const negligibleTime = 100 * time.Millisecond
 
 // RecordAnswer records for how long a server remains cold according to its answer to this host; zero if the answer does
-// not say that it is cold.
+// not say that it is cold. It tells the other hosts if they may take the server for warm before that.
 func (cs *ColdStarts) RecordAnswer(server serverlist.Server, remaining time.Duration) {
-	if remaining <= negligibleTime || !cs.fleet.ColdService(server.Service).HasColdServers() {
+	service := cs.fleet.ColdService(server.Service)
+	if remaining <= negligibleTime || !service.HasColdServers() {
 		return
 	}
 	now := cs.clock.Now()
 	cs.mutex.Lock()
-	wasCold := cs.book.State(server, cs.fleet.ColdService(server.Service).Duration).IsCold(now)
+	knownRemaining := max(0, cs.book.State(server, service.Duration).Until.Sub(now))
 	isNew := cs.book.Tell(now, id.HashServer(server.ID), remaining, coldstart.Answered)
 	cs.mutex.Unlock()
-	if !isNew || wasCold {
+	if !isNew || remaining-knownRemaining <= negligibleTime {
 		return
 	}
 	cs.spreadFact(coldFact(now, server, remaining))
--- a/coordination/requestlimit/cold_test.go
+++ b/coordination/requestlimit/cold_test.go
@@ -131,6 +131,32 @@
 	})
 }
 
+// TestLongerColdTimeReachesOtherHosts checks that an answer that says that a cold server remains cold for longer than was
+// known reaches the other hosts, and that answers that differ by little do not.
+func TestLongerColdTimeReachesOtherHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := newColdHost(), newColdHost()
+		for _, host := range []*coldHost{first, second} {
+			host.UpdateServers([]serverlist.Server{limitedServer})
+		}
+		first.RecordAnswer(limitedServer, 2*time.Second)
+		time.Sleep(time.Second)
+		first.RecordAnswer(limitedServer, 5*time.Second)
+		for _, fact := range first.facts {
+			second.LearnFact(fact)
+		}
+		for number := range 10 {
+			// Each answer is under way for 5 ms longer than the one before.
+			const interval, delay = 100 * time.Millisecond, 5 * time.Millisecond
+			time.Sleep(interval)
+			first.RecordAnswer(limitedServer, 5*time.Second-time.Duration(number+1)*(interval-delay))
+		}
+		assert.Equal(t, len(first.facts), 2)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, second.Limit(limitedServer).Rate, serverlimit.Rate(coldRate), "the second host takes a cold server for warm")
+	})
+}
+
 // TestColdServersOfOutdatedList checks that any server may be cold while the list is outdated, that this is no reason to
 // leave it out, and that it is logged once.
 func TestColdServersOfOutdatedList(t *testing.T) {
