--- a/coordination/broker/takeover.go
+++ b/coordination/broker/takeover.go
@@ -176,6 +176,17 @@
 	}
 }
 
+// endSurvey passes on to a dispatcher what a survey whose calls have ended shows. The caller holds the mutex.
+func (sv *Server) endSurvey(now time.Time, dp *serviceDispatcher, sy *survey) {
+	if dp.knowledge.survey != sy {
+		return
+	}
+	dp.knowledge.grantsAlone = sy.showsNoOther() && now.Sub(sv.startedAt) >= acquaintanceTime
+	if sy.failed == 0 || dp.knowledge.grantsAlone {
+		sv.applyEffects(dp, dp.machine.Step(now, batch.Informed{NoOtherGrants: dp.knowledge.grantsAlone}))
+	}
+}
+
 // returnPeriod is the time after the start of a host that was lost in which it dispatches for no service that another host
 // dispatches for. Hosts that have not heard of its new start yet may still take it for the first dispatcher.
 const returnPeriod = 5 * time.Second
@@ -199,14 +210,3 @@
 		slices.ContainsFunc(report.StartedAttempts, func(started StartedAttempt) bool { return sv.hasJustReturned(now, started.Service) }) ||
 		slices.ContainsFunc(report.EndedGrants, func(ended EndedGrant) bool { return sv.hasJustReturned(now, ended.Service) })
 }
-
-// endSurvey passes on to a dispatcher what a survey whose calls have ended shows. The caller holds the mutex.
-func (sv *Server) endSurvey(now time.Time, dp *serviceDispatcher, sy *survey) {
-	if dp.knowledge.survey != sy {
-		return
-	}
-	dp.knowledge.grantsAlone = sy.showsNoOther() && now.Sub(sv.startedAt) >= acquaintanceTime
-	if sy.failed == 0 || dp.knowledge.grantsAlone {
-		sv.applyEffects(dp, dp.machine.Step(now, batch.Informed{NoOtherGrants: dp.knowledge.grantsAlone}))
-	}
-}
--- a/coordination/statesync/follower.go
+++ b/coordination/statesync/follower.go
@@ -284,8 +284,8 @@
 }
 
 // readsTableFromStore reports whether the local host has to read the desired state from the store: if it has none or
-// does not know the evacuated zones, is one of the first in the order of readers, which send it to others, is isolated or in a small fleet, or has not had
-// its list confirmed for longer than FallbackReadAfter.
+// does not know the evacuated zones, is one of the first in the order of readers, which send it to others, is isolated or
+// in a small fleet, or has not had its list confirmed for longer than FallbackReadAfter.
 func (fl *Follower) readsTableFromStore() bool {
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
--- a/coordination/statesync/sync.go
+++ b/coordination/statesync/sync.go
@@ -82,9 +82,10 @@
 	return st
 }
 
-// newerTableNotice returns an update that tells the sender of update that its desired state is outdated, or its copy of the
-// evacuated zones; it covers no part of the list. It returns false if that is not so, or unless the local host is among the first lastReaderRank
-// hosts in the order of readers, so that only a few hosts answer. The caller holds the lock.
+// newerTableNotice returns an update that tells the sender of update that its desired state is outdated, or its copy of
+// the evacuated zones; it covers no part of the list. It returns false if that is not so, or unless the local host is
+// among the first lastReaderRank hosts in the order of readers, so that only a few hosts answer. The caller holds the
+// lock.
 func (fl *Follower) newerTableNotice(update Update) (Update, bool) {
 	newerZones := update.Evacuations != nil && update.Evacuations.NextOffset < fl.evacuations.UnchangedSince()
 	if fl.table == nil || fl.table.Version() <= update.Version && !newerZones {
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -129,8 +129,7 @@
 }
 
 // Servers returns the listed servers of a service. Those that announced that they are leaving are marked as draining, those
-// in evacuated availability zones as evacuated.
-// The caller must not modify the result.
+// in evacuated availability zones as evacuated. The caller must not modify the result.
 func (fl *fleet) Servers(service id.Service) []serverlist.Server {
 	fl.mutex.Lock()
 	defer fl.mutex.Unlock()
