--- a/coordination/batch/room_test.go
+++ b/coordination/batch/room_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
 )
 
 // crowd drives a machine of one engine whose answers each hold a slot for holdTime.
@@ -188,3 +189,29 @@
 	waiting := cr.machine.Waiting()
 	assert.Assert(t, waiting >= engineProfile().Slots, "%d wait for the engine that may return", waiting)
 }
+
+// TestNothingIsRefusedEarlyWhileLimitedEngineHasSlots checks that the free slots of a cold engine count while its limit
+// allows it no request: those that wait for them are not refused, and get them as the limit allows.
+func TestNothingIsRefusedEarlyWhileLimitedEngineHasSlots(t *testing.T) {
+	cr := newCrowd(batch.DefaultConfig())
+	cr.run(4*time.Second, 275*time.Millisecond)
+	assert.Equal(t, len(cr.refusedAfter), 0)
+	cold := serverlimit.ColdLimit{Rate: 2, MaxPerSecond: 2}
+	cr.step(batch.SetEngines{Engines: []batch.EngineSpec{{Engine: "a", Address: "a"}, {Engine: "b", Address: "b", ColdLimit: cold}}})
+	cr.run(450*time.Millisecond, 125*time.Millisecond)
+	cr.run(4*time.Second, 0)
+	assert.Equal(t, len(cr.refusedAfter), 0, "refused after %s", cr.refusedAfter)
+	assert.Equal(t, cr.granted, len(cr.arrivedAt))
+}
+
+// TestEvacuatedEngineHoldsBackNoRefusals checks that the slots of an evacuated engine do not count as ones that may become
+// free: requests that will get no slot are refused as early as without it.
+func TestEvacuatedEngineHoldsBackNoRefusals(t *testing.T) {
+	cr := newCrowd(batch.DefaultConfig())
+	cr.step(batch.SetEngines{Engines: []batch.EngineSpec{{Engine: "a", Address: "a"}, {Engine: "b", Address: "b", Evacuated: true}}})
+	cr.run(8*time.Second, 125*time.Millisecond)
+	assert.Assert(t, len(cr.refusedAfter) > 10, "%d refused", len(cr.refusedAfter))
+	for _, waited := range cr.refusedAfter[len(cr.refusedAfter)/2:] {
+		assert.Assert(t, waited < 500*time.Millisecond, "a later refusal came after %s", waited)
+	}
+}
