Requests are not refused early because of a forecast of slots

Cause: late short prompts were refused when the slots that become free were predicted to go to others. While the links of a zone are lost, grants hold slots that nobody uses, so the forecast is too low: site.TestZoneWithoutServersFailsRequests failed in 5 of 9 runs (load average 26 to 36), with up to 23 of 95 streams refused as "no slot becomes free in the request's time" beside the cut.

It is off now and stays as the policy early-refusal with its tests. After: 6 of 6 runs pass at that load. Open: a forecast that leaves out slots of grants whose engine is silent.

--- a/coordination/batch/config.go
+++ b/coordination/batch/config.go
@@ -92,7 +92,6 @@
 		MaxMinPartsShare:    0.5,
 		StartOverhead:       100 * time.Millisecond,
 		CorrectsPredictions: true,
-		RefusesHopeless:     true,
 		KeepsSlotsUsable:    true,
 		ReadTimeWeight:      3,
 		BacklogWeight:       0.5,
--- a/experiment/policy.go
+++ b/experiment/policy.go
@@ -34,10 +34,10 @@
 		variant("first-come", func(config *batch.Config) { config.FirstComeFirstServed = true }),
 		variant("no-shares", func(config *batch.Config) { config.BacklogWeight = 0 }),
 		variant("no-correction", func(config *batch.Config) {
-			config.CorrectsPredictions, config.RefusesHopeless, config.KeepsSlotsUsable = false, false, false
+			config.CorrectsPredictions, config.KeepsSlotsUsable = false, false
 		}),
 		variant("full-holders", func(config *batch.Config) { config.KeepsSlotsUsable = false }),
-		variant("no-refusal", func(config *batch.Config) { config.RefusesHopeless = false }),
+		variant("early-refusal", func(config *batch.Config) { config.RefusesHopeless = true }),
 		variant("default", func(*batch.Config) {}),
 	}
 }
