Servers that are no longer listed do not count for an outage of all servers

Cause: failures of servers were kept when the list no longer had them, so after a replacement of all servers the new ones counted as out of reach until one was probed, and requests were refused.

reachability.TestReplacedServersEndOutage does not build without the change; the links forget unlisted servers with each new list.

--- a/coordination/peerrelay/links.go
+++ b/coordination/peerrelay/links.go
@@ -95,7 +95,9 @@
 			}
 		}
 		lk.zones, lk.services, lk.signs = zones, services, signs
-		maps.DeleteFunc(lk.outageProbedAt, func(address string, _ time.Time) bool { return services[address] == "" })
+		isListed := func(address string) bool { return services[address] != "" }
+		maps.DeleteFunc(lk.outageProbedAt, func(address string, _ time.Time) bool { return !isListed(address) })
+		lk.outage.ForgetUnlisted(isListed)
 		lk.tracker.UpdateServers(listed)
 	})
 }
--- a/coordination/reachability/outage.go
+++ b/coordination/reachability/outage.go
@@ -1,6 +1,9 @@
 package reachability
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Outage decides whether no backend server can be reached by any way: neither on this host's own connections nor through a
 // peer. It is a pure state machine that is not safe for concurrent use. The zero value knows of no failure.
@@ -26,6 +29,11 @@
 	ou.failed[address] = struct{}{}
 }
 
+// ForgetUnlisted forgets the servers at addresses that are not listed any more.
+func (ou *Outage) ForgetUnlisted(isListed func(address string) bool) {
+	maps.DeleteFunc(ou.failed, func(address string, _ struct{}) bool { return !isListed(address) })
+}
+
 // RecordPeerFailure records that a peer reached no server either, or that there is no peer to ask.
 func (ou *Outage) RecordPeerFailure(now time.Time) { ou.peersFailedAt = now }
 
--- a/coordination/reachability/outage_test.go
+++ b/coordination/reachability/outage_test.go
@@ -30,3 +30,16 @@
 	ou.RecordFailure(now, "0")
 	assert.Assert(t, ou.Total(1, false) && !ou.Total(0, false), "the only server has failed; a host without servers has no outage")
 }
+
+// TestReplacedServersEndOutage replaces all servers after an outage. What failed before says nothing about the new ones.
+func TestReplacedServersEndOutage(t *testing.T) {
+	const servers = 10
+	now := time.Unix(1000, 0)
+	var ou reachability.Outage
+	for number := range servers {
+		ou.RecordFailure(now, fmt.Sprint(number))
+	}
+	assert.Assert(t, ou.Total(servers, false))
+	ou.ForgetUnlisted(func(string) bool { return false })
+	assert.Assert(t, !ou.Total(servers, false) && !ou.Suspected())
+}
