A dispatcher that is not the first one spreads for a second only

Cause: a dispatcher that was not the first one in its own view granted cautiously for as long as hosts asked it.

--- a/coordination/broker/takeover.go
+++ b/coordination/broker/takeover.go
@@ -17,8 +17,8 @@
 	knowledgeWait = 50 * time.Millisecond
 	// askTimeout bounds one call that asks a host for its held grants. What comes after knowledgeWait is used as well.
 	askTimeout = 500 * time.Millisecond
-	// cautionPeriod is how long a dispatcher grants cautiously after it has taken over, or while it is not the first one:
-	// other dispatchers may still grant, and hosts that were not reached report what they hold within heldReportPeriod.
+	// cautionPeriod is how long a dispatcher grants cautiously after it has taken over, or is no longer the first one: other
+	// dispatchers may still grant, and hosts that were not reached report what they hold within heldReportPeriod.
 	cautionPeriod = time.Second
 	// askPeriod is the least time between two times at which a dispatcher asks all hosts, and the period while it is not
 	// the first one.
@@ -98,8 +98,8 @@
 
 // prepare is called before a dispatcher decides about a request. If the dispatcher has taken over the service, is no longer
 // the first one, or is stale, it asks all hosts for the grants that they hold, holds back its own until then, and grants
-// cautiously unless no other host grants. While this host is not the first dispatcher, it asks again in every askPeriod,
-// because another one may grant as well. The caller holds the mutex.
+// cautiously for cautionPeriod unless no other host grants. While this host is not the first dispatcher, it asks again in
+// every askPeriod, because another one may grant as well. The caller holds the mutex.
 func (sv *Server) prepare(now time.Time, dp *serviceDispatcher) {
 	leads := sv.peers.LeadsService(dp.service)
 	known := &dp.knowledge
@@ -108,11 +108,15 @@
 	if leads && !hasTakenOver {
 		return
 	}
-	if hasTakenOver || lostLead {
+	isNew := hasTakenOver || lostLead
+	if isNew {
 		// What surveys have shown so far does not tell what the other dispatcher has granted.
 		known.grantsAlone, known.survey = false, nil
 	}
-	caution := batch.TakeOver{CautiousUntil: now.Add(cautionPeriod)}
+	var takeOver batch.TakeOver
+	if isNew {
+		takeOver.CautiousUntil = now.Add(cautionPeriod)
+	}
 	period := askPeriod
 	if leads || lostLead {
 		// What another dispatcher has granted since the last time is not known.
@@ -120,14 +124,12 @@
 	}
 	if now.Sub(known.askedAt) >= period {
 		known.askedAt, known.leads, known.isStale = now, leads, false
-		if asked := sv.askHosts(now, dp, leads, !hasTakenOver && !lostLead); asked > 0 && !known.grantsAlone {
-			caution.HoldUntil = now.Add(knowledgeWait)
+		if asked := sv.askHosts(now, dp, leads, !isNew); asked > 0 && !known.grantsAlone {
+			takeOver.HoldUntil = now.Add(knowledgeWait)
 		}
 	}
 	known.leads = known.leads && leads
-	if !known.grantsAlone {
-		sv.applyEffects(dp, dp.machine.Step(now, caution))
-	}
+	sv.applyEffects(dp, dp.machine.Step(now, takeOver))
 }
 
 // askHosts asks all live hosts, in the background, for the grants of a service that they hold, and returns how many it
