--- a/coordination/batch/takeover.go
+++ b/coordination/batch/takeover.go
@@ -10,8 +10,8 @@
 	CautiousUntil time.Time
 }
 
-// Informed tells the machine that it has been told of all running requests that it can be told of. If NoOtherGrants is set,
-// no other machine grants requests, so that it need not be cautious any more.
+// Informed says that all running requests that other hosts can report have been reported. If NoOtherGrants is set, no other
+// machine grants requests, so that this one need not be cautious any more.
 type Informed struct{ NoOtherGrants bool }
 
 func (TakeOver) event() {}
--- a/coordination/broker/takeover.go
+++ b/coordination/broker/takeover.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// knowledgeWait bounds the time for which a new dispatcher holds back its first grants until the other hosts have told
-	// it of the grants that they hold.
+	// knowledgeWait bounds the time for which a new dispatcher holds back its first grants until the other hosts have reported
+	// the grants that they hold.
 	knowledgeWait = 50 * time.Millisecond
 	// askTimeout bounds one call that asks a host for its held grants. What comes after knowledgeWait is used as well.
 	askTimeout = 500 * time.Millisecond
@@ -26,7 +26,7 @@
 	// acquaintanceTime is how long after its start a host may not know all others, if many start together. Each of them may
 	// then take itself for the first dispatcher.
 	acquaintanceTime = 3 * time.Second
-	// maxContactGap is the time without a word of another host after which a dispatcher that knows of running requests may
+	// maxContactGap is the time without a message of another host after which a dispatcher that knows of running requests may
 	// have missed others: its host was frozen or cut off. Hosts report what they hold in every heldReportPeriod.
 	maxContactGap = 2 * time.Second
 )
@@ -57,7 +57,7 @@
 	}
 }
 
-// checkContact marks a dispatcher as stale that knows of running requests and has heard of no other host for
+// checkContact marks a dispatcher as stale that knows of running requests and has received nothing of another host for
 // maxContactGap. The caller holds the mutex.
 func (sv *Server) checkContact(now time.Time, dp *serviceDispatcher) {
 	last := dp.knowledge.lastContact
