A request looks at the members only if no server is reached directly

Cause: the check for an outage of all servers asked for the members of the fleet each time, for every request and twenty times a second beside that. The list is copied for it, with hundreds of hosts, also while all servers are reached.

Behaviour is the same: an outage with peers implies one without, so that the cheap answer decides first. The tests of peerrelay and reachability, site.TestAllHostsWithoutServersKeepClientsWaiting and TestZoneWithoutServersFailsRequests pass.

--- a/coordination/peerrelay/outage.go
+++ b/coordination/peerrelay/outage.go
@@ -18,8 +18,10 @@
 )
 
 // ServersUnreachable reports whether no backend server can be reached by any way, so that a request which would be sent now
-// could only fail.
-func (sd *Sender) ServersUnreachable() bool { return sd.links.outageTotal(sd.peers.any()) }
+// could only fail. It is called for each request, so the members are looked at only if no server is reached directly.
+func (sd *Sender) ServersUnreachable() bool {
+	return sd.links.outageTotal(false) && (sd.links.outageTotal(true) || !sd.peers.any())
+}
 
 // outageTotal reports whether none of the listed servers can be reached.
 func (lk *Links) outageTotal(hasPeers bool) bool {
