Simpler code for takeovers and for lines about requests

prepare asked twice whether the dispatcher is new, and the handler of log lines compared the same keys twice. Behaviour is the same; the tests of broker and telemetry pass.

--- a/coordination/broker/takeover.go
+++ b/coordination/broker/takeover.go
@@ -109,12 +109,10 @@
 		return
 	}
 	isNew := hasTakenOver || lostLead
+	var takeOver batch.TakeOver
 	if isNew {
 		// What surveys have shown so far does not tell what the other dispatcher has granted.
 		known.grantsAlone, known.survey = false, nil
-	}
-	var takeOver batch.TakeOver
-	if isNew {
 		takeOver.CautiousUntil = now.Add(cautionPeriod)
 	}
 	period := askPeriod
--- a/telemetry/logs.go
+++ b/telemetry/logs.go
@@ -40,10 +40,11 @@
 func (rh requestHandler) Handle(ctx context.Context, record slog.Record) error {
 	handler := rh.Handler
 	record.Attrs(func(attr slog.Attr) bool {
-		if attr.Key == "request" || attr.Key == "place" {
+		isRequestLine := attr.Key == "request" || attr.Key == "place"
+		if isRequestLine {
 			handler = rh.requestLines
 		}
-		return attr.Key != "request" && attr.Key != "place"
+		return !isRequestLine
 	})
 	return handler.Handle(ctx, record)
 }
