--- a/review/drill/deployment_test.go
+++ b/review/drill/deployment_test.go
@@ -6,11 +6,13 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -82,16 +84,31 @@
 	log     *os.File
 	// ending says that the process was told to end.
 	ending bool
+
+	// kept carries the requests of requesters that keep their channels.
+	kept http.Transport
 }
 
-// freeAddress returns a loopback address on which nothing listens.
+var (
+	addressMutex sync.Mutex
+	addressTaken = map[int]bool{}
+)
+
+// freeAddress returns a loopback address on which nothing listens, and which it has not returned before. Its port is below
+// those that the system gives to outgoing channels.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	const firstPort, ports = 12_000, 18_000
+	addressMutex.Lock()
+	defer addressMutex.Unlock()
+	for {
+		port := firstPort + rand.IntN(ports)
+		address := fmt.Sprint("127.0.0.1:", port)
+		if listener, err := net.Listen("tcp", address); err == nil && !addressTaken[port] {
+			_ = listener.Close()
+			addressTaken[port] = true
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 // addDaemon adds a host in a zone. It is started by startDaemons.
@@ -101,6 +118,7 @@
 		front: freeAddress(), ready: freeAddress(), control: freeAddress(), directory: freeAddress(),
 	}
 	dm.announced = dm.control
+	dm.kept.DisableCompression, dm.kept.MaxIdleConnsPerHost = true, 64
 	dp.daemons = append(dp.daemons, dm)
 	return dm
 }
@@ -169,14 +187,12 @@
 			return false
 		}
 	}
-	return dp.await("all hosts ready", startTime, func() bool {
-		for _, dm := range dp.daemons {
-			if !dm.isReady() {
-				return false
-			}
-		}
-		return true
-	})
+	return dp.await("all hosts ready", startTime, dp.allReady)
+}
+
+// allReady reports whether all hosts are ready.
+func (dp *deployment) allReady() bool {
+	return !slices.ContainsFunc(dp.daemons, func(dm *daemon) bool { return !dm.isReady() })
 }
 
 // await waits until a condition holds and reports whether it does.
@@ -291,17 +307,22 @@
 	// leaveAfter is when the requester closes its channel; zero for its time limit.
 	leaveAfter time.Duration
 	header     map[string]string
+	// keeps says that the requester keeps its channel, and uses one that it kept before.
+	keeps bool
 }
 
-// send sends a request to a host on a new channel.
+// send sends a request to a host, on a new channel unless the requester keeps channels.
 func (dm *daemon) send(rq request) answer {
 	began := time.Now()
 	patience := rq.deadline
 	if rq.leaveAfter > 0 {
 		patience = rq.leaveAfter
 	}
-	transport := &http.Transport{DisableCompression: true}
-	defer transport.CloseIdleConnections()
+	transport := &dm.kept
+	if !rq.keeps {
+		transport = &http.Transport{DisableCompression: true}
+		defer transport.CloseIdleConnections()
+	}
 	client := http.Client{Transport: transport, Timeout: patience}
 	httpRequest, err := http.NewRequest(rq.method, "http://"+dm.front+rq.path, bytes.NewReader([]byte(rq.body)))
 	if err != nil {
--- a/review/drill/engine_test.go
+++ b/review/drill/engine_test.go
@@ -36,6 +36,8 @@
 	work    time.Duration
 	// downtime is how long the engine is dark after a crash.
 	downtime time.Duration
+	// resets says that the channels are reset and new ones refused while the engine is down after a crash. Otherwise it is dark.
+	resets bool
 	// coldFor is how long the engine is cold after each boot.
 	coldFor time.Duration
 
@@ -155,8 +157,8 @@
 	}
 }
 
-// crash makes the engine dark: its channels hang, new ones are not accepted, and it writes nothing to the list. It boots
-// again after its downtime.
+// crash takes the engine down for its downtime, after which it boots again. Unless it resets its channels, it is dark: its
+// channels hang, and new ones are not accepted. It writes nothing to the list.
 func (en *engine) crash(cause string) {
 	en.mutex.Lock()
 	if en.dark != nil || en.closed {
@@ -167,7 +169,13 @@
 	en.crashes = append(en.crashes, time.Now())
 	id, lastBeat, listener := en.id, en.lastBeat, en.listener
 	en.mutex.Unlock()
-	en.deployment.note("engine %s crashes under %s and is dark for %s", id, cause, en.downtime)
+	en.deployment.note("engine %s crashes under %s and is down for %s", id, cause, en.downtime)
+	time.AfterFunc(time.Until(lastBeat.Add(3*heartbeat)), func() { en.deployment.store.Put("keyed.servers", id, nil) })
+	time.AfterFunc(en.downtime, en.reboot)
+	if en.resets {
+		en.reset()
+		return
+	}
 	setBacklog(listener, 0)
 	for range 3 {
 		if conn, err := net.DialTimeout("tcp", en.address, 20*time.Millisecond); err == nil {
@@ -176,8 +184,21 @@
 			en.mutex.Unlock()
 		}
 	}
-	time.AfterFunc(time.Until(lastBeat.Add(3*heartbeat)), func() { en.deployment.store.Put("keyed.servers", id, nil) })
-	time.AfterFunc(en.downtime, en.reboot)
+}
+
+// reset ends all channels of a process that is gone.
+func (en *engine) reset() {
+	en.mutex.Lock()
+	defer en.mutex.Unlock()
+	_ = en.listener.Close()
+	for conn := range en.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	for _, conn := range en.fillers {
+		_ = conn.Close()
+	}
+	en.conns, en.fillers = map[net.Conn]struct{}{}, nil
 }
 
 // setBacklog changes the number of channels that wait to be accepted.
@@ -192,19 +213,13 @@
 // reboot ends what was open before the crash, and boots the engine.
 func (en *engine) reboot() {
 	en.mutex.Lock()
-	if en.closed {
-		en.mutex.Unlock()
+	closed := en.closed
+	en.mutex.Unlock()
+	if closed {
 		return
 	}
-	_ = en.listener.Close()
-	for conn := range en.conns {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
-	}
-	for _, conn := range en.fillers {
-		_ = conn.Close()
-	}
-	en.conns, en.fillers = map[net.Conn]struct{}{}, nil
+	en.reset()
+	en.mutex.Lock()
 	close(en.dark)
 	en.dark = nil
 	en.mutex.Unlock()
@@ -294,6 +309,8 @@
 	en.abortIfDark()
 	en.deployment.begins(ex)
 	if strings.Contains(ex.body, deadlyMark) {
+		// It has begun to run.
+		time.Sleep(en.work / 2)
 		en.crash("request " + attempt)
 		en.abortIfDark()
 	}
