--- a/review/drill/cold_engine_test.go
+++ b/review/drill/cold_engine_test.go
@@ -111,7 +111,7 @@
 func (dp *deployment) judgeColdEngine(id string, bornAt time.Time, coldFor time.Duration, bound float64) int {
 	var arrivals []executed
 	for _, ex := range dp.executions() {
-		if ex.engine == id && ex.at.Sub(bornAt) < coldFor {
+		if ex.engine == id && !ex.at.Before(bornAt) && ex.at.Sub(bornAt) < coldFor {
 			arrivals = append(arrivals, ex)
 		}
 	}
--- a/review/drill/engine_test.go
+++ b/review/drill/engine_test.go
@@ -38,6 +38,8 @@
 	downtime time.Duration
 	// resets says that the channels are reset and new ones refused while the engine is down after a crash. Otherwise it is dark.
 	resets bool
+	// keepsID says that the engine boots under the id that it had.
+	keepsID bool
 	// coldFor is how long the engine is cold after each boot.
 	coldFor time.Duration
 
@@ -90,7 +92,9 @@
 		return
 	}
 	en.listener = listener.(*net.TCPListener)
-	en.boot++
+	if !en.keepsID || en.boot == 0 {
+		en.boot++
+	}
 	en.id = fmt.Sprintf("i-%s-%s-%d", en.service, en.address[strings.LastIndexByte(en.address, ':')+1:], en.boot)
 	en.bornAt, en.sequence, en.running, en.waiting = time.Now(), 0, 0, 0
 	en.slot = make(chan struct{}, en.slots)
