--- a/review/drill/deployment_test.go
+++ b/review/drill/deployment_test.go
@@ -95,17 +95,20 @@
 )
 
 // freeAddress returns a loopback address on which nothing listens, and which it has not returned before. Its port is below
-// those that the system gives to outgoing channels.
+// those that the system gives to outgoing channels, and in a range that other runs of this program hardly use.
 func freeAddress() string {
-	const firstPort, ports = 12_000, 18_000
+	const firstPort, rangePorts, ranges = 12_000, 400, 45
 	addressMutex.Lock()
 	defer addressMutex.Unlock()
 	for {
-		port := firstPort + rand.IntN(ports)
+		port := firstPort + os.Getpid()%ranges*rangePorts + rand.IntN(rangePorts)
+		if addressTaken[port] {
+			continue
+		}
+		addressTaken[port] = true
 		address := fmt.Sprint("127.0.0.1:", port)
-		if listener, err := net.Listen("tcp", address); err == nil && !addressTaken[port] {
+		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
-			addressTaken[port] = true
 			return address
 		}
 	}
