--- a/review/drill/cold_engine_test.go
+++ b/review/drill/cold_engine_test.go
@@ -11,7 +11,7 @@
 
 func init() { cases["7"] = playColdEngine }
 
-// playColdEngine has an engine come back cold while some hosts are cut off from all others. In no second the engine may get
+// playColdEngine adds an engine, which is cold, while some hosts are cut off from all others. In no second the engine may get
 // more requests from all hosts together than ColdPerS x ColdOverage + ColdSlack.
 func playColdEngine(dp *deployment, trouble bool) int {
 	const (
@@ -21,17 +21,15 @@
 		// bound is ColdPerS x ColdOverage + ColdSlack.
 		bound = coldPerS*1.5 + 5
 		// requestsPerS is how many requests each host that is cut off gets, and all others together.
-		requestsPerS = 40
+		requestsPerS = 80
 		cutFor       = 12 * time.Second
-		downtime     = 4500 * time.Millisecond
-		backAfter    = 11000 * time.Millisecond
+		addedAfter   = 11 * time.Second
+		engines      = 4
+		slots        = 12
+		work         = 60 * time.Millisecond
 	)
-	for ix := range 2 {
-		en := dp.addEngine("assistant-llm", zoneOf(ix), 12, 120*time.Millisecond, downtime)
-		en.mutex.Lock()
-		en.coldFor, en.resets = coldFor, true
-		en.bornAt = en.bornAt.Add(-coldFor)
-		en.mutex.Unlock()
+	for ix := range engines {
+		dp.addEngine("assistant-llm", zoneOf(ix), slots, work, 0)
 	}
 	for ix := range hosts {
 		dp.addDaemon(zoneOf(ix))
@@ -63,20 +61,16 @@
 	if trouble {
 		links.cutOff(cutOff...)
 	}
-	returning := dp.engines[0]
-	time.Sleep(backAfter - downtime)
-	returning.crash("the return of its zone")
+	time.Sleep(addedAfter)
+	added := dp.addColdEngine("assistant-llm", zoneOf(engines), slots, work, coldFor)
 	time.Sleep(time.Until(cutAt.Add(cutFor)))
 	if trouble {
 		links.heal()
 	}
-	time.Sleep(time.Second)
+	time.Sleep(coldFor)
 	close(ending)
 	loads.Wait()
-	returning.mutex.Lock()
-	bornAt, id := returning.bornAt, returning.id
-	returning.mutex.Unlock()
-	return dp.judgeColdEngine(id, bornAt, coldFor, bound)
+	return dp.judgeColdEngine(added.id, added.bornAt, coldFor, bound)
 }
 
 // sendPrompts sends short prompts to some hosts in turn.
--- a/review/drill/engine_test.go
+++ b/review/drill/engine_test.go
@@ -38,6 +38,8 @@
 	downtime time.Duration
 	// resets says that the channels are reset and new ones refused while the engine is down after a crash. Otherwise it is dark.
 	resets bool
+	// idPrefix begins the ids of the engine. Hosts may prefer engines by the order of their ids.
+	idPrefix string
 	// keepsID says that the engine boots under the id that it had.
 	keepsID bool
 	// coldFor is how long the engine is cold after each boot.
@@ -72,6 +74,16 @@
 // addEngine starts an engine and lists it.
 func (dp *deployment) addEngine(service, zone string, slots int, work, downtime time.Duration) *engine {
 	en := &engine{deployment: dp, service: service, zone: zone, address: freeAddress(), slots: slots, work: work, downtime: downtime, conns: map[net.Conn]struct{}{}}
+	return dp.startEngine(en)
+}
+
+// addColdEngine is addEngine for an engine that is cold for a time after its start.
+func (dp *deployment) addColdEngine(service, zone string, slots int, work, coldFor time.Duration) *engine {
+	en := &engine{deployment: dp, service: service, zone: zone, address: freeAddress(), slots: slots, work: work, coldFor: coldFor, idPrefix: "0", conns: map[net.Conn]struct{}{}}
+	return dp.startEngine(en)
+}
+
+func (dp *deployment) startEngine(en *engine) *engine {
 	dp.engines = append(dp.engines, en)
 	en.up()
 	go en.beat()
@@ -95,7 +107,7 @@
 	if !en.keepsID || en.boot == 0 {
 		en.boot++
 	}
-	en.id = fmt.Sprintf("i-%s-%s-%d", en.service, en.address[strings.LastIndexByte(en.address, ':')+1:], en.boot)
+	en.id = fmt.Sprintf("i-%s%s-%s-%d", en.idPrefix, en.service, en.address[strings.LastIndexByte(en.address, ':')+1:], en.boot)
 	en.bornAt, en.sequence, en.running, en.waiting = time.Now(), 0, 0, 0
 	en.slot = make(chan struct{}, en.slots)
 	id := en.id
--- a/review/drill/link_test.go
+++ b/review/drill/link_test.go
@@ -54,7 +54,7 @@
 
 // carry connects a channel to a host.
 func (pl *peerLinks) carry(accepted net.Conn, to *daemon) {
-	from := pl.deployment.daemonOf(accepted.RemoteAddr().(*net.TCPAddr).Port)
+	from := pl.deployment.daemonOf(accepted.RemoteAddr().(*net.TCPAddr).Port, accepted.LocalAddr().(*net.TCPAddr).Port)
 	if from == nil {
 		// Its host has given up the channel meanwhile.
 		_ = accepted.Close()
@@ -131,17 +131,17 @@
 	pl.deployment.note("the cut has healed")
 }
 
-// daemonOf returns the host whose process has a socket with a local port, or nil.
-func (dp *deployment) daemonOf(port int) *daemon {
+// daemonOf returns the host whose process has a socket with a local and a remote port, or nil.
+func (dp *deployment) daemonOf(local, remote int) *daemon {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return nil
 	}
-	suffix := fmt.Sprintf(":%04X", port)
+	localSuffix, remoteSuffix := fmt.Sprintf(":%04X", local), fmt.Sprintf(":%04X", remote)
 	for line := range strings.Lines(string(table)) {
 		fields := strings.Fields(line)
-		const localField, inodeField = 1, 9
-		if len(fields) <= inodeField || !strings.HasSuffix(fields[localField], suffix) {
+		const localField, remoteField, inodeField = 1, 2, 9
+		if len(fields) <= inodeField || !strings.HasSuffix(fields[localField], localSuffix) || !strings.HasSuffix(fields[remoteField], remoteSuffix) {
 			continue
 		}
 		for _, dm := range dp.daemons {
