--- a/review/drill/main_test.go
+++ b/review/drill/main_test.go
@@ -1,14 +1,16 @@
 //go:build review
 
-// Package drill plays the requesters, the engines and the platform of the cases 6 to 10 of the review. Each case starts
+// Package drill plays the requesters, the engines and the platform of the cases 6 to 9 of the review. Each case starts
 // target/hibiscusleverd in processes of its own, on loopback addresses and the real clock.
 package drill
 
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -48,6 +50,14 @@
 	defer func() { _ = record.Close() }()
 	dp := newDeployment(dir, record)
 	defer dp.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		dp.stop()
+		_ = os.RemoveAll(dir)
+		os.Exit(couldNot)
+	}()
 	dp.note("case %s, trouble %t", number, trouble)
 	code := play(dp, trouble)
 	dp.note("exit %d", code)
