--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the program that plays the requesters, the engines and the platform of the cases 6 to 9.
+# Builds the program that plays the requesters, the engines and the platform of the cases 6 to 10.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
--- a/review/drill/cold_engine_test.go
+++ b/review/drill/cold_engine_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["7"] = playColdEngine }
+func init() { cases["8"] = playColdEngine }
 
 // playColdEngine adds an engine, which is cold, while some hosts are cut off from all others. In no second the engine may get
 // more requests from all hosts together than ColdPerS x ColdOverage + ColdSlack.
--- a/review/drill/cold_outage_test.go
+++ b/review/drill/cold_outage_test.go
@@ -10,7 +10,7 @@
 	standin "github.com/hibiscuslever/hibiscuslever/standin/site"
 )
 
-func init() { cases["8"] = playColdInOutage }
+func init() { cases["9"] = playColdInOutage }
 
 // playColdInOutage has an engine of a plain service come back cold, under the id that it had. With trouble, the store is
 // down meanwhile. In no second the engine may get more than ColdPerS x ColdOverage + ColdSlack requests.
--- a/review/drill/dropped_entry_test.go
+++ b/review/drill/dropped_entry_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["6"] = playDroppedEntry }
+func init() { cases["7"] = playDroppedEntry }
 
 // playDroppedEntry sends an order that crashes each engine that begins to run it, again and again. Its requester stays. With
 // trouble, the engines fall silent when they crash, and their entries are removed before the order's TimeoutMs has passed;
--- a/review/drill/engine_test.go
+++ b/review/drill/engine_test.go
@@ -42,6 +42,9 @@
 	idPrefix string
 	// keepsID says that the engine boots under the id that it had.
 	keepsID bool
+	// unframed makes plain answers end with their channel, without length and chunks. A crash then ends the channels in the
+	// ordinary way, as the system of a process that ends does, before the engine is dark.
+	unframed bool
 	// coldFor is how long the engine is cold after each boot.
 	coldFor time.Duration
 
@@ -193,12 +196,22 @@
 		return
 	}
 	setBacklog(listener, 0)
-	for range 3 {
-		if conn, err := net.DialTimeout("tcp", en.address, 20*time.Millisecond); err == nil {
-			en.mutex.Lock()
-			en.fillers = append(en.fillers, conn)
-			en.mutex.Unlock()
+	en.fillBacklog()
+	if en.unframed {
+		en.endChannels()
+	}
+}
+
+// fillBacklog opens channels until none is accepted any more.
+func (en *engine) fillBacklog() {
+	for {
+		conn, err := net.DialTimeout("tcp", en.address, 20*time.Millisecond)
+		if err != nil {
+			return
 		}
+		en.mutex.Lock()
+		en.fillers = append(en.fillers, conn)
+		en.mutex.Unlock()
 	}
 }
 
@@ -217,6 +230,16 @@
 	en.conns, en.fillers = map[net.Conn]struct{}{}, nil
 }
 
+// endChannels ends all channels in the ordinary way.
+func (en *engine) endChannels() {
+	en.mutex.Lock()
+	defer en.mutex.Unlock()
+	for conn := range en.conns {
+		_ = conn.Close()
+	}
+	en.conns = map[net.Conn]struct{}{}
+}
+
 // setBacklog changes the number of channels that wait to be accepted.
 func setBacklog(listener *net.TCPListener, backlog int) {
 	raw, err := listener.SyscallConn()
@@ -335,6 +358,10 @@
 		en.stream(rw, rq, ex)
 		return
 	}
+	if en.unframed {
+		en.answerUnframed(rw, ex)
+		return
+	}
 	select {
 	case <-time.After(en.work):
 	case <-rq.Context().Done():
@@ -348,6 +375,33 @@
 	en.deployment.ends(ex)
 }
 
+// unframedAnswer is the whole body of an answer that ends with its channel.
+func unframedAnswer(attempt string) string {
+	return "answer to " + attempt + ": " + strings.Repeat("0123456789", 80) + " end"
+}
+
+// answerUnframed sends the answer in pieces over the time of the work, and ends the channel.
+func (en *engine) answerUnframed(rw http.ResponseWriter, ex *executed) {
+	const pieces = 8
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	body := unframedAnswer(ex.attempt)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-of-%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", ex.attempt, ex.engine)
+	for piece := range pieces {
+		if _, err := conn.Write([]byte(body[piece*len(body)/pieces : (piece+1)*len(body)/pieces])); err != nil {
+			return
+		}
+		time.Sleep(en.work / pieces)
+		if en.darkness() != nil {
+			return
+		}
+	}
+	en.deployment.ends(ex)
+}
+
 // stream sends some events.
 func (en *engine) stream(rw http.ResponseWriter, rq *http.Request, ex *executed) {
 	const events = 5
--- a/review/drill/lost_evidence_test.go
+++ b/review/drill/lost_evidence_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["9"] = playLostEvidence }
+func init() { cases["10"] = playLostEvidence }
 
 // playLostEvidence sends an order that crashes each engine that begins to run it. After the first crash, with trouble, all
 // hosts are killed at the same moment and start again. The order crashes two more engines, and comes again later than
--- a/review/drill/main_test.go
+++ b/review/drill/main_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Package drill plays the requesters, the engines and the platform of the cases 6 to 9 of the review. Each case starts
+// Package drill plays the requesters, the engines and the platform of the cases 6 to 10 of the review. Each case starts
 // target/hibiscusleverd in processes of its own, on loopback addresses and the real clock.
 package drill
 
