The log and a metric say what ended the connection of a request

net/http ends a request's context after any error of its connection: the client has left, or a deadline that the host has set has passed, or the host has closed it. All were logged as a client that has gone, and the refusal of such a request was not logged at all, so that a client that is still there could not be told from one that has left.

Both fronts record the first error of a connection since the request began (package clientconn). `connection_end` is in `request ended`, `request refused` and `client connection closed before the end of the response`; the metric requests_without_connection counts by cause. A refusal is left out of the log only if the client itself has left. What callers see is unchanged.

--- a/site/host.go
+++ b/site/host.go
@@ -227,6 +227,7 @@
 	ht.clientHandler = platform.NewClientHandler(ht.updateFollower, ht.forwarder, ht.clock, ht.logger)
 	ht.bodyMemory = bodymemory.ForProcess(bodymemory.PlatformFront, ht.settings.Limits.MemoryMegabytes, ht.clock, ht.settings.Limits.StallTime)
 	ht.clientHandler.LimitBodies(ht.bodyMemory)
+	ht.clientHandler.CountIn(scope)
 	return nil
 }
 
--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/lists"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
+	"github.com/hibiscuslever/hibiscuslever/transport/clientconn"
 )
 
 const (
@@ -79,6 +80,7 @@
 	writer := &responseWriter{server: sv, ec: ec, call: call, request: request, isChat: isChat, createdUnix: sv.clock.Now().Unix()}
 	summary, oc := sv.dependencies.Models.Run(ctx, call, writer)
 	oc = abortedOutcome(ctx, oc)
+	sv.countConnectionEnd(ctx, oc)
 	band := promptBand(call.PromptTokens)
 	sv.metrics.Tagged(map[string]string{"outcome": oc.Kind.String(), "band": band}).Counter("requests").Inc(1)
 	if oc.OK() {
@@ -87,6 +89,13 @@
 	return writer.finish(summary, oc)
 }
 
+// countConnectionEnd counts a request whose connection ended before it had its outcome.
+func (sv *Server) countConnectionEnd(ctx context.Context, oc outcome.Outcome) {
+	if end := clientconn.StateOf(ctx).End(); !oc.OK() && end != clientconn.NotEnded {
+		sv.metrics.Tagged(map[string]string{"cause": string(end)}).Counter("requests_without_connection").Inc(1)
+	}
+}
+
 // promptBand returns the label of a prompt's size in metrics.
 func promptBand(promptTokens id.Tokens) string {
 	switch {
--- a/transport/caller/listener.go
+++ b/transport/caller/listener.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
+	"github.com/hibiscuslever/hibiscuslever/transport/clientconn"
 )
 
 // Listener accepts callers' connections up to a number, and makes the heads of their requests part of a memory.
@@ -62,7 +63,7 @@
 func TrackRequests(server *http.Server) {
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if tracked, ok := conn.(*callerConn); ok {
-			return bodymemory.WithHead(ctx, tracked.head)
+			return clientconn.WithState(bodymemory.WithHead(ctx, tracked.head), &tracked.state)
 		}
 		return ctx
 	}
@@ -79,6 +80,8 @@
 	listener *Listener
 	// head is the memory of the heads of requests; nil for no limit.
 	head *bodymemory.Head
+	// state says what has ended the connection for the request on it.
+	state clientconn.State
 	// serving says that a request is in progress.
 	serving   atomic.Bool
 	closeOnce sync.Once
@@ -90,6 +93,7 @@
 	case http.StateActive:
 		cc.serving.Store(true)
 		cc.head.RequestBegan()
+		cc.state.RequestBegan()
 	case http.StateIdle:
 		cc.head.RequestEnded()
 		cc.serving.Store(false)
@@ -100,6 +104,7 @@
 // Read reads from the connection. It fails if there is no memory for the head of a request.
 func (cc *callerConn) Read(buffer []byte) (int, error) {
 	count, err := cc.TCPConn.Read(buffer)
+	cc.state.RecordRead(err)
 	if count > 0 && !cc.serving.Load() && !cc.head.Received(buffer[:count]) {
 		// The connection is closed before net/http can send a response on it.
 		_ = cc.TCPConn.Close()
@@ -108,6 +113,13 @@
 	return count, err
 }
 
+// Write writes to the connection.
+func (cc *callerConn) Write(content []byte) (int, error) {
+	count, err := cc.TCPConn.Write(content)
+	cc.state.RecordWrite(err)
+	return count, err
+}
+
 // Close closes the connection.
 func (cc *callerConn) Close() error {
 	err := cc.TCPConn.Close()
--- a/transport/caller/service.go
+++ b/transport/caller/service.go
@@ -81,6 +81,7 @@
 		IdempotencyKey: key,
 	})
 	sv.metrics.Tagged(map[string]string{"outcome": oc.Kind.String()}).Counter("service_requests").Inc(1)
+	sv.countConnectionEnd(ctx, oc)
 	if !oc.OK() {
 		return sv.writeError(ec, abortedOutcome(ctx, oc))
 	}
