A body that has ended is never interrupted

Callers saw: a request that has sent its whole body gets 503 or 504 ("the client has gone"), or its answer is cut, although its client waits; all further requests on the connection are refused in the same way, since net/http ends the context of the connection.

Cause: net/http begins to watch whether the client leaves when a body has been read to its end, before the reader of the body has noticed the end and left the clients that may be interrupted. The interruption is a read deadline in the past. In between it makes the watching read fail, which net/http takes for the client's end. It needs a client that has stalled, and crowded connections or memory at the moment at which its last bytes arrive. The product's own front undid the deadline after that, too late.

The state of the connection sees net/http remove the read deadline when the body ends, and decides under one mutex whether an interruption comes before that, and is then removed, or after it, and then does nothing. The deadline of the body is set before the client can be interrupted; it replaced that of the interruption otherwise. The time of a body that passes at its end is no fault: net/http removes the deadline before it watches.

--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -119,14 +119,12 @@
 	if request.ContentLength > sv.config.MaxBodyBytes {
 		return nil, nil, sv.bodyTooLarge()
 	}
-	interruption := bodymemory.NewInterruption(ec.Response())
-	release := sv.config.BodyMemory.LimitInterruptible(request, interruption.Interrupt)
+	release := sv.config.BodyMemory.LimitInterruptible(request, clientconn.Interruption(request.Context()))
 	body, err := sv.config.BodyMemory.ReadAll(http.MaxBytesReader(ec.Response(), request.Body, sv.config.MaxBodyBytes), request.ContentLength)
 	if err != nil {
 		release()
 		return nil, nil, sv.bodyOutcome(err)
 	}
-	interruption.Undo()
 	return body, release, outcome.Done()
 }
 
--- a/transport/caller/listener.go
+++ b/transport/caller/listener.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
@@ -50,7 +51,7 @@
 	}
 	ls.openConns.Add(1)
 	// The server notices that the connection is closed when it reads.
-	return &callerConn{TCPConn: tcpConn, listener: ls, head: ls.memory.NewHead(func() { _ = tcpConn.Close() })}, nil
+	return &callerConn{TCPConn: tcpConn, listener: ls, state: clientconn.NewState(tcpConn), head: ls.memory.NewHead(func() { _ = tcpConn.Close() })}, nil
 }
 
 // Close stops the listener.
@@ -63,7 +64,7 @@
 func TrackRequests(server *http.Server) {
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if tracked, ok := conn.(*callerConn); ok {
-			return clientconn.WithState(bodymemory.WithHead(ctx, tracked.head), &tracked.state)
+			return clientconn.WithState(bodymemory.WithHead(ctx, tracked.head), tracked.state)
 		}
 		return ctx
 	}
@@ -80,8 +81,8 @@
 	listener *Listener
 	// head is the memory of the heads of requests; nil for no limit.
 	head *bodymemory.Head
-	// state says what has ended the connection for the request on it.
-	state clientconn.State
+	// state is that of the request on the connection.
+	state *clientconn.State
 	// serving says that a request is in progress.
 	serving   atomic.Bool
 	closeOnce sync.Once
@@ -113,6 +114,11 @@
 	return count, err
 }
 
+// SetReadDeadline sets the deadline of reads.
+func (cc *callerConn) SetReadDeadline(deadline time.Time) error {
+	return cc.state.SetReadDeadline(deadline)
+}
+
 // Write writes to the connection.
 func (cc *callerConn) Write(content []byte) (int, error) {
 	count, err := cc.TCPConn.Write(content)
--- a/transport/clientconn/state.go
+++ b/transport/clientconn/state.go
@@ -1,4 +1,5 @@
-// Package clientconn says why the connection of a client has ended while a request was in progress on it.
+// Package clientconn follows the request on a client's connection: why the connection has ended meanwhile, and whether reading
+// the body may be interrupted.
 package clientconn
 
 import (
@@ -8,6 +9,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -36,14 +38,25 @@
 // IsClients reports whether the client itself has left.
 func (en End) IsClients() bool { return en == ClientClosed || en == ClientReset }
 
-// State says how the connection of a client has ended for the request on it. The methods of a nil State do nothing. It is safe
-// for concurrent use.
+// State is the state of a client's connection and of the request on it. It is safe for concurrent use.
 type State struct {
-	// mutex guards the field below.
+	conn ReadDeadlineSetter
+
+	// mutex guards the fields below, and orders changes of the read deadline.
 	mutex sync.Mutex
 	end   End
+	// readsBody says that a request is in progress whose body net/http has not read to its end.
+	readsBody bool
+}
+
+// ReadDeadlineSetter is a connection.
+type ReadDeadlineSetter interface {
+	SetReadDeadline(deadline time.Time) error
 }
 
+// NewState returns the state of a connection on which no request has begun.
+func NewState(conn ReadDeadlineSetter) *State { return &State{conn: conn} }
+
 // stateKey is the key of a State in the context of a request.
 type stateKey struct{}
 
@@ -58,11 +71,42 @@
 	return state
 }
 
-// RequestBegan records that a request has begun.
+// Interruption returns a function that makes reads of the body of a request fail, given its context; nil if the state of the
+// connection is unknown.
+func Interruption(ctx context.Context) func() {
+	if state := StateOf(ctx); state != nil {
+		return state.InterruptBody
+	}
+	return nil
+}
+
+// RequestBegan records that a request has begun. net/http calls the hook of ConnState for it before it reads the body.
 func (st *State) RequestBegan() {
 	st.mutex.Lock()
 	defer st.mutex.Unlock()
-	st.end = NotEnded
+	st.end, st.readsBody = NotEnded, true
+}
+
+// SetReadDeadline sets the read deadline of the connection. net/http removes it at the end of a body, before it begins to
+// watch whether the client leaves.
+func (st *State) SetReadDeadline(deadline time.Time) error {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	if deadline.IsZero() {
+		st.readsBody = false
+	}
+	return st.conn.SetReadDeadline(deadline)
+}
+
+// InterruptBody makes reads fail, unless the body has ended: a read that watches whether the client leaves must not fail, because
+// net/http would end the request.
+func (st *State) InterruptBody() {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	if st.readsBody {
+		// The error is that of a closed connection.
+		_ = st.conn.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // RecordRead records the error of a read from the connection, which may be nil.
@@ -95,7 +139,7 @@
 	}
 }
 
-// End returns what has ended the connection for the request in progress.
+// End returns what has ended the connection for the request in progress. It is NotEnded if the state is nil.
 func (st *State) End() End {
 	if st == nil {
 		return NotEnded
--- a/transport/clientconn/state_test.go
+++ b/transport/clientconn/state_test.go
@@ -27,7 +27,7 @@
 		{&net.OpError{Op: "read", Err: net.ErrClosed}, ClosedByHost, ClosedByHost, false},
 		{errors.New("another"), Failed, Failed, false},
 	} {
-		read, written := &State{}, &State{}
+		read, written := NewState(nil), NewState(nil)
 		read.RecordRead(tc.err)
 		written.RecordWrite(tc.err)
 		if tc.err != nil {
