A connection is not kept after a failed read

Callers saw: a client that stalled in its body and sent the rest just after the host had given it up got 408 on a kept connection, and 503 ("the client has gone") to every further request on it. It is the same where the time of the body passes.

Cause: net/http ends the context of the whole connection when a read fails. If the rest of the body arrives while the refusal waits for it, the connection counts as sound and is kept, but all further requests begin with a context that has ended.

--- a/transport/requestbody/requestbody.go
+++ b/transport/requestbody/requestbody.go
@@ -43,8 +43,12 @@
 // then announces that the connection is closed. Refuse returns when the body has ended, maxDiscardedBytes were read or
 // discardTime has passed.
 func Refuse(writer http.ResponseWriter, request *http.Request, clock timer.Clock, discardTime time.Duration, write func()) Discarded {
-	if request.Body == nil || request.Body == http.NoBody {
+	writeRefusal := func() {
+		CloseAfterEnd(writer, request)
 		write()
+	}
+	if request.Body == nil || request.Body == http.NoBody {
+		writeRefusal()
 		return Discarded{}
 	}
 	// The errors of the controller are those of writers without connections, whose requests can't be slow.
@@ -54,7 +58,7 @@
 	if request.Header.Get("Expect") != "" {
 		// Reading would ask the client for the body, so the refusal is sent first. net/http closes the connection unless
 		// the body has been read.
-		write()
+		writeRefusal()
 		_ = controller.Flush()
 		discarded := discard(request.Body)
 		clearReadDeadline(controller, discarded)
@@ -70,7 +74,7 @@
 			writer.Header().Set("Connection", "close")
 		}
 		clearReadDeadline(controller, discarded)
-		write()
+		writeRefusal()
 		return discarded
 	case <-delayPassed:
 		writer.Header().Set("Connection", "close")
@@ -80,6 +84,15 @@
 	}
 }
 
+// CloseAfterEnd makes a response that has not begun announce that the connection is closed if the context of its request has
+// ended. net/http ends the context of the whole connection after an error of reading, also if the client is still there, so that
+// further requests on it would end at once.
+func CloseAfterEnd(writer http.ResponseWriter, request *http.Request) {
+	if request.Context().Err() != nil {
+		writer.Header().Set("Connection", "close")
+	}
+}
+
 // setDeadlines limits reading the body and writing the refusal. net/http removes the write deadline after the request.
 func setDeadlines(controller *http.ResponseController, deadline time.Time) {
 	_ = controller.SetReadDeadline(deadline)
