A refusal is written also by a host that was paused

Callers saw: a request that was refused while its body arrived got neither an answer nor a refusal, if its host did not run for 0.2 s (after a client stalled) or 1 s (a host that leaves) at that moment.

Cause: the deadline for writing a refusal was that for reading the rest of the body, set before the wait for it.

The write deadline is set just before the refusal is written, and does not depend on how long the body may take.

Evidence: go test ./platform -run TestPauseLeavesStalledClientWithoutRefusal -count=5, five failures of five without the change (unexpected EOF), five passes with it. The tests of platform and transport/caller pass.

--- a/transport/requestbody/requestbody.go
+++ b/transport/requestbody/requestbody.go
@@ -25,6 +25,9 @@
 	maxDiscardedBytes = 32 << 20
 	// maxRefusalDelay is how long a refusal waits for the end of the body, after which the connection can be kept.
 	maxRefusalDelay = 100 * time.Millisecond
+	// writeTime limits the writing of a refusal. It does not depend on how long the body may take, so that a host that was
+	// paused meanwhile still writes it.
+	writeTime = DiscardTime
 )
 
 // Discarded describes what was read of the body of a refused request.
@@ -43,18 +46,20 @@
 // then announces that the connection is closed. Refuse returns when the body has ended, maxDiscardedBytes were read or
 // discardTime has passed.
 func Refuse(writer http.ResponseWriter, request *http.Request, clock timer.Clock, discardTime time.Duration, write func()) Discarded {
+	// The errors of the controller are those of writers without connections, whose requests can't be slow.
+	controller := http.NewResponseController(writer)
 	writeRefusal := func() {
 		CloseAfterEnd(writer, request)
+		// net/http removes the deadline after the request.
+		_ = controller.SetWriteDeadline(clock.Now().Add(writeTime))
 		write()
 	}
 	if request.Body == nil || request.Body == http.NoBody {
 		writeRefusal()
 		return Discarded{}
 	}
-	// The errors of the controller are those of writers without connections, whose requests can't be slow.
-	controller := http.NewResponseController(writer)
 	_ = controller.EnableFullDuplex()
-	setDeadlines(controller, clock.Now().Add(discardTime))
+	_ = controller.SetReadDeadline(clock.Now().Add(discardTime))
 	if request.Header.Get("Expect") != "" {
 		// Reading would ask the client for the body, so the refusal is sent first. net/http closes the connection unless
 		// the body has been read.
@@ -78,7 +83,7 @@
 		return discarded
 	case <-delayPassed:
 		writer.Header().Set("Connection", "close")
-		write()
+		writeRefusal()
 		_ = controller.Flush()
 		return <-ended
 	}
@@ -93,12 +98,6 @@
 	}
 }
 
-// setDeadlines limits reading the body and writing the refusal. net/http removes the write deadline after the request.
-func setDeadlines(controller *http.ResponseController, deadline time.Time) {
-	_ = controller.SetReadDeadline(deadline)
-	_ = controller.SetWriteDeadline(deadline)
-}
-
 // clearReadDeadline removes the read deadline if the body was read to its end. Otherwise the deadline stays, because
 // net/http reads on before it closes the connection.
 func clearReadDeadline(controller *http.ResponseController, discarded Discarded) {
