No request begins on a connection that was closed for having stalled

Callers saw: a request that was passed on to a server got no answer, and its connection was closed. Only while connections or the memory of requests are crowded.

Cause: the connection of a client that has stalled is closed from another goroutine. Between the return of the read with the first bytes, or with the rest of a head, and the record of them nothing kept the two apart, and the record made a connection that had been closed count as sound again. A whole head also could be taken for a stalled one until the server had begun its request.

The decision to close and the arrival of a head exclude each other under the mutex of the memory: bytes of a head that arrive on an interrupted connection are rejected, and a connection whose whole head has arrived is not closed. Empty lines before a head no longer count as its end. If most of a head was read together with the request before it, so that its end can't be told, the connection may still be closed until its request begins; the request is then dropped before it runs.

Evidence, without the change: go test ./transport/bodymemory -run 'TestRequestBeginsOn|TestWholeHead', ./platform and ./transport/caller -run TestRequestRunsOnInterruptedConnection, all runs fail (bytes accepted on a closed connection, a whole head closed, the request runs). They pass with it, as do all tests of the three packages.

--- a/transport/bodymemory/head.go
+++ b/transport/bodymemory/head.go
@@ -19,17 +19,18 @@
 
 	// bytes and lines are what has been received of the current head.
 	bytes, lines int64
-	// lineBytes is the length of the current line without carriage returns; complete says that the head has ended.
-	lineBytes int64
-	complete  bool
-	closed    bool
+	// lineBytes is the length of the current line without carriage returns. hasLine says that a line is not empty, complete that
+	// the head has ended; empty lines may precede it.
+	lineBytes         int64
+	hasLine, complete bool
+	closed            bool
 }
 
 // headKey is the key of a Head in the context of a request.
 type headKey struct{}
 
 // NewHead returns the head of a new connection, from which a request is awaited. The function closeConnection closes the
-// connection; it is not called while a request is in progress.
+// connection; it is not called once the whole head of a request has been received, until the next one is awaited.
 func (mm *Memory) NewHead(closeConnection func()) *Head {
 	if mm == nil {
 		return nil
@@ -61,13 +62,13 @@
 }
 
 func (hd *Head) await() {
-	if !hd.closed {
+	if !hd.closed && !hd.interrupted {
 		hd.begin()
 	}
 }
 
-// Received counts bytes that were received of the head, and reports whether there is memory for it. If there is none, the
-// connection must be closed.
+// Received counts bytes that were received of the head, and reports whether there is memory for it and the connection was not
+// closed for having stalled. Otherwise the connection must be closed, and no request may begin on it.
 func (hd *Head) Received(part []byte) bool {
 	if hd == nil {
 		return true
@@ -79,8 +80,11 @@
 		hd.await()
 	}
 	hd.count(part)
+	if hd.complete {
+		delete(mm.readers, &hd.reader)
+	}
 	added := max(0, hd.bytes*bytesPerHeadByte+hd.lines*bytesPerHeadLine-bytesOfOrdinaryHead) - hd.amounts[heads]
-	if hd.closed {
+	if hd.closed || hd.interrupted {
 		return false
 	}
 	isOnly := mm.reserved[heads] == hd.amounts[heads]
@@ -102,12 +106,13 @@
 		hd.bytes++
 		switch char {
 		case '\n':
-			hd.complete = hd.lineBytes == 0 && hd.lines > 0
+			hd.complete = hd.lineBytes == 0 && hd.hasLine
 			hd.lines++
 			hd.lineBytes = 0
 		case '\r':
 		default:
 			hd.lineBytes++
+			hd.hasLine = true
 		}
 	}
 }
@@ -119,6 +124,17 @@
 	}
 }
 
+// Interrupted reports whether the connection was closed for having stalled. It may be closed until the request has begun, if the
+// server had read the beginning of the head together with an earlier request.
+func (hd *Head) Interrupted() bool {
+	if hd == nil {
+		return false
+	}
+	hd.memory.mutex.Lock()
+	defer hd.memory.mutex.Unlock()
+	return hd.interrupted
+}
+
 // RequestEnded releases the memory of the head.
 func (hd *Head) RequestEnded() {
 	if hd == nil {
@@ -144,5 +160,5 @@
 func (hd *Head) reset() {
 	delete(hd.memory.readers, &hd.reader)
 	hd.set(heads, 0)
-	hd.bytes, hd.lines, hd.lineBytes, hd.complete = 0, 0, 0, false
+	hd.bytes, hd.lines, hd.lineBytes, hd.hasLine, hd.complete = 0, 0, 0, false, false
 }
--- a/transport/caller/listener.go
+++ b/transport/caller/listener.go
@@ -60,11 +60,23 @@
 	return ls.Listener.Close()
 }
 
-// TrackRequests makes a server report to the connections of a Listener when their requests begin and end.
+// connKey is the key of a callerConn in the context of a request.
+type connKey struct{}
+
+// TrackRequests makes a server report to the connections of a Listener when their requests begin and end. Requests on a
+// connection that was closed for having stalled don't reach the server's handler, which must have been set.
 func TrackRequests(server *http.Server) {
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if tracked, ok := request.Context().Value(connKey{}).(*callerConn); ok && tracked.head.Interrupted() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(writer, request)
+	})
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if tracked, ok := conn.(*callerConn); ok {
-			return clientconn.WithState(bodymemory.WithHead(ctx, tracked.head), tracked.state)
+			ctx = clientconn.WithState(bodymemory.WithHead(ctx, tracked.head), tracked.state)
+			return context.WithValue(ctx, connKey{}, tracked)
 		}
 		return ctx
 	}
