A relayed call whose body has ended is never interrupted

Entry hosts saw: a relayed call fails with "context canceled" although they wait, so that a request that its server might have answered gets 502, or is sent once more.

The server for other hosts, too, interrupts reads of bodies by a read deadline, and undid it after net/http had ended the call.

The connections between hosts of the users' platform have the state that those of clients have (clientconn.Listener); what did it before is gone. An interruption before the end of the body is answered as before (TestStalledRelayedCallIsNotInterrupted, and TestStalledCallerIsNotInterrupted for the product's own front, which had no such test).

--- a/site/host.go
+++ b/site/host.go
@@ -44,6 +44,7 @@
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/backend"
 	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
+	"github.com/hibiscuslever/hibiscuslever/transport/clientconn"
 	"github.com/hibiscuslever/hibiscuslever/transport/operator"
 	"github.com/hibiscuslever/hibiscuslever/transport/peer"
 )
@@ -391,19 +392,22 @@
 	clientServer.MaxHeaderBytes = ht.settings.Callers.MaxHeaderBytes
 	platform.TrackRequests(clientServer)
 	peerServer := ht.newHTTPServer(peer.NewServer(ht.localPeerComponents(), ht.clock).Handler(ht.handlerOptions...))
+	clientconn.TrackRequests(peerServer)
 	operatorServer := ht.newHTTPServer(operator.NewServer(ht, ht.metrics.Handler).Handler())
 	readinessServer := ht.newHTTPServer(platform.NewReadinessHandler(ht, ht.logger))
 	directoryServer := ht.newHTTPServer(platform.NewDirectoryHandler(ht))
 	return []*http.Server{clientServer, peerServer, operatorServer, readinessServer, directoryServer}
 }
 
-// servedListeners returns the listeners in the order of the servers. That of clients applies the desired state's timeouts.
+// servedListeners returns the listeners in the order of the servers. That of clients applies the desired state's timeouts, that of
+// other hosts lets relayed calls be interrupted.
 func (ht *Host) servedListeners() []net.Listener {
 	timeouts := platform.ConnectionTimeouts{Header: ht.settings.Callers.ReadHeaderTimeout, Idle: ht.settings.Callers.IdleTimeout}
 	served := slices.Clone(ht.listeners)
 	clientListener := platform.NewClientListener(served[0], ht.updateFollower, timeouts, ht.clock)
 	clientListener.LimitConnections(bodymemory.ConnectionLimit(bodymemory.PlatformFront, ht.settings.Limits.MaxConnections, ht.settings.Limits.MemoryMegabytes), ht.bodyMemory)
 	served[0] = clientListener
+	served[1] = clientconn.Listener{Listener: served[1]}
 	return served
 }
 
--- a/transport/caller/body_end_test.go
+++ b/transport/caller/body_end_test.go
@@ -81,3 +81,22 @@
 		assert.Equal(t, response.StatusCode, http.StatusOK, "a caller that is still there was taken for one that has gone")
 	}
 }
+
+// TestStalledCallerIsNotInterrupted has a caller stop before the end of its body. It must be refused once it is interrupted.
+func TestStalledCallerIsNotInterrupted(t *testing.T) {
+	const bodyBytes = 2 * bodymemory.UncountedBytes
+	memory := bodymemory.New(1_000_000, 0, bodymemory.WithInterruption(timer.NewSystem(), time.Nanosecond))
+	host := answeringHost{fakeHost{lists: newOnePlan(t).lists}}
+	sv := caller.NewServer(caller.Config{Host: "host", MaxBodyBytes: bodyBytes, BodyMemory: memory}, caller.Dependencies{Lists: host, Models: host, Limits: host, Fleet: host}, timer.NewSystem(), tally.NoopScope)
+	conn, _ := serveWithMemory(t, memory, sv.Handler().ServeHTTP, func(*http.Server) {})
+	_, err := fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n{", apiKey, bodyBytes)
+	assert.NilError(t, err)
+	for memory.Reserved() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	memory.InterruptMostStalled()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+	assert.Assert(t, response.Close)
+}
--- a/transport/peer/relay_server.go
+++ b/transport/peer/relay_server.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/peerrelay"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
+	"github.com/hibiscuslever/hibiscuslever/transport/clientconn"
 )
 
 // RelayServer makes calls to backend servers on behalf of other hosts.
@@ -32,10 +33,8 @@
 	receivedAt := rh.clock.Now()
 	// net/http decides by the body of its own request whether the connection can be kept.
 	httpRequest = httpRequest.WithContext(httpRequest.Context())
-	interruption := bodymemory.NewInterruption(writer)
-	defer rh.bodyMemory.LimitInterruptible(httpRequest, interruption.Interrupt)()
+	defer rh.bodyMemory.LimitInterruptible(httpRequest, clientconn.Interruption(httpRequest.Context()))()
 	call, err := decodeRelayCall(httpRequest.Body)
-	interruption.Undo()
 	switch {
 	case errors.Is(err, bodymemory.ErrExhausted):
 		// The entry host would receive a reset instead of the failure if the connection were closed while it still sends.
