Property test of interruptions and the ends of bodies

Random orders of requests that begin, bodies that end and interruptions: a read deadline in the past is set while a body is read, and at no other time. Run: go test -race ./transport/clientconn, passes.

--- a/transport/clientconn/state_test.go
+++ b/transport/clientconn/state_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
@@ -41,3 +43,38 @@
 	}
 	assert.Equal(t, StateOf(t.Context()).End(), NotEnded)
 }
+
+// recordedDeadline is a connection that keeps its read deadline.
+type recordedDeadline struct{ deadline time.Time }
+
+func (rd *recordedDeadline) SetReadDeadline(deadline time.Time) error {
+	rd.deadline = deadline
+	return nil
+}
+
+// TestInterruptionOutsideBodyEndsRequest orders the beginning of requests, the end of their bodies and interruptions at random. An
+// interruption must make reads fail while a body is read, and at no other time.
+func TestInterruptionOutsideBodyEndsRequest(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	conn := &recordedDeadline{}
+	state := NewState(conn)
+	inBody := false
+	for range 10_000 {
+		switch random.IntN(3) {
+		case 0:
+			// net/http has removed the deadline of the head.
+			assert.NilError(t, state.SetReadDeadline(time.Time{}))
+			state.RequestBegan()
+			inBody = true
+		case 1:
+			assert.NilError(t, state.SetReadDeadline(time.Time{}))
+			inBody = false
+		case 2:
+			state.InterruptBody()
+			assert.Equal(t, !conn.deadline.IsZero(), inBody)
+		}
+		if !inBody {
+			assert.Assert(t, conn.deadline.IsZero())
+		}
+	}
+}
