--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/lists"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
+	"github.com/hibiscuslever/hibiscuslever/transport/clientconn"
 )
 
 const (
@@ -79,6 +80,7 @@
 	writer := &responseWriter{server: sv, ec: ec, call: call, request: request, isChat: isChat, createdUnix: sv.clock.Now().Unix()}
 	summary, oc := sv.dependencies.Models.Run(ctx, call, writer)
 	oc = abortedOutcome(ctx, oc)
+	sv.countConnectionEnd(ctx, oc)
 	band := promptBand(call.PromptTokens)
 	sv.metrics.Tagged(map[string]string{"outcome": oc.Kind.String(), "band": band}).Counter("requests").Inc(1)
 	if oc.OK() {
@@ -87,6 +89,13 @@
 	return writer.finish(summary, oc)
 }
 
+// countConnectionEnd counts a request whose connection ended before it had its outcome.
+func (sv *Server) countConnectionEnd(ctx context.Context, oc outcome.Outcome) {
+	if end := clientconn.StateOf(ctx).End(); !oc.OK() && end != clientconn.NotEnded {
+		sv.metrics.Tagged(map[string]string{"cause": string(end)}).Counter("requests_without_connection").Inc(1)
+	}
+}
+
 // promptBand returns the label of a prompt's size in metrics.
 func promptBand(promptTokens id.Tokens) string {
 	switch {
@@ -110,14 +119,12 @@
 	if request.ContentLength > sv.config.MaxBodyBytes {
 		return nil, nil, sv.bodyTooLarge()
 	}
-	interruption := bodymemory.NewInterruption(ec.Response())
-	release := sv.config.BodyMemory.LimitInterruptible(request, interruption.Interrupt)
+	release := sv.config.BodyMemory.LimitInterruptible(request, clientconn.Interruption(request.Context()))
 	body, err := sv.config.BodyMemory.ReadAll(http.MaxBytesReader(ec.Response(), request.Body, sv.config.MaxBodyBytes), request.ContentLength)
 	if err != nil {
 		release()
 		return nil, nil, sv.bodyOutcome(err)
 	}
-	interruption.Undo()
 	return body, release, outcome.Done()
 }
 
--- a/transport/caller/listener.go
+++ b/transport/caller/listener.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
+	"github.com/hibiscuslever/hibiscuslever/transport/clientconn"
 )
 
 // Listener accepts callers' connections up to a number, and makes the heads of their requests part of a memory.
@@ -49,7 +51,7 @@
 	}
 	ls.openConns.Add(1)
 	// The server notices that the connection is closed when it reads.
-	return &callerConn{TCPConn: tcpConn, listener: ls, head: ls.memory.NewHead(func() { _ = tcpConn.Close() })}, nil
+	return &callerConn{TCPConn: tcpConn, listener: ls, state: clientconn.NewState(tcpConn), head: ls.memory.NewHead(func() { _ = tcpConn.Close() })}, nil
 }
 
 // Close stops the listener.
@@ -58,11 +60,23 @@
 	return ls.Listener.Close()
 }
 
-// TrackRequests makes a server report to the connections of a Listener when their requests begin and end.
+// connKey is the key of a callerConn in the context of a request.
+type connKey struct{}
+
+// TrackRequests makes a server report to the connections of a Listener when their requests begin and end. Requests on a
+// connection that was closed for having stalled don't reach the server's handler, which must have been set.
 func TrackRequests(server *http.Server) {
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if tracked, ok := request.Context().Value(connKey{}).(*callerConn); ok && tracked.head.Interrupted() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(writer, request)
+	})
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if tracked, ok := conn.(*callerConn); ok {
-			return bodymemory.WithHead(ctx, tracked.head)
+			ctx = clientconn.WithState(bodymemory.WithHead(ctx, tracked.head), tracked.state)
+			return context.WithValue(ctx, connKey{}, tracked)
 		}
 		return ctx
 	}
@@ -79,6 +93,8 @@
 	listener *Listener
 	// head is the memory of the heads of requests; nil for no limit.
 	head *bodymemory.Head
+	// state is that of the request on the connection.
+	state *clientconn.State
 	// serving says that a request is in progress.
 	serving   atomic.Bool
 	closeOnce sync.Once
@@ -90,6 +106,7 @@
 	case http.StateActive:
 		cc.serving.Store(true)
 		cc.head.RequestBegan()
+		cc.state.RequestBegan()
 	case http.StateIdle:
 		cc.head.RequestEnded()
 		cc.serving.Store(false)
@@ -100,6 +117,7 @@
 // Read reads from the connection. It fails if there is no memory for the head of a request.
 func (cc *callerConn) Read(buffer []byte) (int, error) {
 	count, err := cc.TCPConn.Read(buffer)
+	cc.state.RecordRead(err)
 	if count > 0 && !cc.serving.Load() && !cc.head.Received(buffer[:count]) {
 		// The connection is closed before net/http can send a response on it.
 		_ = cc.TCPConn.Close()
@@ -108,6 +126,18 @@
 	return count, err
 }
 
+// SetReadDeadline sets the deadline of reads.
+func (cc *callerConn) SetReadDeadline(deadline time.Time) error {
+	return cc.state.SetReadDeadline(deadline)
+}
+
+// Write writes to the connection.
+func (cc *callerConn) Write(content []byte) (int, error) {
+	count, err := cc.TCPConn.Write(content)
+	cc.state.RecordWrite(err)
+	return count, err
+}
+
 // Close closes the connection.
 func (cc *callerConn) Close() error {
 	err := cc.TCPConn.Close()
