forward: Keep a silent engine's stream until another engine has an event

Callers saw streams of models end with a closed connection although their engine was sound and only silent for a second: in calm, when the engine that they were moved to refused, was another server, had no memory, was leaving, evacuated or out of reach, broke off, or did not go on after the last event.

Cause: the host ended the first attempt as soon as it held a grant on another engine that accepted a connection. Whatever became of the second attempt then, attempts, grants or the retry budget were used up and no engine was left. A stream whose last event has no id was given up in the same way, although nothing can resume it.

Now the second attempt runs beside the first one and takes the stream over when it has its first event. If the first engine sends an event before that, the second attempt is ended; if the second attempt fails, the stream stays where it is, and another engine is looked for while attempts, grants and retries are left. Each attempt counts towards MaxAttempts and is charged to the retry budget as before. At most two attempts run at a time, and only of requests that may be repeated. Memory that waits for its first event is given back on time also while another engine is looked for.

The stand-in streamingServers locks what it records, because two attempts may call it at a time. No test changed what it demands.

Remaining: a second engine that breaks off after its first event still ends the stream if no attempt is left, because only one engine can own the stream from then on.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -39,8 +39,14 @@
 	// mutex guards lastEventAt, the time when an event was last forwarded.
 	mutex       sync.Mutex
 	lastEventAt time.Time
-	// failover is the grant on another engine on which the stream is resumed after a stall.
-	failover failoverGrant
+	// forwarding is held while an event is forwarded. It guards lastEventID, endsUnnumbered and superseded while the attempt
+	// runs. superseded says that the attempt may forward no more events, because its failover attempt has one to forward.
+	forwarding sync.Mutex
+	superseded bool
+	// failover holds the failover attempts of the current attempt.
+	failover failoverState
+	// asFailover is the failover attempt that this job runs until it takes the stream over; nil if it runs none.
+	asFailover *failoverAttempt
 	// grantedAt is when the current grant arrived, server the engine that responds under it, as listed at that time.
 	grantedAt time.Time
 	server    serverlist.Server
@@ -69,6 +75,7 @@
 		Service: request.Service,
 	}
 	st.result.DispatchID = st.grantRequest.ID
+	defer st.dropFailover()
 	for {
 		st.grantRequest.AttemptNumber++
 		retryNeeded := st.attempt(ctx)
@@ -78,19 +85,45 @@
 	}
 }
 
-// attempt acquires a grant and runs the request under it. It reports whether another attempt is to be made.
+// attempt acquires a grant and runs the request under it, or goes on with the failover attempt of the last one. It reports
+// whether another attempt is to be made.
 func (st *engineJob) attempt(ctx context.Context) bool {
-	rn := st.runner
-	if st.rejectQuarantined() || st.rejectUnreachable() {
-		return false
-	}
-	grant, ok := st.acquireGrant(ctx)
-	if !ok {
-		return false
+	var ended broker.EndedGrant
+	var result attemptResult
+	if failover := st.failover.take(); failover != nil {
+		ended, result = st.joinFailover(failover)
+	} else {
+		if st.rejectQuarantined() || st.rejectUnreachable() {
+			return false
+		}
+		grant, ok := st.acquireGrant(ctx)
+		if !ok {
+			return false
+		}
+		if st.grantsUsed == 0 {
+			st.result.QueueTime = st.runner.clock.Now().Sub(st.request.ArrivedAt)
+		}
+		ended, result = st.useGrant(ctx, grant)
+		st.countFailedFailovers()
 	}
-	if st.grantsUsed == 0 {
-		st.result.QueueTime = rn.clock.Now().Sub(st.request.ArrivedAt)
+	st.result.Cause = result.reason
+	switch {
+	case result.final:
+	case ctx.Err() != nil:
+		st.setOutcomeOnContextEnd(ctx)
+	case st.endsUnnumbered:
+		st.setOutcomeOnFailure(result.reason)
+	case st.failover.isPresent():
+		return true
+	default:
+		return st.prepareRetry(ctx, result, ended)
 	}
+	return false
+}
+
+// useGrant runs the request under a grant and reports the end of the attempt to the dispatcher.
+func (st *engineJob) useGrant(ctx context.Context, grant batch.Grant) (broker.EndedGrant, attemptResult) {
+	rn := st.runner
 	st.grantedAt = rn.clock.Now()
 	st.server = rn.serverOfPart(st.request.Service, grant.Parts[0])
 	st.setIsolatedParts(grant.SuspectParts)
@@ -114,34 +147,13 @@
 		"address", grant.Parts[0].Address, "helpers", len(grant.Parts)-1, "prompt", int64(st.request.PromptTokens), "parts", st.request.PromptPartNames(), "result", result.reason, "alone", st.grantRequest.RunAlone, "isolated", len(grant.SuspectParts) > 0,
 		"predicted_ms", grant.PredictedFirstEvent.Milliseconds(), "queued_ms", st.result.QueueTime.Milliseconds(),
 		"first_ms", st.result.TimeToFirstByte.Milliseconds(), "pause_ms", st.result.LongestPause.Milliseconds(), "last_event", st.lastEventID, "remaining_ms", st.remaining().Milliseconds())
-	st.result.Cause = result.reason
-	switch {
-	case result.final:
-	case ctx.Err() != nil:
-		st.setOutcomeOnContextEnd(ctx)
-	case st.endsUnnumbered:
-		st.setOutcomeOnFailure(result.reason)
-	case st.failover.isPresent():
-		st.grantRequest.AvoidedEngines = append(st.grantRequest.AvoidedEngines, grant.Parts[0].Engine)
-		return true
-	default:
-		return st.prepareRetry(ctx, result, ended)
-	}
-	if grantRequest, grant, ok := st.failover.take(); ok {
-		rn.dispatcher.ReportEnded(broker.EndedGrant{Request: grantRequest.ID, Attempt: grant.Attempt})
-	}
-	return false
+	return ended, result
 }
 
-// acquireGrant returns the grant for the next attempt: the failover grant of a stalled stream, or a new one from the
-// dispatcher. If it gets none, it sets the outcome and returns false.
+// acquireGrant returns a grant from the dispatcher for the next attempt. If it gets none, it sets the outcome and returns
+// false.
 func (st *engineJob) acquireGrant(ctx context.Context) (batch.Grant, bool) {
 	rn := st.runner
-	if grantRequest, grant, ok := st.failover.take(); ok {
-		st.grantRequest.ID, st.grantRequest.AttemptNumber = grantRequest.ID, grantRequest.AttemptNumber
-		st.result.DispatchID = grantRequest.ID
-		return grant, true
-	}
 	st.setIsolation(&st.grantRequest)
 	st.grantRequest.WaitLimit = st.waitLimitFromArrival()
 	st.grantRequest.Unanswered = !st.result.HeadSent
@@ -258,10 +270,10 @@
 	if rn.clock.Now().Sub(st.grantedAt) > rn.config.GrantTTL {
 		return broker.EndedGrant{}, attemptResult{reason: "the place was given too long ago", retryCause: retry.NotSent}
 	}
-	grantRequest, attemptsMade := st.grantRequest, st.sentCount+1
+	origin := st.failoverOrigin(ctx, sendCtx, primary.Engine)
 	monitor := startStreamMonitor(rn, primary, monitorLimits{firstEventWait: grant.PredictedFirstEvent + rn.config.IdleBeforeProbe, stallLimit: st.stallLimit(), firstEventDeadline: reservedMemory.firstEventDeadline()}, monitorCallbacks{
 		findFailover: func(searchCtx context.Context) bool {
-			return st.findFailover(searchCtx, grantRequest, primary.Engine, attemptsMade)
+			return st.findFailover(searchCtx, origin)
 		},
 		handleNoResponse: func(checkCtx context.Context, result ProbeResult) {
 			st.handleNoResponse(checkCtx, primary.Engine, result)
@@ -269,6 +281,8 @@
 		abort: func(err error) { cancel(err) },
 	})
 	defer monitor.stop()
+	// A failover attempt is left alone before stop waits for it.
+	defer cancel(nil)
 	if st.rejectQuarantined() {
 		// This host may have learned of crashes while it waited for the memory.
 		return broker.EndedGrant{}, attemptResult{reason: "quarantined meanwhile: servers crashed while running this content", final: true}
@@ -443,7 +457,7 @@
 	ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.ErrorResponse}
 	st.mayHaveRun = true
 	result := attemptResult{reason: "the engine failed with status " + http.StatusText(response.Status), retryCause: retry.Interrupted}
-	if st.result.HeadSent || err != nil || !complete || st.falselyPromisesNotRun(response.Status) {
+	if st.asFailover.isPending() || st.result.HeadSent || err != nil || !complete || st.falselyPromisesNotRun(response.Status) {
 		return ended, result
 	}
 	if response.Status >= http.StatusInternalServerError && st.sentCount < st.request.Route.MaxAttempts && st.request.Route.Repeatable() && st.takeRetry(ctx, retry.Interrupted) {
@@ -468,7 +482,9 @@
 	}
 	reader := newEventReader(response.Body)
 	resumed := st.lastEventID != "" && st.request.Route.Repeatable()
-	resumesResponse := st.result.HeadSent
+	// A stream that is not resumed may have no events; that of a failover attempt would be worse than the one that it takes
+	// over.
+	resumesResponse := st.result.HeadSent || st.asFailover.isPending()
 	receivedEvents, receivedField := false, false
 	for {
 		ev, err := reader.next()
@@ -493,7 +509,17 @@
 			monitor.recordEvent(ev)
 			st.endSilence()
 			rn.dispatcher.ReportStarted(grant.Attempt)
-			if sinkErr := st.forwardEvent(response, ev); sinkErr != nil {
+		}
+		if st.asFailover.isPending() && (ev.hasField || errors.Is(err, io.EOF)) && !st.asFailover.takeOver(ctx) {
+			return broker.EndedGrant{}, attemptResult{reason: errNotNeeded.Error(), retryCause: retry.Interrupted}
+		}
+		// Comments of a failover attempt are dropped until it has an event.
+		if len(ev.data) > 0 && !st.asFailover.isPending() {
+			switch sinkErr := st.forwardEvent(response, ev); {
+			case errors.Is(sinkErr, errSuperseded):
+				st.mayHaveRun = true
+				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), retryCause: retry.Interrupted}
+			case sinkErr != nil:
 				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), final: true}
 			}
 		}
@@ -515,8 +541,15 @@
 	}
 }
 
-// forwardEvent sends one event to the client, preceded by the head of the response if this is the first one.
+// forwardEvent sends one event to the client, preceded by the head of the response if this is the first one. It returns
+// errSuperseded if a failover attempt has taken the stream over.
 func (st *engineJob) forwardEvent(response Response, ev event) error {
+	st.forwarding.Lock()
+	defer st.forwarding.Unlock()
+	if st.superseded {
+		return errSuperseded
+	}
+	st.dropBefore(ev)
 	if !st.result.HeadSent {
 		st.result.HeadSent = true
 		st.result.Status = response.Status
--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
@@ -11,50 +14,190 @@
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
-// failoverGrant holds a grant on another engine for a stream that has stalled or whose engine does not respond. The stream stays at its engine until
-// there is such a grant. It is safe for concurrent use: the stream monitor stores the grant while the attempt still
-// runs.
-type failoverGrant struct {
-	mutex        sync.Mutex
-	grantRequest broker.GrantRequest
-	grant        batch.Grant
-	present      bool
+// errSuperseded ends an attempt whose failover attempt has taken the stream over, errNotNeeded a failover attempt whose
+// stream goes on at the first engine.
+var (
+	errSuperseded = errors.New("the stream goes on at another engine")
+	errNotNeeded  = errors.New("the stream goes on at its engine")
+)
+
+// failoverAttempt is an attempt on another engine for a stream that has stalled or whose engine does not respond. The
+// attempt in progress goes on meanwhile, because its engine may only be silent for a time. The failover attempt takes the
+// stream over when it has an event to forward, or fails without a trace at the client. It is dropped if the first engine
+// sends an event before that.
+type failoverAttempt struct {
+	// origin is the job whose stream is taken over, job the one that runs this attempt.
+	origin *engineJob
+	job    *engineJob
+	cancel context.CancelFunc
+	// sentBefore is the sentCount that job started with.
+	sentBefore int
+	// pending says that the attempt has not taken the stream over.
+	pending atomic.Bool
+	// dropped says that the attempt is not needed. It is guarded by origin.forwarding.
+	dropped bool
+	// superseding is closed when the attempt has an event to forward, joined when the attempt of origin has ended and
+	// leaves the stream to this one, and done when this attempt has ended.
+	superseding chan struct{}
+	joined      chan struct{}
+	done        chan struct{}
+	// ended and result describe the end; they are set before done is closed.
+	ended  broker.EndedGrant
+	result attemptResult
+}
+
+// isPending reports whether this is a failover attempt that has not taken the stream over.
+func (fa *failoverAttempt) isPending() bool { return fa != nil && fa.pending.Load() }
+
+// takeOver makes the attempt of origin forward no more events, waits until it has ended, and takes its state over. It
+// returns false if the attempt is not needed.
+func (fa *failoverAttempt) takeOver(ctx context.Context) bool {
+	if !fa.supersede() {
+		return false
+	}
+	close(fa.superseding)
+	select {
+	case <-fa.joined:
+	case <-ctx.Done():
+		return false
+	}
+	fa.job.inheritFrom(fa.origin)
+	fa.pending.Store(false)
+	return true
+}
+
+// supersede makes the attempt of origin forward no more events, unless it has forwarded one since this attempt began.
+func (fa *failoverAttempt) supersede() bool {
+	origin := fa.origin
+	origin.forwarding.Lock()
+	defer origin.forwarding.Unlock()
+	if fa.dropped || origin.endsUnnumbered || origin.lastEventID != fa.job.lastEventID {
+		return false
+	}
+	origin.superseded = true
+	return true
+}
+
+// inheritFrom copies what a client has received from the job whose stream this one takes over.
+func (st *engineJob) inheritFrom(origin *engineJob) {
+	result := origin.result
+	result.Attempts += st.result.Attempts
+	result.PassedOn += st.result.PassedOn
+	result.Server, result.Helpers, result.DispatchID = st.result.Server, st.result.Helpers, st.result.DispatchID
+	st.result = result
+	st.newConnection = st.newConnection || origin.newConnection
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	st.lastEventAt = origin.lastEventAt
+}
+
+// failoverState holds the failover attempts of one attempt. It is safe for concurrent use.
+type failoverState struct {
+	mutex   sync.Mutex
+	current *failoverAttempt
+	failedFailovers
+}
+
+// failedFailovers counts what failover attempts used that did not take their stream over.
+type failedFailovers struct {
+	grants, sent, attempts, passedOn int
+	// engines are those of the attempts that were not dropped.
+	engines []id.Engine
+}
+
+// take removes and returns the current failover attempt; nil if there is none.
+func (fs *failoverState) take() *failoverAttempt {
+	fs.mutex.Lock()
+	defer fs.mutex.Unlock()
+	current := fs.current
+	fs.current = nil
+	return current
+}
+
+func (fs *failoverState) set(current *failoverAttempt) {
+	fs.mutex.Lock()
+	defer fs.mutex.Unlock()
+	fs.current = current
+}
+
+func (fs *failoverState) isPresent() bool {
+	fs.mutex.Lock()
+	defer fs.mutex.Unlock()
+	return fs.current != nil
+}
+
+// failed returns what failed failover attempts used so far.
+func (fs *failoverState) failed() failedFailovers {
+	fs.mutex.Lock()
+	defer fs.mutex.Unlock()
+	return fs.failedFailovers
+}
+
+// recordFailed counts the current failover attempt, which has ended, as failed.
+func (fs *failoverState) recordFailed(fa *failoverAttempt) {
+	fs.mutex.Lock()
+	defer fs.mutex.Unlock()
+	fs.current = nil
+	fs.grants++
+	fs.sent += fa.job.sentCount - fa.sentBefore
+	fs.attempts += fa.job.result.Attempts
+	fs.passedOn += fa.job.result.PassedOn
+	if fa.ended.FailedEngine != "" {
+		fs.engines = append(fs.engines, fa.ended.FailedEngine)
+	}
 }
 
-func (fg *failoverGrant) store(grantRequest broker.GrantRequest, grant batch.Grant) {
-	fg.mutex.Lock()
-	defer fg.mutex.Unlock()
-	fg.grantRequest, fg.grant, fg.present = grantRequest, grant, true
+// countFailedFailovers adds what the failed failover attempts of the last attempt used to what the request used.
+func (st *engineJob) countFailedFailovers() {
+	failed := st.failover.failed()
+	st.grantsUsed += failed.grants
+	st.sentCount += failed.sent
+	st.result.Attempts += failed.attempts
+	st.result.PassedOn += failed.passedOn
+	st.grantRequest.AvoidedEngines = append(st.grantRequest.AvoidedEngines, failed.engines...)
+	st.failover.mutex.Lock()
+	defer st.failover.mutex.Unlock()
+	st.failover.failedFailovers = failedFailovers{}
 }
 
-// take removes and returns the grant and the request that it was issued for. It returns false if there is none.
-func (fg *failoverGrant) take() (broker.GrantRequest, batch.Grant, bool) {
-	fg.mutex.Lock()
-	defer fg.mutex.Unlock()
-	present := fg.present
-	fg.present = false
-	return fg.grantRequest, fg.grant, present
+// failoverOrigin is what a failover attempt needs to know of the attempt in progress. It does not change during that
+// attempt.
+type failoverOrigin struct {
+	// requestCtx ends with the request, attemptCtx with the attempt.
+	requestCtx, attemptCtx context.Context
+	grantRequest           broker.GrantRequest
+	engine                 id.Engine
+	// attemptsMade counts the attempts that may have reached an engine, the current one included.
+	attemptsMade, grantsUsed      int
+	newConnection, endUnconfirmed bool
 }
 
-func (fg *failoverGrant) isPresent() bool {
-	fg.mutex.Lock()
-	defer fg.mutex.Unlock()
-	return fg.present
+func (st *engineJob) failoverOrigin(requestCtx, attemptCtx context.Context, engine id.Engine) failoverOrigin {
+	return failoverOrigin{
+		requestCtx: requestCtx, attemptCtx: attemptCtx, grantRequest: st.grantRequest, engine: engine,
+		attemptsMade: st.sentCount + 1, grantsUsed: st.grantsUsed, newConnection: st.newConnection, endUnconfirmed: st.endUnconfirmed,
+	}
 }
 
 // findFailover requests a grant on another engine for a stream that has stalled or whose engine does not respond, and
-// stores it. It reports whether it got one, the engine accepts connections and the retry policy allows its use. The grant on the first engine stays valid
-// meanwhile, because the new request to the dispatcher has its own id. The number of attempts made includes the current
-// one. ctx ends when the stream goes on.
-func (st *engineJob) findFailover(ctx context.Context, grantRequest broker.GrantRequest, stalledEngine id.Engine, attemptsMade int) bool {
+// starts a failover attempt there if the engine accepts connections and the retry policy allows it. The attempt in progress
+// and its grant stay valid meanwhile, because the new request to the dispatcher has its own id. It returns true when the
+// failover attempt takes the stream over, and false if it fails. ctx ends when the engine in use goes on; a
+// failover attempt that runs by then ends only with the next event.
+func (st *engineJob) findFailover(ctx context.Context, origin failoverOrigin) bool {
 	rn := st.runner
-	if rn.grantContext.Err() != nil || st.grantsUsed >= rn.config.MaxGrants || !st.retryAllowed(attemptsMade) {
+	failed := st.failover.failed()
+	attemptsMade := origin.attemptsMade + failed.sent
+	if st.asFailover.isPending() || rn.grantContext.Err() != nil || origin.grantsUsed+failed.grants >= rn.config.MaxGrants ||
+		attemptsMade >= st.request.Route.MaxAttempts || !st.retryAllowed(attemptsMade) || !st.isResumable() {
 		return false
 	}
+	grantRequest := origin.grantRequest
 	grantRequest.ID = id.NewRequest(rn.host, rn.incarnation, rn.requestCounter.Add(1))
-	grantRequest.AttemptNumber++
+	grantRequest.AttemptNumber += 1 + failed.grants
 	grantRequest.Unanswered = false
-	grantRequest.AvoidedEngines = append(append([]id.Engine(nil), grantRequest.AvoidedEngines...), stalledEngine)
+	grantRequest.AvoidedEngines = append(append([]id.Engine(nil), grantRequest.AvoidedEngines...), origin.engine)
+	grantRequest.AvoidedEngines = append(grantRequest.AvoidedEngines, failed.engines...)
 	grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service, grantRequest.AttemptNumber)
 	st.setIsolation(&grantRequest)
 	grantRequest.WaitLimit = st.waitLimitFromArrival()
@@ -62,7 +205,7 @@
 	defer detach()
 	grant, oc := rn.dispatcher.Acquire(acquireCtx, grantRequest)
 	if !oc.OK() {
-		rn.logger.Info("stalled stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(stalledEngine),
+		rn.logger.Info("stalled stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(origin.engine),
 			"reason", string(oc.Reason), "detail", oc.Detail)
 		return false
 	}
@@ -71,16 +214,131 @@
 	switch {
 	case acquireCtx.Err() != nil:
 	case !rn.accepts(acquireCtx, rn.serverOfPart(st.request.Service, primary), &ended):
-		rn.logger.Info("stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(stalledEngine),
+		rn.logger.Info("stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(origin.engine),
 			"reason", "the next engine can't be reached", "next", string(primary.Engine))
 	case st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade):
-		st.failover.store(grantRequest, grant)
-		return true
+		if fa := st.startFailover(origin, grantRequest, grant); fa != nil {
+			return st.awaitFailover(origin.attemptCtx, fa)
+		}
 	}
 	rn.dispatcher.ReportEnded(ended)
 	return false
 }
 
+// isResumable reports whether a request can ask an engine to go on after the last forwarded event.
+func (st *engineJob) isResumable() bool {
+	st.forwarding.Lock()
+	defer st.forwarding.Unlock()
+	return !st.endsUnnumbered
+}
+
+// startFailover starts a failover attempt under a grant. It returns nil if the stream can't be resumed or the host stops.
+func (st *engineJob) startFailover(origin failoverOrigin, grantRequest broker.GrantRequest, grant batch.Grant) *failoverAttempt {
+	rn := st.runner
+	failed := st.failover.failed()
+	st.forwarding.Lock()
+	defer st.forwarding.Unlock()
+	if st.endsUnnumbered {
+		return nil
+	}
+	st.mutex.Lock()
+	headSent := !st.lastEventAt.IsZero()
+	st.mutex.Unlock()
+	jb := &job{runner: rn, request: st.request, sink: st.sink, deadline: st.deadline, sentCount: origin.attemptsMade + failed.sent, mayHaveRun: true, newConnection: origin.newConnection}
+	jb.result = Result{HeadSent: headSent, Fingerprint: st.result.Fingerprint, DispatchID: grantRequest.ID}
+	fa := &failoverAttempt{origin: st, sentBefore: jb.sentCount, superseding: make(chan struct{}), joined: make(chan struct{}), done: make(chan struct{})}
+	fa.pending.Store(true)
+	fa.job = &engineJob{
+		job: jb, grantRequest: grantRequest, lastEventID: st.lastEventID, endUnconfirmed: origin.endUnconfirmed,
+		grantsUsed: origin.grantsUsed + failed.grants, asFailover: fa,
+	}
+	ctx, cancel := context.WithCancel(origin.requestCtx)
+	fa.cancel = cancel
+	st.failover.set(fa)
+	started := rn.background.Go(func() {
+		defer close(fa.done)
+		defer cancel()
+		fa.ended, fa.result = fa.job.useGrant(ctx, grant)
+		fa.job.countFailedFailovers()
+	})
+	if !started {
+		cancel()
+		st.failover.set(nil)
+		return nil
+	}
+	return fa
+}
+
+// awaitFailover waits until a failover attempt takes the stream over, and returns true, or until it has failed or is
+// dropped. If the attempt in progress ends before that, the failover attempt stays for joinFailover.
+func (st *engineJob) awaitFailover(attemptCtx context.Context, fa *failoverAttempt) bool {
+	select {
+	case <-fa.superseding:
+		return true
+	case <-fa.done:
+	case <-attemptCtx.Done():
+		st.forwarding.Lock()
+		stays := !fa.dropped
+		st.forwarding.Unlock()
+		if stays {
+			return false
+		}
+		<-fa.done
+	}
+	st.failover.recordFailed(fa)
+	return false
+}
+
+// joinFailover leaves the stream to a failover attempt after the attempt that it was started for has ended. It returns how
+// the failover attempt ended.
+func (st *engineJob) joinFailover(fa *failoverAttempt) (broker.EndedGrant, attemptResult) {
+	close(fa.joined)
+	<-fa.done
+	next := fa.job
+	if fa.isPending() {
+		oc := next.result.Outcome
+		next.inheritFrom(st)
+		next.result.Outcome = oc
+	}
+	st.result, st.grantRequest, st.grantsUsed, st.sentCount = next.result, next.grantRequest, next.grantsUsed, next.sentCount
+	st.mayHaveRun, st.newConnection = true, next.newConnection
+	st.lastEventID, st.endsUnnumbered, st.endUnconfirmed = next.lastEventID, next.endsUnnumbered, next.endUnconfirmed
+	st.superseded = false
+	st.mutex.Lock()
+	st.lastEventAt = next.lastEventAt
+	st.mutex.Unlock()
+	st.failover.set(next.failover.take())
+	return fa.ended, fa.result
+}
+
+// dropFailover ends the failover attempt, if there is one.
+func (st *engineJob) dropFailover() {
+	if fa := st.failover.take(); fa != nil {
+		fa.origin.forwarding.Lock()
+		defer fa.origin.forwarding.Unlock()
+		fa.drop()
+	}
+}
+
+// drop ends the attempt because it is not needed. The caller holds origin.forwarding.
+func (fa *failoverAttempt) drop() {
+	fa.dropped = true
+	fa.cancel()
+}
+
+// dropBefore ends the failover attempt, if there is one, because an event of the attempt in progress is to be forwarded. The
+// caller holds st.forwarding.
+func (st *engineJob) dropBefore(ev event) {
+	if !ev.hasField {
+		return
+	}
+	st.failover.mutex.Lock()
+	defer st.failover.mutex.Unlock()
+	if st.failover.current != nil {
+		st.failover.current.drop()
+	}
+}
+
 // accepts reports whether an engine accepts connections, from this host or another one. If it has failed, the report to the
 // dispatcher says so.
 func (rn *Runner) accepts(ctx context.Context, engine serverlist.Server, ended *broker.EndedGrant) bool {
--- a/coordination/forward/stall_test.go
+++ b/coordination/forward/stall_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,6 +59,8 @@
 // streamingServers responds with a stream for each address and records after which event each attempt resumes.
 type streamingServers struct {
 	fakeServers
+	// mutex guards sentTo and resumedAfter.
+	mutex         sync.Mutex
 	bodyByAddress map[string]slowBody
 	resumedAfter  []string
 	// truncatedAddress is the address whose stream ends with io.ErrUnexpectedEOF.
@@ -65,8 +68,10 @@
 }
 
 func (sv *streamingServers) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
+	sv.mutex.Lock()
 	sv.sentTo = append(sv.sentTo, attempt.Address)
 	sv.resumedAfter = append(sv.resumedAfter, attempt.ResumeAfter)
+	sv.mutex.Unlock()
 	body := sv.bodyByAddress[attempt.Address]
 	body.ctx = ctx
 	body.truncated = attempt.Address == sv.truncatedAddress
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -49,6 +49,8 @@
 	lastResult ProbeResult
 	stopped    bool
 	nextCheck  timer.Subscription
+	// deadlineCheck is nil if there is no firstEventDeadline.
+	deadlineCheck timer.Subscription
 }
 
 // monitorLimits are the limits that a streamMonitor enforces.
@@ -69,19 +71,18 @@
 
 // startStreamMonitor starts to watch a stream. The caller must call stop.
 func startStreamMonitor(rn *Runner, engine batch.Part, limits monitorLimits, callbacks monitorCallbacks) *streamMonitor {
-	firstCheck := limits.firstEventWait
-	predictedStart := rn.clock.Now().Add(firstCheck - rn.config.IdleBeforeProbe)
+	predictedStart := rn.clock.Now().Add(limits.firstEventWait - rn.config.IdleBeforeProbe)
 	sm := &streamMonitor{
 		runner: rn, engine: engine, idleLimit: rn.config.IdleBeforeProbe, stallLimit: limits.stallLimit, firstEventDeadline: limits.firstEventDeadline,
 		findFailover: callbacks.findFailover, handleNoResponse: callbacks.handleNoResponse, abort: callbacks.abort,
 		lastActivity: predictedStart, lastProgress: predictedStart,
 	}
-	if !limits.firstEventDeadline.IsZero() {
-		firstCheck = min(firstCheck, max(0, limits.firstEventDeadline.Sub(rn.clock.Now())))
-	}
 	sm.mutex.Lock()
 	defer sm.mutex.Unlock()
-	sm.nextCheck = rn.clock.After(firstCheck, sm.check)
+	sm.nextCheck = rn.clock.After(limits.firstEventWait, sm.check)
+	if !limits.firstEventDeadline.IsZero() {
+		sm.deadlineCheck = rn.clock.After(max(0, limits.firstEventDeadline.Sub(rn.clock.Now())), sm.checkFirstEvent)
+	}
 	return sm
 }
 
@@ -100,22 +101,26 @@
 	}
 }
 
-// check aborts the attempt with errStalled if the first event is overdue, searches for another engine if the stream has
-// stalled, probes the engine if the stream has been idle for too long, searches for another engine if it does not
-// respond, and schedules the next check. The timer calls it on its own goroutine, because the searches and the probe may
-// block.
+// checkFirstEvent aborts the attempt with errStalled if the first event is overdue. It does not wait for a search for another
+// engine.
+func (sm *streamMonitor) checkFirstEvent() {
+	sm.mutex.Lock()
+	defer sm.mutex.Unlock()
+	if !sm.stopped && !sm.firstEventDeadline.IsZero() {
+		sm.abort(errStalled)
+	}
+}
+
+// check searches for another engine if the stream has stalled, probes the engine if the stream has been idle for too long,
+// searches for another engine if it does not respond, and schedules the next check. The timer calls it on its own
+// goroutine, because the searches and the probe may block.
 func (sm *streamMonitor) check() {
 	sm.mutex.Lock()
 	defer sm.mutex.Unlock()
 	if sm.stopped {
 		return
 	}
-	now := sm.runner.clock.Now()
-	if !sm.firstEventDeadline.IsZero() && !now.Before(sm.firstEventDeadline) {
-		sm.abort(errStalled)
-		return
-	}
-	stalled := sm.stalled(now)
+	stalled := sm.stalled(sm.runner.clock.Now())
 	if stalled && sm.failOver(errStalled) || sm.stopped {
 		return
 	}
@@ -205,6 +210,9 @@
 		sm.cancelCallback()
 	}
 	sm.nextCheck.Stop()
+	if sm.deadlineCheck != nil {
+		sm.deadlineCheck.Stop()
+	}
 	sm.mutex.Unlock()
 	sm.callbacks.Wait()
 }
