broker: Test how requests that wait for a grant end

TestRequestsThatWaitEnd lets requests wait while hosts are lost, start, stop, fall silent and are cut off, the engine is evacuated, and messages are slow, lost, late or doubled, in any order. Each request must end with a grant or a refusal before its client leaves, and nothing may stay held afterwards: for 0.7 s in a calm, and until grants expire otherwise.

The stand-in for the network passes its messages through a function that applies the drawn faults; without any it does what it did.

--- a/coordination/broker/broker_test.go
+++ b/coordination/broker/broker_test.go
@@ -59,6 +59,8 @@
 	requestLimits map[id.Host]serverlimit.Statement
 	// evacuated holds the hosts that know that the engine is evacuated.
 	evacuated map[id.Host]bool
+	// faults holds the faults of the next messages.
+	faults []messageFault
 }
 
 // hostNetwork is the network as one host sees it.
@@ -179,21 +181,21 @@
 	if err := nw.call(ctx, dispatcher); err != nil {
 		return broker.GrantResponse{}, err
 	}
-	return nw.servers[dispatcher].RequestGrant(request)
+	return send(ctx, nw, func() (broker.GrantResponse, error) { return nw.servers[dispatcher].RequestGrant(request) })
 }
 
 func (nw *network) DeliverResponse(ctx context.Context, host id.Host, requestID id.Request, response broker.GrantResponse) (bool, error) {
 	if err := nw.call(ctx, host); err != nil {
 		return false, err
 	}
-	return nw.clients[host].DeliverResponse(requestID, response), nil
+	return send(ctx, nw, func() (bool, error) { return nw.clients[host].DeliverResponse(requestID, response), nil })
 }
 
 func (nw *network) AskHeldGrants(ctx context.Context, host id.Host, service id.Service) ([]broker.HeldGrant, error) {
 	if err := nw.call(ctx, host); err != nil {
 		return nil, err
 	}
-	return nw.clients[host].HeldGrants(service), nil
+	return send(ctx, nw, func() ([]broker.HeldGrant, error) { return nw.clients[host].HeldGrants(service), nil })
 }
 
 func (nw *network) SendReport(ctx context.Context, dispatcher id.Host, report broker.Report) error {
@@ -209,7 +211,8 @@
 		nw.endReports[report.Host]++
 		nw.mutex.Unlock()
 	}
-	return nw.servers[dispatcher].HandleReport(report)
+	_, err := send(ctx, nw, func() (struct{}, error) { return struct{}{}, nw.servers[dispatcher].HandleReport(report) })
+	return err
 }
 
 // startHosts runs the given hosts, all of them live, until the returned function is called.
