broker: Keep a queued request at the dispatchers that answer

Callers saw requests refused by engines without room after a dispatcher was lost: a request that had waited for longer than 0.7 of its target had its engines chosen by its own host, which does not know the grants of other hosts, although the next dispatcher answered and had queued the request.

Cause: one failed call counted for the rest of the wait, and the time was counted from the arrival of the request.

Now the time counts from the first of the calls that have failed since a dispatcher last answered.

Evidence: TestQueuedRequestStaysAtDispatchers, for a dispatcher that is lost before the request comes and 0.1, 1 and 1.2 s later. Before: a grant on an engine without room after 0.95 s. After: the grant comes when room comes.

--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -30,7 +30,7 @@
 	initialDispatcherBackoff = time.Second
 	maxDispatcherBackoff     = 8 * time.Second
 	// dispatcherWaitShare is the fraction of a request's first-event target after which the local host chooses the engines
-	// itself, if a call to a dispatcher has failed.
+	// itself, if calls to dispatchers have failed for that time and none has answered.
 	dispatcherWaitShare = 0.7
 	// refusalLead is how long before a client stops waiting its request is refused if no dispatcher has responded, so that the
 	// client receives the refusal.
@@ -150,7 +150,8 @@
 	case <-cl.hostsKnown:
 	case <-ctx.Done():
 	}
-	dispatcherFailed := false
+	// failingSince is when the first of the calls began that have failed since a dispatcher last answered; zero if none has.
+	var failingSince time.Time
 	var lastDispatcher id.Host
 	for ctx.Err() == nil {
 		dispatcher, ok := cl.selectDispatcher(request.Service)
@@ -158,17 +159,21 @@
 			cl.withdrawFrom(lastDispatcher, request)
 		}
 		lastDispatcher = dispatcher
-		if !ok || dispatcherFailed && cl.clock.Now().Sub(request.ArrivedAt) > time.Duration(dispatcherWaitShare*float64(request.FirstEventTarget)) {
+		began := cl.clock.Now()
+		if !ok || !failingSince.IsZero() && began.Sub(failingSince) > time.Duration(dispatcherWaitShare*float64(request.FirstEventTarget)) {
 			return cl.chooseWithoutDispatcherWithRetry(ctx, request)
 		}
 		response, err := cl.requestGrant(ctx, dispatcher, request)
 		if err != nil {
 			if ctx.Err() == nil {
-				dispatcherFailed = true
+				if failingSince.IsZero() {
+					failingSince = began
+				}
 				cl.backOff(dispatcher, err)
 			}
 			continue
 		}
+		failingSince = time.Time{}
 		cl.clearBackoff(dispatcher)
 		if response.Grant == nil && response.Refusal == nil {
 			response = cl.awaitResponse(ctx, wt, dispatcher)
