forward: Don't ask a silent issuer of permits for each server

Callers of plain services got their refusal at their deadline, which is too late to arrive, while the host that issues permits answered nothing: an entry host asked it for one server after another, 150 ms each. With twelve cold or limited servers that takes 1.8 s.

Now a permit says whether the issuer could be asked. If not, only servers without a limit are tried, and the request then asks once more for all others.

--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
@@ -123,13 +124,15 @@
 // minLimitRetryAfter is the shortest time after which a client is asked to retry because request limits are reached.
 const minLimitRetryAfter = 200 * time.Millisecond
 
-// chooseServer returns the best server that is not among those tried and that may get the request now. If the request
-// limits of all of them are reached, it waits for the first one that may get a request, up to half of the remaining time.
+// chooseServer returns the best server that is not among those tried and that may get the request now. An issuer of permits
+// that can't be asked is not asked for each server, which would use up the request's time. If the request limits of all
+// servers are reached, it waits for the first one that may get a request, up to half of the remaining time.
 // If there is no server, it returns false and the time until one may get requests again, or zero if that is not known.
 func (jb *job) chooseServer(ctx context.Context, tried []id.BackendServer) (serverlist.Server, time.Duration, bool) {
 	rn := jb.runner
 	excluded := tried
 	var limited []serverlist.Server
+	var permit requestlimit.Permit
 	for {
 		server, wait, ok := jb.bestServer(excluded)
 		switch {
@@ -137,7 +140,13 @@
 			return serverlist.Server{}, wait, false
 		case !ok:
 			return jb.waitForPermit(ctx, limited)
-		case rn.limits.Rate(server) == 0 || rn.limits.Acquire(ctx, jb.request.Service, []serverlist.Server{server}, 0).Granted():
+		}
+		permitted := rn.limits.Rate(server) == 0
+		if !permitted && !permit.NoIssuer {
+			permit = rn.limits.Acquire(ctx, jb.request.Service, []serverlist.Server{server}, 0)
+			permitted = permit.Granted()
+		}
+		if permitted {
 			jb.recordSent(server)
 			return server, 0, true
 		}
--- a/coordination/requestlimit/permit.go
+++ b/coordination/requestlimit/permit.go
@@ -31,6 +31,8 @@
 	Server id.BackendServer
 	// Wait is the time until the request may be sent. Without a server it is the time after which to ask again.
 	Wait time.Duration
+	// NoIssuer says that no permit was granted because the issuer could not be asked. It is not sent to other hosts.
+	NoIssuer bool
 }
 
 // Granted reports whether the request may be sent.
@@ -214,7 +216,7 @@
 	dispatchers := cl.peers.Dispatchers(service)
 	switch {
 	case len(dispatchers) == 0:
-		return Permit{Wait: unreachableWait}
+		return Permit{Wait: unreachableWait, NoIssuer: true}
 	case len(request.Servers) == 0:
 		return Permit{Wait: shortestWait}
 	}
@@ -225,7 +227,7 @@
 	if err != nil {
 		cl.metrics.Counter("permit_failures").Inc(1)
 		cl.logger.Warn("request for a permit failed", "service", string(service), "issuer", string(dispatchers[0]), "servers", len(request.Servers), "error", err.Error())
-		permit = Permit{Wait: unreachableWait}
+		permit = Permit{Wait: unreachableWait, NoIssuer: true}
 	}
 	if !permit.Granted() {
 		cl.metrics.Counter("permits_denied").Inc(1)
