forward: Keep a slow server's request until another one has answered

Callers of plain services got a failure (502, or the error of another server) although their server was sound and answered in time: a request that had used half of its time was sent to a second server that refused it, failed, broke off, or was slower still.

Cause: the first attempt was aborted as soon as another server accepted a connection. If the second attempt failed, attempts or the retry budget were used up.

Now the second attempt runs beside the first one. The first of them to have an answer forwards it and ends the other; an error of the second one does not count as an answer while the first one runs. Each attempt counts towards MaxAttempts and is charged to the retry budget as before. At most two run at a time, and only of requests that may be repeated.

The stand-in slowServers locks what it records, because two attempts may call it at a time. No test changed what it demands.

Remaining: once the second server's answer is being forwarded, its end is final, as with any answer that is larger than the buffer.

--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -160,8 +160,7 @@
 // rejectQuarantined reports whether the request must not be sent, or not be sent again, because servers crashed while
 // running its content. In that case it sets the outcome.
 func (jb *job) rejectQuarantined() bool {
-	verdict := jb.runner.quarantine.Judge(jb.content())
-	oc, rejected := quarantine.RefusalOutcome(verdict.Decision, verdict.ExpiresIn)
+	oc, rejected := jb.quarantineOutcome()
 	if !rejected {
 		return false
 	}
@@ -173,6 +172,12 @@
 	return true
 }
 
+// quarantineOutcome returns the refusal of a request whose content is quarantined, and false if it may run.
+func (jb *job) quarantineOutcome() (outcome.Outcome, bool) {
+	verdict := jb.runner.quarantine.Judge(jb.content())
+	return quarantine.RefusalOutcome(verdict.Decision, verdict.ExpiresIn)
+}
+
 // checkForCrash checks whether the server of a lost attempt crashed, adds the evidence, and returns whether nothing
 // listens at the server's address. A crash is confirmed if nothing listens there, or if the server is no longer listed
 // or has restarted. Otherwise the next versions of the server list decide; until then the crash is only reported, and
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -40,27 +40,20 @@
 	var lastErrorResponse *bufferedResponse
 	unsentAttempts := 0
 	for {
-		if jb.rejectQuarantined() {
+		if jb.nextSecond == nil && jb.rejectQuarantined() {
 			jb.result.Cause = "quarantined: servers crashed while running this content"
 			return
 		}
 		if lastErrorResponse == nil && jb.rejectUnreachable() {
 			return
 		}
-		server, wait, ok := jb.takeReplacementOrChoose(ctx, tried)
-		if jb.refusesFirstSending() && (lastErrorResponse == nil || lastErrorResponse.notRun) {
-			break
+		errorResponse, retryCause, description, ok := jb.nextAttempt(ctx, &tried, lastErrorResponse)
+		if response := jb.countFailedSeconds(&tried); response != nil {
+			lastErrorResponse = response
 		}
 		if !ok {
-			jb.backoffWait = wait
 			break
 		}
-		jb.result.Server = server.ID
-		jb.result.Attempts++
-		tried = append(tried, server.ID)
-		errorResponse, retryCause, description := jb.attemptPlain(ctx, server, tried)
-		rn.logger.Info("attempt ended", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "server", string(server.ID), "address", server.Address,
-			"number", jb.result.Attempts, "result", description, "remaining_ms", jb.remaining().Milliseconds())
 		if retryCause == 0 {
 			return
 		}
@@ -76,7 +69,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if jb.hasReplacement {
+		if jb.nextSecond != nil {
 			continue
 		}
 		if retryCause == retry.NotSent {
@@ -110,15 +103,52 @@
 	}
 }
 
-// takeReplacementOrChoose returns the server for which the last attempt was aborted, or else what chooseServer returns.
-func (jb *job) takeReplacementOrChoose(ctx context.Context, tried []id.BackendServer) (serverlist.Server, time.Duration, bool) {
-	hasReplacement := jb.hasReplacement && !jb.runner.fleet.Evacuated(jb.replacement.ID)
-	jb.hasReplacement = false
-	if !hasReplacement {
-		return jb.chooseServer(ctx, tried)
+// nextAttempt goes on with the second attempt that runs, or sends the request to a server that it chooses. The first three
+// results are those of attemptPlain, and ok is false if nothing was sent.
+func (jb *job) nextAttempt(ctx context.Context, tried *[]id.BackendServer, lastErrorResponse *bufferedResponse) (errorResponse *bufferedResponse, retryCause retry.Cause, description string, ok bool) {
+	if second := jb.nextSecond; second != nil {
+		jb.nextSecond = nil
+		*tried = append(*tried, second.server.ID)
+		errorResponse, retryCause, description = jb.joinSecond(second)
+		return errorResponse, retryCause, description, true
+	}
+	server, wait, found := jb.chooseServer(ctx, *tried)
+	if jb.refusesFirstSending() && (lastErrorResponse == nil || lastErrorResponse.notRun) {
+		return nil, 0, "", false
+	}
+	if !found {
+		jb.backoffWait = wait
+		return nil, 0, "", false
 	}
-	jb.recordSent(jb.replacement)
-	return jb.replacement, 0, true
+	jb.result.Server = server.ID
+	jb.result.Attempts++
+	*tried = append(*tried, server.ID)
+	errorResponse, retryCause, description = jb.attemptPlain(ctx, server, *tried)
+	jb.logAttempt(server, description)
+	return errorResponse, retryCause, description, true
+}
+
+// logAttempt logs the end of an attempt.
+func (jb *job) logAttempt(server serverlist.Server, description string) {
+	jb.runner.logger.Info("attempt ended", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "server", string(server.ID), "address", server.Address,
+		"number", jb.result.Attempts, "result", description, "remaining_ms", jb.remaining().Milliseconds())
+}
+
+// countFailedSeconds adds what the second attempts used that failed during the last attempt to what the request used, and
+// returns the last response that one of them got, nil if none did.
+func (jb *job) countFailedSeconds(tried *[]id.BackendServer) *bufferedResponse {
+	var errorResponse *bufferedResponse
+	for _, failed := range jb.failedSeconds {
+		*tried = append(*tried, failed.server.ID)
+		jb.result.Attempts++
+		jb.result.PassedOn += failed.job.result.PassedOn
+		if failed.errorResponse != nil {
+			errorResponse = failed.errorResponse
+		}
+	}
+	jb.sentCount += countSent(jb.failedSeconds)
+	jb.failedSeconds = nil
+	return errorResponse
 }
 
 // minLimitRetryAfter is the shortest time after which a client is asked to retry because request limits are reached.
@@ -226,7 +256,7 @@
 	defer cancel(nil)
 	remaining := jb.remaining()
 	monitor := jb.watchSlowServer(ctx, tried, func() { cancel(errSlowServer) })
-	defer func() { jb.replacement, jb.hasReplacement = monitor.takeReplacement() }()
+	defer func() { jb.nextSecond, jb.failedSeconds = monitor.end() }()
 	mayBegin := func() bool { return jb.maySend() && !rn.fleet.Evacuated(server.ID) }
 	response, err := rn.sender.Send(attemptCtx, Attempt{
 		Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID,
@@ -240,7 +270,7 @@
 			}
 			return nil, retry.NotSent, err.Error()
 		}
-		if !monitor.keep() {
+		if monitor.hasLost() {
 			err = errSlowServer
 		}
 		jb.result.PassedOn++
@@ -288,8 +318,10 @@
 			return retry.Crashed
 		}
 	case ctx.Err() == nil, errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		// The results of the request may change meanwhile.
+		lost := &job{runner: rn, request: jb.request, result: Result{Fingerprint: jb.result.Fingerprint}}
 		rn.background.Go(func() {
-			jb.checkForCrash(context.Background(), server, startedAt, rn.probeConnection(context.Background(), server), err)
+			lost.checkForCrash(context.Background(), server, startedAt, rn.probeConnection(context.Background(), server), err)
 		})
 	}
 	return retry.Interrupted
@@ -317,7 +349,7 @@
 	// copyRest forwards the rest of the response. Its description is "passed through" even if the response was cut off,
 	// because a response that was forwarded in part is not retried.
 	copyRest := func(prefix []byte) (*bufferedResponse, retry.Cause, string) {
-		if !monitor.keep() {
+		if !monitor.win() || !jb.second.takeOver(ctx) {
 			jb.mayHaveRun = true
 			return nil, retry.Interrupted, errSlowServer.Error()
 		}
@@ -340,7 +372,7 @@
 		err = jb.confirmEnd(ctx, server, startedAt, response)
 	}
 	if err != nil {
-		if !monitor.keep() {
+		if monitor.hasLost() {
 			err = errSlowServer
 		}
 		jb.mayHaveRun = true
@@ -353,11 +385,18 @@
 	buffered := bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
 		*balanceResult = balance.ErrorResponse
-		if complete && jb.request.Route.Repeatable() && jb.sentCount < jb.request.Route.MaxAttempts {
+		switch {
+		case complete && jb.request.Route.Repeatable() && (jb.second.isPending() || jb.sentCount < jb.request.Route.MaxAttempts):
 			return &buffered, retry.Interrupted, "the server failed"
+		case jb.second.isPending():
+			return nil, retry.Interrupted, "the server failed"
 		}
 	}
 	if complete {
+		if !monitor.win() || !jb.second.takeOver(ctx) {
+			jb.mayHaveRun = true
+			return nil, retry.Interrupted, errSlowServer.Error()
+		}
 		jb.writeBuffered(buffered)
 		return nil, 0, "answered"
 	}
--- a/coordination/forward/plain_test.go
+++ b/coordination/forward/plain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,12 +24,16 @@
 // slowServers responds after a delay that depends on the address. One address cannot be reached.
 type slowServers struct {
 	fakeServers
+	// mutex guards sentTo.
+	mutex              sync.Mutex
 	delays             map[string]time.Duration
 	unreachableAddress string
 }
 
 func (sv *slowServers) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
+	sv.mutex.Lock()
 	sv.sentTo = append(sv.sentTo, attempt.Address)
+	sv.mutex.Unlock()
 	if attempt.Address == sv.unreachableAddress {
 		return forward.Response{}, forward.ErrNotSent
 	}
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -327,10 +327,12 @@
 	// the current attempt runs isolated, until its first event.
 	isolationMutex sync.Mutex
 	isolatedParts  []id.PromptPart
-	// replacement is the server for which the last attempt was aborted because its server was slow to answer; it is set if
-	// hasReplacement is.
-	replacement    serverlist.Server
-	hasReplacement bool
+	// nextSecond is the second attempt to go on with after the last attempt, nil if there is none; failedSeconds holds the
+	// second attempts that failed during the last attempt.
+	nextSecond    *secondAttempt
+	failedSeconds []*secondAttempt
+	// second is the second attempt that this job runs, nil if it runs none.
+	second *secondAttempt
 	// newConnection makes further attempts use new connections, because a reused one ended without a response or the
 	// connection of a stream broke, as others may just now.
 	newConnection bool
--- a/coordination/forward/slow_server.go
+++ b/coordination/forward/slow_server.go
@@ -8,134 +8,312 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
-// errSlowServer is the cause of aborting an attempt whose server has not answered within its part of the remaining time.
+// errSlowServer is the cause of aborting an attempt whose server was slow, because another server has answered.
 var errSlowServer = errors.New("the server is slow to answer")
 
 // slowServerMonitor watches an attempt at a server of a plain service. If the server has not answered within its part of the
-// remaining time and another server can take the request, it aborts the attempt. An attempt whose answer is being
-// forwarded is not aborted. It is safe for concurrent use.
+// remaining time and another server can take the request, a second attempt runs there while the first one goes on. The one
+// that is the first to have an answer forwards it, and ends the other one. It is safe for concurrent use.
 type slowServerMonitor struct {
 	clock timer.Clock
 	// nextWait returns how long to wait until the next search for another server.
 	nextWait func() time.Duration
-	// findServer returns a server that can take the request, and false if there is none.
-	findServer func(context.Context) (serverlist.Server, bool)
+	// findServer returns a server that can take the request, and false if there is none. It is given the failed attempts.
+	findServer func(context.Context, []*secondAttempt) (serverlist.Server, bool)
 	// takeRetry charges the retry budget and reports whether the request may be sent once more.
-	takeRetry func() bool
-	// abort ends the attempt with errSlowServer as its cause.
+	takeRetry func([]*secondAttempt) bool
+	// startSecond starts a second attempt, and returns nil if the host stops.
+	startSecond func(serverlist.Server, []*secondAttempt) *secondAttempt
+	// abort ends the first attempt with errSlowServer as its cause.
 	abort func()
 
 	mutex sync.Mutex
-	// kept says that the attempt must not be aborted any more, aborted that it was.
-	kept    bool
-	aborted bool
-	// replacement is the server that the request is sent to next; set if aborted is.
-	replacement  serverlist.Server
+	// ended says that the first attempt has ended or forwards its answer, won that it forwards it, and lost that the second
+	// one does.
+	ended, won, lost bool
+	// second is the second attempt that runs or has taken over; nil if there is none. failed holds those that have failed.
+	second       *secondAttempt
+	failed       []*secondAttempt
 	nextSearch   timer.Subscription
 	cancelSearch context.CancelFunc
 }
 
-// start starts to watch the attempt. The caller must call keep when the attempt has ended or its answer is to be forwarded.
+// start starts to watch the attempt. The caller must call end when the attempt has ended.
 func (sm *slowServerMonitor) start() {
 	sm.mutex.Lock()
 	defer sm.mutex.Unlock()
 	sm.nextSearch = sm.clock.After(sm.nextWait(), sm.search)
 }
 
-// search aborts the attempt if another server can take the request, and otherwise schedules the next search.
+// search starts a second attempt if another server can take the request, and otherwise schedules the next search.
 func (sm *slowServerMonitor) search() {
 	sm.mutex.Lock()
 	defer sm.mutex.Unlock()
-	if sm.kept {
+	if sm.ended {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sm.cancelSearch = cancel
 	server, found := sm.findServerUnlocked(ctx)
-	switch {
-	case sm.kept:
-	case found && sm.takeRetry():
-		sm.aborted, sm.replacement = true, server
-		sm.abort()
-	default:
+	if sm.ended {
+		return
+	}
+	if found && sm.takeRetry(sm.failed) {
+		sm.second = sm.startSecond(server, sm.failed)
+	}
+	if sm.second == nil {
 		sm.nextSearch = sm.clock.After(sm.nextWait(), sm.search)
 	}
 }
 
 // findServerUnlocked searches for another server. The caller holds the mutex, which is unlocked meanwhile.
 func (sm *slowServerMonitor) findServerUnlocked(ctx context.Context) (serverlist.Server, bool) {
+	failed := sm.failed
 	sm.mutex.Unlock()
 	defer sm.mutex.Lock()
-	return sm.findServer(ctx)
+	return sm.findServer(ctx, failed)
 }
 
-// keep makes the monitor abort the attempt no more and reports whether it has not done so. A nil monitor never aborts.
-func (sm *slowServerMonitor) keep() bool {
+// endSecond records that a second attempt has ended. If it has failed while the first one goes on, the next search is
+// scheduled.
+func (sm *slowServerMonitor) endSecond(second *secondAttempt) {
+	sm.mutex.Lock()
+	defer sm.mutex.Unlock()
+	if sm.ended || sm.lost {
+		return
+	}
+	sm.second = nil
+	sm.failed = append(sm.failed, second)
+	sm.nextSearch = sm.clock.After(sm.nextWait(), sm.search)
+}
+
+// win lets the first attempt forward its answer, which ends the second one. It returns false if that one forwards its own. A
+// nil monitor returns true.
+func (sm *slowServerMonitor) win() bool {
 	if sm == nil {
 		return true
 	}
 	sm.mutex.Lock()
 	defer sm.mutex.Unlock()
-	sm.kept = true
+	sm.endLocked()
+	if sm.lost {
+		return false
+	}
+	sm.won = true
+	if sm.second != nil {
+		sm.second.cancel()
+	}
+	return true
+}
+
+// lose lets the second attempt forward its answer and aborts the first one. It returns false if that one forwards its own.
+func (sm *slowServerMonitor) lose() bool {
+	sm.mutex.Lock()
+	defer sm.mutex.Unlock()
+	if sm.won {
+		return false
+	}
+	sm.lost = true
+	sm.abort()
+	return true
+}
+
+// hasLost reports whether the second attempt forwards its answer.
+func (sm *slowServerMonitor) hasLost() bool {
+	if sm == nil {
+		return false
+	}
+	sm.mutex.Lock()
+	defer sm.mutex.Unlock()
+	return sm.lost
+}
+
+// endLocked ends the searches. The caller holds the mutex.
+func (sm *slowServerMonitor) endLocked() {
+	sm.ended = true
 	sm.nextSearch.Stop()
 	if sm.cancelSearch != nil {
 		sm.cancelSearch()
 	}
-	return !sm.aborted
 }
 
-// takeReplacement ends the monitoring and returns the server for which the attempt was aborted, and false if it was not.
-func (sm *slowServerMonitor) takeReplacement() (serverlist.Server, bool) {
-	if sm.keep() {
-		return serverlist.Server{}, false
+// end ends the monitoring because the first attempt has ended. It returns the second attempt to go on with, nil if there is
+// none, and those that have failed.
+func (sm *slowServerMonitor) end() (*secondAttempt, []*secondAttempt) {
+	if sm == nil {
+		return nil, nil
+	}
+	sm.mutex.Lock()
+	defer sm.mutex.Unlock()
+	sm.endLocked()
+	if sm.won {
+		return nil, sm.failed
 	}
-	return sm.replacement, true
+	return sm.second, sm.failed
+}
+
+// secondAttempt is an attempt at another server while the first one is slow to answer.
+type secondAttempt struct {
+	// origin is the job of the first attempt, job the one that runs this attempt.
+	origin, job *job
+	monitor     *slowServerMonitor
+	server      serverlist.Server
+	cancel      context.CancelFunc
+	// sentBefore is the sentCount that job started with.
+	sentBefore int
+	// tookOver says that this attempt forwards its answer. Only the goroutine of the attempt uses it before done is closed.
+	tookOver bool
+	// joined is closed when the first attempt has ended and leaves the client to this one, done when this attempt has ended.
+	joined, done chan struct{}
+	// The next three are the results of attemptPlain; they are set before done is closed.
+	errorResponse *bufferedResponse
+	retryCause    retry.Cause
+	description   string
+}
+
+// takeOver makes the first attempt end and waits for that, so that this attempt can forward its answer. It returns false if
+// the first one forwards its own. For nil, which is no second attempt, it returns true.
+func (sa *secondAttempt) takeOver(ctx context.Context) bool {
+	if sa == nil || sa.tookOver {
+		return true
+	}
+	if !sa.monitor.lose() {
+		return false
+	}
+	select {
+	case <-sa.joined:
+	case <-ctx.Done():
+		return false
+	}
+	sa.tookOver = true
+	sa.job.inheritFrom(sa.origin)
+	return true
+}
+
+// isPending reports whether this is a second attempt that does not forward its answer.
+func (sa *secondAttempt) isPending() bool { return sa != nil && !sa.tookOver }
+
+// inheritFrom copies the results of the job whose first attempt has ended.
+func (jb *job) inheritFrom(origin *job) {
+	result := origin.result
+	result.Attempts += jb.result.Attempts
+	result.PassedOn += jb.result.PassedOn
+	result.Server = jb.result.Server
+	jb.result = result
+	jb.newConnection = jb.newConnection || origin.newConnection
 }
 
 // watchSlowServer returns a running monitor of an attempt at the last one of the servers tried. It returns nil if the
 // request can't be sent to another server.
 func (jb *job) watchSlowServer(ctx context.Context, tried []id.BackendServer, abort func()) *slowServerMonitor {
-	if !jb.canTryAnotherServer(tried) {
+	if jb.second.isPending() || !jb.canTryAnotherServer(tried) {
 		return nil
 	}
 	// minSearchInterval bounds the number of searches shortly before the deadline.
 	const minSearchInterval = 50 * time.Millisecond
-	attemptsMade, excluded := jb.sentCount+1, slices.Clone(tried)
+	sentBefore, excluded, newConnection := jb.sentCount+1, slices.Clone(tried), jb.newConnection
 	sm := &slowServerMonitor{
 		clock: jb.runner.clock,
 		nextWait: func() time.Duration {
 			return max(minSearchInterval, time.Duration(jb.runner.config.AttemptTimeoutShare*float64(jb.remaining())))
 		},
-		findServer: func(searchCtx context.Context) (serverlist.Server, bool) {
-			return jb.findReplacement(searchCtx, excluded, attemptsMade)
+		findServer: func(searchCtx context.Context, failed []*secondAttempt) (serverlist.Server, bool) {
+			return jb.findReplacement(searchCtx, withServersOf(excluded, failed), sentBefore+countSent(failed))
 		},
-		takeRetry: func() bool { return jb.takeRetryAfter(ctx, retry.Interrupted, attemptsMade) },
-		abort:     abort,
+		takeRetry: func(failed []*secondAttempt) bool {
+			return jb.takeRetryAfter(ctx, retry.Interrupted, sentBefore+countSent(failed))
+		},
+		abort: abort,
+	}
+	sm.startSecond = func(server serverlist.Server, failed []*secondAttempt) *secondAttempt {
+		next := &job{
+			runner: jb.runner, request: jb.request, sink: jb.sink, deadline: jb.deadline, sentCount: sentBefore + countSent(failed), mayHaveRun: true, newConnection: newConnection,
+			result: Result{Fingerprint: jb.result.Fingerprint, Server: server.ID, Attempts: 1},
+		}
+		second := &secondAttempt{origin: jb, job: next, monitor: sm, server: server, sentBefore: next.sentCount, joined: make(chan struct{}), done: make(chan struct{})}
+		next.second = second
+		return second.start(ctx, append(withServersOf(excluded, failed), server.ID))
 	}
 	sm.start()
 	return sm
 }
 
+// start runs the attempt in the background. It returns nil if the host stops.
+func (sa *secondAttempt) start(ctx context.Context, tried []id.BackendServer) *secondAttempt {
+	ctx, sa.cancel = context.WithCancel(ctx)
+	sa.job.recordSent(sa.server)
+	started := sa.job.runner.background.Go(func() {
+		defer sa.monitor.endSecond(sa)
+		defer close(sa.done)
+		defer sa.cancel()
+		sa.errorResponse, sa.retryCause, sa.description = sa.job.attemptPlain(ctx, sa.server, tried)
+		sa.job.logAttempt(sa.server, sa.description)
+	})
+	if !started {
+		sa.cancel()
+		return nil
+	}
+	return sa
+}
+
+// joinSecond leaves the client to a second attempt after the first one has ended. It returns what attemptPlain returned for
+// the second one.
+func (jb *job) joinSecond(second *secondAttempt) (*bufferedResponse, retry.Cause, string) {
+	close(second.joined)
+	<-second.done
+	next := second.job
+	if !second.tookOver {
+		next.inheritFrom(jb)
+	}
+	jb.result, jb.sentCount, jb.mayHaveRun, jb.newConnection = next.result, next.sentCount, true, next.newConnection
+	return second.errorResponse, second.retryCause, second.description
+}
+
+// countSent returns how many of the attempts that have ended may have reached a server.
+func countSent(ended []*secondAttempt) int {
+	sent := 0
+	for _, second := range ended {
+		sent += second.job.sentCount - second.sentBefore
+	}
+	return sent
+}
+
+// withServersOf returns servers and those of the attempts.
+func withServersOf(servers []id.BackendServer, attempts []*secondAttempt) []id.BackendServer {
+	servers = slices.Clone(servers)
+	for _, second := range attempts {
+		servers = append(servers, second.server.ID)
+	}
+	return servers
+}
+
 // findReplacement returns the best server that is not among those tried, accepts connections and may get the request at
 // once. It returns false if there is none or the retry policy allows no retry.
 func (jb *job) findReplacement(ctx context.Context, tried []id.BackendServer, attemptsMade int) (serverlist.Server, bool) {
 	rn := jb.runner
-	if !jb.retryAllowed(attemptsMade) {
+	_, quarantined := jb.quarantineOutcome()
+	if quarantined || attemptsMade >= jb.request.Route.MaxAttempts || !jb.retryAllowed(attemptsMade) {
 		return serverlist.Server{}, false
 	}
+	var permit requestlimit.Permit
 	for excluded := slices.Clone(tried); ctx.Err() == nil; {
 		server, _, ok := jb.bestServer(excluded)
 		if !ok {
 			return serverlist.Server{}, false
 		}
-		permitted := rn.limits.Rate(server) == 0 || rn.limits.Acquire(ctx, jb.request.Service, []serverlist.Server{server}, 0).Granted()
+		permitted := rn.limits.Rate(server) == 0
+		if !permitted && !permit.NoIssuer {
+			permit = rn.limits.Acquire(ctx, jb.request.Service, []serverlist.Server{server}, 0)
+			permitted = permit.Granted()
+		}
 		if permitted && rn.probeConnection(ctx, server).Alive() {
 			return server, true
 		}
