forward: Don't call a request not run that a server ran with an error

Callers of plain services got a refusal, which says that the request was not run, although a server had run it and answered with an error: when the next server refused it, or its content was quarantined before the retry. The server's own answer was dropped.

Cause: an answer with an error that is withheld for a retry did not count as a run, and a later refusal of a server replaced it.

--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -48,18 +48,14 @@
 			return
 		}
 		errorResponse, retryCause, description, ok := jb.nextAttempt(ctx, &tried, lastErrorResponse)
-		if response := jb.countFailedSeconds(&tried); response != nil {
-			lastErrorResponse = response
-		}
+		lastErrorResponse = betterResponse(lastErrorResponse, jb.countFailedSeconds(&tried))
 		if !ok {
 			break
 		}
 		if retryCause == 0 {
 			return
 		}
-		if errorResponse != nil {
-			lastErrorResponse = errorResponse
-		}
+		lastErrorResponse = betterResponse(lastErrorResponse, errorResponse)
 		if retryCause == retry.StaleConnection && !jb.newConnection {
 			jb.newConnection = true
 			// The stale connection says nothing about the server, so the server may be tried once more.
@@ -128,6 +124,15 @@
 	return errorResponse, retryCause, description, true
 }
 
+// betterResponse returns the response to forward if no attempt does better: the later one, unless it says that the request
+// was not run and the earlier one does not. Either may be nil.
+func betterResponse(earlier, later *bufferedResponse) *bufferedResponse {
+	if later == nil || later.notRun && earlier != nil && !earlier.notRun {
+		return earlier
+	}
+	return later
+}
+
 // logAttempt logs the end of an attempt.
 func (jb *job) logAttempt(server serverlist.Server, description string) {
 	jb.runner.logger.Info("attempt ended", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "server", string(server.ID), "address", server.Address,
@@ -142,9 +147,7 @@
 		*tried = append(*tried, failed.server.ID)
 		jb.result.Attempts++
 		jb.result.PassedOn += failed.job.result.PassedOn
-		if failed.errorResponse != nil {
-			errorResponse = failed.errorResponse
-		}
+		errorResponse = betterResponse(errorResponse, failed.errorResponse)
 	}
 	jb.sentCount += countSent(jb.failedSeconds)
 	jb.failedSeconds = nil
@@ -385,6 +388,7 @@
 	buffered := bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
 		*balanceResult = balance.ErrorResponse
+		jb.mayHaveRun = true
 		switch {
 		case complete && jb.request.Route.Repeatable() && (jb.second.isPending() || jb.sentCount < jb.request.Route.MaxAttempts):
 			return &buffered, retry.Interrupted, "the server failed"
