forward: Count runs of failed second attempts

A request was called not run although an engine or a server had run it in a second attempt that failed beside the first one, if the first one was then refused.

Evidence: TestEachRequestHasAnAnswerOrARefusal, new, which stops the host at random while requests wait for a grant or a permit, run, or are run a second time, and engines and servers refuse, fail, break off, are evacuated or are out of reach: each request ends by its deadline with a response or an outcome, a refusal never stands for a run, requests that may not be repeated run once, and nothing stays held. A second attempt that was not run no longer turns a refusal into a failure either.

--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -152,6 +152,7 @@
 	failed := st.failover.failed()
 	st.grantsUsed += failed.grants
 	st.sentCount += failed.sent
+	st.mayHaveRun = st.mayHaveRun || failed.sent > 0
 	st.result.Attempts += failed.attempts
 	st.result.PassedOn += failed.passedOn
 	st.grantRequest.AvoidedEngines = append(st.grantRequest.AvoidedEngines, failed.engines...)
@@ -301,7 +302,7 @@
 		next.result.Outcome = oc
 	}
 	st.result, st.grantRequest, st.grantsUsed, st.sentCount = next.result, next.grantRequest, next.grantsUsed, next.sentCount
-	st.mayHaveRun, st.newConnection = true, next.newConnection
+	st.mayHaveRun, st.newConnection = st.mayHaveRun || next.sentCount > fa.sentBefore, next.newConnection
 	st.lastEventID, st.endsUnnumbered, st.endUnconfirmed = next.lastEventID, next.endsUnnumbered, next.endUnconfirmed
 	st.superseded = false
 	st.mutex.Lock()
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -147,6 +147,7 @@
 		*tried = append(*tried, failed.server.ID)
 		jb.result.Attempts++
 		jb.result.PassedOn += failed.job.result.PassedOn
+		jb.mayHaveRun = jb.mayHaveRun || failed.mayHaveRun()
 		errorResponse = betterResponse(errorResponse, failed.errorResponse)
 	}
 	jb.sentCount += countSent(jb.failedSeconds)
--- a/coordination/forward/slow_server.go
+++ b/coordination/forward/slow_server.go
@@ -264,6 +264,11 @@
 	return sa
 }
 
+// mayHaveRun reports whether the server may have run the request in an attempt that has ended.
+func (sa *secondAttempt) mayHaveRun() bool {
+	return sa.retryCause != retry.NotSent && sa.retryCause != retry.BackendRefused
+}
+
 // joinSecond leaves the client to a second attempt after the first one has ended. It returns what attemptPlain returned for
 // the second one.
 func (jb *job) joinSecond(second *secondAttempt) (*bufferedResponse, retry.Cause, string) {
@@ -273,7 +278,8 @@
 	if !second.tookOver {
 		next.inheritFrom(jb)
 	}
-	jb.result, jb.sentCount, jb.mayHaveRun, jb.newConnection = next.result, next.sentCount, true, next.newConnection
+	jb.result, jb.sentCount, jb.newConnection = next.result, next.sentCount, next.newConnection
+	jb.mayHaveRun = jb.mayHaveRun || second.mayHaveRun()
 	return second.errorResponse, second.retryCause, second.description
 }
 
