--- a/coordination/forward/random_stop_test.go
+++ b/coordination/forward/random_stop_test.go
@@ -121,10 +121,12 @@
 }
 
 // TestEachRequestHasAnAnswerOrARefusal stops the host at random while requests wait for a grant or a permit, run, or are run
-// a second time, and servers fail at random. Each request must end by its deadline with a response or an outcome. A refusal
+// a second time, and servers fail at random. Each request must end by its deadline with a response or an outcome, and before it if no server has
+// seen it. A refusal
 // must not stand for a request that ran, one that must not be repeated must not run twice, and nothing may stay held.
 func TestEachRequestHasAnAnswerOrARefusal(t *testing.T) {
-	const deadlineAfter = 5 * time.Second
+	// arrivalTime is the time in which a refusal reaches its client.
+	const deadlineAfter, arrivalTime = 5 * time.Second, 40 * time.Millisecond
 	rapid.Check(t, func(rt *rapid.T) {
 		millis := func(name string, choices ...int) time.Duration {
 			return time.Duration(rapid.SampledFrom(choices).Draw(rt, name)) * time.Millisecond
@@ -183,6 +185,8 @@
 			switch {
 			case took > limit+10*time.Millisecond:
 				violation = errors.Errorf("ended after %s: %+v", took, result)
+			case result.PassedOn == 0 && took > deadlineAfter-arrivalTime:
+				violation = errors.Errorf("refused after %s, too late to arrive: %+v", took, result)
 			case !result.HeadSent && result.Outcome.Reason == "":
 				violation = errors.Errorf("neither a response nor an outcome: %+v", result)
 			case result.HeadSent != (result.Status != 0):
