--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -357,7 +357,7 @@
 	}
 }
 
-// errUnresponsive is the cause of aborting an attempt whose engine does not respond, once the stream can go on at another
+// errUnresponsive is the cause of aborting an attempt whose engine does not respond, once the stream goes on at another
 // engine. errLinkLost is the cause if only this host does not reach the engine. errStalled is the cause of aborting an
 // attempt whose stream makes no progress although the engine may still respond, or whose first event did not arrive before
 // the deadline for using the reserved memory.
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -12,8 +12,8 @@
 )
 
 // streamMonitor watches the stream of one attempt. A stream that has stalled, or that is idle at an engine that does not
-// respond to a probe, stays there until another engine can run it, because the engine may go on at any moment. Only then
-// does the monitor abort the attempt. It also aborts an attempt whose reserved memory has waited too long for the first
+// respond to a probe, stays there until another engine has an event of it, because the engine may go on at any moment. Only
+// then does the monitor abort the attempt. It also aborts an attempt whose reserved memory has waited too long for the first
 // event.
 type streamMonitor struct {
 	runner *Runner
@@ -24,8 +24,9 @@
 	// stallLimit is how long the stream may go without an event with an id, even if the engine responds, before
 	// findFailover is called; zero if the stream cannot go on at another engine.
 	stallLimit time.Duration
-	// findFailover acquires a grant on another engine for the stream and reports whether it succeeded. Its context ends
-	// when the engine shows that it is alive or, for a stalled stream, when the stream makes progress.
+	// findFailover runs an attempt on another engine for the stream and reports whether that one takes the stream over. Its
+	// context ends when the engine shows that it is alive or, for a stalled stream, when the stream makes progress; an attempt
+	// that runs by then goes on.
 	findFailover func(context.Context) bool
 	// handleNoResponse is called if the engine does not respond to a probe of this host, with the result and a context like
 	// that of findFailover. Equal results in a row are passed on once.
@@ -186,8 +187,8 @@
 	sm.callbacks.Run(func() { callback(ctx) })
 }
 
-// failOver searches for another engine for the stream. If it finds one, it aborts the attempt with the given cause and
-// returns true. The caller holds the mutex, which is unlocked meanwhile.
+// failOver searches for another engine for the stream. If one takes the stream over, it aborts the attempt with the given
+// cause and returns true. The caller holds the mutex, which is unlocked meanwhile.
 func (sm *streamMonitor) failOver(cause error) bool {
 	found := false
 	sm.runCallback(func(ctx context.Context) { found = sm.findFailover(ctx) })
