--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
+	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
@@ -39,33 +40,22 @@
 	var lastErrorResponse *bufferedResponse
 	unsentAttempts := 0
 	for {
-		if jb.rejectQuarantined() {
+		if jb.nextSecond == nil && jb.rejectQuarantined() {
 			jb.result.Cause = "quarantined: servers crashed while running this content"
 			return
 		}
 		if lastErrorResponse == nil && jb.rejectUnreachable() {
 			return
 		}
-		server, wait, ok := jb.takeReplacementOrChoose(ctx, tried)
-		if jb.refusesFirstSending() && (lastErrorResponse == nil || lastErrorResponse.notRun) {
-			break
-		}
+		errorResponse, retryCause, description, ok := jb.nextAttempt(ctx, &tried, lastErrorResponse)
+		lastErrorResponse = betterResponse(lastErrorResponse, jb.countFailedSeconds(&tried))
 		if !ok {
-			jb.backoffWait = wait
 			break
 		}
-		jb.result.Server = server.ID
-		jb.result.Attempts++
-		tried = append(tried, server.ID)
-		errorResponse, retryCause, description := jb.attemptPlain(ctx, server, tried)
-		rn.logger.Info("attempt ended", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "server", string(server.ID), "address", server.Address,
-			"number", jb.result.Attempts, "result", description, "remaining_ms", jb.remaining().Milliseconds())
 		if retryCause == 0 {
 			return
 		}
-		if errorResponse != nil {
-			lastErrorResponse = errorResponse
-		}
+		lastErrorResponse = betterResponse(lastErrorResponse, errorResponse)
 		if retryCause == retry.StaleConnection && !jb.newConnection {
 			jb.newConnection = true
 			// The stale connection says nothing about the server, so the server may be tried once more.
@@ -75,7 +65,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if jb.hasReplacement {
+		if jb.nextSecond != nil {
 			continue
 		}
 		if retryCause == retry.NotSent {
@@ -109,27 +99,74 @@
 	}
 }
 
-// takeReplacementOrChoose returns the server for which the last attempt was aborted, or else what chooseServer returns.
-func (jb *job) takeReplacementOrChoose(ctx context.Context, tried []id.BackendServer) (serverlist.Server, time.Duration, bool) {
-	hasReplacement := jb.hasReplacement && !jb.runner.fleet.Evacuated(jb.replacement.ID)
-	jb.hasReplacement = false
-	if !hasReplacement {
-		return jb.chooseServer(ctx, tried)
+// nextAttempt goes on with the second attempt that runs, or sends the request to a server that it chooses. The first three
+// results are those of attemptPlain, and ok is false if nothing was sent.
+func (jb *job) nextAttempt(ctx context.Context, tried *[]id.BackendServer, lastErrorResponse *bufferedResponse) (errorResponse *bufferedResponse, retryCause retry.Cause, description string, ok bool) {
+	if second := jb.nextSecond; second != nil {
+		jb.nextSecond = nil
+		*tried = append(*tried, second.server.ID)
+		errorResponse, retryCause, description = jb.joinSecond(second)
+		return errorResponse, retryCause, description, true
+	}
+	server, wait, found := jb.chooseServer(ctx, *tried)
+	if jb.refusesFirstSending() && (lastErrorResponse == nil || lastErrorResponse.notRun) {
+		return nil, 0, "", false
+	}
+	if !found {
+		jb.backoffWait = wait
+		return nil, 0, "", false
+	}
+	jb.result.Server = server.ID
+	jb.result.Attempts++
+	*tried = append(*tried, server.ID)
+	errorResponse, retryCause, description = jb.attemptPlain(ctx, server, *tried)
+	jb.logAttempt(server, description)
+	return errorResponse, retryCause, description, true
+}
+
+// betterResponse returns the response to forward if no attempt does better: the later one, unless it says that the request
+// was not run and the earlier one does not. Either may be nil.
+func betterResponse(earlier, later *bufferedResponse) *bufferedResponse {
+	if later == nil || later.notRun && earlier != nil && !earlier.notRun {
+		return earlier
+	}
+	return later
+}
+
+// logAttempt logs the end of an attempt.
+func (jb *job) logAttempt(server serverlist.Server, description string) {
+	jb.runner.logger.Info("attempt ended", "request", jb.request.ID, "fingerprint", jb.result.Fingerprint.String(), "server", string(server.ID), "address", server.Address,
+		"number", jb.result.Attempts, "result", description, "remaining_ms", jb.remaining().Milliseconds())
+}
+
+// countFailedSeconds adds what the second attempts used that failed during the last attempt to what the request used, and
+// returns the last response that one of them got, nil if none did.
+func (jb *job) countFailedSeconds(tried *[]id.BackendServer) *bufferedResponse {
+	var errorResponse *bufferedResponse
+	for _, failed := range jb.failedSeconds {
+		*tried = append(*tried, failed.server.ID)
+		jb.result.Attempts++
+		jb.result.PassedOn += failed.job.result.PassedOn
+		jb.mayHaveRun = jb.mayHaveRun || failed.mayHaveRun()
+		errorResponse = betterResponse(errorResponse, failed.errorResponse)
 	}
-	jb.recordSent(jb.replacement)
-	return jb.replacement, 0, true
+	jb.sentCount += countSent(jb.failedSeconds)
+	jb.failedSeconds = nil
+	return errorResponse
 }
 
 // minLimitRetryAfter is the shortest time after which a client is asked to retry because request limits are reached.
 const minLimitRetryAfter = 200 * time.Millisecond
 
-// chooseServer returns the best server that is not among those tried and that may get the request now. If the request
-// limits of all of them are reached, it waits for the first one that may get a request, up to half of the remaining time.
+// chooseServer returns the best server that is not among those tried and that may get the request now. An issuer of permits
+// that can't be asked is not asked for each server, which would use up the request's time. If the request limits of all
+// servers are reached, it waits for the first one that may get a request, up to half of the remaining time.
 // If there is no server, it returns false and the time until one may get requests again, or zero if that is not known.
 func (jb *job) chooseServer(ctx context.Context, tried []id.BackendServer) (serverlist.Server, time.Duration, bool) {
 	rn := jb.runner
 	excluded := tried
 	var limited []serverlist.Server
+	var permit requestlimit.Permit
 	for {
 		server, wait, ok := jb.bestServer(excluded)
 		switch {
@@ -137,7 +174,13 @@
 			return serverlist.Server{}, wait, false
 		case !ok:
 			return jb.waitForPermit(ctx, limited)
-		case rn.limits.Rate(server) == 0 || rn.limits.Acquire(ctx, jb.request.Service, []serverlist.Server{server}, 0).Granted():
+		}
+		permitted := rn.limits.Rate(server) == 0
+		if !permitted && !permit.NoIssuer {
+			permit = rn.limits.Acquire(ctx, jb.request.Service, []serverlist.Server{server}, 0)
+			permitted = permit.Granted()
+		}
+		if permitted {
 			jb.recordSent(server)
 			return server, 0, true
 		}
@@ -217,7 +260,7 @@
 	defer cancel(nil)
 	remaining := jb.remaining()
 	monitor := jb.watchSlowServer(ctx, tried, func() { cancel(errSlowServer) })
-	defer func() { jb.replacement, jb.hasReplacement = monitor.takeReplacement() }()
+	defer func() { jb.nextSecond, jb.failedSeconds = monitor.end() }()
 	mayBegin := func() bool { return jb.maySend() && !rn.fleet.Evacuated(server.ID) }
 	response, err := rn.sender.Send(attemptCtx, Attempt{
 		Request: jb.request, Server: server.ID, Address: server.Address, Remaining: remaining, ResumeAfter: jb.request.LastEventID,
@@ -231,7 +274,7 @@
 			}
 			return nil, retry.NotSent, err.Error()
 		}
-		if !monitor.keep() {
+		if monitor.hasLost() {
 			err = errSlowServer
 		}
 		jb.result.PassedOn++
@@ -279,8 +322,10 @@
 			return retry.Crashed
 		}
 	case ctx.Err() == nil, errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		// The results of the request may change meanwhile.
+		lost := &job{runner: rn, request: jb.request, result: Result{Fingerprint: jb.result.Fingerprint}}
 		rn.background.Go(func() {
-			jb.checkForCrash(context.Background(), server, startedAt, rn.probeConnection(context.Background(), server), err)
+			lost.checkForCrash(context.Background(), server, startedAt, rn.probeConnection(context.Background(), server), err)
 		})
 	}
 	return retry.Interrupted
@@ -308,7 +353,7 @@
 	// copyRest forwards the rest of the response. Its description is "passed through" even if the response was cut off,
 	// because a response that was forwarded in part is not retried.
 	copyRest := func(prefix []byte) (*bufferedResponse, retry.Cause, string) {
-		if !monitor.keep() {
+		if !monitor.win() || !jb.second.takeOver(ctx) {
 			jb.mayHaveRun = true
 			return nil, retry.Interrupted, errSlowServer.Error()
 		}
@@ -331,7 +376,7 @@
 		err = jb.confirmEnd(ctx, server, startedAt, response)
 	}
 	if err != nil {
-		if !monitor.keep() {
+		if monitor.hasLost() {
 			err = errSlowServer
 		}
 		jb.mayHaveRun = true
@@ -344,11 +389,19 @@
 	buffered := bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
 		*balanceResult = balance.ErrorResponse
-		if complete && jb.request.Route.Repeatable() && jb.sentCount < jb.request.Route.MaxAttempts {
+		jb.mayHaveRun = true
+		switch {
+		case complete && jb.request.Route.Repeatable() && (jb.second.isPending() || jb.sentCount < jb.request.Route.MaxAttempts):
 			return &buffered, retry.Interrupted, "the server failed"
+		case jb.second.isPending():
+			return nil, retry.Interrupted, "the server failed"
 		}
 	}
 	if complete {
+		if !monitor.win() || !jb.second.takeOver(ctx) {
+			jb.mayHaveRun = true
+			return nil, retry.Interrupted, errSlowServer.Error()
+		}
 		jb.writeBuffered(buffered)
 		return nil, 0, "answered"
 	}
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -12,8 +12,8 @@
 )
 
 // streamMonitor watches the stream of one attempt. A stream that has stalled, or that is idle at an engine that does not
-// respond to a probe, stays there until another engine can run it, because the engine may go on at any moment. Only then
-// does the monitor abort the attempt. It also aborts an attempt whose reserved memory has waited too long for the first
+// respond to a probe, stays there until another engine has an event of it, because the engine may go on at any moment. Only
+// then does the monitor abort the attempt. It also aborts an attempt whose reserved memory has waited too long for the first
 // event.
 type streamMonitor struct {
 	runner *Runner
@@ -24,8 +24,9 @@
 	// stallLimit is how long the stream may go without an event with an id, even if the engine responds, before
 	// findFailover is called; zero if the stream cannot go on at another engine.
 	stallLimit time.Duration
-	// findFailover acquires a grant on another engine for the stream and reports whether it succeeded. Its context ends
-	// when the engine shows that it is alive or, for a stalled stream, when the stream makes progress.
+	// findFailover runs an attempt on another engine for the stream and reports whether that one takes the stream over. Its
+	// context ends when the engine shows that it is alive or, for a stalled stream, when the stream makes progress; an attempt
+	// that runs by then goes on.
 	findFailover func(context.Context) bool
 	// handleNoResponse is called if the engine does not respond to a probe of this host, with the result and a context like
 	// that of findFailover. Equal results in a row are passed on once.
@@ -49,6 +50,8 @@
 	lastResult ProbeResult
 	stopped    bool
 	nextCheck  timer.Subscription
+	// deadlineCheck is nil if there is no firstEventDeadline.
+	deadlineCheck timer.Subscription
 }
 
 // monitorLimits are the limits that a streamMonitor enforces.
@@ -69,19 +72,18 @@
 
 // startStreamMonitor starts to watch a stream. The caller must call stop.
 func startStreamMonitor(rn *Runner, engine batch.Part, limits monitorLimits, callbacks monitorCallbacks) *streamMonitor {
-	firstCheck := limits.firstEventWait
-	predictedStart := rn.clock.Now().Add(firstCheck - rn.config.IdleBeforeProbe)
+	predictedStart := rn.clock.Now().Add(limits.firstEventWait - rn.config.IdleBeforeProbe)
 	sm := &streamMonitor{
 		runner: rn, engine: engine, idleLimit: rn.config.IdleBeforeProbe, stallLimit: limits.stallLimit, firstEventDeadline: limits.firstEventDeadline,
 		findFailover: callbacks.findFailover, handleNoResponse: callbacks.handleNoResponse, abort: callbacks.abort,
 		lastActivity: predictedStart, lastProgress: predictedStart,
 	}
-	if !limits.firstEventDeadline.IsZero() {
-		firstCheck = min(firstCheck, max(0, limits.firstEventDeadline.Sub(rn.clock.Now())))
-	}
 	sm.mutex.Lock()
 	defer sm.mutex.Unlock()
-	sm.nextCheck = rn.clock.After(firstCheck, sm.check)
+	sm.nextCheck = rn.clock.After(limits.firstEventWait, sm.check)
+	if !limits.firstEventDeadline.IsZero() {
+		sm.deadlineCheck = rn.clock.After(max(0, limits.firstEventDeadline.Sub(rn.clock.Now())), sm.checkFirstEvent)
+	}
 	return sm
 }
 
@@ -100,22 +102,26 @@
 	}
 }
 
-// check aborts the attempt with errStalled if the first event is overdue, searches for another engine if the stream has
-// stalled, probes the engine if the stream has been idle for too long, searches for another engine if it does not
-// respond, and schedules the next check. The timer calls it on its own goroutine, because the searches and the probe may
-// block.
+// checkFirstEvent aborts the attempt with errStalled if the first event is overdue. It does not wait for a search for another
+// engine.
+func (sm *streamMonitor) checkFirstEvent() {
+	sm.mutex.Lock()
+	defer sm.mutex.Unlock()
+	if !sm.stopped && !sm.firstEventDeadline.IsZero() {
+		sm.abort(errStalled)
+	}
+}
+
+// check searches for another engine if the stream has stalled, probes the engine if the stream has been idle for too long,
+// searches for another engine if it does not respond, and schedules the next check. The timer calls it on its own
+// goroutine, because the searches and the probe may block.
 func (sm *streamMonitor) check() {
 	sm.mutex.Lock()
 	defer sm.mutex.Unlock()
 	if sm.stopped {
 		return
 	}
-	now := sm.runner.clock.Now()
-	if !sm.firstEventDeadline.IsZero() && !now.Before(sm.firstEventDeadline) {
-		sm.abort(errStalled)
-		return
-	}
-	stalled := sm.stalled(now)
+	stalled := sm.stalled(sm.runner.clock.Now())
 	if stalled && sm.failOver(errStalled) || sm.stopped {
 		return
 	}
@@ -181,8 +187,8 @@
 	sm.callbacks.Run(func() { callback(ctx) })
 }
 
-// failOver searches for another engine for the stream. If it finds one, it aborts the attempt with the given cause and
-// returns true. The caller holds the mutex, which is unlocked meanwhile.
+// failOver searches for another engine for the stream. If one takes the stream over, it aborts the attempt with the given
+// cause and returns true. The caller holds the mutex, which is unlocked meanwhile.
 func (sm *streamMonitor) failOver(cause error) bool {
 	found := false
 	sm.runCallback(func(ctx context.Context) { found = sm.findFailover(ctx) })
@@ -205,6 +211,9 @@
 		sm.cancelCallback()
 	}
 	sm.nextCheck.Stop()
+	if sm.deadlineCheck != nil {
+		sm.deadlineCheck.Stop()
+	}
 	sm.mutex.Unlock()
 	sm.callbacks.Wait()
 }
