Log lines are written in pieces of at most 4,096 bytes

A host that starts queues some 100 lines about members (8 to 20 KB) while one write is under way, and LogWriter wrote them in one call.

A piece has whole lines of at most PIPE_BUF (4,096) bytes; a longer line is written alone.

--- a/telemetry/logwriter.go
+++ b/telemetry/logwriter.go
@@ -20,6 +20,9 @@
 	failurePause = time.Second
 	// fullPause is the time after which a write to a full pipe that does not block is repeated.
 	fullPause = 20 * time.Millisecond
+	// maxWriteBytes bounds the lines of one write. A pipe takes up to PIPE_BUF bytes as a whole, so that lines are not torn
+	// if another writer uses it, if the process ends while it is full, or if a reader keeps only the first bytes of a write.
+	maxWriteBytes = 4096
 )
 
 // LogLimits bounds the volume of log lines.
@@ -220,12 +223,12 @@
 	lw.drop(lostLines)
 }
 
-// writeAll writes a batch and returns the number of bytes written. While a pipe that doesn't block is full, it repeats
-// the write until the LogWriter is closed.
+// writeAll writes a batch, some whole lines at a time, and returns the number of bytes written. While a pipe that doesn't
+// block is full, it repeats the write until the LogWriter is closed.
 func (lw *LogWriter) writeAll(batch []byte) (int, error) {
 	written := 0
 	for written < len(batch) {
-		count, err := lw.out.Write(batch[written:])
+		count, err := lw.out.Write(firstLines(batch[written:]))
 		written += count
 		if err != nil && (!errors.Is(err, syscall.EAGAIN) || !lw.pause(fullPause)) {
 			return written, err
@@ -234,6 +237,21 @@
 	return written, nil
 }
 
+// firstLines returns the first lines of a batch, of at most maxWriteBytes. A longer line is returned alone.
+func firstLines(batch []byte) []byte {
+	if len(batch) <= maxWriteBytes {
+		return batch
+	}
+	end := bytes.LastIndexByte(batch[:maxWriteBytes], '\n')
+	if end < 0 {
+		end = bytes.IndexByte(batch, '\n')
+	}
+	if end < 0 {
+		return batch
+	}
+	return batch[:end+1]
+}
+
 // pause waits and reports whether the LogWriter is still open.
 func (lw *LogWriter) pause(duration time.Duration) bool {
 	select {
--- a/telemetry/logwriter_test.go
+++ b/telemetry/logwriter_test.go
@@ -1,6 +1,7 @@
 package telemetry_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -138,6 +140,83 @@
 	return count, result.err
 }
 
+// truncatingReader is a pipe's slow reader that keeps only the first bytes of each write.
+type truncatingReader struct {
+	lockedBuffer
+	keptBytes int
+}
+
+func (tr *truncatingReader) Write(part []byte) (int, error) {
+	time.Sleep(10 * time.Millisecond)
+	_, err := tr.lockedBuffer.Write(part[:min(tr.keptBytes, len(part))])
+	return len(part), err
+}
+
+// queueLines passes lines of some 200 bytes, of which each names its number, and one of longLineBytes.
+func queueLines(t *testing.T, logWriter *telemetry.LogWriter, name string, count, longLineBytes int) []string {
+	t.Helper()
+	var lines []string
+	for number := range count {
+		padding := 150 + number%100
+		if number == count/2 {
+			padding = longLineBytes
+		}
+		lines = append(lines, fmt.Sprintf("%s %d %s.", name, number, strings.Repeat("x", padding)))
+		_, err := logWriter.Write([]byte(lines[number] + "\n"))
+		assert.NilError(t, err)
+	}
+	return lines
+}
+
+// TestBurstOfLinesIsTorn guards against lines that are cut because many were written in one write, of which the reader
+// kept the first 8 KiB.
+func TestBurstOfLinesIsTorn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &truncatingReader{keptBytes: 8 << 10}
+		logWriter := telemetry.NewLogWriter(out, telemetry.LogLimits{MaxBytesPerSecond: 1 << 20, MaxPendingBytes: 256 << 10}, "JSON")
+		lines := queueLines(t, logWriter, "line", 300, 6000)
+		time.Sleep(5 * time.Second)
+		logWriter.Close()
+		read := strings.Split(strings.TrimSuffix(out.content.String(), "\n"), "\n")
+		for ix, line := range read {
+			assert.Assert(t, ix < len(lines) && line == lines[ix], "torn line %q", line)
+		}
+		assert.Equal(t, len(read), len(lines))
+	})
+}
+
+// TestLinesOfTwoWritersAreTorn guards against lines that are torn because two writers, such as those of standard output
+// and standard error, use one pipe whose reader is slow.
+func TestLinesOfTwoWritersAreTorn(t *testing.T) {
+	pipeReader, pipeWriter, err := os.Pipe()
+	assert.NilError(t, err)
+	defer func() { _ = pipeReader.Close() }()
+	limits := telemetry.LogLimits{MaxBytesPerSecond: 8 << 20, MaxPendingBytes: 8 << 20}
+	want := map[string]bool{}
+	var logWriters []*telemetry.LogWriter
+	for _, name := range []string{"first", "second"} {
+		// Writes to one os.File would exclude each other.
+		descriptor, err := syscall.Dup(int(pipeWriter.Fd()))
+		assert.NilError(t, err)
+		out := os.NewFile(uintptr(descriptor), name)
+		defer func() { _ = out.Close() }()
+		logWriter := telemetry.NewLogWriter(out, limits, "JSON")
+		for _, line := range queueLines(t, logWriter, name, 4000, 3000) {
+			want[line] = true
+		}
+		logWriters = append(logWriters, logWriter)
+	}
+	scanner := bufio.NewScanner(iotest.OneByteReader(pipeReader))
+	for range len(want) {
+		assert.Assert(t, scanner.Scan(), scanner.Err())
+		assert.Assert(t, want[scanner.Text()], "torn line %q", scanner.Text())
+	}
+	for _, logWriter := range logWriters {
+		logWriter.Close()
+	}
+	_ = pipeWriter.Close()
+}
+
 // dropCount is a counter of dropped lines.
 type dropCount struct{ lines int64 }
 
