A silent server that the list drops before the attempt ends has crashed

Callers saw: an order that crashes each server that begins to run it is never refused if the servers fall silent. Servers go on crashing, and the orders of others that run on them are lost.

Cause: checkForCrash excused servers that are leaving before it looked whether they are gone, and took each removal from the list for leaving. The list drops a silent server after 2.4 to 3.6 s; an attempt that ends later counted as "no, the server is leaving".

Now only what was announced counts as leaving: the server's own word, or draining in the list. The list keeps for which start of a server it has shown that, also once the entry is dropped and whatever order the records come in. A dropped server that is silent then, to this host and by a peer's word, has crashed.

The opposite fault was there too: an attempt that waits for the list counted as a crash when its server drained and left in order afterwards. resolveFromServerList asks for draining as well.

Not covered: a host that never read that a server drained, and a server whose next process listens at its address again before the attempt ends.

--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -178,8 +178,10 @@
 // or has restarted. Otherwise the next versions of the server list decide; until then the crash is only reported, and
 // only if the server is unresponsive while another server is reachable.
 //
-// It ignores servers that are leaving, because they end in any case, and a stale connection to a server that had
-// crashed before, because that crash has been counted.
+// It ignores servers that announced that they are leaving, because they end in any case, and a stale connection to a server
+// that had crashed before, because that crash has been counted. Servers may also leave without announcing it: the list drops
+// them while they run, and their addresses refuse connections when they have ended. A server that is unresponsive after the
+// list has dropped it has crashed, because the list drops what is silent.
 func (jb *job) checkForCrash(ctx context.Context, server serverlist.Server, startedAt time.Time, probeResult ProbeResult, cause error) bool {
 	rn := jb.runner
 	server = serverDuringAttempt(server, startedAt, rn.fleet.Servers(server.Service))
@@ -189,8 +191,10 @@
 	switch {
 	case crashedBefore && errors.Is(cause, ErrStaleConnection):
 		counted = "no, the server had crashed before"
-	case rn.fleet.ListedAsLeaving(server.ID) || rn.fleet.AnnouncedLeaving(server.ID):
+	case rn.fleet.ShownAsDraining(server) || rn.fleet.AnnouncedLeaving(server.ID):
 		counted = "no, the server is leaving"
+	case rn.fleet.ListedAsLeaving(server.ID) && probeResult != Unresponsive:
+		counted = "no, the server ran on after it was dropped"
 	case probeResult == ConnectionRefused || rn.goneOrRestarted(server, rn.fleet.Servers(server.Service)):
 		counted = quarantine.Confirmed.String()
 		rn.quarantine.LearnLocalEvidence(server.Service, confirmedEvidence(subjects, crash)...)
@@ -262,7 +266,8 @@
 }
 
 // resolveFromServerList decides on the unresolved attempts with a new version of the server list: a server that is gone
-// or has restarted has crashed. Attempts that the list has not decided in time are dropped.
+// or has restarted has crashed, unless the list has shown it as draining. Attempts that the list has not decided in time are
+// dropped.
 func (rn *Runner) resolveFromServerList(listed []serverlist.Server) {
 	now := rn.clock.Now()
 	var crashedAttempts []unresolvedAttempt
@@ -281,6 +286,9 @@
 	rn.unresolved = stillUnresolved
 	rn.mutex.Unlock()
 	for _, attempt := range crashedAttempts {
+		if rn.fleet.ShownAsDraining(attempt.server) {
+			continue
+		}
 		crash, _ := rn.identifyCrash(attempt.server, attempt.startedAt)
 		rn.quarantine.LearnLocalEvidence(attempt.server.Service, confirmedEvidence(attempt.subjects, crash)...)
 		rn.logger.Info("backend server crashed", "fingerprint", attempt.subjects[0].fingerprint.String(), "server", string(attempt.server.ID), "crash", crash.String(),
--- a/coordination/forward/crash_test.go
+++ b/coordination/forward/crash_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,8 @@
 	probeResults map[string]forward.ProbeResult
 	// hang makes attempts block until their context ends.
 	hang bool
+	// breakAfter is how long an attempt waits until its connection is lost.
+	breakAfter time.Duration
 	// staleConnections makes attempts fail as on a reused connection that the server had closed before.
 	staleConnections bool
 }
@@ -38,6 +41,7 @@
 		<-ctx.Done()
 		return forward.Response{}, ctx.Err()
 	}
+	time.Sleep(sv.breakAfter)
 	if sv.staleConnections {
 		return forward.Response{}, errors.Join(forward.ErrStaleConnection, io.ErrUnexpectedEOF)
 	}
@@ -177,6 +181,133 @@
 	return 0
 }
 
+// listFleet is a fleet whose servers are those of a list.
+type listFleet struct {
+	fakeFleet
+	// mutex guards list.
+	mutex sync.Mutex
+	list  *serverlist.List
+}
+
+func (lf *listFleet) Servers(id.Service) []serverlist.Server {
+	lf.mutex.Lock()
+	defer lf.mutex.Unlock()
+	return lf.list.Servers(time.Now())
+}
+
+func (lf *listFleet) ListedAsLeaving(server id.BackendServer) bool {
+	lf.mutex.Lock()
+	defer lf.mutex.Unlock()
+	return lf.list.Leaving(time.Now(), server)
+}
+
+func (lf *listFleet) ShownAsDraining(server serverlist.Server) bool {
+	lf.mutex.Lock()
+	defer lf.mutex.Unlock()
+	return lf.list.ShownAsDraining(time.Now(), server)
+}
+
+// apply applies a record and returns the servers that are listed then.
+func (lf *listFleet) apply(record serverlist.Record) []serverlist.Server {
+	lf.mutex.Lock()
+	defer lf.mutex.Unlock()
+	lf.list.Apply(time.Now(), record.Offset, record.Offset+1, []serverlist.Record{record}, false)
+	return lf.list.Servers(time.Now())
+}
+
+// listUpdate is a record that a host reads some time after the start of the attempt, about the server that the attempt is
+// on: a state of the same start, of a later one, or a removal.
+type listUpdate struct {
+	after                        time.Duration
+	offset                       id.Offset
+	draining, restarted, dropped bool
+}
+
+// playListUpdates runs an order on a server named "one" while the list changes, and returns the status of its crash.
+func playListUpdates(t *testing.T, probeResult forward.ProbeResult, answerTime time.Duration, updates []listUpdate) quarantine.CrashStatus {
+	one, other := newServer("one", time.Hour), newServer("other", time.Hour)
+	fleet := &listFleet{list: serverlist.New()}
+	fleet.list.ApplyFullList(time.Now(), 2, []serverlist.Record{{ID: "one", Offset: 0, Server: &one}, {ID: "other", Offset: 1, Server: &other}}, false)
+	balancer := balance.New("", 1)
+	balancer.EndRequest(time.Now(), other, balance.ErrorResponse, nil, time.Millisecond)
+	backends := &crashingServers{breakAfter: answerTime, probeResults: map[string]forward.ProbeResult{"one": probeResult, "other": forward.Reachable}}
+	table := newLocalQuarantine()
+	rn := newRunner(forward.Dependencies{Sender: backends, Fleet: fleet, Quarantine: table, Balancer: balancer})
+	for _, update := range updates {
+		time.AfterFunc(update.after, func() {
+			record := serverlist.Record{ID: "one", Offset: update.offset, Dropped: update.dropped}
+			if !update.dropped {
+				server := one
+				server.Draining = update.draining
+				if update.restarted {
+					server.StartedAtMillis = time.Now().UnixMilli()
+				}
+				record.Server = &server
+			}
+			rn.UpdateServers(fleet.apply(record))
+		})
+	}
+	request := newOrder()
+	request.Deadline = request.ArrivedAt.Add(8 * time.Second)
+	result := rn.Run(t.Context(), request, &fakeClient{})
+	assert.Equal(t, result.Outcome.Kind, outcome.Failed, "%+v", result)
+	assert.DeepEqual(t, backends.sentTo, []string{"one"})
+	time.Sleep(20 * time.Second)
+	synctest.Wait()
+	return crashStatus(table)
+}
+
+// TestSilentCrashCountsAsLeaving guards against crashes that are not counted because the list drops a silent server
+// before the attempt on it ends.
+func TestSilentCrashCountsAsLeaving(t *testing.T) {
+	for name, updates := range map[string][]listUpdate{
+		"dropped while the attempt waits":               {{after: 3 * time.Second, offset: 2, dropped: true}},
+		"dropped after the attempt":                     {{after: 6 * time.Second, offset: 2, dropped: true}},
+		"dropped and started anew":                      {{after: 3 * time.Second, offset: 2, dropped: true}, {after: 4 * time.Second, offset: 3, restarted: true}},
+		"dropped, its next start is draining":           {{after: 3 * time.Second, offset: 2, dropped: true}, {after: 4 * time.Second, offset: 3, restarted: true, draining: true}},
+		"the next start drains and is dropped as well":  {{after: 3 * time.Second, offset: 2, restarted: true, draining: true}, {after: 4 * time.Second, offset: 3, dropped: true}},
+		"dropped after the attempt, next start drains":  {{after: 6 * time.Second, offset: 2, restarted: true, draining: true}, {after: 7 * time.Second, offset: 3, dropped: true}},
+		"was ready again and dropped before the answer": {{after: time.Second, offset: 2}, {after: 4 * time.Second, offset: 3, dropped: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				assert.Equal(t, playListUpdates(t, forward.Unresponsive, 5*time.Second, updates), quarantine.Confirmed)
+			})
+		})
+	}
+}
+
+// TestLeavingCountsAsCrash guards against the opposite: a server that drains, leaves and is dropped counts for no crash,
+// whether a host reads that before or after the attempt on it is lost, and in any order. One that is dropped without
+// draining, serves on and then exits counts for none either.
+func TestLeavingCountsAsCrash(t *testing.T) {
+	drainsAt := func(after time.Duration, offset id.Offset) listUpdate {
+		return listUpdate{after: after, offset: offset, draining: true}
+	}
+	dropsAt := func(after time.Duration, offset id.Offset) listUpdate {
+		return listUpdate{after: after, offset: offset, dropped: true}
+	}
+	for _, tc := range []struct {
+		name    string
+		probe   forward.ProbeResult
+		updates []listUpdate
+	}{
+		{"drains and is dropped, then silent", forward.Unresponsive, []listUpdate{drainsAt(time.Second, 2), dropsAt(4*time.Second, 3)}},
+		{"drains and is dropped, then gone", forward.ConnectionRefused, []listUpdate{drainsAt(time.Second, 2), dropsAt(4*time.Second, 3)}},
+		{"the drop is read first", forward.Unresponsive, []listUpdate{dropsAt(time.Second, 3), drainsAt(2*time.Second, 2)}},
+		{"drains, dropped after the attempt", forward.Reachable, []listUpdate{drainsAt(time.Second, 2), dropsAt(6*time.Second, 3)}},
+		{"drains and is dropped after the attempt", forward.Reachable, []listUpdate{drainsAt(6*time.Second, 2), dropsAt(9*time.Second, 3)}},
+		{"dropped without draining, then exits", forward.ConnectionRefused, []listUpdate{dropsAt(time.Second, 2)}},
+		{"dropped without draining, serves on", forward.Reachable, []listUpdate{dropsAt(time.Second, 2)}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				assert.Equal(t, playListUpdates(t, tc.probe, 5*time.Second, tc.updates), quarantine.CrashStatus(0))
+			})
+		})
+	}
+}
+
 // TestRepeatedCrashesOfOneServer checks that each crash of a server that restarts under the same id counts exactly
 // once, although the list shows none of the restarts. After three crashes the request is rejected.
 func TestRepeatedCrashesOfOneServer(t *testing.T) {
--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -110,7 +110,13 @@
 }
 
 func (fl fakeFleet) ListedAsLeaving(server id.BackendServer) bool { return fl.listedAsLeaving[server] }
-func (fl fakeFleet) ListAge() time.Duration                       { return fl.age }
+
+func (fl fakeFleet) ShownAsDraining(server serverlist.Server) bool {
+	return slices.ContainsFunc(fl.listed, func(listed serverlist.Server) bool {
+		return listed.ID == server.ID && listed.StartedAtMillis == server.StartedAtMillis && listed.Draining
+	})
+}
+func (fl fakeFleet) ListAge() time.Duration { return fl.age }
 func (fl fakeFleet) AnnouncedLeaving(server id.BackendServer) bool {
 	return fl.announcedLeaving[server]
 }
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -173,6 +173,9 @@
 	// ListedAsLeaving reports whether the list shows a server as draining or removed. It returns false for a server
 	// that was never listed.
 	ListedAsLeaving(server id.BackendServer) bool
+	// ShownAsDraining reports whether the list shows the given start of a server as draining, or showed it so before it
+	// dropped or replaced its entry.
+	ShownAsDraining(server serverlist.Server) bool
 	// AnnouncedLeaving reports whether a server itself announced that it is leaving, or was found replaced at its
 	// address by another server.
 	AnnouncedLeaving(server id.BackendServer) bool
--- a/coordination/statesync/follower.go
+++ b/coordination/statesync/follower.go
@@ -195,6 +195,14 @@
 	return fl.serverList.Leaving(fl.clock.Now(), server)
 }
 
+// ShownAsDraining reports whether the list shows the given start of a server as draining, or showed it so before it dropped
+// or replaced its entry.
+func (fl *Follower) ShownAsDraining(server serverlist.Server) bool {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	return fl.serverList.ShownAsDraining(fl.clock.Now(), server)
+}
+
 // ListAge returns the time since the list of backend servers was last known to be up to date.
 func (fl *Follower) ListAge() time.Duration {
 	fl.mutex.Lock()
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -139,6 +139,12 @@
 // ListedAsLeaving reports whether the list shows a server as draining, or no longer contains it.
 func (fl *fleet) ListedAsLeaving(server id.BackendServer) bool { return fl.follower.Leaving(server) }
 
+// ShownAsDraining reports whether the list shows the given start of a server as draining, or showed it so before it dropped
+// or replaced its entry.
+func (fl *fleet) ShownAsDraining(server serverlist.Server) bool {
+	return fl.follower.ShownAsDraining(server)
+}
+
 // AnnouncedLeaving reports whether a server itself announced that it is leaving, or another server has its address. It
 // returns false if the server has been started again since.
 func (fl *fleet) AnnouncedLeaving(server id.BackendServer) bool {
--- a/state/serverlist/serverlist.go
+++ b/state/serverlist/serverlist.go
@@ -113,6 +113,9 @@
 	graceServer *Server
 	// startedAtMillis is the start time of the server that the entry last described.
 	startedAtMillis int64
+	// drained is set once a record has shown the server as draining; drainedStart is the newest start time for which one has.
+	drained      bool
+	drainedStart int64
 	// leavingUntil is when the server no longer counts as leaving because of what was known before the store was restored.
 	// It is zero for other entries.
 	leavingUntil time.Time
@@ -132,6 +135,14 @@
 	}
 }
 
+// noteDraining records that a record shows a server as draining, also if a newer record is known.
+func (en *entry) noteDraining(rc Record) {
+	if rc.Server == nil || !rc.Server.Draining || en.drained && rc.Server.StartedAtMillis < en.drainedStart {
+		return
+	}
+	en.drained, en.drainedStart = true, rc.Server.StartedAtMillis
+}
+
 // knownToLeave reports whether the entry says that its server is leaving or gone, other than by expiring in an outage of
 // the store.
 func (en *entry) knownToLeave() bool {
@@ -291,10 +302,12 @@
 	if !found {
 		en = &entry{Record: rc, changeOffset: rc.Offset, startedAtMillis: rc.startedAtMillis()}
 		en.setColdUntil(now)
+		en.noteDraining(rc)
 		ls.entries[rc.ID] = en
 		ls.noteChangeAt(rc.Offset)
 		return true
 	}
+	en.noteDraining(rc)
 	if rc.Offset <= en.Offset {
 		return false
 	}
@@ -358,6 +371,19 @@
 	return sv == nil || sv.Draining
 }
 
+// ShownAsDraining reports whether the list shows the given start of a server as draining, or showed it so before it dropped
+// or replaced its entry.
+func (ls *List) ShownAsDraining(now time.Time, server Server) bool {
+	en, found := ls.entries[server.ID]
+	if !found {
+		return false
+	}
+	if listed := en.usableServer(now); listed != nil && listed.StartedAtMillis == server.StartedAtMillis {
+		return listed.Draining
+	}
+	return en.drained && en.drainedStart == server.StartedAtMillis
+}
+
 // ExpireGracePeriods removes the servers that were not listed again within their grace period, and admits those that
 // counted as leaving since a restore of the store. It reports whether there were any.
 func (ls *List) ExpireGracePeriods(now time.Time) bool {
--- a/state/serverlist/serverlist_test.go
+++ b/state/serverlist/serverlist_test.go
@@ -100,6 +100,50 @@
 	}
 }
 
+// TestDrainingIsForgotten guards against servers that drained in order and do not count as leaving once their entries are
+// dropped, whatever order the records come in. Draining holds for one start of a server.
+func TestDrainingIsForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	record := func(position, startedAt int64, draining bool) serverlist.Record {
+		return startedRecord("a", 1, position, startedAt, draining)
+	}
+	dropped := func(position int64) serverlist.Record {
+		return serverlist.Record{ID: "a", Offset: id.NewOffset(1, position), Dropped: true}
+	}
+	for _, tc := range []struct {
+		name    string
+		records []serverlist.Record
+		// wantDraining holds the starts, of 5 and 9, that are shown as draining.
+		wantDraining []int64
+	}{
+		{"ready", nil, nil},
+		{"draining", []serverlist.Record{record(20, 5, true)}, []int64{5}},
+		{"draining, then dropped", []serverlist.Record{record(20, 5, true), dropped(21)}, []int64{5}},
+		{"the drop is merged first", []serverlist.Record{dropped(21), record(20, 5, true)}, []int64{5}},
+		{"dropped without draining", []serverlist.Record{dropped(20)}, nil},
+		{"draining, then started anew", []serverlist.Record{record(20, 5, true), record(21, 9, false)}, []int64{5}},
+		{"started anew, then draining and dropped", []serverlist.Record{record(20, 9, true), dropped(21)}, []int64{9}},
+		{"started anew, the old start drained", []serverlist.Record{record(21, 9, false), record(20, 5, true), dropped(22)}, []int64{5}},
+		{"ready again", []serverlist.Record{record(20, 5, true), record(21, 5, false)}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			serverList := serverlist.New()
+			serverList.ApplyFullList(now, id.NewOffset(1, 20), []serverlist.Record{record(10, 5, false)}, false)
+			for _, rc := range tc.records {
+				serverList.Apply(now, rc.Offset, rc.Offset+1, []serverlist.Record{rc}, false)
+			}
+			var draining []int64
+			for _, startedAt := range []int64{5, 9} {
+				if serverList.ShownAsDraining(now, serverlist.Server{ID: "a", StartedAtMillis: startedAt}) {
+					draining = append(draining, startedAt)
+				}
+			}
+			assert.DeepEqual(t, draining, tc.wantDraining)
+		})
+	}
+	assert.Assert(t, !serverlist.New().ShownAsDraining(now, serverlist.Server{ID: "a"}), "never listed")
+}
+
 // TestDroppedEntryKeepsColdTime checks that a server whose entry expires in an outage remains cold while it stays usable.
 func TestDroppedEntryKeepsColdTime(t *testing.T) {
 	now := time.Unix(1000, 0)
