Soak: sound servers that fall silent beside planned work (mix PlannedSilent)

The soak drew no silence of sound servers and no changes of the desired state but versions and added routes, so that its rule LOST never counted around them.

The new mix has the work of Planned, and servers whose links hold back all bytes for 0.5 to 1.5 s (one, all of a service, half of all) and then go on, at least 2 s apart for each server. Desired states change weights, the service of a route, time-outs, idle times, tenants and connections. A silence counts as planned, so that it excuses nothing. The time-out of streams only grows; cuts between the usual one and the longer one are still counted as at the time limit.

The number 'never read' is split by what the host's process did when the connection ended, from the times of its log: no process, before or after its listeners were open, or with open listeners (refused, crossed the close, left unread, not ended by the host).

No draw of the other mixes changes. Planned keeps its list; the check of ROUTE allows a second service for reads in the new mix only.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -44,6 +44,8 @@
 	clientsPerHost int
 	// plannedOnly says that all faults are planned work.
 	plannedOnly bool
+	// movesServices says that desired states may move the added routes to another service.
+	movesServices bool
 	// grace is how long the hosts may take to stop; zero for shutdownTimeout.
 	grace time.Duration
 	// coldPerSecond is the number of requests a second that a cold server takes; zero if the services have no cold servers.
@@ -112,6 +114,16 @@
 			publishDesiredStates, reloadSettings, reloadSettings,
 		},
 	},
+	// PlannedSilent has planned work beside sound servers that fall silent for a time, and desired states that change more
+	// than routes. No request may be lost.
+	"PlannedSilent": {
+		seriesPerSecond: 2, clientsPerHost: 12, plannedOnly: true, movesServices: true, grace: 5 * time.Second,
+		longestAnswers: map[string]time.Duration{"books": 800 * time.Millisecond, "models": 6 * time.Second, movableService: 800 * time.Millisecond},
+		faultGenerators: []func(tb *testbed, random *rand.Rand) scheduledFault{
+			terminateHost, terminateHost, terminateHostRepeatedly, silenceServers, silenceServers, silenceServers, silenceServers, silenceServers,
+			publishDesiredStates, changeDesiredState, changeDesiredState, reloadSettings,
+		},
+	},
 }
 
 // drawFaults draws the faults to inject within the given total time and returns them by start time. It draws series of
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -78,6 +78,8 @@
 	// of the example.
 	desiredStateVersion int
 	addedRoutes         int
+	// stateChange changes each desired state before it is published; nil for no change.
+	stateChange func(desiredState map[string]any)
 	// startedServers is the number of servers started so far, from which the name and zone of the next are made.
 	startedServers int
 	exchanges      []*exchange
@@ -125,6 +127,8 @@
 	ratePerSecond float64
 	// coldTimes are the times in which the server said that it is cold.
 	coldTimes []coldTime
+	// mayBeSilentAt is when silenceServers may choose the server again.
+	mayBeSilentAt time.Time
 	// retired says that the server is draining or has ended for good, so that no more faults use it.
 	retired bool
 	// draining says that the list shows the server as draining.
@@ -141,6 +145,9 @@
 	for range max(zoneCount, *hostCount) {
 		tb.addServer("books", nil)
 		tb.addServer("models", nil)
+		if mx.movesServices {
+			tb.addServer(movableService, nil)
+		}
 	}
 	tb.publishDesiredState(0)
 	dir := t.TempDir()
@@ -297,6 +304,12 @@
 		})
 	}
 	desiredState["Routes"] = routes
+	if tb.mix.movesServices {
+		desiredState["Services"] = append(desiredState["Services"].([]any), map[string]any{"Name": movableService, "HealthPath": "/healthz", "MaxConnections": 50})
+	}
+	if tb.stateChange != nil {
+		tb.stateChange(desiredState)
+	}
 	assert.NilError(tb.t, tb.store.PublishDesiredState(desiredState))
 }
 
