forward: A panic of a second attempt ends its request only

A panic while a response is forwarded ends its request, which its handler answers as one that may have run. In a second attempt it would have ended the process with all its requests.

Now the goroutine of the request passes the panic on if the second attempt has taken over or goes on alone. A panic in a second attempt that runs beside the first one still goes to the subscribers of NotifyPanics, as one in a monitor does.

--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 )
 
 // errSuperseded ends an attempt whose failover attempt has taken the stream over, errNotNeeded a failover attempt whose
@@ -44,6 +45,8 @@
 	// ended and result describe the end; they are set before done is closed.
 	ended  broker.EndedGrant
 	result attemptResult
+	// panicked is set if the attempt has panicked.
+	panicked error
 }
 
 // isPending reports whether this is a failover attempt that has not taken the stream over.
@@ -257,10 +260,14 @@
 	fa.cancel = cancel
 	st.failover.set(fa)
 	started := rn.background.Go(func() {
-		defer close(fa.done)
 		defer cancel()
-		fa.ended, fa.result = fa.job.useGrant(ctx, grant)
-		fa.job.countFailedFailovers()
+		fa.panicked = tasks.Call(func() error {
+			fa.ended, fa.result = fa.job.useGrant(ctx, grant)
+			fa.job.countFailedFailovers()
+			return nil
+		})
+		close(fa.done)
+		panicUnlessJoined(fa.panicked, fa.joined)
 	})
 	if !started {
 		cancel()
@@ -270,6 +277,18 @@
 	return fa
 }
 
+// panicUnlessJoined passes the panic of an attempt on, unless the goroutine of the request does. A panic there ends the
+// request and not the process.
+func panicUnlessJoined(panicked error, joined <-chan struct{}) {
+	select {
+	case <-joined:
+	default:
+		if panicked != nil {
+			panic(panicked)
+		}
+	}
+}
+
 // awaitFailover waits until a failover attempt takes the stream over, and returns true, or until it has failed or is
 // dropped. If the attempt in progress ends before that, the failover attempt stays for joinFailover.
 func (st *engineJob) awaitFailover(attemptCtx context.Context, fa *failoverAttempt) bool {
@@ -295,6 +314,9 @@
 func (st *engineJob) joinFailover(fa *failoverAttempt) (broker.EndedGrant, attemptResult) {
 	close(fa.joined)
 	<-fa.done
+	if fa.panicked != nil {
+		panic(fa.panicked)
+	}
 	next := fa.job
 	if fa.isPending() {
 		oc := next.result.Outcome
--- a/coordination/forward/slow_server.go
+++ b/coordination/forward/slow_server.go
@@ -12,6 +12,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
+	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
@@ -177,6 +178,8 @@
 	errorResponse *bufferedResponse
 	retryCause    retry.Cause
 	description   string
+	// panicked is set if the attempt has panicked.
+	panicked error
 }
 
 // takeOver makes the first attempt end and waits for that, so that this attempt can forward its answer. It returns false if
@@ -251,11 +254,15 @@
 	ctx, sa.cancel = context.WithCancel(ctx)
 	sa.job.recordSent(sa.server)
 	started := sa.job.runner.background.Go(func() {
-		defer sa.monitor.endSecond(sa)
-		defer close(sa.done)
 		defer sa.cancel()
-		sa.errorResponse, sa.retryCause, sa.description = sa.job.attemptPlain(ctx, sa.server, tried)
-		sa.job.logAttempt(sa.server, sa.description)
+		sa.panicked = tasks.Call(func() error {
+			sa.errorResponse, sa.retryCause, sa.description = sa.job.attemptPlain(ctx, sa.server, tried)
+			sa.job.logAttempt(sa.server, sa.description)
+			return nil
+		})
+		close(sa.done)
+		sa.monitor.endSecond(sa)
+		panicUnlessJoined(sa.panicked, sa.joined)
 	})
 	if !started {
 		sa.cancel()
@@ -274,6 +281,9 @@
 func (jb *job) joinSecond(second *secondAttempt) (*bufferedResponse, retry.Cause, string) {
 	close(second.joined)
 	<-second.done
+	if second.panicked != nil {
+		panic(second.panicked)
+	}
 	next := second.job
 	if !second.tookOver {
 		next.inheritFrom(jb)
