broker: Don't use the grant of an earlier attempt

A request whose engine had failed was sent to that engine again, under a grant that had ended, if the delivery of its first grant arrived late or twice while it waited for the second one. Such an attempt uses up one that the route allows.

Cause: a waiting request took any grant that was delivered for its id.

Evidence: TestGrantOfEarlierAttemptIsNotUsed. Before: the grant request/1 for the second attempt. After: request/2.

--- a/coordination/broker/client.go
+++ b/coordination/broker/client.go
@@ -82,7 +82,9 @@
 
 // waiter is a request that waits for a grant.
 type waiter struct {
-	service   id.Service
+	service id.Service
+	// attempt is the attempt that the request waits to make.
+	attempt   id.Attempt
 	responses chan GrantResponse
 	// queuedAt is the dispatcher at which the request is queued; empty if it is at none. moved gets an element when another
 	// dispatcher is selected meanwhile.
@@ -224,7 +226,7 @@
 func (cl *Client) addWaiter(request GrantRequest) *waiter {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
-	wt := &waiter{service: request.Service, responses: make(chan GrantResponse, 1), moved: make(chan struct{}, 1)}
+	wt := &waiter{service: request.Service, attempt: id.NewAttempt(request.ID, request.AttemptNumber), responses: make(chan GrantResponse, 1), moved: make(chan struct{}, 1)}
 	cl.waiters[request.ID] = wt
 	return wt
 }
@@ -254,12 +256,13 @@
 	return GrantResponse{}
 }
 
-// DeliverResponse passes a dispatcher's response to the queued request and reports whether the request still waits.
+// DeliverResponse passes a dispatcher's response to the queued request and reports whether the request still waits. A request
+// does not wait for the grant of an earlier attempt.
 func (cl *Client) DeliverResponse(requestID id.Request, response GrantResponse) bool {
 	cl.mutex.Lock()
 	defer cl.mutex.Unlock()
 	wt, isWaiting := cl.waiters[requestID]
-	if !isWaiting {
+	if !isWaiting || response.Grant != nil && response.Grant.Attempt != wt.attempt {
 		return false
 	}
 	select {
--- a/coordination/broker/queued_test.go
+++ b/coordination/broker/queued_test.go
@@ -1,14 +1,18 @@
 package broker_test
 
 import (
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
 // TestQueuedRequestStaysAtDispatchers guards against requests that are sent to engines without room. A request that is queued
@@ -40,3 +44,21 @@
 		})
 	}
 }
+
+// TestGrantOfEarlierAttemptIsNotUsed guards against attempts on engines that have just failed: the grant of an earlier attempt
+// that arrives late, or once more, must not be taken for the one that the request waits for.
+func TestGrantOfEarlierAttemptIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := broker.NewClient(batch.DefaultConfig(), "entry", timer.NewSystem(), mutePeers{}, singleEngineFleet{network: &network{}}, tally.NoopScope, slog.New(slog.DiscardHandler), 1)
+		client.SetHostsKnown()
+		grantOf := func(attemptNumber int) broker.GrantResponse {
+			return broker.GrantResponse{Grant: &batch.Grant{Attempt: id.NewAttempt("request", attemptNumber), Parts: []batch.Part{{Engine: "engine-1"}}}}
+		}
+		time.AfterFunc(100*time.Millisecond, func() { assert.Check(t, !client.DeliverResponse("request", grantOf(1))) })
+		time.AfterFunc(200*time.Millisecond, func() { assert.Check(t, client.DeliverResponse("request", grantOf(2))) })
+		grant, oc := client.Acquire(t.Context(), broker.GrantRequest{Service: service, Unanswered: true, Request: batch.Request{ID: "request", ArrivedAt: time.Now(), WaitLimit: 2 * time.Second, AttemptNumber: 2}})
+		assert.Assert(t, oc.OK(), "%+v", oc)
+		assert.Equal(t, grant.Attempt, id.NewAttempt("request", 2))
+		synctest.Wait()
+	})
+}
