A crash after the client has left counts

Callers saw: a request whose client leaves after 40 ms crashes engines again and again, and the requests of others that run on them are lost.

Cause: an attempt that ended because its client left, and at engines also one that ended at its deadline, was not looked at. The crash that followed counted against no request.

Such an attempt waits; a second later its server is probed once, however many attempts ended there. If nothing listens, the crash counts against them; if the server accepts connections they are cleared, unless the list shows that it had restarted before the probe. Servers that are leaving or were dropped, and the end of the local host, count for nothing.

Not covered: a server that falls silent, not closed, after its client left; an engine that begins a request later than a second after; a client that is found gone only by a failed write in the middle of a stream; requests whose first hop is another host.

--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -115,6 +115,10 @@
 	// startedAt is when the attempt started, lostAt when the connection was lost.
 	startedAt time.Time
 	lostAt    time.Time
+	// endedEarly is set if the connection was not lost but given up, see suspectAfterEarlyEnd. The request is then nil, as its
+	// body is not kept. aliveAt is when the server was first found alive after that; zero if it has not been.
+	endedEarly bool
+	aliveAt    time.Time
 }
 
 // unresolvedTTL is how long the server list may take to show a crash: three heartbeats of a server, the 2.5 s for which
@@ -277,7 +281,7 @@
 		attempt.server = serverDuringAttempt(attempt.server, attempt.startedAt, listed)
 		switch {
 		case now.Sub(attempt.lostAt) > unresolvedTTL:
-		case rn.goneOrRestarted(attempt.server, listed):
+		case rn.crashedUnder(attempt, listed):
 			crashedAttempts = append(crashedAttempts, attempt)
 		default:
 			stillUnresolved = append(stillUnresolved, attempt)
@@ -285,13 +289,20 @@
 	}
 	rn.unresolved = stillUnresolved
 	rn.mutex.Unlock()
-	for _, attempt := range crashedAttempts {
+	rn.confirmCrashes(crashedAttempts, "list")
+}
+
+// confirmCrashes adds the evidence that the servers of attempts crashed, except for those that drained. The source is what
+// shows it: "list" or "probe".
+func (rn *Runner) confirmCrashes(attempts []unresolvedAttempt, source string) {
+	now := rn.clock.Now()
+	for _, attempt := range attempts {
 		if rn.fleet.ShownAsDraining(attempt.server) {
 			continue
 		}
 		crash, _ := rn.identifyCrash(attempt.server, attempt.startedAt)
 		rn.quarantine.LearnLocalEvidence(attempt.server.Service, confirmedEvidence(attempt.subjects, crash)...)
 		rn.logger.Info("backend server crashed", "fingerprint", attempt.subjects[0].fingerprint.String(), "server", string(attempt.server.ID), "crash", crash.String(),
-			"source", "list", "after_ms", now.Sub(attempt.lostAt).Milliseconds())
+			"source", source, "after_ms", now.Sub(attempt.lostAt).Milliseconds())
 	}
 }
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -385,8 +385,8 @@
 }
 
 // classifyLoss describes an attempt that was sent and then lost: the connection to the engine broke, or the stream
-// monitor aborted the attempt. It checks whether the engine crashed if the connection broke. sendCtx is the context of the
-// attempt, ctx that of the request.
+// monitor aborted the attempt. It checks whether the engine crashed if the connection broke, and keeps the attempt under
+// suspicion if the request has ended. sendCtx is the context of the attempt, ctx that of the request.
 //
 // A stalled stream is reported as Unresponsive, a crashed engine and one that accepts no connections any more as
 // Unreachable; the dispatcher backs off longer from these. handleNoResponse has reported an unresponsive engine. If the
@@ -394,6 +394,7 @@
 // about the engine.
 func (st *engineJob) classifyLoss(sendCtx, ctx context.Context, primary batch.Part, err error) (broker.EndedGrant, attemptResult) {
 	if ctx.Err() != nil {
+		st.suspectAfterEarlyEnd(ctx, st.server, st.grantedAt)
 		return broker.EndedGrant{}, attemptResult{reason: "ended: " + context.Cause(ctx).Error(), retryCause: retry.Interrupted}
 	}
 	ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unresponsive}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -270,7 +270,7 @@
 
 // classifyInterruption returns the retry cause of an attempt that ended without a complete response, after checking
 // whether its server crashed. If the request's deadline has passed or another server takes the request, the check runs in
-// the background. If the client has disconnected, there is no check.
+// the background. If the client has disconnected, the attempt stays under suspicion.
 func (jb *job) classifyInterruption(ctx context.Context, server serverlist.Server, startedAt time.Time, err error) retry.Cause {
 	rn := jb.runner
 	switch {
@@ -282,6 +282,8 @@
 		rn.background.Go(func() {
 			jb.checkForCrash(context.Background(), server, startedAt, rn.probeConnection(context.Background(), server), err)
 		})
+	default:
+		jb.suspectAfterEarlyEnd(ctx, server, startedAt)
 	}
 	return retry.Interrupted
 }
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -109,7 +109,7 @@
 
 	// requestCounter numbers the requests to the dispatcher.
 	requestCounter atomic.Uint64
-	// mutex guards random, retries, balancer, backoffs and unresolved.
+	// mutex guards random, retries, balancer, backoffs, unresolved and scheduledLooks.
 	mutex    sync.Mutex
 	random   *rand.Rand
 	retries  *retry.Policy
@@ -121,6 +121,8 @@
 	// unresolved holds the lost attempts that may have crashed their server, oldest first. The server list decides on
 	// them.
 	unresolved []unresolvedAttempt
+	// scheduledLooks holds the servers that are to be looked at because attempts ended early.
+	scheduledLooks map[id.BackendServer]bool
 
 	// grantContext ends when requests that wait for a grant are to be rejected, serveContext when all requests are to
 	// end.
@@ -224,6 +226,8 @@
 
 		quarantine: deps.Quarantine,
 		limits:     deps.Limits,
+
+		scheduledLooks: map[id.BackendServer]bool{},
 	}
 	rn.grantContext, rn.cancelGrantWaits = context.WithCancel(context.Background())
 	rn.serveContext, rn.cancelRequests = context.WithCancel(context.Background())
