A stop cuts begun responses only when the host has to end

Cause: the host aborts everything at 0.92 of the grace (from 0.84 on if it is short), so that clients still get an answer. A response that has begun gets none from that: its connection is closed. The time up to the exit was taken from it for nothing.

Now the abort ends the requests that have no response yet. Responses that have begun go on until 0.96 of the grace, or 200 ms before its end if that is earlier, and never less long than before (with a grace of 1 s they are cut at 0.84 as they were). A response begins under a lock that the abort takes as well, so that none begins after it. The end of the process does not depend on what is cut: at 0.98 connections that are still open are reset, as before. The product's own front is unchanged: its aborted streams get an event with the error, and need the time.

Conclusion: a silence that lasts from before the last sixth of the grace until 0.96 of it is still a loss.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -493,6 +493,12 @@
 			monitor.recordEvent(ev)
 			st.endSilence()
 			rn.dispatcher.ReportStarted(grant.Attempt)
+			if !st.start.begin() {
+				// The host has aborted the request, and the end of ctx ends the attempt.
+				st.mayHaveRun = true
+				<-ctx.Done()
+				return st.classifyLoss(sendCtx, ctx, primary, context.Cause(ctx))
+			}
 			if sinkErr := st.forwardEvent(response, ev); sinkErr != nil {
 				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), final: true}
 			}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -312,6 +312,12 @@
 			jb.mayHaveRun = true
 			return nil, retry.Interrupted, errSlowServer.Error()
 		}
+		if !jb.start.begin() {
+			// The host has aborted the request, and the end of ctx ends the attempt.
+			jb.mayHaveRun = true
+			<-ctx.Done()
+			return nil, retry.Interrupted, errHostLeaving.Error()
+		}
 		if err := jb.copyToClient(ctx, server, startedAt, response, prefix); err != nil {
 			jb.classifyInterruption(ctx, server, startedAt, err)
 		}
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -122,10 +122,12 @@
 	// them.
 	unresolved []unresolvedAttempt
 
-	// grantContext ends when requests that wait for a grant are to be rejected, serveContext when all requests are to
-	// end.
+	// grantContext ends when requests that wait for a grant are to be rejected, abortContext when requests without a
+	// response are to end, and serveContext when all requests are to end.
 	grantContext     context.Context
 	cancelGrantWaits context.CancelFunc
+	abortContext     context.Context
+	abortRequests    context.CancelFunc
 	serveContext     context.Context
 	cancelRequests   context.CancelFunc
 }
@@ -165,9 +167,16 @@
 // Wait blocks until the crash checks that outlive their requests have ended.
 func (rn *Runner) Wait() { rn.background.Wait() }
 
-// Abort ends all requests immediately. The outcome of each says whether it may have run.
+// Abort ends all requests of which no response has begun. The outcome of each says whether it may have run. Responses that
+// have begun go on, because nothing else can be answered to their clients.
 func (rn *Runner) Abort() {
 	rn.cancelGrantWaits()
+	rn.abortRequests()
+}
+
+// CutOff ends all requests immediately, also those whose response has begun.
+func (rn *Runner) CutOff() {
+	rn.Abort()
 	rn.cancelRequests()
 }
 
@@ -226,6 +235,7 @@
 		limits:     deps.Limits,
 	}
 	rn.grantContext, rn.cancelGrantWaits = context.WithCancel(context.Background())
+	rn.abortContext, rn.abortRequests = context.WithCancel(context.Background())
 	rn.serveContext, rn.cancelRequests = context.WithCancel(context.Background())
 	return rn
 }
@@ -237,8 +247,11 @@
 	if request.Route.Timeout > 0 && request.ArrivedAt.Add(request.Route.Timeout).Before(deadline) {
 		deadline = request.ArrivedAt.Add(request.Route.Timeout)
 	}
+	jb := &job{runner: rn, request: request, sink: sink, deadline: deadline}
 	ctx, detach := withShutdown(ctx, rn.serveContext)
 	defer detach()
+	ctx, detachAbort := withAbort(ctx, rn.abortContext, &jb.start)
+	defer detachAbort()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	rn.mutex.Lock()
@@ -247,7 +260,6 @@
 	ctx, span := rn.tracer.Start(ctx, "client.request", trace.WithAttributes(
 		attribute.String("request", request.ID), attribute.String("route", request.Route.Name), attribute.String("service", string(request.Service))))
 	defer span.End()
-	jb := &job{runner: rn, request: request, sink: sink, deadline: deadline}
 	jb.result.Fingerprint = id.NewFingerprint(request.Organisation, []byte(request.Target), request.Body)
 	if request.Route.HasPrompt {
 		jb.runOnEngines(ctx)
@@ -314,6 +326,8 @@
 	// deadline is the earlier one of the client's deadline and the end of the route's timeout.
 	deadline time.Time
 	result   Result
+	// start decides whether an abort of the host may still end the request.
+	start responseStart
 	// sentCount counts the attempts that use up the route's limit because the request reached a server; mayHaveRun says
 	// that one of them may have run it.
 	sentCount  int
--- a/lifecycle/drain.go
+++ b/lifecycle/drain.go
@@ -21,8 +21,11 @@
 	StartedAt time.Time
 	// InFlight returns the number of requests in flight.
 	InFlight func() int64
-	// Abort ends the requests in flight, so that their clients still get a response. It is called once at most.
+	// Abort ends the requests in flight to whose clients the host can still send that it does. It is called once at most.
 	Abort func()
+	// CutOff, if not nil, ends the others, whose clients only see that the response breaks off. It is called once at most,
+	// after Abort.
+	CutOff func()
 }
 
 // Elapsed returns how long ago the stop began.
@@ -32,15 +35,20 @@
 // can't finish in time. It returns how long the ends of responses may still be sent. A process that did not run when it
 // had to abort or to end does both later, because the clients of aborted requests still need their responses.
 func (dr Drain) Wait(ctx context.Context) time.Duration {
-	aborted := false
+	aborted, cutOff := false, dr.CutOff == nil
 	exitAt := dr.Grace.ExitTime()
-	for dr.InFlight() > 0 && (!aborted || dr.Elapsed() < exitAt) {
+	for dr.InFlight() > 0 && (!aborted || !cutOff || dr.Elapsed() < exitAt) {
 		if !aborted && dr.Elapsed() >= dr.Grace.AbortTime() {
 			aborted = true
 			exitAt = max(exitAt, dr.Elapsed()+min(minAnswerTime, (dr.Grace.ExitTime()-dr.Grace.AbortTime())/2))
 			dr.Logger.Warn("host aborts the requests that it can't finish in time", "in_flight", dr.InFlight())
 			dr.Abort()
 		}
+		if !cutOff && dr.Elapsed() >= dr.Grace.CutOffTime() {
+			cutOff = true
+			dr.Logger.Warn("host cuts off the responses that it can't finish in time", "in_flight", dr.InFlight())
+			dr.CutOff()
+		}
 		if !timer.Sleep(ctx, dr.Clock, drainPollInterval) {
 			break
 		}
--- a/lifecycle/drain_test.go
+++ b/lifecycle/drain_test.go
@@ -85,6 +85,56 @@
 	}
 }
 
+// TestAbortCutsResponses guards against responses that are cut off together with the requests that are aborted to be
+// answered, although the host still has time: those that have begun may go on until it has to end.
+func TestAbortCutsResponses(t *testing.T) {
+	const (
+		pollTime = 50 * time.Millisecond
+		never    = time.Hour
+	)
+	for name, tc := range map[string]struct {
+		grace lifecycle.Grace
+		// startedBefore is how long before the wait the stop began.
+		startedBefore, endsAfter, wantCutOffAt, wantEndAt time.Duration
+	}{
+		"ends after the abort":                   {lifecycle.Grace(5 * time.Second), time.Second, 4750 * time.Millisecond, 0, 4750 * time.Millisecond},
+		"does not end":                           {lifecycle.Grace(5 * time.Second), time.Second, never, 4800 * time.Millisecond, 4800 * time.Millisecond},
+		"does not end, long grace":               {lifecycle.Grace(30 * time.Second), time.Second, never, 28800 * time.Millisecond, 28800 * time.Millisecond},
+		"does not end, short grace":              {lifecycle.Grace(2 * time.Second), 500 * time.Millisecond, never, 1800 * time.Millisecond, 1900 * time.Millisecond},
+		"does not end, no time to cut off later": {lifecycle.Grace(time.Second), 300 * time.Millisecond, never, 840 * time.Millisecond, 940 * time.Millisecond},
+		"the process was frozen":                 {lifecycle.Grace(5 * time.Second), 6 * time.Second, never, 6 * time.Second, 6100 * time.Millisecond},
+		"no grace":                               {0, 0, never, 0, 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			startedAt := time.Now()
+			clock := &steppedClock{now: startedAt.Add(tc.startedBefore)}
+			elapsed := func() time.Duration { return clock.now.Sub(startedAt) }
+			endsAt, cutOffAt, abortCount := tc.endsAfter, time.Duration(0), 0
+			drain := lifecycle.Drain{
+				Clock: clock, Logger: slog.New(slog.DiscardHandler), Grace: tc.grace, StartedAt: startedAt,
+				InFlight: func() int64 {
+					if elapsed() < endsAt {
+						return 1
+					}
+					return 0
+				},
+				Abort: func() { abortCount++ },
+				CutOff: func() {
+					assert.Equal(t, abortCount, 1)
+					assert.Equal(t, cutOffAt, time.Duration(0), "cut off twice")
+					cutOffAt = elapsed()
+					// Connections take a time to close.
+					endsAt = cutOffAt + 100*time.Millisecond
+				},
+			}
+			drain.Wait(t.Context())
+			for _, times := range []struct{ got, want time.Duration }{{cutOffAt, tc.wantCutOffAt}, {elapsed(), tc.wantEndAt}} {
+				assert.Assert(t, times.got >= times.want && times.got <= times.want+pollTime, "%s, not %s", times.got, times.want)
+			}
+		})
+	}
+}
+
 // TestDrainEndsWithContext checks that a wait for requests ends when a component of the host has stopped by itself.
 func TestDrainEndsWithContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/lifecycle/grace.go
+++ b/lifecycle/grace.go
@@ -11,8 +11,8 @@
 	// acceptShare is the part during which the host still accepts new requests, from clients that have cached its address,
 	// up to maxAcceptTime.
 	acceptShare = 0.3
-	// abortShare is the part after which the host aborts the requests that it can't finish, so that their clients still
-	// get a response. A host with little time aborts them earlier, but not before earliestAbortShare, because servers may
+	// abortShare is the part after which the host aborts the requests without a response, so that their clients still
+	// get one. A host with little time aborts them earlier, but not before earliestAbortShare, because servers may
 	// answer until then.
 	abortShare         = 0.92
 	earliestAbortShare = 0.84
@@ -28,6 +28,9 @@
 	minAnswerTime = 250 * time.Millisecond
 	// closeDelay is how long after minAnswerTime a host without a shutdown timeout closes its connections.
 	closeDelay = 50 * time.Millisecond
+	// minEndTime is what remains of the grace for a process with a small share of a processor to end, after it has cut off
+	// responses.
+	minEndTime = 200 * time.Millisecond
 )
 
 // Grace is the time that a host has to stop, from the signal on. The times that its methods return start there too.
@@ -48,7 +51,7 @@
 	return time.Duration(part * float64(gr))
 }
 
-// AbortTime returns after what time a leaving host aborts the requests that it can't finish.
+// AbortTime returns after what time a leaving host aborts the requests that have no response yet.
 func (gr Grace) AbortTime() time.Duration {
 	if gr <= 0 {
 		return 0
@@ -56,6 +59,12 @@
 	return min(gr.share(abortShare), max(gr.share(earliestAbortShare), gr.ExitTime()-minAnswerTime))
 }
 
+// CutOffTime returns after what time a leaving host cuts off the responses that it can't finish. That is later than
+// AbortTime if the grace allows it, because their clients get no other answer that would need time.
+func (gr Grace) CutOffTime() time.Duration {
+	return max(gr.AbortTime(), min(gr.share(exitShare), time.Duration(gr)-minEndTime))
+}
+
 // ExitTime returns after what time a leaving host no longer waits for requests in flight.
 func (gr Grace) ExitTime() time.Duration {
 	if gr <= 0 {
--- a/site/shutdown.go
+++ b/site/shutdown.go
@@ -24,6 +24,7 @@
 		StartedAt: ht.clock.Now(),
 		InFlight:  ht.inFlight,
 		Abort:     ht.forwarder.Abort,
+		CutOff:    ht.forwarder.CutOff,
 	}
 	ht.logger.Info("host is leaving", "cause", cause.Error(), "in_flight", ht.inFlight(), "grace_ms", time.Duration(drain.Grace).Milliseconds())
 	ht.mutex.Lock()
