Soak: longest stop of a run

The mixes of planned work log how long after SIGTERM processes ended at most; with -soak.timed a process that outlasts its grace is a violation (STOP). So a change that uses more of the grace shows what it leaves.

The draws of the faults do not change.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -42,6 +42,9 @@
 	tb.checkCrashingRequests(runsByID)
 	tb.checkCutOffHosts()
 	tb.checkLosses(runsByID)
+	if tb.mix.plannedOnly {
+		tb.checkStopTimes()
+	}
 	tb.checkEvacuations()
 	for _, sv := range servers {
 		if sv.ratePerSecond > 0 {
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -301,6 +301,21 @@
 	tb.t.Logf("%d requests without an unplanned fault nearby; without a whole answer: %s", undisturbed, strings.Join(causes, ", "))
 }
 
+// checkStopTimes logs the longest time from SIGTERM to the end of a process and, with -soak.timed, checks that each process
+// has ended within the grace.
+func (tb *testbed) checkStopTimes() {
+	longest := time.Duration(0)
+	for _, hs := range tb.hosts {
+		for _, pt := range hs.processTimes {
+			if !pt.terminatedAt.IsZero() && !pt.endedAt.IsZero() {
+				longest = max(longest, pt.endedAt.Sub(pt.terminatedAt))
+			}
+		}
+	}
+	tb.t.Logf("processes ended at most %s after SIGTERM, with a grace of %s", longest, tb.grace())
+	tb.checkTimeLimit("STOP", "the end of a process after SIGTERM", longest, tb.grace())
+}
+
 // describeCut describes the runs of a request that was cut, the end of its connection and the first SIGTERM to the process that
 // took it.
 func describeCut(runs []standin.ExecutedRequest, end targetEnd, terminatedAt time.Time) string {
