--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -516,6 +516,12 @@
 		}
 		// Comments of a failover attempt are dropped until it has an event.
 		if len(ev.data) > 0 && !st.asFailover.isPending() {
+			if !st.start.begin() {
+				// The host has aborted the request, and the end of ctx ends the attempt.
+				st.mayHaveRun = true
+				<-ctx.Done()
+				return st.classifyLoss(sendCtx, ctx, primary, context.Cause(ctx))
+			}
 			switch sinkErr := st.forwardEvent(response, ev); {
 			case errors.Is(sinkErr, errSuperseded):
 				st.mayHaveRun = true
--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -248,7 +248,7 @@
 	st.mutex.Lock()
 	headSent := !st.lastEventAt.IsZero()
 	st.mutex.Unlock()
-	jb := &job{runner: rn, request: st.request, sink: st.sink, deadline: st.deadline, sentCount: origin.attemptsMade + failed.sent, mayHaveRun: true, newConnection: origin.newConnection}
+	jb := &job{runner: rn, request: st.request, sink: st.sink, deadline: st.deadline, start: st.start, sentCount: origin.attemptsMade + failed.sent, mayHaveRun: true, newConnection: origin.newConnection}
 	jb.result = Result{HeadSent: headSent, Fingerprint: st.result.Fingerprint, DispatchID: grantRequest.ID}
 	fa := &failoverAttempt{origin: st, sentBefore: jb.sentCount, superseding: make(chan struct{}), joined: make(chan struct{}), done: make(chan struct{})}
 	fa.pending.Store(true)
