A server that restarts while the client reads no longer makes a part whole

Cause: the time from the end to the probe was counted from when the host found the end. While a client holds up a write, an end that has come stays unread.

Change: the 250 ms for the probe count from the last read that had to wait, which shows that the connection had not ended before. A later end needs a list that is a second newer, as after a silence. Bodies of answers that end with their connection are watched for that alone.

With an outage of the store such a late end can't be confirmed, and the answer is broken off. No existing test or check was changed.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -296,6 +296,7 @@
 	if err != nil {
 		return st.classifySendError(sendCtx, ctx, primary, err)
 	}
+	response = watchEnd(rn.clock, response)
 	defer func() { _ = response.Body.Close() }()
 	st.result.PassedOn++
 	rn.applyEngineState(st.server, sentAt, response)
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -246,6 +246,7 @@
 		}
 		return nil, retryCause, err.Error()
 	}
+	response = watchEnd(rn.clock, response)
 	defer func() { _ = response.Body.Close() }()
 	jb.result.PassedOn++
 	rn.applyServerState(server, startedAt, response)
--- a/coordination/forward/response_end.go
+++ b/coordination/forward/response_end.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -32,12 +33,40 @@
 	listConfirmationLimit = 2500 * time.Millisecond
 )
 
+// endWatch is the body of a response that ends with its connection. It bounds how long ago the connection ended.
+type endWatch struct {
+	io.ReadCloser
+	clock timer.Clock
+	// openAt is when the connection was last known not to have ended.
+	openAt time.Time
+}
+
+// watchEnd returns a response whose head has just arrived, with a body that is an endWatch if it ends with its connection.
+func watchEnd(clock timer.Clock, response Response) Response {
+	if response.EndsWithConnection {
+		response.Body = &endWatch{ReadCloser: response.Body, clock: clock, openAt: clock.Now()}
+	}
+	return response
+}
+
+// Read reads the body. A read that has to wait shows that the connection had not ended before: a host that is slow to read,
+// because its client is, finds an end that has been there for some time without waiting.
+func (ew *endWatch) Read(buffer []byte) (int, error) {
+	const minWait = time.Millisecond
+	startedAt := ew.clock.Now()
+	count, err := ew.ReadCloser.Read(buffer)
+	if now := ew.clock.Now(); now.Sub(startedAt) >= minWait {
+		ew.openAt = now
+	}
+	return count, err
+}
+
 // confirmEnd returns nil if the end of a response's body is the end of the response. A response that ends with its
 // connection has the same end if its server crashes, because the system of a process that ends closes its connections. Such
 // a response counts as complete only if its server still runs after that, as the same start. A server proves it that accepts
 // a connection at once, and then answers on it or ends it and accepts another one, unless the list shows a newer start. One
-// that was silent may have started again meanwhile; only a list that is newer than a connection after the silence proves that
-// it has not. Failures are not confirmed.
+// that was silent may have started again meanwhile, and so may one whose end was found late; only a list that is newer than a
+// connection after that proves that it has not. Failures are not confirmed.
 //
 // A server that neither accepts nor refuses a connection is probed again, unless another attempt is possible.
 func (jb *job) confirmEnd(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response) error {
@@ -46,6 +75,10 @@
 	}
 	rn := jb.runner
 	endedAt := rn.clock.Now()
+	earliestEnd := endedAt
+	if watched, ok := response.Body.(*endWatch); ok {
+		earliestEnd = watched.openAt
+	}
 	result := rn.probeConnection(ctx, server)
 	prompt := false
 	if result.Alive() {
@@ -54,7 +87,7 @@
 		if !asked || !rn.answersProbe(ctx, server) {
 			result = rn.probeConnection(ctx, server)
 		}
-		prompt = asked && result.Alive() && rn.clock.Now().Sub(endedAt) <= promptProbeLimit
+		prompt = asked && result.Alive() && rn.clock.Now().Sub(earliestEnd) <= promptProbeLimit
 	}
 	for !result.Alive() && result != ConnectionRefused && !jb.canRunAgain() &&
 		rn.clock.Now().Sub(endedAt) < endConfirmationLimit && timer.Sleep(ctx, rn.clock, endConfirmationPause) {
