forward: A third engine keeps a stream whose second one has ended

What callers saw: a stream whose second engine fell silent after it had gone on is cut at the moment at which a third engine has the next event, although attempts and retries were left.

Cause: the context of a failover attempt was derived from that of the attempt that it takes over from, and a failover attempt ends its own context when it ends. So the third attempt was cancelled by the end of the second one, which it had itself superseded. The cancelled attempt also counted as one whose client had left.

No existing test or check was changed.

--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -27,6 +27,8 @@
 // stream over when it has an event to forward, or fails without a trace at the client. It is dropped if the first engine
 // sends an event before that.
 type failoverAttempt struct {
+	// requestCtx ends with the request. A failover attempt of this one goes on when this one has ended.
+	requestCtx context.Context
 	// origin is the job whose stream is taken over, job the one that runs this attempt.
 	origin *engineJob
 	job    *engineJob
@@ -177,6 +179,9 @@
 }
 
 func (st *engineJob) failoverOrigin(requestCtx, attemptCtx context.Context, engine id.Engine) failoverOrigin {
+	if st.asFailover != nil {
+		requestCtx = st.asFailover.requestCtx
+	}
 	return failoverOrigin{
 		requestCtx: requestCtx, attemptCtx: attemptCtx, grantRequest: st.grantRequest, engine: engine,
 		attemptsMade: st.sentCount + 1, grantsUsed: st.grantsUsed, newConnection: st.newConnection, endUnconfirmed: st.endUnconfirmed,
@@ -250,7 +255,7 @@
 	st.mutex.Unlock()
 	jb := &job{runner: rn, request: st.request, sink: st.sink, deadline: st.deadline, start: st.start, sentCount: origin.attemptsMade + failed.sent, mayHaveRun: true, newConnection: origin.newConnection}
 	jb.result = Result{HeadSent: headSent, Fingerprint: st.result.Fingerprint, DispatchID: grantRequest.ID}
-	fa := &failoverAttempt{origin: st, sentBefore: jb.sentCount, superseding: make(chan struct{}), joined: make(chan struct{}), done: make(chan struct{})}
+	fa := &failoverAttempt{requestCtx: origin.requestCtx, origin: st, sentBefore: jb.sentCount, superseding: make(chan struct{}), joined: make(chan struct{}), done: make(chan struct{})}
 	fa.pending.Store(true)
 	fa.job = &engineJob{
 		job: jb, grantRequest: grantRequest, lastEventID: st.lastEventID, endUnconfirmed: origin.endUnconfirmed,
--- /dev/null
+++ b/coordination/forward/third_attempt_test.go
@@ -0,0 +1,55 @@
+package forward_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
+	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+)
+
+// TestThirdEngineGoesOnWithStream guards against streams that are cut or that stop although a third engine goes on with them.
+func TestThirdEngineGoesOnWithStream(t *testing.T) {
+	const event1, event2, event3 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	silent := chunk{time.Hour, "x"}
+	for _, tc := range []struct {
+		name     string
+		one, two slowBody
+		three    slowBody
+	}{
+		{
+			name: "second engine falls silent after an event", one: slowBody{chunks: []chunk{{0, event1}}, repeated: silent},
+			two: slowBody{chunks: []chunk{{0, event2}}, repeated: silent}, three: slowBody{chunks: []chunk{{100 * time.Millisecond, event3}}},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dispatcher := &heldDispatcher{}
+				dispatcher.grants = []batch.Grant{grantOn("1", "one"), grantOn("2", "two"), grantOn("3", "three")}
+				backends := &failoverServers{first: tc.one, second: func(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
+					body := tc.two
+					if attempt.Address == "three:80" {
+						body = tc.three
+					}
+					body.ctx = ctx
+					return streamResponse(&body), nil
+				}}
+				streamRoute := failoverRoute
+				streamRoute.MaxAttempts = 3
+				rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}, Retries: retry.New(retry.Config{MaxAttempts: 5, InitialBudget: 100}, 1)})
+				client := &fakeClient{}
+				now := time.Now()
+				result := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", PromptTokens: 1000, ArrivedAt: now, Deadline: now.Add(15 * time.Second), Route: streamRoute}, client)
+				assert.Assert(t, result.Complete, "%+v", result)
+				assert.Equal(t, client.body.String(), event1+event2+event3)
+				time.Sleep(10 * time.Second)
+				assert.NilError(t, findHeld(dispatcher, backends))
+			})
+		})
+	}
+}
