forward: Two silent engines no longer hold a stream until its deadline

What callers saw: with attempts and sound engines left, a stream whose second engine falls silent too, before its first event there, has no further event until its deadline: beside a silent first engine, and also after that one has broken off.

Cause: a failover attempt looked for no other engine before its first event, and the attempt in progress looked for none while it ran.

Change: a failover attempt that stalls or does not respond beside another attempt ends if an attempt, a grant and a retry are left, so that the attempt in progress, which goes on, looks for the next engine. One whose first attempt has ended looks for another engine itself and goes on meanwhile. At most two attempts run at a time, as before.

No existing test or check was changed.

--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -54,6 +54,31 @@
 // isPending reports whether this is a failover attempt that has not taken the stream over.
 func (fa *failoverAttempt) isPending() bool { return fa != nil && fa.pending.Load() }
 
+// runsBeside reports whether this is a failover attempt that has not taken the stream over while the attempt of origin goes on.
+func (fa *failoverAttempt) runsBeside() bool {
+	if !fa.isPending() {
+		return false
+	}
+	select {
+	case <-fa.joined:
+		return false
+	default:
+		return true
+	}
+}
+
+// giveUp makes the attempt fail, so that another engine is looked for while the attempt of origin goes on. It returns false if
+// the attempt has an event to forward.
+func (fa *failoverAttempt) giveUp() bool {
+	fa.origin.forwarding.Lock()
+	defer fa.origin.forwarding.Unlock()
+	if fa.origin.superseded {
+		return false
+	}
+	fa.dropped = true
+	return true
+}
+
 // takeOver makes the attempt of origin forward no more events, waits until it has ended, and takes its state over. It
 // returns false if the attempt is not needed.
 func (fa *failoverAttempt) takeOver(ctx context.Context) bool {
@@ -85,6 +110,9 @@
 
 // inheritFrom copies what a client has received from the job whose stream this one takes over.
 func (st *engineJob) inheritFrom(origin *engineJob) {
+	// The monitor may start a failover attempt meanwhile.
+	st.forwarding.Lock()
+	defer st.forwarding.Unlock()
 	result := origin.result
 	result.Attempts += st.result.Attempts
 	result.PassedOn += st.result.PassedOn
@@ -193,14 +221,19 @@
 // and its grant stay valid meanwhile, because the new request to the dispatcher has its own id. It returns true when the
 // failover attempt takes the stream over, and false if it fails. ctx ends when the engine in use goes on; a
 // failover attempt that runs by then ends only with the next event.
+//
+// For a failover attempt that runs beside another attempt, it returns true to end it: at most two attempts run at a time.
 func (st *engineJob) findFailover(ctx context.Context, origin failoverOrigin) bool {
 	rn := st.runner
 	failed := st.failover.failed()
 	attemptsMade := origin.attemptsMade + failed.sent
-	if st.asFailover.isPending() || rn.grantContext.Err() != nil || origin.grantsUsed+failed.grants >= rn.config.MaxGrants ||
+	if rn.grantContext.Err() != nil || origin.grantsUsed+failed.grants >= rn.config.MaxGrants ||
 		attemptsMade >= st.request.Route.MaxAttempts || !st.retryAllowed(attemptsMade) || !st.isResumable() {
 		return false
 	}
+	if st.asFailover.runsBeside() {
+		return st.asFailover.giveUp()
+	}
 	grantRequest := origin.grantRequest
 	grantRequest.ID = id.NewRequest(rn.host, rn.incarnation, rn.requestCounter.Add(1))
 	grantRequest.AttemptNumber += 1 + failed.grants
@@ -251,15 +284,15 @@
 		return nil
 	}
 	st.mutex.Lock()
-	headSent := !st.lastEventAt.IsZero()
+	lastEventAt := st.lastEventAt
 	st.mutex.Unlock()
 	jb := &job{runner: rn, request: st.request, sink: st.sink, deadline: st.deadline, start: st.start, sentCount: origin.attemptsMade + failed.sent, mayHaveRun: true, newConnection: origin.newConnection}
-	jb.result = Result{HeadSent: headSent, Fingerprint: st.result.Fingerprint, DispatchID: grantRequest.ID}
+	jb.result = Result{HeadSent: !lastEventAt.IsZero(), Fingerprint: st.result.Fingerprint, DispatchID: grantRequest.ID}
 	fa := &failoverAttempt{requestCtx: origin.requestCtx, origin: st, sentBefore: jb.sentCount, superseding: make(chan struct{}), joined: make(chan struct{}), done: make(chan struct{})}
 	fa.pending.Store(true)
 	fa.job = &engineJob{
 		job: jb, grantRequest: grantRequest, lastEventID: st.lastEventID, endUnconfirmed: origin.endUnconfirmed,
-		grantsUsed: origin.grantsUsed + failed.grants, asFailover: fa,
+		grantsUsed: origin.grantsUsed + failed.grants, asFailover: fa, lastEventAt: lastEventAt,
 	}
 	ctx, cancel := context.WithCancel(origin.requestCtx)
 	fa.cancel = cancel
--- a/coordination/forward/third_attempt_test.go
+++ b/coordination/forward/third_attempt_test.go
@@ -26,6 +26,14 @@
 			name: "second engine falls silent after an event", one: slowBody{chunks: []chunk{{0, event1}}, repeated: silent},
 			two: slowBody{chunks: []chunk{{0, event2}}, repeated: silent}, three: slowBody{chunks: []chunk{{100 * time.Millisecond, event3}}},
 		},
+		{
+			name: "second engine is silent", one: slowBody{chunks: []chunk{{0, event1}}, repeated: silent},
+			two: slowBody{repeated: silent}, three: slowBody{chunks: []chunk{{0, event2}, {0, event3}}},
+		},
+		{
+			name: "first engine breaks off while the second is silent", one: slowBody{chunks: []chunk{{0, event1}, {1900 * time.Millisecond, "id: 1\ndat"}}, truncated: true},
+			two: slowBody{repeated: silent}, three: slowBody{chunks: []chunk{{0, event2}, {0, event3}}},
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
