forward: Two silent servers no longer hold a plain request until its deadline

What callers saw: a repeatable request with attempts left whose second server is silent too ends at its deadline, although a third server would answer: beside a silent first server, and also after that one has broken off.

Cause: a second attempt looked for no other server, and the first one looked for none while it ran.

Change: a second attempt watches its server like a first one. If another server can take the request, a second attempt beside the first one ends, and that one, which goes on, has the next server at once; a second attempt that is alone starts the next one beside itself. At most two attempts run at a time, as before. The search of a service with request limits uses up a permit for a second attempt that ends.

No existing test or check was changed.

--- a/coordination/forward/slow_server.go
+++ b/coordination/forward/slow_server.go
@@ -32,12 +32,15 @@
 	takeRetry func([]*secondAttempt) bool
 	// startSecond starts a second attempt, and returns nil if the host stops.
 	startSecond func(serverlist.Server, []*secondAttempt) *secondAttempt
+	// giveUp ends the first attempt if it is itself a second one that runs beside another, which can then have the server that
+	// was found. It returns false otherwise.
+	giveUp func() bool
 	// abort ends the first attempt with errSlowServer as its cause.
 	abort func()
 
 	mutex sync.Mutex
 	// ended says that the first attempt has ended or forwards its answer, won that it forwards it, and lost that the second
-	// one does.
+	// one does or that the first one was given up.
 	ended, won, lost bool
 	// second is the second attempt that runs or has taken over; nil if there is none. failed holds those that have failed.
 	second       *secondAttempt
@@ -67,6 +70,11 @@
 	if sm.ended {
 		return
 	}
+	if found && sm.giveUp() {
+		sm.lost = true
+		sm.abort()
+		return
+	}
 	if found && sm.takeRetry(sm.failed) {
 		sm.second = sm.startSecond(server, sm.failed)
 	}
@@ -93,7 +101,11 @@
 	}
 	sm.second = nil
 	sm.failed = append(sm.failed, second)
-	sm.nextSearch = sm.clock.After(sm.nextWait(), sm.search)
+	nextWait := sm.nextWait()
+	if second.gaveUp {
+		nextWait = 0
+	}
+	sm.nextSearch = sm.clock.After(nextWait, sm.search)
 }
 
 // win lets the first attempt forward its answer, which ends the second one. It returns false if that one forwards its own. A
@@ -127,7 +139,7 @@
 	return true
 }
 
-// hasLost reports whether the second attempt forwards its answer.
+// hasLost reports whether the second attempt forwards its answer or the first one was given up.
 func (sm *slowServerMonitor) hasLost() bool {
 	if sm == nil {
 		return false
@@ -163,6 +175,8 @@
 
 // secondAttempt is an attempt at another server while the first one is slow to answer.
 type secondAttempt struct {
+	// requestCtx ends with the request. A second attempt beside this one goes on when this one has ended.
+	requestCtx context.Context
 	// origin is the job of the first attempt, job the one that runs this attempt.
 	origin, job *job
 	monitor     *slowServerMonitor
@@ -170,6 +184,8 @@
 	cancel      context.CancelFunc
 	// sentBefore is the sentCount that job started with.
 	sentBefore int
+	// gaveUp says that this attempt was ended for another one. The mutex of monitor guards it.
+	gaveUp bool
 	// tookOver says that this attempt forwards its answer. Only the goroutine of the attempt uses it before done is closed.
 	tookOver bool
 	// joined is closed when the first attempt has ended and leaves the client to this one, done when this attempt has ended.
@@ -201,6 +217,23 @@
 	return true
 }
 
+// giveUp records that the attempt is ended, so that another one can run beside the first attempt. It returns false for nil, or if
+// the first attempt has ended.
+func (sa *secondAttempt) giveUp() bool {
+	if sa == nil {
+		return false
+	}
+	select {
+	case <-sa.joined:
+		return false
+	default:
+	}
+	sa.monitor.mutex.Lock()
+	defer sa.monitor.mutex.Unlock()
+	sa.gaveUp = true
+	return true
+}
+
 // isPending reports whether this is a second attempt that does not forward its answer.
 func (sa *secondAttempt) isPending() bool { return sa != nil && !sa.tookOver }
 
@@ -217,9 +250,12 @@
 // watchSlowServer returns a running monitor of an attempt at the last one of the servers tried. It returns nil if the
 // request can't be sent to another server.
 func (jb *job) watchSlowServer(ctx context.Context, tried []id.BackendServer, abort func()) *slowServerMonitor {
-	if jb.second.isPending() || !jb.canTryAnotherServer(tried) {
+	if !jb.canTryAnotherServer(tried) {
 		return nil
 	}
+	if jb.second != nil {
+		ctx = jb.second.requestCtx
+	}
 	// minSearchInterval bounds the number of searches shortly before the deadline.
 	const minSearchInterval = 50 * time.Millisecond
 	sentBefore, excluded, newConnection := jb.sentCount+1, slices.Clone(tried), jb.newConnection
@@ -234,14 +270,15 @@
 		takeRetry: func(failed []*secondAttempt) bool {
 			return jb.takeRetryAfter(ctx, retry.Interrupted, sentBefore+countSent(failed))
 		},
-		abort: abort,
+		giveUp: jb.second.giveUp,
+		abort:  abort,
 	}
 	sm.startSecond = func(server serverlist.Server, failed []*secondAttempt) *secondAttempt {
 		next := &job{
 			runner: jb.runner, request: jb.request, sink: jb.sink, deadline: jb.deadline, start: jb.start, sentCount: sentBefore + countSent(failed), mayHaveRun: true, newConnection: newConnection,
 			result: Result{Fingerprint: jb.result.Fingerprint, Server: server.ID, Attempts: 1},
 		}
-		second := &secondAttempt{origin: jb, job: next, monitor: sm, server: server, sentBefore: next.sentCount, joined: make(chan struct{}), done: make(chan struct{})}
+		second := &secondAttempt{requestCtx: ctx, origin: jb, job: next, monitor: sm, server: server, sentBefore: next.sentCount, joined: make(chan struct{}), done: make(chan struct{})}
 		next.second = second
 		return second.start(ctx, append(withServersOf(excluded, failed), server.ID))
 	}
@@ -290,6 +327,7 @@
 	}
 	jb.result, jb.sentCount, jb.newConnection = next.result, next.sentCount, next.newConnection
 	jb.mayHaveRun = jb.mayHaveRun || second.mayHaveRun()
+	jb.nextSecond, jb.failedSeconds = next.nextSecond, next.failedSeconds
 	return second.errorResponse, second.retryCause, second.description
 }
 
--- a/coordination/forward/third_attempt_test.go
+++ b/coordination/forward/third_attempt_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +15,9 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
+	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
 // TestThirdEngineGoesOnWithStream guards against streams that are cut or that stop although a third engine goes on with them.
@@ -61,3 +68,49 @@
 		})
 	}
 }
+
+// TestThirdServerAnswers guards against requests that end without an answer because two servers are silent.
+func TestThirdServerAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// breaksOffAfter is when the first server breaks off.
+		breaksOffAfter time.Duration
+	}{
+		{name: "first server stays silent", breaksOffAfter: time.Hour},
+		{name: "first server breaks off", breaksOffAfter: 2500 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				now := time.Now()
+				var sent atomic.Int64
+				backends := &scriptedBackends{}
+				backends.send = func(ctx context.Context, _ forward.Attempt) (forward.Response, error) {
+					breaksOffAfter := time.Hour
+					switch sent.Add(1) {
+					case 1:
+						breaksOffAfter = tc.breaksOffAfter
+					case 3:
+						return forward.Response{Status: http.StatusOK, Length: -1, Body: io.NopCloser(strings.NewReader("from the third"))}, nil
+					}
+					select {
+					case <-time.After(breaksOffAfter):
+						return forward.Response{}, io.ErrUnexpectedEOF
+					case <-ctx.Done():
+						return forward.Response{}, ctx.Err()
+					}
+				}
+				listed := []serverlist.Server{{ID: "one", Address: "one"}, {ID: "two", Address: "two"}, {ID: "three", Address: "three"}}
+				rn := newRunner(forward.Dependencies{
+					Sender: backends, Fleet: fakeFleet{listed: listed, announcedLeaving: map[id.BackendServer]bool{}},
+					Retries: retry.New(retry.Config{MaxAttempts: 3, InitialBudget: 10}, 1),
+				})
+				client := &fakeClient{}
+				result := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", ArrivedAt: now, Deadline: now.Add(4 * time.Second), Route: route.Route{Kind: route.Idempotent, MaxAttempts: 3}}, client)
+				assert.Assert(t, result.Complete, "%+v", result)
+				assert.Equal(t, client.body.String(), "from the third")
+				assert.Equal(t, result.Attempts, 3)
+				synctest.Wait()
+			})
+		})
+	}
+}
