forward: Don't call a request not run that a second attempt has sent

What callers saw: at the request's deadline or the abort of a stop, a repeatable request gets a 503 that says that it did not start, though a second attempt had sent it and its server may have run it.

Cause: if the first attempt had not reached its server, only attempts that had ended counted as sent, not the one that still ran.

A second attempt that had sent nothing yet counts too, because it is not waited for. No existing test or check was changed.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -110,6 +110,8 @@
 	switch {
 	case result.final:
 	case ctx.Err() != nil:
+		// A failover attempt ends with the request, and its engine may have run it.
+		st.mayHaveRun = st.mayHaveRun || st.failover.isPresent()
 		st.setOutcomeOnContextEnd(ctx)
 	case st.endsUnnumbered:
 		st.setOutcomeOnFailure(result.reason)
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -63,6 +63,8 @@
 		}
 		jb.result.Cause = description
 		if ctx.Err() != nil {
+			// The second attempt ends with the request, and its server may have run it.
+			jb.mayHaveRun = jb.mayHaveRun || jb.nextSecond != nil
 			break
 		}
 		if jb.nextSecond != nil {
--- a/coordination/forward/third_attempt_test.go
+++ b/coordination/forward/third_attempt_test.go
@@ -12,10 +12,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/balance"
 	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
@@ -114,3 +116,47 @@
 		})
 	}
 }
+
+// unsentServers never reaches the server "one", and others end a little later than the request.
+type unsentServers struct{ fakeServers }
+
+func (us *unsentServers) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
+	<-ctx.Done()
+	if strings.HasPrefix(attempt.Address, "one") {
+		return forward.Response{}, forward.ErrNotSent
+	}
+	time.Sleep(time.Millisecond)
+	return forward.Response{}, ctx.Err()
+}
+
+// TestStreamOfFailoverAttemptIsNotCalledNotRun guards against refusals, which say that a request has not run, of streams that a
+// failover attempt has sent.
+func TestStreamOfFailoverAttemptIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := &heldDispatcher{}
+		dispatcher.grants = []batch.Grant{grantOn("1", "one"), grantOn("2", "two")}
+		rn := newRunner(forward.Dependencies{Sender: &unsentServers{}, Dispatcher: dispatcher, Fleet: fakeFleet{}, Retries: retry.New(retry.Config{MaxAttempts: 5, InitialBudget: 100}, 1)})
+		now := time.Now()
+		result := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", PromptTokens: 1000, ArrivedAt: now, Deadline: now.Add(5 * time.Second), Route: failoverRoute}, &fakeClient{})
+		time.Sleep(time.Second)
+		assert.Equal(t, result.Outcome.Kind, outcome.Failed, "%+v", result)
+	})
+}
+
+// TestRequestOfSecondAttemptIsNotCalledNotRun guards against refusals, which say that a request has not run, of requests that
+// a second attempt has sent.
+func TestRequestOfSecondAttemptIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := serverlist.Server{ID: "one", Address: "one"}, serverlist.Server{ID: "two", Address: "two"}
+		balancer := balance.New("", 1)
+		balancer.EndRequest(time.Now(), two, balance.ErrorResponse, nil, time.Millisecond)
+		rn := newRunner(forward.Dependencies{
+			Sender: &unsentServers{}, Fleet: fakeFleet{listed: []serverlist.Server{one, two}, announcedLeaving: map[id.BackendServer]bool{}}, Balancer: balancer,
+			Retries: retry.New(retry.Config{MaxAttempts: 3, InitialBudget: 10}, 1),
+		})
+		now := time.Now()
+		result := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", ArrivedAt: now, Deadline: now.Add(time.Second), Route: route.Route{Kind: route.Idempotent, MaxAttempts: 3}}, &fakeClient{})
+		time.Sleep(time.Second)
+		assert.Equal(t, result.Outcome.Kind, outcome.Failed, "%+v", result)
+	})
+}
