forward: A late error of the first engine counts the failover attempts

What callers saw: if the silent first engine of a stream answers with a failure after a failover attempt has begun, (1) the retry budget is charged twice for one further run, and an exhausted budget makes the host forward the failure although the failover attempt may have the answer; (2) if the failover attempt has failed by then, the request runs on an engine more than the route allows (BUDGET).

Cause: a failure counted only the attempts before those beside its own, and its retry is then not counted again (Preempted).

Change: a failure leaves the request to a failover attempt that runs, and otherwise counts those that have failed.

Evidence: go test ./coordination/forward -run TestLateError: red before (the 500 with a budget of 1 retry; three engines with MaxAttempts 2), green now in 5 of 5 runs with the race detector. TestRandomFailovers can't see it, because its engines fail at once.

No existing test or check was changed.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -464,7 +464,12 @@
 	if st.asFailover.isPending() || st.result.HeadSent || err != nil || !complete || st.falselyPromisesNotRun(response.Status) {
 		return ended, result
 	}
-	if response.Status >= http.StatusInternalServerError && st.sentCount < st.request.Route.MaxAttempts && st.request.Route.Repeatable() && st.takeRetry(ctx, retry.Interrupted) {
+	if response.Status >= http.StatusInternalServerError && st.failover.isPresent() {
+		// The failover attempt has been charged, and may do better.
+		return ended, result
+	}
+	attemptsMade := st.sentCount + st.failover.failed().sent
+	if response.Status >= http.StatusInternalServerError && attemptsMade < st.request.Route.MaxAttempts && st.request.Route.Repeatable() && st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade) {
 		// prepareRetry must not charge the retry a second time. It charges none for Preempted, although this attempt
 		// was not preempted.
 		result.retryCause = retry.Preempted
--- a/coordination/forward/third_attempt_test.go
+++ b/coordination/forward/third_attempt_test.go
@@ -160,3 +160,51 @@
 		assert.Equal(t, result.Outcome.Kind, outcome.Failed, "%+v", result)
 	})
 }
+
+// TestLateErrorLeavesStreamToFailoverAttempt guards against streams that are cut or charged twice because their first engine fails
+// while a failover attempt runs.
+func TestLateErrorLeavesStreamToFailoverAttempt(t *testing.T) {
+	const event1 = "id: 1\ndata: a\n\n"
+	for _, budget := range []float64{1, 100} {
+		synctest.Test(t, func(t *testing.T) {
+			dispatcher := &heldDispatcher{}
+			dispatcher.grants = []batch.Grant{grantOn("1", "one"), grantOn("2", "two")}
+			backends := &failoverServers{scripted: true, second: func(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
+				if attempt.Address == "one:80" {
+					time.Sleep(2 * time.Second)
+					return forward.Response{Status: http.StatusInternalServerError, Body: http.NoBody}, nil
+				}
+				return streamResponse(&slowBody{ctx: ctx, chunks: []chunk{{time.Second, event1}}}), nil
+			}}
+			retries := retry.New(retry.Config{MaxAttempts: 3, InitialBudget: budget}, 1)
+			rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}, Retries: retries})
+			client := &fakeClient{}
+			now := time.Now()
+			result := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", PromptTokens: 1000, ArrivedAt: now, Deadline: now.Add(10 * time.Second), Route: failoverRoute}, client)
+			assert.Equal(t, result.Status, http.StatusOK, "%+v", result)
+			assert.Equal(t, client.body.String(), event1)
+			assert.Assert(t, rn.RetryBudgets()["service"] >= budget-1, "%v left of %v", rn.RetryBudgets(), budget)
+		})
+	}
+}
+
+// TestLateErrorRunsNoMoreEnginesThanAllowed guards against requests that run on more engines than the route allows because their
+// first engine fails after a failover attempt has failed.
+func TestLateErrorRunsNoMoreEnginesThanAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := &heldDispatcher{}
+		dispatcher.grants = []batch.Grant{grantOn("1", "one"), grantOn("2", "two"), grantOn("3", "three")}
+		backends := &failoverServers{scripted: true, second: func(_ context.Context, attempt forward.Attempt) (forward.Response, error) {
+			if attempt.Address == "one:80" {
+				time.Sleep(2 * time.Second)
+			}
+			return forward.Response{Status: http.StatusInternalServerError, Body: http.NoBody}, nil
+		}}
+		rn := newRunner(forward.Dependencies{Sender: backends, Dispatcher: dispatcher, Fleet: fakeFleet{}, Retries: retry.New(retry.Config{MaxAttempts: 3, InitialBudget: 100}, 1)})
+		now := time.Now()
+		result := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", PromptTokens: 1000, ArrivedAt: now, Deadline: now.Add(10 * time.Second), Route: failoverRoute}, &fakeClient{})
+		assert.Equal(t, result.Status, http.StatusInternalServerError, "%+v", result)
+		assert.DeepEqual(t, backends.sentTo, []string{"one:80", "two:80"})
+		assert.Equal(t, rn.RetryBudgets()["service"], 99.0)
+	})
+}
