forward: A long failure of a slow server leaves the request to its second attempt

What callers saw: a repeatable plain request whose slow server answers with a failure of over 32 KB gets that failure, though a second attempt has been charged and runs. A shorter failure waits for the second attempt.

Cause: what does not fit into the buffer is forwarded at once, which ends the second attempt.

If the second attempt fails as well, the answer is the host's own failure, as the long one is not kept. No existing test or check was changed.

--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -404,7 +404,7 @@
 		switch {
 		case complete && jb.request.Route.Repeatable() && (jb.second.isPending() || jb.sentCount < jb.request.Route.MaxAttempts):
 			return &buffered, retry.Interrupted, "the server failed"
-		case jb.second.isPending():
+		case jb.second.isPending(), monitor.hasSecond():
 			return nil, retry.Interrupted, "the server failed"
 		}
 	}
--- a/coordination/forward/slow_server.go
+++ b/coordination/forward/slow_server.go
@@ -149,6 +149,16 @@
 	return sm.lost
 }
 
+// hasSecond reports whether a second attempt runs.
+func (sm *slowServerMonitor) hasSecond() bool {
+	if sm == nil {
+		return false
+	}
+	sm.mutex.Lock()
+	defer sm.mutex.Unlock()
+	return sm.second != nil
+}
+
 // endLocked ends the searches. The caller holds the mutex.
 func (sm *slowServerMonitor) endLocked() {
 	sm.ended = true
--- a/coordination/forward/third_attempt_test.go
+++ b/coordination/forward/third_attempt_test.go
@@ -208,3 +208,29 @@
 		assert.Equal(t, rn.RetryBudgets()["service"], 99.0)
 	})
 }
+
+// TestLongErrorOfSlowServerLeavesRequestToSecondAttempt guards against failures that are forwarded, because they are too long to be
+// kept, though a second attempt runs.
+func TestLongErrorOfSlowServerLeavesRequestToSecondAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := serverlist.Server{ID: "one", Address: "one"}, serverlist.Server{ID: "two", Address: "two"}
+		balancer := balance.New("", 1)
+		balancer.EndRequest(time.Now(), two, balance.ErrorResponse, nil, time.Millisecond)
+		backends := &scriptedBackends{send: func(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
+			if attempt.Address == "one" {
+				time.Sleep(600 * time.Millisecond)
+				return forward.Response{Status: http.StatusInternalServerError, Length: -1, Body: io.NopCloser(strings.NewReader(strings.Repeat("x", 100_000)))}, nil
+			}
+			time.Sleep(200 * time.Millisecond)
+			return forward.Response{Status: http.StatusOK, Length: -1, Body: io.NopCloser(strings.NewReader("ok"))}, ctx.Err()
+		}}
+		rn := newRunner(forward.Dependencies{
+			Sender: backends, Fleet: fakeFleet{listed: []serverlist.Server{one, two}, announcedLeaving: map[id.BackendServer]bool{}}, Balancer: balancer,
+			Retries: retry.New(retry.Config{MaxAttempts: 3, InitialBudget: 10}, 1),
+		})
+		now := time.Now()
+		result := rn.Run(t.Context(), &forward.Request{ID: "request", Service: "service", ArrivedAt: now, Deadline: now.Add(time.Second), Route: route.Route{Kind: route.Idempotent, MaxAttempts: 2}}, &fakeClient{})
+		time.Sleep(time.Second)
+		assert.Equal(t, result.Status, http.StatusOK, "%+v", result)
+	})
+}
