--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -63,6 +63,8 @@
 		}
 		jb.result.Cause = description
 		if ctx.Err() != nil {
+			// The second attempt ends with the request, and its server may have run it.
+			jb.mayHaveRun = jb.mayHaveRun || jb.nextSecond != nil
 			break
 		}
 		if jb.nextSecond != nil {
@@ -402,7 +404,7 @@
 		switch {
 		case complete && jb.request.Route.Repeatable() && (jb.second.isPending() || jb.sentCount < jb.request.Route.MaxAttempts):
 			return &buffered, retry.Interrupted, "the server failed"
-		case jb.second.isPending():
+		case jb.second.isPending(), monitor.hasSecond():
 			return nil, retry.Interrupted, "the server failed"
 		}
 	}
