--- a/coordination/batch/waiting_test.go
+++ b/coordination/batch/waiting_test.go
@@ -110,7 +110,7 @@
 }
 
 // TestEachWaitingRequestEndsOnce lets requests wait while engines leave, are evacuated, cold, limited, restarted and gone, fail
-// and ask to be left alone, and the dispatcher takes over, in any order. Each request must get one grant or one refusal
+// and ask for backoff, and the dispatcher takes over, in any order. Each request must get one grant or one refusal
 // before its client leaves, and none after it has been withdrawn.
 func TestEachWaitingRequestEndsOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/coordination/forward/early_end.go
+++ b/coordination/forward/early_end.go
@@ -16,7 +16,7 @@
 const earlyEndLookDelay = time.Second
 
 // suspectAfterEarlyEnd keeps an attempt under suspicion that ended because its client left or its time was over, before its
-// server was heard of. The suspicion ends when the server is found alive later, without a restart in between. Attempts at
+// server responded. The suspicion ends when the server is found alive later, without a restart in between. Attempts at
 // servers that are leaving, and those that end because the local host does, are not suspected.
 func (jb *job) suspectAfterEarlyEnd(ctx context.Context, server serverlist.Server, startedAt time.Time) {
 	rn := jb.runner
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -283,7 +283,7 @@
 		abort: func(err error) { cancel(err) },
 	})
 	defer monitor.stop()
-	// A failover attempt is left alone before stop waits for it.
+	// The context ends first, so that stop does not wait for a failover attempt.
 	defer cancel(nil)
 	if st.rejectQuarantined() {
 		// This host may have learned of crashes while it waited for the memory.
--- a/transport/peer/relay_body_end_test.go
+++ b/transport/peer/relay_body_end_test.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// TestStalledRelayedCallIsNotInterrupted has an entry host stop before the end of a relayed call. It must be told that the call
+// TestStalledRelayedCallIsNotInterrupted has an entry host stop before the end of a relayed call. It must learn that the call
 // was not sent once it is interrupted.
 func TestStalledRelayedCallIsNotInterrupted(t *testing.T) {
 	memory := bodymemory.New(1_000_000, 0, bodymemory.WithInterruption(timer.NewSystem(), time.Nanosecond))
