--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -109,11 +109,7 @@
 	}
 	hs.exitExpected = false
 	hs.output = &bytes.Buffer{}
-	program := *daemonPath
-	if program == "" {
-		program = filepath.Join(binariesDir, "hibiscusleverd")
-	}
-	hs.process = exec.Command(program, "--settings", hs.settingsPath)
+	hs.process = exec.Command(hs.testbed.nextDaemon(), "--settings", hs.settingsPath)
 	if hs.cuttable {
 		hs.process = exec.Command(os.Args[0])
 		hs.process.Env = append(os.Environ(), cuttableHostVariable+"="+hs.settingsPath)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,7 @@
 	checkTimeLimits = flag.Bool("soak.timed", false, "also check time limits; needs a machine that is otherwise idle")
 	hostCount       = flag.Int("soak.hosts", 3, "`NUMBER` of hosts of each run")
 	daemonPath      = flag.String("soak.daemon", "", "`FILE` of the daemon to test instead of the one built from the source; the mix Partitions ignores it")
+	otherDaemonPath = flag.String("soak.other", "", "`FILE` of a daemon of another build that every second start runs; the mix Partitions ignores it")
 	logFolder       = flag.String("soak.logs", "", "existing `FOLDER` to write the host logs of failed seeds to")
 )
 
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -69,6 +71,9 @@
 	store *standin.Store
 	hosts []*host
 
+	// startedDaemons is the number of daemons started so far by all hosts.
+	startedDaemons atomic.Int64
+
 	// mutex guards the fields from here to crashedServers, and the fields retired and draining of servers.
 	mutex sync.Mutex
 	// servers contains all servers, also those that have ended.
@@ -105,6 +110,18 @@
 	stopCrashingRequests func()
 }
 
+// nextDaemon returns the file of the daemon that the next start runs. With -soak.other the two builds take turns, so that
+// they run side by side and replace each other in both directions.
+func (tb *testbed) nextDaemon() string {
+	if start := tb.startedDaemons.Add(1); *otherDaemonPath != "" && start%2 == 0 {
+		return *otherDaemonPath
+	}
+	if *daemonPath != "" {
+		return *daemonPath
+	}
+	return filepath.Join(binariesDir, "hibiscusleverd")
+}
+
 // disruption is the beginning or the end of a fault of a host or a link.
 type disruption struct {
 	// name is that of the link, or of the host.
