forward: A stopping host leaves streams of silent engines to others

Cause: findFailover refused to look for another engine as soon as the host no longer accepted requests, 1.5 s after SIGTERM with a grace of 5 s. For a request without a response that is right: its client gets a refusal, and other hosts can serve it. The client of a stream that has begun gets nothing but the cut.

A stream of which an event was forwarded may now go on at another engine until the response is cut off. Attempts, grants and the retry budget are counted as before, and the new run goes on after the last event that was forwarded.

--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -227,7 +227,7 @@
 	rn := st.runner
 	failed := st.failover.failed()
 	attemptsMade := origin.attemptsMade + failed.sent
-	if rn.grantContext.Err() != nil || origin.grantsUsed+failed.grants >= rn.config.MaxGrants ||
+	if rn.grantContext.Err() != nil && !st.hasForwarded() || origin.grantsUsed+failed.grants >= rn.config.MaxGrants ||
 		attemptsMade >= st.request.Route.MaxAttempts || !st.retryAllowed(attemptsMade) || !st.isResumable() {
 		return false
 	}
@@ -243,7 +243,7 @@
 	grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service, grantRequest.AttemptNumber)
 	st.setIsolation(&grantRequest)
 	grantRequest.WaitLimit = st.waitLimitFromArrival()
-	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
+	acquireCtx, detach := st.withFailoverGrant(ctx)
 	defer detach()
 	grant, oc := rn.dispatcher.Acquire(acquireCtx, grantRequest)
 	if !oc.OK() {
@@ -267,6 +267,23 @@
 	return false
 }
 
+// hasForwarded reports whether an event was forwarded. Such a stream may go on at another engine also while the host stops:
+// its client has no use for a refusal.
+func (st *engineJob) hasForwarded() bool {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	return !st.lastEventAt.IsZero()
+}
+
+// withFailoverGrant returns a copy of ctx for the request of a grant for a failover attempt. It also ends when the host rejects
+// requests that wait for a grant, unless an event was forwarded. The caller must call the returned function to free resources.
+func (st *engineJob) withFailoverGrant(ctx context.Context) (context.Context, context.CancelFunc) {
+	if st.hasForwarded() {
+		return context.WithCancel(ctx)
+	}
+	return withShutdown(ctx, st.runner.grantContext)
+}
+
 // isResumable reports whether a request can ask an engine to go on after the last forwarded event.
 func (st *engineJob) isResumable() bool {
 	st.forwarding.Lock()
