forward: No attempt is spent on an engine that is silent too

Cause: an engine counted as able to go on with a stream if it accepted a connection. A silent engine does that too.

An engine now has to respond to the probe that the silent one did not respond to before an attempt is sent. One that does not is reported to the dispatcher and the next check looks for another. It costs one probe for each second attempt; no attempt, no retry.

Evidence: TestAttemptIsSpentOnSilentEngine failed before (cut with Attempts:2) and passes; so does TestSilentSecondEngineIsReported (2 engines had got the request). The fakes of TestSilentEngineDoesNotEndStream and TestLostLinkIsNoFaultOfEngine had second engines that ran a stream while they responded to no probe; now only the first one responds to none. Their checks are the same.

--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -217,7 +217,7 @@
 }
 
 // findFailover requests a grant on another engine for a stream that has stalled or whose engine does not respond, and
-// starts a failover attempt there if the engine accepts connections and the retry policy allows it. The attempt in progress
+// starts a failover attempt there if the engine responds to a probe and the retry policy allows it. The attempt in progress
 // and its grant stay valid meanwhile, because the new request to the dispatcher has its own id. It returns true when the
 // failover attempt takes the stream over, and false if it fails. ctx ends when the engine in use goes on; a
 // failover attempt that runs by then ends only with the next event.
@@ -255,9 +255,9 @@
 	primary := grant.Parts[0]
 	switch {
 	case acquireCtx.Err() != nil:
-	case !rn.accepts(acquireCtx, rn.serverOfPart(st.request.Service, primary), &ended):
+	case !rn.responds(acquireCtx, rn.serverOfPart(st.request.Service, primary), &ended):
 		rn.logger.Info("stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(origin.engine),
-			"reason", "the next engine can't be reached", "next", string(primary.Engine))
+			"reason", "the next engine does not respond", "next", string(primary.Engine))
 	case st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade):
 		if fa := st.startFailover(origin, grantRequest, grant); fa != nil {
 			return st.awaitFailover(origin.attemptCtx, fa)
@@ -417,12 +417,26 @@
 	}
 }
 
-// accepts reports whether an engine accepts connections, from this host or another one. If it has failed, the report to the
-// dispatcher says so.
-func (rn *Runner) accepts(ctx context.Context, engine serverlist.Server, ended *broker.EndedGrant) bool {
-	result := rn.probeConnection(ctx, engine)
+// responds reports whether an engine responds to a probe, from this host or another one. If it has failed, the report to the
+// dispatcher says so. A silent engine also accepts connections, so that one is no sign that it would run the request.
+func (rn *Runner) responds(ctx context.Context, engine serverlist.Server, ended *broker.EndedGrant) bool {
+	result := rn.probeHTTP(ctx, engine.ID, engine.Address)
 	if result.saysServerFailed() && ctx.Err() == nil {
-		ended.FailedEngine, ended.Fault = id.Engine(engine.ID), batch.Unreachable
+		ended.FailedEngine, ended.Fault = id.Engine(engine.ID), batch.Unresponsive
+		if result == ConnectionRefused {
+			ended.Fault = batch.Unreachable
+		}
 	}
 	return result.Alive()
 }
+
+// probeHTTP returns how an engine responds to an HTTP request. An engine that asked for backoff is not probed and counts as
+// reachable.
+func (rn *Runner) probeHTTP(ctx context.Context, engine id.BackendServer, address string) ProbeResult {
+	ctx, cancel := context.WithTimeout(ctx, rn.config.ProbeTimeout)
+	defer cancel()
+	if rn.askedForBackoff(engine) {
+		return Reachable
+	}
+	return rn.sender.ProbeHTTP(ctx, address)
+}
--- a/coordination/forward/lost_link_test.go
+++ b/coordination/forward/lost_link_test.go
@@ -20,7 +20,8 @@
 	streamingServers
 	// sendErrors holds the errors of attempts by address.
 	sendErrors map[string]error
-	probe      forward.ProbeResult
+	// probe is how the engine "one" responds to probes over HTTP.
+	probe forward.ProbeResult
 }
 
 func (us *unlinkedServers) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
@@ -31,7 +32,12 @@
 	return us.streamingServers.Send(ctx, attempt)
 }
 
-func (us *unlinkedServers) ProbeHTTP(context.Context, string) forward.ProbeResult { return us.probe }
+func (us *unlinkedServers) ProbeHTTP(_ context.Context, address string) forward.ProbeResult {
+	if address != "one:80" {
+		return forward.Reachable
+	}
+	return us.probe
+}
 
 // TestLostLinkIsNoFaultOfEngine guards against engines that get nothing from any host because one host has lost its link
 // to them. An engine that has failed is still reported.
--- a/coordination/forward/silence_test.go
+++ b/coordination/forward/silence_test.go
@@ -15,10 +15,10 @@
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 )
 
-// silentServers are streaming servers that respond to no probe.
+// silentServers are streaming servers of which "one" responds to no probe over HTTP.
 type silentServers struct {
 	streamingServers
-	// unreachable holds the addresses that accept no connections.
+	// unreachable holds the addresses that accept no connections and respond to no probe.
 	unreachable map[string]bool
 }
 
@@ -29,8 +29,11 @@
 	return forward.Reachable
 }
 
-func (*silentServers) ProbeHTTP(context.Context, string) forward.ProbeResult {
-	return forward.Unresponsive
+func (ss *silentServers) ProbeHTTP(_ context.Context, address string) forward.ProbeResult {
+	if address == "one:80" || ss.unreachable[address] {
+		return forward.Unresponsive
+	}
+	return forward.Reachable
 }
 
 // TestSilentEngineDoesNotEndStream guards against requests that are lost because a sound engine falls silent for a
--- a/coordination/forward/stream_monitor.go
+++ b/coordination/forward/stream_monitor.go
@@ -160,17 +160,11 @@
 	return sm.idleLimit - sm.runner.clock.Now().Sub(sm.lastActivity)
 }
 
-// probe returns how the engine responds to a probe. An engine that asked for backoff is not probed and counts as reachable.
-// The caller holds the mutex, which is unlocked meanwhile.
+// probe returns how the engine responds to a probe. The caller holds the mutex, which is unlocked meanwhile.
 func (sm *streamMonitor) probe() ProbeResult {
-	ctx, cancel := context.WithTimeout(context.Background(), sm.runner.config.ProbeTimeout)
-	defer cancel()
 	sm.mutex.Unlock()
 	defer sm.mutex.Lock()
-	if sm.runner.askedForBackoff(id.BackendServer(sm.engine.Engine)) {
-		return Reachable
-	}
-	return sm.runner.sender.ProbeHTTP(ctx, sm.engine.Address)
+	return sm.runner.probeHTTP(context.Background(), id.BackendServer(sm.engine.Engine), sm.engine.Address)
 }
 
 // runCallback runs a callback with a context that ends when the stream goes on or the monitor stops. The caller holds the
