forward: A stopping host resumes streams whose engine breaks off

Cause: the request for the next grant ended with the time in which the host accepts requests, also for requests that an engine had seen. It now ends then only for requests that none has seen, as the sending itself does (withFirstSending).

Found by reading, after the same condition in findFailover; no run showed it. TestNothingIsSentFirstAfterAcceptTime holds the opposite.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -159,7 +159,7 @@
 	st.setIsolation(&st.grantRequest)
 	st.grantRequest.WaitLimit = st.waitLimitFromArrival()
 	st.grantRequest.Unanswered = !st.result.HeadSent
-	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
+	acquireCtx, detach := st.withFirstSending(ctx)
 	acquireCtx, span := rn.tracer.Start(acquireCtx, "dispatch.place")
 	st.grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service, st.grantRequest.AttemptNumber)
 	grant, oc := rn.dispatcher.Acquire(acquireCtx, st.grantRequest)
