Soak: A second attempt that the host left is not the one it cut

Cause: the verdict judges by the run that began last. Attempts followed each other when it was written; since a second one runs beside the first, and the host leaves it when the first server goes on.

The verdict passes over a last run that the host had left before the cut, if the one before it ended later. Three rows of TestVerdict: this case, which failed before, and the nearest ones that stay lost: the first server was complete before the last sixth, and the second one was. No row changes.

--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -214,14 +214,14 @@
 		}
 		return lost
 	}
-	last := runs[len(runs)-1]
-	if len(runs) > 1 && arrivedAbandoned(last) && runs[len(runs)-2].EndedAt.After(last.EndedAt) {
-		last = runs[len(runs)-2]
-	}
 	cutAt := ex.endedAt
 	if !end.at.IsZero() {
 		cutAt = end.at
 	}
+	last := runs[len(runs)-1]
+	if len(runs) > 1 && (arrivedAbandoned(last) || leftBefore(last, cutAt)) && runs[len(runs)-2].EndedAt.After(last.EndedAt) {
+		last = runs[len(runs)-2]
+	}
 	graceEnd := terminatedAt.Add(grace)
 	switch {
 	case last.BrokenOff:
@@ -243,6 +243,12 @@
 	return !run.Completed && !run.DisconnectedAt.IsZero() && run.DisconnectedAt.Sub(run.StartedAt) < longest
 }
 
+// leftBefore reports whether the host had left a run before it cut the response. A second attempt ends so if the server of the
+// first one, which runs beside it, goes on.
+func leftBefore(run standin.ExecutedRequest, cutAt time.Time) bool {
+	return !run.Completed && !run.DisconnectedAt.IsZero() && run.DisconnectedAt.Before(cutAt)
+}
+
 // neverReadCause returns why a request was not read whose connection, if there was one, ended in the given way. The times are
 // those of the last process that was started before.
 func (ex *exchange) neverReadCause(end targetEnd, process processTimes) verdict {
@@ -374,6 +380,11 @@
 		cr.runs[0].Completed, cr.runs[0].DisconnectedAt, cr.runs[0].EndedAt = true, time.Time{}, at(offset)
 		cr.endedAt = at(grace)
 	}
+	// cutAtEnd makes it a stream that was cut and whose server was at work until a second before the end of the grace.
+	cutAtEnd := func(cr *cutRequest) {
+		endRun(cr, grace-time.Second)
+		cr.endedAt, cr.end.at = at(grace-time.Second), at(grace-time.Second)
+	}
 	// holdUnrun makes it a request that no server ran, and whose connection ended when a time had passed since its last byte.
 	holdUnrun := func(cr *cutRequest, held time.Duration) {
 		cr.runs, cr.end.at = nil, cr.end.lastPassedOnAt.Add(held)
@@ -382,27 +393,35 @@
 		change func(*cutRequest)
 		want   verdict
 	}{
-		"a stream that is cut":                           {func(*cutRequest) {}, lost},
-		"a stream that is cut without a SIGTERM":         {func(cr *cutRequest) { cr.terminatedAt = time.Time{} }, lost},
-		"no answer at all":                               {func(cr *cutRequest) { cr.status, cr.err = 0, io.EOF }, lost},
-		"a refusal that is cut":                          {func(cr *cutRequest) { cr.status = http.StatusServiceUnavailable }, lost},
-		"a whole answer":                                 {func(cr *cutRequest) { cr.err = nil }, answered},
-		"a whole refusal":                                {func(cr *cutRequest) { cr.err, cr.status = nil, http.StatusServiceUnavailable }, answered},
-		"the client left":                                {func(cr *cutRequest) { cr.abandonedAt = cr.endedAt }, clientLeft},
-		"the server broke off":                           {func(cr *cutRequest) { cr.runs[0].BrokenOff = true }, serverBrokeOff},
-		"the server broke off an earlier run":            {func(cr *cutRequest) { cr.runs = append(cr.runs, cr.runs[0]); cr.runs[0].BrokenOff = true }, lost},
-		"cut at the time limit":                          {func(cr *cutRequest) { cr.kind.timeout = 2 * time.Second }, timeLimit},
-		"cut before the time limit":                      {func(cr *cutRequest) { cr.kind.timeout = 2*time.Second + 1 }, lost},
-		"cut before the time limit, noticed after it":    {func(cr *cutRequest) { cr.endedAt = cr.sentAt.Add(cr.kind.timeout) }, lost},
-		"server at work in the last sixth":               {func(cr *cutRequest) { endRun(cr, 5*time.Second) }, endOfGrace},
-		"server cut before the last sixth":               {func(cr *cutRequest) { endRun(cr, 5*time.Second-1) }, lost},
-		"cut before the last sixth, noticed in it":       {func(cr *cutRequest) { cr.endedAt = at(5 * time.Second) }, lost},
-		"server complete in the last sixth":              {func(cr *cutRequest) { completeRun(cr, 5*time.Second) }, endOfGrace},
-		"server complete before the last sixth":          {func(cr *cutRequest) { completeRun(cr, 5*time.Second-1) }, lost},
-		"server at work in the last sixth, no SIGTERM":   {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.terminatedAt = time.Time{} }, lost},
-		"an earlier run in the last sixth":               {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.runs = append(cr.runs, passedOn().runs[0]) }, lost},
-		"an abandoned run that arrives late":             {func(cr *cutRequest) { endRun(cr, 5*time.Second); addRun(cr, 0) }, endOfGrace},
-		"a later run that is abandoned":                  {func(cr *cutRequest) { endRun(cr, 5*time.Second); addRun(cr, 20*time.Millisecond) }, lost},
+		"a stream that is cut":                                {func(*cutRequest) {}, lost},
+		"a stream that is cut without a SIGTERM":              {func(cr *cutRequest) { cr.terminatedAt = time.Time{} }, lost},
+		"no answer at all":                                    {func(cr *cutRequest) { cr.status, cr.err = 0, io.EOF }, lost},
+		"a refusal that is cut":                               {func(cr *cutRequest) { cr.status = http.StatusServiceUnavailable }, lost},
+		"a whole answer":                                      {func(cr *cutRequest) { cr.err = nil }, answered},
+		"a whole refusal":                                     {func(cr *cutRequest) { cr.err, cr.status = nil, http.StatusServiceUnavailable }, answered},
+		"the client left":                                     {func(cr *cutRequest) { cr.abandonedAt = cr.endedAt }, clientLeft},
+		"the server broke off":                                {func(cr *cutRequest) { cr.runs[0].BrokenOff = true }, serverBrokeOff},
+		"the server broke off an earlier run":                 {func(cr *cutRequest) { cr.runs = append(cr.runs, cr.runs[0]); cr.runs[0].BrokenOff = true }, lost},
+		"cut at the time limit":                               {func(cr *cutRequest) { cr.kind.timeout = 2 * time.Second }, timeLimit},
+		"cut before the time limit":                           {func(cr *cutRequest) { cr.kind.timeout = 2*time.Second + 1 }, lost},
+		"cut before the time limit, noticed after it":         {func(cr *cutRequest) { cr.endedAt = cr.sentAt.Add(cr.kind.timeout) }, lost},
+		"server at work in the last sixth":                    {func(cr *cutRequest) { endRun(cr, 5*time.Second) }, endOfGrace},
+		"server cut before the last sixth":                    {func(cr *cutRequest) { endRun(cr, 5*time.Second-1) }, lost},
+		"cut before the last sixth, noticed in it":            {func(cr *cutRequest) { cr.endedAt = at(5 * time.Second) }, lost},
+		"server complete in the last sixth":                   {func(cr *cutRequest) { completeRun(cr, 5*time.Second) }, endOfGrace},
+		"server complete before the last sixth":               {func(cr *cutRequest) { completeRun(cr, 5*time.Second-1) }, lost},
+		"server at work in the last sixth, no SIGTERM":        {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.terminatedAt = time.Time{} }, lost},
+		"an earlier run in the last sixth":                    {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.runs = append(cr.runs, passedOn().runs[0]) }, lost},
+		"an abandoned run that arrives late":                  {func(cr *cutRequest) { endRun(cr, 5*time.Second); addRun(cr, 0) }, endOfGrace},
+		"a later run that is abandoned":                       {func(cr *cutRequest) { endRun(cr, 5*time.Second); addRun(cr, 20*time.Millisecond) }, lost},
+		"a later run that is left, the first one goes on":     {func(cr *cutRequest) { cutAtEnd(cr); addRun(cr, time.Second) }, endOfGrace},
+		"a later run that is left, the first one is complete": {func(cr *cutRequest) { cutAtEnd(cr); completeRun(cr, 5*time.Second-1); addRun(cr, time.Second) }, lost},
+		"a later run that is cut, the first one was left": {func(cr *cutRequest) {
+			cutAtEnd(cr)
+			endRun(cr, 5*time.Second-1)
+			addRun(cr, time.Second)
+			cr.runs[1].Completed = true
+		}, lost},
 		"an abandoned run after all others":              {func(cr *cutRequest) { addRun(cr, 0) }, lost},
 		"server at work only after the grace":            {func(cr *cutRequest) { endRun(cr, grace+time.Second); cr.runs[0].StartedAt = at(grace + 1) }, lost},
 		"server at work at the end, sent 3 s late":       {func(cr *cutRequest) { endRun(cr, 5*time.Second); cr.sentAt = at(lateSendLimit) }, endOfGrace},
