--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -217,7 +217,7 @@
 }
 
 // findFailover requests a grant on another engine for a stream that has stalled or whose engine does not respond, and
-// starts a failover attempt there if the engine accepts connections and the retry policy allows it. The attempt in progress
+// starts a failover attempt there if the engine responds to a probe and the retry policy allows it. The attempt in progress
 // and its grant stay valid meanwhile, because the new request to the dispatcher has its own id. It returns true when the
 // failover attempt takes the stream over, and false if it fails. ctx ends when the engine in use goes on; a
 // failover attempt that runs by then ends only with the next event.
@@ -227,7 +227,7 @@
 	rn := st.runner
 	failed := st.failover.failed()
 	attemptsMade := origin.attemptsMade + failed.sent
-	if rn.grantContext.Err() != nil || origin.grantsUsed+failed.grants >= rn.config.MaxGrants ||
+	if rn.grantContext.Err() != nil && !st.hasForwarded() || origin.grantsUsed+failed.grants >= rn.config.MaxGrants ||
 		attemptsMade >= st.request.Route.MaxAttempts || !st.retryAllowed(attemptsMade) || !st.isResumable() {
 		return false
 	}
@@ -243,7 +243,7 @@
 	grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service, grantRequest.AttemptNumber)
 	st.setIsolation(&grantRequest)
 	grantRequest.WaitLimit = st.waitLimitFromArrival()
-	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
+	acquireCtx, detach := st.withFailoverGrant(ctx)
 	defer detach()
 	grant, oc := rn.dispatcher.Acquire(acquireCtx, grantRequest)
 	if !oc.OK() {
@@ -255,9 +255,9 @@
 	primary := grant.Parts[0]
 	switch {
 	case acquireCtx.Err() != nil:
-	case !rn.accepts(acquireCtx, rn.serverOfPart(st.request.Service, primary), &ended):
+	case !rn.responds(acquireCtx, rn.serverOfPart(st.request.Service, primary), &ended):
 		rn.logger.Info("stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(origin.engine),
-			"reason", "the next engine can't be reached", "next", string(primary.Engine))
+			"reason", "the next engine does not respond", "next", string(primary.Engine))
 	case st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade):
 		if fa := st.startFailover(origin, grantRequest, grant); fa != nil {
 			return st.awaitFailover(origin.attemptCtx, fa)
@@ -267,6 +267,23 @@
 	return false
 }
 
+// hasForwarded reports whether an event was forwarded. Such a stream may go on at another engine also while the host stops:
+// its client has no use for a refusal.
+func (st *engineJob) hasForwarded() bool {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	return !st.lastEventAt.IsZero()
+}
+
+// withFailoverGrant returns a copy of ctx for the request of a grant for a failover attempt. It also ends when the host rejects
+// requests that wait for a grant, unless an event was forwarded. The caller must call the returned function to free resources.
+func (st *engineJob) withFailoverGrant(ctx context.Context) (context.Context, context.CancelFunc) {
+	if st.hasForwarded() {
+		return context.WithCancel(ctx)
+	}
+	return withShutdown(ctx, st.runner.grantContext)
+}
+
 // isResumable reports whether a request can ask an engine to go on after the last forwarded event.
 func (st *engineJob) isResumable() bool {
 	st.forwarding.Lock()
@@ -400,12 +417,26 @@
 	}
 }
 
-// accepts reports whether an engine accepts connections, from this host or another one. If it has failed, the report to the
-// dispatcher says so.
-func (rn *Runner) accepts(ctx context.Context, engine serverlist.Server, ended *broker.EndedGrant) bool {
-	result := rn.probeConnection(ctx, engine)
+// responds reports whether an engine responds to a probe, from this host or another one. If it has failed, the report to the
+// dispatcher says so. A silent engine also accepts connections, so that one is no sign that it would run the request.
+func (rn *Runner) responds(ctx context.Context, engine serverlist.Server, ended *broker.EndedGrant) bool {
+	result := rn.probeHTTP(ctx, engine.ID, engine.Address)
 	if result.saysServerFailed() && ctx.Err() == nil {
-		ended.FailedEngine, ended.Fault = id.Engine(engine.ID), batch.Unreachable
+		ended.FailedEngine, ended.Fault = id.Engine(engine.ID), batch.Unresponsive
+		if result == ConnectionRefused {
+			ended.Fault = batch.Unreachable
+		}
 	}
 	return result.Alive()
 }
+
+// probeHTTP returns how an engine responds to an HTTP request. An engine that asked for backoff is not probed and counts as
+// reachable.
+func (rn *Runner) probeHTTP(ctx context.Context, engine id.BackendServer, address string) ProbeResult {
+	ctx, cancel := context.WithTimeout(ctx, rn.config.ProbeTimeout)
+	defer cancel()
+	if rn.askedForBackoff(engine) {
+		return Reachable
+	}
+	return rn.sender.ProbeHTTP(ctx, address)
+}
