A response that has begun keeps the longest timeout since its arrival

Callers: streams were cut in the middle, with 0.1 to 1.9 s of their time left, at the timeout that their route had when they arrived, although changes had put a longer one in force since. Cause: the time of a request was fixed at its arrival, for its response as for the wait for one, and the engine was given that time, so that it would have ended the stream even if the host had gone on. A response that has begun ends at the longest timeout that its route, by name, has had since, and never after its client's time: a route that is dropped or renamed keeps what is known of it. Plain requests get the route's time as before.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -204,7 +204,7 @@
 		waitingSince = st.lastEventAt
 	}
 	st.mutex.Unlock()
-	return min(waitingSince.Sub(request.ArrivedAt)+route.WaitLimit(request.Route.TargetLatency, request.Route.MaxPause), st.deadline.Sub(request.ArrivedAt))
+	return min(waitingSince.Sub(request.ArrivedAt)+route.WaitLimit(request.Route.TargetLatency, request.Route.MaxPause), st.limit.deadline().Sub(request.ArrivedAt))
 }
 
 // attemptResult describes how an attempt ended.
@@ -298,7 +298,7 @@
 		Request:     st.request,
 		Server:      id.BackendServer(primary.Engine),
 		Address:     primary.Address,
-		Remaining:   st.remaining(),
+		Remaining:   st.remainingForServer(),
 		ResumeAfter: st.lastEventID,
 		Helpers:     grant.Parts[1:],
 		Urgency:     grant.Urgency,
@@ -525,7 +525,7 @@
 		// Comments of a failover attempt are dropped until it has an event.
 		if len(ev.data) > 0 && !st.asFailover.isPending() {
 			if !st.start.begin() {
-				// The host has aborted the request, and the end of ctx ends the attempt.
+				// The request was aborted, and the end of ctx ends the attempt.
 				st.mayHaveRun = true
 				<-ctx.Done()
 				return st.classifyLoss(sendCtx, ctx, primary, context.Cause(ctx))
--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -286,7 +286,7 @@
 	st.mutex.Lock()
 	lastEventAt := st.lastEventAt
 	st.mutex.Unlock()
-	jb := &job{runner: rn, request: st.request, sink: st.sink, deadline: st.deadline, start: st.start, sentCount: origin.attemptsMade + failed.sent, mayHaveRun: true, newConnection: origin.newConnection}
+	jb := &job{runner: rn, request: st.request, sink: st.sink, limit: st.limit, start: st.start, sentCount: origin.attemptsMade + failed.sent, mayHaveRun: true, newConnection: origin.newConnection}
 	jb.result = Result{HeadSent: !lastEventAt.IsZero(), Fingerprint: st.result.Fingerprint, DispatchID: grantRequest.ID}
 	fa := &failoverAttempt{requestCtx: origin.requestCtx, origin: st, sentBefore: jb.sentCount, superseding: make(chan struct{}), joined: make(chan struct{}), done: make(chan struct{})}
 	fa.pending.Store(true)
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -48,6 +48,9 @@
 	ArrivedAt time.Time
 	// Deadline is when the client stops waiting for the complete response.
 	Deadline time.Time
+	// LongestTimeout returns the longest timeout that the route has had since the arrival of the request, zero if there was no
+	// limit. It may be nil; the timeout of Route applies then all the time.
+	LongestTimeout func() time.Duration
 	// PromptTokens is the length of the prompt, MaxAnswerTokens the longest answer that the model may generate.
 	PromptTokens    id.Tokens
 	MaxAnswerTokens id.Tokens
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -260,7 +260,7 @@
 	defer span.End()
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	remaining := jb.remaining()
+	remaining := jb.remainingForServer()
 	monitor := jb.watchSlowServer(ctx, tried, func() { cancel(errSlowServer) })
 	defer func() { jb.nextSecond, jb.failedSeconds = monitor.end() }()
 	mayBegin := func() bool { return jb.maySend() && !rn.fleet.Evacuated(server.ID) }
@@ -363,10 +363,10 @@
 			return nil, retry.Interrupted, errSlowServer.Error()
 		}
 		if !jb.start.begin() {
-			// The host has aborted the request, and the end of ctx ends the attempt.
+			// The request was aborted, and the end of ctx ends the attempt.
 			jb.mayHaveRun = true
 			<-ctx.Done()
-			return nil, retry.Interrupted, errHostLeaving.Error()
+			return nil, retry.Interrupted, context.Cause(ctx).Error()
 		}
 		if err := jb.copyToClient(ctx, server, startedAt, response, prefix); err != nil {
 			jb.classifyInterruption(ctx, server, startedAt, err)
--- a/coordination/forward/response_start.go
+++ b/coordination/forward/response_start.go
@@ -29,6 +29,13 @@
 	return rs.aborted
 }
 
+// hasBegun reports whether the response has begun.
+func (rs *responseStart) hasBegun() bool {
+	rs.mutex.Lock()
+	defer rs.mutex.Unlock()
+	return rs.begun
+}
+
 // withAbort returns a copy of ctx that also ends when abortCtx ends and the response has not begun, then with errHostLeaving
 // as its cause. The caller must call the returned function to free resources.
 func withAbort(ctx, abortCtx context.Context, start *responseStart) (context.Context, context.CancelFunc) {
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/backoff"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
+	"github.com/hibiscuslever/hibiscuslever/state/route"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlist"
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
@@ -245,19 +246,16 @@
 }
 
 // Run forwards a request and blocks until its response has been forwarded or it has failed. It returns shortly after
-// the client's deadline or the route's timeout, whichever is earlier.
+// the client's deadline or the route's timeout, whichever is earlier; see timeLimit for a timeout that changes.
 func (rn *Runner) Run(ctx context.Context, request *Request, sink Sink) Result {
-	deadline := request.Deadline
-	if request.Route.Timeout > 0 && request.ArrivedAt.Add(request.Route.Timeout).Before(deadline) {
-		deadline = request.ArrivedAt.Add(request.Route.Timeout)
-	}
-	jb := &job{runner: rn, request: request, sink: sink, deadline: deadline, start: &responseStart{}}
+	jb := &job{runner: rn, request: request, sink: sink, start: &responseStart{}}
 	ctx, detach := withShutdown(ctx, rn.serveContext)
 	defer detach()
 	ctx, detachAbort := withAbort(ctx, rn.abortContext, jb.start)
 	defer detachAbort()
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
+	ctx, limit, stopLimit := withTimeLimit(ctx, rn.clock, request, jb.start)
+	defer stopLimit()
+	jb.limit = limit
 	rn.mutex.Lock()
 	rn.retries.RecordFirstAttempt(request.Service)
 	rn.mutex.Unlock()
@@ -327,9 +325,9 @@
 	runner  *Runner
 	request *Request
 	sink    Sink
-	// deadline is the earlier one of the client's deadline and the end of the route's timeout.
-	deadline time.Time
-	result   Result
+	// limit says when the request ends. All attempts of the request share it.
+	limit  *timeLimit
+	result Result
 	// start decides whether an abort of the host may still end the request. All attempts of the request share it.
 	start *responseStart
 	// sentCount counts the attempts that use up the route's limit because the request reached a server; mayHaveRun says
@@ -371,7 +369,16 @@
 }
 
 // remaining returns the time until the request's deadline.
-func (jb *job) remaining() time.Duration { return jb.deadline.Sub(jb.runner.clock.Now()) }
+func (jb *job) remaining() time.Duration { return jb.limit.deadline().Sub(jb.runner.clock.Now()) }
+
+// remainingForServer returns the time that a server gets. A stream may outlast the timeout that applies when it is sent,
+// and a server ends it when the time that it got has passed; so it gets all that the client waits.
+func (jb *job) remainingForServer() time.Duration {
+	if jb.request.Route.Kind == route.Streaming {
+		return jb.request.Deadline.Sub(jb.runner.clock.Now())
+	}
+	return jb.remaining()
+}
 
 // takeRetry decides whether the request is sent once more after an attempt failed for the given cause and, if so,
 // charges the service's retry budget. It charges nothing if nothing was sent or the dispatcher preempted the attempt.
--- a/coordination/forward/slow_server.go
+++ b/coordination/forward/slow_server.go
@@ -285,7 +285,7 @@
 	}
 	sm.startSecond = func(server serverlist.Server, failed []*secondAttempt) *secondAttempt {
 		next := &job{
-			runner: jb.runner, request: jb.request, sink: jb.sink, deadline: jb.deadline, start: jb.start, sentCount: sentBefore + countSent(failed), mayHaveRun: true, newConnection: newConnection,
+			runner: jb.runner, request: jb.request, sink: jb.sink, limit: jb.limit, start: jb.start, sentCount: sentBefore + countSent(failed), mayHaveRun: true, newConnection: newConnection,
 			result: Result{Fingerprint: jb.result.Fingerprint, Server: server.ID, Attempts: 1},
 		}
 		second := &secondAttempt{requestCtx: ctx, origin: jb, job: next, monitor: sm, server: server, sentBefore: next.sentCount, joined: make(chan struct{}), done: make(chan struct{})}
--- a/coordination/statesync/follower.go
+++ b/coordination/statesync/follower.go
@@ -86,6 +86,8 @@
 	// mutex guards the fields below except group.
 	mutex sync.Mutex
 	table *route.Table
+	// pastTimeouts holds the timeouts of the desired states before table.
+	pastTimeouts route.PastTimeouts
 	// compressedTable is the desired state as it is sent to other hosts.
 	compressedTable []byte
 	serverList      *serverlist.List
@@ -165,6 +167,14 @@
 	return fl.table
 }
 
+// LongestTimeout returns the longest timeout that a route has had since the arrival of a request, given the route as it was
+// on arrival. Zero means that there was no limit at some time.
+func (fl *Follower) LongestTimeout(arrival route.Route, arrivedAt time.Time) time.Duration {
+	fl.mutex.Lock()
+	defer fl.mutex.Unlock()
+	return fl.pastTimeouts.Longest(fl.table, arrival, arrivedAt)
+}
+
 // Loaded reports whether the host has both a desired state and a list of backend servers that was up to date at some time
 // since its start or, if it comes from another host, at that host.
 func (fl *Follower) Loaded() bool {
@@ -431,6 +441,9 @@
 		fl.mutex.Unlock()
 		return false
 	}
+	if fl.table != nil {
+		fl.pastTimeouts.Replace(fl.clock.Now(), fl.table, tb)
+	}
 	fl.table = tb
 	fl.compressedTable = compressed
 	fl.tableAppliedAt = fl.clock.Now()
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -204,6 +204,8 @@
 	routesByHostName      map[string][]Route
 	organisationsByAPIKey map[string]Organisation
 	servicesByName        map[id.Service]Service
+	// timeoutsByRoute holds the timeouts of the routes by name, noLimit for those that have none.
+	timeoutsByRoute map[string]time.Duration
 }
 
 // New returns the table of a desired state. It lower-cases the host names of the routes.
@@ -213,8 +215,10 @@
 		routesByHostName:      map[string][]Route{},
 		organisationsByAPIKey: map[string]Organisation{},
 		servicesByName:        map[id.Service]Service{},
+		timeoutsByRoute:       map[string]time.Duration{},
 	}
 	for _, rt := range contents.Routes {
+		tb.timeoutsByRoute[rt.Name] = max(tb.timeoutsByRoute[rt.Name], limitOf(rt.Timeout))
 		rt.HostName = strings.ToLower(rt.HostName)
 		tb.routesByHostName[rt.HostName] = append(tb.routesByHostName[rt.HostName], rt)
 	}
