What has no response is answered before its client stops waiting

Callers: plain requests whose client's time ended before their route's timeout got neither an answer nor a refusal: they end as caller_gone with remaining_ms 0 or -1, and a server's last error that the host held was lost too. Cause: host and client waited for the same instant, so the answer was written when nobody was there to read it. Now a request without a response ends 20 ms before its client stops waiting, and never more than a twentieth of the client's time before: 503 with Retry-After if it has not run, 504 if it may have run, or the error that a server gave. Plain servers get that much less time, so their own 504 arrives too. Responses that have begun and waits for grants keep their time, and so does what ends at its route's timeout. Why so small: a success that arrives in the margin would be lost. The way to the client is not measured. Not taken: answering before a client leaves a stream without an event for being silent (route.WaitLimit is an assumption about clients, and an event may still come). By reading: the product's own front has deadlines of its plans and none of clients; relays end 50 ms before.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -204,7 +204,7 @@
 		waitingSince = st.lastEventAt
 	}
 	st.mutex.Unlock()
-	return min(waitingSince.Sub(request.ArrivedAt)+route.WaitLimit(request.Route.TargetLatency, request.Route.MaxPause), st.limit.deadline().Sub(request.ArrivedAt))
+	return min(waitingSince.Sub(request.ArrivedAt)+route.WaitLimit(request.Route.TargetLatency, request.Route.MaxPause), st.limit.waitLimit())
 }
 
 // attemptResult describes how an attempt ended.
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -245,8 +245,8 @@
 	return rn
 }
 
-// Run forwards a request and blocks until its response has been forwarded or it has failed. It returns shortly after
-// the client's deadline or the route's timeout, whichever is earlier; see timeLimit for a timeout that changes.
+// Run forwards a request and blocks until its response has been forwarded or it has failed. It returns
+// about when the client's deadline or the route's timeout is reached, whichever is earlier; see timeLimit.
 func (rn *Runner) Run(ctx context.Context, request *Request, sink Sink) Result {
 	jb := &job{runner: rn, request: request, sink: sink, start: &responseStart{}}
 	ctx, detach := withShutdown(ctx, rn.serveContext)
--- a/coordination/forward/time_limit.go
+++ b/coordination/forward/time_limit.go
@@ -9,10 +9,19 @@
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
+const (
+	// answerLead is how long before its client stops waiting a request without a response ends, so that the client receives
+	// what is known of it. It covers the way to the client and back, since the client's time began before the request
+	// arrived.
+	answerLead = 20 * time.Millisecond
+	// maxAnswerLeadShare bounds answerLead to a part of the time that the client gave.
+	maxAnswerLeadShare = 0.05
+)
+
 // timeLimit ends a request in its time. A request without a response ends at the timeout that the route had on its arrival,
-// as a client is to be told then that there is none. A response that has begun goes on while any timeout that the route has
-// had since allows it, because nothing but the rest of the response helps its client. Neither lasts longer than the
-// client waits. All attempts of the request share it, and it is safe for concurrent use.
+// as a client is to be told then that there is none, or shortly before the client stops waiting. A response that has begun
+// goes on while the client waits and any timeout that the route has had since allows it, because nothing but the rest of the
+// response helps its client. All attempts of the request share it, and it is safe for concurrent use.
 type timeLimit struct {
 	clock   timer.Clock
 	request *Request
@@ -40,14 +49,29 @@
 
 // deadline returns when the request ends.
 func (tl *timeLimit) deadline() time.Time {
+	clientTime := tl.request.Deadline.Sub(tl.request.ArrivedAt)
+	if tl.start.hasBegun() {
+		return tl.request.ArrivedAt.Add(min(tl.timeout(), clientTime))
+	}
+	lead := min(answerLead, time.Duration(maxAnswerLeadShare*float64(max(0, clientTime))))
+	return tl.request.ArrivedAt.Add(min(tl.timeout(), clientTime-lead))
+}
+
+// waitLimit returns how long after the arrival of the request its client waits, or is to be kept waiting.
+func (tl *timeLimit) waitLimit() time.Duration {
+	return min(tl.timeout(), tl.request.Deadline.Sub(tl.request.ArrivedAt))
+}
+
+// timeout returns the timeout of the route that applies to the request; it is as long as the client waits if there is none.
+func (tl *timeLimit) timeout() time.Duration {
 	timeout := tl.request.Route.Timeout
 	if tl.request.LongestTimeout != nil && tl.start.hasBegun() {
 		timeout = tl.request.LongestTimeout()
 	}
-	if end := tl.request.ArrivedAt.Add(timeout); timeout > 0 && end.Before(tl.request.Deadline) {
-		return end
+	if timeout <= 0 {
+		return tl.request.Deadline.Sub(tl.request.ArrivedAt)
 	}
-	return tl.request.Deadline
+	return timeout
 }
 
 // scheduleCheck calls end when the deadline has passed. The deadline may move meanwhile.
@@ -62,6 +86,7 @@
 			end()
 			return
 		}
+		// The response has begun, and may go on for longer.
 		tl.scheduleCheck(end)
 	}))
 }
