A slow first answer no longer keeps a plain server without requests

Callers: none saw it; the other servers of a service carry the share of a server that gets nothing for 10 s and more. Cause: the balancer judges a server by the ratio of its mean answer time to the fastest one. The first answer, which has full weight, includes the new connection and took 12 to 60 ms on a busy machine; the other server answers in 0.1 to 0.5 ms on open connections. A ratio of 40 and more costs up to 16 requests for four half-lives of 3 s, and grows while the other server turns faster. A server that isn't chosen has no chance to show a better time. Hosts that share a machine do so at the same moment: the ramp of a cold server was then not asked for at all. Ruled out: permits, which were granted in under a ms when asked for, and the time at which hosts learn. Change: answer times below 20 ms count as equal.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -64,6 +64,9 @@
 	// maxSlownessCost in all.
 	slownessCost    = 2
 	maxSlownessCost = 16
+	// negligibleAnswerTime is the answer time below which all servers count as equally fast. A new connection or a process
+	// that waits for a core costs some ms, many times the answer time of a server with little work.
+	negligibleAnswerTime = 20 * time.Millisecond
 	// resultHalfLife is the time in which old results lose half of their weight. They decay so that a server that failed
 	// or was slow is tried again.
 	resultHalfLife = 3 * time.Second
@@ -98,14 +101,15 @@
 	st.lastAnswerAt = now
 }
 
-// slowness returns by how many multiples of the fastest server's answer time the server exceeds twice that time. Twice
-// is within the usual spread of answer times. The result decays with the age of the last answer.
+// slowness returns by how many multiples of the fastest server's answer time, at least negligibleAnswerTime, the server
+// exceeds twice that time. Twice is within the usual spread of answer times. The result decays with the age of the last
+// answer.
 func (st *serverState) slowness(now time.Time, fastestTime time.Duration) float64 {
 	const usualFactor = 2
 	if fastestTime <= 0 {
 		return 0
 	}
-	return max(0, float64(st.meanAnswerTime)/float64(fastestTime)-usualFactor) * decay(now.Sub(st.lastAnswerAt))
+	return max(0, float64(st.meanAnswerTime)/float64(max(fastestTime, negligibleAnswerTime))-usualFactor) * decay(now.Sub(st.lastAnswerAt))
 }
 
 // decay returns the weight that a result still has at an age, from 1 for a new one to 0.
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -104,3 +104,17 @@
 	counts := countChoices(bl, now, listed)
 	assert.Assert(t, counts["a"] > 50 && counts["b"] > 50, "%v", counts)
 }
+
+// TestFirstAnswerOnNewConnectionKeepsServerOut guards against a server that gets no requests for many seconds because its
+// first answer took some ms longer than the answers of another one, which take less than one.
+func TestFirstAnswerOnNewConnectionKeepsServerOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	listed := testServers()[:2]
+	bl := balance.New("z", 1)
+	bl.EndRequest(now, listed[0], balance.Answered, nil, 14*time.Millisecond)
+	for range 20 {
+		bl.EndRequest(now, listed[1], balance.Answered, nil, 300*time.Microsecond)
+	}
+	counts := countChoices(bl, now, listed)
+	assert.Assert(t, counts["a"] > 50 && counts["b"] > 50, "%v", counts)
+}
