A plain engine that comes back cold while the store is down has its limit

Cause: while the list is outdated a server only may be cold, and for plain services that limits nothing, because the issuer of the permits may be out of reach. The hosts had evidence of their own, refused and lost connections, and used it for their own choice of a server only. Change: a server of a plain service with cold engines that a host lost counts as cold for that host, while the list is older than 3 s and says nothing of that time. From its first answer on it counts as cold for ColdS, and the other hosts learn that by the fact that they exchange for X-Cold-Ms; so the first answers to each of them don't make it longer. Losses of engines with prompts need nothing: the dispatcher counts for all of them then. TestLossOfServerIsNotRecorded covers refused, reset and broken-off attempts; the method that it checks is new, so it was not run before. Remains: a server that is lost and back before the list is 3 s old; a host that sent nothing to it meanwhile, until it learns of the return.

--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -159,6 +159,8 @@
 }
 func (unlimited) RecordResponse(serverlist.Server, time.Time, requestlimit.Named, bool) {}
 
+func (unlimited) RecordLoss(serverlist.Server) {}
+
 // newRunner returns a runner with defaults for the dependencies that are not set.
 func newRunner(deps forward.Dependencies) *forward.Runner {
 	deps.Host, deps.Incarnation, deps.Clock, deps.Seed = "host", 1, timer.NewSystem(), 1
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -197,6 +197,8 @@
 	Acquire(ctx context.Context, service id.Service, servers []serverlist.Server, maxWait time.Duration) requestlimit.Permit
 	// RecordResponse records what the response to a request that was sent at sentAt says of the server's limit.
 	RecordResponse(server serverlist.Server, sentAt time.Time, named requestlimit.Named, successful bool)
+	// RecordLoss records that a request did not reach a server, or that its connection was lost.
+	RecordLoss(server serverlist.Server)
 }
 
 // Sink receives the response on behalf of the client.
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -269,6 +269,9 @@
 		NewConnection: jb.newConnection, Urgency: -1, MayBegin: mayBegin,
 	})
 	if err != nil {
+		if !monitor.hasLost() && ctx.Err() == nil {
+			rn.limits.RecordLoss(server)
+		}
 		if errors.Is(err, ErrNotSent) {
 			balanceResult = balance.Lost
 			if errors.Is(err, ErrUndetermined) {
@@ -387,8 +390,11 @@
 		err = jb.confirmEnd(ctx, server, startedAt, response)
 	}
 	if err != nil {
-		if monitor.hasLost() {
+		switch {
+		case monitor.hasLost():
 			err = errSlowServer
+		case ctx.Err() == nil:
+			jb.runner.limits.RecordLoss(server)
 		}
 		jb.mayHaveRun = true
 		if ctx.Err() == nil {
--- a/coordination/forward/request_limit_test.go
+++ b/coordination/forward/request_limit_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -26,8 +28,12 @@
 	wait time.Duration
 	// permits counts the granted permits.
 	permits int
+	// lost are the servers whose loss was recorded.
+	lost []id.BackendServer
 }
 
+func (sl *scriptedLimits) RecordLoss(server serverlist.Server) { sl.lost = append(sl.lost, server.ID) }
+
 func (sl *scriptedLimits) Rate(server serverlist.Server) serverlimit.Rate {
 	if slices.Contains(sl.limited, server.ID) {
 		return 1
@@ -84,3 +90,42 @@
 		})
 	}
 }
+
+// failingServers fail requests with an error before or amid their answers. Other servers answer.
+type failingServers struct {
+	scriptedServers
+	notSent, noAnswer, brokenOff string
+}
+
+func (fs *failingServers) Send(ctx context.Context, attempt forward.Attempt) (forward.Response, error) {
+	switch attempt.Address {
+	case fs.notSent:
+		return forward.Response{}, forward.ErrNotSent
+	case fs.noAnswer:
+		return forward.Response{}, io.ErrUnexpectedEOF
+	case fs.brokenOff:
+		response, err := fs.scriptedServers.Send(ctx, attempt)
+		response.Body = io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF))
+		return response, err
+	default:
+		return fs.scriptedServers.Send(ctx, attempt)
+	}
+}
+
+// TestLossOfServerIsNotRecorded guards against hosts that send a server as much as before after its connections were refused,
+// reset or broken off, although it may have started again.
+func TestLossOfServerIsNotRecorded(t *testing.T) {
+	for name, servers := range map[string]*failingServers{
+		"refused": {notSent: "one:80"}, "reset": {noAnswer: "one:80"}, "broken off": {brokenOff: "one:80"}, "answered": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limits := &scriptedLimits{}
+				listed := []serverlist.Server{{ID: "one", Service: "service", Address: "one:80"}}
+				rn := newRunner(forward.Dependencies{Sender: servers, Fleet: fakeFleet{listed: listed}, Limits: limits})
+				runRequest(t, rn, 0, route.Route{Kind: route.Idempotent, MaxAttempts: 2})
+				assert.Equal(t, slices.Contains(limits.lost, "one"), name != "answered")
+			})
+		})
+	}
+}
--- a/coordination/requestlimit/cold.go
+++ b/coordination/requestlimit/cold.go
@@ -76,13 +76,14 @@
 		return serverlimit.ColdLimit{}
 	}
 	cs.mutex.Lock()
-	isCold := cs.book.State(server, service.Duration).IsCold(cs.clock.Now())
+	now, listAge := cs.clock.Now(), cs.fleet.ListAge()
+	isCold := cs.book.State(server, service.Duration).IsCold(now) || cs.isLost(server, now, listAge)
 	cs.mutex.Unlock()
 	limit := service.Limit
 	switch {
 	case isCold:
 		return limit
-	case cs.fleet.ListAge() > outdatedListAge:
+	case listAge > outdatedListAge:
 		limit.Assumed = true
 		return limit
 	default:
@@ -90,6 +91,47 @@
 	}
 }
 
+// isLost reports whether a server was lost at a time of which the list says nothing yet, and has not answered since. It may
+// have started again. The caller holds the mutex.
+func (cs *ColdStarts) isLost(server serverlist.Server, now time.Time, listAge time.Duration) bool {
+	return listAge > outdatedListAge && cs.book.LostSince(server, now.Add(-listAge-outdatedListAge))
+}
+
+// RecordLoss records that a request of this host did not reach a server, or that its connection was lost.
+func (cs *ColdStarts) RecordLoss(server serverlist.Server) {
+	if !cs.fleet.ColdService(server.Service).HasColdServers() {
+		return
+	}
+	cs.mutex.Lock()
+	defer cs.mutex.Unlock()
+	cs.book.Lose(cs.clock.Now(), server)
+}
+
+// recordReturn takes an answer to a request that was sent at sentAt. A server that was lost while the list is outdated may
+// have started at any time before the answer, and counts as cold from then on. The other hosts learn it, too.
+func (cs *ColdStarts) recordReturn(server serverlist.Server, sentAt time.Time) {
+	service := cs.fleet.ColdService(server.Service)
+	if !service.HasColdServers() {
+		return
+	}
+	now, listAge := cs.clock.Now(), cs.fleet.ListAge()
+	hash := id.HashServer(server.ID)
+	cs.mutex.Lock()
+	wasLost := cs.isLost(server, now, listAge)
+	returned := cs.book.Find(hash, sentAt) && wasLost
+	if returned {
+		cs.book.Tell(now, hash, service.Duration, coldstart.Returned)
+	}
+	cs.mutex.Unlock()
+	if !returned {
+		return
+	}
+	cs.spreadFact(coldFact(now, server, service.Duration))
+	if cs.check() {
+		cs.changed()
+	}
+}
+
 // UpdateServers takes a new version of the list of servers, or of the desired state.
 func (cs *ColdStarts) UpdateServers(listed []serverlist.Server) {
 	cs.mutex.Lock()
@@ -159,6 +201,8 @@
 	for _, server := range cs.servers {
 		if uint64(id.HashServer(server.ID)) == fact.Key && uint64(server.StartedAtMillis) == fact.Detail {
 			cs.book.Tell(now, id.HashServer(server.ID), remaining, coldstart.Reported)
+			// Otherwise the first answer to each host would make the server count as cold for longer.
+			cs.book.Find(id.HashServer(server.ID), now)
 		}
 	}
 	cs.mutex.Unlock()
--- a/coordination/requestlimit/cold_test.go
+++ b/coordination/requestlimit/cold_test.go
@@ -240,3 +240,94 @@
 		assert.Assert(t, float64(most) <= coldAllowed, "%d permits in a second, allowed %g", most, coldAllowed)
 	})
 }
+
+// TestServerReturnsColdWhileListIsOutdated guards against hosts that send a server that was lost and came back as much as a
+// warm one, while the list does not say that it started again. It is warm again after its cold time. A loss that the list
+// has outlived, and one while the list is up to date, limit nothing.
+func TestServerReturnsColdWhileListIsOutdated(t *testing.T) {
+	const (
+		hostCount  = 6
+		interval   = time.Second / 16
+		answerTime = 30 * time.Millisecond
+		downtime   = 2 * time.Second
+	)
+	for name, outdated := range map[string]bool{"outdated": true, "up to date": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw, hosts := newNetwork(hostCount)
+				var cold []*coldHost
+				for _, host := range hosts {
+					started := newColdHost()
+					started.UpdateServers([]serverlist.Server{limitedServer, otherServer})
+					nw.clients[host].SetColdStarts(started.ColdStarts)
+					cold = append(cold, started)
+				}
+				confirmedAt := time.Now()
+				downFrom := confirmedAt.Add(4 * time.Second)
+				backAt := downFrom.Add(downtime)
+				warmAt := backAt.Add(coldPeriod)
+				var mutex sync.Mutex
+				var arrivals []time.Time
+				var demand sync.WaitGroup
+				send := func(index int) {
+					client := nw.clients[hosts[index]]
+					if client.Rate(limitedServer) > 0 && !client.Acquire(t.Context(), service, []serverlist.Server{limitedServer}, 0).Granted() {
+						return
+					}
+					sentAt := time.Now()
+					if !sentAt.Before(downFrom) && sentAt.Before(backAt) {
+						client.RecordLoss(limitedServer)
+						return
+					}
+					mutex.Lock()
+					arrivals = append(arrivals, sentAt)
+					mutex.Unlock()
+					time.Sleep(answerTime)
+					facts := len(cold[index].facts)
+					client.RecordResponse(limitedServer, sentAt, requestlimit.Named{}, true)
+					for _, fact := range cold[index].facts[facts:] {
+						for other := range cold {
+							if other != index {
+								cold[other].LearnFact(fact)
+							}
+						}
+					}
+				}
+				for index := range hosts {
+					demand.Go(func() {
+						time.Sleep(time.Duration(index) * interval / hostCount)
+						for time.Now().Before(warmAt.Add(2 * time.Second)) {
+							if outdated {
+								cold[index].fleet.setListAge(time.Since(confirmedAt))
+							}
+							demand.Go(func() { send(index) })
+							time.Sleep(interval)
+						}
+					})
+				}
+				demand.Wait()
+				inTime := func(from, to time.Time) []time.Time {
+					return slices.DeleteFunc(slices.Clone(arrivals), func(at time.Time) bool { return at.Before(from) || !at.Before(to) })
+				}
+				most := testutil.MaxInWindow(inTime(backAt, warmAt), time.Second)
+				assert.Check(t, !outdated || float64(most) <= coldAllowed, "%d requests in a second, allowed %g", most, coldAllowed)
+				assert.Check(t, outdated || float64(most) > coldAllowed, "%d requests in a second", most)
+				ramp := len(inTime(backAt, warmAt))
+				assert.Check(t, float64(ramp) >= 0.8*coldRate*coldPeriod.Seconds()-1, "%d requests while it may be cold", ramp)
+				warm := len(inTime(warmAt.Add(time.Second), warmAt.Add(2*time.Second)))
+				assert.Check(t, float64(warm) > coldAllowed, "%d requests in a second when it is warm", warm)
+			})
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		host := newColdHost()
+		host.UpdateServers([]serverlist.Server{limitedServer, otherService})
+		host.RecordLoss(limitedServer)
+		host.RecordLoss(otherService)
+		host.fleet.setListAge(3500 * time.Millisecond)
+		assert.Equal(t, host.Limit(limitedServer), serverlimit.ColdLimit{Rate: coldRate, MaxPerSecond: 15})
+		assert.Equal(t, host.Limit(otherService), serverlimit.ColdLimit{})
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, host.Limit(limitedServer), serverlimit.ColdLimit{Rate: coldRate, MaxPerSecond: 15, Assumed: true}, "the list has been read since the loss")
+	})
+}
--- a/coordination/requestlimit/tracker.go
+++ b/coordination/requestlimit/tracker.go
@@ -53,6 +53,7 @@
 // of the time for which it remains cold.
 func (tr *Tracker) RecordResponse(server serverlist.Server, sentAt time.Time, named Named, successful bool) {
 	if tr.cold != nil {
+		tr.cold.recordReturn(server, sentAt)
 		tr.cold.RecordAnswer(server, named.ColdFor)
 	}
 	if named.Invalid != "" {
@@ -74,6 +75,13 @@
 	tr.changed()
 }
 
+// RecordLoss records that a request did not reach a server of a plain service, or that its connection was lost.
+func (tr *Tracker) RecordLoss(server serverlist.Server) {
+	if tr.cold != nil {
+		tr.cold.RecordLoss(server)
+	}
+}
+
 // Named is what the head of a response says of a limit.
 type Named struct {
 	// Rate is the rate that the response names; zero if it names none.
--- a/state/coldstart/coldstart.go
+++ b/state/coldstart/coldstart.go
@@ -22,6 +22,8 @@
 	Answered Source = "its answer"
 	// Reported means that another host reported such an answer.
 	Reported Source = "another host"
+	// Returned means that the server answered for the first time after it was lost.
+	Returned Source = "its return"
 )
 
 // State says until when a server counts as cold, and why.
@@ -49,6 +51,8 @@
 	startedAt time.Time
 	// told is what answers of the server said, to this host or another one.
 	told State
+	// lostAt is when a request to the server was last lost without an answer to a later one; zero if none was.
+	lostAt time.Time
 }
 
 // Book holds what a host knows of the listed servers. It is not safe for concurrent use.
@@ -110,6 +114,35 @@
 	return true
 }
 
+// Lose takes that a request did not reach a listed server, or that its connection was lost. The server may have ended.
+func (bk *Book) Lose(now time.Time, server serverlist.Server) {
+	hash := id.HashServer(server.ID)
+	known, exists := bk.servers[hash]
+	if !exists || known.startedAtMillis != server.StartedAtMillis {
+		return
+	}
+	known.lostAt = now
+	bk.servers[hash] = known
+}
+
+// LostSince reports whether a server was lost at a time or later and has not answered since.
+func (bk *Book) LostSince(server serverlist.Server, since time.Time) bool {
+	known, exists := bk.servers[id.HashServer(server.ID)]
+	return exists && known.startedAtMillis == server.StartedAtMillis && !known.lostAt.IsZero() && !known.lostAt.Before(since)
+}
+
+// Find takes that a server answered a request that was sent at sentAt. It ends what Lose began, and reports whether the
+// server was lost before that request.
+func (bk *Book) Find(server id.ServerHash, sentAt time.Time) bool {
+	known, exists := bk.servers[server]
+	if !exists || known.lostAt.IsZero() || sentAt.Before(known.lostAt) {
+		return false
+	}
+	known.lostAt = time.Time{}
+	bk.servers[server] = known
+	return true
+}
+
 // State returns until when a listed server counts as cold, where a server of its service is cold for period after it has
 // started.
 func (bk *Book) State(server serverlist.Server, period time.Duration) State {
