Keep first crashes in the store, so that a restart of all hosts does not forget them

Cause: evidence of a single crash went to the dispatcher of the service and stayed at the entry host, and was never stored. With these two processes it was gone, in a kill of all hosts or when they are replaced one after another. Class: what one or two processes know is taken for what the fleet knows.

Dispatchers now write first crashes to the topic of crashes, and when they are cleared, in batches and at most 1,000 in ten minutes. Only the reader of the fleet learns them; it adds up what several dispatchers or the hosts before a restart stored, and tells all hosts once two crashes of a content count. Single crashes are not gossiped. A host that becomes the reader reads the topic from its beginning, and does so once an hour, so that expired records are deleted; other hosts that start no longer delete them. A full table evicts the contents with the fewest crashes first, or single crashes would displace contents that are refused. StoredEvidence names all that is known, so that a restored store gets single crashes back.

Requests of a content with two crashes are not put in order at plain services: the rule counts what is sent later than ContactMs after the third crash, and by then all hosts know of it.

--- a/coordination/crashlog/syncer.go
+++ b/coordination/crashlog/syncer.go
@@ -34,6 +34,13 @@
 	AppendRetryInterval time.Duration
 	// CallTimeout bounds a call to the log; ReadWait comes on top of it.
 	CallTimeout time.Duration
+	// MinShared is the number of crashes of a fingerprint from which on a host that reads the log only once learns them.
+	// Single crashes are left to the reader, because a host that does not go on reading does not learn that they are cleared.
+	MinShared int
+	// FirstCrashes is the number of records that QueueFirstCrash accepts in FirstCrashPeriod. It bounds what a host adds to
+	// the log when many servers crash at once.
+	FirstCrashes     int
+	FirstCrashPeriod time.Duration
 }
 
 // DefaultConfig returns the periods for a log that every host reads without long polling.
@@ -105,8 +112,8 @@
 	logger  *slog.Logger
 	// shouldRead reports whether the local host is to read the log now. Otherwise it reads the log only once.
 	shouldRead func() bool
-	// learn is called with each piece of evidence that was read and has not expired.
-	learn func(quarantine.Evidence)
+	// learn is called with the evidence that was read and has not expired.
+	learn func(...quarantine.Evidence)
 	// storedEvidence returns the evidence that should be in the log; nil if the log never loses records.
 	storedEvidence func() []quarantine.Evidence
 
@@ -114,6 +121,11 @@
 	mutex sync.Mutex
 	// nextOffset is the offset to read next, id.NoOffset before the first read.
 	nextOffset id.Offset
+	// fullReadAt is when the local host, as the reader, last began to read the log from its beginning; zero if it has not.
+	fullReadAt time.Time
+	// firstCrashesSince is when the current FirstCrashPeriod began, and firstCrashes is the number of records in it.
+	firstCrashesSince time.Time
+	firstCrashes      int
 	// pendingRecords are the records to be appended, oldest first, without those of an append in progress.
 	pendingRecords []Record
 	// flushScheduled says that flush is going to run when BatchDelay has passed.
@@ -132,7 +144,7 @@
 }
 
 // New returns a syncer that has read nothing yet.
-func New(config Config, clock timer.Clock, log Log, metrics tally.Scope, logger *slog.Logger, shouldRead func() bool, learn func(quarantine.Evidence), options ...Option) *Syncer {
+func New(config Config, clock timer.Clock, log Log, metrics tally.Scope, logger *slog.Logger, shouldRead func() bool, learn func(...quarantine.Evidence), options ...Option) *Syncer {
 	sy := &Syncer{config: config, clock: clock, log: log, metrics: metrics, logger: logger, shouldRead: shouldRead, learn: learn, nextOffset: id.NoOffset}
 	for _, option := range options {
 		option(sy)
@@ -178,16 +190,9 @@
 
 // QueueEvidence queues evidence to be appended after BatchDelay. Run retries what the log does not accept.
 func (sy *Syncer) QueueEvidence(evidence ...quarantine.Evidence) {
-	now := sy.clock.Now()
+	sy.addPending(evidence)
 	sy.mutex.Lock()
 	defer sy.mutex.Unlock()
-	for _, ev := range evidence {
-		sy.pendingRecords = append(sy.pendingRecords, Record{Evidence: ev, At: now})
-	}
-	if excess := len(sy.pendingRecords) - maxPendingRecords; excess > 0 {
-		sy.pendingRecords = sy.pendingRecords[excess:]
-		sy.metrics.Counter("evidence_dropped").Inc(int64(excess))
-	}
 	if !sy.flushScheduled {
 		sy.flushScheduled = true
 		sy.clock.After(sy.config.BatchDelay, func() {
@@ -199,11 +204,73 @@
 	}
 }
 
+// addPending adds evidence to the pending records, and drops the oldest ones beyond maxPendingRecords.
+func (sy *Syncer) addPending(evidence []quarantine.Evidence) {
+	now := sy.clock.Now()
+	sy.mutex.Lock()
+	defer sy.mutex.Unlock()
+	for _, ev := range evidence {
+		sy.pendingRecords = append(sy.pendingRecords, Record{Evidence: ev, At: now})
+	}
+	if excess := len(sy.pendingRecords) - maxPendingRecords; excess > 0 {
+		sy.pendingRecords = sy.pendingRecords[excess:]
+		sy.metrics.Counter("evidence_dropped").Inc(int64(excess))
+	}
+}
+
+// QueueFirstCrash queues evidence about a fingerprint with a single crash, or drops it if there has been too much of it.
+// Run appends what is cleared within AppendRetryInterval, because requests that ran on a crashed server end one by one.
+func (sy *Syncer) QueueFirstCrash(evidence quarantine.Evidence) {
+	if !sy.acceptsFirstCrash() {
+		sy.metrics.Counter("first_crashes_dropped").Inc(1)
+		return
+	}
+	if evidence.Status == quarantine.Cleared {
+		sy.addPending([]quarantine.Evidence{evidence})
+		return
+	}
+	sy.QueueEvidence(evidence)
+}
+
+// acceptsFirstCrash counts a record of QueueFirstCrash, and returns false if FirstCrashes are exceeded.
+func (sy *Syncer) acceptsFirstCrash() bool {
+	now := sy.clock.Now()
+	sy.mutex.Lock()
+	defer sy.mutex.Unlock()
+	if now.Sub(sy.firstCrashesSince) >= sy.config.FirstCrashPeriod {
+		sy.firstCrashesSince, sy.firstCrashes = now, 0
+	}
+	if sy.firstCrashes >= sy.config.FirstCrashes {
+		return false
+	}
+	sy.firstCrashes++
+	return true
+}
+
+// newestOfEach returns the last record of each pair of a fingerprint and a crash, which replaces the others in the log.
+func newestOfEach(records []Record) []Record {
+	type pair struct {
+		fingerprint id.Fingerprint
+		crash       quarantine.CrashID
+	}
+	last := map[pair]int{}
+	for ix, rec := range records {
+		last[pair{rec.Fingerprint, rec.Crash}] = ix
+	}
+	var newest []Record
+	for ix, rec := range records {
+		if last[pair{rec.Fingerprint, rec.Crash}] == ix {
+			newest = append(newest, rec)
+		}
+	}
+	return newest
+}
+
 // flush appends the pending records. It does nothing while another flush is in progress, because that one continues
 // with the records added meanwhile unless it fails. Records that the log did not accept become pending again.
 func (sy *Syncer) flush(ctx context.Context) {
 	sy.mutex.Lock()
-	pending := sy.pendingRecords
+	pending := newestOfEach(sy.pendingRecords)
 	if len(pending) == 0 || sy.appendInProgress {
 		sy.mutex.Unlock()
 		return
@@ -230,12 +297,19 @@
 	}
 }
 
-// Read reads the log to its end. It blocks for up to wait until there is a record, except on the very first read.
+// Read reads the log to its end. It blocks for up to wait until there is a record, except on a read from the beginning.
+// The reader reads from the beginning once in TTL, because the log returns records that have expired only then.
 func (sy *Syncer) Read(ctx context.Context, wait time.Duration) error {
+	isReader := sy.shouldRead()
+	startsOver := isReader && sy.beginFullRead()
+	sy.mutex.Lock()
+	reached := sy.nextOffset
+	sy.mutex.Unlock()
+	from := reached
+	if startsOver {
+		from = id.NoOffset
+	}
 	for {
-		sy.mutex.Lock()
-		from := sy.nextOffset
-		sy.mutex.Unlock()
 		if from == id.NoOffset {
 			wait = 0
 		}
@@ -248,21 +322,39 @@
 		}
 		sy.recordReadResult(err)
 		if err != nil {
+			if startsOver {
+				sy.mutex.Lock()
+				sy.fullReadAt = time.Time{}
+				sy.mutex.Unlock()
+			}
 			return err
 		}
-		sy.learnRecords(ctx, encoded)
-		if from != id.NoOffset && next.Era() > from.Era() {
+		sy.learnRecords(ctx, encoded, isReader)
+		if reached != id.NoOffset && next.Era() > reached.Era() {
 			sy.queueLostEvidence(encoded)
 		}
-		sy.mutex.Lock()
 		// A log that reads from a stale copy may return an offset before the one already reached.
-		sy.nextOffset = max(next, from)
+		reached = max(next, reached)
+		sy.mutex.Lock()
+		sy.nextOffset = reached
 		sy.mutex.Unlock()
 		if len(encoded) == 0 || next <= from {
 			return nil
 		}
-		wait = 0
+		from, wait = next, 0
+	}
+}
+
+// beginFullRead reports whether the reader has to read the log from its beginning: it has not done so within TTL.
+func (sy *Syncer) beginFullRead() bool {
+	now := sy.clock.Now()
+	sy.mutex.Lock()
+	defer sy.mutex.Unlock()
+	if !sy.fullReadAt.IsZero() && now.Sub(sy.fullReadAt) < sy.config.TTL {
+		return false
 	}
+	sy.fullReadAt = now
+	return true
 }
 
 // queueLostEvidence queues the evidence that should be in the log but is not among all of its records.
@@ -299,9 +391,11 @@
 	}
 }
 
-// learnRecords passes on the evidence of records that were read, and has the log delete those that have expired.
-func (sy *Syncer) learnRecords(ctx context.Context, encodedRecords [][]byte) {
+// learnRecords passes on the evidence of records that were read, without single crashes if the local host is not the reader.
+// The reader has the log delete those that have expired; if all hosts that start did, each would add as many records.
+func (sy *Syncer) learnRecords(ctx context.Context, encodedRecords [][]byte, isReader bool) {
 	var expired []Record
+	var current []quarantine.Evidence
 	now := sy.clock.Now()
 	for _, encoded := range encodedRecords {
 		rec, err := Decode(encoded)
@@ -313,9 +407,15 @@
 			expired = append(expired, rec)
 			continue
 		}
-		sy.learn(rec.Evidence)
+		current = append(current, rec.Evidence)
 	}
-	if len(expired) == 0 {
+	if !isReader {
+		current = withoutSingleCrashes(current, sy.config.MinShared)
+	}
+	if len(current) > 0 {
+		sy.learn(current...)
+	}
+	if len(expired) == 0 || !isReader {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, sy.config.CallTimeout)
@@ -324,3 +424,14 @@
 		sy.logger.Warn("failed to delete expired crash evidence from the platform's log", "records", len(expired), "error", err.Error())
 	}
 }
+
+// withoutSingleCrashes returns the evidence about fingerprints with at least minShared crashes that are not cleared.
+func withoutSingleCrashes(evidence []quarantine.Evidence, minShared int) []quarantine.Evidence {
+	counting := map[id.Fingerprint]int{}
+	for _, ev := range evidence {
+		if ev.Status != quarantine.Cleared {
+			counting[ev.Fingerprint]++
+		}
+	}
+	return slices.DeleteFunc(evidence, func(ev quarantine.Evidence) bool { return counting[ev.Fingerprint] < minShared })
+}
--- a/host.go
+++ b/host.go
@@ -35,6 +35,7 @@
 	"github.com/hibiscuslever/hibiscuslever/lifecycle"
 	"github.com/hibiscuslever/hibiscuslever/settings"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
+	"github.com/hibiscuslever/hibiscuslever/state/quarantine"
 	"github.com/hibiscuslever/hibiscuslever/telemetry"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/bodymemory"
@@ -195,7 +196,7 @@
 	ht.plainRunner = servicecall.NewRunner(ht.clock, ht.fleet, ht.serviceClient, ht.peerClient, retry.New(retry.DefaultConfig(), seed), scope, tracer, seed)
 	// Every host reads the stored crash evidence, hence the constant true.
 	ht.quarantineSyncer = crashlog.New(crashlog.DefaultConfig(shard.DefaultServerConfig().QuarantineTTL), ht.clock, streams.NewQuarantine(ht.platformClient), scope, ht.logger,
-		func() bool { return true }, ht.shardServer.LearnReportedEvidence)
+		func() bool { return true }, ht.learnStoredEvidence)
 	ht.placer = placer.New(placer.DefaultConfig(), ht.localMember.Host, ht.localMember.Incarnation, ht.clock, streams.NewLeases(ht.platformClient), ht.engineClient, ht.fleet, ht.configuration, placementLeaseEligibility{ht}, scope)
 	ht.bodyMemory = bodymemory.ForProcess(bodymemory.OwnFront, ht.settings.Limits.MemoryMegabytes, ht.clock, ht.settings.Limits.StallTime)
 	ht.callerServer = caller.NewServer(ht.callerConfig(), caller.Dependencies{
@@ -368,3 +369,10 @@
 	ht.peerClient.Close()
 	_ = ht.metrics.Close()
 }
+
+// learnStoredEvidence passes evidence that was read from the platform's log on to the dispatchers.
+func (ht *Host) learnStoredEvidence(evidence ...quarantine.Evidence) {
+	for _, ev := range evidence {
+		ht.shardServer.LearnReportedEvidence(ev)
+	}
+}
--- a/site/crash_quarantine.go
+++ b/site/crash_quarantine.go
@@ -35,10 +35,14 @@
 	// firstPartRetrial is the time after which a request with a refused part is tried again. Nothing else shows that a
 	// change of the engines has made the part harmless.
 	firstPartRetrial = 2 * time.Minute
-	// minSharedCrashes is the number of crashes of a content from which on the evidence is sent to all hosts and stored.
-	// With fewer crashes only the dispatcher of the service gets the evidence, because most crashed servers leave a single
+	// minSharedCrashes is the number of crashes of a content from which on the evidence is sent to all hosts. With fewer
+	// crashes only the dispatcher of the service gets the evidence and stores it, because most crashed servers leave a single
 	// crash with each content that was running on them.
 	minSharedCrashes = 2
+	// maxFirstCrashes is the number of single crashes that a host stores in firstCrashPeriod: 150 kB. Beyond it so many
+	// servers crash at once that a single crash says little of a content.
+	maxFirstCrashes  = 1000
+	firstCrashPeriod = 10 * time.Minute
 )
 
 // evidenceSyncConfig returns the intervals and timeouts with which crash evidence is written to the store and read from
@@ -51,6 +55,9 @@
 		BatchDelay:          200 * time.Millisecond,
 		AppendRetryInterval: time.Second,
 		CallTimeout:         700 * time.Millisecond,
+		MinShared:           minSharedCrashes,
+		FirstCrashes:        maxFirstCrashes,
+		FirstCrashPeriod:    firstCrashPeriod,
 	}
 }
 
@@ -67,6 +74,8 @@
 	spreadFact func(membership.Fact)
 	// storeEvidence adds evidence to the store.
 	storeEvidence func(evidence ...quarantine.Evidence)
+	// storeFirstCrash adds evidence about a fingerprint with a single crash to the store, unless there is too much of it.
+	storeFirstCrash func(quarantine.Evidence)
 	// evidenceChanged is called after evidence was learned or cleared, except by LearnReportedEvidence.
 	evidenceChanged func()
 
@@ -129,12 +138,23 @@
 	cq.evidenceChanged()
 }
 
-// LearnReportedEvidence records evidence that a host sent to this host, which is the dispatcher of the service. If
-// several crashes of the content are now recorded, it sends the evidence to all hosts.
+// LearnReportedEvidence records evidence that a host, perhaps this one, sent to the dispatcher of the service on this host.
+// If several crashes of the content are now recorded, it sends the evidence to all hosts. Otherwise it only stores it, so
+// that it outlives the hosts that know of it.
 func (cq *crashQuarantine) LearnReportedEvidence(evidence quarantine.Evidence) {
 	if cq.learn(evidence, "host") {
 		cq.shareRepeatedCrashes(evidence.Fingerprint)
 	}
+	if evidence.Status != quarantine.Reported && cq.markStored(evidence) {
+		cq.storeFirstCrash(evidence)
+	}
+}
+
+// markStored records that evidence is going to be stored, and reports whether it was not marked before.
+func (cq *crashQuarantine) markStored(evidence quarantine.Evidence) bool {
+	cq.mutex.Lock()
+	defer cq.mutex.Unlock()
+	return cq.table.MarkStored(evidence)
 }
 
 // LearnGossipedEvidence records evidence that is spread to all hosts by gossip.
@@ -144,15 +164,42 @@
 	}
 }
 
-// LearnStoredEvidence records evidence that was read from the store. It sends new evidence to the other hosts, because
-// usually only one host reads the store.
-func (cq *crashQuarantine) LearnStoredEvidence(evidence quarantine.Evidence) {
-	if cq.learn(evidence, "store") {
-		cq.spreadFact(crashlog.ToFact(evidence))
+// LearnStoredEvidence records evidence that was read from the store. If several crashes of a content count, or did, it sends
+// what is known of them to the other hosts, because usually only one host reads the store. The crashes may have been found
+// by hosts of which none knows of more than one. What is cleared is sent too, for hosts that do not know that yet.
+func (cq *crashQuarantine) LearnStoredEvidence(evidence ...quarantine.Evidence) {
+	// shared says of each fingerprint with new evidence whether several crashes counted against it, before or now.
+	shared := map[id.Fingerprint]bool{}
+	for _, ev := range evidence {
+		sharedBefore := cq.hasRepeatedCrashes(ev.Fingerprint)
+		if cq.learn(ev, "store") {
+			shared[ev.Fingerprint] = shared[ev.Fingerprint] || sharedBefore || cq.hasRepeatedCrashes(ev.Fingerprint)
+		}
+		cq.markStored(ev)
+	}
+	for fingerprint, isShared := range shared {
+		if !isShared {
+			continue
+		}
+		cq.mutex.Lock()
+		known := cq.table.EvidenceFor(fingerprint)
+		cq.mutex.Unlock()
+		for _, ev := range known {
+			cq.spreadFact(crashlog.ToFact(ev))
+		}
+	}
+	if len(shared) > 0 {
 		cq.evidenceChanged()
 	}
 }
 
+// hasRepeatedCrashes reports whether at least minSharedCrashes crashes count against a fingerprint.
+func (cq *crashQuarantine) hasRepeatedCrashes(fingerprint id.Fingerprint) bool {
+	cq.mutex.Lock()
+	defer cq.mutex.Unlock()
+	return len(countingEvidence(cq.table.EvidenceFor(fingerprint))) >= minSharedCrashes
+}
+
 // RequestCompleted records that a request ran to its end, which clears the crashes of its content and of the parts of
 // its prompt.
 func (cq *crashQuarantine) RequestCompleted(service id.Service, content quarantine.Content) {
@@ -223,21 +270,20 @@
 		cq.spreadFact(crashlog.ToFact(ev))
 		if ev.Status != quarantine.Reported {
 			conclusive = append(conclusive, ev)
+			cq.markStored(ev)
 		}
 	}
 	cq.storeEvidence(conclusive...)
 }
 
-// StoredEvidence returns the evidence that hosts write to the store: about fingerprints with at least minSharedCrashes
-// crashes, without reports.
+// StoredEvidence returns the evidence that hosts write to the store: what this host knows, without reports.
 func (cq *crashQuarantine) StoredEvidence() []quarantine.Evidence {
 	cq.mutex.Lock()
 	defer cq.mutex.Unlock()
 	var stored []quarantine.Evidence
 	for _, fingerprint := range cq.table.Fingerprints() {
-		if evidence := cq.table.EvidenceFor(fingerprint); len(evidence) >= minSharedCrashes {
-			stored = append(stored, slices.DeleteFunc(evidence, func(ev quarantine.Evidence) bool { return ev.Status == quarantine.Reported })...)
-		}
+		evidence := cq.table.EvidenceFor(fingerprint)
+		stored = append(stored, slices.DeleteFunc(evidence, func(ev quarantine.Evidence) bool { return ev.Status == quarantine.Reported })...)
 	}
 	return stored
 }
--- a/site/crash_test.go
+++ b/site/crash_test.go
@@ -194,6 +194,118 @@
 	}
 }
 
+// TestRestartOfAllHostsForgetsFirstCrash replaces all hosts after a request has crashed its first server. The new hosts must
+// refuse the request after its third crash.
+func TestRestartOfAllHostsForgetsFirstCrash(t *testing.T) {
+	t.Parallel()
+	for _, order := range []string{"at once", "one after another"} {
+		for _, requestKind := range crashingRequests {
+			t.Run(requestKind.name+", "+order, func(t *testing.T) {
+				t.Parallel()
+				env := newTestEnv(t)
+				for _, route := range env.routes {
+					route["MaxAttempts"] = 1
+				}
+				hosts := env.startWithCrashingServers(standin.Crash{Downtime: 200 * time.Millisecond}, 3)
+				time.Sleep(agreementTime)
+				crashOnce := func(host *testHost, number int) {
+					requestKind.send(host, fmt.Sprint("a-", number))
+					env.eventually(func() bool { return len(env.crashTimes()) == number })
+					time.Sleep(agreementTime)
+				}
+				crashOnce(hosts[0], 1)
+				hosts = env.replaceHosts(hosts, order == "at once")
+				time.Sleep(agreementTime)
+				for number := 2; number <= crashLimit; number++ {
+					crashOnce(hosts[number%len(hosts)], number)
+				}
+				for number, host := range hosts {
+					got := requestKind.send(host, fmt.Sprint("b-", number))
+					assert.NilError(t, got.err)
+					assert.Equal(t, got.status, http.StatusServiceUnavailable)
+				}
+				assert.Equal(t, len(env.crashTimes()), crashLimit)
+			})
+		}
+	}
+}
+
+// replaceHosts stops hosts and starts as many others, all at once or one after another.
+func (env *testEnv) replaceHosts(hosts []*testHost, atOnce bool) []*testHost {
+	var started []*testHost
+	stop := func(host *testHost) {
+		host.stop()
+		host.runEnded <- <-host.runEnded
+	}
+	start := func(seeds ...string) {
+		started = append(started, env.startHost(fmt.Sprint("next-", len(started)), true, seeds...))
+	}
+	if atOnce {
+		for _, host := range hosts {
+			stop(host)
+		}
+		start()
+		for range hosts[1:] {
+			start(started[0].settings.Host.PeerAddress)
+		}
+		return started
+	}
+	for number, host := range hosts {
+		start(hosts[min(number+1, len(hosts)-1)].settings.Host.PeerAddress)
+		stop(host)
+		time.Sleep(agreementTime / 3)
+	}
+	return started
+}
+
+// TestRestartOfAllHostsRevivesClearedCrash checks that a crash after which the content ran to its end does not count against
+// it on the hosts that are started next.
+func TestRestartOfAllHostsRevivesClearedCrash(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	for _, route := range env.routes {
+		route["MaxAttempts"] = 1
+	}
+	hosts := env.startWithCrashingServers(standin.Crash{Downtime: 200 * time.Millisecond}, 3)
+	for _, server := range env.servers {
+		server.WorkDuration = 200 * time.Millisecond
+	}
+	time.Sleep(agreementTime)
+	crashUnder := func(host *testHost, attemptID string) {
+		ended := make(chan response, 1)
+		go func() {
+			ended <- host.sendRequest(context.Background(), http.MethodPost, "/order/x", attemptID, "innocent")
+		}()
+		crashed := false
+		env.eventually(func() bool {
+			for _, server := range env.servers {
+				for _, run := range server.ExecutedRequests() {
+					if !crashed && run.Attempt == attemptID && !run.Completed {
+						server.Crash(standin.Crash{Downtime: 200 * time.Millisecond, OnRestarted: env.store.ListServer})
+						crashed = true
+					}
+				}
+			}
+			return crashed
+		})
+		<-ended
+		time.Sleep(agreementTime)
+	}
+	crashUnder(hosts[0], "a-1")
+	completed := hosts[0].sendRequest(context.Background(), http.MethodPost, "/order/x", "a-2", "innocent")
+	assert.Equal(t, completed.status, http.StatusOK, completed.body)
+	time.Sleep(agreementTime)
+	hosts = env.replaceHosts(hosts, true)
+	time.Sleep(agreementTime)
+	crashUnder(hosts[0], "b-1")
+	crashUnder(hosts[1], "b-2")
+	for number, host := range hosts {
+		got := host.sendRequest(context.Background(), http.MethodPost, "/order/x", fmt.Sprint("c-", number), "innocent")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	}
+}
+
 // TestUnrelatedRequestsAreNotQuarantined checks that a request is not refused because its engines crashed twice for
 // other reasons, and that requests are not refused because they ran on servers that another request crashed.
 func TestUnrelatedRequestsAreNotQuarantined(t *testing.T) {
--- a/site/host.go
+++ b/site/host.go
@@ -198,6 +198,7 @@
 	ht.evidenceSyncer = crashlog.New(evidenceSyncConfig(), ht.clock, platform.NewCrashLog(ht.store), scope, ht.logger, ht.updateFollower.IsListReader, ht.crashQuarantine.LearnStoredEvidence,
 		crashlog.WithStoredEvidence(ht.crashQuarantine.StoredEvidence))
 	ht.crashQuarantine.storeEvidence = ht.evidenceSyncer.QueueEvidence
+	ht.crashQuarantine.storeFirstCrash = ht.evidenceSyncer.QueueFirstCrash
 	ht.grantServer = broker.NewServer(batch.DefaultConfig(), ht.clock, ht.fleet, ht.peerClient, ht.crashQuarantine, scope, ht.logger, seed)
 	ht.crashQuarantine.reportToDispatcher = func(service id.Service, evidence quarantine.Evidence) {
 		ht.grantClient.ReportEvidence(service, evidence)
--- a/state/quarantine/quarantine.go
+++ b/state/quarantine/quarantine.go
@@ -25,9 +25,13 @@
 	Parts PartConfig
 }
 
-// maxEntries bounds the number of fingerprints in a table. When it is reached, the entry with the oldest evidence among
-// those without running attempts is evicted.
-const maxEntries = 10_000
+const (
+	// maxEntries bounds the number of fingerprints in a table. When it is reached, evictedAtOnce entries without running
+	// attempts are evicted: those with the fewest crashes that count, and among them those with the oldest evidence. So many
+	// single crashes displace no content that is refused.
+	maxEntries    = 10_000
+	evictedAtOnce = maxEntries / 100
+)
 
 // Decision says whether and how a request may run.
 type Decision int
@@ -74,6 +78,8 @@
 	status CrashStatus
 	// learnedAt is when the status was learned.
 	learnedAt time.Time
+	// stored is the status that MarkStored has recorded; zero if it has recorded none.
+	stored CrashStatus
 }
 
 // Table holds crashes and running attempts by fingerprint. Evidence is only added, and the rank of the status
@@ -270,7 +276,7 @@
 	if en.crashes == nil {
 		en.crashes = map[CrashID]crashState{}
 	}
-	en.crashes[ev.Crash] = crashState{status: ev.Status, learnedAt: now}
+	en.crashes[ev.Crash] = crashState{status: ev.Status, learnedAt: now, stored: en.crashes[ev.Crash].stored}
 	en.updatedAt = now
 	sc, ok := tb.serverCrashes[ev.Crash]
 	if !ok {
@@ -284,6 +290,22 @@
 	return true
 }
 
+// MarkStored records that evidence is stored outside of the table. It reports whether the table holds the evidence and
+// nothing of the same or a higher rank was marked before.
+func (tb *Table) MarkStored(ev Evidence) bool {
+	en, ok := tb.entries[ev.Fingerprint]
+	if !ok {
+		return false
+	}
+	state, ok := en.crashes[ev.Crash]
+	if !ok || state.status != ev.Status || state.stored.rank() >= ev.Status.rank() {
+		return false
+	}
+	state.stored = ev.Status
+	en.crashes[ev.Crash] = state
+	return true
+}
+
 // FirstConfirmedAt returns when the table first learned that the crash was confirmed, and false if it has not.
 func (tb *Table) FirstConfirmedAt(crash CrashID) (time.Time, bool) {
 	sc, ok := tb.serverCrashes[crash]
@@ -339,25 +361,31 @@
 		return en
 	}
 	if len(tb.entries) >= maxEntries {
-		tb.evictOldest()
+		tb.evict()
 	}
 	en := &entry{updatedAt: now}
 	tb.entries[fp] = en
 	return en
 }
 
-// evictOldest removes the entry with the oldest evidence among those without running attempts, if there is one.
-func (tb *Table) evictOldest() {
-	var oldestFP id.Fingerprint
-	var oldestEntry *entry
+// evict removes up to evictedAtOnce entries without running attempts, in the order that maxEntries describes.
+func (tb *Table) evict() {
+	type candidate struct {
+		fingerprint id.Fingerprint
+		crashes     int
+		updatedAt   time.Time
+	}
+	var candidates []candidate
 	for fp, en := range tb.entries {
-		if en.runningAttempts == 0 && (oldestEntry == nil || en.updatedAt.Before(oldestEntry.updatedAt)) {
-			oldestFP = fp
-			oldestEntry = en
+		if en.runningAttempts == 0 {
+			candidates = append(candidates, candidate{fp, en.confirmedCrashes(), en.updatedAt})
 		}
 	}
-	if oldestEntry != nil {
-		tb.remove(oldestFP)
+	slices.SortFunc(candidates, func(left, right candidate) int {
+		return cmp.Or(cmp.Compare(left.crashes, right.crashes), left.updatedAt.Compare(right.updatedAt), cmp.Compare(left.fingerprint, right.fingerprint))
+	})
+	for _, evicted := range candidates[:min(evictedAtOnce, len(candidates))] {
+		tb.remove(evicted.fingerprint)
 	}
 }
 
--- a/state/quarantine/quarantine_test.go
+++ b/state/quarantine/quarantine_test.go
@@ -295,3 +295,31 @@
 		}
 	})
 }
+
+// TestManySingleCrashesDisplaceRefusedContent checks that a table which is full of contents with single crashes still refuses
+// the content that crashed servers before them.
+func TestManySingleCrashesDisplaceRefusedContent(t *testing.T) {
+	tb := quarantine.New(refuseAfterThree)
+	for crash := range quarantine.CrashID(3) {
+		tb.Learn(start, confirmedEvidence(crashingFP, crash))
+	}
+	for number := range 30_000 {
+		tb.Learn(start.Add(time.Duration(number)*time.Millisecond), confirmedEvidence(id.Fingerprint(1000+number), quarantine.CrashID(10+number/50)))
+	}
+	assert.Equal(t, tb.Decide(start.Add(time.Minute), crashingFP), quarantine.Refuse)
+	assert.Assert(t, tb.Len() <= 10_000, "%d entries", tb.Len())
+}
+
+// TestSameEvidenceIsStoredTwice checks that evidence is to be stored once, and again when its status has changed.
+func TestSameEvidenceIsStoredTwice(t *testing.T) {
+	tb := quarantine.New(refuseAfterThree)
+	confirmed := confirmedEvidence(crashingFP, 1)
+	assert.Assert(t, !tb.MarkStored(confirmed), "the table does not hold the evidence")
+	tb.Learn(start, confirmed)
+	assert.Assert(t, tb.MarkStored(confirmed))
+	assert.Assert(t, !tb.MarkStored(confirmed))
+	cleared := tb.RequestCompleted(start, crashingFP)
+	assert.Equal(t, len(cleared), 1)
+	assert.Assert(t, tb.MarkStored(cleared[0]))
+	assert.Assert(t, !tb.MarkStored(confirmed))
+}
