Name the expected engine in orders for memory

An engine that is gone leaves its address to another one. An order to reserve memory for a prompt that was sent then reserved memory at the other engine, perhaps of another service, for a request that never comes there; the host took it for granted and sent the request.

Cause: requests name the instance that they expect, orders for memory did not; Reserve and Release got an address only. They get the part of the grant now, which names the engine, also through a peer, in a field that older hosts ignore; an order from an older host has none and is sent as before. An engine that is not the expected one answers 421, which refuses the reservation.

The fakes of the tests take parts in place of addresses and check nothing less; the fake of package peerrelay and the test of relayed orders check the engine too.

--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -78,10 +78,10 @@
 	return forward.Reachable
 }
 
-func (sv *fakeServers) Reserve(context.Context, string, string, id.Tokens, time.Duration) (bool, error) {
+func (sv *fakeServers) Reserve(context.Context, batch.Part, time.Duration) (bool, error) {
 	return true, nil
 }
-func (sv *fakeServers) Release(context.Context, string, string) error { return nil }
+func (sv *fakeServers) Release(context.Context, batch.Part) error { return nil }
 
 // fakeFleet is a server list with settable leaving servers.
 type fakeFleet struct {
--- a/coordination/forward/failover_test.go
+++ b/coordination/forward/failover_test.go
@@ -76,9 +76,9 @@
 	return forward.Reachable
 }
 
-func (fs *failoverServers) Reserve(_ context.Context, address, ticket string, _ id.Tokens, ttl time.Duration) (bool, error) {
+func (fs *failoverServers) Reserve(_ context.Context, part batch.Part, ttl time.Duration) (bool, error) {
 	if fs.reserve != nil {
-		if ok, err := fs.reserve(address); !ok || err != nil {
+		if ok, err := fs.reserve(part.Address); !ok || err != nil {
 			return ok, err
 		}
 	}
@@ -87,14 +87,14 @@
 	if fs.reserved == nil {
 		fs.reserved = map[string]time.Time{}
 	}
-	fs.reserved[ticket] = time.Now().Add(ttl)
+	fs.reserved[part.Ticket] = time.Now().Add(ttl)
 	return true, nil
 }
 
-func (fs *failoverServers) Release(_ context.Context, _, ticket string) error {
+func (fs *failoverServers) Release(_ context.Context, part batch.Part) error {
 	fs.mutex.Lock()
 	defer fs.mutex.Unlock()
-	delete(fs.reserved, ticket)
+	delete(fs.reserved, part.Ticket)
 	return nil
 }
 
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -143,11 +143,11 @@
 	ProbeHTTP(ctx context.Context, address string) ProbeResult
 	// ProbeConnection opens a connection to the server at an address and reports how that went.
 	ProbeConnection(ctx context.Context, address string) ProbeResult
-	// Reserve reserves memory on an engine under a ticket for ttl, or renews the reservation, and reports whether the
-	// engine granted it.
-	Reserve(ctx context.Context, address, ticket string, tokens id.Tokens, ttl time.Duration) (bool, error)
-	// Release releases the memory that is reserved under a ticket.
-	Release(ctx context.Context, address, ticket string) error
+	// Reserve reserves the memory of a part on its engine for ttl, or renews the reservation, and reports whether the engine
+	// granted it. Another engine that has the address by now does not.
+	Reserve(ctx context.Context, part batch.Part, ttl time.Duration) (bool, error)
+	// Release releases the memory that is reserved for a part.
+	Release(ctx context.Context, part batch.Part) error
 }
 
 // Reachability says whether backend servers can be reached.
--- a/coordination/forward/leaving_test.go
+++ b/coordination/forward/leaving_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-func (sv *delayedServers) Reserve(ctx context.Context, _, _ string, _ id.Tokens, _ time.Duration) (bool, error) {
+func (sv *delayedServers) Reserve(ctx context.Context, _ batch.Part, _ time.Duration) (bool, error) {
 	select {
 	case <-time.After(sv.reserveTime):
 		return true, nil
@@ -70,7 +70,7 @@
 	}
 }
 
-func (sv *delayedServers) Release(context.Context, string, string) error {
+func (sv *delayedServers) Release(context.Context, batch.Part) error {
 	sv.released.Add(1)
 	return nil
 }
--- a/coordination/forward/reservation.go
+++ b/coordination/forward/reservation.go
@@ -73,7 +73,7 @@
 	var calls tasks.WaitGroup
 	for ix, part := range rv.parts {
 		calls.Go(func() {
-			ok, err := rv.runner.sender.Reserve(ctx, part.Address, part.Ticket, part.MemoryTokens, rv.runner.config.ReservationTTL)
+			ok, err := rv.runner.sender.Reserve(ctx, part, rv.runner.config.ReservationTTL)
 			if !ok || err != nil {
 				refused[ix] = &refusedReservation{part, err}
 				rv.runner.logger.Warn("memory not set aside", "engine", string(part.Engine), "ticket", part.Ticket, "tokens", int64(part.MemoryTokens), "error", errorText(err))
@@ -113,7 +113,7 @@
 	var err error
 	for attempt := range maxReleaseAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), reservationCallTimeout)
-		err = rn.sender.Release(ctx, part.Address, part.Ticket)
+		err = rn.sender.Release(ctx, part)
 		cancel()
 		if err == nil {
 			return
--- a/coordination/forward/reservation_test.go
+++ b/coordination/forward/reservation_test.go
@@ -21,15 +21,15 @@
 	reserved, released map[string]time.Time
 }
 
-func (rv *reservingServers) Reserve(_ context.Context, _, ticket string, _ id.Tokens, _ time.Duration) (bool, error) {
-	if _, present := rv.reserved[ticket]; !present {
-		rv.reserved[ticket] = time.Now()
+func (rv *reservingServers) Reserve(_ context.Context, part batch.Part, _ time.Duration) (bool, error) {
+	if _, present := rv.reserved[part.Ticket]; !present {
+		rv.reserved[part.Ticket] = time.Now()
 	}
 	return true, nil
 }
 
-func (rv *reservingServers) Release(_ context.Context, _, ticket string) error {
-	rv.released[ticket] = time.Now()
+func (rv *reservingServers) Release(_ context.Context, part batch.Part) error {
+	rv.released[part.Ticket] = time.Now()
 	return nil
 }
 
@@ -68,8 +68,8 @@
 	reserveError error
 }
 
-func (ur *unlinkedReservations) Reserve(_ context.Context, address, _ string, _ id.Tokens, _ time.Duration) (bool, error) {
-	if address == "one:80" {
+func (ur *unlinkedReservations) Reserve(_ context.Context, part batch.Part, _ time.Duration) (bool, error) {
+	if part.Address == "one:80" {
 		return false, ur.reserveError
 	}
 	return true, nil
--- a/coordination/forward/stall_test.go
+++ b/coordination/forward/stall_test.go
@@ -17,7 +17,6 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/retry"
-	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/route"
 )
 
@@ -166,7 +165,7 @@
 	released   []string
 }
 
-func (ps *pausedServers) Reserve(_ context.Context, _, _ string, _ id.Tokens, _ time.Duration) (bool, error) {
+func (ps *pausedServers) Reserve(context.Context, batch.Part, time.Duration) (bool, error) {
 	if !ps.pausedOnce {
 		ps.pausedOnce = true
 		time.Sleep(6 * time.Second)
@@ -174,8 +173,8 @@
 	return true, nil
 }
 
-func (ps *pausedServers) Release(_ context.Context, _, ticket string) error {
-	ps.released = append(ps.released, ticket)
+func (ps *pausedServers) Release(_ context.Context, part batch.Part) error {
+	ps.released = append(ps.released, part.Ticket)
 	return nil
 }
 
--- a/coordination/peerrelay/direct.go
+++ b/coordination/peerrelay/direct.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
-	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
@@ -96,19 +96,19 @@
 	return result
 }
 
-// reserve reserves memory on the engine at an address.
-func (ds *directSender) reserve(ctx context.Context, address, ticket string, tokens id.Tokens, ttl time.Duration) (bool, error) {
+// reserve reserves the memory of a part on its engine.
+func (ds *directSender) reserve(ctx context.Context, part batch.Part, ttl time.Duration) (bool, error) {
 	startedAt := ds.clock.Now()
-	granted, err := ds.sender.Reserve(ctx, address, ticket, tokens, ttl)
-	ds.recordOrder(ctx, address, startedAt, err)
+	granted, err := ds.sender.Reserve(ctx, part, ttl)
+	ds.recordOrder(ctx, part.Address, startedAt, err)
 	return granted, err
 }
 
-// release releases memory on the engine at an address.
-func (ds *directSender) release(ctx context.Context, address, ticket string) error {
+// release releases the memory of a part on its engine.
+func (ds *directSender) release(ctx context.Context, part batch.Part) error {
 	startedAt := ds.clock.Now()
-	err := ds.sender.Release(ctx, address, ticket)
-	ds.recordOrder(ctx, address, startedAt, err)
+	err := ds.sender.Release(ctx, part)
+	ds.recordOrder(ctx, part.Address, startedAt, err)
 	return err
 }
 
--- a/coordination/peerrelay/network_test.go
+++ b/coordination/peerrelay/network_test.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/peerrelay"
@@ -225,13 +226,13 @@
 	return ht.probe(ctx, address)
 }
 
-func (ht *host) Reserve(ctx context.Context, address, ticket string, _ id.Tokens, _ time.Duration) (bool, error) {
-	_, err := ht.connect(ctx, address, false, false)
-	return err == nil && ticket != "", err
+func (ht *host) Reserve(ctx context.Context, part batch.Part, _ time.Duration) (bool, error) {
+	_, err := ht.connect(ctx, part.Address, false, false)
+	return err == nil && part.Ticket != "" && part.Engine != "", err
 }
 
-func (ht *host) Release(ctx context.Context, address, _ string) error {
-	_, err := ht.connect(ctx, address, false, false)
+func (ht *host) Release(ctx context.Context, part batch.Part) error {
+	_, err := ht.connect(ctx, part.Address, false, false)
 	return err
 }
 
--- a/coordination/peerrelay/peerrelay.go
+++ b/coordination/peerrelay/peerrelay.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
@@ -40,12 +41,18 @@
 	Timeout time.Duration
 	// Attempt is the attempt to send, for the kind Send.
 	Attempt forward.Attempt
-	// Ticket, Tokens and TTL belong to the kinds Reserve and Release.
+	// Engine, Ticket, Tokens and TTL belong to the kinds Reserve and Release. Engine is empty if the entry host does not name it.
+	Engine id.Engine
 	Ticket string
 	Tokens id.Tokens
 	TTL    time.Duration
 }
 
+// part returns the part of a grant whose memory the call reserves or releases.
+func (cl Call) part() batch.Part {
+	return batch.Part{Engine: cl.Engine, Address: cl.Address, Ticket: cl.Ticket, MemoryTokens: cl.Tokens}
+}
+
 // after returns the call as it is to be made when a time has passed since it was described.
 func (cl Call) after(passed time.Duration) Call {
 	if cl.Timeout > 0 {
--- a/coordination/peerrelay/sender.go
+++ b/coordination/peerrelay/sender.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/reachability"
@@ -246,29 +247,29 @@
 	sd.metrics.Tagged(map[string]string{"kind": string(kind), "result": result}).Counter("relayed_out").Inc(1)
 }
 
-// Reserve reserves memory on an engine under a ticket for ttl, directly or through a peer.
-func (sd *Sender) Reserve(ctx context.Context, address, ticket string, tokens id.Tokens, ttl time.Duration) (bool, error) {
-	if sd.links.Way(address) == reachability.Direct {
-		granted, err := sd.direct.reserve(ctx, address, ticket, tokens, ttl)
+// Reserve reserves the memory of a part on its engine for ttl, directly or through a peer.
+func (sd *Sender) Reserve(ctx context.Context, part batch.Part, ttl time.Duration) (bool, error) {
+	if sd.links.Way(part.Address) == reachability.Direct {
+		granted, err := sd.direct.reserve(ctx, part, ttl)
 		if !sd.mayUsePeer(ctx, err) {
 			return granted, err
 		}
 	}
-	call := sd.newCall(ctx, Reserve, address)
-	call.Ticket, call.Tokens, call.TTL = ticket, tokens, ttl
+	call := sd.newCall(ctx, Reserve, part.Address)
+	call.Engine, call.Ticket, call.Tokens, call.TTL = part.Engine, part.Ticket, part.MemoryTokens, ttl
 	answer, _, err := sd.callThroughPeers(ctx, call)
 	return answer.Granted, err
 }
 
-// Release releases the memory that is reserved under a ticket, directly or through a peer.
-func (sd *Sender) Release(ctx context.Context, address, ticket string) error {
-	if sd.links.Way(address) == reachability.Direct {
-		if err := sd.direct.release(ctx, address, ticket); !sd.mayUsePeer(ctx, err) {
+// Release releases the memory that is reserved for a part, directly or through a peer.
+func (sd *Sender) Release(ctx context.Context, part batch.Part) error {
+	if sd.links.Way(part.Address) == reachability.Direct {
+		if err := sd.direct.release(ctx, part); !sd.mayUsePeer(ctx, err) {
 			return err
 		}
 	}
-	call := sd.newCall(ctx, Release, address)
-	call.Ticket = ticket
+	call := sd.newCall(ctx, Release, part.Address)
+	call.Engine, call.Ticket = part.Engine, part.Ticket
 	_, _, err := sd.callThroughPeers(ctx, call)
 	return err
 }
--- a/coordination/peerrelay/sender_test.go
+++ b/coordination/peerrelay/sender_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
 	"github.com/hibiscuslever/hibiscuslever/coordination/forward"
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/peerrelay"
@@ -376,10 +377,10 @@
 		cutHost := nw.hosts["a1"]
 		cutHost.cut(refusing)
 		for range 2 {
-			granted, err := cutHost.sender.Reserve(t.Context(), "s1:80", "t1", 100, time.Second)
+			granted, err := cutHost.sender.Reserve(t.Context(), batch.Part{Engine: "s1", Address: "s1:80", Ticket: "t1", MemoryTokens: 100}, time.Second)
 			assert.NilError(t, err)
 			assert.Assert(t, granted)
-			assert.NilError(t, cutHost.sender.Release(t.Context(), "s1:80", "t1"))
+			assert.NilError(t, cutHost.sender.Release(t.Context(), batch.Part{Engine: "s1", Address: "s1:80", Ticket: "t1"}))
 		}
 		assert.Equal(t, cutHost.dials, 1)
 	})
--- a/coordination/peerrelay/server.go
+++ b/coordination/peerrelay/server.go
@@ -153,10 +153,10 @@
 	case ProbeConnection:
 		return sv.probe(ctx, call, sv.direct.probeConnection), nil
 	case Reserve:
-		granted, err := sv.direct.reserve(ctx, call.Address, call.Ticket, call.Tokens, call.TTL)
+		granted, err := sv.direct.reserve(ctx, call.part(), call.TTL)
 		return Answer{Granted: granted}, sv.describe(ctx, call, err)
 	case Release:
-		return Answer{}, sv.describe(ctx, call, sv.direct.release(ctx, call.Address, call.Ticket))
+		return Answer{}, sv.describe(ctx, call, sv.direct.release(ctx, call.part()))
 	default:
 		return Answer{}, &Failure{Reason: Unsupported, NotSent: true, Detail: "unknown kind of call"}
 	}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -704,7 +704,7 @@
 	return sv.AnswerDuration(attempt)
 }
 
-// handleOrder reserves or releases memory. It rejects IDs that contain a comma or a slash.
+// handleOrder reserves or releases memory. It rejects IDs that contain a comma or a slash, and orders to another engine.
 func (sv *Server) handleOrder(rw http.ResponseWriter, rq *http.Request) {
 	var order struct {
 		Operation string
@@ -715,6 +715,10 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if expected := rq.Header.Get("X-Expect-Instance"); expected != "" && expected != sv.ID {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
 	switch order.Operation {
--- a/transport/peer/relay_frames.go
+++ b/transport/peer/relay_frames.go
@@ -86,7 +86,7 @@
 	Address   octets
 	TimeoutMs int64 `json:",omitempty"`
 
-	// These fields describe an attempt.
+	// These fields describe an attempt. Server also names the engine of an order about memory.
 	Request       octets              `json:",omitempty"`
 	Server        octets              `json:",omitempty"`
 	Method        octets              `json:",omitempty"`
@@ -168,7 +168,7 @@
 func encodeRelayCall(call peerrelay.Call) ([]byte, error) {
 	message := relayCall{
 		Kind: call.Kind, From: octets(call.From), Address: octets(call.Address), TimeoutMs: call.Timeout.Milliseconds(),
-		Ticket: octets(call.Ticket), Tokens: call.Tokens, TTLMs: call.TTL.Milliseconds(),
+		Server: octets(call.Engine), Ticket: octets(call.Ticket), Tokens: call.Tokens, TTLMs: call.TTL.Milliseconds(),
 	}
 	var body []byte
 	if attempt := call.Attempt; attempt.Request != nil {
@@ -264,6 +264,7 @@
 		Ticket: string(rc.Ticket), Tokens: rc.Tokens, TTL: time.Duration(rc.TTLMs) * time.Millisecond,
 	}
 	if rc.Kind != peerrelay.Send {
+		call.Engine = id.Engine(rc.Server)
 		return call
 	}
 	call.Attempt = forward.Attempt{
--- a/transport/peer/relay_test.go
+++ b/transport/peer/relay_test.go
@@ -87,7 +87,7 @@
 
 // TestRelayedOrder checks that a call without a response passes a relay.
 func TestRelayedOrder(t *testing.T) {
-	want := peerrelay.Call{Kind: peerrelay.Reserve, From: "entry", Address: "10.0.0.1:80", Timeout: time.Second, Ticket: "t1", Tokens: 5000, TTL: 3500 * time.Millisecond}
+	want := peerrelay.Call{Kind: peerrelay.Reserve, From: "entry", Address: "10.0.0.1:80", Timeout: time.Second, Engine: "e1", Ticket: "t1", Tokens: 5000, TTL: 3500 * time.Millisecond}
 	client, peer := startRelay(t, func(_ context.Context, call peerrelay.Call) (peerrelay.Answer, error) {
 		assert.DeepEqual(t, call, want)
 		return peerrelay.Answer{Granted: true}, nil
