Streams go on at engines that were given up

Seen by clients: an answer is cut although a sound engine could carry it to its end. (1) The first engine is silent for a moment, the second one takes the stream over with its first event and breaks off: with MaxAttempts 2 nothing was left. (2) The first engine goes on with one event, which drops the second attempt, and breaks off: the same. (3) One of two engines has ended (its address refuses connections): it used up an attempt.

Now a stream whose limit is reached may be sent once more to an engine whose attempt was ended for another one and did not fail by itself. That is no further engine. It is a new run after the last forwarded event; a kept attempt can't be used, because pieces of two runs would be joined. The dispatcher is asked for these engines only, by backoffs for all others, and a grant on another engine is returned. An engine that ended does not count, once a request, and only after the client has received a part of the answer, so that content that crashes engines reaches at most one more. Each such attempt is charged to the retry budget and to MaxGrants as before.

Left: the dispatcher itself backs off from an engine that was reported as silent, so that it may refuse the attempt.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -36,6 +36,8 @@
 	endUnconfirmed bool
 	// grantsUsed counts the grants used so far, failover grants included.
 	grantsUsed int
+	// engineUse is what the request remembers of its engines. The goroutine of the attempt changes it.
+	engineUse engineUse
 	// mutex guards lastEventAt, the time when an event was last forwarded.
 	mutex       sync.Mutex
 	lastEventAt time.Time
@@ -162,6 +164,7 @@
 	acquireCtx, detach := withShutdown(ctx, rn.grantContext)
 	acquireCtx, span := rn.tracer.Start(acquireCtx, "dispatch.place")
 	st.grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service, st.grantRequest.AttemptNumber)
+	st.restrictGrantRequest(&st.grantRequest)
 	grant, oc := rn.dispatcher.Acquire(acquireCtx, st.grantRequest)
 	span.SetAttributes(attribute.String("attempt", string(grant.Attempt)), attribute.Int("engines", len(grant.Parts)))
 	span.End()
@@ -181,6 +184,9 @@
 			oc.Kind = outcome.Failed
 		}
 		st.result.Outcome = oc
+	case !st.engineUse.mayUse(grant):
+		st.returnGrant(grant)
+		st.setOutcomeOnFailure("no engine that had the request has room")
 	default:
 		return grant, true
 	}
@@ -225,8 +231,8 @@
 	}
 	reachedEngine := result.retryCause == retry.Interrupted || result.retryCause == retry.Crashed
 	allowed := st.grantsUsed < st.runner.config.MaxGrants
-	if reachedEngine {
-		allowed = allowed && st.sentCount < max(1, st.request.Route.MaxAttempts)
+	if reachedEngine && st.sentCount >= st.engineUse.limit(st.request.Route.MaxAttempts) || len(st.engineUse.only) > 0 {
+		allowed = allowed && st.engineUse.restrict(ended.FailedEngine)
 	}
 	if !allowed || !st.takeRetry(ctx, result.retryCause) {
 		if ctx.Err() != nil {
@@ -375,7 +381,7 @@
 // another engine.
 func (st *engineJob) stallLimit() time.Duration {
 	rt := st.request.Route
-	if !rt.Repeatable() || st.sentCount+1 >= rt.MaxAttempts {
+	if !rt.Repeatable() || st.sentCount+1 >= st.engineUse.limit(rt.MaxAttempts) || len(st.engineUse.only) > 0 {
 		return 0
 	}
 	return time.Duration(st.runner.config.StallTimeoutShare * float64(route.WaitLimit(rt.TargetLatency, rt.MaxPause)))
@@ -425,6 +431,9 @@
 	st.newConnection = true
 	probeResult := st.runner.probeConnection(ctx, st.server)
 	if st.checkForCrash(ctx, st.server, st.grantedAt, probeResult, err) {
+		if st.result.HeadSent {
+			st.engineUse.ended++
+		}
 		ended.Fault = batch.Unreachable
 		return ended, attemptResult{reason: "the engine crashed: " + err.Error(), retryCause: retry.Crashed}
 	}
--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -37,8 +37,12 @@
 	sentBefore int
 	// pending says that the attempt has not taken the stream over.
 	pending atomic.Bool
+	// endedBefore is the number of ended engines that job started with.
+	endedBefore int
 	// dropped says that the attempt is not needed. It is guarded by origin.forwarding.
 	dropped bool
+	// gaveUpOrigin says that the attempt took the stream over while the attempt of origin ran. It is set before done is closed.
+	gaveUpOrigin bool
 	// superseding is closed when the attempt has an event to forward, joined when the attempt of origin has ended and
 	// leaves the stream to this one, and done when this attempt has ended.
 	superseding chan struct{}
@@ -82,9 +86,11 @@
 // takeOver makes the attempt of origin forward no more events, waits until it has ended, and takes its state over. It
 // returns false if the attempt is not needed.
 func (fa *failoverAttempt) takeOver(ctx context.Context) bool {
+	runsBeside := fa.runsBeside()
 	if !fa.supersede() {
 		return false
 	}
+	fa.gaveUpOrigin = runsBeside
 	close(fa.superseding)
 	select {
 	case <-fa.joined:
@@ -136,6 +142,8 @@
 	grants, sent, attempts, passedOn int
 	// engines are those of the attempts that were not dropped.
 	engines []id.Engine
+	// engineUse is what the attempts remember of their engines.
+	engineUse engineUse
 }
 
 // take removes and returns the current failover attempt; nil if there is none.
@@ -175,8 +183,12 @@
 	fs.sent += fa.job.sentCount - fa.sentBefore
 	fs.attempts += fa.job.result.Attempts
 	fs.passedOn += fa.job.result.PassedOn
-	if fa.ended.FailedEngine != "" {
+	fs.engineUse.add(fa.job.engineUse, fa.endedBefore)
+	switch {
+	case fa.ended.FailedEngine != "":
 		fs.engines = append(fs.engines, fa.ended.FailedEngine)
+	case fa.job.sentCount > fa.sentBefore:
+		fs.engineUse.givenUp = append(fs.engineUse.givenUp, id.Engine(fa.job.server.ID))
 	}
 }
 
@@ -189,6 +201,7 @@
 	st.result.Attempts += failed.attempts
 	st.result.PassedOn += failed.passedOn
 	st.grantRequest.AvoidedEngines = append(st.grantRequest.AvoidedEngines, failed.engines...)
+	st.engineUse.add(failed.engineUse, 0)
 	st.failover.mutex.Lock()
 	defer st.failover.mutex.Unlock()
 	st.failover.failedFailovers = failedFailovers{}
@@ -201,8 +214,10 @@
 	requestCtx, attemptCtx context.Context
 	grantRequest           broker.GrantRequest
 	engine                 id.Engine
-	// attemptsMade counts the attempts that may have reached an engine, the current one included.
+	// attemptsMade counts the attempts that may have reached an engine, the current one included. endedEngines counts the engines
+	// that have ended.
 	attemptsMade, grantsUsed      int
+	endedEngines                  int
 	newConnection, endUnconfirmed bool
 }
 
@@ -212,7 +227,7 @@
 	}
 	return failoverOrigin{
 		requestCtx: requestCtx, attemptCtx: attemptCtx, grantRequest: st.grantRequest, engine: engine,
-		attemptsMade: st.sentCount + 1, grantsUsed: st.grantsUsed, newConnection: st.newConnection, endUnconfirmed: st.endUnconfirmed,
+		attemptsMade: st.sentCount + 1, grantsUsed: st.grantsUsed, endedEngines: st.engineUse.ended, newConnection: st.newConnection, endUnconfirmed: st.endUnconfirmed,
 	}
 }
 
@@ -227,8 +242,9 @@
 	rn := st.runner
 	failed := st.failover.failed()
 	attemptsMade := origin.attemptsMade + failed.sent
+	use := engineUse{ended: origin.endedEngines + failed.engineUse.ended}
 	if rn.grantContext.Err() != nil || origin.grantsUsed+failed.grants >= rn.config.MaxGrants ||
-		attemptsMade >= st.request.Route.MaxAttempts || !st.retryAllowed(attemptsMade) || !st.isResumable() {
+		attemptsMade >= use.limit(st.request.Route.MaxAttempts) || !st.retryAllowed(attemptsMade) || !st.isResumable() {
 		return false
 	}
 	if st.asFailover.runsBeside() {
@@ -288,11 +304,12 @@
 	st.mutex.Unlock()
 	jb := &job{runner: rn, request: st.request, sink: st.sink, deadline: st.deadline, start: st.start, sentCount: origin.attemptsMade + failed.sent, mayHaveRun: true, newConnection: origin.newConnection}
 	jb.result = Result{HeadSent: !lastEventAt.IsZero(), Fingerprint: st.result.Fingerprint, DispatchID: grantRequest.ID}
-	fa := &failoverAttempt{requestCtx: origin.requestCtx, origin: st, sentBefore: jb.sentCount, superseding: make(chan struct{}), joined: make(chan struct{}), done: make(chan struct{})}
+	endedBefore := origin.endedEngines + failed.engineUse.ended
+	fa := &failoverAttempt{requestCtx: origin.requestCtx, origin: st, sentBefore: jb.sentCount, endedBefore: endedBefore, superseding: make(chan struct{}), joined: make(chan struct{}), done: make(chan struct{})}
 	fa.pending.Store(true)
 	fa.job = &engineJob{
 		job: jb, grantRequest: grantRequest, lastEventID: st.lastEventID, endUnconfirmed: origin.endUnconfirmed,
-		grantsUsed: origin.grantsUsed + failed.grants, asFailover: fa, lastEventAt: lastEventAt,
+		grantsUsed: origin.grantsUsed + failed.grants, engineUse: engineUse{ended: endedBefore}, asFailover: fa, lastEventAt: lastEventAt,
 	}
 	ctx, cancel := context.WithCancel(origin.requestCtx)
 	fa.cancel = cancel
@@ -363,6 +380,10 @@
 	}
 	st.result, st.grantRequest, st.grantsUsed, st.sentCount = next.result, next.grantRequest, next.grantsUsed, next.sentCount
 	st.mayHaveRun, st.newConnection = st.mayHaveRun || next.sentCount > fa.sentBefore, next.newConnection
+	st.engineUse.add(next.engineUse, fa.endedBefore)
+	if fa.gaveUpOrigin {
+		st.engineUse.givenUp = append(st.engineUse.givenUp, id.Engine(fa.origin.server.ID))
+	}
 	st.lastEventID, st.endsUnnumbered, st.endUnconfirmed = next.lastEventID, next.endsUnnumbered, next.endUnconfirmed
 	st.superseded = false
 	st.mutex.Lock()
--- /dev/null
+++ b/coordination/forward/given_up_engine.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hibiscuslever/hibiscuslever/coordination/batch"
+	"github.com/hibiscuslever/hibiscuslever/coordination/broker"
+	"github.com/hibiscuslever/hibiscuslever/state/id"
+)
+
+// engineUse is what a request remembers of the engines to which it was sent. The route limits the engines, not the attempts:
+// an engine that has ended does not count, and one that was given up for another may get the request again.
+type engineUse struct {
+	// ended counts the engines that ended while they ran the request, after the client had received a part of the response.
+	ended int
+	// givenUp holds the engines whose attempts were ended for another one and did not fail by themselves.
+	givenUp []id.Engine
+	// only holds the engines that may get the request once the limit is reached; empty before that.
+	only []id.Engine
+}
+
+// add adds what an attempt beside this one remembers, which started with the given number of ended engines.
+func (eu *engineUse) add(other engineUse, endedBefore int) {
+	eu.ended += other.ended - endedBefore
+	eu.givenUp = append(eu.givenUp, other.givenUp...)
+}
+
+// limit returns on how many engines a request may run by a limit that does not count engines that have ended. It allows for one
+// of them only, because it may be the request that ends them.
+func (eu *engineUse) limit(maxEngines int) int { return max(1, maxEngines) + min(1, eu.ended) }
+
+// restrict leaves only the engines that were given up, without the one that failed last. It reports whether one is left.
+func (eu *engineUse) restrict(failed id.Engine) bool {
+	if len(eu.only) == 0 {
+		eu.only = slices.Compact(slices.Sorted(slices.Values(eu.givenUp)))
+		eu.givenUp = nil
+	}
+	eu.only = slices.DeleteFunc(eu.only, func(engine id.Engine) bool { return engine == failed })
+	return len(eu.only) > 0
+}
+
+// mayUse reports whether the first engine of a grant may get the request.
+func (eu *engineUse) mayUse(grant batch.Grant) bool {
+	return len(eu.only) == 0 || len(grant.Parts) > 0 && slices.Contains(eu.only, grant.Parts[0].Engine)
+}
+
+// restrictGrantRequest makes a request to the dispatcher ask for the engines that may get the request, once the limit is
+// reached. It does so with backoffs, because these also hold if no other engine is left.
+func (st *engineJob) restrictGrantRequest(request *broker.GrantRequest) {
+	only := st.engineUse.only
+	if len(only) == 0 {
+		return
+	}
+	request.AvoidedEngines = slices.DeleteFunc(slices.Clone(request.AvoidedEngines), func(engine id.Engine) bool { return slices.Contains(only, engine) })
+	for _, server := range st.runner.fleet.Servers(st.request.Service) {
+		if engine := id.Engine(server.ID); !slices.Contains(only, engine) {
+			if request.BackoffUntil == nil {
+				request.BackoffUntil = map[id.Engine]time.Time{}
+			}
+			request.BackoffUntil[engine] = st.deadline
+		}
+	}
+}
