An engine out of reach is granted to a stream once

Seen by clients: a stream at a silent engine stays there until its deadline although other engines could go on with it.

Cause: a failover search that is granted an engine which only this host can't reach says nothing against it to the dispatcher, rightly, and forgot it. The next search asked for the same and was granted the same engine.

Now later searches of the stream avoid an engine that could not be reached. Nothing else is said about it.

Evidence: TestEngineOutOfReachIsNotGrantedAgain fails before (deadline_exceeded after 10 s of virtual time, sent to the first engine only), and passes after. The main loop already avoided such an engine (by reading).

--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -174,6 +174,13 @@
 	return fs.failedFailovers
 }
 
+// avoid makes later searches avoid an engine that was granted and can't be reached.
+func (fs *failoverState) avoid(engine id.Engine) {
+	fs.mutex.Lock()
+	defer fs.mutex.Unlock()
+	fs.engines = append(fs.engines, engine)
+}
+
 // recordFailed counts the current failover attempt, which has ended, as failed.
 func (fs *failoverState) recordFailed(fa *failoverAttempt) {
 	fs.mutex.Lock()
@@ -272,6 +279,9 @@
 	switch {
 	case acquireCtx.Err() != nil:
 	case !rn.accepts(acquireCtx, rn.serverOfPart(st.request.Service, primary), &ended):
+		if acquireCtx.Err() == nil {
+			st.failover.avoid(primary.Engine)
+		}
 		rn.logger.Info("stream stays at its engine", "request", st.request.ID, "place", string(grantRequest.ID), "engine", string(origin.engine),
 			"reason", "the next engine can't be reached", "next", string(primary.Engine))
 	case st.takeRetryAfter(ctx, retry.Interrupted, attemptsMade):
