An attempt that was never sent uses up none

Seen by clients: a stream is cut, or a plain request fails, with an allowed attempt left.

Cause: a second attempt counts the first one as sent when it begins, because it may be on its way. If that one turns out never to have reached its engine or server, the count stayed.

Now the request goes on with the count of its own attempts and what the second attempt added. An engine that never got the request is no engine that may get it once the limit is reached.

--- a/coordination/forward/failover.go
+++ b/coordination/forward/failover.go
@@ -388,10 +388,13 @@
 		next.inheritFrom(st)
 		next.result.Outcome = oc
 	}
-	st.result, st.grantRequest, st.grantsUsed, st.sentCount = next.result, next.grantRequest, next.grantsUsed, next.sentCount
+	// The attempt of origin was counted as sent when the failover attempt began.
+	originSent := fa.origin.sentCount >= fa.sentBefore
+	st.sentCount += next.sentCount - fa.sentBefore
+	st.result, st.grantRequest, st.grantsUsed = next.result, next.grantRequest, next.grantsUsed
 	st.mayHaveRun, st.newConnection = st.mayHaveRun || next.sentCount > fa.sentBefore, next.newConnection
 	st.engineUse.add(next.engineUse, fa.endedBefore)
-	if fa.gaveUpOrigin {
+	if fa.gaveUpOrigin && originSent {
 		st.engineUse.givenUp = append(st.engineUse.givenUp, id.Engine(fa.origin.server.ID))
 	}
 	st.lastEventID, st.endsUnnumbered, st.endUnconfirmed = next.lastEventID, next.endsUnnumbered, next.endUnconfirmed
--- a/coordination/forward/slow_server.go
+++ b/coordination/forward/slow_server.go
@@ -335,7 +335,9 @@
 	if !second.tookOver {
 		next.inheritFrom(jb)
 	}
-	jb.result, jb.sentCount, jb.newConnection = next.result, next.sentCount, next.newConnection
+	// The first attempt was counted as sent when the second one began.
+	jb.sentCount += next.sentCount - second.sentBefore
+	jb.result, jb.newConnection = next.result, next.newConnection
 	jb.mayHaveRun = jb.mayHaveRun || second.mayHaveRun()
 	jb.nextSecond, jb.failedSeconds = next.nextSecond, next.failedSeconds
 	return second.errorResponse, second.retryCause, second.description
