The proof of an answer's end does not delay the other engine

Seen by clients: a pause in an answer that goes on elsewhere; for a plain request no answer by its deadline, though the second server had one.

Cause: an answer that ends with its connection is complete only once its server is proved to run on. That wait was bound to the request and not to the attempt, so an attempt that was superseded held up the one that took over.

Now the end of the attempt ends the wait. The attempt then ends as given up, as it did before once the proof had failed.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -518,7 +518,7 @@
 			// was not at its end, so that an engine that resumes it has at least one event.
 			ev, err = event{}, io.ErrUnexpectedEOF
 		default:
-			if endErr := st.confirmEnd(ctx, st.server, st.grantedAt, response); endErr != nil {
+			if endErr := st.confirmEnd(sendCtx, st.server, st.grantedAt, response); endErr != nil {
 				ev, err = event{}, endErr
 			}
 		}
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -311,7 +311,7 @@
 		}
 		return &bufferedResponse{status: response.Status, header: response.Header, body: body, notRun: true}, retry.BackendRefused, "the server did not run the request"
 	}
-	return jb.handlePlainResponse(ctx, server, startedAt, response, monitor, &balanceResult)
+	return jb.handlePlainResponse(ctx, attemptCtx, server, startedAt, response, monitor, &balanceResult)
 }
 
 // classifyInterruption returns the retry cause of an attempt that ended without a complete response, after checking
@@ -353,8 +353,9 @@
 }
 
 // handlePlainResponse reads a response and forwards it, unless it is a failure that justifies another attempt. Streams
-// and responses larger than the buffer are forwarded as they arrive. The results are those of attemptPlain.
-func (jb *job) handlePlainResponse(ctx context.Context, server serverlist.Server, startedAt time.Time, response Response, monitor *slowServerMonitor, balanceResult *balance.Result) (*bufferedResponse, retry.Cause, string) {
+// and responses larger than the buffer are forwarded as they arrive. The results are those of attemptPlain. attemptCtx ends when
+// another server has an answer.
+func (jb *job) handlePlainResponse(ctx, attemptCtx context.Context, server serverlist.Server, startedAt time.Time, response Response, monitor *slowServerMonitor, balanceResult *balance.Result) (*bufferedResponse, retry.Cause, string) {
 	// copyRest forwards the rest of the response. Its description is "passed through" even if the response was cut off,
 	// because a response that was forwarded in part is not retried.
 	copyRest := func(prefix []byte) (*bufferedResponse, retry.Cause, string) {
@@ -384,7 +385,7 @@
 	}
 	body, complete, err := readUpTo(response.Body, jb.runner.config.ResponseBufferBytes)
 	if err == nil && complete {
-		err = jb.confirmEnd(ctx, server, startedAt, response)
+		err = jb.confirmEnd(attemptCtx, server, startedAt, response)
 	}
 	if err != nil {
 		if monitor.hasLost() {
