Model calls: a second attempt runs beside a silent one

Seen by callers: an answer is cut, or none comes by the deadline, although its engine is sound and was only silent for a moment, because the engine that replaced it failed.

Cause: the attempt on a silent engine ended once a grant on others was held and these answered probes. Starting there, and the first token, come after that and can still fail: what works was given up for what is only promised.

Now the second attempt runs beside the first. It takes the call over when it has a token to deliver or the end of the answer, or when the first attempt fails, and ends without a trace at the caller if it fails, its grant is revoked or its engines answer no probe. The first attempt drops it with its next token. At most two run at a time; each counts as an attempt and is charged to the retry budget when it begins. A silent engine is recorded as unreachable only if the second attempt takes over.

Not changed: a call that runs alone because its content may have crashed engines still ends its silent attempt, because at most one such attempt may run. servicecall never gives a silent server up before the deadline (by reading).

--- a/coordination/modelcall/failover.go
+++ b/coordination/modelcall/failover.go
@@ -11,7 +11,7 @@
 )
 
 // failover is a grant on other engines for a request whose engine does not respond. The attempt in progress and its grant
-// stay valid until the failover is used, because it was requested under an identifier of its own.
+// stay valid meanwhile, because it was requested under an identifier of its own.
 type failover struct {
 	requestID id.Request
 	grant     dispatch.Grant
@@ -21,7 +21,7 @@
 type failoverSearch struct {
 	runner *Runner
 	cancel context.CancelFunc
-	// unresponsive is the result that the attempt has if the failover is used.
+	// unresponsive is the result that the attempt has if a second one takes over on the failover.
 	unresponsive attemptResult
 	// found gets one value when the search has ended: the failover, or nil if there is none.
 	found chan *failover
@@ -90,9 +90,9 @@
 	})
 }
 
-// useFailover reports whether the attempt is to end in favour of a failover: there is one, and the retry policy allows
-// another attempt.
-func (as *attemptStreams) useFailover(ctx context.Context, found *failover, cause retry.Cause) bool {
+// mayUseFailover reports whether a second attempt is to run on a failover: there is one, and the retry policy allows another
+// attempt.
+func (as *attemptStreams) mayUseFailover(ctx context.Context, found *failover, cause retry.Cause) bool {
 	if found == nil {
 		return false
 	}
@@ -100,6 +100,5 @@
 		as.runner.releaseFailover(ctx, found)
 		return false
 	}
-	as.state.failover = found
 	return true
 }
--- a/coordination/modelcall/runner.go
+++ b/coordination/modelcall/runner.go
@@ -86,8 +86,8 @@
 	call Call
 	// requestID is the identifier under which the current grant is or was requested.
 	requestID id.Request
-	// failover is the grant for the next attempt, or nil if it is still to be acquired.
-	failover *failover
+	// second is the attempt to go on with, or nil if the next one needs a grant.
+	second *secondAttempt
 	// failoverSearches counts the searches for a failover.
 	failoverSearches int
 
@@ -117,8 +117,8 @@
 		if cause == 0 {
 			return state.summary, callOutcome
 		}
-		if state.failover != nil {
-			// The retry was allowed when the attempt ended in favour of the failover.
+		if state.second != nil {
+			// The retry was allowed when the second attempt began.
 			rn.metrics.Tagged(map[string]string{"cause": cause.String()}).Counter("retries").Inc(1)
 			continue
 		}
@@ -189,7 +189,12 @@
 // runAttempt acquires a grant and runs one attempt with it. It returns the outcome of the request, or the cause of a
 // failure after which the request may be retried; the cause is zero if the outcome is final.
 func (rn *Runner) runAttempt(ctx context.Context, state *requestState) (outcome.Outcome, retry.Cause) {
+	second := state.second
 	grant, acquireOutcome := rn.nextGrant(ctx, state)
+	if ctx.Err() != nil && second != nil {
+		rn.dropAttempt(ctx, state, second, attemptResult{})
+		return rn.contextEndedOutcome(ctx, state), 0
+	}
 	if ctx.Err() != nil {
 		if len(grant.Parts) > 0 {
 			rn.endInBackground(ctx, state, grant, attemptResult{}, true)
@@ -209,7 +214,13 @@
 		attribute.Int("engines", len(grant.Parts)),
 	))
 	defer span.End()
-	result := rn.followStreams(ctx, state, grant)
+	var streams *attemptStreams
+	if second != nil {
+		streams = second.streams
+	} else {
+		streams = rn.startStreams(ctx, state, grant)
+	}
+	result := streams.follow()
 	span.SetAttributes(attribute.String("result", result.String()))
 	rn.logger.Info("attempt ended", "fingerprint", state.call.ContentFingerprint.String(), "attempt", string(grant.Attempt), "engines", state.summary.Engines,
 		"alone", grant.RunsAlone, "result", result.String(), "engine", string(result.engine), "tokens", state.summary.DeliveredTokens)
@@ -225,11 +236,12 @@
 	return refusal
 }
 
-// nextGrant returns the grant for the next attempt: the failover if there is one, or else one that it acquires.
+// nextGrant returns the grant for the next attempt: that of the second attempt to go on with, if there is one, or else one
+// that it acquires.
 func (rn *Runner) nextGrant(ctx context.Context, state *requestState) (dispatch.Grant, outcome.Outcome) {
-	if found := state.failover; found != nil {
-		state.failover, state.requestID = nil, found.requestID
-		return found.grant, outcome.Done()
+	if second := state.second; second != nil {
+		state.second, state.requestID = nil, second.requestID
+		return second.grant, outcome.Done()
 	}
 	return rn.acquireGrant(ctx, state)
 }
--- a/coordination/modelcall/streams.go
+++ b/coordination/modelcall/streams.go
@@ -80,6 +80,13 @@
 	state  *requestState
 	grant  dispatch.Grant
 	events chan streamEvent
+	// requestCtx ends with the request, ctx, which cancel ends, with the attempt.
+	requestCtx, ctx context.Context
+	cancel          context.CancelFunc
+	// second is the attempt that runs beside this one, or nil. firstEvent is the event with which this attempt, as a second one,
+	// took over, or nil.
+	second     *secondAttempt
+	firstEvent *streamEvent
 	// pendingFollowers counts the followers that have not yet processed their part of the prompt.
 	pendingFollowers int
 	// earlyFrames holds the leader's frames that arrived before every follower was ready.
@@ -94,12 +101,13 @@
 	readers tasks.WaitGroup
 }
 
-// followStreams opens the streams of an attempt and passes tokens to the sink until the answer is complete or the
-// attempt has failed.
-func (rn *Runner) followStreams(ctx context.Context, state *requestState, grant dispatch.Grant) attemptResult {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// startStreams starts to open the streams of an attempt. requestCtx ends with the request.
+func (rn *Runner) startStreams(requestCtx context.Context, state *requestState, grant dispatch.Grant) *attemptStreams {
+	ctx, cancel := context.WithCancel(requestCtx)
 	streams := &attemptStreams{
+		requestCtx:       requestCtx,
+		ctx:              ctx,
+		cancel:           cancel,
 		runner:           rn,
 		state:            state,
 		grant:            grant,
@@ -111,10 +119,17 @@
 		streams.readers.Go(func() { streams.readStream(ctx, part, request, false) })
 	}
 	streams.possibleStarts = len(grant.Parts)
-	result := streams.handleEvents(ctx)
-	result.streamReaders = &streams.readers
+	return streams
+}
+
+// follow passes tokens to the sink until the answer is complete or the attempt has failed.
+func (as *attemptStreams) follow() attemptResult {
+	defer as.cancel()
+	result := as.handleEvents(as.ctx)
+	as.leaveToSecond(as.ctx, result)
+	result.streamReaders = &as.readers
 	// An engine that has not refused to start may run the request, even if its response has not arrived.
-	state.mayHaveRun = state.mayHaveRun || streams.possibleStarts > 0
+	as.state.mayHaveRun = as.state.mayHaveRun || as.possibleStarts > 0
 	return result
 }
 
@@ -168,9 +183,15 @@
 
 // handleEvents handles the events of all streams until the attempt has ended, its grant is revoked or the context ends.
 // If no event arrives for IdleBeforeProbe, it probes the engines in the background. The attempt continues if all of them
-// answer. If one does not, it may go on at any moment, so the attempt continues until the request has a failover.
+// answer. If one does not, it may go on at any moment, so the attempt continues until a second one, which runs on a failover,
+// has something to deliver.
 func (as *attemptStreams) handleEvents(ctx context.Context) attemptResult {
 	rn := as.runner
+	if as.firstEvent != nil {
+		if result, ended := as.handleEvent(ctx, *as.firstEvent); ended {
+			return result
+		}
+	}
 	revoked := rn.dispatchers.RevocationSignal(as.grant.Attempt)
 	probeResults := make(chan attemptResult, 1)
 	// activeSinceProbe says that an event has arrived since the last probe began.
@@ -192,10 +213,31 @@
 			lastActivity, activeSinceProbe = rn.clock.Now(), true
 			search.end(ctx)
 			search = nil
+			tokensBefore := as.state.nextTokenIndex
 			if result, ended := as.handleEvent(ctx, event); ended {
 				return result
 			}
+			if as.state.nextTokenIndex > tokensBefore {
+				as.endSecond(ctx, attemptResult{})
+			}
+		case event := <-as.second.events():
+			as.second.lastActivity, as.second.activeSinceProbe = rn.clock.Now(), true
+			if as.second.streams.delivers(event) {
+				as.second.streams.firstEvent = &event
+				return as.second.unresponsive
+			}
+			if result, ended := as.second.streams.handlePendingEvent(ctx, event); ended {
+				as.endSecond(ctx, result)
+			}
+		case <-as.second.revocation():
+			as.endSecond(ctx, attemptResult{})
+		case result := <-as.second.probeResults():
+			as.second.probing, as.second.lastActivity = false, rn.clock.Now()
+			if result.kind != failed && !as.second.activeSinceProbe {
+				as.endSecond(ctx, result)
+			}
 		case <-idleChecks:
+			as.second.probeIfIdle()
 			if !probing && rn.clock.Now().Sub(lastActivity) >= rn.config.IdleBeforeProbe {
 				probing, activeSinceProbe = true, false
 				tasks.Go(func() { as.probeEngines(ctx, probeResults) })
@@ -209,7 +251,7 @@
 			case probeResult.kind != unresponsive:
 				search.end(ctx)
 				search = nil
-			case search == nil && !activeSinceProbe && rn.retryAllowed(as.state, probeResult.cause):
+			case search == nil && as.second == nil && !activeSinceProbe && rn.retryAllowed(as.state, probeResult.cause):
 				if as.grant.RunsAlone {
 					return probeResult
 				}
@@ -220,8 +262,8 @@
 			unresponsiveResult := search.unresponsive
 			search.cancel()
 			search = nil
-			if as.useFailover(ctx, found, unresponsiveResult.cause) {
-				return unresponsiveResult
+			if as.mayUseFailover(ctx, found, unresponsiveResult.cause) {
+				as.second = as.startSecond(found, unresponsiveResult)
 			}
 			lastActivity = rn.clock.Now()
 		case <-revoked:
@@ -295,7 +337,7 @@
 // resumes the stream of the same attempt if all engines answer a probe, at most MaxResumes times over all streams of
 // the attempt.
 func (as *attemptStreams) handleStreamEnd(ctx context.Context, event streamEvent) (attemptResult, bool) {
-	if event.part > 0 && as.pendingFollowers == 0 || event.part == 0 && as.leaderFinishedEarly() {
+	if as.mayIgnoreEnd(event.part) {
 		return attemptResult{}, false
 	}
 	as.runner.metrics.Counter("streams_cut").Inc(1)
@@ -313,6 +355,11 @@
 	return attemptResult{}, false
 }
 
+// mayIgnoreEnd reports whether the stream of a part is no longer needed.
+func (as *attemptStreams) mayIgnoreEnd(part int) bool {
+	return part > 0 && as.pendingFollowers == 0 || part == 0 && as.leaderFinishedEarly()
+}
+
 // leaderFinishedEarly reports whether the leader has sent its whole answer although not every follower is ready.
 func (as *attemptStreams) leaderFinishedEarly() bool {
 	return slices.ContainsFunc(as.earlyFrames, func(frame Frame) bool { return frame.Kind == AnswerEnd })
