A silent engine that went on has not crashed

Seen by clients: a content counts a crash, three of which have it refused, though its engine was only silent for a moment and was started again for another reason up to 10 s later.

Cause: what the silence of an engine says about a crash is dropped when the engine goes on with the stream. If the stream has moved away meanwhile, nothing shows that.

Now a server that was left while it was silent is looked at like one whose attempts ended early: once it accepts a connection and answers on it, a later restart does not count. One that stays silent, or is no longer listed, still counts.

Evidence: TestRestartAfterSilenceIsNoCrash, case "goes on", fails before (1 crash counted) and passes after; "stays silent" and "refuses connections" count one crash before and after.

Not changed: the report itself (Reported) lapses after its time and isn't withdrawn, since a withdrawal that other hosts understand would also hide a real crash of the same start.

--- a/coordination/forward/crash.go
+++ b/coordination/forward/crash.go
@@ -118,6 +118,8 @@
 	// endedEarly is set if the connection was not lost but given up, see suspectAfterEarlyEnd. The request is then nil, as its
 	// body is not kept. aliveAt is when the server was first found alive after that; zero if it has not been.
 	endedEarly bool
+	// leftSilent is set if this host ended the attempt while the server was silent, see suspectAfterSilence.
+	leftSilent bool
 	aliveAt    time.Time
 }
 
--- a/coordination/forward/early_end.go
+++ b/coordination/forward/early_end.go
@@ -28,6 +28,23 @@
 	rn.scheduleLook(server)
 }
 
+// suspectAfterSilence keeps what the silence of a server said about a crash only until the server is found alive, because the
+// request has left it and can't show that it goes on.
+func (rn *Runner) suspectAfterSilence(request *Request, server serverlist.Server) {
+	rn.mutex.Lock()
+	suspected := false
+	for ix := range rn.unresolved {
+		attempt := &rn.unresolved[ix]
+		if attempt.request == request && attempt.server.ID == server.ID {
+			attempt.leftSilent, suspected = true, true
+		}
+	}
+	rn.mutex.Unlock()
+	if suspected {
+		rn.scheduleLook(server)
+	}
+}
+
 // isLeaving reports whether a server is known to be leaving or gone.
 func (rn *Runner) isLeaving(server id.BackendServer) bool {
 	return rn.fleet.ListedAsLeaving(server) || rn.fleet.AnnouncedLeaving(server)
@@ -53,11 +70,16 @@
 	rn.mutex.Lock()
 	delete(rn.scheduledLooks, server.ID)
 	suspected := slices.ContainsFunc(rn.unresolved, func(attempt unresolvedAttempt) bool { return attempt.suspects(server.ID, probedAt) })
+	leftSilent := slices.ContainsFunc(rn.unresolved, func(attempt unresolvedAttempt) bool {
+		return attempt.leftSilent && attempt.suspects(server.ID, probedAt)
+	})
 	rn.mutex.Unlock()
 	if !suspected || rn.isLeaving(server.ID) {
 		return
 	}
 	probeResult := rn.probeConnection(context.Background(), server)
+	// The system of a silent server may still accept connections.
+	answers := leftSilent && probeResult.Alive() && !rn.askedForBackoff(server.ID) && rn.answersProbe(context.Background(), server)
 	var crashed []unresolvedAttempt
 	remaining := false
 	rn.mutex.Lock()
@@ -70,7 +92,7 @@
 	})
 	for ix := range rn.unresolved {
 		attempt := &rn.unresolved[ix]
-		if probeResult.Alive() && attempt.suspects(server.ID, probedAt) && probedAt.Sub(attempt.lostAt) >= earlyEndLookDelay {
+		if probeResult.Alive() && (answers || !attempt.leftSilent) && attempt.suspects(server.ID, probedAt) && probedAt.Sub(attempt.lostAt) >= earlyEndLookDelay {
 			attempt.aliveAt = probedAt
 		}
 		remaining = remaining || attempt.suspects(server.ID, rn.clock.Now())
@@ -82,21 +104,25 @@
 	}
 }
 
-// suspects reports whether the attempt ended early at a server and the server has not been found alive since.
+// suspects reports whether the attempt ended early at a server, or left it while it was silent, and the server has not been found
+// alive since.
 func (ua *unresolvedAttempt) suspects(server id.BackendServer, now time.Time) bool {
-	return ua.endedEarly && ua.server.ID == server && ua.aliveAt.IsZero() && now.Sub(ua.lostAt) <= unresolvedTTL
+	return (ua.endedEarly || ua.leftSilent) && ua.server.ID == server && ua.aliveAt.IsZero() && now.Sub(ua.lostAt) <= unresolvedTTL
 }
 
-// crashedUnder reports whether the list shows that the server of the attempt crashed. An attempt that ended early does not
-// count if its server was found alive between it and the restart. A server that is no longer listed may have left; the
-// probe decides on that.
+// crashedUnder reports whether the list shows that the server of the attempt crashed. An attempt that ended early, or left a silent
+// server, does not count if its server was found alive between it and the restart. A server that is no longer listed may have
+// left, unless it was silent; the probe decides on that.
 func (rn *Runner) crashedUnder(attempt unresolvedAttempt, listed []serverlist.Server) bool {
 	if !rn.goneOrRestarted(attempt.server, listed) {
 		return false
 	}
-	if !attempt.endedEarly {
+	if !attempt.endedEarly && !attempt.leftSilent {
 		return true
 	}
 	restarted := slices.IndexFunc(listed, func(server serverlist.Server) bool { return server.ID == attempt.server.ID })
-	return restarted >= 0 && (attempt.aliveAt.IsZero() || attempt.aliveAt.UnixMilli() >= listed[restarted].StartedAtMillis)
+	if restarted < 0 {
+		return attempt.leftSilent && attempt.aliveAt.IsZero()
+	}
+	return attempt.aliveAt.IsZero() || attempt.aliveAt.UnixMilli() >= listed[restarted].StartedAtMillis
 }
--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -144,6 +144,9 @@
 	if st.result.Complete {
 		st.endSilence()
 	}
+	if result.givenUp && st.silenceChecked.Load() {
+		rn.suspectAfterSilence(st.request, st.server)
+	}
 	ended.Request = st.grantRequest.ID
 	ended.Attempt = grant.Attempt
 	rn.dispatcher.ReportEnded(ended)
@@ -221,6 +224,8 @@
 	final bool
 	// retryCause is what the retry policy decides on if the result is not final.
 	retryCause retry.Cause
+	// givenUp says that this host ended the attempt, and not its engine.
+	givenUp bool
 }
 
 // prepareRetry decides whether the request is run again. If so, it makes the next request to the dispatcher avoid the
@@ -418,15 +423,15 @@
 func (st *engineJob) classifyLoss(sendCtx, ctx context.Context, primary batch.Part, err error) (broker.EndedGrant, attemptResult) {
 	if ctx.Err() != nil {
 		st.suspectAfterEarlyEnd(ctx, st.server, st.grantedAt)
-		return broker.EndedGrant{}, attemptResult{reason: "ended: " + context.Cause(ctx).Error(), retryCause: retry.Interrupted}
+		return broker.EndedGrant{}, attemptResult{reason: "ended: " + context.Cause(ctx).Error(), retryCause: retry.Interrupted, givenUp: true}
 	}
 	ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unresponsive}
 	switch cause := context.Cause(sendCtx); {
 	case errors.Is(cause, errUnresponsive), errors.Is(cause, errLinkLost):
 		ended.Fault = batch.NoFault
-		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
+		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted, givenUp: true}
 	case errors.Is(cause, errStalled):
-		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
+		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted, givenUp: true}
 	}
 	st.newConnection = true
 	probeResult := st.runner.probeConnection(ctx, st.server)
@@ -542,7 +547,7 @@
 			switch sinkErr := st.forwardEvent(response, ev); {
 			case errors.Is(sinkErr, errSuperseded):
 				st.mayHaveRun = true
-				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), retryCause: retry.Interrupted}
+				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), retryCause: retry.Interrupted, givenUp: true}
 			case sinkErr != nil:
 				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), final: true}
 			}
