--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -36,6 +36,8 @@
 	endUnconfirmed bool
 	// grantsUsed counts the grants used so far, failover grants included.
 	grantsUsed int
+	// engineUse is what the request remembers of its engines. The goroutine of the attempt changes it.
+	engineUse engineUse
 	// mutex guards lastEventAt, the time when an event was last forwarded.
 	mutex       sync.Mutex
 	lastEventAt time.Time
@@ -142,6 +144,9 @@
 	if st.result.Complete {
 		st.endSilence()
 	}
+	if result.givenUp && st.silenceChecked.Load() {
+		rn.suspectAfterSilence(st.request, st.server)
+	}
 	ended.Request = st.grantRequest.ID
 	ended.Attempt = grant.Attempt
 	rn.dispatcher.ReportEnded(ended)
@@ -162,6 +167,7 @@
 	acquireCtx, detach := st.withFirstSending(ctx)
 	acquireCtx, span := rn.tracer.Start(acquireCtx, "dispatch.place")
 	st.grantRequest.BackoffUntil = rn.engineBackoffs(st.request.Service, st.grantRequest.AttemptNumber)
+	st.restrictGrantRequest(&st.grantRequest)
 	grant, oc := rn.dispatcher.Acquire(acquireCtx, st.grantRequest)
 	span.SetAttributes(attribute.String("attempt", string(grant.Attempt)), attribute.Int("engines", len(grant.Parts)))
 	span.End()
@@ -181,6 +187,9 @@
 			oc.Kind = outcome.Failed
 		}
 		st.result.Outcome = oc
+	case !st.engineUse.mayUse(grant):
+		st.returnGrant(grant)
+		st.setOutcomeOnFailure("no engine that had the request has room")
 	default:
 		return grant, true
 	}
@@ -215,6 +224,8 @@
 	final bool
 	// retryCause is what the retry policy decides on if the result is not final.
 	retryCause retry.Cause
+	// givenUp says that this host ended the attempt, and not its engine.
+	givenUp bool
 }
 
 // prepareRetry decides whether the request is run again. If so, it makes the next request to the dispatcher avoid the
@@ -225,8 +236,8 @@
 	}
 	reachedEngine := result.retryCause == retry.Interrupted || result.retryCause == retry.Crashed
 	allowed := st.grantsUsed < st.runner.config.MaxGrants
-	if reachedEngine {
-		allowed = allowed && st.sentCount < max(1, st.request.Route.MaxAttempts)
+	if reachedEngine && st.sentCount >= st.engineUse.limit(st.request.Route.MaxAttempts) || len(st.engineUse.only) > 0 {
+		allowed = allowed && st.engineUse.restrict(ended.FailedEngine)
 	}
 	if !allowed || !st.takeRetry(ctx, result.retryCause) {
 		if ctx.Err() != nil {
@@ -375,7 +386,7 @@
 // another engine.
 func (st *engineJob) stallLimit() time.Duration {
 	rt := st.request.Route
-	if !rt.Repeatable() || st.sentCount+1 >= rt.MaxAttempts {
+	if !rt.Repeatable() || st.sentCount+1 >= st.engineUse.limit(rt.MaxAttempts) || len(st.engineUse.only) > 0 {
 		return 0
 	}
 	return time.Duration(st.runner.config.StallTimeoutShare * float64(route.WaitLimit(rt.TargetLatency, rt.MaxPause)))
@@ -412,19 +423,22 @@
 func (st *engineJob) classifyLoss(sendCtx, ctx context.Context, primary batch.Part, err error) (broker.EndedGrant, attemptResult) {
 	if ctx.Err() != nil {
 		st.suspectAfterEarlyEnd(ctx, st.server, st.grantedAt)
-		return broker.EndedGrant{}, attemptResult{reason: "ended: " + context.Cause(ctx).Error(), retryCause: retry.Interrupted}
+		return broker.EndedGrant{}, attemptResult{reason: "ended: " + context.Cause(ctx).Error(), retryCause: retry.Interrupted, givenUp: true}
 	}
 	ended := broker.EndedGrant{FailedEngine: primary.Engine, Fault: batch.Unresponsive}
 	switch cause := context.Cause(sendCtx); {
 	case errors.Is(cause, errUnresponsive), errors.Is(cause, errLinkLost):
 		ended.Fault = batch.NoFault
-		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
+		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted, givenUp: true}
 	case errors.Is(cause, errStalled):
-		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted}
+		return ended, attemptResult{reason: cause.Error(), retryCause: retry.Interrupted, givenUp: true}
 	}
 	st.newConnection = true
 	probeResult := st.runner.probeConnection(ctx, st.server)
 	if st.checkForCrash(ctx, st.server, st.grantedAt, probeResult, err) {
+		if st.result.HeadSent {
+			st.engineUse.ended++
+		}
 		ended.Fault = batch.Unreachable
 		return ended, attemptResult{reason: "the engine crashed: " + err.Error(), retryCause: retry.Crashed}
 	}
@@ -509,7 +523,7 @@
 			// was not at its end, so that an engine that resumes it has at least one event.
 			ev, err = event{}, io.ErrUnexpectedEOF
 		default:
-			if endErr := st.confirmEnd(ctx, st.server, st.grantedAt, response); endErr != nil {
+			if endErr := st.confirmEnd(sendCtx, st.server, st.grantedAt, response); endErr != nil {
 				ev, err = event{}, endErr
 			}
 		}
@@ -533,7 +547,7 @@
 			switch sinkErr := st.forwardEvent(response, ev); {
 			case errors.Is(sinkErr, errSuperseded):
 				st.mayHaveRun = true
-				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), retryCause: retry.Interrupted}
+				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), retryCause: retry.Interrupted, givenUp: true}
 			case sinkErr != nil:
 				return broker.EndedGrant{}, attemptResult{reason: sinkErr.Error(), final: true}
 			}
