--- a/coordination/forward/out_of_reach_test.go
+++ b/coordination/forward/out_of_reach_test.go
@@ -49,6 +49,13 @@
 	return forward.Reachable
 }
 
+func (us *unreachableServers) ProbeHTTP(ctx context.Context, address string) forward.ProbeResult {
+	if address == us.unreachable {
+		return forward.Undetermined
+	}
+	return us.failoverServers.ProbeHTTP(ctx, address)
+}
+
 // TestEngineOutOfReachIsNotGrantedAgain guards against streams that stay at a silent engine because the same engine, which only
 // this host can't reach, is granted to them again and again.
 func TestEngineOutOfReachIsNotGrantedAgain(t *testing.T) {
--- a/coordination/forward/plain.go
+++ b/coordination/forward/plain.go
@@ -386,6 +386,9 @@
 		*balanceResult = balance.Answered
 		return copyRest(nil)
 	}
+	if response.Status < http.StatusInternalServerError {
+		jb.limit.awaitAnswer()
+	}
 	body, complete, err := readUpTo(response.Body, jb.runner.config.ResponseBufferBytes)
 	if err == nil && complete {
 		err = jb.confirmEnd(attemptCtx, server, startedAt, response)
--- a/coordination/forward/silent_second_engine_test.go
+++ b/coordination/forward/silent_second_engine_test.go
@@ -95,5 +95,7 @@
 			}
 		}
 		assert.DeepEqual(t, faults, map[string]batch.Fault{"one": batch.Unresponsive, "two": batch.Unresponsive})
+		// The host looks after both engines for some time.
+		time.Sleep(10 * time.Second)
 	})
 }
--- a/coordination/forward/time_limit.go
+++ b/coordination/forward/time_limit.go
@@ -14,7 +14,10 @@
 	// what is known of it. It covers the way to the client and back, since the client's time began before the request
 	// arrived.
 	answerLead = 20 * time.Millisecond
-	// maxAnswerLeadShare bounds answerLead to a part of the time that the client gave.
+	// arrivingAnswerLead is the same time once a server has sent the head of its answer. It covers little more than the way
+	// to the client and back, as the rest of the answer may still come.
+	arrivingAnswerLead = 8 * time.Millisecond
+	// maxAnswerLeadShare bounds both to a part of the time that the client gave.
 	maxAnswerLeadShare = 0.05
 )
 
@@ -28,9 +31,11 @@
 	start   *responseStart
 
 	// mutex guards the fields below.
-	mutex   sync.Mutex
-	stopped bool
-	check   timer.Subscription
+	mutex sync.Mutex
+	// answerArrives says that a server has sent the head of its answer.
+	answerArrives bool
+	stopped       bool
+	check         timer.Subscription
 }
 
 // withTimeLimit returns a copy of ctx that ends with context.DeadlineExceeded as its cause when the request's time has
@@ -53,10 +58,23 @@
 	if tl.start.hasBegun() {
 		return tl.request.ArrivedAt.Add(min(tl.timeout(), clientTime))
 	}
-	lead := min(answerLead, time.Duration(maxAnswerLeadShare*float64(max(0, clientTime))))
+	tl.mutex.Lock()
+	lead := answerLead
+	if tl.answerArrives {
+		lead = arrivingAnswerLead
+	}
+	tl.mutex.Unlock()
+	lead = min(lead, time.Duration(maxAnswerLeadShare*float64(max(0, clientTime))))
 	return tl.request.ArrivedAt.Add(min(tl.timeout(), clientTime-lead))
 }
 
+// awaitAnswer leaves the answer whose head a server has sent more of the client's time.
+func (tl *timeLimit) awaitAnswer() {
+	tl.mutex.Lock()
+	defer tl.mutex.Unlock()
+	tl.answerArrives = true
+}
+
 // waitLimit returns how long after the arrival of the request its client waits, or is to be kept waiting.
 func (tl *timeLimit) waitLimit() time.Duration {
 	return min(tl.timeout(), tl.request.Deadline.Sub(tl.request.ArrivedAt))
@@ -76,21 +94,25 @@
 
 // scheduleCheck calls end when the deadline has passed. The deadline may move meanwhile.
 func (tl *timeLimit) scheduleCheck(end func()) {
+	wait := max(0, tl.deadline().Sub(tl.clock.Now()))
 	tl.mutex.Lock()
 	defer tl.mutex.Unlock()
 	if tl.stopped {
 		return
 	}
-	tl.check = tl.clock.After(max(0, tl.deadline().Sub(tl.clock.Now())), tasks.Guarded(func() {
-		if tl.start.abort() || !tl.clock.Now().Before(tl.deadline()) {
-			end()
+	tl.check = tl.clock.After(wait, tasks.Guarded(func() {
+		if !tl.isOver() || !tl.start.abort() && !tl.isOver() {
+			// The answer arrives or has begun, and may go on for longer.
+			tl.scheduleCheck(end)
 			return
 		}
-		// The response has begun, and may go on for longer.
-		tl.scheduleCheck(end)
+		end()
 	}))
 }
 
+// isOver reports whether the deadline has passed.
+func (tl *timeLimit) isOver() bool { return !tl.clock.Now().Before(tl.deadline()) }
+
 // stop ends the checks.
 func (tl *timeLimit) stop() {
 	tl.mutex.Lock()
