Fake dispatcher of package forward is safe for two attempts

The race detector reported ReportEnded against ReportEnded of the fakeDispatcher in TestCutResponseIsNotComplete at a load of 75: a failover attempt and the attempt it was started for end at the same time. Only the fake lacked a mutex; it has one now.

--- a/coordination/forward/engine_job_test.go
+++ b/coordination/forward/engine_job_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,8 +30,11 @@
 	"github.com/hibiscuslever/hibiscuslever/timer"
 )
 
-// fakeDispatcher hands out its grants in order and records how attempts end.
+// fakeDispatcher hands out its grants in order and records how attempts end. A failover attempt and the attempt that it was
+// started for may call it at the same time.
 type fakeDispatcher struct {
+	// mutex guards the fields below during a request.
+	mutex  sync.Mutex
 	grants []batch.Grant
 	ended  []broker.EndedGrant
 	// backoffs holds the engine backoffs in each call of Acquire.
@@ -44,6 +48,8 @@
 }
 
 func (fd *fakeDispatcher) Acquire(ctx context.Context, grantRequest broker.GrantRequest) (batch.Grant, outcome.Outcome) {
+	fd.mutex.Lock()
+	defer fd.mutex.Unlock()
 	fd.backoffs = append(fd.backoffs, grantRequest.BackoffUntil)
 	fd.unanswered = append(fd.unanswered, grantRequest.Unanswered)
 	fd.waitLimitAt = append(fd.waitLimitAt, grantRequest.ArrivedAt.Add(grantRequest.WaitLimit))
@@ -56,6 +62,8 @@
 }
 func (fd *fakeDispatcher) ReportStarted(id.Attempt) {}
 func (fd *fakeDispatcher) ReportEnded(ended broker.EndedGrant) {
+	fd.mutex.Lock()
+	defer fd.mutex.Unlock()
 	fd.ended = append(fd.ended, ended)
 	if ended.Fault != batch.NoFault && fd.faultAt.IsZero() {
 		fd.faultAt = time.Now()
