Store what clears a first crash also beyond the bound

Callers could be refused by a quarantine that counted a crash which had been cleared: the bound on first crashes counted the records that clear them too, and dropped those beyond it. A crash that was stored just before then counted for as long as the log keeps it, for every host that learns from the log.

What clears a crash that was accepted is accepted without being counted, once; so a host adds at most one more record for each one that the bound lets through.

Evidence: TestClearedCrashBeyondBoundIsStored failed before (the first record in the log was still confirmed) and passes, as do the other tests of the package. With the race detector tests of the package fail before and after: they share pagedLog without a lock.

--- a/coordination/crashlog/syncer.go
+++ b/coordination/crashlog/syncer.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -126,6 +127,8 @@
 	// firstCrashesSince is when the current FirstCrashPeriod began, and firstCrashes is the number of records in it.
 	firstCrashesSince time.Time
 	firstCrashes      int
+	// storedFirstCrashes holds when QueueFirstCrash accepted the crashes that are not cleared, for TTL.
+	storedFirstCrashes map[crashKey]time.Time
 	// pendingRecords are the records to be appended, oldest first, without those of an append in progress.
 	pendingRecords []Record
 	// flushScheduled says that flush is going to run when BatchDelay has passed.
@@ -145,7 +148,7 @@
 
 // New returns a syncer that has read nothing yet.
 func New(config Config, clock timer.Clock, log Log, metrics tally.Scope, logger *slog.Logger, shouldRead func() bool, learn func(...quarantine.Evidence), options ...Option) *Syncer {
-	sy := &Syncer{config: config, clock: clock, log: log, metrics: metrics, logger: logger, shouldRead: shouldRead, learn: learn, nextOffset: id.NoOffset}
+	sy := &Syncer{config: config, clock: clock, log: log, metrics: metrics, logger: logger, shouldRead: shouldRead, learn: learn, nextOffset: id.NoOffset, storedFirstCrashes: map[crashKey]time.Time{}}
 	for _, option := range options {
 		option(sy)
 	}
@@ -221,7 +224,7 @@
 // QueueFirstCrash queues evidence about a fingerprint with a single crash, or drops it if there has been too much of it.
 // Run appends what is cleared within AppendRetryInterval, because requests that ran on a crashed server end one by one.
 func (sy *Syncer) QueueFirstCrash(evidence quarantine.Evidence) {
-	if !sy.acceptsFirstCrash() {
+	if !sy.acceptsFirstCrash(evidence) {
 		sy.metrics.Counter("first_crashes_dropped").Inc(1)
 		return
 	}
@@ -232,34 +235,46 @@
 	sy.QueueEvidence(evidence)
 }
 
-// acceptsFirstCrash counts a record of QueueFirstCrash, and returns false if FirstCrashes are exceeded.
-func (sy *Syncer) acceptsFirstCrash() bool {
+// acceptsFirstCrash counts a record of QueueFirstCrash, and returns false if FirstCrashes are exceeded. What clears an
+// accepted crash is accepted and not counted: otherwise the crash would count for as long as the log keeps it.
+func (sy *Syncer) acceptsFirstCrash(evidence quarantine.Evidence) bool {
 	now := sy.clock.Now()
+	key := crashKey{evidence.Fingerprint, evidence.Crash}
 	sy.mutex.Lock()
 	defer sy.mutex.Unlock()
+	if _, stored := sy.storedFirstCrashes[key]; stored && evidence.Status == quarantine.Cleared {
+		delete(sy.storedFirstCrashes, key)
+		return true
+	}
 	if now.Sub(sy.firstCrashesSince) >= sy.config.FirstCrashPeriod {
 		sy.firstCrashesSince, sy.firstCrashes = now, 0
+		maps.DeleteFunc(sy.storedFirstCrashes, func(_ crashKey, at time.Time) bool { return now.Sub(at) > sy.config.TTL })
 	}
 	if sy.firstCrashes >= sy.config.FirstCrashes {
 		return false
 	}
 	sy.firstCrashes++
+	if evidence.Status != quarantine.Cleared {
+		sy.storedFirstCrashes[key] = now
+	}
 	return true
 }
 
+// crashKey identifies a crash of a fingerprint.
+type crashKey struct {
+	fingerprint id.Fingerprint
+	crash       quarantine.CrashID
+}
+
 // newestOfEach returns the last record of each pair of a fingerprint and a crash, which replaces the others in the log.
 func newestOfEach(records []Record) []Record {
-	type pair struct {
-		fingerprint id.Fingerprint
-		crash       quarantine.CrashID
-	}
-	last := map[pair]int{}
+	last := map[crashKey]int{}
 	for ix, rec := range records {
-		last[pair{rec.Fingerprint, rec.Crash}] = ix
+		last[crashKey{rec.Fingerprint, rec.Crash}] = ix
 	}
 	var newest []Record
 	for ix, rec := range records {
-		if last[pair{rec.Fingerprint, rec.Crash}] == ix {
+		if last[crashKey{rec.Fingerprint, rec.Crash}] == ix {
 			newest = append(newest, rec)
 		}
 	}
--- a/coordination/crashlog/syncer_test.go
+++ b/coordination/crashlog/syncer_test.go
@@ -289,3 +289,25 @@
 		assert.NilError(t, <-runResult)
 	})
 }
+
+// TestClearedCrashBeyondBoundIsStored guards against single crashes that count for as long as the log keeps them although they
+// were cleared, because the bound dropped the record that says so.
+func TestClearedCrashBeyondBoundIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lg := &pagedLog{}
+		syncer := newSyncerWithBounds(lg, func() bool { return false }, func(...quarantine.Evidence) {})
+		for fp := range id.Fingerprint(4) {
+			syncer.QueueFirstCrash(confirmedEvidence(fp))
+		}
+		for fp := range id.Fingerprint(4) {
+			syncer.QueueFirstCrash(quarantine.Evidence{Fingerprint: fp, Crash: 9, Status: quarantine.Cleared})
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, len(lg.encoded), 3)
+		for _, encoded := range lg.encoded {
+			rec, err := crashlog.Decode(encoded)
+			assert.NilError(t, err)
+			assert.Equal(t, rec.Evidence.Status, quarantine.Cleared)
+		}
+	})
+}
