forward: Plainer names and conditions in what is new

Read through as a newcomer: the check of a request's time limit in steps, engineUse.allowed in place of only, the comment of retryAllowed. The behaviour is the same; the package's tests pass.

--- a/coordination/forward/engine_job.go
+++ b/coordination/forward/engine_job.go
@@ -236,7 +236,7 @@
 	}
 	reachedEngine := result.retryCause == retry.Interrupted || result.retryCause == retry.Crashed
 	allowed := st.grantsUsed < st.runner.config.MaxGrants
-	if reachedEngine && st.sentCount >= st.engineUse.limit(st.request.Route.MaxAttempts) || len(st.engineUse.only) > 0 {
+	if reachedEngine && st.sentCount >= st.engineUse.limit(st.request.Route.MaxAttempts) || len(st.engineUse.allowed) > 0 {
 		allowed = allowed && st.engineUse.restrict(ended.FailedEngine)
 	}
 	if !allowed || !st.takeRetry(ctx, result.retryCause) {
@@ -386,7 +386,7 @@
 // another engine.
 func (st *engineJob) stallLimit() time.Duration {
 	rt := st.request.Route
-	if !rt.Repeatable() || st.sentCount+1 >= st.engineUse.limit(rt.MaxAttempts) || len(st.engineUse.only) > 0 {
+	if !rt.Repeatable() || st.sentCount+1 >= st.engineUse.limit(rt.MaxAttempts) || len(st.engineUse.allowed) > 0 {
 		return 0
 	}
 	return time.Duration(st.runner.config.StallTimeoutShare * float64(route.WaitLimit(rt.TargetLatency, rt.MaxPause)))
--- a/coordination/forward/given_up_engine.go
+++ b/coordination/forward/given_up_engine.go
@@ -16,8 +16,8 @@
 	ended int
 	// givenUp holds the engines whose attempts were ended for another one and did not fail by themselves.
 	givenUp []id.Engine
-	// only holds the engines that may get the request once the limit is reached; empty before that.
-	only []id.Engine
+	// allowed holds the engines that may still get the request once the limit is reached; empty before that.
+	allowed []id.Engine
 }
 
 // add adds what an attempt beside this one remembers, which started with the given number of ended engines.
@@ -32,29 +32,29 @@
 
 // restrict leaves only the engines that were given up, without the one that failed last. It reports whether one is left.
 func (eu *engineUse) restrict(failed id.Engine) bool {
-	if len(eu.only) == 0 {
-		eu.only = slices.Compact(slices.Sorted(slices.Values(eu.givenUp)))
+	if len(eu.allowed) == 0 {
+		eu.allowed = slices.Compact(slices.Sorted(slices.Values(eu.givenUp)))
 		eu.givenUp = nil
 	}
-	eu.only = slices.DeleteFunc(eu.only, func(engine id.Engine) bool { return engine == failed })
-	return len(eu.only) > 0
+	eu.allowed = slices.DeleteFunc(eu.allowed, func(engine id.Engine) bool { return engine == failed })
+	return len(eu.allowed) > 0
 }
 
 // mayUse reports whether the first engine of a grant may get the request.
 func (eu *engineUse) mayUse(grant batch.Grant) bool {
-	return len(eu.only) == 0 || len(grant.Parts) > 0 && slices.Contains(eu.only, grant.Parts[0].Engine)
+	return len(eu.allowed) == 0 || len(grant.Parts) > 0 && slices.Contains(eu.allowed, grant.Parts[0].Engine)
 }
 
 // restrictGrantRequest makes a request to the dispatcher ask for the engines that may get the request, once the limit is
 // reached. It does so with backoffs, because these also hold if no other engine is left.
 func (st *engineJob) restrictGrantRequest(request *broker.GrantRequest) {
-	only := st.engineUse.only
-	if len(only) == 0 {
+	allowed := st.engineUse.allowed
+	if len(allowed) == 0 {
 		return
 	}
-	request.AvoidedEngines = slices.DeleteFunc(slices.Clone(request.AvoidedEngines), func(engine id.Engine) bool { return slices.Contains(only, engine) })
+	request.AvoidedEngines = slices.DeleteFunc(slices.Clone(request.AvoidedEngines), func(engine id.Engine) bool { return slices.Contains(allowed, engine) })
 	for _, server := range st.runner.fleet.Servers(st.request.Service) {
-		if engine := id.Engine(server.ID); !slices.Contains(only, engine) {
+		if engine := id.Engine(server.ID); !slices.Contains(allowed, engine) {
 			if request.BackoffUntil == nil {
 				request.BackoffUntil = map[id.Engine]time.Time{}
 			}
--- a/coordination/forward/runner.go
+++ b/coordination/forward/runner.go
@@ -409,8 +409,8 @@
 	return decision.Retry
 }
 
-// retryAllowed reports whether the retry policy would allow a retry of an interrupted attempt, the last one of the given
-// number of attempts. It may be called while that attempt runs.
+// retryAllowed reports whether the retry policy would allow another attempt if the last of attemptsMade attempts were
+// interrupted now. It may be called while that attempt runs.
 func (jb *job) retryAllowed(attemptsMade int) bool {
 	rn := jb.runner
 	rn.mutex.Lock()
--- a/coordination/forward/time_limit.go
+++ b/coordination/forward/time_limit.go
@@ -68,7 +68,7 @@
 	return tl.request.ArrivedAt.Add(min(tl.timeout(), clientTime-lead))
 }
 
-// awaitAnswer leaves the answer whose head a server has sent more of the client's time.
+// awaitAnswer gives an answer whose head has come more of the client's time.
 func (tl *timeLimit) awaitAnswer() {
 	tl.mutex.Lock()
 	defer tl.mutex.Unlock()
@@ -101,12 +101,16 @@
 		return
 	}
 	tl.check = tl.clock.After(wait, tasks.Guarded(func() {
-		if !tl.isOver() || !tl.start.abort() && !tl.isOver() {
-			// The answer arrives or has begun, and may go on for longer.
-			tl.scheduleCheck(end)
+		over := tl.isOver()
+		if over && !tl.start.abort() {
+			// A response that has begun may go on for longer.
+			over = tl.isOver()
+		}
+		if over {
+			end()
 			return
 		}
-		end()
+		tl.scheduleCheck(end)
 	}))
 }
 
