--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -62,6 +62,8 @@
 	// the server crashes after half of each response, and its connection is closed in the ordinary way.
 	OmitsLengths
 	CrashesWithoutLength
+	// SendsBrokenHeads makes the server send its answers behind the heads of SetBrokenHead.
+	SendsBrokenHeads
 )
 
 // ExecutedRequest is a request that a server started to run.
@@ -117,6 +119,7 @@
 	// restarting is set from a crash until the server listens again.
 	restarting       bool
 	fault            ServerFault
+	brokenHead       BrokenHead
 	executedRequests []*ExecutedRequest
 	// reservations holds the time at which each memory reservation expires.
 	reservations        map[string]time.Time
@@ -488,6 +491,9 @@
 	case OmitsLengths, CrashesWithoutLength:
 		sv.respondWithoutLength(rw, executed, "text/plain", []string{text[:5], text[5:]}, 0)
 		return
+	case SendsBrokenHeads:
+		sv.respondWithBrokenHead(rw, executed, "text/plain", []string{text[:5], text[5:]})
+		return
 	}
 	_, _ = io.WriteString(rw, text)
 	sv.markCompleted(executed)
@@ -541,11 +547,11 @@
 		}
 	}
 	if fault == OmitsLengths || fault == CrashesWithoutLength {
-		var events []string
-		for number := firstEvent; number <= sv.EventCount; number++ {
-			events = append(events, fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number))
-		}
-		sv.respondWithoutLength(rw, executed, "text/event-stream", events, interval)
+		sv.respondWithoutLength(rw, executed, "text/event-stream", sv.events()[firstEvent-1:], interval)
+		return
+	}
+	if fault == SendsBrokenHeads {
+		sv.respondWithBrokenHead(rw, executed, "text/event-stream", sv.events()[firstEvent-1:])
 		return
 	}
 	for number := firstEvent; number <= sv.EventCount; number++ {
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/hibiscuslever/hibiscuslever/tasks"
 	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
 // Request is one request to a backend server.
@@ -256,6 +257,9 @@
 		if err != nil {
 			return nil, shortenError(err)
 		}
+		if err := httpresponse.CheckHead(response.StatusCode); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
 		}
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -24,6 +24,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/fetch"
+	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
 const (
@@ -48,12 +49,12 @@
 
 // NewClient returns a client whose HTTP transport is wrapped by a function, which may add tracing.
 func NewClient(clock timer.Clock, wrap func(http.RoundTripper) http.RoundTripper) *Client {
-	transport := &http.Transport{
+	transport := httpresponse.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnections,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: fetch.MaxHeadBytes,
-	}
+	})
 	return &Client{httpClient: &http.Client{Transport: wrap(transport)}, clock: clock}
 }
 
--- a/transport/operator/client.go
+++ b/transport/operator/client.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuslever/hibiscuslever/protocol/operator"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/lists"
+	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
 const (
@@ -27,6 +28,9 @@
 	return fmt.Sprintf("list %s is at revision %d, the edit was made from revision %d", list, currentRevision, baseRevision)
 }
 
+// sharedTransport keeps the connections of all clients, as http.DefaultTransport does.
+var sharedTransport = httpresponse.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+
 // Client calls the operator interface of one host.
 type Client struct {
 	baseURL    string
@@ -35,7 +39,7 @@
 
 // NewClient returns a client for the host whose operator interface is at a URL.
 func NewClient(baseURL string) *Client {
-	return &Client{baseURL: baseURL, httpClient: &http.Client{Timeout: callTimeout}}
+	return &Client{baseURL: baseURL, httpClient: &http.Client{Transport: sharedTransport, Timeout: callTimeout}}
 }
 
 // Show returns the content and the revision of a list.
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -25,6 +25,7 @@
 	"github.com/hibiscuslever/hibiscuslever/state/outcome"
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/fetch"
+	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
 // dialTimeout limits the time to open a connection to another host.
@@ -107,7 +108,7 @@
 	return &Client{
 		self:             self,
 		clock:            clock,
-		httpClient:       &http.Client{Transport: transport},
+		httpClient:       &http.Client{Transport: httpresponse.NewTransport(transport)},
 		options:          append(options, connect.WithReadMaxBytes(maxMessageBytes)),
 		clientsByAddress: map[string]peerconnect.PeerClient{},
 		dispatcherOrders: map[id.Service]dispatcherOrder{},
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuslever/hibiscuslever/protocol/platform"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/transport/fetch"
+	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
 const (
@@ -35,11 +36,11 @@
 // NewClient returns a client for the platform at a URL such as http://127.0.0.1:7000. The HTTP transport is wrapped by
 // a function, which may add tracing.
 func NewClient(baseURL string, wrap func(http.RoundTripper) http.RoundTripper) *Client {
-	transport := &http.Transport{
+	transport := httpresponse.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: fetch.MaxHeadBytes,
-	}
+	})
 	return &Client{baseURL: baseURL, httpClient: &http.Client{Transport: wrap(transport)}}
 }
 
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuslever/hibiscuslever/timer"
 	"github.com/hibiscuslever/hibiscuslever/transport/backend"
 	"github.com/hibiscuslever/hibiscuslever/transport/fetch"
+	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
 const (
@@ -39,13 +40,21 @@
 // NewClient returns a client whose HTTP transports are wrapped by a function, which may add tracing.
 func NewClient(clock timer.Clock, wrap func(http.RoundTripper) http.RoundTripper) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	newTransport := func(disableKeepAlives bool) http.RoundTripper {
+		return wrap(httpresponse.NewTransport(&http.Transport{
+			DialContext:            dialer.DialContext,
+			IdleConnTimeout:        time.Minute,
+			DisableKeepAlives:      disableKeepAlives,
+			MaxResponseHeaderBytes: fetch.MaxHeadBytes,
+		}))
+	}
 	return &Client{
 		clock:        clock,
 		dialer:       dialer,
-		pooledClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: fetch.MaxHeadBytes})),
+		pooledClient: newHTTPClient(newTransport(false)),
 		// net/http resends a request with an Idempotency-Key header if a reused connection is lost. Requests that must
 		// be sent at most once therefore get a new connection.
-		singleUseClient: newHTTPClient(wrap(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: fetch.MaxHeadBytes})),
+		singleUseClient: newHTTPClient(newTransport(true)),
 	}
 }
 
