--- a/site/broken_answer_test.go
+++ b/site/broken_answer_test.go
@@ -16,6 +16,12 @@
 	"status 000":                     {Status: "000 None", Fields: []string{"Transfer-Encoding: chunked"}},
 	"status 000, body not announced": {Status: "000 None"},
 	"status 000 before a sound head": {Status: "000 None\r\n\r\nHTTP/1.1 200 OK", Fields: []string{"Transfer-Encoding: chunked"}},
+	"blank in a name":                {Status: "200 OK", Fields: []string{"Transfer-Encoding: chunked", "X Note: a"}},
+	"blank before a colon":           {Status: "200 OK", Fields: []string{"Transfer-Encoding : chunked"}},
+	"control byte in a name":         {Status: "200 OK", Fields: []string{"Transfer-Encoding: chunked", "X\x01Note: a"}},
+	"control byte before a colon":    {Status: "200 OK", Fields: []string{"Transfer-Encoding\x0b: chunked"}},
+	"null in a value":                {Status: "200 OK", Fields: []string{"Transfer-Encoding: chunked", "X-Note: a\x00b"}},
+	"carriage return in a value":     {Status: "200 OK", Fields: []string{"Transfer-Encoding: chunked", "X-Note: a\rb: c"}},
 	"status above those of HTTP":     {Status: "700 Own", Fields: []string{"Transfer-Encoding: chunked"}},
 }
 
--- a/transport/backend/broken_head_test.go
+++ b/transport/backend/broken_head_test.go
@@ -13,8 +13,8 @@
 	"github.com/hibiscuslever/hibiscuslever/transport/backend"
 )
 
-// TestBrokenHeadIsNoResponse has a server send heads whose status is none of HTTP. Neither they nor what follows them may be
-// taken for a response.
+// TestBrokenHeadIsNoResponse has a server send heads whose status is none of HTTP or that have a field whose name is not a
+// token. Neither they nor what follows them may be taken for a response.
 func TestBrokenHeadIsNoResponse(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	cases := map[string]string{
@@ -25,6 +25,15 @@
 		"status with a sign":     "HTTP/1.1 +20 None\r\n\r\n",
 		"status of minus zero":   "HTTP/1.1 -00 None\r\n\r\n",
 		"status 600":             "HTTP/1.1 600 Own\r\nContent-Length: 0\r\n\r\n",
+		"null in a value":        "HTTP/1.1 200 OK\r\nA: b\x00\r\nContent-Length: 0\r\n\r\n",
+		"blank in an interim":    "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n",
+	}
+	names := map[string]string{
+		"blank before the colon": "Content-Length ", "blank within": "A B", "tab before the colon": "A\t", "null": "A\x00B", "escape": "\x1bA", "delete": "A\x7f",
+		"carriage return": "A\rB", "no name": "", "not ASCII": "A\xe4", "parentheses": "A(B)", "chunks with a blank": "Transfer-Encoding ",
+	}
+	for name, field := range names {
+		cases["field name: "+name] = "HTTP/1.1 200 OK\r\nFirst: 1\r\n" + field + ": chunked\r\nContent-Length: 0\r\n\r\n"
 	}
 	for name, sent := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -257,7 +257,7 @@
 		if err != nil {
 			return nil, shortenError(err)
 		}
-		if err := httpresponse.CheckHead(response.StatusCode); err != nil {
+		if err := httpresponse.CheckHead(response.StatusCode, response.Header); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
--- a/transport/httpresponse/clients_test.go
+++ b/transport/httpresponse/clients_test.go
@@ -108,9 +108,17 @@
 func TestClientsRejectBrokenHeads(t *testing.T) {
 	type head struct{ status, field string }
 	broken := map[string]head{
-		"status 000": {status: "000 None"},
-		"status 099": {status: "099 None"},
-		"status 600": {status: "600 Own"},
+		"status 000":          {status: "000 None"},
+		"status 099":          {status: "099 None"},
+		"blank in a name":     {field: "A B: c"},
+		"blank before colon":  {field: "A : c"},
+		"control byte":        {field: "A\x01: c"},
+		"tab before colon":    {field: "A\t: c"},
+		"name not of a token": {field: "A(B): c"},
+		"no name":             {field: ": c"},
+		"null in a value":     {field: "A: b\x00"},
+		"CR in a value":       {field: "A: b\rc: d"},
+		"status 600":          {status: "600 Own"},
 	}
 	sound := map[string]head{
 		"plain":                     {},
--- a/transport/httpresponse/head.go
+++ b/transport/httpresponse/head.go
@@ -2,7 +2,13 @@
 // and RFC 9112.
 package httpresponse
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // Status codes of HTTP (RFC 9110, section 15).
 const (
@@ -10,10 +16,22 @@
 	highestStatus = 599
 )
 
-// CheckHead returns an error if the status of a response is none of HTTP.
-func CheckHead(status int) error {
+// CheckHead returns an error if the status or the header of a response is none of HTTP. The values of fields need no check:
+// net/http rejects control bytes in them.
+func CheckHead(status int, header http.Header) error {
 	if status < lowestStatus || status > highestStatus {
 		return fmt.Errorf("the answer has the status %03d, which is none of HTTP", status)
 	}
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("the answer has a field whose name is not a token: %s", quoteShort(name))
+		}
+	}
 	return nil
 }
+
+// maxQuotedBytes limits what an error quotes of a response, because errors get into logs and messages to other hosts.
+const maxQuotedBytes = 64
+
+// quoteShort returns the beginning of a text in quotes.
+func quoteShort(text string) string { return strconv.Quote(text[:min(len(text), maxQuotedBytes)]) }
--- a/transport/httpresponse/transport.go
+++ b/transport/httpresponse/transport.go
@@ -24,7 +24,7 @@
 		return nil, err
 	}
 	response.Request = request
-	if err := CheckHead(response.StatusCode); err != nil {
+	if err := CheckHead(response.StatusCode, response.Header); err != nil {
 		_ = response.Body.Close()
 		if response.ProtoMajor == 1 && connection != nil {
 			_ = connection.Close()
--- a/transport/peer/broken_head_test.go
+++ b/transport/peer/broken_head_test.go
@@ -28,6 +28,8 @@
 	}{
 		{"sound", "200 OK", "X-Note: a", true},
 		{"status", "000 None", "X-Note: a", false},
+		{"blank in a name", "200 OK", "X Note: a", false},
+		{"control byte in a name", "200 OK", "X\x01Note: a", false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			response := "HTTP/1.1 " + tc.status + "\r\nContent-Type: application/proto\r\n" + tc.field + "\r\nContent-Length: 0\r\n\r\n"
@@ -55,6 +57,10 @@
 		{"status 000", 0, nil, false},
 		{"status 099", 99, nil, false},
 		{"interim", 100, nil, false},
+		{"blank in a name", 200, http.Header{"X Seal": {"a"}}, false},
+		{"blank before a colon", 200, http.Header{"Transfer-Encoding ": {"chunked"}}, false},
+		{"control byte in a name", 200, http.Header{"X\x01": {"a"}}, false},
+		{"line break in a name", 200, http.Header{"X\r\nY": {"a"}}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			client, member := startRelay(t, func(context.Context, peerrelay.Call) (peerrelay.Answer, error) {
--- a/transport/peer/relay_frames.go
+++ b/transport/peer/relay_frames.go
@@ -299,7 +299,7 @@
 func (rh relayHead) check(kind peerrelay.Kind) error {
 	if kind == peerrelay.Send {
 		// A host of an older build may pass on a head that this one rejects.
-		if err := httpresponse.CheckHead(rh.Status); err != nil {
+		if err := httpresponse.CheckHead(rh.Status, decodeHeader(rh.Header)); err != nil {
 			return errors.Wrap(err, "check a relayed response")
 		}
 	}
