--- a/site/broken_answer_test.go
+++ b/site/broken_answer_test.go
@@ -23,6 +23,7 @@
 	"null in a value":                {Status: "200 OK", Fields: []string{"Transfer-Encoding: chunked", "X-Note: a\x00b"}},
 	"carriage return in a value":     {Status: "200 OK", Fields: []string{"Transfer-Encoding: chunked", "X-Note: a\rb: c"}},
 	"status above those of HTTP":     {Status: "700 Own", Fields: []string{"Transfer-Encoding: chunked"}},
+	"protocol not asked for":         {Status: "101 Switching Protocols", Fields: []string{"Upgrade: other", "Connection: upgrade"}},
 }
 
 // answerEnv is an environment with a host that reaches its servers itself or through a peer.
--- a/transport/backend/broken_head_test.go
+++ b/transport/backend/broken_head_test.go
@@ -26,6 +26,7 @@
 		"status of minus zero":   "HTTP/1.1 -00 None\r\n\r\n",
 		"status 600":             "HTTP/1.1 600 Own\r\nContent-Length: 0\r\n\r\n",
 		"null in a value":        "HTTP/1.1 200 OK\r\nA: b\x00\r\nContent-Length: 0\r\n\r\n",
+		"protocol not asked for": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n",
 		"blank in an interim":    "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n",
 	}
 	names := map[string]string{
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -242,8 +242,7 @@
 	return err
 }
 
-// readFinalResponse reads the next response and skips interim (1xx) ones, except for 101 Switching Protocols, which is
-// final.
+// readFinalResponse reads the next response and skips interim (1xx) ones.
 func (cn *conn) readFinalResponse(request *http.Request) (*http.Response, error) {
 	for {
 		buffered, err := cn.reader.Peek(cn.reader.Buffered())
@@ -260,7 +259,7 @@
 		if err := httpresponse.CheckHead(response.StatusCode, response.Header); err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
--- a/transport/httpresponse/clients_test.go
+++ b/transport/httpresponse/clients_test.go
@@ -118,6 +118,7 @@
 		"no name":             {field: ": c"},
 		"null in a value":     {field: "A: b\x00"},
 		"CR in a value":       {field: "A: b\rc: d"},
+		"other protocol":      {status: "101 Switching Protocols"},
 		"status 600":          {status: "600 Own"},
 	}
 	sound := map[string]head{
--- a/transport/httpresponse/head.go
+++ b/transport/httpresponse/head.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -16,12 +17,15 @@
 	highestStatus = 599
 )
 
-// CheckHead returns an error if the status or the header of a response is none of HTTP. The values of fields need no check:
-// net/http rejects control bytes in them.
+// CheckHead returns an error if the status or the header of a response is none of HTTP. It rejects 101 Switching Protocols,
+// because no host asks for another protocol. The values of fields need no check: net/http rejects control bytes in them.
 func CheckHead(status int, header http.Header) error {
 	if status < lowestStatus || status > highestStatus {
 		return fmt.Errorf("the answer has the status %03d, which is none of HTTP", status)
 	}
+	if status == http.StatusSwitchingProtocols {
+		return errors.New("the answer changes the protocol, which was not asked for")
+	}
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return fmt.Errorf("the answer has a field whose name is not a token: %s", quoteShort(name))
