--- a/site/broken_answer_test.go
+++ b/site/broken_answer_test.go
@@ -39,6 +39,7 @@
 func newAnswerEnv(t *testing.T, relayed bool) *answerEnv {
 	env := newTestEnv(t)
 	env.linkedHosts = true
+	env.limits["MaxBodyBytes"] = 2 * longBodyBytes
 	byService := map[string][]*standin.Server{}
 	for number := range 2 {
 		for name, service := range map[string]string{"book-": "books", "engine-": "models"} {
--- a/standin/site/broken_answers.go
+++ b/standin/site/broken_answers.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // BrokenHead is what is wrong in the head of an answer: its status line, or further fields, each a line of the head.
@@ -49,6 +51,50 @@
 	sv.markCompleted(executed)
 }
 
+// answersEarly reports whether the fault makes the server answer before it has read the body of a request.
+func (ft ServerFault) answersEarly() bool {
+	return ft == ResetsEarlyAnswers || ft == HalfClosesEarlyAnswers || ft == SendsEarlyAnswers
+}
+
+// earlyAnswerPause is the time between the parts of an early answer, in which the buffers of the connection fill up.
+const earlyAnswerPause = 20 * time.Millisecond
+
+// respondEarly answers a request before its body is read. An answer with a length is followed by the end of the connection.
+// If the answer has no length, the server either resets the connection after the first part, or ends its side of the
+// connection after the last one and reads on.
+func (sv *Server) respondEarly(rw http.ResponseWriter, rq *http.Request, fault ServerFault) {
+	executed := sv.recordExecution(rq, nil)
+	defer sv.markEnded(executed)
+	contentType, parts := "text/plain", []string{"answer of " + sv.ID, " to " + executed.Attempt}
+	if rq.Header.Get("X-Token-Count") != "" {
+		contentType, parts = "text/event-stream", sv.events()
+	}
+	conn, buffered, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	tcpConn := conn.(*net.TCPConn)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-of-%s\r\nContent-Type: %s\r\n", executed.Attempt, sv.ID, contentType)
+	if fault == SendsEarlyAnswers {
+		_, _ = fmt.Fprintf(conn, "Content-Length: %d\r\n", len(strings.Join(parts, "")))
+	}
+	_, _ = io.WriteString(conn, "\r\n")
+	for _, part := range parts {
+		_, _ = io.WriteString(conn, part)
+		time.Sleep(earlyAnswerPause)
+		if fault == ResetsEarlyAnswers {
+			_ = tcpConn.SetLinger(0)
+			return
+		}
+	}
+	sv.markCompleted(executed)
+	if fault == HalfClosesEarlyAnswers {
+		_ = tcpConn.CloseWrite()
+		_, _ = io.Copy(io.Discard, buffered.Reader)
+	}
+}
+
 // events returns the events of a whole stream.
 func (sv *Server) events() []string {
 	var events []string
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -64,6 +64,12 @@
 	CrashesWithoutLength
 	// SendsBrokenHeads makes the server send its answers behind the heads of SetBrokenHead.
 	SendsBrokenHeads
+	// ResetsEarlyAnswers makes the server answer without a length before it has read the body of a request, and reset the
+	// connection after the first part of the answer. HalfClosesEarlyAnswers makes it send the whole answer, end its side of
+	// the connection and read on, SendsEarlyAnswers send the whole answer with a length and close the connection.
+	ResetsEarlyAnswers
+	HalfClosesEarlyAnswers
+	SendsEarlyAnswers
 )
 
 // ExecutedRequest is a request that a server started to run.
@@ -386,6 +392,10 @@
 	namesColdTime := sv.coldInAnswers && coldRemaining > 0
 	sv.arrivals = append(sv.arrivals, time.Now())
 	sv.mutex.Unlock()
+	if fault.answersEarly() {
+		sv.respondEarly(rw, rq, fault)
+		return
+	}
 	body, err := io.ReadAll(rq.Body)
 	if err != nil {
 		return
--- a/transport/backend/client.go
+++ b/transport/backend/client.go
@@ -109,8 +109,7 @@
 	} else {
 		// A long body is not copied behind the head, because many of them may be sent at once.
 		tasks.Go(func() {
-			parts := net.Buffers{head, request.Body}
-			_, err := parts.WriteTo(cn.Conn)
+			_, err := cn.WriteBuffers(net.Buffers{head, request.Body})
 			ex.writeResult <- err
 		})
 	}
--- a/transport/backend/endless_response_test.go
+++ b/transport/backend/endless_response_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -150,8 +149,9 @@
 			_, _ = server.Write(sent)
 			_ = server.Close()
 		}()
-		limited := &limitedReader{Reader: client, remaining: unlimited}
-		pool.idle["here"] = []*conn{{Conn: client, address: "here", limitedReader: limited, reader: bufio.NewReader(limited), expiresAt: time.Now().Add(time.Hour)}}
+		idle := newConn(client, "here")
+		idle.expiresAt = time.Now().Add(time.Hour)
+		pool.idle["here"] = []*conn{idle}
 		response, err := pool.Do(t.Context(), Request{
 			Address: "here", Method: http.MethodGet, Target: "/x", Host: "h",
 			MatchesRequest: func(_ int, header http.Header) bool { return header.Get("For") == "mine" },
--- a/transport/backend/pool.go
+++ b/transport/backend/pool.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/hibiscuslever/hibiscuslever/timer"
+	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
 // Config sets the timeouts and limits of connections.
@@ -45,7 +46,7 @@
 
 // conn is a connection to a backend server.
 type conn struct {
-	net.Conn
+	*httpresponse.Conn
 	address       string
 	limitedReader *limitedReader
 	reader        *bufio.Reader
@@ -105,7 +106,7 @@
 			delete(pl.idle, address)
 		}
 		pl.mutex.Unlock()
-		if pl.clock.Now().Before(cn.expiresAt) && isOpenAndIdle(cn.Conn) {
+		if pl.clock.Now().Before(cn.expiresAt) && isOpenAndIdle(cn.NetConn()) {
 			cn.reused = true
 			return cn
 		}
@@ -189,8 +190,9 @@
 const descriptorWait = 20 * time.Millisecond
 
 func newConn(connection net.Conn, address string) *conn {
-	limited := &limitedReader{Reader: connection, remaining: unlimited}
-	return &conn{Conn: connection, address: address, limitedReader: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
+	checked := httpresponse.NewConn(connection)
+	limited := &limitedReader{Reader: checked, remaining: unlimited}
+	return &conn{Conn: checked, address: address, limitedReader: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
 }
 
 // Preconnect opens a connection to an address, as DialRunning does, and stores it for later requests, as far as the limits
--- a/transport/backend/socket_test.go
+++ b/transport/backend/socket_test.go
@@ -22,7 +22,7 @@
 	cn, err := pool.dial(t.Context(), listener.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = cn.Close() }()
-	rawConn, err := cn.Conn.(syscall.Conn).SyscallConn()
+	rawConn, err := cn.NetConn().(syscall.Conn).SyscallConn()
 	assert.NilError(t, err)
 	for name, option := range map[string][2]int{
 		"TCP_USER_TIMEOUT": {unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT},
--- a/transport/httpresponse/head.go
+++ b/transport/httpresponse/head.go
@@ -1,5 +1,5 @@
 // Package httpresponse makes HTTP clients reject what is no response. net/http accepts heads outside the grammar of RFC 9110
-// and RFC 9112.
+// and RFC 9112, and a connection that was reset may look like one that was closed.
 package httpresponse
 
 import (
--- a/transport/httpresponse/transport.go
+++ b/transport/httpresponse/transport.go
@@ -1,6 +1,7 @@
 package httpresponse
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -11,8 +12,19 @@
 // Transport is an http.RoundTripper that rejects broken responses.
 type Transport struct{ next *http.Transport }
 
-// NewTransport returns a transport that sends requests with next.
-func NewTransport(next *http.Transport) *Transport { return &Transport{next: next} }
+// NewTransport returns a transport that sends requests with next and whose connections are of type Conn. It changes
+// next.DialContext, which must be set.
+func NewTransport(next *http.Transport) *Transport {
+	dial := next.DialContext
+	next.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(connection), nil
+	}
+	return &Transport{next: next}
+}
 
 // RoundTrip sends a request. A response that CheckHead rejects is an error, and its connection of HTTP/1 is closed: where the
 // response ends is not certain, so that what follows it may be a part of it.
--- a/transport/httpresponse/transport_test.go
+++ b/transport/httpresponse/transport_test.go
@@ -1,7 +1,6 @@
 package httpresponse_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/hibiscuslever/hibiscuslever/testutil"
 	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
@@ -24,27 +24,15 @@
 		"name, half body":  "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 4\r\n\r\nok",
 	} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer func() { _ = listener.Close() }()
 			closed := make(chan struct{})
-			go func() {
-				defer close(closed)
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(reader); err != nil {
-					return
-				}
+			address := testutil.StartEarlyServer(t, func(conn *net.TCPConn, rest io.Reader) {
 				_, _ = io.WriteString(conn, response)
-				_, _ = io.Copy(io.Discard, reader)
-			}()
+				_, _ = io.Copy(io.Discard, rest)
+				close(closed)
+			})
 			transport := httpresponse.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
 			defer transport.CloseIdleConnections()
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), nil)
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address, nil)
 			assert.NilError(t, err)
 			httpResponse, err := transport.RoundTrip(request)
 			if err == nil {
