--- a/standin/site/broken_answers.go
+++ b/standin/site/broken_answers.go
@@ -67,7 +67,7 @@
 	defer sv.markEnded(executed)
 	contentType, parts := "text/plain", []string{"answer of " + sv.ID, " to " + executed.Attempt}
 	if rq.Header.Get("X-Token-Count") != "" {
-		contentType, parts = "text/event-stream", sv.events()
+		contentType, parts = "text/event-stream", sv.events(1)
 	}
 	conn, buffered, err := http.NewResponseController(rw).Hijack()
 	if err != nil {
@@ -95,14 +95,11 @@
 	}
 }
 
-// events returns the events of a whole stream.
-func (sv *Server) events() []string {
+// events returns the events of a stream from the first one given to the last one, without added bytes.
+func (sv *Server) events(first int) []string {
 	var events []string
-	for number := 1; number <= sv.EventCount; number++ {
-		events = append(events, formatEvent(number))
+	for number := first; number <= sv.EventCount; number++ {
+		events = append(events, fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number))
 	}
 	return events
 }
-
-// formatEvent returns an event of a stream without added bytes.
-func formatEvent(number int) string { return fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number) }
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -557,11 +557,11 @@
 		}
 	}
 	if fault == OmitsLengths || fault == CrashesWithoutLength {
-		sv.respondWithoutLength(rw, executed, "text/event-stream", sv.events()[firstEvent-1:], interval)
+		sv.respondWithoutLength(rw, executed, "text/event-stream", sv.events(firstEvent), interval)
 		return
 	}
 	if fault == SendsBrokenHeads {
-		sv.respondWithBrokenHead(rw, executed, "text/event-stream", sv.events()[firstEvent-1:])
+		sv.respondWithBrokenHead(rw, executed, "text/event-stream", sv.events(firstEvent))
 		return
 	}
 	for number := firstEvent; number <= sv.EventCount; number++ {
--- a/transport/httpresponse/head.go
+++ b/transport/httpresponse/head.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
@@ -28,14 +27,11 @@
 	}
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("the answer has a field whose name is not a token: %s", quoteShort(name))
+			return fmt.Errorf("the answer has a field whose name is not a token: %.*q", maxQuotedCharacters, name)
 		}
 	}
 	return nil
 }
 
-// maxQuotedBytes limits what an error quotes of a response, because errors get into logs and messages to other hosts.
-const maxQuotedBytes = 64
-
-// quoteShort returns the beginning of a text in quotes.
-func quoteShort(text string) string { return strconv.Quote(text[:min(len(text), maxQuotedBytes)]) }
+// maxQuotedCharacters limits what an error quotes of a response, because errors get into logs and messages to other hosts.
+const maxQuotedCharacters = 64
--- a/transport/peer/relay_client.go
+++ b/transport/peer/relay_client.go
@@ -11,6 +11,7 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/membership"
 	"github.com/hibiscuslever/hibiscuslever/coordination/peerrelay"
 	"github.com/hibiscuslever/hibiscuslever/transport/backend"
+	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
 // relayPath is the path at which hosts take relayed calls.
@@ -113,7 +114,14 @@
 		if err := head.check(call); err != nil {
 			return peerrelay.Answer{}, brokenRelay(err)
 		}
-		return head.answer(), nil
+		answer := head.answer()
+		if call == peerrelay.Send {
+			// A host of an older build may pass on a head that this one rejects.
+			if err := httpresponse.CheckHead(answer.Response.Status, answer.Response.Header); err != nil {
+				return peerrelay.Answer{}, brokenRelay(err)
+			}
+		}
+		return answer, nil
 	case failureFrame:
 		failure := rb.readFailure(length)
 		_, _ = rb.input.ReadByte()
--- a/transport/peer/relay_frames.go
+++ b/transport/peer/relay_frames.go
@@ -20,7 +20,6 @@
 	"github.com/hibiscuslever/hibiscuslever/coordination/requestlimit"
 	"github.com/hibiscuslever/hibiscuslever/state/id"
 	"github.com/hibiscuslever/hibiscuslever/state/serverlimit"
-	"github.com/hibiscuslever/hibiscuslever/transport/httpresponse"
 )
 
 // Limits of relayed calls.
@@ -297,15 +296,9 @@
 
 // check reports values that are out of range.
 func (rh relayHead) check(kind peerrelay.Kind) error {
-	if kind == peerrelay.Send {
-		// A host of an older build may pass on a head that this one rejects.
-		if err := httpresponse.CheckHead(rh.Status, decodeHeader(rh.Header)); err != nil {
-			return errors.Wrap(err, "check a relayed response")
-		}
-	}
 	switch {
 	case kind == peerrelay.Send && rh.Status < http.StatusOK:
-		return fmt.Errorf("a relayed response has the interim status %d", rh.Status)
+		return fmt.Errorf("a relayed response has the status %d, which is not final", rh.Status)
 	case rh.Length < -1:
 		return fmt.Errorf("a relayed response has %d bytes", rh.Length)
 	case rh.RequestLimit < 0:
