--- a/review/stage/frozen_entry_test.go
+++ b/review/stage/frozen_entry_test.go
@@ -35,7 +35,7 @@
 		defer en.crash()
 		all = append(all, en)
 	}
-	st.startDaemons(3)
+	st.startDaemons(kspumpLever, 3)
 	target := st.daemons[0]
 	broken, served := "", 0
 	for round := 0; round < rounds && broken == ""; round++ {
--- a/review/stage/kept_bodies_test.go
+++ b/review/stage/kept_bodies_test.go
@@ -37,7 +37,7 @@
 		defer sv.close()
 		servers = append(servers, sv)
 	}
-	st.startDaemons(3)
+	st.startDaemons(kspumpLever, 3)
 	target := st.daemons[0]
 	body := bytes.Repeat([]byte("b"), bodyBytes)
 	stop := make(chan struct{})
@@ -75,8 +75,8 @@
 		switch {
 		case target.hasExited():
 			broken = target.name + " ended by itself"
-		case kb > memoryMb<<10:
-			broken = fmt.Sprintf("%s takes %d kB of %d MB after %d requests, of which %d lost their answers", target.name, kb, memoryMb, sent.Load(), servers[0].lost.Load())
+		case kb > kspumpLever.memoryMb<<10:
+			broken = fmt.Sprintf("%s takes %d kB of %d MB after %d requests, of which %d lost their answers", target.name, kb, kspumpLever.memoryMb, sent.Load(), servers[0].lost.Load())
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/review/stage/main_test.go
+++ b/review/stage/main_test.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(st *stage) string{
 	"kept-bodies":  keptBodies,
 	"frozen-entry": frozenEntry,
+	"slow-readers": slowReaders,
 }
 
 // TestMain runs a case, "stage CASE FOLDER", or a server as a process of its own, "stage server ...".
--- a/review/stage/server_test.go
+++ b/review/stage/server_test.go
@@ -42,9 +42,11 @@
 	workTime time.Duration
 	// losesAnswer says whether the answer to a run is lost: the server runs the request and resets the channel.
 	losesAnswer func() bool
-	ran         atomic.Int64
-	lost        atomic.Int64
-	stop        chan struct{}
+	// answer gives another answer than the usual one, and reports whether it did; nil if there is none.
+	answer func(writer http.ResponseWriter, request *http.Request) bool
+	ran    atomic.Int64
+	lost   atomic.Int64
+	stop   chan struct{}
 }
 
 // startServer starts a server, lists it and keeps its entry up to date.
@@ -102,6 +104,9 @@
 		}
 		return
 	}
+	if sv.answer != nil && sv.answer(writer, request) {
+		return
+	}
 	writer.Header().Set("X-Response-Seal", "seal-"+sv.id)
 	writer.Header().Set("X-Engine-Load", "1,0,6")
 	_, _ = io.WriteString(writer, strings.Repeat("x", 800))
--- a/review/stage/stage_test.go
+++ b/review/stage/stage_test.go
@@ -68,6 +68,9 @@
 	}
 	st.store.close()
 	_ = st.file.Close()
+	if logs := os.Getenv("LOGS"); logs != "" {
+		_ = os.CopyFS(logs, os.DirFS(st.dir))
+	}
 	_ = os.RemoveAll(st.dir)
 }
 
@@ -89,19 +92,29 @@
 	exited                                     chan struct{}
 }
 
-// The deployment kspump-lever: what the platform fills into the template.
+// deployment is what the platform fills into the template and differs between the sites.
+type deployment struct {
+	memoryMb         int
+	cpuShare         string
+	retryBudgetSlack string
+	zone             string
+}
+
+var (
+	kspumpLever   = deployment{memoryMb: 206, cpuShare: "0.272", retryBudgetSlack: "234", zone: "accra"}
+	inziraHqGrown = deployment{memoryMb: 536, cpuShare: "0.8", retryBudgetSlack: "192", zone: "kigali"}
+)
+
+// What the platform fills in for all of these sites.
 const (
-	memoryMb         = 206
-	cpuShare         = "0.272"
 	graceS           = "8"
 	retryBudgetRatio = "0.2"
-	retryBudgetSlack = "234"
 	freeMs           = "4000"
 	idleMaxMs        = "9000"
 )
 
 // startDaemons starts daemons in zones in turn and waits until all are ready.
-func (st *stage) startDaemons(count int) {
+func (st *stage) startDaemons(site deployment, count int) {
 	var seeds []string
 	for ix := range count {
 		dm := &daemon{
@@ -114,7 +127,7 @@
 		}
 	}
 	for ix, dm := range st.daemons {
-		dm.start(fmt.Sprintf("accra-%c", 'a'+ix%3), seeds)
+		dm.start(site, fmt.Sprintf("%s-%c", site.zone, 'a'+ix%3), seeds)
 	}
 	for _, dm := range st.daemons {
 		await(dm.name+" is ready", func() bool { return getStatus("http://"+dm.ready+"/-/ready") == 200 })
@@ -134,7 +147,7 @@
 var section = regexp.MustCompile(`\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
 
 // start fills in the template of the deploy file, as the platform does, and runs the command of the deploy file.
-func (dm *daemon) start(zone string, seeds []string) {
+func (dm *daemon) start(site deployment, zone string, seeds []string) {
 	template, err := os.ReadFile(filepath.Join(dm.stage.root, "deploy", "host.ini"))
 	check(err)
 	operatorHost, operatorPort, _ := net.SplitHostPort(dm.operator)
@@ -142,8 +155,8 @@
 		"Node": dm.name, "Zone": zone, "Listen.Front": dm.front, "Listen.Control": dm.control, "Listen.Ready": dm.ready,
 		"Listen.Directory": dm.directory, "Ip": operatorHost, "InternalPorts.0": operatorPort, "Platform.Address": dm.stage.store.address(),
 		"Seeds": strings.Join(seeds, ","), "Bounds.GraceS": graceS, "Bounds.RetryBudgetRatio": retryBudgetRatio,
-		"Bounds.RetryBudgetSlack": retryBudgetSlack, "Bounds.FreeMs": freeMs, "Bounds.IdleMaxMs": idleMaxMs,
-		"Limits.MemoryMb": strconv.Itoa(memoryMb), "Limits.CpuShare": cpuShare,
+		"Bounds.RetryBudgetSlack": site.retryBudgetSlack, "Bounds.FreeMs": freeMs, "Bounds.IdleMaxMs": idleMaxMs,
+		"Limits.MemoryMb": strconv.Itoa(site.memoryMb), "Limits.CpuShare": site.cpuShare,
 	}
 	text := section.ReplaceAllStringFunc(string(template), func(match string) string {
 		parts := section.FindStringSubmatch(match)
