--- a/review/stage/main_test.go
+++ b/review/stage/main_test.go
@@ -23,6 +23,8 @@
 	"kept-bodies":  keptBodies,
 	"frozen-entry": frozenEntry,
 	"slow-readers": slowReaders,
+	"reborn":       reborn,
+	"cold-return":  coldReturn,
 }
 
 // TestMain runs a case, "stage CASE FOLDER", or a server as a process of its own, "stage server ...".
--- a/review/stage/server_test.go
+++ b/review/stage/server_test.go
@@ -162,13 +162,15 @@
 	return exitHeld
 }
 
-// engine is an engine process, which keeps its address and its id over crashes.
+// engine is an engine process, which keeps its address over crashes, and its id unless it takes a new one.
 type engine struct {
-	id, address string
-	stage       *stage
-	gap         time.Duration
+	name, address string
+	stage         *stage
+	gap           time.Duration
 
 	mutex   sync.Mutex
+	id      string
+	starts  int
 	command *exec.Cmd
 	// listed says that the entry is the process's own.
 	listed bool
@@ -179,15 +181,26 @@
 
 // startEngine starts an engine and keeps its entry up to date.
 func (st *stage) startEngine(id, zone string, gap time.Duration) *engine {
-	en := &engine{id: id, address: freeAddress(), stage: st, gap: gap}
+	en := st.newEngine(id, zone, gap)
+	en.run()
+	return en
+}
+
+// newEngine returns an engine that does not run yet.
+func (st *stage) newEngine(id, zone string, gap time.Duration) *engine {
+	en := &engine{name: id, id: id, address: freeAddress(), stage: st, gap: gap}
 	en.entry = entry{Service: "lever-llm", Address: en.address, Zone: zone, Version: "v1", Slots: 16, State: "ready"}
+	return en
+}
+
+// run starts the process and keeps the entry up to date.
+func (en *engine) run() {
 	en.start(0)
 	go func() {
 		for range time.Tick(heartbeatTime) {
 			en.beat()
 		}
 	}()
-	return en
 }
 
 // start starts the process, which writes its entry when lag has passed since it listens.
@@ -229,6 +242,14 @@
 	}()
 }
 
+// takeNewID gives the next process another id. The entry of the last one stays as it was.
+func (en *engine) takeNewID() {
+	en.mutex.Lock()
+	defer en.mutex.Unlock()
+	en.starts++
+	en.id = fmt.Sprintf("%s-%d", en.name, en.starts+1)
+}
+
 // beat writes the entry, unless the process has ended.
 func (en *engine) beat() {
 	en.mutex.Lock()
--- a/review/stage/stage_test.go
+++ b/review/stage/stage_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -74,12 +75,25 @@
 	_ = os.RemoveAll(st.dir)
 }
 
-// freeAddress returns a loopback address that is free now.
+// taken are the ports that freeAddress has returned.
+var taken sync.Map
+
+// freeAddress returns a loopback address that is free now. Its port is outside of the range from which the system takes ports for
+// outgoing channels.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	const firstPort, ports = 20_000, 12_000
+	for {
+		port := firstPort + rand.IntN(ports)
+		if _, isTaken := taken.LoadOrStore(port, true); isTaken {
+			continue
+		}
+		listener, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return listener.Addr().String()
+	}
 }
 
 // daemon is a process of the only role of the deploy file.
@@ -101,14 +115,17 @@
 }
 
 var (
-	kspumpLever   = deployment{memoryMb: 206, cpuShare: "0.272", retryBudgetSlack: "234", zone: "accra"}
-	inziraHqGrown = deployment{memoryMb: 536, cpuShare: "0.8", retryBudgetSlack: "192", zone: "kigali"}
+	kspumpLever    = deployment{memoryMb: 206, cpuShare: "0.272", retryBudgetSlack: "234", zone: "accra"}
+	inziraHqGrown  = deployment{memoryMb: 536, cpuShare: "0.8", retryBudgetSlack: "192", zone: "kigali"}
+	quipuLimaGrown = deployment{memoryMb: 136, cpuShare: "0.134", retryBudgetSlack: "346", zone: "lima"}
 )
 
 // What the platform fills in for all of these sites.
 const (
 	graceS           = "8"
 	retryBudgetRatio = "0.2"
+	coldOverage      = "1.5"
+	coldSlack        = "5"
 	freeMs           = "4000"
 	idleMaxMs        = "9000"
 )
@@ -155,7 +172,7 @@
 		"Node": dm.name, "Zone": zone, "Listen.Front": dm.front, "Listen.Control": dm.control, "Listen.Ready": dm.ready,
 		"Listen.Directory": dm.directory, "Ip": operatorHost, "InternalPorts.0": operatorPort, "Platform.Address": dm.stage.store.address(),
 		"Seeds": strings.Join(seeds, ","), "Bounds.GraceS": graceS, "Bounds.RetryBudgetRatio": retryBudgetRatio,
-		"Bounds.RetryBudgetSlack": site.retryBudgetSlack, "Bounds.FreeMs": freeMs, "Bounds.IdleMaxMs": idleMaxMs,
+		"Bounds.RetryBudgetSlack": site.retryBudgetSlack, "Bounds.ColdOverage": coldOverage, "Bounds.ColdSlack": coldSlack, "Bounds.FreeMs": freeMs, "Bounds.IdleMaxMs": idleMaxMs,
 		"Limits.MemoryMb": strconv.Itoa(site.memoryMb), "Limits.CpuShare": site.cpuShare,
 	}
 	text := section.ReplaceAllStringFunc(string(template), func(match string) string {
--- a/review/stage/store_test.go
+++ b/review/stage/store_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +24,8 @@
 type store struct {
 	listener net.Listener
 	server   *http.Server
+	// silent says that the store answers nothing.
+	silent atomic.Bool
 
 	mutex   sync.Mutex
 	topics  map[string][]storeRecord
@@ -46,6 +49,10 @@
 	mux.HandleFunc("POST /-/log-append", sr.append)
 	sr.server = &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		time.Sleep(storeAnswerTime)
+		if sr.silent.Load() {
+			<-request.Context().Done()
+			return
+		}
 		mux.ServeHTTP(writer, request)
 	})}
 	go func() { _ = sr.server.Serve(listener) }()
@@ -164,7 +171,10 @@
 )
 
 // publish writes the first desired state. The time-outs are those of the sheet unless a case needs longer ones.
-func (sr *store) publish(plainTimeoutMs int) {
+func (sr *store) publish(plainTimeoutMs int) { sr.publishCold(plainTimeoutMs, 0, 0) }
+
+// publishCold writes it with a plain service whose servers are cold for a time after their start.
+func (sr *store) publishCold(plainTimeoutMs int, coldS, coldPerS float64) {
 	route := func(name, prefix, kind, service string, timeoutMs, targetMs, gapMs, attempts int) map[string]any {
 		return map[string]any{
 			"Name": name, "Host": hostName, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": timeoutMs, "TargetLatencyMs": targetMs, "Priority": 1,
@@ -184,7 +194,7 @@
 				"Slots": 16, "KvCapacityTokens": 315_000, "Stride": 51, "step_ms": 0.85, "per_seq_ms": 0.00425, "context_per_k": 0.00285,
 				"read_per_s": 177_000.0, "pairs_per_m": 0.184, "chunk": 2048, "report_lag_ms": 200.0,
 			}},
-			map[string]any{"Name": "bookings-app", "HealthPath": "/healthz", "MaxConnections": 248},
+			map[string]any{"Name": "bookings-app", "HealthPath": "/healthz", "MaxConnections": 248, "ColdS": coldS, "ColdPerS": coldPerS},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": maxBodyBytes, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15_000},
 		"Tenants": []any{map[string]any{"Name": "hule930", "ApiKeys": []string{apiKey}, "Priority": 1}},
